--- /dev/null
+++ b/client/src/main/kotlin/org/lovageladder/client/Main.kt
@@ -0,0 +1,4 @@
+package org.lovageladder.client
+
+/** Temporary module marker. */
+public fun main() {}
--- /dev/null
+++ b/daemon/src/main/kotlin/org/lovageladder/daemon/Main.kt
@@ -0,0 +1,4 @@
+package org.lovageladder.daemon
+
+/** Temporary module marker. */
+public fun main() {}
--- /dev/null
+++ b/http/src/main/kotlin/org/lovageladder/http/Main.kt
@@ -0,0 +1,4 @@
+package org.lovageladder.http
+
+/** Temporary module marker. */
+public fun main() {}
--- /dev/null
+++ b/measure/src/main/kotlin/org/lovageladder/measure/Main.kt
@@ -0,0 +1,4 @@
+package org.lovageladder.measure
+
+/** Temporary module marker. */
+public fun main() {}
--- /dev/null
+++ b/peer/src/main/kotlin/org/lovageladder/peer/Main.kt
@@ -0,0 +1,4 @@
+package org.lovageladder.peer
+
+/** Temporary module marker. */
+public fun main() {}
--- /dev/null
+++ b/stand-in/src/main/kotlin/org/lovageladder/standin/Main.kt
@@ -0,0 +1,4 @@
+package org.lovageladder.standin
+
+/** Temporary module marker. */
+public fun main() {}
