--- a/core/src/main/kotlin/org/lovageladder/core/Names.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/Names.kt
@@ -2,9 +2,131 @@
 
 import kotlinx.serialization.Serializable
 
-/** Name of a machine that runs processes of the system or of the platform. */
+/*
+ * Identifiers used across the system. Each is a distinct type, so that a host name cannot be passed where a
+ * place name is expected. All serialize as their bare text or number.
+ */
+
+/** Name of a machine that runs processes of the system. */
 @Serializable
 @JvmInline
 public value class HostName(public val text: String) {
     override fun toString(): String = text
 }
+
+/** Name of a place: a group of hosts that fail together, such as a data centre. */
+@Serializable
+@JvmInline
+public value class PlaceName(public val text: String) {
+    override fun toString(): String = text
+}
+
+/** Name of a service that callers address. */
+@Serializable
+@JvmInline
+public value class ServiceName(public val text: String) {
+    override fun toString(): String = text
+}
+
+/** Name of a pool of upstreams that share one role. */
+@Serializable
+@JvmInline
+public value class PoolName(public val text: String) {
+    override fun toString(): String = text
+}
+
+/** Name of one upstream: an engine or a worker of a plain service. */
+@Serializable
+@JvmInline
+public value class UpstreamName(public val text: String) {
+    override fun toString(): String = text
+}
+
+/** Name of a request class within its service. */
+@Serializable
+@JvmInline
+public value class ClassName(public val text: String) {
+    override fun toString(): String = text
+}
+
+/** Name of a model as callers and engines know it. */
+@Serializable
+@JvmInline
+public value class ModelName(public val text: String) {
+    override fun toString(): String = text
+}
+
+/** Name of one running process, unique in the system at any one time. */
+@Serializable
+@JvmInline
+public value class ProcessName(public val text: String) {
+    override fun toString(): String = text
+}
+
+/** Number that a process draws at its start; a successor of the same name has a different one. */
+@Serializable
+@JvmInline
+public value class Incarnation(public val number: Long) {
+    override fun toString(): String = number.toString()
+}
+
+/** Position of a release note in the one order of accepted notes; 0 stands for "no note yet". */
+@Serializable
+@JvmInline
+public value class ReleaseVersion(public val number: Long) : Comparable<ReleaseVersion> {
+    override fun compareTo(other: ReleaseVersion): Int = number.compareTo(other.number)
+
+    override fun toString(): String = number.toString()
+
+    /** The version that follows this one. */
+    public fun next(): ReleaseVersion = ReleaseVersion(number + 1)
+
+    public companion object {
+        /** Version before any note is accepted. */
+        public val NONE: ReleaseVersion = ReleaseVersion(0)
+    }
+}
+
+/** Identifier that the author of a release note gives it, by which a lost answer to its publication is resolved. */
+@Serializable
+@JvmInline
+public value class NoteId(public val text: String) {
+    override fun toString(): String = text
+}
+
+/** Identifier of one submission by one caller, unique over all entries and their restarts. */
+@Serializable
+@JvmInline
+public value class RequestId(public val text: String) {
+    override fun toString(): String = text
+}
+
+/** Key by which a caller names one action, so that a repeated submission is recognised. */
+@Serializable
+@JvmInline
+public value class IdempotencyKey(public val text: String) {
+    override fun toString(): String = text
+}
+
+/**
+ * One try at one step of a request: a prefill, a decode or a plain call. The number is unique within the request.
+ * A decode attempt's identifier also names its reservation.
+ */
+@Serializable
+public data class AttemptId(val request: RequestId, val number: Int) {
+    override fun toString(): String = "$request.$number"
+}
+
+/** Identifier that a process gives to one connection; it is never used twice by that process. */
+@JvmInline
+public value class ConnectionId(public val number: Long)
+
+/** Identifier of one exchange with a caller at an entry; it is never used twice by that process. */
+@JvmInline
+public value class ExchangeId(public val number: Long)
+
+/** An IP address and port. */
+@Serializable
+public data class Address(val ip: String, val port: Int) {
+    override fun toString(): String = "$ip:$port"
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/lovageladder/core/PeerMessage.kt
@@ -0,0 +1,224 @@
+package org.lovageladder.core
+
+import kotlinx.serialization.Serializable
+import kotlin.time.Duration
+
+/*
+ * Messages between an entry and a companion. A connection begins with [PeerMessage.Hello] from the entry and
+ * [PeerMessage.Welcome] from the companion, which bind it to the incarnations of both. Durations are relative, since
+ * the clocks of two hosts are not comparable.
+ */
+
+/** A message with what every message carries: the sender's release version and hybrid time stamp. */
+@Serializable
+public data class Envelope(val release: ReleaseVersion, val clock: HybridTime, val message: PeerMessage)
+
+/** State of one upstream as its companion's ledger knows it. */
+@Serializable
+public data class UpstreamLoad(
+    val upstream: UpstreamName,
+    val piecesTotal: Int,
+    val piecesFree: Int,
+    val running: Int,
+    val waiting: Int,
+    val queuedPrefillTokens: Long = 0,
+)
+
+/** What a decode engine needs in order to fetch a prefill's result, valid for [keepFor] from its arrival. */
+@Serializable
+public data class TransferTicket(val parametersJson: String, val bytes: Long, val keepFor: Duration)
+
+/** The claim under which a non-idempotent call may start once. [number] grows with each takeover of the key. */
+@Serializable
+public data class ClaimTicket(val storeKey: String, val number: Long, val revision: Long, val record: ClaimRecord)
+
+/** Value of a claim in the key-value service. */
+@Serializable
+public data class ClaimRecord(
+    val bodyDigest: String,
+    val number: Long,
+    val host: HostName,
+    val incarnation: Incarnation,
+    val request: RequestId,
+    val answer: PlainAnswer? = null,
+)
+
+/** What a companion knows of one claim. */
+@Serializable
+public enum class ClaimState {
+    /** It will never start under this number. */
+    VOIDED,
+
+    /** It was handed to the upstream and no answer has arrived. */
+    STARTED,
+
+    /** The upstream's answer is known. */
+    ANSWERED,
+
+    /** It was handed to the upstream, and its answer was lost. */
+    LOST,
+}
+
+/** One message between an entry and a companion. */
+@Serializable
+public sealed interface PeerMessage {
+    /** First message of an entry. A companion of another [expectedHost] or incarnation closes the connection. */
+    @Serializable
+    public data class Hello(
+        val protocol: Int,
+        val process: ProcessName,
+        val incarnation: Incarnation,
+        val expectedHost: HostName,
+        val expectedIncarnation: Incarnation? = null,
+    ) : PeerMessage
+
+    /** First message of a companion. */
+    @Serializable
+    public data class Welcome(
+        val protocol: Int,
+        val host: HostName,
+        val incarnation: Incarnation,
+        val leaving: Boolean,
+        val loads: List<UpstreamLoad>,
+    ) : PeerMessage
+
+    /**
+     * Asks for [pieces] of a decode upstream's memory; answered by [Granted] or [Refused] within [waitAtMost].
+     * A granted reservation lapses when it is not used within [holdAtMost].
+     */
+    @Serializable
+    public data class Reserve(
+        val attempt: AttemptId,
+        val upstream: UpstreamName,
+        val pieces: Int,
+        val worth: Double,
+        val priority: Int,
+        val waitAtMost: Duration,
+        val holdAtMost: Duration,
+    ) : PeerMessage
+
+    /** The reservation stands for [holdFor] from now. */
+    @Serializable
+    public data class Granted(val attempt: AttemptId, val holdFor: Duration, val load: UpstreamLoad) : PeerMessage
+
+    /** The attempt was not started and never will be. */
+    @Serializable
+    public data class Refused(
+        val attempt: AttemptId,
+        val fault: Fault,
+        val retryAfter: Duration,
+        val load: UpstreamLoad?,
+    ) : PeerMessage
+
+    /** Runs a prefill; answered by [PrefillReady], [Refused] or [AttemptFailed]. */
+    @Serializable
+    public data class StartPrefill(
+        val attempt: AttemptId,
+        val upstream: UpstreamName,
+        val content: RequestContent.Generation,
+        val outputBound: Int,
+        val priority: Int,
+        val worth: Double,
+        val finishWithin: Duration,
+    ) : PeerMessage
+
+    /** A prefill's result is ready to be fetched. */
+    @Serializable
+    public data class PrefillReady(val attempt: AttemptId, val ticket: TransferTicket, val load: UpstreamLoad) :
+        PeerMessage
+
+    /** Uses the reservation named by [attempt]. Tokens with an index below [fromIndex] are not sent. */
+    @Serializable
+    public data class StartDecode(
+        val attempt: AttemptId,
+        val content: RequestContent.Generation,
+        val outputBound: Int,
+        val priority: Int,
+        val ticket: TransferTicket?,
+        val fromIndex: Int = 0,
+    ) : PeerMessage
+
+    /** One token of a decode attempt; the first has index 0. */
+    @Serializable
+    public data class TokenProduced(val attempt: AttemptId, val index: Int, val text: String) : PeerMessage
+
+    /** The attempt produced all its [tokens], and its memory is free. */
+    @Serializable
+    public data class DecodeFinished(
+        val attempt: AttemptId,
+        val tokens: Int,
+        val finishReason: String,
+        val load: UpstreamLoad,
+    ) : PeerMessage
+
+    /** Calls a plain service; under a [claim] when the class is not idempotent. */
+    @Serializable
+    public data class StartPlain(
+        val attempt: AttemptId,
+        val upstream: UpstreamName,
+        val content: RequestContent.Plain,
+        val claim: ClaimTicket?,
+        val idempotencyKey: IdempotencyKey?,
+        val priority: Int,
+        val worth: Double,
+        val startWithin: Duration,
+    ) : PeerMessage
+
+    /** A plain service's answer. */
+    @Serializable
+    public data class PlainFinished(val attempt: AttemptId, val answer: PlainAnswer, val load: UpstreamLoad) :
+        PeerMessage
+
+    /** The attempt was started and broke off; whether it ran is in [execution]. Its memory is free. */
+    @Serializable
+    public data class AttemptFailed(
+        val attempt: AttemptId,
+        val fault: Fault,
+        val execution: Execution,
+        val load: UpstreamLoad?,
+    ) : PeerMessage
+
+    /** Frees what [attempt] holds: its reservation, its place in a queue or its running call. */
+    @Serializable
+    public data class Cancel(val attempt: AttemptId) : PeerMessage
+
+    /** Forbids the start of a claim under [number]; answered by [ClaimStatus]. */
+    @Serializable
+    public data class VoidClaim(val storeKey: String, val number: Long) : PeerMessage
+
+    /** Asks to be told the end of a claim that another submission started; answered by [ClaimStatus]. */
+    @Serializable
+    public data class FollowClaim(val storeKey: String, val number: Long) : PeerMessage
+
+    /** What the companion knows of a claim; sent again when a followed claim ends. */
+    @Serializable
+    public data class ClaimStatus(
+        val storeKey: String,
+        val number: Long,
+        val state: ClaimState,
+        val answer: PlainAnswer? = null,
+    ) : PeerMessage
+
+    /** Shows that the sender lives; a companion answers with [Loads]. */
+    @Serializable
+    public data class Heartbeat(val sequence: Long) : PeerMessage
+
+    /** Answer to [Heartbeat], with the loads that changed since the last one. */
+    @Serializable
+    public data class Loads(val sequence: Long, val loads: List<UpstreamLoad>) : PeerMessage
+
+    /** Asks for all notes after [after]. */
+    @Serializable
+    public data class FetchNotes(val after: ReleaseVersion) : PeerMessage
+
+    /** Accepted notes in order of version. */
+    @Serializable
+    public data class Notes(val notes: List<AcceptedNote>) : PeerMessage
+
+    /** The companion's host is leaving: it takes no new work and finishes what it has. */
+    @Serializable
+    public data class Leaving(val host: HostName) : PeerMessage
+}
+
+/** Version of the protocol between entries and companions. */
+public const val PEER_PROTOCOL: Int = 1
--- /dev/null
+++ b/core/src/main/kotlin/org/lovageladder/core/Settings.kt
@@ -0,0 +1,49 @@
+package org.lovageladder.core
+
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.minutes
+import kotlin.time.Duration.Companion.seconds
+
+/** Which way an entry chooses among upstreams; the first is the product, the second a baseline for comparison. */
+public enum class ChoicePolicy {
+    LEDGER,
+    ROUND_ROBIN,
+}
+
+/** Bounds and periods of an entry's decisions. */
+public data class EntrySettings(
+    val process: ProcessName,
+    val host: HostName,
+    val place: PlaceName,
+    val incarnation: Incarnation,
+    val policy: ChoicePolicy = ChoicePolicy.LEDGER,
+    val randomSeed: Long = incarnation.number,
+    val heartbeatInterval: Duration = 1.seconds,
+    val peerSilenceLimit: Duration = 3.seconds,
+    val reconnectInterval: Duration = 500.milliseconds,
+    val storeTimeout: Duration = 500.milliseconds,
+    val storeRefreshInterval: Duration = 2.seconds,
+    val voidTimeout: Duration = 500.milliseconds,
+    val claimLeaseTimeToLive: Duration = 60.minutes * 24,
+    val retryBudgetRatio: Double = 0.1,
+    val hedgeBudgetRatio: Double = 0.05,
+    val ejectedShareLimit: Double = 0.34,
+    val hedging: Boolean = true,
+    val reserveFirst: Boolean = true,
+    val earlyRefusal: Boolean = true,
+)
+
+/** Bounds and periods of a companion's decisions. */
+public data class CompanionSettings(
+    val process: ProcessName,
+    val host: HostName,
+    val place: PlaceName,
+    val incarnation: Incarnation,
+    val peerSilenceLimit: Duration = 3.seconds,
+    val storeTimeout: Duration = 500.milliseconds,
+    val storeRefreshInterval: Duration = 5.seconds,
+    val cancelRetryInterval: Duration = 100.milliseconds,
+    val claimMemory: Duration = 60.minutes,
+    val queueLimit: Int = 256,
+)
--- /dev/null
+++ b/core/src/main/kotlin/org/lovageladder/core/Submission.kt
@@ -0,0 +1,93 @@
+package org.lovageladder.core
+
+import kotlinx.serialization.Serializable
+import kotlin.time.Duration
+
+/** One request as a caller made it, parsed but not yet checked against the release. */
+public data class Submission(
+    val service: ServiceName,
+    val requestClass: ClassName?,
+    val idempotencyKey: IdempotencyKey?,
+    val content: RequestContent,
+)
+
+/** What a caller asks for. */
+@Serializable
+public sealed interface RequestContent {
+    /**
+     * A generation. [body] is the caller's JSON request; [promptTokens] an estimate of its prompt's length;
+     * [outputTokens] the caller's own bound, null when it named none; [prefixDigest] a digest of the prompt's first
+     * part, equal for prompts that can share cached prefixes.
+     */
+    @Serializable
+    public data class Generation(
+        val path: String,
+        val body: String,
+        val promptTokens: Int,
+        val outputTokens: Int?,
+        val prefixDigest: Long,
+    ) : RequestContent
+
+    /** A call of a plain service. [bodyDigest] identifies method, path and body when a key is submitted twice. */
+    @Serializable
+    public data class Plain(
+        val method: String,
+        val path: String,
+        val contentType: String?,
+        val body: String,
+        val bodyDigest: String,
+    ) : RequestContent
+}
+
+/** Answer of a plain service. */
+@Serializable
+public data class PlainAnswer(val status: Int, val contentType: String?, val body: String)
+
+/** Whether an action ran, as far as the system knows. */
+@Serializable
+public enum class Execution {
+    NOT_RUN,
+    RAN,
+    UNKNOWN,
+}
+
+/** Why a request was not served. */
+@Serializable
+public enum class RefusalReason {
+    UNKNOWN_SERVICE,
+    UNKNOWN_CLASS,
+    WRONG_CONTENT,
+    KEY_MISSING,
+    KEY_REUSED,
+    PROMPT_TOO_LARGE,
+    OVERLOADED,
+    NO_UPSTREAM,
+    DEADLINE,
+    STORE_UNAVAILABLE,
+    UPSTREAM_FAILED,
+    IN_PROGRESS,
+    NOT_READY,
+    LEAVING,
+}
+
+/** Final result of one submission. Exactly one is given to each caller that stays. */
+public sealed interface Outcome {
+    /** All tokens were handed over before. */
+    public data class Generated(val finishReason: String, val promptTokens: Int, val outputTokens: Int) : Outcome
+
+    /** A plain service's whole answer; [replayed] when it was given before to the same key. */
+    public data class Answered(val answer: PlainAnswer, val replayed: Boolean = false) : Outcome
+
+    /**
+     * The request is given up. [execution] is what is known of the action that the caller named; a submission that
+     * was itself not run has [submissionRan] false, while an earlier one of the same key may have run.
+     */
+    public data class Refused(
+        val reason: RefusalReason,
+        val execution: Execution,
+        val submissionRan: Boolean = execution != Execution.NOT_RUN,
+        val retryAfter: Duration? = null,
+        val fault: Fault? = null,
+        val detail: String = "",
+    ) : Outcome
+}
