--- a/core/src/main/kotlin/org/lovageladder/core/Settings.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/Settings.kt
@@ -1,6 +1,7 @@
 package org.lovageladder.core
 
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.hours
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.minutes
 import kotlin.time.Duration.Companion.seconds
@@ -25,7 +26,7 @@
     val storeTimeout: Duration = 500.milliseconds,
     val storeRefreshInterval: Duration = 2.seconds,
     val voidTimeout: Duration = 500.milliseconds,
-    val claimLeaseTimeToLive: Duration = 60.minutes * 24,
+    val claimLeaseTimeToLive: Duration = 24.hours,
     val retryBudgetRatio: Double = 0.1,
     val hedgeBudgetRatio: Double = 0.05,
     val ejectedShareLimit: Double = 0.34,
--- a/core/src/main/kotlin/org/lovageladder/core/Store.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/Store.kt
@@ -64,7 +64,10 @@
 }
 
 /** Key under which note [version] stands. Keys sort by version. */
-public fun noteStoreKey(version: ReleaseVersion): String = NOTE_PREFIX + version.number.toString().padStart(20, '0')
+public fun noteStoreKey(version: ReleaseVersion): String =
+    NOTE_PREFIX + version.number.toString().padStart(NOTE_KEY_DIGITS, '0')
+
+private const val NOTE_KEY_DIGITS = 20
 
 /** Prefix of the keys of release notes. */
 public const val NOTE_PREFIX: String = "notes/"
