--- /dev/null
+++ b/core/src/main/kotlin/org/lovageladder/core/CompanionLinks.kt
@@ -0,0 +1,145 @@
+package org.lovageladder.core
+
+/** State of an entry's link to the companion on one host. */
+internal class CompanionLink(val host: HostName, var address: Address) {
+    /** Connection being made or in use; null while waiting to try again. */
+    var connection: ConnectionId? = null
+
+    /** The companion's first message on [connection]; null until it arrived. */
+    var welcome: PeerMessage.Welcome? = null
+    var leaving: Boolean = false
+    var lastHeard: Moment = Moment(0)
+    var retry: Timer? = null
+
+    val incarnation: Incarnation? get() = welcome?.incarnation
+}
+
+/** What the links tell the entry. */
+internal interface LinkListener {
+    fun linkUp(link: CompanionLink, now: Moment)
+
+    fun linkDown(link: CompanionLink, connection: ConnectionId, fault: Fault, now: Moment)
+}
+
+/**
+ * Keeps one connection to each companion of the release: connects, sends heartbeats, drops a silent peer and
+ * connects again. Only the newest connection of a link counts; whatever arrives on an older one is ignored.
+ * Confined to one thread.
+ */
+internal class CompanionLinks(
+    private val settings: EntrySettings,
+    private val output: EntryOutput,
+    private val timers: Timers,
+    private val listener: LinkListener,
+) {
+    private val links = LinkedHashMap<HostName, CompanionLink>()
+    private val byConnection = HashMap<ConnectionId, CompanionLink>()
+    private var lastConnection = 0L
+    private var heartbeats = 0L
+
+    val connected: List<CompanionLink> get() = links.values.filter { it.welcome != null }
+
+    /** The link to [host] when it is connected. */
+    fun up(host: HostName): CompanionLink? = links[host]?.takeIf { it.welcome != null }
+
+    /** The link that [connection] belongs to, if it is still the newest of its host. */
+    fun ofConnection(connection: ConnectionId): CompanionLink? = byConnection[connection]
+
+    /** Connects to the companions of [state] and drops those that are gone from it once nothing runs there. */
+    fun apply(state: ReleaseState, now: Moment, busy: (HostName) -> Boolean) {
+        val wanted = state.hosts.values.filter { it.role == HostRole.COMPANION }
+        wanted.forEach { host ->
+            val address = host.peerAddress ?: return@forEach
+            val link = links.getOrPut(host.name) { CompanionLink(host.name, address) }
+            if (link.address != address) {
+                link.address = address
+                drop(link, Fault(Step.CONNECT, host.name.text, FaultCause.CONNECTION_LOST, "address changed"), now)
+            }
+            if (link.connection == null) connect(link)
+        }
+        val names = wanted.mapTo(mutableSetOf()) { it.name }
+        links.values.filter { it.host !in names && !busy(it.host) }.forEach { forget(it, now) }
+    }
+
+    fun hostsListed(hosts: List<ListedHost>) {
+        hosts.filter { it.leaving }.forEach { listed -> links[listed.name]?.let(::markLeaving) }
+    }
+
+    fun markLeaving(link: CompanionLink) {
+        if (link.leaving) return
+        link.leaving = true
+        output.record(EventDraft(EventKind.HOST_LEAVING, host = link.host))
+    }
+
+    fun connected(connection: ConnectionId, welcome: PeerMessage.Welcome, now: Moment) {
+        val link = byConnection[connection]
+        if (link == null) {
+            output.add(EntryEffect.Disconnect(connection))
+            return
+        }
+        link.welcome = welcome
+        link.leaving = welcome.leaving
+        link.lastHeard = now
+        output.record(EventDraft(EventKind.PEER_CONNECTED, host = link.host))
+        listener.linkUp(link, now)
+    }
+
+    fun disconnected(connection: ConnectionId, fault: Fault, now: Moment) {
+        val link = byConnection[connection] ?: return
+        drop(link, fault, now)
+    }
+
+    fun heard(link: CompanionLink, now: Moment) {
+        link.lastHeard = now
+    }
+
+    /** Sends a heartbeat to each companion and drops those that were silent too long. */
+    fun beat(now: Moment) {
+        heartbeats++
+        links.values.filter { it.welcome != null }.forEach { link ->
+            if (now - link.lastHeard > settings.peerSilenceLimit) {
+                output.record(EventDraft(EventKind.PEER_SILENT, host = link.host))
+                drop(link, Fault(Step.CONNECT, link.host.text, FaultCause.TIMEOUT, "no heartbeat"), now)
+            } else {
+                send(link, PeerMessage.Heartbeat(heartbeats))
+            }
+        }
+    }
+
+    fun send(link: CompanionLink, message: PeerMessage) {
+        val connection = link.connection ?: return
+        output.add(EntryEffect.Send(connection, message))
+    }
+
+    private fun connect(link: CompanionLink) {
+        val connection = ConnectionId(++lastConnection)
+        link.connection = connection
+        byConnection[connection] = link
+        output.add(EntryEffect.Connect(connection, link.host, link.address))
+    }
+
+    private fun drop(link: CompanionLink, fault: Fault, now: Moment) {
+        val connection = link.connection ?: return
+        val wasUp = link.welcome != null
+        byConnection.remove(connection)
+        link.connection = null
+        link.welcome = null
+        output.add(EntryEffect.Disconnect(connection))
+        link.retry = timers.at(now + settings.reconnectInterval) { connectAgain(link) }
+        if (wasUp) {
+            output.record(EventDraft(EventKind.PEER_LOST, host = link.host, detail = fault.toString()))
+            listener.linkDown(link, connection, fault, now)
+        }
+    }
+
+    private fun connectAgain(link: CompanionLink) {
+        if (links[link.host] === link && link.connection == null) connect(link)
+    }
+
+    private fun forget(link: CompanionLink, now: Moment) {
+        links.remove(link.host)
+        link.retry?.cancel()
+        drop(link, Fault(Step.RELEASE, link.host.text, FaultCause.LEAVING, "withdrawn"), now)
+        link.retry?.cancel()
+    }
+}
--- a/core/src/main/kotlin/org/lovageladder/core/PeerMessage.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/PeerMessage.kt
@@ -32,7 +32,10 @@
 @Serializable
 public data class ClaimTicket(val storeKey: String, val number: Long, val revision: Long, val record: ClaimRecord)
 
-/** Value of a claim in the key-value service. */
+/**
+ * Value of a claim in the key-value service. A [released] claim was given up before anything started under it or
+ * under an earlier number.
+ */
 @Serializable
 public data class ClaimRecord(
     val bodyDigest: String,
@@ -41,6 +44,7 @@
     val incarnation: Incarnation,
     val request: RequestId,
     val answer: PlainAnswer? = null,
+    val released: Boolean = false,
 )
 
 /** What a companion knows of one claim. */
--- a/core/src/main/kotlin/org/lovageladder/core/ReleaseChecks.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/ReleaseChecks.kt
@@ -134,4 +134,7 @@
         val expected = if (service.plainPool == null) "a stream target" else "an answer target"
         add(NoteFault("$field.target", "class ${requestClass.name}: service ${service.name} needs $expected"))
     }
+    if (service?.plainPool == null && !requestClass.idempotent) {
+        add(NoteFault("$field.idempotent", "class ${requestClass.name}: a generation is always idempotent"))
+    }
 }
