Stand-ins: first running version of all five

Cause: entries, companions and the driver need upstreams and a platform to run against. Change: engine, plain service, key-value service, host list and weight store as one jar and as classes, over one Netty HTTP server and one event loop thread each. Ruled out: locks and worker pools; every stand-in is small enough for one thread, which makes its state trivially safe.

--- /dev/null
+++ b/stand-in/src/main/kotlin/org/lovageladder/standin/HttpConnection.kt
@@ -0,0 +1,80 @@
+package org.lovageladder.standin
+
+import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.SimpleChannelInboundHandler
+import io.netty.handler.codec.http.FullHttpRequest
+import io.netty.handler.codec.http.HttpUtil
+import io.netty.handler.codec.http.QueryStringDecoder
+import org.tinylog.kotlin.Logger
+import java.io.IOException
+import java.nio.charset.StandardCharsets
+
+/** One client connection: hands its requests to [handler] in the order of arrival, one at a time. */
+internal class HttpConnection(private val handler: HttpHandler) : SimpleChannelInboundHandler<FullHttpRequest>() {
+    private val waiting = ArrayDeque<HttpRequest>()
+    private var current: HttpExchange? = null
+
+    override fun channelRead0(context: ChannelHandlerContext, message: FullHttpRequest) {
+        waiting.addLast(HttpRequest.of(message))
+        startNext(context)
+    }
+
+    override fun channelInactive(context: ChannelHandlerContext) {
+        waiting.clear()
+        current?.connectionClosed()
+        current = null
+    }
+
+    @Deprecated("Deprecated in Netty's base class, but still the place for connection errors.")
+    override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
+        if (cause !is IOException) {
+            Logger.warn(cause, "connection closed after an error")
+        }
+        context.close()
+    }
+
+    private fun startNext(context: ChannelHandlerContext) {
+        if (current != null) {
+            return
+        }
+        val request = waiting.removeFirstOrNull() ?: return
+        val exchange =
+            HttpExchange(request, context.channel()) {
+                current = null
+                startNext(context)
+            }
+        current = exchange
+        try {
+            handler.handle(exchange)
+        } catch (refused: RequestRefused) {
+            exchange.refuse(refused)
+        }
+    }
+}
+
+/** A received HTTP request, whole. */
+internal data class HttpRequest(
+    val method: String,
+    val path: String,
+    val query: Map<String, List<String>>,
+    val headers: Map<String, String>,
+    val body: String,
+    val keepAlive: Boolean,
+) {
+    /** The value of the header [name], whatever its case, or null. */
+    fun header(name: String): String? = headers[name.lowercase()]
+
+    companion object {
+        fun of(message: FullHttpRequest): HttpRequest {
+            val target = QueryStringDecoder(message.uri())
+            return HttpRequest(
+                method = message.method().name(),
+                path = target.path(),
+                query = target.parameters(),
+                headers = message.headers().associate { (name, value) -> name.lowercase() to value },
+                body = message.content().toString(StandardCharsets.UTF_8),
+                keepAlive = HttpUtil.isKeepAlive(message),
+            )
+        }
+    }
+}
--- /dev/null
+++ b/stand-in/src/main/kotlin/org/lovageladder/standin/HttpExchange.kt
@@ -0,0 +1,117 @@
+package org.lovageladder.standin
+
+import io.netty.buffer.ByteBuf
+import io.netty.buffer.Unpooled
+import io.netty.channel.Channel
+import io.netty.channel.ChannelFutureListener
+import io.netty.channel.ChannelOption
+import io.netty.handler.codec.http.DefaultFullHttpResponse
+import io.netty.handler.codec.http.DefaultHttpContent
+import io.netty.handler.codec.http.DefaultHttpResponse
+import io.netty.handler.codec.http.DefaultLastHttpContent
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpHeaders
+import io.netty.handler.codec.http.HttpResponseStatus
+import io.netty.handler.codec.http.HttpUtil
+import io.netty.handler.codec.http.HttpVersion
+import java.nio.charset.StandardCharsets
+
+/** One request and the means to answer it once. Used on the stand-in's thread only. */
+internal class HttpExchange(val request: HttpRequest, private val channel: Channel, private val onEnded: () -> Unit) {
+    private val addedHeaders = LinkedHashMap<String, String>()
+    private var ended = false
+
+    /** Called once when the client's connection closes before the answer has ended. */
+    var onClosed: () -> Unit = {}
+
+    val isOpen: Boolean
+        get() = !ended && channel.isActive
+
+    /** Adds a header to the answer; has no effect once the answer has begun. */
+    fun addHeader(name: String, value: String) {
+        addedHeaders[name] = value
+    }
+
+    /** Answers whole. */
+    fun answer(body: String, status: Int = HttpResponseStatus.OK.code(), contentType: String = JSON_TYPE) {
+        if (!isOpen) {
+            return
+        }
+        val content = Unpooled.copiedBuffer(body, StandardCharsets.UTF_8)
+        val response = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), content)
+        HttpUtil.setContentLength(response, content.readableBytes().toLong())
+        setHeaders(response.headers(), contentType)
+        finish(response)
+    }
+
+    /** Starts an answer of unknown length, continued by [write] and ended by [end]. */
+    fun startStream(contentType: String) {
+        if (!isOpen) {
+            return
+        }
+        val response = DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK)
+        HttpUtil.setTransferEncodingChunked(response, true)
+        setHeaders(response.headers(), contentType)
+        channel.writeAndFlush(response)
+    }
+
+    fun write(text: String): Unit = write(Unpooled.copiedBuffer(text, StandardCharsets.UTF_8)) {}
+
+    /** Sends [bytes] and calls [onWritten] when the connection has taken them. */
+    fun write(bytes: ByteBuf, onWritten: () -> Unit) {
+        if (!isOpen) {
+            bytes.release()
+            return
+        }
+        channel.writeAndFlush(DefaultHttpContent(bytes)).addListener { written ->
+            if (written.isSuccess) onWritten()
+        }
+    }
+
+    fun end() {
+        if (isOpen) {
+            finish(DefaultLastHttpContent())
+        }
+    }
+
+    fun refuse(refused: RequestRefused) {
+        answer(refused.body(), refused.status)
+    }
+
+    /** Closes the connection without an answer. */
+    fun drop() {
+        ended = true
+        channel.config().setOption(ChannelOption.SO_LINGER, 0)
+        channel.close()
+    }
+
+    fun connectionClosed() {
+        if (!ended) {
+            ended = true
+            onClosed()
+        }
+    }
+
+    private fun setHeaders(headers: HttpHeaders, contentType: String) {
+        headers.set(HttpHeaderNames.CONTENT_TYPE, contentType)
+        addedHeaders.forEach { (name, value) -> headers.set(name, value) }
+        if (!request.keepAlive) {
+            headers.set(HttpHeaderNames.CONNECTION, "close")
+        }
+    }
+
+    private fun finish(last: Any) {
+        ended = true
+        val written = channel.writeAndFlush(last)
+        if (!request.keepAlive) {
+            written.addListener(ChannelFutureListener.CLOSE)
+        }
+        onEnded()
+    }
+
+    companion object {
+        const val JSON_TYPE: String = "application/json"
+        const val EVENT_STREAM_TYPE: String = "text/event-stream"
+        const val BYTES_TYPE: String = "application/octet-stream"
+    }
+}
--- /dev/null
+++ b/stand-in/src/main/kotlin/org/lovageladder/standin/PlainStandIn.kt
@@ -0,0 +1,136 @@
+package org.lovageladder.standin
+
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.encodeToString
+import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.JsonElement
+import kotlinx.serialization.json.JsonPrimitive
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+/** Name, speed and habits of a [PlainStandIn]. */
+public data class PlainSettings(
+    val name: String = "plain",
+    val latency: Duration = 2.milliseconds,
+    val maximumRunning: Int = 64,
+    val ignoreFencing: Boolean = false,
+)
+
+/**
+ * A plain service: it executes every call to any path after its latency, and counts executions per `Idempotency-Key`
+ * so that a test can see whether something ran twice.
+ *
+ * Reserved paths: `GET /executions`, `GET /health`, `POST /fault`.
+ */
+public class PlainStandIn private constructor(
+    private val settings: PlainSettings,
+    requestedPort: Int,
+    private val onCrash: () -> Unit,
+) : AutoCloseable {
+    private val thread = EventLoopThread()
+    private val slowness = Slowness(thread)
+    private val fencing = FencingGate(settings.ignoreFencing)
+    private val executions = LinkedHashMap<String, Long>()
+    private var totalExecutions = 0L
+    private var running = 0
+    private var answersToDrop = 0
+    private val server = HttpServer.start(thread, requestedPort) { route(it) }
+
+    public val port: Int = server.port
+
+    /** Stops the service and closes its connections without answering what runs. */
+    override fun close() {
+        server.close()
+        thread.close()
+    }
+
+    private fun route(exchange: HttpExchange) {
+        val call = exchange.request.method + " " + exchange.request.path
+        when (call) {
+            "GET /health" -> exchange.answer("")
+            "GET /executions" -> exchange.answer(encode(Executions(executions, totalExecutions, running)))
+            "POST /fault" -> injectFault(exchange)
+            else -> execute(exchange)
+        }
+    }
+
+    private fun execute(exchange: HttpExchange) {
+        fencing.check(FencingGate.numberIn(exchange.request))
+        if (running >= settings.maximumRunning) {
+            val reason = "$running of ${settings.maximumRunning} calls are running"
+            throw RequestRefused(RequestRefused.UNAVAILABLE, "overloaded", reason)
+        }
+        running++
+        val duration = settings.latency * slowness.currentFactor()
+        thread.after(slowness.remainingStall() + duration) { finish(exchange) }
+    }
+
+    private fun finish(exchange: HttpExchange) {
+        val stall = slowness.remainingStall()
+        if (stall.isPositive()) {
+            thread.after(stall) { finish(exchange) }
+            return
+        }
+        running--
+        totalExecutions++
+        val key = exchange.request.header("Idempotency-Key")
+        val execution = if (key == null) totalExecutions else executions.merge(key, 1L, Long::plus) ?: 1L
+        if (answersToDrop > 0) {
+            answersToDrop--
+            exchange.drop()
+            return
+        }
+        exchange.answer(encode(PlainAnswer(settings.name, key, echo(exchange.request.body), execution)))
+    }
+
+    private fun injectFault(exchange: HttpExchange) {
+        val fault = StandInJson.read<PlainFault>(exchange.request.body, StandInJson.strict)
+        requireField(fault.dropAnswers >= 0, "drop_answers", fault.dropAnswers, "0 or more")
+        SlownessFault(fault.slowFactor, fault.forMilliseconds, fault.stallMilliseconds).applyTo(slowness)
+        answersToDrop += fault.dropAnswers
+        exchange.answer("{}")
+        if (fault.crash) {
+            onCrash()
+            close()
+        }
+    }
+
+    private fun echo(body: String): JsonElement = try {
+        Json.parseToJsonElement(body)
+    } catch (_: SerializationException) {
+        JsonPrimitive(body)
+    }
+
+    private inline fun <reified Body> encode(body: Body): String = StandInJson.answers.encodeToString(body)
+
+    public companion object {
+        /**
+         * Starts a service on loopback at [port], or at a free port when it is 0; throws when the port is taken.
+         * [onCrash] is called for the injected fault `crash`, before the service closes itself abruptly.
+         */
+        public fun start(
+            port: Int = 0,
+            settings: PlainSettings = PlainSettings(),
+            onCrash: () -> Unit = {},
+        ): PlainStandIn = PlainStandIn(settings, port, onCrash)
+    }
+}
+
+/** Answer of one execution; [execution] counts per key, or over all calls when there is no key. */
+@Serializable
+private data class PlainAnswer(val service: String, val key: String?, val echo: JsonElement, val execution: Long)
+
+@Serializable
+private data class Executions(val executions: Map<String, Long>, val total: Long, val running: Int)
+
+/** Faults to inject into a plain service; `drop_answers` executes that many calls without answering them. */
+@Serializable
+private data class PlainFault(
+    @SerialName("slow_factor") val slowFactor: Double? = null,
+    @SerialName("for_ms") val forMilliseconds: Long? = null,
+    @SerialName("stall_ms") val stallMilliseconds: Long? = null,
+    @SerialName("drop_answers") val dropAnswers: Int = 0,
+    val crash: Boolean = false,
+)
--- /dev/null
+++ b/stand-in/src/main/kotlin/org/lovageladder/standin/PrefillFetch.kt
@@ -0,0 +1,136 @@
+package org.lovageladder.standin
+
+import io.netty.bootstrap.Bootstrap
+import io.netty.buffer.Unpooled
+import io.netty.channel.Channel
+import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.ChannelInitializer
+import io.netty.channel.SimpleChannelInboundHandler
+import io.netty.channel.socket.SocketChannel
+import io.netty.channel.socket.nio.NioSocketChannel
+import io.netty.handler.codec.http.DefaultFullHttpRequest
+import io.netty.handler.codec.http.FullHttpResponse
+import io.netty.handler.codec.http.HttpClientCodec
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpMethod
+import io.netty.handler.codec.http.HttpObjectAggregator
+import io.netty.handler.codec.http.HttpUtil
+import io.netty.handler.codec.http.HttpVersion
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.encodeToString
+import java.nio.charset.StandardCharsets
+
+/** How the fetch of a prefill's result from another engine ended. */
+internal enum class FetchOutcome {
+    FETCHED,
+    EXPIRED,
+    UNREACHABLE,
+}
+
+/** Fetches a prefill's result from the engine that holds it; reports the outcome once unless cancelled. */
+internal class PrefillFetch private constructor(
+    private val source: FetchSource,
+    private val onOutcome: (FetchOutcome) -> Unit,
+) {
+    private var channel: Channel? = null
+    private var over = false
+
+    /** Breaks the transfer off; its outcome is not reported. */
+    fun cancel() {
+        over = true
+        channel?.close()
+    }
+
+    private fun connect(thread: EventLoopThread) {
+        val bootstrap =
+            Bootstrap()
+                .group(thread.group)
+                .channel(NioSocketChannel::class.java)
+                .handler(FetchInitializer(::report))
+        bootstrap.connect(source.host, source.port).addListener { connected ->
+            if (!connected.isSuccess) report(FetchOutcome.UNREACHABLE)
+        }.also { connecting ->
+            channel = connecting.channel()
+            connecting.addListener { if (it.isSuccess && !over) send(connecting.channel()) }
+        }
+    }
+
+    private fun send(channel: Channel) {
+        val body = StandInJson.answers.encodeToString(FetchBody(source.requestId))
+        val content = Unpooled.copiedBuffer(body, StandardCharsets.UTF_8)
+        val request = DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, PATH, content)
+        HttpUtil.setContentLength(request, content.readableBytes().toLong())
+        request.headers().set(HttpHeaderNames.HOST, source.host)
+        channel.writeAndFlush(request)
+    }
+
+    private fun report(outcome: FetchOutcome) {
+        if (over) {
+            return
+        }
+        over = true
+        channel?.close()
+        onOutcome(outcome)
+    }
+
+    companion object {
+        const val PATH: String = "/internal/kv/fetch"
+
+        fun start(thread: EventLoopThread, source: FetchSource, onOutcome: (FetchOutcome) -> Unit): PrefillFetch =
+            PrefillFetch(source, onOutcome).also { it.connect(thread) }
+    }
+}
+
+/** Where a prefill's result is kept and under which name. */
+internal data class FetchSource(val host: String, val port: Int, val requestId: String) {
+    companion object {
+        /** Throws [RequestRefused] with status 400 when [parameters] do not say where the result is. */
+        fun of(parameters: TransferParameters): FetchSource = FetchSource(
+            host = parameters.host ?: throw missing("remote_host"),
+            port = parameters.port ?: throw missing("remote_port"),
+            requestId = parameters.requestId ?: throw missing("remote_request_id"),
+        )
+
+        private fun missing(field: String) =
+            RequestRefused.badField("kv_transfer_params.$field", "field kv_transfer_params.$field is missing")
+    }
+}
+
+@Serializable
+internal data class FetchBody(@SerialName("remote_request_id") val requestId: String)
+
+@Serializable
+internal data class FetchedPrefill(val bytes: Long)
+
+private class FetchInitializer(private val report: (FetchOutcome) -> Unit) : ChannelInitializer<SocketChannel>() {
+    override fun initChannel(channel: SocketChannel) {
+        channel
+            .pipeline()
+            .addLast(HttpClientCodec())
+            .addLast(HttpObjectAggregator(HttpServer.MAXIMUM_BODY_BYTES))
+            .addLast(FetchHandler(report))
+    }
+}
+
+private class FetchHandler(private val report: (FetchOutcome) -> Unit) :
+    SimpleChannelInboundHandler<FullHttpResponse>() {
+    override fun channelRead0(context: ChannelHandlerContext, message: FullHttpResponse) {
+        when (message.status().code()) {
+            SUCCESS -> report(FetchOutcome.FETCHED)
+            RequestRefused.GONE -> report(FetchOutcome.EXPIRED)
+            else -> report(FetchOutcome.UNREACHABLE)
+        }
+    }
+
+    override fun channelInactive(context: ChannelHandlerContext): Unit = report(FetchOutcome.UNREACHABLE)
+
+    @Deprecated("Deprecated in Netty's base class, but still the place for connection errors.")
+    override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
+        context.close()
+    }
+
+    private companion object {
+        const val SUCCESS = 200
+    }
+}
