Stand-ins: tables of tests per stand-in, and the faults they found mended

Found by the tests: closing a connection that had just closed by itself threw from the linger option; a second close after an injected crash threw; values that are not base64 were refused without naming the field. Found by reading: a malformed head of a request was taken for one to an unknown path; the injected outage could cut the answer to its own order; a prefill result could be fetched from a successor at the same address. Change: connections are closed on the stand-in's thread only; fetches name the engine, so that a successor answers 410; key-value messages and commands split into small files. Ruled out: retrying the close; a lock. Conclusion: ready to be used by the other modules' tests.

--- /dev/null
+++ b/stand-in/src/main/kotlin/org/lovageladder/standin/CommandOptions.kt
@@ -0,0 +1,17 @@
+package org.lovageladder.standin
+
+import com.github.ajalt.clikt.core.CliktCommand
+import com.github.ajalt.clikt.parameters.options.default
+import com.github.ajalt.clikt.parameters.options.option
+import com.github.ajalt.clikt.parameters.types.int
+import com.github.ajalt.clikt.parameters.types.long
+import com.github.ajalt.clikt.parameters.types.restrictTo
+
+internal fun CliktCommand.positiveInt(name: String, help: String, default: Int) =
+    option(name, help = help).int().restrictTo(min = 1).default(default)
+
+internal fun CliktCommand.positiveLong(name: String, help: String, default: Long) =
+    option(name, help = help).long().restrictTo(min = 1).default(default)
+
+internal fun CliktCommand.milliseconds(name: String, help: String, default: Long) =
+    option(name, help = help).long().restrictTo(min = 0).default(default)
--- a/stand-in/src/main/kotlin/org/lovageladder/standin/EngineStandIn.kt
+++ b/stand-in/src/main/kotlin/org/lovageladder/standin/EngineStandIn.kt
@@ -69,7 +69,7 @@
 
     private fun order(exchange: HttpExchange) {
         when (exchange.request.path) {
-            PrefillFetch.PATH -> kept.fetch(body<FetchBody>(exchange).requestId, exchange)
+            PrefillFetch.PATH -> sendPrefill(exchange)
             "/v1/cancel" -> cancel(exchange)
             "/v1/load_lora_adapter" -> loadAdapter(exchange)
             "/v1/unload_lora_adapter" -> unloadAdapter(exchange)
@@ -80,6 +80,14 @@
         }
     }
 
+    private fun sendPrefill(exchange: HttpExchange) {
+        val wanted = body<FetchBody>(exchange)
+        if (wanted.engineId != null && wanted.engineId != engineId) {
+            throw KeptPrefills.expired(wanted.requestId)
+        }
+        kept.fetch(wanted.requestId, exchange)
+    }
+
     private fun cancel(exchange: HttpExchange) {
         fencing.check(FencingGate.numberIn(exchange.request))
         val cancelled = calls.cancel(body<CancelOrder>(exchange).requestId)
@@ -127,7 +135,7 @@
         fault.transferStallMilliseconds?.let { link.stall(it.milliseconds) }
         exchange.answer("{}")
         if (fault.crash) {
-            crash()
+            thread.crashSoon { crash() }
         }
     }
 
--- a/stand-in/src/main/kotlin/org/lovageladder/standin/EventLoopThread.kt
+++ b/stand-in/src/main/kotlin/org/lovageladder/standin/EventLoopThread.kt
@@ -4,8 +4,11 @@
 import io.netty.channel.EventLoopGroup
 import io.netty.channel.MultiThreadIoEventLoopGroup
 import io.netty.channel.nio.NioIoHandler
+import org.tinylog.kotlin.Logger
+import java.util.concurrent.RejectedExecutionException
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.nanoseconds
 
 /**
@@ -34,6 +37,24 @@
         eventLoop.scheduleAtFixedRate({ action() }, nanoseconds, nanoseconds, TimeUnit.NANOSECONDS)
     }
 
+    /** Runs [action] on this thread and waits for its end. Does nothing when the thread has ended. */
+    fun run(action: () -> Unit) {
+        if (eventLoop.inEventLoop()) {
+            action()
+            return
+        }
+        try {
+            eventLoop.submit(Runnable { action() }).syncUninterruptibly()
+        } catch (ended: RejectedExecutionException) {
+            Logger.debug(ended, "the stand-in was closed before")
+        }
+    }
+
+    /** Runs [crash] once the answer to the order that asked for it has had time to leave. */
+    fun crashSoon(crash: () -> Unit) {
+        after(CRASH_DELAY, crash)
+    }
+
     /** Stops the thread. Waits for its end unless called from it. */
     override fun close() {
         val stopped = group.shutdownGracefully(0, SHUTDOWN_TIMEOUT_SECONDS, TimeUnit.SECONDS)
@@ -44,6 +65,7 @@
 
     private companion object {
         const val SHUTDOWN_TIMEOUT_SECONDS = 2L
+        val CRASH_DELAY = 10.milliseconds
     }
 }
 
--- a/stand-in/src/main/kotlin/org/lovageladder/standin/HttpConnection.kt
+++ b/stand-in/src/main/kotlin/org/lovageladder/standin/HttpConnection.kt
@@ -1,9 +1,13 @@
 package org.lovageladder.standin
 
+import io.netty.channel.ChannelFutureListener
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.SimpleChannelInboundHandler
+import io.netty.handler.codec.http.DefaultFullHttpResponse
 import io.netty.handler.codec.http.FullHttpRequest
+import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.handler.codec.http.HttpUtil
+import io.netty.handler.codec.http.HttpVersion
 import io.netty.handler.codec.http.QueryStringDecoder
 import org.tinylog.kotlin.Logger
 import java.io.IOException
@@ -15,6 +19,10 @@
     private var current: HttpExchange? = null
 
     override fun channelRead0(context: ChannelHandlerContext, message: FullHttpRequest) {
+        if (message.decoderResult().isFailure) {
+            refuseMalformed(context)
+            return
+        }
         waiting.addLast(HttpRequest.of(message))
         startNext(context)
     }
@@ -33,6 +41,12 @@
         context.close()
     }
 
+    private fun refuseMalformed(context: ChannelHandlerContext) {
+        val response = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.BAD_REQUEST)
+        HttpUtil.setContentLength(response, 0)
+        context.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE)
+    }
+
     private fun startNext(context: ChannelHandlerContext) {
         if (current != null) {
             return
--- a/stand-in/src/main/kotlin/org/lovageladder/standin/HttpExchange.kt
+++ b/stand-in/src/main/kotlin/org/lovageladder/standin/HttpExchange.kt
@@ -4,7 +4,6 @@
 import io.netty.buffer.Unpooled
 import io.netty.channel.Channel
 import io.netty.channel.ChannelFutureListener
-import io.netty.channel.ChannelOption
 import io.netty.handler.codec.http.DefaultFullHttpResponse
 import io.netty.handler.codec.http.DefaultHttpContent
 import io.netty.handler.codec.http.DefaultHttpResponse
@@ -78,11 +77,12 @@
         answer(refused.body(), refused.status)
     }
 
+    fun cameBy(connection: Channel): Boolean = connection === channel
+
     /** Closes the connection without an answer. */
     fun drop() {
         ended = true
-        channel.config().setOption(ChannelOption.SO_LINGER, 0)
-        channel.close()
+        channel.closeAbruptly()
     }
 
     fun connectionClosed() {
--- a/stand-in/src/main/kotlin/org/lovageladder/standin/HttpServer.kt
+++ b/stand-in/src/main/kotlin/org/lovageladder/standin/HttpServer.kt
@@ -24,15 +24,17 @@
  *
  * Requests on one connection are handled one after the other. Bodies above [MAXIMUM_BODY_BYTES] are refused with 413.
  */
-internal class HttpServer private constructor(private val listener: Channel, private val connections: ChannelGroup) :
-    AutoCloseable {
+internal class HttpServer private constructor(
+    private val thread: EventLoopThread,
+    private val listener: Channel,
+    private val connections: ChannelGroup,
+) : AutoCloseable {
     val port: Int = (listener.localAddress() as InetSocketAddress).port
 
-    /** Closes all connections without answering what is in flight on them; the server keeps listening. */
-    fun closeConnections() {
-        connections.forEach { connection ->
-            connection.config().setOption(ChannelOption.SO_LINGER, 0)
-            connection.close()
+    /** Closes all connections but that of [exchange], without answering; the server keeps listening. */
+    fun closeConnections(exchange: HttpExchange? = null) {
+        thread.run {
+            connections.filterNot { exchange?.cameBy(it) ?: false }.forEach { it.closeAbruptly() }
         }
     }
 
@@ -46,7 +48,7 @@
         const val MAXIMUM_BODY_BYTES: Int = 32 * 1024 * 1024
         private const val BACKLOG = 1024
 
-        /** Listens on loopback at [port], or at a free port when it is 0. Throws when the port is taken. */
+        /** Listens on loopback at [port], or at a free one when it is 0. Throws when the port is taken. */
         fun start(thread: EventLoopThread, port: Int, handler: HttpHandler): HttpServer {
             val connections = DefaultChannelGroup(thread.eventLoop)
             val bootstrap =
@@ -58,8 +60,12 @@
                     .childOption(ChannelOption.TCP_NODELAY, true)
                     .childHandler(ConnectionInitializer(connections, handler))
             val address = InetSocketAddress(InetAddress.getLoopbackAddress(), port)
-            val listener = bootstrap.bind(address).syncUninterruptibly().channel()
-            return HttpServer(listener, connections)
+            val bound = bootstrap.bind(address).awaitUninterruptibly()
+            if (!bound.isSuccess) {
+                thread.close()
+                throw bound.cause()
+            }
+            return HttpServer(thread, bound.channel(), connections)
         }
     }
 }
@@ -75,3 +81,11 @@
             .addLast(HttpConnection(handler))
     }
 }
+
+/** Closes without sending what is still to be sent; on the thread of the connection. */
+internal fun Channel.closeAbruptly() {
+    if (isOpen) {
+        config().setOption(ChannelOption.SO_LINGER, 0)
+        close()
+    }
+}
--- a/stand-in/src/main/kotlin/org/lovageladder/standin/KeptPrefills.kt
+++ b/stand-in/src/main/kotlin/org/lovageladder/standin/KeptPrefills.kt
@@ -53,8 +53,12 @@
         }
     }
 
-    private fun expired(name: String) =
-        RequestRefused(RequestRefused.GONE, "kv_expired", "prefill result $name is not kept, or not any longer")
+    companion object {
+        fun expired(name: String): RequestRefused {
+            val reason = "prefill result $name is not kept, or not any longer"
+            return RequestRefused(RequestRefused.GONE, "kv_expired", reason)
+        }
+    }
 }
 
 private class KeptPrefill(val tokens: Int) {
--- a/stand-in/src/main/kotlin/org/lovageladder/standin/KeyValueCall.kt
+++ b/stand-in/src/main/kotlin/org/lovageladder/standin/KeyValueCall.kt
@@ -8,7 +8,7 @@
     TXN(listOf("/v3/kv/txn"), writes = true),
     LEASE_GRANT(listOf("/v3/lease/grant"), writes = true),
     LEASE_REVOKE(listOf("/v3/lease/revoke", "/v3/kv/lease/revoke"), writes = true),
-    LEASE_KEEP_ALIVE(listOf("/v3/lease/keepalive"), writes = true),
+    LEASE_KEEP_ALIVE(listOf("/v3/lease/keepalive"), writes = false),
     LEASE_TIME_TO_LIVE(listOf("/v3/lease/timetolive", "/v3/kv/lease/timetolive"), writes = false),
     WATCH(listOf("/v3/watch"), writes = false),
     ;
--- a/stand-in/src/main/kotlin/org/lovageladder/standin/KeyValueFaults.kt
+++ b/stand-in/src/main/kotlin/org/lovageladder/standin/KeyValueFaults.kt
@@ -1,5 +1,7 @@
 package org.lovageladder.standin
 
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.ZERO
 import kotlin.time.Duration.Companion.milliseconds
@@ -65,3 +67,13 @@
         requireField(value == null || value >= 0, field, value, "0 or more")
     }
 }
+
+/** Faults to inject into the key-value service; `slow_ms` and `old_data_revisions` last for `for_ms`. */
+@Serializable
+internal data class KeyValueFault(
+    @SerialName("down_ms") val downMilliseconds: Long? = null,
+    @SerialName("slow_ms") val slowMilliseconds: Long? = null,
+    @SerialName("for_ms") val forMilliseconds: Long? = null,
+    @SerialName("lose_answers") val loseAnswers: Int? = null,
+    @SerialName("old_data_revisions") val oldDataRevisions: Long? = null,
+)
--- a/stand-in/src/main/kotlin/org/lovageladder/standin/KeyValueStandIn.kt
+++ b/stand-in/src/main/kotlin/org/lovageladder/standin/KeyValueStandIn.kt
@@ -1,6 +1,5 @@
 package org.lovageladder.standin
 
-import kotlinx.serialization.SerializationException
 import kotlinx.serialization.encodeToString
 
 /**
@@ -68,8 +67,8 @@
         } catch (refused: KeyValueRefused) {
             val error = KeyValueError(refused.message, refused.code)
             exchange.answer(keyValueJson.encodeToString(error), refused.status)
-        } catch (malformed: SerializationException) {
-            exchange.refuse(StandInJson.refusal(malformed))
+        } catch (refused: RequestRefused) {
+            exchange.refuse(refused)
         }
     }
 
@@ -149,11 +148,11 @@
         exchange.answer("{}")
         if (faults.isDown) {
             watches.clear()
-            server.closeConnections()
+            server.closeConnections(exchange)
         }
     }
 
-    private inline fun <reified Body> read(body: String): Body = keyValueJson.decodeFromString(body)
+    private inline fun <reified Body> read(body: String): Body = StandInJson.read(body, keyValueJson)
 
     private inline fun <reified Body> encode(body: Body): String = keyValueJson.encodeToString(body)
 
--- a/stand-in/src/main/kotlin/org/lovageladder/standin/KeyValueStore.kt
+++ b/stand-in/src/main/kotlin/org/lovageladder/standin/KeyValueStore.kt
@@ -86,7 +86,7 @@
         if (range.end.isEmpty() && wanted == revision) {
             return listOfNotNull(current[range.key])
         }
-        val values = TreeMap(current.tailMap(range.key).filterKeys { range.contains(it) })
+        val values = TreeMap(range.of(current))
         for (index in history.indices.reversed()) {
             val change = history[index]
             if (change.kv.modRevision <= wanted) {
@@ -135,7 +135,7 @@
 
         fun deleteRange(request: DeleteRangeRequest): DeleteRangeResponse {
             val range = KeyRange(request.key, request.rangeEnd)
-            val deleted = current.tailMap(request.key).values.filter { range.contains(it.key) }
+            val deleted = range.of(current).values.toList()
             deleted.forEach { previous ->
                 current.remove(previous.key)
                 val tombstone = KeyValue(key = previous.key, modRevision = number)
--- a/stand-in/src/main/kotlin/org/lovageladder/standin/PlainStandIn.kt
+++ b/stand-in/src/main/kotlin/org/lovageladder/standin/PlainStandIn.kt
@@ -92,11 +92,15 @@
         answersToDrop += fault.dropAnswers
         exchange.answer("{}")
         if (fault.crash) {
-            onCrash()
-            close()
+            thread.crashSoon { crash() }
         }
     }
 
+    private fun crash() {
+        onCrash()
+        close()
+    }
+
     private fun echo(body: String): JsonElement = try {
         Json.parseToJsonElement(body)
     } catch (_: SerializationException) {
--- a/stand-in/src/main/kotlin/org/lovageladder/standin/PrefillFetch.kt
+++ b/stand-in/src/main/kotlin/org/lovageladder/standin/PrefillFetch.kt
@@ -57,7 +57,7 @@
     }
 
     private fun send(channel: Channel) {
-        val body = StandInJson.answers.encodeToString(FetchBody(source.requestId))
+        val body = StandInJson.answers.encodeToString(FetchBody(source.requestId, source.engineId))
         val content = Unpooled.copiedBuffer(body, StandardCharsets.UTF_8)
         val request = DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, PATH, content)
         HttpUtil.setContentLength(request, content.readableBytes().toLong())
@@ -83,13 +83,14 @@
 }
 
 /** Where a prefill's result is kept and under which name. */
-internal data class FetchSource(val host: String, val port: Int, val requestId: String) {
+internal data class FetchSource(val host: String, val port: Int, val requestId: String, val engineId: String?) {
     companion object {
         /** Throws [RequestRefused] with status 400 when [parameters] do not say where the result is. */
         fun of(parameters: TransferParameters): FetchSource = FetchSource(
             host = parameters.host ?: throw missing("remote_host"),
             port = parameters.port ?: throw missing("remote_port"),
             requestId = parameters.requestId ?: throw missing("remote_request_id"),
+            engineId = parameters.engineId,
         )
 
         private fun missing(field: String) =
@@ -98,7 +99,10 @@
 }
 
 @Serializable
-internal data class FetchBody(@SerialName("remote_request_id") val requestId: String)
+internal data class FetchBody(
+    @SerialName("remote_request_id") val requestId: String,
+    @SerialName("remote_engine_id") val engineId: String? = null,
+)
 
 @Serializable
 internal data class FetchedPrefill(val bytes: Long)
--- /dev/null
+++ b/stand-in/src/main/kotlin/org/lovageladder/standin/ServerCommand.kt
@@ -0,0 +1,63 @@
+package org.lovageladder.standin
+
+import com.github.ajalt.clikt.core.CliktCommand
+import com.github.ajalt.clikt.core.Context
+import com.github.ajalt.clikt.core.NoOpCliktCommand
+import com.github.ajalt.clikt.core.PrintMessage
+import com.github.ajalt.clikt.parameters.options.default
+import com.github.ajalt.clikt.parameters.options.option
+import com.github.ajalt.clikt.parameters.types.int
+import com.github.ajalt.clikt.parameters.types.restrictTo
+import java.net.BindException
+import java.util.concurrent.CountDownLatch
+
+/** The stand-ins' command line; each subcommand is one stand-in. */
+internal class StandInCommand : NoOpCliktCommand(name = "stand-in") {
+    override fun help(context: Context): String =
+        "Small stand-ins for engines, plain services and the platform, on loopback. " +
+            "Prints 'ready SUBCOMMAND 127.0.0.1:PORT' when it serves and ends on SIGTERM."
+}
+
+/** One stand-in as a process: starts it, reports its address and waits for the stop signal. */
+internal abstract class ServerCommand(name: String, private val summary: String) : CliktCommand(name = name) {
+    private val port by option("--port", help = "Port on loopback; 0 takes a free one.")
+        .int()
+        .restrictTo(0..MAXIMUM_PORT)
+        .default(0)
+
+    override fun help(context: Context): String = summary
+
+    protected abstract fun start(port: Int): RunningStandIn
+
+    override fun run() {
+        val standIn = startOrFail()
+        Runtime.getRuntime().addShutdownHook(
+            Thread {
+                standIn.server.close()
+                Runtime.getRuntime().halt(0)
+            },
+        )
+        echo("ready $commandName 127.0.0.1:${standIn.port}")
+        System.out.flush()
+        CountDownLatch(1).await()
+    }
+
+    private fun startOrFail(): RunningStandIn = try {
+        start(port)
+    } catch (taken: BindException) {
+        val reason = "--port $port cannot be listened on (${taken.message}), allowed is a free port or 0"
+        throw PrintMessage(reason, statusCode = 1, printError = true)
+    }
+
+    protected companion object {
+        const val MAXIMUM_PORT: Int = 65_535
+        const val CRASH_STATUS: Int = 137
+
+        fun haltProcess() {
+            Runtime.getRuntime().halt(CRASH_STATUS)
+        }
+    }
+}
+
+/** A started stand-in and the port it listens on. */
+internal data class RunningStandIn(val server: AutoCloseable, val port: Int)
--- /dev/null
+++ b/stand-in/src/test/kotlin/org/lovageladder/standin/KeyValueStandInTest.kt
@@ -0,0 +1,257 @@
+package org.lovageladder.standin
+
+import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.JsonElement
+import kotlinx.serialization.json.jsonArray
+import kotlinx.serialization.json.jsonObject
+import java.io.BufferedReader
+import java.util.Base64
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertNull
+import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.measureTime
+
+class KeyValueStandInTest {
+    @Test
+    fun rangesFollowTheBytesOfTheKeys() {
+        val rows =
+            listOf(
+                RangeRow(""""key":"${base64("a")}"""", listOf("a")),
+                RangeRow(""""key":"${base64("absent")}"""", emptyList()),
+                RangeRow(""""key":"${base64("a")}","range_end":"${base64("b")}"""", listOf("a", "a/1", "a/2")),
+                RangeRow(""""key":"${base64("a/")}","rangeEnd":"${base64("a0")}","limit":"1"""", listOf("a/1")),
+                RangeRow(""""key":"${base64("a/2")}","range_end":"AA=="""", listOf("a/2", "b", "é")),
+                RangeRow(""""key":"${base64("c")}","range_end":"${base64("b")}"""", emptyList()),
+                RangeRow(""""key":"AA==","range_end":"AA==","revision":"3"""", listOf("a/1", "é")),
+            )
+        withService { service ->
+            listOf("é", "a/1", "b", "a", "a/2").forEach { service.put(it, "v") }
+            for (row in rows) {
+                assertEquals(row.keys, service.range(row.request).keys(), row.request)
+            }
+            assertEquals("6", service.range(""""key":"AA==","range_end":"AA=="""").text("header", "revision"))
+        }
+    }
+
+    @Test
+    fun aDeleteEndsTheVersionsOfAKey() {
+        withService { service ->
+            service.put("k", "1")
+            service.put("k", "2")
+            val before = service.range(""""key":"${base64("k")}"""").at("kvs", "0")
+            assertEquals(listOf("2", "3", "2"), before.versions())
+            val deleted = service.post("/v3/kv/deleterange", """{"key":"${base64("k")}","prev_kv":true}""").json()
+            assertEquals("1", deleted.text("deleted"))
+            assertEquals("2", decoded(deleted.text("prev_kvs", "0", "value")))
+            service.put("k", "3")
+            assertEquals(listOf("5", "5", "1"), service.range(""""key":"${base64("k")}"""").at("kvs", "0").versions())
+        }
+    }
+
+    @Test
+    fun transactionsCompareBeforeTheyChange() {
+        val rows =
+            listOf(
+                CompareRow(""""target":"CREATE","result":"EQUAL","createRevision":"0"""", "absent", true),
+                CompareRow(""""target":"CREATE","result":"EQUAL","create_revision":0""", "k", false),
+                CompareRow(""""target":"MOD","result":"EQUAL","mod_revision":"3"""", "k", true),
+                CompareRow(""""target":"MOD","result":"LESS","mod_revision":"3"""", "k", false),
+                CompareRow(""""target":"VERSION","result":"GREATER","version":"1"""", "k", true),
+                CompareRow(""""target":"VERSION","result":"NOT_EQUAL","version":"2"""", "k", false),
+                CompareRow(""""target":"VALUE","result":"EQUAL","value":"${base64("2")}"""", "k", true),
+                CompareRow(""""target":"VALUE","result":"NOT_EQUAL","value":"${base64("2")}"""", "absent", false),
+            )
+        for (row in rows) {
+            withService { service ->
+                service.put("k", "1")
+                service.put("k", "2")
+                val answer = service.transact(row.compare, row.key)
+                val succeeded = answer.jsonObject["succeeded"] != null
+                assertEquals(row.succeeds, succeeded, "$row")
+                assertEquals(if (succeeded) "4" else "3", answer.text("header", "revision"))
+                val response = if (succeeded) "response_put" else "response_range"
+                answer.at("responses", "0", response)
+            }
+        }
+    }
+
+    @Test
+    fun wrongCallsAreRefused() {
+        val tooLarge = base64("x".repeat(1024 * 1024 + 1))
+        val twice = """{"request_put":{"key":"aw==","value":"dg=="}}"""
+        val rows =
+            listOf(
+                WrongRow("/v3/kv/put", """{"key":"aw==","value":"$tooLarge"}""", 400, "too large"),
+                WrongRow("/v3/kv/put", """{"value":"dg=="}""", 400, "key is not provided"),
+                WrongRow("/v3/kv/put", """{"key":"aw==","lease":"7"}""", 404, "lease not found"),
+                WrongRow("/v3/kv/put", """{"key":"no base64!"}""", 400, "key"),
+                WrongRow("/v3/kv/range", """{"key":"aw==","revision":"99"}""", 400, "future revision"),
+                WrongRow("/v3/kv/range", """{"key":"aw==","limit":"many"}""", 400, "limit"),
+                WrongRow("/v3/kv/txn", """{"success":[$twice,$twice]}""", 400, "duplicate key"),
+                WrongRow("/v3/lease/grant", "{}", 400, "TTL"),
+                WrongRow("/v3/lease/revoke", """{"ID":"5"}""", 404, "lease not found"),
+                WrongRow("/fault", """{"slow_ms":5}""", 400, "for_ms"),
+                WrongRow("/v3/none", "{}", 404, "/v3/none"),
+            )
+        withService { service ->
+            for (row in rows) {
+                val answer = service.post(row.path, row.body)
+                assertEquals(row.status, answer.statusCode(), "${row.path} ${answer.body()}")
+                assertTrue(row.named in answer.body(), answer.body())
+            }
+        }
+    }
+
+    @Test
+    fun aWatchTellsEveryChangeOfItsKeysFromItsRevisionOn() {
+        withService { service ->
+            service.put("a", "1")
+            service.put("b", "1")
+            service.put("a", "2")
+            service.watch(""""key":"${base64("a")}","start_revision":"3"""").use { watch ->
+                assertEquals("true", watch.next().text("created"))
+                assertEquals("PUT a 2", watch.nextEvent())
+                service.post("/v3/kv/deleterange", """{"key":"${base64("a")}"}""")
+                assertEquals("DELETE a ", watch.nextEvent())
+                service.put("b", "2")
+                service.put("a", "3")
+                assertEquals("PUT a 3", watch.nextEvent())
+            }
+            awaitTrue { service.json("/stats").text("watches") == "0" }
+        }
+    }
+
+    @Test
+    fun keysGoWithTheirLease() {
+        val endings =
+            listOf<(TestClient, String) -> Unit>(
+                { service, id -> service.post("/v3/kv/lease/revoke", """{"ID":"$id"}""") },
+                { _, _ -> },
+            )
+        for (end in endings) {
+            withService { service ->
+                val id = service.post("/v3/lease/grant", """{"TTL":"1"}""").json().text("ID")
+                service.put("k", "v", lease = id)
+                val kept = service.post("/v3/lease/keepalive", """{"ID":"$id"}""").json()
+                assertEquals("1", kept.text("result", "TTL"))
+                val known = service.post("/v3/lease/timetolive", """{"ID":"$id","keys":true}""").json()
+                assertEquals(listOf("k"), known.at("keys").jsonArray.map { decoded(it.text()) })
+                service.watch(""""key":"${base64("k")}"""").use { watch ->
+                    assertEquals("true", watch.next().text("created"))
+                    end(service, id)
+                    assertEquals("DELETE k ", watch.nextEvent())
+                }
+                val gone = service.post("/v3/lease/keepalive", """{"ID":"$id"}""").json()
+                assertNull(gone.at("result").jsonObject["TTL"])
+                assertEquals("-1", service.post("/v3/lease/timetolive", """{"ID":"$id"}""").json().text("TTL"))
+            }
+        }
+    }
+
+    @Test
+    fun anOutageAnswersNothingAndLosesNothing() {
+        withService { service ->
+            service.put("k", "v")
+            val watch = service.watch(""""key":"${base64("k")}"""")
+            watch.next()
+            service.post("/fault", """{"down_ms":300}""")
+            assertTrue(runCatching { checkNotNull(watch.readLine()) }.isFailure)
+            assertTrue(runCatching { service.put("k", "lost") }.isFailure)
+            val answer = awaitValue { runCatching { service.range(""""key":"${base64("k")}"""") }.getOrNull() }
+            assertEquals("v", decoded(answer.text("kvs", "0", "value")))
+        }
+    }
+
+    @Test
+    fun aLostAnswerHasTakenEffect() {
+        withService { service ->
+            service.post("/fault", """{"lose_answers":1}""")
+            service.range(""""key":"${base64("k")}"""")
+            assertTrue(runCatching { service.put("k", "v") }.isFailure)
+            val found = service.range(""""key":"${base64("k")}"""")
+            assertEquals("v", decoded(found.text("kvs", "0", "value")))
+            service.put("k", "w")
+        }
+    }
+
+    @Test
+    fun readsMayLieBackInRevisions() {
+        withService { service ->
+            listOf("1", "2", "3").forEach { service.put("k", it) }
+            service.post("/fault", """{"old_data_revisions":2,"for_ms":60000}""")
+            val old = service.range(""""key":"${base64("k")}"""")
+            assertEquals("1", decoded(old.text("kvs", "0", "value")))
+            assertEquals("2", old.text("header", "revision"))
+            service.post("/fault", """{"old_data_revisions":0,"for_ms":0}""")
+            assertEquals("3", decoded(service.range(""""key":"${base64("k")}"""").text("kvs", "0", "value")))
+        }
+    }
+
+    @Test
+    fun aSlowServiceAnswersLate() {
+        withService { service ->
+            service.post("/fault", """{"slow_ms":300,"for_ms":60000}""")
+            assertTrue(measureTime { service.put("k", "v") } >= 300.milliseconds)
+        }
+    }
+
+    @Test
+    fun callsAreCountedByKindAndWaitingWatchesBySecond() {
+        withService { service ->
+            service.put("k", "v")
+            service.range(""""key":"${base64("k")}"""")
+            service.transact(""""target":"MOD"""", "k")
+            val stats = service.json("/stats")
+            assertEquals(listOf("1", "1", "1"), listOf("put", "range", "txn").map { stats.text("calls", it) })
+            assertEquals(listOf("2", "1"), listOf(stats.text("writes"), stats.text("reads")))
+            service.watch(""""key":"${base64("k")}"""").use { watch ->
+                watch.next()
+                awaitTrue { service.json("/stats").text("calls", "watch").toInt() >= 3 }
+            }
+        }
+    }
+
+    private fun withService(check: (TestClient) -> Unit) {
+        KeyValueStandIn.start().use { check(TestClient(it.port)) }
+    }
+
+    private fun TestClient.put(key: String, value: String, lease: String = "0"): JsonElement =
+        post("/v3/kv/put", """{"key":"${base64(key)}","value":"${base64(value)}","lease":"$lease"}""").json()
+
+    private fun TestClient.range(request: String): JsonElement = post("/v3/kv/range", "{$request}").json()
+
+    private fun TestClient.transact(compare: String, key: String): JsonElement {
+        val put = """{"requestPut":{"key":"${base64(key)}","value":"${base64("new")}"}}"""
+        val range = """{"requestRange":{"key":"${base64(key)}"}}"""
+        val comparison = """{$compare,"key":"${base64(key)}"}"""
+        return post("/v3/kv/txn", """{"compare":[$comparison],"success":[$put],"failure":[$range]}""").json()
+    }
+
+    private fun TestClient.watch(request: String) = openStream("/v3/watch", """{"create_request":{$request}}""")
+
+    private fun BufferedReader.next(): JsonElement = Json.parseToJsonElement(readLine()).at("result")
+
+    private fun BufferedReader.nextEvent(): String {
+        val event = next().at("events", "0").jsonObject
+        val type = event["type"]?.text() ?: "PUT"
+        val pair = event.getValue("kv").jsonObject
+        return "$type ${decoded(pair.text("key"))} ${decoded(pair["value"]?.text().orEmpty())}"
+    }
+
+    private fun JsonElement.keys(): List<String> =
+        jsonObject["kvs"]?.jsonArray.orEmpty().map { decoded(it.text("key")) }
+
+    private fun JsonElement.versions() = listOf(text("create_revision"), text("mod_revision"), text("version"))
+
+    private fun base64(text: String) = Base64.getEncoder().encodeToString(text.toByteArray())
+
+    private fun decoded(text: String) = String(Base64.getDecoder().decode(text))
+
+    private data class RangeRow(val request: String, val keys: List<String>)
+
+    private data class CompareRow(val compare: String, val key: String, val succeeds: Boolean)
+
+    private data class WrongRow(val path: String, val body: String, val status: Int, val named: String)
+}
--- /dev/null
+++ b/stand-in/src/test/kotlin/org/lovageladder/standin/PlainStandInTest.kt
@@ -0,0 +1,85 @@
+package org.lovageladder.standin
+
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.hours
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.measureTime
+
+class PlainStandInTest {
+    @Test
+    fun executionsAreCountedPerKey() {
+        PlainStandIn.start(settings = PlainSettings(name = "klon-app")).use { plain ->
+            val client = TestClient(plain.port)
+            for ((key, execution) in listOf("a" to "1", "b" to "1", "a" to "2")) {
+                val answer = client.post("/clones", """{"n":1}""", KEY, key).json()
+                assertEquals("klon-app", answer.text("service"))
+                assertEquals("1", answer.text("echo", "n"))
+                assertEquals(execution, answer.text("execution"))
+            }
+            assertEquals(200, client.get("/lookup/7").statusCode())
+            assertEquals("""{"executions":{"a":2,"b":1},"total":4,"running":0}""", client.get("/executions").body())
+        }
+    }
+
+    @Test
+    fun aDroppedAnswerStillExecuted() {
+        PlainStandIn.start().use { plain ->
+            val client = TestClient(plain.port)
+            client.post("/fault", """{"drop_answers":1}""")
+            assertTrue(runCatching { client.post("/clones", "{}", KEY, "a") }.isFailure)
+            assertEquals("1", client.json("/executions").text("executions", "a"))
+            assertEquals(200, client.post("/clones", "{}", KEY, "b").statusCode())
+        }
+    }
+
+    @Test
+    fun slownessAndStallsDelayTheAnswer() {
+        val rows =
+            listOf(
+                SlowRow("""{"slow_factor":10,"for_ms":60000}""", 300.milliseconds),
+                SlowRow("""{"stall_ms":300}""", 300.milliseconds),
+            )
+        for (row in rows) {
+            PlainStandIn.start(settings = PlainSettings(latency = 30.milliseconds)).use { plain ->
+                val client = TestClient(plain.port)
+                val duration =
+                    measureTime {
+                        client.post("/fault", row.fault)
+                        client.get("/lookup")
+                    }
+                assertTrue(duration >= row.atLeast, "${row.fault} took $duration")
+            }
+        }
+    }
+
+    @Test
+    fun callsBeyondTheLimitAreRefused() {
+        PlainStandIn.start(settings = PlainSettings(latency = 1.hours, maximumRunning = 1)).use { plain ->
+            val client = TestClient(plain.port)
+            client.postLater("/clones", "{}")
+            awaitTrue { client.json("/executions").text("running") == "1" }
+            assertEquals(503, client.get("/lookup").statusCode())
+        }
+    }
+
+    @Test
+    fun aCrashClosesTheConnectionsOfCallsThatRun() {
+        PlainStandIn.start(settings = PlainSettings(latency = 1.hours)).use { plain ->
+            val client = TestClient(plain.port)
+            val running = client.postLater("/clones", "{}")
+            awaitTrue { client.json("/executions").text("running") == "1" }
+            client.post("/fault", """{"crash":true}""")
+            assertTrue(running.handle { _, error -> error != null }.get())
+            awaitTrue { runCatching { client.get("/health") }.isFailure }
+        }
+    }
+
+    private data class SlowRow(val fault: String, val atLeast: Duration)
+
+    private companion object {
+        const val KEY = "Idempotency-Key"
+    }
+}
--- /dev/null
+++ b/stand-in/src/test/kotlin/org/lovageladder/standin/TestClient.kt
@@ -0,0 +1,75 @@
+package org.lovageladder.standin
+
+import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.JsonElement
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.jsonArray
+import kotlinx.serialization.json.jsonObject
+import kotlinx.serialization.json.jsonPrimitive
+import java.io.BufferedReader
+import java.net.URI
+import java.net.http.HttpClient
+import java.net.http.HttpRequest.BodyPublishers
+import java.net.http.HttpResponse
+import java.net.http.HttpResponse.BodyHandlers
+import java.util.concurrent.CompletableFuture
+import kotlin.test.fail
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.TimeSource
+
+/** Calls one stand-in over loopback. */
+internal class TestClient(private val port: Int) {
+    fun get(path: String): HttpResponse<String> = client.send(request(path).GET().build(), BodyHandlers.ofString())
+
+    fun json(path: String): JsonObject = get(path).json()
+
+    fun post(path: String, body: String, vararg headers: String): HttpResponse<String> =
+        postLater(path, body, *headers).get()
+
+    fun postLater(path: String, body: String, vararg headers: String): CompletableFuture<HttpResponse<String>> {
+        val request = request(path, *headers).POST(BodyPublishers.ofString(body)).build()
+        return client.sendAsync(request, BodyHandlers.ofString())
+    }
+
+    /** Posts and returns the answer's lines as they come; closing the reader closes the connection. */
+    fun openStream(path: String, body: String, vararg headers: String): BufferedReader {
+        val request = request(path, *headers).POST(BodyPublishers.ofString(body)).build()
+        return client.send(request, BodyHandlers.ofInputStream()).body().bufferedReader()
+    }
+
+    fun delete(path: String): HttpResponse<String> =
+        client.send(request(path).DELETE().build(), BodyHandlers.ofString())
+
+    private fun request(path: String, vararg headers: String) =
+        java.net.http.HttpRequest.newBuilder(URI("http://127.0.0.1:$port$path")).apply {
+            if (headers.isNotEmpty()) headers(*headers)
+        }
+
+    private companion object {
+        val client: HttpClient = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build()
+    }
+}
+
+internal fun HttpResponse<String>.json(): JsonObject = Json.parseToJsonElement(body()).jsonObject
+
+/** The element at [path], whose steps are field names and list indexes. */
+internal fun JsonElement.at(vararg path: String): JsonElement = path.fold(this) { element, step ->
+    val index = step.toIntOrNull()
+    val found = if (index == null) element.jsonObject[step] else element.jsonArray.getOrNull(index)
+    found ?: fail("no $step in $element")
+}
+
+internal fun JsonElement.text(vararg path: String): String = at(*path).jsonPrimitive.content
+
+/** Asks [probe] again and again until it gives a value; fails when that takes too long. */
+internal fun <Value : Any> awaitValue(probe: () -> Value?): Value {
+    val start = TimeSource.Monotonic.markNow()
+    while (start.elapsedNow() < 20.seconds) {
+        probe()?.let { return it }
+    }
+    fail("the awaited state did not come")
+}
+
+internal fun awaitTrue(probe: () -> Boolean) {
+    awaitValue { true.takeIf { probe() } }
+}
