Decide a companion's work as a function of state, event and time

Cause: the upstreams of a host need one door that knows their memory and running work exactly, since engines report late and an entry may be gone at any moment.

A queue that lets small reservations pass a large one at its head: it starves the large one at the crest.

--- /dev/null
+++ b/core/src/main/kotlin/org/lovageladder/core/ClaimAnswers.kt
@@ -0,0 +1,83 @@
+package org.lovageladder.core
+
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/**
+ * Records the answers of claimed calls in the key-value service, so that a repeated key gets its first answer after
+ * this process is gone. A write whose answer is lost is repeated until it is known to stand.
+ */
+internal class ClaimAnswers(private val context: CompanionContext) {
+    private class PendingAnswer(val claim: ClaimTicket, val record: ClaimRecord) {
+        var ticket: Long? = null
+        var writeAt: Moment = Moment(0)
+        var backoff: Duration = FIRST_BACKOFF
+    }
+
+    private val pending = LinkedHashMap<String, PendingAnswer>()
+    private val tickets = HashMap<Long, String>()
+
+    val isEmpty: Boolean get() = pending.isEmpty()
+
+    fun isPending(storeKey: String): Boolean = storeKey in pending
+
+    fun record(claim: ClaimTicket, answer: PlainAnswer) {
+        val entry = PendingAnswer(claim, claim.record.copy(answer = answer))
+        entry.writeAt = context.now
+        pending[claim.storeKey] = entry
+    }
+
+    /** Sends the writes that are due. */
+    fun advance() {
+        for (entry in pending.values) {
+            if (entry.ticket == null && entry.writeAt <= context.now) write(entry)
+        }
+    }
+
+    /** Takes in the answer to [ticket]; false when it belongs to another part. */
+    fun storeAnswered(ticket: Long, answer: StoreAnswer): Boolean {
+        val storeKey = tickets.remove(ticket) ?: return false
+        val entry = pending[storeKey] ?: return true
+        entry.ticket = null
+        when (answer) {
+            is StoreAnswer.Written -> pending.remove(storeKey)
+            is StoreAnswer.Conflict -> conflict(entry, answer)
+            is StoreAnswer.Unavailable, is StoreAnswer.Found, is StoreAnswer.Leased -> repeatLater(entry)
+        }
+        return true
+    }
+
+    fun nextDeadline(): Moment? = pending.values.filter { it.ticket == null }.minOfOrNull { it.writeAt }
+
+    private fun write(entry: PendingAnswer) {
+        val ticket = context.output.nextTicket()
+        entry.ticket = ticket
+        tickets[ticket] = entry.claim.storeKey
+        val value = encodeClaim(entry.record)
+        val request = StoreRequest.Replace(StoreWrite(entry.claim.storeKey, value), entry.claim.revision)
+        context.output.add(CompanionEffect.AskStore(ticket, request, context.settings.storeTimeout))
+    }
+
+    /** Another value stands: this answer, by an earlier write that was not confirmed, or another claim's. */
+    private fun conflict(entry: PendingAnswer, conflict: StoreAnswer.Conflict) {
+        pending.remove(entry.claim.storeKey)
+        val current = conflict.current.firstOrNull { it.key == entry.claim.storeKey }
+        if (current != null && decodeClaim(current.value) == entry.record) return
+        context.output.record(
+            EventKind.CLAIM_UNKNOWN,
+            AttemptId(entry.record.request, 0),
+            detail = "answer of ${entry.claim.storeKey} not stored: the claim has another value or lapsed",
+        )
+    }
+
+    private fun repeatLater(entry: PendingAnswer) {
+        entry.writeAt = context.now + entry.backoff
+        entry.backoff = (entry.backoff * 2).coerceAtMost(LONGEST_BACKOFF)
+    }
+
+    private companion object {
+        val FIRST_BACKOFF: Duration = 100.milliseconds
+        val LONGEST_BACKOFF: Duration = 5.seconds
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/lovageladder/core/CompanionContext.kt
@@ -0,0 +1,11 @@
+package org.lovageladder.core
+
+/** What all parts of one companion's decisions share. */
+internal class CompanionContext(val settings: CompanionSettings) {
+    val output = CompanionOutput()
+    val attempts = AttemptRegistry(output)
+    val now: Moment get() = output.now
+
+    /** Earliest of [moments], null when there is none. */
+    fun earliest(moments: List<Moment?>): Moment? = moments.filterNotNull().minOrNull()
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/lovageladder/core/Departure.kt
@@ -0,0 +1,44 @@
+package org.lovageladder.core
+
+/**
+ * Whether this companion's host is leaving. Once announced, leaving is not taken back: a host that returns starts a
+ * new incarnation. Each function returns whether leaving begins with it.
+ */
+internal class Departure(private val context: CompanionContext) {
+    private var wasInRelease = false
+    private var isStopping = false
+    private var hasExited = false
+
+    var isLeaving: Boolean = false
+        private set
+
+    fun stop(): Boolean {
+        isStopping = true
+        return begin()
+    }
+
+    fun hostsListed(hosts: List<ListedHost>): Boolean =
+        hosts.any { it.name == context.settings.host && it.leaving } && begin()
+
+    fun follow(state: ReleaseState): Boolean {
+        val isInRelease = context.settings.host in state.hosts
+        val isWithdrawn = wasInRelease && !isInRelease
+        wasInRelease = isInRelease
+        return isWithdrawn && begin()
+    }
+
+    /** Lets the process exit, once, when it was stopped and nothing is left to do. */
+    fun exitWhen(isDone: Boolean) {
+        if (!isStopping || !isDone || hasExited) return
+        hasExited = true
+        context.output.record(EventKind.PROCESS_STOPPED, host = context.settings.host)
+        context.output.add(CompanionEffect.Exit)
+    }
+
+    private fun begin(): Boolean {
+        if (isLeaving) return false
+        isLeaving = true
+        context.output.record(EventKind.HOST_LEAVING, host = context.settings.host)
+        return true
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/lovageladder/core/PeerConnections.kt
@@ -0,0 +1,52 @@
+package org.lovageladder.core
+
+/** Connections of entries, each with when it was last heard and which loads it was told. */
+internal class PeerConnections(private val context: CompanionContext) {
+    private class PeerConnection(val hello: PeerMessage.Hello, var lastHeard: Moment) {
+        val toldLoads = HashMap<UpstreamName, UpstreamLoad>()
+    }
+
+    private val connections = LinkedHashMap<ConnectionId, PeerConnection>()
+    private val output = context.output
+
+    val processes: List<ProcessName> get() = connections.values.map { it.hello.process }.distinct()
+    val identifiers: List<ConnectionId> get() = connections.keys.toList()
+
+    /** Adds a connection and returns the earlier ones of the same process, which it replaces. */
+    fun add(connection: ConnectionId, hello: PeerMessage.Hello): List<ConnectionId> {
+        val replaced = connections.filterValues { it.hello.process == hello.process }.keys - connection
+        connections[connection] = PeerConnection(hello, context.now)
+        output.record(EventKind.PEER_CONNECTED, detail = hello.process.text)
+        return replaced.toList()
+    }
+
+    /** Takes the connection out; false when it was not there. */
+    fun remove(connection: ConnectionId, detail: String): Boolean {
+        val peer = connections.remove(connection) ?: return false
+        output.record(EventKind.PEER_LOST, detail = "${peer.hello.process}: $detail")
+        return true
+    }
+
+    /** Notes that a message arrived; false when the connection is not there. */
+    fun heard(connection: ConnectionId): Boolean {
+        val peer = connections[connection] ?: return false
+        peer.lastHeard = context.now
+        return true
+    }
+
+    /** Connections that were silent longer than the limit. */
+    fun silent(): List<ConnectionId> =
+        connections.filterValues { it.lastHeard + context.settings.peerSilenceLimit < context.now }.keys.toList()
+
+    /** Answers a heartbeat with the loads that changed since the last one of this connection. */
+    fun answerHeartbeat(connection: ConnectionId, sequence: Long, loads: List<UpstreamLoad>) {
+        val peer = connections[connection] ?: return
+        val changed = loads.filter { peer.toldLoads[it.upstream] != it }
+        changed.forEach { peer.toldLoads[it.upstream] = it }
+        output.send(connection, PeerMessage.Loads(sequence, changed))
+    }
+
+    fun nextDeadline(): Moment? = connections.values.minOfOrNull { it.lastHeard }
+        ?.plus(context.settings.peerSilenceLimit)
+        ?.let { Moment(it.microseconds + 1) }
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/lovageladder/core/PrefillRate.kt
@@ -0,0 +1,24 @@
+package org.lovageladder.core
+
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.microseconds
+
+/** Smoothed time that a prefill engine takes per prompt token when it has nothing else to do; null until measured. */
+internal class PrefillRate {
+    private var microsecondsPerToken: Double? = null
+
+    /** Takes in a prefill of [tokens] that took [elapsed] while up to [concurrency] ran. */
+    fun measured(tokens: Int, elapsed: Duration, concurrency: Int) {
+        if (tokens <= 0) return
+        val sample = elapsed.inWholeMicroseconds.toDouble() / tokens / concurrency
+        val previous = microsecondsPerToken
+        microsecondsPerToken = if (previous == null) sample else previous + (sample - previous) * SMOOTHING
+    }
+
+    /** Time for [tokens] one after the other; zero until measured. */
+    fun timeFor(tokens: Long): Duration = ((microsecondsPerToken ?: 0.0) * tokens).toLong().microseconds
+
+    private companion object {
+        const val SMOOTHING = 0.2
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/lovageladder/core/UpstreamOrders.kt
@@ -0,0 +1,123 @@
+package org.lovageladder.core
+
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/**
+ * Orders to the upstreams of this host, one at a time for each upstream, numbered by the release that asks for them.
+ * A failed order is repeated unless a newer order replaced it or the upstream refused its number.
+ */
+internal class UpstreamOrders(private val context: CompanionContext) {
+    private val queues = HashMap<UpstreamName, OrderQueue>()
+
+    val isEmpty: Boolean get() = queues.isEmpty()
+
+    /** Asks for what distinguishes [new] from [old]; [old] is null for an upstream that was not served before. */
+    fun changed(old: ServedUpstream?, new: ServedUpstream, version: ReleaseVersion) {
+        val before = old?.upstream?.adapters.orEmpty()
+        val after = new.upstream.adapters
+        val orders = buildList {
+            if (old != null && old.role != new.role) add(UpstreamOrder.ChangeRole(new.role))
+            (before - after.toSet()).forEach { add(UpstreamOrder.UnloadAdapter(it)) }
+            (after - before.toSet()).forEach { add(UpstreamOrder.LoadAdapter(it)) }
+        }
+        val queue = if (orders.isEmpty()) {
+            queues[new.upstream.name]
+        } else {
+            queues.getOrPut(new.upstream.name) {
+                OrderQueue(new.upstream)
+            }
+        }
+        queue?.upstream = new.upstream
+        for (order in orders) queue?.add(PendingOrder(order, version.number))
+    }
+
+    fun withdrawn(upstream: UpstreamName) {
+        queues.remove(upstream)
+    }
+
+    /** Whether the upstream was not yet told its role. */
+    fun awaitsRole(upstream: UpstreamName): Boolean =
+        queues[upstream]?.all().orEmpty().any { it.order is UpstreamOrder.ChangeRole }
+
+    fun ended(event: CompanionEvent.OrderEnded) {
+        val queue = queues[event.upstream] ?: return
+        val current = queue.running ?: return
+        if (current.order != event.order || current.fencing != event.fencing) return
+        queue.running = null
+        val fault = event.fault
+        if (fault == null) {
+            queue.backoff = FIRST_BACKOFF
+            record(EventKind.ORDER_GIVEN, event, event.order.toString())
+        } else {
+            record(EventKind.ORDER_REFUSED, event, "${event.order}: $fault")
+            if (fault.cause != FaultCause.FENCED) queue.repeatLater(current)
+        }
+        if (queue.isEmpty) queues.remove(event.upstream)
+    }
+
+    /** Gives the next order of each upstream; a change of role waits until [isIdle] says that its old work ended. */
+    fun advance(isIdle: (UpstreamName) -> Boolean) {
+        val free = queues.values.filter { it.running == null && it.notBefore <= context.now }
+        for (queue in free) {
+            val next = queue.first()
+            val mustWait = next?.order is UpstreamOrder.ChangeRole && !isIdle(queue.upstream.name)
+            if (next == null || mustWait) continue
+            queue.removeFirst()
+            queue.running = next
+            context.output.add(CompanionEffect.GiveOrder(queue.upstream, next.order, next.fencing))
+        }
+    }
+
+    fun nextDeadline(): Moment? =
+        queues.values.filter { it.running == null && it.notBefore > context.now }.minOfOrNull { it.notBefore }
+
+    private fun record(kind: EventKind, event: CompanionEvent.OrderEnded, detail: String) {
+        context.output.record(kind, upstream = event.upstream, note = ReleaseVersion(event.fencing), detail = detail)
+    }
+
+    private data class PendingOrder(val order: UpstreamOrder, val fencing: Long) {
+        fun replaces(other: PendingOrder): Boolean = fencing >= other.fencing && subject(order) == subject(other.order)
+
+        /** The adapter that an order is about; null when it is about the role. */
+        private fun subject(order: UpstreamOrder): ModelName? = when (order) {
+            is UpstreamOrder.LoadAdapter -> order.adapter
+            is UpstreamOrder.UnloadAdapter -> order.adapter
+            is UpstreamOrder.ChangeRole -> null
+        }
+    }
+
+    private inner class OrderQueue(var upstream: ReleaseEntry.Upstream) {
+        private val waiting = ArrayDeque<PendingOrder>()
+        var running: PendingOrder? = null
+        var notBefore: Moment = Moment(Long.MIN_VALUE)
+        var backoff: Duration = FIRST_BACKOFF
+
+        val isEmpty: Boolean get() = waiting.isEmpty() && running == null
+
+        fun all(): List<PendingOrder> = listOfNotNull(running) + waiting
+
+        fun first(): PendingOrder? = waiting.firstOrNull()
+
+        fun removeFirst() {
+            waiting.removeFirst()
+        }
+
+        fun add(order: PendingOrder) {
+            waiting.removeAll { order.replaces(it) }
+            waiting.addLast(order)
+        }
+
+        fun repeatLater(order: PendingOrder) {
+            notBefore = context.now + backoff
+            backoff = (backoff * 2).coerceAtMost(LONGEST_BACKOFF)
+            if (waiting.none { it.replaces(order) }) waiting.addFirst(order)
+        }
+    }
+
+    private companion object {
+        val FIRST_BACKOFF: Duration = 200.milliseconds
+        val LONGEST_BACKOFF: Duration = 30.seconds
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/lovageladder/core/WorthQueue.kt
@@ -0,0 +1,69 @@
+package org.lovageladder.core
+
+import java.util.TreeSet
+
+/** One attempt that waits until [deadline]. [arrival] grows with each attempt that joins the queue. */
+internal class WaitingAttempt<out T>(
+    val attempt: AttemptId,
+    val worth: Double,
+    val deadline: Moment,
+    val arrival: Long,
+    val content: T,
+)
+
+/** Queue in order of worth, highest first, then of deadline, then of arrival. */
+internal class WorthQueue<T> : Iterable<WaitingAttempt<T>> {
+    private val byAttempt = HashMap<AttemptId, WaitingAttempt<T>>()
+    private val ordered = TreeSet<WaitingAttempt<T>>(ORDER)
+    private val byDeadline = TreeSet<WaitingAttempt<T>>(DEADLINE_ORDER)
+    private var arrivals = 0L
+
+    val size: Int get() = ordered.size
+
+    fun add(attempt: AttemptId, worth: Double, deadline: Moment, content: T) {
+        val waiting = WaitingAttempt(attempt, worth, deadline, ++arrivals, content)
+        byAttempt[attempt] = waiting
+        ordered.add(waiting)
+        byDeadline.add(waiting)
+    }
+
+    fun first(): WaitingAttempt<T>? = if (ordered.isEmpty()) null else ordered.first()
+
+    fun last(): WaitingAttempt<T>? = if (ordered.isEmpty()) null else ordered.last()
+
+    fun find(attempt: AttemptId): WaitingAttempt<T>? = byAttempt[attempt]
+
+    fun remove(attempt: AttemptId): WaitingAttempt<T>? {
+        val waiting = byAttempt.remove(attempt) ?: return null
+        ordered.remove(waiting)
+        byDeadline.remove(waiting)
+        return waiting
+    }
+
+    /** Removes and returns what should have left the queue before [moment]. */
+    fun removeDueBefore(moment: Moment): List<WaitingAttempt<T>> = removeWhileDue { it < moment }
+
+    /** Removes and returns what should have left the queue by [moment] at the latest. */
+    fun removeDueAt(moment: Moment): List<WaitingAttempt<T>> = removeWhileDue { it <= moment }
+
+    fun removeAll(): List<WaitingAttempt<T>> = removeWhileDue { true }
+
+    fun nextDeadline(): Moment? = if (byDeadline.isEmpty()) null else byDeadline.first().deadline
+
+    override fun iterator(): Iterator<WaitingAttempt<T>> = ordered.toList().iterator()
+
+    private fun removeWhileDue(isDue: (Moment) -> Boolean): List<WaitingAttempt<T>> {
+        val removed = ArrayList<WaitingAttempt<T>>()
+        while (byDeadline.isNotEmpty() && isDue(byDeadline.first().deadline)) {
+            val waiting = byDeadline.first()
+            remove(waiting.attempt)
+            removed.add(waiting)
+        }
+        return removed
+    }
+
+    private companion object {
+        val DEADLINE_ORDER = compareBy<WaitingAttempt<*>>({ it.deadline }, { it.arrival })
+        val ORDER = compareByDescending<WaitingAttempt<*>> { it.worth }.then(DEADLINE_ORDER)
+    }
+}
