--- a/core/src/main/kotlin/org/lovageladder/core/ClaimWriter.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/ClaimWriter.kt
@@ -1,7 +1,5 @@
 package org.lovageladder.core
 
-import kotlinx.serialization.json.Json
-
 /** What became of the creation of a claim. */
 internal sealed interface ClaimAnswer {
     /** The claim is ours, written at [revision]. */
@@ -14,11 +12,6 @@
     data class Unavailable(val fault: Fault) : ClaimAnswer
 }
 
-internal fun encodeClaim(record: ClaimRecord): String = Json.encodeToString(ClaimRecord.serializer(), record)
-
-internal fun decodeClaim(text: String): ClaimRecord? =
-    runCatching { Json.decodeFromString(ClaimRecord.serializer(), text) }.getOrNull()
-
 /**
  * Creates claims in the key-value service. While one transaction is in flight, further claims wait and share the
  * next one, so that the rate of calls is bounded by the service's latency and not by the rate of actions. Claims
--- a/core/src/main/kotlin/org/lovageladder/core/EntryRelease.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/EntryRelease.kt
@@ -1,6 +1,5 @@
 package org.lovageladder.core
 
-import kotlinx.serialization.json.Json
 import kotlin.time.Duration.Companion.milliseconds
 
 /**
@@ -75,7 +74,7 @@
     }
 
     private fun decode(entry: StoredEntry): AcceptedNote? {
-        val note = runCatching { Json.decodeFromString(AcceptedNote.serializer(), entry.value) }.getOrNull()
+        val note = decodeNote(entry.value)
         if (note == null) output.record(EventDraft(EventKind.NOTE_UNREADABLE, detail = entry.key))
         return note
     }
