--- a/core/src/main/kotlin/org/lovageladder/core/EntryRelease.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/EntryRelease.kt
@@ -5,7 +5,8 @@
 /**
  * Keeps an entry's release up to date: from the key-value service at the start, after a pause and at intervals, from
  * the watch where this entry has one, and from companions that have newer notes. In each place the [WATCHERS] entries
- * that rank first by rendezvous hashing watch; the others learn from companions. Confined to one thread.
+ * that rank first by rendezvous hashing watch, and read at each interval in case the watch missed a note; the others
+ * learn from companions and read less often. Confined to one thread.
  */
 internal class EntryRelease(
     private val settings: EntrySettings,
@@ -17,6 +18,7 @@
     private var asking = false
     private var watching = false
     private var storeLost = false
+    private var rounds = 0L
 
     /** Whether a pause may have made the state stale and no fresh reading came since. */
     var stale: Boolean = false
@@ -48,7 +50,9 @@
     fun after(version: ReleaseVersion): List<AcceptedNote> = follower.after(version)
 
     private fun again(now: Moment) {
-        if (!watching || storeLost || state.version == ReleaseVersion.NONE) ask()
+        rounds++
+        val due = watching || storeLost || state.version == ReleaseVersion.NONE || rounds % UNWATCHED_ROUNDS == 0L
+        if (due) ask()
         timers.at(now + settings.storeRefreshInterval) { again(it) }
     }
 
@@ -92,6 +96,7 @@
 
     private companion object {
         const val WATCHERS = 3
+        const val UNWATCHED_ROUNDS = 5L
         val RETRY_INTERVAL = 200.milliseconds
     }
 }
