HTTP adapters: callers, upstreams, key-value service, host list and operators

Cause: the decisions in core need ways to callers, upstreams and the platform. Ruled out: an aggregator before the callers' handler (it hides half-sent requests and gives no problem details); pooled connections for keyed plain calls (a connection that the peer is closing would make the outcome unknown). Change: one Netty client with a pool of idle connections per address and never a second sending; one server towards callers that keeps reading while an answer is awaited, so that a caller's going is seen; adapters of the four ports; admin server and client.

--- /dev/null
+++ b/http/src/main/kotlin/org/lovageladder/http/HttpHostList.kt
@@ -0,0 +1,49 @@
+package org.lovageladder.http
+
+import io.netty.handler.codec.http.HttpMethod
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.json.Json
+import org.lovageladder.core.Address
+import org.lovageladder.core.HostList
+import org.lovageladder.core.HostName
+import org.lovageladder.core.ListedHost
+import org.lovageladder.core.PlaceName
+import kotlin.time.Duration
+
+/** Opens the platform's host list at [address], read by `GET /v1/hosts`. */
+public fun openHttpHostList(address: Address, threads: HttpThreads = HttpThreads.shared): HostList =
+    HttpHostList(address, HttpClient(threads))
+
+private class HttpHostList(private val address: Address, private val client: HttpClient) : HostList {
+    override fun read(timeout: Duration, listed: (List<ListedHost>?) -> Unit) {
+        val wait = HttpWait(minOf(timeout, HttpClient.CONNECT_LIMIT), timeout)
+        client.ask(address, HttpCall(HttpMethod.GET, "/v1/hosts"), wait) { result ->
+            listed((result as? HttpResult.Answered)?.let { hostsIn(it.answer) })
+        }
+    }
+
+    override fun close(): Unit = client.close()
+
+    private fun hostsIn(answer: HttpAnswer): List<ListedHost>? {
+        if (answer.status != STATUS_OK) return null
+        return try {
+            hostListJson.decodeFromString<HostListAnswer>(answer.body).hosts.map { it.toListedHost() }
+        } catch (_: IllegalArgumentException) {
+            null
+        }
+    }
+}
+
+private val hostListJson = Json { ignoreUnknownKeys = true }
+
+@Serializable
+private data class HostListAnswer(val hosts: List<HostLine>)
+
+@Serializable
+private data class HostLine(val name: HostName, val place: PlaceName, val state: String) {
+    fun toListedHost(): ListedHost = ListedHost(name, place, leaving = state == LEAVING)
+
+    private companion object {
+        const val LEAVING = "leaving"
+    }
+}
--- /dev/null
+++ b/http/src/main/kotlin/org/lovageladder/http/HttpUpstreamGateway.kt
@@ -0,0 +1,153 @@
+package org.lovageladder.http
+
+import io.netty.handler.codec.http.HttpMethod
+import kotlinx.serialization.encodeToString
+import org.lovageladder.core.AttemptId
+import org.lovageladder.core.Execution
+import org.lovageladder.core.Fault
+import org.lovageladder.core.FaultCause
+import org.lovageladder.core.ReleaseEntry
+import org.lovageladder.core.Step
+import org.lovageladder.core.UpstreamCall
+import org.lovageladder.core.UpstreamGateway
+import org.lovageladder.core.UpstreamOrder
+import org.lovageladder.core.UpstreamReport
+import kotlin.time.Duration.Companion.seconds
+
+/**
+ * Opens the way to upstreams by HTTP: engines by the OpenAI-compatible interface, plain services as they are.
+ *
+ * The first report of [UpstreamReport.Finished] counts tokens from index 0. A cancelled call ends with a report of
+ * cause [FaultCause.CANCELLED]. A plain service cannot cancel; there, a cancel closes the connection.
+ */
+public fun openHttpUpstreamGateway(threads: HttpThreads = HttpThreads.shared): UpstreamGateway =
+    HttpUpstreamGateway(HttpClient(threads))
+
+private class HttpUpstreamGateway(private val client: HttpClient) : UpstreamGateway {
+    private val calls = StartedCalls()
+
+    override fun start(
+        attempt: AttemptId,
+        upstream: ReleaseEntry.Upstream,
+        call: UpstreamCall,
+        report: (UpstreamReport) -> Unit,
+    ) {
+        try {
+            when (call) {
+                is UpstreamCall.Prefill -> prefill(attempt, upstream, call, report)
+                is UpstreamCall.Decode -> decode(attempt, upstream, call, report)
+                is UpstreamCall.Plain -> plain(attempt, upstream, call, report)
+            }
+        } catch (malformed: IllegalArgumentException) {
+            val fault = Fault(stepOf(call), upstream.name.text, FaultCause.PROTOCOL, malformed.message.orEmpty())
+            report(UpstreamReport.Failed(fault, Execution.NOT_RUN))
+        }
+    }
+
+    override fun cancel(attempt: AttemptId, upstream: ReleaseEntry.Upstream, done: (Boolean) -> Unit) {
+        val started = calls.find(attempt)
+        when {
+            started == null -> done(true)
+            started.isPlain -> {
+                started.cancel()
+                done(true)
+            }
+            else -> {
+                started.quieten()
+                askCancel(attempt.toString(), upstream) { answer -> done(started.isGone(answer)) }
+            }
+        }
+    }
+
+    override fun running(upstream: ReleaseEntry.Upstream, listed: (List<String>?) -> Unit) {
+        client.ask(upstream.address, HttpCall(HttpMethod.GET, "/v1/running"), CONTROL_WAIT) { result ->
+            val answer = successIn(result)
+            listed(answer?.let { read<RunningAnswer>(it) }?.running?.map { it.requestName })
+        }
+    }
+
+    override fun cancelByName(requestName: String, upstream: ReleaseEntry.Upstream, done: (Boolean) -> Unit) {
+        askCancel(requestName, upstream) { done(it != null) }
+    }
+
+    override fun order(
+        upstream: ReleaseEntry.Upstream,
+        order: UpstreamOrder,
+        fencing: Long,
+        done: (Fault?) -> Unit,
+    ) {
+        val call = orderCall(order, fencing)
+        client.ask(upstream.address, call, ORDER_WAIT, ConnectionUse.FRESH) { result ->
+            done(orderFault(upstream.name.text, order, result))
+        }
+    }
+
+    override fun close(): Unit = client.close()
+
+    private fun prefill(
+        attempt: AttemptId,
+        upstream: ReleaseEntry.Upstream,
+        call: UpstreamCall.Prefill,
+        report: (UpstreamReport) -> Unit,
+    ) {
+        val peer = upstream.name.text
+        val started = calls.add(attempt, report, isPlain = false)
+        val receiver = WholeAnswerReceiver { started.report(prefillReport(peer, it)) }
+        started.running = client.start(upstream.address, engineCall(attempt, call.content.path, prefillBody(call)), receiver)
+    }
+
+    private fun decode(
+        attempt: AttemptId,
+        upstream: ReleaseEntry.Upstream,
+        call: UpstreamCall.Decode,
+        report: (UpstreamReport) -> Unit,
+    ) {
+        val body = decodeBody(call)
+        val started = calls.add(attempt, report, isPlain = false)
+        val receiver = DecodeReceiver(upstream.name.text, call.fromIndex, started::report)
+        started.running = client.start(upstream.address, engineCall(attempt, call.content.path, body), receiver)
+    }
+
+    private fun plain(
+        attempt: AttemptId,
+        upstream: ReleaseEntry.Upstream,
+        call: UpstreamCall.Plain,
+        report: (UpstreamReport) -> Unit,
+    ) {
+        val started = calls.add(attempt, report, isPlain = true)
+        val receiver = WholeAnswerReceiver { started.report(plainReport(upstream.name.text, it)) }
+        val use = if (call.idempotencyKey == null) ConnectionUse.POOLED else ConnectionUse.FRESH
+        started.running = client.start(upstream.address, plainCall(attempt, call), receiver, use)
+    }
+
+    /** Gives whether the engine ended a call of that name; null when it did not answer. */
+    private fun askCancel(requestName: String, upstream: ReleaseEntry.Upstream, answered: (Boolean?) -> Unit) {
+        val call = jsonPost("/v1/cancel", engineJson.encodeToString(CancelBody(requestName)))
+        client.ask(upstream.address, call, CONTROL_WAIT) { result ->
+            answered(successIn(result)?.let { read<CancelAnswer>(it) }?.cancelled)
+        }
+    }
+
+    private companion object {
+        val CONTROL_WAIT = HttpWait(connect = 1.seconds, answer = 2.seconds)
+        val ORDER_WAIT = HttpWait(connect = 1.seconds, answer = 30.seconds)
+    }
+}
+
+private fun stepOf(call: UpstreamCall): Step = when (call) {
+    is UpstreamCall.Prefill -> Step.PREFILL
+    is UpstreamCall.Decode -> Step.DECODE
+    is UpstreamCall.Plain -> Step.PLAIN_CALL
+}
+
+private fun engineCall(attempt: AttemptId, path: String, body: String): HttpCall =
+    jsonPost(path, body, listOf(HttpField("X-Request-Id", attempt.toString())))
+
+private fun successIn(result: HttpResult): HttpAnswer? =
+    (result as? HttpResult.Answered)?.answer?.takeIf { it.status == STATUS_OK }
+
+private inline fun <reified Body> read(answer: HttpAnswer): Body? = try {
+    engineJson.decodeFromString<Body>(answer.body)
+} catch (_: IllegalArgumentException) {
+    null
+}
--- /dev/null
+++ b/http/src/main/kotlin/org/lovageladder/http/IdleConnections.kt
@@ -0,0 +1,46 @@
+package org.lovageladder.http
+
+import io.netty.channel.Channel
+import org.lovageladder.core.Address
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.ConcurrentLinkedDeque
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.TimeMark
+import kotlin.time.TimeSource
+
+/** Connections that carry no call now, by the address they lead to. The one used last is taken first. */
+internal class IdleConnections {
+    private val byAddress = ConcurrentHashMap<Address, ConcurrentLinkedDeque<IdleConnection>>()
+
+    /** Takes a connection that is open and was used lately, or null. */
+    fun take(address: Address): Channel? {
+        val connections = byAddress[address] ?: return null
+        while (true) {
+            val connection = connections.pollFirst() ?: return null
+            if (!connection.channel.isActive) {
+                continue
+            }
+            if (connection.since.elapsedNow() < IDLE_LIMIT) {
+                return connection.channel
+            }
+            connection.channel.close()
+        }
+    }
+
+    /** Keeps an open connection for later calls. */
+    fun give(address: Address, channel: Channel) {
+        val connections = byAddress.computeIfAbsent(address) { ConcurrentLinkedDeque() }
+        connections.addFirst(IdleConnection(channel, TimeSource.Monotonic.markNow()))
+    }
+
+    /** Forgets a connection that closed. */
+    fun remove(address: Address, channel: Channel) {
+        byAddress[address]?.removeIf { it.channel === channel }
+    }
+
+    private class IdleConnection(val channel: Channel, val since: TimeMark)
+
+    private companion object {
+        val IDLE_LIMIT = 20.seconds
+    }
+}
--- a/http/src/main/kotlin/org/lovageladder/http/Main.kt
+++ /dev/null
@@ -1,4 +0,0 @@
-package org.lovageladder.http
-
-/** Temporary module marker. */
-public fun main() {}
--- /dev/null
+++ b/http/src/main/kotlin/org/lovageladder/http/NettyAdminServer.kt
@@ -0,0 +1,101 @@
+package org.lovageladder.http
+
+import io.netty.bootstrap.ServerBootstrap
+import io.netty.channel.Channel
+import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.ChannelInitializer
+import io.netty.channel.ChannelOption
+import io.netty.channel.SimpleChannelInboundHandler
+import io.netty.channel.socket.SocketChannel
+import io.netty.channel.socket.nio.NioServerSocketChannel
+import io.netty.handler.codec.http.FullHttpRequest
+import io.netty.handler.codec.http.HttpObjectAggregator
+import io.netty.handler.codec.http.HttpServerCodec
+import io.netty.handler.codec.http.HttpUtil
+import io.netty.handler.timeout.ReadTimeoutHandler
+import org.lovageladder.core.Address
+import java.net.InetSocketAddress
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.ExecutorService
+import java.util.concurrent.Executors
+
+/** Serves [AdminRoutes]; each answer is worked out on a worker thread, never on an event loop. */
+internal class NettyAdminServer(bind: Address, private val routes: AdminRoutes, threads: HttpThreads) : AdminServer {
+    private val connections = ConcurrentHashMap.newKeySet<Channel>()
+    private val workers: ExecutorService = Executors.newFixedThreadPool(WORKERS) { task ->
+        Thread(task, "admin").apply { isDaemon = true }
+    }
+    private val listener: Channel = listen(bind, threads)
+
+    override val address: Address =
+        (listener.localAddress() as InetSocketAddress).let { Address(it.address.hostAddress, it.port) }
+
+    override fun close() {
+        listener.close()
+        connections.forEach { it.close() }
+        workers.shutdown()
+    }
+
+    private fun listen(bind: Address, threads: HttpThreads): Channel = ServerBootstrap()
+        .group(threads.group)
+        .channel(NioServerSocketChannel::class.java)
+        .option(ChannelOption.SO_REUSEADDR, true)
+        .childOption(ChannelOption.TCP_NODELAY, true)
+        .childOption(ChannelOption.ALLOCATOR, SmallBuffers.allocator)
+        .childHandler(Initializer())
+        .bind(bind.ip, bind.port)
+        .syncUninterruptibly()
+        .channel()
+
+    private inner class Initializer : ChannelInitializer<SocketChannel>() {
+        override fun initChannel(channel: SocketChannel) {
+            connections.add(channel)
+            channel.closeFuture().addListener { connections.remove(channel) }
+            channel.pipeline().addLast(
+                ReadTimeoutHandler(IDLE_LIMIT_SECONDS),
+                HttpServerCodec(),
+                HttpObjectAggregator(MAXIMUM_BODY_BYTES),
+                AdminConnection(),
+            )
+        }
+    }
+
+    private inner class AdminConnection : SimpleChannelInboundHandler<FullHttpRequest>() {
+        override fun channelRead0(context: ChannelHandlerContext, request: FullHttpRequest) {
+            if (request.decoderResult().isFailure) {
+                context.close()
+                return
+            }
+            val method = request.method()
+            val target = request.uri()
+            val keepAlive = HttpUtil.isKeepAlive(request)
+            context.channel().config().isAutoRead = false
+            workers.execute {
+                val answer = routes.answer(method, target)
+                context.executor().execute { write(context, answer, keepAlive) }
+            }
+        }
+
+        @Deprecated("Deprecated in Netty's base class, but still the place for connection errors.")
+        override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
+            context.close()
+        }
+
+        private fun write(context: ChannelHandlerContext, answer: AdminAnswer, keepAlive: Boolean) {
+            val writer = AnswerWriter(context, mayKeepAlive = { keepAlive }) { keptAlive, written ->
+                if (keptAlive) {
+                    context.channel().config().isAutoRead = true
+                } else {
+                    written.addListener { context.close() }
+                }
+            }
+            writer.whole(answer.status, answer.contentType, answer.body)
+        }
+    }
+
+    private companion object {
+        const val WORKERS = 2
+        const val IDLE_LIMIT_SECONDS = 60
+        const val MAXIMUM_BODY_BYTES = 64 * 1024
+    }
+}
--- /dev/null
+++ b/http/src/main/kotlin/org/lovageladder/http/Problem.kt
@@ -0,0 +1,128 @@
+package org.lovageladder.http
+
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.encodeToString
+import kotlinx.serialization.json.Json
+import org.lovageladder.core.Execution
+import org.lovageladder.core.Outcome
+import org.lovageladder.core.RefusalReason
+import org.lovageladder.core.RequestId
+import org.lovageladder.core.Step
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/**
+ * Problem details after RFC 9457. [outcome] is what is known of the action that the caller named, [submission] of
+ * this very submission; [field] names the member or header at fault.
+ */
+@Serializable
+internal data class Problem(
+    val type: String,
+    val title: String,
+    val status: Int,
+    val detail: String,
+    val outcome: ProblemOutcome,
+    val submission: ProblemOutcome,
+    val field: String? = null,
+    val request: RequestId? = null,
+    val step: Step? = null,
+    val peer: String? = null,
+    @SerialName("retry_after_ms") val retryAfterMilliseconds: Long? = null,
+) {
+    /** Value of the header `Retry-After`: whole seconds, rounded up. */
+    val retryAfterSeconds: Long?
+        get() = retryAfterMilliseconds?.let { roundUpToSeconds(it.milliseconds) }
+
+    fun toJson(): String = problemJson.encodeToString(this)
+}
+
+/** An [Execution] as callers read it. */
+@Serializable
+internal enum class ProblemOutcome {
+    @SerialName("not-run")
+    NOT_RUN,
+
+    @SerialName("ran")
+    RAN,
+
+    @SerialName("unknown")
+    UNKNOWN,
+}
+
+private val problemJson = Json { explicitNulls = false }
+
+private const val TYPE_PREFIX = "urn:lovageladder:problem:"
+
+/** A fault of the caller's request that is found before it is submitted; its action was not run by it. */
+internal data class InputFault(val status: Int, val name: String, val detail: String, val field: String? = null)
+
+/** [keyed] says whether the request names, or may name, an action that an earlier submission may have run. */
+internal fun problemOf(fault: InputFault, keyed: Boolean): Problem = Problem(
+    type = TYPE_PREFIX + fault.name,
+    title = fault.name.replace('-', ' ').replaceFirstChar { it.uppercase() },
+    status = fault.status,
+    detail = fault.detail,
+    outcome = if (keyed) ProblemOutcome.UNKNOWN else ProblemOutcome.NOT_RUN,
+    submission = ProblemOutcome.NOT_RUN,
+    field = fault.field,
+)
+
+internal fun problemOf(request: RequestId, refused: Outcome.Refused): Problem = Problem(
+    type = TYPE_PREFIX + refused.reason.name.lowercase().replace('_', '-'),
+    title = titleOf(refused.reason),
+    status = statusOf(refused.reason),
+    detail = refused.detail.ifEmpty { refused.fault?.toString() ?: titleOf(refused.reason) },
+    outcome = outcomeOf(refused.execution),
+    submission = if (refused.submissionRan) outcomeOf(refused.execution) else ProblemOutcome.NOT_RUN,
+    request = request,
+    step = refused.fault?.step,
+    peer = refused.fault?.peer,
+    retryAfterMilliseconds = refused.retryAfter?.inWholeMilliseconds,
+)
+
+private fun outcomeOf(execution: Execution): ProblemOutcome = when (execution) {
+    Execution.NOT_RUN -> ProblemOutcome.NOT_RUN
+    Execution.RAN -> ProblemOutcome.RAN
+    Execution.UNKNOWN -> ProblemOutcome.UNKNOWN
+}
+
+private fun roundUpToSeconds(duration: Duration): Long {
+    val whole = duration.inWholeSeconds
+    return if (whole.seconds < duration) whole + 1 else whole
+}
+
+@Suppress("MagicNumber")
+private fun statusOf(reason: RefusalReason): Int = when (reason) {
+    RefusalReason.UNKNOWN_SERVICE -> 404
+    RefusalReason.UNKNOWN_CLASS, RefusalReason.WRONG_CONTENT, RefusalReason.KEY_MISSING -> 400
+    RefusalReason.KEY_REUSED -> 422
+    RefusalReason.PROMPT_TOO_LARGE -> 413
+    RefusalReason.OVERLOADED -> 429
+    RefusalReason.NO_UPSTREAM,
+    RefusalReason.STORE_UNAVAILABLE,
+    RefusalReason.NOT_READY,
+    RefusalReason.LEAVING,
+    -> 503
+    RefusalReason.DEADLINE -> 504
+    RefusalReason.UPSTREAM_FAILED -> 502
+    RefusalReason.IN_PROGRESS -> 409
+}
+
+private fun titleOf(reason: RefusalReason): String = when (reason) {
+    RefusalReason.UNKNOWN_SERVICE -> "No such service"
+    RefusalReason.UNKNOWN_CLASS -> "No such request class"
+    RefusalReason.WRONG_CONTENT -> "The service does not take this kind of request"
+    RefusalReason.KEY_MISSING -> "Idempotency-Key is missing"
+    RefusalReason.KEY_REUSED -> "Idempotency-Key was used for another request"
+    RefusalReason.PROMPT_TOO_LARGE -> "The prompt does not fit any upstream"
+    RefusalReason.OVERLOADED -> "Overloaded"
+    RefusalReason.NO_UPSTREAM -> "No upstream is available"
+    RefusalReason.DEADLINE -> "No answer in time"
+    RefusalReason.STORE_UNAVAILABLE -> "The claim store is not available"
+    RefusalReason.UPSTREAM_FAILED -> "The upstream failed"
+    RefusalReason.IN_PROGRESS -> "The same action is in progress"
+    RefusalReason.NOT_READY -> "This entry is not ready"
+    RefusalReason.LEAVING -> "This entry is leaving"
+}
--- /dev/null
+++ b/http/src/main/kotlin/org/lovageladder/http/RunningHttpCall.kt
@@ -0,0 +1,67 @@
+package org.lovageladder.http
+
+import io.netty.buffer.ByteBuf
+import io.netty.channel.Channel
+import io.netty.handler.codec.http.HttpHeaders
+import org.lovageladder.core.Address
+import org.lovageladder.core.FaultCause
+import java.util.concurrent.atomic.AtomicBoolean
+
+/** One call under way. Its end is told to the receiver once: an answer's end, or a failure. */
+internal class RunningHttpCall(val address: Address, val call: HttpCall, private val receiver: HttpReceiver) {
+    private val over = AtomicBoolean()
+
+    @Volatile
+    private var channel: Channel? = null
+
+    /** Whether a byte of the request may have reached the peer. */
+    @Volatile
+    var sent: Boolean = false
+        private set
+
+    /** Whether the peer began to answer, hence has received the request. */
+    @Volatile
+    var answering: Boolean = false
+        private set
+
+    /** Called when the call ends in whatever way. */
+    var onOver: () -> Unit = {}
+
+    val isOver: Boolean
+        get() = over.get()
+
+    /** Ends the call without telling the receiver, and closes its connection. */
+    fun abandon() {
+        over.set(true)
+        channel?.close()
+    }
+
+    fun begin(channel: Channel) {
+        this.channel = channel
+        sent = true
+    }
+
+    fun head(status: Int, headers: HttpHeaders) {
+        answering = true
+        if (!isOver) receiver.onHead(status, headers)
+    }
+
+    fun content(bytes: ByteBuf) {
+        if (!isOver) receiver.onContent(bytes)
+    }
+
+    fun end() {
+        onOver()
+        if (over.compareAndSet(false, true)) receiver.onEnd()
+    }
+
+    fun fail(failure: HttpFailure) {
+        onOver()
+        if (over.compareAndSet(false, true)) receiver.onFailure(failure)
+    }
+
+    fun expire(detail: String) {
+        fail(HttpFailure(FaultCause.TIMEOUT, sent, detail))
+        channel?.close()
+    }
+}
--- /dev/null
+++ b/http/src/main/kotlin/org/lovageladder/http/WholeAnswerReceiver.kt
@@ -0,0 +1,47 @@
+package org.lovageladder.http
+
+import io.netty.buffer.ByteBuf
+import io.netty.handler.codec.http.EmptyHttpHeaders
+import io.netty.handler.codec.http.HttpHeaders
+import org.lovageladder.core.FaultCause
+import java.io.ByteArrayOutputStream
+import java.nio.charset.StandardCharsets
+
+/** Collects an answer whole and hands it to [onResult]; an answer above [maximumBytes] counts as failed. */
+internal class WholeAnswerReceiver(
+    private val maximumBytes: Int = MAXIMUM_ANSWER_BYTES,
+    private val onResult: (HttpResult) -> Unit,
+) : HttpReceiver {
+    private val body = ByteArrayOutputStream()
+    private var status = 0
+    private var headers: HttpHeaders = EmptyHttpHeaders.INSTANCE
+    private var tooLarge = false
+
+    override fun onHead(status: Int, headers: HttpHeaders) {
+        this.status = status
+        this.headers = headers
+    }
+
+    override fun onContent(bytes: ByteBuf) {
+        if (body.size() + bytes.readableBytes() > maximumBytes) {
+            tooLarge = true
+            return
+        }
+        bytes.readBytes(body, bytes.readableBytes())
+    }
+
+    override fun onEnd() {
+        if (tooLarge) {
+            val detail = "the answer is larger than $maximumBytes bytes"
+            onResult(HttpResult.Failed(HttpFailure(FaultCause.PROTOCOL, sent = true, detail = detail)))
+            return
+        }
+        onResult(HttpResult.Answered(HttpAnswer(status, headers, body.toString(StandardCharsets.UTF_8))))
+    }
+
+    override fun onFailure(failure: HttpFailure): Unit = onResult(HttpResult.Failed(failure))
+
+    private companion object {
+        const val MAXIMUM_ANSWER_BYTES = 16 * 1024 * 1024
+    }
+}
--- /dev/null
+++ b/http/src/test/kotlin/org/lovageladder/http/CallerSocket.kt
@@ -0,0 +1,80 @@
+package org.lovageladder.http
+
+import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.jsonObject
+import org.lovageladder.core.Address
+import java.io.BufferedInputStream
+import java.io.ByteArrayOutputStream
+import java.net.Socket
+import kotlin.test.fail
+
+/** An answer as a caller reads it; header names in lower case. */
+internal data class CallerAnswer(val status: Int, val headers: Map<String, String>, val body: String) {
+    fun json(): JsonObject = Json.parseToJsonElement(body).jsonObject
+}
+
+/** A caller's plain socket, so that requests can be cut, crossed and malformed at will. */
+internal class CallerSocket(address: Address) : AutoCloseable {
+    private val socket = Socket(address.ip, address.port).apply { soTimeout = READ_LIMIT_MILLISECONDS }
+    private val input = BufferedInputStream(socket.getInputStream())
+    private var headRead = false
+
+    fun send(text: String) {
+        socket.getOutputStream().write(text.toByteArray())
+        socket.getOutputStream().flush()
+    }
+
+    fun readAnswer(): CallerAnswer {
+        val status = readLine().split(' ')[1].toInt()
+        val headers = readHeaders()
+        val length = headers["content-length"]?.toInt() ?: fail("no length in $headers")
+        return CallerAnswer(status, headers, String(input.readNBytes(length)))
+    }
+
+    /** Data of the next event of a streamed answer. */
+    fun readEvent(): String {
+        if (!headRead) {
+            check(readLine().split(' ')[1] == "200")
+            readHeaders()
+            headRead = true
+        }
+        val length = readLine().toInt(CHUNK_RADIX)
+        val event = String(input.readNBytes(length))
+        readLine()
+        return event.removePrefix("data: ").removeSuffix("\n\n")
+    }
+
+    /** Headers after the last chunk. */
+    fun readTrailers(): Map<String, String> {
+        check(readLine() == "0") { "the stream goes on" }
+        return readHeaders()
+    }
+
+    /** All that comes until the server closes. */
+    fun readToEnd(): String = String(input.readAllBytes())
+
+    override fun close() {
+        socket.close()
+    }
+
+    private fun readHeaders(): Map<String, String> =
+        generateSequence { readLine().ifEmpty { null } }.associate { line ->
+            line.substringBefore(':').lowercase() to line.substringAfter(':').trim()
+        }
+
+    private fun readLine(): String {
+        val line = ByteArrayOutputStream()
+        while (true) {
+            val next = input.read()
+            if (next < 0) fail("the server closed after '$line'")
+            if (next == '\n'.code) return line.toString().removeSuffix("\r")
+            line.write(next)
+        }
+    }
+
+    private companion object {
+        const val READ_LIMIT_MILLISECONDS = 10_000
+        const val CHUNK_RADIX = 16
+    }
+}
