--- a/http/src/main/kotlin/org/lovageladder/http/HttpCall.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/HttpCall.kt
@@ -52,5 +52,5 @@
     data class Failed(val failure: HttpFailure) : HttpResult
 }
 
-/** How long to wait for a connection and, when set, for the end of the answer. */
+/** How long to wait for a connection and, when set, for the end of the answer, both from the start of the call. */
 internal data class HttpWait(val connect: Duration, val answer: Duration?)
--- a/http/src/main/kotlin/org/lovageladder/http/HttpClient.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/HttpClient.kt
@@ -36,11 +36,12 @@
         wait: HttpWait = HttpWait(CONNECT_LIMIT, answer = null),
     ): RunningHttpCall {
         val running = RunningHttpCall(address, call, receiver)
+        wait.answer?.let { limit -> expireAfter(running, limit) }
         val pooled = if (use == ConnectionUse.POOLED) idle.take(address) else null
         if (pooled == null) {
-            connect(running, wait)
+            connect(running, wait.connect)
         } else {
-            pooled.eventLoop().execute { reuse(pooled, running, wait) }
+            pooled.eventLoop().execute { reuse(pooled, running, wait.connect) }
         }
         return running
     }
@@ -60,50 +61,50 @@
         open.forEach { it.close() }
     }
 
-    private fun reuse(channel: Channel, running: RunningHttpCall, wait: HttpWait) {
+    private fun reuse(channel: Channel, running: RunningHttpCall, connectLimit: Duration) {
         if (channel.isActive) {
-            send(channel, running, wait)
+            send(channel, running)
         } else {
-            connect(running, wait)
+            connect(running, connectLimit)
         }
     }
 
-    private fun connect(running: RunningHttpCall, wait: HttpWait) {
+    private fun connect(running: RunningHttpCall, limit: Duration) {
         val bootstrap = Bootstrap()
             .group(threads.group)
             .channel(NioSocketChannel::class.java)
             .option(ChannelOption.TCP_NODELAY, true)
             .option(ChannelOption.SO_KEEPALIVE, true)
             .option(ChannelOption.ALLOCATOR, SmallBuffers.allocator)
-            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, wait.connect.inWholeMilliseconds.coerceAtLeast(1).toInt())
+            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, limit.inWholeMilliseconds.coerceAtLeast(1).toInt())
             .handler(Initializer())
         bootstrap.connect(running.address.ip, running.address.port).addListener { connected ->
             connected as ChannelFuture
             if (connected.isSuccess) {
-                send(connected.channel(), running, wait)
+                send(connected.channel(), running)
             } else {
                 running.fail(notConnected(connected.cause()))
             }
         }
     }
 
-    private fun send(channel: Channel, running: RunningHttpCall, wait: HttpWait) {
+    private fun send(channel: Channel, running: RunningHttpCall) {
         if (closed) {
             channel.close()
             running.fail(HttpFailure(FaultCause.CANCELLED, sent = false, detail = "the client is closed"))
             return
         }
-        val connection = channel.pipeline().get(HttpClientConnection::class.java)
-        val timeout = wait.answer?.let { limit -> expireAfter(channel, running, limit) }
-        running.onOver = { timeout?.cancel(false) }
-        connection.begin(running)
+        channel.pipeline().get(HttpClientConnection::class.java).begin(running)
     }
 
-    private fun expireAfter(channel: Channel, running: RunningHttpCall, limit: Duration) = channel.eventLoop().schedule(
-        { running.expire("no whole answer within $limit") },
-        limit.inWholeNanoseconds,
-        TimeUnit.NANOSECONDS,
-    )
+    private fun expireAfter(running: RunningHttpCall, limit: Duration) {
+        val expiry = threads.group.next().schedule(
+            { running.expire("no whole answer within $limit") },
+            limit.inWholeNanoseconds,
+            TimeUnit.NANOSECONDS,
+        )
+        running.onOver = { expiry.cancel(false) }
+    }
 
     private fun notConnected(cause: Throwable): HttpFailure {
         val kind = if (cause is ConnectTimeoutException) FaultCause.TIMEOUT else FaultCause.UNREACHABLE
--- a/http/src/main/kotlin/org/lovageladder/http/HttpStatuses.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/HttpStatuses.kt
@@ -11,6 +11,7 @@
 internal const val STATUS_TOO_LARGE: Int = 413
 internal const val STATUS_TARGET_TOO_LONG: Int = 414
 internal const val STATUS_HEADERS_TOO_LARGE: Int = 431
+internal const val STATUS_INTERNAL_ERROR: Int = 500
 internal const val STATUS_BAD_GATEWAY: Int = 502
 internal const val STATUS_UNAVAILABLE: Int = 503
 internal const val STATUS_GATEWAY_TIMEOUT: Int = 504
--- a/http/src/main/kotlin/org/lovageladder/http/HttpUpstreamGateway.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/HttpUpstreamGateway.kt
@@ -49,7 +49,7 @@
         when {
             started == null -> done(true)
             started.isPlain -> {
-                started.cancel()
+                started.abandon()
                 done(true)
             }
             else -> {
@@ -90,10 +90,10 @@
         call: UpstreamCall.Prefill,
         report: (UpstreamReport) -> Unit,
     ) {
-        val peer = upstream.name.text
+        val request = engineCall(attempt, call.content.path, prefillBody(call))
         val started = calls.add(attempt, report, isPlain = false)
-        val receiver = WholeAnswerReceiver { started.report(prefillReport(peer, it)) }
-        started.running = client.start(upstream.address, engineCall(attempt, call.content.path, prefillBody(call)), receiver)
+        val receiver = WholeAnswerReceiver { started.report(prefillReport(upstream.name.text, it)) }
+        started.running = client.start(upstream.address, request, receiver)
     }
 
     private fun decode(
@@ -102,10 +102,10 @@
         call: UpstreamCall.Decode,
         report: (UpstreamReport) -> Unit,
     ) {
-        val body = decodeBody(call)
+        val request = engineCall(attempt, call.content.path, decodeBody(call))
         val started = calls.add(attempt, report, isPlain = false)
         val receiver = DecodeReceiver(upstream.name.text, call.fromIndex, started::report)
-        started.running = client.start(upstream.address, engineCall(attempt, call.content.path, body), receiver)
+        started.running = client.start(upstream.address, request, receiver)
     }
 
     private fun plain(
@@ -114,10 +114,11 @@
         call: UpstreamCall.Plain,
         report: (UpstreamReport) -> Unit,
     ) {
+        val request = plainCall(attempt, call)
         val started = calls.add(attempt, report, isPlain = true)
         val receiver = WholeAnswerReceiver { started.report(plainReport(upstream.name.text, it)) }
         val use = if (call.idempotencyKey == null) ConnectionUse.POOLED else ConnectionUse.FRESH
-        started.running = client.start(upstream.address, plainCall(attempt, call), receiver, use)
+        started.running = client.start(upstream.address, request, receiver, use)
     }
 
     /** Gives whether the engine ended a call of that name; null when it did not answer. */
--- a/http/src/main/kotlin/org/lovageladder/http/NettyAdminServer.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/NettyAdminServer.kt
@@ -9,6 +9,7 @@
 import io.netty.channel.socket.SocketChannel
 import io.netty.channel.socket.nio.NioServerSocketChannel
 import io.netty.handler.codec.http.FullHttpRequest
+import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpObjectAggregator
 import io.netty.handler.codec.http.HttpServerCodec
 import io.netty.handler.codec.http.HttpUtil
@@ -71,7 +72,7 @@
             val keepAlive = HttpUtil.isKeepAlive(request)
             context.channel().config().isAutoRead = false
             workers.execute {
-                val answer = routes.answer(method, target)
+                val answer = answerOrFailure(method, target)
                 context.executor().execute { write(context, answer, keepAlive) }
             }
         }
@@ -93,6 +94,14 @@
         }
     }
 
+    /** The handler is code of others: whatever it throws becomes an answer, so that no operator waits for nothing. */
+    @Suppress("TooGenericExceptionCaught")
+    private fun answerOrFailure(method: HttpMethod, target: String): AdminAnswer = try {
+        routes.answer(method, target)
+    } catch (failure: RuntimeException) {
+        AdminAnswer(STATUS_INTERNAL_ERROR, TEXT_TYPE, "the process failed to answer: $failure\n")
+    }
+
     private companion object {
         const val WORKERS = 2
         const val IDLE_LIMIT_SECONDS = 60
--- a/http/src/main/kotlin/org/lovageladder/http/RunningHttpCall.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/RunningHttpCall.kt
@@ -24,7 +24,8 @@
     var answering: Boolean = false
         private set
 
-    /** Called when the call ends in whatever way. */
+    /** Called when the call ends in whatever way; set before the call is sent. */
+    @Volatile
     var onOver: () -> Unit = {}
 
     val isOver: Boolean
@@ -33,6 +34,7 @@
     /** Ends the call without telling the receiver, and closes its connection. */
     fun abandon() {
         over.set(true)
+        onOver()
         channel?.close()
     }
 
@@ -60,8 +62,15 @@
         if (over.compareAndSet(false, true)) receiver.onFailure(failure)
     }
 
+    /** Fails the call for lack of time; on the thread of its connection, lest the receiver be called on two at once. */
     fun expire(detail: String) {
-        fail(HttpFailure(FaultCause.TIMEOUT, sent, detail))
-        channel?.close()
+        if (isOver) return
+        val connected = channel
+        if (connected == null || connected.eventLoop().inEventLoop()) {
+            fail(HttpFailure(FaultCause.TIMEOUT, sent, detail))
+            connected?.close()
+        } else {
+            connected.eventLoop().execute { expire(detail) }
+        }
     }
 }
--- a/http/src/main/kotlin/org/lovageladder/http/WholeAnswerReceiver.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/WholeAnswerReceiver.kt
@@ -5,6 +5,8 @@
 import io.netty.handler.codec.http.HttpHeaders
 import org.lovageladder.core.FaultCause
 import java.io.ByteArrayOutputStream
+import java.nio.ByteBuffer
+import java.nio.charset.CharacterCodingException
 import java.nio.charset.StandardCharsets
 
 /** Collects an answer whole and hands it to [onResult]; an answer above [maximumBytes] counts as failed. */
@@ -36,11 +38,19 @@
             onResult(HttpResult.Failed(HttpFailure(FaultCause.PROTOCOL, sent = true, detail = detail)))
             return
         }
-        onResult(HttpResult.Answered(HttpAnswer(status, headers, body.toString(StandardCharsets.UTF_8))))
+        onResult(textResult())
     }
 
     override fun onFailure(failure: HttpFailure): Unit = onResult(HttpResult.Failed(failure))
 
+    private fun textResult(): HttpResult = try {
+        val text = StandardCharsets.UTF_8.newDecoder().decode(ByteBuffer.wrap(body.toByteArray())).toString()
+        HttpResult.Answered(HttpAnswer(status, headers, text))
+    } catch (_: CharacterCodingException) {
+        val detail = "the answer's body is not UTF-8 text, which alone can be passed on"
+        HttpResult.Failed(HttpFailure(FaultCause.PROTOCOL, sent = true, detail = detail))
+    }
+
     private companion object {
         const val MAXIMUM_ANSWER_BYTES = 16 * 1024 * 1024
     }
--- /dev/null
+++ b/http/src/test/kotlin/org/lovageladder/http/FaultyPeer.kt
@@ -0,0 +1,106 @@
+package org.lovageladder.http
+
+import org.lovageladder.core.Address
+import java.io.BufferedInputStream
+import java.io.ByteArrayOutputStream
+import java.io.IOException
+import java.net.InetAddress
+import java.net.ServerSocket
+import java.net.Socket
+import java.util.concurrent.CopyOnWriteArrayList
+import java.util.concurrent.CountDownLatch
+import java.util.concurrent.TimeUnit
+import kotlin.concurrent.thread
+
+/** What a [FaultyPeer] does with each request. */
+internal sealed interface PeerBehaviour {
+    /** Sends [bytes] after the request was read, and then closes unless [keepOpen]. */
+    data class Send(val bytes: String, val keepOpen: Boolean = false) : PeerBehaviour
+
+    /** Reads the request and never answers. */
+    data object Silence : PeerBehaviour
+
+    /** Closes as soon as the connection is made. */
+    data object CloseAtOnce : PeerBehaviour
+}
+
+/** A server that misbehaves as told, and keeps the requests that reached it. */
+internal class FaultyPeer(private val behaviour: PeerBehaviour) : AutoCloseable {
+    private val listener = ServerSocket(0, BACKLOG, InetAddress.getByName("127.0.0.1"))
+    private val sockets = CopyOnWriteArrayList<Socket>()
+    private val firstArrived = CountDownLatch(1)
+    private val acceptor = thread(isDaemon = true) { acceptAll() }
+    val requests = CopyOnWriteArrayList<String>()
+    val address = Address("127.0.0.1", listener.localPort)
+
+    /** Waits until a request was read. */
+    fun awaitRequest() {
+        check(firstArrived.await(10, TimeUnit.SECONDS)) { "no request came" }
+    }
+
+    override fun close() {
+        listener.close()
+        sockets.forEach { it.close() }
+        acceptor.join()
+    }
+
+    private fun acceptAll() {
+        try {
+            while (true) {
+                val socket = listener.accept()
+                sockets.add(socket)
+                thread(isDaemon = true) { serve(socket) }
+            }
+        } catch (_: IOException) {
+            return
+        }
+    }
+
+    private fun serve(socket: Socket) {
+        try {
+            if (behaviour == PeerBehaviour.CloseAtOnce) return socket.close()
+            val input = BufferedInputStream(socket.getInputStream())
+            while (true) {
+                requests.add(readRequest(input) ?: return socket.close())
+                firstArrived.countDown()
+                if (behaviour is PeerBehaviour.Send) {
+                    socket.getOutputStream().write(behaviour.bytes.toByteArray())
+                    if (!behaviour.keepOpen) return socket.close()
+                }
+            }
+        } catch (_: IOException) {
+            socket.close()
+        }
+    }
+
+    private fun readRequest(input: BufferedInputStream): String? {
+        val head = ByteArrayOutputStream()
+        while (!head.toString().endsWith("\r\n\r\n")) {
+            val next = input.read()
+            if (next < 0) return null
+            head.write(next)
+        }
+        val length = Regex("content-length: (\\d+)", RegexOption.IGNORE_CASE).find(head.toString())
+        val body = input.readNBytes(length?.groupValues?.get(1)?.toInt() ?: 0)
+        return head.toString() + String(body)
+    }
+
+    companion object {
+        private const val BACKLOG = 50
+
+        /** An answer with a correct length. */
+        fun answer(status: Int, body: String, vararg headers: String): String {
+            val lines = headers.joinToString("") { "$it\r\n" }
+            return "HTTP/1.1 $status X\r\n${lines}Content-Length: ${body.toByteArray().size}\r\n\r\n$body"
+        }
+
+        /** The beginning of an answer, which announces more than it holds. */
+        fun cutAnswer(body: String): String = "HTTP/1.1 200 OK\r\nContent-Length: 9999\r\n\r\n$body"
+
+        /** A loopback address at which nothing listens. */
+        fun deadAddress(): Address {
+            val port = ServerSocket(0, 1, InetAddress.getByName("127.0.0.1")).use { it.localPort }
+            return Address("127.0.0.1", port)
+        }
+    }
+}
