Stand-in engine: prefix cache with late and lost events, resume by way of a remote prefill

Cause: the choice by prefix locality and the resume of a stalled decode need engines that do both; wasted prefill has to be read in tokens. Change: optional prefix cache (off by default) with GET /v1/cache_events, late and with gaps as set; a prefill whose decode runs elsewhere takes any resume_from, as its max_tokens is always 1; /stats also counts expired prefill tokens and tokens spared by the cache; a disconnect that crosses the finish no longer counts as a cancel. Found by reading: resume_from above 0 was refused for every remote prefill. Ruled out: dropping the first blocks of a prefix before its last ones, as the last are of no use without them.

--- a/stand-in/src/main/kotlin/org/lovageladder/standin/CommandOptions.kt
+++ b/stand-in/src/main/kotlin/org/lovageladder/standin/CommandOptions.kt
@@ -10,6 +10,9 @@
 internal fun CliktCommand.positiveInt(name: String, help: String, default: Int) =
     option(name, help = help).int().restrictTo(min = 1).default(default)
 
+internal fun CliktCommand.count(name: String, help: String, default: Int) =
+    option(name, help = help).int().restrictTo(min = 0).default(default)
+
 internal fun CliktCommand.positiveLong(name: String, help: String, default: Long) =
     option(name, help = help).long().restrictTo(min = 1).default(default)
 
--- a/stand-in/src/main/kotlin/org/lovageladder/standin/CompletionAnswer.kt
+++ b/stand-in/src/main/kotlin/org/lovageladder/standin/CompletionAnswer.kt
@@ -29,8 +29,14 @@
         }
     }
 
-    fun finish(reason: FinishReason, producedTokens: Int, transfer: TransferParameters? = null) {
-        val usage = Usage(request.promptTokens, producedTokens, request.promptTokens + producedTokens)
+    fun finish(reason: FinishReason, call: EngineCall, transfer: TransferParameters? = null) {
+        val usage =
+            Usage(
+                promptTokens = request.promptTokens,
+                completionTokens = call.produced,
+                totalTokens = request.promptTokens + call.produced,
+                promptDetails = PromptDetails(call.cachedTokens),
+            )
         if (request.stream) {
             sendChunk("", reason, usage, transfer)
             exchange.write("data: [DONE]\n\n")
@@ -133,4 +139,8 @@
     @SerialName("prompt_tokens") val promptTokens: Int,
     @SerialName("completion_tokens") val completionTokens: Int,
     @SerialName("total_tokens") val totalTokens: Int,
+    @SerialName("prompt_tokens_details") val promptDetails: PromptDetails,
 )
+
+@Serializable
+private data class PromptDetails(@SerialName("cached_tokens") val cachedTokens: Int)
--- a/stand-in/src/main/kotlin/org/lovageladder/standin/EngineCall.kt
+++ b/stand-in/src/main/kotlin/org/lovageladder/standin/EngineCall.kt
@@ -10,6 +10,9 @@
     /** Index of the next token to produce. */
     var nextToken: Int = request.resumeFrom
 
+    /** Prompt tokens that the prefix cache spared the prefill. */
+    var cachedTokens: Int = 0
+
     val produced: Int
         get() = nextToken - request.resumeFrom
 
--- a/stand-in/src/main/kotlin/org/lovageladder/standin/EngineCalls.kt
+++ b/stand-in/src/main/kotlin/org/lovageladder/standin/EngineCalls.kt
@@ -6,6 +6,7 @@
     private val settings: EngineSettings,
     private val slowness: Slowness,
     private val kept: KeptPrefills,
+    private val prefixes: PrefixCache,
     private val prefillAddress: () -> TransferParameters,
 ) {
     private val calls = LinkedHashSet<EngineCall>()
@@ -15,6 +16,7 @@
     private var cancelled = 0L
     private var rejected = 0L
     private var completed = 0L
+    private var cachedTokens = 0L
 
     /** Accepts a call or throws [RequestRefused]; the outcome goes to [CompletionAnswer]. */
     fun accept(request: CompletionRequest, exchange: HttpExchange, role: EngineRole) {
@@ -58,6 +60,8 @@
         prefillTokens = prefills.tokensTotal,
         decodeTokens = batch.tokensTotal,
         prefillsExpired = kept.expiredTotal,
+        prefillTokensExpired = kept.expiredTokensTotal,
+        cachedTokens = cachedTokens,
         cancelled = cancelled,
         rejected = rejected,
         completed = completed,
@@ -88,10 +92,20 @@
     }
 
     private fun prefill(call: EngineCall, onPrefilled: () -> Unit) {
-        val queued = prefills.add(call.request.prefillTokens, call.request.priority, onPrefilled)
+        val queued =
+            prefills.add(call.request.priority, { missingTokens(call) }) {
+                cachedTokens += call.cachedTokens
+                prefixes.store(call.request.prompt)
+                onPrefilled()
+            }
         call.withdraw = { prefills.remove(queued) }
     }
 
+    private fun missingTokens(call: EngineCall): Int {
+        call.cachedTokens = prefixes.cachedTokens(call.request.prompt)
+        return call.request.prefillTokens - call.cachedTokens
+    }
+
     private fun fetch(call: EngineCall, source: FetchSource) {
         val fetch =
             PrefillFetch.start(thread, source) { outcome ->
@@ -122,7 +136,7 @@
     private fun finish(call: EngineCall, reason: FinishReason, transfer: TransferParameters? = null) {
         completed++
         release(call)
-        call.answer.finish(reason, call.produced, transfer)
+        call.answer.finish(reason, call, transfer)
     }
 
     private fun fail(call: EngineCall, status: Int, type: String, message: String) {
@@ -131,10 +145,13 @@
     }
 
     private fun cancel(call: EngineCall) {
+        if (call !in calls) {
+            return
+        }
         cancelled++
         call.withdraw()
         release(call)
-        call.answer.finish(FinishReason.CANCELLED, call.produced)
+        call.answer.finish(FinishReason.CANCELLED, call)
     }
 
     private fun release(call: EngineCall) {
--- a/stand-in/src/main/kotlin/org/lovageladder/standin/EngineCommand.kt
+++ b/stand-in/src/main/kotlin/org/lovageladder/standin/EngineCommand.kt
@@ -31,6 +31,18 @@
         positiveLong("--kv-bytes-per-token", "Size of a prefill result per token.", defaults.keyValueBytesPerToken)
     private val reportLag by
         milliseconds("--report-lag-ms", "Age of the load in the metrics.", defaults.reportLag.inWholeMilliseconds)
+    private val prefixCacheBlocks by
+        count(
+            "--prefix-cache-blocks",
+            "Blocks of cached prompt prefixes; 0 caches nothing.",
+            defaults.prefixCacheBlocks,
+        )
+    private val prefixBlockTokens by
+        positiveInt("--prefix-block-tokens", "Tokens in a cached block.", defaults.prefixBlockTokens)
+    private val cacheEventLag by
+        milliseconds("--cache-event-lag-ms", "Delay of cache events.", defaults.cacheEventLag.inWholeMilliseconds)
+    private val cacheEventGapEvery by
+        count("--cache-event-gap-every", "Every so manyth is lost; 0 loses none.", defaults.cacheEventGapEvery)
     private val freeOnDisconnect by option(
         "--free-on-disconnect",
         help = "A closed connection cancels its call.",
@@ -53,6 +65,10 @@
                 linkBytesPerSecond = linkRate,
                 keyValueBytesPerToken = tokenBytes,
                 reportLag = reportLag.milliseconds,
+                prefixCacheBlocks = prefixCacheBlocks,
+                prefixBlockTokens = prefixBlockTokens,
+                cacheEventLag = cacheEventLag.milliseconds,
+                cacheEventGapEvery = cacheEventGapEvery,
                 freeOnDisconnect = freeOnDisconnect,
                 ignoreFencing = ignoreFencing,
             )
--- a/stand-in/src/main/kotlin/org/lovageladder/standin/EngineMessages.kt
+++ b/stand-in/src/main/kotlin/org/lovageladder/standin/EngineMessages.kt
@@ -25,6 +25,8 @@
     @SerialName("prefill_tokens_total") val prefillTokens: Long,
     @SerialName("decode_tokens_total") val decodeTokens: Long,
     @SerialName("prefills_expired") val prefillsExpired: Long,
+    @SerialName("prefill_tokens_expired") val prefillTokensExpired: Long,
+    @SerialName("prefix_tokens_cached") val cachedTokens: Long,
     val cancelled: Long,
     val rejected: Long,
     val completed: Long,
--- a/stand-in/src/main/kotlin/org/lovageladder/standin/EngineSettings.kt
+++ b/stand-in/src/main/kotlin/org/lovageladder/standin/EngineSettings.kt
@@ -39,6 +39,13 @@
     val keyValueBytesPerToken: Long = 100_000,
     /** Age of the load that the metrics show. */
     val reportLag: Duration = 2.seconds,
+    /** Blocks of prompt prefixes that need no prefill again; 0 caches nothing. */
+    val prefixCacheBlocks: Int = 0,
+    val prefixBlockTokens: Int = 64,
+    /** How late cache events are shown. */
+    val cacheEventLag: Duration = 1.seconds,
+    /** Every so manyth cache event is lost; 0 loses none. */
+    val cacheEventGapEvery: Int = 0,
     /** Whether a closed connection ends its generation; otherwise only a cancel does. */
     val freeOnDisconnect: Boolean = false,
     val ignoreFencing: Boolean = false,
--- a/stand-in/src/main/kotlin/org/lovageladder/standin/EngineStandIn.kt
+++ b/stand-in/src/main/kotlin/org/lovageladder/standin/EngineStandIn.kt
@@ -8,9 +8,12 @@
  * A language-model engine without a model: it batches, holds memory, prefills and passes prefill results on as a real
  * one would, and answers with tokens that follow from the prompt alone.
  *
+ * A call that is refused for memory, role or an expired prefill result gets a JSON error whose `type` is
+ * `out_of_memory`, `wrong_role`, `kv_expired` or `kv_unreachable`.
+ *
  * It serves the OpenAI-compatible completions with vLLM's additions (`kv_transfer_params`, `priority`, adapter load
  * and unload, Prometheus names), and plain JSON for what has no published form: `GET /v1/running`, `POST /v1/cancel`,
- * `POST /v1/role`, `POST /v1/load_model`, `POST /fault` and `GET /stats`.
+ * `POST /v1/role`, `POST /v1/load_model`, `GET /v1/cache_events?after=SEQUENCE`, `POST /fault` and `GET /stats`.
  */
 public class EngineStandIn private constructor(
     private val settings: EngineSettings,
@@ -21,7 +24,9 @@
     private val slowness = Slowness(thread)
     private val link = SharedLink(thread, settings.linkBytesPerSecond)
     private val kept = KeptPrefills(thread, settings.keepTime, link, settings.keyValueBytesPerToken)
-    private val calls = EngineCalls(thread, settings, slowness, kept) { ownAddress() }
+    private val cacheEvents = CacheEvents(thread, settings.cacheEventLag, settings.cacheEventGapEvery)
+    private val prefixes = PrefixCache(settings.prefixCacheBlocks, settings.prefixBlockTokens, cacheEvents)
+    private val calls = EngineCalls(thread, settings, slowness, kept, prefixes) { ownAddress() }
     private val report = LoadReport(thread, settings.reportLag) { calls.load() }
     private val models = ServedModels(settings.model, settings.name)
     private val fencing = FencingGate(settings.ignoreFencing)
@@ -61,12 +66,19 @@
             "/health" -> exchange.answer("")
             "/v1/models" -> exchange.answer(json.encodeToString(models.list()))
             "/v1/running" -> exchange.answer(json.encodeToString(calls.running()))
+            "/v1/cache_events" -> exchange.answer(json.encodeToString(cacheEvents.after(sequenceIn(exchange.request))))
             "/stats" -> exchange.answer(json.encodeToString(calls.stats()))
             "/metrics" -> exchange.answer(report.prometheusText(models.names.first()), contentType = PROMETHEUS_TYPE)
             else -> throw RequestRefused.unknownPath(exchange.request)
         }
     }
 
+    private fun sequenceIn(request: HttpRequest): Long {
+        val value = request.query["after"]?.firstOrNull() ?: return 0
+        return value.toLongOrNull()
+            ?: throw RequestRefused.badField("after", "parameter after is '$value', allowed is a whole number")
+    }
+
     private fun order(exchange: HttpExchange) {
         when (exchange.request.path) {
             PrefillFetch.PATH -> sendPrefill(exchange)
--- a/stand-in/src/main/kotlin/org/lovageladder/standin/KeptPrefills.kt
+++ b/stand-in/src/main/kotlin/org/lovageladder/standin/KeptPrefills.kt
@@ -16,6 +16,10 @@
     var expiredTotal: Long = 0
         private set
 
+    /** Tokens of those results. */
+    var expiredTokensTotal: Long = 0
+        private set
+
     /** Keeps a result of [tokens] and returns the name to fetch it by. */
     fun keep(requestId: String, tokens: Int): String {
         val name = "$requestId-${sequence++}"
@@ -46,6 +50,7 @@
         val prefill = kept.remove(name) ?: return
         if (!prefill.fetched) {
             expiredTotal++
+            expiredTokensTotal += prefill.tokens
         }
         prefill.transfers.forEach { (transfer, exchange) ->
             link.abort(transfer)
--- a/stand-in/src/test/kotlin/org/lovageladder/standin/PrefillTransferTest.kt
+++ b/stand-in/src/test/kotlin/org/lovageladder/standin/PrefillTransferTest.kt
@@ -28,6 +28,19 @@
         }
     }
 
+    @Test
+    fun aDecodeResumesFromAPrefillOfPromptAndTokens() {
+        withEngines(prefillSettings) { prefill, decode ->
+            val again = """"resume_from":1,$REMOTE_DECODE"""
+            val first = prefill.post(TEXT, """{"prompt":"a b c","max_tokens":1,$again}""")
+            assertEquals("4", prefill.json("/stats").text("prefill_tokens_total"))
+            val whole = decode.post(TEXT, """{"prompt":"a b c","max_tokens":2}""").json().text("choices", "0", "text")
+            val body = decodeBody(first.transfer()).dropLast(1) + ""","resume_from":1}"""
+            val rest = decode.post(TEXT, body).json().text("choices", "0", "text")
+            assertEquals(whole.substringAfter(" "), rest)
+        }
+    }
+
     @Test
     fun aPrefillThatCannotBeFetchedFailsTheDecodeAndFreesItsMemory() {
         val lost = JsonPrimitive("lost")
--- /dev/null
+++ b/stand-in/src/test/kotlin/org/lovageladder/standin/PrefixCacheTest.kt
@@ -0,0 +1,60 @@
+package org.lovageladder.standin
+
+import kotlinx.serialization.json.jsonArray
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.time.Duration.Companion.milliseconds
+
+class PrefixCacheTest {
+    @Test
+    fun cachedBlocksSpareThePrefillUntilTheyAreDropped() {
+        val rows =
+            listOf(
+                CacheRow("a b c d e", cached = 0, prefilled = 5),
+                CacheRow("a b c d f g", cached = 4, prefilled = 2),
+                CacheRow("a b x y", cached = 2, prefilled = 2),
+                CacheRow("p q r s", cached = 0, prefilled = 4),
+                CacheRow("a b c d", cached = 2, prefilled = 2),
+                CacheRow("m n", cached = 0, prefilled = 2),
+                CacheRow("p q r s", cached = 2, prefilled = 2),
+            )
+        withEngine(EngineSettings(prefixCacheBlocks = 4, prefixBlockTokens = 2)) { engine ->
+            var prefilled = 0
+            for (row in rows) {
+                val usage = engine.complete(row.prompt).at("usage")
+                assertEquals(row.cached.toString(), usage.text("prompt_tokens_details", "cached_tokens"), "$row")
+                prefilled += row.prefilled
+                assertEquals(prefilled.toString(), engine.json("/stats").text("prefill_tokens_total"), "$row")
+            }
+        }
+    }
+
+    @Test
+    fun cacheEventsComeNumberedAndWithGaps() {
+        val settings =
+            EngineSettings(
+                prefixCacheBlocks = 1,
+                prefixBlockTokens = 1,
+                cacheEventLag = 0.milliseconds,
+                cacheEventGapEvery = 3,
+            )
+        withEngine(settings) { engine ->
+            listOf("a", "b", "c").forEach { engine.complete(it) }
+            val expected = listOf("1 BlockStored", "2 BlockStored", "4 BlockStored", "5 BlockRemoved")
+            awaitTrue { engine.events(0) == expected }
+            assertEquals(expected.takeLast(1), engine.events(4))
+            assertEquals(400, engine.get("/v1/cache_events?after=x").statusCode())
+        }
+    }
+
+    private fun TestClient.complete(prompt: String) = post(TEXT, """{"prompt":"$prompt","max_tokens":1}""").json()
+
+    private fun TestClient.events(after: Int) =
+        json("/v1/cache_events?after=$after").at("events").jsonArray.map { it.text("sequence") + " " + it.text("type") }
+
+    private fun withEngine(settings: EngineSettings, check: (TestClient) -> Unit) {
+        EngineStandIn.start(settings = settings).use { check(TestClient(it.port)) }
+    }
+
+    private data class CacheRow(val prompt: String, val cached: Int, val prefilled: Int)
+}
