Stand-in tests: no verdict depends on a pause of the machine

Cause: three tests (outage, lease, prefill order) gave a wrong verdict if the machine paused for some hundred milliseconds between two calls. Change: the outage is ended by order and not by time, the revoked lease lives long, the first prefill lasts 1.5 s while the others arrive. Each checks what it checked before.

--- a/stand-in/src/test/kotlin/org/lovageladder/standin/EngineStandInTest.kt
+++ b/stand-in/src/test/kotlin/org/lovageladder/standin/EngineStandInTest.kt
@@ -140,10 +140,16 @@
         EngineStandIn.start(settings = fast.copy(prefillTokensPerSecond = 10)).use { engine ->
             val client = TestClient(engine.port)
             val order = java.util.Collections.synchronizedList(ArrayList<String>())
+            val rows =
+                listOf(
+                    PriorityRow("first", priority = 9, promptTokens = 15),
+                    PriorityRow("late", priority = 5, promptTokens = 1),
+                    PriorityRow("urgent", priority = 1, promptTokens = 1),
+                    PriorityRow("later", priority = 5, promptTokens = 1),
+                )
             val calls =
-                listOf("first" to 9, "late" to 5, "urgent" to 1, "later" to 5).mapIndexed { index, (name, priority) ->
-                    val body = """{"prompt":"p p","max_tokens":1,"priority":$priority,$REMOTE_DECODE}"""
-                    val call = client.postLater(TEXT, body, ID, name).thenRun { order.add(name) }
+                rows.mapIndexed { index, row ->
+                    val call = client.postLater(TEXT, row.body(), ID, row.name).thenRun { order.add(row.name) }
                     awaitTrue { client.json(RUNNING).at("running").jsonArray.size == index + 1 }
                     call
                 }
@@ -205,6 +211,13 @@
         }
     }
 
+    private data class PriorityRow(val name: String, val priority: Int, val promptTokens: Int) {
+        fun body(): String {
+            val prompt = "p ".repeat(promptTokens)
+            return """{"prompt":"$prompt","max_tokens":1,"priority":$priority,$REMOTE_DECODE}"""
+        }
+    }
+
     private data class WrongRow(val path: String, val body: String, val status: Int, val named: String)
 
     private data class MemoryRow(
--- a/stand-in/src/test/kotlin/org/lovageladder/standin/KeyValueStandInTest.kt
+++ b/stand-in/src/test/kotlin/org/lovageladder/standin/KeyValueStandInTest.kt
@@ -125,22 +125,23 @@
 
     @Test
     fun keysGoWithTheirLease() {
-        val endings =
-            listOf<(TestClient, String) -> Unit>(
-                { service, id -> service.post("/v3/kv/lease/revoke", """{"ID":"$id"}""") },
-                { _, _ -> },
+        val rows =
+            listOf(
+                LeaseRow(timeToLiveSeconds = 600) { service, id -> service.post(REVOKE, """{"ID":"$id"}""") },
+                LeaseRow(timeToLiveSeconds = 2) { _, _ -> },
             )
-        for (end in endings) {
+        for (row in rows) {
             withService { service ->
-                val id = service.post("/v3/lease/grant", """{"TTL":"1"}""").json().text("ID")
+                val granted = service.post("/v3/lease/grant", """{"TTL":"${row.timeToLiveSeconds}"}""").json()
+                val id = granted.text("ID")
                 service.put("k", "v", lease = id)
                 val kept = service.post("/v3/lease/keepalive", """{"ID":"$id"}""").json()
-                assertEquals("1", kept.text("result", "TTL"))
+                assertEquals(granted.text("TTL"), kept.text("result", "TTL"))
                 val known = service.post("/v3/lease/timetolive", """{"ID":"$id","keys":true}""").json()
                 assertEquals(listOf("k"), known.at("keys").jsonArray.map { decoded(it.text()) })
                 service.watch(""""key":"${base64("k")}"""").use { watch ->
                     assertEquals("true", watch.next().text("created"))
-                    end(service, id)
+                    row.end(service, id)
                     assertEquals("DELETE k ", watch.nextEvent())
                 }
                 val gone = service.post("/v3/lease/keepalive", """{"ID":"$id"}""").json()
@@ -156,10 +157,11 @@
             service.put("k", "v")
             val watch = service.watch(""""key":"${base64("k")}"""")
             watch.next()
-            service.post("/fault", """{"down_ms":300}""")
+            service.post("/fault", """{"down_ms":600000}""")
             assertTrue(runCatching { checkNotNull(watch.readLine()) }.isFailure)
             assertTrue(runCatching { service.put("k", "lost") }.isFailure)
-            val answer = awaitValue { runCatching { service.range(""""key":"${base64("k")}"""") }.getOrNull() }
+            service.post("/fault", """{"down_ms":0}""")
+            val answer = service.range(""""key":"${base64("k")}"""")
             assertEquals("v", decoded(answer.text("kvs", "0", "value")))
         }
     }
@@ -254,4 +256,10 @@
     private data class CompareRow(val compare: String, val key: String, val succeeds: Boolean)
 
     private data class WrongRow(val path: String, val body: String, val status: Int, val named: String)
+
+    private class LeaseRow(val timeToLiveSeconds: Int, val end: (TestClient, String) -> Unit)
+
+    private companion object {
+        const val REVOKE = "/v3/kv/lease/revoke"
+    }
 }
