Stand-ins: limited rates of the key-value service, settings from the environment

Cause: sharing a transaction among claims only pays where writes are metered, so measurements need a service that takes no more than so many a second; settings come by flag and environment in this project. Ruled out: refusing calls beyond the rate, which the platform is not said to do.

--- a/stand-in/src/main/kotlin/org/lovageladder/standin/EngineStandIn.kt
+++ b/stand-in/src/main/kotlin/org/lovageladder/standin/EngineStandIn.kt
@@ -144,7 +144,10 @@
     private fun injectFault(exchange: HttpExchange) {
         val fault = StandInJson.read<EngineFault>(exchange.request.body, StandInJson.strict)
         SlownessFault(fault.slowFactor, fault.forMilliseconds, fault.stallMilliseconds).applyTo(slowness)
-        fault.transferStallMilliseconds?.let { link.stall(it.milliseconds) }
+        fault.transferStallMilliseconds?.let { stall ->
+            requireField(stall >= 0, "transfer_stall_ms", stall, "0 or more")
+            link.stall(stall.milliseconds)
+        }
         exchange.answer("{}")
         if (fault.crash) {
             thread.crashSoon { crash() }
--- a/stand-in/src/main/kotlin/org/lovageladder/standin/KeyValueStandIn.kt
+++ b/stand-in/src/main/kotlin/org/lovageladder/standin/KeyValueStandIn.kt
@@ -2,15 +2,20 @@
 
 import kotlinx.serialization.encodeToString
 
+/** Rates that a [KeyValueStandIn] takes; calls beyond them wait for their turn, and 0 sets no limit. */
+public data class KeyValueSettings(val writesPerSecond: Int = 0, val readsPerSecond: Int = 0)
+
 /**
  * The platform's key-value service: the published JSON mapping of etcd v3 for keys, transactions, leases and watches,
- * in memory.
+ * in memory. Leases go on to expire while the service is down.
  *
  * Besides: `GET /stats` counts calls by kind; `POST /fault` makes it down, slow, lose answers or answer old data.
  */
-public class KeyValueStandIn private constructor(requestedPort: Int) : AutoCloseable {
+public class KeyValueStandIn private constructor(settings: KeyValueSettings, requestedPort: Int) : AutoCloseable {
     private val thread = EventLoopThread()
     private val faults = KeyValueFaults(thread)
+    private val writePace = KeyValuePace(thread, settings.writesPerSecond)
+    private val readPace = KeyValuePace(thread, settings.readsPerSecond)
     private val store: KeyValueStore = KeyValueStore { revision, changes -> onChanges(revision, changes) }
     private val leases = KeyValueLeases(thread, store)
     private val watches = KeyValueWatches(store)
@@ -49,7 +54,8 @@
             throw RequestRefused.unknownPath(request)
         }
         meter.count(call)
-        val delay = faults.delay
+        val pace = if (call.writes) writePace else readPace
+        val delay = faults.delay + pace.takePlace()
         if (delay.isPositive()) {
             thread.after(delay) { handle(call, exchange) }
         } else {
@@ -160,6 +166,7 @@
         private const val MAXIMUM_VALUE_BYTES = 1024 * 1024
 
         /** Starts the service on loopback at [port], or at a free port when it is 0; throws when the port is taken. */
-        public fun start(port: Int = 0): KeyValueStandIn = KeyValueStandIn(port)
+        public fun start(port: Int = 0, settings: KeyValueSettings = KeyValueSettings()): KeyValueStandIn =
+            KeyValueStandIn(settings, port)
     }
 }
--- a/stand-in/src/main/kotlin/org/lovageladder/standin/ServerCommand.kt
+++ b/stand-in/src/main/kotlin/org/lovageladder/standin/ServerCommand.kt
@@ -4,6 +4,7 @@
 import com.github.ajalt.clikt.core.Context
 import com.github.ajalt.clikt.core.NoOpCliktCommand
 import com.github.ajalt.clikt.core.PrintMessage
+import com.github.ajalt.clikt.core.context
 import com.github.ajalt.clikt.parameters.options.default
 import com.github.ajalt.clikt.parameters.options.option
 import com.github.ajalt.clikt.parameters.types.int
@@ -13,9 +14,14 @@
 
 /** The stand-ins' command line; each subcommand is one stand-in. */
 internal class StandInCommand : NoOpCliktCommand(name = "stand-in") {
+    init {
+        context { autoEnvvarPrefix = "LOVAGELADDER_STAND_IN" }
+    }
+
     override fun help(context: Context): String =
         "Small stand-ins for engines, plain services and the platform, on loopback. " +
-            "Prints 'ready SUBCOMMAND 127.0.0.1:PORT' when it serves and ends on SIGTERM."
+            "Prints 'ready SUBCOMMAND 127.0.0.1:PORT' when it serves and ends on SIGTERM. " +
+            "Flag --FLAG-NAME may also be set as LOVAGELADDER_STAND_IN_SUBCOMMAND_FLAG_NAME."
 }
 
 /** One stand-in as a process: starts it, reports its address and waits for the stop signal. */
--- a/stand-in/src/test/kotlin/org/lovageladder/standin/KeyValueStandInTest.kt
+++ b/stand-in/src/test/kotlin/org/lovageladder/standin/KeyValueStandInTest.kt
@@ -199,6 +199,16 @@
         }
     }
 
+    @Test
+    fun callsBeyondTheRateWaitForTheirTurn() {
+        val settings = KeyValueSettings(writesPerSecond = 20)
+        KeyValueStandIn.start(settings = settings).use { keyValue ->
+            val service = TestClient(keyValue.port)
+            val duration = measureTime { repeat(7) { service.put("k", "v") } }
+            assertTrue(duration >= 300.milliseconds, "took $duration")
+        }
+    }
+
     @Test
     fun callsAreCountedByKindAndWaitingWatchesBySecond() {
         withService { service ->
--- a/stand-in/src/test/kotlin/org/lovageladder/standin/MainTest.kt
+++ b/stand-in/src/test/kotlin/org/lovageladder/standin/MainTest.kt
@@ -39,6 +39,16 @@
         }
     }
 
+    @Test
+    fun flagsAreTakenFromTheEnvironmentToo() {
+        val builder = builder("host-list")
+        builder.environment()["LOVAGELADDER_STAND_IN_HOST_LIST_LAG_MS"] = "soon"
+        val process = builder.start()
+        val errors = process.errorReader().readText()
+        assertEquals(2, process.waitFor(), errors)
+        assertTrue("soon" in errors, errors)
+    }
+
     @Test
     fun aTakenPortIsNamed() {
         KeyValueStandIn.start().use { taken ->
@@ -49,10 +59,12 @@
         }
     }
 
-    private fun launch(vararg arguments: String): Process {
+    private fun launch(vararg arguments: String): Process = builder(*arguments).start()
+
+    private fun builder(vararg arguments: String): ProcessBuilder {
         val java = System.getProperty("java.home") + "/bin/java"
         val classPath = System.getProperty("java.class.path")
-        return ProcessBuilder(java, "-Xmx64m", "-cp", classPath, "org.lovageladder.standin.MainKt", *arguments).start()
+        return ProcessBuilder(java, "-Xmx64m", "-cp", classPath, "org.lovageladder.standin.MainKt", *arguments)
     }
 
     private class FlagRow(val status: Int, val named: List<String>, vararg val arguments: String)
