--- a/core/src/main/kotlin/org/lovageladder/core/AttemptStarts.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/AttemptStarts.kt
@@ -9,7 +9,11 @@
  * Takes in the messages by which an entry begins, uses and cancels attempts. An attempt that is already known opens
  * nothing again, whether it still runs or has ended.
  */
-internal class AttemptStarts(private val context: CompanionContext, private val upstreams: HostUpstreams) {
+internal class AttemptStarts(
+    private val context: CompanionContext,
+    private val upstreams: HostUpstreams,
+    private val claims: ClaimedCalls,
+) {
     private val attempts = context.attempts
 
     fun reserve(connection: ConnectionId, message: PeerMessage.Reserve, refusal: Refusal?) {
@@ -27,7 +31,9 @@
     fun plain(connection: ConnectionId, message: PeerMessage.StartPlain, refusal: Refusal?) {
         if (attempts.isKnown(message.attempt)) return
         val start = NewAttempt(connection, message.attempt, message.upstream, Step.PLAIN_CALL)
-        usable<PlainWork>(start, refusal)?.start(connection, message)
+        val work = usable<PlainWork>(start, refusal)
+        if (work == null) message.claim?.let { voidClaim(it.storeKey, it.number) }
+        work?.start(connection, message)
     }
 
     fun decode(connection: ConnectionId, message: PeerMessage.StartDecode) {
@@ -54,6 +60,14 @@
         }
     }
 
+    /** Forbids the start of a claim that was not started, and returns what is known of it. */
+    fun voidClaim(storeKey: String, number: Long): PeerMessage.ClaimStatus {
+        val waiting = claims.gate.waitingAttempt(storeKey, number)
+        val status = claims.gate.void(storeKey, number)
+        if (waiting != null) (attempts.find(waiting)?.work as? PlainWork)?.refuseVoided(waiting)
+        return status
+    }
+
     private inline fun <reified T : UpstreamWork> usable(start: NewAttempt, refusal: Refusal?): T? {
         if (refusal != null) {
             refuse(start, refusal.cause, refusal.detail, refusal.retryAfter)
--- a/core/src/main/kotlin/org/lovageladder/core/Companion.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/Companion.kt
@@ -17,7 +17,7 @@
     private val claims = ClaimedCalls(context)
     private val upstreams = HostUpstreams(context, claims)
     private val departure = Departure(context)
-    private val starts = AttemptStarts(context, upstreams)
+    private val starts = AttemptStarts(context, upstreams, claims)
     private var previous: Moment? = null
     private var followed = ReleaseVersion.NONE
 
@@ -136,7 +136,8 @@
             is PeerMessage.StartPlain -> starts.plain(connection, message, refusal)
             is PeerMessage.StartDecode -> starts.decode(connection, message)
             is PeerMessage.Cancel -> starts.cancel(message.attempt)
-            is PeerMessage.VoidClaim -> voidClaim(connection, message)
+            is PeerMessage.VoidClaim ->
+                output.send(connection, starts.voidClaim(message.storeKey, message.number))
             is PeerMessage.FollowClaim ->
                 claims.gate.follow(connection, message.storeKey, message.number)?.let { output.send(connection, it) }
             is PeerMessage.Heartbeat -> connections.answerHeartbeat(connection, message.sequence, upstreams.loads())
@@ -165,13 +166,6 @@
         else -> null
     }
 
-    private fun voidClaim(connection: ConnectionId, message: PeerMessage.VoidClaim) {
-        val waiting = claims.gate.waitingAttempt(message.storeKey, message.number)
-        val status = claims.gate.void(message.storeKey, message.number)
-        if (waiting != null) (find(waiting) as? PlainWork)?.refuseVoided(waiting)
-        output.send(connection, status)
-    }
-
     private fun storeAnswered(ticket: Long, answer: StoreAnswer) {
         if (!releases.storeAnswered(ticket, answer)) claims.answers.storeAnswered(ticket, answer)
     }
--- a/core/src/main/kotlin/org/lovageladder/core/PlainWork.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/PlainWork.kt
@@ -81,7 +81,7 @@
             return false
         }
         if (record.number != claim.number) {
-            refuseClosed(attempt, fault(FaultCause.PROTOCOL, "claim ${claim.number}, record ${record.number}"))
+            refuseClosed(attempt, fault(FaultCause.FENCED, "claim ${claim.number}, record ${record.number}"))
             return false
         }
         gate.waitingAttempt(claim.storeKey, claim.number - 1)?.let(::refuseSuperseded)
@@ -114,17 +114,14 @@
     }
 
     private fun startCall(message: PeerMessage.StartPlain) {
+        val attempt = message.attempt
         val claim = message.claim
-        if (claim != null) {
-            gate.started(claim)
-            claims[message.attempt] = claim
-            output.record(EventKind.CLAIM_STARTED, message.attempt, upstream.name, detail = claim.storeKey)
-        }
-        calls.start(
-            message.attempt,
-            upstream,
-            UpstreamCall.Plain(message.content, message.idempotencyKey, claim?.number),
-        )
+        val call = UpstreamCall.Plain(message.content, message.idempotencyKey, claim?.number)
+        calls.start(attempt, upstream, call)
+        if (claim == null) return
+        claims[attempt] = claim
+        gate.started(claim)
+        output.record(EventKind.CLAIM_STARTED, attempt, upstream.name, detail = claim.storeKey)
     }
 
     private fun cancelRunning(attempt: AttemptId) {
