--- a/core/src/main/kotlin/org/lovageladder/core/EntryMachine.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/EntryMachine.kt
@@ -106,7 +106,7 @@
 
     private fun submitted(event: EntryEvent.Submitted, now: Moment) {
         val id = RequestId("$idPrefix-${++lastRequest}")
-        val refusal = refusalOf(event.submission)
+        val refusal = refusalOf(event.submission)?.let { honest(it, event.submission) }
         if (refusal != null) {
             val detail = refusalDetail(refusal)
             output.record(EventDraft(EventKind.REQUEST_REFUSED, request = id, detail = detail))
@@ -133,6 +133,10 @@
         }
     }
 
+    /** A submission with a key may repeat one that ran: of the action itself nothing is known here. */
+    private fun honest(refused: Outcome.Refused, submission: Submission): Outcome.Refused =
+        if (submission.idempotencyKey == null) refused else refused.copy(execution = Execution.UNKNOWN)
+
     private fun contentRefusal(
         submission: Submission,
         service: ReleaseEntry.Service,
@@ -150,7 +154,13 @@
 
     private fun notRun(reason: RefusalReason, detail: String, retry: Boolean = false): Outcome.Refused {
         val retryAfter = if (retry) work.spread(DEFAULT_RETRY_AFTER) else null
-        return Outcome.Refused(reason, Execution.NOT_RUN, retryAfter = retryAfter, detail = detail)
+        return Outcome.Refused(
+            reason,
+            Execution.NOT_RUN,
+            submissionRan = false,
+            retryAfter = retryAfter,
+            detail = detail,
+        )
     }
 
     private fun flowOf(event: EntryEvent.Submitted, id: RequestId, now: Moment): RequestFlow {
