HTTP: contracts of upstreams and host list, and bounds on what a caller leaves unread

Cause: a test of a caller that does not read ran the process out of direct memory (300414 bytes not reserved of a limit of 1 GiB): pending output had no bound. Ruled out: pausing the upstream (its engine memory would be held for a caller who may be gone).

--- a/http/src/main/kotlin/org/lovageladder/http/AdminClient.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/AdminClient.kt
@@ -47,21 +47,20 @@
         success(address, get(targetOf(filter))).andThen { readEvents(address, it) }
 
     override fun explain(address: Address, request: RequestId): Result<List<EventRecord>, Fault> {
-        val name = URLEncoder.encode(request.text, StandardCharsets.UTF_8)
+        val name = URLEncoder.encode(request.text, StandardCharsets.UTF_8).replace("+", "%20")
         return success(address, get(EXPLAIN_PREFIX + name)).andThen { readEvents(address, it) }
     }
 
     override fun drain(address: Address): Result<Unit, Fault> =
         success(address, HttpCall(HttpMethod.POST, DRAIN_PATH)).map { }
 
-    override fun ready(address: Address): Result<Boolean, Fault> =
-        ask(address, get(READY_PATH)).andThen { answer ->
-            when (answer.status) {
-                STATUS_OK -> Ok(true)
-                STATUS_UNAVAILABLE -> Ok(false)
-                else -> Err(rejected(address, answer))
-            }
+    override fun ready(address: Address): Result<Boolean, Fault> = ask(address, get(READY_PATH)).andThen { answer ->
+        when (answer.status) {
+            STATUS_OK -> Ok(true)
+            STATUS_UNAVAILABLE -> Ok(false)
+            else -> Err(rejected(address, answer))
         }
+    }
 
     override fun close(): Unit = client.close()
 
--- a/http/src/main/kotlin/org/lovageladder/http/AdminRoutes.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/AdminRoutes.kt
@@ -54,15 +54,13 @@
         }
     }
 
-    private fun isKnown(path: String) =
-        path in FIXED_PATHS || path.startsWith(EXPLAIN_PREFIX)
-
-    private fun readiness(): AdminAnswer =
-        if (admin.ready()) {
-            AdminAnswer(STATUS_OK, TEXT_TYPE, "ready\n")
-        } else {
-            AdminAnswer(STATUS_UNAVAILABLE, TEXT_TYPE, "not ready\n")
-        }
+    private fun isKnown(path: String) = path in FIXED_PATHS || path.startsWith(EXPLAIN_PREFIX)
+
+    private fun readiness(): AdminAnswer = if (admin.ready()) {
+        AdminAnswer(STATUS_OK, TEXT_TYPE, "ready\n")
+    } else {
+        AdminAnswer(STATUS_UNAVAILABLE, TEXT_TYPE, "not ready\n")
+    }
 
     private fun drain(): AdminAnswer {
         admin.drain()
@@ -100,8 +98,8 @@
         val text = parameter(uri, name) ?: return null
         val value = text.toLongOrNull()
         if (value == null || value !in allowed) {
-            val detail = "parameter $name is '$text', allowed are whole numbers from ${allowed.first} to ${allowed.last}"
-            throw badField(name, detail)
+            val range = "whole numbers from ${allowed.first} to ${allowed.last}"
+            throw badField(name, "parameter $name is '$text', allowed are $range")
         }
         return value
     }
--- a/http/src/main/kotlin/org/lovageladder/http/AnswerWriter.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/AnswerWriter.kt
@@ -1,5 +1,6 @@
 package org.lovageladder.http
 
+import io.netty.buffer.ByteBuf
 import io.netty.buffer.ByteBufUtil
 import io.netty.channel.ChannelFuture
 import io.netty.channel.ChannelHandlerContext
@@ -21,6 +22,7 @@
  */
 internal class AnswerWriter(
     private val context: ChannelHandlerContext,
+    private val unreadLimit: Int = Int.MAX_VALUE,
     private val mayKeepAlive: () -> Boolean,
     private val onEnd: (keptAlive: Boolean, written: ChannelFuture) -> Unit,
 ) {
@@ -31,7 +33,7 @@
         private set
 
     fun whole(status: Int, contentType: String?, body: String, fields: List<HttpField> = emptyList()) {
-        val content = ByteBufUtil.writeUtf8(context.alloc(), body)
+        val content = encode(body)
         val response = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), content)
         contentType?.let { response.headers().set(HttpHeaderNames.CONTENT_TYPE, it) }
         fields.forEach { response.headers().set(it.name, it.value) }
@@ -56,8 +58,14 @@
         context.write(response)
     }
 
+    /** Writes an event; closes the connection instead when the caller leaves too much unread. */
     fun streamEvent(data: String) {
-        context.writeAndFlush(contentOf("data: $data\n\n"))
+        val unread = context.channel().unsafe().outboundBuffer()?.totalPendingWriteBytes() ?: return
+        if (unread > unreadLimit) {
+            context.close()
+        } else {
+            context.writeAndFlush(contentOf("data: $data\n\n"))
+        }
     }
 
     fun endStream(request: RequestId) {
@@ -71,7 +79,13 @@
         onEnd(false, context.writeAndFlush(contentOf("event: error\ndata: ${problem.toJson()}\n\n")))
     }
 
-    private fun contentOf(text: String) = DefaultHttpContent(ByteBufUtil.writeUtf8(context.alloc(), text))
+    private fun contentOf(text: String) = DefaultHttpContent(encode(text))
+
+    private fun encode(text: String): ByteBuf {
+        val bytes = context.alloc().buffer(ByteBufUtil.utf8Bytes(text))
+        ByteBufUtil.writeUtf8(bytes, text)
+        return bytes
+    }
 
     private fun decideKeepAlive(headers: HttpHeaders) {
         keepAlive = mayKeepAlive()
--- a/http/src/main/kotlin/org/lovageladder/http/CallerConnection.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/CallerConnection.kt
@@ -17,6 +17,7 @@
 import io.netty.handler.codec.http.TooLongHttpHeaderException
 import io.netty.handler.codec.http.TooLongHttpLineException
 import io.netty.util.ReferenceCountUtil
+import java.util.concurrent.Future
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
@@ -37,6 +38,7 @@
     private var state = State.RECEIVING
     private var receiving: RequestAssembly? = null
     private var exchange: CallerExchange? = null
+    private var unread: Future<*>? = null
 
     override fun handlerAdded(context: ChannelHandlerContext) {
         this.context = context
@@ -59,11 +61,17 @@
 
     override fun channelInactive(context: ChannelHandlerContext) {
         timer.stop()
+        unread?.cancel(false)
         releaseEarly()
         exchange?.leave()
         exchange = null
     }
 
+    override fun channelWritabilityChanged(context: ChannelHandlerContext) {
+        unread?.cancel(false)
+        unread = if (context.channel().isWritable) null else closeIn(limits.writeIdle)
+    }
+
     @Deprecated("Deprecated in Netty's base class, but still the place for connection errors.")
     override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
         context.close()
@@ -130,8 +138,9 @@
         )
     }
 
-    private fun writer(keepAlive: Boolean) =
-        AnswerWriter(context, mayKeepAlive = { keepAlive && !exchanges.draining }, onEnd = ::answered)
+    private fun writer(keepAlive: Boolean) = AnswerWriter(context, limits.unreadBytes, mayKeepAlive = {
+        keepAlive && !exchanges.draining
+    }, onEnd = ::answered)
 
     private fun answered(keptAlive: Boolean, written: ChannelFuture) {
         exchange = null
@@ -209,7 +218,12 @@
 
     private fun malformed(cause: Throwable): InputFault = when (cause) {
         is TooLongHttpHeaderException ->
-            InputFault(STATUS_HEADERS_TOO_LARGE, "headers-too-large", "headers exceed ${limits.headerBytes} bytes", "headers")
+            InputFault(
+                STATUS_HEADERS_TOO_LARGE,
+                "headers-too-large",
+                "headers exceed ${limits.headerBytes} bytes",
+                "headers",
+            )
         is TooLongHttpLineException ->
             InputFault(STATUS_TARGET_TOO_LONG, "target-too-long", "the request line is too long", "path")
         else -> InputFault(STATUS_BAD_REQUEST, "malformed-request", "the request is not HTTP/1.1: ${cause.message}")
--- a/http/src/main/kotlin/org/lovageladder/http/CallerExchange.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/CallerExchange.kt
@@ -3,7 +3,9 @@
 import io.netty.channel.Channel
 import kotlinx.serialization.encodeToString
 import org.lovageladder.core.ExchangeId
+import org.lovageladder.core.Execution
 import org.lovageladder.core.Outcome
+import org.lovageladder.core.RefusalReason
 import org.lovageladder.core.RequestId
 
 /** One request of a caller and the writing of its one answer. Runs on the event loop of its connection. */
@@ -41,10 +43,12 @@
         if (ended) return
         ended = true
         exchanges.end(this)
-        val status = when (outcome) {
-            is Outcome.Generated -> finishGeneration(request, outcome)
-            is Outcome.Answered -> finishPlain(request, outcome)
-            is Outcome.Refused -> refuse(request, outcome)
+        val status = when {
+            outcome is Outcome.Refused -> refuse(request, outcome)
+            outcome is Outcome.Generated && shape is AnswerShape.Generation ->
+                finishGeneration(shape, request, outcome)
+            outcome is Outcome.Answered && shape == AnswerShape.Plain -> finishPlain(request, outcome)
+            else -> refuse(request, wrongKind)
         }
         exchanges.meters.answeredAfter(System.nanoTime() - beganAt, status)
     }
@@ -56,8 +60,7 @@
         exchanges.leave(this)
     }
 
-    private fun finishGeneration(request: RequestId, outcome: Outcome.Generated): Int {
-        check(shape is AnswerShape.Generation) { "a generation's outcome was given to a plain exchange" }
+    private fun finishGeneration(shape: AnswerShape.Generation, request: RequestId, outcome: Outcome.Generated): Int {
         val usage = AnswerUsage(
             promptTokens = outcome.promptTokens,
             completionTokens = outcome.outputTokens,
@@ -143,5 +146,10 @@
         const val MILLISECONDS_PER_SECOND = 1000
         const val ASSISTANT = "assistant"
         const val END_OF_STREAM = "[DONE]"
+        val wrongKind = Outcome.Refused(
+            reason = RefusalReason.UPSTREAM_FAILED,
+            execution = Execution.RAN,
+            detail = "the answer is of another kind than the request",
+        )
     }
 }
--- a/http/src/main/kotlin/org/lovageladder/http/DecodeReceiver.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/DecodeReceiver.kt
@@ -15,11 +15,8 @@
  * Reads an engine's token stream and reports each token at once. The number of tokens reported at the end counts from
  * index 0, those before [fromIndex] included. Reports nothing after the last report.
  */
-internal class DecodeReceiver(
-    private val peer: String,
-    fromIndex: Int,
-    private val report: (UpstreamReport) -> Unit,
-) : HttpReceiver {
+internal class DecodeReceiver(private val peer: String, fromIndex: Int, private val report: (UpstreamReport) -> Unit) :
+    HttpReceiver {
     private val lines = LineReader(MAXIMUM_LINE_BYTES)
     private val refusal = ByteArrayOutputStream()
     private var status = 0
--- a/http/src/main/kotlin/org/lovageladder/http/EtcdStore.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/EtcdStore.kt
@@ -35,11 +35,7 @@
         Attempt(EtcdRequest.of(request), deadline, answer).send(addressesLeft = addresses.size)
     }
 
-    override fun watch(
-        prefix: String,
-        changed: (StoredEntry) -> Unit,
-        ended: (Fault) -> Unit,
-    ): AutoCloseable {
+    override fun watch(prefix: String, changed: (StoredEntry) -> Unit, ended: (Fault) -> Unit): AutoCloseable {
         val index = preferred.get()
         val receiver = EtcdWatchReceiver(addresses[index], changed) { fault ->
             preferNextAfter(index)
@@ -101,7 +97,6 @@
     }
 }
 
-
 private fun unavailable(address: Address, cause: FaultCause, detail: String) =
     StoreAnswer.Unavailable(Fault(Step.STORE, address.toString(), cause, detail))
 
--- a/http/src/main/kotlin/org/lovageladder/http/GenerationRequest.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/GenerationRequest.kt
@@ -28,6 +28,7 @@
 
 private const val CHARACTERS_PER_TOKEN = 4
 private const val PREFIX_CHARACTERS = 1024
+private const val MAXIMUM_NESTING = 64
 private val whitespace = Regex("\\s+")
 
 /** Throws [InputRejected] naming the member that is missing or has the wrong type. */
@@ -64,14 +65,37 @@
 private fun wordsIn(text: String): Int = whitespace.splitToSequence(text).count { it.isNotEmpty() }
 
 private fun membersOf(body: String): JsonObject {
-    val element = try {
-        Json.parseToJsonElement(body)
-    } catch (malformed: SerializationException) {
-        throw badField("body", "the body is not JSON: ${malformed.message?.lineSequence()?.first()}")
+    if (nestsDeeperThan(MAXIMUM_NESTING, body)) {
+        throw badField("body", "the body nests deeper than $MAXIMUM_NESTING levels, which is the most allowed")
     }
+    val element = parse(body)
     return element as? JsonObject ?: throw badField("body", "the body is ${kindOf(element)}, allowed is a JSON object")
 }
 
+private fun parse(body: String): JsonElement = try {
+    Json.parseToJsonElement(body)
+} catch (malformed: SerializationException) {
+    throw badField("body", "the body is not JSON: ${malformed.message?.lineSequence()?.first()}", malformed)
+}
+
+/** Whether JSON text nests deeper than [limit], counted without a parser that the nesting could overthrow. */
+private fun nestsDeeperThan(limit: Int, json: String): Boolean {
+    var depth = 0
+    var inString = false
+    var escaped = false
+    for (character in json) {
+        when {
+            escaped -> escaped = false
+            inString && character == '\\' -> escaped = true
+            character == '"' -> inString = !inString
+            inString -> continue
+            character == '{' || character == '[' -> if (++depth > limit) return true
+            character == '}' || character == ']' -> depth--
+        }
+    }
+    return false
+}
+
 private fun promptIn(members: JsonObject): String {
     val prompt = present(members, "prompt") ?: throw missing("prompt", "a string")
     return textOf(prompt) ?: throw mistyped("prompt", prompt, "a string")
@@ -85,11 +109,13 @@
 
 private fun messageText(field: String, message: JsonElement): String {
     if (message !is JsonObject) throw mistyped(field, message, "an object with role and content")
-    val role = present(message, "role") ?: throw missing("$field.role", "a string")
-    val roleText = textOf(role) ?: throw mistyped("$field.role", role, "a string")
-    val content = present(message, "content") ?: throw missing("$field.content", "a string")
-    val contentText = textOf(content) ?: throw mistyped("$field.content", content, "a string")
-    return "$roleText $contentText"
+    return requiredText(message, field, "role") + " " + requiredText(message, field, "content")
+}
+
+private fun requiredText(members: JsonObject, parent: String, name: String): String {
+    val field = "$parent.$name"
+    val element = present(members, name) ?: throw missing(field, "a string")
+    return textOf(element) ?: throw mistyped(field, element, "a string")
 }
 
 private fun modelIn(members: JsonObject): String? {
--- a/http/src/main/kotlin/org/lovageladder/http/HttpClientConnection.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/HttpClientConnection.kt
@@ -13,6 +13,7 @@
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.HttpVersion
 import io.netty.handler.codec.http.LastHttpContent
+import io.netty.util.NetUtil
 import org.lovageladder.core.Address
 import org.lovageladder.core.FaultCause
 
@@ -102,10 +103,11 @@
 
     private fun encode(running: RunningHttpCall): FullHttpRequest {
         val call = running.call
-        val body = ByteBufUtil.writeUtf8(context.alloc(), call.body)
+        val body = context.alloc().buffer(ByteBufUtil.utf8Bytes(call.body))
+        ByteBufUtil.writeUtf8(body, call.body)
         val request = DefaultFullHttpRequest(HttpVersion.HTTP_1_1, call.method, call.path, body)
         val headers = request.headers()
-        headers.set(HttpHeaderNames.HOST, running.address.toString())
+        headers.set(HttpHeaderNames.HOST, NetUtil.toSocketAddressString(running.address.ip, running.address.port))
         call.contentType?.let { headers.set(HttpHeaderNames.CONTENT_TYPE, it) }
         call.fields.forEach { headers.set(it.name, it.value) }
         HttpUtil.setContentLength(request, body.readableBytes().toLong())
--- a/http/src/main/kotlin/org/lovageladder/http/HttpUpstreamGateway.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/HttpUpstreamGateway.kt
@@ -70,12 +70,7 @@
         askCancel(requestName, upstream) { done(it != null) }
     }
 
-    override fun order(
-        upstream: ReleaseEntry.Upstream,
-        order: UpstreamOrder,
-        fencing: Long,
-        done: (Fault?) -> Unit,
-    ) {
+    override fun order(upstream: ReleaseEntry.Upstream, order: UpstreamOrder, fencing: Long, done: (Fault?) -> Unit) {
         val call = orderCall(order, fencing)
         client.ask(upstream.address, call, ORDER_WAIT, ConnectionUse.FRESH) { result ->
             done(orderFault(upstream.name.text, order, result))
--- a/http/src/main/kotlin/org/lovageladder/http/Problem.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/Problem.kt
@@ -55,9 +55,6 @@
 
 private const val TYPE_PREFIX = "urn:lovageladder:problem:"
 
-/** A fault of the caller's request that is found before it is submitted; its action was not run by it. */
-internal data class InputFault(val status: Int, val name: String, val detail: String, val field: String? = null)
-
 /** [keyed] says whether the request names, or may name, an action that an earlier submission may have run. */
 internal fun problemOf(fault: InputFault, keyed: Boolean): Problem = Problem(
     type = TYPE_PREFIX + fault.name,
--- a/http/src/main/kotlin/org/lovageladder/http/StartedCalls.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/StartedCalls.kt
@@ -57,12 +57,16 @@
     @Volatile
     private var quiet = false
 
-    /** Passes a report on; tokens are held back once the call is being cancelled. */
+    /**
+     * Passes a report on; tokens are held back once the call is being cancelled. A last report that comes before the
+     * answer's end, as of a broken stream, closes the connection.
+     */
     fun report(report: UpstreamReport) {
         if (report is UpstreamReport.Token) {
             if (!quiet) onReport(report)
             return
         }
+        running?.takeIf { !it.isOver }?.abandon()
         if (!isPlain && mayStillRun(report)) calls.breakOff(this) else calls.forget(this)
         onReport(report)
     }
--- a/http/src/test/kotlin/org/lovageladder/http/CallerServerTest.kt
+++ b/http/src/test/kotlin/org/lovageladder/http/CallerServerTest.kt
@@ -6,8 +6,8 @@
 import kotlinx.serialization.json.jsonObject
 import kotlinx.serialization.json.jsonPrimitive
 import org.lovageladder.core.Address
-import org.lovageladder.core.Execution
 import org.lovageladder.core.ExchangeId
+import org.lovageladder.core.Execution
 import org.lovageladder.core.Fault
 import org.lovageladder.core.FaultCause
 import org.lovageladder.core.Outcome
@@ -25,13 +25,13 @@
 import kotlin.test.assertIs
 import kotlin.test.assertNotNull
 import kotlin.test.assertTrue
-import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
 class CallerServerTest {
     private val callers = RecordingCallers()
-    private val limits = HttpLimits(bodyBytes = 2_000, headerBytes = 4_000, readIdle = 200.milliseconds)
+    private val limits =
+        HttpLimits(bodyBytes = 2_000, headerBytes = 4_000, readIdle = 200.milliseconds, writeIdle = 200.milliseconds)
     private val server = startCallerServer(
         bind = Address("127.0.0.1", 0),
         limits = limits,
@@ -60,6 +60,12 @@
             BadInput(post("/v1/completions", """{"model":"m","prompt":"p","max_tokens":1.5}"""), 400, "max_tokens"),
             BadInput(post("/v1/completions", """{"model":"m","prompt":"p","stream":"true"}"""), 400, "stream"),
             BadInput(post("/v1/completions", """{"model":"m","prompt":"p","n":2}"""), 400, "n"),
+            BadInput(post("/v1/completions", "[".repeat(2_000)), 400, "body"),
+            BadInput(
+                post("/v1/completions", """{"model":"m","prompt":${"[".repeat(65)}${"]".repeat(65)}}"""),
+                400,
+                "body",
+            ),
             BadInput(post("/v1/chat/completions", """{"model":"m","prompt":"p"}"""), 400, "messages"),
             BadInput(post("/v1/chat/completions", """{"model":"m","messages":[]}"""), 400, "messages"),
             BadInput(post("/v1/chat/completions", """{"model":"m","messages":["p"]}"""), 400, "messages[0]"),
@@ -129,7 +135,9 @@
         )
         for (row in rows) {
             CallerSocket(server.address).use { socket ->
-                socket.send("${row.method} ${row.target} HTTP/1.1\r\nIdempotency-Key: \"k1\"\r\nContent-Length: 2\r\n\r\n{}")
+                socket.send(
+                    "${row.method} ${row.target} HTTP/1.1\r\nIdempotency-Key: \"k1\"\r\nContent-Length: 2\r\n\r\n{}",
+                )
                 val submission = callers.next().submission
                 val content = assertIs<RequestContent.Plain>(submission.content)
                 assertEquals("desk", submission.service.text)
@@ -208,9 +216,17 @@
         }
         val fault = Fault(Step.PLAIN_CALL, "desk-1", FaultCause.CONNECTION_LOST)
         val rows = listOf(
-            RefusedRow(Outcome.Refused(RefusalReason.OVERLOADED, Execution.NOT_RUN, retryAfter = 1200.milliseconds), "2"),
+            RefusedRow(
+                Outcome.Refused(RefusalReason.OVERLOADED, Execution.NOT_RUN, retryAfter = 1200.milliseconds),
+                "2",
+            ),
             RefusedRow(Outcome.Refused(RefusalReason.OVERLOADED, Execution.NOT_RUN, retryAfter = 1.seconds), "1"),
-            RefusedRow(Outcome.Refused(RefusalReason.DEADLINE, Execution.UNKNOWN, fault = fault), null, "unknown", "unknown"),
+            RefusedRow(
+                Outcome.Refused(RefusalReason.DEADLINE, Execution.UNKNOWN, fault = fault),
+                null,
+                "unknown",
+                "unknown",
+            ),
             RefusedRow(Outcome.Refused(RefusalReason.UPSTREAM_FAILED, Execution.RAN), null, "ran", "ran"),
             RefusedRow(
                 Outcome.Refused(RefusalReason.STORE_UNAVAILABLE, Execution.UNKNOWN, submissionRan = false),
@@ -267,6 +283,18 @@
         assertTrue(callers.left.isEmpty())
     }
 
+    @Test
+    fun aCallerWhoDoesNotReadIsGivenUp() {
+        CallerSocket(server.address).use { socket ->
+            socket.send(post("/v1/completions", generation(GenerationShape.TEXT, stream = true)))
+            val exchange = callers.next().exchange
+            val text = "x".repeat(100_000)
+            var index = 0
+            while (callers.left.isEmpty() && index < 10_000) server.giveToken(exchange, index++, text)
+            assertEquals(exchange, callers.left.poll(10, TimeUnit.SECONDS))
+        }
+    }
+
     @Test
     fun pipelinedRequestsAreAnsweredOneAfterAnother() {
         CallerSocket(server.address).use { socket ->
--- a/http/src/test/kotlin/org/lovageladder/http/HttpUpstreamGatewayTest.kt
+++ b/http/src/test/kotlin/org/lovageladder/http/HttpUpstreamGatewayTest.kt
@@ -123,7 +123,11 @@
             PeerRow(send(FaultyPeer.answer(200, "$token\n\n")), Execution.UNKNOWN, null),
             PeerRow(send(FaultyPeer.answer(200, "$token\n\ndata: [DONE]\n\n")), Execution.UNKNOWN, null),
             PeerRow(send(FaultyPeer.answer(200, "data: nonsense\n\n")), Execution.UNKNOWN, null),
-            PeerRow(send(FaultyPeer.answer(200, """data: {"error":{"message":"x"}}""" + "\n\n")), Execution.UNKNOWN, null),
+            PeerRow(
+                send(FaultyPeer.answer(200, """data: {"error":{"message":"x"}}""" + "\n\n")),
+                Execution.UNKNOWN,
+                null,
+            ),
         )
         for (row in rows) {
             FaultyPeer(row.behaviour).use { peer ->
@@ -159,8 +163,8 @@
             run(recorded, UpstreamCall.Prefill(content, priority = 3))
             run(recorded, decode(content, bound = 7, ticket = null, fromIndex = 2))
             val (prefilled, decoded) = peer.requests.map { it.substringAfter("\r\n\r\n") }
-            val expectedPrefill = """"stream":false,"max_tokens":1,"priority":3,"kv_transfer_params":{"do_remote_decode":true"""
-            assertTrue(expectedPrefill in prefilled, prefilled)
+            assertTrue(""""stream":false,"max_tokens":1,"priority":3,"kv_transfer_params":{""" in prefilled, prefilled)
+            assertTrue(""""do_remote_decode":true,"do_remote_prefill":false""" in prefilled, prefilled)
             assertTrue(""""stream":true,"max_tokens":7,"priority":1,"resume_from":2}""" in decoded, decoded)
             assertTrue("max_completion_tokens" !in decoded, decoded)
             assertTrue(peer.requests.all { Regex("x-request-id: request\\.\\d+").containsMatchIn(it.lowercase()) })
--- a/http/src/test/kotlin/org/lovageladder/http/InMemoryKeyValueStore.kt
+++ b/http/src/test/kotlin/org/lovageladder/http/InMemoryKeyValueStore.kt
@@ -44,11 +44,7 @@
     }
 
     @Synchronized
-    override fun watch(
-        prefix: String,
-        changed: (StoredEntry) -> Unit,
-        ended: (Fault) -> Unit,
-    ): AutoCloseable {
+    override fun watch(prefix: String, changed: (StoredEntry) -> Unit, ended: (Fault) -> Unit): AutoCloseable {
         val watch = Watch(prefix, changed, ended)
         if (down) ended(lost("it is down")) else watches.add(watch)
         return AutoCloseable { watches.remove(watch) }
--- a/http/src/test/kotlin/org/lovageladder/http/KeyValueStoreContract.kt
+++ b/http/src/test/kotlin/org/lovageladder/http/KeyValueStoreContract.kt
@@ -188,10 +188,7 @@
         while (shown?.key != "$prefix$written") shown = poll(seen)
     }
 
-    private data class CreateRow(
-        val writes: List<Pair<String, String>>,
-        val conflict: List<Pair<String, String>>?,
-    )
+    private data class CreateRow(val writes: List<Pair<String, String>>, val conflict: List<Pair<String, String>>?)
 
     private data class RangeRow(val prefix: String, val after: String, val limit: Int, val keys: List<String>)
 
