Plain stand-in: a refused call says that it was not executed

Cause: callers have to tell a refusal before execution from a failure in it, and the adapter reads a header for that. Change: 503 for too many calls and 409 for an outdated number carry X-Not-Executed: true. Ruled out: leaving it to the status alone, as a 503 may also come after execution.

--- a/stand-in/src/main/kotlin/org/lovageladder/standin/PlainStandIn.kt
+++ b/stand-in/src/main/kotlin/org/lovageladder/standin/PlainStandIn.kt
@@ -22,6 +22,8 @@
  * A plain service: it executes every call to any path after its latency, and counts executions per `Idempotency-Key`
  * so that a test can see whether something ran twice.
  *
+ * A call beyond the limit or with an outdated fencing number is refused and the answer carries [NOT_EXECUTED_HEADER].
+ *
  * Reserved paths: `GET /executions`, `GET /health`, `POST /fault`.
  */
 public class PlainStandIn private constructor(
@@ -57,16 +59,26 @@
     }
 
     private fun execute(exchange: HttpExchange) {
-        fencing.check(FencingGate.numberIn(exchange.request))
-        if (running >= settings.maximumRunning) {
-            val reason = "$running of ${settings.maximumRunning} calls are running"
-            throw RequestRefused(RequestRefused.UNAVAILABLE, "overloaded", reason)
+        try {
+            checkAcceptance(exchange.request)
+        } catch (refused: RequestRefused) {
+            exchange.addHeader(NOT_EXECUTED_HEADER, "true")
+            exchange.refuse(refused)
+            return
         }
         running++
         val duration = settings.latency * slowness.currentFactor()
         thread.after(slowness.remainingStall() + duration) { finish(exchange) }
     }
 
+    private fun checkAcceptance(request: HttpRequest) {
+        fencing.check(FencingGate.numberIn(request))
+        if (running >= settings.maximumRunning) {
+            val reason = "$running of ${settings.maximumRunning} calls are running"
+            throw RequestRefused(RequestRefused.UNAVAILABLE, "overloaded", reason)
+        }
+    }
+
     private fun finish(exchange: HttpExchange) {
         val stall = slowness.remainingStall()
         if (stall.isPositive()) {
@@ -110,6 +122,9 @@
     private inline fun <reified Body> encode(body: Body): String = StandInJson.answers.encodeToString(body)
 
     public companion object {
+        /** Header of a refusal; its value `true` says that the call was not executed. */
+        public const val NOT_EXECUTED_HEADER: String = "X-Not-Executed"
+
         /**
          * Starts a service on loopback at [port], or at a free port when it is 0; throws when the port is taken.
          * [onCrash] is called for the injected fault `crash`, before the service closes itself abruptly.
--- a/stand-in/src/test/kotlin/org/lovageladder/standin/PlainStandInTest.kt
+++ b/stand-in/src/test/kotlin/org/lovageladder/standin/PlainStandInTest.kt
@@ -61,7 +61,9 @@
             val client = TestClient(plain.port)
             client.postLater("/clones", "{}")
             awaitTrue { client.json("/executions").text("running") == "1" }
-            assertEquals(503, client.get("/lookup").statusCode())
+            val refused = client.get("/lookup")
+            assertEquals(503, refused.statusCode())
+            assertEquals("true", refused.headers().firstValue(PlainStandIn.NOT_EXECUTED_HEADER).get())
         }
     }
 
