Count stored notes that fail the checks as empty in the command line too

Cause: processes take an accepted note that fails the checks as empty, so that a later note can correct it; the command line refused to go on after one, so that the correcting note could not have been published. Found on reading ReleaseFollower beside the client. Ruled out: refusing only 'publish'; 'history' and 'status' are needed then too. Change: the fold follows the processes and names the faults on standard error; stored notes are read as leniently as there. A missing version stays an error.

--- a/client/src/main/kotlin/org/lovageladder/client/NoteCommand.kt
+++ b/client/src/main/kotlin/org/lovageladder/client/NoteCommand.kt
@@ -106,7 +106,9 @@
     }
 
     private fun showRelease(notes: List<AcceptedNote>): Result<Unit, ClientFailure> =
-        foldState(notes).map { state -> print(inForce(state), ReleaseInForce.serializer()) { it.describe() } }
+        foldHistory(notes).map { history ->
+            print(inForce(history.state), ReleaseInForce.serializer()) { it.describe() }
+        }
 }
 
 private class NoteHistoryCommand : ClientCommand("history", "List all accepted notes.") {
@@ -114,5 +116,8 @@
 
     override fun execute(): Result<Unit, ClientFailure> =
         withNotes(storeOptions) { it.readHistory("the notes cannot be read") }
-            .map { history -> print(history.notes, ListSerializer(AcceptedNote.serializer())) { listNotes(it) } }
+            .map { history ->
+                print(history.notes, ListSerializer(AcceptedNote.serializer())) { listNotes(it) }
+                history.withoutEffect.forEach { echo(it.describe(), err = true) }
+            }
 }
--- a/client/src/main/kotlin/org/lovageladder/client/NoteReports.kt
+++ b/client/src/main/kotlin/org/lovageladder/client/NoteReports.kt
@@ -28,6 +28,9 @@
     else -> "note '${accepted.note.id}' is accepted as version ${accepted.version}"
 }
 
+internal fun IneffectiveNote.describe(): String =
+    "version $version has no effect: " + faults.joinToString("; ") { "${it.field} ${it.message}" }
+
 /** Everything in force at [version]. */
 @Serializable
 internal data class ReleaseInForce(val version: ReleaseVersion, val entries: List<ReleaseEntry>) {
--- a/client/src/main/kotlin/org/lovageladder/client/NoteStore.kt
+++ b/client/src/main/kotlin/org/lovageladder/client/NoteStore.kt
@@ -5,7 +5,6 @@
 import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.andThen
 import com.github.michaelbull.result.getOrElse
-import com.github.michaelbull.result.map
 import com.github.michaelbull.result.mapError
 import org.lovageladder.core.AcceptedNote
 import org.lovageladder.core.Fault
@@ -67,12 +66,22 @@
     }
 }
 
-/** All accepted notes and the release that they add up to. */
-internal data class NoteHistory(val notes: List<AcceptedNote>, val state: ReleaseState) {
+/**
+ * All accepted notes and the release that they add up to. Notes [withoutEffect] do not pass the checks; they count
+ * as empty here as in every process.
+ */
+internal data class NoteHistory(
+    val notes: List<AcceptedNote>,
+    val state: ReleaseState,
+    val withoutEffect: List<IneffectiveNote> = emptyList(),
+) {
     /** Notes that were accepted after [version]. */
     fun notesAfter(version: ReleaseVersion): List<AcceptedNote> = notes.filter { it.version > version }
 }
 
+/** A note that an author published around the checks. */
+internal data class IneffectiveNote(val version: ReleaseVersion, val faults: List<NoteFault>)
+
 /** Fault for an answer that does not belong to the request. */
 internal fun unexpected(answer: StoreAnswer): Fault =
     Fault(Step.STORE, "key-value service", FaultCause.PROTOCOL, "unexpected answer ${answer::class.simpleName}")
@@ -89,16 +98,20 @@
     return Err(ClientFailure.HistoryUnreadable(key, listOf(fault)))
 }
 
-private fun foldHistory(notes: List<AcceptedNote>): Result<NoteHistory, ClientFailure> =
-    foldState(notes).map { state -> NoteHistory(notes, state) }
-
-/** The release after [notes]; fails at the first note that cannot follow those before it. */
-internal fun foldState(notes: List<AcceptedNote>): Result<ReleaseState, ClientFailure> {
+/** The release that [notes] add up to; fails when a version is missing. */
+internal fun foldHistory(notes: List<AcceptedNote>): Result<NoteHistory, ClientFailure> {
     var state = ReleaseState.EMPTY
+    val withoutEffect = mutableListOf<IneffectiveNote>()
     for (accepted in notes) {
+        val missing = state.version.next()
+        if (accepted.version != missing) {
+            val fault = NoteFault("version", "is missing, and version ${accepted.version} is there")
+            return Err(ClientFailure.HistoryUnreadable(noteStoreKey(missing), listOf(fault)))
+        }
         state = state.apply(accepted).getOrElse { faults ->
-            return Err(ClientFailure.HistoryUnreadable(noteStoreKey(accepted.version), faults))
+            withoutEffect += IneffectiveNote(accepted.version, faults)
+            state.copy(version = accepted.version)
         }
     }
-    return Ok(state)
+    return Ok(NoteHistory(notes, state, withoutEffect))
 }
--- a/client/src/test/kotlin/org/lovageladder/client/NotePublisherTest.kt
+++ b/client/src/test/kotlin/org/lovageladder/client/NotePublisherTest.kt
@@ -3,6 +3,7 @@
 import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.getError
 import com.github.michaelbull.result.unwrap
+import org.lovageladder.core.AcceptedNote
 import org.lovageladder.core.Address
 import org.lovageladder.core.KeyValueStore
 import org.lovageladder.core.NoteId
@@ -106,6 +107,23 @@
         assertEquals(rounds, history().size)
     }
 
+    @Test
+    fun aStoredNoteThatFailsTheChecksCountsAsEmpty() {
+        publish(document("a")).unwrap()
+        val faulty = AcceptedNote(ReleaseVersion(2), document("a", base = 1).note)
+        assertIs<StoreAnswer.Written>(NoteStore(store).create(faulty))
+        val history = NoteStore(store).readHistory("unreadable").unwrap()
+        assertEquals(listOf(2L), history.withoutEffect.map { it.version.number })
+        assertEquals(3, publish(document("b", base = 2)).unwrap().accepted.version.number)
+    }
+
+    @Test
+    fun aMissingVersionIsReported() {
+        NoteStore(store).create(AcceptedNote(ReleaseVersion(2), document("a", base = 1).note))
+        val failure = assertIs<ClientFailure.HistoryUnreadable>(publish(document("b")).getError())
+        assertEquals("notes/00000000000000000001", failure.key)
+    }
+
     @Test
     fun aLostAnswerIsResolvedByWhatStandsAtTheVersion() {
         inject("""{"lose_answers": 3}""")
--- a/core/src/main/kotlin/org/lovageladder/core/NoteText.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/NoteText.kt
@@ -30,9 +30,12 @@
 public fun readReleaseNote(text: String): Result<ReleaseNote, List<NoteFault>> =
     readNoteText(text, ReleaseNote.serializer())
 
-/** Reads a note as the key-value service holds it; fails as [readReleaseNote] does. */
+/**
+ * Reads a note as the key-value service holds it. Fields that are not known are ignored, as in every process, since
+ * a newer version may have written them. Fails as [readReleaseNote] does.
+ */
 public fun readAcceptedNote(text: String): Result<AcceptedNote, List<NoteFault>> =
-    readNoteText(text, AcceptedNote.serializer())
+    decodeNote(text)?.let { Ok(it) } ?: readNoteText(text, AcceptedNote.serializer())
 
 /** Text of [note] for the key-value service, on one line. */
 public fun writeAcceptedNote(note: AcceptedNote): String = noteJson.encodeToString(AcceptedNote.serializer(), note)
--- a/core/src/test/kotlin/org/lovageladder/core/NoteTextTest.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/NoteTextTest.kt
@@ -36,6 +36,14 @@
         assertEquals(accepted, readAcceptedNote(writeAcceptedNote(accepted)).unwrap())
     }
 
+    @Test
+    fun unknownFieldsOfAStoredNoteAreIgnoredAndOtherFaultsAreNamed() {
+        val newer = """{"version": 3, "note": {"id": "a", "reason": "new"}, "stamp": 1}"""
+        assertEquals(AcceptedNote(ReleaseVersion(3), ReleaseNote(NoteId("a"))), readAcceptedNote(newer).unwrap())
+        val broken = """{"version": "three", "note": {"id": "a"}}"""
+        assertEquals(listOf("version"), readAcceptedNote(broken).getError()?.map { it.field })
+    }
+
     @Test
     fun anAcceptedNoteStandsOnOneLine() {
         assertEquals(1, writeAcceptedNote(AcceptedNote(ReleaseVersion(7), note)).lines().size)
