Carry envelopes between entry and companion over Ktor sockets

Cause: the decisions of both roles need ordered, bounded connections that are bound to host and incarnation of both sides.

--- a/peer/src/main/kotlin/org/lovageladder/peer/Main.kt
+++ /dev/null
@@ -1,4 +0,0 @@
-package org.lovageladder.peer
-
-/** Temporary module marker. */
-public fun main() {}
--- /dev/null
+++ b/peer/src/main/kotlin/org/lovageladder/peer/PeerTraffic.kt
@@ -0,0 +1,36 @@
+package org.lovageladder.peer
+
+import io.ktor.network.selector.SelectorManager
+import kotlinx.coroutines.CoroutineName
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.asCoroutineDispatcher
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import java.util.concurrent.Executors
+import kotlin.time.Duration
+
+/** Threads that carry the traffic of one listener or dialer. */
+internal class PeerTraffic : AutoCloseable {
+    private val selectorThread =
+        Executors.newSingleThreadExecutor { task -> Thread(task, "peer-selector").apply { isDaemon = true } }
+
+    val selector = SelectorManager(selectorThread.asCoroutineDispatcher())
+    val scope = CoroutineScope(SupervisorJob() + Dispatchers.IO + CoroutineName("peer"))
+
+    /** Lets what is being sent go out for [grace], without waiting for it, then ends everything. */
+    fun close(grace: Duration) {
+        scope.launch {
+            delay(grace)
+            close()
+        }
+    }
+
+    override fun close() {
+        scope.cancel()
+        selector.close()
+        selectorThread.shutdown()
+    }
+}
