Run entry and companion as processes around their decisions

Cause: the decisions of both roles are functions of state, event and time and need a process that feeds them and carries out their effects.

Ruled out: Netty's check of IP addresses for flags (it starts much of Netty and logs before the log is set up); the listener's host name from the socket (it is looked up in reverse).

--- /dev/null
+++ b/daemon/src/main/kotlin/org/lovageladder/daemon/EventLog.kt
@@ -0,0 +1,63 @@
+package org.lovageladder.daemon
+
+import io.micrometer.core.instrument.Counter
+import io.micrometer.core.instrument.MeterRegistry
+import org.lovageladder.core.EventDraft
+import org.lovageladder.core.EventKind
+import org.lovageladder.core.EventLevel
+import org.lovageladder.core.EventRecord
+import org.lovageladder.core.HybridClock
+import org.lovageladder.core.ProcessName
+import org.tinylog.kotlin.Logger
+
+/** Stamps events, keeps them in [ring], counts them and writes them to the log. Confined to the control thread. */
+internal class EventLog(
+    private val process: ProcessName,
+    private val clock: HybridClock,
+    private val ring: EventRing,
+    registry: MeterRegistry,
+) {
+    private val counters: List<Counter> =
+        EventKind.entries.map { kind ->
+            Counter.builder("lovageladder.events").tag("code", kind.code).tag("kind", kind.name).register(registry)
+        }
+
+    /** Records [draft] as an event of now. */
+    fun record(draft: EventDraft) {
+        val record =
+            EventRecord(
+                clock = clock.next(),
+                process = process,
+                kind = draft.kind,
+                request = draft.request,
+                upstream = draft.upstream,
+                host = draft.host,
+                note = draft.note,
+                detail = draft.detail,
+            )
+        ring.add(record)
+        counters[draft.kind.ordinal].increment()
+        log(record)
+    }
+
+    private fun log(record: EventRecord) {
+        when (record.kind.level) {
+            EventLevel.DEBUG -> Logger.debug { eventLine(record) }
+            EventLevel.INFO -> Logger.info { eventLine(record) }
+            EventLevel.WARNING -> Logger.warn { eventLine(record) }
+            EventLevel.ERROR -> Logger.error { eventLine(record) }
+        }
+    }
+}
+
+/** One line for [record]: its code and meaning, then what it concerns as `key=value`. */
+internal fun eventLine(record: EventRecord): String = buildString {
+    append(record.kind.code).append(' ').append(record.kind.meaning)
+    append(" kind=").append(record.kind.name)
+    append(" process=").append(record.process)
+    record.request?.let { append(" request=").append(it) }
+    record.upstream?.let { append(" upstream=").append(it) }
+    record.host?.let { append(" host=").append(it) }
+    record.note?.let { append(" note=").append(it) }
+    if (record.detail.isNotEmpty()) append(" detail=\"").append(record.detail.replace('"', '\'')).append('"')
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/org/lovageladder/daemon/Flags.kt
@@ -0,0 +1,101 @@
+package org.lovageladder.daemon
+
+import com.github.ajalt.clikt.core.ParameterHolder
+import com.github.ajalt.clikt.parameters.options.NullableOption
+import com.github.ajalt.clikt.parameters.options.OptionWithValues
+import com.github.ajalt.clikt.parameters.options.convert
+import com.github.ajalt.clikt.parameters.options.default
+import com.github.ajalt.clikt.parameters.options.option
+import com.github.ajalt.clikt.parameters.types.choice
+import org.lovageladder.core.Address
+import java.net.InetAddress
+import java.net.UnknownHostException
+import kotlin.time.Duration
+
+/*
+ * Kinds of flags. Each flag can be given by an environment variable instead: `--peer-listen` by
+ * `LOVAGELADDER_PEER_LISTEN`.
+ */
+
+/** Name of the environment variable for [flag]. */
+internal fun environmentVariable(flag: String): String =
+    "LOVAGELADDER_" + flag.removePrefix("--").replace('-', '_').uppercase()
+
+/** A flag that takes the name of a process, host or place. */
+internal fun ParameterHolder.nameFlag(flag: String, help: String): NullableOption<String, String> =
+    option(flag, help = help, envvar = environmentVariable(flag), metavar = "NAME").convert { value ->
+        if (!NAME.matches(value)) {
+            fail("\"$value\", allowed are 1 to 63 letters, digits, dots, dashes and underscores, no dash first")
+        }
+        value
+    }
+
+/** A flag that takes an IP address and port. */
+internal fun ParameterHolder.addressFlag(flag: String, help: String): NullableOption<Address, Address> =
+    option(flag, help = help, envvar = environmentVariable(flag), metavar = "IP:PORT").convert { value ->
+        parseAddress(value) ?: fail("\"$value\", $ALLOWED_ADDRESS")
+    }
+
+/** A flag that takes one or more addresses, separated by commas. */
+internal fun ParameterHolder.addressesFlag(flag: String, help: String): NullableOption<List<Address>, List<Address>> =
+    option(flag, help = help, envvar = environmentVariable(flag), metavar = "IP:PORT,...").convert { value ->
+        value.split(',').map { part -> parseAddress(part.trim()) ?: fail("\"$part\", $ALLOWED_ADDRESS") }
+    }
+
+/** A flag that takes a duration within [allowed]. */
+internal fun ParameterHolder.durationFlag(
+    flag: String,
+    help: String,
+    default: Duration,
+    allowed: ClosedRange<Duration>,
+): OptionWithValues<Duration, Duration, Duration> =
+    option(flag, help = help, envvar = environmentVariable(flag), metavar = "DURATION")
+        .convert { value ->
+            Duration.parseOrNull(value)?.takeIf { it in allowed }
+                ?: fail("\"$value\", allowed are ${allowed.start} to ${allowed.endInclusive}, such as 500ms or 10m")
+        }.default(default, defaultForHelp = default.toString())
+
+/** A flag that takes a part of a whole, 0 to 1. */
+internal fun ParameterHolder.ratioFlag(
+    flag: String,
+    help: String,
+    default: Double,
+): OptionWithValues<Double, Double, Double> =
+    option(flag, help = help, envvar = environmentVariable(flag), metavar = "RATIO")
+        .convert { value ->
+            value.toDoubleOrNull()?.takeIf { it in 0.0..1.0 } ?: fail("\"$value\", allowed are numbers from 0 to 1")
+        }.default(default, defaultForHelp = default.toString())
+
+/** A flag that takes one of [values] by their words. */
+internal fun <Value : Any> ParameterHolder.choiceFlag(
+    flag: String,
+    help: String,
+    values: Map<String, Value>,
+    default: Value,
+): OptionWithValues<Value, Value, Value> = option(flag, help = help, envvar = environmentVariable(flag))
+    .choice(values)
+    .default(default, defaultForHelp = values.entries.first { it.value == default }.key)
+
+/** A flag that takes `on` or `off`. */
+internal fun ParameterHolder.switchFlag(flag: String, help: String, default: Boolean) =
+    choiceFlag(flag, help, mapOf("on" to true, "off" to false), default)
+
+/** Reads `IP:PORT`, with an IPv6 address in brackets; null when [text] is neither. */
+internal fun parseAddress(text: String): Address? {
+    val port = text.substringAfterLast(':', "").toIntOrNull()?.takeIf { it in 0..MAXIMUM_PORT } ?: return null
+    val host = text.substringBeforeLast(':')
+    val bare = host.removeSurrounding("[", "]")
+    val valid = if (bare == host) IP_VERSION_4.matches(host) else isIpVersion6(bare)
+    return Address(bare, port).takeIf { valid }
+}
+
+private fun isIpVersion6(text: String): Boolean = try {
+    text.contains(':') && InetAddress.getByName("[$text]").hostAddress.isNotEmpty()
+} catch (_: UnknownHostException) {
+    false
+}
+
+private val IP_VERSION_4 = Regex("""(?:(?:25[0-5]|2[0-4]\d|1?\d?\d)(?:\.(?!$)|$)){4}""")
+private val NAME = Regex("[A-Za-z0-9_.][A-Za-z0-9_.-]{0,62}")
+private const val MAXIMUM_PORT = 65_535
+private const val ALLOWED_ADDRESS = "allowed is IP:PORT, such as 127.0.0.1:8080 or [::1]:8080"
--- /dev/null
+++ b/daemon/src/main/kotlin/org/lovageladder/daemon/ProcessParts.kt
@@ -0,0 +1,73 @@
+package org.lovageladder.daemon
+
+import io.micrometer.core.instrument.Gauge
+import io.micrometer.core.instrument.binder.jvm.JvmGcMetrics
+import io.micrometer.core.instrument.binder.jvm.JvmMemoryMetrics
+import io.micrometer.core.instrument.binder.system.ProcessorMetrics
+import io.micrometer.prometheusmetrics.PrometheusConfig
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
+import org.lovageladder.core.EventDraft
+import org.lovageladder.core.HostList
+import org.lovageladder.core.HybridClock
+import org.lovageladder.core.ProcessName
+import org.lovageladder.core.ReleaseVersion
+import org.lovageladder.http.openEtcdStore
+import org.lovageladder.http.openHttpHostList
+import java.util.concurrent.Executors
+import java.util.concurrent.ScheduledExecutorService
+
+/** Parts that a process of either role has. */
+internal class ProcessParts(name: ProcessName, private val settings: ProcessSettings) : AutoCloseable {
+    val timer: ScheduledExecutorService =
+        Executors.newSingleThreadScheduledExecutor { task -> Thread(task, "timer").apply { isDaemon = true } }
+    val registry = PrometheusMeterRegistry(PrometheusConfig.DEFAULT)
+    val clock = HybridClock(System::currentTimeMillis)
+    val ring = EventRing()
+    val store = openEtcdStore(settings.store)
+    val ending = ProcessEnding(settings.drainTimeout, timer)
+    val state = PublishedState()
+    private val hostList: HostList? = settings.hostList?.let { openHttpHostList(it) }
+    private val log = EventLog(name, clock, ring, registry)
+    private val garbageCollection = JvmGcMetrics()
+
+    init {
+        JvmMemoryMetrics().bindTo(registry)
+        ProcessorMetrics().bindTo(registry)
+        garbageCollection.bindTo(registry)
+        state.showIn(registry)
+    }
+
+    /** Records an event; only on the control thread. */
+    fun record(draft: EventDraft) {
+        log.record(draft)
+    }
+
+    /** Reads the host list at intervals, if the process has one. */
+    fun pollHostList(listed: (List<org.lovageladder.core.ListedHost>) -> Unit) {
+        val list = hostList ?: return
+        HostListPoll(list, settings.hostListInterval, timer, listed).start()
+    }
+
+    override fun close() {
+        timer.shutdownNow()
+        garbageCollection.close()
+        store.close()
+        hostList?.close()
+        registry.close()
+    }
+}
+
+/** What other threads may read of the control state without asking for it. */
+internal class PublishedState {
+    @Volatile
+    var ready = false
+
+    @Volatile
+    var release = ReleaseVersion.NONE
+
+    /** Shows the state as metrics. */
+    fun showIn(registry: PrometheusMeterRegistry) {
+        Gauge.builder("lovageladder.ready", this) { if (it.ready) 1.0 else 0.0 }.register(registry)
+        Gauge.builder("lovageladder.release", this) { it.release.number.toDouble() }.register(registry)
+    }
+}
--- a/peer/src/main/kotlin/org/lovageladder/peer/PeerListener.kt
+++ b/peer/src/main/kotlin/org/lovageladder/peer/PeerListener.kt
@@ -54,10 +54,11 @@
             traffic.close()
             throw failure
         }
-    return SocketPeerListener(socket, ExpectedHello(host, incarnation), settings, handler, traffic)
+    return SocketPeerListener(bind, socket, ExpectedHello(host, incarnation), settings, handler, traffic)
 }
 
 private class SocketPeerListener(
+    bind: Address,
     private val socket: ServerSocket,
     private val expected: ExpectedHello,
     private val settings: PeerSettings,
@@ -68,8 +69,7 @@
     private val registry = ProcessRegistry()
     private val lastConnection = AtomicLong()
 
-    override val address: Address =
-        (socket.localAddress as InetSocketAddress).let { local -> Address(local.hostname, local.port) }
+    override val address: Address = Address(bind.ip, (socket.localAddress as InetSocketAddress).port)
 
     init {
         traffic.scope.launch { acceptAll() }
