--- a/core/src/main/kotlin/org/lovageladder/core/DecodeWork.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/DecodeWork.kt
@@ -38,6 +38,10 @@
             refuse(message.attempt, FaultCause.OUT_OF_MEMORY, "${message.pieces} of ${ledger.total} pieces")
             return
         }
+        if (!message.holdAtMost.isPositive()) {
+            refuse(message.attempt, FaultCause.PROTOCOL, "held for ${message.holdAtMost}")
+            return
+        }
         waiting.add(message.attempt, message.worth, context.now + message.waitAtMost, message)
         if (waiting.size <= context.settings.queueLimit) return
         waiting.last()?.let { waiting.remove(it.attempt) }?.let { refuse(it.attempt, FaultCause.REJECTED, QUEUE_FULL) }
--- a/core/src/test/kotlin/org/lovageladder/core/CompanionOracle.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/CompanionOracle.kt
@@ -130,7 +130,11 @@
             is PeerMessage.Granted -> granted(known(connection, message.attempt, message), message, now)
             is PeerMessage.TokenProduced -> token(known(connection, message.attempt, message), message)
             is PeerMessage.Refused -> refused(connection, message)
-            is PeerMessage.PrefillReady -> final(known(connection, message.attempt, message), message, needsStart = true)
+            is PeerMessage.PrefillReady -> final(
+                known(connection, message.attempt, message),
+                message,
+                needsStart = true,
+            )
             is PeerMessage.DecodeFinished ->
                 final(known(connection, message.attempt, message), message, needsStart = true)
             is PeerMessage.PlainFinished ->
--- a/core/src/test/kotlin/org/lovageladder/core/CompanionWorld.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/CompanionWorld.kt
@@ -11,8 +11,11 @@
 private const val NUMBERS = 3
 private const val SETTLE_ROUNDS = 12
 
-/** One companion among fake entries, upstreams and a fake key-value service, with the oracle that judges it. */
-internal class CompanionWorld {
+/**
+ * One companion among fake entries, upstreams and a fake key-value service, with the oracle that judges it. With
+ * [startsReady] it has its release, nothing of an earlier incarnation is left, and entries are connected.
+ */
+internal class CompanionWorld(startsReady: Boolean) {
     private class Delayed(val connection: ConnectionId, val message: PeerMessage)
 
     private val bench = CompanionBench(CompanionBench().settings.copy(queueLimit = QUEUE_LIMIT))
@@ -32,24 +35,31 @@
     private var attemptCount = 0
     private var heartbeats = 0L
     private var isDecodeServed = false
+    private val seen = HashSet<EventKind>()
 
     init {
         store.publish(firstNote())
         oracle.mustRead = true
         handle(CompanionEvent.TimePassed)
+        if (startsReady) becomeReady()
     }
 
+    /** Events that the companion recorded so far. */
+    val recorded: Set<EventKind> get() = seen
+
     /** Takes [step]; after the companion's exit nothing happens any more. */
     fun take(step: FuzzStep) {
         if (oracle.hasExited) return
         when (step.kind) {
             FuzzKind.PASS -> pass(step.first)
             FuzzKind.FREEZE -> freeze()
-            FuzzKind.CONNECT -> connect(step.first % ENTRIES)
+            FuzzKind.CONNECT -> if (step.second % 4 == 0 || connections.size < ENTRIES) connect(step.first % ENTRIES)
             FuzzKind.DISCONNECT -> step.pick(connections.keys.sorted())?.let(::disconnect)
             FuzzKind.RESERVE, FuzzKind.START_PREFILL, FuzzKind.START_PLAIN, FuzzKind.START_CLAIMED -> start(step)
             FuzzKind.START_DECODE -> startDecode(step)
-            FuzzKind.CANCEL -> step.pick(recent())?.let { (id, known) -> send(step, known.owner, PeerMessage.Cancel(id)) }
+            FuzzKind.CANCEL -> step.pick(recent())?.let { (id, known) ->
+                send(step, known.owner, PeerMessage.Cancel(id))
+            }
             FuzzKind.VOID_CLAIM -> onConnection(step) { send(step, it, PeerMessage.VoidClaim(key(step), number(step))) }
             FuzzKind.FOLLOW_CLAIM ->
                 onConnection(step) { send(step, it, PeerMessage.FollowClaim(key(step), number(step))) }
@@ -66,7 +76,7 @@
             FuzzKind.END_ORDER -> step.pick(orders)?.let { endOrder(it, step.second) }
             FuzzKind.PUBLISH -> publish(step)
             FuzzKind.LIST_HOSTS -> listHosts(step)
-            FuzzKind.STOP -> if (step.first % 3 == 0) handle(CompanionEvent.StopRequested)
+            FuzzKind.STOP -> if (step.first % 6 == 0) handle(CompanionEvent.StopRequested)
         }
     }
 
@@ -81,6 +91,13 @@
         judgeIdle()
     }
 
+    private fun becomeReady() {
+        upstreams.orphans.clear()
+        asked.toList().forEach { answerStore(it, ANSWERS_NORMALLY) }
+        listings.toList().forEach { listRunning(it, answers = true) }
+        repeat(ENTRIES) { connect(it) }
+    }
+
     private fun judgeIdle() {
         val status = bench.companion.status(bench.now)
         assertTrue(status.ready, "not ready after all: $status")
@@ -113,7 +130,7 @@
         while (!oracle.hasExited) {
             val next = bench.companion.nextDeadline() ?: break
             if (next > end) break
-            bench.freeze(next - bench.now)
+            if (next > bench.now) bench.freeze(next - bench.now)
             handle(CompanionEvent.TimePassed)
         }
         bench.freeze(end - bench.now)
@@ -319,7 +336,8 @@
             is CompanionEffect.GiveOrder -> giveOrder(effect)
             is CompanionEffect.Disconnect -> connections.values.remove(effect.connection)
             is CompanionEffect.Send -> answerFetch(effect)
-            is CompanionEffect.Record, is CompanionEffect.Exit -> Unit
+            is CompanionEffect.Record -> seen += effect.event.kind
+            is CompanionEffect.Exit -> Unit
         }
     }
 
--- a/core/src/test/kotlin/org/lovageladder/core/DecodeWorkTest.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/DecodeWorkTest.kt
@@ -149,6 +149,12 @@
         assertEquals(listOf(1, 1, 1, 1, 0), granted)
     }
 
+    @Test
+    fun aReservationThatWouldLapseAtOnceIsRefused() {
+        val refused = bench.receive(reserve(first, holdAtMost = Duration.ZERO)).messages().single()
+        assertEquals(FaultCause.PROTOCOL, (refused as PeerMessage.Refused).fault.cause)
+    }
+
     @Test
     fun aLapsedReservationCannotBeUsed() {
         bench.grant()
--- a/core/src/test/kotlin/org/lovageladder/core/FakeUpstreams.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/FakeUpstreams.kt
@@ -48,8 +48,8 @@
         streams[effect.attempt] = ArrayDeque()
     }
 
-    fun running(upstream: UpstreamName): List<String> =
-        orphans[upstream].orEmpty().toList() + held.filter { it.start.upstream.name == upstream }.map { it.attempt.toString() }
+    fun running(upstream: UpstreamName): List<String> = orphans[upstream].orEmpty().toList() +
+        held.filter { it.start.upstream.name == upstream }.map { it.attempt.toString() }
 
     fun token(call: FakeCall) {
         if (call.start.call is UpstreamCall.Decode) report(call, UpstreamReport.Token(call.tokens, "t${call.tokens++}"))
