--- a/daemon/src/main/kotlin/org/lovageladder/daemon/ProcessRun.kt
+++ b/daemon/src/main/kotlin/org/lovageladder/daemon/ProcessRun.kt
@@ -8,12 +8,7 @@
  * drains the process.
  */
 internal fun runUntilEnd(role: String, traffic: String, start: () -> RunningProcess) {
-    val process =
-        try {
-            start()
-        } catch (unavailable: AddressUnavailableException) {
-            throw UsageError(unavailable.message.orEmpty())
-        }
+    val process = start()
     Runtime.getRuntime().addShutdownHook(Thread({ drainAndHalt(process) }, "stop"))
     println("listening $role $traffic=${process.traffic} admin=${process.admin} pid=${ProcessHandle.current().pid()}")
     val end = process.awaitEnd()
--- a/daemon/src/main/kotlin/org/lovageladder/daemon/RunningProcess.kt
+++ b/daemon/src/main/kotlin/org/lovageladder/daemon/RunningProcess.kt
@@ -38,7 +38,7 @@
 internal class AddressUnavailable(flag: String, address: Address, cause: IOException) :
     UsageError("$flag $address cannot be bound (${cause.message}), allowed is a free address of this host") {
     init {
-        initCause(cause)
+        addSuppressed(cause)
     }
 }
 
