--- a/client/src/main/kotlin/org/lovageladder/client/Main.kt
+++ b/client/src/main/kotlin/org/lovageladder/client/Main.kt
@@ -33,7 +33,7 @@
     else -> ExitCode.entries.find { it.status == failure.statusCode } ?: ExitCode.FAILED
 }
 
-private class LovageladderCommand : NoOpCliktCommand("lovageladder") {
+internal class LovageladderCommand : NoOpCliktCommand("lovageladder") {
     init {
         subcommands(
             NoteCommand(),
--- a/client/src/test/kotlin/org/lovageladder/client/MainTest.kt
+++ b/client/src/test/kotlin/org/lovageladder/client/MainTest.kt
@@ -5,6 +5,7 @@
 import java.nio.file.Path
 import kotlin.io.path.createTempDirectory
 import kotlin.io.path.writeText
+import kotlin.test.AfterTest
 import kotlin.test.Test
 import kotlin.test.assertEquals
 
@@ -14,6 +15,12 @@
     private val store = "127.0.0.1:${service.port}"
     private val closed = "127.0.0.1:${ServerSocket(0).use { it.localPort }}"
 
+    @AfterTest
+    fun close() {
+        service.close()
+        directory.toFile().deleteRecursively()
+    }
+
     private data class Case(val exitCode: ExitCode, val arguments: List<String>) {
         constructor(exitCode: ExitCode, vararg arguments: String) : this(exitCode, arguments.toList())
     }
--- a/client/src/test/kotlin/org/lovageladder/client/TimelineTest.kt
+++ b/client/src/test/kotlin/org/lovageladder/client/TimelineTest.kt
@@ -1,24 +1,11 @@
 package org.lovageladder.client
 
 import org.lovageladder.core.EventKind
-import org.lovageladder.core.EventRecord
 import org.lovageladder.core.HybridTime
-import org.lovageladder.core.ProcessName
-import org.lovageladder.core.RequestId
-import org.lovageladder.core.UpstreamName
 import kotlin.test.Test
 import kotlin.test.assertEquals
 
 class TimelineTest {
-    private fun event(milliseconds: Long, counter: Int, process: String, kind: EventKind, upstream: String? = null) =
-        EventRecord(
-            clock = HybridTime(milliseconds, counter),
-            process = ProcessName(process),
-            kind = kind,
-            request = RequestId("r-1"),
-            upstream = upstream?.let { UpstreamName(it) },
-        )
-
     @Test
     fun eventsOfAllProcessesAreMergedByHybridTime() {
         val entry = listOf(
