--- a/core/src/main/kotlin/org/lovageladder/core/Submission.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/Submission.kt
@@ -17,7 +17,8 @@
     /**
      * A generation. [body] is the caller's JSON request; [promptTokens] an estimate of its prompt's length;
      * [outputTokens] the caller's own bound, null when it named none; [prefixDigest] a digest of the prompt's first
-     * part, equal for prompts that can share cached prefixes.
+     * part, equal for prompts that can share cached prefixes. [model] is what engines are asked for in place of the
+     * body's `model`; null leaves the body's.
      */
     @Serializable
     public data class Generation(
@@ -26,6 +27,7 @@
         val promptTokens: Int,
         val outputTokens: Int?,
         val prefixDigest: Long,
+        val model: ModelName? = null,
     ) : RequestContent
 
     /** A call of a plain service. [bodyDigest] identifies method, path and body when a key is submitted twice. */
--- a/http/src/main/kotlin/org/lovageladder/http/CallerExchange.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/CallerExchange.kt
@@ -24,7 +24,7 @@
 
     /** Runs [action] on the connection's event loop. */
     inline fun onLoop(crossinline action: CallerExchange.() -> Unit) {
-        channel.eventLoop().execute { action() }
+        if (channel.eventLoop().inEventLoop()) action() else channel.eventLoop().execute { action() }
     }
 
     fun token(index: Int, text: String) {
--- a/http/src/main/kotlin/org/lovageladder/http/EngineBody.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/EngineBody.kt
@@ -6,6 +6,7 @@
 import kotlinx.serialization.json.JsonPrimitive
 import kotlinx.serialization.json.buildJsonObject
 import kotlinx.serialization.json.put
+import org.lovageladder.core.RequestContent
 import org.lovageladder.core.UpstreamCall
 
 /*
@@ -14,7 +15,7 @@
 
 /** Throws [IllegalArgumentException] when the caller's body or the ticket is not a JSON object. */
 internal fun prefillBody(call: UpstreamCall.Prefill): String {
-    val members = callerMembers(call.content.body)
+    val members = callerMembers(call.content)
     members["stream"] = JsonPrimitive(false)
     members["max_tokens"] = JsonPrimitive(1)
     members["priority"] = JsonPrimitive(call.priority)
@@ -24,7 +25,7 @@
 
 /** Throws [IllegalArgumentException] when the caller's body or the ticket is not a JSON object. */
 internal fun decodeBody(call: UpstreamCall.Decode): String {
-    val members = callerMembers(call.content.body)
+    val members = callerMembers(call.content)
     members["stream"] = JsonPrimitive(true)
     members["max_tokens"] = JsonPrimitive(call.outputBound)
     members["priority"] = JsonPrimitive(call.priority)
@@ -54,5 +55,8 @@
     put("remote_port", JsonNull)
 }
 
-private fun callerMembers(body: String): MutableMap<String, JsonElement> =
-    parseObject(body).filterKeys { it !in decidedHere }.toMutableMap()
+private fun callerMembers(content: RequestContent.Generation): MutableMap<String, JsonElement> {
+    val members = parseObject(content.body).filterKeys { it !in decidedHere }.toMutableMap()
+    content.model?.let { members["model"] = JsonPrimitive(it.text) }
+    return members
+}
--- a/http/src/main/kotlin/org/lovageladder/http/RequestParsing.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/RequestParsing.kt
@@ -3,6 +3,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames
 import org.lovageladder.core.ClassName
 import org.lovageladder.core.IdempotencyKey
+import org.lovageladder.core.ModelName
 import org.lovageladder.core.RequestContent
 import org.lovageladder.core.ServiceName
 import org.lovageladder.core.Submission
@@ -42,7 +43,8 @@
     }
     val body = textOf(request.body)
     val parsed = readGeneration(body, shape)
-    val service = headerText(request, SERVICE_HEADER) ?: parsed.model ?: throw badField(
+    val named = headerText(request, SERVICE_HEADER)
+    val service = named ?: parsed.model ?: throw badField(
         "model",
         "field model is missing, and so is header $SERVICE_HEADER; one of them has to name the service",
     )
@@ -52,6 +54,7 @@
         promptTokens = estimateTokens(parsed.promptParts),
         outputTokens = parsed.outputTokens,
         prefixDigest = prefixDigest(parsed.promptParts),
+        model = parsed.model?.takeIf { named != null }?.let { ModelName(it) },
     )
     val answer = AnswerShape.Generation(shape, parsed.stream, parsed.model ?: service)
     return ParsedRequest(submission(request, ServiceName(service), content), answer)
--- a/http/src/test/kotlin/org/lovageladder/http/CallerServerTest.kt
+++ b/http/src/test/kotlin/org/lovageladder/http/CallerServerTest.kt
@@ -113,16 +113,25 @@
 
     @Test
     fun aGenerationIsParsedIntoASubmission() {
-        CallerSocket(server.address).use { socket ->
-            val body = """{"model":"lesson-lm","prompt":"a b c d e","max_tokens":7}"""
-            socket.send(post("/v1/completions", body, "Lovageladder-Class: summary"))
-            val submission = callers.next().submission
-            val content = assertIs<RequestContent.Generation>(submission.content)
-            assertEquals("lesson-lm", submission.service.text)
-            assertEquals("summary", submission.requestClass?.text)
-            assertEquals(body, content.body)
-            assertEquals(5, content.promptTokens)
-            assertEquals(7, content.outputTokens)
+        val text = """{"model":"lesson-lm","prompt":"a b c d e","max_tokens":7}"""
+        val chat = """{"model":"lesson-lm","messages":[{"role":"user","content":"${"x".repeat(40)}"}]}"""
+        val rows = listOf(
+            ParsedRow(post("/v1/completions", text, "Lovageladder-Class: summary"), "lesson-lm", null, 5, 7, "summary"),
+            ParsedRow(post("/v1/completions", text, "Lovageladder-Service: lm"), "lm", "lesson-lm", 5, 7),
+            ParsedRow(post("/v1/chat/completions?a=b", chat), "lesson-lm", null, 11, null),
+        )
+        for (row in rows) {
+            CallerSocket(server.address).use { socket ->
+                socket.send(row.request)
+                val submission = callers.next().submission
+                val content = assertIs<RequestContent.Generation>(submission.content)
+                assertEquals(row.service, submission.service.text, "$row")
+                assertEquals(row.requestClass, submission.requestClass?.text, "$row")
+                assertEquals(row.model, content.model?.text, "$row")
+                assertEquals(row.request.substringAfter("\r\n\r\n"), content.body, "$row")
+                assertEquals(row.promptTokens, content.promptTokens, "$row")
+                assertEquals(row.outputTokens, content.outputTokens, "$row")
+            }
         }
     }
 
@@ -313,6 +322,27 @@
         }
     }
 
+    @Test
+    fun aConnectionStaysOpenWhereTheRequestAllowsIt() {
+        val rows = listOf(
+            PersistenceRow("HTTP/1.1", "", closes = false),
+            PersistenceRow("HTTP/1.1", "Connection: close\r\n", closes = true),
+            PersistenceRow("HTTP/1.0", "", closes = true),
+            PersistenceRow("HTTP/1.1", "Expect: 100-continue\r\n", closes = false, continues = true),
+        )
+        for (row in rows) {
+            CallerSocket(server.address).use { socket ->
+                socket.send("POST /services/desk/x ${row.version}\r\n${row.header}Content-Length: 2\r\n\r\n")
+                if (row.continues) assertEquals(100, socket.readHead().status, "$row")
+                socket.send("{}")
+                val exchange = callers.next().exchange
+                server.giveOutcome(exchange, RequestId("r"), Outcome.Answered(PlainAnswer(200, null, "ok")))
+                assertEquals("ok", socket.readAnswer().body, "$row")
+                if (row.closes) assertEquals("", socket.readToEnd(), "$row") else refuse(socket, leaving)
+            }
+        }
+    }
+
     @Test
     fun aDrainingServerFinishesWhatRunsAndAsksToClose() {
         CallerSocket(server.address).use { socket ->
@@ -325,6 +355,8 @@
         }
     }
 
+    private val leaving = Outcome.Refused(RefusalReason.LEAVING, Execution.NOT_RUN)
+
     private fun refuse(socket: CallerSocket, refused: Outcome.Refused): CallerAnswer {
         socket.send(post("/services/desk/x", "{}"))
         server.giveOutcome(callers.next().exchange, RequestId("r-3"), refused)
@@ -345,6 +377,22 @@
 
     private data class BadInput(val request: String, val status: Int, val field: String?, val keyed: Boolean = false)
 
+    private data class ParsedRow(
+        val request: String,
+        val service: String,
+        val model: String?,
+        val promptTokens: Int,
+        val outputTokens: Int?,
+        val requestClass: String? = null,
+    )
+
+    private data class PersistenceRow(
+        val version: String,
+        val header: String,
+        val closes: Boolean,
+        val continues: Boolean = false,
+    )
+
     private data class PlainRow(val method: String, val target: String, val path: String)
 
     private data class RefusedRow(
--- a/http/src/test/kotlin/org/lovageladder/http/CallerSocket.kt
+++ b/http/src/test/kotlin/org/lovageladder/http/CallerSocket.kt
@@ -26,17 +26,20 @@
     }
 
     fun readAnswer(): CallerAnswer {
+        val head = readHead()
+        val length = head.headers["content-length"]?.toInt() ?: fail("no length in $head")
+        return head.copy(body = String(input.readNBytes(length)))
+    }
+
+    fun readHead(): CallerAnswer {
         val status = readLine().split(' ')[1].toInt()
-        val headers = readHeaders()
-        val length = headers["content-length"]?.toInt() ?: fail("no length in $headers")
-        return CallerAnswer(status, headers, String(input.readNBytes(length)))
+        return CallerAnswer(status, readHeaders(), body = "")
     }
 
     /** Data of the next event of a streamed answer. */
     fun readEvent(): String {
         if (!headRead) {
-            check(readLine().split(' ')[1] == "200")
-            readHeaders()
+            check(readHead().status == 200)
             headRead = true
         }
         val length = readLine().toInt(CHUNK_RADIX)
--- a/http/src/test/kotlin/org/lovageladder/http/HttpUpstreamGatewayTest.kt
+++ b/http/src/test/kotlin/org/lovageladder/http/HttpUpstreamGatewayTest.kt
@@ -6,6 +6,7 @@
 import org.lovageladder.core.Execution
 import org.lovageladder.core.FaultCause
 import org.lovageladder.core.IdempotencyKey
+import org.lovageladder.core.ModelName
 import org.lovageladder.core.UpstreamCall
 import org.lovageladder.core.UpstreamGateway
 import org.lovageladder.core.UpstreamReport
@@ -159,7 +160,7 @@
     fun theRequestCarriesWhatTheRouterDecidesAndTheRestAsItCame() {
         FaultyPeer(send(FaultyPeer.answer(503, "{}"))).use { peer ->
             val recorded = upstream("recorded", peer.address)
-            val content = generation(GenerationShape.CHAT, "p")
+            val content = generation(GenerationShape.CHAT, "p").copy(model = ModelName("lesson-8b"))
             run(recorded, UpstreamCall.Prefill(content, priority = 3))
             run(recorded, decode(content, bound = 7, ticket = null, fromIndex = 2))
             val (prefilled, decoded) = peer.requests.map { it.substringAfter("\r\n\r\n") }
@@ -167,6 +168,7 @@
             assertTrue(""""do_remote_decode":true,"do_remote_prefill":false""" in prefilled, prefilled)
             assertTrue(""""stream":true,"max_tokens":7,"priority":1,"resume_from":2}""" in decoded, decoded)
             assertTrue("max_completion_tokens" !in decoded, decoded)
+            assertTrue(""""model":"lesson-8b"""" in prefilled && """"model":"lesson-8b"""" in decoded, decoded)
             assertTrue(peer.requests.all { Regex("x-request-id: request\\.\\d+").containsMatchIn(it.lowercase()) })
         }
     }
