HTTP: refuse methods that are not passed on, and calls that HTTP cannot carry

Cause: a path or key with a line break threw while a request was written, and the call never ended; CONNECT would switch both codecs to passing bytes through. Change: such a call ends as not run; only ordinary methods are passed on; idle connections are kept for less than the five seconds after which common engine servers close them. Conclusion: no call is left without an end by what its text holds.

--- a/http/src/main/kotlin/org/lovageladder/http/HttpClientConnection.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/HttpClientConnection.kt
@@ -4,6 +4,8 @@
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.SimpleChannelInboundHandler
 import io.netty.handler.codec.http.DefaultFullHttpRequest
+import io.netty.handler.codec.http.DefaultHttpHeadersFactory
+import io.netty.handler.codec.http.DefaultHttpRequest
 import io.netty.handler.codec.http.FullHttpRequest
 import io.netty.handler.codec.http.HttpContent
 import io.netty.handler.codec.http.HttpHeaderNames
@@ -35,10 +37,11 @@
             context.close()
             return
         }
+        val request = encodeOrFail(running) ?: return
         current = running
         address = running.address
         running.begin(context.channel())
-        context.writeAndFlush(encode(running)).addListener { written ->
+        context.writeAndFlush(request).addListener { written ->
             if (!written.isSuccess) {
                 lose(written.cause())
                 context.close()
@@ -101,16 +104,26 @@
         running.fail(HttpFailure(FaultCause.CONNECTION_LOST, sent = true, detail = detail))
     }
 
+    /** Null when the call has a path or header that HTTP does not allow. */
+    private fun encodeOrFail(running: RunningHttpCall): FullHttpRequest? = try {
+        encode(running)
+    } catch (invalid: IllegalArgumentException) {
+        context.close()
+        running.fail(HttpFailure(FaultCause.PROTOCOL, sent = false, detail = invalid.message.orEmpty()))
+        null
+    }
+
     private fun encode(running: RunningHttpCall): FullHttpRequest {
         val call = running.call
-        val body = context.alloc().buffer(ByteBufUtil.utf8Bytes(call.body))
-        ByteBufUtil.writeUtf8(body, call.body)
-        val request = DefaultFullHttpRequest(HttpVersion.HTTP_1_1, call.method, call.path, body)
-        val headers = request.headers()
+        val headers = DefaultHttpHeadersFactory.headersFactory().newHeaders()
         headers.set(HttpHeaderNames.HOST, NetUtil.toSocketAddressString(running.address.ip, running.address.port))
         call.contentType?.let { headers.set(HttpHeaderNames.CONTENT_TYPE, it) }
         call.fields.forEach { headers.set(it.name, it.value) }
-        HttpUtil.setContentLength(request, body.readableBytes().toLong())
-        return request
+        headers.set(HttpHeaderNames.CONTENT_LENGTH, ByteBufUtil.utf8Bytes(call.body))
+        val head = DefaultHttpRequest(HttpVersion.HTTP_1_1, call.method, call.path, headers)
+        val body = context.alloc().buffer(ByteBufUtil.utf8Bytes(call.body))
+        ByteBufUtil.writeUtf8(body, call.body)
+        val trailers = DefaultHttpHeadersFactory.trailersFactory().newEmptyHeaders()
+        return DefaultFullHttpRequest(head.protocolVersion(), head.method(), head.uri(), body, headers, trailers)
     }
 }
--- a/http/src/main/kotlin/org/lovageladder/http/IdleConnections.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/IdleConnections.kt
@@ -41,6 +41,7 @@
     private class IdleConnection(val channel: Channel, val since: TimeMark)
 
     private companion object {
-        val IDLE_LIMIT = 20.seconds
+        /** Below the five seconds after which common engine servers close an idle connection. */
+        val IDLE_LIMIT = 4.seconds
     }
 }
--- a/http/src/main/kotlin/org/lovageladder/http/RequestParsing.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/RequestParsing.kt
@@ -14,6 +14,7 @@
 
 private const val SERVICES_PREFIX = "/services/"
 private const val MAXIMUM_NAME_CHARACTERS = 255
+private val plainMethods = listOf("GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS")
 private val visibleAscii = '!'..'~'
 
 /** Reads a caller's request; throws [InputRejected] naming what does not fit. */
@@ -61,6 +62,10 @@
 }
 
 private fun plain(request: ReceivedRequest): ParsedRequest {
+    if (request.method !in plainMethods) {
+        val detail = "method ${request.method} is not passed on; allowed are ${plainMethods.joinToString()}"
+        throw InputRejected(InputFault(STATUS_METHOD_NOT_ALLOWED, "wrong-method", detail, "method"))
+    }
     val rest = request.target.removePrefix(SERVICES_PREFIX)
     val name = rest.takeWhile { it != '/' && it != '?' }
     if (name.isEmpty()) {
--- a/http/src/test/kotlin/org/lovageladder/http/CallerServerTest.kt
+++ b/http/src/test/kotlin/org/lovageladder/http/CallerServerTest.kt
@@ -17,11 +17,13 @@
 import org.lovageladder.core.RequestId
 import org.lovageladder.core.Step
 import org.lovageladder.core.Submission
+import java.net.BindException
 import java.util.concurrent.LinkedBlockingQueue
 import java.util.concurrent.TimeUnit
 import kotlin.test.AfterTest
 import kotlin.test.Test
 import kotlin.test.assertEquals
+import kotlin.test.assertFailsWith
 import kotlin.test.assertIs
 import kotlin.test.assertNotNull
 import kotlin.test.assertTrue
@@ -82,6 +84,8 @@
             BadInput(post("/services//x", "{}"), 404, "path"),
             BadInput(post("/v2/completions", "{}"), 404, "path"),
             BadInput("GET /v1/completions HTTP/1.1\r\nHost: a\r\n\r\n", 405, "method"),
+            BadInput("CONNECT /services/desk/x HTTP/1.1\r\n\r\n", 405, "method"),
+            BadInput("TRACE /services/desk/x HTTP/1.1\r\n\r\n", 405, "method"),
             BadInput(post("/services/desk/x", bigBody), 413, "body"),
             BadInput(post("/services/desk/x", bigBody, "Idempotency-Key: k"), 413, "body", keyed = true),
             BadInput(chunked("/services/desk/x", bigBody), 413, "body"),
@@ -343,6 +347,13 @@
         }
     }
 
+    @Test
+    fun anAddressThatIsTakenIsReported() {
+        assertFailsWith<BindException> {
+            startCallerServer(server.address, handler = callers, registry = SimpleMeterRegistry())
+        }
+    }
+
     @Test
     fun aDrainingServerFinishesWhatRunsAndAsksToClose() {
         CallerSocket(server.address).use { socket ->
--- a/http/src/test/kotlin/org/lovageladder/http/HttpUpstreamGatewayTest.kt
+++ b/http/src/test/kotlin/org/lovageladder/http/HttpUpstreamGatewayTest.kt
@@ -67,6 +67,8 @@
             FailedRow(run(decodeEngine, decode(content.copy(body = "no JSON"), 2)), FaultCause.PROTOCOL),
             FailedRow(run(decodeEngine, decode(content.copy(body = "{}"), 2)), FaultCause.REJECTED),
             FailedRow(run(service, plain("NOT A METHOD", "/a", IdempotencyKey("k"))), FaultCause.PROTOCOL),
+            FailedRow(run(service, plain("POST", "/a b\r\n", IdempotencyKey("k"))), FaultCause.PROTOCOL),
+            FailedRow(run(service, plain("POST", "/a", IdempotencyKey("k\r\nx"))), FaultCause.PROTOCOL),
         )
         for (row in rows) {
             val failed = assertIs<UpstreamReport.Failed>(row.ended.last, "$row")
