--- a/http/src/main/kotlin/org/lovageladder/http/RequestParsing.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/RequestParsing.kt
@@ -3,6 +3,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames
 import org.lovageladder.core.ClassName
 import org.lovageladder.core.IdempotencyKey
+import org.lovageladder.core.ModelName
 import org.lovageladder.core.RequestContent
 import org.lovageladder.core.ServiceName
 import org.lovageladder.core.Submission
@@ -13,6 +14,7 @@
 
 private const val SERVICES_PREFIX = "/services/"
 private const val MAXIMUM_NAME_CHARACTERS = 255
+private val plainMethods = listOf("GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS")
 private val visibleAscii = '!'..'~'
 
 /** Reads a caller's request; throws [InputRejected] naming what does not fit. */
@@ -42,7 +44,8 @@
     }
     val body = textOf(request.body)
     val parsed = readGeneration(body, shape)
-    val service = headerText(request, SERVICE_HEADER) ?: parsed.model ?: throw badField(
+    val named = headerText(request, SERVICE_HEADER)
+    val service = named ?: parsed.model ?: throw badField(
         "model",
         "field model is missing, and so is header $SERVICE_HEADER; one of them has to name the service",
     )
@@ -52,12 +55,17 @@
         promptTokens = estimateTokens(parsed.promptParts),
         outputTokens = parsed.outputTokens,
         prefixDigest = prefixDigest(parsed.promptParts),
+        model = parsed.model?.takeIf { named != null }?.let { ModelName(it) },
     )
     val answer = AnswerShape.Generation(shape, parsed.stream, parsed.model ?: service)
     return ParsedRequest(submission(request, ServiceName(service), content), answer)
 }
 
 private fun plain(request: ReceivedRequest): ParsedRequest {
+    if (request.method !in plainMethods) {
+        val detail = "method ${request.method} is not passed on; allowed are ${plainMethods.joinToString()}"
+        throw InputRejected(InputFault(STATUS_METHOD_NOT_ALLOWED, "wrong-method", detail, "method"))
+    }
     val rest = request.target.removePrefix(SERVICES_PREFIX)
     val name = rest.takeWhile { it != '/' && it != '?' }
     if (name.isEmpty()) {
