Prove promises in tables under virtual time; learn the release from peers in an outage

Cause: an entry started in an outage knew no companion to ask, one paused in an outage refused everything until the store came back, and a full page of notes was followed by the next one only after the refresh interval.

--- a/core/src/main/kotlin/org/lovageladder/core/CompanionLinks.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/CompanionLinks.kt
@@ -45,6 +45,14 @@
     /** The link that [connection] belongs to, if it is still the newest of its host. */
     fun ofConnection(connection: ConnectionId): CompanionLink? = byConnection[connection]
 
+    /** Connects to companions known from the settings, from which an entry learns the release in an outage. */
+    fun bootstrap(peers: List<BootstrapPeer>) {
+        peers.forEach { peer ->
+            val link = links.getOrPut(peer.host) { CompanionLink(peer.host, peer.address) }
+            if (link.connection == null) connect(link)
+        }
+    }
+
     /** Connects to the companions of [state] and drops those that are gone from it once nothing runs there. */
     fun apply(state: ReleaseState, now: Moment, busy: (HostName) -> Boolean) {
         val wanted = state.hosts.values.filter { it.role == HostRole.COMPANION }
--- a/core/src/main/kotlin/org/lovageladder/core/EntryMachine.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/EntryMachine.kt
@@ -93,6 +93,7 @@
         if (previous == null) {
             output.record(EventDraft(EventKind.PROCESS_STARTED, host = settings.host))
             notes.begin(now)
+            links.bootstrap(settings.bootstrap)
             beat(now)
         } else if (now - previous > settings.peerSilenceLimit) {
             notes.woke()
@@ -187,8 +188,14 @@
     private fun received(event: EntryEvent.Received, now: Moment) {
         val link = links.ofConnection(event.connection) ?: return
         links.heard(link, now)
-        if (notes.behind(event.envelope.release)) links.send(link, PeerMessage.FetchNotes(release))
-        message(link, event.envelope.message, now)
+        val message = event.envelope.message
+        message(link, message, now)
+        if (message is PeerMessage.Loads || message is PeerMessage.Notes) compare(link, event.envelope.release)
+    }
+
+    private fun compare(link: CompanionLink, version: ReleaseVersion) {
+        notes.peerKnows(version)
+        if (notes.behind(version)) links.send(link, PeerMessage.FetchNotes(release))
     }
 
     private fun message(link: CompanionLink, message: PeerMessage, now: Moment) {
--- a/core/src/main/kotlin/org/lovageladder/core/EntryRelease.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/EntryRelease.kt
@@ -37,6 +37,11 @@
         ask()
     }
 
+    /** While the store is away, a companion that answers now and knows nothing newer ends the doubt after a pause. */
+    fun peerKnows(version: ReleaseVersion) {
+        if (storeLost && !behind(version)) stale = false
+    }
+
     fun offer(notes: List<AcceptedNote>, now: Moment) {
         val fresh = follower.offer(notes)
         if (fresh.isEmpty()) return
@@ -59,7 +64,7 @@
     private fun ask() {
         if (asking) return
         asking = true
-        val request = StoreRequest.ReadAfter(NOTE_PREFIX, noteStoreKey(state.version))
+        val request = StoreRequest.ReadAfter(NOTE_PREFIX, noteStoreKey(state.version), PAGE)
         output.askStore(request, settings.storeTimeout) { answer, now -> answered(answer, now) }
     }
 
@@ -70,6 +75,7 @@
             storeLost = false
             stale = false
             offer(answer.entries.mapNotNull { decode(it) }, now)
+            if (answer.entries.size == PAGE) ask()
             return
         }
         if (!storeLost) output.record(EventDraft(EventKind.STORE_LOST, detail = answer.toString()))
@@ -96,6 +102,7 @@
 
     private companion object {
         const val WATCHERS = 3
+        const val PAGE = 256
         const val UNWATCHED_ROUNDS = 5L
         val RETRY_INTERVAL = 200.milliseconds
     }
--- a/core/src/main/kotlin/org/lovageladder/core/Settings.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/Settings.kt
@@ -12,12 +12,16 @@
     ROUND_ROBIN,
 }
 
+/** A companion that an entry knows from its settings, before it has a release. */
+public data class BootstrapPeer(val host: HostName, val address: Address)
+
 /** Bounds and periods of an entry's decisions. */
 public data class EntrySettings(
     val process: ProcessName,
     val host: HostName,
     val place: PlaceName,
     val incarnation: Incarnation,
+    val bootstrap: List<BootstrapPeer> = emptyList(),
     val policy: ChoicePolicy = ChoicePolicy.LEDGER,
     val randomSeed: Long = incarnation.number,
     val heartbeatInterval: Duration = 1.seconds,
--- a/core/src/test/kotlin/org/lovageladder/core/world/CompanionProcess.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/world/CompanionProcess.kt
@@ -39,8 +39,8 @@
         upstreams.forEach { world.oracle.closed(it.entry.name, null) }
     }
 
-    override fun connectionsClosed() {
-        channels.values.forEach { it.close() }
+    override fun closeConnections(orderly: Boolean) {
+        channels.values.forEach { it.close(orderly) }
         channels.clear()
     }
 
--- a/core/src/test/kotlin/org/lovageladder/core/world/EntryProcess.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/world/EntryProcess.kt
@@ -2,6 +2,8 @@
 
 import kotlinx.serialization.json.Json
 import org.lovageladder.core.AcceptedNote
+import org.lovageladder.core.Address
+import org.lovageladder.core.BootstrapPeer
 import org.lovageladder.core.ConnectionId
 import org.lovageladder.core.EntryDecisions
 import org.lovageladder.core.EntryEffect
@@ -19,6 +21,7 @@
 import org.lovageladder.core.ProcessName
 import org.lovageladder.core.ReleaseVersion
 import org.lovageladder.core.Step
+import org.lovageladder.core.entryDecisions
 import kotlin.time.Duration.Companion.milliseconds
 
 /** An entry's decisions with fake connections, callers and key-value service around them. */
@@ -34,24 +37,26 @@
 
     override fun start(incarnation: Long) {
         val place = world.entryFor(host).place
-        decisions = entryOf(EntrySettings(ProcessName(host.text), host, place, Incarnation(incarnation)))
+        decisions = entryDecisions(
+            EntrySettings(ProcessName(host.text), host, place, Incarnation(incarnation), bootstrap = bootstrap()),
+        )
         watching = false
         world.store.watch { entry ->
             if (watching && incarnation == this.incarnation && !world.store.down) seen(entry.value)
         }
     }
 
-    private fun entryOf(settings: EntrySettings) = org.lovageladder.core.entryDecisions(settings)
+    private fun bootstrap() = world.companions.take(2).map { BootstrapPeer(it.host, Address("127.0.0.1", 1)) }
 
     private fun seen(value: String) {
         val note = runCatching { Json.decodeFromString(AcceptedNote.serializer(), value) }.getOrNull() ?: return
         world.time.after(1.milliseconds) { deliver(EntryEvent.NoteSeen(note)) }
     }
 
-    override fun connectionsClosed() {
+    override fun closeConnections(orderly: Boolean) {
         callers.values.filter { it.outcome == null }.forEach { it.connectionLost = true }
         callers.clear()
-        channels.values.forEach { it.close() }
+        channels.values.forEach { it.close(orderly) }
         channels.clear()
     }
 
@@ -145,5 +150,7 @@
 
     fun stop() = deliver(EntryEvent.StopRequested)
 
+    fun isReady(): Boolean = alive && decisions.ready
+
     override fun toString(): String = host.text
 }
--- a/core/src/test/kotlin/org/lovageladder/core/world/FleetRelease.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/world/FleetRelease.kt
@@ -67,6 +67,7 @@
             name = ClassName("report"),
             service = ServiceName("report-model"),
             target = LatencyTarget.Stream(2.seconds, 50.milliseconds),
+            outputBound = 8000,
         ),
         lookupClass,
         ReleaseEntry.RequestClass(
--- a/core/src/test/kotlin/org/lovageladder/core/world/Network.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/world/Network.kt
@@ -1,6 +1,7 @@
 package org.lovageladder.core.world
 
 import org.lovageladder.core.Envelope
+import org.lovageladder.core.Moment
 import kotlin.random.Random
 import kotlin.time.Duration.Companion.microseconds
 
@@ -35,6 +36,8 @@
         private var lastToEntry = time.now
         private var lastToCompanion = time.now
 
+        private var delivering = true
+
         var open = true
             private set
 
@@ -50,17 +53,23 @@
             carry(lastToCompanion) { companionSide.received(envelope) }
         }
 
-        /** Closes the connection; each side that is still reached learns it. */
-        fun close() {
+        /**
+         * Closes the connection; each side that is still reached learns it. What was sent before is delivered first
+         * when the close is [orderly], and lost otherwise.
+         */
+        fun close(orderly: Boolean = false) {
             if (!open) return
             open = false
-            time.after(delay()) { if (Cut.TO_ENTRY !in cuts) entrySide.closed() }
-            time.after(delay()) { if (Cut.TO_COMPANION !in cuts) companionSide.closed() }
+            delivering = orderly
+            time.at(maxOf(lastToEntry, time.now + delay())) { if (Cut.TO_ENTRY !in cuts) entrySide.closed() }
+            time.at(maxOf(lastToCompanion, time.now + delay())) {
+                if (Cut.TO_COMPANION !in cuts) companionSide.closed()
+            }
         }
 
-        private fun carry(moment: org.lovageladder.core.Moment, deliver: () -> Unit) {
-            time.at(moment) { if (open) deliver() }
-            if (duplicates && random.nextInt(DUPLICATE_ONE_IN) == 0) time.at(moment) { if (open) deliver() }
+        private fun carry(moment: Moment, deliver: () -> Unit) {
+            time.at(moment) { if (delivering) deliver() }
+            if (duplicates && random.nextInt(DUPLICATE_ONE_IN) == 0) time.at(moment) { if (delivering) deliver() }
         }
 
         private fun delay() = random.nextInt(MAX_DELAY_MICROSECONDS).microseconds
--- a/core/src/test/kotlin/org/lovageladder/core/world/Process.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/world/Process.kt
@@ -20,7 +20,7 @@
 
     protected abstract fun start(incarnation: Long)
 
-    protected abstract fun connectionsClosed()
+    protected abstract fun closeConnections(orderly: Boolean)
 
     protected abstract fun handle(event: E)
 
@@ -40,10 +40,12 @@
         deliver(timePassed)
     }
 
-    fun kill() {
+    fun kill() = end(orderly = false)
+
+    private fun end(orderly: Boolean) {
         if (!alive) return
         alive = false
-        connectionsClosed()
+        closeConnections(orderly)
     }
 
     fun freeze() {
@@ -68,9 +70,7 @@
         if (frozen) waiting += event else take(event)
     }
 
-    protected fun exit() {
-        kill()
-    }
+    protected fun exit() = end(orderly = true)
 
     fun clock() = HybridTime(world.time.now.microseconds / MICROSECONDS_PER_MILLISECOND, 0)
 
--- a/core/src/test/kotlin/org/lovageladder/core/world/WholeSystemFuzzTest.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/world/WholeSystemFuzzTest.kt
@@ -45,7 +45,7 @@
 }
 
 class WholeSystemFuzzTest {
-    @Property(seed = "20261204", tries = 3000, shrinking = ShrinkingMode.BOUNDED)
+    @Property(seed = "20261204", tries = 10_000, shrinking = ShrinkingMode.BOUNDED)
     fun noPromiseIsBrokenUnderAnySequenceOfFaults(@ForAll("sequences") commands: List<Command>) {
         val world = World(commands.hashCode().toLong())
         commands.forEach { run(world, it) }
--- /dev/null
+++ b/core/src/test/kotlin/org/lovageladder/core/world/WholeSystemTest.kt
@@ -0,0 +1,124 @@
+package org.lovageladder.core.world
+
+import org.lovageladder.core.Execution
+import org.lovageladder.core.Outcome
+import org.lovageladder.core.RefusalReason
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertIs
+import kotlin.test.assertNotNull
+import kotlin.test.assertTrue
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+class WholeSystemTest {
+    private class FreeingRow(val name: String, val bound: Duration, val gone: (World, Caller) -> Unit)
+
+    @Test
+    fun memoryIsFreeSoonAfterNobodyAwaitsIt() {
+        val silence = 4.seconds + 250.milliseconds
+        val rows = listOf(
+            FreeingRow("caller left", 250.milliseconds) { world, caller -> world.leave(caller) },
+            FreeingRow("entry died", 250.milliseconds) { world, _ -> world.entries[0].kill() },
+            FreeingRow("entry froze", silence) { world, _ -> world.entries[0].freeze() },
+            FreeingRow("entry cut off", silence) { world, _ -> world.network.cut(Cut.TO_COMPANION, lasting = true) },
+            FreeingRow("companion restarted", 2.seconds) { world, _ ->
+                world.companions.forEach { it.kill() }
+                world.companions.forEach { it.boot() }
+            },
+        )
+        for (row in rows) {
+            for (age in listOf(1, 5, 20, 40, 100)) {
+                val world = World(age.toLong())
+                val caller = world.generation(entry = 0, tokens = 4000)
+                world.advance(age.milliseconds)
+                row.gone(world, caller)
+                world.upstreams.forEach { it.slowFactor = 50 }
+                world.advance(row.bound)
+                val held = world.upstreams.filter { it.requests.isNotEmpty() }.map { it.entry.name }
+                assertEquals(emptyList(), held, "${row.name} after $age ms")
+            }
+        }
+    }
+
+    @Test
+    fun anUpstreamThatLeavesFinishesWhatItHasAndGetsNothingNew() {
+        val world = World(1)
+        val callers = (1..4).map { world.generation(entry = it, tokens = 200) }
+        world.advance(100.milliseconds)
+        world.companions.forEach { it.stop() }
+        world.advance(30.seconds)
+        callers.forEach { assertIs<Outcome.Generated>(it.outcome) }
+        assertEquals(emptyList(), world.oracle.violations)
+    }
+
+    @Test
+    fun aRepeatedKeyIsAnsweredOnceByTheUpstreamAndTwiceByTheEntries() {
+        val world = World(1)
+        val first = world.action(entry = 0, key = 1)
+        val crossing = world.action(entry = 1, key = 1)
+        world.advance(1.seconds)
+        val late = world.action(entry = 1, key = 1)
+        world.advance(1.seconds)
+        listOf(first, crossing, late).forEach { assertIs<Outcome.Answered>(it.outcome) }
+        assertTrue(assertIs<Outcome.Answered>(late.outcome).replayed)
+        assertEquals(emptyList(), world.oracle.violations)
+    }
+
+    @Test
+    fun aNoteIsInForceEverywhereWithinFourSeconds() {
+        val rows = listOf<(World) -> Unit>(
+            {},
+            { it.store.down = true },
+            { it.store.hiddenNotes = 1 },
+        )
+        for (afterAcceptance in rows) {
+            val world = World(1)
+            world.publishWorth(7)
+            world.advance(2.milliseconds)
+            afterAcceptance(world)
+            world.advance(4.seconds)
+            (world.entries + world.companions).forEach { it.checkRelease(world.oracle, world.published) }
+            assertEquals(emptyList(), world.oracle.violations)
+        }
+    }
+
+    @Test
+    fun anEntryThatStartsInAnOutageLearnsTheReleaseFromItsPeers() {
+        val world = World(1)
+        world.store.down = true
+        world.entries[0].kill()
+        world.entries[0].boot()
+        world.advance(4.seconds)
+        assertTrue(world.entries[0].isReady())
+        val lookup = world.lookup(entry = 0)
+        world.advance(1.seconds)
+        assertIs<Outcome.Answered>(lookup.outcome)
+    }
+
+    @Test
+    fun anActionDuringAnOutageIsRefusedWithTheTruth() {
+        val world = World(1)
+        val before = world.action(entry = 0, key = 1)
+        world.advance(1.seconds)
+        assertIs<Outcome.Answered>(before.outcome)
+        world.store.down = true
+        val repeated = world.action(entry = 1, key = 1)
+        world.advance(2.seconds)
+        val refused = assertIs<Outcome.Refused>(repeated.outcome)
+        assertEquals(RefusalReason.STORE_UNAVAILABLE, refused.reason)
+        assertEquals(Execution.UNKNOWN, refused.execution)
+        assertEquals(false, refused.submissionRan)
+        assertNotNull(refused.retryAfter)
+    }
+
+    @Test
+    fun aPromptLargerThanAnyUpstreamIsRefusedAtOnce() {
+        val world = World(1)
+        val caller = world.generation(entry = 0, tokens = 1, promptTokens = 20_000)
+        val refused = assertIs<Outcome.Refused>(caller.outcome)
+        assertEquals(RefusalReason.PROMPT_TOO_LARGE, refused.reason)
+        assertTrue("5 pieces" in refused.detail && "has 4" in refused.detail, refused.detail)
+    }
+}
--- a/core/src/test/kotlin/org/lovageladder/core/world/World.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/world/World.kt
@@ -52,9 +52,9 @@
 
     fun advance(duration: Duration) = time.advance(duration)
 
-    fun generation(entry: Int, tokens: Int): Caller {
+    fun generation(entry: Int, tokens: Int, promptTokens: Int = 100): Caller {
         val number = oracle.callers.size
-        val content = RequestContent.Generation("/v1/completions", "g$number", 100 + number, tokens, number.toLong())
+        val content = RequestContent.Generation("/v1/completions", "g$number", promptTokens, tokens, number.toLong())
         return submit(entry, Submission(ServiceName("report-model"), null, null, content))
     }
 
--- a/daemon/src/main/kotlin/org/lovageladder/daemon/EntryCommand.kt
+++ b/daemon/src/main/kotlin/org/lovageladder/daemon/EntryCommand.kt
@@ -14,6 +14,8 @@
 internal class EntryCommand : CliktCommand("entry") {
     private val common by CommonFlags()
     private val listen by addressFlag("--listen", "Where callers connect.").required()
+    private val bootstrap by
+        companionsFlag("--bootstrap", "Companions from which the release is learned in an outage.")
     private val policy by choiceFlag("--policy", "How upstreams are chosen.", POLICIES, ChoicePolicy.LEDGER)
     private val hedging by switchFlag("--hedging", "Second attempts beside slow ones.", true)
     private val reserveFirst by switchFlag("--reserve-first", "Reserve decode memory before a prefill.", true)
@@ -47,6 +49,7 @@
             host = common.host,
             place = common.place,
             incarnation = drawIncarnation(),
+            bootstrap = bootstrap.orEmpty(),
             policy = policy,
             heartbeatInterval = heartbeatInterval,
             peerSilenceLimit = peerSilenceLimit,
--- a/daemon/src/main/kotlin/org/lovageladder/daemon/Flags.kt
+++ b/daemon/src/main/kotlin/org/lovageladder/daemon/Flags.kt
@@ -8,6 +8,8 @@
 import com.github.ajalt.clikt.parameters.options.option
 import com.github.ajalt.clikt.parameters.types.choice
 import org.lovageladder.core.Address
+import org.lovageladder.core.BootstrapPeer
+import org.lovageladder.core.HostName
 import java.net.InetAddress
 import java.net.UnknownHostException
 import kotlin.time.Duration
@@ -42,6 +44,20 @@
         value.split(',').map { part -> parseAddress(part.trim()) ?: fail("\"$part\", $ALLOWED_ADDRESS") }
     }
 
+/** A flag that takes companions by host and address, separated by commas. */
+internal fun ParameterHolder.companionsFlag(
+    flag: String,
+    help: String,
+): NullableOption<List<BootstrapPeer>, List<BootstrapPeer>> =
+    option(flag, help = help, envvar = environmentVariable(flag), metavar = "HOST@IP:PORT,...").convert { value ->
+        value.split(',').map { part -> parseCompanion(part.trim()) ?: fail("\"$part\", $ALLOWED_COMPANION") }
+    }
+
+private fun parseCompanion(text: String): BootstrapPeer? {
+    val host = text.substringBefore('@', "").takeIf(NAME::matches) ?: return null
+    return parseAddress(text.substringAfter('@'))?.let { BootstrapPeer(HostName(host), it) }
+}
+
 /** A flag that takes a duration within [allowed]. */
 internal fun ParameterHolder.durationFlag(
     flag: String,
@@ -98,4 +114,5 @@
 private val IP_VERSION_4 = Regex("""(?:(?:25[0-5]|2[0-4]\d|1?\d?\d)(?:\.(?!$)|$)){4}""")
 private val NAME = Regex("[A-Za-z0-9_.][A-Za-z0-9_.-]{0,62}")
 private const val MAXIMUM_PORT = 65_535
+private const val ALLOWED_COMPANION = "allowed is HOST@IP:PORT, such as host-1@127.0.0.1:8080"
 private const val ALLOWED_ADDRESS = "allowed is IP:PORT, such as 127.0.0.1:8080 or [::1]:8080"
