--- a/daemon/src/main/kotlin/org/lovageladder/daemon/CompanionProcess.kt
+++ b/daemon/src/main/kotlin/org/lovageladder/daemon/CompanionProcess.kt
@@ -27,7 +27,7 @@
     private val decisions = companionDecisions(settings.decisions)
     private val parts = ProcessParts(settings.decisions.process, settings.process)
     private val control = ControlThread(Machine(), ControlMeters(parts.registry), parts.ending::failed)
-    private val upstreams = openHttpUpstreamGateway()
+    private val upstreams = openHttpUpstreamGateway(parts.threads)
     private val listener =
         listenOn("--peer-listen", settings.peer) {
             startPeerListener(
@@ -40,7 +40,7 @@
     private val adminServer =
         listenOn("--admin", settings.process.admin) {
             val operators = ProcessAdmin(parts.state, parts.ring, ::statusJson, ::requestStop)
-            startAdminServer(settings.process.admin, operators, parts.registry)
+            startAdminServer(settings.process.admin, operators, parts.registry, parts.threads)
         }
 
     override val traffic = listener.address
--- a/daemon/src/main/kotlin/org/lovageladder/daemon/EntryProcess.kt
+++ b/daemon/src/main/kotlin/org/lovageladder/daemon/EntryProcess.kt
@@ -38,12 +38,17 @@
     private val dialer = openPeerDialer(handler = Companions())
     private val callers =
         listenOn("--listen", settings.callers) {
-            startCallerServer(settings.callers, handler = Callers(), registry = parts.registry)
+            startCallerServer(
+                bind = settings.callers,
+                handler = Callers(),
+                registry = parts.registry,
+                threads = parts.threads,
+            )
         }
     private val adminServer =
         listenOn("--admin", settings.process.admin) {
             val operators = ProcessAdmin(parts.state, parts.ring, ::statusJson, ::requestStop)
-            startAdminServer(settings.process.admin, operators, parts.registry)
+            startAdminServer(settings.process.admin, operators, parts.registry, parts.threads)
         }
 
     override val traffic = callers.address
--- a/daemon/src/main/kotlin/org/lovageladder/daemon/ProcessParts.kt
+++ b/daemon/src/main/kotlin/org/lovageladder/daemon/ProcessParts.kt
@@ -9,8 +9,10 @@
 import org.lovageladder.core.EventDraft
 import org.lovageladder.core.HostList
 import org.lovageladder.core.HybridClock
+import org.lovageladder.core.ListedHost
 import org.lovageladder.core.ProcessName
 import org.lovageladder.core.ReleaseVersion
+import org.lovageladder.http.HttpThreads
 import org.lovageladder.http.openEtcdStore
 import org.lovageladder.http.openHttpHostList
 import java.util.concurrent.Executors
@@ -23,10 +25,11 @@
     val registry = PrometheusMeterRegistry(PrometheusConfig.DEFAULT)
     val clock = HybridClock(System::currentTimeMillis)
     val ring = EventRing()
-    val store = openEtcdStore(settings.store)
+    val threads = HttpThreads()
+    val store = openEtcdStore(settings.store, threads)
     val ending = ProcessEnding(settings.drainTimeout, timer)
     val state = PublishedState()
-    private val hostList: HostList? = settings.hostList?.let { openHttpHostList(it) }
+    private val hostList: HostList? = settings.hostList?.let { openHttpHostList(it, threads) }
     private val log = EventLog(name, clock, ring, registry)
     private val garbageCollection = JvmGcMetrics()
 
@@ -43,7 +46,7 @@
     }
 
     /** Reads the host list at intervals, if the process has one. */
-    fun pollHostList(listed: (List<org.lovageladder.core.ListedHost>) -> Unit) {
+    fun pollHostList(listed: (List<ListedHost>) -> Unit) {
         val list = hostList ?: return
         HostListPoll(list, settings.hostListInterval, timer, listed).start()
     }
@@ -53,6 +56,7 @@
         garbageCollection.close()
         store.close()
         hostList?.close()
+        threads.close()
         registry.close()
     }
 }
--- /dev/null
+++ b/daemon/src/test/kotlin/org/lovageladder/daemon/CommandTest.kt
@@ -0,0 +1,80 @@
+package org.lovageladder.daemon
+
+import com.github.ajalt.clikt.core.subcommands
+import com.github.ajalt.clikt.testing.test
+import java.net.InetAddress
+import java.net.ServerSocket
+import kotlin.test.Test
+import kotlin.test.assertContains
+import kotlin.test.assertNotEquals
+
+class CommandTest {
+    private class Case(val flag: String, val value: String, val allowed: String, val role: String = "entry")
+
+    private val required = mapOf(
+        "--name" to "a",
+        "--host" to "h",
+        "--place" to "p",
+        "--admin" to "127.0.0.1:0",
+        "--store" to "127.0.0.1:1",
+    )
+
+    private val cases = listOf(
+        Case("--name", "two words", "letters, digits"),
+        Case("--admin", "127.0.0.1", "IP:PORT"),
+        Case("--admin", "localhost:80", "IP:PORT"),
+        Case("--admin", "127.0.0.1:65536", "IP:PORT"),
+        Case("--admin", "256.0.0.1:80", "IP:PORT"),
+        Case("--admin", "[::g]:80", "IP:PORT"),
+        Case("--listen", "1.2.3.4.5:80", "IP:PORT"),
+        Case("--peer-listen", "::1:80", "IP:PORT", role = "companion"),
+        Case("--store", "127.0.0.1:1,x", "IP:PORT"),
+        Case("--drain-timeout", "25h", "0s to 1d"),
+        Case("--store-timeout", "soon", "10ms to 10m"),
+        Case("--retry-budget", "1.5", "0 to 1"),
+        Case("--policy", "best", "ledger, round-robin"),
+        Case("--hedging", "maybe", "on, off"),
+        Case("--log-level", "loud", "debug, info, warning, error"),
+        Case("--log-format", "xml", "text, json"),
+    )
+
+    private fun run(role: String, flags: Map<String, String>, environment: Map<String, String> = emptyMap()) =
+        DaemonCommand().subcommands(EntryCommand(), CompanionCommand())
+            .test(listOf(role) + flags.flatMap { listOf(it.key, it.value) }, envvars = environment, width = 200)
+
+    @Test
+    fun wrongValuesAreNamedWithFlagAndWhatIsAllowed() {
+        cases.forEach { case ->
+            val result = run(case.role, required + (case.flag to case.value))
+            assertNotEquals(0, result.statusCode, case.flag)
+            listOf(case.flag, case.value.substringAfter(','), case.allowed).forEach {
+                assertContains(result.stderr, it)
+            }
+        }
+    }
+
+    @Test
+    fun wrongValuesOfEnvironmentVariablesAreNamedToo() {
+        cases.forEach { case ->
+            val variable = environmentVariable(case.flag)
+            val result = run(case.role, required - case.flag, mapOf(variable to case.value))
+            listOf(variable, case.allowed).forEach { assertContains(result.stderr, it) }
+        }
+    }
+
+    @Test
+    fun missingFlagsAreNamed() {
+        required.keys.forEach { flag -> assertContains(run("entry", required - flag).stderr, flag) }
+    }
+
+    @Test
+    fun anAddressInUseIsNamedWithItsFlag() {
+        ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use { taken ->
+            val address = "127.0.0.1:${taken.localPort}"
+            listOf("entry" to "--listen", "companion" to "--peer-listen").forEach { (role, flag) ->
+                val result = run(role, required + (flag to address))
+                assertContains(result.stderr, "$flag $address cannot be bound")
+            }
+        }
+    }
+}
--- a/http/src/main/kotlin/org/lovageladder/http/HttpThreads.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/HttpThreads.kt
@@ -8,13 +8,17 @@
 import io.netty.util.concurrent.DefaultThreadFactory
 import java.util.concurrent.TimeUnit
 
-/** Event loop threads that HTTP servers and clients of one process share. Closing ends all connections on them. */
+/**
+ * Event loop threads that HTTP servers and clients of one process share. Closing ends all connections on them and
+ * waits, at most two seconds, until the tasks handed over before have run. May not be closed on one of its threads.
+ */
 public class HttpThreads(count: Int = DEFAULT_COUNT) : AutoCloseable {
     internal val group: EventLoopGroup =
         MultiThreadIoEventLoopGroup(count, DefaultThreadFactory("http", true), NioIoHandler.newFactory())
 
     override fun close() {
         group.shutdownGracefully(0, CLOSE_LIMIT_SECONDS, TimeUnit.SECONDS)
+            .awaitUninterruptibly(CLOSE_LIMIT_SECONDS, TimeUnit.SECONDS)
     }
 
     public companion object {
--- a/peer/src/main/kotlin/org/lovageladder/peer/PeerDialer.kt
+++ b/peer/src/main/kotlin/org/lovageladder/peer/PeerDialer.kt
@@ -28,6 +28,9 @@
 
     /** Closes a connection, or gives up its opening, without waiting and without a report. */
     public fun close(connection: ConnectionId)
+
+    /** Closes all connections and waits, at most [PeerSettings.closeTimeout], until what is queued was sent. */
+    override fun close()
 }
 
 /** Creates a dialer without connections. */
--- a/peer/src/main/kotlin/org/lovageladder/peer/PeerListener.kt
+++ b/peer/src/main/kotlin/org/lovageladder/peer/PeerListener.kt
@@ -6,9 +6,7 @@
 import io.ktor.network.sockets.ServerSocket
 import io.ktor.network.sockets.Socket
 import io.ktor.network.sockets.aSocket
-import io.ktor.network.sockets.isClosed
-import kotlinx.coroutines.currentCoroutineContext
-import kotlinx.coroutines.isActive
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.runBlocking
 import kotlinx.io.IOException
@@ -22,6 +20,7 @@
 import org.lovageladder.core.PeerMessage
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.atomic.AtomicLong
+import kotlin.time.Duration.Companion.milliseconds
 
 /** Accepts connections of entries at a companion. */
 public interface PeerListener : AutoCloseable {
@@ -33,6 +32,9 @@
 
     /** Closes a connection after what is queued, without waiting and without a report. */
     public fun close(connection: ConnectionId)
+
+    /** Closes all connections and waits, at most [PeerSettings.closeTimeout], until what is queued was sent. */
+    override fun close()
 }
 
 /**
@@ -69,6 +71,9 @@
     private val registry = ProcessRegistry()
     private val lastConnection = AtomicLong()
 
+    @Volatile
+    private var closing = false
+
     override val address: Address = Address(bind.ip, (socket.localAddress as InetSocketAddress).port)
 
     init {
@@ -84,6 +89,7 @@
     }
 
     override fun close() {
+        closing = true
         socket.close()
         links.values.forEach(::closeLink)
         traffic.close(settings.closeTimeout)
@@ -100,17 +106,16 @@
     }
 
     private suspend fun acceptAll() {
-        while (currentCoroutineContext().isActive && !socket.isClosed) {
-            val accepted =
-                try {
-                    socket.accept()
-                } catch (closed: IOException) {
-                    if (socket.isClosed) return
-                    handler.rejected(EventKind.PEER_REFUSED, lostBy("$address", closed))
-                    continue
-                }
-            val connection = ConnectionId(lastConnection.incrementAndGet())
-            traffic.scope.launch { serve(connection, accepted) }
+        while (!closing) {
+            try {
+                val accepted = socket.accept()
+                val connection = ConnectionId(lastConnection.incrementAndGet())
+                traffic.scope.launch { serve(connection, accepted) }
+            } catch (failure: IOException) {
+                if (closing) return
+                handler.rejected(EventKind.PEER_REFUSED, lostBy("$address", failure))
+                delay(ACCEPT_PAUSE)
+            }
         }
     }
 
@@ -144,3 +149,5 @@
         if (link.established) handler.lost(link.connection, fault)
     }
 }
+
+private val ACCEPT_PAUSE = 100.milliseconds
--- a/peer/src/main/kotlin/org/lovageladder/peer/PeerTraffic.kt
+++ b/peer/src/main/kotlin/org/lovageladder/peer/PeerTraffic.kt
@@ -7,8 +7,9 @@
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.asCoroutineDispatcher
 import kotlinx.coroutines.cancel
-import kotlinx.coroutines.delay
-import kotlinx.coroutines.launch
+import kotlinx.coroutines.job
+import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.withTimeoutOrNull
 import java.util.concurrent.Executors
 import kotlin.time.Duration
 
@@ -20,12 +21,12 @@
     val selector = SelectorManager(selectorThread.asCoroutineDispatcher())
     val scope = CoroutineScope(SupervisorJob() + Dispatchers.IO + CoroutineName("peer"))
 
-    /** Lets what is being sent go out for [grace], without waiting for it, then ends everything. */
+    /** Waits at most [grace] until all connections have ended by themselves, then ends everything. */
     fun close(grace: Duration) {
-        scope.launch {
-            delay(grace)
-            close()
+        runBlocking {
+            withTimeoutOrNull(grace) { scope.coroutineContext.job.children.forEach { it.join() } }
         }
+        close()
     }
 
     override fun close() {
