--- a/daemon/src/main/kotlin/org/lovageladder/daemon/CompanionCommand.kt
+++ b/daemon/src/main/kotlin/org/lovageladder/daemon/CompanionCommand.kt
@@ -25,6 +25,9 @@
     private val claimMemory by
         durationFlag("--claim-memory", "How long ended claims are remembered.", 60.minutes, 1.minutes..24.hours)
 
+    private val queueLimit by
+        countFlag("--queue-limit", "Calls and reservations that wait for an upstream.", QUEUE_LIMIT, 1..MOST_QUEUED)
+
     override fun help(context: Context): String = "Guards the upstreams of its host and runs calls on them."
 
     override fun run() {
@@ -44,12 +47,15 @@
             storeRefreshInterval = storeRefreshInterval,
             cancelRetryInterval = cancelRetryInterval,
             claimMemory = claimMemory,
+            queueLimit = queueLimit,
         ),
         process = common.processSettings(),
         peer = peerListen,
     )
 
     private companion object {
+        const val QUEUE_LIMIT = 256
+        const val MOST_QUEUED = 100_000
         val PERIODS = 10.milliseconds..10.minutes
     }
 }
--- a/daemon/src/main/kotlin/org/lovageladder/daemon/EventLog.kt
+++ b/daemon/src/main/kotlin/org/lovageladder/daemon/EventLog.kt
@@ -59,5 +59,14 @@
     record.upstream?.let { append(" upstream=").append(it) }
     record.host?.let { append(" host=").append(it) }
     record.note?.let { append(" note=").append(it) }
-    if (record.detail.isNotEmpty()) append(" detail=\"").append(record.detail.replace('"', '\'')).append('"')
+    if (record.detail.isNotEmpty()) append(" detail=\"").append(quotable(record.detail)).append('"')
 }
+
+/** [text] on one line and without double quotes, since callers choose parts of it. */
+private fun quotable(text: String): String = text.map { character ->
+    when {
+        character == '"' -> '\''
+        character.isISOControl() -> ' '
+        else -> character
+    }
+}.joinToString("")
--- a/daemon/src/main/kotlin/org/lovageladder/daemon/Flags.kt
+++ b/daemon/src/main/kotlin/org/lovageladder/daemon/Flags.kt
@@ -66,6 +66,18 @@
             value.toDoubleOrNull()?.takeIf { it in 0.0..1.0 } ?: fail("\"$value\", allowed are numbers from 0 to 1")
         }.default(default, defaultForHelp = default.toString())
 
+/** A flag that takes a whole number within [allowed]. */
+internal fun ParameterHolder.countFlag(
+    flag: String,
+    help: String,
+    default: Int,
+    allowed: IntRange,
+): OptionWithValues<Int, Int, Int> = option(flag, help = help, envvar = environmentVariable(flag), metavar = "COUNT")
+    .convert { value ->
+        value.toIntOrNull()?.takeIf { it in allowed }
+            ?: fail("\"$value\", allowed are ${allowed.first} to ${allowed.last}")
+    }.default(default, defaultForHelp = default.toString())
+
 /** A flag that takes one of [values] by their words. */
 internal fun <Value : Any> ParameterHolder.choiceFlag(
     flag: String,
--- a/daemon/src/test/kotlin/org/lovageladder/daemon/CommandTest.kt
+++ b/daemon/src/test/kotlin/org/lovageladder/daemon/CommandTest.kt
@@ -32,6 +32,7 @@
         Case("--drain-timeout", "25h", "0s to 1d"),
         Case("--store-timeout", "soon", "10ms to 10m"),
         Case("--retry-budget", "1.5", "0 to 1"),
+        Case("--queue-limit", "0", "1 to 100000", role = "companion"),
         Case("--policy", "best", "ledger, round-robin"),
         Case("--hedging", "maybe", "on, off"),
         Case("--log-level", "loud", "debug, info, warning, error"),
--- a/daemon/src/test/kotlin/org/lovageladder/daemon/EventRingTest.kt
+++ b/daemon/src/test/kotlin/org/lovageladder/daemon/EventRingTest.kt
@@ -21,7 +21,7 @@
         request = request?.let(::RequestId),
         upstream = upstream?.let(::UpstreamName),
         note = note?.let(::ReleaseVersion),
-        detail = "a \"quoted\" detail",
+        detail = "a \"quoted\"\ndetail",
     )
 
     @Test
