Ask named processes also while the key-value service is away

Found in a trial of the quickstart on a scratch copy, with its store stopped. Change: the release counts as empty then, with a line on standard error. Check: ProcessCommandsTest (5 tests) and the other client tests (21 in all) pass.

--- a/client/src/main/kotlin/org/lovageladder/client/ProcessCommand.kt
+++ b/client/src/main/kotlin/org/lovageladder/client/ProcessCommand.kt
@@ -6,6 +6,7 @@
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.andThen
+import com.github.michaelbull.result.getOrElse
 import com.github.michaelbull.result.map
 import org.lovageladder.core.Fault
 import org.lovageladder.core.ReleaseState
@@ -17,18 +18,25 @@
     private val storeOptions by StoreOptions()
     private val processOptions by ProcessOptions()
 
-    /** Processes to ask, and what is in force; the release is empty when no key-value service is named. */
+    /** Processes to ask, and what is in force; the release is empty when it cannot be read and processes are named. */
     protected fun findSystem(): Result<FoundSystem, ClientFailure> {
-        if (storeOptions.addresses != null) {
-            return withNotes(storeOptions) { it.readHistory("the hosts in force cannot be read; name --process") }
-                .map { history -> foundSystem(history.state) }
-        }
+        if (storeOptions.addresses != null) return readRelease().map { foundSystem(it) }
         if (processOptions.addresses.isEmpty()) {
             throw UsageError("--store is missing; allowed: IP:PORT,... (or LOVAGELADDER_STORE), or --process IP:PORT")
         }
         return Ok(foundSystem(ReleaseState.EMPTY))
     }
 
+    private fun readRelease(): Result<ReleaseState, ClientFailure> {
+        val history = withNotes(storeOptions) { it.readHistory("the hosts in force cannot be read; name --process") }
+        if (processOptions.addresses.isEmpty()) return history.map { it.state }
+        val state = history.map { it.state }.getOrElse { failure ->
+            echo("without the release: ${failure.message}", err = true)
+            ReleaseState.EMPTY
+        }
+        return Ok(state)
+    }
+
     /** Calls [use] with a client for the admin addresses of processes and closes it. */
     protected fun <T> withAdmin(use: (AdminClient) -> T): T = openAdminClient(processOptions.timeout).use(use)
 
--- a/client/src/test/kotlin/org/lovageladder/client/ProcessCommandsTest.kt
+++ b/client/src/test/kotlin/org/lovageladder/client/ProcessCommandsTest.kt
@@ -100,6 +100,15 @@
         assertEquals(true, shown.lines[3].startsWith("no answer from entry-2: CONNECT at $absent: UNREACHABLE"))
     }
 
+    @Test
+    fun namedProcessesAreAskedWhileTheKeyValueServiceIsAway() {
+        service.close()
+        assertEquals(ExitCode.UNREACHABLE.status, run("status").status)
+        val shown = run("status", "--process", entry.address.toString())
+        assertEquals(ExitCode.DONE.status, shown.status)
+        assertEquals(true, shown.lines[1].startsWith("e        entry"))
+    }
+
     @Test
     fun upstreamsJoinTheCompanionsLedgerAndTheEntriesView() {
         publishAll()
