--- a/core/src/main/kotlin/org/lovageladder/core/EntryMachine.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/EntryMachine.kt
@@ -173,7 +173,7 @@
         val content = submission.content
         return when (val target = requestClass.target) {
             is LatencyTarget.Stream ->
-                GenerationFlow(work, context, content as RequestContent.Generation, target, now)
+                GenerationFlow(work, context, forEngine(content as RequestContent.Generation, service), target, now)
             is LatencyTarget.Answer -> {
                 val plain = content as RequestContent.Plain
                 if (requestClass.idempotent || key == null) {
@@ -185,6 +185,12 @@
         }
     }
 
+    /** Callers may name the service where engines expect the model. */
+    private fun forEngine(
+        content: RequestContent.Generation,
+        service: ReleaseEntry.Service,
+    ): RequestContent.Generation = content.copy(model = content.model ?: service.model)
+
     private fun received(event: EntryEvent.Received, now: Moment) {
         val link = links.ofConnection(event.connection) ?: return
         links.heard(link, now)
--- a/core/src/main/kotlin/org/lovageladder/core/EntryRelease.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/EntryRelease.kt
@@ -83,11 +83,8 @@
         if (state.version == ReleaseVersion.NONE || stale) timers.at(now + RETRY_INTERVAL) { ask() }
     }
 
-    private fun decode(entry: StoredEntry): AcceptedNote? {
-        val note = decodeNote(entry.value)
-        if (note == null) output.record(EventDraft(EventKind.NOTE_UNREADABLE, detail = entry.key))
-        return note
-    }
+    private fun decode(entry: StoredEntry): AcceptedNote? =
+        storedNote(entry) { output.record(EventDraft(EventKind.NOTE_UNREADABLE, detail = it.key)) }
 
     private fun chooseWatch() {
         val entries = state.hosts.values
--- a/core/src/main/kotlin/org/lovageladder/core/PeerMessage.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/PeerMessage.kt
@@ -1,5 +1,6 @@
 package org.lovageladder.core
 
+import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 import kotlin.time.Duration
 
@@ -9,9 +10,16 @@
  * the clocks of two hosts are not comparable.
  */
 
-/** A message with what every message carries: the sender's release version and hybrid time stamp. */
+/**
+ * A message with what every message carries: the sender's release version and hybrid time stamp. Names of messages
+ * are short on the wire, since most messages are small.
+ */
 @Serializable
-public data class Envelope(val release: ReleaseVersion, val clock: HybridTime, val message: PeerMessage)
+public data class Envelope(
+    @SerialName("r") val release: ReleaseVersion,
+    @SerialName("c") val clock: HybridTime,
+    @SerialName("m") val message: PeerMessage,
+)
 
 /** State of one upstream as its companion's ledger knows it. */
 @Serializable
@@ -68,6 +76,7 @@
 public sealed interface PeerMessage {
     /** First message of an entry. A companion of another [expectedHost] or incarnation closes the connection. */
     @Serializable
+    @SerialName("hello")
     public data class Hello(
         val protocol: Int,
         val process: ProcessName,
@@ -78,6 +87,7 @@
 
     /** First message of a companion. */
     @Serializable
+    @SerialName("welcome")
     public data class Welcome(
         val protocol: Int,
         val host: HostName,
@@ -91,6 +101,7 @@
      * A granted reservation lapses when it is not used within [holdAtMost].
      */
     @Serializable
+    @SerialName("rsv")
     public data class Reserve(
         val attempt: AttemptId,
         val upstream: UpstreamName,
@@ -103,10 +114,12 @@
 
     /** The reservation stands for [holdFor] from now. */
     @Serializable
+    @SerialName("grt")
     public data class Granted(val attempt: AttemptId, val holdFor: Duration, val load: UpstreamLoad) : PeerMessage
 
     /** The attempt was not started and never will be. */
     @Serializable
+    @SerialName("ref")
     public data class Refused(
         val attempt: AttemptId,
         val fault: Fault,
@@ -116,6 +129,7 @@
 
     /** Runs a prefill; answered by [PrefillReady], [Refused] or [AttemptFailed]. */
     @Serializable
+    @SerialName("spf")
     public data class StartPrefill(
         val attempt: AttemptId,
         val upstream: UpstreamName,
@@ -128,11 +142,13 @@
 
     /** A prefill's result is ready to be fetched. */
     @Serializable
+    @SerialName("pfr")
     public data class PrefillReady(val attempt: AttemptId, val ticket: TransferTicket, val load: UpstreamLoad) :
         PeerMessage
 
     /** Uses the reservation named by [attempt]. Tokens with an index below [fromIndex] are not sent. */
     @Serializable
+    @SerialName("sdc")
     public data class StartDecode(
         val attempt: AttemptId,
         val content: RequestContent.Generation,
@@ -144,10 +160,12 @@
 
     /** One token of a decode attempt; the first has index 0. */
     @Serializable
+    @SerialName("tok")
     public data class TokenProduced(val attempt: AttemptId, val index: Int, val text: String) : PeerMessage
 
     /** The attempt produced all its [tokens], and its memory is free. */
     @Serializable
+    @SerialName("fin")
     public data class DecodeFinished(
         val attempt: AttemptId,
         val tokens: Int,
@@ -157,6 +175,7 @@
 
     /** Calls a plain service; under a [claim] when the class is not idempotent. */
     @Serializable
+    @SerialName("spl")
     public data class StartPlain(
         val attempt: AttemptId,
         val upstream: UpstreamName,
@@ -170,11 +189,13 @@
 
     /** A plain service's answer. */
     @Serializable
+    @SerialName("pfn")
     public data class PlainFinished(val attempt: AttemptId, val answer: PlainAnswer, val load: UpstreamLoad) :
         PeerMessage
 
     /** The attempt was started and broke off; whether it ran is in [execution]. Its memory is free. */
     @Serializable
+    @SerialName("afl")
     public data class AttemptFailed(
         val attempt: AttemptId,
         val fault: Fault,
@@ -184,18 +205,22 @@
 
     /** Frees what [attempt] holds: its reservation, its place in a queue or its running call. */
     @Serializable
+    @SerialName("cnl")
     public data class Cancel(val attempt: AttemptId) : PeerMessage
 
     /** Forbids the start of a claim under [number]; answered by [ClaimStatus]. */
     @Serializable
+    @SerialName("vcl")
     public data class VoidClaim(val storeKey: String, val number: Long) : PeerMessage
 
     /** Asks to be told the end of a claim that another submission started; answered by [ClaimStatus]. */
     @Serializable
+    @SerialName("fcl")
     public data class FollowClaim(val storeKey: String, val number: Long) : PeerMessage
 
     /** What the companion knows of a claim; sent again when a followed claim ends. */
     @Serializable
+    @SerialName("cst")
     public data class ClaimStatus(
         val storeKey: String,
         val number: Long,
@@ -205,22 +230,27 @@
 
     /** Shows that the sender lives; a companion answers with [Loads]. */
     @Serializable
+    @SerialName("hbt")
     public data class Heartbeat(val sequence: Long) : PeerMessage
 
     /** Answer to [Heartbeat], with the loads that changed since the last one. */
     @Serializable
+    @SerialName("lds")
     public data class Loads(val sequence: Long, val loads: List<UpstreamLoad>) : PeerMessage
 
     /** Asks for all notes after [after]. */
     @Serializable
+    @SerialName("fnt")
     public data class FetchNotes(val after: ReleaseVersion) : PeerMessage
 
     /** Accepted notes in order of version. */
     @Serializable
+    @SerialName("nts")
     public data class Notes(val notes: List<AcceptedNote>) : PeerMessage
 
     /** The companion's host is leaving: it takes no new work and finishes what it has. */
     @Serializable
+    @SerialName("lvg")
     public data class Leaving(val host: HostName) : PeerMessage
 }
 
--- a/core/src/main/kotlin/org/lovageladder/core/ReleaseSync.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/ReleaseSync.kt
@@ -112,11 +112,8 @@
         return settings.storeRefreshInterval * (part.toDouble() / STAGGER_PARTS)
     }
 
-    private fun decode(entry: StoredEntry): AcceptedNote? {
-        val note = decodeNote(entry.value)
-        if (note == null) output.record(EventKind.NOTE_UNREADABLE, detail = entry.key)
-        return note
-    }
+    private fun decode(entry: StoredEntry): AcceptedNote? =
+        storedNote(entry) { output.record(EventKind.NOTE_UNREADABLE, detail = it.key) }
 
     private fun apply(notes: List<AcceptedNote>) {
         for (note in follower.offer(notes)) {
--- a/daemon/src/main/kotlin/org/lovageladder/daemon/CompanionProcess.kt
+++ b/daemon/src/main/kotlin/org/lovageladder/daemon/CompanionProcess.kt
@@ -1,6 +1,5 @@
 package org.lovageladder.daemon
 
-import kotlinx.serialization.json.Json
 import org.lovageladder.core.CompanionEffect
 import org.lovageladder.core.CompanionEvent
 import org.lovageladder.core.CompanionStatus
@@ -66,7 +65,7 @@
     }
 
     private fun statusJson(): String? = control.ask { decisions.status(monotonicNow()) }
-        ?.let { Json.encodeToString(CompanionStatus.serializer(), it) }
+        ?.let { statusText("companion", settings.decisions.process, CompanionStatus.serializer(), it) }
 
     private inner class Machine : ControlledMachine<CompanionEvent> {
         override val timePassed: CompanionEvent = CompanionEvent.TimePassed
--- a/daemon/src/main/kotlin/org/lovageladder/daemon/EntryProcess.kt
+++ b/daemon/src/main/kotlin/org/lovageladder/daemon/EntryProcess.kt
@@ -1,6 +1,5 @@
 package org.lovageladder.daemon
 
-import kotlinx.serialization.json.Json
 import org.lovageladder.core.AcceptedNote
 import org.lovageladder.core.ConnectionId
 import org.lovageladder.core.EntryEffect
@@ -78,7 +77,7 @@
     }
 
     private fun statusJson(): String? = control.ask { decisions.status(monotonicNow()) }
-        ?.let { Json.encodeToString(EntryStatus.serializer(), it) }
+        ?.let { statusText("entry", settings.decisions.process, EntryStatus.serializer(), it) }
 
     private inner class Machine : ControlledMachine<EntryEvent> {
         override val timePassed: EntryEvent = EntryEvent.TimePassed
