Fail at once when the companion leaves something due undone

Cause: with the repeat of cancels or the lapse of reservations switched off, the tables hung on a deadline that never moved instead of failing.

Change: the bench checks after each event that the next deadline lies ahead.

Figures: `mvn -B -pl core -am verify`: 55 tests, no failure. With the two mechanisms switched off on a scratch copy, both the fuzz property and the decode tables fail.

--- a/core/src/test/kotlin/org/lovageladder/core/CompanionBench.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/CompanionBench.kt
@@ -28,6 +28,8 @@
     fun handle(event: CompanionEvent): List<CompanionEffect> {
         val given = companion.handle(event, now)
         effects += given
+        val next = companion.nextDeadline()
+        check(next == null || next > now) { "left undone at $now: $next" }
         return given
     }
 
