--- /dev/null
+++ b/measure/src/main/kotlin/org/lovageladder/measure/LoadDriver.kt
@@ -0,0 +1,116 @@
+package org.lovageladder.measure
+
+import org.lovageladder.core.Address
+import java.net.URI
+import java.net.http.HttpClient
+import java.net.http.HttpRequest
+import java.net.http.HttpResponse
+import java.util.concurrent.CompletableFuture
+import java.util.concurrent.ExecutorService
+import java.util.concurrent.Executors
+import java.util.concurrent.TimeUnit
+import java.util.concurrent.TimeoutException
+import java.util.concurrent.locks.LockSupport
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.toJavaDuration
+
+private const val CLIENT_THREADS = 4
+private const val LEAD_NANOSECONDS = 100_000_000L
+private val DRAIN_TIMEOUT = 60.seconds
+
+/**
+ * Sends requests at their drawn times, whether or not earlier ones were answered, so that a slow answer delays no
+ * later request. Latencies count from the drawn time.
+ */
+internal class LoadDriver(private val workload: Workload, private val destinations: List<Destination>) {
+    private val results = LoadResults(workload)
+
+    /** Runs the whole workload and waits for its answers, at most [DRAIN_TIMEOUT] after the last request. */
+    fun run(): LoadSummary {
+        val threads = Executors.newFixedThreadPool(CLIENT_THREADS)
+        try {
+            val client = clientOn(threads)
+            val begin = System.nanoTime() + LEAD_NANOSECONDS
+            val exchanges = workload.arrivals.mapIndexed { index, arrival ->
+                val intended = begin + arrival.inWholeNanoseconds
+                waitUntil(intended)
+                send(client, index, intended)
+            }
+            awaitAll(exchanges)
+            return results.summary(System.nanoTime() - begin)
+        } finally {
+            threads.shutdownNow()
+        }
+    }
+
+    private fun clientOn(threads: ExecutorService): HttpClient = HttpClient.newBuilder()
+        .version(HttpClient.Version.HTTP_1_1)
+        .connectTimeout(DRAIN_TIMEOUT.toJavaDuration())
+        .executor(threads)
+        .build()
+
+    private fun waitUntil(intended: Long) {
+        while (true) {
+            val remaining = intended - System.nanoTime()
+            if (remaining <= 0) return
+            LockSupport.parkNanos(remaining)
+        }
+    }
+
+    private fun send(client: HttpClient, index: Int, intended: Long): CompletableFuture<Unit> {
+        results.started(System.nanoTime() - intended)
+        val destination = destinations[index % destinations.size]
+        val reader = readerFor(index)
+        return client.sendAsync(requestTo(destination, index), HttpResponse.BodyHandlers.fromLineSubscriber(reader))
+            .handle { response, failure ->
+                val end = if (failure == null) reader.end(response) else ExchangeEnd.Failed(causeOf(failure))
+                results.ended(intended, end)
+            }
+    }
+
+    private fun causeOf(failure: Throwable): String {
+        val cause = failure.cause ?: failure
+        return "${cause.javaClass.simpleName}: ${cause.message}"
+    }
+
+    private fun awaitAll(exchanges: List<CompletableFuture<Unit>>) {
+        val deadline = System.nanoTime() + DRAIN_TIMEOUT.inWholeNanoseconds
+        for (exchange in exchanges) {
+            try {
+                exchange.get((deadline - System.nanoTime()).coerceAtLeast(0), TimeUnit.NANOSECONDS)
+            } catch (_: TimeoutException) {
+                results.unfinished()
+            }
+        }
+    }
+
+    private fun readerFor(index: Int): AnswerReader = when (workload.kind) {
+        RequestKind.GENERATION -> StreamReader(expectedTokens(workload.prompt(index), workload.outputTokens))
+        RequestKind.LOOKUP -> EchoReader("\"echo\":${lookupBody(index)}")
+    }
+
+    private fun requestTo(destination: Destination, index: Int): HttpRequest {
+        val builder = HttpRequest.newBuilder()
+            .uri(uri(destination.address, pathAt(destination)))
+            .header("Content-Type", "application/json")
+            .POST(HttpRequest.BodyPublishers.ofString(bodyOf(index)))
+        if (!destination.direct) workload.requestClass?.let { builder.header("Lovageladder-Class", it) }
+        return builder.build()
+    }
+
+    private fun uri(address: Address, path: String): URI = URI.create("http://$address$path")
+
+    private fun pathAt(destination: Destination): String = when (workload.kind) {
+        RequestKind.GENERATION -> "/v1/completions"
+        RequestKind.LOOKUP -> if (destination.direct) "/lookup" else "/services/${workload.service}/lookup"
+    }
+
+    private fun bodyOf(index: Int): String = when (workload.kind) {
+        RequestKind.GENERATION ->
+            """{"model":"${workload.service}","prompt":"${workload.prompt(index)}",""" +
+                """"max_tokens":${workload.outputTokens},"stream":true}"""
+        RequestKind.LOOKUP -> lookupBody(index)
+    }
+
+    private fun lookupBody(index: Int) = """{"request":"${workload.seed}-$index"}"""
+}
--- /dev/null
+++ b/measure/src/main/kotlin/org/lovageladder/measure/ReportJson.kt
@@ -0,0 +1,6 @@
+package org.lovageladder.measure
+
+import kotlinx.serialization.json.Json
+
+/** JSON of all reports. */
+internal val reportJson = Json { prettyPrint = true }
