--- a/core/src/main/kotlin/org/lovageladder/core/GenerationFlow.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/GenerationFlow.kt
@@ -350,10 +350,12 @@
         }
     }
 
+    /** Gives up before the first token; a decode that was started has as long again, since its prefill is spent. */
     private fun expire(now: Moment) {
         if (context.over || tokens.next > 0) return
-        if (decodeStartedAt != null && now < firstTokenDue + target.firstToken) {
-            deadline = work.timers.at(firstTokenDue + target.firstToken) { expire(it) }
+        val lastMoment = firstTokenDue + target.firstToken
+        if (decodeStartedAt != null && now < lastMoment) {
+            deadline = work.timers.at(lastMoment) { expire(it) }
             return
         }
         refuse(RefusalReason.DEADLINE, detail = "no first token within ${target.firstToken}")
