--- a/core/src/test/kotlin/org/lovageladder/core/world/Network.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/world/Network.kt
@@ -18,6 +18,11 @@
         if (lasting) cutAll = cut
     }
 
+    /** Breaks every open connection; what is under way on it is lost. */
+    fun breakAll() {
+        channels.filter { it.open }.forEach { it.close() }
+    }
+
     fun heal() {
         cutAll = null
         duplicates = false
--- a/core/src/test/kotlin/org/lovageladder/core/world/WholeSystemFuzzTest.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/world/WholeSystemFuzzTest.kt
@@ -30,6 +30,7 @@
     CUT_TO_ENTRY,
     CUT_TO_COMPANION,
     PARTITION,
+    BREAK_CONNECTIONS,
     HEAL,
     DUPLICATE,
     STORE_DOWN,
@@ -104,6 +105,7 @@
             CommandKind.CUT_TO_ENTRY -> world.network.cut(Cut.TO_ENTRY, lasting = false)
             CommandKind.CUT_TO_COMPANION -> world.network.cut(Cut.TO_COMPANION, lasting = false)
             CommandKind.PARTITION -> Cut.entries.forEach { world.network.cut(it, lasting = true) }
+            CommandKind.BREAK_CONNECTIONS -> world.network.breakAll()
             CommandKind.HEAL -> world.network.heal()
             CommandKind.DUPLICATE -> world.network.duplicates = true
             CommandKind.STORE_DOWN -> world.store.down = true
--- a/core/src/test/kotlin/org/lovageladder/core/world/WholeSystemTest.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/world/WholeSystemTest.kt
@@ -9,6 +9,7 @@
 import kotlin.test.assertNotNull
 import kotlin.test.assertTrue
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.microseconds
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
@@ -66,6 +67,34 @@
         assertEquals(emptyList(), world.oracle.violations)
     }
 
+    private class TakeoverRow(val storeDown: Boolean, val told: (Outcome?) -> Boolean)
+
+    @Test
+    fun notRunIsNeverToldOfAnActionThatAnotherEntryTookOver() {
+        val rows = listOf(
+            TakeoverRow(storeDown = false) { it is Outcome.Answered },
+            TakeoverRow(storeDown = true) { (it as? Outcome.Refused)?.execution == Execution.UNKNOWN },
+        )
+        for (row in rows) {
+            val crossed = (0..60).count { step ->
+                val world = World(1)
+                val first = world.action(entry = 0, key = 1)
+                world.advance(4.milliseconds + 50.microseconds * step)
+                world.network.breakAll()
+                world.entries[0].freeze()
+                world.advance(700.milliseconds)
+                val second = world.action(entry = 1, key = 1)
+                world.advance(300.milliseconds)
+                world.store.down = row.storeDown
+                world.entries[0].wake()
+                world.advance(5.seconds)
+                assertEquals(emptyList(), world.oracle.violations, "step $step")
+                second.outcome is Outcome.Answered && row.told(first.outcome)
+            }
+            assertTrue(crossed > 0, "no row crossed, store down: ${row.storeDown}")
+        }
+    }
+
     @Test
     fun aNoteIsInForceEverywhereWithinFourSeconds() {
         val rows = listOf<(World) -> Unit>(
