Measure: requests beforehand that warm the driver up

Cause: in bursts of 1,000 a fresh driver sent its requests up to 1.2 s late (start lag), which counted as latency. Ruled out: counting from the real sending, which would hide a driver that falls behind.

--- a/measure/src/main/kotlin/org/lovageladder/measure/LoadDriver.kt
+++ b/measure/src/main/kotlin/org/lovageladder/measure/LoadDriver.kt
@@ -11,6 +11,7 @@
 import java.util.concurrent.TimeUnit
 import java.util.concurrent.TimeoutException
 import java.util.concurrent.locks.LockSupport
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.toJavaDuration
 
@@ -23,26 +24,31 @@
  * later request. Latencies count from the drawn time.
  */
 internal class LoadDriver(private val workload: Workload, private val destinations: List<Destination>) {
-    private val results = LoadResults(workload)
-
     /** Runs the whole workload and waits for its answers, at most [DRAIN_TIMEOUT] after the last request. */
     fun run(): LoadSummary {
         val threads = Executors.newFixedThreadPool(CLIENT_THREADS)
         try {
             val client = clientOn(threads)
-            val begin = System.nanoTime() + LEAD_NANOSECONDS
-            val exchanges = workload.arrivals.mapIndexed { index, arrival ->
-                val intended = begin + arrival.inWholeNanoseconds
-                waitUntil(intended)
-                send(client, index, intended)
-            }
-            awaitAll(exchanges)
-            return results.summary(System.nanoTime() - begin)
+            val warmUp = workload.arrivals.take(workload.warmUpRequests)
+            sendAll(client, warmUp, firstIndex = workload.arrivals.size)
+            return sendAll(client, workload.arrivals, firstIndex = 0)
         } finally {
             threads.shutdownNow()
         }
     }
 
+    private fun sendAll(client: HttpClient, arrivals: List<Duration>, firstIndex: Int): LoadSummary {
+        val results = LoadResults(workload)
+        val begin = System.nanoTime() + LEAD_NANOSECONDS
+        val exchanges = arrivals.mapIndexed { index, arrival ->
+            val intended = begin + arrival.inWholeNanoseconds
+            waitUntil(intended)
+            send(client, results, firstIndex + index, intended)
+        }
+        awaitAll(exchanges, results)
+        return results.summary(System.nanoTime() - begin)
+    }
+
     private fun clientOn(threads: ExecutorService): HttpClient = HttpClient.newBuilder()
         .version(HttpClient.Version.HTTP_1_1)
         .connectTimeout(DRAIN_TIMEOUT.toJavaDuration())
@@ -57,7 +63,7 @@
         }
     }
 
-    private fun send(client: HttpClient, index: Int, intended: Long): CompletableFuture<Unit> {
+    private fun send(client: HttpClient, results: LoadResults, index: Int, intended: Long): CompletableFuture<Unit> {
         results.started(System.nanoTime() - intended)
         val destination = destinations[index % destinations.size]
         val reader = readerFor(index)
@@ -73,7 +79,7 @@
         return "${cause.javaClass.simpleName}: ${cause.message}"
     }
 
-    private fun awaitAll(exchanges: List<CompletableFuture<Unit>>) {
+    private fun awaitAll(exchanges: List<CompletableFuture<Unit>>, results: LoadResults) {
         val deadline = System.nanoTime() + DRAIN_TIMEOUT.inWholeNanoseconds
         for (exchange in exchanges) {
             try {
--- a/measure/src/main/kotlin/org/lovageladder/measure/Workload.kt
+++ b/measure/src/main/kotlin/org/lovageladder/measure/Workload.kt
@@ -13,7 +13,10 @@
 /** Where requests go: the callers' address of an entry, or an upstream that is called directly. */
 internal data class Destination(val address: Address, val direct: Boolean)
 
-/** Requests of one run. Prompts have [promptTokens] words; answers [outputTokens] tokens. */
+/**
+ * Requests of one run. Prompts have [promptTokens] words; answers [outputTokens] tokens. The first [warmUpRequests]
+ * arrivals are run beforehand with other prompts and not counted.
+ */
 internal data class Workload(
     val kind: RequestKind,
     val service: String,
@@ -22,6 +25,7 @@
     val outputTokens: Int,
     val seed: Long,
     val arrivals: List<Duration>,
+    val warmUpRequests: Int,
     val firstTokenTarget: Duration,
     val tokenGapTarget: Duration,
 )
--- a/measure/src/main/kotlin/org/lovageladder/measure/WorkloadOptions.kt
+++ b/measure/src/main/kotlin/org/lovageladder/measure/WorkloadOptions.kt
@@ -35,6 +35,8 @@
     private val streams by option("--streams", help = "So many requests at once, in place of a rate.")
         .int().restrictTo(1..MAXIMUM_STREAMS)
     private val seed by option("--seed", help = "Seed of the arrival times (default 1).").long().default(1)
+    private val warmUp by option("--warm-up", help = "Requests sent beforehand, not counted (default 0).")
+        .int().restrictTo(min = 0).default(0)
     private val promptTokens by option("--prompt-tokens", help = "Words in a prompt (default 20).")
         .int().restrictTo(1..MAXIMUM_TOKENS).default(20)
     private val outputTokens by option("--output-tokens", help = "Tokens in an answer (default 10).")
@@ -54,6 +56,7 @@
         seed = seed + round,
         arrivals = streams?.let { count -> List(count) { Duration.ZERO } }
             ?: drawArrivals(rate, length.seconds, seed + round),
+        warmUpRequests = warmUp,
         firstTokenTarget = firstTokenTarget.milliseconds,
         tokenGapTarget = tokenGapTarget.milliseconds,
     )
