Keep each pool in order of preference, and prefill anew when a result expired before its transfer

The order is now made once per release. Second cause: a prefill's result that expired before its transfer cost a retry token and barred the decode upstream, which was not at fault; it is computed anew once while the target can be met.

--- a/core/src/main/kotlin/org/lovageladder/core/EntryMachine.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/EntryMachine.kt
@@ -12,10 +12,10 @@
     LinkListener {
     private val output = EntryOutput()
     private val timers = Timers()
-    private val table = UpstreamTable(settings.ejectedShareLimit, output::record)
+    private val table = UpstreamTable(settings, ::usable, output::record)
     private val links = CompanionLinks(settings, output, timers, this)
     private val attempts = Attempts(links, table)
-    private val choice = UpstreamChoice(settings, table, ::usable)
+    private val choice = UpstreamChoice(settings, table)
     private val work = EntryWork(settings, output, timers, attempts, choice, table, links)
     private val notes = EntryRelease(settings, output, timers, ::releaseApplied)
     private val requests = LinkedHashMap<ExchangeId, RequestFlow>()
--- a/core/src/main/kotlin/org/lovageladder/core/GenerationFlow.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/GenerationFlow.kt
@@ -32,6 +32,7 @@
     private var decodeStartedAt: Moment? = null
     private var lastTokenAt: Moment? = null
     private var reserveTries = 0
+    private var prefilledAgain = false
     private var deadline: Timer? = null
     private var hedge: Timer? = null
     private var stall: Timer? = null
@@ -41,8 +42,7 @@
     override fun begin(now: Moment) {
         deadline = work.timers.at(firstTokenDue) { expire(it) }
         val pool = context.service.decodePool
-        val upstreams = pool?.let { work.table.ofPool(it) }.orEmpty()
-        val largest = upstreams.maxOfOrNull { it.entry.pieces }
+        val largest = pool?.let(work.table::largestPieces)
         when {
             largest == null -> refuse(RefusalReason.NO_UPSTREAM, detail = "pool $pool has no upstream")
             pieces > largest -> refusePromptTooLarge(largest)
@@ -114,7 +114,7 @@
 
     private fun expectedPrefill(): Duration {
         val pool = context.service.prefillPool ?: return Duration.ZERO
-        val fastest = work.table.ofPool(pool)
+        val fastest = work.table.nearest(pool)
             .filter { !it.prefillPerThousandTokens.isEmpty }
             .minOfOrNull { it.prefillPerThousandTokens.smoothedMicroseconds } ?: return Duration.ZERO
         return (fastest * content.promptTokens / THOUSAND).microseconds
@@ -329,6 +329,7 @@
             return
         }
         if (attempt !== reservation) return
+        if (fault.cause == FaultCause.EXPIRED && prefillAgain(now)) return
         excluded += attempt.upstream.name
         val startedDecode = decodeStartedAt != null
         if (startedDecode) {
@@ -340,6 +341,16 @@
         }
     }
 
+    /** A prefill's result that expired before its transfer is computed anew, once, when that still fits the target. */
+    private fun prefillAgain(now: Moment): Boolean {
+        val fits = tokens.next == 0 && now + expectedPrefill() < firstTokenDue
+        if (!fits || prefilledAgain) return false
+        prefilledAgain = true
+        context.record(EventKind.PREFILL_WASTED, detail = "expired before its transfer")
+        restart(now)
+        return true
+    }
+
     private fun retryOrRefuse(fault: Fault, now: Moment, again: (Moment) -> Unit) {
         val inTime = tokens.next > 0 || now < firstTokenDue
         if (inTime && work.retries.take()) {
--- a/core/src/main/kotlin/org/lovageladder/core/LookupFlow.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/LookupFlow.kt
@@ -86,7 +86,7 @@
 
     /** A high quantile of recent latencies, the median over the pool's upstreams, so that a slow one sets no bar. */
     private fun hedgeDelay(pool: PoolName): Duration? {
-        val quantiles = work.table.ofPool(pool).mapNotNull { it.firstLatency.quantile(HEDGE_QUANTILE) }.sorted()
+        val quantiles = work.table.nearest(pool).mapNotNull { it.firstLatency.quantile(HEDGE_QUANTILE) }.sorted()
         if (quantiles.isEmpty()) return null
         return (quantiles[(quantiles.size - 1) / 2] * HEDGE_FACTOR).coerceAtLeast(HEDGE_FLOOR)
     }
--- a/core/src/main/kotlin/org/lovageladder/core/UpstreamChoice.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/UpstreamChoice.kt
@@ -17,25 +17,20 @@
 /**
  * Chooses among the upstreams of a pool.
  *
- * Under [ChoicePolicy.LEDGER] the entry keeps to a bounded subset of each pool (rendezvous hashing on its own name,
- * its own place first), draws [SAMPLES] of it at random and takes the one with the lowest cost by the companions'
- * ledgers and its own latencies (Mitzenmacher, "The Power of Two Choices in Randomized Load Balancing", 2001).
+ * Under [ChoicePolicy.LEDGER] the entry draws [SAMPLES] of its nearest upstreams at random and takes the one with the
+ * lowest cost by the companions' ledgers and its own latencies (Mitzenmacher, "The Power of Two Choices in Randomized Load Balancing", 2001).
  * Under [ChoicePolicy.ROUND_ROBIN] it takes them in turn. Confined to one thread.
  */
-internal class UpstreamChoice(
-    private val settings: EntrySettings,
-    private val table: UpstreamTable,
-    private val usable: (UpstreamRecord) -> Boolean,
-) {
+internal class UpstreamChoice(private val settings: EntrySettings, private val table: UpstreamTable) {
     private val random = Random(settings.randomSeed)
     private val turns = HashMap<PoolName, Int>()
 
     /** Returns the upstream of [pool] for [placement], none of [excluded]; null when there is none. */
     fun pick(pool: PoolName, placement: Placement, excluded: Set<UpstreamName>, now: Moment): UpstreamRecord? {
-        val candidates = table.ofPool(pool).filter { usable(it) && it.name !in excluded }
+        val candidates = table.nearest(pool, excluded)
         if (candidates.isEmpty()) return null
         return when (settings.policy) {
-            ChoicePolicy.LEDGER -> sampled(subset(candidates), now).minBy { cost(it, placement) }
+            ChoicePolicy.LEDGER -> sampled(candidates, now).minBy { cost(it, placement) }
             ChoicePolicy.ROUND_ROBIN -> inTurn(pool, candidates)
         }
     }
@@ -45,17 +40,10 @@
         return candidates[turn % candidates.size]
     }
 
-    private fun subset(candidates: List<UpstreamRecord>): List<UpstreamRecord> {
-        if (candidates.size <= SUBSET_SIZE) return candidates
-        return candidates
-            .sortedWith(compareBy({ it.place != settings.place }, { rendezvous(settings.process.text, it.name) }))
-            .take(SUBSET_SIZE)
-    }
-
-    private fun sampled(subset: List<UpstreamRecord>, now: Moment): List<UpstreamRecord> {
-        val inGoodStanding = subset.filter { !it.onProbation(now) }
+    private fun sampled(candidates: List<UpstreamRecord>, now: Moment): List<UpstreamRecord> {
+        val inGoodStanding = candidates.filter { !it.onProbation(now) }
         val trickle = random.nextDouble() < PROBATION_TRICKLE
-        val pool = if (trickle || inGoodStanding.isEmpty()) subset else inGoodStanding
+        val pool = if (trickle || inGoodStanding.isEmpty()) candidates else inGoodStanding
         return if (pool.size <= SAMPLES) pool else pool.shuffled(random).take(SAMPLES)
     }
 
@@ -82,7 +70,6 @@
     }
 
     private companion object {
-        const val SUBSET_SIZE = 16
         const val SAMPLES = 4
         const val PROBATION_TRICKLE = 0.02
         const val FULL_COST = 10.0
--- a/core/src/main/kotlin/org/lovageladder/core/UpstreamTable.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/UpstreamTable.kt
@@ -56,16 +56,33 @@
     }
 }
 
-/** All upstreams of the release in force, with what this entry knows of them. Confined to one thread. */
-internal class UpstreamTable(private val ejectedShareLimit: Double, private val record: (EventDraft) -> Unit) {
+/**
+ * All upstreams of the release in force, with what this entry knows of them. Each pool is kept in this entry's order
+ * of preference: its own place first, then by rendezvous hashing on its name, so that the entries spread over a large
+ * pool and each keeps to [NEAREST] of its upstreams. Confined to one thread.
+ */
+internal class UpstreamTable(
+    private val settings: EntrySettings,
+    private val usable: (UpstreamRecord) -> Boolean,
+    private val record: (EventDraft) -> Unit,
+) {
     private val records = LinkedHashMap<UpstreamName, UpstreamRecord>()
     private val byPool = HashMap<PoolName, List<UpstreamRecord>>()
+    private val largest = HashMap<PoolName, Int>()
 
     val all: Collection<UpstreamRecord> get() = records.values
 
     operator fun get(name: UpstreamName): UpstreamRecord? = records[name]
 
-    fun ofPool(pool: PoolName): List<UpstreamRecord> = byPool[pool].orEmpty()
+    /** The usable upstreams of [pool] that this entry keeps to, nearest first; none of [excluded]. */
+    fun nearest(pool: PoolName, excluded: Set<UpstreamName> = emptySet()): List<UpstreamRecord> =
+        byPool[pool].orEmpty().asSequence()
+            .filter { it.name !in excluded && usable(it) }
+            .take(NEAREST)
+            .toList()
+
+    /** Memory in pieces of the largest upstream of [pool]; null when it has none. */
+    fun largestPieces(pool: PoolName): Int? = largest[pool]
 
     /** Takes over the upstreams of [state]; what is known of those that stay is kept. */
     fun apply(state: ReleaseState) {
@@ -79,16 +96,21 @@
             known.place = place
         }
         byPool.clear()
-        byPool += records.values.groupBy { it.entry.pool }
+        records.values.groupBy { it.entry.pool }.forEach { (pool, members) -> byPool[pool] = preferred(members) }
+        largest.clear()
+        byPool.forEach { (pool, members) -> largest[pool] = members.maxOf { it.entry.pieces } }
     }
 
+    private fun preferred(members: List<UpstreamRecord>): List<UpstreamRecord> =
+        members.sortedWith(compareBy({ it.place != settings.place }, { rendezvous(settings.process.text, it.name) }))
+
     fun learn(load: UpstreamLoad, now: Moment) {
         records[load.upstream]?.learn(load, now)
     }
 
     /** Compares [upstream]'s first-answer latency with its pool's after a sample, and sets or ends its probation. */
     fun judge(upstream: UpstreamRecord, latency: (UpstreamRecord) -> RecentLatency, now: Moment) {
-        val peers = ofPool(upstream.entry.pool).filter { it !== upstream && !latency(it).isEmpty }
+        val peers = nearest(upstream.entry.pool).filter { it !== upstream && !latency(it).isEmpty }
         if (peers.isEmpty()) return
         val own = latency(upstream).smoothedMicroseconds
         val median = peers.map { latency(it).smoothedMicroseconds }.sorted()[(peers.size - 1) / 2]
@@ -111,12 +133,13 @@
     }
 
     private fun ejectedLimitReached(upstream: UpstreamRecord, now: Moment): Boolean {
-        val pool = ofPool(upstream.entry.pool)
+        val pool = nearest(upstream.entry.pool)
         val ejected = pool.count { it.onProbation(now) }
-        return ejected + 1 > pool.size * ejectedShareLimit
+        return ejected + 1 > pool.size * settings.ejectedShareLimit
     }
 
     private companion object {
+        const val NEAREST = 16
         const val SLOW_RATIO = 3.0
         val SLOW_FLOOR = 2.milliseconds
     }
