Find the longest silent connection of a companion at once

Cause: each event at a companion walked all connections for silence and deadlines. Connections are kept in the order in which they were last heard.

--- a/core/src/main/kotlin/org/lovageladder/core/PeerConnections.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/PeerConnections.kt
@@ -1,6 +1,9 @@
 package org.lovageladder.core
 
-/** Connections of entries, each with when it was last heard and which loads it was told. */
+/**
+ * Connections of entries, each with when it was last heard and which loads it was told. They are kept in the order in
+ * which they were last heard, so that the longest silent one is found at once.
+ */
 internal class PeerConnections(private val context: CompanionContext) {
     private class PeerConnection(val hello: PeerMessage.Hello, var lastHeard: Moment) {
         val toldLoads = HashMap<UpstreamName, UpstreamLoad>()
@@ -29,14 +32,16 @@
 
     /** Notes that a message arrived; false when the connection is not there. */
     fun heard(connection: ConnectionId): Boolean {
-        val peer = connections[connection] ?: return false
+        val peer = connections.remove(connection) ?: return false
         peer.lastHeard = context.now
+        connections[connection] = peer
         return true
     }
 
     /** Connections that were silent longer than the limit. */
-    fun silent(): List<ConnectionId> =
-        connections.filterValues { it.lastHeard + context.settings.peerSilenceLimit < context.now }.keys.toList()
+    fun silent(): List<ConnectionId> = connections.entries
+        .takeWhile { it.value.lastHeard + context.settings.peerSilenceLimit < context.now }
+        .map { it.key }
 
     /** Answers a heartbeat with the loads that changed since the last one of this connection. */
     fun answerHeartbeat(connection: ConnectionId, sequence: Long, loads: List<UpstreamLoad>) {
@@ -46,7 +51,7 @@
         output.send(connection, PeerMessage.Loads(sequence, changed))
     }
 
-    fun nextDeadline(): Moment? = connections.values.minOfOrNull { it.lastHeard }
+    fun nextDeadline(): Moment? = connections.values.firstOrNull()?.lastHeard
         ?.plus(context.settings.peerSilenceLimit)
         ?.let { Moment(it.microseconds + 1) }
 }
--- a/core/src/main/kotlin/org/lovageladder/core/ReleaseSync.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/ReleaseSync.kt
@@ -104,7 +104,10 @@
         readAt = context.now + settings.storeRefreshInterval.coerceAtMost(LOST_STORE_REPEAT)
     }
 
-    /** Short before the first release. The first interval after it is cut by a part that differs among incarnations, so that their readings spread out. */
+    /**
+     * Short before the first release. The first interval after it is cut by a part that differs among incarnations, so
+     * that their readings spread out.
+     */
     private fun refreshInterval(): Duration {
         if (version == ReleaseVersion.NONE) return settings.storeRefreshInterval.coerceAtMost(NO_RELEASE_REPEAT)
         readings++
--- a/core/src/main/kotlin/org/lovageladder/core/UpstreamChoice.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/UpstreamChoice.kt
@@ -18,7 +18,8 @@
  * Chooses among the upstreams of a pool.
  *
  * Under [ChoicePolicy.LEDGER] the entry draws [SAMPLES] of its nearest upstreams at random and takes the one with the
- * lowest cost by the companions' ledgers and its own latencies (Mitzenmacher, "The Power of Two Choices in Randomized Load Balancing", 2001).
+ * lowest cost by the companions' ledgers and its own latencies (Mitzenmacher, "The Power of Two Choices in Randomized
+ * Load Balancing", 2001).
  * Under [ChoicePolicy.ROUND_ROBIN] it takes them in turn. Confined to one thread.
  */
 internal class UpstreamChoice(private val settings: EntrySettings, private val table: UpstreamTable) {
