Refuse actions at once while the key-value service is known to be away

Cause: each action in an outage tried three times and was refused after 1.5 s, though the tries before it had just failed. Ruled out: refusing after one lost answer, which would leave a claim standing that the repeated call resolves; a request's own repetition is still made. Change: after a call without an answer, new claims are turned away while one further call is in flight and for 500 ms. The fleet under test lends decode calls beyond the memory, so that a ledger that gives too much is seen.

--- a/core/src/main/kotlin/org/lovageladder/core/ActionFlow.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/ActionFlow.kt
@@ -110,7 +110,9 @@
         }
         val record = ClaimRecord(content.bodyDigest, 1, upstream.entry.host, incarnation, context.id)
         state = ActionState.Claiming
-        work.claims.create(storeKey, record, now) { answer, at -> claimed(upstream, record, answer, at) }
+        work.claims.create(storeKey, record, now, repeated = storeTries > 0) { answer, at ->
+            claimed(upstream, record, answer, at)
+        }
     }
 
     private fun claimed(upstream: UpstreamRecord, record: ClaimRecord, answer: ClaimAnswer, now: Moment) {
@@ -122,19 +124,24 @@
             }
             is ClaimAnswer.Theirs -> resolve(answer.entry, now)
             is ClaimAnswer.Unavailable -> storeUnavailable(answer.fault, now)
+            is ClaimAnswer.NotAsked -> refuseUnsent(answer.fault)
         }
     }
 
-    /** A creation without an answer is repeated once: if the first took effect, the second finds it standing. */
+    /** A creation without an answer is repeated: if an earlier one took effect, the next finds it standing. */
     private fun storeUnavailable(fault: Fault, now: Moment) {
         storeTries++
         if (storeTries < MAX_STORE_TRIES && now + work.settings.storeTimeout < due) {
             claim(now)
         } else {
-            refuse(RefusalReason.STORE_UNAVAILABLE, Execution.UNKNOWN, "this submission was not sent", fault)
+            refuseUnsent(fault)
         }
     }
 
+    private fun refuseUnsent(fault: Fault) {
+        refuse(RefusalReason.STORE_UNAVAILABLE, Execution.UNKNOWN, "this submission was not sent", fault)
+    }
+
     private fun start(upstream: UpstreamRecord, record: ClaimRecord, revision: Long, now: Moment) {
         val id = context.nextAttempt()
         val message = PeerMessage.StartPlain(
@@ -373,7 +380,7 @@
         when (val current = state) {
             is ActionState.Started -> voidStarted(current, now)
             is ActionState.Following -> inProgress(current.record.host)
-            else -> refuse(RefusalReason.STORE_UNAVAILABLE, Execution.UNKNOWN, "this submission was not sent")
+            else -> refuse(RefusalReason.STORE_UNAVAILABLE, Execution.UNKNOWN, "this submission did not run")
         }
     }
 
--- a/core/src/main/kotlin/org/lovageladder/core/ClaimWriter.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/ClaimWriter.kt
@@ -1,5 +1,7 @@
 package org.lovageladder.core
 
+import kotlin.time.Duration.Companion.milliseconds
+
 /** What became of the creation of a claim. */
 internal sealed interface ClaimAnswer {
     /** The claim is ours, written at [revision]. */
@@ -10,12 +12,18 @@
 
     /** The key-value service gave no answer; the claim may stand. */
     data class Unavailable(val fault: Fault) : ClaimAnswer
+
+    /** The key-value service is not answering at present and was not asked. */
+    data class NotAsked(val fault: Fault) : ClaimAnswer
 }
 
 /**
  * Creates claims in the key-value service. While one transaction is in flight, further claims wait and share the
  * next one, so that the rate of calls is bounded by the service's latency and not by the rate of actions. Claims
- * expire with a lease that many of them share. Confined to one thread.
+ * expire with a lease that many of them share.
+ *
+ * After a call without an answer, new claims are turned away at once while a further call is in flight and for
+ * [DOUBT] after it, so that callers need not wait for a service that is away. Confined to one thread.
  */
 internal class ClaimWriter(private val settings: EntrySettings, private val output: EntryOutput) {
     private class Pending(val write: StoreWrite, val answered: (ClaimAnswer, Moment) -> Unit)
@@ -24,9 +32,22 @@
     private var inFlight = false
     private var lease: Long? = null
     private var leaseSince = Moment(0)
+    private var doubt: Fault? = null
+    private var doubtUntil = Moment(0)
 
-    /** Creates [record] at [storeKey] unless the key exists. */
-    fun create(storeKey: String, record: ClaimRecord, now: Moment, answered: (ClaimAnswer, Moment) -> Unit) {
+    /** Creates [record] at [storeKey] unless the key exists; a [repeated] call is made whatever the doubt. */
+    fun create(
+        storeKey: String,
+        record: ClaimRecord,
+        now: Moment,
+        repeated: Boolean,
+        answered: (ClaimAnswer, Moment) -> Unit,
+    ) {
+        val inDoubt = doubt?.takeIf { inFlight || now < doubtUntil }
+        if (inDoubt != null && !repeated) {
+            answered(ClaimAnswer.NotAsked(inDoubt), now)
+            return
+        }
         waiting += Pending(StoreWrite(storeKey, encodeClaim(record)), answered)
         send(now)
     }
@@ -42,7 +63,13 @@
         }
     }
 
+    private fun judge(answer: StoreAnswer, now: Moment) {
+        doubt = (answer as? StoreAnswer.Unavailable)?.fault
+        doubtUntil = now + DOUBT
+    }
+
     private fun leased(answer: StoreAnswer, now: Moment) {
+        judge(answer, now)
         if (answer is StoreAnswer.Leased) {
             lease = answer.lease
             leaseSince = now
@@ -72,6 +99,7 @@
 
     private fun written(batch: List<Pending>, answer: StoreAnswer, now: Moment) {
         inFlight = false
+        judge(answer, now)
         when (answer) {
             is StoreAnswer.Written -> batch.forEach { it.answered(ClaimAnswer.Ours(answer.revision), now) }
             is StoreAnswer.Conflict -> conflict(batch, answer.current.associateBy { it.key }, now)
@@ -101,6 +129,7 @@
 
     private companion object {
         const val BATCH_LIMIT = 64
+        val DOUBT = 500.milliseconds
         const val LEASE_SHARED_PART = 0.02
     }
 }
--- a/core/src/main/kotlin/org/lovageladder/core/EntryMachine.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/EntryMachine.kt
@@ -225,7 +225,7 @@
         }
     }
 
-    /** Hands a report to its attempt; what no longer awaits a reservation gives it back. */
+    /** Hands a report to the owner of its attempt; reports on attempts that ended are ignored. */
     private fun ofAttempt(id: AttemptId, message: PeerMessage, now: Moment) {
         val attempt = attempts[id] ?: return
         attempt.owner.received(attempt, message, now)
--- a/core/src/test/kotlin/org/lovageladder/core/world/FleetRelease.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/world/FleetRelease.kt
@@ -48,7 +48,7 @@
         host = HostName("host-${pool.name}-$number"),
         address = Address("127.0.0.1", 3),
         pieces = if (pool.role == PoolRole.DECODE) 4 else 0,
-        runningLimit = 3,
+        runningLimit = if (pool.role == PoolRole.DECODE) 6 else 3,
     )
 
     private fun services() = listOf(
--- a/core/src/test/kotlin/org/lovageladder/core/world/WholeSystemTest.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/world/WholeSystemTest.kt
@@ -134,12 +134,19 @@
         assertIs<Outcome.Answered>(before.outcome)
         world.store.down = true
         val repeated = world.action(entry = 1, key = 1)
-        world.advance(2.seconds)
+        world.advance(1700.milliseconds)
         val refused = assertIs<Outcome.Refused>(repeated.outcome)
         assertEquals(RefusalReason.STORE_UNAVAILABLE, refused.reason)
         assertEquals(Execution.UNKNOWN, refused.execution)
         assertEquals(false, refused.submissionRan)
         assertNotNull(refused.retryAfter)
+        val next = world.action(entry = 1, key = 2)
+        assertIs<Outcome.Refused>(next.outcome, "refused at once while the service is known to be away")
+        world.store.down = false
+        world.advance(1.seconds)
+        val after = world.action(entry = 1, key = 2)
+        world.advance(1.seconds)
+        assertIs<Outcome.Answered>(after.outcome)
     }
 
     @Test
