--- a/core/src/test/kotlin/org/lovageladder/core/world/WholeSystemFuzzTest.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/world/WholeSystemFuzzTest.kt
@@ -23,6 +23,7 @@
     KILL_COMPANION,
     STOP_COMPANION,
     STOP_ENTRY,
+    LIST_LEAVING,
     START_ALL,
     FREEZE_ENTRY,
     FREEZE_COMPANION,
@@ -98,6 +99,7 @@
             CommandKind.KILL_COMPANION -> companion.kill()
             CommandKind.STOP_COMPANION -> companion.stop()
             CommandKind.STOP_ENTRY -> entry.stop()
+            CommandKind.LIST_LEAVING -> world.hostsListed(companion.host)
             CommandKind.START_ALL -> (world.entries + world.companions).forEach { it.boot() }
             CommandKind.FREEZE_ENTRY -> entry.freeze()
             CommandKind.FREEZE_COMPANION -> companion.freeze()
--- a/core/src/test/kotlin/org/lovageladder/core/world/WholeSystemTest.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/world/WholeSystemTest.kt
@@ -54,6 +54,25 @@
         assertEquals(emptyList(), world.oracle.violations)
     }
 
+    private class ListedRow(val entriesRead: Boolean, val companionsRead: Boolean)
+
+    @Test
+    fun aListedHostGetsNothingNewWhoeverHasReadTheList() {
+        val rows = listOf(ListedRow(true, true), ListedRow(true, false), ListedRow(false, true))
+        for (row in rows) {
+            val world = World(1)
+            val leaving = world.companions.first { "decode-1" in it.host.text }.host
+            world.hostsListed(leaving, row.entriesRead, row.companionsRead)
+            val callers = (1..50).map {
+                world.advance(100.milliseconds)
+                world.generation(entry = it, tokens = 2)
+            }
+            world.advance(2.seconds)
+            callers.forEach { assertIs<Outcome.Generated>(it.outcome) }
+            assertEquals(emptyList(), world.oracle.violations)
+        }
+    }
+
     @Test
     fun aRepeatedKeyIsAnsweredOnceByTheUpstreamAndTwiceByTheEntries() {
         val world = World(1)
--- a/core/src/test/kotlin/org/lovageladder/core/world/World.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/world/World.kt
@@ -114,15 +114,14 @@
         (companions + entries).forEach { it.checkRelease(oracle, published) }
     }
 
-    fun hostsListed(leaving: HostName) {
+    /** The platform lists [leaving] as leaving; [entriesRead] and [companionsRead] tell who has read it yet. */
+    fun hostsListed(leaving: HostName, entriesRead: Boolean = true, companionsRead: Boolean = true) {
         val hosts = listOf(ListedHost(leaving, fleet.place, leaving = true))
         upstreamsByHost[leaving].orEmpty().forEach { oracle.closed(it.entry.name, time.now) }
-        entries.forEach { it.deliver(EntryEvent.HostsListed(hosts)) }
-        companions.forEach { it.deliver(CompanionEvent.HostsListed(hosts)) }
+        if (entriesRead) entries.forEach { it.deliver(EntryEvent.HostsListed(hosts)) }
+        if (companionsRead) companions.forEach { it.deliver(CompanionEvent.HostsListed(hosts)) }
     }
 
-    fun release(): FleetRelease = fleet
-
     fun entryFor(host: HostName): ReleaseEntry.Host = fleet.hosts.first { it.name == host }
 
     private companion object {
