Bound the wait for decode memory by the first-token target

Cause, found on reading: a reservation waited at least one second, also when the target left less, so that a grant could come too late for its prefill. Ruled out: the resume of a running stream, which keeps the second. Change: the wait is what the target leaves. Test added for the refusal; tables and 10,000 whole-system sequences pass.

--- a/core/src/main/kotlin/org/lovageladder/core/GenerationFlow.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/GenerationFlow.kt
@@ -80,12 +80,9 @@
             return
         }
         val wait = (firstTokenDue - now) - expectedPrefill()
-        if (wait <= Duration.ZERO && tokens.next == 0) {
-            refuse(RefusalReason.OVERLOADED, detail = "first token cannot arrive in time")
-            return
-        }
-        if (work.settings.earlyRefusal && expectedWait(upstream, now) > wait && tokens.next == 0) {
-            refuse(RefusalReason.OVERLOADED, detail = "expected wait for decode memory is too long")
+        val tooLate = wait <= Duration.ZERO || (work.settings.earlyRefusal && expectedWait(upstream, now) > wait)
+        if (tooLate && tokens.next == 0) {
+            refuse(RefusalReason.OVERLOADED, detail = "the first token cannot arrive within ${target.firstToken}")
             return
         }
         reserveTries++
@@ -96,7 +93,7 @@
             pieces = pieces,
             worth = context.requestClass.worth,
             priority = context.requestClass.priority,
-            waitAtMost = wait.coerceAtLeast(RESUME_WAIT),
+            waitAtMost = if (tokens.next > 0) RESUME_WAIT else wait.coerceAtLeast(Duration.ZERO),
             holdAtMost = (firstTokenDue - now).coerceAtLeast(RESUME_WAIT) + HOLD_MARGIN,
         )
         context.record(EventKind.UPSTREAM_CHOSEN, upstream.name)
--- a/core/src/test/kotlin/org/lovageladder/core/world/WholeSystemTest.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/world/WholeSystemTest.kt
@@ -168,6 +168,20 @@
         assertIs<Outcome.Answered>(after.outcome)
     }
 
+    @Test
+    fun whatFindsNoMemoryInTimeIsRefusedByItsTargetAndToldWhenToComeBack() {
+        val world = World(1)
+        val holders = (1..8).map { world.generation(entry = 0, tokens = 3900) }
+        world.advance(500.milliseconds)
+        val late = world.generation(entry = 0, tokens = 4000)
+        world.advance(2.seconds)
+        val refused = assertIs<Outcome.Refused>(late.outcome)
+        assertEquals(Execution.NOT_RUN, refused.execution)
+        assertNotNull(refused.retryAfter)
+        assertTrue(holders.all { it.outcome == null })
+        assertEquals(emptyList(), world.oracle.violations)
+    }
+
     @Test
     fun aPromptLargerThanAnyUpstreamIsRefusedAtOnce() {
         val world = World(1)
