Forward requests straight to upstreams, and an adapter to the users' platform

First build of the thin path: routes, membership, plain calls, streams with reserved decode memory and prefill, settings from the file that the platform renders.

--- a/core/src/main/kotlin/org/lovageladder/core/EventKind.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/EventKind.kt
@@ -74,6 +74,16 @@
     HOST_LEAVING(2501, EventLevel.INFO, "A host is leaving and gets no new work.", "None."),
     ORDER_GIVEN(2601, EventLevel.INFO, "An upstream carried out an order.", "None."),
     ORDER_REFUSED(2602, EventLevel.WARNING, "An order was refused or failed.", "Check upstream and fencing number."),
+    CONFIGURATION_APPLIED(3001, EventLevel.INFO, "A configuration is in force in this process.", "None."),
+    CONFIGURATION_OUTDATED(3002, EventLevel.WARNING, "An older configuration was offered and not applied.", "None."),
+    CONFIGURATION_UNREADABLE(3003, EventLevel.ERROR, "A stored configuration cannot be read.", "Publish it anew."),
+    UPSTREAM_REGISTERED(3004, EventLevel.INFO, "What is known of an upstream's registration changed.", "None."),
+    REGISTRATION_UNREADABLE(3005, EventLevel.WARNING, "An upstream's entry is unreadable.", "Check its writer."),
+    SETTINGS_RELOADED(3006, EventLevel.INFO, "The settings file was read again.", "None."),
+    REQUEST_SENT(3101, EventLevel.INFO, "A request, or its prefill, was sent to an upstream.", "None."),
+    REQUEST_DECLINED(3102, EventLevel.INFO, "An upstream did not run a request.", "Check its load if frequent."),
+    REQUEST_FAILED(3103, EventLevel.INFO, "A call to an upstream failed.", "Check the upstream if frequent."),
+    REQUEST_ENDED(3104, EventLevel.INFO, "A request was answered, refused or broken off.", "See OPERATIONS."),
     ;
 
     /** Code as it is printed: `LL-` and four digits. */
--- /dev/null
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/Forwarder.kt
@@ -0,0 +1,130 @@
+package org.lovageladder.core.forward
+
+import kotlin.random.Random
+import kotlin.time.Duration
+import org.lovageladder.core.EventKind
+import org.lovageladder.core.PlaceName
+import org.lovageladder.core.ReleaseVersion
+import org.lovageladder.core.ServiceName
+
+/** Settings of a [Forwarder]: its [place], and this process's part of the budget for repeats. */
+public data class ForwarderSettings(
+    val place: PlaceName,
+    val retryRatio: Double,
+    val retryAllowance: Double,
+    val retryWindow: Duration,
+)
+
+/** Handle of a request that a [Forwarder] took. */
+public fun interface OpenRequest {
+    /** The caller is gone. */
+    public fun callerLeft()
+}
+
+/**
+ * Forwards callers' requests straight to upstreams, by the newest configuration and the registry of upstreams that
+ * were given to it. Confined to one thread.
+ */
+public class Forwarder(
+    settings: ForwarderSettings,
+    calls: UpstreamCalls,
+    private val scheduler: Scheduler,
+    private val log: EventSink,
+    random: Random = Random.Default,
+) {
+    private val membership = Membership()
+    private val board = UpstreamBoard(membership, settings.place, random)
+    private val budget = RetryBudget(settings.retryRatio, settings.retryAllowance, settings.retryWindow)
+    private val context = ForwardContext(calls, scheduler, board, membership, budget, log, random)
+    private val queues = HashMap<ServiceName, MemoryQueue>()
+    private val paces = HashMap<ServiceName, StreamPace>()
+    private var configuration: Configuration? = null
+    private var routes: RouteTable? = null
+
+    /** Requests that are not finished. */
+    public var open: Int = 0
+        private set
+
+    /** Version of the configuration in force. */
+    public val version: ReleaseVersion get() = configuration?.version ?: ReleaseVersion.NONE
+
+    /** Limits on what callers send; null before there is a configuration. */
+    public val limits: CallerLimits? get() = configuration?.limits
+
+    /** Whether requests can be forwarded. */
+    public val ready: Boolean get() = configuration != null && membership.known
+
+    /** Puts [newer] into force unless a later version is. */
+    public fun configure(newer: Configuration) {
+        if (newer.version < version) {
+            context.record(EventKind.CONFIGURATION_OUTDATED, detail = "got ${newer.version}, in force is $version")
+            return
+        }
+        if (newer.version == version) return
+        configuration = newer
+        routes = RouteTable(newer)
+        val detail = "version=${newer.version} routes=${newer.routes.size} services=${newer.services.size}"
+        context.record(EventKind.CONFIGURATION_APPLIED, detail = detail)
+    }
+
+    /** Takes in what the registry of upstreams told. */
+    public fun registryChanged(change: RegistryChange) {
+        membership.apply(change, scheduler.now())
+        when (change) {
+            is RegistryChange.Written -> recordMember(change.member)
+            is RegistryChange.Removed ->
+                context.record(EventKind.UPSTREAM_REGISTERED, upstream = change.name, detail = "entry removed")
+            is RegistryChange.ReadWhole ->
+                context.record(EventKind.UPSTREAM_REGISTERED, detail = "read whole: ${change.members.size} upstreams")
+            RegistryChange.Lost -> context.record(EventKind.STORE_LOST, detail = "no answer from the registry")
+            RegistryChange.Regained -> context.record(EventKind.STORE_BACK, detail = "the registry answers")
+        }
+        board.forgetMissing()
+    }
+
+    /** Forwards [request]; its outcome goes to [reply]. Null when it was answered at once. */
+    public fun forward(request: ForwardRequest, reply: CallerReply): OpenRequest? {
+        val table = routes
+        if (table == null || !membership.known) return refuse(request, reply, RefusalReason.NOT_READY)
+        val route = table.find(request.host, request.target)
+            ?: return refuse(request, reply, RefusalReason.NO_ROUTE)
+        val share = drawShare(route.shares, context.random.nextDouble())
+            ?: return refuse(request, reply, RefusalReason.NO_UPSTREAM)
+        budget.requestArrived(share.service, scheduler.now())
+        val engine = configuration?.services?.get(share.service)?.engine
+        val flow = flowOf(request, Destination(route, share.service, engine), reply)
+        open += 1
+        flow.start()
+        return OpenRequest { flow.callerLeft() }
+    }
+
+    private fun flowOf(request: ForwardRequest, destination: Destination, reply: CallerReply): ForwardFlow {
+        val ended = { open -= 1 }
+        if (destination.engine == null) return PlainFlow(context, request, destination, reply, ended)
+        val service = destination.service
+        val queue = queues.getOrPut(service) { MemoryQueue(context, service) { engineOf(service) } }
+        val pace = paces.getOrPut(service) { StreamPace() }
+        return StreamFlow(context, request, destination, queue, pace, reply, ended)
+    }
+
+    private fun engineOf(service: ServiceName) = configuration?.services?.get(service)?.engine
+
+    private fun refuse(request: ForwardRequest, reply: CallerReply, reason: RefusalReason): OpenRequest? {
+        val wait = request.wait ?: DEFAULT_WAIT
+        val returnAfter = if (reason.notRun) context.returnAfter(RETURN_AFTER, wait) else null
+        context.record(EventKind.REQUEST_ENDED, request.id, detail = "refused: $reason ${request.host}${request.target}")
+        reply.refuse(Refusal(reason, returnAfter))
+        return null
+    }
+
+    private fun recordMember(member: Member) {
+        val state = if (member.leaving) "leaving" else "serving"
+        val detail = "$state service=${member.service} role=${member.role} at ${member.address}"
+        context.record(EventKind.UPSTREAM_REGISTERED, upstream = member.name, detail = detail)
+    }
+
+    private companion object {
+        val RETURN_AFTER = Duration.parse("200ms")
+        val DEFAULT_WAIT = Duration.parse("10s")
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/MemoryQueue.kt
@@ -0,0 +1,181 @@
+package org.lovageladder.core.forward
+
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import org.lovageladder.core.Moment
+import org.lovageladder.core.PoolRole
+import org.lovageladder.core.RequestId
+import org.lovageladder.core.ServiceName
+import org.lovageladder.core.UpstreamName
+
+/** A request that waits for decode memory. [latest] is when it is no use to it any more. */
+internal class MemoryClaim(
+    val request: RequestId,
+    val tokens: Int,
+    val priority: Int,
+    val entered: Moment,
+    val latest: Moment,
+    val avoid: Set<UpstreamName>,
+    val granted: (MemoryGrant) -> Unit,
+    val refused: (RefusalReason) -> Unit,
+) {
+    var cancelled = false
+}
+
+/** Memory at [engine] that is reserved for a request until it is used or released. */
+internal data class MemoryGrant(val engine: Member, val tokens: Int, val reservation: Reservation)
+
+/**
+ * Requests of one service that wait for decode memory. The engines keep the account: each claim is a reservation at
+ * one of them, so that all entries together cannot overcommit its memory. Claims are served in order of priority, then
+ * arrival, while they can still meet their target; one that cannot is refused at once. Answers the load pattern of a
+ * crest: more prompts than decode memory holds, for some seconds. Confined to one thread.
+ */
+internal class MemoryQueue(
+    private val context: ForwardContext,
+    private val service: ServiceName,
+    private val engine: () -> EngineTraits?,
+) {
+    private val waiting = ArrayList<MemoryClaim>()
+    private val held = HashMap<UpstreamName, Int>()
+    private val fullUntil = HashMap<UpstreamName, Moment>()
+    private val asking = HashSet<UpstreamName>()
+    private var wake: RunningCall? = null
+    private var grantInterval = Duration.ZERO
+    private var lastGrant: Moment? = null
+
+    /** Serves [claim] as soon as memory is free, or refuses it. */
+    fun enter(claim: MemoryClaim) {
+        val now = context.now()
+        val expected = grantInterval * waiting.count { it.priority <= claim.priority }
+        if (now + expected > claim.latest) {
+            claim.refused(RefusalReason.OVERLOADED)
+            return
+        }
+        insert(claim)
+        pump()
+    }
+
+    /** Takes [claim] back. */
+    fun leave(claim: MemoryClaim) {
+        claim.cancelled = true
+        waiting.remove(claim)
+    }
+
+    /** The memory of [grant] is free again. */
+    fun freed(grant: MemoryGrant) {
+        held.merge(grant.engine.name, -grant.tokens, Int::plus)
+        fullUntil.remove(grant.engine.name)
+        pump()
+    }
+
+    /** Tokens that this process holds at [name]. */
+    fun heldAt(name: UpstreamName): Int = held[name] ?: 0
+
+    private fun insert(claim: MemoryClaim) {
+        val position = waiting.indexOfFirst { it.priority > claim.priority || it.orderedAfter(claim) }
+        if (position < 0) waiting.add(claim) else waiting.add(position, claim)
+    }
+
+    private fun MemoryClaim.orderedAfter(other: MemoryClaim) =
+        priority == other.priority && entered > other.entered
+
+    private fun pump() {
+        val now = context.now()
+        refuseExpired(now)
+        while (waiting.isNotEmpty()) {
+            val claim = waiting.first()
+            val free = enginesFor(claim, now)
+            if (free == null) {
+                waiting.removeFirst()
+                claim.refused(RefusalReason.NO_UPSTREAM)
+                continue
+            }
+            val chosen = free.firstOrNull() ?: break
+            waiting.removeFirst()
+            ask(claim, chosen)
+        }
+        scheduleWake(now)
+    }
+
+    /** Engines that may have room for [claim], the best first; null when there is no engine at all. */
+    private fun enginesFor(claim: MemoryClaim, now: Moment): List<Member>? {
+        val memory = (engine()?.memoryTokens ?: 0).coerceAtLeast(1).toDouble()
+        val all = context.board.candidates(service, PoolRole.DECODE, now, claim.avoid) { heldAt(it.name) / memory }
+        if (all.isEmpty()) return null
+        return all.filter { it.name !in asking && (fullUntil[it.name]?.let { until -> until <= now } ?: true) }
+    }
+
+    private fun ask(claim: MemoryClaim, member: Member) {
+        val keep = engine()?.reservationLimit ?: DEFAULT_KEEP
+        asking += member.name
+        held.merge(member.name, claim.tokens, Int::plus)
+        context.calls.reserve(member.address, claim.tokens, keep) { answer ->
+            asking -= member.name
+            answered(claim, member, answer)
+            pump()
+        }
+    }
+
+    private fun answered(claim: MemoryClaim, member: Member, answer: EngineAnswer<Reservation>) {
+        val now = context.now()
+        if (answer is EngineAnswer.Done) {
+            grant(claim, MemoryGrant(member, claim.tokens, answer.value), now)
+            return
+        }
+        held.merge(member.name, -claim.tokens, Int::plus)
+        when (answer) {
+            is EngineAnswer.Done -> Unit
+            is EngineAnswer.Refused -> {
+                if (answer.wrongInstance) context.replaced(member.name, claim.request)
+                fullUntil[member.name] = now + RECHECK
+            }
+            is EngineAnswer.Failed -> {
+                context.failed(member.name, claim.request, "reserve", answer.failure)
+                fullUntil[member.name] = now + RECHECK
+            }
+        }
+        if (!claim.cancelled) insert(claim)
+    }
+
+    private fun grant(claim: MemoryClaim, grant: MemoryGrant, now: Moment) {
+        if (claim.cancelled) {
+            context.calls.release(grant.engine.address, grant.reservation)
+            freed(grant)
+            return
+        }
+        val previous = lastGrant
+        if (previous != null && waiting.isNotEmpty()) {
+            grantInterval = grantInterval * (1 - INTERVAL_WEIGHT) + (now - previous) * INTERVAL_WEIGHT
+        } else {
+            grantInterval *= (1 - INTERVAL_WEIGHT)
+        }
+        lastGrant = now
+        claim.granted(grant)
+    }
+
+    private fun refuseExpired(now: Moment) {
+        val expired = waiting.filter { it.latest <= now }
+        waiting.removeAll(expired.toSet())
+        expired.forEach { it.refused(RefusalReason.OVERLOADED) }
+    }
+
+    private fun scheduleWake(now: Moment) {
+        wake?.cancel()
+        wake = null
+        if (waiting.isEmpty()) return
+        val expiry = waiting.minOf { it.latest }
+        val recheck = fullUntil.values.filter { it > now }.minOrNull() ?: expiry
+        val due = minOf(expiry, recheck)
+        wake = context.scheduler.after((due - now).coerceAtLeast(LEAST_PAUSE)) { pump() }
+    }
+
+    private companion object {
+        val DEFAULT_KEEP: Duration = 1_000.milliseconds
+
+        /** Pause before an engine that was full is asked again, unless a request of this process ends there. */
+        val RECHECK: Duration = 40.milliseconds
+        val LEAST_PAUSE: Duration = 1.milliseconds
+        const val INTERVAL_WEIGHT = 0.2
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/StreamFlow.kt
@@ -0,0 +1,310 @@
+package org.lovageladder.core.forward
+
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import org.lovageladder.core.EventKind
+import org.lovageladder.core.FaultCause
+import org.lovageladder.core.Moment
+import org.lovageladder.core.PoolRole
+import org.lovageladder.core.UpstreamName
+
+/**
+ * One generation. Decode memory is reserved first, then a prefill engine reads the prompt, then the decode engine
+ * fetches the result and streams. Without a prefill engine in reach the decode engine reads the prompt itself. Events
+ * are passed on as they arrive; a resumable stream that breaks goes on elsewhere after the last whole event, any other
+ * is broken off towards the caller too. Confined to one thread.
+ */
+internal class StreamFlow(
+    private val context: ForwardContext,
+    private val request: ForwardRequest,
+    private val destination: Destination,
+    private val queue: MemoryQueue,
+    private val pace: StreamPace,
+    private val reply: CallerReply,
+    private val ended: () -> Unit,
+) : ForwardFlow {
+    private val route = destination.route
+    private val time = RequestTime(request, route)
+    private val splitter = if (route.resumable) EventSplitter() else null
+    private val declinedBy = HashSet<UpstreamName>()
+    private var timeout: RunningCall? = null
+    private var claim: MemoryClaim? = null
+    private var grant: MemoryGrant? = null
+    private var prefillCall: RunningCall? = null
+    private var prefillAt: UpstreamName? = null
+    private var prefilled: PrefillResult? = null
+    private var decoding: RunningCall? = null
+    private var grantedAt: Moment? = null
+    private var firstEventAt: Moment? = null
+    private var lastEvent: Long? = request.resumeAfter
+    private var runs = 0
+    private var sendings = 0
+    private var begun = false
+    private var over = false
+
+    override fun start() {
+        timeout = context.scheduler.after(time.remaining(context.now())) { expire() }
+        claimMemory()
+    }
+
+    override fun callerLeft() {
+        if (!over) finish("the caller left")
+    }
+
+    private fun claimMemory() {
+        val now = context.now()
+        val latest = if (begun || sendings > 0) time.end else maxOf(now, time.target - pace.startup)
+        val entering =
+            MemoryClaim(
+                request = request.id,
+                tokens = pace.memoryFor(request.generation, destination.engine),
+                priority = if (begun) RESUMED_PRIORITY else route.priority,
+                entered = time.arrived,
+                latest = latest,
+                avoid = declinedBy,
+                granted = ::granted,
+                refused = ::refuseOrBreak,
+            )
+        claim = entering
+        queue.enter(entering)
+    }
+
+    private fun granted(memory: MemoryGrant) {
+        claim = null
+        grant = memory
+        grantedAt = context.now()
+        prefill()
+    }
+
+    private fun prefill() {
+        val member = choosePrefill()
+        if (member == null) {
+            decode()
+            return
+        }
+        val health = context.board.health(member.name)
+        health.inFlight += 1
+        prefillAt = member.name
+        context.record(EventKind.REQUEST_SENT, request.id, member.name, detail = "prefill of ${route.name}")
+        val limit = minOf(time.remaining(context.now()), pace.prefillLimit)
+        prefillCall =
+            context.calls.prefill(request, Sending(member.name, member.address, limit)) { answer ->
+                prefillCall = null
+                prefillAt = null
+                health.inFlight -= 1
+                prefillAnswered(member, answer)
+            }
+    }
+
+    private fun choosePrefill(): Member? {
+        if (request.generation == null || prefilled != null) return null
+        return context.board
+            .candidates(destination.service, PoolRole.PREFILL, context.now(), declinedBy)
+            .firstOrNull { it.name !in declinedBy }
+    }
+
+    private fun prefillAnswered(member: Member, answer: EngineAnswer<PrefillResult>) {
+        when (answer) {
+            is EngineAnswer.Done -> {
+                context.board.health(member.name).succeeded()
+                prefilled = answer.value
+            }
+            is EngineAnswer.Refused -> {
+                if (answer.wrongInstance) context.replaced(member.name, request.id)
+                declinedBy += member.name
+                context.record(EventKind.REQUEST_DECLINED, request.id, member.name, detail = "prefill ${answer.status}")
+            }
+            is EngineAnswer.Failed -> {
+                declinedBy += member.name
+                context.failed(member.name, request.id, "prefill", answer.failure)
+            }
+        }
+        if (prefilled == null && mayRepeatPrefill()) prefill() else decode()
+    }
+
+    private fun mayRepeatPrefill() =
+        declinedBy.size < MOST_PREFILLS && context.budget.tryRepeat(destination.service, context.now())
+
+    private fun decode() {
+        val memory = checkNotNull(grant)
+        val name = memory.engine.name
+        sendings += 1
+        runs += 1
+        context.board.health(name).inFlight += 1
+        context.record(EventKind.REQUEST_SENT, request.id, name, detail = "decode of ${route.name} after=$lastEvent")
+        val sending =
+            Sending(
+                upstream = name,
+                address = memory.engine.address,
+                timeout = time.remaining(context.now()),
+                prefill = prefilled,
+                reservation = memory.reservation,
+                resumeAfter = lastEvent,
+            )
+        decoding = context.calls.send(request, sending, DecodeReceiver(name))
+    }
+
+    private fun onHead(upstream: UpstreamName, head: AnswerHead) {
+        head.load?.let { context.board.health(upstream).report(it, context.now()) }
+        if (head.notRun || begun) return
+        if (!head.success && head.status >= SERVER_ERROR && mayResume()) return
+        begun = true
+        reply.begin(head, length = null)
+    }
+
+    private fun onContent(bytes: ByteArray) {
+        noteFirstEvent()
+        val splitting = splitter
+        if (splitting == null) {
+            reply.content(bytes)
+            return
+        }
+        val events = splitting.add(bytes) ?: return
+        events.lastEvent?.let { lastEvent = it }
+        reply.content(events.bytes)
+    }
+
+    private fun noteFirstEvent() {
+        if (firstEventAt != null) return
+        val now = context.now()
+        firstEventAt = now
+        grantedAt?.let { pace.started(now - it) }
+    }
+
+    private fun declined(upstream: UpstreamName, head: AnswerHead) {
+        runs -= 1
+        declinedBy += upstream
+        if (head.wrongInstance) context.replaced(upstream, request.id)
+        context.record(EventKind.REQUEST_DECLINED, request.id, upstream, detail = "decode ${head.status}")
+        if (sendings < MOST_SENDINGS && context.budget.tryRepeat(destination.service, context.now())) {
+            claimMemory()
+        } else {
+            refuseOrBreak(RefusalReason.OVERLOADED)
+        }
+    }
+
+    private fun brokeOff(upstream: UpstreamName, failure: CallFailure) {
+        context.failed(upstream, request.id, "decode", failure)
+        splitter?.reset()
+        if (!failure.sent) {
+            runs -= 1
+            declinedBy += upstream
+            retryUnsent()
+            return
+        }
+        declinedBy += upstream
+        if (mayResume() && context.budget.tryRepeat(destination.service, context.now())) {
+            claimMemory()
+        } else {
+            refuseOrBreak(RefusalReason.ANSWER_LOST)
+        }
+    }
+
+    private fun retryUnsent() {
+        if (sendings < MOST_SENDINGS) claimMemory() else refuseOrBreak(RefusalReason.NO_UPSTREAM)
+    }
+
+    private fun mayResume() = route.resumable && runs < route.maximumAttempts
+
+    private fun completed(upstream: UpstreamName) {
+        context.board.health(upstream).succeeded()
+        splitter?.rest()?.takeIf { it.isNotEmpty() }?.let(reply::content)
+        finish("answered")
+        reply.end()
+    }
+
+    private fun refuseOrBreak(reason: RefusalReason) {
+        if (over) return
+        if (begun) {
+            finish("broken off: $reason")
+            reply.abort()
+            return
+        }
+        val honest = if (runs > 0 && reason.notRun) RefusalReason.ANSWER_LOST else reason
+        val remaining = time.remaining(context.now())
+        val returnAfter = if (honest.notRun) context.returnAfter(pace.returnAfter, remaining) else null
+        finish("refused: $honest")
+        reply.refuse(Refusal(honest, returnAfter))
+    }
+
+    private fun expire() {
+        if (!over) refuseOrBreak(if (runs > 0) RefusalReason.TIMEOUT else RefusalReason.EXPIRED)
+    }
+
+    private fun finish(outcome: String) {
+        over = true
+        timeout?.cancel()
+        claim?.let(queue::leave)
+        prefillCall?.cancel()
+        prefillAt?.let { context.board.health(it).inFlight -= 1 }
+        decoding?.cancel()
+        val engine = grant?.engine?.name
+        releaseMemory(used = decoding != null)
+        val first = firstEventAt?.let { (it - time.arrived).inWholeMilliseconds }
+        val took = (context.now() - time.arrived).inWholeMilliseconds
+        val detail = "$outcome route=${route.name} sendings=$sendings first=${first}ms took=${took}ms"
+        context.record(EventKind.REQUEST_ENDED, request.id, engine, detail = detail)
+        ended()
+    }
+
+    /** Gives memory and prefill result back; [used] when the decode engine has taken them. */
+    private fun releaseMemory(used: Boolean) {
+        val memory = grant ?: return
+        grant = null
+        if (decoding != null) context.board.health(memory.engine.name).inFlight -= 1
+        decoding = null
+        if (!used) {
+            context.calls.release(memory.engine.address, memory.reservation)
+            prefilled?.let(context.calls::free)
+        }
+        prefilled = null
+        queue.freed(memory)
+    }
+
+    private inner class DecodeReceiver(private val upstream: UpstreamName) : AnswerReceiver {
+        private var head: AnswerHead? = null
+
+        override fun onHead(head: AnswerHead) {
+            this.head = head
+            if (!over) this@StreamFlow.onHead(upstream, head)
+        }
+
+        override fun onContent(bytes: ByteArray) {
+            if (!over && passes()) this@StreamFlow.onContent(bytes)
+        }
+
+        override fun onEnd() {
+            if (over) return
+            val answered = checkNotNull(head)
+            if (answered.notRun) {
+                releaseMemory(used = false)
+                declined(upstream, answered)
+            } else if (passes()) {
+                completed(upstream)
+            } else {
+                releaseMemory(used = true)
+                brokeOff(upstream, CallFailure(FaultCause.REJECTED, true, "status ${answered.status}"))
+            }
+        }
+
+        override fun onFailure(failure: CallFailure) {
+            if (over) return
+            releaseMemory(used = failure.sent)
+            brokeOff(upstream, failure)
+        }
+
+        private fun passes(): Boolean {
+            val answered = head ?: return false
+            return begun && !answered.notRun && (answered.success || runs == 1)
+        }
+    }
+
+    private companion object {
+        const val SERVER_ERROR = 500
+        const val MOST_SENDINGS = 3
+        const val MOST_PREFILLS = 2
+
+        /** Streams that go on elsewhere come before all that have not begun. */
+        const val RESUMED_PRIORITY = -1
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/UpstreamBoard.kt
@@ -0,0 +1,69 @@
+package org.lovageladder.core.forward
+
+import kotlin.random.Random
+import org.lovageladder.core.Moment
+import org.lovageladder.core.PlaceName
+import org.lovageladder.core.PoolRole
+import org.lovageladder.core.ServiceName
+import org.lovageladder.core.UpstreamName
+
+/**
+ * Chooses upstreams by the calls that this process has there, the load they tell, their failures and their place.
+ * Confined to one thread.
+ */
+public class UpstreamBoard(
+    private val membership: Membership,
+    private val place: PlaceName,
+    private val random: Random,
+) {
+    private val health = HashMap<UpstreamName, UpstreamHealth>()
+
+    internal fun health(name: UpstreamName): UpstreamHealth = health.getOrPut(name) { UpstreamHealth() }
+
+    /** Upstreams of [service] with [role] that may get a call now, the best first; those in [avoid] come last. */
+    internal fun candidates(
+        service: ServiceName,
+        role: PoolRole,
+        now: Moment,
+        avoid: Set<UpstreamName> = emptySet(),
+        extraCost: (Member) -> Double = { 0.0 },
+    ): List<Member> {
+        val members = membership.serving(service, now).filter { it.role == role }
+        val admitted = members.filter { health(it.name).admits(now) }
+        return admitted
+            .ifEmpty { members }
+            .map { Ranked(it, it.name in avoid, cost(it, now) + extraCost(it)) }
+            .sortedWith(compareBy(Ranked::avoided, Ranked::cost))
+            .map(Ranked::member)
+    }
+
+    /** Forgets upstreams that are not registered any more. */
+    internal fun forgetMissing() {
+        health.keys.retainAll { membership[it] != null || health.getValue(it).inFlight > 0 }
+    }
+
+    private fun cost(member: Member, now: Moment): Double {
+        val health = health(member.name)
+        val load = health.load(now)
+        val slots = if (member.role == PoolRole.PREFILL) PROMPTS_AT_ONCE else member.slots.coerceAtLeast(1).toDouble()
+        val told = load?.let { (it.running + it.waiting) / slots } ?: 0.0
+        val own = health.inFlight / slots
+        val busy = maxOf(told, own) + own / OWN_SHARE
+        val slowdown = load?.slowdown ?: 1.0
+        val distance = if (member.place == place) 0.0 else PLACE_COST
+        return (BASE_COST + busy) * slowdown * (1 + FAILURE_COST * health.failureShare) + distance +
+            random.nextDouble() * TIE_BREAK
+    }
+
+    private data class Ranked(val member: Member, val avoided: Boolean, val cost: Double)
+
+    private companion object {
+        /** A prefill engine reads one prompt after the other, whatever its slots. */
+        const val PROMPTS_AT_ONCE = 1.0
+        const val BASE_COST = 0.5
+        const val OWN_SHARE = 2.0
+        const val FAILURE_COST = 4.0
+        const val PLACE_COST = 0.2
+        const val TIE_BREAK = 0.02
+    }
+}
--- a/daemon/src/main/kotlin/org/lovageladder/daemon/CommonFlags.kt
+++ b/daemon/src/main/kotlin/org/lovageladder/daemon/CommonFlags.kt
@@ -36,8 +36,8 @@
     val place: PlaceName get() = PlaceName(placeName)
 
     /** Sets up the log as asked for. */
-    fun configureLog() {
-        configureLog(logLevel, logFormat)
+    fun configureLog(stream: LogStream = LogStream.ERROR) {
+        configureLog(logLevel, logFormat, stream)
     }
 
     fun processSettings(): ProcessSettings = ProcessSettings(
--- /dev/null
+++ b/daemon/src/main/kotlin/org/lovageladder/daemon/ForwardCommand.kt
@@ -0,0 +1,65 @@
+package org.lovageladder.daemon
+
+import com.github.ajalt.clikt.core.CliktCommand
+import com.github.ajalt.clikt.core.Context
+import com.github.ajalt.clikt.core.context
+import com.github.ajalt.clikt.parameters.groups.provideDelegate
+import com.github.ajalt.clikt.parameters.options.Option
+import com.github.ajalt.clikt.parameters.options.required
+import com.github.ajalt.clikt.sources.PropertiesValueSource
+import org.lovageladder.core.forward.ForwarderSettings
+import kotlin.time.Duration.Companion.minutes
+import kotlin.time.Duration.Companion.seconds
+
+/**
+ * Runs an entry that forwards requests straight to upstreams. Its settings come from flags, environment variables and
+ * the file that [SETTINGS_VARIABLE] names, whose lines are `flag=value` without the dashes; flags go first.
+ */
+internal class ForwardCommand : CliktCommand("forward") {
+    private val common by CommonFlags()
+    private val listen by addressFlag("--listen", "Where callers connect.").required()
+    private val retryRatio by ratioFlag("--retry-ratio", "Repeats of all entries for each request.", RETRY_RATIO)
+    private val retryAllowance by
+        countFlag("--retry-allowance", "Repeats of all entries beyond that, in a window.", 0, 0..MOST_REPEATS)
+    private val retryWindow by durationFlag("--retry-window", "Window of the retry budget.", 10.seconds, WINDOWS)
+    private val entryCount by countFlag("--entry-count", "Entries among which it is shared.", ENTRIES, 1..MOST_ENTRIES)
+
+    init {
+        context {
+            System.getenv(SETTINGS_VARIABLE)?.let { file ->
+                valueSource = PropertiesValueSource.from(file, requireValid = true) { _, option -> settingName(option) }
+            }
+        }
+    }
+
+    override fun help(context: Context): String = "Forwards callers' requests straight to registered upstreams."
+
+    override fun run() {
+        common.configureLog(LogStream.OUTPUT)
+        runUntilEnd("forward", "callers") { startForward(settings()) }
+    }
+
+    private fun settings(): ForwardProcessSettings = ForwardProcessSettings(
+        name = common.process,
+        callers = listen,
+        process = common.processSettings(),
+        decisions =
+        ForwarderSettings(
+            place = common.place,
+            retryRatio = retryRatio,
+            retryAllowance = retryAllowance.toDouble() / entryCount,
+            retryWindow = retryWindow,
+        ),
+    )
+
+    private companion object {
+        const val SETTINGS_VARIABLE = "LOVAGELADDER_SETTINGS"
+        const val RETRY_RATIO = 0.1
+        const val MOST_REPEATS = 100_000
+        const val ENTRIES = 8
+        const val MOST_ENTRIES = 10_000
+        val WINDOWS = 1.seconds..10.minutes
+
+        fun settingName(option: Option): String = option.names.first { it.startsWith("--") }.removePrefix("--")
+    }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/org/lovageladder/daemon/ForwardProcess.kt
@@ -0,0 +1,170 @@
+package org.lovageladder.daemon
+
+import io.micrometer.core.instrument.Gauge
+import io.micrometer.prometheusmetrics.PrometheusConfig
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
+import kotlinx.serialization.Serializable
+import org.lovageladder.core.Address
+import org.lovageladder.core.EventDraft
+import org.lovageladder.core.EventKind
+import org.lovageladder.core.HybridClock
+import org.lovageladder.core.ProcessName
+import org.lovageladder.core.ReleaseVersion
+import org.lovageladder.core.forward.CallerLimits
+import org.lovageladder.core.forward.CallerReply
+import org.lovageladder.core.forward.Configuration
+import org.lovageladder.core.forward.ForwardRequest
+import org.lovageladder.core.forward.Forwarder
+import org.lovageladder.core.forward.ForwarderSettings
+import org.lovageladder.core.forward.OpenRequest
+import org.lovageladder.core.forward.RegistryChange
+import org.lovageladder.core.forward.RegistryFollower
+import org.lovageladder.core.forward.RegistryListener
+import org.lovageladder.http.HttpThreads
+import org.lovageladder.http.forward.EventLoopScheduler
+import org.lovageladder.http.forward.ForwardHandler
+import org.lovageladder.http.forward.ForwardServer
+import org.lovageladder.http.forward.HttpUpstreamCalls
+import org.lovageladder.http.forward.TextClient
+import org.lovageladder.http.startAdminServer
+import org.lovageladder.platform.PlatformCallerWire
+import org.lovageladder.platform.PlatformRegistry
+import org.lovageladder.platform.PlatformUpstreamWire
+import java.util.concurrent.Executors
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** Settings of an entry that forwards straight to upstreams. */
+internal data class ForwardProcessSettings(
+    val name: ProcessName,
+    val callers: Address,
+    val process: ProcessSettings,
+    val decisions: ForwarderSettings,
+)
+
+/** Starts a forwarding entry; throws [AddressUnavailable] when it cannot listen. */
+internal fun startForward(settings: ForwardProcessSettings): RunningProcess = ForwardProcess(settings)
+
+/**
+ * Connects the forwarding decisions with callers, upstreams and the platform. One event loop thread carries both the
+ * traffic and the control state: the hosts have a part of one processor, on which a second thread only costs switches.
+ */
+private class ForwardProcess(private val settings: ForwardProcessSettings) : RunningProcess {
+    private val threads = HttpThreads(count = 1)
+    private val scheduler = EventLoopScheduler(threads)
+    private val registry = PrometheusMeterRegistry(PrometheusConfig.DEFAULT)
+    private val ring = EventRing(capacity = RING_CAPACITY)
+    private val log = EventLog(settings.name, HybridClock(System::currentTimeMillis), ring, registry)
+    private val state = PublishedState()
+    private val timer = Executors.newSingleThreadScheduledExecutor { Thread(it, "timer").apply { isDaemon = true } }
+    private val ending = ProcessEnding(settings.process.drainTimeout, timer)
+    private val storeClient = TextClient(threads)
+    private val calls = HttpUpstreamCalls(threads, PlatformUpstreamWire())
+    private val forwarder = Forwarder(settings.decisions, calls, scheduler, log::record)
+    private val follower =
+        RegistryFollower(
+            PlatformRegistry(settings.process.store.first(), storeClient, log::record),
+            scheduler,
+            Registrations(),
+        )
+    private val server =
+        listenOn("--listen", settings.callers) {
+            ForwardServer(settings.callers, threads, PlatformCallerWire(scheduler), Callers())
+        }
+    private val adminServer =
+        listenOn("--admin", settings.process.admin) {
+            startAdminServer(settings.process.admin, ProcessAdmin(state, ring, ::statusJson, ::requestStop), registry, threads)
+        }
+    private var draining = false
+
+    override val traffic: Address = settings.callers
+    override val admin: Address = adminServer.address
+
+    init {
+        state.showIn(registry)
+        Gauge.builder("lovageladder.requests.open", forwarder) { it.open.toDouble() }.register(registry)
+        scheduler.execute {
+            log.record(EventDraft(EventKind.PROCESS_STARTED, detail = "callers=${settings.callers}"))
+            follower.start()
+        }
+    }
+
+    override fun requestStop(): Unit = ending.requestStop { scheduler.execute { drain() } }
+
+    override fun awaitEnd(): ProcessEnd = ending.await()
+
+    override fun close() {
+        server.close()
+        adminServer.close()
+        calls.close()
+        storeClient.close()
+        timer.shutdownNow()
+        threads.close()
+        registry.close()
+    }
+
+    private fun drain() {
+        draining = true
+        state.ready = false
+        server.drain()
+        log.record(EventDraft(EventKind.PROCESS_DRAINING, detail = "open=${forwarder.open}"))
+        scheduler.after(UNROUTED_AFTER) { finishWhenIdle() }
+    }
+
+    /** Ends once callers were sent elsewhere and nothing is in flight. */
+    private fun finishWhenIdle() {
+        if (forwarder.open > 0) {
+            scheduler.after(DRAIN_CHECK) { finishWhenIdle() }
+            return
+        }
+        server.closeIdle()
+        log.record(EventDraft(EventKind.PROCESS_STOPPED, detail = "drained"))
+        ending.finished()
+    }
+
+    private fun publish() {
+        val ready = forwarder.ready && !draining
+        if (ready && !state.ready) {
+            log.record(EventDraft(EventKind.PROCESS_READY, detail = "configuration=${forwarder.version}"))
+        }
+        state.ready = ready
+        state.release = forwarder.version
+    }
+
+    private fun statusJson(): String {
+        val status = ForwardStatus(state.ready, state.release)
+        return statusText("forward", settings.name, ForwardStatus.serializer(), status)
+    }
+
+    private inner class Registrations : RegistryListener {
+        override fun configured(configuration: Configuration) {
+            forwarder.configure(configuration)
+            publish()
+        }
+
+        override fun changed(change: RegistryChange) {
+            forwarder.registryChanged(change)
+            publish()
+        }
+    }
+
+    private inner class Callers : ForwardHandler {
+        override val limits: CallerLimits? get() = forwarder.limits
+
+        override fun forward(request: ForwardRequest, reply: CallerReply): OpenRequest? =
+            forwarder.forward(request, reply)
+    }
+
+    private companion object {
+        const val RING_CAPACITY = 4096
+
+        /** The platform's balancer asks once a second and takes a host out after two answers that are not ready. */
+        val UNROUTED_AFTER: Duration = 3.seconds
+        val DRAIN_CHECK: Duration = 50.milliseconds
+    }
+}
+
+/** What operators see of a forwarding entry. */
+@Serializable
+internal data class ForwardStatus(val ready: Boolean, val configuration: ReleaseVersion)
--- a/daemon/src/main/kotlin/org/lovageladder/daemon/StandardErrorJsonWriter.kt
+++ b/daemon/src/main/kotlin/org/lovageladder/daemon/JsonLineWriter.kt
@@ -6,8 +6,13 @@
 import org.tinylog.core.LogEntryValue
 import org.tinylog.writers.AbstractWriter
 
-/** Writes each line of the log to standard error as one JSON object. tinylog creates it by its service entry. */
-public class StandardErrorJsonWriter(properties: Map<String, String>) : AbstractWriter(properties) {
+/**
+ * Writes each line of the log as one JSON object, to standard output when the property `stream` is `out`, else to
+ * standard error. tinylog creates it by its service entry.
+ */
+public class JsonLineWriter(properties: Map<String, String>) : AbstractWriter(properties) {
+    private val stream = if (properties["stream"] == LogStream.OUTPUT.tinylogName) System.out else System.err
+
     override fun getRequiredLogEntryValues(): Collection<LogEntryValue> =
         listOf(LogEntryValue.DATE, LogEntryValue.LEVEL, LogEntryValue.MESSAGE, LogEntryValue.EXCEPTION)
 
@@ -19,10 +24,10 @@
                 message = entry.message.orEmpty(),
                 exception = entry.exception?.stackTraceToString(),
             )
-        System.err.println(Json.encodeToString(LogLine.serializer(), line))
+        stream.println(Json.encodeToString(LogLine.serializer(), line))
     }
 
-    override fun flush(): Unit = System.err.flush()
+    override fun flush(): Unit = stream.flush()
 
     override fun close(): Unit = flush()
 }
--- a/daemon/src/main/kotlin/org/lovageladder/daemon/LogSettings.kt
+++ b/daemon/src/main/kotlin/org/lovageladder/daemon/LogSettings.kt
@@ -26,18 +26,27 @@
     val word: String = name.lowercase()
 }
 
-/** Sends the log to standard error. Has to be called before the first line is logged; later calls do nothing. */
-internal fun configureLog(level: LogLevel, format: LogFormat) {
+/** Where the log goes. */
+internal enum class LogStream(
+    /** The stream's name in tinylog. */
+    val tinylogName: String,
+) {
+    OUTPUT("out"),
+    ERROR("err"),
+}
+
+/** Sends the log to [stream]. Has to be called before the first line is logged; later calls do nothing. */
+internal fun configureLog(level: LogLevel, format: LogFormat, stream: LogStream = LogStream.ERROR) {
     if (Configuration.isFrozen()) return
     Configuration.set("level", level.tinylogName)
     Configuration.set("level@io.netty", "warn")
     Configuration.set("level@io.ktor", "warn")
     Configuration.set("writingthread", "true")
     Configuration.set("autoshutdown", "false")
+    Configuration.set("writer.stream", stream.tinylogName)
     when (format) {
         LogFormat.TEXT -> {
             Configuration.set("writer", "console")
-            Configuration.set("writer.stream", "err")
             Configuration.set("writer.format", "{date:yyyy-MM-dd'T'HH:mm:ss.SSSXXX} {level} {message}")
         }
         LogFormat.JSON -> Configuration.set("writer", JSON_WRITER)
@@ -49,4 +58,4 @@
     ProviderRegistry.getLoggingProvider().shutdown()
 }
 
-private const val JSON_WRITER = "standard error json"
+private const val JSON_WRITER = "json line"
--- a/daemon/src/main/kotlin/org/lovageladder/daemon/Main.kt
+++ b/daemon/src/main/kotlin/org/lovageladder/daemon/Main.kt
@@ -19,7 +19,7 @@
 
 /** Runs the role that [arguments] name until it is stopped. A wrong flag or value ends the process with status 2. */
 public fun main(arguments: Array<String>) {
-    val command = DaemonCommand().subcommands(EntryCommand(), CompanionCommand())
+    val command = DaemonCommand().subcommands(EntryCommand(), CompanionCommand(), ForwardCommand())
     try {
         command.parse(arguments)
     } catch (wrongUse: UsageError) {
--- a/http/src/main/kotlin/org/lovageladder/http/EtcdStore.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/EtcdStore.kt
@@ -107,4 +107,4 @@
 
 /** A `POST` of JSON. */
 internal fun jsonPost(path: String, body: String, fields: List<HttpField> = emptyList()): HttpCall =
-    HttpCall(HttpMethod.POST, path, body, contentType = JSON_TYPE, fields = fields)
+    HttpCall(HttpMethod.POST, path, body.encodeToByteArray(), contentType = JSON_TYPE, fields = fields)
--- a/http/src/main/kotlin/org/lovageladder/http/HttpCall.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/HttpCall.kt
@@ -9,15 +9,17 @@
 /** A header to send. */
 internal data class HttpField(val name: String, val value: String)
 
-/** A request to send, whole. */
-internal data class HttpCall(
+/** A request to send, whole. A `Host` among [fields] replaces the address that the call goes to. */
+internal class HttpCall(
     val method: HttpMethod,
     val path: String,
-    val body: String = "",
+    val body: ByteArray = NO_BODY,
     val contentType: String? = null,
     val fields: List<HttpField> = emptyList(),
 )
 
+private val NO_BODY = ByteArray(0)
+
 /** Which connection carries a call. */
 internal enum class ConnectionUse {
     /** An idle connection of the pool when there is one; returned to the pool afterwards. */
@@ -32,6 +34,9 @@
 
 /** Receives an answer on an event loop thread, in order; the last call is [onEnd] or [onFailure]. */
 internal interface HttpReceiver {
+    /** Whether an answer with [headers] belongs to this call; any other is skipped. */
+    fun isAnswer(headers: HttpHeaders): Boolean = true
+
     fun onHead(status: Int, headers: HttpHeaders)
 
     /** [bytes] are released after the call. */
--- a/http/src/main/kotlin/org/lovageladder/http/HttpClientConnection.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/HttpClientConnection.kt
@@ -1,6 +1,6 @@
 package org.lovageladder.http
 
-import io.netty.buffer.ByteBufUtil
+import io.netty.buffer.Unpooled
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.SimpleChannelInboundHandler
 import io.netty.handler.codec.http.DefaultFullHttpRequest
@@ -18,6 +18,8 @@
 import io.netty.util.NetUtil
 import org.lovageladder.core.Address
 import org.lovageladder.core.FaultCause
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
 
 /** One client connection and the call that it carries now. Runs on its event loop thread. */
 internal class HttpClientConnection(private val idle: IdleConnections) : SimpleChannelInboundHandler<HttpObject>() {
@@ -25,7 +27,8 @@
     private var current: RunningHttpCall? = null
     private var address: Address? = null
     private var keepAlive = true
-    private var informational = false
+    private var skipping = false
+    private var idleLimit: Duration? = null
 
     override fun handlerAdded(context: ChannelHandlerContext) {
         this.context = context
@@ -55,19 +58,31 @@
             breakOff(message.decoderResult().cause())
             return
         }
-        if (message is HttpResponse) {
-            informational = message.status().codeClass() == HttpStatusClass.INFORMATIONAL
-            if (!informational) {
-                keepAlive = HttpUtil.isKeepAlive(message)
-                running.head(message.status().code(), message.headers())
-            }
-        }
-        if (message is HttpContent && !informational) {
+        if (message is HttpResponse) head(running, message)
+        if (message is HttpContent && !skipping) {
             running.content(message.content())
             if (message is LastHttpContent) finish(running)
         }
     }
 
+    /** Begins the answer, or skips it when it is a provisional one or belongs to another call. */
+    private fun head(running: RunningHttpCall, response: HttpResponse) {
+        val informational = response.status().codeClass() == HttpStatusClass.INFORMATIONAL
+        val foreign = !informational && !running.isAnswer(response.headers())
+        skipping = informational || foreign
+        if (foreign) keepAlive = false
+        if (skipping) return
+        keepAlive = keepAlive && HttpUtil.isKeepAlive(response)
+        idleLimit = announcedIdleLimit(response)
+        running.head(response.status().code(), response.headers())
+    }
+
+    /** Time that the peer keeps an idle connection, as its `Keep-Alive` header says; null when it says none. */
+    private fun announcedIdleLimit(response: HttpResponse): Duration? {
+        val field = response.headers().get("Keep-Alive") ?: return null
+        return KEEP_ALIVE_TIMEOUT.find(field)?.groupValues?.get(1)?.toLongOrNull()?.seconds
+    }
+
     override fun channelInactive(context: ChannelHandlerContext) {
         address?.let { idle.remove(it, context.channel()) }
         lose(null)
@@ -84,7 +99,7 @@
         if (running.isOver || !keepAlive) {
             context.close()
         } else {
-            idle.give(running.address, context.channel())
+            idle.give(running.address, context.channel(), idleLimit)
         }
         running.end()
     }
@@ -116,14 +131,19 @@
     private fun encode(running: RunningHttpCall): FullHttpRequest {
         val call = running.call
         val headers = DefaultHttpHeadersFactory.headersFactory().newHeaders()
-        headers.set(HttpHeaderNames.HOST, NetUtil.toSocketAddressString(running.address.ip, running.address.port))
         call.contentType?.let { headers.set(HttpHeaderNames.CONTENT_TYPE, it) }
-        call.fields.forEach { headers.set(it.name, it.value) }
-        headers.set(HttpHeaderNames.CONTENT_LENGTH, ByteBufUtil.utf8Bytes(call.body))
+        call.fields.forEach { headers.add(it.name, it.value) }
+        if (!headers.contains(HttpHeaderNames.HOST)) {
+            headers.set(HttpHeaderNames.HOST, NetUtil.toSocketAddressString(running.address.ip, running.address.port))
+        }
+        headers.set(HttpHeaderNames.CONTENT_LENGTH, call.body.size)
         val head = DefaultHttpRequest(HttpVersion.HTTP_1_1, call.method, call.path, headers)
-        val body = context.alloc().buffer(ByteBufUtil.utf8Bytes(call.body))
-        ByteBufUtil.writeUtf8(body, call.body)
+        val body = Unpooled.wrappedBuffer(call.body)
         val trailers = DefaultHttpHeadersFactory.trailersFactory().newEmptyHeaders()
         return DefaultFullHttpRequest(head.protocolVersion(), head.method(), head.uri(), body, headers, trailers)
     }
+
+    private companion object {
+        val KEEP_ALIVE_TIMEOUT = Regex("timeout=(\\d+)")
+    }
 }
--- a/http/src/main/kotlin/org/lovageladder/http/IdleConnections.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/IdleConnections.kt
@@ -4,6 +4,8 @@
 import org.lovageladder.core.Address
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.ConcurrentLinkedDeque
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.TimeMark
 import kotlin.time.TimeSource
@@ -20,17 +22,18 @@
             if (!connection.channel.isActive) {
                 continue
             }
-            if (connection.since.elapsedNow() < IDLE_LIMIT) {
+            if (connection.since.elapsedNow() < connection.limit) {
                 return connection.channel
             }
             connection.channel.close()
         }
     }
 
-    /** Keeps an open connection for later calls. */
-    fun give(address: Address, channel: Channel) {
+    /** Keeps an open connection for later calls; [announced] is how long the peer said that it keeps it. */
+    fun give(address: Address, channel: Channel, announced: Duration? = null) {
+        val limit = announced?.let { it - CLOSE_MARGIN } ?: IDLE_LIMIT
         val connections = byAddress.computeIfAbsent(address) { ConcurrentLinkedDeque() }
-        connections.addFirst(IdleConnection(channel, TimeSource.Monotonic.markNow()))
+        connections.addFirst(IdleConnection(channel, TimeSource.Monotonic.markNow(), limit))
     }
 
     /** Forgets a connection that closed. */
@@ -38,10 +41,13 @@
         byAddress[address]?.removeIf { it.channel === channel }
     }
 
-    private class IdleConnection(val channel: Channel, val since: TimeMark)
+    private class IdleConnection(val channel: Channel, val since: TimeMark, val limit: Duration)
 
     private companion object {
         /** Below the five seconds after which common engine servers close an idle connection. */
         val IDLE_LIMIT = 4.seconds
+
+        /** A peer may close a connection this long before the announced time is over on this side. */
+        val CLOSE_MARGIN = 500.milliseconds
     }
 }
--- a/http/src/main/kotlin/org/lovageladder/http/NettyCallerServer.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/NettyCallerServer.kt
@@ -76,7 +76,7 @@
             connections.add(channel)
             channel.closeFuture().addListener { connections.remove(channel) }
             val connection = CallerConnection(limits, exchanges, parser)
-            channel.pipeline().addLast(ArrivalHandler(connection), codec(), connection)
+            channel.pipeline().addLast(ArrivalHandler(connection::bytesArrived), codec(), connection)
         }
 
         private fun codec() = HttpServerCodec(
--- a/http/src/main/kotlin/org/lovageladder/http/ReceiveTimer.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/ReceiveTimer.kt
@@ -62,10 +62,10 @@
     }
 }
 
-/** Tells a [CallerConnection] of bytes before they are decoded, so that a half-sent head counts too. */
-internal class ArrivalHandler(private val connection: CallerConnection) : ChannelInboundHandlerAdapter() {
+/** Tells of bytes before they are decoded, so that a half-sent head counts too. */
+internal class ArrivalHandler(private val arrived: () -> Unit) : ChannelInboundHandlerAdapter() {
     override fun channelRead(context: ChannelHandlerContext, message: Any) {
-        connection.bytesArrived()
+        arrived()
         context.fireChannelRead(message)
     }
 }
--- a/http/src/main/kotlin/org/lovageladder/http/RunningHttpCall.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/RunningHttpCall.kt
@@ -43,6 +43,8 @@
         sent = true
     }
 
+    fun isAnswer(headers: HttpHeaders): Boolean = isOver || receiver.isAnswer(headers)
+
     fun head(status: Int, headers: HttpHeaders) {
         answering = true
         if (!isOver) receiver.onHead(status, headers)
--- a/http/src/main/kotlin/org/lovageladder/http/UpstreamMessages.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/UpstreamMessages.kt
@@ -59,7 +59,7 @@
 internal fun plainCall(attempt: AttemptId, call: UpstreamCall.Plain): HttpCall = HttpCall(
     method = HttpMethod.valueOf(call.content.method),
     path = call.content.path,
-    body = call.content.body,
+    body = call.content.body.encodeToByteArray(),
     contentType = call.content.contentType,
     fields = listOfNotNull(
         HttpField(ATTEMPT_HEADER, attempt.toString()),
--- /dev/null
+++ b/http/src/main/kotlin/org/lovageladder/http/forward/EventLoopScheduler.kt
@@ -0,0 +1,23 @@
+package org.lovageladder.http.forward
+
+import org.lovageladder.core.Moment
+import org.lovageladder.core.forward.RunningCall
+import org.lovageladder.core.forward.Scheduler
+import org.lovageladder.http.HttpThreads
+import java.util.concurrent.TimeUnit
+import kotlin.time.Duration
+
+/** Time and timers of the one event loop thread of [threads]. */
+public class EventLoopScheduler(threads: HttpThreads) : Scheduler {
+    private val loop = threads.group.next()
+
+    override fun now(): Moment = Moment(TimeUnit.NANOSECONDS.toMicros(System.nanoTime()))
+
+    override fun after(delay: Duration, action: () -> Unit): RunningCall {
+        val timer = loop.schedule(action, delay.inWholeNanoseconds.coerceAtLeast(0), TimeUnit.NANOSECONDS)
+        return RunningCall { timer.cancel(false) }
+    }
+
+    /** Runs [action] on the event loop thread. */
+    public fun execute(action: () -> Unit): Unit = loop.execute(action)
+}
