--- a/core/src/main/kotlin/org/lovageladder/core/forward/Exchange.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/Exchange.kt
@@ -36,7 +36,8 @@
 
 /**
  * Head of an upstream's answer. [notRun] is set when the upstream says that it did not run the request; [wrongInstance]
- * when another upstream has the address.
+ * when another upstream has the address. A success that is not [genuine] lacks what proves that the upstream made it;
+ * it must not reach the caller.
  */
 public class AnswerHead(
     public val status: Int,
@@ -44,6 +45,7 @@
     public val notRun: Boolean,
     public val wrongInstance: Boolean,
     public val load: LoadReport?,
+    public val genuine: Boolean = true,
 ) {
     /** Whether the request succeeded. */
     public val success: Boolean get() = status in SUCCESS
@@ -165,6 +167,9 @@
     /** The process has no configuration yet. */
     NOT_READY(true),
 
+    /** This process is about to end; another entry takes the request. */
+    LEAVING(true),
+
     /** The upstreams cannot take the request in time. */
     OVERLOADED(true),
 
--- a/core/src/main/kotlin/org/lovageladder/core/forward/ForwardContext.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/ForwardContext.kt
@@ -59,6 +59,9 @@
     }
 }
 
+/** An upstream's success came without the proof that the upstream made it. */
+internal val UNPROVEN = CallFailure(FaultCause.PROTOCOL, sent = true, detail = "a success without its proof")
+
 /** Time of a request: [end] is when its caller or its route gives up. */
 internal class RequestTime(request: ForwardRequest, route: Route) {
     val arrived: Moment = request.arrived
--- a/core/src/main/kotlin/org/lovageladder/core/forward/Forwarder.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/Forwarder.kt
@@ -3,6 +3,7 @@
 import kotlin.random.Random
 import kotlin.time.Duration
 import org.lovageladder.core.EventKind
+import org.lovageladder.core.Moment
 import org.lovageladder.core.PlaceName
 import org.lovageladder.core.ReleaseVersion
 import org.lovageladder.core.ServiceName
@@ -40,6 +41,7 @@
     private val paces = HashMap<ServiceName, StreamPace>()
     private var configuration: Configuration? = null
     private var routes: RouteTable? = null
+    private var drainingSince: Moment? = null
 
     /** Requests that are not finished. */
     public var open: Int = 0
@@ -82,6 +84,11 @@
         board.forgetMissing()
     }
 
+    /** This process will end: streams, which may last longer than it, are taken for a short while only. */
+    public fun drain() {
+        drainingSince = scheduler.now()
+    }
+
     /** Forwards [request]; its outcome goes to [reply]. Null when it was answered at once. */
     public fun forward(request: ForwardRequest, reply: CallerReply): OpenRequest? {
         val table = routes
@@ -92,6 +99,7 @@
             ?: return refuse(request, reply, RefusalReason.NO_UPSTREAM)
         budget.requestArrived(share.service, scheduler.now())
         val engine = configuration?.services?.get(share.service)?.engine
+        if (engine != null && refusesStreams()) return refuse(request, reply, RefusalReason.LEAVING)
         val flow = flowOf(request, Destination(route, share.service, engine), reply)
         open += 1
         flow.start()
@@ -107,11 +115,14 @@
         return StreamFlow(context, request, destination, queue, pace, reply, ended)
     }
 
+    private fun refusesStreams(): Boolean = drainingSince?.let { scheduler.now() - it > STREAMS_WHILE_DRAINING } ?: false
+
     private fun engineOf(service: ServiceName) = configuration?.services?.get(service)?.engine
 
     private fun refuse(request: ForwardRequest, reply: CallerReply, reason: RefusalReason): OpenRequest? {
         val wait = request.wait ?: DEFAULT_WAIT
-        val returnAfter = if (reason.notRun) context.returnAfter(RETURN_AFTER, wait) else null
+        val least = if (reason == RefusalReason.LEAVING) Duration.ZERO else RETURN_AFTER
+        val returnAfter = if (reason.notRun) context.returnAfter(least, wait) else null
         context.record(EventKind.REQUEST_ENDED, request.id, detail = "refused: $reason ${request.host}${request.target}")
         reply.refuse(Refusal(reason, returnAfter))
         return null
@@ -124,6 +135,8 @@
     }
 
     private companion object {
+        /** The balancer sends new callers elsewhere after about two seconds. */
+        val STREAMS_WHILE_DRAINING = Duration.parse("2.2s")
         val RETURN_AFTER = Duration.parse("200ms")
         val DEFAULT_WAIT = Duration.parse("10s")
     }
--- a/core/src/main/kotlin/org/lovageladder/core/forward/PlainFlow.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/PlainFlow.kt
@@ -86,6 +86,7 @@
                 declined(attempt, head)
             }
             head.notRun -> declined(attempt, head)
+            !head.genuine -> failed(attempt, UNPROVEN)
             head.status >= SERVER_ERROR -> {
                 health.erred(context.now())
                 mayHaveRun = true
--- a/core/src/main/kotlin/org/lovageladder/core/forward/StreamFlow.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/StreamFlow.kt
@@ -146,6 +146,12 @@
 
     private fun onHead(upstream: UpstreamName, head: AnswerHead) {
         head.load?.let { context.board.health(upstream).report(it, context.now()) }
+        if (!head.genuine) {
+            decoding?.cancel()
+            releaseMemory(used = true)
+            brokeOff(upstream, UNPROVEN)
+            return
+        }
         if (head.notRun || begun) return
         if (!head.success && head.status >= SERVER_ERROR && mayResume()) return
         begun = true
@@ -270,7 +276,7 @@
         }
 
         override fun onContent(bytes: ByteArray) {
-            if (!over && passes()) this@StreamFlow.onContent(bytes)
+            if (!over && decoding != null && passes()) this@StreamFlow.onContent(bytes)
         }
 
         override fun onEnd() {
--- a/daemon/src/main/kotlin/org/lovageladder/daemon/ForwardProcess.kt
+++ b/daemon/src/main/kotlin/org/lovageladder/daemon/ForwardProcess.kt
@@ -108,8 +108,12 @@
         draining = true
         state.ready = false
         server.drain()
+        forwarder.drain()
         log.record(EventDraft(EventKind.PROCESS_DRAINING, detail = "open=${forwarder.open}"))
-        scheduler.after(UNROUTED_AFTER) { finishWhenIdle() }
+        scheduler.after(UNROUTED_AFTER) {
+            server.closeIdle()
+            finishWhenIdle()
+        }
     }
 
     /** Ends once callers were sent elsewhere and nothing is in flight. */
--- a/http/src/main/kotlin/org/lovageladder/http/forward/ForwardReply.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/forward/ForwardReply.kt
@@ -109,6 +109,7 @@
     private fun statusOf(reason: RefusalReason): Int = when (reason) {
         RefusalReason.NO_ROUTE -> STATUS_NOT_FOUND
         RefusalReason.NOT_READY,
+        RefusalReason.LEAVING,
         RefusalReason.OVERLOADED,
         RefusalReason.NO_UPSTREAM,
         RefusalReason.EXPIRED,
