--- a/core/src/main/kotlin/org/lovageladder/core/forward/Configuration.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/Configuration.kt
@@ -1,8 +1,8 @@
 package org.lovageladder.core.forward
 
-import kotlin.time.Duration
 import org.lovageladder.core.ReleaseVersion
 import org.lovageladder.core.ServiceName
+import kotlin.time.Duration
 
 /*
  * What operators configure for forwarding: routes, the services they lead to, and limits on callers. A configuration
--- a/core/src/main/kotlin/org/lovageladder/core/forward/Exchange.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/Exchange.kt
@@ -1,11 +1,11 @@
 package org.lovageladder.core.forward
 
-import kotlin.time.Duration
 import org.lovageladder.core.Address
 import org.lovageladder.core.FaultCause
 import org.lovageladder.core.Moment
 import org.lovageladder.core.RequestId
 import org.lovageladder.core.UpstreamName
+import kotlin.time.Duration
 
 /*
  * Ports of the forwarding decisions: a caller's request and the way back to it, the upstreams, and time.
--- a/core/src/main/kotlin/org/lovageladder/core/forward/ForwardContext.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/ForwardContext.kt
@@ -1,8 +1,5 @@
 package org.lovageladder.core.forward
 
-import kotlin.random.Random
-import kotlin.time.Duration
-import kotlin.time.Duration.Companion.milliseconds
 import org.lovageladder.core.EventDraft
 import org.lovageladder.core.EventKind
 import org.lovageladder.core.FaultCause
@@ -10,6 +7,9 @@
 import org.lovageladder.core.RequestId
 import org.lovageladder.core.ServiceName
 import org.lovageladder.core.UpstreamName
+import kotlin.random.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 
 /** What the flows of single requests share. */
 internal class ForwardContext(
@@ -23,12 +23,7 @@
 ) {
     fun now(): Moment = scheduler.now()
 
-    fun record(
-        kind: EventKind,
-        request: RequestId? = null,
-        upstream: UpstreamName? = null,
-        detail: String,
-    ) {
+    fun record(kind: EventKind, request: RequestId? = null, upstream: UpstreamName? = null, detail: String) {
         log.record(EventDraft(kind, request = request, upstream = upstream, detail = detail))
     }
 
@@ -48,7 +43,12 @@
     fun failed(name: UpstreamName, request: RequestId, step: String, failure: CallFailure) {
         val health = board.health(name)
         if (failure.sent && failure.cause in DAMAGED) health.erred(now()) else health.unreachable(now())
-        record(EventKind.REQUEST_FAILED, request, name, detail = "$step: ${failure.cause} sent=${failure.sent} ${failure.detail}")
+        record(
+            EventKind.REQUEST_FAILED,
+            request,
+            name,
+            detail = "$step: ${failure.cause} sent=${failure.sent} ${failure.detail}",
+        )
     }
 
     private companion object {
--- a/core/src/main/kotlin/org/lovageladder/core/forward/Forwarder.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/Forwarder.kt
@@ -1,20 +1,15 @@
 package org.lovageladder.core.forward
 
-import kotlin.random.Random
-import kotlin.time.Duration
 import org.lovageladder.core.EventKind
 import org.lovageladder.core.Moment
 import org.lovageladder.core.PlaceName
 import org.lovageladder.core.ReleaseVersion
 import org.lovageladder.core.ServiceName
+import kotlin.random.Random
+import kotlin.time.Duration
 
 /** Settings of a [Forwarder]: its [place], and this process's part of the budget for repeats. */
-public data class ForwarderSettings(
-    val place: PlaceName,
-    val retryRatio: Double,
-    val retryAllowance: Double,
-    val retryWindow: Duration,
-)
+public data class ForwarderSettings(val place: PlaceName, val retries: RetryLimits)
 
 /** Handle of a request that a [Forwarder] took. */
 public fun interface OpenRequest {
@@ -35,7 +30,7 @@
 ) {
     private val membership = Membership()
     private val board = UpstreamBoard(membership, settings.place, random)
-    private val budget = RetryBudget(settings.retryRatio, settings.retryAllowance, settings.retryWindow)
+    private val budget = RetryBudget(settings.retries)
     private val context = ForwardContext(calls, scheduler, board, membership, budget, log, random)
     private val queues = HashMap<ServiceName, MemoryQueue>()
     private val paces = HashMap<ServiceName, StreamPace>()
@@ -56,6 +51,11 @@
     /** Whether requests can be forwarded. */
     public val ready: Boolean get() = configuration != null && membership.known
 
+    /** Puts a newer budget for repeats into force. */
+    public fun limitRetries(newer: RetryLimits) {
+        budget.limit(newer)
+    }
+
     /** Puts [newer] into force unless a later version is. */
     public fun configure(newer: Configuration) {
         if (newer.version < version) {
@@ -115,7 +115,8 @@
         return StreamFlow(context, request, destination, queue, pace, reply, ended)
     }
 
-    private fun refusesStreams(): Boolean = drainingSince?.let { scheduler.now() - it > STREAMS_WHILE_DRAINING } ?: false
+    private fun refusesStreams(): Boolean =
+        drainingSince?.let { scheduler.now() - it > STREAMS_WHILE_DRAINING } ?: false
 
     private fun engineOf(service: ServiceName) = configuration?.services?.get(service)?.engine
 
@@ -123,7 +124,11 @@
         val wait = request.wait ?: DEFAULT_WAIT
         val least = if (reason == RefusalReason.LEAVING) Duration.ZERO else RETURN_AFTER
         val returnAfter = if (reason.notRun) context.returnAfter(least, wait) else null
-        context.record(EventKind.REQUEST_ENDED, request.id, detail = "refused: $reason ${request.host}${request.target}")
+        context.record(
+            EventKind.REQUEST_ENDED,
+            request.id,
+            detail = "refused: $reason ${request.host}${request.target}",
+        )
         reply.refuse(Refusal(reason, returnAfter))
         return null
     }
--- a/core/src/main/kotlin/org/lovageladder/core/forward/Membership.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/Membership.kt
@@ -1,13 +1,13 @@
 package org.lovageladder.core.forward
 
-import kotlin.time.Duration
-import kotlin.time.Duration.Companion.milliseconds
 import org.lovageladder.core.Address
 import org.lovageladder.core.Moment
 import org.lovageladder.core.PlaceName
 import org.lovageladder.core.PoolRole
 import org.lovageladder.core.ServiceName
 import org.lovageladder.core.UpstreamName
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 
 /**
  * An upstream as it registered itself. Its name is unique to one start of the upstream unless [startedAt], the
--- a/core/src/main/kotlin/org/lovageladder/core/forward/MemoryQueue.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/MemoryQueue.kt
@@ -1,12 +1,12 @@
 package org.lovageladder.core.forward
 
-import kotlin.time.Duration
-import kotlin.time.Duration.Companion.milliseconds
 import org.lovageladder.core.Moment
 import org.lovageladder.core.PoolRole
 import org.lovageladder.core.RequestId
 import org.lovageladder.core.ServiceName
 import org.lovageladder.core.UpstreamName
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 
 /** A request that waits for decode memory. [latest] is when it is no use to it any more. */
 internal class MemoryClaim(
@@ -77,27 +77,32 @@
         if (position < 0) waiting.add(claim) else waiting.add(position, claim)
     }
 
-    private fun MemoryClaim.orderedAfter(other: MemoryClaim) =
-        priority == other.priority && entered > other.entered
+    private fun MemoryClaim.orderedAfter(other: MemoryClaim) = priority == other.priority && entered > other.entered
 
     private fun pump() {
         val now = context.now()
         refuseExpired(now)
-        while (waiting.isNotEmpty()) {
-            val claim = waiting.first()
-            val free = enginesFor(claim, now)
-            if (free == null) {
-                waiting.removeFirst()
-                claim.refused(RefusalReason.NO_UPSTREAM)
-                continue
-            }
-            val chosen = free.firstOrNull() ?: break
-            waiting.removeFirst()
-            ask(claim, chosen)
+        var served = true
+        while (served && waiting.isNotEmpty()) {
+            served = serve(waiting.first(), now)
         }
         scheduleWake(now)
     }
 
+    /** Asks an engine for the memory of [claim], or refuses it; false when it has to go on waiting. */
+    private fun serve(claim: MemoryClaim, now: Moment): Boolean {
+        val free = enginesFor(claim, now)
+        if (free == null) {
+            waiting.remove(claim)
+            claim.refused(RefusalReason.NO_UPSTREAM)
+            return true
+        }
+        val chosen = free.firstOrNull() ?: return false
+        waiting.remove(claim)
+        ask(claim, chosen)
+        return true
+    }
+
     /** Engines that may have room for [claim], the best first; null when there is no engine at all. */
     private fun enginesFor(claim: MemoryClaim, now: Moment): List<Member>? {
         val memory = (engine()?.memoryTokens ?: 0).coerceAtLeast(1).toDouble()
--- a/core/src/main/kotlin/org/lovageladder/core/forward/PlainFlow.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/PlainFlow.kt
@@ -1,11 +1,11 @@
 package org.lovageladder.core.forward
 
-import java.io.ByteArrayOutputStream
-import kotlin.time.Duration
-import kotlin.time.Duration.Companion.milliseconds
 import org.lovageladder.core.EventKind
 import org.lovageladder.core.PoolRole
 import org.lovageladder.core.UpstreamName
+import java.io.ByteArrayOutputStream
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 
 /**
  * One request to a plain service. Its answer is received whole before any of it is given to the caller, so that a
--- a/core/src/main/kotlin/org/lovageladder/core/forward/RegistryFollower.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/RegistryFollower.kt
@@ -5,11 +5,7 @@
 import kotlin.time.Duration.Companion.seconds
 
 /** Everything that the registry holds, as of [revision] or later. [configuration] is null when none is there. */
-public data class RegistrySnapshot(
-    val revision: Long,
-    val configuration: Configuration?,
-    val members: List<Member>,
-)
+public data class RegistrySnapshot(val revision: Long, val configuration: Configuration?, val members: List<Member>)
 
 /** Outcome of a read of the whole registry. */
 public sealed interface RegistryRead {
--- a/core/src/main/kotlin/org/lovageladder/core/forward/RetryBudget.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/RetryBudget.kt
@@ -1,22 +1,30 @@
 package org.lovageladder.core.forward
 
-import kotlin.time.Duration
 import org.lovageladder.core.Moment
 import org.lovageladder.core.ServiceName
+import kotlin.time.Duration
+
+/** Repeats that this process may send to a service in a [window]: a [ratio] of its requests and an [allowance]. */
+public data class RetryLimits(val ratio: Double, val allowance: Double, val window: Duration)
 
 /**
- * Bounds the repeats that this process sends to each service: in any [window], a [ratio] of the requests for it plus
- * an [allowance]. The bound is kept by refilling a bucket, so that it holds for sliding windows. Confined to one thread.
+ * Bounds the repeats that this process sends to each service: in any window, a ratio of the requests for it plus an
+ * allowance. The bound is kept by refilling a bucket, so that it holds for sliding windows. Confined to one thread.
  */
-public class RetryBudget(private val ratio: Double, private val allowance: Double, private val window: Duration) {
+public class RetryBudget(private var limits: RetryLimits) {
     private class Bucket(var tokens: Double, var at: Moment)
 
     private val buckets = HashMap<ServiceName, Bucket>()
 
+    /** Puts [newer] limits into force. */
+    public fun limit(newer: RetryLimits) {
+        limits = newer
+    }
+
     /** A caller's request for [service] arrived. */
     public fun requestArrived(service: ServiceName, now: Moment) {
         val bucket = refilled(service, now)
-        bucket.tokens = (bucket.tokens + ratio).coerceAtMost(allowance)
+        bucket.tokens = (bucket.tokens + limits.ratio).coerceAtMost(limits.allowance)
     }
 
     /** Takes one repeat out of the budget; false when it is used up. */
@@ -28,9 +36,9 @@
     }
 
     private fun refilled(service: ServiceName, now: Moment): Bucket {
-        val bucket = buckets.getOrPut(service) { Bucket(allowance / 2, now) }
-        val share = (now - bucket.at) / window
-        bucket.tokens = (bucket.tokens + share * allowance / 2).coerceAtMost(allowance)
+        val bucket = buckets.getOrPut(service) { Bucket(limits.allowance / 2, now) }
+        val share = (now - bucket.at) / limits.window
+        bucket.tokens = (bucket.tokens + share * limits.allowance / 2).coerceAtMost(limits.allowance)
         bucket.at = now
         return bucket
     }
--- a/core/src/main/kotlin/org/lovageladder/core/forward/StreamFlow.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/StreamFlow.kt
@@ -1,7 +1,5 @@
 package org.lovageladder.core.forward
 
-import kotlin.time.Duration
-import kotlin.time.Duration.Companion.milliseconds
 import org.lovageladder.core.EventKind
 import org.lovageladder.core.FaultCause
 import org.lovageladder.core.Moment
--- a/core/src/main/kotlin/org/lovageladder/core/forward/UpstreamBoard.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/UpstreamBoard.kt
@@ -1,11 +1,11 @@
 package org.lovageladder.core.forward
 
-import kotlin.random.Random
 import org.lovageladder.core.Moment
 import org.lovageladder.core.PlaceName
 import org.lovageladder.core.PoolRole
 import org.lovageladder.core.ServiceName
 import org.lovageladder.core.UpstreamName
+import kotlin.random.Random
 
 /**
  * Chooses upstreams by the calls that this process has there, the load they tell, their failures and their place.
--- a/core/src/main/kotlin/org/lovageladder/core/forward/UpstreamHealth.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/UpstreamHealth.kt
@@ -1,9 +1,9 @@
 package org.lovageladder.core.forward
 
+import org.lovageladder.core.Moment
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
-import org.lovageladder.core.Moment
 
 /**
  * What this process learned of one upstream from its own calls. An upstream that cannot be reached, or that keeps
--- a/daemon/src/main/kotlin/org/lovageladder/daemon/ForwardCommand.kt
+++ b/daemon/src/main/kotlin/org/lovageladder/daemon/ForwardCommand.kt
@@ -8,6 +8,7 @@
 import com.github.ajalt.clikt.parameters.options.required
 import com.github.ajalt.clikt.sources.PropertiesValueSource
 import org.lovageladder.core.forward.ForwarderSettings
+import org.lovageladder.core.forward.RetryLimits
 import kotlin.time.Duration.Companion.minutes
 import kotlin.time.Duration.Companion.seconds
 
@@ -15,7 +16,7 @@
  * Runs an entry that forwards requests straight to upstreams. Its settings come from flags, environment variables and
  * the file that [SETTINGS_VARIABLE] names, whose lines are `flag=value` without the dashes; flags go first.
  */
-internal class ForwardCommand : CliktCommand("forward") {
+internal class ForwardCommand(private val act: (ForwardProcessSettings) -> Unit = ::runForward) : CliktCommand("forward") {
     private val common by CommonFlags()
     private val listen by addressFlag("--listen", "Where callers connect.").required()
     private val retryRatio by ratioFlag("--retry-ratio", "Repeats of all entries for each request.", RETRY_RATIO)
@@ -36,7 +37,7 @@
 
     override fun run() {
         common.configureLog(LogStream.OUTPUT)
-        runUntilEnd("forward", "callers") { startForward(settings()) }
+        act(settings())
     }
 
     private fun settings(): ForwardProcessSettings = ForwardProcessSettings(
@@ -46,14 +47,11 @@
         decisions =
         ForwarderSettings(
             place = common.place,
-            retryRatio = retryRatio,
-            retryAllowance = retryAllowance.toDouble() / entryCount,
-            retryWindow = retryWindow,
+            retries = RetryLimits(retryRatio, retryAllowance.toDouble() / entryCount, retryWindow),
         ),
     )
 
     private companion object {
-        const val SETTINGS_VARIABLE = "LOVAGELADDER_SETTINGS"
         const val RETRY_RATIO = 0.1
         const val MOST_REPEATS = 100_000
         const val ENTRIES = 8
@@ -63,3 +61,15 @@
         fun settingName(option: Option): String = option.names.first { it.startsWith("--") }.removePrefix("--")
     }
 }
+
+/** Environment variable that names the settings file. */
+internal const val SETTINGS_VARIABLE: String = "LOVAGELADDER_SETTINGS"
+
+/** Runs a forwarding entry until it ends; its settings file is read again when it changes and at SIGHUP. */
+private fun runForward(settings: ForwardProcessSettings) {
+    runUntilEnd("forward", "callers") {
+        val process = startForward(settings)
+        SettingsReload(process::settingsChanged, process::settingsRejected).start()
+        process
+    }
+}
--- a/daemon/src/main/kotlin/org/lovageladder/daemon/ForwardProcess.kt
+++ b/daemon/src/main/kotlin/org/lovageladder/daemon/ForwardProcess.kt
@@ -44,13 +44,13 @@
 )
 
 /** Starts a forwarding entry; throws [AddressUnavailable] when it cannot listen. */
-internal fun startForward(settings: ForwardProcessSettings): RunningProcess = ForwardProcess(settings)
+internal fun startForward(settings: ForwardProcessSettings): ForwardProcess = ForwardProcess(settings)
 
 /**
  * Connects the forwarding decisions with callers, upstreams and the platform. One event loop thread carries both the
  * traffic and the control state: the hosts have a part of one processor, on which a second thread only costs switches.
  */
-private class ForwardProcess(private val settings: ForwardProcessSettings) : RunningProcess {
+internal class ForwardProcess(private val settings: ForwardProcessSettings) : RunningProcess {
     private val threads = HttpThreads(count = 1)
     private val scheduler = EventLoopScheduler(threads)
     private val registry = PrometheusMeterRegistry(PrometheusConfig.DEFAULT)
@@ -74,7 +74,12 @@
         }
     private val adminServer =
         listenOn("--admin", settings.process.admin) {
-            startAdminServer(settings.process.admin, ProcessAdmin(state, ring, ::statusJson, ::requestStop), registry, threads)
+            startAdminServer(
+                settings.process.admin,
+                ProcessAdmin(state, ring, ::statusJson, ::requestStop),
+                registry,
+                threads,
+            )
         }
     private var draining = false
 
@@ -104,6 +109,19 @@
         registry.close()
     }
 
+    /** Puts [newer] settings into force, as far as that is possible without a restart. */
+    fun settingsChanged(newer: ForwardProcessSettings): Unit = scheduler.execute {
+        forwarder.limitRetries(newer.decisions.retries)
+        val fixed = newer.copy(decisions = settings.decisions) == settings && newer.decisions.place == settings.decisions.place
+        val detail = if (fixed) "in force" else "in force but for addresses, names and place, which need a restart"
+        log.record(EventDraft(EventKind.SETTINGS_RELOADED, detail = detail))
+    }
+
+    /** Goes on with the settings that it has. */
+    fun settingsRejected(reason: String): Unit = scheduler.execute {
+        log.record(EventDraft(EventKind.SETTING_REJECTED, detail = reason))
+    }
+
     private fun drain() {
         draining = true
         state.ready = false
--- a/http/src/main/kotlin/org/lovageladder/http/forward/ConnectionFields.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/forward/ConnectionFields.kt
@@ -19,7 +19,9 @@
 
 /** Headers of [headers] to pass on: all but those of the connection and those that `Connection` names. */
 internal fun passedOn(headers: HttpHeaders): List<HeaderField> {
-    val named = headers.getAll(HttpHeaderNames.CONNECTION).flatMap { it.split(',') }.mapTo(HashSet()) { it.trim().lowercase() }
+    val named = headers.getAll(HttpHeaderNames.CONNECTION).flatMap {
+        it.split(',')
+    }.mapTo(HashSet()) { it.trim().lowercase() }
     return headers
         .filterNot { it.key.lowercase() in CONNECTION_FIELDS || it.key.lowercase() in named }
         .map { HeaderField(it.key, it.value) }
--- a/http/src/main/kotlin/org/lovageladder/http/forward/ForwardServer.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/forward/ForwardServer.kt
@@ -90,6 +90,11 @@
 
         /** Until a configuration is known. */
         val DEFAULT_LIMITS =
-            CallerLimits(headerBytes = 16_384, bodyBytes = 4_194_304, headerTimeout = 3.seconds, idleTimeout = 15.seconds)
+            CallerLimits(
+                headerBytes = 16_384,
+                bodyBytes = 4_194_304,
+                headerTimeout = 3.seconds,
+                idleTimeout = 15.seconds,
+            )
     }
 }
--- a/http/src/main/kotlin/org/lovageladder/http/forward/HttpUpstreamCalls.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/forward/HttpUpstreamCalls.kt
@@ -26,7 +26,9 @@
 import kotlin.time.Duration.Companion.milliseconds
 
 /** Calls to upstreams by HTTP on kept connections. [threads] has one thread, on which all answers arrive. */
-public class HttpUpstreamCalls(threads: HttpThreads, private val wire: UpstreamWire) : UpstreamCalls, AutoCloseable {
+public class HttpUpstreamCalls(threads: HttpThreads, private val wire: UpstreamWire) :
+    UpstreamCalls,
+    AutoCloseable {
     private val client = HttpClient(threads)
 
     override fun send(request: ForwardRequest, sending: Sending, receiver: AnswerReceiver): RunningCall {
@@ -79,10 +81,8 @@
         if (result is TextResult.Failed) Logger.warn { "$step at $engine failed; it lapses there: ${result.failure}" }
     }
 
-    private inner class Receiver(
-        private val request: ForwardRequest,
-        private val receiver: AnswerReceiver,
-    ) : HttpReceiver {
+    private inner class Receiver(private val request: ForwardRequest, private val receiver: AnswerReceiver) :
+        HttpReceiver {
         override fun isAnswer(headers: HttpHeaders): Boolean = wire.isAnswerTo(request) { headers.get(it) }
 
         override fun onHead(status: Int, headers: HttpHeaders) {
--- a/http/src/main/kotlin/org/lovageladder/http/forward/StrictRequestDecoder.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/forward/StrictRequestDecoder.kt
@@ -11,11 +11,12 @@
  */
 internal class StrictRequestDecoder(headerBytes: Int) :
     HttpRequestDecoder(
-        HttpDecoderConfig().setMaxInitialLineLength(headerBytes).setMaxHeaderSize(headerBytes).setStrictLineParsing(true),
+        HttpDecoderConfig().setMaxInitialLineLength(
+            headerBytes,
+        ).setMaxHeaderSize(headerBytes).setStrictLineParsing(true),
     ) {
-    override fun handleTransferEncodingChunkedWithContentLength(message: HttpMessage) {
+    override fun handleTransferEncodingChunkedWithContentLength(message: HttpMessage): Unit =
         throw IllegalArgumentException("both Transfer-Encoding and Content-Length are given")
-    }
 
     override fun isContentAlwaysEmpty(message: HttpMessage): Boolean {
         val encodings = message.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING)
--- a/http/src/main/kotlin/org/lovageladder/http/forward/TextClient.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/forward/TextClient.kt
@@ -44,7 +44,8 @@
 ): RunningCall {
     val content = if (call.body.isEmpty()) body else call.body.encodeToByteArray()
     val type = if (call.body.isEmpty()) null else "application/json"
-    val http = HttpCall(HttpMethod.valueOf(call.method), call.path, content, type, fields.map { HttpField(it.name, it.value) })
+    val http =
+        HttpCall(HttpMethod.valueOf(call.method), call.path, content, type, fields.map { HttpField(it.name, it.value) })
     val running = ask(address, http, HttpWait(minOf(limit, HttpClient.CONNECT_LIMIT), limit)) { answer(textResult(it)) }
     return RunningCall { running.abandon() }
 }
