Send no claim's number as an upstream's fencing number

Ruled out: a number over all keys, which a later claim that arrives first would turn against the earlier one. The start gate and the claim keep at most once without it. Test: [null, null] expected, [17, 1] seen before.

--- a/core/src/main/kotlin/org/lovageladder/core/PlainWork.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/PlainWork.kt
@@ -116,7 +116,7 @@
     private fun startCall(message: PeerMessage.StartPlain) {
         val attempt = message.attempt
         val claim = message.claim
-        val call = UpstreamCall.Plain(message.content, message.idempotencyKey, claim?.number)
+        val call = UpstreamCall.Plain(message.content, message.idempotencyKey, fencing = null)
         calls.start(attempt, upstream, call)
         if (claim == null) return
         claims[attempt] = claim
--- a/core/src/main/kotlin/org/lovageladder/core/Upstreams.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/Upstreams.kt
@@ -20,7 +20,10 @@
         val fromIndex: Int,
     ) : UpstreamCall
 
-    /** Calls a plain service. [fencing] is sent along for upstreams that check it. */
+    /**
+     * Calls a plain service. [fencing] is sent along for upstreams that check it; the number of a claim is none, since
+     * it orders the claims of one key only and an upstream keeps one highest number for all.
+     */
     public data class Plain(
         val content: RequestContent.Plain,
         val idempotencyKey: IdempotencyKey?,
--- a/core/src/main/kotlin/org/lovageladder/core/forward/Forwarder.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/Forwarder.kt
@@ -34,6 +34,7 @@
     private val context = ForwardContext(calls, scheduler, board, membership, budget, log, random)
     private val queues = HashMap<ServiceName, MemoryQueue>()
     private val paces = HashMap<ServiceName, StreamPace>()
+    private val waits = CallerWaits()
     private var configuration: Configuration? = null
     private var routes: RouteTable? = null
     private var drainingSince: Moment? = null
@@ -100,7 +101,8 @@
         budget.requestArrived(share.service, scheduler.now())
         val engine = configuration?.services?.get(share.service)?.engine
         if (engine != null && refusesStreams()) return refuse(request, reply, RefusalReason.LEAVING)
-        val flow = flowOf(request, Destination(route, share.service, engine), reply)
+        val spent = waits.spentBefore(route, request.wait)
+        val flow = flowOf(request, Destination(route, share.service, engine, spent), reply)
         open += 1
         flow.start()
         return OpenRequest { flow.callerLeft() }
--- a/core/src/main/kotlin/org/lovageladder/core/forward/MemoryQueue.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/MemoryQueue.kt
@@ -8,7 +8,10 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
-/** A request that waits for decode memory. [latest] is when it is no use to it any more. */
+/**
+ * A request that waits for decode memory. [latest] is when it is no use to it any more. One that is [late] missed its
+ * target and takes only memory that no other will want soon.
+ */
 internal class MemoryClaim(
     val request: RequestId,
     val tokens: Int,
@@ -16,6 +19,7 @@
     val entered: Moment,
     val latest: Moment,
     val avoid: Set<UpstreamName>,
+    val late: Boolean,
     val granted: (MemoryGrant) -> Unit,
     val refused: (RefusalReason) -> Unit,
 ) {
@@ -43,12 +47,12 @@
     private var wake: RunningCall? = null
     private var grantInterval = Duration.ZERO
     private var lastGrant: Moment? = null
+    private var lastRefusal: Moment? = null
 
     /** Serves [claim] as soon as memory is free, or refuses it. */
     fun enter(claim: MemoryClaim) {
         val now = context.now()
-        val expected = grantInterval * waiting.count { it.priority <= claim.priority }
-        if (now + expected > claim.latest) {
+        if (now + expectedWait(claim, now) > claim.latest) {
             claim.refused(RefusalReason.OVERLOADED)
             return
         }
@@ -72,6 +76,14 @@
     /** Tokens that this process holds at [name]. */
     fun heldAt(name: UpstreamName): Int = held[name] ?: 0
 
+    /** Wait of [claim] by the pace at which memory was granted while others waited; nothing when none wait. */
+    private fun expectedWait(claim: MemoryClaim, now: Moment): Duration {
+        val ahead = waiting.count { it.priority <= claim.priority }
+        if (ahead == 0) return Duration.ZERO
+        val sinceGrant = lastGrant?.let { now - it } ?: Duration.ZERO
+        return maxOf(grantInterval, sinceGrant) * (ahead + 1)
+    }
+
     private fun insert(claim: MemoryClaim) {
         val position = waiting.indexOfFirst { it.priority > claim.priority || it.orderedAfter(claim) }
         if (position < 0) waiting.add(claim) else waiting.add(position, claim)
@@ -106,11 +118,14 @@
     /** Engines that may have room for [claim], the best first; null when there is no engine at all. */
     private fun enginesFor(claim: MemoryClaim, now: Moment): List<Member>? {
         val memory = (engine()?.memoryTokens ?: 0).coerceAtLeast(1).toDouble()
+        if (claim.late && memoryWasShort(now)) return emptyList()
         val all = context.board.candidates(service, PoolRole.DECODE, now, claim.avoid) { heldAt(it.name) / memory }
         if (all.isEmpty()) return null
         return all.filter { it.name !in asking && (fullUntil[it.name]?.let { until -> until <= now } ?: true) }
     }
 
+    private fun memoryWasShort(now: Moment): Boolean = lastRefusal?.let { now - it < SHORT_MEMORY } ?: false
+
     private fun ask(claim: MemoryClaim, member: Member) {
         val keep = engine()?.reservationLimit ?: DEFAULT_KEEP
         asking += member.name
@@ -132,7 +147,7 @@
         when (answer) {
             is EngineAnswer.Done -> Unit
             is EngineAnswer.Refused -> {
-                if (answer.wrongInstance) context.replaced(member.name, claim.request)
+                if (answer.wrongInstance) context.replaced(member.name, claim.request) else lastRefusal = now
                 fullUntil[member.name] = now + RECHECK
             }
             is EngineAnswer.Failed -> {
@@ -170,7 +185,8 @@
         wake = null
         if (waiting.isEmpty()) return
         val expiry = waiting.minOf { it.latest }
-        val recheck = fullUntil.values.filter { it > now }.minOrNull() ?: expiry
+        val short = lastRefusal?.let { it + SHORT_MEMORY }?.takeIf { it > now && waiting.first().late }
+        val recheck = short ?: fullUntil.values.filter { it > now }.minOrNull() ?: expiry
         val due = minOf(expiry, recheck)
         wake = context.scheduler.after((due - now).coerceAtLeast(LEAST_PAUSE)) { pump() }
     }
@@ -180,6 +196,9 @@
 
         /** Pause before an engine that was full is asked again, unless a request of this process ends there. */
         val RECHECK: Duration = 40.milliseconds
+
+        /** After an engine had no room, memory counts as short for this long. */
+        val SHORT_MEMORY: Duration = 1_000.milliseconds
         val LEAST_PAUSE: Duration = 1.milliseconds
         const val INTERVAL_WEIGHT = 0.2
     }
--- a/core/src/main/kotlin/org/lovageladder/core/forward/StreamFlow.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/StreamFlow.kt
@@ -22,7 +22,7 @@
     private val ended: () -> Unit,
 ) : ForwardFlow {
     private val route = destination.route
-    private val time = RequestTime(request, route)
+    private val time = RequestTime(request, destination)
     private val splitter = if (route.resumable) EventSplitter() else null
     private val declinedBy = HashSet<UpstreamName>()
     private var timeout: RunningCall? = null
@@ -50,16 +50,16 @@
     }
 
     private fun claimMemory() {
-        val now = context.now()
-        val latest = if (begun || sendings > 0) time.end else maxOf(now, time.target - pace.startup)
+        val urgency = urgency(context.now())
         val entering =
             MemoryClaim(
                 request = request.id,
                 tokens = pace.memoryFor(request.generation, destination.engine),
-                priority = if (begun) RESUMED_PRIORITY else route.priority,
+                priority = urgency.priority,
                 entered = time.arrived,
-                latest = latest,
+                latest = urgency.latest,
                 avoid = declinedBy,
+                late = urgency.late,
                 granted = ::granted,
                 refused = ::refuseOrBreak,
             )
@@ -67,6 +67,21 @@
         queue.enter(entering)
     }
 
+    /**
+     * A stream that has begun goes first. One that can still meet its target waits as long as it can; one that cannot
+     * waits for memory that those leave free, and not for most of its time.
+     */
+    private fun urgency(now: Moment): Urgency {
+        val inTime = time.target - pace.startup
+        return when {
+            begun || sendings > 0 -> Urgency(RESUMED_PRIORITY, time.end)
+            inTime > now -> Urgency(route.priority, inTime)
+            else -> Urgency(route.priority + LATE_PRIORITY, now + time.remaining(now) * LATE_WAIT_SHARE, late = true)
+        }
+    }
+
+    private data class Urgency(val priority: Int, val latest: Moment, val late: Boolean = false)
+
     private fun granted(memory: MemoryGrant) {
         claim = null
         grant = memory
@@ -138,6 +153,7 @@
                 prefill = prefilled,
                 reservation = memory.reservation,
                 resumeAfter = lastEvent,
+                yields = !begun && time.target < context.now(),
             )
         decoding = context.calls.send(request, sending, DecodeReceiver(name))
     }
@@ -308,6 +324,10 @@
         const val MOST_SENDINGS = 3
         const val MOST_PREFILLS = 2
 
+        /** Added to the priority of requests that missed their target; lower goes first. */
+        const val LATE_PRIORITY = 1_000
+        const val LATE_WAIT_SHARE = 0.35
+
         /** Streams that go on elsewhere come before all that have not begun. */
         const val RESUMED_PRIORITY = -1
     }
--- a/core/src/main/kotlin/org/lovageladder/core/forward/StreamPace.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/StreamPace.kt
@@ -14,7 +14,7 @@
     val prefillLimit: Duration = 1.seconds
 
     /** Least time after which a refused caller should come back. */
-    val returnAfter: Duration = 1_200.milliseconds
+    val returnAfter: Duration = 2_400.milliseconds
 
     /** A stream began [time] after its memory was granted. */
     fun started(time: Duration) {
@@ -34,7 +34,7 @@
 
     private companion object {
         const val WEIGHT = 0.1
-        const val OUTPUT_MARGIN = 1.0
+        const val OUTPUT_MARGIN = 1.3
         const val DEFAULT_TOKENS = 4_096
         val STARTUP_LIMIT = 600.milliseconds
     }
--- a/core/src/test/kotlin/org/lovageladder/core/ClaimedCallsTest.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/ClaimedCallsTest.kt
@@ -54,6 +54,16 @@
         }
     }
 
+    /** An upstream that keeps one highest number over all keys would refuse every fresh key after a contested one. */
+    @Test
+    fun theNumberOfAClaimOrdersOnlyItsOwnKeyAndIsNotSentAsFencingNumber() {
+        val bench = bench()
+        val contested = bench.receive(startPlain(first, claim(17, "contested")))
+        val fresh = bench.receive(startPlain(second, claim(1, "fresh")))
+        val calls = (contested + fresh).filterIsInstance<CompanionEffect.StartCall>().map { it.call as UpstreamCall.Plain }
+        assertEquals(listOf(null, null), calls.map { it.fencing })
+    }
+
     @Test
     fun aStartIsRefusedUnlessItsNumberIsTheNewestAndTheClaimNamesThisIncarnation() {
         val rows = listOf(
--- /dev/null
+++ b/core/src/test/kotlin/org/lovageladder/core/forward/ForwarderTest.kt
@@ -0,0 +1,99 @@
+package org.lovageladder.core.forward
+
+import org.lovageladder.core.Moment
+import org.lovageladder.core.ReleaseVersion
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertNull
+import kotlin.time.Duration.Companion.seconds
+
+/** Configuration, routes and budget. */
+class ForwarderTest {
+    @Test
+    fun configurationNeverGoesBack() {
+        val world = ForwardWorld()
+        world.forwarder.configure(ForwardWorld.configuration(version = 7))
+        world.forwarder.configure(ForwardWorld.configuration(version = 5))
+        assertEquals(ReleaseVersion(7), world.forwarder.version)
+    }
+
+    @Test
+    fun requestBeforeAnyConfigurationIsToldToComeBack() {
+        val scheduler = VirtualScheduler()
+        val settings = ForwarderSettings(ForwardWorld.HOME, RetryLimits(0.2, 8.0, 10.seconds))
+        val forwarder = Forwarder(settings, VirtualUpstreams(scheduler), scheduler, log = {})
+        val reply = RecordedReply()
+        val request =
+            ForwardRequest(
+                id = org.lovageladder.core.RequestId("1"),
+                method = "GET",
+                target = "/lookup/1",
+                host = "desk.example",
+                fields = emptyList(),
+                body = ByteArray(0),
+                arrived = Moment(0),
+                wait = null,
+                generation = null,
+                resumeAfter = null,
+            )
+        assertNull(forwarder.forward(request, reply))
+        assertEquals(RefusalReason.NOT_READY, reply.refusal?.reason)
+    }
+
+    @Test
+    fun longestPrefixOfTheHostWins() {
+        val base = ForwardWorld.configuration()
+        val inner = base.routes.first().copy(name = "inner", prefix = "/lookup/inner/")
+        val table = RouteTable(base.copy(routes = base.routes + inner))
+        val cases =
+            mapOf(
+                ("desk.example" to "/lookup/1") to "/lookup/",
+                ("desk.example" to "/lookup/inner/1?x=/action/") to "inner",
+                ("DESK.example:8080" to "/action/") to "/action/",
+                ("desk.example" to "/lookup") to null,
+                ("other.example" to "/lookup/1") to null,
+            )
+        cases.forEach { (request, route) ->
+            assertEquals(route, table.find(request.first, request.second)?.name, "$request")
+        }
+    }
+
+    @Test
+    fun sharesAreDrawnByWeight() {
+        val shares = listOf(ServiceShare(ForwardWorld.PLAIN, 90), ServiceShare(ForwardWorld.ENGINES, 10))
+        val drawn = (0 until 100).map { drawShare(shares, it / 100.0)?.service }
+        assertEquals(90, drawn.count { it == ForwardWorld.PLAIN })
+    }
+
+    @Test
+    fun repeatsStayWithinTheBudgetOfAnyWindow() {
+        val budget = RetryBudget(RetryLimits(ratio = 0.2, allowance = 8.0, window = 10.seconds))
+        val repeats = ArrayList<Moment>()
+        (0 until 6_000).forEach { step ->
+            val now = Moment(step * 10_000L)
+            if (step % 10 == 0) budget.requestArrived(ForwardWorld.PLAIN, now)
+            if (budget.tryRepeat(ForwardWorld.PLAIN, now)) repeats += now
+        }
+        val requestsInWindow = 100
+        repeats.forEach { first ->
+            val inWindow = repeats.count { it >= first && it < first + 10.seconds }
+            check(inWindow <= 0.2 * requestsInWindow + 2 * 8) { "$inWindow repeats in the window from $first" }
+        }
+    }
+
+    @Test
+    fun eventsAreCutWhereTheyEnd() {
+        val cases =
+            listOf(
+                Triple("id: 1\ndata: a\n\n", "id: 1\ndata: a\n\n", 1L),
+                Triple("id: 1\r\ndata: a\r\n\r\nid: 2\r\n", "id: 1\r\ndata: a\r\n\r\n", 1L),
+                Triple("data: a\n\nid: 9\ndata: b\n\nid: 10", "data: a\n\nid: 9\ndata: b\n\n", 9L),
+                Triple("id: 1\ndata: a\n", null, null),
+            )
+        cases.forEach { (text, whole, last) ->
+            val events = EventSplitter().add(text.encodeToByteArray())
+            assertEquals(whole, events?.bytes?.decodeToString(), text)
+            assertEquals(last, events?.lastEvent, text)
+        }
+    }
+}
--- /dev/null
+++ b/core/src/test/kotlin/org/lovageladder/core/forward/MemoryQueueTest.kt
@@ -0,0 +1,80 @@
+package org.lovageladder.core.forward
+
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertNotNull
+import kotlin.test.assertNull
+import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** Load patterns of a crest: more prompts than decode memory holds. Each engine here holds two requests. */
+class MemoryQueueTest {
+    private val world = ForwardWorld(memory = 8_000)
+
+    private fun fill(): List<ReceivedCall> {
+        repeat(4) { world.submit("/stream/fill", wait = 10.seconds) }
+        world.scheduler.advance(300.milliseconds)
+        assertEquals(4, world.upstreams.runs.size)
+        return world.upstreams.runs.toList()
+    }
+
+    @Test
+    fun requestThatWaitsIsServedWhenMemoryIsFreed() {
+        val running = fill()
+        val waiting = world.submit("/stream/1", wait = 10.seconds)
+        world.scheduler.advance(200.milliseconds)
+        running.first().head(200)
+        world.upstreams.finish(running.first())
+        world.scheduler.advance(200.milliseconds)
+        assertEquals(5, world.upstreams.runs.size)
+        assertNull(waiting.reply.refusal)
+    }
+
+    @Test
+    fun requestThatCannotMeetItsTargetIsRefusedBeforeIt() {
+        fill()
+        val waiting = world.submit("/stream/1", wait = 10.seconds)
+        world.scheduler.advance(900.milliseconds)
+        val refusal = assertNotNull(waiting.reply.refusal)
+        assertEquals(RefusalReason.OVERLOADED, refusal.reason)
+        assertTrue(assertNotNull(refusal.returnAfter) <= 10.seconds / 3)
+        assertEquals(4, world.upstreams.runs.size)
+    }
+
+    @Test
+    fun requestBehindALongQueueIsRefusedAtOnce() {
+        val running = fill()
+        repeat(3) { world.submit("/stream/1", wait = 10.seconds) }
+        world.scheduler.advance(200.milliseconds)
+        running.first().head(200)
+        world.upstreams.finish(running.first())
+        world.scheduler.advance(300.milliseconds)
+        val late = world.submit("/stream/2", wait = 10.seconds)
+        assertEquals(RefusalReason.OVERLOADED, late.reply.refusal?.reason)
+    }
+
+    @Test
+    fun callerThatCameBackWaitsBehindThoseThatCanBeInTime() {
+        val running = fill()
+        val cameBack = world.submit("/stream/back", wait = 6.seconds)
+        val fresh = world.submit("/stream/fresh", wait = 10.seconds)
+        world.scheduler.advance(100.milliseconds)
+        running.first().head(200)
+        world.upstreams.finish(running.first())
+        world.scheduler.advance(200.milliseconds)
+        assertEquals("/stream/fresh", world.upstreams.runs.last().request.target)
+        assertNull(fresh.reply.refusal)
+        assertNull(cameBack.reply.refusal)
+        world.scheduler.advance(3.seconds)
+        assertNotNull(cameBack.reply.refusal)
+    }
+
+    @Test
+    fun memoryOfAClaimThatLeftIsReleased() {
+        val submitted = world.submit("/stream/1", wait = 10.seconds)
+        submitted.open?.callerLeft()
+        world.scheduler.advance(1.seconds)
+        assertEquals(0, world.upstreams.reservations)
+    }
+}
--- /dev/null
+++ b/core/src/test/kotlin/org/lovageladder/core/forward/StreamFlowTest.kt
@@ -0,0 +1,122 @@
+package org.lovageladder.core.forward
+
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertFalse
+import kotlin.test.assertNotNull
+import kotlin.test.assertNull
+import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** Courses of token streams: memory, prefill, decode, and what callers get when a step fails. */
+class StreamFlowTest {
+    private val world = ForwardWorld()
+
+    private fun started(target: String = "/stream/1"): ForwardWorld.Submitted {
+        val submitted = world.submit(target)
+        world.scheduler.advance(150.milliseconds)
+        return submitted
+    }
+
+    @Test
+    fun memoryIsReservedThenThePromptReadThenDecoded() {
+        val submitted = started()
+        val run = world.upstreams.runs.single()
+        assertNotNull(run.sending.reservation)
+        assertNotNull(run.sending.prefill)
+        run.head(200)
+        run.content("id: 1\ndata: a\n\n")
+        run.content("id: 2\ndata: b\n\n")
+        world.upstreams.finish(run)
+        assertEquals("id: 1\ndata: a\n\nid: 2\ndata: b\n\n", submitted.reply.body.toString())
+        assertTrue(submitted.reply.whole)
+    }
+
+    @Test
+    fun engineThatDeclinesGivesWayToAnother() {
+        val submitted = started()
+        world.upstreams.runs.single().answer(503, notRun = true)
+        assertEquals(1, world.upstreams.freed.size)
+        world.scheduler.advance(150.milliseconds)
+        val second = world.upstreams.runs[1]
+        assertFalse(second.sending.upstream == world.upstreams.runs[0].sending.upstream)
+        second.head(200)
+        world.upstreams.finish(second)
+        assertTrue(submitted.reply.whole)
+    }
+
+    @Test
+    fun decodeEngineReadsThePromptWhenNoPrefillEngineDoes() {
+        world.upstreams.prefillRefusals += ForwardWorld.MEMBERS.first { it.name.text == "prefill-1" }.address
+        started()
+        assertNull(world.upstreams.runs.single().sending.prefill)
+    }
+
+    @Test
+    fun streamThatMayNotBeRepeatedIsBrokenOffVisibly() {
+        val submitted = started()
+        val run = world.upstreams.runs.single()
+        run.head(200)
+        run.content("id: 1\ndata: a\n\n")
+        run.fail(sent = true)
+        assertTrue(submitted.reply.aborted)
+        assertEquals(1, world.upstreams.runs.size)
+    }
+
+    @Test
+    fun streamThatMayNotBeRepeatedHasNoPromiseOnceSent() {
+        val submitted = started()
+        world.upstreams.runs.single().fail(sent = true)
+        assertEquals(RefusalReason.ANSWER_LOST, submitted.reply.refusal?.reason)
+    }
+
+    @Test
+    fun resumableStreamGoesOnAfterItsLastWholeEvent() {
+        val submitted = started("/stream-on/1")
+        val first = world.upstreams.runs.single()
+        first.head(200)
+        first.content("id: 1\ndata: a\n\nid: 2\nda")
+        first.fail(sent = true)
+        world.scheduler.advance(200.milliseconds)
+        val second = world.upstreams.runs[1]
+        assertEquals(1, second.sending.resumeAfter)
+        second.head(200)
+        second.content("id: 2\ndata: b\n\n")
+        world.upstreams.finish(second)
+        assertEquals("id: 1\ndata: a\n\nid: 2\ndata: b\n\n", submitted.reply.body.toString())
+        assertTrue(submitted.reply.whole)
+    }
+
+    @Test
+    fun successWithoutProofIsNotPassedOn() {
+        val submitted = started()
+        world.upstreams.runs.single().head(200, genuine = false)
+        assertEquals(RefusalReason.ANSWER_LOST, submitted.reply.refusal?.reason)
+        assertNull(submitted.reply.head)
+    }
+
+    @Test
+    fun nothingStaysHeldWhenTheCallerLeavesAtAnyStep() {
+        listOf(0, 50, 150).forEach { milliseconds ->
+            val world = ForwardWorld()
+            val submitted = world.submit("/stream/1")
+            world.scheduler.advance(milliseconds.milliseconds)
+            submitted.open?.callerLeft()
+            world.scheduler.advance(1.seconds)
+            val running = world.upstreams.runs.count { !it.cancelled }
+            assertEquals(0, running, "after $milliseconds ms")
+            val unused = if (world.upstreams.runs.isEmpty()) 0 else 1
+            assertEquals(unused, world.upstreams.reservations, "after $milliseconds ms")
+        }
+    }
+
+    @Test
+    fun streamsAreNotTakenLateInADrain() {
+        world.forwarder.drain()
+        assertNotNull(world.submit("/stream/1").open)
+        world.scheduler.advance(3.seconds)
+        assertEquals(RefusalReason.LEAVING, world.submit("/stream/1").reply.refusal?.reason)
+        assertNotNull(world.submit("/action/1").open)
+    }
+}
--- /dev/null
+++ b/core/src/test/kotlin/org/lovageladder/core/forward/VirtualUpstreams.kt
@@ -0,0 +1,300 @@
+package org.lovageladder.core.forward
+
+import org.lovageladder.core.Address
+import org.lovageladder.core.FaultCause
+import org.lovageladder.core.Moment
+import org.lovageladder.core.PlaceName
+import org.lovageladder.core.PoolRole
+import org.lovageladder.core.RequestId
+import org.lovageladder.core.ServiceName
+import org.lovageladder.core.UpstreamName
+import java.util.PriorityQueue
+import kotlin.random.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** Virtual time: actions run in order of their time when the clock is moved on. */
+internal class VirtualScheduler : Scheduler {
+    private class Due(val at: Moment, val order: Long, val action: () -> Unit)
+
+    private val due = PriorityQueue(compareBy<Due>({ it.at.microseconds }, { it.order }))
+    private var time = Moment(0)
+    private var order = 0L
+
+    override fun now(): Moment = time
+
+    override fun after(delay: Duration, action: () -> Unit): RunningCall {
+        val entry = Due(time + delay, order++, action)
+        due.add(entry)
+        return RunningCall { due.remove(entry) }
+    }
+
+    /** Moves the clock on by [duration] and runs what falls due. */
+    fun advance(duration: Duration) {
+        val until = time + duration
+        while (due.isNotEmpty() && due.peek().at <= until) {
+            val next = due.poll()
+            time = next.at
+            next.action()
+        }
+        time = until
+    }
+}
+
+/** A request as an upstream received it; the test answers it. */
+internal class ReceivedCall(val request: ForwardRequest, val sending: Sending, private val receiver: AnswerReceiver) {
+    var cancelled = false
+        private set
+
+    fun cancel() {
+        cancelled = true
+    }
+
+    fun head(status: Int, notRun: Boolean = false, wrongInstance: Boolean = false, genuine: Boolean = true) {
+        if (!cancelled) receiver.onHead(AnswerHead(status, emptyList(), notRun, wrongInstance, load = null, genuine))
+    }
+
+    fun content(text: String) {
+        if (!cancelled) receiver.onContent(text.encodeToByteArray())
+    }
+
+    fun end() {
+        if (!cancelled) receiver.onEnd()
+    }
+
+    fun fail(sent: Boolean) {
+        if (!cancelled) receiver.onFailure(CallFailure(FaultCause.CONNECTION_LOST, sent, "reset"))
+    }
+
+    fun answer(status: Int, body: String = "", notRun: Boolean = false, genuine: Boolean = true) {
+        head(status, notRun, genuine = genuine)
+        if (body.isNotEmpty()) content(body)
+        end()
+    }
+}
+
+/** Upstreams that record calls. Engines hold [memory] tokens each; prefills take [prefillTime]. */
+internal class VirtualUpstreams(private val scheduler: VirtualScheduler, private val memory: Int = 10_000) :
+    UpstreamCalls {
+    val runs = ArrayList<ReceivedCall>()
+    val prefills = ArrayList<Sending>()
+    val freed = ArrayList<PrefillResult>()
+    val unreachable = HashSet<Address>()
+    val prefillRefusals = HashSet<Address>()
+    var prefillTime = 100.milliseconds
+    private val reserved = HashMap<Address, MutableMap<String, Int>>()
+    private var number = 0
+
+    val reservations: Int get() = reserved.values.sumOf { it.size }
+
+    override fun send(request: ForwardRequest, sending: Sending, receiver: AnswerReceiver): RunningCall {
+        val call = ReceivedCall(request, sending, receiver)
+        if (sending.address in unreachable) {
+            scheduler.after(1.milliseconds) { call.fail(sent = false) }
+        } else {
+            runs += call
+        }
+        return RunningCall { call.cancel() }
+    }
+
+    override fun prefill(
+        request: ForwardRequest,
+        sending: Sending,
+        answer: (EngineAnswer<PrefillResult>) -> Unit,
+    ): RunningCall {
+        prefills += sending
+        if (sending.address in prefillRefusals) {
+            return scheduler.after(1.milliseconds) { answer(EngineAnswer.Refused(503, wrongInstance = false)) }
+        }
+        return scheduler.after(prefillTime) {
+            answer(EngineAnswer.Done(PrefillResult(sending.address, "handle-${number++}")))
+        }
+    }
+
+    override fun reserve(
+        engine: Address,
+        tokens: Int,
+        keep: Duration,
+        answer: (EngineAnswer<Reservation>) -> Unit,
+    ): RunningCall = scheduler.after(1.milliseconds) {
+        val there = reserved.getOrPut(engine) { HashMap() }
+        if (there.values.sum() + tokens > memory) {
+            answer(EngineAnswer.Refused(503, wrongInstance = false))
+        } else {
+            val name = "reservation-${number++}"
+            there[name] = tokens
+            answer(EngineAnswer.Done(Reservation(name)))
+        }
+    }
+
+    override fun release(engine: Address, reservation: Reservation) {
+        reserved[engine]?.remove(reservation.text)
+    }
+
+    override fun free(result: PrefillResult) {
+        freed += result
+    }
+
+    /** Ends the run of [call] as whole; its memory is free again. */
+    fun finish(call: ReceivedCall) {
+        call.sending.reservation?.let { release(call.sending.address, it) }
+        call.end()
+    }
+}
+
+/** What a caller received. */
+internal class RecordedReply : CallerReply {
+    var head: AnswerHead? = null
+        private set
+    var refusal: Refusal? = null
+        private set
+    val body = StringBuilder()
+    var whole = false
+        private set
+    var aborted = false
+        private set
+
+    val final: Boolean get() = whole || aborted || refusal != null
+
+    override fun begin(head: AnswerHead, length: Int?) {
+        check(this.head == null && !final)
+        this.head = head
+    }
+
+    override fun content(bytes: ByteArray) {
+        check(head != null && !final)
+        body.append(bytes.decodeToString())
+    }
+
+    override fun end() {
+        check(head != null && !final)
+        whole = true
+    }
+
+    override fun refuse(refusal: Refusal) {
+        check(head == null && !final)
+        this.refusal = refusal
+    }
+
+    override fun abort() {
+        check(!final)
+        aborted = true
+    }
+}
+
+/** A forwarder with virtual upstreams, one configuration and one registered set of upstreams. */
+internal class ForwardWorld(memory: Int = 10_000) {
+    val scheduler = VirtualScheduler()
+    val upstreams = VirtualUpstreams(scheduler, memory)
+    val events = ArrayList<org.lovageladder.core.EventDraft>()
+    val forwarder =
+        Forwarder(
+            settings = ForwarderSettings(HOME, RetryLimits(ratio = 0.2, allowance = 8.0, window = 10.seconds)),
+            calls = upstreams,
+            scheduler = scheduler,
+            log = { events += it },
+            random = Random(1),
+        )
+    private var requests = 0
+
+    init {
+        forwarder.configure(configuration())
+        forwarder.registryChanged(RegistryChange.ReadWhole(MEMBERS))
+    }
+
+    /** Submits a request for [target]; its reply, and the handle by which the caller leaves. */
+    fun submit(target: String, wait: Duration? = null, generation: Generation? = GENERATION): Submitted {
+        val reply = RecordedReply()
+        val request =
+            ForwardRequest(
+                id = RequestId("request-${requests++}"),
+                method = "POST",
+                target = target,
+                host = "desk.example",
+                fields = emptyList(),
+                body = ByteArray(0),
+                arrived = scheduler.now(),
+                wait = wait,
+                generation = generation.takeIf { target.startsWith("/stream") },
+                resumeAfter = null,
+            )
+        return Submitted(reply, forwarder.forward(request, reply))
+    }
+
+    class Submitted(val reply: RecordedReply, val open: OpenRequest?)
+
+    companion object {
+        val HOME = PlaceName("home")
+        val PLAIN = ServiceName("desk")
+        val ENGINES = ServiceName("model")
+        val GENERATION = Generation(promptTokens = 3_000, outputBound = 1_000, expectedOutputTokens = 1_000)
+        val MEMBERS =
+            listOf(
+                member("plain-1", PLAIN, PoolRole.PLAIN, 1),
+                member("plain-2", PLAIN, PoolRole.PLAIN, 2),
+                member("prefill-1", ENGINES, PoolRole.PREFILL, 3),
+                member("decode-1", ENGINES, PoolRole.DECODE, 4),
+                member("decode-2", ENGINES, PoolRole.DECODE, 5),
+            )
+
+        fun member(name: String, service: ServiceName, role: PoolRole, port: Int, leaving: Boolean = false) = Member(
+            name = UpstreamName(name),
+            service = service,
+            address = Address("10.0.0.1", port),
+            place = HOME,
+            slots = 4,
+            leaving = leaving,
+            role = role,
+            startedAt = null,
+            revision = 1,
+        )
+
+        fun configuration(version: Long = 1, timeout: Duration = 10.seconds): Configuration = Configuration(
+            version = org.lovageladder.core.ReleaseVersion(version),
+            routes =
+            listOf(
+                route("/lookup/", RouteKind.IDEMPOTENT, PLAIN, 100.milliseconds, timeout, attempts = 2),
+                route("/action/", RouteKind.ONCE, PLAIN, 100.milliseconds, timeout),
+                route("/stream/", RouteKind.STREAM, ENGINES, 900.milliseconds, timeout),
+                route(
+                    "/stream-on/",
+                    RouteKind.STREAM,
+                    ENGINES,
+                    900.milliseconds,
+                    timeout,
+                    attempts = 2,
+                    resumable = true,
+                ),
+            ),
+            services =
+            mapOf(
+                PLAIN to ServiceTraits(PLAIN, 96, engine = null),
+                ENGINES to
+                    ServiceTraits(ENGINES, 96, EngineTraits(4, 10_000, 13, 500.milliseconds, 2.seconds, 6.seconds)),
+            ),
+            limits = CallerLimits(16_384, 4_194_304, 3.seconds, 15.seconds),
+        )
+
+        private fun route(
+            prefix: String,
+            kind: RouteKind,
+            service: ServiceName,
+            target: Duration,
+            timeout: Duration,
+            attempts: Int = 1,
+            resumable: Boolean = false,
+        ) = Route(
+            name = prefix,
+            host = "desk.example",
+            prefix = prefix,
+            kind = kind,
+            timeout = timeout,
+            target = target,
+            priority = 1,
+            shares = listOf(ServiceShare(service, 1)),
+            maximumAttempts = attempts,
+            resumable = resumable,
+        )
+    }
+}
--- a/daemon/src/main/kotlin/org/lovageladder/daemon/ForwardCommand.kt
+++ b/daemon/src/main/kotlin/org/lovageladder/daemon/ForwardCommand.kt
@@ -16,7 +16,8 @@
  * Runs an entry that forwards requests straight to upstreams. Its settings come from flags, environment variables and
  * the file that [SETTINGS_VARIABLE] names, whose lines are `flag=value` without the dashes; flags go first.
  */
-internal class ForwardCommand(private val act: (ForwardProcessSettings) -> Unit = ::runForward) : CliktCommand("forward") {
+internal class ForwardCommand(private val act: (ForwardProcessSettings) -> Unit = ::runForward) :
+    CliktCommand("forward") {
     private val common by CommonFlags()
     private val listen by addressFlag("--listen", "Where callers connect.").required()
     private val retryRatio by ratioFlag("--retry-ratio", "Repeats of all entries for each request.", RETRY_RATIO)
--- a/daemon/src/main/kotlin/org/lovageladder/daemon/ForwardProcess.kt
+++ b/daemon/src/main/kotlin/org/lovageladder/daemon/ForwardProcess.kt
@@ -83,7 +83,7 @@
         }
     private var draining = false
 
-    override val traffic: Address = settings.callers
+    override val traffic: Address = server.address
     override val admin: Address = adminServer.address
 
     init {
@@ -112,7 +112,8 @@
     /** Puts [newer] settings into force, as far as that is possible without a restart. */
     fun settingsChanged(newer: ForwardProcessSettings): Unit = scheduler.execute {
         forwarder.limitRetries(newer.decisions.retries)
-        val fixed = newer.copy(decisions = settings.decisions) == settings && newer.decisions.place == settings.decisions.place
+        val fixed =
+            newer.copy(decisions = settings.decisions) == settings && newer.decisions.place == settings.decisions.place
         val detail = if (fixed) "in force" else "in force but for addresses, names and place, which need a restart"
         log.record(EventDraft(EventKind.SETTINGS_RELOADED, detail = detail))
     }
--- a/http/src/main/kotlin/org/lovageladder/http/forward/ForwardServer.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/forward/ForwardServer.kt
@@ -16,6 +16,7 @@
 import org.lovageladder.http.ArrivalHandler
 import org.lovageladder.http.HttpThreads
 import org.lovageladder.http.SmallBuffers
+import java.net.InetSocketAddress
 import java.util.concurrent.ConcurrentHashMap
 import kotlin.time.Duration.Companion.seconds
 
@@ -41,6 +42,10 @@
     private var draining = false
     private val server: Channel = listen(bind)
 
+    /** Where the server listens, with the port that was chosen when 0 was asked for. */
+    public val address: Address =
+        (server.localAddress() as InetSocketAddress).let { Address(it.address.hostAddress, it.port) }
+
     /** Tells callers with each answer that their connection ends. */
     public fun drain() {
         draining = true
--- /dev/null
+++ b/http/src/test/kotlin/org/lovageladder/http/forward/ForwardServerTest.kt
@@ -0,0 +1,185 @@
+package org.lovageladder.http.forward
+
+import org.lovageladder.core.Address
+import org.lovageladder.core.Moment
+import org.lovageladder.core.RequestId
+import org.lovageladder.core.forward.AnswerHead
+import org.lovageladder.core.forward.CallerLimits
+import org.lovageladder.core.forward.CallerReply
+import org.lovageladder.core.forward.ForwardRequest
+import org.lovageladder.core.forward.HeaderField
+import org.lovageladder.core.forward.OpenRequest
+import org.lovageladder.core.forward.Refusal
+import org.lovageladder.core.forward.RefusalReason
+import org.lovageladder.http.CallerSocket
+import org.lovageladder.http.HttpThreads
+import java.util.concurrent.CountDownLatch
+import java.util.concurrent.LinkedBlockingQueue
+import java.util.concurrent.TimeUnit
+import kotlin.test.AfterTest
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertNotNull
+import kotlin.test.assertNull
+import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** What callers' connections may do, and what they get. */
+class ForwardServerTest {
+    private val threads = HttpThreads(1)
+    private val left = CountDownLatch(1)
+    private val taken = LinkedBlockingQueue<Pair<ForwardRequest, CallerReply>>()
+    private val handler =
+        object : ForwardHandler {
+            override val limits =
+                CallerLimits(512, 1_000, headerTimeout = 300.milliseconds, idleTimeout = 600.milliseconds)
+
+            override fun forward(request: ForwardRequest, reply: CallerReply): OpenRequest {
+                taken.add(request to reply)
+                return OpenRequest { left.countDown() }
+            }
+        }
+    private val wire = CallerWire { received ->
+        val id = received.head.firstOrNull { it.name == "Id" }?.value ?: return@CallerWire null
+        ForwardRequest(
+            id = RequestId(id),
+            method = received.method,
+            target = received.target,
+            host = received.host,
+            fields = received.head,
+            body = received.body,
+            arrived = Moment(0),
+            wait = 1.seconds,
+            generation = null,
+            resumeAfter = null,
+        )
+    }
+    private val server = ForwardServer(Address("127.0.0.1", 0), threads, wire, handler)
+
+    @AfterTest
+    fun close() {
+        server.close()
+        threads.close()
+    }
+
+    private fun next(): Pair<ForwardRequest, CallerReply> = assertNotNull(taken.poll(10, TimeUnit.SECONDS))
+
+    private fun onLoop(action: () -> Unit) {
+        EventLoopScheduler(threads).execute(action)
+    }
+
+    private fun head(status: Int) =
+        AnswerHead(status, listOf(HeaderField("Seal", "s")), notRun = false, wrongInstance = false, load = null)
+
+    @Test
+    fun requestsAndAnswersPassUnchangedButForTheirConnection() {
+        CallerSocket(server.address).use { caller ->
+            caller.send(
+                "POST /a/b?c=%20d HTTP/1.1\r\nHost: h\r\nId: 1\r\nConnection: X-Hop\r\nX-Hop: 1\r\nContent-Length: 2\r\n\r\nok",
+            )
+            val (request, reply) = next()
+            assertEquals("/a/b?c=%20d", request.target)
+            assertEquals("ok", request.body.decodeToString())
+            assertEquals(listOf("Host", "Id"), request.fields.map { it.name })
+            onLoop {
+                reply.begin(head(201), length = 4)
+                reply.content("body".encodeToByteArray())
+                reply.end()
+            }
+            val answer = caller.readAnswer()
+            assertEquals(201, answer.status)
+            assertEquals("s", answer.headers["seal"])
+            assertEquals("body", answer.body)
+        }
+    }
+
+    @Test
+    fun requestsSentAheadAreAnsweredInOrder() {
+        CallerSocket(server.address).use { caller ->
+            caller.send("GET /1 HTTP/1.1\r\nHost: h\r\nId: 1\r\n\r\nGET /2 HTTP/1.1\r\nHost: h\r\nId: 2\r\n\r\n")
+            listOf("/1", "/2").forEach { path ->
+                val (request, reply) = next()
+                assertEquals(path, request.target)
+                assertNull(taken.poll())
+                onLoop { reply.refuse(Refusal(RefusalReason.OVERLOADED, 1_500.milliseconds)) }
+                val answer = caller.readAnswer()
+                assertEquals(503, answer.status)
+                assertEquals("1.500", answer.headers["retry-after"])
+            }
+        }
+    }
+
+    @Test
+    fun requestsThatCouldBeReadInTwoWaysAreRejected() {
+        val cases =
+            mapOf(
+                "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" to 400,
+                "Transfer-Encoding: chunked, identity\r\n\r\n0\r\n\r\n" to 400,
+                "Transfer-Encoding: xchunked\r\n\r\n0\r\n\r\n" to 400,
+                "Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd" to 400,
+                "Content-Length: +3\r\n\r\nabc" to 400,
+                "Long: ${"x".repeat(600)}\r\n\r\n" to 431,
+                "Content-Length: 2000\r\n\r\n" to 413,
+            )
+        cases.forEach { (rest, status) ->
+            CallerSocket(server.address).use { caller ->
+                caller.send("POST /1 HTTP/1.1\r\nHost: h\r\nId: 1\r\n$rest")
+                assertEquals(status, caller.readAnswer().status, rest)
+            }
+        }
+        assertTrue(taken.isEmpty())
+    }
+
+    @Test
+    fun requestWithoutIdentifierIsRejected() {
+        CallerSocket(server.address).use { caller ->
+            caller.send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n")
+            assertEquals(400, caller.readAnswer().status)
+        }
+    }
+
+    @Test
+    fun halfARequestIsRejectedAndAnIdleConnectionClosed() {
+        CallerSocket(server.address).use { caller ->
+            caller.send("GET /1 HTTP/1.1\r\nHo")
+            assertEquals(408, caller.readAnswer().status)
+        }
+        CallerSocket(server.address).use { caller -> assertEquals("", caller.readToEnd()) }
+    }
+
+    @Test
+    fun handlerIsToldThatTheCallerLeft() {
+        CallerSocket(server.address).use { caller ->
+            caller.send("GET /1 HTTP/1.1\r\nHost: h\r\nId: 1\r\n\r\n")
+            next()
+        }
+        assertTrue(left.await(10, TimeUnit.SECONDS))
+    }
+
+    @Test
+    fun brokenOffStreamDoesNotLookWhole() {
+        CallerSocket(server.address).use { caller ->
+            caller.send("GET /1 HTTP/1.1\r\nHost: h\r\nId: 1\r\n\r\n")
+            val (_, reply) = next()
+            onLoop {
+                reply.begin(head(200), length = null)
+                reply.content("part".encodeToByteArray())
+            }
+            assertEquals("chunked", caller.readHead().headers["transfer-encoding"])
+            onLoop { reply.abort() }
+            assertEquals("4\r\npart\r\n", caller.readToEnd())
+        }
+    }
+
+    @Test
+    fun answersTellCallersToCloseWhileDraining() {
+        server.drain()
+        CallerSocket(server.address).use { caller ->
+            caller.send("GET /1 HTTP/1.1\r\nHost: h\r\nId: 1\r\n\r\n")
+            val (_, reply) = next()
+            onLoop { reply.refuse(Refusal(RefusalReason.LEAVING)) }
+            assertEquals("close", caller.readAnswer().headers["connection"])
+        }
+    }
+}
