--- a/daemon/src/main/kotlin/org/lovageladder/daemon/EventLog.kt
+++ b/daemon/src/main/kotlin/org/lovageladder/daemon/EventLog.kt
@@ -10,13 +10,20 @@
 import org.lovageladder.core.ProcessName
 import org.tinylog.kotlin.Logger
 
-/** Stamps events, keeps them in [ring], counts them and writes them to the log. Confined to the control thread. */
+/**
+ * Stamps events, keeps them in [ring], counts them and writes them to the log, at most [linesPerSecond] of them; what
+ * was left out is said in the next second. Confined to the control thread.
+ */
 internal class EventLog(
     private val process: ProcessName,
     private val clock: HybridClock,
     private val ring: EventRing,
     registry: MeterRegistry,
+    private val linesPerSecond: Int = Int.MAX_VALUE,
 ) {
+    private var second = 0L
+    private var lines = 0
+
     private val counters: List<Counter> =
         EventKind.entries.map { kind ->
             Counter.builder("lovageladder.events").tag("code", kind.code).tag("kind", kind.name).register(registry)
@@ -37,7 +44,18 @@
             )
         ring.add(record)
         counters[draft.kind.ordinal].increment()
-        log(record)
+        if (mayWrite(record.clock.milliseconds / MILLISECONDS_PER_SECOND)) log(record)
+    }
+
+    private fun mayWrite(now: Long): Boolean {
+        if (now != second) {
+            val leftOut = lines - linesPerSecond
+            if (leftOut > 0) Logger.warn { "$leftOut lines were left out, see /v1/events" }
+            second = now
+            lines = 0
+        }
+        lines += 1
+        return lines <= linesPerSecond
     }
 
     private fun log(record: EventRecord) {
@@ -50,6 +68,8 @@
     }
 }
 
+private const val MILLISECONDS_PER_SECOND = 1_000L
+
 /** One line for [record]: its code and meaning, then what it concerns as `key=value`. */
 internal fun eventLine(record: EventRecord): String = buildString {
     append(record.kind.code).append(' ').append(record.kind.meaning)
--- a/daemon/src/main/kotlin/org/lovageladder/daemon/ForwardProcess.kt
+++ b/daemon/src/main/kotlin/org/lovageladder/daemon/ForwardProcess.kt
@@ -55,7 +55,7 @@
     private val scheduler = EventLoopScheduler(threads)
     private val registry = PrometheusMeterRegistry(PrometheusConfig.DEFAULT)
     private val ring = EventRing(capacity = RING_CAPACITY)
-    private val log = EventLog(settings.name, HybridClock(System::currentTimeMillis), ring, registry)
+    private val log = EventLog(settings.name, HybridClock(System::currentTimeMillis), ring, registry, LINES_PER_SECOND)
     private val state = PublishedState()
     private val timer = Executors.newSingleThreadScheduledExecutor { Thread(it, "timer").apply { isDaemon = true } }
     private val ending = ProcessEnding(settings.process.drainTimeout, timer)
@@ -181,6 +181,7 @@
 
     private companion object {
         const val RING_CAPACITY = 4096
+        const val LINES_PER_SECOND = 400
 
         /** The platform's balancer asks once a second and takes a host out after two answers that are not ready. */
         val UNROUTED_AFTER: Duration = 3.seconds
