--- a/core/src/main/kotlin/org/lovageladder/core/forward/Exchange.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/Exchange.kt
@@ -101,10 +101,7 @@
     public data class Failed(val failure: CallFailure) : EngineAnswer<Nothing>
 }
 
-/**
- * How a request is sent to an upstream. The upstream stops work after [timeout]. A request that [yields] gives way to
- * others when memory runs out.
- */
+/** How a request is sent to an upstream. The upstream stops work after [timeout]. */
 public data class Sending(
     val upstream: UpstreamName,
     val address: Address,
@@ -112,7 +109,6 @@
     val prefill: PrefillResult? = null,
     val reservation: Reservation? = null,
     val resumeAfter: Long? = null,
-    val yields: Boolean = false,
 )
 
 /** Calls to upstreams. Answers arrive on the thread that owns the decisions. */
--- a/core/src/main/kotlin/org/lovageladder/core/forward/ForwardContext.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/ForwardContext.kt
@@ -62,22 +62,14 @@
 /** An upstream's success came without the proof that the upstream made it. */
 internal val UNPROVEN = CallFailure(FaultCause.PROTOCOL, sent = true, detail = "a success without its proof")
 
-/**
- * Time of a request: [end] is when its caller or its route gives up, [target] until when an answer is in time. A caller
- * that comes back after a refusal spent part of its time before; its target counts from its first submission.
- */
-internal class RequestTime(request: ForwardRequest, destination: Destination) {
+/** Time of a request: [end] is when its caller or its route gives up. */
+internal class RequestTime(request: ForwardRequest, route: Route) {
     val arrived: Moment = request.arrived
-    val end: Moment = arrived + minOf(request.wait ?: destination.route.timeout, destination.route.timeout)
-    val target: Moment = arrived - destination.spent + destination.route.target
+    val end: Moment = arrived + minOf(request.wait ?: route.timeout, route.timeout)
+    val target: Moment = arrived + route.target
 
     fun remaining(now: Moment): Duration = end - now
 }
 
-/** The service that a request goes to, chosen once. [spent] is the time that its caller waited before it came back. */
-internal data class Destination(
-    val route: Route,
-    val service: ServiceName,
-    val engine: EngineTraits?,
-    val spent: Duration = Duration.ZERO,
-)
+/** The service that a request goes to, chosen once. */
+internal data class Destination(val route: Route, val service: ServiceName, val engine: EngineTraits?)
--- a/core/src/main/kotlin/org/lovageladder/core/forward/Forwarder.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/Forwarder.kt
@@ -34,7 +34,6 @@
     private val context = ForwardContext(calls, scheduler, board, membership, budget, log, random)
     private val queues = HashMap<ServiceName, MemoryQueue>()
     private val paces = HashMap<ServiceName, StreamPace>()
-    private val waits = CallerWaits()
     private var configuration: Configuration? = null
     private var routes: RouteTable? = null
     private var drainingSince: Moment? = null
@@ -85,6 +84,23 @@
         board.forgetMissing()
     }
 
+    /** Gives orders about the roles of engines through [orders] while this process holds [seat]. */
+    public fun keepRoles(seat: OrderSeat, orders: RoleOrders) {
+        val keeper = RoleKeeper(context, seat, orders)
+        seat.start()
+        keepRoles(keeper)
+    }
+
+    private fun keepRoles(keeper: RoleKeeper) {
+        if (drainingSince != null) return
+        queues.forEach { (service, queue) ->
+            val engine = engineOf(service) ?: return@forEach
+            val work = { member: Member -> queue.heldAt(member.name) + board.health(member.name).inFlight }
+            keeper.keep(service, engine, paces.getValue(service).roles, work)
+        }
+        scheduler.after(ROLE_CHECK) { keepRoles(keeper) }
+    }
+
     /** This process will end: streams, which may last longer than it, are taken for a short while only. */
     public fun drain() {
         drainingSince = scheduler.now()
@@ -101,8 +117,7 @@
         budget.requestArrived(share.service, scheduler.now())
         val engine = configuration?.services?.get(share.service)?.engine
         if (engine != null && refusesStreams()) return refuse(request, reply, RefusalReason.LEAVING)
-        val spent = waits.spentBefore(route, request.wait)
-        val flow = flowOf(request, Destination(route, share.service, engine, spent), reply)
+        val flow = flowOf(request, Destination(route, share.service, engine), reply)
         open += 1
         flow.start()
         return OpenRequest { flow.callerLeft() }
@@ -144,6 +159,7 @@
     private companion object {
         /** The balancer sends new callers elsewhere after about two seconds. */
         val STREAMS_WHILE_DRAINING = Duration.parse("2.2s")
+        val ROLE_CHECK = Duration.parse("500ms")
         val RETURN_AFTER = Duration.parse("200ms")
         val DEFAULT_WAIT = Duration.parse("10s")
     }
--- a/core/src/main/kotlin/org/lovageladder/core/forward/MemoryQueue.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/MemoryQueue.kt
@@ -8,10 +8,7 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
-/**
- * A request that waits for decode memory. [latest] is when it is no use to it any more. One that is [late] missed its
- * target and takes only memory that no other will want soon.
- */
+/** A request that waits for decode memory. [latest] is when it is no use to it any more. */
 internal class MemoryClaim(
     val request: RequestId,
     val tokens: Int,
@@ -19,7 +16,6 @@
     val entered: Moment,
     val latest: Moment,
     val avoid: Set<UpstreamName>,
-    val late: Boolean,
     val granted: (MemoryGrant) -> Unit,
     val refused: (RefusalReason) -> Unit,
 ) {
@@ -47,7 +43,6 @@
     private var wake: RunningCall? = null
     private var grantInterval = Duration.ZERO
     private var lastGrant: Moment? = null
-    private var lastRefusal: Moment? = null
 
     /** Serves [claim] as soon as memory is free, or refuses it. */
     fun enter(claim: MemoryClaim) {
@@ -118,14 +113,11 @@
     /** Engines that may have room for [claim], the best first; null when there is no engine at all. */
     private fun enginesFor(claim: MemoryClaim, now: Moment): List<Member>? {
         val memory = (engine()?.memoryTokens ?: 0).coerceAtLeast(1).toDouble()
-        if (claim.late && memoryWasShort(now)) return emptyList()
         val all = context.board.candidates(service, PoolRole.DECODE, now, claim.avoid) { heldAt(it.name) / memory }
         if (all.isEmpty()) return null
         return all.filter { it.name !in asking && (fullUntil[it.name]?.let { until -> until <= now } ?: true) }
     }
 
-    private fun memoryWasShort(now: Moment): Boolean = lastRefusal?.let { now - it < SHORT_MEMORY } ?: false
-
     private fun ask(claim: MemoryClaim, member: Member) {
         val keep = engine()?.reservationLimit ?: DEFAULT_KEEP
         asking += member.name
@@ -147,7 +139,7 @@
         when (answer) {
             is EngineAnswer.Done -> Unit
             is EngineAnswer.Refused -> {
-                if (answer.wrongInstance) context.replaced(member.name, claim.request) else lastRefusal = now
+                if (answer.wrongInstance) context.replaced(member.name, claim.request)
                 fullUntil[member.name] = now + RECHECK
             }
             is EngineAnswer.Failed -> {
@@ -185,8 +177,7 @@
         wake = null
         if (waiting.isEmpty()) return
         val expiry = waiting.minOf { it.latest }
-        val short = lastRefusal?.let { it + SHORT_MEMORY }?.takeIf { it > now && waiting.first().late }
-        val recheck = short ?: fullUntil.values.filter { it > now }.minOrNull() ?: expiry
+        val recheck = fullUntil.values.filter { it > now }.minOrNull() ?: expiry
         val due = minOf(expiry, recheck)
         wake = context.scheduler.after((due - now).coerceAtLeast(LEAST_PAUSE)) { pump() }
     }
@@ -196,9 +187,6 @@
 
         /** Pause before an engine that was full is asked again, unless a request of this process ends there. */
         val RECHECK: Duration = 40.milliseconds
-
-        /** After an engine had no room, memory counts as short for this long. */
-        val SHORT_MEMORY: Duration = 1_000.milliseconds
         val LEAST_PAUSE: Duration = 1.milliseconds
         const val INTERVAL_WEIGHT = 0.2
     }
--- a/core/src/main/kotlin/org/lovageladder/core/forward/PlainFlow.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/PlainFlow.kt
@@ -20,7 +20,7 @@
     private val ended: () -> Unit,
 ) : ForwardFlow {
     private val route = destination.route
-    private val time = RequestTime(request, destination)
+    private val time = RequestTime(request, route)
     private val tries = ArrayList<PlainTry>()
     private var timeout: RunningCall? = null
     private var hedge: RunningCall? = null
--- a/core/src/main/kotlin/org/lovageladder/core/forward/StreamFlow.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/StreamFlow.kt
@@ -22,7 +22,7 @@
     private val ended: () -> Unit,
 ) : ForwardFlow {
     private val route = destination.route
-    private val time = RequestTime(request, destination)
+    private val time = RequestTime(request, route)
     private val splitter = if (route.resumable) EventSplitter() else null
     private val declinedBy = HashSet<UpstreamName>()
     private var timeout: RunningCall? = null
@@ -50,16 +50,16 @@
     }
 
     private fun claimMemory() {
-        val urgency = urgency(context.now())
+        val now = context.now()
+        val latest = if (begun || sendings > 0) time.end else maxOf(now, time.target - pace.startup)
         val entering =
             MemoryClaim(
                 request = request.id,
                 tokens = pace.memoryFor(request.generation, destination.engine),
-                priority = urgency.priority,
+                priority = if (begun) RESUMED_PRIORITY else route.priority,
                 entered = time.arrived,
-                latest = urgency.latest,
+                latest = latest,
                 avoid = declinedBy,
-                late = urgency.late,
                 granted = ::granted,
                 refused = ::refuseOrBreak,
             )
@@ -67,21 +67,6 @@
         queue.enter(entering)
     }
 
-    /**
-     * A stream that has begun goes first. One that can still meet its target waits as long as it can; one that cannot
-     * waits for memory that those leave free, and not for most of its time.
-     */
-    private fun urgency(now: Moment): Urgency {
-        val inTime = time.target - pace.startup
-        return when {
-            begun || sendings > 0 -> Urgency(RESUMED_PRIORITY, time.end)
-            inTime > now -> Urgency(route.priority, inTime)
-            else -> Urgency(route.priority + LATE_PRIORITY, now + time.remaining(now) * LATE_WAIT_SHARE, late = true)
-        }
-    }
-
-    private data class Urgency(val priority: Int, val latest: Moment, val late: Boolean = false)
-
     private fun granted(memory: MemoryGrant) {
         claim = null
         grant = memory
@@ -100,11 +85,13 @@
         prefillAt = member.name
         context.record(EventKind.REQUEST_SENT, request.id, member.name, detail = "prefill of ${route.name}")
         val limit = minOf(time.remaining(context.now()), pace.prefillLimit)
+        val begun = context.now()
         prefillCall =
             context.calls.prefill(request, Sending(member.name, member.address, limit)) { answer ->
                 prefillCall = null
                 prefillAt = null
                 health.inFlight -= 1
+                if (answer is EngineAnswer.Done) pace.roles.prefilled(context.now() - begun)
                 prefillAnswered(member, answer)
             }
     }
@@ -153,7 +140,6 @@
                 prefill = prefilled,
                 reservation = memory.reservation,
                 resumeAfter = lastEvent,
-                yields = !begun && time.target < context.now(),
             )
         decoding = context.calls.send(request, sending, DecodeReceiver(name))
     }
@@ -228,11 +214,20 @@
 
     private fun completed(upstream: UpstreamName) {
         context.board.health(upstream).succeeded()
+        noteDecodeCost()
         splitter?.rest()?.takeIf { it.isNotEmpty() }?.let(reply::content)
         finish("answered")
         reply.end()
     }
 
+    private fun noteDecodeCost() {
+        val begun = grantedAt ?: return
+        val traits = destination.engine ?: return
+        val tokens = pace.memoryFor(request.generation, traits)
+        val share = maxOf(1.0 / traits.slots.coerceAtLeast(1), tokens.toDouble() / traits.memoryTokens.coerceAtLeast(1))
+        pace.roles.decoded(context.now() - begun, share)
+    }
+
     private fun refuseOrBreak(reason: RefusalReason) {
         if (over) return
         if (begun) {
@@ -324,10 +319,6 @@
         const val MOST_SENDINGS = 3
         const val MOST_PREFILLS = 2
 
-        /** Added to the priority of requests that missed their target; lower goes first. */
-        const val LATE_PRIORITY = 1_000
-        const val LATE_WAIT_SHARE = 0.35
-
         /** Streams that go on elsewhere come before all that have not begun. */
         const val RESUMED_PRIORITY = -1
     }
--- a/core/src/main/kotlin/org/lovageladder/core/forward/StreamPace.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/StreamPace.kt
@@ -10,6 +10,9 @@
     var startup: Duration = 220.milliseconds
         private set
 
+    /** How engines should be split, from what requests cost. */
+    val roles = RolePlan()
+
     /** Longest wait for a prefill. */
     val prefillLimit: Duration = 1.seconds
 
@@ -34,7 +37,7 @@
 
     private companion object {
         const val WEIGHT = 0.1
-        const val OUTPUT_MARGIN = 1.3
+        const val OUTPUT_MARGIN = 1.0
         const val DEFAULT_TOKENS = 4_096
         val STARTUP_LIMIT = 600.milliseconds
     }
--- a/http/src/main/kotlin/org/lovageladder/http/forward/TextClient.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/forward/TextClient.kt
@@ -27,8 +27,13 @@
     private val client = HttpClient(threads)
 
     /** Sends [call]; [answer] is called on the event loop, within [limit]. */
-    public fun ask(address: Address, call: TextCall, limit: Duration, answer: (TextResult) -> Unit): RunningCall =
-        client.askText(address, call, limit, emptyList(), ByteArray(0), answer)
+    public fun ask(
+        address: Address,
+        call: TextCall,
+        limit: Duration,
+        fields: List<HeaderField> = emptyList(),
+        answer: (TextResult) -> Unit,
+    ): RunningCall = client.askText(address, call, limit, fields, ByteArray(0), answer)
 
     override fun close(): Unit = client.close()
 }
