--- a/core/src/main/kotlin/org/lovageladder/core/forward/PlainFlow.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/PlainFlow.kt
@@ -101,6 +101,7 @@
     }
 
     private fun declined(attempt: PlainTry, head: AnswerHead) {
+        context.board.health(attempt.upstream).declined(context.now())
         context.record(EventKind.REQUEST_DECLINED, request.id, attempt.upstream, detail = "status ${head.status}")
         if (!sendAgain()) giveUp(RefusalReason.OVERLOADED)
     }
--- a/core/src/main/kotlin/org/lovageladder/core/forward/RolePlan.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/RolePlan.kt
@@ -1,7 +1,6 @@
 package org.lovageladder.core.forward
 
 import org.lovageladder.core.PoolRole
-import kotlin.math.roundToInt
 import kotlin.time.Duration
 
 /**
@@ -27,20 +26,23 @@
         decodes += 1
     }
 
-    /** Engines of [members] that should prefill; null while too little is known. At least one is left for each role. */
-    fun prefillEngines(members: List<Member>): Int? {
+    /** Engines of [members] that should prefill, as a fraction too; null while too little is known. */
+    fun prefillEngines(members: List<Member>): Double? {
         if (prefills < LEAST_SAMPLES || decodes < LEAST_SAMPLES || members.size < 2) return null
         val share = prefillCost / (prefillCost + decodeCost)
-        return (members.size * share * PREFILL_RESERVE).roundToInt().coerceIn(1, members.size - 1)
+        return (members.size * share * PREFILL_RESERVE).coerceIn(1.0, members.size - 1.0)
     }
 
-    /** The engine of [members] whose role should change next; null when none should. The one with least work changes. */
+    /**
+     * The engine of [members] whose role should change next: the one with least work of the pool that is too large by
+     * an engine or more. Null when there is none; a change takes an engine out for a while.
+     */
     fun nextChange(members: List<Member>, work: (Member) -> Int): RoleChange? {
         val wanted = prefillEngines(members) ?: return null
         val (prefill, decode) = members.partition { it.role == PoolRole.PREFILL }
         return when {
-            prefill.size > wanted -> RoleChange(prefill.minBy(work), PoolRole.DECODE)
-            prefill.size < wanted && decode.size > 1 -> RoleChange(decode.minBy(work), PoolRole.PREFILL)
+            prefill.size - wanted >= LEAST_EXCESS -> RoleChange(prefill.minBy(work), PoolRole.DECODE)
+            wanted - prefill.size >= LEAST_EXCESS && decode.size > 1 -> RoleChange(decode.minBy(work), PoolRole.PREFILL)
             else -> null
         }
     }
@@ -54,6 +56,9 @@
         const val LEAST_SAMPLES = 6
         const val WEIGHT = 0.05
 
+        /** Engines by which a pool must be too large. */
+        const val LEAST_EXCESS = 1.0
+
         /** A prompt that waits for a prefill engine holds decode memory meanwhile, so prefill gets some more. */
         const val PREFILL_RESERVE = 1.1
     }
--- a/core/src/main/kotlin/org/lovageladder/core/forward/StreamFlow.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/StreamFlow.kt
@@ -81,6 +81,7 @@
             return
         }
         val health = context.board.health(member.name)
+        val alone = health.inFlight == 0
         health.inFlight += 1
         prefillAt = member.name
         context.record(EventKind.REQUEST_SENT, request.id, member.name, detail = "prefill of ${route.name}")
@@ -91,7 +92,7 @@
                 prefillCall = null
                 prefillAt = null
                 health.inFlight -= 1
-                if (answer is EngineAnswer.Done) pace.roles.prefilled(context.now() - begun)
+                if (answer is EngineAnswer.Done && alone) pace.roles.prefilled(context.now() - begun)
                 prefillAnswered(member, answer)
             }
     }
@@ -111,6 +112,7 @@
             }
             is EngineAnswer.Refused -> {
                 if (answer.wrongInstance) context.replaced(member.name, request.id)
+                context.board.health(member.name).declined(context.now())
                 declinedBy += member.name
                 context.record(EventKind.REQUEST_DECLINED, request.id, member.name, detail = "prefill ${answer.status}")
             }
@@ -180,6 +182,7 @@
     private fun declined(upstream: UpstreamName, head: AnswerHead) {
         runs -= 1
         declinedBy += upstream
+        context.board.health(upstream).declined(context.now())
         if (head.wrongInstance) context.replaced(upstream, request.id)
         context.record(EventKind.REQUEST_DECLINED, request.id, upstream, detail = "decode ${head.status}")
         if (sendings < MOST_SENDINGS && context.budget.tryRepeat(destination.service, context.now())) {
--- a/core/src/main/kotlin/org/lovageladder/core/forward/UpstreamHealth.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/UpstreamHealth.kt
@@ -12,6 +12,7 @@
  */
 internal class UpstreamHealth {
     private var failures = 0
+    private var declines = 0
     private var ejectedUntil: Moment? = null
     private var reported: LoadReport? = null
     private var reportedAt: Moment? = null
@@ -44,6 +45,7 @@
     /** A call was answered as it should be. */
     fun succeeded() {
         failures = 0
+        declines = 0
         ejectedUntil = null
         failureShare *= 1 - FAILURE_WEIGHT
     }
@@ -54,6 +56,15 @@
         if (failureShare > FAILURE_LIMIT) eject(now)
     }
 
+    /**
+     * The upstream declined a call without running it. One that declines everything is free at all times and would
+     * draw each new request, so it is left out for a time that doubles with each decline in a row.
+     */
+    fun declined(now: Moment) {
+        ejectedUntil = now + DECLINE_PAUSE * (1 shl declines.coerceAtMost(DECLINE_DOUBLINGS))
+        declines += 1
+    }
+
     /** The upstream could not be reached, or was silent. */
     fun unreachable(now: Moment) {
         failureShare += (1 - failureShare) * FAILURE_WEIGHT
@@ -70,6 +81,8 @@
         /** Load changes many times a second. */
         val LOAD_LIFETIME: Duration = 1.seconds
         val EJECTION: Duration = 500.milliseconds
+        val DECLINE_PAUSE: Duration = 50.milliseconds
+        const val DECLINE_DOUBLINGS = 5
         const val EJECTION_DOUBLINGS = 3
         const val FAILURE_WEIGHT = 0.12
         const val FAILURE_LIMIT = 0.5
