Take back orders about roles; an engine with another role stays registered

Cause: an engine that answers 421 because its role differs was dropped from the registered upstreams until it started anew, since 421 was read as another instance.

--- a/core/src/main/kotlin/org/lovageladder/core/forward/Exchange.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/Exchange.kt
@@ -36,7 +36,7 @@
 
 /**
  * Head of an upstream's answer. [notRun] is set when the upstream says that it did not run the request; [wrongInstance]
- * when another upstream has the address. A success that is not [genuine] lacks what proves that the upstream made it;
+ * when another upstream has the address, and not merely another role. A success that is not [genuine] lacks what proves that the upstream made it;
  * it must not reach the caller.
  */
 public class AnswerHead(
--- a/core/src/main/kotlin/org/lovageladder/core/forward/Forwarder.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/Forwarder.kt
@@ -84,23 +84,6 @@
         board.forgetMissing()
     }
 
-    /** Gives orders about the roles of engines through [orders] while this process holds [seat]. */
-    public fun keepRoles(seat: OrderSeat, orders: RoleOrders) {
-        val keeper = RoleKeeper(context, seat, orders)
-        seat.start()
-        keepRoles(keeper)
-    }
-
-    private fun keepRoles(keeper: RoleKeeper) {
-        if (drainingSince != null) return
-        queues.forEach { (service, queue) ->
-            val engine = engineOf(service) ?: return@forEach
-            val work = { member: Member -> queue.heldAt(member.name) + board.health(member.name).inFlight }
-            keeper.keep(service, engine, paces.getValue(service).roles, work)
-        }
-        scheduler.after(ROLE_CHECK) { keepRoles(keeper) }
-    }
-
     /** This process will end: streams, which may last longer than it, are taken for a short while only. */
     public fun drain() {
         drainingSince = scheduler.now()
@@ -159,7 +142,6 @@
     private companion object {
         /** The balancer sends new callers elsewhere after about two seconds. */
         val STREAMS_WHILE_DRAINING = Duration.parse("2.2s")
-        val ROLE_CHECK = Duration.parse("500ms")
         val RETURN_AFTER = Duration.parse("200ms")
         val DEFAULT_WAIT = Duration.parse("10s")
     }
--- a/core/src/main/kotlin/org/lovageladder/core/forward/StreamFlow.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/StreamFlow.kt
@@ -81,18 +81,15 @@
             return
         }
         val health = context.board.health(member.name)
-        val alone = health.inFlight == 0
         health.inFlight += 1
         prefillAt = member.name
         context.record(EventKind.REQUEST_SENT, request.id, member.name, detail = "prefill of ${route.name}")
         val limit = minOf(time.remaining(context.now()), pace.prefillLimit)
-        val begun = context.now()
         prefillCall =
             context.calls.prefill(request, Sending(member.name, member.address, limit)) { answer ->
                 prefillCall = null
                 prefillAt = null
                 health.inFlight -= 1
-                if (answer is EngineAnswer.Done && alone) pace.roles.prefilled(context.now() - begun)
                 prefillAnswered(member, answer)
             }
     }
@@ -217,20 +214,11 @@
 
     private fun completed(upstream: UpstreamName) {
         context.board.health(upstream).succeeded()
-        noteDecodeCost()
         splitter?.rest()?.takeIf { it.isNotEmpty() }?.let(reply::content)
         finish("answered")
         reply.end()
     }
 
-    private fun noteDecodeCost() {
-        val begun = grantedAt ?: return
-        val traits = destination.engine ?: return
-        val tokens = pace.memoryFor(request.generation, traits)
-        val share = maxOf(1.0 / traits.slots.coerceAtLeast(1), tokens.toDouble() / traits.memoryTokens.coerceAtLeast(1))
-        pace.roles.decoded(context.now() - begun, share)
-    }
-
     private fun refuseOrBreak(reason: RefusalReason) {
         if (over) return
         if (begun) {
--- a/core/src/main/kotlin/org/lovageladder/core/forward/StreamPace.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/StreamPace.kt
@@ -10,9 +10,6 @@
     var startup: Duration = 220.milliseconds
         private set
 
-    /** How engines should be split, from what requests cost. */
-    val roles = RolePlan()
-
     /** Longest wait for a prefill. */
     val prefillLimit: Duration = 1.seconds
 
--- a/core/src/test/kotlin/org/lovageladder/core/forward/StreamFlowTest.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/forward/StreamFlowTest.kt
@@ -46,6 +46,19 @@
         assertTrue(submitted.reply.whole)
     }
 
+    /** Load pattern: one engine declines every prompt at once and so seems free, while others are busy. */
+    @Test
+    fun engineThatDeclinesEveryPromptDrawsFewOfThem() {
+        val spare = ForwardWorld.member("prefill-2", ForwardWorld.ENGINES, org.lovageladder.core.PoolRole.PREFILL, 9)
+        world.forwarder.registryChanged(RegistryChange.Written(spare))
+        world.upstreams.prefillRefusals += spare.address
+        repeat(100) {
+            world.submit("/stream/1").also { world.scheduler.advance(20.milliseconds) }.open?.callerLeft()
+        }
+        val declined = world.upstreams.prefills.count { it.address == spare.address }
+        assertTrue(declined <= 8, "$declined of ${world.upstreams.prefills.size}")
+    }
+
     @Test
     fun decodeEngineReadsThePromptWhenNoPrefillEngineDoes() {
         world.upstreams.prefillRefusals += ForwardWorld.MEMBERS.first { it.name.text == "prefill-1" }.address
--- a/daemon/src/main/kotlin/org/lovageladder/daemon/ForwardCommand.kt
+++ b/daemon/src/main/kotlin/org/lovageladder/daemon/ForwardCommand.kt
@@ -24,8 +24,6 @@
     private val retryAllowance by
         countFlag("--retry-allowance", "Repeats of all entries beyond that, in a window.", 0, 0..MOST_REPEATS)
     private val retryWindow by durationFlag("--retry-window", "Window of the retry budget.", 10.seconds, WINDOWS)
-    private val seatPeriod by
-        durationFlag("--order-lease", "Lease on the right to give orders to engines.", 3.seconds, WINDOWS)
     private val entryCount by countFlag("--entry-count", "Entries among which it is shared.", ENTRIES, 1..MOST_ENTRIES)
 
     init {
@@ -47,7 +45,6 @@
         name = common.process,
         callers = listen,
         process = common.processSettings(),
-        seatPeriod = seatPeriod,
         decisions =
         ForwarderSettings(
             place = common.place,
--- a/http/src/main/kotlin/org/lovageladder/http/forward/HttpUpstreamCalls.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/forward/HttpUpstreamCalls.kt
@@ -5,6 +5,7 @@
 import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpMethod
 import org.lovageladder.core.Address
+import org.lovageladder.core.UpstreamName
 import org.lovageladder.core.forward.AnswerReceiver
 import org.lovageladder.core.forward.CallFailure
 import org.lovageladder.core.forward.EngineAnswer
@@ -35,7 +36,7 @@
         val fields = wire.runFields(request, sending).map { HttpField(it.name, it.value) }
         val call = HttpCall(HttpMethod.valueOf(request.method), request.target, request.body, fields = fields)
         val wait = HttpWait(minOf(sending.timeout, CONNECT_LIMIT), answer = null)
-        val running = client.start(sending.address, call, Receiver(request, receiver), wait = wait)
+        val running = client.start(sending.address, call, Receiver(request, sending.upstream, receiver), wait = wait)
         return RunningCall { running.abandon() }
     }
 
@@ -47,7 +48,7 @@
         val call = TextCall(request.method, request.target)
         val fields = wire.prefillFields(request, sending)
         return client.askText(sending.address, call, sending.timeout, fields, request.body) { result ->
-            answer(read(result) { wire.prefillResult(sending.address, it) })
+            answer(read(result) { wire.prefillResult(sending, it) })
         }
     }
 
@@ -81,12 +82,15 @@
         if (result is TextResult.Failed) Logger.warn { "$step at $engine failed; it lapses there: ${result.failure}" }
     }
 
-    private inner class Receiver(private val request: ForwardRequest, private val receiver: AnswerReceiver) :
-        HttpReceiver {
+    private inner class Receiver(
+        private val request: ForwardRequest,
+        private val upstream: UpstreamName,
+        private val receiver: AnswerReceiver,
+    ) : HttpReceiver {
         override fun isAnswer(headers: HttpHeaders): Boolean = wire.isAnswerTo(request) { headers.get(it) }
 
         override fun onHead(status: Int, headers: HttpHeaders) {
-            receiver.onHead(wire.head(status, passedOn(headers)))
+            receiver.onHead(wire.head(status, passedOn(headers), upstream))
         }
 
         override fun onContent(bytes: ByteBuf) {
--- a/http/src/main/kotlin/org/lovageladder/http/forward/UpstreamWire.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/forward/UpstreamWire.kt
@@ -1,6 +1,6 @@
 package org.lovageladder.http.forward
 
-import org.lovageladder.core.Address
+import org.lovageladder.core.UpstreamName
 import org.lovageladder.core.forward.AnswerHead
 import org.lovageladder.core.forward.EngineAnswer
 import org.lovageladder.core.forward.ForwardRequest
@@ -27,8 +27,8 @@
     /** Whether an answer with the headers that [value] gives by name is the one to [request]. */
     public fun isAnswerTo(request: ForwardRequest, value: (String) -> String?): Boolean
 
-    /** Reads the head of an answer. */
-    public fun head(status: Int, fields: List<HeaderField>): AnswerHead
+    /** Reads the head of an answer to what was sent to [upstream]. */
+    public fun head(status: Int, fields: List<HeaderField>, upstream: UpstreamName): AnswerHead
 
     /** The call that reserves memory. */
     public fun reserveCall(tokens: Int, keep: Duration): TextCall
@@ -39,8 +39,8 @@
     /** The call that gives up [reservation]. */
     public fun releaseCall(reservation: Reservation): TextCall
 
-    /** Reads the answer to a prefill at [engine]. */
-    public fun prefillResult(engine: Address, answer: TextAnswer): EngineAnswer<PrefillResult>
+    /** Reads the answer to the prefill that was sent as [sending]. */
+    public fun prefillResult(sending: Sending, answer: TextAnswer): EngineAnswer<PrefillResult>
 
     /** The call that frees [result]. */
     public fun freeCall(result: PrefillResult): TextCall
--- a/http/src/test/kotlin/org/lovageladder/http/forward/HttpUpstreamCallsTest.kt
+++ b/http/src/test/kotlin/org/lovageladder/http/forward/HttpUpstreamCallsTest.kt
@@ -46,7 +46,7 @@
         override fun isAnswerTo(request: ForwardRequest, value: (String) -> String?): Boolean =
             value("Id").let { it == null || it == request.id.text }
 
-        override fun head(status: Int, fields: List<HeaderField>) =
+        override fun head(status: Int, fields: List<HeaderField>, upstream: UpstreamName) =
             AnswerHead(status, fields, notRun = false, wrongInstance = false, load = null)
 
         override fun reserveCall(tokens: Int, keep: Duration) = TextCall("POST", "/reserve", "$tokens")
@@ -55,8 +55,8 @@
 
         override fun releaseCall(reservation: Reservation) = TextCall("DELETE", "/release/${reservation.text}")
 
-        override fun prefillResult(engine: Address, answer: TextAnswer) =
-            EngineAnswer.Done(PrefillResult(engine, answer.body))
+        override fun prefillResult(sending: Sending, answer: TextAnswer) =
+            EngineAnswer.Done(PrefillResult(sending.address, answer.body))
 
         override fun freeCall(result: PrefillResult) = TextCall("DELETE", "/free/${result.handle}")
     }
