--- a/http/src/main/kotlin/org/lovageladder/http/NettyAdminServer.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/NettyAdminServer.kt
@@ -1,13 +1,10 @@
 package org.lovageladder.http
 
-import io.netty.bootstrap.ServerBootstrap
 import io.netty.channel.Channel
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInitializer
-import io.netty.channel.ChannelOption
 import io.netty.channel.SimpleChannelInboundHandler
 import io.netty.channel.socket.SocketChannel
-import io.netty.channel.socket.nio.NioServerSocketChannel
 import io.netty.handler.codec.http.FullHttpRequest
 import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpObjectAggregator
@@ -15,7 +12,6 @@
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.timeout.ReadTimeoutHandler
 import org.lovageladder.core.Address
-import java.net.InetSocketAddress
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.ExecutorService
 import java.util.concurrent.Executors
@@ -26,10 +22,10 @@
     private val workers: ExecutorService = Executors.newFixedThreadPool(WORKERS) { task ->
         Thread(task, "admin").apply { isDaemon = true }
     }
-    private val listener: Channel = listen(bind, threads)
+    private val listener: Channel = listenForHttp(bind, threads, Initializer())
 
     override val address: Address =
-        (listener.localAddress() as InetSocketAddress).let { Address(it.address.hostAddress, it.port) }
+        addressOf(listener)
 
     override fun close() {
         listener.close()
@@ -37,17 +33,6 @@
         workers.shutdown()
     }
 
-    private fun listen(bind: Address, threads: HttpThreads): Channel = ServerBootstrap()
-        .group(threads.group)
-        .channel(NioServerSocketChannel::class.java)
-        .option(ChannelOption.SO_REUSEADDR, true)
-        .childOption(ChannelOption.TCP_NODELAY, true)
-        .childOption(ChannelOption.ALLOCATOR, SmallBuffers.allocator)
-        .childHandler(Initializer())
-        .bind(bind.ip, bind.port)
-        .syncUninterruptibly()
-        .channel()
-
     private inner class Initializer : ChannelInitializer<SocketChannel>() {
         override fun initChannel(channel: SocketChannel) {
             connections.add(channel)
--- a/http/src/main/kotlin/org/lovageladder/http/NettyCallerServer.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/NettyCallerServer.kt
@@ -1,18 +1,14 @@
 package org.lovageladder.http
 
-import io.netty.bootstrap.ServerBootstrap
 import io.netty.channel.Channel
 import io.netty.channel.ChannelInitializer
-import io.netty.channel.ChannelOption
 import io.netty.channel.socket.SocketChannel
-import io.netty.channel.socket.nio.NioServerSocketChannel
 import io.netty.handler.codec.http.HttpDecoderConfig
 import io.netty.handler.codec.http.HttpServerCodec
 import org.lovageladder.core.Address
 import org.lovageladder.core.ExchangeId
 import org.lovageladder.core.Outcome
 import org.lovageladder.core.RequestId
-import java.net.InetSocketAddress
 import java.util.concurrent.ConcurrentHashMap
 
 /** The server's connections and the exchanges that run on them. */
@@ -26,10 +22,10 @@
     private val connections = ConcurrentHashMap.newKeySet<Channel>()
     private val exchanges = CallerExchanges(handler, meters)
     private val parser = SubmissionReader()
-    private val listener: Channel = listen(bind, threads)
+    private val listener: Channel = listenForHttp(bind, threads, Initializer())
 
     override val address: Address =
-        (listener.localAddress() as InetSocketAddress).let { Address(it.address.hostAddress, it.port) }
+        addressOf(listener)
 
     init {
         meters.watch(connections, exchanges)
@@ -54,19 +50,6 @@
         parser.close()
     }
 
-    private fun listen(bind: Address, threads: HttpThreads): Channel = ServerBootstrap()
-        .group(threads.group)
-        .channel(NioServerSocketChannel::class.java)
-        .option(ChannelOption.SO_BACKLOG, BACKLOG)
-        .option(ChannelOption.SO_REUSEADDR, true)
-        .childOption(ChannelOption.TCP_NODELAY, true)
-        .childOption(ChannelOption.SO_KEEPALIVE, true)
-        .childOption(ChannelOption.ALLOCATOR, SmallBuffers.allocator)
-        .childHandler(Initializer())
-        .bind(bind.ip, bind.port)
-        .syncUninterruptibly()
-        .channel()
-
     private inner class Initializer : ChannelInitializer<SocketChannel>() {
         override fun initChannel(channel: SocketChannel) {
             if (connections.size >= limits.connections) {
@@ -85,7 +68,6 @@
     }
 
     private companion object {
-        const val BACKLOG = 1024
         const val MAXIMUM_LINE_BYTES = 8192
     }
 }
--- a/http/src/main/kotlin/org/lovageladder/http/forward/ForwardServer.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/forward/ForwardServer.kt
@@ -1,11 +1,8 @@
 package org.lovageladder.http.forward
 
-import io.netty.bootstrap.ServerBootstrap
 import io.netty.channel.Channel
 import io.netty.channel.ChannelInitializer
-import io.netty.channel.ChannelOption
 import io.netty.channel.socket.SocketChannel
-import io.netty.channel.socket.nio.NioServerSocketChannel
 import io.netty.handler.codec.http.HttpObjectAggregator
 import io.netty.handler.codec.http.HttpResponseEncoder
 import org.lovageladder.core.Address
@@ -15,8 +12,8 @@
 import org.lovageladder.core.forward.OpenRequest
 import org.lovageladder.http.ArrivalHandler
 import org.lovageladder.http.HttpThreads
-import org.lovageladder.http.SmallBuffers
-import java.net.InetSocketAddress
+import org.lovageladder.http.addressOf
+import org.lovageladder.http.listenForHttp
 import java.util.concurrent.ConcurrentHashMap
 import kotlin.time.Duration.Companion.seconds
 
@@ -40,11 +37,11 @@
 
     @Volatile
     private var draining = false
-    private val server: Channel = listen(bind)
+    private val server: Channel = listenForHttp(bind, threads, Initializer())
 
     /** Where the server listens, with the port that was chosen when 0 was asked for. */
     public val address: Address =
-        (server.localAddress() as InetSocketAddress).let { Address(it.address.hostAddress, it.port) }
+        addressOf(server)
 
     /** Tells callers with each answer that their connection ends. */
     public fun drain() {
@@ -62,18 +59,6 @@
         connections.forEach { it.close() }
     }
 
-    private fun listen(bind: Address): Channel = ServerBootstrap()
-        .group(threads.group)
-        .channel(NioServerSocketChannel::class.java)
-        .option(ChannelOption.SO_REUSEADDR, true)
-        .option(ChannelOption.SO_BACKLOG, BACKLOG)
-        .childOption(ChannelOption.TCP_NODELAY, true)
-        .childOption(ChannelOption.ALLOCATOR, SmallBuffers.allocator)
-        .childHandler(Initializer())
-        .bind(bind.ip, bind.port)
-        .syncUninterruptibly()
-        .channel()
-
     private inner class Initializer : ChannelInitializer<SocketChannel>() {
         override fun initChannel(channel: SocketChannel) {
             val limits = handler.limits ?: DEFAULT_LIMITS
@@ -91,8 +76,6 @@
     }
 
     private companion object {
-        const val BACKLOG = 1024
-
         /** Until a configuration is known. */
         val DEFAULT_LIMITS =
             CallerLimits(
