Take only what is surely finished before the end of a stop's grace

Ruled out: load (the answer was 3 ms from whole; every such request can be cut). Change: Drain, with the grace from the settings.

--- a/core/src/main/kotlin/org/lovageladder/core/forward/Exchange.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/Exchange.kt
@@ -35,9 +35,9 @@
 public data class Generation(val promptTokens: Int, val outputBound: Int, val expectedOutputTokens: Int?)
 
 /**
- * Head of an upstream's answer. [notRun] is set when the upstream says that it did not run the request; [wrongInstance]
- * when another upstream has the address, and not merely another role. A success that is not [genuine] lacks what proves that the upstream made it;
- * it must not reach the caller.
+ * Head of an upstream's answer. [notRun] is set when the upstream says that it did not run the request;
+ * [wrongInstance] when another upstream has the address, and not merely another role. A success that is not [genuine]
+ * lacks what proves that the upstream made it; it must not reach the caller.
  */
 public class AnswerHead(
     public val status: Int,
--- a/core/src/main/kotlin/org/lovageladder/core/forward/Forwarder.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/Forwarder.kt
@@ -1,7 +1,6 @@
 package org.lovageladder.core.forward
 
 import org.lovageladder.core.EventKind
-import org.lovageladder.core.Moment
 import org.lovageladder.core.PlaceName
 import org.lovageladder.core.ReleaseVersion
 import org.lovageladder.core.ServiceName
@@ -36,7 +35,7 @@
     private val paces = HashMap<ServiceName, StreamPace>()
     private var configuration: Configuration? = null
     private var routes: RouteTable? = null
-    private var drainingSince: Moment? = null
+    private var drain: Drain? = null
 
     /** Requests that are not finished. */
     public var open: Int = 0
@@ -84,9 +83,12 @@
         board.forgetMissing()
     }
 
-    /** This process will end: streams, which may last longer than it, are taken for a short while only. */
-    public fun drain() {
-        drainingSince = scheduler.now()
+    /**
+     * This process will be ended after [grace]. It takes requests that are surely finished by then, and streams, which
+     * may last longer, for a short while only.
+     */
+    public fun drain(grace: Duration) {
+        drain = Drain(scheduler.now(), grace)
     }
 
     /** Forwards [request]; its outcome goes to [reply]. Null when it was answered at once. */
@@ -99,7 +101,9 @@
             ?: return refuse(request, reply, RefusalReason.NO_UPSTREAM)
         budget.requestArrived(share.service, scheduler.now())
         val engine = configuration?.services?.get(share.service)?.engine
-        if (engine != null && refusesStreams()) return refuse(request, reply, RefusalReason.LEAVING)
+        if (drain?.refuses(request, route, scheduler.now()) == true) {
+            return refuse(request, reply, RefusalReason.LEAVING)
+        }
         val flow = flowOf(request, Destination(route, share.service, engine), reply)
         open += 1
         flow.start()
@@ -115,9 +119,6 @@
         return StreamFlow(context, request, destination, queue, pace, reply, ended)
     }
 
-    private fun refusesStreams(): Boolean =
-        drainingSince?.let { scheduler.now() - it > STREAMS_WHILE_DRAINING } ?: false
-
     private fun engineOf(service: ServiceName) = configuration?.services?.get(service)?.engine
 
     private fun refuse(request: ForwardRequest, reply: CallerReply, reason: RefusalReason): OpenRequest? {
@@ -140,8 +141,6 @@
     }
 
     private companion object {
-        /** The balancer sends new callers elsewhere after about two seconds. */
-        val STREAMS_WHILE_DRAINING = Duration.parse("2.2s")
         val RETURN_AFTER = Duration.parse("200ms")
         val DEFAULT_WAIT = Duration.parse("10s")
     }
--- a/core/src/test/kotlin/org/lovageladder/core/forward/PlainFlowTest.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/forward/PlainFlowTest.kt
@@ -4,6 +4,7 @@
 import kotlin.test.assertEquals
 import kotlin.test.assertNull
 import kotlin.test.assertTrue
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
@@ -114,6 +115,27 @@
         assertEquals(0, world.forwarder.open)
     }
 
+    /** Callers that keep their connection busy are not sent elsewhere by the balancer. */
+    @Test
+    fun drainingProcessTakesOnlyWhatItSurelyFinishes() {
+        data class Case(val after: Duration, val wait: Duration, val taken: Boolean)
+        val cases =
+            listOf(
+                Case(1.seconds, 3.seconds, taken = true),
+                Case(5_100.milliseconds, 3.seconds, taken = false),
+                Case(5_100.milliseconds, 600.milliseconds, taken = true),
+                Case(7_800.milliseconds, 600.milliseconds, taken = false),
+            )
+        cases.forEach { case ->
+            val world = ForwardWorld()
+            world.forwarder.drain(grace = 8.seconds)
+            world.scheduler.advance(case.after)
+            val submitted = world.submit("/action/1", wait = case.wait)
+            assertEquals(case.taken, submitted.open != null, "$case")
+            assertEquals(!case.taken, submitted.reply.refusal?.reason == RefusalReason.LEAVING, "$case")
+        }
+    }
+
     @Test
     fun deadlinePassedOnIsWhatIsLeft() {
         val world = ForwardWorld()
--- a/core/src/test/kotlin/org/lovageladder/core/forward/StreamFlowTest.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/forward/StreamFlowTest.kt
@@ -126,7 +126,7 @@
 
     @Test
     fun streamsAreNotTakenLateInADrain() {
-        world.forwarder.drain()
+        world.forwarder.drain(grace = 60.seconds)
         assertNotNull(world.submit("/stream/1").open)
         world.scheduler.advance(3.seconds)
         assertEquals(RefusalReason.LEAVING, world.submit("/stream/1").reply.refusal?.reason)
--- a/daemon/src/main/kotlin/org/lovageladder/daemon/ForwardCommand.kt
+++ b/daemon/src/main/kotlin/org/lovageladder/daemon/ForwardCommand.kt
@@ -24,6 +24,8 @@
     private val retryAllowance by
         countFlag("--retry-allowance", "Repeats of all entries beyond that, in a window.", 0, 0..MOST_REPEATS)
     private val retryWindow by durationFlag("--retry-window", "Window of the retry budget.", 10.seconds, WINDOWS)
+    private val stopGrace by
+        durationFlag("--stop-grace", "Time from a stop signal until the platform ends the process.", 10.minutes, GRACES)
     private val entryCount by countFlag("--entry-count", "Entries among which it is shared.", ENTRIES, 1..MOST_ENTRIES)
 
     init {
@@ -45,6 +47,7 @@
         name = common.process,
         callers = listen,
         process = common.processSettings(),
+        stopGrace = stopGrace,
         decisions =
         ForwarderSettings(
             place = common.place,
@@ -57,6 +60,7 @@
         const val MOST_REPEATS = 100_000
         const val ENTRIES = 8
         const val MOST_ENTRIES = 10_000
+        val GRACES = 1.seconds..60.minutes
         val WINDOWS = 1.seconds..10.minutes
 
         fun settingName(option: Option): String = option.names.first { it.startsWith("--") }.removePrefix("--")
--- a/daemon/src/main/kotlin/org/lovageladder/daemon/ForwardProcess.kt
+++ b/daemon/src/main/kotlin/org/lovageladder/daemon/ForwardProcess.kt
@@ -41,6 +41,7 @@
     val callers: Address,
     val process: ProcessSettings,
     val decisions: ForwarderSettings,
+    val stopGrace: Duration,
 )
 
 /** Starts a forwarding entry; throws [AddressUnavailable] when it cannot listen. */
@@ -127,7 +128,7 @@
         draining = true
         state.ready = false
         server.drain()
-        forwarder.drain()
+        forwarder.drain(settings.stopGrace)
         log.record(EventDraft(EventKind.PROCESS_DRAINING, detail = "open=${forwarder.open}"))
         scheduler.after(UNROUTED_AFTER) {
             server.closeIdle()
