Order engines to prefill or decode by one holder of a lease, announced first; leave silent upstreams

Cause: on both deployments a third of the engines prefill and idle while decode memory binds at every crest. A need that comes later must last four seconds.

Tests: RoleKeeperTest, StreamFlowTest.resumableStreamLeavesASilentUpstreamAndOthersWaitForIt (written with the change).

--- a/core/src/main/kotlin/org/lovageladder/core/EventKind.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/EventKind.kt
@@ -80,6 +80,8 @@
     UPSTREAM_REGISTERED(3004, EventLevel.INFO, "What is known of an upstream's registration changed.", "None."),
     REGISTRATION_UNREADABLE(3005, EventLevel.WARNING, "An upstream's entry is unreadable.", "Check its writer."),
     SETTINGS_RELOADED(3006, EventLevel.INFO, "The settings file was read again.", "None."),
+    ROLE_CHANGE_BEGUN(3007, EventLevel.INFO, "An engine is to take on another role and was announced.", "None."),
+    ROLE_ORDERED(3008, EventLevel.INFO, "An engine was ordered to take on another role.", "None."),
     REQUEST_SENT(3101, EventLevel.INFO, "A request, or its prefill, was sent to an upstream.", "None."),
     REQUEST_DECLINED(3102, EventLevel.INFO, "An upstream did not run a request.", "Check its load if frequent."),
     REQUEST_FAILED(3103, EventLevel.INFO, "A call to an upstream failed.", "Check the upstream if frequent."),
--- a/core/src/main/kotlin/org/lovageladder/core/forward/Forwarder.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/Forwarder.kt
@@ -7,8 +7,11 @@
 import kotlin.random.Random
 import kotlin.time.Duration
 
-/** Settings of a [Forwarder]: its [place], and this process's part of the budget for repeats. */
-public data class ForwarderSettings(val place: PlaceName, val retries: RetryLimits)
+/**
+ * Settings of a [Forwarder]: its [place], this process's part of the budget for repeats, and the part of the work
+ * of a service's engines that is prefill until its requests tell more.
+ */
+public data class ForwarderSettings(val place: PlaceName, val retries: RetryLimits, val prefillShare: Double = 0.2)
 
 /** Handle of a request that a [Forwarder] took. */
 public fun interface OpenRequest {
@@ -21,7 +24,7 @@
  * were given to it. Confined to one thread.
  */
 public class Forwarder(
-    settings: ForwarderSettings,
+    private val settings: ForwarderSettings,
     calls: UpstreamCalls,
     private val scheduler: Scheduler,
     private val log: EventSink,
@@ -36,6 +39,7 @@
     private var configuration: Configuration? = null
     private var routes: RouteTable? = null
     private var drain: Drain? = null
+    private var seat: OrderSeat? = null
 
     /** Requests that are not finished. */
     public var open: Int = 0
@@ -75,6 +79,8 @@
             is RegistryChange.Written -> recordMember(change.member)
             is RegistryChange.Removed ->
                 context.record(EventKind.UPSTREAM_REGISTERED, upstream = change.name, detail = "entry removed")
+            is RegistryChange.RoleChanging -> recordRoleChange(change)
+            is RegistryChange.OrderSeatSeen -> seat?.observed(change.held)
             is RegistryChange.ReadWhole ->
                 context.record(EventKind.UPSTREAM_REGISTERED, detail = "read whole: ${change.members.size} upstreams")
             RegistryChange.Lost -> context.record(EventKind.STORE_LOST, detail = "no answer from the registry")
@@ -83,6 +89,26 @@
         board.forgetMissing()
     }
 
+    /** Gives orders about the roles of engines through [orders] while this process holds [seat]. */
+    public fun keepRoles(seat: OrderSeat, orders: RoleOrders) {
+        this.seat = seat
+        seat.start()
+        keepRoles(RoleKeeper(context, seat, orders))
+    }
+
+    private fun keepRoles(keeper: RoleKeeper) {
+        if (drain != null) return
+        configuration?.services?.values?.forEach { service ->
+            val engine = service.engine ?: return@forEach
+            val work = { member: Member -> workAt(service.name, member) }
+            keeper.keep(service.name, engine, paceOf(service.name).roles, work)
+        }
+        scheduler.after(ROLE_CHECK) { keepRoles(keeper) }
+    }
+
+    private fun workAt(service: ServiceName, member: Member): Int =
+        (queues[service]?.heldAt(member.name) ?: 0) + board.health(member.name).inFlight
+
     /**
      * This process will be ended after [grace]. It takes requests that are surely finished by then, and streams, which
      * may last longer, for a short while only.
@@ -115,10 +141,11 @@
         if (destination.engine == null) return PlainFlow(context, request, destination, reply, ended)
         val service = destination.service
         val queue = queues.getOrPut(service) { MemoryQueue(context, service) { engineOf(service) } }
-        val pace = paces.getOrPut(service) { StreamPace() }
-        return StreamFlow(context, request, destination, queue, pace, reply, ended)
+        return StreamFlow(context, request, destination, queue, paceOf(service), reply, ended)
     }
 
+    private fun paceOf(service: ServiceName) = paces.getOrPut(service) { StreamPace(RolePlan(settings.prefillShare)) }
+
     private fun engineOf(service: ServiceName) = configuration?.services?.get(service)?.engine
 
     private fun refuse(request: ForwardRequest, reply: CallerReply, reason: RefusalReason): OpenRequest? {
@@ -140,7 +167,13 @@
         context.record(EventKind.UPSTREAM_REGISTERED, upstream = member.name, detail = detail)
     }
 
+    private fun recordRoleChange(change: RegistryChange.RoleChanging) {
+        val detail = if (change.changing) "left out while its role changes" else "its role does not change"
+        context.record(EventKind.UPSTREAM_REGISTERED, upstream = change.name, detail = detail)
+    }
+
     private companion object {
+        val ROLE_CHECK = Duration.parse("250ms")
         val RETURN_AFTER = Duration.parse("200ms")
         val DEFAULT_WAIT = Duration.parse("10s")
     }
--- a/core/src/main/kotlin/org/lovageladder/core/forward/Membership.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/Membership.kt
@@ -33,6 +33,12 @@
     /** An upstream's entry was removed at [revision]. */
     public data class Removed(val name: UpstreamName, val revision: Long) : RegistryChange
 
+    /** An engine changes its role, or does so no longer. */
+    public data class RoleChanging(val name: UpstreamName, val changing: Boolean) : RegistryChange
+
+    /** Whether some process holds the seat from which engines get orders. */
+    public data class OrderSeatSeen(val held: Boolean) : RegistryChange
+
     /** The registry was read whole; upstreams that are not in [members] have no entry. */
     public data class ReadWhole(val members: List<Member>) : RegistryChange
 
@@ -52,6 +58,7 @@
     private val members = HashMap<UpstreamName, Member>()
     private val vanished = HashMap<UpstreamName, Moment>()
     private val ended = HashMap<UpstreamName, Long?>()
+    private val changingRole = HashSet<UpstreamName>()
     private var graceUntil: Moment? = null
     private var lost = false
 
@@ -64,6 +71,9 @@
         when (change) {
             is RegistryChange.Written -> put(change.member)
             is RegistryChange.Removed -> remove(change, now)
+            is RegistryChange.RoleChanging ->
+                if (change.changing) changingRole += change.name else changingRole -= change.name
+            is RegistryChange.OrderSeatSeen -> Unit
             is RegistryChange.ReadWhole -> replace(change.members, now)
             RegistryChange.Lost -> lost = true
             RegistryChange.Regained -> {
@@ -81,7 +91,11 @@
     }
 
     /** Upstreams of [service] that take new requests at [now]. */
-    public fun serving(service: ServiceName, now: Moment): List<Member> {
+    public fun serving(service: ServiceName, now: Moment): List<Member> =
+        registered(service, now).filter { it.name !in changingRole }
+
+    /** Upstreams of [service] at [now], also those that change their role. */
+    public fun registered(service: ServiceName, now: Moment): List<Member> {
         expire(now)
         return members.values.filter { it.service == service && !it.leaving }
     }
@@ -115,6 +129,7 @@
 
     private fun replace(listed: List<Member>, now: Moment) {
         known = true
+        changingRole.clear()
         val names = listed.mapTo(HashSet()) { it.name }
         members.keys.filter { it !in names }.forEach { vanish(it, now) }
         ended.keys.retainAll(names)
--- a/core/src/main/kotlin/org/lovageladder/core/forward/StreamFlow.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/StreamFlow.kt
@@ -5,6 +5,8 @@
 import org.lovageladder.core.Moment
 import org.lovageladder.core.PoolRole
 import org.lovageladder.core.UpstreamName
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 
 /**
  * One generation. Decode memory is reserved first, then a prefill engine reads the prompt, then the decode engine
@@ -33,6 +35,7 @@
     private var prefilled: PrefillResult? = null
     private var decoding: RunningCall? = null
     private var grantedAt: Moment? = null
+    private var silence: RunningCall? = null
     private var firstEventAt: Moment? = null
     private var lastEvent: Long? = request.resumeAfter
     private var runs = 0
@@ -85,15 +88,21 @@
         prefillAt = member.name
         context.record(EventKind.REQUEST_SENT, request.id, member.name, detail = "prefill of ${route.name}")
         val limit = minOf(time.remaining(context.now()), pace.prefillLimit)
+        val sent = context.now()
         prefillCall =
             context.calls.prefill(request, Sending(member.name, member.address, limit)) { answer ->
                 prefillCall = null
                 prefillAt = null
                 health.inFlight -= 1
+                if (answer is EngineAnswer.Done) notePrefillCost(context.now() - sent)
                 prefillAnswered(member, answer)
             }
     }
 
+    private fun notePrefillCost(taken: Duration) {
+        request.generation?.let { pace.roles.prefilled(taken, it.promptTokens) }
+    }
+
     private fun choosePrefill(): Member? {
         if (request.generation == null || prefilled != null) return null
         return context.board
@@ -141,6 +150,38 @@
                 resumeAfter = lastEvent,
             )
         decoding = context.calls.send(request, sending, DecodeReceiver(name))
+        watchForSilence()
+    }
+
+    /** A connection can fall silent for good; a stream that may go on elsewhere does not wait for it. */
+    private fun watchForSilence() {
+        if (!mayResume()) return
+        silence?.cancel()
+        silence = context.scheduler.after(SILENCE) { leaveSilentUpstream() }
+    }
+
+    private fun leaveSilentUpstream() {
+        val upstream = grant?.engine?.name
+        if (over || decoding == null || upstream == null) return
+        if (!context.budget.tryRepeat(destination.service, context.now())) {
+            watchForSilence()
+            return
+        }
+        decoding?.cancel()
+        releaseMemory(used = true)
+        context.failed(
+            upstream,
+            request.id,
+            "decode",
+            CallFailure(FaultCause.TIMEOUT, sent = true, "silent for $SILENCE"),
+        )
+        goOnElsewhere(upstream)
+    }
+
+    private fun goOnElsewhere(left: UpstreamName) {
+        splitter?.reset()
+        declinedBy += left
+        claimMemory()
     }
 
     private fun onHead(upstream: UpstreamName, head: AnswerHead) {
@@ -159,6 +200,7 @@
 
     private fun onContent(bytes: ByteArray) {
         noteFirstEvent()
+        watchForSilence()
         val splitting = splitter
         if (splitting == null) {
             reply.content(bytes)
@@ -191,34 +233,33 @@
 
     private fun brokeOff(upstream: UpstreamName, failure: CallFailure) {
         context.failed(upstream, request.id, "decode", failure)
-        splitter?.reset()
-        if (!failure.sent) {
-            runs -= 1
-            declinedBy += upstream
-            retryUnsent()
-            return
-        }
-        declinedBy += upstream
-        if (mayResume() && context.budget.tryRepeat(destination.service, context.now())) {
-            claimMemory()
-        } else {
-            refuseOrBreak(RefusalReason.ANSWER_LOST)
+        if (!failure.sent) runs -= 1
+        when {
+            !failure.sent && sendings < MOST_SENDINGS -> goOnElsewhere(upstream)
+            !failure.sent -> refuseOrBreak(RefusalReason.NO_UPSTREAM)
+            mayResume() && context.budget.tryRepeat(destination.service, context.now()) -> goOnElsewhere(upstream)
+            else -> refuseOrBreak(RefusalReason.ANSWER_LOST)
         }
     }
 
-    private fun retryUnsent() {
-        if (sendings < MOST_SENDINGS) claimMemory() else refuseOrBreak(RefusalReason.NO_UPSTREAM)
-    }
-
     private fun mayResume() = route.resumable && runs < route.maximumAttempts
 
     private fun completed(upstream: UpstreamName) {
         context.board.health(upstream).succeeded()
+        noteDecodeCost()
         splitter?.rest()?.takeIf { it.isNotEmpty() }?.let(reply::content)
         finish("answered")
         reply.end()
     }
 
+    private fun noteDecodeCost() {
+        val begun = grantedAt ?: return
+        val traits = destination.engine ?: return
+        val tokens = pace.memoryFor(request.generation, traits)
+        val share = maxOf(1.0 / traits.slots.coerceAtLeast(1), tokens.toDouble() / traits.memoryTokens.coerceAtLeast(1))
+        pace.roles.decoded(context.now() - begun, share)
+    }
+
     private fun refuseOrBreak(reason: RefusalReason) {
         if (over) return
         if (begun) {
@@ -240,6 +281,7 @@
     private fun finish(outcome: String) {
         over = true
         timeout?.cancel()
+        silence?.cancel()
         claim?.let(queue::leave)
         prefillCall?.cancel()
         prefillAt?.let { context.board.health(it).inFlight -= 1 }
@@ -310,6 +352,9 @@
         const val MOST_SENDINGS = 3
         const val MOST_PREFILLS = 2
 
+        /** Callers leave a stream that pauses for some seconds. */
+        val SILENCE: Duration = 1_500.milliseconds
+
         /** Streams that go on elsewhere come before all that have not begun. */
         const val RESUMED_PRIORITY = -1
     }
--- a/core/src/main/kotlin/org/lovageladder/core/forward/StreamPace.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/StreamPace.kt
@@ -4,8 +4,8 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
-/** What this process learned of the pace of one service's streams. Confined to one thread. */
-internal class StreamPace {
+/** What this process learned of the pace of one service's streams. [roles] plans its engines. Confined to one thread. */
+internal class StreamPace(val roles: RolePlan) {
     /** Time from the grant of memory to the first event. */
     var startup: Duration = 220.milliseconds
         private set
--- a/core/src/test/kotlin/org/lovageladder/core/forward/StreamFlowTest.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/forward/StreamFlowTest.kt
@@ -46,6 +46,25 @@
         assertTrue(submitted.reply.whole)
     }
 
+    /** Load pattern: connections fall silent for good, without a reset. */
+    @Test
+    fun resumableStreamLeavesASilentUpstreamAndOthersWaitForIt() {
+        data class Case(val target: String, val runs: Int)
+        listOf(Case("/stream-on/1", runs = 2), Case("/stream/1", runs = 1)).forEach { case ->
+            val fresh = ForwardWorld()
+            val submitted = fresh.submit(case.target)
+            fresh.scheduler.advance(200.milliseconds)
+            val first = fresh.upstreams.runs.single()
+            first.head(200)
+            first.content("id: 1\ndata: a\n\n")
+            fresh.scheduler.advance(2.seconds)
+            assertEquals(case.runs, fresh.upstreams.runs.size, "$case")
+            assertEquals(case.runs == 2, first.cancelled, "$case")
+            assertEquals(if (case.runs == 2) 1L else null, fresh.upstreams.runs.last().sending.resumeAfter, "$case")
+            assertFalse(submitted.reply.final, "$case")
+        }
+    }
+
     /** Load pattern: one engine declines every prompt at once and so seems free, while others are busy. */
     @Test
     fun engineThatDeclinesEveryPromptDrawsFewOfThem() {
--- a/daemon/src/main/kotlin/org/lovageladder/daemon/ForwardCommand.kt
+++ b/daemon/src/main/kotlin/org/lovageladder/daemon/ForwardCommand.kt
@@ -24,6 +24,14 @@
     private val retryAllowance by
         countFlag("--retry-allowance", "Repeats of all entries beyond that, in a window.", 0, 0..MOST_REPEATS)
     private val retryWindow by durationFlag("--retry-window", "Window of the retry budget.", 10.seconds, WINDOWS)
+    private val orderLease by
+        durationFlag("--order-lease", "Lease on the right to give orders to engines.", 3.seconds, WINDOWS)
+    private val prefillShare by
+        ratioFlag(
+            "--prefill-share",
+            "Part of the engines' work that is prefill, until requests tell more.",
+            PREFILL_SHARE,
+        )
     private val stopGrace by
         durationFlag("--stop-grace", "Time from a stop signal until the platform ends the process.", 10.minutes, GRACES)
     private val entryCount by countFlag("--entry-count", "Entries among which it is shared.", ENTRIES, 1..MOST_ENTRIES)
@@ -48,15 +56,18 @@
         callers = listen,
         process = common.processSettings(),
         stopGrace = stopGrace,
+        orderLease = orderLease,
         decisions =
         ForwarderSettings(
             place = common.place,
             retries = RetryLimits(retryRatio, retryAllowance.toDouble() / entryCount, retryWindow),
+            prefillShare = prefillShare,
         ),
     )
 
     private companion object {
         const val RETRY_RATIO = 0.1
+        val PREFILL_SHARE = 0.2
         const val MOST_REPEATS = 100_000
         const val ENTRIES = 8
         const val MOST_ENTRIES = 10_000
--- a/daemon/src/main/kotlin/org/lovageladder/daemon/ForwardProcess.kt
+++ b/daemon/src/main/kotlin/org/lovageladder/daemon/ForwardProcess.kt
@@ -17,6 +17,7 @@
 import org.lovageladder.core.forward.Forwarder
 import org.lovageladder.core.forward.ForwarderSettings
 import org.lovageladder.core.forward.OpenRequest
+import org.lovageladder.core.forward.OrderSeat
 import org.lovageladder.core.forward.RegistryChange
 import org.lovageladder.core.forward.RegistryFollower
 import org.lovageladder.core.forward.RegistryListener
@@ -28,9 +29,12 @@
 import org.lovageladder.http.forward.TextClient
 import org.lovageladder.http.startAdminServer
 import org.lovageladder.platform.PlatformCallerWire
+import org.lovageladder.platform.PlatformOrderSeat
 import org.lovageladder.platform.PlatformRegistry
+import org.lovageladder.platform.PlatformRoleOrders
 import org.lovageladder.platform.PlatformUpstreamWire
 import java.util.concurrent.Executors
+import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -42,6 +46,7 @@
     val process: ProcessSettings,
     val decisions: ForwarderSettings,
     val stopGrace: Duration,
+    val orderLease: Duration,
 )
 
 /** Starts a forwarding entry; throws [AddressUnavailable] when it cannot listen. */
@@ -93,9 +98,17 @@
         scheduler.execute {
             log.record(EventDraft(EventKind.PROCESS_STARTED, detail = "callers=${settings.callers}"))
             follower.start()
+            keepRoles()
         }
     }
 
+    private fun keepRoles() {
+        val store = settings.process.store.first()
+        val port = PlatformOrderSeat(store, settings.name, storeClient)
+        val seat = OrderSeat(port, scheduler, settings.orderLease, Random.Default::nextDouble)
+        forwarder.keepRoles(seat, PlatformRoleOrders(store, settings.name, storeClient))
+    }
+
     override fun requestStop(): Unit = ending.requestStop { scheduler.execute { drain() } }
 
     override fun awaitEnd(): ProcessEnd = ending.await()
