Let entries count each other in the store, and share budgets and connections by their number

Cause: the allowance for repeats was divided by a fixed number of eight entries; thirty entries could exceed it almost four times, and four used half of it. The limit of an upstream's connections was read and not used. Each entry now registers under a lease of 6 s; one that vanishes counts for 10 s more, since leases lapse while the store is away. The bucket of repeats now keeps the stated bound exactly (the old test allowed twice the allowance; its bound is the stated one now). The registry is read whole with the keys that entries write, so that the seat and announcements are known from the start.

Ruled out: a count from traffic or from the settings, which name no other entry.

--- a/core/src/main/kotlin/org/lovageladder/core/EventKind.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/EventKind.kt
@@ -82,6 +82,7 @@
     SETTINGS_RELOADED(3006, EventLevel.INFO, "The settings file was read again.", "None."),
     ROLE_CHANGE_BEGUN(3007, EventLevel.INFO, "An engine is to take on another role and was announced.", "None."),
     ROLE_ORDERED(3008, EventLevel.INFO, "An engine was ordered to take on another role.", "None."),
+    ENTRY_REGISTERED(3009, EventLevel.INFO, "The number of entries that share limits changed.", "None."),
     REQUEST_SENT(3101, EventLevel.INFO, "A request, or its prefill, was sent to an upstream.", "None."),
     REQUEST_DECLINED(3102, EventLevel.INFO, "An upstream did not run a request.", "Check its load if frequent."),
     REQUEST_FAILED(3103, EventLevel.INFO, "A call to an upstream failed.", "Check the upstream if frequent."),
--- a/core/src/main/kotlin/org/lovageladder/core/forward/ForwardContext.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/ForwardContext.kt
@@ -71,5 +71,10 @@
     fun remaining(now: Moment): Duration = end - now
 }
 
-/** The service that a request goes to, chosen once. */
-internal data class Destination(val route: Route, val service: ServiceName, val engine: EngineTraits?)
+/** The service that a request goes to, chosen once. [connections] is how many this entry may have to each upstream. */
+internal data class Destination(
+    val route: Route,
+    val service: ServiceName,
+    val engine: EngineTraits?,
+    val connections: Int,
+)
--- a/core/src/main/kotlin/org/lovageladder/core/forward/Forwarder.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/Forwarder.kt
@@ -8,10 +8,15 @@
 import kotlin.time.Duration
 
 /**
- * Settings of a [Forwarder]: its [place], this process's part of the budget for repeats, and the part of the work
- * of a service's engines that is prefill until its requests tell more.
+ * Settings of a [Forwarder]: its [place], the budget for repeats of all entries, the number of entries until they are
+ * known, and the part of the work of a service's engines that is prefill until its requests tell more.
  */
-public data class ForwarderSettings(val place: PlaceName, val retries: RetryLimits, val prefillShare: Double = 0.2)
+public data class ForwarderSettings(
+    val place: PlaceName,
+    val retries: RetryLimits,
+    val expectedEntries: Int = 1,
+    val prefillShare: Double = 0.2,
+)
 
 /** Handle of a request that a [Forwarder] took. */
 public fun interface OpenRequest {
@@ -32,7 +37,8 @@
 ) {
     private val membership = Membership()
     private val board = UpstreamBoard(membership, settings.place, random)
-    private val budget = RetryBudget(settings.retries)
+    private val census = EntryCensus(settings.expectedEntries)
+    private val budget = RetryBudget(settings.retries) { census.count(scheduler.now()) }
     private val context = ForwardContext(calls, scheduler, board, membership, budget, log, random)
     private val queues = HashMap<ServiceName, MemoryQueue>()
     private val paces = HashMap<ServiceName, StreamPace>()
@@ -75,12 +81,14 @@
     /** Takes in what the registry of upstreams told. */
     public fun registryChanged(change: RegistryChange) {
         membership.apply(change, scheduler.now())
+        if (change is RegistryChange.ReadWhole) census.readAnew(scheduler.now())
         when (change) {
             is RegistryChange.Written -> recordMember(change.member)
             is RegistryChange.Removed ->
                 context.record(EventKind.UPSTREAM_REGISTERED, upstream = change.name, detail = "entry removed")
             is RegistryChange.RoleChanging -> recordRoleChange(change)
             is RegistryChange.OrderSeatSeen -> seat?.observed(change.held)
+            is RegistryChange.EntrySeen -> entrySeen(change)
             is RegistryChange.ReadWhole ->
                 context.record(EventKind.UPSTREAM_REGISTERED, detail = "read whole: ${change.members.size} upstreams")
             RegistryChange.Lost -> context.record(EventKind.STORE_LOST, detail = "no answer from the registry")
@@ -126,16 +134,23 @@
         val share = drawShare(route.shares, context.random.nextDouble())
             ?: return refuse(request, reply, RefusalReason.NO_UPSTREAM)
         budget.requestArrived(share.service, scheduler.now())
-        val engine = configuration?.services?.get(share.service)?.engine
+        val traits = configuration?.services?.get(share.service)
         if (drain?.refuses(request, route, scheduler.now()) == true) {
             return refuse(request, reply, RefusalReason.LEAVING)
         }
-        val flow = flowOf(request, Destination(route, share.service, engine), reply)
+        val destination = Destination(route, share.service, traits?.engine, connectionShare(traits))
+        val flow = flowOf(request, destination, reply)
         open += 1
         flow.start()
         return OpenRequest { flow.callerLeft() }
     }
 
+    /** Connections to each upstream of a service that this entry may have; some are left for those about to close. */
+    private fun connectionShare(traits: ServiceTraits?): Int {
+        val limit = traits?.connectionLimit ?: return Int.MAX_VALUE
+        return (limit * CONNECTIONS_USED / census.count(scheduler.now())).toInt().coerceAtLeast(1)
+    }
+
     private fun flowOf(request: ForwardRequest, destination: Destination, reply: CallerReply): ForwardFlow {
         val ended = { open -= 1 }
         if (destination.engine == null) return PlainFlow(context, request, destination, reply, ended)
@@ -167,12 +182,20 @@
         context.record(EventKind.UPSTREAM_REGISTERED, upstream = member.name, detail = detail)
     }
 
+    private fun entrySeen(change: RegistryChange.EntrySeen) {
+        census.seen(change.name, change.registered, scheduler.now())
+        val state = if (change.registered) "registered" else "not registered"
+        val detail = "${change.name} $state, entries=${census.count(scheduler.now())}"
+        context.record(EventKind.ENTRY_REGISTERED, detail = detail)
+    }
+
     private fun recordRoleChange(change: RegistryChange.RoleChanging) {
         val detail = if (change.changing) "left out while its role changes" else "its role does not change"
         context.record(EventKind.UPSTREAM_REGISTERED, upstream = change.name, detail = detail)
     }
 
     private companion object {
+        const val CONNECTIONS_USED = 0.8
         val ROLE_CHECK = Duration.parse("250ms")
         val RETURN_AFTER = Duration.parse("200ms")
         val DEFAULT_WAIT = Duration.parse("10s")
--- a/core/src/main/kotlin/org/lovageladder/core/forward/Membership.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/Membership.kt
@@ -4,6 +4,7 @@
 import org.lovageladder.core.Moment
 import org.lovageladder.core.PlaceName
 import org.lovageladder.core.PoolRole
+import org.lovageladder.core.ProcessName
 import org.lovageladder.core.ServiceName
 import org.lovageladder.core.UpstreamName
 import kotlin.time.Duration
@@ -39,6 +40,9 @@
     /** Whether some process holds the seat from which engines get orders. */
     public data class OrderSeatSeen(val held: Boolean) : RegistryChange
 
+    /** The registration of the entry [name] is there, or not any more. */
+    public data class EntrySeen(val name: ProcessName, val registered: Boolean) : RegistryChange
+
     /** The registry was read whole; upstreams that are not in [members] have no entry. */
     public data class ReadWhole(val members: List<Member>) : RegistryChange
 
@@ -73,7 +77,7 @@
             is RegistryChange.Removed -> remove(change, now)
             is RegistryChange.RoleChanging ->
                 if (change.changing) changingRole += change.name else changingRole -= change.name
-            is RegistryChange.OrderSeatSeen -> Unit
+            is RegistryChange.OrderSeatSeen, is RegistryChange.EntrySeen -> Unit
             is RegistryChange.ReadWhole -> replace(change.members, now)
             RegistryChange.Lost -> lost = true
             RegistryChange.Regained -> {
--- a/core/src/main/kotlin/org/lovageladder/core/forward/PlainFlow.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/PlainFlow.kt
@@ -48,7 +48,7 @@
             return
         }
         val health = context.board.health(member.name)
-        val places = member.slots * PLACES_PER_SLOT
+        val places = minOf(member.slots * PLACES_PER_SLOT, destination.connections)
         if (tries.isEmpty() && health.inFlight >= places) {
             giveUp(RefusalReason.OVERLOADED)
             return
--- a/core/src/main/kotlin/org/lovageladder/core/forward/RegistryFollower.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/RegistryFollower.kt
@@ -4,8 +4,16 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
-/** Everything that the registry holds, as of [revision] or later. [configuration] is null when none is there. */
-public data class RegistrySnapshot(val revision: Long, val configuration: Configuration?, val members: List<Member>)
+/**
+ * Everything that the registry holds, as of [revision] or later. [configuration] is null when none is there; [others]
+ * is what entries wrote.
+ */
+public data class RegistrySnapshot(
+    val revision: Long,
+    val configuration: Configuration?,
+    val members: List<Member>,
+    val others: List<RegistryChange> = emptyList(),
+)
 
 /** Outcome of a read of the whole registry. */
 public sealed interface RegistryRead {
@@ -74,6 +82,7 @@
                     answered()
                     read.snapshot.configuration?.let(listener::configured)
                     listener.changed(RegistryChange.ReadWhole(read.snapshot.members))
+                    read.snapshot.others.forEach(listener::changed)
                     watchFrom(read.snapshot.revision)
                 }
                 is RegistryRead.Failed -> {
--- a/core/src/main/kotlin/org/lovageladder/core/forward/RetryBudget.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/RetryBudget.kt
@@ -4,14 +4,18 @@
 import org.lovageladder.core.ServiceName
 import kotlin.time.Duration
 
-/** Repeats that this process may send to a service in a [window]: a [ratio] of its requests and an [allowance]. */
+/**
+ * Repeats that may be sent to a service in a [window]: a [ratio] of its requests and, for all entries together, an
+ * [allowance].
+ */
 public data class RetryLimits(val ratio: Double, val allowance: Double, val window: Duration)
 
 /**
- * Bounds the repeats that this process sends to each service: in any window, a ratio of the requests for it plus an
- * allowance. The bound is kept by refilling a bucket, so that it holds for sliding windows. Confined to one thread.
+ * Bounds the repeats that this process sends to each service: in any window, a ratio of the requests that it got for it
+ * plus its share of the allowance, which is divided among [entries]. Half of the share may be saved up and half is
+ * refilled in a window, so that the bound holds for sliding windows. Confined to one thread.
  */
-public class RetryBudget(private var limits: RetryLimits) {
+public class RetryBudget(private var limits: RetryLimits, private val entries: () -> Int) {
     private class Bucket(var tokens: Double, var at: Moment)
 
     private val buckets = HashMap<ServiceName, Bucket>()
@@ -24,7 +28,7 @@
     /** A caller's request for [service] arrived. */
     public fun requestArrived(service: ServiceName, now: Moment) {
         val bucket = refilled(service, now)
-        bucket.tokens = (bucket.tokens + limits.ratio).coerceAtMost(limits.allowance)
+        bucket.tokens = (bucket.tokens + limits.ratio).coerceAtMost(most())
     }
 
     /** Takes one repeat out of the budget; false when it is used up. */
@@ -36,10 +40,14 @@
     }
 
     private fun refilled(service: ServiceName, now: Moment): Bucket {
-        val bucket = buckets.getOrPut(service) { Bucket(limits.allowance / 2, now) }
-        val share = (now - bucket.at) / limits.window
-        bucket.tokens = (bucket.tokens + share * limits.allowance / 2).coerceAtMost(limits.allowance)
+        val bucket = buckets.getOrPut(service) { Bucket(most(), now) }
+        val elapsed = (now - bucket.at) / limits.window
+        bucket.tokens = (bucket.tokens + elapsed * halfShare()).coerceAtMost(most())
         bucket.at = now
         return bucket
     }
+
+    private fun most() = halfShare().coerceAtLeast(1.0)
+
+    private fun halfShare() = limits.allowance / entries() / 2
 }
--- a/core/src/test/kotlin/org/lovageladder/core/forward/ForwarderTest.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/forward/ForwarderTest.kt
@@ -67,7 +67,7 @@
 
     @Test
     fun repeatsStayWithinTheBudgetOfAnyWindow() {
-        val budget = RetryBudget(RetryLimits(ratio = 0.2, allowance = 8.0, window = 10.seconds))
+        val budget = RetryBudget(RetryLimits(ratio = 0.2, allowance = 8.0, window = 10.seconds)) { 1 }
         val repeats = ArrayList<Moment>()
         (0 until 6_000).forEach { step ->
             val now = Moment(step * 10_000L)
@@ -77,7 +77,7 @@
         val requestsInWindow = 100
         repeats.forEach { first ->
             val inWindow = repeats.count { it >= first && it < first + 10.seconds }
-            check(inWindow <= 0.2 * requestsInWindow + 2 * 8) { "$inWindow repeats in the window from $first" }
+            check(inWindow <= 0.2 * requestsInWindow + 8) { "$inWindow repeats in the window from $first" }
         }
     }
 
--- a/core/src/test/kotlin/org/lovageladder/core/forward/RoleKeeperTest.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/forward/RoleKeeperTest.kt
@@ -242,7 +242,7 @@
         val membership = Membership().apply { apply(RegistryChange.ReadWhole(engines(4, 4)), scheduler.now()) }
         val orders = RecordedOrders()
         val seat = seat(VirtualSeat(scheduler), scheduler).apply { start() }
-        private val budget = RetryBudget(RetryLimits(0.1, 1.0, 10.seconds))
+        private val budget = RetryBudget(RetryLimits(0.1, 1.0, 10.seconds)) { 1 }
         private val random = kotlin.random.Random(1)
         private val board = UpstreamBoard(membership, ForwardWorld.HOME, random)
         private val context =
--- a/daemon/src/main/kotlin/org/lovageladder/daemon/ForwardCommand.kt
+++ b/daemon/src/main/kotlin/org/lovageladder/daemon/ForwardCommand.kt
@@ -34,7 +34,12 @@
         )
     private val stopGrace by
         durationFlag("--stop-grace", "Time from a stop signal until the platform ends the process.", 10.minutes, GRACES)
-    private val entryCount by countFlag("--entry-count", "Entries among which it is shared.", ENTRIES, 1..MOST_ENTRIES)
+    private val entryCount by countFlag(
+        "--entry-count",
+        "Entries among which limits are shared until they are known.",
+        ENTRIES,
+        1..MOST_ENTRIES,
+    )
 
     init {
         context {
@@ -60,7 +65,8 @@
         decisions =
         ForwarderSettings(
             place = common.place,
-            retries = RetryLimits(retryRatio, retryAllowance.toDouble() / entryCount, retryWindow),
+            retries = RetryLimits(retryRatio, retryAllowance.toDouble(), retryWindow),
+            expectedEntries = entryCount,
             prefillShare = prefillShare,
         ),
     )
--- a/daemon/src/main/kotlin/org/lovageladder/daemon/ForwardProcess.kt
+++ b/daemon/src/main/kotlin/org/lovageladder/daemon/ForwardProcess.kt
@@ -13,6 +13,7 @@
 import org.lovageladder.core.forward.CallerLimits
 import org.lovageladder.core.forward.CallerReply
 import org.lovageladder.core.forward.Configuration
+import org.lovageladder.core.forward.EntryPresence
 import org.lovageladder.core.forward.ForwardRequest
 import org.lovageladder.core.forward.Forwarder
 import org.lovageladder.core.forward.ForwarderSettings
@@ -30,9 +31,11 @@
 import org.lovageladder.http.startAdminServer
 import org.lovageladder.platform.PlatformCallerWire
 import org.lovageladder.platform.PlatformOrderSeat
+import org.lovageladder.platform.PlatformPresence
 import org.lovageladder.platform.PlatformRegistry
 import org.lovageladder.platform.PlatformRoleOrders
 import org.lovageladder.platform.PlatformUpstreamWire
+import org.lovageladder.platform.StoreWriter
 import java.util.concurrent.Executors
 import kotlin.random.Random
 import kotlin.time.Duration
@@ -66,6 +69,7 @@
     private val timer = Executors.newSingleThreadScheduledExecutor { Thread(it, "timer").apply { isDaemon = true } }
     private val ending = ProcessEnding(settings.process.drainTimeout, timer)
     private val storeClient = TextClient(threads)
+    private val store = StoreWriter(settings.process.store.first(), storeClient)
     private val calls = HttpUpstreamCalls(threads, PlatformUpstreamWire())
     private val forwarder = Forwarder(settings.decisions, calls, scheduler, log::record)
     private val follower =
@@ -98,13 +102,13 @@
         scheduler.execute {
             log.record(EventDraft(EventKind.PROCESS_STARTED, detail = "callers=${settings.callers}"))
             follower.start()
+            EntryPresence(PlatformPresence(store, settings.name), scheduler, PRESENCE_PERIOD).start()
             keepRoles()
         }
     }
 
     private fun keepRoles() {
-        val store = settings.process.store.first()
-        val port = PlatformOrderSeat(store, settings.name, storeClient)
+        val port = PlatformOrderSeat(store, settings.name)
         val seat = OrderSeat(port, scheduler, settings.orderLease, Random.Default::nextDouble)
         forwarder.keepRoles(seat, PlatformRoleOrders(store, settings.name, storeClient))
     }
@@ -199,6 +203,7 @@
 
         /** The platform's balancer asks once a second and takes a host out after two answers that are not ready. */
         val UNROUTED_AFTER: Duration = 3.seconds
+        val PRESENCE_PERIOD: Duration = 6.seconds
         val DRAIN_CHECK: Duration = 50.milliseconds
     }
 }
