--- a/core/src/test/kotlin/org/lovageladder/core/world/WholeSystemTest.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/world/WholeSystemTest.kt
@@ -168,6 +168,27 @@
         assertIs<Outcome.Answered>(after.outcome)
     }
 
+    /**
+     * Each key is submitted four times at once through both entries, and a companion of the service goes in between.
+     * The oracle checks that "not run" is told only of keys that had not run until then; a submission beside it may run.
+     */
+    @Test
+    fun contestedKeysRunOnceAndNotRunIsTrueWhenItIsTold() {
+        val world = World(1)
+        val contested = (1..40).flatMap { key ->
+            if (key == 20) world.companions.last().kill()
+            val callers = List(4) { number -> world.action(entry = number % 2, key = key) }
+            world.advance(20.milliseconds)
+            callers
+        }
+        world.advance(20.seconds)
+        assertTrue(contested.all { it.outcome != null })
+        val fresh = (101..110).map { key -> world.action(entry = key % 2, key = key) }
+        world.advance(5.seconds)
+        fresh.forEach { assertIs<Outcome.Answered>(it.outcome) }
+        assertEquals(emptyList(), world.oracle.violations)
+    }
+
     @Test
     fun whatFindsNoMemoryInTimeIsRefusedByItsTargetAndToldWhenToComeBack() {
         val world = World(1)
--- a/daemon/src/main/kotlin/org/lovageladder/daemon/ForwardCommand.kt
+++ b/daemon/src/main/kotlin/org/lovageladder/daemon/ForwardCommand.kt
@@ -73,7 +73,7 @@
 
     private companion object {
         const val RETRY_RATIO = 0.1
-        val PREFILL_SHARE = 0.2
+        const val PREFILL_SHARE = 0.2
         const val MOST_REPEATS = 100_000
         const val ENTRIES = 8
         const val MOST_ENTRIES = 10_000
