--- a/core/src/main/kotlin/org/lovageladder/core/forward/Forwarder.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/Forwarder.kt
@@ -51,6 +51,9 @@
     public var open: Int = 0
         private set
 
+    /** Engines of which the queues for memory remember something. */
+    internal val enginesRemembered: Int get() = queues.values.sumOf { it.remembered }
+
     /** Version of the configuration in force. */
     public val version: ReleaseVersion get() = configuration?.version ?: ReleaseVersion.NONE
 
@@ -95,6 +98,7 @@
             RegistryChange.Regained -> context.record(EventKind.STORE_BACK, detail = "the registry answers")
         }
         board.forgetMissing()
+        queues.values.forEach { it.forgetMissing() }
     }
 
     /** Gives orders about the roles of engines through [orders] while this process holds [seat]. */
--- a/core/src/main/kotlin/org/lovageladder/core/forward/MemoryQueue.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/MemoryQueue.kt
@@ -68,6 +68,15 @@
         pump()
     }
 
+    /** Forgets engines that are not registered any more and at which this process holds nothing. */
+    fun forgetMissing() {
+        fullUntil.keys.retainAll { context.membership[it] != null }
+        held.entries.removeIf { (name, tokens) -> tokens == 0 && context.membership[name] == null }
+    }
+
+    /** Engines of which something is remembered. */
+    val remembered: Int get() = (fullUntil.keys + held.keys).size
+
     /** Tokens that this process holds at [name]. */
     fun heldAt(name: UpstreamName): Int = held[name] ?: 0
 
--- a/core/src/test/kotlin/org/lovageladder/core/forward/MemoryQueueTest.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/forward/MemoryQueueTest.kt
@@ -61,4 +61,20 @@
         world.scheduler.advance(1.seconds)
         assertEquals(0, world.upstreams.reservations)
     }
+
+    /** Load pattern: a release, in which each upstream is replaced by one with another name. */
+    @Test
+    fun enginesThatAreGoneAreForgotten() {
+        val last = fill().last()
+        ForwardWorld.MEMBERS.forEach {
+            world.forwarder.registryChanged(RegistryChange.Removed(it.name, revision = 2))
+        }
+        assertEquals(2, world.forwarder.enginesRemembered, "streams still hold memory there")
+        world.upstreams.runs.toList().forEach {
+            it.head(200)
+            world.upstreams.finish(it)
+        }
+        world.forwarder.registryChanged(RegistryChange.Removed(last.sending.upstream, revision = 3))
+        assertEquals(0, world.forwarder.enginesRemembered)
+    }
 }
