Keep the need for a change of roles by service

Cause: with two services of engines the need of one was forgotten whenever the other had none, so that no change lasted long enough to be ordered once requests ran. RoleKeeperTest now asks for a second service in between: five of its tests failed before, none after. Found by reading.

--- a/core/src/main/kotlin/org/lovageladder/core/forward/RoleKeeper.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/RoleKeeper.kt
@@ -49,7 +49,7 @@
     private class Pending(val role: PoolRole, val until: Moment)
 
     private val pending = HashMap<UpstreamName, Pending>()
-    private var due: Due? = null
+    private val due = HashMap<ServiceName, Due>()
 
     /** Begins the next change in [service] if one is due. */
     fun keep(service: ServiceName, engine: EngineTraits, plan: RolePlan, work: (Member) -> Int) {
@@ -58,9 +58,9 @@
         val lease = seat.inForce ?: return
         val members = context.membership.registered(service, now).filter { it.role != PoolRole.PLAIN }
         val change = nextChange(plan, members, work)
-        if (change == null) due = null
-        if (change == null || !isLasting(change.role, plan, now)) return
-        due = null
+        if (change == null) due.remove(service)
+        if (change == null || !isLasting(service, change.role, plan, now)) return
+        due.remove(service)
         val name = change.engine.name
         pending[name] = Pending(change.role, now + ANNOUNCED + engine.roleChangeTime + LATE_ORDER)
         context.record(
@@ -69,16 +69,14 @@
             detail = "role=${change.role} seat=${lease.fencing}",
         )
         orders.announce(name, lease) { announced ->
-            if (announced) {
-                context.scheduler.after(ANNOUNCED) {
-                    order(change, lease)
-                }
-            } else {
-                abandon(name, "not announced")
-            }
+            if (announced) orderLater(change, lease) else abandon(name, "not announced")
         }
     }
 
+    private fun orderLater(change: RoleChange, lease: SeatLease) {
+        context.scheduler.after(ANNOUNCED) { order(change, lease) }
+    }
+
     /** Changes under way count as done. An engine is taken out of decode only when no other change is under way. */
     private fun nextChange(plan: RolePlan, members: List<Member>, work: (Member) -> Int): RoleChange? {
         val planned = members.map { member -> pending[member.name]?.let { member.copy(role = it.role) } ?: member }
@@ -88,11 +86,11 @@
     }
 
     /** Once requests run, a change costs some of them; the need for it must have lasted. */
-    private fun isLasting(role: PoolRole, plan: RolePlan, now: Moment): Boolean {
+    private fun isLasting(service: ServiceName, role: PoolRole, plan: RolePlan, now: Moment): Boolean {
         if (!plan.measured) return true
-        val same = due?.takeIf { it.role == role } ?: Due(role, now)
-        due = same
-        return now - same.since >= LASTING
+        val need = due[service]?.takeIf { it.role == role } ?: Due(role, now)
+        due[service] = need
+        return now - need.since >= LASTING
     }
 
     private fun order(change: RoleChange, lease: SeatLease) {
@@ -141,8 +139,10 @@
         }
     }
 
-    private fun shows(name: UpstreamName, role: PoolRole) = context.membership[name].let {
-        it == null || it.role == role
+    /** Whether engine [name] has [role], or is gone. */
+    private fun shows(name: UpstreamName, role: PoolRole): Boolean {
+        val member = context.membership[name]
+        return member == null || member.role == role
     }
 
     private companion object {
--- a/core/src/test/kotlin/org/lovageladder/core/forward/RoleKeeperTest.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/forward/RoleKeeperTest.kt
@@ -2,6 +2,7 @@
 
 import org.lovageladder.core.Moment
 import org.lovageladder.core.PoolRole
+import org.lovageladder.core.ServiceName
 import org.lovageladder.core.UpstreamName
 import kotlin.math.roundToInt
 import kotlin.test.Test
@@ -259,6 +260,7 @@
             repeat((duration / 500.milliseconds).toInt()) {
                 scheduler.advance(500.milliseconds)
                 keeper.keep(ForwardWorld.ENGINES, traits, plan) { it.address.port }
+                keeper.keep(ServiceName("other-engines"), traits, plan) { it.address.port }
             }
         }
     }
