--- a/core/src/main/kotlin/org/lovageladder/core/forward/Forwarder.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/Forwarder.kt
@@ -45,7 +45,7 @@
     private var configuration: Configuration? = null
     private var routes: RouteTable? = null
     private var drain: Drain? = null
-    private var seat: OrderSeat? = null
+    private var leadership: Leadership? = null
 
     /** Requests that are not finished. */
     public var open: Int = 0
@@ -90,7 +90,7 @@
             is RegistryChange.Removed ->
                 context.record(EventKind.UPSTREAM_REGISTERED, upstream = change.name, detail = "entry removed")
             is RegistryChange.RoleChanging -> recordRoleChange(change)
-            is RegistryChange.OrderSeatSeen -> seat?.observed(change.held)
+            is RegistryChange.LeaderSeen -> leadership?.observed(change.held)
             is RegistryChange.EntrySeen -> entrySeen(change)
             is RegistryChange.ReadWhole ->
                 context.record(EventKind.UPSTREAM_REGISTERED, detail = "read whole: ${change.members.size} upstreams")
@@ -101,11 +101,11 @@
         queues.values.forEach { it.forgetMissing() }
     }
 
-    /** Gives orders about the roles of engines through [orders] while this process holds [seat]. */
-    public fun keepRoles(seat: OrderSeat, orders: RoleOrders) {
-        this.seat = seat
-        seat.start()
-        keepRoles(RoleKeeper(context, seat, orders))
+    /** Gives orders about the roles of engines through [orders] while this process leads by [leadership]. */
+    public fun keepRoles(leadership: Leadership, orders: RoleOrders) {
+        this.leadership = leadership
+        leadership.start()
+        keepRoles(RoleKeeper(context, leadership, orders))
     }
 
     private fun keepRoles(keeper: RoleKeeper) {
--- a/core/src/main/kotlin/org/lovageladder/core/forward/Membership.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/Membership.kt
@@ -37,8 +37,8 @@
     /** An engine changes its role, or does so no longer. */
     public data class RoleChanging(val name: UpstreamName, val changing: Boolean) : RegistryChange
 
-    /** Whether some process holds the seat from which engines get orders. */
-    public data class OrderSeatSeen(val held: Boolean) : RegistryChange
+    /** Whether some process is the leader, which gives orders to engines. */
+    public data class LeaderSeen(val held: Boolean) : RegistryChange
 
     /** The registration of the entry [name] is there, or not any more. */
     public data class EntrySeen(val name: ProcessName, val registered: Boolean) : RegistryChange
@@ -77,7 +77,7 @@
             is RegistryChange.Removed -> remove(change, now)
             is RegistryChange.RoleChanging ->
                 if (change.changing) changingRole += change.name else changingRole -= change.name
-            is RegistryChange.OrderSeatSeen, is RegistryChange.EntrySeen -> Unit
+            is RegistryChange.LeaderSeen, is RegistryChange.EntrySeen -> Unit
             is RegistryChange.ReadWhole -> replace(change.members, now)
             RegistryChange.Lost -> lost = true
             RegistryChange.Regained -> {
--- a/core/src/main/kotlin/org/lovageladder/core/forward/RoleKeeper.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/RoleKeeper.kt
@@ -24,7 +24,7 @@
 /** Orders to engines. */
 public interface RoleOrders {
     /** Tells all entries, until [withdraw] or the end of [lease], that [engine] changes its role. */
-    public fun announce(engine: UpstreamName, lease: SeatLease, answer: (Boolean) -> Unit)
+    public fun announce(engine: UpstreamName, lease: LeaderLease, answer: (Boolean) -> Unit)
 
     /** Takes the announcement about [engine] back. */
     public fun withdraw(engine: UpstreamName)
@@ -34,14 +34,14 @@
 }
 
 /**
- * Changes the roles of engines by the plan of their service while this process holds the seat. An engine is announced
+ * Changes the roles of engines by the plan of their service while this process leads. An engine is announced
  * first and gets its order when all entries have had time to leave it out, since an engine under an order still grants
  * reservations and then declines their requests. The announcement is taken back once the registry shows the new role
  * or the time for it has surely passed. Confined to one thread.
  */
 internal class RoleKeeper(
     private val context: ForwardContext,
-    private val seat: OrderSeat,
+    private val leadership: Leadership,
     private val orders: RoleOrders,
 ) {
     private data class Due(val role: PoolRole, val since: Moment)
@@ -55,7 +55,7 @@
     fun keep(service: ServiceName, engine: EngineTraits, plan: RolePlan, work: (Member) -> Int) {
         val now = context.now()
         settle(now)
-        val lease = seat.inForce ?: return
+        val lease = leadership.inForce ?: return
         val members = context.membership.registered(service, now).filter { it.role != PoolRole.PLAIN }
         val change = nextChange(plan, members, work)
         if (change == null) due.remove(service)
@@ -66,14 +66,14 @@
         context.record(
             EventKind.ROLE_CHANGE_BEGUN,
             upstream = name,
-            detail = "role=${change.role} seat=${lease.fencing}",
+            detail = "role=${change.role} lease=${lease.fencing}",
         )
         orders.announce(name, lease) { announced ->
             if (announced) orderLater(change, lease) else abandon(name, "not announced")
         }
     }
 
-    private fun orderLater(change: RoleChange, lease: SeatLease) {
+    private fun orderLater(change: RoleChange, lease: LeaderLease) {
         context.scheduler.after(ANNOUNCED) { order(change, lease) }
     }
 
@@ -93,10 +93,10 @@
         return now - need.since >= LASTING
     }
 
-    private fun order(change: RoleChange, lease: SeatLease) {
+    private fun order(change: RoleChange, lease: LeaderLease) {
         val name = change.engine.name
-        if (seat.inForce != lease) {
-            abandon(name, "the seat is lost")
+        if (leadership.inForce != lease) {
+            abandon(name, "leadership is lost")
             return
         }
         context.record(EventKind.ROLE_ORDERED, upstream = name, detail = "role=${change.role} fencing=${lease.fencing}")
@@ -109,7 +109,7 @@
                 context.record(EventKind.ORDER_GIVEN, upstream = engine, detail = "role=$role accepted")
             is OrderAnswer.Refused -> {
                 abandon(engine, "role=$role status ${answer.status}")
-                if (answer.outdated) seat.abandon()
+                if (answer.outdated) leadership.abandon()
             }
             is OrderAnswer.Unknown ->
                 context.record(
@@ -126,9 +126,9 @@
         withdraw(engine)
     }
 
-    /** Without the seat the announcement ends with its lease. */
+    /** Without leadership the announcement ends with its lease. */
     private fun withdraw(engine: UpstreamName) {
-        if (seat.inForce != null) orders.withdraw(engine)
+        if (leadership.inForce != null) orders.withdraw(engine)
     }
 
     private fun settle(now: Moment) {
--- a/core/src/test/kotlin/org/lovageladder/core/forward/RoleKeeperTest.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/forward/RoleKeeperTest.kt
@@ -16,21 +16,21 @@
 
 /** When engines change their role, who orders it, and what an order waits for. */
 class RoleKeeperTest {
-    /** A store with one seat. [answering] is whether it answers. */
-    private class VirtualSeat(private val scheduler: VirtualScheduler) : OrderSeatPort {
-        var holder: SeatLease? = null
+    /** A store in which one process leads. [answering] is whether it answers. */
+    private class VirtualLeadership(private val scheduler: VirtualScheduler) : LeadershipPort {
+        var holder: LeaderLease? = null
         var answering = true
         private var number = 10L
 
-        override fun take(period: Duration, answer: (SeatAnswer) -> Unit) {
-            if (!answering) return answerLater { answer(SeatAnswer.Failed("silent")) }
-            if (holder != null) return answerLater { answer(SeatAnswer.Occupied) }
-            val lease = SeatLease(number, number++)
+        override fun take(period: Duration, answer: (LeadershipAnswer) -> Unit) {
+            if (!answering) return answerLater { answer(LeadershipAnswer.Failed("silent")) }
+            if (holder != null) return answerLater { answer(LeadershipAnswer.Occupied) }
+            val lease = LeaderLease(number, number++)
             holder = lease
-            answerLater { answer(SeatAnswer.Taken(lease)) }
+            answerLater { answer(LeadershipAnswer.Taken(lease)) }
         }
 
-        override fun renew(lease: SeatLease, answer: (Boolean) -> Unit): Unit =
+        override fun renew(lease: LeaderLease, answer: (Boolean) -> Unit): Unit =
             answerLater { answer(answering && holder == lease) }
 
         private fun answerLater(action: () -> Unit) {
@@ -44,7 +44,7 @@
         var answer: OrderAnswer = OrderAnswer.Accepted
         var announcing = true
 
-        override fun announce(engine: UpstreamName, lease: SeatLease, answer: (Boolean) -> Unit) {
+        override fun announce(engine: UpstreamName, lease: LeaderLease, answer: (Boolean) -> Unit) {
             if (announcing) announced += engine.text
             answer(announcing)
         }
@@ -71,7 +71,7 @@
             }
         }
 
-    private fun seat(port: VirtualSeat, scheduler: VirtualScheduler) = OrderSeat(port, scheduler, 3.seconds) { 0.0 }
+    private fun leadership(port: VirtualLeadership, scheduler: VirtualScheduler) = Leadership(port, scheduler, 3.seconds) { 0.0 }
 
     @Test
     fun enginesAreSplitByWhatRequestsCost() {
@@ -107,22 +107,22 @@
     }
 
     @Test
-    fun seatCountsOnlyWhileItsLeaseSurelyHolds() {
+    fun leadershipCountsOnlyWhileItsLeaseSurelyHolds() {
         val scheduler = VirtualScheduler()
-        val port = VirtualSeat(scheduler)
-        val seat = seat(port, scheduler)
-        seat.start()
+        val port = VirtualLeadership(scheduler)
+        val leadership = leadership(port, scheduler)
+        leadership.start()
         scheduler.advance(2.seconds)
-        assertNull(seat.inForce?.fencing, "earlier holders may still think that they hold it")
+        assertNull(leadership.inForce?.fencing, "earlier holders may still think that they hold it")
         scheduler.advance(2.seconds)
-        assertEquals(10, seat.inForce?.fencing)
+        assertEquals(10, leadership.inForce?.fencing)
         port.answering = false
         scheduler.advance(3.seconds)
-        assertNull(seat.inForce?.fencing)
+        assertNull(leadership.inForce?.fencing)
         port.answering = true
         port.holder = null
         scheduler.advance(20.seconds)
-        assertEquals(11, seat.inForce?.fencing)
+        assertEquals(11, leadership.inForce?.fencing)
     }
 
     /** Load pattern: long queues at prefill, in which a prompt waits for others far longer than it is read. */
@@ -134,28 +134,28 @@
     }
 
     @Test
-    fun seatIsTakenSoonAfterTheRegistryShowsItFree() {
+    fun leadershipIsTakenSoonAfterTheRegistryShowsItFree() {
         val scheduler = VirtualScheduler()
-        val port = VirtualSeat(scheduler).apply { holder = SeatLease(1, 1) }
-        val seat = seat(port, scheduler)
-        seat.start()
-        seat.observed(held = true)
+        val port = VirtualLeadership(scheduler).apply { holder = LeaderLease(1, 1) }
+        val leadership = leadership(port, scheduler)
+        leadership.start()
+        leadership.observed(held = true)
         scheduler.advance(10.seconds)
-        assertNull(seat.inForce)
+        assertNull(leadership.inForce)
         port.holder = null
-        seat.observed(held = false)
+        leadership.observed(held = false)
         scheduler.advance(4.seconds)
-        assertEquals(10, seat.inForce?.fencing)
+        assertEquals(10, leadership.inForce?.fencing)
     }
 
     @Test
-    fun onlyOneOfTwoHoldsTheSeat() {
+    fun onlyOneOfTwoLeads() {
         val scheduler = VirtualScheduler()
-        val port = VirtualSeat(scheduler)
-        val seats = List(2) { seat(port, scheduler) }
-        seats.forEach { it.start() }
+        val port = VirtualLeadership(scheduler)
+        val contenders = List(2) { leadership(port, scheduler) }
+        contenders.forEach { it.start() }
         scheduler.advance(60.seconds)
-        assertEquals(1, seats.count { it.inForce != null })
+        assertEquals(1, contenders.count { it.inForce != null })
     }
 
     @Test
@@ -228,12 +228,12 @@
     }
 
     @Test
-    fun holderThatIsOutdatedGivesTheSeatUp() {
+    fun holderThatIsOutdatedGivesLeadershipUp() {
         val world = RoleWorld()
         world.orders.answer = OrderAnswer.Refused(412, outdated = true)
         world.keepFor(9.seconds)
         assertEquals(1, world.orders.given.size)
-        assertNull(world.seat.inForce?.fencing)
+        assertNull(world.leadership.inForce?.fencing)
     }
 
     private inner class RoleWorld(
@@ -242,13 +242,13 @@
         val scheduler = VirtualScheduler()
         val membership = Membership().apply { apply(RegistryChange.ReadWhole(engines(4, 4)), scheduler.now()) }
         val orders = RecordedOrders()
-        val seat = seat(VirtualSeat(scheduler), scheduler).apply { start() }
+        val leadership = leadership(VirtualLeadership(scheduler), scheduler).apply { start() }
         private val budget = RetryBudget(RetryLimits(0.1, 1.0, 10.seconds)) { 1 }
         private val random = kotlin.random.Random(1)
         private val board = UpstreamBoard(membership, ForwardWorld.HOME, random)
         private val context =
             ForwardContext(VirtualUpstreams(scheduler), scheduler, board, membership, budget, log = {}, random)
-        private val keeper = RoleKeeper(context, seat, orders)
+        private val keeper = RoleKeeper(context, leadership, orders)
         private val traits = assertNotNull(ForwardWorld.configuration().services.getValue(ForwardWorld.ENGINES).engine)
 
         fun showRole(engine: String, role: PoolRole) {
--- a/daemon/src/main/kotlin/org/lovageladder/daemon/ForwardProcess.kt
+++ b/daemon/src/main/kotlin/org/lovageladder/daemon/ForwardProcess.kt
@@ -17,8 +17,8 @@
 import org.lovageladder.core.forward.ForwardRequest
 import org.lovageladder.core.forward.Forwarder
 import org.lovageladder.core.forward.ForwarderSettings
+import org.lovageladder.core.forward.Leadership
 import org.lovageladder.core.forward.OpenRequest
-import org.lovageladder.core.forward.OrderSeat
 import org.lovageladder.core.forward.RegistryChange
 import org.lovageladder.core.forward.RegistryFollower
 import org.lovageladder.core.forward.RegistryListener
@@ -30,7 +30,7 @@
 import org.lovageladder.http.forward.TextClient
 import org.lovageladder.http.startAdminServer
 import org.lovageladder.platform.PlatformCallerWire
-import org.lovageladder.platform.PlatformOrderSeat
+import org.lovageladder.platform.PlatformLeadership
 import org.lovageladder.platform.PlatformPresence
 import org.lovageladder.platform.PlatformRegistry
 import org.lovageladder.platform.PlatformRoleOrders
@@ -108,9 +108,9 @@
     }
 
     private fun keepRoles() {
-        val port = PlatformOrderSeat(store, settings.name)
-        val seat = OrderSeat(port, scheduler, settings.orderLease, Random.Default::nextDouble)
-        forwarder.keepRoles(seat, PlatformRoleOrders(store, settings.name, storeClient))
+        val port = PlatformLeadership(store, settings.name)
+        val leadership = Leadership(port, scheduler, settings.orderLease, Random.Default::nextDouble)
+        forwarder.keepRoles(leadership, PlatformRoleOrders(store, settings.name, storeClient))
     }
 
     override fun requestStop(): Unit = ending.requestStop { scheduler.execute { drain() } }
