--- a/core/src/test/kotlin/org/lovageladder/core/forward/RoleKeeperTest.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/forward/RoleKeeperTest.kt
@@ -71,7 +71,8 @@
             }
         }
 
-    private fun leadership(port: VirtualLeadership, scheduler: VirtualScheduler) = Leadership(port, scheduler, 3.seconds) { 0.0 }
+    private fun leadership(port: VirtualLeadership, scheduler: VirtualScheduler) =
+        Leadership(port, scheduler, 3.seconds) { 0.0 }
 
     @Test
     fun enginesAreSplitByWhatRequestsCost() {
