Read the registry whole after a watch that broke

Cause, ruled out and trace: docs/incidents/2026-12-04-old-configuration-after-a-cut-watch.md. Test: RegistryFollowerTest, failed before.

--- a/core/src/main/kotlin/org/lovageladder/core/forward/RegistryFollower.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/RegistryFollower.kt
@@ -60,7 +60,8 @@
 
 /**
  * Keeps up with the registry: reads it whole, then watches it. While it does not answer it is asked again after short
- * pauses; after a lost history it is read whole again. Confined to one thread.
+ * pauses. After a watch that broke and after a lost history it is read whole again: a watch that begins anew where one
+ * broke hears nothing of what was changed meanwhile if the history goes at that moment. Confined to one thread.
  */
 public class RegistryFollower(
     private val registry: UpstreamRegistry,
@@ -109,7 +110,7 @@
                 }
                 is RegistryWatch.Failed -> {
                     failed()
-                    scheduler.after(pause()) { watchFrom(revision) }
+                    scheduler.after(pause()) { readWhole() }
                 }
             }
         }
