Take an upstream without a named connection limit as unlimited; record entries when their number changes

Cause: a service whose configuration names no limit was read as one with none to give, so that each entry sent its upstreams one request at a time and refused the rest. The sharing of the limit had no test of its own. Each read of the whole registry recorded every entry again: 180 records where 30 entries were read six times, now none after the first. Found by reading the change.

--- a/core/src/main/kotlin/org/lovageladder/core/forward/Configuration.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/Configuration.kt
@@ -53,8 +53,11 @@
 /** Part of a route's requests that goes to [service], in proportion to [weight]. */
 public data class ServiceShare(val service: ServiceName, val weight: Int)
 
-/** A service; [engine] is null when its upstreams are not engines. */
-public data class ServiceTraits(val name: ServiceName, val connectionLimit: Int, val engine: EngineTraits?)
+/**
+ * A service. Each of its upstreams takes [connectionLimit] connections from all entries together, null when no limit is
+ * known; [engine] is null when its upstreams are not engines.
+ */
+public data class ServiceTraits(val name: ServiceName, val connectionLimit: Int?, val engine: EngineTraits?)
 
 /**
  * Engines of a service: [slots] requests run at once and share memory for [memoryTokens]. An event of a stream holds
--- a/core/src/main/kotlin/org/lovageladder/core/forward/Forwarder.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/Forwarder.kt
@@ -187,10 +187,12 @@
     }
 
     private fun entrySeen(change: RegistryChange.EntrySeen) {
-        census.seen(change.name, change.registered, scheduler.now())
-        val state = if (change.registered) "registered" else "not registered"
-        val detail = "${change.name} $state, entries=${census.count(scheduler.now())}"
-        context.record(EventKind.ENTRY_REGISTERED, detail = detail)
+        val now = scheduler.now()
+        val before = census.count(now)
+        census.seen(change.name, change.registered, now)
+        val count = census.count(now)
+        if (count == before) return
+        context.record(EventKind.ENTRY_REGISTERED, detail = "entries=$count with ${change.name}, $before before")
     }
 
     private fun recordRoleChange(change: RegistryChange.RoleChanging) {
--- a/core/src/test/kotlin/org/lovageladder/core/forward/EntryCensusTest.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/forward/EntryCensusTest.kt
@@ -1,5 +1,6 @@
 package org.lovageladder.core.forward
 
+import org.lovageladder.core.EventKind
 import org.lovageladder.core.Moment
 import org.lovageladder.core.ProcessName
 import kotlin.test.Test
@@ -71,6 +72,21 @@
         assertEquals(registrations, registration.registrations)
     }
 
+    /** Load pattern: the registry is read whole again and again in an outage, with many entries. */
+    @Test
+    fun entriesAreRecordedWhenTheirNumberChangesOnly() {
+        val world = ForwardWorld()
+        fun recorded() = world.events.count { it.kind == EventKind.ENTRY_REGISTERED }
+        val entries = List(30) { RegistryChange.EntrySeen(ProcessName("entry-$it"), registered = true) }
+        entries.forEach(world.forwarder::registryChanged)
+        val atFirst = recorded()
+        repeat(5) {
+            world.forwarder.registryChanged(RegistryChange.ReadWhole(ForwardWorld.MEMBERS))
+            entries.forEach(world.forwarder::registryChanged)
+        }
+        assertEquals(atFirst, recorded())
+    }
+
     /** Load pattern: many entries, at each of which most requests could be repeated. */
     @Test
     fun allEntriesTogetherKeepTheBudget() {
--- a/core/src/test/kotlin/org/lovageladder/core/forward/PlainFlowTest.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/forward/PlainFlowTest.kt
@@ -1,5 +1,6 @@
 package org.lovageladder.core.forward
 
+import org.lovageladder.core.ProcessName
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertNull
@@ -143,4 +144,24 @@
         world.scheduler.advance(60.milliseconds)
         assertEquals(listOf(600.milliseconds, 540.milliseconds), world.upstreams.runs.map { it.sending.timeout })
     }
+
+    /** Load pattern: many callers at once, and entries that share an upstream's connections. */
+    @Test
+    fun connectionLimitIsSharedAmongEntriesAndItsAbsenceIsNoLimit() {
+        data class Case(val connections: Int?, val entries: Int, val running: Int)
+        listOf(
+            Case(connections = 20, entries = 4, running = 2 * 4),
+            Case(connections = 20, entries = 1, running = 2 * 12),
+            Case(connections = 20, entries = 30, running = 2 * 1),
+            Case(connections = null, entries = 4, running = 2 * 12),
+        ).forEach { case ->
+            val world = ForwardWorld()
+            world.forwarder.configure(ForwardWorld.configuration(version = 2, plainConnections = case.connections))
+            repeat(case.entries) { number ->
+                world.forwarder.registryChanged(RegistryChange.EntrySeen(ProcessName("entry-$number"), registered = true))
+            }
+            repeat(60) { world.submit("/action/1") }
+            assertEquals(case.running, world.upstreams.runs.size, "$case")
+        }
+    }
 }
--- a/core/src/test/kotlin/org/lovageladder/core/forward/VirtualUpstreams.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/forward/VirtualUpstreams.kt
@@ -250,7 +250,11 @@
             revision = 1,
         )
 
-        fun configuration(version: Long = 1, timeout: Duration = 10.seconds): Configuration = Configuration(
+        fun configuration(
+            version: Long = 1,
+            timeout: Duration = 10.seconds,
+            plainConnections: Int? = 96,
+        ): Configuration = Configuration(
             version = org.lovageladder.core.ReleaseVersion(version),
             routes =
             listOf(
@@ -269,7 +273,7 @@
             ),
             services =
             mapOf(
-                PLAIN to ServiceTraits(PLAIN, 96, engine = null),
+                PLAIN to ServiceTraits(PLAIN, plainConnections, engine = null),
                 ENGINES to
                     ServiceTraits(ENGINES, 96, EngineTraits(4, 10_000, 13, 500.milliseconds, 2.seconds, 6.seconds)),
             ),
