--- a/core/src/main/kotlin/org/lovageladder/core/forward/Configuration.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/Configuration.kt
@@ -60,14 +60,12 @@
 public data class ServiceTraits(val name: ServiceName, val connectionLimit: Int?, val engine: EngineTraits?)
 
 /**
- * Engines of a service: [slots] requests run at once and share memory for [memoryTokens]. An event of a stream holds
- * [tokensPerEvent]. The result of a prefill is kept for [prefillKeepTime], a reservation at most for
- * [reservationLimit]; a change of role takes [roleChangeTime].
+ * Engines of a service: [slots] requests run at once and share memory for [memoryTokens]. The result of a prefill is
+ * kept for [prefillKeepTime], a reservation at most for [reservationLimit]; a change of role takes [roleChangeTime].
  */
 public data class EngineTraits(
     val slots: Int,
     val memoryTokens: Int,
-    val tokensPerEvent: Int,
     val prefillKeepTime: Duration,
     val reservationLimit: Duration,
     val roleChangeTime: Duration,
--- a/core/src/main/kotlin/org/lovageladder/core/forward/Forwarder.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/Forwarder.kt
@@ -32,7 +32,7 @@
     private val settings: ForwarderSettings,
     calls: UpstreamCalls,
     private val scheduler: Scheduler,
-    private val log: EventSink,
+    log: EventSink,
     random: Random = Random.Default,
 ) {
     private val membership = Membership()
--- a/core/src/test/kotlin/org/lovageladder/core/forward/PlainFlowTest.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/forward/PlainFlowTest.kt
@@ -158,7 +158,9 @@
             val world = ForwardWorld()
             world.forwarder.configure(ForwardWorld.configuration(version = 2, plainConnections = case.connections))
             repeat(case.entries) { number ->
-                world.forwarder.registryChanged(RegistryChange.EntrySeen(ProcessName("entry-$number"), registered = true))
+                world.forwarder.registryChanged(
+                    RegistryChange.EntrySeen(ProcessName("entry-$number"), registered = true),
+                )
             }
             repeat(60) { world.submit("/action/1") }
             assertEquals(case.running, world.upstreams.runs.size, "$case")
--- a/core/src/test/kotlin/org/lovageladder/core/forward/StreamPaceTest.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/forward/StreamPaceTest.kt
@@ -17,7 +17,7 @@
             Case(Generation(promptTokens = 3_000, outputBound = 2_000, expectedOutputTokens = 1_000), 4_000, 4_000),
             Case(generation = null, memory = 40_000, tokens = 4_096),
         ).forEach { case ->
-            val engine = EngineTraits(8, case.memory, 13, 500.milliseconds, 2.seconds, 6.seconds)
+            val engine = EngineTraits(8, case.memory, 500.milliseconds, 2.seconds, 6.seconds)
             val pace = StreamPace(RolePlan(usualShare = 0.2))
             assertEquals(case.tokens, pace.memoryFor(case.generation, engine), "$case")
         }
--- a/core/src/test/kotlin/org/lovageladder/core/forward/VirtualUpstreams.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/forward/VirtualUpstreams.kt
@@ -275,7 +275,7 @@
             mapOf(
                 PLAIN to ServiceTraits(PLAIN, plainConnections, engine = null),
                 ENGINES to
-                    ServiceTraits(ENGINES, 96, EngineTraits(4, 10_000, 13, 500.milliseconds, 2.seconds, 6.seconds)),
+                    ServiceTraits(ENGINES, 96, EngineTraits(4, 10_000, 500.milliseconds, 2.seconds, 6.seconds)),
             ),
             limits = CallerLimits(16_384, 4_194_304, 3.seconds, 15.seconds),
         )
