Leave upstreams alone that say they leave or ask for a pause; bound answers that have no end

Ruled out: keeping the marks in the registry's entries (a registration that lags or lapses would lose them); waiting out short pauses with plain requests (their targets are shorter than most pauses); two calls in the pause, as the rule allows (no upstream can be asked for less than nothing by several requests at once).

Change: every answer is read for both wishes in one place of the client and kept for one start of the upstream. A leaving one is a last resort for half of the drain bound, then gets nothing; a paused one gets nothing, a reservation there is used only within 400 ms and else lapses; when all pause, streams wait if it ends in time and all others are refused with the time until the first pause ends. A pause of more than a minute counts as one minute; one that is negative or no number is none and is logged once a minute for each upstream.

--- a/core/src/main/kotlin/org/lovageladder/core/EventKind.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/EventKind.kt
@@ -83,6 +83,8 @@
     ROLE_CHANGE_BEGUN(3007, EventLevel.INFO, "An engine is to take on another role and was announced.", "None."),
     ROLE_ORDERED(3008, EventLevel.INFO, "An engine was ordered to take on another role.", "None."),
     ENTRY_REGISTERED(3009, EventLevel.INFO, "The number of entries that share limits changed.", "None."),
+    UPSTREAM_NOTICE(3010, EventLevel.INFO, "An upstream's answer asked for no more requests, or a pause.", "None."),
+    NOTICE_UNREADABLE(3011, EventLevel.WARNING, "A header of an upstream's answer is unreadable.", "Check it."),
     REQUEST_SENT(3101, EventLevel.INFO, "A request, or its prefill, was sent to an upstream.", "None."),
     REQUEST_DECLINED(3102, EventLevel.INFO, "An upstream did not run a request.", "Check its load if frequent."),
     REQUEST_FAILED(3103, EventLevel.INFO, "A call to an upstream failed.", "Check the upstream if frequent."),
--- a/core/src/main/kotlin/org/lovageladder/core/forward/EventSplitter.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/EventSplitter.kt
@@ -7,11 +7,14 @@
 
 /**
  * Cuts a `text/event-stream` at the ends of its events, so that a stream which breaks off within an event can go on
- * with that event from elsewhere. An event ends with an empty line.
+ * with that event from elsewhere. An event ends with an empty line and has [EVENT_BYTES] at most.
  */
 internal class EventSplitter {
     private val pending = ByteArrayOutputStream()
 
+    /** Whether an event has become longer than allowed; the stream cannot go on. */
+    val overflown: Boolean get() = pending.size() > EVENT_BYTES
+
     /** Takes [bytes] in; returns the events that are whole now, or null when none is. */
     fun add(bytes: ByteArray): WholeEvents? {
         pending.write(bytes)
@@ -52,6 +55,7 @@
     }
 
     private companion object {
+        const val EVENT_BYTES = 256 * 1024
         const val NEW_LINE = '\n'.code.toByte()
         const val CARRIAGE_RETURN = '\r'.code.toByte()
         val ID_LINE = Regex("(?m)^id: ?(\\d+)\\r?$")
--- a/core/src/main/kotlin/org/lovageladder/core/forward/Exchange.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/Exchange.kt
@@ -4,7 +4,6 @@
 import org.lovageladder.core.FaultCause
 import org.lovageladder.core.Moment
 import org.lovageladder.core.RequestId
-import org.lovageladder.core.UpstreamName
 import kotlin.time.Duration
 
 /*
@@ -86,8 +85,8 @@
 @JvmInline
 public value class Reservation(public val text: String)
 
-/** A prefill's result, kept at the engine at [address] under [handle]. */
-public data class PrefillResult(val address: Address, val handle: String)
+/** A prefill's result, kept at [engine] under [handle]. */
+public data class PrefillResult(val engine: UpstreamStart, val handle: String)
 
 /** Outcome of a call that concerns an engine's memory. */
 public sealed interface EngineAnswer<out Value> {
@@ -103,15 +102,20 @@
 
 /** How a request is sent to an upstream. The upstream stops work after [timeout]. */
 public data class Sending(
-    val upstream: UpstreamName,
-    val address: Address,
+    val upstream: UpstreamStart,
     val timeout: Duration,
     val prefill: PrefillResult? = null,
     val reservation: Reservation? = null,
     val resumeAfter: Long? = null,
-)
+) {
+    /** Where it is sent. */
+    val address: Address get() = upstream.address
+}
 
-/** Calls to upstreams. Answers arrive on the thread that owns the decisions. */
+/**
+ * Calls to upstreams. Answers arrive on the thread that owns the decisions; what any of them says of the upstream's
+ * wish for requests is given to [Forwarder.noticed] first.
+ */
 public interface UpstreamCalls {
     /** Sends a caller's request. */
     public fun send(request: ForwardRequest, sending: Sending, receiver: AnswerReceiver): RunningCall
@@ -125,14 +129,14 @@
 
     /** Reserves a slot and memory for [tokens] at an engine for [keep]. */
     public fun reserve(
-        engine: Address,
+        engine: UpstreamStart,
         tokens: Int,
         keep: Duration,
         answer: (EngineAnswer<Reservation>) -> Unit,
     ): RunningCall
 
     /** Gives up a reservation that no request used. */
-    public fun release(engine: Address, reservation: Reservation)
+    public fun release(engine: UpstreamStart, reservation: Reservation)
 
     /** Frees a prefill's result that no request took. */
     public fun free(result: PrefillResult)
--- a/core/src/main/kotlin/org/lovageladder/core/forward/ForwardContext.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/ForwardContext.kt
@@ -17,6 +17,8 @@
     val scheduler: Scheduler,
     val board: UpstreamBoard,
     val membership: Membership,
+    val notices: UpstreamNotices,
+    val answers: AnswerBuffers,
     val budget: RetryBudget,
     val log: EventSink,
     val random: Random,
@@ -33,6 +35,15 @@
         return spread.coerceAtMost(remaining / RETURN_SHARE).coerceAtLeast(RETURN_LEAST)
     }
 
+    /** Gives up [reservation] at [engine], unless that wants no calls now; then the reservation lapses there. */
+    fun release(engine: Member, reservation: Reservation) {
+        if (notices.pausedUntil(engine.start, now()) == null) {
+            calls.release(engine.start, reservation)
+        } else {
+            record(EventKind.RESERVATION_LAPSED, upstream = engine.name, detail = "left to lapse: the engine pauses")
+        }
+    }
+
     /** The upstream [name] said that it is another one now. */
     fun replaced(name: UpstreamName, request: RequestId) {
         membership.drop(name)
--- a/core/src/main/kotlin/org/lovageladder/core/forward/Forwarder.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/Forwarder.kt
@@ -9,15 +9,21 @@
 
 /**
  * Settings of a [Forwarder]: its [place], the budget for repeats of all entries, the number of entries until they are
- * known, and the part of the work of a service's engines that is prefill until its requests tell more.
+ * known, and the part of the work of a service's engines that is prefill until its requests tell more. An upstream that
+ * says that it is leaving gets nothing new after [drainBound]. A plain answer may have [answerBytes].
  */
 public data class ForwarderSettings(
     val place: PlaceName,
     val retries: RetryLimits,
     val expectedEntries: Int = 1,
     val prefillShare: Double = 0.2,
+    val drainBound: Duration = DRAIN_BOUND,
+    val answerBytes: Int = ANSWER_BYTES,
 )
 
+private const val ANSWER_BYTES = 1024 * 1024
+private val DRAIN_BOUND = Duration.parse("2s")
+
 /** Handle of a request that a [Forwarder] took. */
 public fun interface OpenRequest {
     /** The caller is gone. */
@@ -36,10 +42,13 @@
     random: Random = Random.Default,
 ) {
     private val membership = Membership()
-    private val board = UpstreamBoard(membership, settings.place, random)
+    private val notices = UpstreamNotices(settings.drainBound)
+    private val board = UpstreamBoard(membership, notices, settings.place, random)
     private val census = EntryCensus(settings.expectedEntries)
     private val budget = RetryBudget(settings.retries) { census.count(scheduler.now()) }
-    private val context = ForwardContext(calls, scheduler, board, membership, budget, log, random)
+    private val answers = AnswerBuffers(settings.answerBytes, settings.answerBytes * ANSWERS_HELD)
+    private val context =
+        ForwardContext(calls, scheduler, board, membership, notices, answers, budget, log, random)
     private val queues = HashMap<ServiceName, MemoryQueue>()
     private val paces = HashMap<ServiceName, StreamPace>()
     private var configuration: Configuration? = null
@@ -98,9 +107,22 @@
             RegistryChange.Regained -> context.record(EventKind.STORE_BACK, detail = "the registry answers")
         }
         board.forgetMissing()
+        notices.forget(scheduler.now()) { membership[it] != null }
         queues.values.forEach { it.forgetMissing() }
     }
 
+    /** Takes in what an answer of [start] said of the requests that it wants. */
+    public fun noticed(start: UpstreamStart, notice: UpstreamNotice) {
+        val now = scheduler.now()
+        if (notices.noted(start, notice, now)) {
+            val wish = if (notice.leaving) "leaving" else "wants nothing for ${notice.pause}"
+            context.record(EventKind.UPSTREAM_NOTICE, upstream = start.name, detail = wish)
+        }
+        if (notice.unreadable != null && notices.complains(start.name, now)) {
+            context.record(EventKind.NOTICE_UNREADABLE, upstream = start.name, detail = notice.unreadable)
+        }
+    }
+
     /** Gives orders about the roles of engines through [orders] while this process leads by [leadership]. */
     public fun keepRoles(leadership: Leadership, orders: RoleOrders) {
         this.leadership = leadership
@@ -202,6 +224,9 @@
 
     private companion object {
         const val CONNECTIONS_USED = 0.8
+
+        /** Answers of the largest size for which there is memory at once. */
+        const val ANSWERS_HELD = 12
         val ROLE_CHECK = Duration.parse("250ms")
         val RETURN_AFTER = Duration.parse("200ms")
         val DEFAULT_WAIT = Duration.parse("10s")
--- a/core/src/main/kotlin/org/lovageladder/core/forward/Membership.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/Membership.kt
@@ -24,7 +24,10 @@
     val role: PoolRole,
     val startedAt: Long?,
     val revision: Long,
-)
+) {
+    /** This start of the upstream. */
+    val start: UpstreamStart get() = UpstreamStart(name, address, startedAt)
+}
 
 /** What the registry of upstreams told. */
 public sealed interface RegistryChange {
--- a/core/src/main/kotlin/org/lovageladder/core/forward/MemoryQueue.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/MemoryQueue.kt
@@ -109,8 +109,10 @@
     private fun serve(claim: MemoryClaim, now: Moment): Boolean {
         val free = enginesFor(claim, now)
         if (free == null) {
+            val pauseEnd = pauseEnd(now)
+            if (pauseEnd != null && pauseEnd < claim.latest) return false
             waiting.remove(claim)
-            claim.refused(RefusalReason.NO_UPSTREAM)
+            claim.refused(if (pauseEnd == null) RefusalReason.NO_UPSTREAM else RefusalReason.OVERLOADED)
             return true
         }
         val chosen = free.firstOrNull() ?: return false
@@ -127,11 +129,14 @@
         return all.filter { it.name !in asking && (fullUntil[it.name]?.let { until -> until <= now } ?: true) }
     }
 
+    /** When the first engine that asked for a pause takes calls again. */
+    private fun pauseEnd(now: Moment): Moment? = context.board.firstPauseEnd(service, PoolRole.DECODE, now)
+
     private fun ask(claim: MemoryClaim, member: Member) {
         val keep = engine()?.reservationLimit ?: DEFAULT_KEEP
         asking += member.name
         held.merge(member.name, claim.tokens, Int::plus)
-        context.calls.reserve(member.address, claim.tokens, keep) { answer ->
+        context.calls.reserve(member.start, claim.tokens, keep) { answer ->
             asking -= member.name
             answered(claim, member, answer)
             pump()
@@ -161,7 +166,7 @@
 
     private fun grant(claim: MemoryClaim, grant: MemoryGrant, now: Moment) {
         if (claim.cancelled) {
-            context.calls.release(grant.engine.address, grant.reservation)
+            context.release(grant.engine, grant.reservation)
             freed(grant)
             return
         }
@@ -187,7 +192,7 @@
         if (waiting.isEmpty()) return
         val expiry = waiting.minOf { it.latest }
         val recheck = fullUntil.values.filter { it > now }.minOrNull() ?: expiry
-        val due = minOf(expiry, recheck)
+        val due = minOf(expiry, recheck, pauseEnd(now) ?: expiry)
         wake = context.scheduler.after((due - now).coerceAtLeast(LEAST_PAUSE)) { pump() }
     }
 
--- a/core/src/main/kotlin/org/lovageladder/core/forward/PlainFlow.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/PlainFlow.kt
@@ -1,9 +1,10 @@
 package org.lovageladder.core.forward
 
 import org.lovageladder.core.EventKind
+import org.lovageladder.core.FaultCause
+import org.lovageladder.core.Moment
 import org.lovageladder.core.PoolRole
 import org.lovageladder.core.UpstreamName
-import java.io.ByteArrayOutputStream
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
@@ -44,7 +45,7 @@
     private fun sendNext() {
         val member = choose()
         if (member == null) {
-            giveUp(RefusalReason.NO_UPSTREAM)
+            giveUp(if (pauseEnd() == null) RefusalReason.NO_UPSTREAM else RefusalReason.OVERLOADED)
             return
         }
         val health = context.board.health(member.name)
@@ -61,12 +62,14 @@
         return context.board.candidates(destination.service, PoolRole.PLAIN, context.now(), tried).firstOrNull()
     }
 
+    private fun pauseEnd(): Moment? = context.board.firstPauseEnd(destination.service, PoolRole.PLAIN, context.now())
+
     private fun send(member: Member) {
         val attempt = PlainTry(member.name)
         tries += attempt
         context.board.health(member.name).inFlight += 1
         context.record(EventKind.REQUEST_SENT, request.id, member.name, detail = "try ${tries.size} of ${route.name}")
-        val sending = Sending(member.name, member.address, time.remaining(context.now()))
+        val sending = Sending(member.start, time.remaining(context.now()))
         attempt.call = context.calls.send(request, sending, attempt)
     }
 
@@ -147,11 +150,16 @@
 
     private fun refuse(reason: RefusalReason) {
         val remaining = time.remaining(context.now())
-        val returnAfter = if (reason.notRun) context.returnAfter(RETURN_AFTER, remaining) else null
+        val returnAfter = if (reason.notRun) context.returnAfter(leastReturn(), remaining) else null
         finish("refused: $reason")
         reply.refuse(Refusal(reason, returnAfter))
     }
 
+    private fun leastReturn(): Duration {
+        val pause = pauseEnd()?.let { it - context.now() } ?: Duration.ZERO
+        return maxOf(RETURN_AFTER, pause)
+    }
+
     private fun deliver(answer: WholeAnswer) {
         finish("answered ${answer.head.status}")
         reply.begin(answer.head, answer.body.size)
@@ -176,7 +184,7 @@
     }
 
     private inner class PlainTry(val upstream: UpstreamName) : AnswerReceiver {
-        private val body = ByteArrayOutputStream()
+        private val body = context.answers.open()
         private var head: AnswerHead? = null
         var call: RunningCall? = null
         var running = true
@@ -189,11 +197,13 @@
         }
 
         override fun onContent(bytes: ByteArray) {
-            body.write(bytes)
+            if (body.add(bytes)) return
+            call?.cancel()
+            onFailure(CallFailure(FaultCause.PROTOCOL, sent = true, "the answer is larger than there is memory for"))
         }
 
         override fun onEnd() {
-            val answer = WholeAnswer(checkNotNull(head), body.toByteArray())
+            val answer = WholeAnswer(checkNotNull(head), body.take())
             stop()
             if (answer.head.notRun) mayHaveRun = false
             if (!over) answered(this, answer)
@@ -213,6 +223,7 @@
         private fun stop() {
             if (!running) return
             running = false
+            body.drop()
             context.board.health(upstream).inFlight -= 1
         }
     }
--- a/core/src/main/kotlin/org/lovageladder/core/forward/RoleKeeper.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/RoleKeeper.kt
@@ -56,7 +56,7 @@
         val now = context.now()
         settle(now)
         val lease = leadership.inForce ?: return
-        val members = context.membership.registered(service, now).filter { it.role != PoolRole.PLAIN }
+        val members = context.membership.registered(service, now).filter { mayBeOrdered(it, now) }
         val change = nextChange(plan, members, work)
         if (change == null) due.remove(service)
         if (change == null || !isLasting(service, change.role, plan, now)) return
@@ -73,6 +73,10 @@
         }
     }
 
+    private fun mayBeOrdered(member: Member, now: Moment): Boolean = member.role != PoolRole.PLAIN &&
+        context.notices.admits(member.start, now) &&
+        !context.notices.isLeaving(member.start)
+
     private fun orderLater(change: RoleChange, lease: LeaderLease) {
         context.scheduler.after(ANNOUNCED) { order(change, lease) }
     }
--- a/core/src/main/kotlin/org/lovageladder/core/forward/StreamFlow.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/StreamFlow.kt
@@ -90,7 +90,7 @@
         val limit = minOf(time.remaining(context.now()), pace.prefillLimit)
         val sent = context.now()
         prefillCall =
-            context.calls.prefill(request, Sending(member.name, member.address, limit)) { answer ->
+            context.calls.prefill(request, Sending(member.start, limit)) { answer ->
                 prefillCall = null
                 prefillAt = null
                 health.inFlight -= 1
@@ -136,14 +136,17 @@
     private fun decode() {
         val memory = checkNotNull(grant)
         val name = memory.engine.name
+        if (!context.notices.admitsReserved(memory.engine.start, context.now())) {
+            leavePausedEngine(memory)
+            return
+        }
         sendings += 1
         runs += 1
         context.board.health(name).inFlight += 1
         context.record(EventKind.REQUEST_SENT, request.id, name, detail = "decode of ${route.name} after=$lastEvent")
         val sending =
             Sending(
-                upstream = name,
-                address = memory.engine.address,
+                upstream = memory.engine.start,
                 timeout = time.remaining(context.now()),
                 prefill = prefilled,
                 reservation = memory.reservation,
@@ -153,6 +156,14 @@
         watchForSilence()
     }
 
+    /** The engine asked for a pause since it reserved the memory; the prompt's result serves another engine too. */
+    private fun leavePausedEngine(memory: MemoryGrant) {
+        grant = null
+        context.release(memory.engine, memory.reservation)
+        queue.freed(memory)
+        claimMemory()
+    }
+
     /** A connection can fall silent for good; a stream that may go on elsewhere does not wait for it. */
     private fun watchForSilence() {
         if (!mayResume()) return
@@ -161,21 +172,29 @@
     }
 
     private fun leaveSilentUpstream() {
-        val upstream = grant?.engine?.name
-        if (over || decoding == null || upstream == null) return
+        if (over || decoding == null) return
         if (!context.budget.tryRepeat(destination.service, context.now())) {
             watchForSilence()
             return
         }
+        val upstream = breakOff() ?: return
+        val failure = CallFailure(FaultCause.TIMEOUT, sent = true, "silent for $SILENCE")
+        context.failed(upstream, request.id, "decode", failure)
+        goOnElsewhere(upstream)
+    }
+
+    /** Ends the run where it is for [failure]; it may go on elsewhere. */
+    private fun leaveUpstream(failure: CallFailure) {
+        val upstream = breakOff() ?: return
+        brokeOff(upstream, failure)
+    }
+
+    /** Cancels the run under way; the upstream that it had. */
+    private fun breakOff(): UpstreamName? {
+        val upstream = grant?.engine?.name
         decoding?.cancel()
         releaseMemory(used = true)
-        context.failed(
-            upstream,
-            request.id,
-            "decode",
-            CallFailure(FaultCause.TIMEOUT, sent = true, "silent for $SILENCE"),
-        )
-        goOnElsewhere(upstream)
+        return upstream
     }
 
     private fun goOnElsewhere(left: UpstreamName) {
@@ -187,9 +206,7 @@
     private fun onHead(upstream: UpstreamName, head: AnswerHead) {
         head.load?.let { context.board.health(upstream).report(it, context.now()) }
         if (!head.genuine) {
-            decoding?.cancel()
-            releaseMemory(used = true)
-            brokeOff(upstream, UNPROVEN)
+            leaveUpstream(UNPROVEN)
             return
         }
         if (head.notRun || begun) return
@@ -206,7 +223,12 @@
             reply.content(bytes)
             return
         }
-        val events = splitting.add(bytes) ?: return
+        val events = splitting.add(bytes)
+        if (splitting.overflown) {
+            leaveUpstream(CallFailure(FaultCause.PROTOCOL, sent = true, "an event without end"))
+            return
+        }
+        if (events == null) return
         events.lastEvent?.let { lastEvent = it }
         reply.content(events.bytes)
     }
@@ -302,7 +324,7 @@
         if (decoding != null) context.board.health(memory.engine.name).inFlight -= 1
         decoding = null
         if (!used) {
-            context.calls.release(memory.engine.address, memory.reservation)
+            context.release(memory.engine, memory.reservation)
             prefilled?.let(context.calls::free)
         }
         prefilled = null
--- a/core/src/main/kotlin/org/lovageladder/core/forward/UpstreamBoard.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/UpstreamBoard.kt
@@ -11,24 +11,29 @@
  * Chooses upstreams by the calls that this process has there, the load they tell, their failures and their place.
  * Confined to one thread.
  */
-public class UpstreamBoard(
+internal class UpstreamBoard(
     private val membership: Membership,
+    private val notices: UpstreamNotices,
     private val place: PlaceName,
     private val random: Random,
 ) {
     private val health = HashMap<UpstreamName, UpstreamHealth>()
 
-    internal fun health(name: UpstreamName): UpstreamHealth = health.getOrPut(name) { UpstreamHealth() }
+    fun health(name: UpstreamName): UpstreamHealth = health.getOrPut(name) { UpstreamHealth() }
 
-    /** Upstreams of [service] with [role] that may get a call now, the best first; those in [avoid] come last. */
-    internal fun candidates(
+    /**
+     * Upstreams of [service] with [role] that may get a call now, the best first; those in [avoid] come last. One that
+     * is leaving is among them only when there is no other.
+     */
+    fun candidates(
         service: ServiceName,
         role: PoolRole,
         now: Moment,
         avoid: Set<UpstreamName> = emptySet(),
         extraCost: (Member) -> Double = { 0.0 },
     ): List<Member> {
-        val members = membership.serving(service, now).filter { it.role == role }
+        val open = membership.serving(service, now).filter { it.role == role && notices.admits(it.start, now) }
+        val members = open.filterNot { notices.isLeaving(it.start) }.ifEmpty { open }
         val admitted = members.filter { health(it.name).admits(now) }
         return admitted
             .ifEmpty { members }
@@ -37,8 +42,15 @@
             .map(Ranked::member)
     }
 
+    /** When the first pause ends of those that upstreams of [service] with [role] asked for; null without any. */
+    fun firstPauseEnd(service: ServiceName, role: PoolRole, now: Moment): Moment? = membership
+        .serving(service, now)
+        .filter { it.role == role }
+        .mapNotNull { notices.pausedUntil(it.start, now) }
+        .minOrNull()
+
     /** Forgets upstreams that are not registered any more. */
-    internal fun forgetMissing() {
+    fun forgetMissing() {
         health.keys.retainAll { membership[it] != null || health.getValue(it).inFlight > 0 }
     }
 
--- a/core/src/test/kotlin/org/lovageladder/core/forward/MemoryQueueTest.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/forward/MemoryQueueTest.kt
@@ -74,7 +74,7 @@
             it.head(200)
             world.upstreams.finish(it)
         }
-        world.forwarder.registryChanged(RegistryChange.Removed(last.sending.upstream, revision = 3))
+        world.forwarder.registryChanged(RegistryChange.Removed(last.sending.upstream.name, revision = 3))
         assertEquals(0, world.forwarder.enginesRemembered)
     }
 }
--- a/core/src/test/kotlin/org/lovageladder/core/forward/PlainFlowTest.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/forward/PlainFlowTest.kt
@@ -3,6 +3,7 @@
 import org.lovageladder.core.ProcessName
 import kotlin.test.Test
 import kotlin.test.assertEquals
+import kotlin.test.assertFalse
 import kotlin.test.assertNull
 import kotlin.test.assertTrue
 import kotlin.time.Duration
@@ -145,6 +146,33 @@
         assertEquals(listOf(600.milliseconds, 540.milliseconds), world.upstreams.runs.map { it.sending.timeout })
     }
 
+    /** Load pattern: upstreams that send bytes without end, beside callers of sound ones. */
+    @Test
+    fun endlessAnswersHoldBoundedMemoryAndDoNotHinderOthers() {
+        val world = ForwardWorld()
+        val endless = List(20) { world.submit("/action/1") }
+        val endlessRuns = world.upstreams.runs.toList()
+        val part = "x".repeat(64 * 1024)
+        repeat(40) { endlessRuns.forEach { it.content(part) } }
+        endless.forEach { assertEquals(RefusalReason.ANSWER_LOST, it.reply.refusal?.reason) }
+        assertTrue(endlessRuns.all { it.cancelled })
+
+        val other = world.submit("/lookup/1")
+        world.upstreams.runs.last().answer(200, "y".repeat(100_000))
+        assertEquals(100_000, other.reply.body.length)
+    }
+
+    @Test
+    fun smallAnswersPassWhileLargeOnesFillTheMemory() {
+        val buffers = AnswerBuffers(each = 100_000, all = 200_000)
+        val large = List(3) { buffers.open() }
+        assertEquals(listOf(true, true, false), large.map { it.add(ByteArray(99_000)) })
+        assertTrue(buffers.open().add(ByteArray(1_000)))
+        assertFalse(buffers.open().add(ByteArray(20_000)))
+        large.first().drop()
+        assertTrue(buffers.open().add(ByteArray(20_000)))
+    }
+
     /** Load pattern: many callers at once, and entries that share an upstream's connections. */
     @Test
     fun connectionLimitIsSharedAmongEntriesAndItsAbsenceIsNoLimit() {
--- a/core/src/test/kotlin/org/lovageladder/core/forward/RoleKeeperTest.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/forward/RoleKeeperTest.kt
@@ -246,9 +246,20 @@
         val leadership = leadership(VirtualLeadership(scheduler), scheduler).apply { start() }
         private val budget = RetryBudget(RetryLimits(0.1, 1.0, 10.seconds)) { 1 }
         private val random = kotlin.random.Random(1)
-        private val board = UpstreamBoard(membership, ForwardWorld.HOME, random)
+        private val notices = UpstreamNotices(2.seconds)
+        private val board = UpstreamBoard(membership, notices, ForwardWorld.HOME, random)
         private val context =
-            ForwardContext(VirtualUpstreams(scheduler), scheduler, board, membership, budget, log = {}, random)
+            ForwardContext(
+                calls = VirtualUpstreams(scheduler),
+                scheduler = scheduler,
+                board = board,
+                membership = membership,
+                notices = notices,
+                answers = AnswerBuffers(each = 1_000, all = 1_000),
+                budget = budget,
+                log = {},
+                random = random,
+            )
         private val keeper = RoleKeeper(context, leadership, orders)
         private val traits = assertNotNull(ForwardWorld.configuration().services.getValue(ForwardWorld.ENGINES).engine)
 
--- a/core/src/test/kotlin/org/lovageladder/core/forward/StreamFlowTest.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/forward/StreamFlowTest.kt
@@ -120,6 +120,18 @@
         assertTrue(submitted.reply.whole)
     }
 
+    /** Load pattern: an engine that sends bytes without the end of an event. */
+    @Test
+    fun eventWithoutEndIsLeft() {
+        started("/stream-on/1")
+        val first = world.upstreams.runs.single()
+        first.head(200)
+        repeat(300) { first.content("x".repeat(1_024)) }
+        world.scheduler.advance(200.milliseconds)
+        assertTrue(first.cancelled)
+        assertEquals(2, world.upstreams.runs.size)
+    }
+
     @Test
     fun successWithoutProofIsNotPassedOn() {
         val submitted = started()
--- a/core/src/test/kotlin/org/lovageladder/core/forward/VirtualUpstreams.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/forward/VirtualUpstreams.kt
@@ -85,6 +85,11 @@
     var prefillTime = 100.milliseconds
     private val reserved = HashMap<Address, MutableMap<String, Int>>()
     private var number = 0
+    val released = ArrayList<UpstreamStart>()
+    var reservationsAsked = 0
+        private set
+    lateinit var lastReserved: UpstreamStart
+        private set
 
     val reservations: Int get() = reserved.values.sumOf { it.size }
 
@@ -108,17 +113,19 @@
             return scheduler.after(1.milliseconds) { answer(EngineAnswer.Refused(503, wrongInstance = false)) }
         }
         return scheduler.after(prefillTime) {
-            answer(EngineAnswer.Done(PrefillResult(sending.address, "handle-${number++}")))
+            answer(EngineAnswer.Done(PrefillResult(sending.upstream, "handle-${number++}")))
         }
     }
 
     override fun reserve(
-        engine: Address,
+        engine: UpstreamStart,
         tokens: Int,
         keep: Duration,
         answer: (EngineAnswer<Reservation>) -> Unit,
     ): RunningCall = scheduler.after(1.milliseconds) {
-        val there = reserved.getOrPut(engine) { HashMap() }
+        reservationsAsked += 1
+        lastReserved = engine
+        val there = reserved.getOrPut(engine.address) { HashMap() }
         if (there.values.sum() + tokens > memory) {
             answer(EngineAnswer.Refused(503, wrongInstance = false))
         } else {
@@ -128,8 +135,9 @@
         }
     }
 
-    override fun release(engine: Address, reservation: Reservation) {
-        reserved[engine]?.remove(reservation.text)
+    override fun release(engine: UpstreamStart, reservation: Reservation) {
+        released += engine
+        reserved[engine.address]?.remove(reservation.text)
     }
 
     override fun free(result: PrefillResult) {
@@ -138,7 +146,7 @@
 
     /** Ends the run of [call] as whole; its memory is free again. */
     fun finish(call: ReceivedCall) {
-        call.sending.reservation?.let { release(call.sending.address, it) }
+        call.sending.reservation?.let { release(call.sending.upstream, it) }
         call.end()
     }
 }
--- a/daemon/src/main/kotlin/org/lovageladder/daemon/ForwardCommand.kt
+++ b/daemon/src/main/kotlin/org/lovageladder/daemon/ForwardCommand.kt
@@ -34,6 +34,10 @@
         )
     private val stopGrace by
         durationFlag("--stop-grace", "Time from a stop signal until the platform ends the process.", 10.minutes, GRACES)
+    private val drainBound by
+        durationFlag("--drain-bound", "Time after which a leaving upstream gets nothing new.", 2.seconds, WINDOWS)
+    private val answerBytes by
+        countFlag("--answer-bytes", "Largest answer of a plain service.", ANSWER_BYTES, ANSWER_SIZES)
     private val entryCount by countFlag(
         "--entry-count",
         "Entries among which limits are shared until they are known.",
@@ -68,12 +72,16 @@
             retries = RetryLimits(retryRatio, retryAllowance.toDouble(), retryWindow),
             expectedEntries = entryCount,
             prefillShare = prefillShare,
+            drainBound = drainBound,
+            answerBytes = answerBytes,
         ),
     )
 
     private companion object {
         const val RETRY_RATIO = 0.1
         const val PREFILL_SHARE = 0.2
+        const val ANSWER_BYTES = 1024 * 1024
+        val ANSWER_SIZES = 1024..64 * 1024 * 1024
         const val MOST_REPEATS = 100_000
         const val ENTRIES = 8
         const val MOST_ENTRIES = 10_000
--- a/daemon/src/main/kotlin/org/lovageladder/daemon/ForwardProcess.kt
+++ b/daemon/src/main/kotlin/org/lovageladder/daemon/ForwardProcess.kt
@@ -70,8 +70,10 @@
     private val ending = ProcessEnding(settings.process.drainTimeout, timer)
     private val storeClient = TextClient(threads)
     private val store = StoreWriter(settings.process.store.first(), storeClient)
-    private val calls = HttpUpstreamCalls(threads, PlatformUpstreamWire())
-    private val forwarder = Forwarder(settings.decisions, calls, scheduler, log::record)
+    private val calls = HttpUpstreamCalls(threads, PlatformUpstreamWire()) { upstream, notice ->
+        forwarder.noticed(upstream, notice)
+    }
+    private val forwarder: Forwarder = Forwarder(settings.decisions, calls, scheduler, log::record)
     private val follower =
         RegistryFollower(
             PlatformRegistry(settings.process.store.first(), storeClient, log::record),
@@ -110,7 +112,7 @@
     private fun keepRoles() {
         val port = PlatformLeadership(store, settings.name)
         val leadership = Leadership(port, scheduler, settings.orderLease, Random.Default::nextDouble)
-        forwarder.keepRoles(leadership, PlatformRoleOrders(store, settings.name, storeClient))
+        forwarder.keepRoles(leadership, PlatformRoleOrders(store, settings.name, storeClient, forwarder::noticed))
     }
 
     override fun requestStop(): Unit = ending.requestStop { scheduler.execute { drain() } }
--- a/http/src/main/kotlin/org/lovageladder/http/HttpCall.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/HttpCall.kt
@@ -9,13 +9,17 @@
 /** A header to send. */
 internal data class HttpField(val name: String, val value: String)
 
-/** A request to send, whole. A `Host` among [fields] replaces the address that the call goes to. */
+/**
+ * A request to send, whole. A `Host` among [fields] replaces the address that the call goes to. The call fails as soon
+ * as its answer has more than [answerBytes]; null sets no bound of its own.
+ */
 internal class HttpCall(
     val method: HttpMethod,
     val path: String,
     val body: ByteArray = NO_BODY,
     val contentType: String? = null,
     val fields: List<HttpField> = emptyList(),
+    val answerBytes: Int? = null,
 )
 
 private val NO_BODY = ByteArray(0)
--- a/http/src/main/kotlin/org/lovageladder/http/HttpClient.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/HttpClient.kt
@@ -35,15 +35,8 @@
         use: ConnectionUse = ConnectionUse.POOLED,
         wait: HttpWait = HttpWait(CONNECT_LIMIT, answer = null),
     ): RunningHttpCall {
-        val running = RunningHttpCall(address, call, receiver)
-        wait.answer?.let { limit -> expireAfter(running, limit) }
-        val pooled = if (use == ConnectionUse.POOLED) idle.take(address) else null
-        if (pooled == null) {
-            connect(running, wait.connect)
-        } else {
-            pooled.eventLoop().execute { reuse(pooled, running, wait.connect) }
-        }
-        return running
+        val running = RunningHttpCall(address, call, receiver, call.answerBytes ?: Int.MAX_VALUE)
+        return begin(running, use, wait)
     }
 
     /** Starts [call] and gives its whole answer to [onResult]. */
@@ -53,7 +46,21 @@
         wait: HttpWait,
         use: ConnectionUse = ConnectionUse.POOLED,
         onResult: (HttpResult) -> Unit,
-    ): RunningHttpCall = start(address, call, WholeAnswerReceiver(onResult = onResult), use, wait)
+    ): RunningHttpCall {
+        val receiver = WholeAnswerReceiver(onResult)
+        return begin(RunningHttpCall(address, call, receiver, call.answerBytes ?: WHOLE_ANSWER_BYTES), use, wait)
+    }
+
+    private fun begin(running: RunningHttpCall, use: ConnectionUse, wait: HttpWait): RunningHttpCall {
+        wait.answer?.let { limit -> expireAfter(running, limit) }
+        val pooled = if (use == ConnectionUse.POOLED) idle.take(running.address) else null
+        if (pooled == null) {
+            connect(running, wait.connect)
+        } else {
+            pooled.eventLoop().execute { reuse(pooled, running, wait.connect) }
+        }
+        return running
+    }
 
     /** Closes all connections; calls under way fail. */
     override fun close() {
@@ -121,5 +128,6 @@
 
     companion object {
         val CONNECT_LIMIT: Duration = 1.seconds
+        private const val WHOLE_ANSWER_BYTES = 16 * 1024 * 1024
     }
 }
--- a/http/src/main/kotlin/org/lovageladder/http/RunningHttpCall.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/RunningHttpCall.kt
@@ -7,12 +7,21 @@
 import org.lovageladder.core.FaultCause
 import java.util.concurrent.atomic.AtomicBoolean
 
-/** One call under way. Its end is told to the receiver once: an answer's end, or a failure. */
-internal class RunningHttpCall(val address: Address, val call: HttpCall, private val receiver: HttpReceiver) {
+/**
+ * One call under way. Its end is told to the receiver once: an answer's end, or a failure. An answer of more than
+ * [answerBytes] is a failure at once, since it may have no end.
+ */
+internal class RunningHttpCall(
+    val address: Address,
+    val call: HttpCall,
+    private val receiver: HttpReceiver,
+    private val answerBytes: Int,
+) {
     private val over = AtomicBoolean()
 
     @Volatile
     private var channel: Channel? = null
+    private var received = 0L
 
     /** Whether a byte of the request may have reached the peer. */
     @Volatile
@@ -51,7 +60,14 @@
     }
 
     fun content(bytes: ByteBuf) {
-        if (!isOver) receiver.onContent(bytes)
+        if (isOver) return
+        received += bytes.readableBytes()
+        if (received <= answerBytes) {
+            receiver.onContent(bytes)
+            return
+        }
+        fail(HttpFailure(FaultCause.PROTOCOL, sent = true, "the answer is larger than $answerBytes bytes"))
+        channel?.close()
     }
 
     fun end() {
--- a/http/src/main/kotlin/org/lovageladder/http/WholeAnswerReceiver.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/WholeAnswerReceiver.kt
@@ -9,15 +9,11 @@
 import java.nio.charset.CharacterCodingException
 import java.nio.charset.StandardCharsets
 
-/** Collects an answer whole and hands it to [onResult]; an answer above [maximumBytes] counts as failed. */
-internal class WholeAnswerReceiver(
-    private val maximumBytes: Int = MAXIMUM_ANSWER_BYTES,
-    private val onResult: (HttpResult) -> Unit,
-) : HttpReceiver {
+/** Collects an answer whole and hands it to [onResult]. */
+internal class WholeAnswerReceiver(private val onResult: (HttpResult) -> Unit) : HttpReceiver {
     private val body = ByteArrayOutputStream()
     private var status = 0
     private var headers: HttpHeaders = EmptyHttpHeaders.INSTANCE
-    private var tooLarge = false
 
     override fun onHead(status: Int, headers: HttpHeaders) {
         this.status = status
@@ -25,21 +21,10 @@
     }
 
     override fun onContent(bytes: ByteBuf) {
-        if (body.size() + bytes.readableBytes() > maximumBytes) {
-            tooLarge = true
-            return
-        }
         bytes.readBytes(body, bytes.readableBytes())
     }
 
-    override fun onEnd() {
-        if (tooLarge) {
-            val detail = "the answer is larger than $maximumBytes bytes"
-            onResult(HttpResult.Failed(HttpFailure(FaultCause.PROTOCOL, sent = true, detail = detail)))
-            return
-        }
-        onResult(textResult())
-    }
+    override fun onEnd(): Unit = onResult(textResult())
 
     override fun onFailure(failure: HttpFailure): Unit = onResult(HttpResult.Failed(failure))
 
@@ -50,8 +35,4 @@
         val detail = "the answer's body is not UTF-8 text, which alone can be passed on"
         HttpResult.Failed(HttpFailure(FaultCause.PROTOCOL, sent = true, detail = detail))
     }
-
-    private companion object {
-        const val MAXIMUM_ANSWER_BYTES = 16 * 1024 * 1024
-    }
 }
--- a/http/src/main/kotlin/org/lovageladder/http/forward/HttpUpstreamCalls.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/forward/HttpUpstreamCalls.kt
@@ -4,8 +4,6 @@
 import io.netty.buffer.ByteBufUtil
 import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpMethod
-import org.lovageladder.core.Address
-import org.lovageladder.core.UpstreamName
 import org.lovageladder.core.forward.AnswerReceiver
 import org.lovageladder.core.forward.CallFailure
 import org.lovageladder.core.forward.EngineAnswer
@@ -15,6 +13,8 @@
 import org.lovageladder.core.forward.RunningCall
 import org.lovageladder.core.forward.Sending
 import org.lovageladder.core.forward.UpstreamCalls
+import org.lovageladder.core.forward.UpstreamNotice
+import org.lovageladder.core.forward.UpstreamStart
 import org.lovageladder.http.HttpCall
 import org.lovageladder.http.HttpClient
 import org.lovageladder.http.HttpFailure
@@ -26,9 +26,15 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
-/** Calls to upstreams by HTTP on kept connections. [threads] has one thread, on which all answers arrive. */
-public class HttpUpstreamCalls(threads: HttpThreads, private val wire: UpstreamWire) :
-    UpstreamCalls,
+/**
+ * Calls to upstreams by HTTP on kept connections. [threads] has one thread, on which all answers arrive. Whatever an
+ * answer says of the requests that its upstream wants goes to [noticed] before the answer is told.
+ */
+public class HttpUpstreamCalls(
+    threads: HttpThreads,
+    private val wire: UpstreamWire,
+    private val noticed: (UpstreamStart, UpstreamNotice) -> Unit = { _, _ -> },
+) : UpstreamCalls,
     AutoCloseable {
     private val client = HttpClient(threads)
 
@@ -48,29 +54,38 @@
         val call = TextCall(request.method, request.target)
         val fields = wire.prefillFields(request, sending)
         return client.askText(sending.address, call, sending.timeout, fields, request.body) { result ->
+            notice(sending.upstream, result)
             answer(read(result) { wire.prefillResult(sending, it) })
         }
     }
 
     override fun reserve(
-        engine: Address,
+        engine: UpstreamStart,
         tokens: Int,
         keep: Duration,
         answer: (EngineAnswer<Reservation>) -> Unit,
     ): RunningCall = control(engine, wire.reserveCall(tokens, keep)) { answer(read(it, wire::reservation)) }
 
-    override fun release(engine: Address, reservation: Reservation) {
+    override fun release(engine: UpstreamStart, reservation: Reservation) {
         control(engine, wire.releaseCall(reservation)) { logFailure("release", engine, it) }
     }
 
     override fun free(result: PrefillResult) {
-        control(result.address, wire.freeCall(result)) { logFailure("free", result.address, it) }
+        control(result.engine, wire.freeCall(result)) { logFailure("free", result.engine, it) }
     }
 
     override fun close(): Unit = client.close()
 
-    private fun control(engine: Address, call: TextCall, answer: (TextResult) -> Unit): RunningCall =
-        client.askText(engine, call, CONTROL_LIMIT, emptyList(), ByteArray(0), answer)
+    private fun control(engine: UpstreamStart, call: TextCall, answer: (TextResult) -> Unit): RunningCall =
+        client.askText(engine.address, call, CONTROL_LIMIT, emptyList(), ByteArray(0)) { result ->
+            notice(engine, result)
+            answer(result)
+        }
+
+    private fun notice(upstream: UpstreamStart, result: TextResult) {
+        if (result !is TextResult.Answered) return
+        wire.notice(result.answer.status, result.answer.fields)?.let { noticed(upstream, it) }
+    }
 
     private fun <Value> read(result: TextResult, answered: (TextAnswer) -> EngineAnswer<Value>): EngineAnswer<Value> =
         when (result) {
@@ -78,19 +93,25 @@
             is TextResult.Failed -> EngineAnswer.Failed(result.failure)
         }
 
-    private fun logFailure(step: String, engine: Address, result: TextResult) {
-        if (result is TextResult.Failed) Logger.warn { "$step at $engine failed; it lapses there: ${result.failure}" }
+    private fun logFailure(step: String, engine: UpstreamStart, result: TextResult) {
+        if (result is TextResult.Failed) {
+            Logger.warn {
+                "$step at ${engine.address} failed; it lapses there: ${result.failure}"
+            }
+        }
     }
 
     private inner class Receiver(
         private val request: ForwardRequest,
-        private val upstream: UpstreamName,
+        private val upstream: UpstreamStart,
         private val receiver: AnswerReceiver,
     ) : HttpReceiver {
         override fun isAnswer(headers: HttpHeaders): Boolean = wire.isAnswerTo(request) { headers.get(it) }
 
         override fun onHead(status: Int, headers: HttpHeaders) {
-            receiver.onHead(wire.head(status, passedOn(headers), upstream))
+            val fields = passedOn(headers)
+            wire.notice(status, fields)?.let { noticed(upstream, it) }
+            receiver.onHead(wire.head(status, fields, upstream.name))
         }
 
         override fun onContent(bytes: ByteBuf) {
--- a/http/src/main/kotlin/org/lovageladder/http/forward/TextClient.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/forward/TextClient.kt
@@ -50,7 +50,14 @@
     val content = if (call.body.isEmpty()) body else call.body.encodeToByteArray()
     val type = if (call.body.isEmpty()) null else "application/json"
     val http =
-        HttpCall(HttpMethod.valueOf(call.method), call.path, content, type, fields.map { HttpField(it.name, it.value) })
+        HttpCall(
+            method = HttpMethod.valueOf(call.method),
+            path = call.path,
+            body = content,
+            contentType = type,
+            fields = fields.map { HttpField(it.name, it.value) },
+            answerBytes = call.answerBytes,
+        )
     val running = ask(address, http, HttpWait(minOf(limit, HttpClient.CONNECT_LIMIT), limit)) { answer(textResult(it)) }
     return RunningCall { running.abandon() }
 }
--- a/http/src/main/kotlin/org/lovageladder/http/forward/UpstreamWire.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/forward/UpstreamWire.kt
@@ -8,10 +8,18 @@
 import org.lovageladder.core.forward.PrefillResult
 import org.lovageladder.core.forward.Reservation
 import org.lovageladder.core.forward.Sending
+import org.lovageladder.core.forward.UpstreamNotice
 import kotlin.time.Duration
 
-/** A call whose body is short text. */
-public data class TextCall(val method: String, val path: String, val body: String = "")
+/** A call whose body is short text. Its answer is text too, of [answerBytes] at most. */
+public data class TextCall(
+    val method: String,
+    val path: String,
+    val body: String = "",
+    val answerBytes: Int = SHORT_ANSWER_BYTES,
+)
+
+private const val SHORT_ANSWER_BYTES = 64 * 1024
 
 /** A whole answer whose body is short text. */
 public data class TextAnswer(val status: Int, val fields: List<HeaderField>, val body: String)
@@ -30,6 +38,9 @@
     /** Reads the head of an answer to what was sent to [upstream]. */
     public fun head(status: Int, fields: List<HeaderField>, upstream: UpstreamName): AnswerHead
 
+    /** What an answer says of the requests that its upstream wants; null when it says nothing. */
+    public fun notice(status: Int, fields: List<HeaderField>): UpstreamNotice?
+
     /** The call that reserves memory. */
     public fun reserveCall(tokens: Int, keep: Duration): TextCall
 
--- a/http/src/test/kotlin/org/lovageladder/http/FaultyPeer.kt
+++ b/http/src/test/kotlin/org/lovageladder/http/FaultyPeer.kt
@@ -10,6 +10,7 @@
 import java.util.concurrent.CopyOnWriteArrayList
 import java.util.concurrent.CountDownLatch
 import java.util.concurrent.TimeUnit
+import java.util.concurrent.atomic.AtomicLong
 import kotlin.concurrent.thread
 
 /** What a [FaultyPeer] does with each request. */
@@ -23,6 +24,9 @@
     /** Sends [bytes] for requests to [path], and never answers others. */
     data class SendTo(val path: String, val bytes: String) : PeerBehaviour
 
+    /** Sends [head], then [part] again and again until the caller closes. */
+    data class SendEndlessly(val head: String, val part: String) : PeerBehaviour
+
     /** Reads the request and never answers. */
     data object Silence : PeerBehaviour
 
@@ -36,7 +40,11 @@
     private val sockets = CopyOnWriteArrayList<Socket>()
     private val firstArrived = CountDownLatch(1)
     private val acceptor = thread(isDaemon = true) { acceptAll() }
+    private val sent = AtomicLong()
     val requests = CopyOnWriteArrayList<String>()
+
+    /** Bytes of answers that callers took so far. */
+    val bytesSent: Long get() = sent.get()
     val address = Address("127.0.0.1", listener.localPort)
 
     /** Waits until a request was read. */
@@ -82,6 +90,7 @@
     private fun answer(socket: Socket, request: String, servedBefore: Int): Boolean = when (behaviour) {
         PeerBehaviour.CloseAtOnce -> false
         PeerBehaviour.Silence -> true
+        is PeerBehaviour.SendEndlessly -> sendEndlessly(socket, behaviour)
         is PeerBehaviour.Send -> {
             socket.getOutputStream().write(behaviour.bytes.toByteArray())
             false
@@ -96,6 +105,16 @@
         }
     }
 
+    private fun sendEndlessly(socket: Socket, behaviour: PeerBehaviour.SendEndlessly): Boolean {
+        val output = socket.getOutputStream()
+        output.write(behaviour.head.toByteArray())
+        val part = behaviour.part.repeat(ENDLESS_PART_REPEATS).toByteArray()
+        while (true) {
+            output.write(part)
+            sent.addAndGet(part.size.toLong())
+        }
+    }
+
     private fun readRequest(input: BufferedInputStream): String? {
         val head = ByteArrayOutputStream()
         while (!head.toString().endsWith("\r\n\r\n")) {
@@ -110,6 +129,7 @@
 
     companion object {
         private const val BACKLOG = 50
+        private const val ENDLESS_PART_REPEATS = 1_000
 
         /** An answer with a correct length. */
         fun answer(status: Int, body: String, vararg headers: String): String {
