Estimate the wait for memory from the time in which requests waited

Cause: an entry among many sees few streams.

Change: the estimate and its average count from the moment at which the oldest waiting request began to wait. Test: idleTimeDoesNotCountAsAWaitForMemory, red on the code before.

--- a/core/src/main/kotlin/org/lovageladder/core/forward/MemoryQueue.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/MemoryQueue.kt
@@ -20,6 +20,9 @@
     val refused: (RefusalReason) -> Unit,
 ) {
     var cancelled = false
+
+    /** When it began to wait. */
+    var queuedAt: Moment = entered
 }
 
 /** Memory at [engine] that is reserved for a request until it is used or released. */
@@ -51,6 +54,7 @@
             claim.refused(RefusalReason.OVERLOADED)
             return
         }
+        claim.queuedAt = now
         insert(claim)
         pump()
     }
@@ -84,8 +88,13 @@
     private fun expectedWait(claim: MemoryClaim, now: Moment): Duration {
         val ahead = waiting.count { it.priority <= claim.priority }
         if (ahead == 0) return Duration.ZERO
-        val sinceGrant = lastGrant?.let { now - it } ?: Duration.ZERO
-        return maxOf(grantInterval, sinceGrant) * (ahead + 1)
+        return maxOf(grantInterval, waitForNextGrant(now)) * (ahead + 1)
+    }
+
+    /** How long some claim has waited since the last grant; time in which none waited says nothing of the engines. */
+    private fun waitForNextGrant(now: Moment): Duration {
+        val since = waiting.minOfOrNull { it.queuedAt } ?: return Duration.ZERO
+        return now - maxOf(since, lastGrant ?: since)
     }
 
     private fun insert(claim: MemoryClaim) {
@@ -170,12 +179,8 @@
             freed(grant)
             return
         }
-        val previous = lastGrant
-        if (previous != null && waiting.isNotEmpty()) {
-            grantInterval = grantInterval * (1 - INTERVAL_WEIGHT) + (now - previous) * INTERVAL_WEIGHT
-        } else {
-            grantInterval *= (1 - INTERVAL_WEIGHT)
-        }
+        val sample = if (waiting.isEmpty()) Duration.ZERO else waitForNextGrant(now)
+        grantInterval = grantInterval * (1 - INTERVAL_WEIGHT) + sample * INTERVAL_WEIGHT
         lastGrant = now
         claim.granted(grant)
     }
--- a/core/src/test/kotlin/org/lovageladder/core/forward/MemoryQueueTest.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/forward/MemoryQueueTest.kt
@@ -54,6 +54,25 @@
         assertEquals(RefusalReason.OVERLOADED, late.reply.refusal?.reason)
     }
 
+    /** Load pattern: one of many entries, at which streams are rare, and a crest at which two come at once. */
+    @Test
+    fun idleTimeDoesNotCountAsAWaitForMemory() {
+        val running = fill()
+        world.scheduler.advance(5.seconds)
+        val pair =
+            List(2) {
+                world.submit("/stream/1", wait = 10.seconds).also { world.scheduler.advance(20.milliseconds) }
+            }
+        world.scheduler.advance(200.milliseconds)
+        assertTrue(pair.all { it.reply.refusal == null })
+        running.take(2).forEach {
+            it.head(200)
+            world.upstreams.finish(it)
+        }
+        world.scheduler.advance(200.milliseconds)
+        assertEquals(6, world.upstreams.runs.size)
+    }
+
     @Test
     fun memoryOfAClaimThatLeftIsReleased() {
         val submitted = world.submit("/stream/1", wait = 10.seconds)
