Count repeated readings of a prompt in the retry budget

Cause: a stream that a decode engine declined, or that went on elsewhere, took one repeat from the budget and then had its prompt read again, which counts as a second arrival.

Change: each reading of a prompt beyond a request's first takes a repeat from the budget, whatever led to it; without one the decode engine reads the prompt itself. Test: readingsOfAPromptThatWereRepeatedCountInTheBudget, 30 repeats for 16 allowed on the code before.

--- a/core/src/main/kotlin/org/lovageladder/core/forward/StreamFlow.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/StreamFlow.kt
@@ -39,6 +39,7 @@
     private var firstEventAt: Moment? = null
     private var lastEvent: Long? = request.resumeAfter
     private var runs = 0
+    private var prompts = 0
     private var sendings = 0
     private var begun = false
     private var over = false
@@ -79,10 +80,11 @@
 
     private fun prefill() {
         val member = choosePrefill()
-        if (member == null) {
+        if (member == null || !mayReadPrompt()) {
             decode()
             return
         }
+        prompts += 1
         val health = context.board.health(member.name)
         health.inFlight += 1
         prefillAt = member.name
@@ -127,11 +129,11 @@
                 context.failed(member.name, request.id, "prefill", answer.failure)
             }
         }
-        if (prefilled == null && mayRepeatPrefill()) prefill() else decode()
+        if (prefilled == null && declinedBy.size < MOST_PREFILLS) prefill() else decode()
     }
 
-    private fun mayRepeatPrefill() =
-        declinedBy.size < MOST_PREFILLS && context.budget.tryRepeat(destination.service, context.now())
+    /** The first reading of a prompt is part of the request; each further one is a repeat. */
+    private fun mayReadPrompt() = prompts == 0 || context.budget.tryRepeat(destination.service, context.now())
 
     private fun decode() {
         val memory = checkNotNull(grant)
--- a/core/src/test/kotlin/org/lovageladder/core/forward/StreamFlowTest.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/forward/StreamFlowTest.kt
@@ -78,6 +78,25 @@
         assertTrue(declined <= 8, "$declined of ${world.upstreams.prefills.size}")
     }
 
+    /**
+     * Load pattern: decode engines that decline what they reserved memory for. Each request then costs its repeat and
+     * the second reading of its prompt; both count, so that all entries together stay within the budget.
+     */
+    @Test
+    fun readingsOfAPromptThatWereRepeatedCountInTheBudget() {
+        val fresh = ForwardWorld(memory = 1_000_000)
+        val requests = 40
+        repeat(requests) {
+            val before = fresh.upstreams.runs.size
+            fresh.submit("/stream/1")
+            fresh.scheduler.advance(110.milliseconds)
+            fresh.upstreams.runs.drop(before).forEach { it.answer(503, notRun = true) }
+            fresh.scheduler.advance(110.milliseconds)
+        }
+        val repeats = fresh.upstreams.runs.size + fresh.upstreams.prefills.size - 2 * requests
+        assertTrue(repeats <= 0.2 * requests + 8, "$repeats repeats")
+    }
+
     @Test
     fun decodeEngineReadsThePromptWhenNoPrefillEngineDoes() {
         world.upstreams.prefillRefusals += ForwardWorld.MEMBERS.first { it.name.text == "prefill-1" }.address
