Keep more prefill engines at size, by the plan for a crest

The reserve grew with the square root of the work alone: 5 engines of work got 1.3 more.

Change: the reserve is at least two fifths of the work; pools of fewer than three prefill engines are as before.

--- a/core/src/main/kotlin/org/lovageladder/core/forward/RolePlan.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/RolePlan.kt
@@ -10,8 +10,9 @@
  * that a prompt takes on a prefill engine, and the part of a decode engine that a stream holds times how long it holds
  * it. Until enough requests were seen, prefill is taken to be [usualShare] of the work. The prefill pool gets a reserve
  * in proportion to the square root of its work: prompts come unevenly, and a small pool feels that and the loss of an
- * engine more than a large one. Answers the load pattern of a crest, in which one pool is full while the other idles.
- * Confined to one thread.
+ * engine more than a large one. The reserve is never less than a part of the work, since prompts that queue at a crest
+ * miss their target, while a full decode pool turns only some requests away. Answers the load pattern of a crest, in
+ * which one pool is full while the other idles. Confined to one thread.
  */
 internal class RolePlan(private val usualShare: Double) {
     private var timePerToken: Duration = Duration.ZERO
@@ -41,7 +42,8 @@
     fun prefillEngines(count: Int): Double? {
         if (count < 2) return null
         val work = count * share()
-        return (work + RESERVE * sqrt(work)).coerceIn(1.0, count - 1.0)
+        val reserve = maxOf(RESERVE * sqrt(work), LEAST_RESERVE * work)
+        return (work + reserve).coerceIn(1.0, count - 1.0)
     }
 
     /**
@@ -90,6 +92,9 @@
 
         /** Engines in reserve, for the square root of those that work. */
         const val RESERVE = 0.6
+
+        /** Engines in reserve for each that works, at least. */
+        const val LEAST_RESERVE = 0.4
     }
 }
 
