--- a/core/src/main/kotlin/org/lovageladder/core/forward/StreamFlow.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/StreamFlow.kt
@@ -182,8 +182,8 @@
 
     /** A connection can fall silent for good; a stream that may go on elsewhere does not wait for it. */
     private fun watchForSilence() {
-        if (!mayResume()) return
         silence?.cancel()
+        if (!mayResume()) return
         silence = context.scheduler.after(SILENCE) { leaveSilentUpstream() }
     }
 
--- a/core/src/test/kotlin/org/lovageladder/core/forward/StreamFlowTest.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/forward/StreamFlowTest.kt
@@ -149,6 +149,19 @@
         assertTrue(submitted.reply.whole)
     }
 
+    /** The watch for silence of a run that broke must not end the next run, which has no attempt after it. */
+    @Test
+    fun lastAttemptOfAResumableStreamIsNotLeftForSilence() {
+        val submitted = started("/stream-on/1")
+        world.upstreams.runs.single().fail(sent = true)
+        world.scheduler.advance(300.milliseconds)
+        val last = world.upstreams.runs[1]
+        world.scheduler.advance(3.seconds)
+        assertFalse(last.cancelled)
+        assertEquals(2, world.upstreams.runs.size)
+        assertFalse(submitted.reply.final)
+    }
+
     /** Load pattern: an engine that sends bytes without the end of an event. */
     @Test
     fun eventWithoutEndIsLeft() {
--- a/core/src/test/kotlin/org/lovageladder/core/forward/VirtualUpstreams.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/forward/VirtualUpstreams.kt
@@ -192,14 +192,14 @@
 }
 
 /** A forwarder with virtual upstreams, one configuration and one registered set of upstreams. */
-internal class ForwardWorld(memory: Int = 10_000) {
+internal class ForwardWorld(memory: Int = 10_000, watched: (UpstreamCalls) -> UpstreamCalls = { it }) {
     val scheduler = VirtualScheduler()
     val upstreams = VirtualUpstreams(scheduler, memory)
     val events = ArrayList<org.lovageladder.core.EventDraft>()
     val forwarder =
         Forwarder(
             settings = ForwarderSettings(HOME, RetryLimits(ratio = 0.2, allowance = 8.0, window = 10.seconds)),
-            calls = upstreams,
+            calls = watched(upstreams),
             scheduler = scheduler,
             log = { events += it },
             random = Random(1),
@@ -268,6 +268,7 @@
             listOf(
                 route("/lookup/", RouteKind.IDEMPOTENT, PLAIN, 100.milliseconds, timeout, attempts = 2),
                 route("/action/", RouteKind.ONCE, PLAIN, 100.milliseconds, timeout),
+                route("/action-two/", RouteKind.ONCE, PLAIN, 100.milliseconds, timeout, attempts = 2),
                 route("/stream/", RouteKind.STREAM, ENGINES, 900.milliseconds, timeout),
                 route(
                     "/stream-on/",
