Tell in the log what each stream asked for, used and waited for

Cause: the log said when a stream ended and how, but not what it asked of decode memory or what it used, so that nothing told why callers were turned away at a crest. Ruled out: a line for each step, which costs processor time for each event. Change: the line that ends a stream has its size, its reservation, its events, its wait, what its caller had left, and the pool as it was when the stream asked.

--- a/core/src/main/kotlin/org/lovageladder/core/forward/MemoryQueue.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/MemoryQueue.kt
@@ -28,6 +28,9 @@
 /** Memory at [engine] that is reserved for a request until it is used or released. */
 internal data class MemoryGrant(val engine: Member, val tokens: Int, val reservation: Reservation)
 
+/** What one process has of a service's decode memory: its tokens, requests that wait, engines that said they are full. */
+internal data class PoolState(val heldTokens: Int, val waiting: Int, val fullEngines: Int)
+
 /**
  * Requests of one service that wait for decode memory. The engines keep the account: each claim is a reservation at
  * one of them, so that all entries together cannot overcommit its memory. Claims are served in order of priority, then
@@ -81,6 +84,14 @@
     /** Engines of which something is remembered. */
     val remembered: Int get() = (fullUntil.keys + held.keys).size
 
+    /** What this process knows of the engines' memory now. */
+    fun state() = PoolState(heldTokens = held.values.sum(), waiting = waiting.size, fullEngines = enginesFull())
+
+    private fun enginesFull(): Int {
+        val now = context.now()
+        return fullUntil.values.count { it > now }
+    }
+
     /** Tokens that this process holds at [name]. */
     fun heldAt(name: UpstreamName): Int = held[name] ?: 0
 
--- a/core/src/main/kotlin/org/lovageladder/core/forward/StreamFlow.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/StreamFlow.kt
@@ -2,7 +2,6 @@
 
 import org.lovageladder.core.EventKind
 import org.lovageladder.core.FaultCause
-import org.lovageladder.core.Moment
 import org.lovageladder.core.PoolRole
 import org.lovageladder.core.UpstreamName
 import kotlin.time.Duration
@@ -34,10 +33,8 @@
     private var prefillAt: UpstreamName? = null
     private var prefilled: PrefillResult? = null
     private var decoding: RunningCall? = null
-    private var grantedAt: Moment? = null
-    private var decodingSince: Moment? = null
+    private val account = StreamAccount(request, time, destination.route)
     private var silence: RunningCall? = null
-    private var firstEventAt: Moment? = null
     private var lastEvent: Long? = request.resumeAfter
     private var runs = 0
     private var promptWasRead = false
@@ -60,7 +57,7 @@
         val entering =
             MemoryClaim(
                 request = request.id,
-                tokens = pace.memoryFor(request.generation, destination.engine),
+                tokens = memoryNeeded(),
                 priority = if (begun) RESUMED_PRIORITY else route.priority,
                 entered = time.arrived,
                 latest = latest,
@@ -69,13 +66,16 @@
                 refused = ::refuseOrBreak,
             )
         claim = entering
+        account.claims(entering.tokens, queue.state(), now)
         queue.enter(entering)
     }
 
+    private fun memoryNeeded() = pace.memoryFor(request.generation, destination.engine)
+
     private fun granted(memory: MemoryGrant) {
         claim = null
         grant = memory
-        grantedAt = context.now()
+        account.granted(context.now())
         prefill()
     }
 
@@ -167,7 +167,7 @@
                 reservation = memory.reservation,
                 resumeAfter = lastEvent,
             )
-        decodingSince = context.now()
+        account.sentToDecode(context.now())
         decoding = context.calls.send(request, sending, DecodeReceiver(name))
         watchForSilence()
     }
@@ -232,7 +232,7 @@
     }
 
     private fun onContent(bytes: ByteArray) {
-        noteFirstEvent()
+        account.received(bytes, context.now())?.let(pace::started)
         watchForSilence()
         val splitting = splitter
         if (splitting == null) {
@@ -249,13 +249,6 @@
         reply.content(events.bytes)
     }
 
-    private fun noteFirstEvent() {
-        if (firstEventAt != null) return
-        val now = context.now()
-        firstEventAt = now
-        grantedAt?.let { pace.started(now - it) }
-    }
-
     private fun declined(upstream: UpstreamName, head: AnswerHead) {
         runs -= 1
         declinedBy += upstream
@@ -292,9 +285,9 @@
 
     /** Memory is held while the prompt waits too, but that wait is the prefill pool's and says nothing of decode. */
     private fun noteDecodeCost() {
-        val begun = decodingSince ?: return
+        val begun = account.decodingSince ?: return
         val traits = destination.engine ?: return
-        val tokens = pace.memoryFor(request.generation, traits)
+        val tokens = memoryNeeded()
         val share = maxOf(1.0 / traits.slots.coerceAtLeast(1), tokens.toDouble() / traits.memoryTokens.coerceAtLeast(1))
         pace.roles.decoded(context.now() - begun, share)
     }
@@ -327,9 +320,7 @@
         decoding?.cancel()
         val engine = grant?.engine?.name
         releaseMemory(used = decoding != null)
-        val first = firstEventAt?.let { (it - time.arrived).inWholeMilliseconds }
-        val took = (context.now() - time.arrived).inWholeMilliseconds
-        val detail = "$outcome route=${route.name} sendings=$sendings first=${first}ms took=${took}ms"
+        val detail = account.describe(outcome, sendings, context.now())
         context.record(EventKind.REQUEST_ENDED, request.id, engine, detail = detail)
         ended()
     }
