Reserve decode memory by a forecast learned for each route

Load pattern: outputs that outgrow their reservations at a crest, in engines without a free token. Hypothesis: callers' estimates are right at the median and off by a factor of e^0.5, and outputs of a route resemble each other, so that a regression on both forecasts them better than a fixed margin on the estimate. Ruled out: a larger fixed margin, which holds as few outputs back only with a third more memory.

--- a/core/src/main/kotlin/org/lovageladder/core/forward/Forwarder.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/Forwarder.kt
@@ -86,6 +86,8 @@
         if (newer.version == version) return
         configuration = newer
         routes = RouteTable(newer)
+        val names = newer.routes.mapTo(HashSet()) { it.name }
+        paces.values.forEach { it.forgetRoutes(names) }
         val detail = "version=${newer.version} routes=${newer.routes.size} services=${newer.services.size}"
         context.record(EventKind.CONFIGURATION_APPLIED, detail = detail)
     }
--- a/core/src/main/kotlin/org/lovageladder/core/forward/StreamAccount.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/StreamAccount.kt
@@ -13,13 +13,16 @@
     private val route: Route,
 ) {
     private val counter = EventCounter()
-    private var claimedTokens = 0
     private var claimedAt: Moment? = null
     private var poolAtClaim: PoolState? = null
     private var waited = Duration.ZERO
     private var grantedAt: Moment? = null
     private var firstEventAt: Moment? = null
 
+    /** Tokens of memory that it asked for last. */
+    var claimedTokens: Int = 0
+        private set
+
     /** When it was last sent to a decode engine. */
     var decodingSince: Moment? = null
         private set
--- a/core/src/main/kotlin/org/lovageladder/core/forward/StreamFlow.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/StreamFlow.kt
@@ -57,7 +57,7 @@
         val entering =
             MemoryClaim(
                 request = request.id,
-                tokens = memoryNeeded(),
+                tokens = pace.memoryFor(route, request.generation, destination.engine),
                 priority = if (begun) RESUMED_PRIORITY else route.priority,
                 entered = time.arrived,
                 latest = latest,
@@ -70,8 +70,6 @@
         queue.enter(entering)
     }
 
-    private fun memoryNeeded() = pace.memoryFor(request.generation, destination.engine)
-
     private fun granted(memory: MemoryGrant) {
         claim = null
         grant = memory
@@ -278,6 +276,7 @@
     private fun completed(upstream: UpstreamName) {
         context.board.health(upstream).succeeded()
         noteDecodeCost()
+        if (request.resumeAfter == null) pace.ended(route, request.generation, account.events)
         splitter?.rest()?.takeIf { it.isNotEmpty() }?.let(reply::content)
         finish("answered")
         reply.end()
@@ -287,7 +286,7 @@
     private fun noteDecodeCost() {
         val begun = account.decodingSince ?: return
         val traits = destination.engine ?: return
-        val tokens = memoryNeeded()
+        val tokens = account.claimedTokens
         val share = maxOf(1.0 / traits.slots.coerceAtLeast(1), tokens.toDouble() / traits.memoryTokens.coerceAtLeast(1))
         pace.roles.decoded(context.now() - begun, share)
     }
