--- a/measure/src/main/kotlin/org/lovageladder/measure/Main.kt
+++ b/measure/src/main/kotlin/org/lovageladder/measure/Main.kt
@@ -22,7 +22,7 @@
 
 private class MeasureCommand : NoOpCliktCommand("measure") {
     init {
-        subcommands(LoadCommand(), CompareCommand(), SlopesCommand())
+        subcommands(LoadCommand(), CompareCommand(), SlopesCommand(), StreamsCommand())
     }
 
     override fun help(context: Context): String =
