Bid callers that are refused early come back within their target

Load pattern: a crest of a second or two. Ruled out: the short return for all; who is refused at its target is late in any case and would come back into the crest.

--- a/core/src/main/kotlin/org/lovageladder/core/forward/StreamFlow.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/StreamFlow.kt
@@ -300,11 +300,21 @@
         }
         val honest = if (runs > 0 && reason.notRun) RefusalReason.ANSWER_LOST else reason
         val remaining = time.remaining(context.now())
-        val returnAfter = if (honest.notRun) context.returnAfter(pace.returnAfter, remaining) else null
+        val returnAfter = if (honest.notRun) context.returnAfter(leastReturn(), remaining) else null
         finish("refused: $honest")
         reply.refuse(Refusal(honest, returnAfter))
     }
 
+    /**
+     * A caller that is refused early comes back while its target can still be met; a later one when streams that hold
+     * memory now have ended.
+     */
+    private fun leastReturn(): Duration {
+        val slack = time.target - pace.startup - context.now()
+        val early = slack * EARLY_RETURN
+        return if (early < LEAST_EARLY_RETURN) pace.returnAfter else early
+    }
+
     private fun expire() {
         if (!over) refuseOrBreak(if (runs > 0) RefusalReason.TIMEOUT else RefusalReason.EXPIRED)
     }
@@ -384,6 +394,10 @@
         /** Callers leave a stream that pauses for some seconds. */
         val SILENCE: Duration = 1_500.milliseconds
 
+        /** Part of the time to the latest start after which a caller comes back, doubled at most by the spread. */
+        const val EARLY_RETURN = 0.45
+        val LEAST_EARLY_RETURN: Duration = 100.milliseconds
+
         /** Streams that go on elsewhere come before all that have not begun. */
         const val RESUMED_PRIORITY = -1
     }
--- a/core/src/test/kotlin/org/lovageladder/core/forward/MemoryQueueTest.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/forward/MemoryQueueTest.kt
@@ -38,7 +38,7 @@
         world.scheduler.advance(900.milliseconds)
         val refusal = assertNotNull(waiting.reply.refusal)
         assertEquals(RefusalReason.OVERLOADED, refusal.reason)
-        assertTrue(assertNotNull(refusal.returnAfter) <= 10.seconds / 3)
+        assertTrue(assertNotNull(refusal.returnAfter) in 2.seconds..10.seconds / 3, "too late for its target")
         assertEquals(4, world.upstreams.runs.size)
     }
 
@@ -54,6 +54,19 @@
         assertEquals(RefusalReason.OVERLOADED, late.reply.refusal?.reason)
     }
 
+    /** Load pattern: a crest of a second or two; callers that are refused in its first moments can still be served. */
+    @Test
+    fun callerThatIsRefusedEarlyComesBackWithinItsTarget() {
+        val running = fill()
+        repeat(3) { world.submit("/stream/1", wait = 10.seconds) }
+        world.scheduler.advance(200.milliseconds)
+        running.first().head(200)
+        world.upstreams.finish(running.first())
+        world.scheduler.advance(300.milliseconds)
+        val early = assertNotNull(world.submit("/stream/2", wait = 10.seconds).reply.refusal?.returnAfter)
+        assertTrue(early in 100.milliseconds..680.milliseconds, "$early of a target of 900 ms")
+    }
+
     /** Load pattern: one of many entries, at which streams are rare, and a crest at which two come at once. */
     @Test
     fun idleTimeDoesNotCountAsAWaitForMemory() {
