Refuse callers who are late already while memory is short; switches for experiments

Load pattern: a crest whose refused callers come back when they can only be served late, and take memory from those who could still be served in time. Hypothesis: an answer that is late is worth a twelfth to its users; while memory is short it goes to those in time. Who came back cannot be told from the time left alone, but can be once the shortest first submission of a route is known. Change: CallerPatience learns the shortest wait of first submissions while nobody was refused; a caller with less, whose target is surely over, is refused at once while requests wait or half of the engines are short. The settings file can name mechanisms that an experiment does without (--without, hidden from the help).

--- a/core/src/main/kotlin/org/lovageladder/core/forward/ForwardContext.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/ForwardContext.kt
@@ -22,7 +22,11 @@
     val budget: RetryBudget,
     val log: EventSink,
     val random: Random,
+    private val without: Set<Mechanism> = emptySet(),
 ) {
+    /** Whether decisions use [mechanism]. */
+    fun uses(mechanism: Mechanism): Boolean = mechanism !in without
+
     fun now(): Moment = scheduler.now()
 
     fun record(kind: EventKind, request: RequestId? = null, upstream: UpstreamName? = null, detail: String) {
--- a/core/src/main/kotlin/org/lovageladder/core/forward/Forwarder.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/Forwarder.kt
@@ -10,7 +10,8 @@
 /**
  * Settings of a [Forwarder]: its [place], the budget for repeats of all entries, the number of entries until they are
  * known, and the part of the work of a service's engines that is prefill until its requests tell more. An upstream that
- * says that it is leaving gets nothing new after [drainBound]. A plain answer may have [answerBytes].
+ * says that it is leaving gets nothing new after [drainBound]. A plain answer may have [answerBytes]. Experiments do [without]
+ * some mechanisms.
  */
 public data class ForwarderSettings(
     val place: PlaceName,
@@ -19,6 +20,7 @@
     val prefillShare: Double = 0.2,
     val drainBound: Duration = DRAIN_BOUND,
     val answerBytes: Int = ANSWER_BYTES,
+    val without: Set<Mechanism> = emptySet(),
 )
 
 private const val ANSWER_BYTES = 1024 * 1024
@@ -43,12 +45,12 @@
 ) {
     private val membership = Membership()
     private val notices = UpstreamNotices(settings.drainBound)
-    private val board = UpstreamBoard(membership, notices, settings.place, random)
+    private val board = UpstreamBoard(membership, notices, settings.place, random, settings.without)
     private val census = EntryCensus(settings.expectedEntries)
     private val budget = RetryBudget(settings.retries) { census.count(scheduler.now()) }
     private val answers = AnswerBuffers(settings.answerBytes, settings.answerBytes * ANSWERS_HELD)
     private val context =
-        ForwardContext(calls, scheduler, board, membership, notices, answers, budget, log, random)
+        ForwardContext(calls, scheduler, board, membership, notices, answers, budget, log, random, settings.without)
     private val queues = HashMap<ServiceName, MemoryQueue>()
     private val paces = HashMap<ServiceName, StreamPace>()
     private var configuration: Configuration? = null
@@ -127,6 +129,7 @@
 
     /** Gives orders about the roles of engines through [orders] while this process leads by [leadership]. */
     public fun keepRoles(leadership: Leadership, orders: RoleOrders) {
+        if (Mechanism.ROLE_CHANGES in settings.without) return
         this.leadership = leadership
         leadership.start()
         keepRoles(RoleKeeper(context, leadership, orders))
@@ -187,7 +190,9 @@
         return StreamFlow(context, request, destination, queue, paceOf(service), reply, ended)
     }
 
-    private fun paceOf(service: ServiceName) = paces.getOrPut(service) { StreamPace(RolePlan(settings.prefillShare)) }
+    private fun paceOf(service: ServiceName) = paces.getOrPut(service) {
+        StreamPace(RolePlan(settings.prefillShare), settings.without)
+    }
 
     private fun engineOf(service: ServiceName) = configuration?.services?.get(service)?.engine
 
--- a/core/src/main/kotlin/org/lovageladder/core/forward/MemoryQueue.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/MemoryQueue.kt
@@ -45,6 +45,7 @@
     private val waiting = ArrayList<MemoryClaim>()
     private val held = HashMap<UpstreamName, Int>()
     private val fullUntil = HashMap<UpstreamName, Moment>()
+    private val refusedAt = HashMap<UpstreamName, Moment>()
     private val asking = HashSet<UpstreamName>()
     private var wake: RunningCall? = null
     private var grantInterval = Duration.ZERO
@@ -53,7 +54,7 @@
     /** Serves [claim] as soon as memory is free, or refuses it. */
     fun enter(claim: MemoryClaim) {
         val now = context.now()
-        if (now + expectedWait(claim, now) > claim.latest) {
+        if (context.uses(Mechanism.WAIT_ESTIMATE) && now + expectedWait(claim, now) > claim.latest) {
             claim.refused(RefusalReason.OVERLOADED)
             return
         }
@@ -78,6 +79,7 @@
     /** Forgets engines that are not registered any more and at which this process holds nothing. */
     fun forgetMissing() {
         fullUntil.keys.retainAll { context.membership[it] != null }
+        refusedAt.keys.retainAll { context.membership[it] != null }
         held.entries.removeIf { (name, tokens) -> tokens == 0 && context.membership[name] == null }
     }
 
@@ -92,6 +94,16 @@
         return fullUntil.values.count { it > now }
     }
 
+    /** Whether requests wait, or half of the engines refused memory of late, so that whoever gets memory takes another's. */
+    fun isCrowded(): Boolean = waiting.isNotEmpty() || areEnginesShort(context.now())
+
+    private fun areEnginesShort(now: Moment): Boolean {
+        val short = refusedAt.values.count { now - it < SHORT_LASTING }
+        if (short == 0) return false
+        val engines = context.membership.serving(service, now).count { it.role == PoolRole.DECODE }
+        return short * 2 >= engines
+    }
+
     /** Tokens that this process holds at [name]. */
     fun heldAt(name: UpstreamName): Int = held[name] ?: 0
 
@@ -175,6 +187,7 @@
             is EngineAnswer.Refused -> {
                 if (answer.wrongInstance) context.replaced(member.name, claim.request)
                 fullUntil[member.name] = now + RECHECK
+                refusedAt[member.name] = now
             }
             is EngineAnswer.Failed -> {
                 context.failed(member.name, claim.request, "reserve", answer.failure)
@@ -217,6 +230,9 @@
 
         /** Pause before an engine that was full is asked again, unless a request of this process ends there. */
         val RECHECK: Duration = 40.milliseconds
+
+        /** How long an engine that refused memory counts as short of it. */
+        val SHORT_LASTING: Duration = 500.milliseconds
         val LEAST_PAUSE: Duration = 1.milliseconds
         const val INTERVAL_WEIGHT = 0.2
     }
--- a/core/src/main/kotlin/org/lovageladder/core/forward/PlainFlow.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/PlainFlow.kt
@@ -32,7 +32,7 @@
     override fun start() {
         timeout = context.scheduler.after(time.remaining(context.now())) { expire() }
         sendNext()
-        if (!over && route.repeatable) {
+        if (!over && route.repeatable && context.uses(Mechanism.HEDGING)) {
             hedge = context.scheduler.after(route.target * HEDGE_SHARE) { hedgeSlow() }
         }
     }
--- a/core/src/main/kotlin/org/lovageladder/core/forward/StreamFlow.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/StreamFlow.kt
@@ -44,7 +44,22 @@
 
     override fun start() {
         timeout = context.scheduler.after(time.remaining(context.now())) { expire() }
-        claimMemory()
+        val crowded = queue.isCrowded()
+        if (isLate(crowded) && crowded) {
+            refuseOrBreak(RefusalReason.OVERLOADED)
+        } else {
+            claimMemory()
+        }
+    }
+
+    /** Whether the caller has been at it for so long that it cannot be served in time any more. */
+    private fun isLate(crowded: Boolean): Boolean {
+        val wait = request.wait ?: return false
+        if (!context.uses(Mechanism.LATE_REFUSAL)) return false
+        val patience = pace.patienceOf(route)
+        if (crowded) patience.refused(context.now())
+        patience.arrived(wait, context.now())
+        return patience.elapsed(wait) > route.target - pace.startup
     }
 
     override fun callerLeft() {
@@ -104,7 +119,7 @@
     }
 
     private fun choosePrefill(): Member? {
-        if (request.generation == null || prefilled != null) return null
+        if (request.generation == null || prefilled != null || !context.uses(Mechanism.SEPARATE_PREFILL)) return null
         return context.board
             .candidates(destination.service, PoolRole.PREFILL, context.now(), declinedBy)
             .firstOrNull { it.name !in declinedBy }
@@ -181,7 +196,7 @@
     /** A connection can fall silent for good; a stream that may go on elsewhere does not wait for it. */
     private fun watchForSilence() {
         silence?.cancel()
-        if (!mayResume()) return
+        if (!mayResume() || !context.uses(Mechanism.SILENCE_WATCH)) return
         silence = context.scheduler.after(SILENCE) { leaveSilentUpstream() }
     }
 
@@ -271,7 +286,7 @@
         }
     }
 
-    private fun mayResume() = route.resumable && runs < route.maximumAttempts
+    private fun mayResume() = route.resumable && runs < route.maximumAttempts && context.uses(Mechanism.RESUMPTION)
 
     private fun completed(upstream: UpstreamName) {
         context.board.health(upstream).succeeded()
@@ -298,6 +313,7 @@
             reply.abort()
             return
         }
+        pace.patienceOf(route).refused(context.now())
         val honest = if (runs > 0 && reason.notRun) RefusalReason.ANSWER_LOST else reason
         val remaining = time.remaining(context.now())
         val returnAfter = if (honest.notRun) context.returnAfter(leastReturn(), remaining) else null
@@ -312,7 +328,7 @@
     private fun leastReturn(): Duration {
         val slack = time.target - pace.startup - context.now()
         val early = slack * EARLY_RETURN
-        return if (early < LEAST_EARLY_RETURN) pace.returnAfter else early
+        return if (early < LEAST_EARLY_RETURN || !context.uses(Mechanism.EARLY_RETURN)) pace.returnAfter else early
     }
 
     private fun expire() {
--- a/core/src/main/kotlin/org/lovageladder/core/forward/UpstreamBoard.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/UpstreamBoard.kt
@@ -16,6 +16,7 @@
     private val notices: UpstreamNotices,
     private val place: PlaceName,
     private val random: Random,
+    private val without: Set<Mechanism> = emptySet(),
 ) {
     private val health = HashMap<UpstreamName, UpstreamHealth>()
 
@@ -34,7 +35,7 @@
     ): List<Member> {
         val open = membership.serving(service, now).filter { it.role == role && notices.admits(it.start, now) }
         val members = open.filterNot { notices.isLeaving(it.start) }.ifEmpty { open }
-        val admitted = members.filter { health(it.name).admits(now) }
+        val admitted = members.filter { Mechanism.EJECTION in without || health(it.name).admits(now) }
         return admitted
             .ifEmpty { members }
             .map { Ranked(it, it.name in avoid, cost(it, now) + extraCost(it)) }
@@ -56,13 +57,13 @@
 
     private fun cost(member: Member, now: Moment): Double {
         val health = health(member.name)
-        val load = health.load(now)
+        val load = health.load(now).takeUnless { Mechanism.LOAD_REPORTS in without }
         val slots = if (member.role == PoolRole.PREFILL) PROMPTS_AT_ONCE else member.slots.coerceAtLeast(1).toDouble()
         val told = load?.let { (it.running + it.waiting) / slots } ?: 0.0
         val own = health.inFlight / slots
         val busy = maxOf(told, own) + own / OWN_SHARE
         val slowdown = load?.slowdown ?: 1.0
-        val distance = if (member.place == place) 0.0 else PLACE_COST
+        val distance = if (member.place == place || Mechanism.NEARNESS in without) 0.0 else PLACE_COST
         return (BASE_COST + busy) * slowdown * (1 + FAILURE_COST * health.failureShare) + distance +
             random.nextDouble() * TIE_BREAK
     }
--- a/daemon/src/main/kotlin/org/lovageladder/daemon/ForwardCommand.kt
+++ b/daemon/src/main/kotlin/org/lovageladder/daemon/ForwardCommand.kt
@@ -5,9 +5,14 @@
 import com.github.ajalt.clikt.core.context
 import com.github.ajalt.clikt.parameters.groups.provideDelegate
 import com.github.ajalt.clikt.parameters.options.Option
+import com.github.ajalt.clikt.parameters.options.default
+import com.github.ajalt.clikt.parameters.options.option
 import com.github.ajalt.clikt.parameters.options.required
+import com.github.ajalt.clikt.parameters.options.split
+import com.github.ajalt.clikt.parameters.types.enum
 import com.github.ajalt.clikt.sources.PropertiesValueSource
 import org.lovageladder.core.forward.ForwarderSettings
+import org.lovageladder.core.forward.Mechanism
 import org.lovageladder.core.forward.RetryLimits
 import kotlin.time.Duration.Companion.minutes
 import kotlin.time.Duration.Companion.seconds
@@ -45,6 +50,9 @@
         1..MOST_ENTRIES,
     )
 
+    private val without by option("--without", hidden = true, help = "Mechanisms that an experiment does without.")
+        .enum<Mechanism> { it.label }.split(",").default(emptyList())
+
     init {
         context {
             System.getenv(SETTINGS_VARIABLE)?.let { file ->
@@ -74,6 +82,7 @@
             prefillShare = prefillShare,
             drainBound = drainBound,
             answerBytes = answerBytes,
+            without = without.toSet(),
         ),
     )
 
