Reserve 1.7 deviations above the forecast of an output

Load pattern: outputs that outgrow their reservations while engines are short. Hypothesis: being put back costs a reading of the whole request and makes it late, so that it is dearer than some memory left idle.

--- a/core/src/main/kotlin/org/lovageladder/core/forward/StreamPace.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/StreamPace.kt
@@ -66,6 +66,6 @@
         const val FIXED_MARGIN = 1.3
 
         /** Standard deviations above the expected output that a reservation covers. */
-        const val DEVIATIONS = 1.2
+        const val DEVIATIONS = 1.7
     }
 }
