Read prompts in a class of their own; a caller who wants the rest of a stream is never late

StreamFlow had memory, prefill, decode and resumption in one state. PromptReading owns the calls that have a prompt read; behaviour is as before. A caller that comes back with the event that it had last is not refused as late: it has a part of its answer.

--- a/core/src/main/kotlin/org/lovageladder/core/forward/MemoryQueue.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/MemoryQueue.kt
@@ -28,7 +28,7 @@
 /** Memory at [engine] that is reserved for a request until it is used or released. */
 internal data class MemoryGrant(val engine: Member, val tokens: Int, val reservation: Reservation)
 
-/** What one process has of a service's decode memory: its tokens, requests that wait, engines that said they are full. */
+/** What one process has of a service's decode memory: its tokens, requests that wait, and engines that are full. */
 internal data class PoolState(val heldTokens: Int, val waiting: Int, val fullEngines: Int)
 
 /**
@@ -94,7 +94,7 @@
         return fullUntil.values.count { it > now }
     }
 
-    /** Whether requests wait, or half of the engines refused memory of late, so that whoever gets memory takes another's. */
+    /** Whether requests wait or half of the engines refused memory of late: whoever gets memory takes another's. */
     fun isCrowded(): Boolean = waiting.isNotEmpty() || areEnginesShort(context.now())
 
     private fun areEnginesShort(now: Moment): Boolean {
--- a/core/src/main/kotlin/org/lovageladder/core/forward/StreamFlow.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/StreamFlow.kt
@@ -2,7 +2,6 @@
 
 import org.lovageladder.core.EventKind
 import org.lovageladder.core.FaultCause
-import org.lovageladder.core.PoolRole
 import org.lovageladder.core.UpstreamName
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -29,15 +28,16 @@
     private var timeout: RunningCall? = null
     private var claim: MemoryClaim? = null
     private var grant: MemoryGrant? = null
-    private var prefillCall: RunningCall? = null
-    private var prefillAt: UpstreamName? = null
     private var prefilled: PrefillResult? = null
     private var decoding: RunningCall? = null
+    private val reading =
+        PromptReading(context, request, destination, pace, declinedBy, ::promptRead) {
+            refuseOrBreak(RefusalReason.OVERLOADED)
+        }
     private val account = StreamAccount(request, time, destination.route)
     private var silence: RunningCall? = null
     private var lastEvent: Long? = request.resumeAfter
     private var runs = 0
-    private var promptWasRead = false
     private var sendings = 0
     private var begun = false
     private var over = false
@@ -52,10 +52,13 @@
         }
     }
 
-    /** Whether the caller has been at it for so long that it cannot be served in time any more. */
+    /**
+     * Whether the caller has been at it for so long that it cannot be served in time any more. One that comes back for
+     * the rest of a stream is never late.
+     */
     private fun isLate(crowded: Boolean): Boolean {
         val wait = request.wait ?: return false
-        if (!context.uses(Mechanism.LATE_REFUSAL)) return false
+        if (request.resumeAfter != null || !context.uses(Mechanism.LATE_REFUSAL)) return false
         val patience = pace.patienceOf(route)
         if (crowded) patience.refused(context.now())
         patience.arrived(wait, context.now())
@@ -89,76 +92,12 @@
         claim = null
         grant = memory
         account.granted(context.now())
-        prefill()
-    }
-
-    private fun prefill() {
-        val member = choosePrefill()
-        if (member == null || !mayReadPrompt()) {
-            decode()
-            return
-        }
-        val health = context.board.health(member.name)
-        health.inFlight += 1
-        prefillAt = member.name
-        context.record(EventKind.REQUEST_SENT, request.id, member.name, detail = "prefill of ${route.name}")
-        val limit = minOf(time.remaining(context.now()), pace.prefillLimit)
-        val sent = context.now()
-        prefillCall =
-            context.calls.prefill(request, Sending(member.start, limit)) { answer ->
-                prefillCall = null
-                prefillAt = null
-                health.inFlight -= 1
-                if (answer is EngineAnswer.Done) notePrefillCost(context.now() - sent)
-                prefillAnswered(member, answer)
-            }
-    }
-
-    private fun notePrefillCost(taken: Duration) {
-        request.generation?.let { pace.roles.prefilled(taken, it.promptTokens) }
+        if (prefilled == null) reading.start() else decode()
     }
 
-    private fun choosePrefill(): Member? {
-        if (request.generation == null || prefilled != null || !context.uses(Mechanism.SEPARATE_PREFILL)) return null
-        return context.board
-            .candidates(destination.service, PoolRole.PREFILL, context.now(), declinedBy)
-            .firstOrNull { it.name !in declinedBy }
-    }
-
-    private fun prefillAnswered(member: Member, answer: EngineAnswer<PrefillResult>) {
-        when (answer) {
-            is EngineAnswer.Done -> {
-                context.board.health(member.name).succeeded()
-                prefilled = answer.value
-                promptWasRead = true
-                decode()
-            }
-            is EngineAnswer.Refused -> {
-                if (answer.wrongInstance) context.replaced(member.name, request.id)
-                context.board.health(member.name).declined(context.now())
-                declinedBy += member.name
-                context.record(EventKind.REQUEST_DECLINED, request.id, member.name, detail = "prefill ${answer.status}")
-                prefillFailed(reached = true)
-            }
-            is EngineAnswer.Failed -> {
-                declinedBy += member.name
-                context.failed(member.name, request.id, "prefill", answer.failure)
-                prefillFailed(reached = answer.failure.sent)
-            }
-        }
-    }
-
-    /** The first reading of a prompt is part of the request; each further one is a repeat. */
-    private fun mayReadPrompt() = !promptWasRead || context.budget.tryRepeat(destination.service, context.now())
-
-    /** Goes on after a prefill that failed; one that [reached] its engine makes what follows a repeat. */
-    private fun prefillFailed(reached: Boolean) {
-        when {
-            reached && !context.budget.tryRepeat(destination.service, context.now()) ->
-                refuseOrBreak(RefusalReason.OVERLOADED)
-            declinedBy.size < MOST_PREFILLS -> prefill()
-            else -> decode()
-        }
+    private fun promptRead(result: PrefillResult?) {
+        prefilled = result
+        decode()
     }
 
     private fun decode() {
@@ -340,8 +279,7 @@
         timeout?.cancel()
         silence?.cancel()
         claim?.let(queue::leave)
-        prefillCall?.cancel()
-        prefillAt?.let { context.board.health(it).inFlight -= 1 }
+        reading.cancel()
         decoding?.cancel()
         val engine = grant?.engine?.name
         releaseMemory(used = decoding != null)
@@ -405,7 +343,6 @@
     private companion object {
         const val SERVER_ERROR = 500
         const val MOST_SENDINGS = 3
-        const val MOST_PREFILLS = 2
 
         /** Callers leave a stream that pauses for some seconds. */
         val SILENCE: Duration = 1_500.milliseconds
