Bid callers that are refused on arrival come back sooner

Load pattern: a crest of a second or two. Hypothesis: the sooner a caller comes back, the more of its target is left for its second wait.

--- a/core/src/main/kotlin/org/lovageladder/core/forward/StreamFlow.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/StreamFlow.kt
@@ -348,7 +348,7 @@
         val SILENCE: Duration = 1_500.milliseconds
 
         /** Part of the time to the latest start after which a caller comes back, doubled at most by the spread. */
-        const val EARLY_RETURN = 0.45
+        const val EARLY_RETURN = 0.2
         val LEAST_EARLY_RETURN: Duration = 100.milliseconds
 
         /** Streams that go on elsewhere come before all that have not begun. */
