Learn from four first submissions how long callers wait

Load pattern: a crest at one of many entries, each of which sees a request of a route in a second. Hypothesis: with thirty entries eight submissions without a refusal are seldom seen before the first crest. The shortest of a few is above the shortest of all by about the distance between them, so that four and this correction suffice.

--- a/core/src/main/kotlin/org/lovageladder/core/forward/CallerPatience.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/CallerPatience.kt
@@ -11,9 +11,8 @@
  * crest whose refused callers return when they can only be served late. Confined to one thread.
  */
 internal class CallerPatience {
-    private var shortest: Duration? = null
-    private var previousShortest: Duration? = null
-    private var samples = 0
+    private var waits: WaitRange? = null
+    private var olderWaits: WaitRange? = null
     private var lastRefusal: Moment? = null
 
     /** A caller was refused at [now], or others may have been. */
@@ -24,26 +23,44 @@
     /** A request arrived at [now] whose caller waits for [wait]. */
     fun arrived(wait: Duration, now: Moment) {
         if (mayHaveReturned(now)) return
-        shortest = minOf(shortest ?: wait, wait)
-        samples += 1
-        if (samples % WINDOW != 0) return
-        previousShortest = shortest
-        shortest = null
+        val range = waits?.with(wait) ?: WaitRange(shortest = wait, longest = wait, samples = 1)
+        val whole = range.samples >= WINDOW
+        if (whole) olderWaits = range
+        waits = range.takeUnless { whole }
     }
 
     /** How long the caller of a request that waits for [wait] has been at it, at least. */
     fun elapsed(wait: Duration): Duration {
-        if (samples < LEAST_SAMPLES) return Duration.ZERO
-        val least = listOfNotNull(shortest, previousShortest).min()
-        return (least - wait).coerceAtLeast(Duration.ZERO)
+        val seen = WaitRange.of(waits, olderWaits)
+        if (seen == null || seen.samples < LEAST_SAMPLES) return Duration.ZERO
+        return (seen.expectedShortest - wait).coerceAtLeast(Duration.ZERO)
     }
 
     private fun mayHaveReturned(now: Moment): Boolean = lastRefusal?.let { now - it < LONGEST_RETURN } ?: false
 
+    /** The waits of some first submissions. */
+    private data class WaitRange(val shortest: Duration, val longest: Duration, val samples: Int) {
+        /** The shortest of all, which is below that of a few by about as much as they lie apart. */
+        val expectedShortest: Duration get() = shortest - (longest - shortest) / samples
+
+        fun with(wait: Duration) = WaitRange(minOf(shortest, wait), maxOf(longest, wait), samples + 1)
+
+        companion object {
+            fun of(one: WaitRange?, other: WaitRange?): WaitRange? {
+                if (one == null || other == null) return one ?: other
+                return WaitRange(
+                    shortest = minOf(one.shortest, other.shortest),
+                    longest = maxOf(one.longest, other.longest),
+                    samples = one.samples + other.samples,
+                )
+            }
+        }
+    }
+
     private companion object {
-        const val LEAST_SAMPLES = 8
+        const val LEAST_SAMPLES = 4
 
-        /** Submissions after which older ones begin to be forgotten. */
+        /** Submissions after which older ones are forgotten. */
         const val WINDOW = 400
 
         /** By then callers who were refused have come back, or never will. */
