--- a/core/src/main/kotlin/org/lovageladder/core/forward/Forwarder.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/Forwarder.kt
@@ -10,8 +10,8 @@
 /**
  * Settings of a [Forwarder]: its [place], the budget for repeats of all entries, the number of entries until they are
  * known, and the part of the work of a service's engines that is prefill until its requests tell more. An upstream that
- * says that it is leaving gets nothing new after [drainBound]. A plain answer may have [answerBytes]. Experiments do [without]
- * some mechanisms.
+ * says that it is leaving gets nothing new after [drainBound]. A plain answer may have [answerBytes]. Experiments do
+ * [without] some mechanisms.
  */
 public data class ForwarderSettings(
     val place: PlaceName,
--- a/daemon/src/main/kotlin/org/lovageladder/daemon/ForwardCommand.kt
+++ b/daemon/src/main/kotlin/org/lovageladder/daemon/ForwardCommand.kt
@@ -50,8 +50,13 @@
         1..MOST_ENTRIES,
     )
 
-    private val without by option("--without", hidden = true, help = "Mechanisms that an experiment does without.")
-        .enum<Mechanism> { it.label }.split(",").default(emptyList())
+    private val without by
+        option(
+            "--without",
+            envvar = environmentVariable("--without"),
+            help = "Mechanisms that an experiment does without.",
+            hidden = true,
+        ).enum<Mechanism> { it.label }.split(",").default(emptyList())
 
     init {
         context {
--- a/daemon/src/test/kotlin/org/lovageladder/daemon/CommandTest.kt
+++ b/daemon/src/test/kotlin/org/lovageladder/daemon/CommandTest.kt
@@ -37,10 +37,11 @@
         Case("--hedging", "maybe", "on, off"),
         Case("--log-level", "loud", "debug, info, warning, error"),
         Case("--log-format", "xml", "text, json"),
+        Case("--without", "haste", "hedging, ejection", role = "forward"),
     )
 
     private fun run(role: String, flags: Map<String, String>, environment: Map<String, String> = emptyMap()) =
-        DaemonCommand().subcommands(EntryCommand(), CompanionCommand())
+        DaemonCommand().subcommands(EntryCommand(), CompanionCommand(), ForwardCommand())
             .test(listOf(role) + flags.flatMap { listOf(it.key, it.value) }, envvars = environment, width = 200)
 
     @Test
--- a/measure/src/main/kotlin/org/lovageladder/measure/StreamLog.kt
+++ b/measure/src/main/kotlin/org/lovageladder/measure/EndedStream.kt
@@ -37,7 +37,7 @@
 private val logJson = Json { ignoreUnknownKeys = true }
 private val field = Regex("""(\w+)=(-?\d+|null)(?:ms)?\b""")
 
-/** Reads the ends of streams from [lines] of JSON logs, whatever stands before the JSON; other lines are passed over. */
+/** Reads the ends of streams from [lines] of JSON logs, which may stand behind other text; passes other lines over. */
 internal fun endedStreams(lines: Sequence<String>): List<EndedStream> =
     lines.filter { "LL-3104" in it && " reserved=" in it }.mapNotNull(::endedStream).toList()
 
--- a/measure/src/main/kotlin/org/lovageladder/measure/StreamPlot.kt
+++ b/measure/src/main/kotlin/org/lovageladder/measure/StreamPlot.kt
@@ -14,7 +14,8 @@
             PlotLine("refused", "#b02a2a", shares(spans.map { it.refusedAtOnce + it.refusedLater })),
         )
     val drawn = lines.mapIndexed { index, line -> draw(line, index) }.joinToString("\n")
-    return """<svg xmlns="http://www.w3.org/2000/svg" width="$WIDTH" height="${HEIGHT + LEGEND}" font-family="sans-serif" font-size="12">
+    val size = """width="$WIDTH" height="${HEIGHT + LEGEND}""""
+    return """<svg xmlns="http://www.w3.org/2000/svg" $size font-family="sans-serif" font-size="12">
 <rect width="100%" height="100%" fill="white"/>
 $drawn
 <text x="4" y="14">highest: ${tokens.toLong()} tokens</text>
--- a/measure/src/main/kotlin/org/lovageladder/measure/StreamTables.kt
+++ b/measure/src/main/kotlin/org/lovageladder/measure/StreamTables.kt
@@ -1,6 +1,6 @@
 package org.lovageladder.measure
 
-/** Streams of one span of time; sums of tokens are those of its middle. [from] is in milliseconds since the first arrival. */
+/** Streams of a span of time that begins [from] milliseconds after the first arrival; tokens are as at its middle. */
 internal data class StreamSpan(
     val from: Long,
     val arrived: Int,
