--- a/measure/src/main/kotlin/org/lovageladder/measure/StreamPlot.kt
+++ b/measure/src/main/kotlin/org/lovageladder/measure/StreamPlot.kt
@@ -34,10 +34,11 @@
         line.values.mapIndexed { at, value -> "${(at * step).toInt()},${(HEIGHT - value * HEIGHT).toInt()}" }
     val left = index * LEGEND_STEP + LEGEND_STEP / 2
     return """<polyline fill="none" stroke="${line.colour}" stroke-width="2" points="${points.joinToString(" ")}"/>
-<text x="$left" y="${HEIGHT + LEGEND - 6}" fill="${line.colour}">${line.name}</text>"""
+<text x="$left" y="${HEIGHT + LEGEND - LEGEND_MARGIN}" fill="${line.colour}">${line.name}</text>"""
 }
 
 private const val WIDTH = 960
 private const val HEIGHT = 320
 private const val LEGEND = 24
+private const val LEGEND_MARGIN = 6
 private const val LEGEND_STEP = 200
