Forget upstreams that left shortly after an outage when the time after it is over

Change: what is missing is forgotten when the grace after the outage ends. Test: MembershipTest, red before in the case "one leaves shortly after an outage".

--- a/core/src/main/kotlin/org/lovageladder/core/forward/Membership.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/Membership.kt
@@ -63,7 +63,7 @@
  */
 public class Membership {
     private val members = HashMap<UpstreamName, Member>()
-    private val vanished = HashMap<UpstreamName, Moment>()
+    private val vanished = HashSet<UpstreamName>()
     private val ended = HashMap<UpstreamName, Long?>()
     private val changingRole = HashSet<UpstreamName>()
     private var graceUntil: Moment? = null
@@ -125,15 +125,17 @@
     }
 
     private fun vanish(name: UpstreamName, now: Moment) {
-        val until = graceUntil
-        if (lost || (until != null && now < until)) {
-            if (name in members) vanished.getOrPut(name) { now + REGISTRATION_GRACE }
+        if (isGrace(now)) {
+            vanished += name
         } else {
             members.remove(name)
             vanished.remove(name)
         }
     }
 
+    /** Whether an entry that is missing may still come back. */
+    private fun isGrace(now: Moment): Boolean = lost || graceUntil?.let { now < it } ?: false
+
     private fun replace(listed: List<Member>, now: Moment) {
         known = true
         changingRole.clear()
@@ -144,12 +146,9 @@
     }
 
     private fun expire(now: Moment) {
-        if (lost || vanished.isEmpty()) return
-        val due = vanished.filterValues { it <= now }.keys.toList()
-        due.forEach { name ->
-            vanished.remove(name)
-            members.remove(name)
-        }
+        if (vanished.isEmpty() || isGrace(now)) return
+        members.keys.removeAll(vanished)
+        vanished.clear()
     }
 
     private companion object {
--- a/core/src/test/kotlin/org/lovageladder/core/forward/MembershipTest.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/forward/MembershipTest.kt
@@ -52,6 +52,18 @@
                 8,
                 setOf("two"),
             ),
+            Case(
+                "one leaves shortly after an outage",
+                listOf(all, Step(1, RegistryChange.Lost), Step(5, RegistryChange.Regained), Step(7, removed)),
+                8,
+                setOf("two"),
+            ),
+            Case(
+                "one lapsed in a long outage and has time to come back",
+                listOf(all, Step(1, RegistryChange.Lost), Step(2, removed), Step(8, RegistryChange.Regained)),
+                10,
+                setOf("one", "two"),
+            ),
             Case(
                 "one lapsed and is back",
                 listOf(
