--- a/daemon/src/main/kotlin/org/lovageladder/daemon/EventLog.kt
+++ b/daemon/src/main/kotlin/org/lovageladder/daemon/EventLog.kt
@@ -11,25 +11,26 @@
 import org.tinylog.kotlin.Logger
 
 /**
- * Stamps events, keeps them in [ring], counts them and writes them to the log, at most [linesPerSecond] of them; what
- * was left out is said in the next second. Confined to the control thread.
+ * Adds a timestamp to events, keeps them in [ring], counts them as a metric and writes them to the log, at most
+ * [maximumLinesPerSecond] of them. The number of suppressed lines is logged with the next event of a later second.
+ * Confined to the control thread.
  */
 internal class EventLog(
     private val process: ProcessName,
     private val clock: HybridClock,
     private val ring: EventRing,
     registry: MeterRegistry,
-    private val linesPerSecond: Int = Int.MAX_VALUE,
+    private val maximumLinesPerSecond: Int = Int.MAX_VALUE,
 ) {
-    private var second = 0L
-    private var lines = 0
+    private var currentSecond = 0L
+    private var linesInSecond = 0
 
     private val counters: List<Counter> =
         EventKind.entries.map { kind ->
             Counter.builder("lovageladder.events").tag("code", kind.code).tag("kind", kind.name).register(registry)
         }
 
-    /** Records [draft] as an event of now. */
+    /** Records [draft] as an event that happens now. */
     fun record(draft: EventDraft) {
         val record =
             EventRecord(
@@ -47,15 +48,15 @@
         if (mayWrite(record.clock.milliseconds / MILLISECONDS_PER_SECOND)) log(record)
     }
 
-    private fun mayWrite(now: Long): Boolean {
-        if (now != second) {
-            val leftOut = lines - linesPerSecond
-            if (leftOut > 0) Logger.warn { "$leftOut lines were left out, see /v1/events" }
-            second = now
-            lines = 0
+    private fun mayWrite(second: Long): Boolean {
+        if (second != currentSecond) {
+            val suppressed = linesInSecond - maximumLinesPerSecond
+            if (suppressed > 0) Logger.warn { "$suppressed log lines were suppressed, see /v1/events" }
+            currentSecond = second
+            linesInSecond = 0
         }
-        lines += 1
-        return lines <= linesPerSecond
+        linesInSecond += 1
+        return linesInSecond <= maximumLinesPerSecond
     }
 
     private fun log(record: EventRecord) {
@@ -70,7 +71,7 @@
 
 private const val MILLISECONDS_PER_SECOND = 1_000L
 
-/** One line for [record]: its code and meaning, then what it concerns as `key=value`. */
+/** Formats [record] as one log line: its code and meaning, then its fields as `key=value`. */
 internal fun eventLine(record: EventRecord): String = buildString {
     append(record.kind.code).append(' ').append(record.kind.meaning)
     append(" kind=").append(record.kind.name)
@@ -79,11 +80,14 @@
     record.upstream?.let { append(" upstream=").append(it) }
     record.host?.let { append(" host=").append(it) }
     record.note?.let { append(" note=").append(it) }
-    if (record.detail.isNotEmpty()) append(" detail=\"").append(quotable(record.detail)).append('"')
+    if (record.detail.isNotEmpty()) append(" detail=\"").append(sanitized(record.detail)).append('"')
 }
 
-/** [text] on one line and without double quotes, since callers choose parts of it. */
-private fun quotable(text: String): String = text.map { character ->
+/**
+ * Replaces double quotes and control characters in [text]: callers choose parts of it and must not forge log fields or
+ * lines.
+ */
+private fun sanitized(text: String): String = text.map { character ->
     when {
         character == '"' -> '\''
         character.isISOControl() -> ' '
--- a/daemon/src/main/kotlin/org/lovageladder/daemon/EventRing.kt
+++ b/daemon/src/main/kotlin/org/lovageladder/daemon/EventRing.kt
@@ -4,34 +4,34 @@
 import org.lovageladder.core.RequestId
 import org.lovageladder.http.EventFilter
 
-/** The last [capacity] events of this process. May be used on any thread. */
-internal class EventRing(private val capacity: Int = CAPACITY) {
+/** Ring buffer of the last [capacity] events of this process. Safe for use on any thread. */
+internal class EventRing(private val capacity: Int = DEFAULT_CAPACITY) {
     private val records = ArrayDeque<EventRecord>(capacity)
 
-    /** Adds [record] and drops the oldest when the ring is full. */
+    /** Adds [record]; drops the oldest event when the ring is full. */
     @Synchronized
     fun add(record: EventRecord) {
         if (records.size == capacity) records.removeFirst()
         records.addLast(record)
     }
 
-    /** The newest events that fit [filter], in order of time. */
+    /** Returns the newest events that match [filter], oldest first, at most as many as its limit. */
     fun select(filter: EventFilter): List<EventRecord> =
-        copy().asReversed().asSequence().filter { fits(it, filter) }.take(filter.limit).toList().asReversed()
+        snapshot().asReversed().asSequence().filter { matches(it, filter) }.take(filter.limit).toList().asReversed()
 
-    /** All events kept of [request], in order of time. */
-    fun of(request: RequestId): List<EventRecord> = copy().filter { it.request == request }
+    /** Returns all stored events of [request], oldest first. */
+    fun of(request: RequestId): List<EventRecord> = snapshot().filter { it.request == request }
 
     @Synchronized
-    private fun copy(): List<EventRecord> = records.toList()
+    private fun snapshot(): List<EventRecord> = records.toList()
 
-    private fun fits(record: EventRecord, filter: EventFilter): Boolean =
+    private fun matches(record: EventRecord, filter: EventFilter): Boolean =
         (filter.request == null || record.request == filter.request) &&
             (filter.upstream == null || record.upstream == filter.upstream) &&
             (filter.note == null || record.note == filter.note) &&
             filter.afterMilliseconds.let { it == null || record.clock.milliseconds > it }
 
     private companion object {
-        const val CAPACITY = 8192
+        const val DEFAULT_CAPACITY = 8192
     }
 }
--- a/daemon/src/main/kotlin/org/lovageladder/daemon/ForwardCommand.kt
+++ b/daemon/src/main/kotlin/org/lovageladder/daemon/ForwardCommand.kt
@@ -19,49 +19,74 @@
 
 /**
  * Runs an entry that forwards requests straight to upstreams. Its settings come from flags, environment variables and
- * the file that [SETTINGS_VARIABLE] names, whose lines are `flag=value` without the dashes; flags go first.
+ * the file that [SETTINGS_VARIABLE] names, whose lines are `flag=value` without the dashes. Flags take precedence over
+ * variables, and variables over the file.
  */
-internal class ForwardCommand(private val act: (ForwardProcessSettings) -> Unit = ::runForward) :
+internal class ForwardCommand(private val onSettings: (ForwardProcessSettings) -> Unit = ::runForward) :
     CliktCommand("forward") {
     private val common by CommonFlags()
     private val listen by addressFlag("--listen", "Where callers connect.").required()
-    private val retryRatio by ratioFlag("--retry-ratio", "Repeats of all entries for each request.", RETRY_RATIO)
+    private val retryRatio by ratioFlag(
+        "--retry-ratio",
+        "Retries of all entries per request, as a ratio.",
+        DEFAULT_RETRY_RATIO,
+    )
     private val retryAllowance by
-        countFlag("--retry-allowance", "Repeats of all entries beyond that, in a window.", 0, 0..MOST_REPEATS)
-    private val retryWindow by durationFlag("--retry-window", "Window of the retry budget.", 10.seconds, WINDOWS)
+        countFlag(
+            "--retry-allowance",
+            "Retries of all entries beyond the ratio, per window.",
+            0,
+            0..MAXIMUM_RETRY_ALLOWANCE,
+        )
+    private val retryWindow by durationFlag("--retry-window", "Window of the retry budget.", 10.seconds, DURATION_RANGE)
     private val orderLease by
-        durationFlag("--order-lease", "Lease on the right to give orders to engines.", 3.seconds, WINDOWS)
+        durationFlag("--order-lease", "Lease of the process that gives orders to engines.", 3.seconds, DURATION_RANGE)
     private val prefillShare by
         ratioFlag(
             "--prefill-share",
-            "Part of the engines' work that is prefill, until requests tell more.",
-            PREFILL_SHARE,
+            "Share of prefill in the engines' work, until it is measured.",
+            DEFAULT_PREFILL_SHARE,
         )
     private val stopGrace by
-        durationFlag("--stop-grace", "Time from a stop signal until the platform ends the process.", 10.minutes, GRACES)
+        durationFlag(
+            "--stop-grace",
+            "Time from a stop signal until the platform ends the process.",
+            10.minutes,
+            STOP_GRACE_RANGE,
+        )
     private val drainBound by
-        durationFlag("--drain-bound", "Time after which a leaving upstream gets nothing new.", 2.seconds, WINDOWS)
+        durationFlag(
+            "--drain-bound",
+            "Time after which a leaving upstream gets no new requests.",
+            2.seconds,
+            DURATION_RANGE,
+        )
     private val answerBytes by
-        countFlag("--answer-bytes", "Largest answer of a plain service.", ANSWER_BYTES, ANSWER_SIZES)
+        countFlag(
+            "--answer-bytes",
+            "Largest answer of a plain service, in bytes.",
+            DEFAULT_ANSWER_BYTES,
+            ANSWER_BYTES_RANGE,
+        )
     private val entryCount by countFlag(
         "--entry-count",
-        "Entries among which limits are shared until they are known.",
-        ENTRIES,
-        1..MOST_ENTRIES,
+        "Number of entries that share limits, until it is known from the registry.",
+        DEFAULT_ENTRY_COUNT,
+        1..MAXIMUM_ENTRY_COUNT,
     )
 
-    private val without by
+    private val disabledMechanisms by
         option(
             "--without",
             envvar = environmentVariable("--without"),
-            help = "Mechanisms that an experiment does without.",
+            help = "Mechanisms that an experiment runs without.",
             hidden = true,
         ).enum<Mechanism> { it.label }.split(",").default(emptyList())
 
     init {
         context {
             System.getenv(SETTINGS_VARIABLE)?.let { file ->
-                valueSource = PropertiesValueSource.from(file, requireValid = true) { _, option -> settingName(option) }
+                valueSource = PropertiesValueSource.from(file, requireValid = true) { _, option -> settingKey(option) }
             }
         }
     }
@@ -70,16 +95,16 @@
 
     override fun run() {
         common.configureLog(LogStream.OUTPUT)
-        act(settings())
+        onSettings(settings())
     }
 
     private fun settings(): ForwardProcessSettings = ForwardProcessSettings(
         name = common.process,
-        callers = listen,
+        listenAddress = listen,
         process = common.processSettings(),
         stopGrace = stopGrace,
         orderLease = orderLease,
-        decisions =
+        forwarderSettings =
         ForwarderSettings(
             place = common.place,
             retries = RetryLimits(retryRatio, retryAllowance.toDouble(), retryWindow),
@@ -87,33 +112,33 @@
             prefillShare = prefillShare,
             drainBound = drainBound,
             answerBytes = answerBytes,
-            without = without.toSet(),
+            without = disabledMechanisms.toSet(),
         ),
     )
 
     private companion object {
-        const val RETRY_RATIO = 0.1
-        const val PREFILL_SHARE = 0.2
-        const val ANSWER_BYTES = 1024 * 1024
-        val ANSWER_SIZES = 1024..64 * 1024 * 1024
-        const val MOST_REPEATS = 100_000
-        const val ENTRIES = 8
-        const val MOST_ENTRIES = 10_000
-        val GRACES = 1.seconds..60.minutes
-        val WINDOWS = 1.seconds..10.minutes
+        const val DEFAULT_RETRY_RATIO = 0.1
+        const val DEFAULT_PREFILL_SHARE = 0.2
+        const val DEFAULT_ANSWER_BYTES = 1024 * 1024
+        val ANSWER_BYTES_RANGE = 1024..64 * 1024 * 1024
+        const val MAXIMUM_RETRY_ALLOWANCE = 100_000
+        const val DEFAULT_ENTRY_COUNT = 8
+        const val MAXIMUM_ENTRY_COUNT = 10_000
+        val STOP_GRACE_RANGE = 1.seconds..60.minutes
+        val DURATION_RANGE = 1.seconds..10.minutes
 
-        fun settingName(option: Option): String = option.names.first { it.startsWith("--") }.removePrefix("--")
+        fun settingKey(option: Option): String = option.names.first { it.startsWith("--") }.removePrefix("--")
     }
 }
 
 /** Environment variable that names the settings file. */
 internal const val SETTINGS_VARIABLE: String = "LOVAGELADDER_SETTINGS"
 
-/** Runs a forwarding entry until it ends; its settings file is read again when it changes and at SIGHUP. */
+/** Runs a forwarding entry until it ends; reloads its settings at SIGHUP and when its settings file changes. */
 private fun runForward(settings: ForwardProcessSettings) {
     runUntilEnd("forward", "callers") {
         val process = startForward(settings)
-        SettingsReload(process::settingsChanged, process::settingsRejected).start()
+        SettingsReload(process::applySettings, process::recordRejectedSettings).start()
         process
     }
 }
--- a/daemon/src/main/kotlin/org/lovageladder/daemon/ForwardProcess.kt
+++ b/daemon/src/main/kotlin/org/lovageladder/daemon/ForwardProcess.kt
@@ -29,12 +29,12 @@
 import org.lovageladder.http.forward.HttpUpstreamCalls
 import org.lovageladder.http.forward.TextClient
 import org.lovageladder.http.startAdminServer
-import org.lovageladder.platform.PlatformCallerWire
+import org.lovageladder.platform.PlatformEntryRegistration
 import org.lovageladder.platform.PlatformLeadership
-import org.lovageladder.platform.PlatformPresence
 import org.lovageladder.platform.PlatformRegistry
+import org.lovageladder.platform.PlatformRequestParser
 import org.lovageladder.platform.PlatformRoleOrders
-import org.lovageladder.platform.PlatformUpstreamWire
+import org.lovageladder.platform.PlatformUpstreamCodec
 import org.lovageladder.platform.StoreWriter
 import java.util.concurrent.Executors
 import kotlin.random.Random
@@ -42,12 +42,12 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
-/** Settings of an entry that forwards straight to upstreams. */
+/** Settings of an entry that forwards requests straight to upstreams. */
 internal data class ForwardProcessSettings(
     val name: ProcessName,
-    val callers: Address,
+    val listenAddress: Address,
     val process: ProcessSettings,
-    val decisions: ForwarderSettings,
+    val forwarderSettings: ForwarderSettings,
     val stopGrace: Duration,
     val orderLease: Duration,
 )
@@ -56,33 +56,35 @@
 internal fun startForward(settings: ForwardProcessSettings): ForwardProcess = ForwardProcess(settings)
 
 /**
- * Connects the forwarding decisions with callers, upstreams and the platform. One event loop thread carries both the
- * traffic and the control state: the hosts have a part of one processor, on which a second thread only costs switches.
+ * Connects the [Forwarder] with callers, upstreams and the platform's store. One event loop thread handles both traffic
+ * and control state: a host has only a share of one processor, where a second thread would add nothing but context
+ * switches.
  */
 internal class ForwardProcess(private val settings: ForwardProcessSettings) : RunningProcess {
     private val threads = HttpThreads(count = 1)
     private val scheduler = EventLoopScheduler(threads)
     private val registry = PrometheusMeterRegistry(PrometheusConfig.DEFAULT)
-    private val ring = EventRing(capacity = RING_CAPACITY)
-    private val log = EventLog(settings.name, HybridClock(System::currentTimeMillis), ring, registry, LINES_PER_SECOND)
+    private val ring = EventRing(capacity = EVENT_RING_CAPACITY)
+    private val eventLog =
+        EventLog(settings.name, HybridClock(System::currentTimeMillis), ring, registry, MAXIMUM_LOG_LINES_PER_SECOND)
     private val state = PublishedState()
     private val timer = Executors.newSingleThreadScheduledExecutor { Thread(it, "timer").apply { isDaemon = true } }
     private val ending = ProcessEnding(settings.process.drainTimeout, timer)
     private val storeClient = TextClient(threads)
     private val store = StoreWriter(settings.process.store.first(), storeClient)
-    private val calls = HttpUpstreamCalls(threads, PlatformUpstreamWire()) { upstream, notice ->
+    private val calls = HttpUpstreamCalls(threads, PlatformUpstreamCodec()) { upstream, notice ->
         forwarder.noticed(upstream, notice)
     }
-    private val forwarder: Forwarder = Forwarder(settings.decisions, calls, scheduler, log::record)
+    private val forwarder: Forwarder = Forwarder(settings.forwarderSettings, calls, scheduler, eventLog::record)
     private val follower =
         RegistryFollower(
-            PlatformRegistry(settings.process.store.first(), storeClient, log::record),
+            PlatformRegistry(settings.process.store.first(), storeClient, eventLog::record),
             scheduler,
-            Registrations(),
+            RegistryUpdates(),
         )
     private val server =
-        listenOn("--listen", settings.callers) {
-            ForwardServer(settings.callers, threads, PlatformCallerWire(scheduler), Callers())
+        listenOn("--listen", settings.listenAddress) {
+            ForwardServer(settings.listenAddress, threads, PlatformRequestParser(scheduler), RequestHandler())
         }
     private val adminServer =
         listenOn("--admin", settings.process.admin) {
@@ -93,7 +95,7 @@
                 threads,
             )
         }
-    private var draining = false
+    private var isDraining = false
 
     override val traffic: Address = server.address
     override val admin: Address = adminServer.address
@@ -102,14 +104,14 @@
         state.showIn(registry)
         Gauge.builder("lovageladder.requests.open", forwarder) { it.open.toDouble() }.register(registry)
         scheduler.execute {
-            log.record(EventDraft(EventKind.PROCESS_STARTED, detail = "callers=${settings.callers}"))
+            eventLog.record(EventDraft(EventKind.PROCESS_STARTED, detail = "callers=${settings.listenAddress}"))
             follower.start()
-            EntryPresence(PlatformPresence(store, settings.name), scheduler, PRESENCE_PERIOD).start()
-            keepRoles()
+            EntryPresence(PlatformEntryRegistration(store, settings.name), scheduler, REGISTRATION_LEASE).start()
+            startRoleChanges()
         }
     }
 
-    private fun keepRoles() {
+    private fun startRoleChanges() {
         val port = PlatformLeadership(store, settings.name)
         val leadership = Leadership(port, scheduler, settings.orderLease, Random.Default::nextDouble)
         forwarder.keepRoles(leadership, PlatformRoleOrders(store, settings.name, storeClient, forwarder::noticed))
@@ -129,47 +131,52 @@
         registry.close()
     }
 
-    /** Puts [newer] settings into force, as far as that is possible without a restart. */
-    fun settingsChanged(newer: ForwardProcessSettings): Unit = scheduler.execute {
-        forwarder.limitRetries(newer.decisions.retries)
-        val fixed =
-            newer.copy(decisions = settings.decisions) == settings && newer.decisions.place == settings.decisions.place
-        val detail = if (fixed) "in force" else "in force but for addresses, names and place, which need a restart"
-        log.record(EventDraft(EventKind.SETTINGS_RELOADED, detail = detail))
+    /** Applies those of [newSettings] that do not need a restart. */
+    fun applySettings(newSettings: ForwardProcessSettings): Unit = scheduler.execute {
+        forwarder.limitRetries(newSettings.forwarderSettings.retries)
+        val isComplete =
+            newSettings.copy(forwarderSettings = settings.forwarderSettings) == settings &&
+                newSettings.forwarderSettings.place == settings.forwarderSettings.place
+        val detail = if (isComplete) "applied" else "applied except addresses, names and place, which need a restart"
+        eventLog.record(EventDraft(EventKind.SETTINGS_RELOADED, detail = detail))
     }
 
-    /** Goes on with the settings that it has. */
-    fun settingsRejected(reason: String): Unit = scheduler.execute {
-        log.record(EventDraft(EventKind.SETTING_REJECTED, detail = reason))
+    /** Records why new settings were rejected; the present ones stay in force. */
+    fun recordRejectedSettings(reason: String): Unit = scheduler.execute {
+        eventLog.record(EventDraft(EventKind.SETTING_REJECTED, detail = reason))
     }
 
+    /**
+     * Reports the process as not ready and, once new callers use other hosts, closes idle connections and waits for the
+     * end of open requests.
+     */
     private fun drain() {
-        draining = true
+        isDraining = true
         state.ready = false
         server.drain()
         forwarder.drain(settings.stopGrace)
-        log.record(EventDraft(EventKind.PROCESS_DRAINING, detail = "open=${forwarder.open}"))
-        scheduler.after(UNROUTED_AFTER) {
+        eventLog.record(EventDraft(EventKind.PROCESS_DRAINING, detail = "open=${forwarder.open}"))
+        scheduler.after(BALANCER_REMOVAL_DELAY) {
             server.closeIdle()
             finishWhenIdle()
         }
     }
 
-    /** Ends once callers were sent elsewhere and nothing is in flight. */
+    /** Ends the process once no request is open. */
     private fun finishWhenIdle() {
         if (forwarder.open > 0) {
-            scheduler.after(DRAIN_CHECK) { finishWhenIdle() }
+            scheduler.after(DRAIN_CHECK_INTERVAL) { finishWhenIdle() }
             return
         }
         server.closeIdle()
-        log.record(EventDraft(EventKind.PROCESS_STOPPED, detail = "drained"))
+        eventLog.record(EventDraft(EventKind.PROCESS_STOPPED, detail = "drained"))
         ending.finished()
     }
 
-    private fun publish() {
-        val ready = forwarder.ready && !draining
+    private fun publishState() {
+        val ready = forwarder.ready && !isDraining
         if (ready && !state.ready) {
-            log.record(EventDraft(EventKind.PROCESS_READY, detail = "configuration=${forwarder.version}"))
+            eventLog.record(EventDraft(EventKind.PROCESS_READY, detail = "configuration=${forwarder.version}"))
         }
         state.ready = ready
         state.release = forwarder.version
@@ -180,19 +187,19 @@
         return statusText("forward", settings.name, ForwardStatus.serializer(), status)
     }
 
-    private inner class Registrations : RegistryListener {
+    private inner class RegistryUpdates : RegistryListener {
         override fun configured(configuration: Configuration) {
             forwarder.configure(configuration)
-            publish()
+            publishState()
         }
 
         override fun changed(change: RegistryChange) {
             forwarder.registryChanged(change)
-            publish()
+            publishState()
         }
     }
 
-    private inner class Callers : ForwardHandler {
+    private inner class RequestHandler : ForwardHandler {
         override val limits: CallerLimits? get() = forwarder.limits
 
         override fun forward(request: ForwardRequest, reply: CallerReply): OpenRequest? =
@@ -200,16 +207,19 @@
     }
 
     private companion object {
-        const val RING_CAPACITY = 4096
-        const val LINES_PER_SECOND = 400
-
-        /** The platform's balancer asks once a second and takes a host out after two answers that are not ready. */
-        val UNROUTED_AFTER: Duration = 3.seconds
-        val PRESENCE_PERIOD: Duration = 6.seconds
-        val DRAIN_CHECK: Duration = 50.milliseconds
+        const val EVENT_RING_CAPACITY = 4096
+        const val MAXIMUM_LOG_LINES_PER_SECOND = 400
+
+        /**
+         * Time until callers use other hosts: the platform's balancer probes once a second and removes a host after two
+         * probes that found it not ready.
+         */
+        val BALANCER_REMOVAL_DELAY: Duration = 3.seconds
+        val REGISTRATION_LEASE: Duration = 6.seconds
+        val DRAIN_CHECK_INTERVAL: Duration = 50.milliseconds
     }
 }
 
-/** What operators see of a forwarding entry. */
+/** Status of a forwarding entry as shown to operators. */
 @Serializable
 internal data class ForwardStatus(val ready: Boolean, val configuration: ReleaseVersion)
--- a/daemon/src/main/kotlin/org/lovageladder/daemon/JsonLineWriter.kt
+++ b/daemon/src/main/kotlin/org/lovageladder/daemon/JsonLineWriter.kt
@@ -7,8 +7,8 @@
 import org.tinylog.writers.AbstractWriter
 
 /**
- * Writes each line of the log as one JSON object, to standard output when the property `stream` is `out`, else to
- * standard error. tinylog creates it by its service entry.
+ * Writes each log entry as one line of JSON, to standard output when the property `stream` is `out`, else to standard
+ * error. tinylog finds the class by its entry in `META-INF/services`.
  */
 public class JsonLineWriter(properties: Map<String, String>) : AbstractWriter(properties) {
     private val stream = if (properties["stream"] == LogStream.OUTPUT.tinylogName) System.out else System.err
--- a/daemon/src/main/kotlin/org/lovageladder/daemon/LogSettings.kt
+++ b/daemon/src/main/kotlin/org/lovageladder/daemon/LogSettings.kt
@@ -3,7 +3,7 @@
 import org.tinylog.configuration.Configuration
 import org.tinylog.provider.ProviderRegistry
 
-/** Least severe level that is written to the log. */
+/** Lowest severity that is logged. */
 internal enum class LogLevel {
     DEBUG,
     INFO,
@@ -17,7 +17,7 @@
     val tinylogName: String get() = if (this == WARNING) "warn" else word
 }
 
-/** Form of the lines of the log. */
+/** Format of log lines. */
 internal enum class LogFormat {
     TEXT,
     JSON,
@@ -26,7 +26,7 @@
     val word: String = name.lowercase()
 }
 
-/** Where the log goes. */
+/** Standard stream that the log is written to. */
 internal enum class LogStream(
     /** The stream's name in tinylog. */
     val tinylogName: String,
@@ -35,7 +35,7 @@
     ERROR("err"),
 }
 
-/** Sends the log to [stream]. Has to be called before the first line is logged; later calls do nothing. */
+/** Configures the log. Must be called before the first line is logged; later calls have no effect. */
 internal fun configureLog(level: LogLevel, format: LogFormat, stream: LogStream = LogStream.ERROR) {
     if (Configuration.isFrozen()) return
     Configuration.set("level", level.tinylogName)
@@ -53,7 +53,7 @@
     }
 }
 
-/** Writes out what is still queued; nothing may be logged after it. */
+/** Flushes queued log lines and shuts the log down; nothing may be logged afterwards. */
 internal fun closeLog() {
     ProviderRegistry.getLoggingProvider().shutdown()
 }
--- a/daemon/src/main/kotlin/org/lovageladder/daemon/SettingsReload.kt
+++ b/daemon/src/main/kotlin/org/lovageladder/daemon/SettingsReload.kt
@@ -11,45 +11,52 @@
 import java.util.concurrent.TimeUnit
 
 /**
- * Reads the settings of a forwarding entry again at SIGHUP and when its settings file was changed. Settings that are
- * allowed go to [changed], the reason why others are not to [rejected]; both are called on a thread of their own.
+ * Reloads the settings of a forwarding entry at SIGHUP and when the text of its settings file changed. Valid settings
+ * go to [onChanged], the reason why others are invalid to [onRejected]; both are called on a thread of this class.
  */
 internal class SettingsReload(
-    private val changed: (ForwardProcessSettings) -> Unit,
-    private val rejected: (String) -> Unit,
+    private val onChanged: (ForwardProcessSettings) -> Unit,
+    private val onRejected: (String) -> Unit,
     private val file: String? = System.getenv(SETTINGS_VARIABLE),
 ) {
-    private val thread = Executors.newSingleThreadScheduledExecutor { Thread(it, "settings").apply { isDaemon = true } }
-    private var text = read()
+    private val executor = Executors.newSingleThreadScheduledExecutor {
+        Thread(it, "settings").apply { isDaemon = true }
+    }
+    private var lastText = readFile()
 
-    /** Begins to watch. */
+    /** Starts to watch for SIGHUP and changes of the file. */
     fun start() {
-        Signal.handle(Signal("HUP")) { thread.execute(::reload) }
+        Signal.handle(Signal("HUP")) { executor.execute(::reload) }
         if (file == null) return
-        thread.scheduleWithFixedDelay(::reloadIfChanged, CHECK_SECONDS, CHECK_SECONDS, TimeUnit.SECONDS)
+        executor.scheduleWithFixedDelay(
+            ::reloadIfChanged,
+            CHECK_INTERVAL_SECONDS,
+            CHECK_INTERVAL_SECONDS,
+            TimeUnit.SECONDS,
+        )
     }
 
     private fun reloadIfChanged() {
-        if (read() != text) reload()
+        if (readFile() != lastText) reload()
     }
 
     private fun reload() {
-        text = read()
+        lastText = readFile()
         try {
-            ForwardCommand(changed).parse(emptyList())
+            ForwardCommand(onChanged).parse(emptyList())
         } catch (invalid: CliktError) {
-            rejected(invalid.message.orEmpty())
+            onRejected(invalid.message.orEmpty())
         }
     }
 
-    private fun read(): String? = try {
+    private fun readFile(): String? = try {
         file?.let { Files.readString(Path.of(it)) }
     } catch (unreadable: IOException) {
-        Logger.warn { "the settings file cannot be read: $unreadable" }
+        Logger.warn { "cannot read the settings file: $unreadable" }
         null
     }
 
     private companion object {
-        const val CHECK_SECONDS = 2L
+        const val CHECK_INTERVAL_SECONDS = 2L
     }
 }
--- a/http/src/main/kotlin/org/lovageladder/http/forward/EventLoopScheduler.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/forward/EventLoopScheduler.kt
@@ -7,7 +7,7 @@
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
 
-/** Time and timers of the one event loop thread of [threads]. */
+/** Provides time and timers on the event loop of [threads], which must have one thread only. */
 public class EventLoopScheduler(threads: HttpThreads) : Scheduler {
     private val loop = threads.group.next()
 
--- a/http/src/main/kotlin/org/lovageladder/http/forward/ForwardConnection.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/forward/ForwardConnection.kt
@@ -20,46 +20,46 @@
 import org.tinylog.kotlin.Logger
 
 /**
- * One caller's connection. It carries one request at a time; further ones that arrive meanwhile wait for their turn.
- * Runs on the event loop thread.
+ * A caller's connection. Handles one request at a time; pipelined requests wait in order, and the connection is closed
+ * when there are too many of them. Runs on the event loop thread, except for [closeIfIdle] and [close].
  */
 internal class ForwardConnection(
     private val channel: Channel,
     limits: CallerLimits,
-    private val wire: CallerWire,
+    private val parser: CallerRequestParser,
     private val handler: ForwardHandler,
-    private val draining: () -> Boolean,
+    private val isDraining: () -> Boolean,
 ) : SimpleChannelInboundHandler<FullHttpRequest>(false) {
-    private val waiting = ArrayDeque<FullHttpRequest>()
-    private val timer = ReceiveTimer(channel.eventLoop(), receiveLimits(limits), ::expired)
-    private var current: ForwardReply? = null
-    private var open: OpenRequest? = null
+    private val pipelined = ArrayDeque<FullHttpRequest>()
+    private val receiveTimer = ReceiveTimer(channel.eventLoop(), toHttpLimits(limits), ::onReceiveTimeout)
+    private var currentReply: ForwardReply? = null
+    private var openRequest: OpenRequest? = null
 
     override fun channelActive(context: ChannelHandlerContext) {
-        timer.awaitRequest()
+        receiveTimer.awaitRequest()
         context.fireChannelActive()
     }
 
-    /** Bytes of a request arrived. */
-    fun bytesArrived() {
-        if (current == null) timer.bytesArrived()
+    /** Called when bytes of a request arrived, before they are decoded. */
+    fun onBytesReceived() {
+        if (currentReply == null) receiveTimer.bytesArrived()
     }
 
-    /** Closes the connection unless it carries a request. */
+    /** Closes the connection unless a request is in progress or waits on it. May be called on any thread. */
     fun closeIfIdle() {
-        channel.eventLoop().execute { if (current == null && waiting.isEmpty()) channel.close() }
+        channel.eventLoop().execute { if (currentReply == null && pipelined.isEmpty()) channel.close() }
     }
 
-    /** Closes the connection. */
+    /** Closes the connection. May be called on any thread. */
     fun close() {
         channel.close()
     }
 
     override fun channelRead0(context: ChannelHandlerContext, request: FullHttpRequest) {
-        if (current == null) {
-            begin(request)
-        } else if (waiting.size < WAITING_LIMIT) {
-            waiting.add(request)
+        if (currentReply == null) {
+            startRequest(request)
+        } else if (pipelined.size < MAXIMUM_PIPELINED_REQUESTS) {
+            pipelined.add(request)
         } else {
             request.release()
             channel.close()
@@ -67,85 +67,86 @@
     }
 
     override fun channelInactive(context: ChannelHandlerContext) {
-        timer.stop()
-        waiting.forEach { it.release() }
-        waiting.clear()
-        val left = open
-        open = null
-        current?.callerLeft()
-        left?.callerLeft()
+        receiveTimer.stop()
+        pipelined.forEach { it.release() }
+        pipelined.clear()
+        val request = openRequest
+        openRequest = null
+        currentReply?.onCallerDisconnected()
+        request?.callerLeft()
     }
 
-    @Deprecated("Deprecated in Netty's base class, but still the place for connection errors.")
+    @Deprecated("Deprecated in Netty's base class, but still the place to handle connection errors.")
     override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
-        Logger.debug { "a caller's connection from ${channel.remoteAddress()} failed: $cause" }
+        Logger.debug { "connection of caller ${channel.remoteAddress()} failed: $cause" }
         channel.close()
     }
 
-    private fun begin(request: FullHttpRequest) {
-        timer.stop()
+    private fun startRequest(request: FullHttpRequest) {
+        receiveTimer.stop()
         val keepAlive = HttpUtil.isKeepAlive(request)
-        val reply = ForwardReply(channel, request.method().name(), { keepAlive && !draining() }, ::ended)
-        current = reply
+        val reply = ForwardReply(channel, request.method().name(), { keepAlive && !isDraining() }, ::onReplyFinished)
+        currentReply = reply
         val fault = request.decoderResult().cause()
         if (fault != null) {
             request.release()
-            reply.reject(statusOf(fault), fault.message.orEmpty())
+            reply.reject(statusFor(fault), fault.message.orEmpty())
             return
         }
-        val received = received(request)
+        val received = toReceivedRequest(request)
         request.release()
-        val read = wire.read(received)
-        if (read == null) {
+        val parsed = parser.parse(received)
+        if (parsed == null) {
             reply.reject(STATUS_BAD_REQUEST, "the request's identifier is missing or its headers are malformed")
             return
         }
-        val taken = handler.forward(read, reply)
-        if (current === reply) open = taken
+        val opened = handler.forward(parsed, reply)
+        if (currentReply === reply) openRequest = opened
     }
 
-    private fun received(request: FullHttpRequest) = ReceivedRequest(
+    private fun toReceivedRequest(request: FullHttpRequest) = ReceivedRequest(
         method = request.method().name(),
         target = request.uri(),
         host = request.headers().get(HttpHeaderNames.HOST).orEmpty(),
-        head = passedOn(request.headers()),
+        fields = endToEndFields(request.headers()),
         body = ByteBufUtil.getBytes(request.content()),
     )
 
-    /** The current request's answer is written; [keepAlive] tells whether the connection goes on. */
-    private fun ended(keepAlive: Boolean) {
-        current = null
-        open = null
+    /** The answer to the current request was written; [keepAlive] tells whether the connection stays open. */
+    private fun onReplyFinished(keepAlive: Boolean) {
+        currentReply = null
+        openRequest = null
         if (!keepAlive) return
-        val next = waiting.removeFirstOrNull()
-        if (next == null) timer.awaitRequest() else channel.eventLoop().execute { beginOrDrop(next) }
+        val next = pipelined.removeFirstOrNull()
+        if (next == null) receiveTimer.awaitRequest() else channel.eventLoop().execute { startOrRelease(next) }
     }
 
-    private fun beginOrDrop(request: FullHttpRequest) {
-        if (channel.isActive && current == null) begin(request) else request.release()
+    private fun startOrRelease(request: FullHttpRequest) {
+        if (channel.isActive && currentReply == null) startRequest(request) else request.release()
     }
 
-    private fun expired(detail: String?) {
-        if (detail == null || current != null) {
+    /** [detail] says which part of a request was late; null when no request had begun. */
+    private fun onReceiveTimeout(detail: String?) {
+        if (detail == null || currentReply != null) {
             channel.close()
             return
         }
-        val reply = ForwardReply(channel, "GET", { false }, ::ended)
-        current = reply
+        val reply = ForwardReply(channel, "GET", { false }, ::onReplyFinished)
+        currentReply = reply
         reply.reject(STATUS_REQUEST_TIMEOUT, detail)
     }
 
-    private fun statusOf(fault: Throwable): Int = when (fault) {
+    private fun statusFor(fault: Throwable): Int = when (fault) {
         is TooLongHttpHeaderException -> STATUS_HEADERS_TOO_LARGE
         is TooLongHttpLineException -> STATUS_TARGET_TOO_LONG
         else -> STATUS_BAD_REQUEST
     }
 
     private companion object {
-        /** Requests that a caller may send ahead on one connection. */
-        const val WAITING_LIMIT = 32
+        /** Pipelined requests that may wait on one connection. */
+        const val MAXIMUM_PIPELINED_REQUESTS = 32
 
-        fun receiveLimits(limits: CallerLimits) = HttpLimits(
+        fun toHttpLimits(limits: CallerLimits) = HttpLimits(
             bodyBytes = limits.bodyBytes,
             headerBytes = limits.headerBytes,
             readIdle = limits.headerTimeout,
--- a/http/src/main/kotlin/org/lovageladder/http/forward/ForwardReply.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/forward/ForwardReply.kt
@@ -26,72 +26,77 @@
 import kotlin.time.Duration
 import kotlin.time.DurationUnit
 
-/** Writes the answer to one request. [ended] is told whether the connection goes on. Runs on the event loop thread. */
+/**
+ * Writes the answer to one request. [mayKeepAlive] is asked when the answer begins; [onFinished] gets whether the
+ * connection stays open for further requests. Runs on the event loop thread.
+ */
 internal class ForwardReply(
     private val channel: Channel,
     private val method: String,
     private val mayKeepAlive: () -> Boolean,
-    private val ended: (Boolean) -> Unit,
+    private val onFinished: (keepAlive: Boolean) -> Unit,
 ) : CallerReply {
-    private var over = false
+    private var isFinished = false
     private var keepAlive = true
 
-    /** The caller is gone; nothing more is written. */
-    fun callerLeft() {
-        over = true
+    /** The caller disconnected; nothing more is written. */
+    fun onCallerDisconnected() {
+        isFinished = true
     }
 
     override fun begin(head: AnswerHead, length: Int?) {
-        if (over) return
+        if (isFinished) return
         keepAlive = mayKeepAlive()
         val response = DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(head.status))
         head.fields.forEach { response.headers().add(it.name, it.value) }
-        frame(response, length)
+        setFraming(response, length)
         if (length == null) channel.writeAndFlush(response) else channel.write(response)
     }
 
     override fun content(bytes: ByteArray) {
-        if (over || method == "HEAD") return
+        if (isFinished || method == "HEAD") return
         channel.writeAndFlush(DefaultHttpContent(Unpooled.wrappedBuffer(bytes)))
-        if (channel.unsafe().outboundBuffer()?.totalPendingWriteBytes() ?: 0 > UNREAD_LIMIT) channel.close()
+        if (channel.unsafe().outboundBuffer()?.totalPendingWriteBytes() ?: 0 > MAXIMUM_UNREAD_BYTES) channel.close()
     }
 
     override fun end() {
-        if (over) return
-        over = true
+        if (isFinished) return
+        isFinished = true
         finish(channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT))
     }
 
     override fun refuse(refusal: Refusal) {
-        if (over) return
+        if (isFinished) return
         keepAlive = mayKeepAlive()
-        whole(statusOf(refusal.reason), refusal.reason.name.lowercase(), refusal.returnAfter)
+        sendComplete(statusFor(refusal.reason), refusal.reason.name.lowercase(), refusal.returnAfter)
     }
 
-    /** Answers a request that is not well-formed and closes the connection. */
+    /** Answers a malformed or incomplete request with [status] and closes the connection. */
     fun reject(status: Int, detail: String) {
-        if (over) return
+        if (isFinished) return
         keepAlive = false
-        whole(status, detail, returnAfter = null)
+        sendComplete(status, detail, retryAfter = null)
     }
 
     override fun abort() {
-        if (over) return
-        over = true
+        if (isFinished) return
+        isFinished = true
         channel.close()
     }
 
-    private fun whole(status: Int, detail: String, returnAfter: Duration?) {
-        over = true
+    /** Sends an answer of this process's own, with [detail] as its body. */
+    private fun sendComplete(status: Int, detail: String, retryAfter: Duration?) {
+        isFinished = true
         val content = Unpooled.wrappedBuffer("$detail\n".encodeToByteArray())
         val response = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), content)
         response.headers().set(HttpHeaderNames.CONTENT_TYPE, "text/plain; charset=utf-8")
-        returnAfter?.let { response.headers().set(HttpHeaderNames.RETRY_AFTER, seconds(it)) }
-        frame(response, content.readableBytes())
+        retryAfter?.let { response.headers().set(HttpHeaderNames.RETRY_AFTER, formatSeconds(it)) }
+        setFraming(response, content.readableBytes())
         finish(channel.writeAndFlush(response))
     }
 
-    private fun frame(response: HttpResponse, length: Int?) {
+    /** Sets the headers that mark the end of the body: chunked encoding when [length] is null. */
+    private fun setFraming(response: HttpResponse, length: Int?) {
         val headers = response.headers()
         if (length == null) {
             HttpUtil.setTransferEncodingChunked(response, true)
@@ -103,10 +108,10 @@
 
     private fun finish(written: ChannelFuture) {
         if (!keepAlive) written.addListener(ChannelFutureListener.CLOSE)
-        ended(keepAlive)
+        onFinished(keepAlive)
     }
 
-    private fun statusOf(reason: RefusalReason): Int = when (reason) {
+    private fun statusFor(reason: RefusalReason): Int = when (reason) {
         RefusalReason.NO_ROUTE -> STATUS_NOT_FOUND
         RefusalReason.NOT_READY,
         RefusalReason.LEAVING,
@@ -118,10 +123,10 @@
         RefusalReason.TIMEOUT -> STATUS_GATEWAY_TIMEOUT
     }
 
-    private fun seconds(duration: Duration) = "%.3f".format(Locale.ROOT, duration.toDouble(DurationUnit.SECONDS))
+    private fun formatSeconds(duration: Duration) = "%.3f".format(Locale.ROOT, duration.toDouble(DurationUnit.SECONDS))
 
     private companion object {
-        /** Bytes that a caller may leave unread before it is given up. */
-        const val UNREAD_LIMIT = 1_048_576L
+        /** Unread bytes of an answer above which a slow caller's connection is closed. */
+        const val MAXIMUM_UNREAD_BYTES = 1_048_576L
     }
 }
--- a/http/src/main/kotlin/org/lovageladder/http/forward/ForwardServer.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/forward/ForwardServer.kt
@@ -17,43 +17,46 @@
 import java.util.concurrent.ConcurrentHashMap
 import kotlin.time.Duration.Companion.seconds
 
-/** Takes callers' requests in, on the event loop thread. */
+/** Handles callers' requests, on the event loop thread. */
 public interface ForwardHandler {
-    /** Limits on callers in force; null before they are known. */
+    /** Limits on callers' requests; null before a configuration is known. */
     public val limits: CallerLimits?
 
-    /** Forwards [request] and gives its outcome to [reply]; null when it was answered at once. */
+    /** Forwards [request] and sends the answer to [reply]. Returns null when the request was answered at once. */
     public fun forward(request: ForwardRequest, reply: CallerReply): OpenRequest?
 }
 
-/** Accepts callers' connections at [bind] and passes their requests to [handler]. [threads] has one thread. */
+/**
+ * Accepts callers' connections at [bind], parses their requests with [parser] and passes them to [handler]. [threads]
+ * must have one thread only.
+ */
 public class ForwardServer(
     bind: Address,
     private val threads: HttpThreads,
-    private val wire: CallerWire,
+    private val parser: CallerRequestParser,
     private val handler: ForwardHandler,
 ) : AutoCloseable {
     private val connections = ConcurrentHashMap.newKeySet<ForwardConnection>()
 
     @Volatile
-    private var draining = false
+    private var isDraining = false
     private val server: Channel = listenForHttp(bind, threads, Initializer())
 
-    /** Where the server listens, with the port that was chosen when 0 was asked for. */
+    /** Address that the server listens at; for port 0 it holds the port that the system chose. */
     public val address: Address =
         addressOf(server)
 
-    /** Tells callers with each answer that their connection ends. */
+    /** Closes each caller's connection after its next answer, which announces this by `Connection: close`. */
     public fun drain() {
-        draining = true
+        isDraining = true
     }
 
-    /** Closes connections that carry no request. */
+    /** Closes connections without a request in progress. */
     public fun closeIdle() {
         connections.forEach { it.closeIfIdle() }
     }
 
-    /** Stops to listen and closes all connections. */
+    /** Stops listening and closes all connections. */
     override fun close() {
         server.close()
         connections.forEach { it.close() }
@@ -62,11 +65,11 @@
     private inner class Initializer : ChannelInitializer<SocketChannel>() {
         override fun initChannel(channel: SocketChannel) {
             val limits = handler.limits ?: DEFAULT_LIMITS
-            val connection = ForwardConnection(channel, limits, wire, handler) { draining }
+            val connection = ForwardConnection(channel, limits, parser, handler) { isDraining }
             connections.add(connection)
             channel.closeFuture().addListener { connections.remove(connection) }
             channel.pipeline().addLast(
-                ArrivalHandler(connection::bytesArrived),
+                ArrivalHandler(connection::onBytesReceived),
                 StrictRequestDecoder(limits.headerBytes),
                 HttpResponseEncoder(),
                 HttpObjectAggregator(limits.bodyBytes),
@@ -76,7 +79,7 @@
     }
 
     private companion object {
-        /** Until a configuration is known. */
+        /** Limits that apply until a configuration is known. */
         val DEFAULT_LIMITS =
             CallerLimits(
                 headerBytes = 16_384,
--- a/http/src/main/kotlin/org/lovageladder/http/forward/ConnectionFields.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/forward/HopByHopHeaders.kt
@@ -4,8 +4,8 @@
 import io.netty.handler.codec.http.HttpHeaders
 import org.lovageladder.core.forward.HeaderField
 
-/** Headers that concern one connection only, and those that frame a body. They are not passed on. */
-private val CONNECTION_FIELDS = setOf(
+/** Headers that apply to one connection only and headers that frame a body. They are not forwarded. */
+private val HOP_BY_HOP_HEADERS = setOf(
     "connection",
     "keep-alive",
     "proxy-connection",
@@ -17,12 +17,12 @@
     "expect",
 )
 
-/** Headers of [headers] to pass on: all but those of the connection and those that `Connection` names. */
-internal fun passedOn(headers: HttpHeaders): List<HeaderField> {
+/** Returns the headers to forward: all but the hop-by-hop headers and those that the `Connection` header names. */
+internal fun endToEndFields(headers: HttpHeaders): List<HeaderField> {
     val named = headers.getAll(HttpHeaderNames.CONNECTION).flatMap {
         it.split(',')
     }.mapTo(HashSet()) { it.trim().lowercase() }
     return headers
-        .filterNot { it.key.lowercase() in CONNECTION_FIELDS || it.key.lowercase() in named }
+        .filterNot { it.key.lowercase() in HOP_BY_HOP_HEADERS || it.key.lowercase() in named }
         .map { HeaderField(it.key, it.value) }
 }
--- a/http/src/main/kotlin/org/lovageladder/http/forward/HttpUpstreamCalls.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/forward/HttpUpstreamCalls.kt
@@ -27,22 +27,27 @@
 import kotlin.time.Duration.Companion.milliseconds
 
 /**
- * Calls to upstreams by HTTP on kept connections. [threads] has one thread, on which all answers arrive. Whatever an
- * answer says of the requests that its upstream wants goes to [noticed] before the answer is told.
+ * Calls upstreams by HTTP over pooled connections, in the format of [codec]. [threads] must have one thread only, on
+ * which all answers arrive. A notice in an answer goes to [onNotice] before the answer is delivered.
  */
 public class HttpUpstreamCalls(
     threads: HttpThreads,
-    private val wire: UpstreamWire,
-    private val noticed: (UpstreamStart, UpstreamNotice) -> Unit = { _, _ -> },
+    private val codec: UpstreamCodec,
+    private val onNotice: (UpstreamStart, UpstreamNotice) -> Unit = { _, _ -> },
 ) : UpstreamCalls,
     AutoCloseable {
     private val client = HttpClient(threads)
 
     override fun send(request: ForwardRequest, sending: Sending, receiver: AnswerReceiver): RunningCall {
-        val fields = wire.runFields(request, sending).map { HttpField(it.name, it.value) }
+        val fields = codec.requestHeaders(request, sending).map { HttpField(it.name, it.value) }
         val call = HttpCall(HttpMethod.valueOf(request.method), request.target, request.body, fields = fields)
-        val wait = HttpWait(minOf(sending.timeout, CONNECT_LIMIT), answer = null)
-        val running = client.start(sending.address, call, Receiver(request, sending.upstream, receiver), wait = wait)
+        val wait = HttpWait(minOf(sending.timeout, CONNECT_TIMEOUT), answer = null)
+        val running = client.start(
+            sending.address,
+            call,
+            AnswerAdapter(request, sending.upstream, receiver),
+            wait = wait,
+        )
         return RunningCall { running.abandon() }
     }
 
@@ -52,10 +57,10 @@
         answer: (EngineAnswer<PrefillResult>) -> Unit,
     ): RunningCall {
         val call = TextCall(request.method, request.target)
-        val fields = wire.prefillFields(request, sending)
-        return client.askText(sending.address, call, sending.timeout, fields, request.body) { result ->
-            notice(sending.upstream, result)
-            answer(read(result) { wire.prefillResult(sending, it) })
+        val fields = codec.prefillHeaders(request, sending)
+        return client.sendText(sending.address, call, sending.timeout, fields, request.body) { result ->
+            reportNotice(sending.upstream, result)
+            answer(toEngineAnswer(result) { codec.parsePrefillResult(sending, it) })
         }
     }
 
@@ -64,54 +69,60 @@
         tokens: Int,
         keep: Duration,
         answer: (EngineAnswer<Reservation>) -> Unit,
-    ): RunningCall = control(engine, wire.reserveCall(tokens, keep)) { answer(read(it, wire::reservation)) }
+    ): RunningCall = callEngine(engine, codec.reserveCall(tokens, keep)) {
+        answer(toEngineAnswer(it, codec::parseReservation))
+    }
 
     override fun release(engine: UpstreamStart, reservation: Reservation) {
-        control(engine, wire.releaseCall(reservation)) { logFailure("release", engine, it) }
+        callEngine(engine, codec.releaseCall(reservation)) { logFailure("release", engine, it) }
     }
 
     override fun free(result: PrefillResult) {
-        control(result.engine, wire.freeCall(result)) { logFailure("free", result.engine, it) }
+        callEngine(result.engine, codec.freeCall(result)) { logFailure("free", result.engine, it) }
     }
 
     override fun close(): Unit = client.close()
 
-    private fun control(engine: UpstreamStart, call: TextCall, answer: (TextResult) -> Unit): RunningCall =
-        client.askText(engine.address, call, CONTROL_LIMIT, emptyList(), ByteArray(0)) { result ->
-            notice(engine, result)
+    /** Makes a short call about an engine's memory. */
+    private fun callEngine(engine: UpstreamStart, call: TextCall, answer: (TextResult) -> Unit): RunningCall =
+        client.sendText(engine.address, call, ENGINE_CALL_TIMEOUT, emptyList(), ByteArray(0)) { result ->
+            reportNotice(engine, result)
             answer(result)
         }
 
-    private fun notice(upstream: UpstreamStart, result: TextResult) {
+    private fun reportNotice(upstream: UpstreamStart, result: TextResult) {
         if (result !is TextResult.Answered) return
-        wire.notice(result.answer.status, result.answer.fields)?.let { noticed(upstream, it) }
+        codec.parseNotice(result.answer.status, result.answer.fields)?.let { onNotice(upstream, it) }
     }
 
-    private fun <Value> read(result: TextResult, answered: (TextAnswer) -> EngineAnswer<Value>): EngineAnswer<Value> =
-        when (result) {
-            is TextResult.Answered -> answered(result.answer)
-            is TextResult.Failed -> EngineAnswer.Failed(result.failure)
-        }
+    private fun <Value> toEngineAnswer(
+        result: TextResult,
+        parse: (TextAnswer) -> EngineAnswer<Value>,
+    ): EngineAnswer<Value> = when (result) {
+        is TextResult.Answered -> parse(result.answer)
+        is TextResult.Failed -> EngineAnswer.Failed(result.failure)
+    }
 
     private fun logFailure(step: String, engine: UpstreamStart, result: TextResult) {
         if (result is TextResult.Failed) {
             Logger.warn {
-                "$step at ${engine.address} failed; it lapses there: ${result.failure}"
+                "$step at ${engine.address} failed, the engine frees the memory when it expires: ${result.failure}"
             }
         }
     }
 
-    private inner class Receiver(
+    /** Passes an upstream's answer to [receiver]. */
+    private inner class AnswerAdapter(
         private val request: ForwardRequest,
         private val upstream: UpstreamStart,
         private val receiver: AnswerReceiver,
     ) : HttpReceiver {
-        override fun isAnswer(headers: HttpHeaders): Boolean = wire.isAnswerTo(request) { headers.get(it) }
+        override fun isAnswer(headers: HttpHeaders): Boolean = codec.isAnswerTo(request) { headers.get(it) }
 
         override fun onHead(status: Int, headers: HttpHeaders) {
-            val fields = passedOn(headers)
-            wire.notice(status, fields)?.let { noticed(upstream, it) }
-            receiver.onHead(wire.head(status, fields, upstream.name))
+            val fields = endToEndFields(headers)
+            codec.parseNotice(status, fields)?.let { onNotice(upstream, it) }
+            receiver.onHead(codec.parseHead(status, fields, upstream.name))
         }
 
         override fun onContent(bytes: ByteBuf) {
@@ -126,7 +137,7 @@
     }
 
     private companion object {
-        val CONNECT_LIMIT: Duration = 300.milliseconds
-        val CONTROL_LIMIT: Duration = 300.milliseconds
+        val CONNECT_TIMEOUT: Duration = 300.milliseconds
+        val ENGINE_CALL_TIMEOUT: Duration = 300.milliseconds
     }
 }
--- a/http/src/main/kotlin/org/lovageladder/http/forward/StrictRequestDecoder.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/forward/StrictRequestDecoder.kt
@@ -6,14 +6,14 @@
 import io.netty.handler.codec.http.HttpRequestDecoder
 
 /**
- * Decodes callers' requests and rejects those whose length could be read in two ways, since an upstream might read
- * them differently and find a second request inside.
+ * Decodes callers' requests and rejects those whose body length is ambiguous, since an upstream might read another
+ * length and take the rest of the body for a second request (request smuggling).
  */
-internal class StrictRequestDecoder(headerBytes: Int) :
+internal class StrictRequestDecoder(maximumHeaderBytes: Int) :
     HttpRequestDecoder(
         HttpDecoderConfig().setMaxInitialLineLength(
-            headerBytes,
-        ).setMaxHeaderSize(headerBytes).setStrictLineParsing(true),
+            maximumHeaderBytes,
+        ).setMaxHeaderSize(maximumHeaderBytes).setStrictLineParsing(true),
     ) {
     override fun handleTransferEncodingChunkedWithContentLength(message: HttpMessage): Unit =
         throw IllegalArgumentException("both Transfer-Encoding and Content-Length are given")
--- a/http/src/main/kotlin/org/lovageladder/http/forward/TextClient.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/forward/TextClient.kt
@@ -15,56 +15,60 @@
 
 /** Result of a [TextCall]. */
 public sealed interface TextResult {
-    /** The peer answered. */
+    /** The complete answer. */
     public data class Answered(val answer: TextAnswer) : TextResult
 
-    /** No whole answer came. */
+    /** No complete answer came. */
     public data class Failed(val failure: CallFailure) : TextResult
 }
 
-/** HTTP client for short calls, on kept connections of its own. */
+/** HTTP client for calls with short bodies, with a connection pool of its own. */
 public class TextClient(threads: HttpThreads) : AutoCloseable {
     private val client = HttpClient(threads)
 
-    /** Sends [call]; [answer] is called on the event loop, within [limit]. */
-    public fun ask(
+    /** Sends [call] with the headers [fields]; [answer] is called on the event loop, after [timeout] at the latest. */
+    public fun send(
         address: Address,
         call: TextCall,
-        limit: Duration,
+        timeout: Duration,
         fields: List<HeaderField> = emptyList(),
         answer: (TextResult) -> Unit,
-    ): RunningCall = client.askText(address, call, limit, fields, ByteArray(0), answer)
+    ): RunningCall = client.sendText(address, call, timeout, fields, ByteArray(0), answer)
 
     override fun close(): Unit = client.close()
 }
 
-/** Sends a call with [fields], and with [body] unless the call has one of its own; its answer is read whole. */
-internal fun HttpClient.askText(
+/**
+ * Sends [call] with the headers [fields] and reads its complete answer. [body] is sent, without a content type of its
+ * own, when the call itself has no body.
+ */
+internal fun HttpClient.sendText(
     address: Address,
     call: TextCall,
-    limit: Duration,
+    timeout: Duration,
     fields: List<HeaderField>,
     body: ByteArray,
     answer: (TextResult) -> Unit,
 ): RunningCall {
     val content = if (call.body.isEmpty()) body else call.body.encodeToByteArray()
-    val type = if (call.body.isEmpty()) null else "application/json"
-    val http =
+    val contentType = if (call.body.isEmpty()) null else "application/json"
+    val httpCall =
         HttpCall(
             method = HttpMethod.valueOf(call.method),
             path = call.path,
             body = content,
-            contentType = type,
+            contentType = contentType,
             fields = fields.map { HttpField(it.name, it.value) },
-            answerBytes = call.answerBytes,
+            answerBytes = call.maximumAnswerBytes,
         )
-    val running = ask(address, http, HttpWait(minOf(limit, HttpClient.CONNECT_LIMIT), limit)) { answer(textResult(it)) }
+    val running =
+        ask(address, httpCall, HttpWait(minOf(timeout, HttpClient.CONNECT_LIMIT), timeout)) { answer(toTextResult(it)) }
     return RunningCall { running.abandon() }
 }
 
-private fun textResult(result: HttpResult): TextResult = when (result) {
+private fun toTextResult(result: HttpResult): TextResult = when (result) {
     is HttpResult.Answered -> {
-        val fields = passedOn(result.answer.headers)
+        val fields = endToEndFields(result.answer.headers)
         TextResult.Answered(TextAnswer(result.answer.status, fields, result.answer.body))
     }
     is HttpResult.Failed -> {
--- /dev/null
+++ b/http/src/main/kotlin/org/lovageladder/http/forward/UpstreamCodec.kt
@@ -0,0 +1,75 @@
+package org.lovageladder.http.forward
+
+import org.lovageladder.core.UpstreamName
+import org.lovageladder.core.forward.AnswerHead
+import org.lovageladder.core.forward.EngineAnswer
+import org.lovageladder.core.forward.ForwardRequest
+import org.lovageladder.core.forward.HeaderField
+import org.lovageladder.core.forward.PrefillResult
+import org.lovageladder.core.forward.Reservation
+import org.lovageladder.core.forward.Sending
+import org.lovageladder.core.forward.UpstreamNotice
+import kotlin.time.Duration
+
+/** A call with a short text body. It fails when the body of its answer is longer than [maximumAnswerBytes]. */
+public data class TextCall(
+    val method: String,
+    val path: String,
+    val body: String = "",
+    val maximumAnswerBytes: Int = DEFAULT_MAXIMUM_ANSWER_BYTES,
+)
+
+private const val DEFAULT_MAXIMUM_ANSWER_BYTES = 64 * 1024
+
+/** A complete answer with a short text body. */
+public data class TextAnswer(val status: Int, val fields: List<HeaderField>, val body: String)
+
+/**
+ * Encodes calls to upstreams and decodes their answers. Only implementations know the names of headers and JSON keys.
+ */
+public interface UpstreamCodec {
+    /** Headers for sending [request] to the upstream of [sending]. */
+    public fun requestHeaders(request: ForwardRequest, sending: Sending): List<HeaderField>
+
+    /** Headers for sending [request] to an engine that is to run its prefill only. */
+    public fun prefillHeaders(request: ForwardRequest, sending: Sending): List<HeaderField>
+
+    /** Whether an answer belongs to [request]; [header] returns the value of an answer's header by its name. */
+    public fun isAnswerTo(request: ForwardRequest, header: (String) -> String?): Boolean
+
+    /** Parses the head of an answer to a request that was sent to [upstream]. */
+    public fun parseHead(status: Int, fields: List<HeaderField>, upstream: UpstreamName): AnswerHead
+
+    /** Parses the notice in an answer's headers; null when there is none. */
+    public fun parseNotice(status: Int, fields: List<HeaderField>): UpstreamNotice?
+
+    /** Builds the call that reserves memory for [tokens] for [duration]. */
+    public fun reserveCall(tokens: Int, duration: Duration): TextCall
+
+    /** Parses the answer to [reserveCall]. */
+    public fun parseReservation(answer: TextAnswer): EngineAnswer<Reservation>
+
+    /** Builds the call that releases [reservation]. */
+    public fun releaseCall(reservation: Reservation): TextCall
+
+    /** Parses the answer to the prefill that was sent as [sending]. */
+    public fun parsePrefillResult(sending: Sending, answer: TextAnswer): EngineAnswer<PrefillResult>
+
+    /** Builds the call that frees the memory of [result]. */
+    public fun freeCall(result: PrefillResult): TextCall
+}
+
+/** A caller's request as received. [fields] are its headers without the hop-by-hop headers. */
+public class ReceivedRequest(
+    public val method: String,
+    public val target: String,
+    public val host: String,
+    public val fields: List<HeaderField>,
+    public val body: ByteArray,
+)
+
+/** Parses callers' requests. */
+public fun interface CallerRequestParser {
+    /** Parses [received]; null when the request is invalid. */
+    public fun parse(received: ReceivedRequest): ForwardRequest?
+}
--- a/http/src/test/kotlin/org/lovageladder/http/forward/ForwardServerTest.kt
+++ b/http/src/test/kotlin/org/lovageladder/http/forward/ForwardServerTest.kt
@@ -25,29 +25,29 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
-/** What callers' connections may do, and what they get. */
+/** Checks what callers may send on a connection and which answers they get. */
 class ForwardServerTest {
     private val threads = HttpThreads(1)
-    private val left = CountDownLatch(1)
-    private val taken = LinkedBlockingQueue<Pair<ForwardRequest, CallerReply>>()
+    private val callerDisconnected = CountDownLatch(1)
+    private val forwarded = LinkedBlockingQueue<Pair<ForwardRequest, CallerReply>>()
     private val handler =
         object : ForwardHandler {
             override val limits =
                 CallerLimits(512, 1_000, headerTimeout = 300.milliseconds, idleTimeout = 600.milliseconds)
 
             override fun forward(request: ForwardRequest, reply: CallerReply): OpenRequest {
-                taken.add(request to reply)
-                return OpenRequest { left.countDown() }
+                forwarded.add(request to reply)
+                return OpenRequest { callerDisconnected.countDown() }
             }
         }
-    private val wire = CallerWire { received ->
-        val id = received.head.firstOrNull { it.name == "Id" }?.value ?: return@CallerWire null
+    private val parser = CallerRequestParser { received ->
+        val id = received.fields.firstOrNull { it.name == "Id" }?.value ?: return@CallerRequestParser null
         ForwardRequest(
             id = RequestId(id),
             method = received.method,
             target = received.target,
             host = received.host,
-            fields = received.head,
+            fields = received.fields,
             body = received.body,
             arrived = Moment(0),
             wait = 1.seconds,
@@ -55,7 +55,7 @@
             resumeAfter = null,
         )
     }
-    private val server = ForwardServer(Address("127.0.0.1", 0), threads, wire, handler)
+    private val server = ForwardServer(Address("127.0.0.1", 0), threads, parser, handler)
 
     @AfterTest
     fun close() {
@@ -63,27 +63,27 @@
         threads.close()
     }
 
-    private fun next(): Pair<ForwardRequest, CallerReply> = assertNotNull(taken.poll(10, TimeUnit.SECONDS))
+    private fun takeRequest(): Pair<ForwardRequest, CallerReply> = assertNotNull(forwarded.poll(10, TimeUnit.SECONDS))
 
-    private fun onLoop(action: () -> Unit) {
+    private fun onEventLoop(action: () -> Unit) {
         EventLoopScheduler(threads).execute(action)
     }
 
-    private fun head(status: Int) =
+    private fun answerHead(status: Int) =
         AnswerHead(status, listOf(HeaderField("Seal", "s")), notRun = false, wrongInstance = false, load = null)
 
     @Test
-    fun requestsAndAnswersPassUnchangedButForTheirConnection() {
+    fun requestsAndAnswersAreForwardedWithoutHopByHopHeaders() {
         CallerSocket(server.address).use { caller ->
             caller.send(
                 "POST /a/b?c=%20d HTTP/1.1\r\nHost: h\r\nId: 1\r\nConnection: X-Hop\r\nX-Hop: 1\r\nContent-Length: 2\r\n\r\nok",
             )
-            val (request, reply) = next()
+            val (request, reply) = takeRequest()
             assertEquals("/a/b?c=%20d", request.target)
             assertEquals("ok", request.body.decodeToString())
             assertEquals(listOf("Host", "Id"), request.fields.map { it.name })
-            onLoop {
-                reply.begin(head(201), length = 4)
+            onEventLoop {
+                reply.begin(answerHead(201), length = 4)
                 reply.content("body".encodeToByteArray())
                 reply.end()
             }
@@ -95,14 +95,14 @@
     }
 
     @Test
-    fun requestsSentAheadAreAnsweredInOrder() {
+    fun pipelinedRequestsAreAnsweredInOrder() {
         CallerSocket(server.address).use { caller ->
             caller.send("GET /1 HTTP/1.1\r\nHost: h\r\nId: 1\r\n\r\nGET /2 HTTP/1.1\r\nHost: h\r\nId: 2\r\n\r\n")
             listOf("/1", "/2").forEach { path ->
-                val (request, reply) = next()
+                val (request, reply) = takeRequest()
                 assertEquals(path, request.target)
-                assertNull(taken.poll())
-                onLoop { reply.refuse(Refusal(RefusalReason.OVERLOADED, 1_500.milliseconds)) }
+                assertNull(forwarded.poll())
+                onEventLoop { reply.refuse(Refusal(RefusalReason.OVERLOADED, 1_500.milliseconds)) }
                 val answer = caller.readAnswer()
                 assertEquals(503, answer.status)
                 assertEquals("1.500", answer.headers["retry-after"])
@@ -111,7 +111,7 @@
     }
 
     @Test
-    fun requestsThatCouldBeReadInTwoWaysAreRejected() {
+    fun requestsWithAmbiguousLengthOrExcessiveSizeAreRejected() {
         val cases =
             mapOf(
                 "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" to 400,
@@ -128,7 +128,7 @@
                 assertEquals(status, caller.readAnswer().status, rest)
             }
         }
-        assertTrue(taken.isEmpty())
+        assertTrue(forwarded.isEmpty())
     }
 
     @Test
@@ -140,7 +140,7 @@
     }
 
     @Test
-    fun halfARequestIsRejectedAndAnIdleConnectionClosed() {
+    fun incompleteRequestIsRejectedAndIdleConnectionIsClosed() {
         CallerSocket(server.address).use { caller ->
             caller.send("GET /1 HTTP/1.1\r\nHo")
             assertEquals(408, caller.readAnswer().status)
@@ -149,36 +149,36 @@
     }
 
     @Test
-    fun handlerIsToldThatTheCallerLeft() {
+    fun disconnectOfTheCallerIsReported() {
         CallerSocket(server.address).use { caller ->
             caller.send("GET /1 HTTP/1.1\r\nHost: h\r\nId: 1\r\n\r\n")
-            next()
+            takeRequest()
         }
-        assertTrue(left.await(10, TimeUnit.SECONDS))
+        assertTrue(callerDisconnected.await(10, TimeUnit.SECONDS))
     }
 
     @Test
-    fun brokenOffStreamDoesNotLookWhole() {
+    fun abortedStreamDoesNotLookComplete() {
         CallerSocket(server.address).use { caller ->
             caller.send("GET /1 HTTP/1.1\r\nHost: h\r\nId: 1\r\n\r\n")
-            val (_, reply) = next()
-            onLoop {
-                reply.begin(head(200), length = null)
+            val (_, reply) = takeRequest()
+            onEventLoop {
+                reply.begin(answerHead(200), length = null)
                 reply.content("part".encodeToByteArray())
             }
             assertEquals("chunked", caller.readHead().headers["transfer-encoding"])
-            onLoop { reply.abort() }
+            onEventLoop { reply.abort() }
             assertEquals("4\r\npart\r\n", caller.readToEnd())
         }
     }
 
     @Test
-    fun answersTellCallersToCloseWhileDraining() {
+    fun answersCloseTheConnectionWhileDraining() {
         server.drain()
         CallerSocket(server.address).use { caller ->
             caller.send("GET /1 HTTP/1.1\r\nHost: h\r\nId: 1\r\n\r\n")
-            val (_, reply) = next()
-            onLoop { reply.refuse(Refusal(RefusalReason.LEAVING)) }
+            val (_, reply) = takeRequest()
+            onEventLoop { reply.refuse(Refusal(RefusalReason.LEAVING)) }
             assertEquals("close", caller.readAnswer().headers["connection"])
         }
     }
--- a/http/src/test/kotlin/org/lovageladder/http/forward/HttpUpstreamCallsTest.kt
+++ b/http/src/test/kotlin/org/lovageladder/http/forward/HttpUpstreamCallsTest.kt
@@ -31,11 +31,11 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
-/** What upstreams send, as a table, and what the decisions are told of it. */
+/** Checks the outcome of calls to upstreams that send complete, malformed, partial or endless answers. */
 class HttpUpstreamCallsTest {
     private val threads = HttpThreads(1)
-    private val noticed = CopyOnWriteArrayList<Pair<UpstreamStart, UpstreamNotice>>()
-    private val calls = HttpUpstreamCalls(threads, PlainWire) { start, notice -> noticed += start to notice }
+    private val notices = CopyOnWriteArrayList<Pair<UpstreamStart, UpstreamNotice>>()
+    private val calls = HttpUpstreamCalls(threads, PlainCodec) { start, notice -> notices += start to notice }
 
     @AfterTest
     fun close() {
@@ -43,34 +43,35 @@
         threads.close()
     }
 
-    /** Headers as they are; memory calls answer with their body. */
-    private object PlainWire : UpstreamWire {
-        override fun runFields(request: ForwardRequest, sending: Sending): List<HeaderField> = request.fields
+    /** Forwards headers unchanged; answers to calls about memory are their body. */
+    private object PlainCodec : UpstreamCodec {
+        override fun requestHeaders(request: ForwardRequest, sending: Sending): List<HeaderField> = request.fields
 
-        override fun prefillFields(request: ForwardRequest, sending: Sending): List<HeaderField> = request.fields
+        override fun prefillHeaders(request: ForwardRequest, sending: Sending): List<HeaderField> = request.fields
 
-        override fun isAnswerTo(request: ForwardRequest, value: (String) -> String?): Boolean =
-            value("Id").let { it == null || it == request.id.text }
+        override fun isAnswerTo(request: ForwardRequest, header: (String) -> String?): Boolean =
+            header("Id").let { it == null || it == request.id.text }
 
-        override fun head(status: Int, fields: List<HeaderField>, upstream: UpstreamName) =
+        override fun parseHead(status: Int, fields: List<HeaderField>, upstream: UpstreamName) =
             AnswerHead(status, fields, notRun = false, wrongInstance = false, load = null)
 
-        override fun notice(status: Int, fields: List<HeaderField>): UpstreamNotice? =
+        override fun parseNotice(status: Int, fields: List<HeaderField>): UpstreamNotice? =
             fields.firstOrNull { it.name == "Leaving" }?.let { UpstreamNotice(leaving = true) }
 
-        override fun reserveCall(tokens: Int, keep: Duration) = TextCall("POST", "/reserve", "$tokens")
+        override fun reserveCall(tokens: Int, duration: Duration) = TextCall("POST", "/reserve", "$tokens")
 
-        override fun reservation(answer: TextAnswer) = EngineAnswer.Done(Reservation(answer.body))
+        override fun parseReservation(answer: TextAnswer) = EngineAnswer.Done(Reservation(answer.body))
 
         override fun releaseCall(reservation: Reservation) = TextCall("DELETE", "/release/${reservation.text}")
 
-        override fun prefillResult(sending: Sending, answer: TextAnswer) =
+        override fun parsePrefillResult(sending: Sending, answer: TextAnswer) =
             EngineAnswer.Done(PrefillResult(sending.upstream, answer.body))
 
         override fun freeCall(result: PrefillResult) = TextCall("DELETE", "/free/${result.handle}")
     }
 
-    private class Recorder(private val done: () -> Unit = {}) : AnswerReceiver {
+    /** Records the outcome of a call as text. */
+    private class Recorder(private val onDone: () -> Unit = {}) : AnswerReceiver {
         val outcome = CompletableFuture<String>()
         private val body = StringBuilder()
         private var status = 0
@@ -85,12 +86,12 @@
 
         override fun onEnd() {
             outcome.complete("$status $body")
-            done()
+            onDone()
         }
 
         override fun onFailure(failure: CallFailure) {
             outcome.complete("failed sent=${failure.sent}")
-            done()
+            onDone()
         }
     }
 
@@ -114,7 +115,7 @@
     }
 
     @Test
-    fun answersAndDamageAreTold() {
+    fun completeAnswersAreDeliveredAndDamagedOnesFail() {
         val whole = FaultyPeer.answer(200, "done", "Id: 7")
         val cases =
             mapOf(
@@ -134,7 +135,7 @@
     }
 
     @Test
-    fun requestReachesTheUpstreamUnchanged() {
+    fun requestIsSentToTheUpstreamUnchanged() {
         FaultyPeer(PeerBehaviour.Send(FaultyPeer.answer(200, ""))).use { peer ->
             outcomeOf(peer.address)
             val received = peer.requests.single()
@@ -146,14 +147,14 @@
     }
 
     @Test
-    fun addressWithoutListenerWasCertainlyNotReached() {
+    fun failureToConnectCountsAsNotSent() {
         val address = FaultyPeer(PeerBehaviour.Silence).use { it.address }
         assertEquals("failed sent=false", outcomeOf(address))
     }
 
-    /** An upstream says that it is leaving in all its answers; none may be missed. */
+    /** An upstream that is leaving says so in all its answers; the notice must be read from each kind of call. */
     @Test
-    fun noticeIsReadFromTheAnswerToEachKindOfCall() {
+    fun noticeIsReadFromAnswersToAllKindsOfCalls() {
         val peers = listOf(200, 503).map {
             FaultyPeer(PeerBehaviour.SendTo("", FaultyPeer.answer(it, "1", "Leaving: 1")))
         }
@@ -162,24 +163,24 @@
             val sending = Sending(start, 5.seconds)
             val kinds =
                 mapOf<String, (() -> Unit) -> Unit>(
-                    "run" to { done -> calls.send(request(), sending, Recorder(done)) },
-                    "prefill" to { done -> calls.prefill(request(), sending) { done() } },
-                    "reserve" to { done -> calls.reserve(start, tokens = 1, keep = 1.seconds) { done() } },
+                    "run" to { onDone -> calls.send(request(), sending, Recorder(onDone)) },
+                    "prefill" to { onDone -> calls.prefill(request(), sending) { onDone() } },
+                    "reserve" to { onDone -> calls.reserve(start, tokens = 1, keep = 1.seconds) { onDone() } },
                 )
             kinds.forEach { (kind, call) ->
-                noticed.clear()
-                val done = CompletableFuture<Unit>()
-                call { done.complete(Unit) }
-                done.get(10, TimeUnit.SECONDS)
-                assertEquals(listOf(start to UpstreamNotice(leaving = true)), noticed, kind)
+                notices.clear()
+                val finished = CompletableFuture<Unit>()
+                call { finished.complete(Unit) }
+                finished.get(10, TimeUnit.SECONDS)
+                assertEquals(listOf(start to UpstreamNotice(leaving = true)), notices, kind)
             }
         }
         peers.forEach { it.close() }
     }
 
-    /** Upstreams that send bytes without end: each call ends by itself, and the peer is left. */
+    /** An endless answer must not keep its call running: the call fails and the connection is closed. */
     @Test
-    fun endlessAnswerEndsItsCallSoon() {
+    fun endlessAnswerFailsItsCall() {
         val endlessText = "HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n"
         val behaviours =
             listOf(
@@ -203,7 +204,7 @@
     }
 
     @Test
-    fun engineCallsGoToTheirPaths() {
+    fun engineCallsUseTheirPathsAndBodies() {
         FaultyPeer(PeerBehaviour.Send(FaultyPeer.answer(200, "k1"))).use { peer ->
             val reserved = CompletableFuture<EngineAnswer<Reservation>>()
             calls.reserve(UpstreamStart(UpstreamName("u"), peer.address), tokens = 30, keep = 1.seconds) {
@@ -222,7 +223,7 @@
     }
 
     private companion object {
-        /** Bytes that may be on their way between two sockets when one of them closes. */
+        /** Bytes that socket buffers may hold when one side closes the connection. */
         const val SOCKET_BUFFERS = 16L * 1024 * 1024
     }
 }
