--- a/daemon/src/main/kotlin/org/lovageladder/daemon/EventLog.kt
+++ b/daemon/src/main/kotlin/org/lovageladder/daemon/EventLog.kt
@@ -12,7 +12,7 @@
 
 /**
  * Adds a timestamp to events, keeps them in [ring], counts them as a metric and writes them to the log, at most
- * [maximumLinesPerSecond] of them. The number of suppressed lines is logged with the next event of a later second.
+ * [maximumLinesPerSecond] of them. The number of dropped lines is logged with the next event of a later second.
  * Confined to the control thread.
  */
 internal class EventLog(
@@ -50,8 +50,8 @@
 
     private fun mayWrite(second: Long): Boolean {
         if (second != currentSecond) {
-            val suppressed = linesInSecond - maximumLinesPerSecond
-            if (suppressed > 0) Logger.warn { "$suppressed log lines were suppressed, see /v1/events" }
+            val dropped = linesInSecond - maximumLinesPerSecond
+            if (dropped > 0) Logger.warn { "$dropped log lines were dropped, see /v1/events" }
             currentSecond = second
             linesInSecond = 0
         }
--- a/daemon/src/main/kotlin/org/lovageladder/daemon/SettingsReload.kt
+++ b/daemon/src/main/kotlin/org/lovageladder/daemon/SettingsReload.kt
@@ -11,7 +11,7 @@
 import java.util.concurrent.TimeUnit
 
 /**
- * Reloads the settings of a forwarding entry at SIGHUP and when the text of its settings file changed. Valid settings
+ * Reloads the settings of a forwarding entry at SIGHUP and when its settings file changes. Valid settings
  * go to [onChanged], the reason why others are invalid to [onRejected]; both are called on a thread of this class.
  */
 internal class SettingsReload(
