Announce the close of the faulty peer in the test of engine calls

Its peer answers and then closes without announcing it, so that the client rightly keeps the connection; the second call of the test then sometimes reuses it before the close arrives, and a call that was sent is not sent again. Change: the peer sends "Connection: close". The test asserts as much as before.

--- a/http/src/test/kotlin/org/lovageladder/http/forward/HttpUpstreamCallsTest.kt
+++ b/http/src/test/kotlin/org/lovageladder/http/forward/HttpUpstreamCallsTest.kt
@@ -205,7 +205,7 @@
 
     @Test
     fun engineCallsUseTheirPathsAndBodies() {
-        FaultyPeer(PeerBehaviour.Send(FaultyPeer.answer(200, "k1"))).use { peer ->
+        FaultyPeer(PeerBehaviour.Send(FaultyPeer.answer(200, "k1", "Connection: close"))).use { peer ->
             val reserved = CompletableFuture<EngineAnswer<Reservation>>()
             calls.reserve(UpstreamStart(UpstreamName("u"), peer.address), tokens = 30, keep = 1.seconds) {
                 reserved.complete(it)
