--- a/core/src/main/kotlin/org/lovageladder/core/forward/Configuration.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/Configuration.kt
@@ -5,8 +5,8 @@
 import kotlin.time.Duration
 
 /*
- * What operators configure for forwarding: routes, the services they lead to, and limits on callers. A configuration
- * is always whole; a later version replaces an earlier one.
+ * Forwarding configuration set by operators: routes, their services, and limits on callers. Each version is complete
+ * and replaces the version before it.
  */
 
 /** One version of the operators' configuration. */
@@ -17,22 +17,24 @@
     val limits: CallerLimits,
 )
 
-/** What may be repeated of the requests of a route. */
+/** Whether requests of a route may be repeated. */
 public enum class RouteKind {
     /** A request may run any number of times. */
     IDEMPOTENT,
 
-    /** A request runs once at most. */
+    /** A request runs at most once. */
     ONCE,
 
-    /** A request is answered by a token stream; it runs once at most unless the route is resumable. */
+    /** A request is answered by an event stream. It runs at most once unless the route is resumable. */
     STREAM,
 }
 
 /**
- * Requests of [host] whose path begins with [prefix]. [timeout] bounds the time to the final answer, [target] the time
- * to the answer, or to the first event of a stream, that is still good. [maximumAttempts] bounds the upstreams on
- * which one request may run. A [resumable] stream may go on at another upstream after the last event that was given.
+ * Requests to [host] whose path begins with [prefix].
+ *
+ * [timeout] bounds the time until the answer is complete. [target] is the time within which an answer, or the first
+ * event of a stream, counts as good. A request may run on at most [maximumAttempts] upstreams. A [resumable] stream
+ * that breaks may be continued on another upstream after the last event that was passed on.
  */
 public data class Route(
     val name: String,
@@ -46,22 +48,23 @@
     val maximumAttempts: Int,
     val resumable: Boolean,
 ) {
-    /** Whether a request may run again after it may have run. */
-    val repeatable: Boolean get() = kind == RouteKind.IDEMPOTENT || resumable
+    /** Whether a request that may have run can be sent again. */
+    val isRetryable: Boolean get() = kind == RouteKind.IDEMPOTENT || resumable
 }
 
-/** Part of a route's requests that goes to [service], in proportion to [weight]. */
+/** Share of the requests of a route that goes to [service], in proportion to [weight]. */
 public data class ServiceShare(val service: ServiceName, val weight: Int)
 
 /**
- * A service. Each of its upstreams takes [connectionLimit] connections from all entries together, null when no limit is
- * known; [engine] is null when its upstreams are not engines.
+ * A service. Each of its upstreams accepts [connectionLimit] connections from all entries together; null when no limit
+ * is known. [engine] is null when its upstreams are not engines.
  */
 public data class ServiceTraits(val name: ServiceName, val connectionLimit: Int?, val engine: EngineTraits?)
 
 /**
- * Engines of a service: [slots] requests run at once and share memory for [memoryTokens]. The result of a prefill is
- * kept for [prefillKeepTime], a reservation at most for [reservationLimit]; a change of role takes [roleChangeTime].
+ * Properties of the engines of a service. Each runs [slots] requests at once, which share memory for [memoryTokens]
+ * tokens. A prefill result is kept for [prefillKeepTime] and a reservation for at most [reservationLimit]; a role
+ * change takes [roleChangeTime].
  */
 public data class EngineTraits(
     val slots: Int,
@@ -71,7 +74,7 @@
     val roleChangeTime: Duration,
 )
 
-/** What a caller's request may use. */
+/** Limits on the size and timing of callers' requests. */
 public data class CallerLimits(
     val headerBytes: Int,
     val bodyBytes: Int,
--- a/core/src/main/kotlin/org/lovageladder/core/forward/Drain.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/Drain.kt
@@ -4,17 +4,17 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
-/** A process that was told to stop at [since] and is ended after [grace]. */
-internal class Drain(private val since: Moment, private val grace: Duration) {
-    /** Whether [request] of [route] must not be taken at [now], since the end might cut it. */
-    fun refuses(request: ForwardRequest, route: Route, now: Moment): Boolean {
-        if (route.kind == RouteKind.STREAM) return now - since > STREAMS_TAKEN
-        val longest = minOf(request.wait ?: route.timeout, route.timeout)
-        return now + longest > since + grace
+/** Shutdown phase of a process that was told to stop at [startedAt] and is terminated after [gracePeriod]. */
+internal class Drain(private val startedAt: Moment, private val gracePeriod: Duration) {
+    /** Whether a new [request] of [route] must be refused at [now] because it might not finish before termination. */
+    fun mustRefuse(request: ForwardRequest, route: Route, now: Moment): Boolean {
+        if (route.kind == RouteKind.STREAM) return now - startedAt > STREAM_ACCEPTANCE_PERIOD
+        val maximumDuration = minOf(request.wait ?: route.timeout, route.timeout)
+        return now + maximumDuration > startedAt + gracePeriod
     }
 
     private companion object {
-        /** The balancer sends new callers elsewhere after about two seconds. */
-        val STREAMS_TAKEN: Duration = 2_200.milliseconds
+        /** The load balancer sends new callers to other entries after about two seconds. */
+        val STREAM_ACCEPTANCE_PERIOD: Duration = 2_200.milliseconds
     }
 }
--- a/core/src/main/kotlin/org/lovageladder/core/forward/EventSink.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/EventSink.kt
@@ -2,7 +2,7 @@
 
 import org.lovageladder.core.EventDraft
 
-/** Takes events in for the time line and the log; never blocks. */
+/** Records events in the time line and the log. Never blocks. */
 public fun interface EventSink {
     /** Records [event]. */
     public fun record(event: EventDraft)
--- a/core/src/main/kotlin/org/lovageladder/core/forward/ForwardContext.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/ForwardContext.kt
@@ -11,53 +11,66 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
-/** What the flows of single requests share. */
+/** Dependencies and common operations of all request flows. */
 internal class ForwardContext(
     val calls: UpstreamCalls,
     val scheduler: Scheduler,
-    val board: UpstreamBoard,
+    val upstreamSelector: UpstreamSelector,
     val membership: Membership,
     val notices: UpstreamNotices,
-    val answers: AnswerBuffers,
-    val budget: RetryBudget,
-    val log: EventSink,
+    val answerBuffers: AnswerBufferPool,
+    val retryBudget: RetryBudget,
+    val eventSink: EventSink,
     val random: Random,
-    private val without: Set<Mechanism> = emptySet(),
+    private val disabledMechanisms: Set<Mechanism> = emptySet(),
 ) {
-    /** Whether decisions use [mechanism]. */
-    fun uses(mechanism: Mechanism): Boolean = mechanism !in without
+    /** Whether [mechanism] is switched on. */
+    fun isEnabled(mechanism: Mechanism): Boolean = mechanism !in disabledMechanisms
 
     fun now(): Moment = scheduler.now()
 
     fun record(kind: EventKind, request: RequestId? = null, upstream: UpstreamName? = null, detail: String) {
-        log.record(EventDraft(kind, request = request, upstream = upstream, detail = detail))
+        eventSink.record(EventDraft(kind, request = request, upstream = upstream, detail = detail))
     }
 
-    /** Time after which a refused caller should come back: [least], spread so that callers do not return at once. */
-    fun returnAfter(least: Duration, remaining: Duration): Duration {
-        val spread = least * (1 + random.nextDouble())
-        return spread.coerceAtMost(remaining / RETURN_SHARE).coerceAtLeast(RETURN_LEAST)
+    /**
+     * Time after which a refused caller should return: at least [minimum], spread randomly so that callers do not
+     * return at the same moment, and limited by the [remaining] time of the caller.
+     */
+    fun returnDelay(minimum: Duration, remaining: Duration): Duration {
+        val spread = minimum * (1 + random.nextDouble())
+        return spread.coerceAtMost(remaining / RETURN_DELAY_DIVISOR).coerceAtLeast(MINIMUM_RETURN_DELAY)
     }
 
-    /** Gives up [reservation] at [engine], unless that wants no calls now; then the reservation lapses there. */
+    /**
+     * Releases [reservation] at [engine]. An engine that asked for a pause gets no call; the reservation lapses there.
+     */
     fun release(engine: Member, reservation: Reservation) {
         if (notices.pausedUntil(engine.start, now()) == null) {
             calls.release(engine.start, reservation)
         } else {
-            record(EventKind.RESERVATION_LAPSED, upstream = engine.name, detail = "left to lapse: the engine pauses")
+            record(
+                EventKind.RESERVATION_LAPSED,
+                upstream = engine.name,
+                detail = "not released: the engine asked for a pause",
+            )
         }
     }
 
-    /** The upstream [name] said that it is another one now. */
-    fun replaced(name: UpstreamName, request: RequestId) {
-        membership.drop(name)
-        record(EventKind.UPSTREAM_REGISTERED, request, name, detail = "dropped: another instance has its address")
+    /** Removes the upstream [name] after its address answered as another instance. */
+    fun removeReplaced(name: UpstreamName, request: RequestId) {
+        membership.removeEnded(name)
+        record(EventKind.UPSTREAM_REGISTERED, request, name, detail = "removed: another instance uses its address")
     }
 
-    /** Notes a failed call in the health of [name]. */
-    fun failed(name: UpstreamName, request: RequestId, step: String, failure: CallFailure) {
-        val health = board.health(name)
-        if (failure.sent && failure.cause in DAMAGED) health.erred(now()) else health.unreachable(now())
+    /** Records a failed call of [name] in its health and in the time line. */
+    fun recordFailure(name: UpstreamName, request: RequestId, step: String, failure: CallFailure) {
+        val health = upstreamSelector.health(name)
+        if (failure.sent && failure.cause in BROKEN_ANSWER_CAUSES) {
+            health.recordError(now())
+        } else {
+            health.recordUnreachable(now())
+        }
         record(
             EventKind.REQUEST_FAILED,
             request,
@@ -67,29 +80,33 @@
     }
 
     private companion object {
-        /** Callers come back for up to a third of the time they have left. */
-        const val RETURN_SHARE = 3.2
-        val RETURN_LEAST: Duration = 20.milliseconds
-        val DAMAGED = setOf(FaultCause.PROTOCOL, FaultCause.CONNECTION_LOST)
+        /** Keeps the return delay below a third of the time that the caller has left. */
+        const val RETURN_DELAY_DIVISOR = 3.2
+        val MINIMUM_RETURN_DELAY: Duration = 20.milliseconds
+        val BROKEN_ANSWER_CAUSES = setOf(FaultCause.PROTOCOL, FaultCause.CONNECTION_LOST)
     }
 }
 
-/** An upstream's success came without the proof that the upstream made it. */
-internal val UNPROVEN = CallFailure(FaultCause.PROTOCOL, sent = true, detail = "a success without its proof")
+/** Failure of a successful answer that lacks the proof that the expected upstream produced it. */
+internal val UNPROVEN_SUCCESS =
+    CallFailure(FaultCause.PROTOCOL, sent = true, detail = "success without proof of origin")
 
-/** Time of a request: [end] is when its caller or its route gives up. */
-internal class RequestTime(request: ForwardRequest, route: Route) {
-    val arrived: Moment = request.arrived
-    val end: Moment = arrived + minOf(request.wait ?: route.timeout, route.timeout)
-    val target: Moment = arrived + route.target
+/** Deadlines of a request. [deadline] is when the caller or the route times out, whichever is first. */
+internal class RequestDeadlines(request: ForwardRequest, route: Route) {
+    val arrivedAt: Moment = request.arrived
+    val deadline: Moment = arrivedAt + minOf(request.wait ?: route.timeout, route.timeout)
+    val targetAt: Moment = arrivedAt + route.target
 
-    fun remaining(now: Moment): Duration = end - now
+    fun remaining(now: Moment): Duration = deadline - now
 }
 
-/** The service that a request goes to, chosen once. [connections] is how many this entry may have to each upstream. */
+/**
+ * The service to which a request is sent, chosen once. [connectionLimit] is the number of connections that this entry
+ * may have to each upstream.
+ */
 internal data class Destination(
     val route: Route,
     val service: ServiceName,
     val engine: EngineTraits?,
-    val connections: Int,
+    val connectionLimit: Int,
 )
--- /dev/null
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/ForwardPorts.kt
@@ -0,0 +1,213 @@
+package org.lovageladder.core.forward
+
+import org.lovageladder.core.Address
+import org.lovageladder.core.FaultCause
+import org.lovageladder.core.Moment
+import org.lovageladder.core.RequestId
+import kotlin.time.Duration
+
+/*
+ * Ports of the forwarder: the request of a caller and the reply to it, calls to upstreams, and the scheduler.
+ */
+
+/** A header field as it was received. */
+public data class HeaderField(val name: String, val value: String)
+
+/**
+ * A complete request of a caller. [fields] are the headers to pass on. [wait] is how long the caller waits from
+ * [arrived] on, null when it gave no time. [generation] is null when the request names no prompt. [resumeAfter] is the
+ * id of the last event that the caller received of an earlier stream.
+ */
+public class ForwardRequest(
+    public val id: RequestId,
+    public val method: String,
+    public val target: String,
+    public val host: String,
+    public val fields: List<HeaderField>,
+    public val body: ByteArray,
+    public val arrived: Moment,
+    public val wait: Duration?,
+    public val generation: Generation?,
+    public val resumeAfter: Long?,
+)
+
+/** Size of a generation in tokens. [expectedOutputTokens] is the estimate of the caller, often far off. */
+public data class Generation(val promptTokens: Int, val outputBound: Int, val expectedOutputTokens: Int?)
+
+/**
+ * Head of an upstream's answer. [notRun] is set when the upstream declined the request without running it.
+ * [wrongInstance] is set when another upstream uses the address now, as opposed to the same one in another role. A
+ * success that is not [genuine] lacks the proof that the expected upstream produced it, and must not reach the caller.
+ */
+public class AnswerHead(
+    public val status: Int,
+    public val fields: List<HeaderField>,
+    public val notRun: Boolean,
+    public val wrongInstance: Boolean,
+    public val load: LoadReport?,
+    public val genuine: Boolean = true,
+) {
+    /** Whether the status reports success. */
+    public val isSuccess: Boolean get() = status in SUCCESS_STATUSES
+
+    private companion object {
+        val SUCCESS_STATUSES = 200..299
+    }
+}
+
+/**
+ * Load reported by an upstream. [slowdown] is its processing time relative to the usual one: 1 is normal, 2 is half as
+ * fast.
+ */
+public data class LoadReport(val running: Int, val waiting: Int, val slots: Int, val slowdown: Double)
+
+/**
+ * Why a call to an upstream ended without a complete answer. [sent] is false only when no part of the request can have
+ * reached the upstream.
+ */
+public data class CallFailure(val cause: FaultCause, val sent: Boolean, val detail: String)
+
+/** Receives an upstream's answer in order. [onEnd] or [onFailure] is the last call. */
+public interface AnswerReceiver {
+    /** Receives the head of the answer. */
+    public fun onHead(head: AnswerHead)
+
+    /** Receives the next part of the body. */
+    public fun onContent(bytes: ByteArray)
+
+    /** The answer is complete. */
+    public fun onEnd()
+
+    /** The answer ended incomplete. */
+    public fun onFailure(failure: CallFailure)
+}
+
+/** A call in progress. */
+public fun interface RunningCall {
+    /** Cancels the call. Its receiver or callback is not called afterwards. */
+    public fun cancel()
+}
+
+/** Identifier of a memory reservation at an engine. */
+@JvmInline
+public value class Reservation(public val text: String)
+
+/** The result of a prefill, which [engine] keeps under [handle]. */
+public data class PrefillResult(val engine: UpstreamStart, val handle: String)
+
+/** Outcome of a call about the memory of an engine. */
+public sealed interface EngineAnswer<out Value> {
+    /** The engine did what was asked. */
+    public data class Done<Value>(val value: Value) : EngineAnswer<Value>
+
+    /** The engine refused and did nothing. [wrongInstance] is set when another upstream uses the address now. */
+    public data class Refused(val status: Int, val wrongInstance: Boolean) : EngineAnswer<Nothing>
+
+    /** No answer; the engine may have done what was asked. */
+    public data class Failed(val failure: CallFailure) : EngineAnswer<Nothing>
+}
+
+/**
+ * How a request is sent to an upstream. The upstream stops working on it after [timeout]. [prefill] is the result to
+ * fetch, [reservation] the memory to use, and [resumeAfter] the id of the event after which the stream begins.
+ */
+public data class Sending(
+    val upstream: UpstreamStart,
+    val timeout: Duration,
+    val prefill: PrefillResult? = null,
+    val reservation: Reservation? = null,
+    val resumeAfter: Long? = null,
+) {
+    /** Address of the upstream. */
+    val address: Address get() = upstream.address
+}
+
+/**
+ * Calls to upstreams. Answers arrive on the thread of the [Forwarder]. A notice in any of them is passed to
+ * [Forwarder.noticed] before the answer.
+ */
+public interface UpstreamCalls {
+    /** Sends the request of a caller. */
+    public fun send(request: ForwardRequest, sending: Sending, receiver: AnswerReceiver): RunningCall
+
+    /** Lets an engine prefill the prompt of [request] without decoding. */
+    public fun prefill(
+        request: ForwardRequest,
+        sending: Sending,
+        answer: (EngineAnswer<PrefillResult>) -> Unit,
+    ): RunningCall
+
+    /** Reserves a slot and memory for [tokens] tokens at [engine] for [keep]. */
+    public fun reserve(
+        engine: UpstreamStart,
+        tokens: Int,
+        keep: Duration,
+        answer: (EngineAnswer<Reservation>) -> Unit,
+    ): RunningCall
+
+    /** Releases a reservation that no request used. */
+    public fun release(engine: UpstreamStart, reservation: Reservation)
+
+    /** Frees a prefill result that no decode fetched. */
+    public fun free(result: PrefillResult)
+}
+
+/** Reply to a caller. Exactly one of [refuse], [end] and [abort] is called, and nothing after it. */
+public interface CallerReply {
+    /**
+     * Begins the answer with the [head] from an upstream. [length] is the body length in bytes, null when it is
+     * unknown.
+     */
+    public fun begin(head: AnswerHead, length: Int?)
+
+    /** Passes on the next part of the body. */
+    public fun content(bytes: ByteArray)
+
+    /** Ends a complete answer. */
+    public fun end()
+
+    /** Answers with an error of this process instead of an answer from an upstream. */
+    public fun refuse(refusal: Refusal)
+
+    /** Closes the connection so that the caller sees that the answer is incomplete. */
+    public fun abort()
+}
+
+/** An error answer of this process. The caller should return after [returnAfter]. */
+public data class Refusal(val reason: RefusalReason, val returnAfter: Duration? = null)
+
+/** Reason of a [Refusal]. [notRun] is reported to the caller, which may then send the request again. */
+public enum class RefusalReason(public val notRun: Boolean) {
+    /** No route matches the host and path of the request. */
+    NO_ROUTE(false),
+
+    /** The process has no configuration or no upstream list yet. */
+    NOT_READY(true),
+
+    /** This process is shutting down; another entry can take the request. */
+    LEAVING(true),
+
+    /** The upstreams have no capacity for the request in time. */
+    OVERLOADED(true),
+
+    /** No upstream is known, or none could be reached. */
+    NO_UPSTREAM(true),
+
+    /** The request may have run, but its answer was lost or damaged. */
+    ANSWER_LOST(false),
+
+    /** The request was sent, but not answered in time. */
+    TIMEOUT(false),
+
+    /** The request could not be sent in time. */
+    EXPIRED(true),
+}
+
+/** Clock and timers of the forwarder. */
+public interface Scheduler {
+    /** Current time. */
+    public fun now(): Moment
+
+    /** Runs [action] after [delay] unless the returned call is cancelled first. */
+    public fun after(delay: Duration, action: () -> Unit): RunningCall
+}
--- a/core/src/main/kotlin/org/lovageladder/core/forward/Forwarder.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/Forwarder.kt
@@ -8,33 +8,36 @@
 import kotlin.time.Duration
 
 /**
- * Settings of a [Forwarder]: its [place], the budget for repeats of all entries, the number of entries until they are
- * known, and the part of the work of a service's engines that is prefill until its requests tell more. An upstream that
- * says that it is leaving gets nothing new after [drainBound]. A plain answer may have [answerBytes]. Experiments do
- * [without] some mechanisms.
+ * Settings of a [Forwarder].
+ *
+ * [place] is the data centre of this process. [retries] bounds the retries of all entries together. [expectedEntries]
+ * is used until the number of entries is known, and [prefillShare], the part of an engine service's work that is
+ * prefill, until enough requests were measured. An upstream that announced that it is leaving gets no new requests
+ * after [drainBound]. The answer of a plain service may have [answerBytes] bytes. Experiments switch off the mechanisms
+ * in [without].
  */
 public data class ForwarderSettings(
     val place: PlaceName,
     val retries: RetryLimits,
     val expectedEntries: Int = 1,
     val prefillShare: Double = 0.2,
-    val drainBound: Duration = DRAIN_BOUND,
-    val answerBytes: Int = ANSWER_BYTES,
+    val drainBound: Duration = DEFAULT_DRAIN_BOUND,
+    val answerBytes: Int = DEFAULT_ANSWER_BYTES,
     val without: Set<Mechanism> = emptySet(),
 )
 
-private const val ANSWER_BYTES = 1024 * 1024
-private val DRAIN_BOUND = Duration.parse("2s")
+private const val DEFAULT_ANSWER_BYTES = 1024 * 1024
+private val DEFAULT_DRAIN_BOUND = Duration.parse("2s")
 
-/** Handle of a request that a [Forwarder] took. */
+/** Handle of a request in progress. */
 public fun interface OpenRequest {
-    /** The caller is gone. */
+    /** The caller disconnected. */
     public fun callerLeft()
 }
 
 /**
- * Forwards callers' requests straight to upstreams, by the newest configuration and the registry of upstreams that
- * were given to it. Confined to one thread.
+ * Forwards requests of callers directly to upstreams, according to the latest configuration and the registry of
+ * upstreams. Confined to one thread.
  */
 public class Forwarder(
     private val settings: ForwarderSettings,
@@ -45,161 +48,175 @@
 ) {
     private val membership = Membership()
     private val notices = UpstreamNotices(settings.drainBound)
-    private val board = UpstreamBoard(membership, notices, settings.place, random, settings.without)
-    private val census = EntryCensus(settings.expectedEntries)
-    private val budget = RetryBudget(settings.retries) { census.count(scheduler.now()) }
-    private val answers = AnswerBuffers(settings.answerBytes, settings.answerBytes * ANSWERS_HELD)
+    private val upstreamSelector = UpstreamSelector(membership, notices, settings.place, random, settings.without)
+    private val entryCounter = EntryCounter(settings.expectedEntries)
+    private val retryBudget = RetryBudget(settings.retries) { entryCounter.count(scheduler.now()) }
+    private val answerBuffers = AnswerBufferPool(settings.answerBytes, settings.answerBytes * FULL_SIZE_ANSWERS)
     private val context =
-        ForwardContext(calls, scheduler, board, membership, notices, answers, budget, log, random, settings.without)
-    private val queues = HashMap<ServiceName, MemoryQueue>()
-    private val paces = HashMap<ServiceName, StreamPace>()
+        ForwardContext(
+            calls,
+            scheduler,
+            upstreamSelector,
+            membership,
+            notices,
+            answerBuffers,
+            retryBudget,
+            log,
+            random,
+            settings.without,
+        )
+    private val memoryQueues = HashMap<ServiceName, MemoryQueue>()
+    private val streamEstimates = HashMap<ServiceName, StreamEstimates>()
     private var configuration: Configuration? = null
     private var routes: RouteTable? = null
     private var drain: Drain? = null
     private var leadership: Leadership? = null
 
-    /** Requests that are not finished. */
+    /** Number of requests in progress. */
     public var open: Int = 0
         private set
 
-    /** Engines of which the queues for memory remember something. */
-    internal val enginesRemembered: Int get() = queues.values.sumOf { it.remembered }
+    /** Number of engines of which the memory queues keep state. */
+    internal val trackedEngines: Int get() = memoryQueues.values.sumOf { it.trackedEngines }
 
-    /** Version of the configuration in force. */
+    /** Version of the active configuration. */
     public val version: ReleaseVersion get() = configuration?.version ?: ReleaseVersion.NONE
 
-    /** Limits on what callers send; null before there is a configuration. */
+    /** Limits on callers' requests; null before the first configuration. */
     public val limits: CallerLimits? get() = configuration?.limits
 
     /** Whether requests can be forwarded. */
-    public val ready: Boolean get() = configuration != null && membership.known
+    public val ready: Boolean get() = configuration != null && membership.isLoaded
 
-    /** Puts a newer budget for repeats into force. */
+    /** Replaces the limits on retries. */
     public fun limitRetries(newer: RetryLimits) {
-        budget.limit(newer)
+        retryBudget.updateLimits(newer)
     }
 
-    /** Puts [newer] into force unless a later version is. */
+    /** Activates [newer] unless the active configuration has the same or a later version. */
     public fun configure(newer: Configuration) {
         if (newer.version < version) {
-            context.record(EventKind.CONFIGURATION_OUTDATED, detail = "got ${newer.version}, in force is $version")
+            context.record(EventKind.CONFIGURATION_OUTDATED, detail = "ignored ${newer.version}, active is $version")
             return
         }
         if (newer.version == version) return
         configuration = newer
         routes = RouteTable(newer)
         val names = newer.routes.mapTo(HashSet()) { it.name }
-        paces.values.forEach { it.forgetRoutes(names) }
+        streamEstimates.values.forEach { it.retainRoutes(names) }
         val detail = "version=${newer.version} routes=${newer.routes.size} services=${newer.services.size}"
         context.record(EventKind.CONFIGURATION_APPLIED, detail = detail)
     }
 
-    /** Takes in what the registry of upstreams told. */
+    /** Applies a change of the registry. */
     public fun registryChanged(change: RegistryChange) {
         membership.apply(change, scheduler.now())
-        if (change is RegistryChange.ReadWhole) census.readAnew(scheduler.now())
+        if (change is RegistryChange.FullRead) entryCounter.markAllMissing(scheduler.now())
         when (change) {
             is RegistryChange.Written -> recordMember(change.member)
             is RegistryChange.Removed ->
-                context.record(EventKind.UPSTREAM_REGISTERED, upstream = change.name, detail = "entry removed")
+                context.record(EventKind.UPSTREAM_REGISTERED, upstream = change.name, detail = "registration removed")
             is RegistryChange.RoleChanging -> recordRoleChange(change)
-            is RegistryChange.LeaderSeen -> leadership?.observed(change.held)
-            is RegistryChange.EntrySeen -> entrySeen(change)
-            is RegistryChange.ReadWhole ->
-                context.record(EventKind.UPSTREAM_REGISTERED, detail = "read whole: ${change.members.size} upstreams")
-            RegistryChange.Lost -> context.record(EventKind.STORE_LOST, detail = "no answer from the registry")
-            RegistryChange.Regained -> context.record(EventKind.STORE_BACK, detail = "the registry answers")
+            is RegistryChange.LeaderSeen -> leadership?.onLeaderObserved(change.held)
+            is RegistryChange.EntrySeen -> onEntrySeen(change)
+            is RegistryChange.FullRead ->
+                context.record(EventKind.UPSTREAM_REGISTERED, detail = "full read: ${change.members.size} upstreams")
+            RegistryChange.Unavailable -> context.record(EventKind.STORE_LOST, detail = "the registry is unavailable")
+            RegistryChange.Available -> context.record(EventKind.STORE_BACK, detail = "the registry is available again")
         }
-        board.forgetMissing()
-        notices.forget(scheduler.now()) { membership[it] != null }
-        queues.values.forEach { it.forgetMissing() }
+        upstreamSelector.removeUnregistered()
+        notices.removeExpired(scheduler.now()) { membership[it] != null }
+        memoryQueues.values.forEach { it.removeUnregistered() }
     }
 
-    /** Takes in what an answer of [start] said of the requests that it wants. */
+    /** Records what an answer of [start] said about the requests that it accepts. */
     public fun noticed(start: UpstreamStart, notice: UpstreamNotice) {
         val now = scheduler.now()
-        if (notices.noted(start, notice, now)) {
-            val wish = if (notice.leaving) "leaving" else "wants nothing for ${notice.pause}"
-            context.record(EventKind.UPSTREAM_NOTICE, upstream = start.name, detail = wish)
+        if (notices.recordNotice(start, notice, now)) {
+            val detail = if (notice.leaving) "leaving" else "asks for a pause of ${notice.pause}"
+            context.record(EventKind.UPSTREAM_NOTICE, upstream = start.name, detail = detail)
         }
-        if (notice.unreadable != null && notices.complains(start.name, now)) {
+        if (notice.unreadable != null && notices.isUnreadableLogDue(start.name, now)) {
             context.record(EventKind.NOTICE_UNREADABLE, upstream = start.name, detail = notice.unreadable)
         }
     }
 
-    /** Gives orders about the roles of engines through [orders] while this process leads by [leadership]. */
+    /** Begins to change the roles of engines through [orders] while this process holds [leadership]. */
     public fun keepRoles(leadership: Leadership, orders: RoleOrders) {
         if (Mechanism.ROLE_CHANGES in settings.without) return
         this.leadership = leadership
         leadership.start()
-        keepRoles(RoleKeeper(context, leadership, orders))
+        checkRoles(RoleController(context, leadership, orders))
     }
 
-    private fun keepRoles(keeper: RoleKeeper) {
+    private fun checkRoles(controller: RoleController) {
         if (drain != null) return
         configuration?.services?.values?.forEach { service ->
             val engine = service.engine ?: return@forEach
-            val work = { member: Member -> workAt(service.name, member) }
-            keeper.keep(service.name, engine, paceOf(service.name).roles, work)
+            val activeWorkOf = { member: Member -> activeWork(service.name, member) }
+            controller.startDueChange(service.name, engine, estimatesOf(service.name).rolePlan, activeWorkOf)
         }
-        scheduler.after(ROLE_CHECK) { keepRoles(keeper) }
+        scheduler.after(ROLE_CHECK_INTERVAL) { checkRoles(controller) }
     }
 
-    private fun workAt(service: ServiceName, member: Member): Int =
-        (queues[service]?.heldAt(member.name) ?: 0) + board.health(member.name).inFlight
+    private fun activeWork(service: ServiceName, member: Member): Int =
+        (memoryQueues[service]?.heldTokensAt(member.name) ?: 0) + upstreamSelector.health(member.name).inFlight
 
     /**
-     * This process will be ended after [grace]. It takes requests that are surely finished by then, and streams, which
-     * may last longer, for a short while only.
+     * Begins to shut down; the process will be terminated after [grace]. Requests are accepted while they are certain
+     * to finish by then, and streams, which may last longer, only for a short time.
      */
     public fun drain(grace: Duration) {
         drain = Drain(scheduler.now(), grace)
     }
 
-    /** Forwards [request]; its outcome goes to [reply]. Null when it was answered at once. */
+    /** Forwards [request] and passes its outcome to [reply]. Returns null when the request was refused at once. */
     public fun forward(request: ForwardRequest, reply: CallerReply): OpenRequest? {
         val table = routes
-        if (table == null || !membership.known) return refuse(request, reply, RefusalReason.NOT_READY)
+        if (table == null || !membership.isLoaded) return refuse(request, reply, RefusalReason.NOT_READY)
         val route = table.find(request.host, request.target)
             ?: return refuse(request, reply, RefusalReason.NO_ROUTE)
-        val share = drawShare(route.shares, context.random.nextDouble())
+        val share = selectShare(route.shares, context.random.nextDouble())
             ?: return refuse(request, reply, RefusalReason.NO_UPSTREAM)
-        budget.requestArrived(share.service, scheduler.now())
+        retryBudget.recordRequest(share.service, scheduler.now())
         val traits = configuration?.services?.get(share.service)
-        if (drain?.refuses(request, route, scheduler.now()) == true) {
+        if (drain?.mustRefuse(request, route, scheduler.now()) == true) {
             return refuse(request, reply, RefusalReason.LEAVING)
         }
-        val destination = Destination(route, share.service, traits?.engine, connectionShare(traits))
-        val flow = flowOf(request, destination, reply)
+        val destination = Destination(route, share.service, traits?.engine, connectionLimitPerUpstream(traits))
+        val flow = createFlow(request, destination, reply)
         open += 1
         flow.start()
-        return OpenRequest { flow.callerLeft() }
+        return OpenRequest { flow.onCallerDisconnected() }
     }
 
-    /** Connections to each upstream of a service that this entry may have; some are left for those about to close. */
-    private fun connectionShare(traits: ServiceTraits?): Int {
+    /**
+     * Connections that this entry may have to each upstream of a service. Part of the limit is kept free for
+     * connections that are about to close.
+     */
+    private fun connectionLimitPerUpstream(traits: ServiceTraits?): Int {
         val limit = traits?.connectionLimit ?: return Int.MAX_VALUE
-        return (limit * CONNECTIONS_USED / census.count(scheduler.now())).toInt().coerceAtLeast(1)
+        return (limit * USABLE_CONNECTION_FRACTION / entryCounter.count(scheduler.now())).toInt().coerceAtLeast(1)
     }
 
-    private fun flowOf(request: ForwardRequest, destination: Destination, reply: CallerReply): ForwardFlow {
-        val ended = { open -= 1 }
-        if (destination.engine == null) return PlainFlow(context, request, destination, reply, ended)
+    private fun createFlow(request: ForwardRequest, destination: Destination, reply: CallerReply): RequestFlow {
+        val onFinished = { open -= 1 }
+        if (destination.engine == null) return PlainFlow(context, request, destination, reply, onFinished)
         val service = destination.service
-        val queue = queues.getOrPut(service) { MemoryQueue(context, service) { engineOf(service) } }
-        return StreamFlow(context, request, destination, queue, paceOf(service), reply, ended)
+        val queue = memoryQueues.getOrPut(service) { MemoryQueue(context, service) { engineTraitsOf(service) } }
+        return StreamFlow(context, request, destination, queue, estimatesOf(service), reply, onFinished)
     }
 
-    private fun paceOf(service: ServiceName) = paces.getOrPut(service) {
-        StreamPace(RolePlan(settings.prefillShare), settings.without)
+    private fun estimatesOf(service: ServiceName) = streamEstimates.getOrPut(service) {
+        StreamEstimates(RolePlan(settings.prefillShare), settings.without)
     }
 
-    private fun engineOf(service: ServiceName) = configuration?.services?.get(service)?.engine
+    private fun engineTraitsOf(service: ServiceName) = configuration?.services?.get(service)?.engine
 
     private fun refuse(request: ForwardRequest, reply: CallerReply, reason: RefusalReason): OpenRequest? {
-        val wait = request.wait ?: DEFAULT_WAIT
-        val least = if (reason == RefusalReason.LEAVING) Duration.ZERO else RETURN_AFTER
-        val returnAfter = if (reason.notRun) context.returnAfter(least, wait) else null
+        val wait = request.wait ?: DEFAULT_CALLER_WAIT
+        val minimum = if (reason == RefusalReason.LEAVING) Duration.ZERO else MINIMUM_RETURN_DELAY
+        val returnAfter = if (reason.notRun) context.returnDelay(minimum, wait) else null
         context.record(
             EventKind.REQUEST_ENDED,
             request.id,
@@ -215,27 +232,30 @@
         context.record(EventKind.UPSTREAM_REGISTERED, upstream = member.name, detail = detail)
     }
 
-    private fun entrySeen(change: RegistryChange.EntrySeen) {
+    private fun onEntrySeen(change: RegistryChange.EntrySeen) {
         val now = scheduler.now()
-        val before = census.count(now)
-        census.seen(change.name, change.registered, now)
-        val count = census.count(now)
+        val before = entryCounter.count(now)
+        entryCounter.recordRegistration(change.name, change.registered, now)
+        val count = entryCounter.count(now)
         if (count == before) return
-        context.record(EventKind.ENTRY_REGISTERED, detail = "entries=$count with ${change.name}, $before before")
+        context.record(
+            EventKind.ENTRY_REGISTERED,
+            detail = "entries=$count after a change of ${change.name}, before $before",
+        )
     }
 
     private fun recordRoleChange(change: RegistryChange.RoleChanging) {
-        val detail = if (change.changing) "left out while its role changes" else "its role does not change"
+        val detail = if (change.changing) "gets no requests while its role changes" else "its role change has ended"
         context.record(EventKind.UPSTREAM_REGISTERED, upstream = change.name, detail = detail)
     }
 
     private companion object {
-        const val CONNECTIONS_USED = 0.8
+        const val USABLE_CONNECTION_FRACTION = 0.8
 
-        /** Answers of the largest size for which there is memory at once. */
-        const val ANSWERS_HELD = 12
-        val ROLE_CHECK = Duration.parse("250ms")
-        val RETURN_AFTER = Duration.parse("200ms")
-        val DEFAULT_WAIT = Duration.parse("10s")
+        /** Total answer memory, as a number of answers of the maximum size. */
+        const val FULL_SIZE_ANSWERS = 12
+        val ROLE_CHECK_INTERVAL = Duration.parse("250ms")
+        val MINIMUM_RETURN_DELAY = Duration.parse("200ms")
+        val DEFAULT_CALLER_WAIT = Duration.parse("10s")
     }
 }
--- a/core/src/main/kotlin/org/lovageladder/core/forward/Leadership.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/Leadership.kt
@@ -8,29 +8,32 @@
 
 /** Outcome of an attempt to become the leader. */
 public sealed interface LeadershipAnswer {
-    /** It is held under [lease]. */
+    /** Leadership was acquired under [lease]. */
     public data class Taken(val lease: LeaderLease) : LeadershipAnswer
 
-    /** Another process holds it. */
+    /** Another process is the leader. */
     public data object Occupied : LeadershipAnswer
 
-    /** It is not known whether it was taken; if it was, it lapses. */
+    /** Unknown whether leadership was acquired; if so, the lease expires unused. */
     public data class Failed(val detail: String) : LeadershipAnswer
 }
 
-/** Leadership of one process, which gives orders; kept where all processes see it. */
+/** Port to the store that grants leadership to one process at a time. */
 public interface LeadershipPort {
-    /** Tries to become the leader for [period]. */
+    /** Tries to acquire leadership for [period]. */
     public fun take(period: Duration, answer: (LeadershipAnswer) -> Unit)
 
-    /** Extends [lease] by its period from the arrival of the call; tells whether it still held. */
+    /** Extends [lease] by its period from the arrival of the call. [answer] gets whether the lease was still valid. */
     public fun renew(lease: LeaderLease, answer: (Boolean) -> Unit)
 }
 
 /**
- * Leads while it can, and contends for leadership when the registry shows no leader. It counts as leader only
- * until a margin before the lease may end, reckoned from when the last successful call was sent, and for orders only
- * once the leases of earlier holders are surely over. Confined to one thread.
+ * Leader election under a lease of [period]. This process tries to acquire leadership when the registry shows no
+ * leader.
+ *
+ * Two margins keep orders of two leaders apart: the lease counts as valid only until a margin before it may expire,
+ * measured from when the last successful call was sent, and orders are allowed only once the leases of earlier holders
+ * must have expired. Confined to one thread.
  */
 public class Leadership(
     private val port: LeadershipPort,
@@ -39,89 +42,89 @@
     private val jitter: () -> Double,
 ) {
     private var lease: LeaderLease? = null
-    private var orderingFrom = Moment(0)
-    private var heldUntil = Moment(0)
-    private var occupied = false
-    private var contention: RunningCall? = null
+    private var ordersAllowedAt = Moment(0)
+    private var validUntil = Moment(0)
+    private var isHeldElsewhere = false
+    private var scheduledAcquisition: RunningCall? = null
 
     /** The lease under which orders may be given now; null when they may not. */
-    public val inForce: LeaderLease?
+    public val activeLease: LeaderLease?
         get() {
             val now = scheduler.now()
-            return lease?.takeIf { now >= orderingFrom && now < heldUntil }
+            return lease?.takeIf { now >= ordersAllowedAt && now < validUntil }
         }
 
-    /** Begins to contend for leadership. */
+    /** Begins to compete for leadership. */
     public fun start() {
-        contendAfter(period * jitter())
+        scheduleAcquisition(period * jitter())
     }
 
-    /** The registry shows whether some process leads. */
-    public fun observed(held: Boolean) {
-        occupied = held
-        if (!held && lease == null) contendAfter(period * jitter())
+    /** Records whether the registry shows a leader. */
+    public fun onLeaderObserved(isHeld: Boolean) {
+        isHeldElsewhere = isHeld
+        if (!isHeld && lease == null) scheduleAcquisition(period * jitter())
     }
 
-    /** Gives leadership up: an upstream knows a later holder. */
-    public fun abandon() {
+    /** Gives up leadership because an upstream knows a later holder. */
+    public fun resign() {
         if (lease == null) return
         lease = null
-        contendAfter(period * ABANDONED_PERIODS)
+        scheduleAcquisition(period * PERIODS_AFTER_RESIGNATION)
     }
 
-    private fun contendAfter(delay: Duration) {
-        contention?.cancel()
-        contention = scheduler.after(delay) { contend() }
+    private fun scheduleAcquisition(delay: Duration) {
+        scheduledAcquisition?.cancel()
+        scheduledAcquisition = scheduler.after(delay) { acquire() }
     }
 
-    private fun contend() {
+    private fun acquire() {
         if (lease != null) return
-        if (occupied) {
-            occupied = false
-            contendAfter(period * OCCUPIED_PERIODS * (1 + jitter()))
+        if (isHeldElsewhere) {
+            isHeldElsewhere = false
+            scheduleAcquisition(period * PERIODS_WHILE_HELD_ELSEWHERE * (1 + jitter()))
             return
         }
-        val sent = scheduler.now()
+        val sentAt = scheduler.now()
         port.take(period) { answer ->
             when (answer) {
-                is LeadershipAnswer.Taken -> taken(answer.lease, sent)
-                LeadershipAnswer.Occupied -> contendAfter(period * OCCUPIED_PERIODS * (1 + jitter()))
-                is LeadershipAnswer.Failed -> contendAfter(period * (1 + jitter()))
+                is LeadershipAnswer.Taken -> onAcquired(answer.lease, sentAt)
+                LeadershipAnswer.Occupied -> scheduleAcquisition(period * PERIODS_WHILE_HELD_ELSEWHERE * (1 + jitter()))
+                is LeadershipAnswer.Failed -> scheduleAcquisition(period * (1 + jitter()))
             }
         }
     }
 
-    private fun taken(taken: LeaderLease, sent: Moment) {
-        lease = taken
-        orderingFrom = scheduler.now() + period
-        heldUntil = sent + period * HELD_SHARE
-        scheduler.after(period * RENEWAL_SHARE) { renew(taken) }
+    private fun onAcquired(acquired: LeaderLease, sentAt: Moment) {
+        lease = acquired
+        ordersAllowedAt = scheduler.now() + period
+        validUntil = sentAt + period * VALID_FRACTION
+        scheduler.after(period * RENEWAL_FRACTION) { renew(acquired) }
     }
 
-    private fun renew(held: LeaderLease) {
-        if (lease != held) return
-        val sent = scheduler.now()
-        port.renew(held) { extended ->
+    private fun renew(current: LeaderLease) {
+        if (lease != current) return
+        val sentAt = scheduler.now()
+        port.renew(current) { isExtended ->
             when {
-                lease != held -> Unit
-                extended -> {
-                    heldUntil = sent + period * HELD_SHARE
-                    scheduler.after(period * RENEWAL_SHARE) { renew(held) }
+                lease != current -> Unit
+                isExtended -> {
+                    validUntil = sentAt + period * VALID_FRACTION
+                    scheduler.after(period * RENEWAL_FRACTION) { renew(current) }
                 }
                 else -> {
                     lease = null
-                    contendAfter(period * (1 + jitter()))
+                    scheduleAcquisition(period * (1 + jitter()))
                 }
             }
         }
     }
 
     private companion object {
-        const val HELD_SHARE = 0.8
-        const val RENEWAL_SHARE = 0.33
-        const val ABANDONED_PERIODS = 3
+        const val VALID_FRACTION = 0.8
+        const val RENEWAL_FRACTION = 0.33
+        const val PERIODS_AFTER_RESIGNATION = 3
 
-        /** The registry tells when there is no leader; this is for changes that it did not show. */
-        const val OCCUPIED_PERIODS = 8
+        /** The registry reports when there is no leader; this retry covers changes that it did not show. */
+        const val PERIODS_WHILE_HELD_ELSEWHERE = 8
     }
 }
--- a/core/src/main/kotlin/org/lovageladder/core/forward/Mechanism.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/Mechanism.kt
@@ -1,43 +1,43 @@
 package org.lovageladder.core.forward
 
 /**
- * Mechanisms of the forwarding decisions that an experiment can do without, by the [label] that settings give. None of
- * them keeps a promise to callers or upstreams; those cannot be switched off.
+ * Mechanisms of the forwarder that an experiment can switch off, named by [label] in the settings. None of them is
+ * needed to keep a guarantee given to callers or upstreams; those guarantees cannot be switched off.
  */
 public enum class Mechanism(public val label: String) {
-    /** A second upstream for an idempotent request whose first is slow. */
+    /** Sends an idempotent request to a second upstream when the first is slow. */
     HEDGING("hedging"),
 
-    /** Leaving upstreams out for a time that fail or decline. */
+    /** Leaves out upstreams for some time after they fail or decline requests. */
     EJECTION("ejection"),
 
-    /** Choosing upstreams by the load they tell. */
+    /** Chooses upstreams by the load that they report. */
     LOAD_REPORTS("load-reports"),
 
-    /** Preferring upstreams of the own place. */
+    /** Prefers upstreams in the data centre of this process. */
     NEARNESS("nearness"),
 
-    /** Refusing streams on arrival by the expected wait for memory. */
+    /** Refuses streams on arrival when the expected wait for decode memory is too long. */
     WAIT_ESTIMATE("wait-estimate"),
 
-    /** Reserving memory by what is learned of a route's outputs. */
+    /** Reserves memory by a forecast learned from the outputs of each route. */
     OUTPUT_FORECAST("output-forecast"),
 
-    /** Bidding callers who are refused early come back within their target. */
+    /** Tells callers that are refused early to return while their target can still be met. */
     EARLY_RETURN("early-return"),
 
-    /** Refusing callers who are late already while memory is short. */
+    /** Refuses callers that can no longer be served in time while memory is short. */
     LATE_REFUSAL("late-refusal"),
 
-    /** Having prompts read by engines of their own. */
+    /** Prefills prompts on dedicated engines. */
     SEPARATE_PREFILL("separate-prefill"),
 
-    /** Changing the roles of engines. */
+    /** Changes the roles of engines. */
     ROLE_CHANGES("role-changes"),
 
-    /** Going on elsewhere with a stream that broke. */
+    /** Resumes a broken stream on another upstream. */
     RESUMPTION("resumption"),
 
-    /** Leaving an upstream whose stream is silent. */
+    /** Leaves an upstream whose stream is silent. */
     SILENCE_WATCH("silence-watch"),
 }
--- a/core/src/main/kotlin/org/lovageladder/core/forward/Membership.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/Membership.kt
@@ -11,8 +11,8 @@
 import kotlin.time.Duration.Companion.milliseconds
 
 /**
- * An upstream as it registered itself. Its name is unique to one start of the upstream unless [startedAt], the
- * wall-clock millisecond of its start, says otherwise. [revision] orders what was registered of it.
+ * An upstream as it registered itself. A [name] belongs to one start of the upstream unless [startedAt], the wall-clock
+ * time of the start in milliseconds, says otherwise. A registration with a higher [revision] replaces an earlier one.
  */
 public data class Member(
     val name: UpstreamName,
@@ -29,130 +29,130 @@
     val start: UpstreamStart get() = UpstreamStart(name, address, startedAt)
 }
 
-/** What the registry of upstreams told. */
+/** A change reported by the registry of upstreams. */
 public sealed interface RegistryChange {
-    /** An upstream registered itself or changed. */
+    /** An upstream registered itself or updated its registration. */
     public data class Written(val member: Member) : RegistryChange
 
-    /** An upstream's entry was removed at [revision]. */
+    /** The registration of an upstream was removed at [revision]. */
     public data class Removed(val name: UpstreamName, val revision: Long) : RegistryChange
 
-    /** An engine changes its role, or does so no longer. */
+    /** A role change of an engine was announced, or the announcement was withdrawn. */
     public data class RoleChanging(val name: UpstreamName, val changing: Boolean) : RegistryChange
 
-    /** Whether some process is the leader, which gives orders to engines. */
+    /** Whether some process holds leadership and may give orders to engines. */
     public data class LeaderSeen(val held: Boolean) : RegistryChange
 
-    /** The registration of the entry [name] is there, or not any more. */
+    /** Whether the entry [name] is registered. */
     public data class EntrySeen(val name: ProcessName, val registered: Boolean) : RegistryChange
 
-    /** The registry was read whole; upstreams that are not in [members] have no entry. */
-    public data class ReadWhole(val members: List<Member>) : RegistryChange
+    /** A full read of the registry. Upstreams that are not in [members] have no registration. */
+    public data class FullRead(val members: List<Member>) : RegistryChange
 
-    /** The registry does not answer. */
-    public data object Lost : RegistryChange
+    /** The registry is unavailable. */
+    public data object Unavailable : RegistryChange
 
-    /** The registry answers again. */
-    public data object Regained : RegistryChange
+    /** The registry is available again. */
+    public data object Available : RegistryChange
 }
 
 /**
- * Upstreams that may get requests, as far as the registry tells. Entries expire while the registry is away although
- * their upstreams live; so an entry that vanishes during an outage, or shortly after it, keeps its upstream in use
- * until [REGISTRATION_GRACE] has passed since the registry came back. Confined to one thread.
+ * Upstreams that may get requests, according to the registry. Registrations can expire during a registry outage
+ * although their upstreams are alive. An upstream whose registration is removed during an outage or shortly after it
+ * therefore stays in use until [REGISTRATION_GRACE_PERIOD] after the registry became available. Confined to one thread.
  */
 public class Membership {
     private val members = HashMap<UpstreamName, Member>()
-    private val vanished = HashSet<UpstreamName>()
-    private val ended = HashMap<UpstreamName, Long?>()
+    private val missing = HashSet<UpstreamName>()
+    private val endedStarts = HashMap<UpstreamName, Long?>()
     private val changingRole = HashSet<UpstreamName>()
-    private var graceUntil: Moment? = null
-    private var lost = false
+    private var gracePeriodUntil: Moment? = null
+    private var isUnavailable = false
 
     /** Whether the registry was read at least once. */
-    public var known: Boolean = false
+    public var isLoaded: Boolean = false
         private set
 
-    /** Takes in [change]. */
+    /** Applies [change]. */
     public fun apply(change: RegistryChange, now: Moment) {
         when (change) {
-            is RegistryChange.Written -> put(change.member)
+            is RegistryChange.Written -> update(change.member)
             is RegistryChange.Removed -> remove(change, now)
             is RegistryChange.RoleChanging ->
                 if (change.changing) changingRole += change.name else changingRole -= change.name
             is RegistryChange.LeaderSeen, is RegistryChange.EntrySeen -> Unit
-            is RegistryChange.ReadWhole -> replace(change.members, now)
-            RegistryChange.Lost -> lost = true
-            RegistryChange.Regained -> {
-                lost = false
-                graceUntil = now + REGISTRATION_GRACE
+            is RegistryChange.FullRead -> replaceAll(change.members, now)
+            RegistryChange.Unavailable -> isUnavailable = true
+            RegistryChange.Available -> {
+                isUnavailable = false
+                gracePeriodUntil = now + REGISTRATION_GRACE_PERIOD
             }
         }
     }
 
-    /** Forgets the upstream [name]: it told, or its address told, that this start of it has ended. */
-    public fun drop(name: UpstreamName) {
+    /** Removes the upstream [name] after it, or its address, reported that this start of it has ended. */
+    public fun removeEnded(name: UpstreamName) {
         val member = members.remove(name) ?: return
-        vanished.remove(name)
-        ended[name] = member.startedAt
+        missing.remove(name)
+        endedStarts[name] = member.startedAt
     }
 
-    /** Upstreams of [service] that take new requests at [now]. */
+    /** Upstreams of [service] that accept new requests at [now]. */
     public fun serving(service: ServiceName, now: Moment): List<Member> =
         registered(service, now).filter { it.name !in changingRole }
 
-    /** Upstreams of [service] at [now], also those that change their role. */
+    /** Upstreams of [service] at [now], including those whose role is changing, excluding those that leave. */
     public fun registered(service: ServiceName, now: Moment): List<Member> {
-        expire(now)
+        removeExpired(now)
         return members.values.filter { it.service == service && !it.leaving }
     }
 
-    /** The upstream [name], also when it is leaving. */
+    /** The upstream [name], also when it is leaving; null when it is unknown. */
     public operator fun get(name: UpstreamName): Member? = members[name]
 
-    private fun put(member: Member) {
-        if (ended.containsKey(member.name) && ended[member.name] == member.startedAt) return
-        val known = members[member.name]
-        if (known != null && known.revision > member.revision) return
-        ended.remove(member.name)
-        vanished.remove(member.name)
+    private fun update(member: Member) {
+        if (endedStarts.containsKey(member.name) && endedStarts[member.name] == member.startedAt) return
+        val current = members[member.name]
+        if (current != null && current.revision > member.revision) return
+        endedStarts.remove(member.name)
+        missing.remove(member.name)
         members[member.name] = member
     }
 
     private fun remove(change: RegistryChange.Removed, now: Moment) {
-        val known = members[change.name] ?: return
-        if (known.revision < change.revision) vanish(change.name, now)
+        val current = members[change.name] ?: return
+        if (current.revision < change.revision) markMissing(change.name, now)
     }
 
-    private fun vanish(name: UpstreamName, now: Moment) {
-        if (isGrace(now)) {
-            vanished += name
+    private fun markMissing(name: UpstreamName, now: Moment) {
+        if (isGracePeriod(now)) {
+            missing += name
         } else {
             members.remove(name)
-            vanished.remove(name)
+            missing.remove(name)
         }
     }
 
-    /** Whether an entry that is missing may still come back. */
-    private fun isGrace(now: Moment): Boolean = lost || graceUntil?.let { now < it } ?: false
+    /** Whether a missing registration may still be renewed by a living upstream. */
+    private fun isGracePeriod(now: Moment): Boolean = isUnavailable || gracePeriodUntil?.let { now < it } ?: false
 
-    private fun replace(listed: List<Member>, now: Moment) {
-        known = true
+    private fun replaceAll(registrations: List<Member>, now: Moment) {
+        isLoaded = true
         changingRole.clear()
-        val names = listed.mapTo(HashSet()) { it.name }
-        members.keys.filter { it !in names }.forEach { vanish(it, now) }
-        ended.keys.retainAll(names)
-        listed.forEach(::put)
+        val names = registrations.mapTo(HashSet()) { it.name }
+        members.keys.filter { it !in names }.forEach { markMissing(it, now) }
+        endedStarts.keys.retainAll(names)
+        registrations.forEach(::update)
     }
 
-    private fun expire(now: Moment) {
-        if (vanished.isEmpty() || isGrace(now)) return
-        members.keys.removeAll(vanished)
-        vanished.clear()
+    private fun removeExpired(now: Moment) {
+        if (missing.isEmpty() || isGracePeriod(now)) return
+        members.keys.removeAll(missing)
+        missing.clear()
     }
 
     private companion object {
-        /** Entries of living upstreams are back this soon after the registry's return. */
-        val REGISTRATION_GRACE: Duration = 2_300.milliseconds
+        /** Living upstreams have registered again by this time after the registry became available. */
+        val REGISTRATION_GRACE_PERIOD: Duration = 2_300.milliseconds
     }
 }
--- a/core/src/main/kotlin/org/lovageladder/core/forward/MemoryQueue.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/MemoryQueue.kt
@@ -8,232 +8,256 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
-/** A request that waits for decode memory. [latest] is when it is no use to it any more. */
-internal class MemoryClaim(
-    val request: RequestId,
+/** A request that waits for decode memory. Memory granted after [grantDeadline] is of no use to it. */
+internal class MemoryRequest(
+    val id: RequestId,
     val tokens: Int,
     val priority: Int,
-    val entered: Moment,
-    val latest: Moment,
-    val avoid: Set<UpstreamName>,
-    val granted: (MemoryGrant) -> Unit,
-    val refused: (RefusalReason) -> Unit,
+    val arrivedAt: Moment,
+    val grantDeadline: Moment,
+    val avoidedEngines: Set<UpstreamName>,
+    val onGranted: (MemoryGrant) -> Unit,
+    val onRefused: (RefusalReason) -> Unit,
 ) {
-    var cancelled = false
+    var isCancelled = false
 
-    /** When it began to wait. */
-    var queuedAt: Moment = entered
+    /** When it began to wait; the arrival of the request until then. */
+    var queuedAt: Moment = arrivedAt
 }
 
-/** Memory at [engine] that is reserved for a request until it is used or released. */
+/** Memory at [engine], reserved for a request until it is used or released. */
 internal data class MemoryGrant(val engine: Member, val tokens: Int, val reservation: Reservation)
 
-/** What one process has of a service's decode memory: its tokens, requests that wait, and engines that are full. */
-internal data class PoolState(val heldTokens: Int, val waiting: Int, val fullEngines: Int)
+/**
+ * Decode memory of a service as this process knows it: the tokens that it holds, its waiting requests, and the engines
+ * that are full.
+ */
+internal data class DecodeMemoryState(val heldTokens: Int, val waitingRequests: Int, val fullEngines: Int)
 
 /**
- * Requests of one service that wait for decode memory. The engines keep the account: each claim is a reservation at
- * one of them, so that all entries together cannot overcommit its memory. Claims are served in order of priority, then
- * arrival, while they can still meet their target; one that cannot is refused at once. Answers the load pattern of a
- * crest: more prompts than decode memory holds, for some seconds. Confined to one thread.
+ * Requests of one service that wait for decode memory. The engines do the accounting: memory is reserved at one of
+ * them, so that all entries together cannot overcommit it. Requests are served in order of priority, then arrival, as
+ * long as they can meet their target; one that cannot is refused at once.
+ *
+ * Load pattern: a load peak with more prompts than decode memory holds, for some seconds. Confined to one thread.
  */
 internal class MemoryQueue(
     private val context: ForwardContext,
     private val service: ServiceName,
-    private val engine: () -> EngineTraits?,
+    private val engineTraits: () -> EngineTraits?,
 ) {
-    private val waiting = ArrayList<MemoryClaim>()
-    private val held = HashMap<UpstreamName, Int>()
+    private val waitingRequests = ArrayList<MemoryRequest>()
+    private val heldTokens = HashMap<UpstreamName, Int>()
     private val fullUntil = HashMap<UpstreamName, Moment>()
-    private val refusedAt = HashMap<UpstreamName, Moment>()
-    private val asking = HashSet<UpstreamName>()
-    private var wake: RunningCall? = null
+    private val lastRefusedAt = HashMap<UpstreamName, Moment>()
+    private val reservingEngines = HashSet<UpstreamName>()
+    private var nextRun: RunningCall? = null
     private var grantInterval = Duration.ZERO
-    private var lastGrant: Moment? = null
+    private var lastGrantAt: Moment? = null
 
-    /** Serves [claim] as soon as memory is free, or refuses it. */
-    fun enter(claim: MemoryClaim) {
+    /** Serves [request] as soon as memory is free, or refuses it. */
+    fun enqueue(request: MemoryRequest) {
         val now = context.now()
-        if (context.uses(Mechanism.WAIT_ESTIMATE) && now + expectedWait(claim, now) > claim.latest) {
-            claim.refused(RefusalReason.OVERLOADED)
+        if (context.isEnabled(Mechanism.WAIT_ESTIMATE) && now + expectedWait(request, now) > request.grantDeadline) {
+            request.onRefused(RefusalReason.OVERLOADED)
             return
         }
-        claim.queuedAt = now
-        insert(claim)
-        pump()
+        request.queuedAt = now
+        insert(request)
+        serveWaiting()
     }
 
-    /** Takes [claim] back. */
-    fun leave(claim: MemoryClaim) {
-        claim.cancelled = true
-        waiting.remove(claim)
+    /** Removes [request] from the queue. */
+    fun cancel(request: MemoryRequest) {
+        request.isCancelled = true
+        waitingRequests.remove(request)
     }
 
     /** The memory of [grant] is free again. */
-    fun freed(grant: MemoryGrant) {
-        held.merge(grant.engine.name, -grant.tokens, Int::plus)
+    fun onFreed(grant: MemoryGrant) {
+        heldTokens.merge(grant.engine.name, -grant.tokens, Int::plus)
         fullUntil.remove(grant.engine.name)
-        pump()
+        serveWaiting()
     }
 
-    /** Forgets engines that are not registered any more and at which this process holds nothing. */
-    fun forgetMissing() {
+    /** Drops the state of engines that are not registered any more and at which this process holds no memory. */
+    fun removeUnregistered() {
         fullUntil.keys.retainAll { context.membership[it] != null }
-        refusedAt.keys.retainAll { context.membership[it] != null }
-        held.entries.removeIf { (name, tokens) -> tokens == 0 && context.membership[name] == null }
+        lastRefusedAt.keys.retainAll { context.membership[it] != null }
+        heldTokens.entries.removeIf { (name, tokens) -> tokens == 0 && context.membership[name] == null }
     }
 
-    /** Engines of which something is remembered. */
-    val remembered: Int get() = (fullUntil.keys + held.keys).size
+    /** Number of engines of which this queue keeps state. */
+    val trackedEngines: Int get() = (fullUntil.keys + heldTokens.keys).size
 
-    /** What this process knows of the engines' memory now. */
-    fun state() = PoolState(heldTokens = held.values.sum(), waiting = waiting.size, fullEngines = enginesFull())
+    /** The memory of the engines as this process knows it now. */
+    fun state() = DecodeMemoryState(
+        heldTokens = heldTokens.values.sum(),
+        waitingRequests = waitingRequests.size,
+        fullEngines = countFullEngines(),
+    )
 
-    private fun enginesFull(): Int {
+    private fun countFullEngines(): Int {
         val now = context.now()
         return fullUntil.values.count { it > now }
     }
 
-    /** Whether requests wait or half of the engines refused memory of late: whoever gets memory takes another's. */
-    fun isCrowded(): Boolean = waiting.isNotEmpty() || areEnginesShort(context.now())
+    /**
+     * Whether there is memory pressure: requests wait, or at least half of the engines refused memory lately. Memory
+     * that a request gets now is memory that another one lacks.
+     */
+    fun isUnderMemoryPressure(): Boolean = waitingRequests.isNotEmpty() || areEnginesUnderPressure(context.now())
 
-    private fun areEnginesShort(now: Moment): Boolean {
-        val short = refusedAt.values.count { now - it < SHORT_LASTING }
-        if (short == 0) return false
+    private fun areEnginesUnderPressure(now: Moment): Boolean {
+        val recentlyRefused = lastRefusedAt.values.count { now - it < MEMORY_PRESSURE_WINDOW }
+        if (recentlyRefused == 0) return false
         val engines = context.membership.serving(service, now).count { it.role == PoolRole.DECODE }
-        return short * 2 >= engines
+        return recentlyRefused * 2 >= engines
     }
 
-    /** Tokens that this process holds at [name]. */
-    fun heldAt(name: UpstreamName): Int = held[name] ?: 0
-
-    /** Wait of [claim] by the pace at which memory was granted while others waited; nothing when none wait. */
-    private fun expectedWait(claim: MemoryClaim, now: Moment): Duration {
-        val ahead = waiting.count { it.priority <= claim.priority }
-        if (ahead == 0) return Duration.ZERO
-        return maxOf(grantInterval, waitForNextGrant(now)) * (ahead + 1)
+    /** Tokens that this process holds at engine [name]. */
+    fun heldTokensAt(name: UpstreamName): Int = heldTokens[name] ?: 0
+
+    /**
+     * Expected wait of [request], from the rate at which memory was granted while requests waited; zero when none
+     * waits ahead of it.
+     */
+    private fun expectedWait(request: MemoryRequest, now: Moment): Duration {
+        val requestsAhead = waitingRequests.count { it.priority <= request.priority }
+        if (requestsAhead == 0) return Duration.ZERO
+        return maxOf(grantInterval, waitSinceLastGrant(now)) * (requestsAhead + 1)
     }
 
-    /** How long some claim has waited since the last grant; time in which none waited says nothing of the engines. */
-    private fun waitForNextGrant(now: Moment): Duration {
-        val since = waiting.minOfOrNull { it.queuedAt } ?: return Duration.ZERO
-        return now - maxOf(since, lastGrant ?: since)
+    /**
+     * Time since the last grant in which some request waited. Time without a waiting request says nothing about the
+     * engines.
+     */
+    private fun waitSinceLastGrant(now: Moment): Duration {
+        val waitingSince = waitingRequests.minOfOrNull { it.queuedAt } ?: return Duration.ZERO
+        return now - maxOf(waitingSince, lastGrantAt ?: waitingSince)
     }
 
-    private fun insert(claim: MemoryClaim) {
-        val position = waiting.indexOfFirst { it.priority > claim.priority || it.orderedAfter(claim) }
-        if (position < 0) waiting.add(claim) else waiting.add(position, claim)
+    private fun insert(request: MemoryRequest) {
+        val index = waitingRequests.indexOfFirst { it.priority > request.priority || it.isOrderedAfter(request) }
+        if (index < 0) waitingRequests.add(request) else waitingRequests.add(index, request)
     }
 
-    private fun MemoryClaim.orderedAfter(other: MemoryClaim) = priority == other.priority && entered > other.entered
+    private fun MemoryRequest.isOrderedAfter(other: MemoryRequest) =
+        priority == other.priority && arrivedAt > other.arrivedAt
 
-    private fun pump() {
+    private fun serveWaiting() {
         val now = context.now()
         refuseExpired(now)
-        var served = true
-        while (served && waiting.isNotEmpty()) {
-            served = serve(waiting.first(), now)
+        var hasProgress = true
+        while (hasProgress && waitingRequests.isNotEmpty()) {
+            hasProgress = serve(waitingRequests.first(), now)
         }
-        scheduleWake(now)
+        scheduleNextRun(now)
     }
 
-    /** Asks an engine for the memory of [claim], or refuses it; false when it has to go on waiting. */
-    private fun serve(claim: MemoryClaim, now: Moment): Boolean {
-        val free = enginesFor(claim, now)
-        if (free == null) {
-            val pauseEnd = pauseEnd(now)
-            if (pauseEnd != null && pauseEnd < claim.latest) return false
-            waiting.remove(claim)
-            claim.refused(if (pauseEnd == null) RefusalReason.NO_UPSTREAM else RefusalReason.OVERLOADED)
+    /** Tries to reserve memory for [request], or refuses it. Returns false when it has to keep waiting. */
+    private fun serve(request: MemoryRequest, now: Moment): Boolean {
+        val available = findEngines(request, now)
+        if (available == null) {
+            val pauseEnd = earliestPauseEnd(now)
+            if (pauseEnd != null && pauseEnd < request.grantDeadline) return false
+            waitingRequests.remove(request)
+            request.onRefused(if (pauseEnd == null) RefusalReason.NO_UPSTREAM else RefusalReason.OVERLOADED)
             return true
         }
-        val chosen = free.firstOrNull() ?: return false
-        waiting.remove(claim)
-        ask(claim, chosen)
+        val chosen = available.firstOrNull() ?: return false
+        waitingRequests.remove(request)
+        reserve(request, chosen)
         return true
     }
 
-    /** Engines that may have room for [claim], the best first; null when there is no engine at all. */
-    private fun enginesFor(claim: MemoryClaim, now: Moment): List<Member>? {
-        val memory = (engine()?.memoryTokens ?: 0).coerceAtLeast(1).toDouble()
-        val all = context.board.candidates(service, PoolRole.DECODE, now, claim.avoid) { heldAt(it.name) / memory }
-        if (all.isEmpty()) return null
-        return all.filter { it.name !in asking && (fullUntil[it.name]?.let { until -> until <= now } ?: true) }
+    /** Engines that may have memory for [request], the best first; null when there is no engine at all. */
+    private fun findEngines(request: MemoryRequest, now: Moment): List<Member>? {
+        val memory = (engineTraits()?.memoryTokens ?: 0).coerceAtLeast(1).toDouble()
+        val candidates =
+            context.upstreamSelector.candidates(service, PoolRole.DECODE, now, request.avoidedEngines) {
+                heldTokensAt(it.name) / memory
+            }
+        if (candidates.isEmpty()) return null
+        return candidates.filter {
+            it.name !in reservingEngines && (fullUntil[it.name]?.let { until -> until <= now } ?: true)
+        }
     }
 
-    /** When the first engine that asked for a pause takes calls again. */
-    private fun pauseEnd(now: Moment): Moment? = context.board.firstPauseEnd(service, PoolRole.DECODE, now)
-
-    private fun ask(claim: MemoryClaim, member: Member) {
-        val keep = engine()?.reservationLimit ?: DEFAULT_KEEP
-        asking += member.name
-        held.merge(member.name, claim.tokens, Int::plus)
-        context.calls.reserve(member.start, claim.tokens, keep) { answer ->
-            asking -= member.name
-            answered(claim, member, answer)
-            pump()
+    /** When the first engine that asked for a pause accepts calls again. */
+    private fun earliestPauseEnd(now: Moment): Moment? =
+        context.upstreamSelector.earliestPauseEnd(service, PoolRole.DECODE, now)
+
+    private fun reserve(request: MemoryRequest, engine: Member) {
+        val reservationTime = engineTraits()?.reservationLimit ?: DEFAULT_RESERVATION_TIME
+        reservingEngines += engine.name
+        heldTokens.merge(engine.name, request.tokens, Int::plus)
+        context.calls.reserve(engine.start, request.tokens, reservationTime) { answer ->
+            reservingEngines -= engine.name
+            onReservationAnswer(request, engine, answer)
+            serveWaiting()
         }
     }
 
-    private fun answered(claim: MemoryClaim, member: Member, answer: EngineAnswer<Reservation>) {
+    private fun onReservationAnswer(request: MemoryRequest, engine: Member, answer: EngineAnswer<Reservation>) {
         val now = context.now()
         if (answer is EngineAnswer.Done) {
-            grant(claim, MemoryGrant(member, claim.tokens, answer.value), now)
+            grant(request, MemoryGrant(engine, request.tokens, answer.value), now)
             return
         }
-        held.merge(member.name, -claim.tokens, Int::plus)
+        heldTokens.merge(engine.name, -request.tokens, Int::plus)
         when (answer) {
             is EngineAnswer.Done -> Unit
             is EngineAnswer.Refused -> {
-                if (answer.wrongInstance) context.replaced(member.name, claim.request)
-                fullUntil[member.name] = now + RECHECK
-                refusedAt[member.name] = now
+                if (answer.wrongInstance) context.removeReplaced(engine.name, request.id)
+                fullUntil[engine.name] = now + FULL_ENGINE_RECHECK_DELAY
+                lastRefusedAt[engine.name] = now
             }
             is EngineAnswer.Failed -> {
-                context.failed(member.name, claim.request, "reserve", answer.failure)
-                fullUntil[member.name] = now + RECHECK
+                context.recordFailure(engine.name, request.id, "reserve", answer.failure)
+                fullUntil[engine.name] = now + FULL_ENGINE_RECHECK_DELAY
             }
         }
-        if (!claim.cancelled) insert(claim)
+        if (!request.isCancelled) insert(request)
     }
 
-    private fun grant(claim: MemoryClaim, grant: MemoryGrant, now: Moment) {
-        if (claim.cancelled) {
+    private fun grant(request: MemoryRequest, grant: MemoryGrant, now: Moment) {
+        if (request.isCancelled) {
             context.release(grant.engine, grant.reservation)
-            freed(grant)
+            onFreed(grant)
             return
         }
-        val sample = if (waiting.isEmpty()) Duration.ZERO else waitForNextGrant(now)
-        grantInterval = grantInterval * (1 - INTERVAL_WEIGHT) + sample * INTERVAL_WEIGHT
-        lastGrant = now
-        claim.granted(grant)
+        val interval = if (waitingRequests.isEmpty()) Duration.ZERO else waitSinceLastGrant(now)
+        grantInterval = grantInterval * (1 - SMOOTHING_FACTOR) + interval * SMOOTHING_FACTOR
+        lastGrantAt = now
+        request.onGranted(grant)
     }
 
     private fun refuseExpired(now: Moment) {
-        val expired = waiting.filter { it.latest <= now }
-        waiting.removeAll(expired.toSet())
-        expired.forEach { it.refused(RefusalReason.OVERLOADED) }
+        val expired = waitingRequests.filter { it.grantDeadline <= now }
+        waitingRequests.removeAll(expired.toSet())
+        expired.forEach { it.onRefused(RefusalReason.OVERLOADED) }
     }
 
-    private fun scheduleWake(now: Moment) {
-        wake?.cancel()
-        wake = null
-        if (waiting.isEmpty()) return
-        val expiry = waiting.minOf { it.latest }
-        val recheck = fullUntil.values.filter { it > now }.minOrNull() ?: expiry
-        val due = minOf(expiry, recheck, pauseEnd(now) ?: expiry)
-        wake = context.scheduler.after((due - now).coerceAtLeast(LEAST_PAUSE)) { pump() }
+    private fun scheduleNextRun(now: Moment) {
+        nextRun?.cancel()
+        nextRun = null
+        if (waitingRequests.isEmpty()) return
+        val nextDeadline = waitingRequests.minOf { it.grantDeadline }
+        val recheckAt = fullUntil.values.filter { it > now }.minOrNull() ?: nextDeadline
+        val runAt = minOf(nextDeadline, recheckAt, earliestPauseEnd(now) ?: nextDeadline)
+        nextRun = context.scheduler.after((runAt - now).coerceAtLeast(MINIMUM_RUN_DELAY)) { serveWaiting() }
     }
 
     private companion object {
-        val DEFAULT_KEEP: Duration = 1_000.milliseconds
+        val DEFAULT_RESERVATION_TIME: Duration = 1_000.milliseconds
 
-        /** Pause before an engine that was full is asked again, unless a request of this process ends there. */
-        val RECHECK: Duration = 40.milliseconds
+        /** A full engine is asked again after this delay, or earlier when a request of this process ends there. */
+        val FULL_ENGINE_RECHECK_DELAY: Duration = 40.milliseconds
 
-        /** How long an engine that refused memory counts as short of it. */
-        val SHORT_LASTING: Duration = 500.milliseconds
-        val LEAST_PAUSE: Duration = 1.milliseconds
-        const val INTERVAL_WEIGHT = 0.2
+        /** Time for which an engine that refused memory counts towards memory pressure. */
+        val MEMORY_PRESSURE_WINDOW: Duration = 500.milliseconds
+        val MINIMUM_RUN_DELAY: Duration = 1.milliseconds
+        const val SMOOTHING_FACTOR = 0.2
     }
 }
--- a/core/src/main/kotlin/org/lovageladder/core/forward/OutputForecast.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/OutputForecast.kt
@@ -5,68 +5,73 @@
 import kotlin.math.sqrt
 
 /**
- * Forecast of how long the outputs of one route become, from callers' estimates of them and from the outputs that
- * ended. Callers' estimates are right at the median and often far off, so a long output is on average shorter than its
- * estimate and a short one longer; the forecast is a linear regression between the logarithms of both. Outputs are seen
- * as events, whose number of tokens is unknown: what estimates and outputs have in the middle tells it.
+ * Forecasts the output length of the generations of one route from callers' estimates and from the outputs that ended.
+ * The estimates are right at the median and often far off, so that a long output is on average shorter than its
+ * estimate and a short one longer. The forecast is a linear regression between the logarithms of estimate and output.
+ * Outputs are measured in events of an unknown number of tokens, which follows from the means of both logarithms.
  *
- * The forecast starts from [PRIOR_SAMPLES] assumed outputs that spread around their estimates by [PRIOR_VARIANCE], so
- * that the first streams of a process reserve enough, and follows the outputs of late. Answers the load pattern of
- * estimates that half of all streams exceed, in engines without a free token. Confined to one thread.
+ * The forecast starts with [PRIOR_SAMPLES] assumed outputs whose variance around their estimates is [PRIOR_VARIANCE],
+ * so that the first streams of a process reserve enough memory, and then follows recent outputs.
+ *
+ * Load pattern: half of all streams exceed their estimates, at engines without free memory. Confined to one thread.
  */
 internal class OutputForecast {
     private var samples = 0
-    private var estimate = 0.0
-    private var events = 0.0
+    private var meanLogEstimate = 0.0
+    private var meanLogEvents = 0.0
     private var estimateVariance = 0.0
     private var eventsVariance = 0.0
     private var covariance = 0.0
 
-    /** Tokens of one event as the median output has them; null before any output ended. */
-    val tokensOfAnEvent: Double? get() = if (samples == 0) null else exp(estimate - events)
+    /** Tokens in one event at the median output; null before any output ended. */
+    val tokensPerEvent: Double? get() = if (samples == 0) null else exp(meanLogEstimate - meanLogEvents)
 
-    /** An output that was expected to have [expectedTokens] ended after [endedAfter] events. */
-    fun ended(expectedTokens: Int, endedAfter: Int) {
-        if (expectedTokens < 1 || endedAfter < 1) return
-        samples = minOf(samples + 1, MOST_SAMPLES)
+    /** Records an output that was estimated at [expectedTokens] and ended after [events] events. */
+    fun recordOutput(expectedTokens: Int, events: Int) {
+        if (expectedTokens < 1 || events < 1) return
+        samples = minOf(samples + 1, MAXIMUM_SAMPLES)
         val weight = 1.0 / samples
-        val estimateError = ln(expectedTokens.toDouble()) - estimate
-        val eventsError = ln(endedAfter.toDouble()) - events
-        estimate += weight * estimateError
-        events += weight * eventsError
-        estimateVariance = follow(estimateVariance, weight, estimateError * estimateError)
-        eventsVariance = follow(eventsVariance, weight, eventsError * eventsError)
-        covariance = follow(covariance, weight, estimateError * eventsError)
+        val estimateError = ln(expectedTokens.toDouble()) - meanLogEstimate
+        val eventsError = ln(events.toDouble()) - meanLogEvents
+        meanLogEstimate += weight * estimateError
+        meanLogEvents += weight * eventsError
+        estimateVariance = updateAverage(estimateVariance, weight, estimateError * estimateError)
+        eventsVariance = updateAverage(eventsVariance, weight, eventsError * eventsError)
+        covariance = updateAverage(covariance, weight, estimateError * eventsError)
     }
 
-    /** Tokens that an output of [expectedTokens] does not exceed, but for the part beyond [deviations] deviations. */
-    fun tokens(expectedTokens: Int, deviations: Double): Int {
-        val expected = ln(expectedTokens.coerceAtLeast(1).toDouble())
+    /**
+     * Tokens that an output estimated at [expectedTokens] does not exceed, up to [deviations] standard deviations above
+     * its expected length.
+     */
+    fun maximumTokens(expectedTokens: Int, deviations: Double): Int {
+        val logEstimate = ln(expectedTokens.coerceAtLeast(1).toDouble())
         val slope = slope()
-        val centre = if (samples == 0) expected else estimate + slope * (expected - estimate)
-        return exp(centre + deviations * deviation(slope)).coerceAtMost(Int.MAX_VALUE.toDouble()).toInt()
+        val meanLogOutput = if (samples == 0) logEstimate else meanLogEstimate + slope * (logEstimate - meanLogEstimate)
+        return exp(meanLogOutput + deviations * standardDeviation(slope)).coerceAtMost(Int.MAX_VALUE.toDouble()).toInt()
     }
 
     private fun slope(): Double {
-        val assumed = PRIOR_SAMPLES * PRIOR_VARIANCE
-        return ((samples * covariance + assumed) / (samples * estimateVariance + assumed)).coerceIn(0.0, 1.0)
+        val priorSquares = PRIOR_SAMPLES * PRIOR_VARIANCE
+        return ((samples * covariance + priorSquares) / (samples * estimateVariance + priorSquares)).coerceIn(0.0, 1.0)
     }
 
-    private fun deviation(slope: Double): Double {
-        val seen = eventsVariance - 2 * slope * covariance + slope * slope * estimateVariance
-        val total = samples * seen.coerceAtLeast(0.0) + PRIOR_SAMPLES * PRIOR_VARIANCE
-        return sqrt(total / (samples + PRIOR_SAMPLES))
+    private fun standardDeviation(slope: Double): Double {
+        val observed = eventsVariance - 2 * slope * covariance + slope * slope * estimateVariance
+        val totalVariance = samples * observed.coerceAtLeast(0.0) + PRIOR_SAMPLES * PRIOR_VARIANCE
+        return sqrt(totalVariance / (samples + PRIOR_SAMPLES))
     }
 
-    private fun follow(previous: Double, weight: Double, sample: Double) = (1 - weight) * (previous + weight * sample)
+    private fun updateAverage(previous: Double, weight: Double, sample: Double) =
+        (1 - weight) * (previous + weight * sample)
 
     private companion object {
         const val PRIOR_SAMPLES = 8
 
-        /** Of the logarithm: about half of the estimates are off by a half or more. */
+        /** Variance of the logarithm: about half of the estimates are off by half or more. */
         const val PRIOR_VARIANCE = 0.25
 
-        /** Older outputs count less. */
-        const val MOST_SAMPLES = 300
+        /** Older outputs lose weight beyond this number. */
+        const val MAXIMUM_SAMPLES = 300
     }
 }
--- a/core/src/main/kotlin/org/lovageladder/core/forward/PlainFlow.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/PlainFlow.kt
@@ -9,158 +9,169 @@
 import kotlin.time.Duration.Companion.milliseconds
 
 /**
- * One request to a plain service. Its answer is received whole before any of it is given to the caller, so that a
- * damaged answer can still be replaced. The request is sent again after an upstream said that it did not run it, or,
- * when it may be repeated, after any failure and beside an upstream that is slow. Confined to one thread.
+ * One request to a plain service. The answer is received completely before any of it is passed to the caller, so that a
+ * damaged answer can still be replaced. The request is retried after an upstream declined it. A retryable request is
+ * also retried after any other failure, and hedged when its upstream is slow. Confined to one thread.
  */
 internal class PlainFlow(
     private val context: ForwardContext,
     private val request: ForwardRequest,
     private val destination: Destination,
     private val reply: CallerReply,
-    private val ended: () -> Unit,
-) : ForwardFlow {
+    private val onFinished: () -> Unit,
+) : RequestFlow {
     private val route = destination.route
-    private val time = RequestTime(request, route)
-    private val tries = ArrayList<PlainTry>()
-    private var timeout: RunningCall? = null
-    private var hedge: RunningCall? = null
-    private var lastFailure: WholeAnswer? = null
+    private val deadlines = RequestDeadlines(request, route)
+    private val attempts = ArrayList<Attempt>()
+    private var timeoutTimer: RunningCall? = null
+    private var hedgeTimer: RunningCall? = null
+    private var lastErrorAnswer: CompleteAnswer? = null
     private var mayHaveRun = false
-    private var over = false
+    private var isFinished = false
 
     override fun start() {
-        timeout = context.scheduler.after(time.remaining(context.now())) { expire() }
-        sendNext()
-        if (!over && route.repeatable && context.uses(Mechanism.HEDGING)) {
-            hedge = context.scheduler.after(route.target * HEDGE_SHARE) { hedgeSlow() }
+        timeoutTimer = context.scheduler.after(deadlines.remaining(context.now())) { onTimeout() }
+        startAttempt()
+        if (!isFinished && route.isRetryable && context.isEnabled(Mechanism.HEDGING)) {
+            hedgeTimer = context.scheduler.after(route.target * HEDGE_DELAY_FRACTION) { startHedge() }
         }
     }
 
-    override fun callerLeft() {
-        if (over) return
-        finish("the caller left")
+    override fun onCallerDisconnected() {
+        if (isFinished) return
+        finish("caller disconnected")
     }
 
-    private fun sendNext() {
-        val member = choose()
+    private fun startAttempt() {
+        val member = chooseUpstream()
         if (member == null) {
-            giveUp(if (pauseEnd() == null) RefusalReason.NO_UPSTREAM else RefusalReason.OVERLOADED)
+            fail(if (earliestPauseEnd() == null) RefusalReason.NO_UPSTREAM else RefusalReason.OVERLOADED)
             return
         }
-        val health = context.board.health(member.name)
-        val places = minOf(member.slots * PLACES_PER_SLOT, destination.connections)
-        if (tries.isEmpty() && health.inFlight >= places) {
-            giveUp(RefusalReason.OVERLOADED)
+        val health = context.upstreamSelector.health(member.name)
+        val callLimit = minOf(member.slots * CALLS_PER_SLOT, destination.connectionLimit)
+        if (attempts.isEmpty() && health.inFlight >= callLimit) {
+            fail(RefusalReason.OVERLOADED)
             return
         }
         send(member)
     }
 
-    private fun choose(): Member? {
-        val tried = tries.mapTo(HashSet()) { it.upstream }
-        return context.board.candidates(destination.service, PoolRole.PLAIN, context.now(), tried).firstOrNull()
+    private fun chooseUpstream(): Member? {
+        val triedUpstreams = attempts.mapTo(HashSet()) { it.upstream }
+        return context.upstreamSelector
+            .candidates(destination.service, PoolRole.PLAIN, context.now(), triedUpstreams)
+            .firstOrNull()
     }
 
-    private fun pauseEnd(): Moment? = context.board.firstPauseEnd(destination.service, PoolRole.PLAIN, context.now())
+    private fun earliestPauseEnd(): Moment? =
+        context.upstreamSelector.earliestPauseEnd(destination.service, PoolRole.PLAIN, context.now())
 
     private fun send(member: Member) {
-        val attempt = PlainTry(member.name)
-        tries += attempt
-        context.board.health(member.name).inFlight += 1
-        context.record(EventKind.REQUEST_SENT, request.id, member.name, detail = "try ${tries.size} of ${route.name}")
-        val sending = Sending(member.start, time.remaining(context.now()))
+        val attempt = Attempt(member.name)
+        attempts += attempt
+        context.upstreamSelector.health(member.name).inFlight += 1
+        context.record(
+            EventKind.REQUEST_SENT,
+            request.id,
+            member.name,
+            detail = "attempt ${attempts.size} of ${route.name}",
+        )
+        val sending = Sending(member.start, deadlines.remaining(context.now()))
         attempt.call = context.calls.send(request, sending, attempt)
     }
 
-    private fun hedgeSlow() {
-        val runs = tries.count { it.running }
-        if (over || runs != 1 || tries.size >= route.maximumAttempts) return
-        if (context.budget.tryRepeat(destination.service, context.now())) sendNext()
+    private fun startHedge() {
+        val runCount = attempts.count { it.isRunning }
+        if (isFinished || runCount != 1 || attempts.size >= route.maximumAttempts) return
+        if (context.retryBudget.tryAcquire(destination.service, context.now())) startAttempt()
     }
 
-    private fun answered(attempt: PlainTry, answer: WholeAnswer) {
+    private fun onAnswered(attempt: Attempt, answer: CompleteAnswer) {
         val head = answer.head
-        val health = context.board.health(attempt.upstream)
-        head.load?.let { health.report(it, context.now()) }
+        val health = context.upstreamSelector.health(attempt.upstream)
+        head.load?.let { health.recordLoad(it, context.now()) }
         when {
             head.wrongInstance -> {
-                context.replaced(attempt.upstream, request.id)
-                declined(attempt, head)
+                context.removeReplaced(attempt.upstream, request.id)
+                onDeclined(attempt, head)
             }
-            head.notRun -> declined(attempt, head)
-            !head.genuine -> failed(attempt, UNPROVEN)
-            head.status >= SERVER_ERROR -> {
-                health.erred(context.now())
+            head.notRun -> onDeclined(attempt, head)
+            !head.genuine -> onFailed(attempt, UNPROVEN_SUCCESS)
+            head.status >= LOWEST_SERVER_ERROR_STATUS -> {
+                health.recordError(context.now())
                 mayHaveRun = true
-                lastFailure = answer
-                if (!route.repeatable || !sendAgain()) giveUp(RefusalReason.ANSWER_LOST)
+                lastErrorAnswer = answer
+                if (!route.isRetryable || !retry()) fail(RefusalReason.ANSWER_LOST)
             }
             else -> {
-                health.succeeded()
+                health.recordSuccess()
                 deliver(answer)
             }
         }
     }
 
-    private fun declined(attempt: PlainTry, head: AnswerHead) {
-        context.board.health(attempt.upstream).declined(context.now())
+    private fun onDeclined(attempt: Attempt, head: AnswerHead) {
+        context.upstreamSelector.health(attempt.upstream).recordDecline(context.now())
         context.record(EventKind.REQUEST_DECLINED, request.id, attempt.upstream, detail = "status ${head.status}")
-        if (!sendAgain()) giveUp(RefusalReason.OVERLOADED)
+        if (!retry()) fail(RefusalReason.OVERLOADED)
     }
 
-    private fun failed(attempt: PlainTry, failure: CallFailure) {
-        context.failed(attempt.upstream, request.id, "plain call", failure)
+    private fun onFailed(attempt: Attempt, failure: CallFailure) {
+        context.recordFailure(attempt.upstream, request.id, "plain call", failure)
         if (failure.sent) mayHaveRun = true
-        if (failure.sent && !route.repeatable) {
-            giveUp(RefusalReason.ANSWER_LOST)
-        } else if (!sendAgain(free = !failure.sent)) {
-            giveUp(if (failure.sent) RefusalReason.ANSWER_LOST else RefusalReason.NO_UPSTREAM)
+        if (failure.sent && !route.isRetryable) {
+            fail(RefusalReason.ANSWER_LOST)
+        } else if (!retry(isExemptFromBudget = !failure.sent)) {
+            fail(if (failure.sent) RefusalReason.ANSWER_LOST else RefusalReason.NO_UPSTREAM)
         }
     }
 
-    /** Sends again when time, attempts and budget allow; true also when another try still runs. */
-    private fun sendAgain(free: Boolean = false): Boolean {
-        if (tries.any { it.running }) return true
-        val enoughTime = time.remaining(context.now()) > LEAST_TRY
-        val runs = tries.count { it.mayHaveRun }
-        if (!enoughTime || tries.size >= MOST_SENDINGS || runs >= route.maximumAttempts) return false
-        if (!free && !context.budget.tryRepeat(destination.service, context.now())) return false
-        sendNext()
+    /**
+     * Retries if time, attempts and retry budget allow. Also returns true when another attempt is still running.
+     * [isExemptFromBudget] is set when nothing reached the upstream.
+     */
+    private fun retry(isExemptFromBudget: Boolean = false): Boolean {
+        if (attempts.any { it.isRunning }) return true
+        val hasEnoughTime = deadlines.remaining(context.now()) > MINIMUM_ATTEMPT_TIME
+        val runCount = attempts.count { it.mayHaveRun }
+        if (!hasEnoughTime || attempts.size >= MAXIMUM_ATTEMPTS || runCount >= route.maximumAttempts) return false
+        if (!isExemptFromBudget && !context.retryBudget.tryAcquire(destination.service, context.now())) return false
+        startAttempt()
         return true
     }
 
-    private fun giveUp(reason: RefusalReason) {
-        if (over) return
-        if (tries.any { it.running }) return
-        val failure = lastFailure
+    private fun fail(reason: RefusalReason) {
+        if (isFinished) return
+        if (attempts.any { it.isRunning }) return
+        val failure = lastErrorAnswer
         if (failure != null) {
             deliver(failure)
             return
         }
-        val honest = if (mayHaveRun && reason.notRun) RefusalReason.ANSWER_LOST else reason
-        refuse(honest)
+        val reportedReason = if (mayHaveRun && reason.notRun) RefusalReason.ANSWER_LOST else reason
+        refuse(reportedReason)
     }
 
-    private fun expire() {
-        if (over) return
-        val sent = mayHaveRun || tries.any { it.running }
-        refuse(if (sent) RefusalReason.TIMEOUT else RefusalReason.EXPIRED)
+    private fun onTimeout() {
+        if (isFinished) return
+        val hasReachedUpstream = mayHaveRun || attempts.any { it.isRunning }
+        refuse(if (hasReachedUpstream) RefusalReason.TIMEOUT else RefusalReason.EXPIRED)
     }
 
     private fun refuse(reason: RefusalReason) {
-        val remaining = time.remaining(context.now())
-        val returnAfter = if (reason.notRun) context.returnAfter(leastReturn(), remaining) else null
+        val remaining = deadlines.remaining(context.now())
+        val returnAfter = if (reason.notRun) context.returnDelay(minimumReturnDelay(), remaining) else null
         finish("refused: $reason")
         reply.refuse(Refusal(reason, returnAfter))
     }
 
-    private fun leastReturn(): Duration {
-        val pause = pauseEnd()?.let { it - context.now() } ?: Duration.ZERO
-        return maxOf(RETURN_AFTER, pause)
+    private fun minimumReturnDelay(): Duration {
+        val pause = earliestPauseEnd()?.let { it - context.now() } ?: Duration.ZERO
+        return maxOf(MINIMUM_RETURN_DELAY, pause)
     }
 
-    private fun deliver(answer: WholeAnswer) {
+    private fun deliver(answer: CompleteAnswer) {
         finish("answered ${answer.head.status}")
         reply.begin(answer.head, answer.body.size)
         if (answer.body.isNotEmpty()) reply.content(answer.body)
@@ -168,26 +179,26 @@
     }
 
     private fun finish(outcome: String) {
-        over = true
-        timeout?.cancel()
-        hedge?.cancel()
-        tries.filter { it.running }.forEach { it.cancel() }
-        val took = (context.now() - time.arrived).inWholeMilliseconds
-        val last = tries.lastOrNull()?.upstream
+        isFinished = true
+        timeoutTimer?.cancel()
+        hedgeTimer?.cancel()
+        attempts.filter { it.isRunning }.forEach { it.cancel() }
+        val took = (context.now() - deadlines.arrivedAt).inWholeMilliseconds
+        val lastUpstream = attempts.lastOrNull()?.upstream
         context.record(
             EventKind.REQUEST_ENDED,
             request.id,
-            last,
-            detail = "$outcome route=${route.name} tries=${tries.size} took=${took}ms",
+            lastUpstream,
+            detail = "$outcome route=${route.name} tries=${attempts.size} took=${took}ms",
         )
-        ended()
+        onFinished()
     }
 
-    private inner class PlainTry(val upstream: UpstreamName) : AnswerReceiver {
-        private val body = context.answers.open()
+    private inner class Attempt(val upstream: UpstreamName) : AnswerReceiver {
+        private val body = context.answerBuffers.newBuffer()
         private var head: AnswerHead? = null
         var call: RunningCall? = null
-        var running = true
+        var isRunning = true
             private set
         var mayHaveRun = true
             private set
@@ -197,60 +208,60 @@
         }
 
         override fun onContent(bytes: ByteArray) {
-            if (body.add(bytes)) return
+            if (body.append(bytes)) return
             call?.cancel()
-            onFailure(CallFailure(FaultCause.PROTOCOL, sent = true, "the answer is larger than there is memory for"))
+            onFailure(CallFailure(FaultCause.PROTOCOL, sent = true, "the answer exceeds the memory for answers"))
         }
 
         override fun onEnd() {
-            val answer = WholeAnswer(checkNotNull(head), body.take())
-            stop()
+            val answer = CompleteAnswer(checkNotNull(head), body.takeBytes())
+            markEnded()
             if (answer.head.notRun) mayHaveRun = false
-            if (!over) answered(this, answer)
+            if (!isFinished) onAnswered(this, answer)
         }
 
         override fun onFailure(failure: CallFailure) {
-            stop()
+            markEnded()
             if (!failure.sent) mayHaveRun = false
-            if (!over) failed(this, failure)
+            if (!isFinished) onFailed(this, failure)
         }
 
         fun cancel() {
-            stop()
+            markEnded()
             call?.cancel()
         }
 
-        private fun stop() {
-            if (!running) return
-            running = false
-            body.drop()
-            context.board.health(upstream).inFlight -= 1
+        private fun markEnded() {
+            if (!isRunning) return
+            isRunning = false
+            body.clear()
+            context.upstreamSelector.health(upstream).inFlight -= 1
         }
     }
 
-    private class WholeAnswer(val head: AnswerHead, val body: ByteArray)
+    private class CompleteAnswer(val head: AnswerHead, val body: ByteArray)
 
     private companion object {
-        const val SERVER_ERROR = 500
+        const val LOWEST_SERVER_ERROR_STATUS = 500
 
-        /** Sendings of one request, including those that an upstream declined. */
-        const val MOST_SENDINGS = 3
+        /** Maximum attempts for one request, including those that an upstream declined. */
+        const val MAXIMUM_ATTEMPTS = 3
 
-        /** Calls of this process at one upstream, for each of its slots. */
-        const val PLACES_PER_SLOT = 3
+        /** Maximum concurrent calls of this process to one upstream, for each of its slots. */
+        const val CALLS_PER_SLOT = 3
 
-        /** Part of the target after which an upstream counts as slow. */
-        const val HEDGE_SHARE = 0.6
-        val LEAST_TRY: Duration = 10.milliseconds
-        val RETURN_AFTER: Duration = 60.milliseconds
+        /** Fraction of the target time after which a second upstream is tried. */
+        const val HEDGE_DELAY_FRACTION = 0.6
+        val MINIMUM_ATTEMPT_TIME: Duration = 10.milliseconds
+        val MINIMUM_RETURN_DELAY: Duration = 60.milliseconds
     }
 }
 
-/** The course of one request. */
-internal interface ForwardFlow {
-    /** Begins; called once. */
+/** Processing of one request from its acceptance to its final answer. */
+internal interface RequestFlow {
+    /** Begins the flow. Must be called once. */
     fun start()
 
-    /** The caller is gone: everything that runs for it ends. */
-    fun callerLeft()
+    /** The caller disconnected; everything that runs for the request is cancelled. */
+    fun onCallerDisconnected()
 }
--- /dev/null
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/PrefillStep.kt
@@ -0,0 +1,107 @@
+package org.lovageladder.core.forward
+
+import org.lovageladder.core.EventKind
+import org.lovageladder.core.PoolRole
+import org.lovageladder.core.UpstreamName
+import kotlin.time.Duration
+
+/**
+ * Prefill of one prompt on a prefill engine, before its decode. [onResult] gets the result, or null when the decode
+ * engine has to prefill the prompt itself: no prefill engine is available, two of them refused or failed, or the retry
+ * budget does not allow another prefill. [onBudgetExhausted] is called when a failed call reached an engine and the
+ * retry budget does not allow what would follow, not even the decode. Engines that refuse or fail are added to
+ * [avoidedEngines]. Confined to one thread.
+ */
+internal class PrefillStep(
+    private val context: ForwardContext,
+    private val request: ForwardRequest,
+    private val destination: Destination,
+    private val estimates: StreamEstimates,
+    private val avoidedEngines: MutableSet<UpstreamName>,
+    private val onResult: (PrefillResult?) -> Unit,
+    private val onBudgetExhausted: () -> Unit,
+) {
+    private var call: RunningCall? = null
+    private var engine: UpstreamName? = null
+    private var isPrefilled = false
+
+    /** Begins the prefill. */
+    fun start() {
+        val member = chooseEngine()
+        if (member == null || !mayPrefill()) onResult(null) else startPrefill(member)
+    }
+
+    /** Cancels a prefill in progress. */
+    fun cancel() {
+        call?.cancel()
+        engine?.let { context.upstreamSelector.health(it).inFlight -= 1 }
+        engine = null
+    }
+
+    private fun chooseEngine(): Member? {
+        if (request.generation == null || !context.isEnabled(Mechanism.SEPARATE_PREFILL)) return null
+        return context.upstreamSelector
+            .candidates(destination.service, PoolRole.PREFILL, context.now(), avoidedEngines)
+            .firstOrNull { it.name !in avoidedEngines }
+    }
+
+    /** The first prefill of a prompt belongs to the request itself; each further one is a retry. */
+    private fun mayPrefill() = !isPrefilled || context.retryBudget.tryAcquire(destination.service, context.now())
+
+    private fun startPrefill(member: Member) {
+        val health = context.upstreamSelector.health(member.name)
+        health.inFlight += 1
+        engine = member.name
+        val detail = "prefill of ${destination.route.name}"
+        context.record(EventKind.REQUEST_SENT, request.id, member.name, detail = detail)
+        val sentAt = context.now()
+        val timeout = minOf(RequestDeadlines(request, destination.route).remaining(sentAt), estimates.prefillTimeout)
+        call =
+            context.calls.prefill(request, Sending(member.start, timeout)) { answer ->
+                call = null
+                engine = null
+                health.inFlight -= 1
+                if (answer is EngineAnswer.Done) recordCost(context.now() - sentAt)
+                onAnswer(member, answer)
+            }
+    }
+
+    private fun recordCost(duration: Duration) {
+        request.generation?.let { estimates.rolePlan.recordPrefill(duration, it.promptTokens) }
+    }
+
+    private fun onAnswer(member: Member, answer: EngineAnswer<PrefillResult>) {
+        when (answer) {
+            is EngineAnswer.Done -> {
+                context.upstreamSelector.health(member.name).recordSuccess()
+                isPrefilled = true
+                onResult(answer.value)
+            }
+            is EngineAnswer.Refused -> {
+                if (answer.wrongInstance) context.removeReplaced(member.name, request.id)
+                context.upstreamSelector.health(member.name).recordDecline(context.now())
+                avoidedEngines += member.name
+                context.record(EventKind.REQUEST_DECLINED, request.id, member.name, detail = "prefill ${answer.status}")
+                continueAfterFailure(reachedEngine = true)
+            }
+            is EngineAnswer.Failed -> {
+                avoidedEngines += member.name
+                context.recordFailure(member.name, request.id, "prefill", answer.failure)
+                continueAfterFailure(reachedEngine = answer.failure.sent)
+            }
+        }
+    }
+
+    /** Continues after a failed engine. If the call [reachedEngine], whatever follows is a retry. */
+    private fun continueAfterFailure(reachedEngine: Boolean) {
+        when {
+            reachedEngine && !context.retryBudget.tryAcquire(destination.service, context.now()) -> onBudgetExhausted()
+            avoidedEngines.size < MAXIMUM_ENGINES -> start()
+            else -> onResult(null)
+        }
+    }
+
+    private companion object {
+        const val MAXIMUM_ENGINES = 2
+    }
+}
--- a/core/src/main/kotlin/org/lovageladder/core/forward/RegistryFollower.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/RegistryFollower.kt
@@ -5,8 +5,8 @@
 import kotlin.time.Duration.Companion.seconds
 
 /**
- * Everything that the registry holds, as of [revision] or later. [configuration] is null when none is there; [others]
- * is what entries wrote.
+ * Result of a full read of the registry, as of [revision] or later. [configuration] is null when none is stored.
+ * [others] are the facts that entries wrote.
  */
 public data class RegistrySnapshot(
     val revision: Long,
@@ -15,130 +15,134 @@
     val others: List<RegistryChange> = emptyList(),
 )
 
-/** Outcome of a read of the whole registry. */
+/** Outcome of a full read of the registry. */
 public sealed interface RegistryRead {
     /** The registry was read. */
     public data class Whole(val snapshot: RegistrySnapshot) : RegistryRead
 
-    /** It was not. */
+    /** The read failed. */
     public data class Failed(val detail: String) : RegistryRead
 }
 
 /** Outcome of one watch of the registry. */
 public sealed interface RegistryWatch {
-    /** What changed up to [revision], in order; perhaps nothing. */
+    /** Changes up to [revision], in order; may be empty. */
     public data class Changed(
         val revision: Long,
         val configurations: List<Configuration>,
         val changes: List<RegistryChange>,
     ) : RegistryWatch
 
-    /** The changes asked for are not kept any more. */
+    /** The registry no longer keeps the requested changes. */
     public data object HistoryLost : RegistryWatch
 
-    /** No answer came. */
+    /** The watch failed. */
     public data class Failed(val detail: String) : RegistryWatch
 }
 
-/** The registry of upstreams and the operators' configuration. Answers arrive on the thread of the decisions. */
+/**
+ * Port to the registry of upstreams and the operators' configuration. Answers arrive on the thread of the
+ * [RegistryFollower].
+ */
 public interface UpstreamRegistry {
-    /** Reads all. */
+    /** Reads everything. */
     public fun read(answer: (RegistryRead) -> Unit)
 
     /** Waits up to [wait] for changes after [revision]. */
     public fun watch(revision: Long, wait: Duration, answer: (RegistryWatch) -> Unit)
 }
 
-/** What the follower found, in order. */
+/** Receives what a [RegistryFollower] finds, in order. */
 public interface RegistryListener {
     /** A configuration was read. */
     public fun configured(configuration: Configuration)
 
-    /** Something changed among the upstreams, or whether the registry answers. */
+    /** A registration changed, or the registry became available or unavailable. */
     public fun changed(change: RegistryChange)
 }
 
 /**
- * Keeps up with the registry: reads it whole, then watches it. While it does not answer it is asked again after short
- * pauses. After a watch that broke and after a lost history it is read whole again: a watch that begins anew where one
- * broke hears nothing of what was changed meanwhile if the history goes at that moment. Confined to one thread.
+ * Follows the registry: a full read first, then watches. While the registry is unavailable, the read is retried after
+ * short delays. A full read also follows a failed watch and a lost history: a watch resumed where the failed one ended
+ * would miss the changes made in between if the registry dropped its history at that moment. Confined to one thread.
  */
 public class RegistryFollower(
     private val registry: UpstreamRegistry,
     private val scheduler: Scheduler,
     private val listener: RegistryListener,
 ) {
-    private var lost = false
-    private var failures = 0
+    private var isUnavailable = false
+    private var consecutiveFailures = 0
 
-    /** Begins; called once. */
+    /** Begins to follow the registry. Must be called once. */
     public fun start() {
-        readWhole()
+        readAll()
     }
 
-    private fun readWhole() {
+    private fun readAll() {
         registry.read { read ->
             when (read) {
                 is RegistryRead.Whole -> {
-                    answered()
+                    onAnswer()
                     read.snapshot.configuration?.let(listener::configured)
-                    listener.changed(RegistryChange.ReadWhole(read.snapshot.members))
+                    listener.changed(RegistryChange.FullRead(read.snapshot.members))
                     read.snapshot.others.forEach(listener::changed)
                     watchFrom(read.snapshot.revision)
                 }
                 is RegistryRead.Failed -> {
-                    failed()
-                    scheduler.after(pause()) { readWhole() }
+                    onFailure()
+                    scheduler.after(retryDelay()) { readAll() }
                 }
             }
         }
     }
 
     private fun watchFrom(revision: Long) {
-        registry.watch(revision, WATCH_WAIT) { watch ->
+        registry.watch(revision, WATCH_TIMEOUT) { watch ->
             when (watch) {
                 is RegistryWatch.Changed -> {
-                    answered()
+                    onAnswer()
                     watch.configurations.forEach(listener::configured)
                     watch.changes.forEach(listener::changed)
-                    val gathering = if (watch.changes.isEmpty()) Duration.ZERO else GATHERING_PAUSE
-                    scheduler.after(gathering) { watchFrom(maxOf(revision, watch.revision)) }
+                    val batchingDelay = if (watch.changes.isEmpty()) Duration.ZERO else BATCHING_DELAY
+                    scheduler.after(batchingDelay) { watchFrom(maxOf(revision, watch.revision)) }
                 }
                 RegistryWatch.HistoryLost -> {
-                    answered()
-                    readWhole()
+                    onAnswer()
+                    readAll()
                 }
                 is RegistryWatch.Failed -> {
-                    failed()
-                    scheduler.after(pause()) { readWhole() }
+                    onFailure()
+                    scheduler.after(retryDelay()) { readAll() }
                 }
             }
         }
     }
 
-    private fun answered() {
-        failures = 0
-        if (!lost) return
-        lost = false
-        listener.changed(RegistryChange.Regained)
+    private fun onAnswer() {
+        consecutiveFailures = 0
+        if (!isUnavailable) return
+        isUnavailable = false
+        listener.changed(RegistryChange.Available)
     }
 
-    private fun failed() {
-        failures += 1
-        if (lost) return
-        lost = true
-        listener.changed(RegistryChange.Lost)
+    private fun onFailure() {
+        consecutiveFailures += 1
+        if (isUnavailable) return
+        isUnavailable = true
+        listener.changed(RegistryChange.Unavailable)
     }
 
-    private fun pause(): Duration = FIRST_PAUSE * (1 shl (failures - 1).coerceIn(0, PAUSE_DOUBLINGS))
+    private fun retryDelay(): Duration =
+        INITIAL_RETRY_DELAY * (1 shl (consecutiveFailures - 1).coerceIn(0, MAXIMUM_RETRY_DELAY_DOUBLINGS))
 
     private companion object {
-        /** Short, so that a connection which fell silent is noticed. */
-        val WATCH_WAIT: Duration = 3.seconds
+        /** Short, so that a silent connection is detected soon. */
+        val WATCH_TIMEOUT: Duration = 3.seconds
 
-        /** Changes often come in groups; each answer of the registry is paid for. */
-        val GATHERING_PAUSE: Duration = 150.milliseconds
-        val FIRST_PAUSE: Duration = 50.milliseconds
-        const val PAUSE_DOUBLINGS = 3
+        /** Changes often come in groups, and each answer of the registry has a cost. */
+        val BATCHING_DELAY: Duration = 150.milliseconds
+        val INITIAL_RETRY_DELAY: Duration = 50.milliseconds
+        const val MAXIMUM_RETRY_DELAY_DOUBLINGS = 3
     }
 }
--- a/core/src/main/kotlin/org/lovageladder/core/forward/RetryBudget.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/RetryBudget.kt
@@ -5,34 +5,35 @@
 import kotlin.time.Duration
 
 /**
- * Repeats that may be sent to a service in a [window]: a [ratio] of its requests and, for all entries together, an
- * [allowance].
+ * Limits on the retries sent to one service in a [window]: [ratio] retries for each request, plus an [allowance] for
+ * all entries together.
  */
 public data class RetryLimits(val ratio: Double, val allowance: Double, val window: Duration)
 
 /**
- * Bounds the repeats that this process sends to each service: in any window, a ratio of the requests that it got for it
- * plus its share of the allowance, which is divided among [entries]. Half of the share may be saved up and half is
- * refilled in a window, so that the bound holds for sliding windows. Confined to one thread.
+ * Token bucket that bounds the retries and hedges which this process sends to each service. In any window they stay
+ * within a ratio of the requests received for the service plus this entry's share of the allowance, which is divided
+ * among [entryCount] entries. The bucket holds half of the share and refills by half of it in a window, so that the
+ * bound also holds for sliding windows. Confined to one thread.
  */
-public class RetryBudget(private var limits: RetryLimits, private val entries: () -> Int) {
-    private class Bucket(var tokens: Double, var at: Moment)
+public class RetryBudget(private var limits: RetryLimits, private val entryCount: () -> Int) {
+    private class Bucket(var tokens: Double, var refilledAt: Moment)
 
     private val buckets = HashMap<ServiceName, Bucket>()
 
-    /** Puts [newer] limits into force. */
-    public fun limit(newer: RetryLimits) {
+    /** Replaces the limits. */
+    public fun updateLimits(newer: RetryLimits) {
         limits = newer
     }
 
-    /** A caller's request for [service] arrived. */
-    public fun requestArrived(service: ServiceName, now: Moment) {
+    /** Records a request of a caller for [service]. */
+    public fun recordRequest(service: ServiceName, now: Moment) {
         val bucket = refilled(service, now)
-        bucket.tokens = (bucket.tokens + limits.ratio).coerceAtMost(most())
+        bucket.tokens = (bucket.tokens + limits.ratio).coerceAtMost(capacity())
     }
 
-    /** Takes one repeat out of the budget; false when it is used up. */
-    public fun tryRepeat(service: ServiceName, now: Moment): Boolean {
+    /** Takes one retry or hedge out of the budget. Returns false when the budget is exhausted. */
+    public fun tryAcquire(service: ServiceName, now: Moment): Boolean {
         val bucket = refilled(service, now)
         if (bucket.tokens < 1) return false
         bucket.tokens -= 1
@@ -40,14 +41,14 @@
     }
 
     private fun refilled(service: ServiceName, now: Moment): Bucket {
-        val bucket = buckets.getOrPut(service) { Bucket(most(), now) }
-        val elapsed = (now - bucket.at) / limits.window
-        bucket.tokens = (bucket.tokens + elapsed * halfShare()).coerceAtMost(most())
-        bucket.at = now
+        val bucket = buckets.getOrPut(service) { Bucket(capacity(), now) }
+        val elapsedWindows = (now - bucket.refilledAt) / limits.window
+        bucket.tokens = (bucket.tokens + elapsedWindows * halfOfShare()).coerceAtMost(capacity())
+        bucket.refilledAt = now
         return bucket
     }
 
-    private fun most() = halfShare().coerceAtLeast(1.0)
+    private fun capacity() = halfOfShare().coerceAtLeast(1.0)
 
-    private fun halfShare() = limits.allowance / entries() / 2
+    private fun halfOfShare() = limits.allowance / entryCount() / 2
 }
--- a/core/src/main/kotlin/org/lovageladder/core/forward/RouteTable.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/RouteTable.kt
@@ -1,16 +1,16 @@
 package org.lovageladder.core.forward
 
-/** Finds the route of a request: of the routes of its host, the one whose prefix is the longest that fits its path. */
+/** Finds the route of a request: of the routes for its host, the one with the longest matching path prefix. */
 public class RouteTable(configuration: Configuration) {
-    private val byHost: Map<String, List<Route>> =
+    private val routesByHost: Map<String, List<Route>> =
         configuration.routes
             .groupBy { it.host.lowercase() }
             .mapValues { (_, routes) -> routes.sortedByDescending { it.prefix.length } }
 
-    /** The route for [host], which may name a port, and [target], a path with or without a query; null if none fits. */
+    /** Route for [host], with or without a port, and [target], a path with or without a query; null if none matches. */
     public fun find(host: String, target: String): Route? {
         val path = target.substringBefore('?')
-        return byHost[withoutPort(host).lowercase()]?.firstOrNull { path.startsWith(it.prefix) }
+        return routesByHost[withoutPort(host).lowercase()]?.firstOrNull { path.startsWith(it.prefix) }
     }
 
     private fun withoutPort(host: String): String {
@@ -20,10 +20,13 @@
     }
 }
 
-/** Draws one of [shares] in proportion to their weights; [draw] is uniform in 0 until 1. Null when there is none. */
-public fun drawShare(shares: List<ServiceShare>, draw: Double): ServiceShare? {
+/**
+ * Selects one of [shares] with a probability in proportion to its weight. [uniform] is a random number from 0
+ * (inclusive) to 1 (exclusive). Returns null when no share has a weight.
+ */
+public fun selectShare(shares: List<ServiceShare>, uniform: Double): ServiceShare? {
     val total = shares.sumOf { it.weight }
-    var remaining = draw * total
+    var remaining = uniform * total
     for (share in shares) {
         remaining -= share.weight
         if (remaining < 0) return share
--- a/core/src/main/kotlin/org/lovageladder/core/forward/EventCounter.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/StreamEventCounter.kt
@@ -1,19 +1,19 @@
 package org.lovageladder.core.forward
 
-/** Counts the events of a `text/event-stream` by the empty lines that end them. */
-internal class EventCounter {
-    private var atLineStart = true
+/** Counts the events of a `text/event-stream` by the empty lines that terminate them. */
+internal class StreamEventCounter {
+    private var isAtLineStart = true
 
-    /** Events that ended so far. */
-    var events: Int = 0
+    /** Number of complete events. */
+    var count: Int = 0
         private set
 
-    /** Takes in the next [bytes] of the stream. */
+    /** Processes the next [bytes] of the stream. */
     fun add(bytes: ByteArray) {
         bytes.forEach { byte ->
             if (byte == CARRIAGE_RETURN) return@forEach
-            if (byte == NEW_LINE && atLineStart) events += 1
-            atLineStart = byte == NEW_LINE
+            if (byte == NEW_LINE && isAtLineStart) count += 1
+            isAtLineStart = byte == NEW_LINE
         }
     }
 
--- a/core/src/main/kotlin/org/lovageladder/core/forward/StreamFlow.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/StreamFlow.kt
@@ -7,299 +7,322 @@
 import kotlin.time.Duration.Companion.milliseconds
 
 /**
- * One generation. Decode memory is reserved first, then a prefill engine reads the prompt, then the decode engine
- * fetches the result and streams. Without a prefill engine in reach the decode engine reads the prompt itself. Events
- * are passed on as they arrive; a resumable stream that breaks goes on elsewhere after the last whole event, any other
- * is broken off towards the caller too. Confined to one thread.
+ * One generation. Decode memory is reserved first, then a prefill engine prefills the prompt, then the decode engine
+ * fetches the result and streams the output. If no prefill engine is available, the decode engine prefills the prompt
+ * itself. Events are passed on as they arrive. A resumable stream that breaks is resumed on another upstream after its
+ * last complete event; any other is aborted towards the caller. Confined to one thread.
  */
 internal class StreamFlow(
     private val context: ForwardContext,
     private val request: ForwardRequest,
     private val destination: Destination,
-    private val queue: MemoryQueue,
-    private val pace: StreamPace,
+    private val memoryQueue: MemoryQueue,
+    private val estimates: StreamEstimates,
     private val reply: CallerReply,
-    private val ended: () -> Unit,
-) : ForwardFlow {
+    private val onFinished: () -> Unit,
+) : RequestFlow {
     private val route = destination.route
-    private val time = RequestTime(request, route)
-    private val splitter = if (route.resumable) EventSplitter() else null
-    private val declinedBy = HashSet<UpstreamName>()
-    private var timeout: RunningCall? = null
-    private var claim: MemoryClaim? = null
+    private val deadlines = RequestDeadlines(request, route)
+    private val eventSplitter = if (route.resumable) StreamEventSplitter() else null
+    private val avoidedEngines = HashSet<UpstreamName>()
+    private var timeoutTimer: RunningCall? = null
+    private var memoryRequest: MemoryRequest? = null
     private var grant: MemoryGrant? = null
-    private var prefilled: PrefillResult? = null
-    private var decoding: RunningCall? = null
-    private val reading =
-        PromptReading(context, request, destination, pace, declinedBy, ::promptRead) {
-            refuseOrBreak(RefusalReason.OVERLOADED)
+    private var prefillResult: PrefillResult? = null
+    private var decodeCall: RunningCall? = null
+    private val prefillStep =
+        PrefillStep(context, request, destination, estimates, avoidedEngines, ::onPrefilled) {
+            refuseOrAbort(RefusalReason.OVERLOADED)
         }
-    private val account = StreamAccount(request, time, destination.route)
-    private var silence: RunningCall? = null
-    private var lastEvent: Long? = request.resumeAfter
-    private var runs = 0
-    private var sendings = 0
-    private var begun = false
-    private var over = false
+    private val summary = StreamSummary(request, deadlines, destination.route)
+    private var silenceTimer: RunningCall? = null
+    private var lastEventId: Long? = request.resumeAfter
+    private var runCount = 0
+    private var attemptCount = 0
+    private var headSent = false
+    private var isFinished = false
 
     override fun start() {
-        timeout = context.scheduler.after(time.remaining(context.now())) { expire() }
-        val crowded = queue.isCrowded()
-        if (isLate(crowded) && crowded) {
-            refuseOrBreak(RefusalReason.OVERLOADED)
+        timeoutTimer = context.scheduler.after(deadlines.remaining(context.now())) { onTimeout() }
+        val isUnderPressure = memoryQueue.isUnderMemoryPressure()
+        if (isTooLate(isUnderPressure) && isUnderPressure) {
+            refuseOrAbort(RefusalReason.OVERLOADED)
         } else {
-            claimMemory()
+            requestMemory()
         }
     }
 
     /**
-     * Whether the caller has been at it for so long that it cannot be served in time any more. One that comes back for
-     * the rest of a stream is never late.
+     * Whether the caller has waited for so long that it can no longer be served in time. A caller that returns for the
+     * rest of a stream is never too late.
      */
-    private fun isLate(crowded: Boolean): Boolean {
+    private fun isTooLate(isUnderPressure: Boolean): Boolean {
         val wait = request.wait ?: return false
-        if (request.resumeAfter != null || !context.uses(Mechanism.LATE_REFUSAL)) return false
-        val patience = pace.patienceOf(route)
-        if (crowded) patience.refused(context.now())
-        patience.arrived(wait, context.now())
-        return patience.elapsed(wait) > route.target - pace.startup
+        if (request.resumeAfter != null || !context.isEnabled(Mechanism.LATE_REFUSAL)) return false
+        val elapsedTime = estimates.elapsedTimeOf(route)
+        if (isUnderPressure) elapsedTime.recordRefusal(context.now())
+        elapsedTime.recordArrival(wait, context.now())
+        return elapsedTime.minimumElapsed(wait) > route.target - estimates.startupTime
     }
 
-    override fun callerLeft() {
-        if (!over) finish("the caller left")
+    override fun onCallerDisconnected() {
+        if (!isFinished) finish("caller disconnected")
     }
 
-    private fun claimMemory() {
+    private fun requestMemory() {
         val now = context.now()
-        val latest = if (begun || sendings > 0) time.end else maxOf(now, time.target - pace.startup)
-        val entering =
-            MemoryClaim(
-                request = request.id,
-                tokens = pace.memoryFor(route, request.generation, destination.engine),
-                priority = if (begun) RESUMED_PRIORITY else route.priority,
-                entered = time.arrived,
-                latest = latest,
-                avoid = declinedBy,
-                granted = ::granted,
-                refused = ::refuseOrBreak,
+        val grantDeadline =
+            if (headSent || attemptCount > 0) {
+                deadlines.deadline
+            } else {
+                maxOf(now, deadlines.targetAt - estimates.startupTime)
+            }
+        val newRequest =
+            MemoryRequest(
+                id = request.id,
+                tokens = estimates.requiredTokens(route, request.generation, destination.engine),
+                priority = if (headSent) RESUMED_PRIORITY else route.priority,
+                arrivedAt = deadlines.arrivedAt,
+                grantDeadline = grantDeadline,
+                avoidedEngines = avoidedEngines,
+                onGranted = ::onMemoryGranted,
+                onRefused = ::refuseOrAbort,
             )
-        claim = entering
-        account.claims(entering.tokens, queue.state(), now)
-        queue.enter(entering)
+        memoryRequest = newRequest
+        summary.recordMemoryRequest(newRequest.tokens, memoryQueue.state(), now)
+        memoryQueue.enqueue(newRequest)
     }
 
-    private fun granted(memory: MemoryGrant) {
-        claim = null
+    private fun onMemoryGranted(memory: MemoryGrant) {
+        memoryRequest = null
         grant = memory
-        account.granted(context.now())
-        if (prefilled == null) reading.start() else decode()
+        summary.recordGrant(context.now())
+        if (prefillResult == null) prefillStep.start() else startDecode()
     }
 
-    private fun promptRead(result: PrefillResult?) {
-        prefilled = result
-        decode()
+    private fun onPrefilled(result: PrefillResult?) {
+        prefillResult = result
+        startDecode()
     }
 
-    private fun decode() {
+    private fun startDecode() {
         val memory = checkNotNull(grant)
         val name = memory.engine.name
         if (!context.notices.admitsReserved(memory.engine.start, context.now())) {
-            leavePausedEngine(memory)
+            replacePausedEngine(memory)
             return
         }
-        sendings += 1
-        runs += 1
-        context.board.health(name).inFlight += 1
-        context.record(EventKind.REQUEST_SENT, request.id, name, detail = "decode of ${route.name} after=$lastEvent")
+        attemptCount += 1
+        runCount += 1
+        context.upstreamSelector.health(name).inFlight += 1
+        context.record(EventKind.REQUEST_SENT, request.id, name, detail = "decode of ${route.name} after=$lastEventId")
         val sending =
             Sending(
                 upstream = memory.engine.start,
-                timeout = time.remaining(context.now()),
-                prefill = prefilled,
+                timeout = deadlines.remaining(context.now()),
+                prefill = prefillResult,
                 reservation = memory.reservation,
-                resumeAfter = lastEvent,
+                resumeAfter = lastEventId,
             )
-        account.sentToDecode(context.now())
-        decoding = context.calls.send(request, sending, DecodeReceiver(name))
-        watchForSilence()
+        summary.recordDecodeStart(context.now())
+        decodeCall = context.calls.send(request, sending, DecodeReceiver(name))
+        restartSilenceTimer()
     }
 
-    /** The engine asked for a pause since it reserved the memory; the prompt's result serves another engine too. */
-    private fun leavePausedEngine(memory: MemoryGrant) {
+    /**
+     * The engine asked for a pause after it reserved the memory, so memory is requested again. A prefill result can be
+     * used by another engine too.
+     */
+    private fun replacePausedEngine(memory: MemoryGrant) {
         grant = null
         context.release(memory.engine, memory.reservation)
-        queue.freed(memory)
-        claimMemory()
+        memoryQueue.onFreed(memory)
+        requestMemory()
     }
 
-    /** A connection can fall silent for good; a stream that may go on elsewhere does not wait for it. */
-    private fun watchForSilence() {
-        silence?.cancel()
-        if (!mayResume() || !context.uses(Mechanism.SILENCE_WATCH)) return
-        silence = context.scheduler.after(SILENCE) { leaveSilentUpstream() }
+    /** A connection can stay silent for good; a stream that can be resumed elsewhere does not wait for it. */
+    private fun restartSilenceTimer() {
+        silenceTimer?.cancel()
+        if (!mayResume() || !context.isEnabled(Mechanism.SILENCE_WATCH)) return
+        silenceTimer = context.scheduler.after(SILENCE_TIMEOUT) { onSilence() }
     }
 
-    private fun leaveSilentUpstream() {
-        if (over || decoding == null) return
-        if (!context.budget.tryRepeat(destination.service, context.now())) {
-            watchForSilence()
+    private fun onSilence() {
+        if (isFinished || decodeCall == null) return
+        if (!context.retryBudget.tryAcquire(destination.service, context.now())) {
+            restartSilenceTimer()
             return
         }
-        val upstream = breakOff() ?: return
-        val failure = CallFailure(FaultCause.TIMEOUT, sent = true, "silent for $SILENCE")
-        context.failed(upstream, request.id, "decode", failure)
-        goOnElsewhere(upstream)
+        val upstream = cancelDecode() ?: return
+        val failure = CallFailure(FaultCause.TIMEOUT, sent = true, "silent for $SILENCE_TIMEOUT")
+        context.recordFailure(upstream, request.id, "decode", failure)
+        continueElsewhere(upstream)
     }
 
-    /** Ends the run where it is for [failure]; it may go on elsewhere. */
-    private fun leaveUpstream(failure: CallFailure) {
-        val upstream = breakOff() ?: return
-        brokeOff(upstream, failure)
+    /** Cancels the decode because of [failure]; the stream may be resumed elsewhere. */
+    private fun cancelFailedDecode(failure: CallFailure) {
+        val upstream = cancelDecode() ?: return
+        onDecodeFailed(upstream, failure)
     }
 
-    /** Cancels the run under way; the upstream that it had. */
-    private fun breakOff(): UpstreamName? {
+    /** Cancels the decode in progress and returns its upstream. */
+    private fun cancelDecode(): UpstreamName? {
         val upstream = grant?.engine?.name
-        decoding?.cancel()
-        releaseMemory(used = true)
+        decodeCall?.cancel()
+        releaseMemory(isUsed = true)
         return upstream
     }
 
-    private fun goOnElsewhere(left: UpstreamName) {
-        splitter?.reset()
-        declinedBy += left
-        claimMemory()
+    private fun continueElsewhere(previous: UpstreamName) {
+        eventSplitter?.discardIncomplete()
+        avoidedEngines += previous
+        requestMemory()
     }
 
     private fun onHead(upstream: UpstreamName, head: AnswerHead) {
-        head.load?.let { context.board.health(upstream).report(it, context.now()) }
+        head.load?.let { context.upstreamSelector.health(upstream).recordLoad(it, context.now()) }
         if (!head.genuine) {
-            leaveUpstream(UNPROVEN)
+            cancelFailedDecode(UNPROVEN_SUCCESS)
             return
         }
-        if (head.notRun || begun) return
-        if (!head.success && head.status >= SERVER_ERROR && mayResume()) return
-        begun = true
+        if (head.notRun || headSent) return
+        if (!head.isSuccess && head.status >= LOWEST_SERVER_ERROR_STATUS && mayResume()) return
+        headSent = true
         reply.begin(head, length = null)
     }
 
     private fun onContent(bytes: ByteArray) {
-        account.received(bytes, context.now())?.let(pace::started)
-        watchForSilence()
-        val splitting = splitter
-        if (splitting == null) {
+        summary.recordContent(bytes, context.now())?.let(estimates::recordStart)
+        restartSilenceTimer()
+        val splitter = eventSplitter
+        if (splitter == null) {
             reply.content(bytes)
             return
         }
-        val events = splitting.add(bytes)
-        if (splitting.overflown) {
-            leaveUpstream(CallFailure(FaultCause.PROTOCOL, sent = true, "an event without end"))
+        val events = splitter.append(bytes)
+        if (splitter.isEventTooLarge) {
+            cancelFailedDecode(CallFailure(FaultCause.PROTOCOL, sent = true, "an event exceeds the size limit"))
             return
         }
         if (events == null) return
-        events.lastEvent?.let { lastEvent = it }
+        events.lastEventId?.let { lastEventId = it }
         reply.content(events.bytes)
     }
 
-    private fun declined(upstream: UpstreamName, head: AnswerHead) {
-        runs -= 1
-        declinedBy += upstream
-        context.board.health(upstream).declined(context.now())
-        if (head.wrongInstance) context.replaced(upstream, request.id)
+    private fun onDeclined(upstream: UpstreamName, head: AnswerHead) {
+        runCount -= 1
+        avoidedEngines += upstream
+        context.upstreamSelector.health(upstream).recordDecline(context.now())
+        if (head.wrongInstance) context.removeReplaced(upstream, request.id)
         context.record(EventKind.REQUEST_DECLINED, request.id, upstream, detail = "decode ${head.status}")
-        if (sendings < MOST_SENDINGS && context.budget.tryRepeat(destination.service, context.now())) {
-            claimMemory()
+        if (attemptCount < MAXIMUM_ATTEMPTS && context.retryBudget.tryAcquire(destination.service, context.now())) {
+            requestMemory()
         } else {
-            refuseOrBreak(RefusalReason.OVERLOADED)
+            refuseOrAbort(RefusalReason.OVERLOADED)
         }
     }
 
-    private fun brokeOff(upstream: UpstreamName, failure: CallFailure) {
-        context.failed(upstream, request.id, "decode", failure)
-        if (!failure.sent) runs -= 1
+    private fun onDecodeFailed(upstream: UpstreamName, failure: CallFailure) {
+        context.recordFailure(upstream, request.id, "decode", failure)
+        if (!failure.sent) runCount -= 1
         when {
-            !failure.sent && sendings < MOST_SENDINGS -> goOnElsewhere(upstream)
-            !failure.sent -> refuseOrBreak(RefusalReason.NO_UPSTREAM)
-            mayResume() && context.budget.tryRepeat(destination.service, context.now()) -> goOnElsewhere(upstream)
-            else -> refuseOrBreak(RefusalReason.ANSWER_LOST)
+            !failure.sent && attemptCount < MAXIMUM_ATTEMPTS -> continueElsewhere(upstream)
+            !failure.sent -> refuseOrAbort(RefusalReason.NO_UPSTREAM)
+            mayResume() && context.retryBudget.tryAcquire(destination.service, context.now()) ->
+                continueElsewhere(upstream)
+            else -> refuseOrAbort(RefusalReason.ANSWER_LOST)
         }
     }
 
-    private fun mayResume() = route.resumable && runs < route.maximumAttempts && context.uses(Mechanism.RESUMPTION)
+    private fun mayResume() =
+        route.resumable && runCount < route.maximumAttempts && context.isEnabled(Mechanism.RESUMPTION)
 
-    private fun completed(upstream: UpstreamName) {
-        context.board.health(upstream).succeeded()
-        noteDecodeCost()
-        if (request.resumeAfter == null) pace.ended(route, request.generation, account.events)
-        splitter?.rest()?.takeIf { it.isNotEmpty() }?.let(reply::content)
+    private fun onCompleted(upstream: UpstreamName) {
+        context.upstreamSelector.health(upstream).recordSuccess()
+        recordDecodeCost()
+        if (request.resumeAfter == null) estimates.recordEnd(route, request.generation, summary.events)
+        eventSplitter?.remainder()?.takeIf { it.isNotEmpty() }?.let(reply::content)
         finish("answered")
         reply.end()
     }
 
-    /** Memory is held while the prompt waits too, but that wait is the prefill pool's and says nothing of decode. */
-    private fun noteDecodeCost() {
-        val begun = account.decodingSince ?: return
+    /**
+     * Records the cost of the decode from when it was sent. Memory is also held while the prompt waits for its prefill,
+     * but that wait belongs to the prefill pool and says nothing about decode.
+     */
+    private fun recordDecodeCost() {
+        val startedAt = summary.decodeStartedAt ?: return
         val traits = destination.engine ?: return
-        val tokens = account.claimedTokens
-        val share = maxOf(1.0 / traits.slots.coerceAtLeast(1), tokens.toDouble() / traits.memoryTokens.coerceAtLeast(1))
-        pace.roles.decoded(context.now() - begun, share)
+        val tokens = summary.requestedTokens
+        val engineShare = maxOf(
+            1.0 / traits.slots.coerceAtLeast(1),
+            tokens.toDouble() / traits.memoryTokens.coerceAtLeast(1),
+        )
+        estimates.rolePlan.recordDecode(context.now() - startedAt, engineShare)
     }
 
-    private fun refuseOrBreak(reason: RefusalReason) {
-        if (over) return
-        if (begun) {
-            finish("broken off: $reason")
+    private fun refuseOrAbort(reason: RefusalReason) {
+        if (isFinished) return
+        if (headSent) {
+            finish("aborted: $reason")
             reply.abort()
             return
         }
-        pace.patienceOf(route).refused(context.now())
-        val honest = if (runs > 0 && reason.notRun) RefusalReason.ANSWER_LOST else reason
-        val remaining = time.remaining(context.now())
-        val returnAfter = if (honest.notRun) context.returnAfter(leastReturn(), remaining) else null
-        finish("refused: $honest")
-        reply.refuse(Refusal(honest, returnAfter))
+        estimates.elapsedTimeOf(route).recordRefusal(context.now())
+        val reportedReason = if (runCount > 0 && reason.notRun) RefusalReason.ANSWER_LOST else reason
+        val remaining = deadlines.remaining(context.now())
+        val returnAfter = if (reportedReason.notRun) context.returnDelay(minimumReturnDelay(), remaining) else null
+        finish("refused: $reportedReason")
+        reply.refuse(Refusal(reportedReason, returnAfter))
     }
 
     /**
-     * A caller that is refused early comes back while its target can still be met; a later one when streams that hold
-     * memory now have ended.
+     * A caller that is refused early is told to return while its target can still be met; a later one when streams that
+     * hold memory now have ended.
      */
-    private fun leastReturn(): Duration {
-        val slack = time.target - pace.startup - context.now()
-        val early = slack * EARLY_RETURN
-        return if (early < LEAST_EARLY_RETURN || !context.uses(Mechanism.EARLY_RETURN)) pace.returnAfter else early
+    private fun minimumReturnDelay(): Duration {
+        val slack = deadlines.targetAt - estimates.startupTime - context.now()
+        val earlyDelay = slack * EARLY_RETURN_FRACTION
+        return if (earlyDelay < MINIMUM_EARLY_RETURN_DELAY || !context.isEnabled(Mechanism.EARLY_RETURN)) {
+            estimates.minimumReturnDelay
+        } else {
+            earlyDelay
+        }
     }
 
-    private fun expire() {
-        if (!over) refuseOrBreak(if (runs > 0) RefusalReason.TIMEOUT else RefusalReason.EXPIRED)
+    private fun onTimeout() {
+        if (!isFinished) refuseOrAbort(if (runCount > 0) RefusalReason.TIMEOUT else RefusalReason.EXPIRED)
     }
 
     private fun finish(outcome: String) {
-        over = true
-        timeout?.cancel()
-        silence?.cancel()
-        claim?.let(queue::leave)
-        reading.cancel()
-        decoding?.cancel()
+        isFinished = true
+        timeoutTimer?.cancel()
+        silenceTimer?.cancel()
+        memoryRequest?.let(memoryQueue::cancel)
+        prefillStep.cancel()
+        decodeCall?.cancel()
         val engine = grant?.engine?.name
-        releaseMemory(used = decoding != null)
-        val detail = account.describe(outcome, sendings, context.now())
+        releaseMemory(isUsed = decodeCall != null)
+        val detail = summary.describe(outcome, attemptCount, context.now())
         context.record(EventKind.REQUEST_ENDED, request.id, engine, detail = detail)
-        ended()
+        onFinished()
     }
 
-    /** Gives memory and prefill result back; [used] when the decode engine has taken them. */
-    private fun releaseMemory(used: Boolean) {
+    /**
+     * Releases memory and prefill result. If [isUsed], the decode engine has taken them, and only the accounts of this
+     * process change.
+     */
+    private fun releaseMemory(isUsed: Boolean) {
         val memory = grant ?: return
         grant = null
-        if (decoding != null) context.board.health(memory.engine.name).inFlight -= 1
-        decoding = null
-        if (!used) {
+        if (decodeCall != null) context.upstreamSelector.health(memory.engine.name).inFlight -= 1
+        decodeCall = null
+        if (!isUsed) {
             context.release(memory.engine, memory.reservation)
-            prefilled?.let(context.calls::free)
+            prefillResult?.let(context.calls::free)
         }
-        prefilled = null
-        queue.freed(memory)
+        prefillResult = null
+        memoryQueue.onFreed(memory)
     }
 
     private inner class DecodeReceiver(private val upstream: UpstreamName) : AnswerReceiver {
@@ -307,51 +330,54 @@
 
         override fun onHead(head: AnswerHead) {
             this.head = head
-            if (!over) this@StreamFlow.onHead(upstream, head)
+            if (!isFinished) this@StreamFlow.onHead(upstream, head)
         }
 
         override fun onContent(bytes: ByteArray) {
-            if (!over && decoding != null && passes()) this@StreamFlow.onContent(bytes)
+            if (!isFinished && decodeCall != null && isPassedOn()) this@StreamFlow.onContent(bytes)
         }
 
         override fun onEnd() {
-            if (over) return
+            if (isFinished) return
             val answered = checkNotNull(head)
             if (answered.notRun) {
-                releaseMemory(used = false)
-                declined(upstream, answered)
-            } else if (passes()) {
-                completed(upstream)
+                releaseMemory(isUsed = false)
+                onDeclined(upstream, answered)
+            } else if (isPassedOn()) {
+                onCompleted(upstream)
             } else {
-                releaseMemory(used = true)
-                brokeOff(upstream, CallFailure(FaultCause.REJECTED, true, "status ${answered.status}"))
+                releaseMemory(isUsed = true)
+                onDecodeFailed(upstream, CallFailure(FaultCause.REJECTED, true, "status ${answered.status}"))
             }
         }
 
         override fun onFailure(failure: CallFailure) {
-            if (over) return
-            releaseMemory(used = failure.sent)
-            brokeOff(upstream, failure)
+            if (isFinished) return
+            releaseMemory(isUsed = failure.sent)
+            onDecodeFailed(upstream, failure)
         }
 
-        private fun passes(): Boolean {
+        private fun isPassedOn(): Boolean {
             val answered = head ?: return false
-            return begun && !answered.notRun && (answered.success || runs == 1)
+            return headSent && !answered.notRun && (answered.isSuccess || runCount == 1)
         }
     }
 
     private companion object {
-        const val SERVER_ERROR = 500
-        const val MOST_SENDINGS = 3
+        const val LOWEST_SERVER_ERROR_STATUS = 500
+        const val MAXIMUM_ATTEMPTS = 3
 
-        /** Callers leave a stream that pauses for some seconds. */
-        val SILENCE: Duration = 1_500.milliseconds
+        /** Callers abandon a stream that pauses for some seconds. */
+        val SILENCE_TIMEOUT: Duration = 1_500.milliseconds
 
-        /** Part of the time to the latest start after which a caller comes back, doubled at most by the spread. */
-        const val EARLY_RETURN = 0.2
-        val LEAST_EARLY_RETURN: Duration = 100.milliseconds
+        /**
+         * Fraction of the time left to start in time after which an early refused caller returns. The random spread can
+         * double it.
+         */
+        const val EARLY_RETURN_FRACTION = 0.2
+        val MINIMUM_EARLY_RETURN_DELAY: Duration = 100.milliseconds
 
-        /** Streams that go on elsewhere come before all that have not begun. */
+        /** Resumed streams come before all streams that have not begun. */
         const val RESUMED_PRIORITY = -1
     }
 }
--- /dev/null
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/StreamSummary.kt
@@ -0,0 +1,74 @@
+package org.lovageladder.core.forward
+
+import org.lovageladder.core.Moment
+import kotlin.time.Duration
+
+/**
+ * Collects what one stream requested and used, for the event recorded at its end: sizes in tokens, events, times, and
+ * the state of the decode memory when the stream first requested some. Confined to one thread.
+ */
+internal class StreamSummary(
+    private val request: ForwardRequest,
+    private val deadlines: RequestDeadlines,
+    private val route: Route,
+) {
+    private val eventCounter = StreamEventCounter()
+    private var requestedAt: Moment? = null
+    private var memoryAtFirstRequest: DecodeMemoryState? = null
+    private var waitedForMemory = Duration.ZERO
+    private var grantedAt: Moment? = null
+    private var firstBytesAt: Moment? = null
+
+    /** Tokens of memory in its last request for memory. */
+    var requestedTokens: Int = 0
+        private set
+
+    /** When it was last sent to a decode engine. */
+    var decodeStartedAt: Moment? = null
+        private set
+
+    /** Events received from all engines. */
+    val events: Int get() = eventCounter.count
+
+    /** Records a request for memory for [tokens] tokens; [state] is the decode memory at that time. */
+    fun recordMemoryRequest(tokens: Int, state: DecodeMemoryState, now: Moment) {
+        requestedTokens = tokens
+        requestedAt = now
+        if (memoryAtFirstRequest == null) memoryAtFirstRequest = state
+    }
+
+    /** Records that the stream got its memory. */
+    fun recordGrant(now: Moment) {
+        waitedForMemory += currentWait(now)
+        requestedAt = null
+        grantedAt = now
+    }
+
+    /** Records that the stream was sent to a decode engine. */
+    fun recordDecodeStart(now: Moment) {
+        decodeStartedAt = now
+    }
+
+    /** Counts the events in [bytes]. For the first bytes of the stream, returns the time since memory was granted. */
+    fun recordContent(bytes: ByteArray, now: Moment): Duration? {
+        eventCounter.add(bytes)
+        if (firstBytesAt != null) return null
+        firstBytesAt = now
+        return grantedAt?.let { now - it }
+    }
+
+    /** Detail text of the event at the end of the stream. */
+    fun describe(outcome: String, attempts: Int, now: Moment): String {
+        val generation = request.generation
+        val memory = memoryAtFirstRequest
+        return "$outcome route=${route.name} sendings=$attempts first=${milliseconds(firstBytesAt)}ms " +
+            "took=${milliseconds(now)}ms waited=${(waitedForMemory + currentWait(now)).inWholeMilliseconds}ms " +
+            "wait=${request.wait?.inWholeMilliseconds}ms prompt=${generation?.promptTokens} " +
+            "bound=${generation?.outputBound} expected=${generation?.expectedOutputTokens} reserved=$requestedTokens " +
+            "events=$events held=${memory?.heldTokens} waiting=${memory?.waitingRequests} full=${memory?.fullEngines}"
+    }
+
+    private fun currentWait(now: Moment): Duration = requestedAt?.let { now - it } ?: Duration.ZERO
+
+    private fun milliseconds(moment: Moment?) = moment?.let { (it - deadlines.arrivedAt).inWholeMilliseconds }
+}
--- a/core/src/main/kotlin/org/lovageladder/core/forward/UpstreamHealth.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/UpstreamHealth.kt
@@ -6,85 +6,86 @@
 import kotlin.time.Duration.Companion.seconds
 
 /**
- * What this process learned of one upstream from its own calls. An upstream that cannot be reached, or that keeps
- * failing, is ejected for a time that doubles with each further failure; afterwards one request at a time tries it
- * until one succeeds. Confined to one thread.
+ * Health of one upstream as seen from the calls of this process. An upstream that is unreachable or keeps failing is
+ * ejected for a time that doubles with each further failure. Afterwards it gets one request at a time until one
+ * succeeds. Confined to one thread.
  */
 internal class UpstreamHealth {
-    private var failures = 0
-    private var declines = 0
+    private var consecutiveFailures = 0
+    private var consecutiveDeclines = 0
     private var ejectedUntil: Moment? = null
-    private var reported: LoadReport? = null
-    private var reportedAt: Moment? = null
+    private var lastLoad: LoadReport? = null
+    private var lastLoadAt: Moment? = null
 
-    /** Calls of this process that run there now. */
+    /** Calls of this process that are in progress there. */
     var inFlight: Int = 0
 
-    /** Share of this process's recent calls that failed, from 0 to 1. */
+    /** Moving average of the failed share of the calls of this process, from 0 to 1. */
     var failureShare: Double = 0.0
         private set
 
-    /** Whether a new call may go there. */
+    /** Whether a new call may be sent there. */
     fun admits(now: Moment): Boolean {
         val until = ejectedUntil ?: return true
         return now >= until && inFlight == 0
     }
 
-    /** The load that the upstream told last, unless it is too old to count. */
+    /** The last reported load, or null when it is too old to count. */
     fun load(now: Moment): LoadReport? {
-        val at = reportedAt ?: return null
-        return reported.takeIf { now - at < LOAD_LIFETIME }
+        val at = lastLoadAt ?: return null
+        return lastLoad.takeIf { now - at < LOAD_REPORT_LIFETIME }
     }
 
-    /** The upstream told its [load]. */
-    fun report(load: LoadReport, now: Moment) {
-        reported = load
-        reportedAt = now
+    /** Records the [load] that the upstream reported. */
+    fun recordLoad(load: LoadReport, now: Moment) {
+        lastLoad = load
+        lastLoadAt = now
     }
 
-    /** A call was answered as it should be. */
-    fun succeeded() {
-        failures = 0
-        declines = 0
+    /** Records a call that succeeded. */
+    fun recordSuccess() {
+        consecutiveFailures = 0
+        consecutiveDeclines = 0
         ejectedUntil = null
         failureShare *= 1 - FAILURE_WEIGHT
     }
 
-    /** A call ran and was answered with an error, or its answer was damaged. */
-    fun erred(now: Moment) {
+    /** Records a call that ran and was answered with an error, or whose answer was damaged. */
+    fun recordError(now: Moment) {
         failureShare += (1 - failureShare) * FAILURE_WEIGHT
-        if (failureShare > FAILURE_LIMIT) eject(now)
+        if (failureShare > EJECTION_FAILURE_SHARE) eject(now)
     }
 
     /**
-     * The upstream declined a call without running it. One that declines everything is free at all times and would
-     * draw each new request, so it is left out for a time that doubles with each decline in a row.
+     * Records that the upstream declined a call without running it. An upstream that declines everything always seems
+     * free and would attract every new request, so it is ejected for a time that doubles with each decline in a row.
      */
-    fun declined(now: Moment) {
-        ejectedUntil = now + DECLINE_PAUSE * (1 shl declines.coerceAtMost(DECLINE_DOUBLINGS))
-        declines += 1
+    fun recordDecline(now: Moment) {
+        ejectedUntil =
+            now + INITIAL_DECLINE_EJECTION_TIME * (1 shl consecutiveDeclines.coerceAtMost(MAXIMUM_DECLINE_DOUBLINGS))
+        consecutiveDeclines += 1
     }
 
-    /** The upstream could not be reached, or was silent. */
-    fun unreachable(now: Moment) {
+    /** Records that the upstream was unreachable or silent. */
+    fun recordUnreachable(now: Moment) {
         failureShare += (1 - failureShare) * FAILURE_WEIGHT
         eject(now)
     }
 
     private fun eject(now: Moment) {
-        val length = EJECTION * (1 shl failures.coerceAtMost(EJECTION_DOUBLINGS))
-        failures += 1
-        ejectedUntil = now + length
+        val ejectionTime = INITIAL_EJECTION_TIME * (1 shl consecutiveFailures.coerceAtMost(MAXIMUM_EJECTION_DOUBLINGS))
+        consecutiveFailures += 1
+        ejectedUntil = now + ejectionTime
     }
 
     private companion object {
         /** Load changes many times a second. */
-        val LOAD_LIFETIME: Duration = 1.seconds
-        val EJECTION: Duration = 500.milliseconds
-        val DECLINE_PAUSE: Duration = 50.milliseconds
-        const val DECLINE_DOUBLINGS = 5
-        const val EJECTION_DOUBLINGS = 3
+        val LOAD_REPORT_LIFETIME: Duration = 1.seconds
+        val INITIAL_EJECTION_TIME: Duration = 500.milliseconds
+        val INITIAL_DECLINE_EJECTION_TIME: Duration = 50.milliseconds
+        const val MAXIMUM_DECLINE_DOUBLINGS = 5
+        const val MAXIMUM_EJECTION_DOUBLINGS = 3
         const val FAILURE_WEIGHT = 0.12
-        const val FAILURE_LIMIT = 0.5
+        const val EJECTION_FAILURE_SHARE = 0.5
     }
 }
--- a/core/src/main/kotlin/org/lovageladder/core/forward/UpstreamNotices.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/UpstreamNotices.kt
@@ -8,14 +8,14 @@
 import kotlin.time.Duration.Companion.minutes
 
 /**
- * One start of the upstream [name], which listens at [address]. [startedAt], the wall-clock millisecond of the start,
- * tells apart starts under one name where upstreams say it.
+ * One start of the upstream [name], which listens at [address]. [startedAt], the wall-clock time of the start in
+ * milliseconds, distinguishes starts under the same name where upstreams report it.
  */
 public data class UpstreamStart(val name: UpstreamName, val address: Address, val startedAt: Long? = null)
 
 /**
- * What an answer says of the requests that its upstream wants: none any more when it is [leaving], and none for the
- * time of [pause]. [unreadable] describes what of it could not be read.
+ * What an answer says about the requests that its upstream accepts: none any more when it is [leaving], and none for
+ * the time of [pause]. [unreadable] describes the part that could not be read.
  */
 public data class UpstreamNotice(
     val leaving: Boolean = false,
@@ -24,74 +24,79 @@
 )
 
 /**
- * Which upstreams asked, in their own answers, for no more requests or for a pause. Both hold for one start of an
- * upstream, whatever the registry says of it: its registration may lag or lapse. A leaving upstream is a last resort
- * within half of [drainBound] and gets nothing after that; a paused one gets nothing at all. Confined to one thread.
+ * Upstreams that asked in their answers for no more requests or for a pause. Both apply to one start of an upstream,
+ * whatever the registry says, because its registration may lag or expire. A leaving upstream is a last resort within
+ * half of [drainBound] and gets nothing after that; a paused one gets nothing at all. Confined to one thread.
  */
 internal class UpstreamNotices(private val drainBound: Duration) {
     private class Pause(val since: Moment, val until: Moment)
 
-    private val leaving = HashMap<UpstreamStart, Moment>()
+    private val leavingSince = HashMap<UpstreamStart, Moment>()
     private val pauses = HashMap<UpstreamStart, Pause>()
-    private val complaints = HashMap<UpstreamName, Moment>()
+    private val unreadableLoggedAt = HashMap<UpstreamName, Moment>()
 
-    /** Takes in [notice] of [start]; tells whether it says something new. */
-    fun noted(start: UpstreamStart, notice: UpstreamNotice, now: Moment): Boolean {
-        val firstMark = notice.leaving && leaving.putIfAbsent(start, now) == null
-        val firstPause = notice.pause?.let { pause(start, it, now) } ?: false
-        return firstMark || firstPause
+    /** Records [notice] of [start]. Returns whether it says something new. */
+    fun recordNotice(start: UpstreamStart, notice: UpstreamNotice, now: Moment): Boolean {
+        val isNewlyLeaving = notice.leaving && leavingSince.putIfAbsent(start, now) == null
+        val isNewPause = notice.pause?.let { startPause(start, it, now) } ?: false
+        return isNewlyLeaving || isNewPause
     }
 
-    /** Whether a complaint about [name] is due in the log; further ones are due only after a while. */
-    fun complains(name: UpstreamName, now: Moment): Boolean {
-        val last = complaints[name]
-        if (last != null && now - last < COMPLAINT_INTERVAL) return false
-        complaints[name] = now
+    /**
+     * Whether an unreadable notice of [name] is due to be logged, which happens at most once in
+     * [UNREADABLE_LOG_INTERVAL].
+     */
+    fun isUnreadableLogDue(name: UpstreamName, now: Moment): Boolean {
+        val loggedAt = unreadableLoggedAt[name]
+        if (loggedAt != null && now - loggedAt < UNREADABLE_LOG_INTERVAL) return false
+        unreadableLoggedAt[name] = now
         return true
     }
 
-    /** Whether [start] may get something new at [now]. */
+    /** Whether [start] may get a new request at [now]. */
     fun admits(start: UpstreamStart, now: Moment): Boolean {
         if (pausedUntil(start, now) != null) return false
-        val since = leaving[start] ?: return true
+        val since = leavingSince[start] ?: return true
         return now - since < drainBound / 2
     }
 
-    /** Whether [start] may get a request at [now] for which it already reserved memory. */
+    /** Whether [start] may get a request at [now] for which it has already reserved memory. */
     fun admitsReserved(start: UpstreamStart, now: Moment): Boolean {
         val pause = pauses[start] ?: return true
-        return now >= pause.until || now - pause.since < CROSSING_TIME
+        return now >= pause.until || now - pause.since < IN_FLIGHT_TOLERANCE
     }
 
-    /** Whether [start] said that it is leaving. */
-    fun isLeaving(start: UpstreamStart): Boolean = start in leaving
+    /** Whether [start] announced that it is leaving. */
+    fun isLeaving(start: UpstreamStart): Boolean = start in leavingSince
 
-    /** When the pause of [start] ends; null when it asked for none. */
+    /** When the pause of [start] ends; null when it is not paused. */
     fun pausedUntil(start: UpstreamStart, now: Moment): Moment? = pauses[start]?.until?.takeIf { it > now }
 
-    /** Forgets what is over, and upstreams for which [registered] does not hold any more. */
-    fun forget(now: Moment, registered: (UpstreamName) -> Boolean) {
+    /** Removes expired notices, and those of upstreams for which [isRegistered] does not hold any more. */
+    fun removeExpired(now: Moment, isRegistered: (UpstreamName) -> Boolean) {
         pauses.values.removeIf { it.until <= now }
-        leaving.entries.removeIf { (start, since) -> now - since > REGISTRATION_LAPSE && !registered(start.name) }
-        complaints.values.removeIf { now - it > COMPLAINT_INTERVAL }
+        leavingSince.entries.removeIf { (start, since) ->
+            now - since > UNREGISTERED_TIMEOUT && !isRegistered(start.name)
+        }
+        unreadableLoggedAt.values.removeIf { now - it > UNREADABLE_LOG_INTERVAL }
     }
 
-    private fun pause(start: UpstreamStart, length: Duration, now: Moment): Boolean {
-        val running = pauses[start]?.takeIf { it.until > now }
-        val until = maxOf(now + length.coerceAtMost(LONGEST_PAUSE), running?.until ?: now)
-        pauses[start] = Pause(since = running?.since ?: now, until = until)
-        return running == null
+    private fun startPause(start: UpstreamStart, length: Duration, now: Moment): Boolean {
+        val current = pauses[start]?.takeIf { it.until > now }
+        val until = maxOf(now + length.coerceAtMost(MAXIMUM_PAUSE), current?.until ?: now)
+        pauses[start] = Pause(since = current?.since ?: now, until = until)
+        return current == null
     }
 
     private companion object {
-        /** An upstream that asks for more is asked again after this. */
-        val LONGEST_PAUSE: Duration = 1.minutes
+        /** An upstream that asks for a longer pause is tried again after this time. */
+        val MAXIMUM_PAUSE: Duration = 1.minutes
 
-        /** Requests that were on their way when the upstream asked for a pause are not held against the entry. */
-        val CROSSING_TIME: Duration = 400.milliseconds
+        /** Requests in flight while the upstream asks for a pause are not held against this entry. */
+        val IN_FLIGHT_TOLERANCE: Duration = 400.milliseconds
 
-        /** A registration that lapsed with the store is back well before. */
-        val REGISTRATION_LAPSE: Duration = 5.minutes
-        val COMPLAINT_INTERVAL: Duration = 1.minutes
+        /** A registration that expired in a registry outage is back well before this time. */
+        val UNREGISTERED_TIMEOUT: Duration = 5.minutes
+        val UNREADABLE_LOG_INTERVAL: Duration = 1.minutes
     }
 }
--- a/core/src/test/kotlin/org/lovageladder/core/forward/EntryCensusTest.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/forward/EntryCounterTest.kt
@@ -9,27 +9,27 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
-/** How many entries share the limits for all of them. */
-class EntryCensusTest {
-    private class VirtualRegistration(private val scheduler: VirtualScheduler) : EntryRegistration {
-        var answering = true
+/** Number of entries that share the common limits, and the registration of this entry. */
+class EntryCounterTest {
+    private class FakeEntryRegistration(private val scheduler: VirtualScheduler) : EntryRegistration {
+        var isAvailable = true
         var lease = 0L
         var registrations = 0
 
         override fun register(period: Duration, answer: (Long?) -> Unit) {
             registrations += 1
-            answer(if (answering) ++lease else null)
+            answer(if (isAvailable) ++lease else null)
         }
 
         override fun renew(lease: Long, answer: (Boolean) -> Unit) {
-            scheduler.after(Duration.ZERO) { answer(answering && lease == this.lease) }
+            scheduler.after(Duration.ZERO) { answer(isAvailable && lease == this.lease) }
         }
     }
 
     @Test
-    fun entriesThatVanishCountForAWhile() {
+    fun missingEntriesCountUntilTheTimeout() {
         data class Step(val at: Int, val entry: String?, val registered: Boolean, val count: Int)
-        val census = EntryCensus(expected = 8)
+        val counter = EntryCounter(expectedCount = 8)
         listOf(
             Step(at = 0, entry = null, registered = false, count = 8),
             Step(at = 0, entry = "a", registered = true, count = 1),
@@ -40,31 +40,31 @@
             Step(at = 15, entry = null, registered = false, count = 1),
         ).forEach { step ->
             val now = Moment(0) + step.at.seconds
-            step.entry?.let { census.seen(ProcessName(it), step.registered, now) }
-            assertEquals(step.count, census.count(now), "$step")
+            step.entry?.let { counter.recordRegistration(ProcessName(it), step.registered, now) }
+            assertEquals(step.count, counter.count(now), "$step")
         }
     }
 
     @Test
-    fun entriesOfBeforeCountForAWhileWhenTheRegistryIsReadAnew() {
-        val census = EntryCensus(expected = 8)
-        listOf("a", "b", "c").forEach { census.seen(ProcessName(it), registered = true, Moment(0)) }
-        census.readAnew(Moment(0))
-        census.seen(ProcessName("a"), registered = true, Moment(0))
-        assertEquals(3, census.count(Moment(0)))
-        assertEquals(1, census.count(Moment(0) + 11.seconds))
+    fun entriesMissingFromAFullReadCountUntilTheTimeout() {
+        val counter = EntryCounter(expectedCount = 8)
+        listOf("a", "b", "c").forEach { counter.recordRegistration(ProcessName(it), isRegistered = true, Moment(0)) }
+        counter.markAllMissing(Moment(0))
+        counter.recordRegistration(ProcessName("a"), isRegistered = true, Moment(0))
+        assertEquals(3, counter.count(Moment(0)))
+        assertEquals(1, counter.count(Moment(0) + 11.seconds))
     }
 
     @Test
-    fun lapsedRegistrationIsMadeAnew() {
+    fun expiredRegistrationIsRepeated() {
         val scheduler = VirtualScheduler()
-        val registration = VirtualRegistration(scheduler)
+        val registration = FakeEntryRegistration(scheduler)
         EntryPresence(registration, scheduler, 6.seconds).start()
         scheduler.advance(20.seconds)
         assertEquals(1, registration.registrations)
-        registration.answering = false
+        registration.isAvailable = false
         scheduler.advance(6.seconds)
-        registration.answering = true
+        registration.isAvailable = true
         scheduler.advance(2.seconds)
         assertTrue(registration.registrations > 1)
         val registrations = registration.registrations
@@ -72,39 +72,39 @@
         assertEquals(registrations, registration.registrations)
     }
 
-    /** Load pattern: the registry is read whole again and again in an outage, with many entries. */
+    /** Load pattern: the registry is read completely many times during an outage, with many entries. */
     @Test
-    fun entriesAreRecordedWhenTheirNumberChangesOnly() {
-        val world = ForwardWorld()
-        fun recorded() = world.events.count { it.kind == EventKind.ENTRY_REGISTERED }
+    fun entryEventsAreRecordedOnlyWhenTheCountChanges() {
+        val fixture = ForwardFixture()
+        fun recordedEvents() = fixture.events.count { it.kind == EventKind.ENTRY_REGISTERED }
         val entries = List(30) { RegistryChange.EntrySeen(ProcessName("entry-$it"), registered = true) }
-        entries.forEach(world.forwarder::registryChanged)
-        val atFirst = recorded()
+        entries.forEach(fixture.forwarder::registryChanged)
+        val initialCount = recordedEvents()
         repeat(5) {
-            world.forwarder.registryChanged(RegistryChange.ReadWhole(ForwardWorld.MEMBERS))
-            entries.forEach(world.forwarder::registryChanged)
+            fixture.forwarder.registryChanged(RegistryChange.FullRead(ForwardFixture.MEMBERS))
+            entries.forEach(fixture.forwarder::registryChanged)
         }
-        assertEquals(atFirst, recorded())
+        assertEquals(initialCount, recordedEvents())
     }
 
-    /** Load pattern: many entries, at each of which most requests could be repeated. */
+    /** Load pattern: many entries, each of which could retry most requests. */
     @Test
-    fun allEntriesTogetherKeepTheBudget() {
+    fun retriesOfAllEntriesStayWithinTheBudget() {
         data class Case(val entries: Int, val allowance: Double)
         listOf(Case(entries = 4, allowance = 52.0), Case(entries = 30, allowance = 100.0)).forEach { case ->
             val limits = RetryLimits(ratio = 0.2, allowance = case.allowance, window = 10.seconds)
             val budgets = List(case.entries) { RetryBudget(limits) { case.entries } }
-            var repeats = 0
+            var retries = 0
             (0 until 1_000).forEach { step ->
                 val now = Moment(step * 10_000L)
                 budgets.forEach { budget ->
-                    if (step % 20 == 0) budget.requestArrived(ForwardWorld.PLAIN, now)
-                    if (budget.tryRepeat(ForwardWorld.PLAIN, now)) repeats += 1
+                    if (step % 20 == 0) budget.recordRequest(ForwardFixture.PLAIN, now)
+                    if (budget.tryAcquire(ForwardFixture.PLAIN, now)) retries += 1
                 }
             }
             val requests = case.entries * 50
-            assertTrue(repeats <= 0.2 * requests + case.allowance, "$case: $repeats")
-            assertTrue(repeats >= 0.2 * requests, "$case: $repeats")
+            assertTrue(retries <= 0.2 * requests + case.allowance, "$case: $retries")
+            assertTrue(retries >= 0.2 * requests, "$case: $retries")
         }
     }
 }
--- a/core/src/test/kotlin/org/lovageladder/core/forward/VirtualUpstreams.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/forward/ForwardFixture.kt
@@ -14,27 +14,27 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
-/** Virtual time: actions run in order of their time when the clock is moved on. */
+/** Virtual time: actions run in order of their time when the clock is advanced. */
 internal class VirtualScheduler : Scheduler {
-    private class Due(val at: Moment, val order: Long, val action: () -> Unit)
+    private class ScheduledAction(val at: Moment, val order: Long, val action: () -> Unit)
 
-    private val due = PriorityQueue(compareBy<Due>({ it.at.microseconds }, { it.order }))
+    private val scheduled = PriorityQueue(compareBy<ScheduledAction>({ it.at.microseconds }, { it.order }))
     private var time = Moment(0)
-    private var order = 0L
+    private var nextOrder = 0L
 
     override fun now(): Moment = time
 
     override fun after(delay: Duration, action: () -> Unit): RunningCall {
-        val entry = Due(time + delay, order++, action)
-        due.add(entry)
-        return RunningCall { due.remove(entry) }
+        val entry = ScheduledAction(time + delay, nextOrder++, action)
+        scheduled.add(entry)
+        return RunningCall { scheduled.remove(entry) }
     }
 
-    /** Moves the clock on by [duration] and runs what falls due. */
+    /** Advances the clock by [duration] and runs the actions that become due. */
     fun advance(duration: Duration) {
         val until = time + duration
-        while (due.isNotEmpty() && due.peek().at <= until) {
-            val next = due.poll()
+        while (scheduled.isNotEmpty() && scheduled.peek().at <= until) {
+            val next = scheduled.poll()
             time = next.at
             next.action()
         }
@@ -42,29 +42,29 @@
     }
 }
 
-/** A request as an upstream received it; the test answers it. */
+/** A request as an upstream received it; the test sends the answer. */
 internal class ReceivedCall(val request: ForwardRequest, val sending: Sending, private val receiver: AnswerReceiver) {
-    var cancelled = false
+    var isCancelled = false
         private set
 
     fun cancel() {
-        cancelled = true
+        isCancelled = true
     }
 
     fun head(status: Int, notRun: Boolean = false, wrongInstance: Boolean = false, genuine: Boolean = true) {
-        if (!cancelled) receiver.onHead(AnswerHead(status, emptyList(), notRun, wrongInstance, load = null, genuine))
+        if (!isCancelled) receiver.onHead(AnswerHead(status, emptyList(), notRun, wrongInstance, load = null, genuine))
     }
 
     fun content(text: String) {
-        if (!cancelled) receiver.onContent(text.encodeToByteArray())
+        if (!isCancelled) receiver.onContent(text.encodeToByteArray())
     }
 
     fun end() {
-        if (!cancelled) receiver.onEnd()
+        if (!isCancelled) receiver.onEnd()
     }
 
     fun fail(sent: Boolean) {
-        if (!cancelled) receiver.onFailure(CallFailure(FaultCause.CONNECTION_LOST, sent, "reset"))
+        if (!isCancelled) receiver.onFailure(CallFailure(FaultCause.CONNECTION_LOST, sent, "reset"))
     }
 
     fun answer(status: Int, body: String = "", notRun: Boolean = false, genuine: Boolean = true) {
@@ -74,19 +74,19 @@
     }
 }
 
-/** Upstreams that record calls. Engines hold [memory] tokens each; prefills take [prefillTime]. */
-internal class VirtualUpstreams(private val scheduler: VirtualScheduler, private val memory: Int = 10_000) :
+/** Upstreams that record calls. Each engine has memory for [memory] tokens; a prefill takes [prefillTime]. */
+internal class FakeUpstreams(private val scheduler: VirtualScheduler, private val memory: Int = 10_000) :
     UpstreamCalls {
-    val runs = ArrayList<ReceivedCall>()
+    val receivedCalls = ArrayList<ReceivedCall>()
     val prefills = ArrayList<Sending>()
     val freed = ArrayList<PrefillResult>()
     val unreachable = HashSet<Address>()
     val prefillRefusals = HashSet<Address>()
     var prefillTime = 100.milliseconds
     private val reserved = HashMap<Address, MutableMap<String, Int>>()
-    private var number = 0
+    private var nextNumber = 0
     val released = ArrayList<UpstreamStart>()
-    var reservationsAsked = 0
+    var reservationRequests = 0
         private set
     lateinit var lastReserved: UpstreamStart
         private set
@@ -98,7 +98,7 @@
         if (sending.address in unreachable) {
             scheduler.after(1.milliseconds) { call.fail(sent = false) }
         } else {
-            runs += call
+            receivedCalls += call
         }
         return RunningCall { call.cancel() }
     }
@@ -113,7 +113,7 @@
             return scheduler.after(1.milliseconds) { answer(EngineAnswer.Refused(503, wrongInstance = false)) }
         }
         return scheduler.after(prefillTime) {
-            answer(EngineAnswer.Done(PrefillResult(sending.upstream, "handle-${number++}")))
+            answer(EngineAnswer.Done(PrefillResult(sending.upstream, "handle-${nextNumber++}")))
         }
     }
 
@@ -123,14 +123,14 @@
         keep: Duration,
         answer: (EngineAnswer<Reservation>) -> Unit,
     ): RunningCall = scheduler.after(1.milliseconds) {
-        reservationsAsked += 1
+        reservationRequests += 1
         lastReserved = engine
-        val there = reserved.getOrPut(engine.address) { HashMap() }
-        if (there.values.sum() + tokens > memory) {
+        val reservationsOfEngine = reserved.getOrPut(engine.address) { HashMap() }
+        if (reservationsOfEngine.values.sum() + tokens > memory) {
             answer(EngineAnswer.Refused(503, wrongInstance = false))
         } else {
-            val name = "reservation-${number++}"
-            there[name] = tokens
+            val name = "reservation-${nextNumber++}"
+            reservationsOfEngine[name] = tokens
             answer(EngineAnswer.Done(Reservation(name)))
         }
     }
@@ -144,62 +144,62 @@
         freed += result
     }
 
-    /** Ends the run of [call] as whole; its memory is free again. */
+    /** Ends the answer to [call] and frees its memory. */
     fun finish(call: ReceivedCall) {
         call.sending.reservation?.let { release(call.sending.upstream, it) }
         call.end()
     }
 }
 
-/** What a caller received. */
-internal class RecordedReply : CallerReply {
+/** Records what a caller received and checks the order of the calls. */
+internal class RecordingReply : CallerReply {
     var head: AnswerHead? = null
         private set
     var refusal: Refusal? = null
         private set
     val body = StringBuilder()
-    var whole = false
+    var isComplete = false
         private set
-    var aborted = false
+    var isAborted = false
         private set
 
-    val final: Boolean get() = whole || aborted || refusal != null
+    val isFinal: Boolean get() = isComplete || isAborted || refusal != null
 
     override fun begin(head: AnswerHead, length: Int?) {
-        check(this.head == null && !final)
+        check(this.head == null && !isFinal)
         this.head = head
     }
 
     override fun content(bytes: ByteArray) {
-        check(head != null && !final)
+        check(head != null && !isFinal)
         body.append(bytes.decodeToString())
     }
 
     override fun end() {
-        check(head != null && !final)
-        whole = true
+        check(head != null && !isFinal)
+        isComplete = true
     }
 
     override fun refuse(refusal: Refusal) {
-        check(head == null && !final)
+        check(head == null && !isFinal)
         this.refusal = refusal
     }
 
     override fun abort() {
-        check(!final)
-        aborted = true
+        check(!isFinal)
+        isAborted = true
     }
 }
 
-/** A forwarder with virtual upstreams, one configuration and one registered set of upstreams. */
-internal class ForwardWorld(memory: Int = 10_000, watched: (UpstreamCalls) -> UpstreamCalls = { it }) {
+/** A forwarder with fake upstreams, one configuration and one set of registered upstreams. */
+internal class ForwardFixture(memory: Int = 10_000, wrapCalls: (UpstreamCalls) -> UpstreamCalls = { it }) {
     val scheduler = VirtualScheduler()
-    val upstreams = VirtualUpstreams(scheduler, memory)
+    val upstreams = FakeUpstreams(scheduler, memory)
     val events = ArrayList<org.lovageladder.core.EventDraft>()
     val forwarder =
         Forwarder(
             settings = ForwarderSettings(HOME, RetryLimits(ratio = 0.2, allowance = 8.0, window = 10.seconds)),
-            calls = watched(upstreams),
+            calls = wrapCalls(upstreams),
             scheduler = scheduler,
             log = { events += it },
             random = Random(1),
@@ -208,17 +208,17 @@
 
     init {
         forwarder.configure(configuration())
-        forwarder.registryChanged(RegistryChange.ReadWhole(MEMBERS))
+        forwarder.registryChanged(RegistryChange.FullRead(MEMBERS))
     }
 
-    /** Submits a request for [target]; its reply, and the handle by which the caller leaves. */
+    /** Submits a request for [target]. Returns its reply and the handle with which the caller disconnects. */
     fun submit(
         target: String,
         wait: Duration? = null,
         generation: Generation? = GENERATION,
         resumeAfter: Long? = null,
     ): Submitted {
-        val reply = RecordedReply()
+        val reply = RecordingReply()
         val request =
             ForwardRequest(
                 id = RequestId("request-${requests++}"),
@@ -235,7 +235,7 @@
         return Submitted(reply, forwarder.forward(request, reply))
     }
 
-    class Submitted(val reply: RecordedReply, val open: OpenRequest?)
+    class Submitted(val reply: RecordingReply, val open: OpenRequest?)
 
     companion object {
         val HOME = PlaceName("home")
