--- a/core/src/test/kotlin/org/lovageladder/core/forward/ForwardFuzzTest.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/forward/ForwardFuzzTest.kt
@@ -14,191 +14,194 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
-/** One thing that happens; [which] chooses among routes, calls, callers and upstreams, [amount] is a length. */
-data class ForwardCommand(val kind: ForwardCommandKind, val which: Int, val amount: Int)
+/**
+ * One step of a sequence. [selector] chooses among routes, calls, callers and upstreams; [amount] is a length or a
+ * count.
+ */
+data class ForwardFuzzCommand(val kind: ForwardFuzzCommandKind, val selector: Int, val amount: Int)
 
-enum class ForwardCommandKind {
+enum class ForwardFuzzCommandKind {
     SUBMIT,
     SUBMIT_MANY,
     ANSWER,
-    ERR,
+    ANSWER_ERROR,
     DECLINE,
     LOSE_ANSWER,
-    CUT_ANSWER,
-    ANSWER_UNPROVEN,
-    SAY_OTHER_INSTANCE,
-    CALLER_LEAVES,
-    ADVANCE,
-    UNREACHABLE,
-    REACHABLE,
-    REFUSE_PROMPTS,
-    SAY_LEAVING,
-    SAY_PAUSE,
+    TRUNCATE_ANSWER,
+    ANSWER_WITHOUT_PROOF,
+    ANSWER_WRONG_INSTANCE,
+    CALLER_DISCONNECTS,
+    ADVANCE_TIME,
+    MAKE_UNREACHABLE,
+    MAKE_REACHABLE,
+    REFUSE_PREFILLS,
+    NOTICE_LEAVING,
+    NOTICE_PAUSE,
     REGISTER_LEAVING,
     REGISTER_SERVING,
-    START_ANEW,
-    REMOVE,
-    REGISTRY_LOST,
-    REGISTRY_BACK,
+    RESTART,
+    REMOVE_REGISTRATION,
+    REGISTRY_UNAVAILABLE,
+    REGISTRY_AVAILABLE,
     CONFIGURE_NEWER,
     CONFIGURE_OLDER,
 }
 
 class ForwardFuzzTest : ForwardSequences() {
     @Property(seed = "20261204", tries = 10_000, shrinking = ShrinkingMode.BOUNDED)
-    fun noPromiseToCallersOrUpstreamsIsBroken(@ForAll("sequences") commands: List<ForwardCommand>) = check(commands)
+    fun guaranteesToCallersAndUpstreamsHold(@ForAll("sequences") commands: List<ForwardFuzzCommand>) = check(commands)
 }
 
-/** The same with fresh seeds, run by name only; `-Djqwik.tries.default` sets how many sequences. */
+/** The same property with fresh seeds, run by name only; `-Djqwik.tries.default` sets the number of sequences. */
 class ForwardFreshFuzz : ForwardSequences() {
     @Property(shrinking = ShrinkingMode.BOUNDED)
-    fun noPromiseToCallersOrUpstreamsIsBroken(@ForAll("sequences") commands: List<ForwardCommand>) = check(commands)
+    fun guaranteesToCallersAndUpstreamsHold(@ForAll("sequences") commands: List<ForwardFuzzCommand>) = check(commands)
 }
 
-/** Draws sequences of commands and runs them against a [ForwardOracle]. */
+/** Generates command sequences and runs them against a [ForwardOracle]. */
 abstract class ForwardSequences {
     @Provide
-    fun sequences(): Arbitrary<List<ForwardCommand>> = Combinators
+    fun sequences(): Arbitrary<List<ForwardFuzzCommand>> = Combinators
         .combine(
-            Arbitraries.of(ForwardCommandKind::class.java),
+            Arbitraries.of(ForwardFuzzCommandKind::class.java),
             Arbitraries.integers().between(0, 1_000),
             Arbitraries.integers().between(1, 3_000),
-        ).`as` { kind, which, amount -> ForwardCommand(kind, which, amount) }
+        ).`as` { kind, selector, amount -> ForwardFuzzCommand(kind, selector, amount) }
         .list()
         .ofMinSize(20)
         .ofMaxSize(60)
 
-    internal fun check(commands: List<ForwardCommand>) {
+    internal fun check(commands: List<ForwardFuzzCommand>) {
         val run = FuzzRun()
-        commands.forEach(run::carryOut)
+        commands.forEach(run::execute)
         run.finish()
     }
 }
 
-/** One world to which commands happen. */
+/** Runs one sequence of commands against one forwarder. */
 private class FuzzRun {
     private lateinit var oracle: ForwardOracle
-    private val world = ForwardWorld(memory = 10_000) { calls ->
+    private val fixture = ForwardFixture(memory = 10_000) { calls ->
         ForwardOracle(calls).also { oracle = it }
     }
-    private val submitted = ArrayList<ForwardWorld.Submitted>()
-    private val members = ForwardWorld.MEMBERS.associateByTo(LinkedHashMap()) { it.name }
+    private val submitted = ArrayList<ForwardFixture.Submitted>()
+    private val members = ForwardFixture.MEMBERS.associateByTo(LinkedHashMap()) { it.name }
     private var revision = 1L
     private var version = 1L
-    private var highest = ReleaseVersion.NONE
+    private var highestVersion = ReleaseVersion.NONE
 
     init {
-        oracle.now = { world.scheduler.now() }
+        oracle.clock = { fixture.scheduler.now() }
     }
 
-    fun carryOut(command: ForwardCommand) {
+    fun execute(command: ForwardFuzzCommand) {
         when (command.kind) {
-            ForwardCommandKind.SUBMIT -> submit(command)
-            ForwardCommandKind.SUBMIT_MANY -> repeat(1 + command.amount % MOST_AT_ONCE) { submit(command) }
-            ForwardCommandKind.ANSWER -> answer(command) { finishWhole(it) }
-            ForwardCommandKind.ERR -> answer(command) { it.answer(500, "error") }
-            ForwardCommandKind.DECLINE -> decline(command, wrongInstance = false)
-            ForwardCommandKind.LOSE_ANSWER -> answer(command) { it.fail(sent = true) }
-            ForwardCommandKind.CUT_ANSWER -> answer(command) {
+            ForwardFuzzCommandKind.SUBMIT -> submit(command)
+            ForwardFuzzCommandKind.SUBMIT_MANY -> repeat(1 + command.amount % MAXIMUM_BURST) { submit(command) }
+            ForwardFuzzCommandKind.ANSWER -> answer(command) { answerCompletely(it) }
+            ForwardFuzzCommandKind.ANSWER_ERROR -> answer(command) { it.answer(500, "error") }
+            ForwardFuzzCommandKind.DECLINE -> decline(command, wrongInstance = false)
+            ForwardFuzzCommandKind.LOSE_ANSWER -> answer(command) { it.fail(sent = true) }
+            ForwardFuzzCommandKind.TRUNCATE_ANSWER -> answer(command) {
                 it.head(200)
                 it.content("id: 1\ndata: a\n\nid: 2")
                 it.fail(sent = true)
             }
-            ForwardCommandKind.ANSWER_UNPROVEN -> answer(command) { it.answer(200, "x", genuine = false) }
-            ForwardCommandKind.SAY_OTHER_INSTANCE -> decline(command, wrongInstance = true)
-            ForwardCommandKind.CALLER_LEAVES -> callerLeaves(command)
-            ForwardCommandKind.ADVANCE -> world.scheduler.advance(command.amount.milliseconds)
-            ForwardCommandKind.UNREACHABLE -> world.upstreams.unreachable += member(command).address
-            ForwardCommandKind.REACHABLE -> world.upstreams.unreachable.clear()
-            ForwardCommandKind.REFUSE_PROMPTS -> world.upstreams.prefillRefusals += member(command).address
-            ForwardCommandKind.SAY_LEAVING -> notice(command, UpstreamNotice(leaving = true))
-            ForwardCommandKind.SAY_PAUSE -> notice(command, UpstreamNotice(pause = command.amount.milliseconds))
-            ForwardCommandKind.REGISTER_LEAVING -> register(member(command).copy(leaving = true))
-            ForwardCommandKind.REGISTER_SERVING -> register(member(command).copy(leaving = false))
-            ForwardCommandKind.START_ANEW -> startAnew(command)
-            ForwardCommandKind.REMOVE ->
-                world.forwarder.registryChanged(RegistryChange.Removed(member(command).name, ++revision))
-            ForwardCommandKind.REGISTRY_LOST -> world.forwarder.registryChanged(RegistryChange.Lost)
-            ForwardCommandKind.REGISTRY_BACK -> world.forwarder.registryChanged(RegistryChange.Regained)
-            ForwardCommandKind.CONFIGURE_NEWER -> configure(++version)
-            ForwardCommandKind.CONFIGURE_OLDER -> configure((version - 1 - command.which % 2).coerceAtLeast(1))
+            ForwardFuzzCommandKind.ANSWER_WITHOUT_PROOF -> answer(command) { it.answer(200, "x", genuine = false) }
+            ForwardFuzzCommandKind.ANSWER_WRONG_INSTANCE -> decline(command, wrongInstance = true)
+            ForwardFuzzCommandKind.CALLER_DISCONNECTS -> disconnectCaller(command)
+            ForwardFuzzCommandKind.ADVANCE_TIME -> fixture.scheduler.advance(command.amount.milliseconds)
+            ForwardFuzzCommandKind.MAKE_UNREACHABLE -> fixture.upstreams.unreachable += member(command).address
+            ForwardFuzzCommandKind.MAKE_REACHABLE -> fixture.upstreams.unreachable.clear()
+            ForwardFuzzCommandKind.REFUSE_PREFILLS -> fixture.upstreams.prefillRefusals += member(command).address
+            ForwardFuzzCommandKind.NOTICE_LEAVING -> notice(command, UpstreamNotice(leaving = true))
+            ForwardFuzzCommandKind.NOTICE_PAUSE -> notice(command, UpstreamNotice(pause = command.amount.milliseconds))
+            ForwardFuzzCommandKind.REGISTER_LEAVING -> register(member(command).copy(leaving = true))
+            ForwardFuzzCommandKind.REGISTER_SERVING -> register(member(command).copy(leaving = false))
+            ForwardFuzzCommandKind.RESTART -> restart(command)
+            ForwardFuzzCommandKind.REMOVE_REGISTRATION ->
+                fixture.forwarder.registryChanged(RegistryChange.Removed(member(command).name, ++revision))
+            ForwardFuzzCommandKind.REGISTRY_UNAVAILABLE -> fixture.forwarder.registryChanged(RegistryChange.Unavailable)
+            ForwardFuzzCommandKind.REGISTRY_AVAILABLE -> fixture.forwarder.registryChanged(RegistryChange.Available)
+            ForwardFuzzCommandKind.CONFIGURE_NEWER -> configure(++version)
+            ForwardFuzzCommandKind.CONFIGURE_OLDER -> configure((version - 1 - command.selector % 2).coerceAtLeast(1))
         }
         checkRequests()
     }
 
-    /** Lets everything end and checks what must hold then. */
+    /** Lets every request end and checks the final state. */
     fun finish() {
-        world.scheduler.advance(LONGEST)
-        assertTrue(submitted.all { it.reply.final || it in left }, "a request has no final answer")
-        assertEquals(0, world.forwarder.open)
-        oracle.checkBudget(submitted.size, world.scheduler.now())
+        fixture.scheduler.advance(SETTLING_TIME)
+        assertTrue(submitted.all { it.reply.isFinal || it in disconnected }, "a request has no final answer")
+        assertEquals(0, fixture.forwarder.open)
+        oracle.checkBudget(submitted.size, fixture.scheduler.now())
         checkRequests()
     }
 
-    private val left = HashSet<ForwardWorld.Submitted>()
+    private val disconnected = HashSet<ForwardFixture.Submitted>()
 
-    private fun submit(command: ForwardCommand) {
-        val target = TARGETS[command.which % TARGETS.size]
-        oracle.submitting(target)
-        submitted += world.submit(target, wait = (500 + command.amount).milliseconds)
+    private fun submit(command: ForwardFuzzCommand) {
+        val target = TARGETS[command.selector % TARGETS.size]
+        oracle.onSubmit(target)
+        submitted += fixture.submit(target, wait = (500 + command.amount).milliseconds)
     }
 
-    private fun callerLeaves(command: ForwardCommand) {
-        val caller = submitted.filterNot { it.reply.final || it in left }.let {
+    private fun disconnectCaller(command: ForwardFuzzCommand) {
+        val caller = submitted.filterNot { it.reply.isFinal || it in disconnected }.let {
             it.getOrNull(
-                command.which % (it.size + 1),
+                command.selector % (it.size + 1),
             )
         }
         if (caller == null) return
-        left += caller
+        disconnected += caller
         caller.open?.callerLeft()
-        oracle.callerLeft(submitted.indexOf(caller))
+        oracle.onCallerDisconnected(submitted.indexOf(caller))
     }
 
-    private fun answer(command: ForwardCommand, act: (ReceivedCall) -> Unit) {
-        val open = world.upstreams.runs.filterNot { it.cancelled || it in answered }
-        val call = open.getOrNull(command.which % (open.size + 1)) ?: return
-        answered += call
-        act(call)
+    private fun answer(command: ForwardFuzzCommand, action: (ReceivedCall) -> Unit) {
+        val unanswered = fixture.upstreams.receivedCalls.filterNot { it.isCancelled || it in answeredCalls }
+        val call = unanswered.getOrNull(command.selector % (unanswered.size + 1)) ?: return
+        answeredCalls += call
+        action(call)
     }
 
-    private val answered = HashSet<ReceivedCall>()
+    private val answeredCalls = HashSet<ReceivedCall>()
 
-    private fun decline(command: ForwardCommand, wrongInstance: Boolean) = answer(command) {
-        oracle.declined(it)
+    private fun decline(command: ForwardFuzzCommand, wrongInstance: Boolean) = answer(command) {
+        oracle.onDeclined(it)
         it.head(if (wrongInstance) 421 else 503, notRun = true, wrongInstance = wrongInstance)
         it.end()
     }
 
-    private fun finishWhole(call: ReceivedCall) {
+    private fun answerCompletely(call: ReceivedCall) {
         call.head(200)
         call.content("id: 1\ndata: a\n\n")
-        world.upstreams.finish(call)
+        fixture.upstreams.finish(call)
     }
 
-    private fun member(command: ForwardCommand): Member = members.values.elementAt(command.which % members.size)
+    private fun member(command: ForwardFuzzCommand): Member = members.values.elementAt(command.selector % members.size)
 
     private fun register(member: Member) {
-        val written = member.copy(revision = ++revision)
-        members[member.name] = written
-        world.forwarder.registryChanged(RegistryChange.Written(written))
+        val updated = member.copy(revision = ++revision)
+        members[member.name] = updated
+        fixture.forwarder.registryChanged(RegistryChange.Written(updated))
     }
 
-    private fun startAnew(command: ForwardCommand) {
-        val started = member(command).copy(leaving = false, startedAt = revision)
-        register(started)
+    private fun restart(command: ForwardFuzzCommand) {
+        val restarted = member(command).copy(leaving = false, startedAt = revision)
+        register(restarted)
     }
 
-    private fun notice(command: ForwardCommand, notice: UpstreamNotice) {
+    private fun notice(command: ForwardFuzzCommand, notice: UpstreamNotice) {
         val start = member(command).start
-        oracle.noticed(start, notice)
-        world.forwarder.noticed(start, notice)
+        oracle.onNotice(start, notice)
+        fixture.forwarder.noticed(start, notice)
     }
 
-    private fun configure(number: Long) {
-        world.forwarder.configure(ForwardWorld.configuration(version = number))
-        assertTrue(world.forwarder.version >= highest, "the configuration went back")
-        highest = world.forwarder.version
+    private fun configure(configurationVersion: Long) {
+        fixture.forwarder.configure(ForwardFixture.configuration(version = configurationVersion))
+        assertTrue(fixture.forwarder.version >= highestVersion, "an older configuration was activated")
+        highestVersion = fixture.forwarder.version
     }
 
     private fun checkRequests() {
@@ -207,82 +210,94 @@
 
     private companion object {
         val TARGETS = listOf("/action/1", "/action-two/1", "/lookup/1", "/stream/1", "/stream-on/1")
-        const val MOST_AT_ONCE = 6
-        val LONGEST = 30.seconds
+        const val MAXIMUM_BURST = 6
+        val SETTLING_TIME = 30.seconds
     }
 }
 
 /**
- * Knows what reached upstreams, and what upstreams and callers said, and fails the test when a call should not have
- * been made. A request that reached an upstream counts as run there unless the upstream declined it.
+ * Tracks what reached upstreams and what upstreams and callers reported, and fails the test on a call that must not be
+ * made. A request that reached an upstream counts as run there unless the upstream declined it.
  */
 private class ForwardOracle(private val calls: UpstreamCalls) : UpstreamCalls {
     private class Request(val target: String) {
-        val runs = ArrayList<UpstreamName>()
-        var reached = 0
-        var promptsRead = 0
-        var over = false
+        val ranAt = ArrayList<UpstreamName>()
+        var callCount = 0
+        var prefillCount = 0
+        var isEnded = false
     }
 
     private class Pause(val since: org.lovageladder.core.Moment, val until: org.lovageladder.core.Moment)
 
-    lateinit var now: () -> org.lovageladder.core.Moment
+    lateinit var clock: () -> org.lovageladder.core.Moment
     private val requests = ArrayList<Request>()
     private val leaving = HashMap<UpstreamStart, org.lovageladder.core.Moment>()
     private val pauses = HashMap<UpstreamStart, Pause>()
 
-    fun submitting(target: String) {
+    fun onSubmit(target: String) {
         requests += Request(target)
     }
 
-    fun callerLeft(index: Int) {
-        requests[index].over = true
+    fun onCallerDisconnected(index: Int) {
+        requests[index].isEnded = true
     }
 
-    fun declined(call: ReceivedCall) {
-        requestOf(call.request).runs -= call.sending.upstream.name
+    fun onDeclined(call: ReceivedCall) {
+        requestOf(call.request).ranAt -= call.sending.upstream.name
     }
 
-    fun noticed(start: UpstreamStart, notice: UpstreamNotice) {
-        val at = now()
-        if (notice.leaving) leaving.putIfAbsent(start, at)
+    fun onNotice(start: UpstreamStart, notice: UpstreamNotice) {
+        val now = clock()
+        if (notice.leaving) leaving.putIfAbsent(start, now)
         val pause = notice.pause ?: return
-        val running = pauses[start]?.takeIf { it.until > at }
-        pauses[start] = Pause(running?.since ?: at, maxOf(running?.until ?: at, at + pause))
+        val current = pauses[start]?.takeIf { it.until > now }
+        pauses[start] = Pause(current?.since ?: now, maxOf(current?.until ?: now, now + pause))
     }
 
-    /** What must hold of request [index] at any time; [refusal] is what its caller was told. */
+    /** Checks the invariants of request [index]; [refusal] is what its caller was told. */
     fun checkRequest(index: Int, refusal: Refusal?) {
         val request = requests[index]
-        val most = if (request.target.startsWith("/lookup") || request.target.startsWith("/stream-on")) 2 else 1
-        assertTrue(request.runs.size <= most, "${request.target} ran ${request.runs.size} times: ${request.runs}")
+        val maximumRuns = if (request.target.startsWith("/lookup") || request.target.startsWith("/stream-on")) 2 else 1
+        assertTrue(
+            request.ranAt.size <= maximumRuns,
+            "${request.target} ran ${request.ranAt.size} times: ${request.ranAt}",
+        )
         if (refusal == null) return
-        request.over = true
-        if (refusal.reason.notRun) assertEquals(emptyList(), request.runs, "${request.target} was refused as not run")
+        request.isEnded = true
+        if (refusal.reason.notRun) {
+            assertEquals(
+                emptyList(),
+                request.ranAt,
+                "${request.target} ran but was refused as not run",
+            )
+        }
     }
 
-    /** Everything that reached upstreams beyond one for each request, without first readings of prompts. */
+    /** Checks that calls beyond one for each request, not counting first prefills, stay within the retry budget. */
     fun checkBudget(submitted: Int, end: org.lovageladder.core.Moment) {
-        val repeats = requests.sumOf { maxOf(0, it.reached - 1) }
-        val windows = 1 + (end - org.lovageladder.core.Moment(0)) / WINDOW
-        assertTrue(repeats <= RATIO * submitted + ALLOWANCE * windows, "$repeats repeats of $submitted")
+        val retries = requests.sumOf { maxOf(0, it.callCount - 1) }
+        val windows = 1 + (end - org.lovageladder.core.Moment(0)) / RETRY_WINDOW
+        assertTrue(
+            retries <= RETRY_RATIO * submitted + RETRY_ALLOWANCE * windows,
+            "$retries retries for $submitted requests",
+        )
     }
 
     override fun send(request: ForwardRequest, sending: Sending, receiver: AnswerReceiver): RunningCall {
-        val known = checkSending(request, sending.upstream, reserved = sending.reservation != null)
-        known.runs += sending.upstream.name
-        known.reached += 1
-        val watching =
+        val tracked = checkCall(request, sending.upstream, reserved = sending.reservation != null)
+        tracked.ranAt += sending.upstream.name
+        tracked.callCount += 1
+        val trackingReceiver =
             object : AnswerReceiver by receiver {
                 override fun onFailure(failure: CallFailure) {
                     if (!failure.sent) {
-                        known.runs -= sending.upstream.name
-                        known.reached -= 1
+                        tracked.ranAt -= sending.upstream.name
+                        tracked.callCount -= 1
                     }
                     receiver.onFailure(failure)
                 }
             }
-        return calls.send(request, sending, watching)
+        return calls.send(request, sending, trackingReceiver)
     }
 
     override fun prefill(
@@ -290,10 +305,10 @@
         sending: Sending,
         answer: (EngineAnswer<PrefillResult>) -> Unit,
     ): RunningCall {
-        val known = checkSending(request, sending.upstream, reserved = false)
+        val tracked = checkCall(request, sending.upstream, reserved = false)
         return calls.prefill(request, sending) { result ->
-            val first = result is EngineAnswer.Done && known.promptsRead++ == 0
-            if (!first) known.reached += 1
+            val isFirstPrefill = result is EngineAnswer.Done && tracked.prefillCount++ == 0
+            if (!isFirstPrefill) tracked.callCount += 1
             answer(result)
         }
     }
@@ -314,25 +329,27 @@
 
     private fun requestOf(request: ForwardRequest) = requests[request.id.text.substringAfter('-').toInt()]
 
-    private fun checkSending(request: ForwardRequest, upstream: UpstreamStart, reserved: Boolean): Request {
-        val known = requestOf(request)
-        assertTrue(!known.over, "${known.target} was sent after its end")
+    private fun checkCall(request: ForwardRequest, upstream: UpstreamStart, reserved: Boolean): Request {
+        val tracked = requestOf(request)
+        assertTrue(!tracked.isEnded, "${tracked.target} was sent after it had ended")
         checkUpstream(upstream, reserved)
-        return known
+        return tracked
     }
 
     private fun checkUpstream(upstream: UpstreamStart, reserved: Boolean) {
-        val at = now()
-        val grace = if (reserved) CROSSING else 0.milliseconds
-        pauses[upstream]?.let { assertTrue(at >= it.until || at - it.since < grace, "$upstream pauses") }
-        leaving[upstream]?.let { assertTrue(at - it < DRAIN_BOUND, "$upstream is leaving") }
+        val now = clock()
+        val tolerance = if (reserved) IN_FLIGHT_TOLERANCE else 0.milliseconds
+        pauses[upstream]?.let {
+            assertTrue(now >= it.until || now - it.since < tolerance, "$upstream got a call during its pause")
+        }
+        leaving[upstream]?.let { assertTrue(now - it < DRAIN_BOUND, "$upstream got a call after it left") }
     }
 
     private companion object {
-        const val RATIO = 0.2
-        const val ALLOWANCE = 8.0
-        val WINDOW = 10.seconds
+        const val RETRY_RATIO = 0.2
+        const val RETRY_ALLOWANCE = 8.0
+        val RETRY_WINDOW = 10.seconds
         val DRAIN_BOUND = 2.seconds
-        val CROSSING = 500.milliseconds
+        val IN_FLIGHT_TOLERANCE = 500.milliseconds
     }
 }
--- a/core/src/test/kotlin/org/lovageladder/core/forward/ForwarderTest.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/forward/ForwarderTest.kt
@@ -7,22 +7,22 @@
 import kotlin.test.assertNull
 import kotlin.time.Duration.Companion.seconds
 
-/** Configuration, routes and budget. */
+/** Configuration versions, routes, retry budget and event splitting. */
 class ForwarderTest {
     @Test
-    fun configurationNeverGoesBack() {
-        val world = ForwardWorld()
-        world.forwarder.configure(ForwardWorld.configuration(version = 7))
-        world.forwarder.configure(ForwardWorld.configuration(version = 5))
-        assertEquals(ReleaseVersion(7), world.forwarder.version)
+    fun olderConfigurationIsIgnored() {
+        val fixture = ForwardFixture()
+        fixture.forwarder.configure(ForwardFixture.configuration(version = 7))
+        fixture.forwarder.configure(ForwardFixture.configuration(version = 5))
+        assertEquals(ReleaseVersion(7), fixture.forwarder.version)
     }
 
     @Test
-    fun requestBeforeAnyConfigurationIsToldToComeBack() {
+    fun requestBeforeTheFirstConfigurationIsRefusedAsNotReady() {
         val scheduler = VirtualScheduler()
-        val settings = ForwarderSettings(ForwardWorld.HOME, RetryLimits(0.2, 8.0, 10.seconds))
-        val forwarder = Forwarder(settings, VirtualUpstreams(scheduler), scheduler, log = {})
-        val reply = RecordedReply()
+        val settings = ForwarderSettings(ForwardFixture.HOME, RetryLimits(0.2, 8.0, 10.seconds))
+        val forwarder = Forwarder(settings, FakeUpstreams(scheduler), scheduler, log = {})
+        val reply = RecordingReply()
         val request =
             ForwardRequest(
                 id = org.lovageladder.core.RequestId("1"),
@@ -41,8 +41,8 @@
     }
 
     @Test
-    fun longestPrefixOfTheHostWins() {
-        val base = ForwardWorld.configuration()
+    fun routeWithTheLongestMatchingPrefixIsFound() {
+        val base = ForwardFixture.configuration()
         val inner = base.routes.first().copy(name = "inner", prefix = "/lookup/inner/")
         val table = RouteTable(base.copy(routes = base.routes + inner))
         val cases =
@@ -59,30 +59,30 @@
     }
 
     @Test
-    fun sharesAreDrawnByWeight() {
-        val shares = listOf(ServiceShare(ForwardWorld.PLAIN, 90), ServiceShare(ForwardWorld.ENGINES, 10))
-        val drawn = (0 until 100).map { drawShare(shares, it / 100.0)?.service }
-        assertEquals(90, drawn.count { it == ForwardWorld.PLAIN })
+    fun sharesAreSelectedByWeight() {
+        val shares = listOf(ServiceShare(ForwardFixture.PLAIN, 90), ServiceShare(ForwardFixture.ENGINES, 10))
+        val selected = (0 until 100).map { selectShare(shares, it / 100.0)?.service }
+        assertEquals(90, selected.count { it == ForwardFixture.PLAIN })
     }
 
     @Test
-    fun repeatsStayWithinTheBudgetOfAnyWindow() {
+    fun retriesStayWithinTheBudgetOfAnyWindow() {
         val budget = RetryBudget(RetryLimits(ratio = 0.2, allowance = 8.0, window = 10.seconds)) { 1 }
-        val repeats = ArrayList<Moment>()
+        val retries = ArrayList<Moment>()
         (0 until 6_000).forEach { step ->
             val now = Moment(step * 10_000L)
-            if (step % 10 == 0) budget.requestArrived(ForwardWorld.PLAIN, now)
-            if (budget.tryRepeat(ForwardWorld.PLAIN, now)) repeats += now
+            if (step % 10 == 0) budget.recordRequest(ForwardFixture.PLAIN, now)
+            if (budget.tryAcquire(ForwardFixture.PLAIN, now)) retries += now
         }
         val requestsInWindow = 100
-        repeats.forEach { first ->
-            val inWindow = repeats.count { it >= first && it < first + 10.seconds }
-            check(inWindow <= 0.2 * requestsInWindow + 8) { "$inWindow repeats in the window from $first" }
+        retries.forEach { first ->
+            val inWindow = retries.count { it >= first && it < first + 10.seconds }
+            check(inWindow <= 0.2 * requestsInWindow + 8) { "$inWindow retries in the window from $first" }
         }
     }
 
     @Test
-    fun eventsAreCutWhereTheyEnd() {
+    fun streamIsSplitAtEventBoundaries() {
         val cases =
             listOf(
                 Triple("id: 1\ndata: a\n\n", "id: 1\ndata: a\n\n", 1L),
@@ -90,10 +90,10 @@
                 Triple("data: a\n\nid: 9\ndata: b\n\nid: 10", "data: a\n\nid: 9\ndata: b\n\n", 9L),
                 Triple("id: 1\ndata: a\n", null, null),
             )
-        cases.forEach { (text, whole, last) ->
-            val events = EventSplitter().add(text.encodeToByteArray())
-            assertEquals(whole, events?.bytes?.decodeToString(), text)
-            assertEquals(last, events?.lastEvent, text)
+        cases.forEach { (text, complete, lastId) ->
+            val events = StreamEventSplitter().append(text.encodeToByteArray())
+            assertEquals(complete, events?.bytes?.decodeToString(), text)
+            assertEquals(lastId, events?.lastEventId, text)
         }
     }
 }
--- a/core/src/test/kotlin/org/lovageladder/core/forward/MembershipTest.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/forward/MembershipTest.kt
@@ -7,102 +7,117 @@
 import kotlin.test.assertEquals
 import kotlin.time.Duration.Companion.seconds
 
-/** What the registry told, in order, and which upstreams take requests afterwards. */
+/** Sequences of registry changes, and which upstreams accept requests afterwards. */
 class MembershipTest {
     private data class Step(val atSeconds: Int, val change: RegistryChange)
 
     private data class Case(val name: String, val steps: List<Step>, val atSeconds: Int, val serving: Set<String>)
 
-    private val one = ForwardWorld.member("one", ForwardWorld.PLAIN, PoolRole.PLAIN, 1)
-    private val two = ForwardWorld.member("two", ForwardWorld.PLAIN, PoolRole.PLAIN, 2)
-    private val all = Step(0, RegistryChange.ReadWhole(listOf(one, two)))
-    private val removed = RegistryChange.Removed(UpstreamName("one"), revision = 2)
+    private val one = ForwardFixture.member("one", ForwardFixture.PLAIN, PoolRole.PLAIN, 1)
+    private val two = ForwardFixture.member("two", ForwardFixture.PLAIN, PoolRole.PLAIN, 2)
+    private val bothRegistered = Step(0, RegistryChange.FullRead(listOf(one, two)))
+    private val oneRemoved = RegistryChange.Removed(UpstreamName("one"), revision = 2)
 
     private val cases =
         listOf(
-            Case("both registered", listOf(all), 1, setOf("one", "two")),
+            Case("both registered", listOf(bothRegistered), 1, setOf("one", "two")),
             Case(
                 "one leaves",
-                listOf(all, Step(1, RegistryChange.Written(one.copy(leaving = true, revision = 2)))),
+                listOf(bothRegistered, Step(1, RegistryChange.Written(one.copy(leaving = true, revision = 2)))),
                 1,
                 setOf("two"),
             ),
             Case(
-                "an older entry comes late",
-                listOf(all, Step(1, RegistryChange.Written(one.copy(leaving = true, revision = 0)))),
+                "an older registration arrives late",
+                listOf(bothRegistered, Step(1, RegistryChange.Written(one.copy(leaving = true, revision = 0)))),
                 1,
                 setOf("one", "two"),
             ),
-            Case("one is removed", listOf(all, Step(1, removed)), 1, setOf("two")),
+            Case("one is removed", listOf(bothRegistered, Step(1, oneRemoved)), 1, setOf("two")),
             Case(
-                "an older removal comes late",
-                listOf(all, Step(1, removed.copy(revision = 0))),
+                "an older removal arrives late",
+                listOf(bothRegistered, Step(1, oneRemoved.copy(revision = 0))),
                 1,
                 setOf("one", "two"),
             ),
             Case(
-                "one lapses in an outage",
-                listOf(all, Step(1, RegistryChange.Lost), Step(2, removed)),
+                "one expires during an outage",
+                listOf(bothRegistered, Step(1, RegistryChange.Unavailable), Step(2, oneRemoved)),
                 9,
                 setOf("one", "two"),
             ),
             Case(
-                "one lapsed and is not back in time",
-                listOf(all, Step(1, RegistryChange.Lost), Step(5, RegistryChange.Regained), Step(5, removed)),
+                "one expired and is not registered again in time",
+                listOf(
+                    bothRegistered,
+                    Step(1, RegistryChange.Unavailable),
+                    Step(5, RegistryChange.Available),
+                    Step(5, oneRemoved),
+                ),
                 8,
                 setOf("two"),
             ),
             Case(
                 "one leaves shortly after an outage",
-                listOf(all, Step(1, RegistryChange.Lost), Step(5, RegistryChange.Regained), Step(7, removed)),
+                listOf(
+                    bothRegistered,
+                    Step(1, RegistryChange.Unavailable),
+                    Step(5, RegistryChange.Available),
+                    Step(7, oneRemoved),
+                ),
                 8,
                 setOf("two"),
             ),
             Case(
-                "one lapsed in a long outage and has time to come back",
-                listOf(all, Step(1, RegistryChange.Lost), Step(2, removed), Step(8, RegistryChange.Regained)),
+                "one expired in a long outage and has time to register again",
+                listOf(
+                    bothRegistered,
+                    Step(1, RegistryChange.Unavailable),
+                    Step(2, oneRemoved),
+                    Step(8, RegistryChange.Available),
+                ),
                 10,
                 setOf("one", "two"),
             ),
             Case(
-                "one lapsed and is back",
+                "one expired and is registered again",
                 listOf(
-                    all,
-                    Step(1, RegistryChange.Lost),
-                    Step(5, RegistryChange.Regained),
-                    Step(5, removed),
+                    bothRegistered,
+                    Step(1, RegistryChange.Unavailable),
+                    Step(5, RegistryChange.Available),
+                    Step(5, oneRemoved),
                     Step(6, RegistryChange.Written(one.copy(revision = 3))),
                 ),
                 9,
                 setOf("one", "two"),
             ),
             Case(
-                "read whole again without one",
-                listOf(all, Step(1, RegistryChange.ReadWhole(listOf(two)))),
+                "one is missing from another full read",
+                listOf(bothRegistered, Step(1, RegistryChange.FullRead(listOf(two)))),
                 1,
                 setOf("two"),
             ),
         )
 
     @Test
-    fun servingUpstreamsFollowTheRegistry() {
+    fun servingUpstreamsFollowRegistryChanges() {
         cases.forEach { case ->
             val membership = Membership()
             case.steps.forEach { membership.apply(it.change, Moment(0) + it.atSeconds.seconds) }
-            val serving = membership.serving(ForwardWorld.PLAIN, Moment(0) + case.atSeconds.seconds)
+            val serving = membership.serving(ForwardFixture.PLAIN, Moment(0) + case.atSeconds.seconds)
             assertEquals(case.serving, serving.mapTo(HashSet()) { it.name.text }, case.name)
         }
     }
 
     @Test
-    fun upstreamThatEndedStaysOutUntilItStartsAgain() {
+    fun endedUpstreamIsLeftOutUntilItRestarts() {
         val membership = Membership()
         val first = one.copy(startedAt = 1)
-        membership.apply(RegistryChange.ReadWhole(listOf(first)), Moment(0))
-        membership.drop(first.name)
+        membership.apply(RegistryChange.FullRead(listOf(first)), Moment(0))
+        membership.removeEnded(first.name)
         membership.apply(RegistryChange.Written(first.copy(revision = 2)), Moment(0))
-        assertEquals(0, membership.serving(ForwardWorld.PLAIN, Moment(0)).size)
+        assertEquals(0, membership.serving(ForwardFixture.PLAIN, Moment(0)).size)
         membership.apply(RegistryChange.Written(first.copy(startedAt = 2, revision = 3)), Moment(0))
-        assertEquals(1, membership.serving(ForwardWorld.PLAIN, Moment(0)).size)
+        assertEquals(1, membership.serving(ForwardFixture.PLAIN, Moment(0)).size)
     }
 }
--- a/core/src/test/kotlin/org/lovageladder/core/forward/PlainFlowTest.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/forward/PlainFlowTest.kt
@@ -10,21 +10,21 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
-/** Courses of requests to a plain service, as tables of what upstreams do and what the caller then gets. */
+/** Requests to a plain service, as tables of upstream behaviour and of the resulting answer to the caller. */
 class PlainFlowTest {
     /** What one upstream does with a request. */
-    private enum class Behaviour(val act: (ReceivedCall) -> Unit) {
+    private enum class Behaviour(val action: (ReceivedCall) -> Unit) {
         ANSWERS({ it.answer(200, "done") }),
-        ERRS({ it.answer(500, "error") }),
+        ANSWERS_ERROR({ it.answer(500, "error") }),
         DECLINES({ it.answer(503, notRun = true) }),
         LOSES_ANSWER({ it.fail(sent = true) }),
-        CUTS_ANSWER({
+        TRUNCATES_ANSWER({
             it.head(200)
             it.content("do")
             it.fail(sent = true)
         }),
-        UNPROVEN({ it.answer(200, "done", genuine = false) }),
-        SAYS_OTHER_INSTANCE({
+        ANSWERS_WITHOUT_PROOF({ it.answer(200, "done", genuine = false) }),
+        ANSWERS_WRONG_INSTANCE({
             it.head(421, notRun = true, wrongInstance = true)
             it.end()
         }),
@@ -35,163 +35,175 @@
         val behaviours: List<Behaviour>,
         val status: Int? = null,
         val refusal: RefusalReason? = null,
-        val sendings: Int,
+        val attempts: Int,
     )
 
     private val cases =
         listOf(
-            Case("/action/1", listOf(Behaviour.ANSWERS), status = 200, sendings = 1),
-            Case("/action/1", listOf(Behaviour.ERRS), status = 500, sendings = 1),
-            Case("/action/1", listOf(Behaviour.DECLINES, Behaviour.ANSWERS), status = 200, sendings = 2),
-            Case("/action/1", listOf(Behaviour.LOSES_ANSWER), refusal = RefusalReason.ANSWER_LOST, sendings = 1),
-            Case("/action/1", listOf(Behaviour.CUTS_ANSWER), refusal = RefusalReason.ANSWER_LOST, sendings = 1),
-            Case("/action/1", listOf(Behaviour.UNPROVEN), refusal = RefusalReason.ANSWER_LOST, sendings = 1),
-            Case("/action/1", listOf(Behaviour.SAYS_OTHER_INSTANCE, Behaviour.ANSWERS), status = 200, sendings = 2),
-            Case("/lookup/1", listOf(Behaviour.LOSES_ANSWER, Behaviour.ANSWERS), status = 200, sendings = 2),
-            Case("/lookup/1", listOf(Behaviour.UNPROVEN, Behaviour.ANSWERS), status = 200, sendings = 2),
-            Case("/lookup/1", listOf(Behaviour.ERRS, Behaviour.ANSWERS), status = 200, sendings = 2),
-            Case("/lookup/1", listOf(Behaviour.ERRS, Behaviour.ERRS), status = 500, sendings = 2),
+            Case("/action/1", listOf(Behaviour.ANSWERS), status = 200, attempts = 1),
+            Case("/action/1", listOf(Behaviour.ANSWERS_ERROR), status = 500, attempts = 1),
+            Case("/action/1", listOf(Behaviour.DECLINES, Behaviour.ANSWERS), status = 200, attempts = 2),
+            Case("/action/1", listOf(Behaviour.LOSES_ANSWER), refusal = RefusalReason.ANSWER_LOST, attempts = 1),
+            Case("/action/1", listOf(Behaviour.TRUNCATES_ANSWER), refusal = RefusalReason.ANSWER_LOST, attempts = 1),
+            Case(
+                "/action/1",
+                listOf(Behaviour.ANSWERS_WITHOUT_PROOF),
+                refusal = RefusalReason.ANSWER_LOST,
+                attempts = 1,
+            ),
+            Case("/action/1", listOf(Behaviour.ANSWERS_WRONG_INSTANCE, Behaviour.ANSWERS), status = 200, attempts = 2),
+            Case("/lookup/1", listOf(Behaviour.LOSES_ANSWER, Behaviour.ANSWERS), status = 200, attempts = 2),
+            Case("/lookup/1", listOf(Behaviour.ANSWERS_WITHOUT_PROOF, Behaviour.ANSWERS), status = 200, attempts = 2),
+            Case("/lookup/1", listOf(Behaviour.ANSWERS_ERROR, Behaviour.ANSWERS), status = 200, attempts = 2),
+            Case("/lookup/1", listOf(Behaviour.ANSWERS_ERROR, Behaviour.ANSWERS_ERROR), status = 500, attempts = 2),
         )
 
     @Test
-    fun callerGetsOneAnswerForWhatUpstreamsDo() {
+    fun callerGetsOneAnswerForEachUpstreamBehaviour() {
         cases.forEach { case ->
-            val world = ForwardWorld()
-            val submitted = world.submit(case.target)
-            case.behaviours.forEachIndexed { index, behaviour -> behaviour.act(world.upstreams.runs[index]) }
-            assertEquals(case.sendings, world.upstreams.runs.size, "$case")
+            val fixture = ForwardFixture()
+            val submitted = fixture.submit(case.target)
+            case.behaviours.forEachIndexed { index, behaviour ->
+                behaviour.action(fixture.upstreams.receivedCalls[index])
+            }
+            assertEquals(case.attempts, fixture.upstreams.receivedCalls.size, "$case")
             assertEquals(case.status, submitted.reply.head?.status, "$case")
             assertEquals(case.refusal, submitted.reply.refusal?.reason, "$case")
-            assertTrue(submitted.reply.final, "$case")
-            assertEquals(0, world.forwarder.open, "$case")
+            assertTrue(submitted.reply.isFinal, "$case")
+            assertEquals(0, fixture.forwarder.open, "$case")
         }
     }
 
     @Test
-    fun actionIsSentElsewhereOnlyWhenItCertainlyDidNotReachTheFirst() {
-        val world = ForwardWorld()
-        world.upstreams.unreachable +=
-            ForwardWorld.MEMBERS.filter { it.service == ForwardWorld.PLAIN }.map { it.address }
-        val submitted = world.submit("/action/1")
-        world.scheduler.advance(1.seconds)
+    fun unreachableUpstreamsGetNoActionAndTheCallerIsRefused() {
+        val fixture = ForwardFixture()
+        fixture.upstreams.unreachable +=
+            ForwardFixture.MEMBERS.filter { it.service == ForwardFixture.PLAIN }.map { it.address }
+        val submitted = fixture.submit("/action/1")
+        fixture.scheduler.advance(1.seconds)
         assertEquals(RefusalReason.NO_UPSTREAM, submitted.reply.refusal?.reason)
-        assertTrue(world.upstreams.runs.isEmpty())
+        assertTrue(fixture.upstreams.receivedCalls.isEmpty())
     }
 
     @Test
-    fun silentActionEndsAtItsRouteTimeoutWithoutPromise() {
-        val world = ForwardWorld()
-        val submitted = world.submit("/action/1", wait = 60.seconds)
-        world.scheduler.advance(9.seconds)
+    fun unansweredActionTimesOutAtTheRouteTimeout() {
+        val fixture = ForwardFixture()
+        val submitted = fixture.submit("/action/1", wait = 60.seconds)
+        fixture.scheduler.advance(9.seconds)
         assertNull(submitted.reply.refusal)
-        world.scheduler.advance(1.seconds)
+        fixture.scheduler.advance(1.seconds)
         assertEquals(RefusalReason.TIMEOUT, submitted.reply.refusal?.reason)
-        assertTrue(world.upstreams.runs.single().cancelled)
+        assertTrue(fixture.upstreams.receivedCalls.single().isCancelled)
     }
 
     @Test
-    fun slowLookupGetsASecondTryBesideAndTheFirstAnswerWins() {
-        val world = ForwardWorld()
-        val submitted = world.submit("/lookup/1")
-        world.scheduler.advance(70.milliseconds)
-        assertEquals(2, world.upstreams.runs.size)
-        world.upstreams.runs[1].answer(200, "done")
+    fun slowLookupIsHedgedAndTheFirstAnswerWins() {
+        val fixture = ForwardFixture()
+        val submitted = fixture.submit("/lookup/1")
+        fixture.scheduler.advance(70.milliseconds)
+        assertEquals(2, fixture.upstreams.receivedCalls.size)
+        fixture.upstreams.receivedCalls[1].answer(200, "done")
         assertEquals("done", submitted.reply.body.toString())
-        assertTrue(world.upstreams.runs[0].cancelled)
+        assertTrue(fixture.upstreams.receivedCalls[0].isCancelled)
     }
 
     @Test
-    fun slowActionGetsNoSecondTry() {
-        val world = ForwardWorld()
-        world.submit("/action/1")
-        world.scheduler.advance(5.seconds)
-        assertEquals(1, world.upstreams.runs.size)
+    fun slowActionIsNotHedged() {
+        val fixture = ForwardFixture()
+        fixture.submit("/action/1")
+        fixture.scheduler.advance(5.seconds)
+        assertEquals(1, fixture.upstreams.receivedCalls.size)
     }
 
     @Test
-    fun workEndsWhenTheCallerLeaves() {
-        val world = ForwardWorld()
-        val submitted = world.submit("/action/1")
+    fun callsAreCancelledWhenTheCallerDisconnects() {
+        val fixture = ForwardFixture()
+        val submitted = fixture.submit("/action/1")
         submitted.open?.callerLeft()
-        assertTrue(world.upstreams.runs.single().cancelled)
-        assertEquals(0, world.forwarder.open)
+        assertTrue(fixture.upstreams.receivedCalls.single().isCancelled)
+        assertEquals(0, fixture.forwarder.open)
     }
 
-    /** Callers that keep their connection busy are not sent elsewhere by the balancer. */
+    /** The load balancer does not send callers that keep their connection busy to another entry. */
     @Test
-    fun drainingProcessTakesOnlyWhatItSurelyFinishes() {
-        data class Case(val after: Duration, val wait: Duration, val taken: Boolean)
+    fun drainingProcessAcceptsOnlyRequestsThatFinishInTime() {
+        data class Case(val after: Duration, val wait: Duration, val isAccepted: Boolean)
         val cases =
             listOf(
-                Case(1.seconds, 3.seconds, taken = true),
-                Case(5_100.milliseconds, 3.seconds, taken = false),
-                Case(5_100.milliseconds, 600.milliseconds, taken = true),
-                Case(7_800.milliseconds, 600.milliseconds, taken = false),
+                Case(1.seconds, 3.seconds, isAccepted = true),
+                Case(5_100.milliseconds, 3.seconds, isAccepted = false),
+                Case(5_100.milliseconds, 600.milliseconds, isAccepted = true),
+                Case(7_800.milliseconds, 600.milliseconds, isAccepted = false),
             )
         cases.forEach { case ->
-            val world = ForwardWorld()
-            world.forwarder.drain(grace = 8.seconds)
-            world.scheduler.advance(case.after)
-            val submitted = world.submit("/action/1", wait = case.wait)
-            assertEquals(case.taken, submitted.open != null, "$case")
-            assertEquals(!case.taken, submitted.reply.refusal?.reason == RefusalReason.LEAVING, "$case")
+            val fixture = ForwardFixture()
+            fixture.forwarder.drain(grace = 8.seconds)
+            fixture.scheduler.advance(case.after)
+            val submitted = fixture.submit("/action/1", wait = case.wait)
+            assertEquals(case.isAccepted, submitted.open != null, "$case")
+            assertEquals(!case.isAccepted, submitted.reply.refusal?.reason == RefusalReason.LEAVING, "$case")
         }
     }
 
     @Test
-    fun deadlinePassedOnIsWhatIsLeft() {
-        val world = ForwardWorld()
-        world.submit("/lookup/1", wait = 600.milliseconds)
-        world.scheduler.advance(60.milliseconds)
-        assertEquals(listOf(600.milliseconds, 540.milliseconds), world.upstreams.runs.map { it.sending.timeout })
+    fun upstreamGetsTheRemainingTimeAsTimeout() {
+        val fixture = ForwardFixture()
+        fixture.submit("/lookup/1", wait = 600.milliseconds)
+        fixture.scheduler.advance(60.milliseconds)
+        assertEquals(
+            listOf(600.milliseconds, 540.milliseconds),
+            fixture.upstreams.receivedCalls.map {
+                it.sending.timeout
+            },
+        )
     }
 
-    /** Load pattern: upstreams that send bytes without end, beside callers of sound ones. */
+    /** Load pattern: upstreams that send bytes without end, next to callers of healthy upstreams. */
     @Test
-    fun endlessAnswersHoldBoundedMemoryAndDoNotHinderOthers() {
-        val world = ForwardWorld()
-        val endless = List(20) { world.submit("/action/1") }
-        val endlessRuns = world.upstreams.runs.toList()
+    fun endlessAnswersUseBoundedMemoryAndDoNotBlockOthers() {
+        val fixture = ForwardFixture()
+        val endless = List(20) { fixture.submit("/action/1") }
+        val endlessCalls = fixture.upstreams.receivedCalls.toList()
         val part = "x".repeat(64 * 1024)
-        repeat(40) { endlessRuns.forEach { it.content(part) } }
+        repeat(40) { endlessCalls.forEach { it.content(part) } }
         endless.forEach { assertEquals(RefusalReason.ANSWER_LOST, it.reply.refusal?.reason) }
-        assertTrue(endlessRuns.all { it.cancelled })
+        assertTrue(endlessCalls.all { it.isCancelled })
 
-        val other = world.submit("/lookup/1")
-        world.upstreams.runs.last().answer(200, "y".repeat(100_000))
+        val other = fixture.submit("/lookup/1")
+        fixture.upstreams.receivedCalls.last().answer(200, "y".repeat(100_000))
         assertEquals(100_000, other.reply.body.length)
     }
 
     @Test
-    fun smallAnswersPassWhileLargeOnesFillTheMemory() {
-        val buffers = AnswerBuffers(each = 100_000, all = 200_000)
-        val large = List(3) { buffers.open() }
-        assertEquals(listOf(true, true, false), large.map { it.add(ByteArray(99_000)) })
-        assertTrue(buffers.open().add(ByteArray(1_000)))
-        assertFalse(buffers.open().add(ByteArray(20_000)))
-        large.first().drop()
-        assertTrue(buffers.open().add(ByteArray(20_000)))
+    fun smallAnswersAreAcceptedWhileLargeOnesFillTheMemory() {
+        val buffers = AnswerBufferPool(maximumAnswerBytes = 100_000, maximumTotalBytes = 200_000)
+        val large = List(3) { buffers.newBuffer() }
+        assertEquals(listOf(true, true, false), large.map { it.append(ByteArray(99_000)) })
+        assertTrue(buffers.newBuffer().append(ByteArray(1_000)))
+        assertFalse(buffers.newBuffer().append(ByteArray(20_000)))
+        large.first().clear()
+        assertTrue(buffers.newBuffer().append(ByteArray(20_000)))
     }
 
-    /** Load pattern: many callers at once, and entries that share an upstream's connections. */
+    /** Load pattern: many callers at once, and entries that share the connections of an upstream. */
     @Test
-    fun connectionLimitIsSharedAmongEntriesAndItsAbsenceIsNoLimit() {
-        data class Case(val connections: Int?, val entries: Int, val running: Int)
+    fun connectionLimitIsDividedAmongEntries() {
+        data class Case(val connections: Int?, val entries: Int, val runningCalls: Int)
         listOf(
-            Case(connections = 20, entries = 4, running = 2 * 4),
-            Case(connections = 20, entries = 1, running = 2 * 12),
-            Case(connections = 20, entries = 30, running = 2 * 1),
-            Case(connections = null, entries = 4, running = 2 * 12),
+            Case(connections = 20, entries = 4, runningCalls = 2 * 4),
+            Case(connections = 20, entries = 1, runningCalls = 2 * 12),
+            Case(connections = 20, entries = 30, runningCalls = 2 * 1),
+            Case(connections = null, entries = 4, runningCalls = 2 * 12),
         ).forEach { case ->
-            val world = ForwardWorld()
-            world.forwarder.configure(ForwardWorld.configuration(version = 2, plainConnections = case.connections))
+            val fixture = ForwardFixture()
+            fixture.forwarder.configure(ForwardFixture.configuration(version = 2, plainConnections = case.connections))
             repeat(case.entries) { number ->
-                world.forwarder.registryChanged(
+                fixture.forwarder.registryChanged(
                     RegistryChange.EntrySeen(ProcessName("entry-$number"), registered = true),
                 )
             }
-            repeat(60) { world.submit("/action/1") }
-            assertEquals(case.running, world.upstreams.runs.size, "$case")
+            repeat(60) { fixture.submit("/action/1") }
+            assertEquals(case.runningCalls, fixture.upstreams.receivedCalls.size, "$case")
         }
     }
 }
--- a/core/src/test/kotlin/org/lovageladder/core/forward/RegistryFollowerTest.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/forward/RegistryFollowerTest.kt
@@ -7,35 +7,39 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
-/** How an entry keeps up with the registry when watches break. */
+/** Following the registry when watches fail. */
 class RegistryFollowerTest {
-    /** A registry whose first watch is cut after a second; a change was made meanwhile, and its history is gone. */
-    private class ForgetfulRegistry(private val scheduler: VirtualScheduler) : UpstreamRegistry {
-        var version = 1L
+    /** Registry whose first watch fails after a second. A change is made meanwhile, and its history is lost. */
+    private class HistoryLosingRegistry(private val scheduler: VirtualScheduler) : UpstreamRegistry {
+        var currentVersion = 1L
         var reads = 0
         var watches = 0
 
         override fun read(answer: (RegistryRead) -> Unit) {
             reads += 1
-            val snapshot = RegistrySnapshot(version, ForwardWorld.configuration(version), ForwardWorld.MEMBERS)
+            val snapshot =
+                RegistrySnapshot(currentVersion, ForwardFixture.configuration(currentVersion), ForwardFixture.MEMBERS)
             scheduler.after(12.milliseconds) { answer(RegistryRead.Whole(snapshot)) }
         }
 
         override fun watch(revision: Long, wait: Duration, answer: (RegistryWatch) -> Unit) {
             watches += 1
             if (watches == 1) {
-                scheduler.after(1.seconds) { answer(RegistryWatch.Failed("cut")) }
+                scheduler.after(1.seconds) { answer(RegistryWatch.Failed("connection lost")) }
             } else {
                 scheduler.after(wait) { answer(RegistryWatch.HistoryLost) }
             }
         }
     }
 
-    /** Load pattern: the store forgets its history right when a watch begins anew; that watch hears nothing. */
+    /**
+     * Load pattern: the store drops its history just when a failed watch is resumed, so the new watch does not report
+     * the change.
+     */
     @Test
-    fun changeMadeWhileAWatchWasCutIsKnownSoonAfter() {
+    fun changeMadeDuringAFailedWatchIsReadAgain() {
         val scheduler = VirtualScheduler()
-        val registry = ForgetfulRegistry(scheduler)
+        val registry = HistoryLosingRegistry(scheduler)
         val versions = ArrayList<ReleaseVersion>()
         val listener =
             object : RegistryListener {
@@ -47,7 +51,7 @@
             }
         RegistryFollower(registry, scheduler, listener).start()
         scheduler.advance(500.milliseconds)
-        registry.version = 2
+        registry.currentVersion = 2
         scheduler.advance(1.seconds)
         assertEquals(listOf(ReleaseVersion(1), ReleaseVersion(2)), versions)
         assertEquals(2, registry.reads)
--- a/core/src/test/kotlin/org/lovageladder/core/forward/StreamPaceTest.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/forward/StreamEstimatesTest.kt
@@ -5,11 +5,14 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
-/** What a stream reserves. Load pattern: estimates that half of the streams exceed, in engines without a free token. */
-class StreamPaceTest {
+/**
+ * Memory that a stream reserves. Load pattern: half of the streams exceed their estimates, at engines without free
+ * memory.
+ */
+class StreamEstimatesTest {
     @Test
-    fun reservationHoldsMostStreamsThatExceedTheirEstimate() {
-        val route = ForwardWorld.configuration().routes.first { it.kind == RouteKind.STREAM }
+    fun reservationCoversMostStreamsThatExceedTheirEstimate() {
+        val route = ForwardFixture.configuration().routes.first { it.kind == RouteKind.STREAM }
         data class Case(val generation: Generation?, val memory: Int, val tokens: Int)
         listOf(
             Case(Generation(promptTokens = 3_000, outputBound = 3_000, expectedOutputTokens = 1_000), 40_000, 5_339),
@@ -19,8 +22,8 @@
             Case(generation = null, memory = 40_000, tokens = 4_096),
         ).forEach { case ->
             val engine = EngineTraits(8, case.memory, 500.milliseconds, 2.seconds, 6.seconds)
-            val pace = StreamPace(RolePlan(usualShare = 0.2))
-            assertEquals(case.tokens, pace.memoryFor(route, case.generation, engine), "$case")
+            val estimates = StreamEstimates(RolePlan(defaultPrefillShare = 0.2))
+            assertEquals(case.tokens, estimates.requiredTokens(route, case.generation, engine), "$case")
         }
     }
 }
--- a/core/src/test/kotlin/org/lovageladder/core/forward/StreamAccountTest.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/forward/StreamSummaryTest.kt
@@ -7,10 +7,10 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
-/** What the log tells of a stream when it ends. */
-class StreamAccountTest {
+/** Figures recorded when a stream ends. */
+class StreamSummaryTest {
     @Test
-    fun eventsAreCountedAcrossTheBytesThatCarryThem() {
+    fun eventsSplitAcrossBuffersAreCounted() {
         data class Case(val parts: List<String>, val events: Int)
         listOf(
             Case(listOf("id: 1\ndata: a\n\n"), 1),
@@ -19,22 +19,22 @@
             Case(listOf("id: 1\ndata: a\n"), 0),
             Case(emptyList(), 0),
         ).forEach { case ->
-            val counter = EventCounter()
-            case.parts.forEach { counter.add(it.encodeToByteArray()) }
-            assertEquals(case.events, counter.events, "$case")
+            val eventCounter = StreamEventCounter()
+            case.parts.forEach { eventCounter.add(it.encodeToByteArray()) }
+            assertEquals(case.events, eventCounter.count, "$case")
         }
     }
 
     @Test
-    fun endOfAStreamTellsWhatItAskedForAndUsed() {
-        val world = ForwardWorld()
-        world.submit("/stream/1", wait = 10.seconds)
-        world.scheduler.advance(150.milliseconds)
-        val run = world.upstreams.runs.single()
-        run.head(200)
-        run.content("id: 1\ndata: a\n\nid: 2\ndata: b\n\n")
-        world.upstreams.finish(run)
-        val detail = world.events.last { it.kind == EventKind.REQUEST_ENDED }.detail.orEmpty()
+    fun endEventContainsWhatTheStreamRequestedAndUsed() {
+        val fixture = ForwardFixture()
+        fixture.submit("/stream/1", wait = 10.seconds)
+        fixture.scheduler.advance(150.milliseconds)
+        val call = fixture.upstreams.receivedCalls.single()
+        call.head(200)
+        call.content("id: 1\ndata: a\n\nid: 2\ndata: b\n\n")
+        fixture.upstreams.finish(call)
+        val detail = fixture.events.last { it.kind == EventKind.REQUEST_ENDED }.detail.orEmpty()
         listOf("wait=10000ms", "prompt=3000", "expected=1000", "events=2", "held=0", "waiting=0", "waited=1ms")
             .forEach { assertTrue(it in detail, "$it in: $detail") }
     }
