--- a/core/src/main/kotlin/org/lovageladder/core/forward/UpstreamNotices.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/UpstreamNotices.kt
@@ -92,7 +92,7 @@
         /** An upstream that asks for a longer pause is tried again after this time. */
         val MAXIMUM_PAUSE: Duration = 1.minutes
 
-        /** Requests in flight while the upstream asks for a pause are not held against this entry. */
+        /** Requests that were in flight when the upstream asked for a pause may still arrive within this time. */
         val IN_FLIGHT_TOLERANCE: Duration = 400.milliseconds
 
         /** A registration that expired in a registry outage is back well before this time. */
--- a/core/src/test/kotlin/org/lovageladder/core/forward/ForwardFuzzTest.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/forward/ForwardFuzzTest.kt
@@ -147,11 +147,10 @@
     }
 
     private fun disconnectCaller(command: ForwardFuzzCommand) {
-        val caller = submitted.filterNot { it.reply.isFinal || it in disconnected }.let {
-            it.getOrNull(
-                command.selector % (it.size + 1),
-            )
-        }
+        val caller =
+            submitted
+                .filterNot { it.reply.isFinal || it in disconnected }
+                .let { it.getOrNull(command.selector % (it.size + 1)) }
         if (caller == null) return
         disconnected += caller
         caller.open?.callerLeft()
@@ -265,11 +264,7 @@
         if (refusal == null) return
         request.isEnded = true
         if (refusal.reason.notRun) {
-            assertEquals(
-                emptyList(),
-                request.ranAt,
-                "${request.target} ran but was refused as not run",
-            )
+            assertEquals(emptyList(), request.ranAt, "${request.target} ran but was refused as not run")
         }
     }
 
--- a/core/src/test/kotlin/org/lovageladder/core/forward/PlainFlowTest.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/forward/PlainFlowTest.kt
@@ -150,12 +150,8 @@
         val fixture = ForwardFixture()
         fixture.submit("/lookup/1", wait = 600.milliseconds)
         fixture.scheduler.advance(60.milliseconds)
-        assertEquals(
-            listOf(600.milliseconds, 540.milliseconds),
-            fixture.upstreams.receivedCalls.map {
-                it.sending.timeout
-            },
-        )
+        val timeouts = fixture.upstreams.receivedCalls.map { it.sending.timeout }
+        assertEquals(listOf(600.milliseconds, 540.milliseconds), timeouts)
     }
 
     /** Load pattern: upstreams that send bytes without end, next to callers of healthy upstreams. */
--- a/core/src/test/kotlin/org/lovageladder/core/forward/StreamFlowTest.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/forward/StreamFlowTest.kt
@@ -52,24 +52,18 @@
     fun onlyResumableStreamsLeaveASilentUpstream() {
         data class Case(val target: String, val calls: Int)
         listOf(Case("/stream-on/1", calls = 2), Case("/stream/1", calls = 1)).forEach { case ->
-            val separateFixture = ForwardFixture()
-            val submitted = separateFixture.submit(case.target)
-            separateFixture.scheduler.advance(200.milliseconds)
-            val first = separateFixture.upstreams.receivedCalls.single()
+            val fixture = ForwardFixture()
+            val submitted = fixture.submit(case.target)
+            fixture.scheduler.advance(200.milliseconds)
+            val first = fixture.upstreams.receivedCalls.single()
             first.head(200)
             first.content("id: 1\ndata: a\n\n")
-            separateFixture.scheduler.advance(2.seconds)
-            assertEquals(case.calls, separateFixture.upstreams.receivedCalls.size, "$case")
+            fixture.scheduler.advance(2.seconds)
+            assertEquals(case.calls, fixture.upstreams.receivedCalls.size, "$case")
             assertEquals(case.calls == 2, first.isCancelled, "$case")
             assertEquals(
-                if (case.calls ==
-                    2
-                ) {
-                    1L
-                } else {
-                    null
-                },
-                separateFixture.upstreams.receivedCalls.last().sending.resumeAfter,
+                if (case.calls == 2) 1L else null,
+                fixture.upstreams.receivedCalls.last().sending.resumeAfter,
                 "$case",
             )
             assertFalse(submitted.reply.isFinal, "$case")
@@ -79,12 +73,8 @@
     /** Load pattern: one engine declines every prompt at once and therefore seems free, while the others are busy. */
     @Test
     fun engineThatDeclinesEveryPromptGetsFewPrompts() {
-        val decliningEngine = ForwardFixture.member(
-            "prefill-2",
-            ForwardFixture.ENGINES,
-            org.lovageladder.core.PoolRole.PREFILL,
-            9,
-        )
+        val decliningEngine =
+            ForwardFixture.member("prefill-2", ForwardFixture.ENGINES, org.lovageladder.core.PoolRole.PREFILL, 9)
         fixture.forwarder.registryChanged(RegistryChange.Written(decliningEngine))
         fixture.upstreams.prefillRefusals += decliningEngine.address
         repeat(100) {
@@ -107,24 +97,21 @@
             Case(decodeDeclines = false, prefillDeclines = true),
             Case(decodeDeclines = true, prefillDeclines = true),
         ).forEach { case ->
-            val separateFixture = ForwardFixture(memory = 1_000_000)
-            if (case.prefillDeclines) separateFixture.upstreams.prefillRefusals += Address("10.0.0.1", 3)
+            val fixture = ForwardFixture(memory = 1_000_000)
+            if (case.prefillDeclines) fixture.upstreams.prefillRefusals += Address("10.0.0.1", 3)
             val requests = 40
             repeat(requests) {
-                val before = separateFixture.upstreams.receivedCalls.size
-                separateFixture.submit("/stream/1")
-                separateFixture.scheduler.advance(110.milliseconds)
+                val before = fixture.upstreams.receivedCalls.size
+                fixture.submit("/stream/1")
+                fixture.scheduler.advance(110.milliseconds)
                 if (case.decodeDeclines) {
-                    separateFixture.upstreams.receivedCalls.drop(before).forEach {
-                        it.answer(503, notRun = true)
-                    }
+                    fixture.upstreams.receivedCalls.drop(before).forEach { it.answer(503, notRun = true) }
                 }
-                separateFixture.scheduler.advance(110.milliseconds)
+                fixture.scheduler.advance(110.milliseconds)
             }
             val firstPrefills = if (case.prefillDeclines) 0 else requests
-            val retries =
-                separateFixture.upstreams.receivedCalls.size + separateFixture.upstreams.prefills.size - firstPrefills -
-                    requests
+            val reached = fixture.upstreams.receivedCalls.size + fixture.upstreams.prefills.size
+            val retries = reached - firstPrefills - requests
             assertTrue(retries <= 0.2 * requests + 8, "$case: $retries retries")
         }
     }
--- a/core/src/test/kotlin/org/lovageladder/core/forward/UpstreamNoticesTest.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/forward/UpstreamNoticesTest.kt
@@ -19,10 +19,8 @@
     private fun ForwardFixture.sendNotice(name: String, notice: UpstreamNotice) =
         forwarder.noticed(member(name).start, notice)
 
-    private fun ForwardFixture.runsAt(name: String) = upstreams.receivedCalls.count {
-        it.sending.upstream.name.text ==
-            name
-    }
+    private fun ForwardFixture.callsAt(name: String) =
+        upstreams.receivedCalls.count { it.sending.upstream.name.text == name }
 
     private fun ForwardFixture.submitMany(target: String) = repeat(20) {
         submit(target, wait = 10.seconds)
@@ -46,7 +44,7 @@
             val fixture = ForwardFixture(memory = 100_000)
             fixture.sendNotice(name, leaving)
             fixture.submitMany(target)
-            assertEquals(0, fixture.runsAt(name), target)
+            assertEquals(0, fixture.callsAt(name), target)
             assertTrue(fixture.upstreams.receivedCalls.isNotEmpty(), target)
         }
     }
@@ -112,7 +110,7 @@
             fixture.scheduler.advance(2.seconds)
             case.change(fixture)
             fixture.submit("/action/1")
-            assertEquals(if (case.isUsed) 1 else 0, fixture.runsAt("plain-1"), case.name)
+            assertEquals(if (case.isUsed) 1 else 0, fixture.callsAt("plain-1"), case.name)
         }
     }
 
@@ -139,7 +137,7 @@
                 val isBeforePauseEnd = fixture.scheduler.now() - org.lovageladder.core.Moment(0) < case.pause
                 assertEquals(
                     case.isUsed,
-                    fixture.runsAt(name) > 0 && (case.isUsed || isBeforePauseEnd),
+                    fixture.callsAt(name) > 0 && (case.isUsed || isBeforePauseEnd),
                     "$case $target",
                 )
             }
@@ -186,7 +184,7 @@
 
     /** A request whose engine asks for a pause during its prefill is sent to another engine. */
     @Test
-    fun reservedMemoryIsNotUsedOnceItsEngineHasPaused() {
+    fun reservedMemoryIsNotUsedLongAfterItsEnginePaused() {
         val fixture = ForwardFixture()
         fixture.upstreams.prefillTime = 500.milliseconds
         fixture.submit("/stream/1", wait = 10.seconds)
