--- a/core/src/main/kotlin/org/lovageladder/core/AttemptStarts.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/AttemptMessageHandler.kt
@@ -3,45 +3,45 @@
 import kotlin.time.Duration
 
 /** Why a companion as a whole takes no new work, and when to try again. */
-internal class Refusal(val cause: FaultCause, val detail: String, val retryAfter: Duration)
+internal class NewWorkRefusal(val cause: FaultCause, val detail: String, val retryAfter: Duration)
 
 /**
  * Takes in the messages by which an entry begins, uses and cancels attempts. An attempt that is already known opens
  * nothing again, whether it still runs or has ended.
  */
-internal class AttemptStarts(
+internal class AttemptMessageHandler(
     private val context: CompanionContext,
     private val upstreams: HostUpstreams,
     private val claims: ClaimedCalls,
 ) {
     private val attempts = context.attempts
 
-    fun reserve(connection: ConnectionId, message: PeerMessage.Reserve, refusal: Refusal?) {
+    fun reserve(connection: ConnectionId, message: PeerMessage.Reserve, refusal: NewWorkRefusal?) {
         if (attempts.isKnown(message.attempt)) return
         val start = NewAttempt(connection, message.attempt, message.upstream, Step.RESERVE)
-        usable<DecodeWork>(start, refusal)?.reserve(connection, message)
+        findUsable<DecodeScheduler>(start, refusal)?.reserve(connection, message)
     }
 
-    fun prefill(connection: ConnectionId, message: PeerMessage.StartPrefill, refusal: Refusal?) {
+    fun startPrefill(connection: ConnectionId, message: PeerMessage.StartPrefill, refusal: NewWorkRefusal?) {
         if (attempts.isKnown(message.attempt)) return
         val start = NewAttempt(connection, message.attempt, message.upstream, Step.PREFILL)
-        usable<PrefillWork>(start, refusal)?.start(connection, message)
+        findUsable<PrefillScheduler>(start, refusal)?.start(connection, message)
     }
 
-    fun plain(connection: ConnectionId, message: PeerMessage.StartPlain, refusal: Refusal?) {
+    fun startPlain(connection: ConnectionId, message: PeerMessage.StartPlain, refusal: NewWorkRefusal?) {
         if (attempts.isKnown(message.attempt)) return
         val start = NewAttempt(connection, message.attempt, message.upstream, Step.PLAIN_CALL)
-        val work = usable<PlainWork>(start, refusal)
-        if (work == null) message.claim?.let { voidClaim(it.storeKey, it.number) }
-        work?.start(connection, message)
+        val scheduler = findUsable<PlainScheduler>(start, refusal)
+        if (scheduler == null) message.claim?.let { voidClaim(it.storeKey, it.number) }
+        scheduler?.start(connection, message)
     }
 
-    fun decode(connection: ConnectionId, message: PeerMessage.StartDecode) {
+    fun startDecode(connection: ConnectionId, message: PeerMessage.StartDecode) {
         val attempt = message.attempt
-        val open = attempts.find(attempt)
+        val openAttempt = attempts.find(attempt)
         val ending = attempts.ending(attempt)
         when {
-            open != null -> (open.work as? DecodeWork)?.startDecode(connection, message)
+            openAttempt != null -> (openAttempt.scheduler as? DecodeScheduler)?.startDecode(connection, message)
             ending == AttemptEnding.ANSWERED || ending == AttemptEnding.CANCELLED -> Unit
             else -> {
                 val start = NewAttempt(connection, attempt, null, Step.DECODE)
@@ -52,9 +52,9 @@
 
     /** Frees what [attempt] holds. A cancel that arrives before what it cancels keeps that from taking effect. */
     fun cancel(attempt: AttemptId) {
-        val open = attempts.find(attempt)
+        val openAttempt = attempts.find(attempt)
         when {
-            open != null -> open.work.cancel(attempt, AttemptEnding.CANCELLED)
+            openAttempt != null -> openAttempt.scheduler.cancel(attempt, AttemptEnding.CANCELLED)
             attempts.ending(attempt) == AttemptEnding.ANSWERED -> Unit
             else -> attempts.close(attempt, AttemptEnding.CANCELLED)
         }
@@ -62,27 +62,27 @@
 
     /** Forbids the start of a claim that was not started, and returns what is known of it. */
     fun voidClaim(storeKey: String, number: Long): PeerMessage.ClaimStatus {
-        val waiting = claims.gate.waitingAttempt(storeKey, number)
-        val status = claims.gate.void(storeKey, number)
-        if (waiting != null) (attempts.find(waiting)?.work as? PlainWork)?.refuseVoided(waiting)
+        val waiting = claims.registry.waitingAttempt(storeKey, number)
+        val status = claims.registry.void(storeKey, number)
+        if (waiting != null) (attempts.find(waiting)?.scheduler as? PlainScheduler)?.refuseVoided(waiting)
         return status
     }
 
-    private inline fun <reified T : UpstreamWork> usable(start: NewAttempt, refusal: Refusal?): T? {
+    private inline fun <reified T : UpstreamScheduler> findUsable(start: NewAttempt, refusal: NewWorkRefusal?): T? {
         if (refusal != null) {
             refuse(start, refusal.cause, refusal.detail, refusal.retryAfter)
             return null
         }
-        val work = start.upstream?.let(upstreams::find)
-        if (work !is T) {
+        val scheduler = start.upstream?.let(upstreams::find)
+        if (scheduler !is T) {
             refuse(start, FaultCause.REJECTED, "no such upstream here", Duration.ZERO)
             return null
         }
-        if (!upstreams.isUsable(work.upstream.name)) {
-            refuse(start, FaultCause.REJECTED, "upstream not ready", DrainEstimate.SHORTEST_RETRY)
+        if (!upstreams.isUsable(scheduler.upstream.name)) {
+            refuse(start, FaultCause.REJECTED, "upstream not ready", RetryDelayEstimate.MINIMUM_RETRY_DELAY)
             return null
         }
-        return work
+        return scheduler
     }
 
     private fun refuse(start: NewAttempt, cause: FaultCause, detail: String, retryAfter: Duration) {
--- a/core/src/main/kotlin/org/lovageladder/core/AttemptRegistry.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/AttemptRegistry.kt
@@ -16,66 +16,66 @@
 }
 
 /** An attempt that holds a place in a queue, memory or a running call. */
-internal class OpenAttempt(val work: UpstreamWork, var owner: ConnectionId?)
+internal class OpenAttempt(val scheduler: UpstreamScheduler, var owner: ConnectionId?)
 
 /**
  * All open attempts with the connection that owns each, and for a bounded time the ended ones, so that a message
  * which arrives late or twice does not open an attempt again.
  */
 internal class AttemptRegistry(private val output: CompanionOutput) {
-    private val open = LinkedHashMap<AttemptId, OpenAttempt>()
-    private val owned = HashMap<ConnectionId, LinkedHashSet<AttemptId>>()
-    private val ended = LinkedHashMap<AttemptId, EndedAttempt>()
+    private val openAttempts = LinkedHashMap<AttemptId, OpenAttempt>()
+    private val attemptsByOwner = HashMap<ConnectionId, LinkedHashSet<AttemptId>>()
+    private val endedAttempts = LinkedHashMap<AttemptId, EndedAttempt>()
 
-    fun find(attempt: AttemptId): OpenAttempt? = open[attempt]
+    fun find(attempt: AttemptId): OpenAttempt? = openAttempts[attempt]
 
-    fun owner(attempt: AttemptId): ConnectionId? = open[attempt]?.owner
+    fun owner(attempt: AttemptId): ConnectionId? = openAttempts[attempt]?.owner
 
-    fun ending(attempt: AttemptId): AttemptEnding? = ended[attempt]?.ending
+    fun ending(attempt: AttemptId): AttemptEnding? = endedAttempts[attempt]?.ending
 
-    fun isKnown(attempt: AttemptId): Boolean = attempt in open || attempt in ended
+    fun isKnown(attempt: AttemptId): Boolean = attempt in openAttempts || attempt in endedAttempts
 
-    fun ownedBy(connection: ConnectionId): List<AttemptId> = owned[connection].orEmpty().toList()
+    fun ownedBy(connection: ConnectionId): List<AttemptId> = attemptsByOwner[connection].orEmpty().toList()
 
     /** Names by which engines know the open attempts. */
-    fun openNames(): Set<String> = open.keys.mapTo(HashSet()) { it.toString() }
+    fun openRequestNames(): Set<String> = openAttempts.keys.mapTo(HashSet()) { it.toString() }
 
-    fun open(attempt: AttemptId, work: UpstreamWork, owner: ConnectionId) {
-        open[attempt] = OpenAttempt(work, owner)
-        owned.getOrPut(owner) { LinkedHashSet() }.add(attempt)
+    fun open(attempt: AttemptId, scheduler: UpstreamScheduler, owner: ConnectionId) {
+        openAttempts[attempt] = OpenAttempt(scheduler, owner)
+        attemptsByOwner.getOrPut(owner) { LinkedHashSet() }.add(attempt)
     }
 
     /** Keeps the attempt open without an owner: nothing more is sent about it. */
-    fun disown(attempt: AttemptId) {
-        val entry = open[attempt] ?: return
+    fun removeOwner(attempt: AttemptId) {
+        val entry = openAttempts[attempt] ?: return
         val owner = entry.owner ?: return
         entry.owner = null
-        forgetOwned(owner, attempt)
+        removeOwnedAttempt(owner, attempt)
     }
 
     fun close(attempt: AttemptId, ending: AttemptEnding) {
-        open.remove(attempt)?.owner?.let { forgetOwned(it, attempt) }
-        ended.remove(attempt)
-        ended[attempt] = EndedAttempt(ending, output.now)
+        openAttempts.remove(attempt)?.owner?.let { removeOwnedAttempt(it, attempt) }
+        endedAttempts.remove(attempt)
+        endedAttempts[attempt] = EndedAttempt(ending, output.now)
     }
 
-    fun forgetOld() {
-        val iterator = ended.values.iterator()
+    fun removeExpired() {
+        val iterator = endedAttempts.values.iterator()
         while (iterator.hasNext()) {
-            val isOld = iterator.next().at + ENDED_ATTEMPT_MEMORY <= output.now
-            if (!isOld && ended.size <= ENDED_ATTEMPT_LIMIT) return
+            val isExpired = iterator.next().endedAt + ENDED_ATTEMPT_RETENTION <= output.now
+            if (!isExpired && endedAttempts.size <= MAXIMUM_ENDED_ATTEMPTS) return
             iterator.remove()
         }
     }
 
-    private fun forgetOwned(owner: ConnectionId, attempt: AttemptId) {
-        val attempts = owned[owner] ?: return
+    private fun removeOwnedAttempt(owner: ConnectionId, attempt: AttemptId) {
+        val attempts = attemptsByOwner[owner] ?: return
         attempts.remove(attempt)
-        if (attempts.isEmpty()) owned.remove(owner)
+        if (attempts.isEmpty()) attemptsByOwner.remove(owner)
     }
 
-    private class EndedAttempt(val ending: AttemptEnding, val at: Moment)
+    private class EndedAttempt(val ending: AttemptEnding, val endedAt: Moment)
 }
 
-private val ENDED_ATTEMPT_MEMORY: Duration = 10.seconds
-private const val ENDED_ATTEMPT_LIMIT = 65_536
+private val ENDED_ATTEMPT_RETENTION: Duration = 10.seconds
+private const val MAXIMUM_ENDED_ATTEMPTS = 65_536
--- a/core/src/main/kotlin/org/lovageladder/core/ClaimAnswers.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/ClaimAnswerWriter.kt
@@ -8,11 +8,11 @@
  * Records the answers of claimed calls in the key-value service, so that a repeated key gets its first answer after
  * this process is gone. A write whose answer is lost is repeated until it is known to stand.
  */
-internal class ClaimAnswers(private val context: CompanionContext) {
+internal class ClaimAnswerWriter(private val context: CompanionContext) {
     private class PendingAnswer(val claim: ClaimTicket, val record: ClaimRecord) {
         var ticket: Long? = null
         var writeAt: Moment = Moment(0)
-        var backoff: Duration = FIRST_BACKOFF
+        var backoff: Duration = INITIAL_BACKOFF
     }
 
     private val pending = LinkedHashMap<String, PendingAnswer>()
@@ -22,7 +22,7 @@
 
     fun isPending(storeKey: String): Boolean = storeKey in pending
 
-    fun record(claim: ClaimTicket, answer: PlainAnswer) {
+    fun enqueue(claim: ClaimTicket, answer: PlainAnswer) {
         val entry = PendingAnswer(claim, claim.record.copy(answer = answer))
         entry.writeAt = context.now
         pending[claim.storeKey] = entry
@@ -36,14 +36,14 @@
     }
 
     /** Takes in the answer to [ticket]; false when it belongs to another part. */
-    fun storeAnswered(ticket: Long, answer: StoreAnswer): Boolean {
+    fun onStoreAnswer(ticket: Long, answer: StoreAnswer): Boolean {
         val storeKey = tickets.remove(ticket) ?: return false
         val entry = pending[storeKey] ?: return true
         entry.ticket = null
         when (answer) {
             is StoreAnswer.Written -> pending.remove(storeKey)
-            is StoreAnswer.Conflict -> conflict(entry, answer)
-            is StoreAnswer.Unavailable, is StoreAnswer.Found, is StoreAnswer.Leased -> repeatLater(entry)
+            is StoreAnswer.Conflict -> onConflict(entry, answer)
+            is StoreAnswer.Unavailable, is StoreAnswer.Found, is StoreAnswer.Leased -> scheduleRetry(entry)
         }
         return true
     }
@@ -60,7 +60,7 @@
     }
 
     /** Another value stands: this answer, by an earlier write that was not confirmed, or another claim's. */
-    private fun conflict(entry: PendingAnswer, conflict: StoreAnswer.Conflict) {
+    private fun onConflict(entry: PendingAnswer, conflict: StoreAnswer.Conflict) {
         pending.remove(entry.claim.storeKey)
         val current = conflict.current.firstOrNull { it.key == entry.claim.storeKey }
         if (current != null && decodeClaim(current.value) == entry.record) return
@@ -71,13 +71,13 @@
         )
     }
 
-    private fun repeatLater(entry: PendingAnswer) {
+    private fun scheduleRetry(entry: PendingAnswer) {
         entry.writeAt = context.now + entry.backoff
-        entry.backoff = (entry.backoff * 2).coerceAtMost(LONGEST_BACKOFF)
+        entry.backoff = (entry.backoff * 2).coerceAtMost(MAXIMUM_BACKOFF)
     }
 
     private companion object {
-        val FIRST_BACKOFF: Duration = 100.milliseconds
-        val LONGEST_BACKOFF: Duration = 5.seconds
+        val INITIAL_BACKOFF: Duration = 100.milliseconds
+        val MAXIMUM_BACKOFF: Duration = 5.seconds
     }
 }
--- a/core/src/main/kotlin/org/lovageladder/core/Companion.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/Companion.kt
@@ -16,10 +16,10 @@
     private val connections = PeerConnections(context)
     private val claims = ClaimedCalls(context)
     private val upstreams = HostUpstreams(context, claims)
-    private val departure = Departure(context)
-    private val starts = AttemptStarts(context, upstreams, claims)
-    private var previous: Moment? = null
-    private var followed = ReleaseVersion.NONE
+    private val leavingState = LeavingState(context)
+    private val attemptMessages = AttemptMessageHandler(context, upstreams, claims)
+    private var lastEventAt: Moment? = null
+    private var appliedRelease = ReleaseVersion.NONE
 
     override var ready: Boolean = false
         private set
@@ -28,118 +28,118 @@
 
     override fun handle(event: CompanionEvent, now: Moment): List<CompanionEffect> {
         output.now = now
-        noticePause()
-        connections.silent().forEach { drop(it, EventKind.PEER_SILENT) }
+        detectSuspension()
+        connections.findSilent().forEach { closeConnection(it, EventKind.PEER_SILENT) }
         advance()
-        take(event)
+        dispatch(event)
         advance()
-        return output.take()
+        return output.takeEffects()
     }
 
     override fun nextDeadline(): Moment? = context.earliest(
         listOf(
-            previous?.plus(settings.peerSilenceLimit / 2),
+            lastEventAt?.plus(settings.peerSilenceLimit / 2),
             releases.nextDeadline(),
             connections.nextDeadline(),
             upstreams.nextDeadline(),
-            claims.answers.nextDeadline(),
+            claims.answerWriter.nextDeadline(),
         ),
     )
 
     override fun status(now: Moment): CompanionStatus = CompanionStatus(
         ready = ready,
-        leaving = departure.isLeaving,
+        leaving = leavingState.isLeaving,
         release = release,
         host = settings.host,
         incarnation = settings.incarnation,
         connectedEntries = connections.processes,
         loads = upstreams.loads(),
-        reservations = upstreams.reservations,
-        runningCalls = upstreams.runningCalls,
-        startedClaims = claims.gate.startedCount,
+        reservations = upstreams.reservationCount,
+        runningCalls = upstreams.runningCallCount,
+        startedClaims = claims.registry.startedCount,
     )
 
     /** After a gap in which this process must have been stopped, nothing is granted on old knowledge. */
-    private fun noticePause() {
-        val last = previous
-        previous = context.now
+    private fun detectSuspension() {
+        val last = lastEventAt
+        lastEventAt = context.now
         if (last != null && context.now - last > settings.peerSilenceLimit) releases.wake()
     }
 
-    private fun take(event: CompanionEvent) {
+    private fun dispatch(event: CompanionEvent) {
         when (event) {
-            is CompanionEvent.Connected -> connected(event)
-            is CompanionEvent.Disconnected -> lost(event.connection, event.fault.toString())
-            is CompanionEvent.Received -> received(event.connection, event.envelope)
-            is CompanionEvent.Reported -> find(event.attempt)?.reported(event.attempt, event.report)
-            is CompanionEvent.CancelEnded -> find(event.attempt)?.cancelEnded(event.attempt, event.confirmed)
-            is CompanionEvent.RunningListed -> upstreams.listed(event.upstream, event.requests)
-            is CompanionEvent.OrphanEnded -> upstreams.orphanEnded(event)
-            is CompanionEvent.OrderEnded -> upstreams.orderEnded(event)
-            is CompanionEvent.StoreAnswered -> storeAnswered(event.ticket, event.answer)
-            is CompanionEvent.HostsListed -> hostsListed(event.hosts)
-            is CompanionEvent.StopRequested -> if (departure.stop()) leave()
+            is CompanionEvent.Connected -> onConnected(event)
+            is CompanionEvent.Disconnected -> onConnectionLost(event.connection, event.fault.toString())
+            is CompanionEvent.Received -> onReceived(event.connection, event.envelope)
+            is CompanionEvent.Reported -> findScheduler(event.attempt)?.onReport(event.attempt, event.report)
+            is CompanionEvent.CancelEnded -> findScheduler(event.attempt)?.onCancelEnded(event.attempt, event.confirmed)
+            is CompanionEvent.RunningListed -> upstreams.onRunningListed(event.upstream, event.requests)
+            is CompanionEvent.OrphanEnded -> upstreams.onOrphanEnded(event)
+            is CompanionEvent.OrderEnded -> upstreams.onOrderEnded(event)
+            is CompanionEvent.StoreAnswered -> onStoreAnswer(event.ticket, event.answer)
+            is CompanionEvent.HostsListed -> onHostsListed(event.hosts)
+            is CompanionEvent.StopRequested -> if (leavingState.requestStop()) announceLeaving()
             is CompanionEvent.TimePassed -> Unit
         }
     }
 
     private fun advance() {
-        context.attempts.forgetOld()
+        context.attempts.removeExpired()
         releases.advance()
-        followRelease()
+        applyRelease()
         upstreams.advance(mayStart = ready && releases.isFresh)
         claims.advance()
-        becomeReady()
-        departure.exitWhen(upstreams.isIdle && claims.answers.isEmpty)
+        updateReadiness()
+        leavingState.exitIfDone(upstreams.isIdle && claims.answerWriter.isEmpty)
     }
 
-    private fun followRelease() {
-        if (followed == release) return
-        followed = release
-        upstreams.follow(releases.state)
-        if (departure.follow(releases.state)) leave()
+    private fun applyRelease() {
+        if (appliedRelease == release) return
+        appliedRelease = release
+        upstreams.applyRelease(releases.state)
+        if (leavingState.onRelease(releases.state)) announceLeaving()
     }
 
-    private fun becomeReady() {
-        if (ready || release == ReleaseVersion.NONE || !upstreams.isSwept) return
+    private fun updateReadiness() {
+        if (ready || release == ReleaseVersion.NONE || !upstreams.areOrphansCancelled) return
         ready = true
         output.record(EventKind.PROCESS_READY, host = settings.host, note = release)
     }
 
-    private fun connected(event: CompanionEvent.Connected) {
+    private fun onConnected(event: CompanionEvent.Connected) {
         val replaced = connections.add(event.connection, event.hello)
-        replaced.forEach { drop(it, EventKind.PEER_LOST) }
-        if (departure.isLeaving) output.send(event.connection, PeerMessage.Leaving(settings.host))
+        replaced.forEach { closeConnection(it, EventKind.PEER_LOST) }
+        if (leavingState.isLeaving) output.send(event.connection, PeerMessage.Leaving(settings.host))
         releases.connected(event.connection)
     }
 
-    private fun drop(connection: ConnectionId, kind: EventKind) {
+    private fun closeConnection(connection: ConnectionId, kind: EventKind) {
         if (kind == EventKind.PEER_SILENT) output.record(kind, detail = "connection ${connection.number}")
         output.add(CompanionEffect.Disconnect(connection))
-        lost(connection, "closed by this companion")
+        onConnectionLost(connection, "closed by this companion")
     }
 
-    private fun lost(connection: ConnectionId, detail: String) {
+    private fun onConnectionLost(connection: ConnectionId, detail: String) {
         if (!connections.remove(connection, detail)) return
         releases.connectionLost(connection)
-        claims.gate.connectionLost(connection)
-        for (attempt in context.attempts.ownedBy(connection)) find(attempt)?.cancel(attempt, AttemptEnding.LAPSED)
+        claims.registry.connectionLost(connection)
+        for (attempt in context.attempts.ownedBy(connection)) findScheduler(attempt)?.cancel(attempt, AttemptEnding.LAPSED)
     }
 
-    private fun received(connection: ConnectionId, envelope: Envelope) {
-        if (!connections.heard(connection)) return
+    private fun onReceived(connection: ConnectionId, envelope: Envelope) {
+        if (!connections.recordMessage(connection)) return
         releases.heardOf(connection, envelope.release)
-        val refusal = takesNothingNew()
+        val refusal = newWorkRefusal()
         when (val message = envelope.message) {
-            is PeerMessage.Reserve -> starts.reserve(connection, message, refusal)
-            is PeerMessage.StartPrefill -> starts.prefill(connection, message, refusal)
-            is PeerMessage.StartPlain -> starts.plain(connection, message, refusal)
-            is PeerMessage.StartDecode -> starts.decode(connection, message)
-            is PeerMessage.Cancel -> starts.cancel(message.attempt)
+            is PeerMessage.Reserve -> attemptMessages.reserve(connection, message, refusal)
+            is PeerMessage.StartPrefill -> attemptMessages.startPrefill(connection, message, refusal)
+            is PeerMessage.StartPlain -> attemptMessages.startPlain(connection, message, refusal)
+            is PeerMessage.StartDecode -> attemptMessages.startDecode(connection, message)
+            is PeerMessage.Cancel -> attemptMessages.cancel(message.attempt)
             is PeerMessage.VoidClaim ->
-                output.send(connection, starts.voidClaim(message.storeKey, message.number))
+                output.send(connection, attemptMessages.voidClaim(message.storeKey, message.number))
             is PeerMessage.FollowClaim ->
-                claims.gate.follow(connection, message.storeKey, message.number)?.let { output.send(connection, it) }
+                claims.registry.follow(connection, message.storeKey, message.number)?.let { output.send(connection, it) }
             is PeerMessage.Heartbeat -> connections.answerHeartbeat(connection, message.sequence, upstreams.loads())
             is PeerMessage.FetchNotes -> output.send(connection, releases.notesAfter(message.after))
             is PeerMessage.Notes -> releases.notesFrom(connection, message.notes)
@@ -160,25 +160,25 @@
     }
 
     /** Why no new work is taken at present; null when it is. */
-    private fun takesNothingNew(): Refusal? = when {
-        departure.isLeaving -> Refusal(FaultCause.LEAVING, "host is leaving", Duration.ZERO)
-        !ready -> Refusal(FaultCause.REJECTED, "not ready", DrainEstimate.SHORTEST_RETRY)
+    private fun newWorkRefusal(): NewWorkRefusal? = when {
+        leavingState.isLeaving -> NewWorkRefusal(FaultCause.LEAVING, "host is leaving", Duration.ZERO)
+        !ready -> NewWorkRefusal(FaultCause.REJECTED, "not ready", RetryDelayEstimate.MINIMUM_RETRY_DELAY)
         else -> null
     }
 
-    private fun storeAnswered(ticket: Long, answer: StoreAnswer) {
-        if (!releases.storeAnswered(ticket, answer)) claims.answers.storeAnswered(ticket, answer)
+    private fun onStoreAnswer(ticket: Long, answer: StoreAnswer) {
+        if (!releases.storeAnswered(ticket, answer)) claims.answerWriter.onStoreAnswer(ticket, answer)
     }
 
-    private fun hostsListed(hosts: List<ListedHost>) {
-        if (departure.hostsListed(hosts)) leave()
+    private fun onHostsListed(hosts: List<ListedHost>) {
+        if (leavingState.onHostsListed(hosts)) announceLeaving()
     }
 
-    private fun leave() {
+    private fun announceLeaving() {
         output.record(EventKind.PROCESS_DRAINING, host = settings.host)
-        connections.identifiers.forEach { output.send(it, PeerMessage.Leaving(settings.host)) }
+        connections.connectionIds.forEach { output.send(it, PeerMessage.Leaving(settings.host)) }
         upstreams.refuseWaiting(Fault(Step.CHOOSE, settings.host.text, FaultCause.LEAVING, "host is leaving"))
     }
 
-    private fun find(attempt: AttemptId): UpstreamWork? = context.attempts.find(attempt)?.work
+    private fun findScheduler(attempt: AttemptId): UpstreamScheduler? = context.attempts.find(attempt)?.scheduler
 }
--- a/core/src/main/kotlin/org/lovageladder/core/CompanionLinks.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/CompanionLinks.kt
@@ -8,8 +8,8 @@
     /** The companion's first message on [connection]; null until it arrived. */
     var welcome: PeerMessage.Welcome? = null
     var leaving: Boolean = false
-    var lastHeard: Moment = Moment(0)
-    var retry: Timer? = null
+    var lastMessageAt: Moment = Moment(0)
+    var reconnectTimer: Timer? = null
 
     val incarnation: Incarnation? get() = welcome?.incarnation
 }
@@ -33,9 +33,9 @@
     private val listener: LinkListener,
 ) {
     private val links = LinkedHashMap<HostName, CompanionLink>()
-    private val byConnection = HashMap<ConnectionId, CompanionLink>()
-    private var lastConnection = 0L
-    private var heartbeats = 0L
+    private val linksByConnection = HashMap<ConnectionId, CompanionLink>()
+    private var lastConnectionNumber = 0L
+    private var heartbeatCount = 0L
 
     val connected: List<CompanionLink> get() = links.values.filter { it.welcome != null }
 
@@ -43,7 +43,7 @@
     fun up(host: HostName): CompanionLink? = links[host]?.takeIf { it.welcome != null }
 
     /** The link that [connection] belongs to, if it is still the newest of its host. */
-    fun ofConnection(connection: ConnectionId): CompanionLink? = byConnection[connection]
+    fun ofConnection(connection: ConnectionId): CompanionLink? = linksByConnection[connection]
 
     /** Connects to companions known from the settings, from which an entry learns the release in an outage. */
     fun bootstrap(peers: List<BootstrapPeer>) {
@@ -54,19 +54,19 @@
     }
 
     /** Connects to the companions of [state] and drops those that are gone from it once nothing runs there. */
-    fun apply(state: ReleaseState, now: Moment, busy: (HostName) -> Boolean) {
+    fun apply(state: ReleaseState, now: Moment, isBusy: (HostName) -> Boolean) {
         val wanted = state.hosts.values.filter { it.role == HostRole.COMPANION }
         wanted.forEach { host ->
             val address = host.peerAddress ?: return@forEach
             val link = links.getOrPut(host.name) { CompanionLink(host.name, address) }
             if (link.address != address) {
                 link.address = address
-                drop(link, Fault(Step.CONNECT, host.name.text, FaultCause.CONNECTION_LOST, "address changed"), now)
+                closeConnection(link, Fault(Step.CONNECT, host.name.text, FaultCause.CONNECTION_LOST, "address changed"), now)
             }
             if (link.connection == null) connect(link)
         }
-        val names = wanted.mapTo(mutableSetOf()) { it.name }
-        links.values.filter { it.host !in names && !busy(it.host) }.forEach { forget(it, now) }
+        val wantedHosts = wanted.mapTo(mutableSetOf()) { it.name }
+        links.values.filter { it.host !in wantedHosts && !isBusy(it.host) }.forEach { removeLink(it, now) }
     }
 
     fun hostsListed(hosts: List<ListedHost>) {
@@ -80,36 +80,36 @@
     }
 
     fun connected(connection: ConnectionId, welcome: PeerMessage.Welcome, now: Moment) {
-        val link = byConnection[connection]
+        val link = linksByConnection[connection]
         if (link == null) {
             output.add(EntryEffect.Disconnect(connection))
             return
         }
         link.welcome = welcome
         link.leaving = welcome.leaving
-        link.lastHeard = now
+        link.lastMessageAt = now
         output.record(EventDraft(EventKind.PEER_CONNECTED, host = link.host))
         listener.linkUp(link, now)
     }
 
     fun disconnected(connection: ConnectionId, fault: Fault, now: Moment) {
-        val link = byConnection[connection] ?: return
-        drop(link, fault, now)
+        val link = linksByConnection[connection] ?: return
+        closeConnection(link, fault, now)
     }
 
     fun heard(link: CompanionLink, now: Moment) {
-        link.lastHeard = now
+        link.lastMessageAt = now
     }
 
     /** Sends a heartbeat to each companion and drops those that were silent too long. */
     fun beat(now: Moment) {
-        heartbeats++
+        heartbeatCount++
         links.values.filter { it.welcome != null }.forEach { link ->
-            if (now - link.lastHeard > settings.peerSilenceLimit) {
+            if (now - link.lastMessageAt > settings.peerSilenceLimit) {
                 output.record(EventDraft(EventKind.PEER_SILENT, host = link.host))
-                drop(link, Fault(Step.CONNECT, link.host.text, FaultCause.TIMEOUT, "no heartbeat"), now)
+                closeConnection(link, Fault(Step.CONNECT, link.host.text, FaultCause.TIMEOUT, "no heartbeat"), now)
             } else {
-                send(link, PeerMessage.Heartbeat(heartbeats))
+                send(link, PeerMessage.Heartbeat(heartbeatCount))
             }
         }
     }
@@ -120,34 +120,34 @@
     }
 
     private fun connect(link: CompanionLink) {
-        val connection = ConnectionId(++lastConnection)
+        val connection = ConnectionId(++lastConnectionNumber)
         link.connection = connection
-        byConnection[connection] = link
+        linksByConnection[connection] = link
         output.add(EntryEffect.Connect(connection, link.host, link.address))
     }
 
-    private fun drop(link: CompanionLink, fault: Fault, now: Moment) {
+    private fun closeConnection(link: CompanionLink, fault: Fault, now: Moment) {
         val connection = link.connection ?: return
-        val wasUp = link.welcome != null
-        byConnection.remove(connection)
+        val wasConnected = link.welcome != null
+        linksByConnection.remove(connection)
         link.connection = null
         link.welcome = null
         output.add(EntryEffect.Disconnect(connection))
-        link.retry = timers.at(now + settings.reconnectInterval) { connectAgain(link) }
-        if (wasUp) {
+        link.reconnectTimer = timers.at(now + settings.reconnectInterval) { reconnect(link) }
+        if (wasConnected) {
             output.record(EventDraft(EventKind.PEER_LOST, host = link.host, detail = fault.toString()))
             listener.linkDown(link, connection, fault, now)
         }
     }
 
-    private fun connectAgain(link: CompanionLink) {
+    private fun reconnect(link: CompanionLink) {
         if (links[link.host] === link && link.connection == null) connect(link)
     }
 
-    private fun forget(link: CompanionLink, now: Moment) {
+    private fun removeLink(link: CompanionLink, now: Moment) {
         links.remove(link.host)
-        link.retry?.cancel()
-        drop(link, Fault(Step.RELEASE, link.host.text, FaultCause.LEAVING, "withdrawn"), now)
-        link.retry?.cancel()
+        link.reconnectTimer?.cancel()
+        closeConnection(link, Fault(Step.RELEASE, link.host.text, FaultCause.LEAVING, "withdrawn"), now)
+        link.reconnectTimer?.cancel()
     }
 }
--- a/core/src/main/kotlin/org/lovageladder/core/CompanionOutput.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/CompanionOutput.kt
@@ -30,7 +30,7 @@
     fun nextTicket(): Long = ++lastTicket
 
     /** Returns the effects given out since the last call. */
-    fun take(): List<CompanionEffect> {
+    fun takeEffects(): List<CompanionEffect> {
         val taken = effects
         effects = ArrayList()
         return taken
--- a/core/src/main/kotlin/org/lovageladder/core/Departure.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/LeavingState.kt
@@ -4,7 +4,7 @@
  * Whether this companion's host is leaving. Once announced, leaving is not taken back: a host that returns starts a
  * new incarnation. Each function returns whether leaving begins with it.
  */
-internal class Departure(private val context: CompanionContext) {
+internal class LeavingState(private val context: CompanionContext) {
     private var wasInRelease = false
     private var isStopping = false
     private var hasExited = false
@@ -12,30 +12,30 @@
     var isLeaving: Boolean = false
         private set
 
-    fun stop(): Boolean {
+    fun requestStop(): Boolean {
         isStopping = true
-        return begin()
+        return beginLeaving()
     }
 
-    fun hostsListed(hosts: List<ListedHost>): Boolean =
-        hosts.any { it.name == context.settings.host && it.leaving } && begin()
+    fun onHostsListed(hosts: List<ListedHost>): Boolean =
+        hosts.any { it.name == context.settings.host && it.leaving } && beginLeaving()
 
-    fun follow(state: ReleaseState): Boolean {
+    fun onRelease(state: ReleaseState): Boolean {
         val isInRelease = context.settings.host in state.hosts
         val isWithdrawn = wasInRelease && !isInRelease
         wasInRelease = isInRelease
-        return isWithdrawn && begin()
+        return isWithdrawn && beginLeaving()
     }
 
     /** Lets the process exit, once, when it was stopped and nothing is left to do. */
-    fun exitWhen(isDone: Boolean) {
+    fun exitIfDone(isDone: Boolean) {
         if (!isStopping || !isDone || hasExited) return
         hasExited = true
         context.output.record(EventKind.PROCESS_STOPPED, host = context.settings.host)
         context.output.add(CompanionEffect.Exit)
     }
 
-    private fun begin(): Boolean {
+    private fun beginLeaving(): Boolean {
         if (isLeaving) return false
         isLeaving = true
         context.output.record(EventKind.HOST_LEAVING, host = context.settings.host)
--- a/core/src/main/kotlin/org/lovageladder/core/OrphanSweep.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/OrphanCleanup.kt
@@ -4,11 +4,11 @@
  * Cancels what an engine still runs for an earlier incarnation of this process. Until [isDone] nothing is granted
  * or started there.
  */
-internal class OrphanSweep(private val context: CompanionContext, private val upstream: ReleaseEntry.Upstream) {
+internal class OrphanCleanup(private val context: CompanionContext, private val upstream: ReleaseEntry.Upstream) {
     private val output = context.output
-    private val confirmed = HashSet<String>()
-    private val unanswered = HashSet<String>()
-    private var hasFailed = false
+    private val cancelledRequests = HashSet<String>()
+    private val pendingCancels = HashSet<String>()
+    private var hasUnconfirmed = false
     private var isListing = false
     private var listAt: Moment? = context.now
 
@@ -23,39 +23,39 @@
         output.add(CompanionEffect.ListRunning(upstream))
     }
 
-    fun listed(requests: List<String>?) {
+    fun onRunningListed(requests: List<String>?) {
         if (isDone || !isListing) return
         isListing = false
-        if (requests == null) return listLater()
-        val own = context.attempts.openNames()
-        val orphans = requests.filter { it !in confirmed && it !in own }
+        if (requests == null) return scheduleListing()
+        val ownRequests = context.attempts.openRequestNames()
+        val orphans = requests.filter { it !in cancelledRequests && it !in ownRequests }
         if (orphans.isEmpty()) {
             isDone = true
             return
         }
-        hasFailed = false
+        hasUnconfirmed = false
         for (name in orphans) {
-            unanswered.add(name)
+            pendingCancels.add(name)
             output.add(CompanionEffect.CancelOrphan(upstream, name))
         }
     }
 
-    fun orphanEnded(requestName: String, isConfirmed: Boolean) {
-        if (!unanswered.remove(requestName)) return
+    fun onCancelEnded(requestName: String, isConfirmed: Boolean) {
+        if (!pendingCancels.remove(requestName)) return
         if (isConfirmed) {
-            confirmed.add(requestName)
+            cancelledRequests.add(requestName)
             output.record(EventKind.ORPHAN_CANCELLED, upstream = upstream.name, detail = requestName)
         } else {
-            hasFailed = true
+            hasUnconfirmed = true
             output.record(EventKind.CANCEL_UNCONFIRMED, upstream = upstream.name, detail = requestName)
         }
-        if (unanswered.isNotEmpty()) return
-        if (hasFailed) listLater() else listAt = context.now
+        if (pendingCancels.isNotEmpty()) return
+        if (hasUnconfirmed) scheduleListing() else listAt = context.now
     }
 
     fun nextDeadline(): Moment? = if (isDone) null else listAt
 
-    private fun listLater() {
+    private fun scheduleListing() {
         listAt = context.now + context.settings.cancelRetryInterval
     }
 }
--- a/core/src/main/kotlin/org/lovageladder/core/PeerConnections.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/PeerConnections.kt
@@ -5,15 +5,15 @@
  * which they were last heard, so that the longest silent one is found at once.
  */
 internal class PeerConnections(private val context: CompanionContext) {
-    private class PeerConnection(val hello: PeerMessage.Hello, var lastHeard: Moment) {
-        val toldLoads = HashMap<UpstreamName, UpstreamLoad>()
+    private class PeerConnection(val hello: PeerMessage.Hello, var lastMessageAt: Moment) {
+        val sentLoads = HashMap<UpstreamName, UpstreamLoad>()
     }
 
     private val connections = LinkedHashMap<ConnectionId, PeerConnection>()
     private val output = context.output
 
     val processes: List<ProcessName> get() = connections.values.map { it.hello.process }.distinct()
-    val identifiers: List<ConnectionId> get() = connections.keys.toList()
+    val connectionIds: List<ConnectionId> get() = connections.keys.toList()
 
     /** Adds a connection and returns the earlier ones of the same process, which it replaces. */
     fun add(connection: ConnectionId, hello: PeerMessage.Hello): List<ConnectionId> {
@@ -31,27 +31,27 @@
     }
 
     /** Notes that a message arrived; false when the connection is not there. */
-    fun heard(connection: ConnectionId): Boolean {
+    fun recordMessage(connection: ConnectionId): Boolean {
         val peer = connections.remove(connection) ?: return false
-        peer.lastHeard = context.now
+        peer.lastMessageAt = context.now
         connections[connection] = peer
         return true
     }
 
     /** Connections that were silent longer than the limit. */
-    fun silent(): List<ConnectionId> = connections.entries
-        .takeWhile { it.value.lastHeard + context.settings.peerSilenceLimit < context.now }
+    fun findSilent(): List<ConnectionId> = connections.entries
+        .takeWhile { it.value.lastMessageAt + context.settings.peerSilenceLimit < context.now }
         .map { it.key }
 
     /** Answers a heartbeat with the loads that changed since the last one of this connection. */
     fun answerHeartbeat(connection: ConnectionId, sequence: Long, loads: List<UpstreamLoad>) {
         val peer = connections[connection] ?: return
-        val changed = loads.filter { peer.toldLoads[it.upstream] != it }
-        changed.forEach { peer.toldLoads[it.upstream] = it }
+        val changed = loads.filter { peer.sentLoads[it.upstream] != it }
+        changed.forEach { peer.sentLoads[it.upstream] = it }
         output.send(connection, PeerMessage.Loads(sequence, changed))
     }
 
-    fun nextDeadline(): Moment? = connections.values.firstOrNull()?.lastHeard
+    fun nextDeadline(): Moment? = connections.values.firstOrNull()?.lastMessageAt
         ?.plus(context.settings.peerSilenceLimit)
         ?.let { Moment(it.microseconds + 1) }
 }
--- a/core/src/main/kotlin/org/lovageladder/core/PrefillRate.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/PrefillRate.kt
@@ -8,17 +8,17 @@
     private var microsecondsPerToken: Double? = null
 
     /** Takes in a prefill of [tokens] that took [elapsed] while up to [concurrency] ran. */
-    fun measured(tokens: Int, elapsed: Duration, concurrency: Int) {
+    fun recordPrefill(tokens: Int, elapsed: Duration, concurrency: Int) {
         if (tokens <= 0) return
         val sample = elapsed.inWholeMicroseconds.toDouble() / tokens / concurrency
         val previous = microsecondsPerToken
-        microsecondsPerToken = if (previous == null) sample else previous + (sample - previous) * SMOOTHING
+        microsecondsPerToken = if (previous == null) sample else previous + (sample - previous) * SMOOTHING_FACTOR
     }
 
     /** Time for [tokens] one after the other; zero until measured. */
     fun timeFor(tokens: Long): Duration = ((microsecondsPerToken ?: 0.0) * tokens).toLong().microseconds
 
     private companion object {
-        const val SMOOTHING = 0.2
+        const val SMOOTHING_FACTOR = 0.2
     }
 }
--- a/core/src/main/kotlin/org/lovageladder/core/RunningCalls.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/RunningCalls.kt
@@ -8,7 +8,7 @@
     val concurrency: Int,
 ) {
     /** Whether the call is to end and nothing is to be sent about it any more. */
-    var cancelling: Boolean = false
+    var isCancelling: Boolean = false
 
     /** When the cancel is repeated; null while its confirmation is awaited. */
     var repeatCancelAt: Moment? = null
@@ -37,16 +37,16 @@
     /** Cancels a running call, once; repeats are made by [repeatCancels]. */
     fun cancel(attempt: AttemptId) {
         val call = calls[attempt] ?: return
-        if (call.cancelling) return
-        call.cancelling = true
-        context.attempts.disown(attempt)
+        if (call.isCancelling) return
+        call.isCancelling = true
+        context.attempts.removeOwner(attempt)
         output.add(CompanionEffect.CancelCall(attempt, call.upstream))
     }
 
     /** Takes in the end of a cancel; returns the call when the upstream confirmed that it is gone. */
-    fun cancelEnded(attempt: AttemptId, confirmed: Boolean): RunningCall? {
+    fun onCancelEnded(attempt: AttemptId, confirmed: Boolean): RunningCall? {
         val call = calls[attempt] ?: return null
-        if (!call.cancelling) return null
+        if (!call.isCancelling) return null
         if (confirmed) return calls.remove(attempt)
         call.repeatCancelAt = context.now + context.settings.cancelRetryInterval
         output.record(EventKind.CANCEL_UNCONFIRMED, attempt, call.upstream.name)
--- a/core/src/main/kotlin/org/lovageladder/core/UpstreamOrders.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/UpstreamOrders.kt
@@ -14,7 +14,7 @@
     val isEmpty: Boolean get() = queues.isEmpty()
 
     /** Asks for what distinguishes [new] from [old]; [old] is null for an upstream that was not served before. */
-    fun changed(old: ServedUpstream?, new: ServedUpstream, version: ReleaseVersion) {
+    fun enqueueChanges(old: ServedUpstream?, new: ServedUpstream, version: ReleaseVersion) {
         val before = old?.upstream?.adapters.orEmpty()
         val after = new.upstream.adapters
         val orders = buildList {
@@ -33,55 +33,55 @@
         for (order in orders) queue?.add(PendingOrder(order, version.number))
     }
 
-    fun withdrawn(upstream: UpstreamName) {
+    fun remove(upstream: UpstreamName) {
         queues.remove(upstream)
     }
 
     /** Whether the upstream was not yet told its role. */
-    fun awaitsRole(upstream: UpstreamName): Boolean =
+    fun hasPendingRoleChange(upstream: UpstreamName): Boolean =
         queues[upstream]?.all().orEmpty().any { it.order is UpstreamOrder.ChangeRole }
 
-    fun ended(event: CompanionEvent.OrderEnded) {
+    fun onOrderEnded(event: CompanionEvent.OrderEnded) {
         val queue = queues[event.upstream] ?: return
-        val current = queue.running ?: return
+        val current = queue.current ?: return
         if (current.order != event.order || current.fencing != event.fencing) return
-        queue.running = null
+        queue.current = null
         val fault = event.fault
         if (fault == null) {
-            queue.backoff = FIRST_BACKOFF
+            queue.backoff = INITIAL_BACKOFF
             record(EventKind.ORDER_GIVEN, event, event.order.toString())
         } else {
             record(EventKind.ORDER_REFUSED, event, "${event.order}: $fault")
-            if (fault.cause != FaultCause.FENCED) queue.repeatLater(current)
+            if (fault.cause != FaultCause.FENCED) queue.scheduleRetry(current)
         }
         if (queue.isEmpty) queues.remove(event.upstream)
     }
 
     /** Gives the next order of each upstream; a change of role waits until [isIdle] says that its old work ended. */
     fun advance(isIdle: (UpstreamName) -> Boolean) {
-        val free = queues.values.filter { it.running == null && it.notBefore <= context.now }
-        for (queue in free) {
+        val readyQueues = queues.values.filter { it.current == null && it.retryAt <= context.now }
+        for (queue in readyQueues) {
             val next = queue.first()
             val mustWait = next?.order is UpstreamOrder.ChangeRole && !isIdle(queue.upstream.name)
             if (next == null || mustWait) continue
             queue.removeFirst()
-            queue.running = next
+            queue.current = next
             context.output.add(CompanionEffect.GiveOrder(queue.upstream, next.order, next.fencing))
         }
     }
 
     fun nextDeadline(): Moment? =
-        queues.values.filter { it.running == null && it.notBefore > context.now }.minOfOrNull { it.notBefore }
+        queues.values.filter { it.current == null && it.retryAt > context.now }.minOfOrNull { it.retryAt }
 
     private fun record(kind: EventKind, event: CompanionEvent.OrderEnded, detail: String) {
         context.output.record(kind, upstream = event.upstream, note = ReleaseVersion(event.fencing), detail = detail)
     }
 
     private data class PendingOrder(val order: UpstreamOrder, val fencing: Long) {
-        fun replaces(other: PendingOrder): Boolean = fencing >= other.fencing && subject(order) == subject(other.order)
+        fun supersedes(other: PendingOrder): Boolean = fencing >= other.fencing && adapterOf(order) == adapterOf(other.order)
 
         /** The adapter that an order is about; null when it is about the role. */
-        private fun subject(order: UpstreamOrder): ModelName? = when (order) {
+        private fun adapterOf(order: UpstreamOrder): ModelName? = when (order) {
             is UpstreamOrder.LoadAdapter -> order.adapter
             is UpstreamOrder.UnloadAdapter -> order.adapter
             is UpstreamOrder.ChangeRole -> null
@@ -90,13 +90,13 @@
 
     private inner class OrderQueue(var upstream: ReleaseEntry.Upstream) {
         private val waiting = ArrayDeque<PendingOrder>()
-        var running: PendingOrder? = null
-        var notBefore: Moment = Moment(Long.MIN_VALUE)
-        var backoff: Duration = FIRST_BACKOFF
+        var current: PendingOrder? = null
+        var retryAt: Moment = Moment(Long.MIN_VALUE)
+        var backoff: Duration = INITIAL_BACKOFF
 
-        val isEmpty: Boolean get() = waiting.isEmpty() && running == null
+        val isEmpty: Boolean get() = waiting.isEmpty() && current == null
 
-        fun all(): List<PendingOrder> = listOfNotNull(running) + waiting
+        fun all(): List<PendingOrder> = listOfNotNull(current) + waiting
 
         fun first(): PendingOrder? = waiting.firstOrNull()
 
@@ -105,19 +105,19 @@
         }
 
         fun add(order: PendingOrder) {
-            waiting.removeAll { order.replaces(it) }
+            waiting.removeAll { order.supersedes(it) }
             waiting.addLast(order)
         }
 
-        fun repeatLater(order: PendingOrder) {
-            notBefore = context.now + backoff
-            backoff = (backoff * 2).coerceAtMost(LONGEST_BACKOFF)
-            if (waiting.none { it.replaces(order) }) waiting.addFirst(order)
+        fun scheduleRetry(order: PendingOrder) {
+            retryAt = context.now + backoff
+            backoff = (backoff * 2).coerceAtMost(MAXIMUM_BACKOFF)
+            if (waiting.none { it.supersedes(order) }) waiting.addFirst(order)
         }
     }
 
     private companion object {
-        val FIRST_BACKOFF: Duration = 200.milliseconds
-        val LONGEST_BACKOFF: Duration = 30.seconds
+        val INITIAL_BACKOFF: Duration = 200.milliseconds
+        val MAXIMUM_BACKOFF: Duration = 30.seconds
     }
 }
--- a/core/src/main/kotlin/org/lovageladder/core/UpstreamWork.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/UpstreamScheduler.kt
@@ -3,22 +3,22 @@
 import kotlin.time.Duration
 
 /** What waits for, holds or runs at one upstream of a companion's host. */
-internal sealed interface UpstreamWork {
+internal sealed interface UpstreamScheduler {
     /** The upstream as the release in force has it. */
     var upstream: ReleaseEntry.Upstream
     val load: UpstreamLoad
 
     /** Whether nothing waits, is reserved or runs. */
-    val idle: Boolean
-    val reservations: Int
-    val runningCalls: Int
+    val isIdle: Boolean
+    val reservationCount: Int
+    val runningCallCount: Int
 
     /** Frees what [attempt] holds; nothing more is sent about it. */
     fun cancel(attempt: AttemptId, ending: AttemptEnding)
 
-    fun reported(attempt: AttemptId, report: UpstreamReport)
+    fun onReport(attempt: AttemptId, report: UpstreamReport)
 
-    fun cancelEnded(attempt: AttemptId, confirmed: Boolean)
+    fun onCancelEnded(attempt: AttemptId, confirmed: Boolean)
 
     /** Refuses all that waits. What is granted or started stays. */
     fun refuseWaiting(fault: Fault)
@@ -36,6 +36,6 @@
 }
 
 /** Whether an engine call that failed with [fault] may still occupy the engine, which has not said that it ended. */
-internal fun mayStillRun(fault: Fault): Boolean = fault.cause in CAUSES_WITHOUT_END
+internal fun mayStillRun(fault: Fault): Boolean = fault.cause in CAUSES_WITHOUT_CONFIRMED_END
 
-private val CAUSES_WITHOUT_END = setOf(FaultCause.CONNECTION_LOST, FaultCause.TIMEOUT, FaultCause.PROTOCOL)
+private val CAUSES_WITHOUT_CONFIRMED_END = setOf(FaultCause.CONNECTION_LOST, FaultCause.TIMEOUT, FaultCause.PROTOCOL)
--- a/core/src/main/kotlin/org/lovageladder/core/WorthQueue.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/WorthQueue.kt
@@ -8,34 +8,34 @@
     val worth: Double,
     val deadline: Moment,
     val arrival: Long,
-    val content: T,
+    val message: T,
 )
 
 /** Queue in order of worth, highest first, then of deadline, then of arrival. */
 internal class WorthQueue<T> : Iterable<WaitingAttempt<T>> {
     private val byAttempt = HashMap<AttemptId, WaitingAttempt<T>>()
-    private val ordered = TreeSet<WaitingAttempt<T>>(ORDER)
+    private val byWorth = TreeSet<WaitingAttempt<T>>(WORTH_ORDER)
     private val byDeadline = TreeSet<WaitingAttempt<T>>(DEADLINE_ORDER)
-    private var arrivals = 0L
+    private var lastArrival = 0L
 
-    val size: Int get() = ordered.size
+    val size: Int get() = byWorth.size
 
-    fun add(attempt: AttemptId, worth: Double, deadline: Moment, content: T) {
-        val waiting = WaitingAttempt(attempt, worth, deadline, ++arrivals, content)
+    fun add(attempt: AttemptId, worth: Double, deadline: Moment, message: T) {
+        val waiting = WaitingAttempt(attempt, worth, deadline, ++lastArrival, message)
         byAttempt[attempt] = waiting
-        ordered.add(waiting)
+        byWorth.add(waiting)
         byDeadline.add(waiting)
     }
 
-    fun first(): WaitingAttempt<T>? = if (ordered.isEmpty()) null else ordered.first()
+    fun first(): WaitingAttempt<T>? = if (byWorth.isEmpty()) null else byWorth.first()
 
-    fun last(): WaitingAttempt<T>? = if (ordered.isEmpty()) null else ordered.last()
+    fun last(): WaitingAttempt<T>? = if (byWorth.isEmpty()) null else byWorth.last()
 
     fun find(attempt: AttemptId): WaitingAttempt<T>? = byAttempt[attempt]
 
     fun remove(attempt: AttemptId): WaitingAttempt<T>? {
         val waiting = byAttempt.remove(attempt) ?: return null
-        ordered.remove(waiting)
+        byWorth.remove(waiting)
         byDeadline.remove(waiting)
         return waiting
     }
@@ -50,7 +50,7 @@
 
     fun nextDeadline(): Moment? = if (byDeadline.isEmpty()) null else byDeadline.first().deadline
 
-    override fun iterator(): Iterator<WaitingAttempt<T>> = ordered.toList().iterator()
+    override fun iterator(): Iterator<WaitingAttempt<T>> = byWorth.toList().iterator()
 
     private fun removeWhileDue(isDue: (Moment) -> Boolean): List<WaitingAttempt<T>> {
         val removed = ArrayList<WaitingAttempt<T>>()
@@ -64,6 +64,6 @@
 
     private companion object {
         val DEADLINE_ORDER = compareBy<WaitingAttempt<*>>({ it.deadline }, { it.arrival })
-        val ORDER = compareByDescending<WaitingAttempt<*>> { it.worth }.then(DEADLINE_ORDER)
+        val WORTH_ORDER = compareByDescending<WaitingAttempt<*>> { it.worth }.then(DEADLINE_ORDER)
     }
 }
--- a/core/src/test/kotlin/org/lovageladder/core/ClaimedCallsTest.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/ClaimedCallsTest.kt
@@ -17,7 +17,7 @@
 
     private class Row(
         val name: String,
-        val before: CompanionBench.() -> Unit,
+        val before: CompanionHarness.() -> Unit,
         val number: Long,
         val state: ClaimState?,
         val starts: Int,
@@ -107,7 +107,7 @@
 
     @Test
     fun aFollowerIsToldTheStateNowAndTheEnd() {
-        val ends = listOf<Pair<CompanionBench.() -> Unit, ClaimState>>(
+        val ends = listOf<Pair<CompanionHarness.() -> Unit, ClaimState>>(
             Pair({ answer(first) }, ClaimState.ANSWERED),
             Pair({ fail(first, Execution.UNKNOWN) }, ClaimState.LOST),
             Pair({ fail(first, Execution.NOT_RUN) }, ClaimState.VOIDED),
@@ -186,39 +186,39 @@
         assertEquals(ClaimState.LOST, status.state)
     }
 
-    private fun bench() = CompanionBench().makeReady().also { it.connect() }
+    private fun bench() = CompanionHarness().makeReady().also { it.connect() }
 
-    private fun CompanionBench.start(attempt: AttemptId, number: Long) = receive(startPlain(attempt, claim(number)))
+    private fun CompanionHarness.start(attempt: AttemptId, number: Long) = receive(startPlain(attempt, claim(number)))
 
-    private fun CompanionBench.answer(attempt: AttemptId) = report(attempt, UpstreamReport.Answered(ANSWER))
+    private fun CompanionHarness.answer(attempt: AttemptId) = report(attempt, UpstreamReport.Answered(ANSWER))
 
-    private fun CompanionBench.fail(attempt: AttemptId, execution: Execution) =
+    private fun CompanionHarness.fail(attempt: AttemptId, execution: Execution) =
         report(attempt, failed(FaultCause.CONNECTION_LOST, execution))
 
-    private fun CompanionBench.cancel() = receive(PeerMessage.Cancel(first))
+    private fun CompanionHarness.cancel() = receive(PeerMessage.Cancel(first))
 
     /** Takes every worker slot, on a connection that stays. */
-    private fun CompanionBench.fillWorkers() {
+    private fun CompanionHarness.fillWorkers() {
         connect(OTHER_ENTRY)
         for (number in 101..102) receive(startPlain(attempt(number)), OTHER_ENTRY)
     }
 
-    private fun CompanionBench.freeWorkers() {
+    private fun CompanionHarness.freeWorkers() {
         for (number in 101..102) report(attempt(number), UpstreamReport.Answered(ANSWER))
     }
 
-    private fun CompanionBench.lose() {
+    private fun CompanionHarness.lose() {
         disconnect()
         connect()
     }
 
-    private fun CompanionBench.startsOfKey(): Int = effects.filterIsInstance<CompanionEffect.StartCall>()
+    private fun CompanionHarness.startsOfKey(): Int = effects.filterIsInstance<CompanionEffect.StartCall>()
         .count { (it.call as UpstreamCall.Plain).idempotencyKey != null }
 
     private fun List<CompanionEffect>.asked() = filterIsInstance<CompanionEffect.AskStore>().map { it.request }
 
     /** Passes time until an answer is written, answering other calls of the store with nothing new. */
-    private fun CompanionBench.passUntilWrite(): List<CompanionEffect> {
+    private fun CompanionHarness.passUntilWrite(): List<CompanionEffect> {
         repeat(LONGEST_WAIT_STEPS) {
             val effects = pass(STEP)
             val (writes, others) = effects.partition {
--- a/core/src/test/kotlin/org/lovageladder/core/CompanionFuzzTest.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/CompanionFuzzTest.kt
@@ -15,7 +15,7 @@
 
 /** Takes [steps] in a new world and lets it settle; fails where the oracle sees a promise broken. */
 private fun run(steps: List<FuzzStep>) {
-    val world = CompanionWorld(startsReady = steps.first().third % 4 != 0)
+    val world = CompanionSimulation(startsReady = steps.first().third % 4 != 0)
     steps.forEach(world::take)
     world.settle()
     requireCoverage(world.recorded)
--- a/core/src/test/kotlin/org/lovageladder/core/CompanionBench.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/CompanionHarness.kt
@@ -17,7 +17,7 @@
 internal const val DECODE_PIECES = 10
 
 /** Companion under test with its virtual clock and all that it gave out. */
-internal class CompanionBench(
+internal class CompanionHarness(
     val settings: CompanionSettings = CompanionSettings(ProcessName("companion-a"), HOST, PLACE, INCARNATION),
 ) {
     val companion = companionDecisions(settings)
@@ -66,7 +66,7 @@
     fun report(attempt: AttemptId, report: UpstreamReport) = handle(CompanionEvent.Reported(attempt, report))
 
     /** Brings the companion to readiness with [notes] in the store and nothing running on its engines. */
-    fun makeReady(notes: List<AcceptedNote> = listOf(firstNote())): CompanionBench {
+    fun makeReady(notes: List<AcceptedNote> = listOf(firstNote())): CompanionHarness {
         answerStore(handle(CompanionEvent.TimePassed), found(notes))
         for (listing in effects.filterIsInstance<CompanionEffect.ListRunning>()) {
             handle(CompanionEvent.RunningListed(listing.upstream.name, emptyList()))
--- a/core/src/test/kotlin/org/lovageladder/core/CompanionWorld.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/CompanionSimulation.kt
@@ -15,10 +15,10 @@
  * One companion among fake entries, upstreams and a fake key-value service, with the oracle that judges it. With
  * [startsReady] it has its release, nothing of an earlier incarnation is left, and entries are connected.
  */
-internal class CompanionWorld(startsReady: Boolean) {
+internal class CompanionSimulation(startsReady: Boolean) {
     private class Delayed(val connection: ConnectionId, val message: PeerMessage)
 
-    private val bench = CompanionBench(CompanionBench().settings.copy(queueLimit = QUEUE_LIMIT))
+    private val bench = CompanionHarness(CompanionHarness().settings.copy(queueLimit = QUEUE_LIMIT))
     private val store = FakeStore()
     private val upstreams = FakeUpstreams()
     private val oracle = CompanionOracle(upstreams)
@@ -117,10 +117,10 @@
         delayed.toList().forEach(::deliverDelayed)
         asked.toList().forEach { answerStore(it, ANSWERS_NORMALLY) }
         listings.toList().forEach { listRunning(it, answers = true) }
-        orphans.toList().forEach { endOrphan(it, FakeCancel.CONFIRMED) }
+        orphans.toList().forEach { endOrphan(it, FakeCancelResult.CONFIRMED) }
         orders.toList().forEach { endOrder(it, 0) }
-        upstreams.cancels.toList().forEach { endCancel(it, FakeCancel.CONFIRMED) }
-        upstreams.held.forEach { upstreams.end(it, FakeEnd.DONE) }
+        upstreams.cancels.toList().forEach { endCancel(it, FakeCancelResult.CONFIRMED) }
+        upstreams.held.forEach { upstreams.end(it, FakeCallEnd.DONE) }
         while (upstreams.reporting.isNotEmpty() && !oracle.hasExited) report(upstreams.reporting.first())
         pass(SETTLE_STEP)
     }
@@ -227,20 +227,20 @@
         }
     }
 
-    private fun endOf(step: FuzzStep): FakeEnd = if (step.second % 3 > 0) {
-        FakeEnd.DONE
+    private fun endOf(step: FuzzStep): FakeCallEnd = if (step.second % 3 > 0) {
+        FakeCallEnd.DONE
     } else {
-        FakeEnd.entries[step.third % FakeEnd.entries.size]
+        FakeCallEnd.entries[step.third % FakeCallEnd.entries.size]
     }
 
-    private fun cancelEndOf(step: FuzzStep): FakeCancel = FakeCancel.entries[step.second % FakeCancel.entries.size]
+    private fun cancelEndOf(step: FuzzStep): FakeCancelResult = FakeCancelResult.entries[step.second % FakeCancelResult.entries.size]
 
     private fun report(attempt: AttemptId) {
         val report = upstreams.nextReport(attempt)
         handleAfterTime(CompanionEvent.Reported(attempt, report)) { oracle.reported(attempt, report) }
     }
 
-    private fun endCancel(effect: CompanionEffect.CancelCall, end: FakeCancel) {
+    private fun endCancel(effect: CompanionEffect.CancelCall, end: FakeCancelResult) {
         val isConfirmed = upstreams.cancel(effect, end)
         handleAfterTime(CompanionEvent.CancelEnded(effect.attempt, isConfirmed)) {
             if (isConfirmed) oracle.cancelConfirmed(effect.attempt)
@@ -266,10 +266,10 @@
         handle(CompanionEvent.RunningListed(upstream, if (answers) upstreams.running(upstream) else null))
     }
 
-    private fun endOrphan(effect: CompanionEffect.CancelOrphan, end: FakeCancel) {
+    private fun endOrphan(effect: CompanionEffect.CancelOrphan, end: FakeCancelResult) {
         orphans -= effect
-        if (end != FakeCancel.IGNORED) upstreams.orphans[effect.upstream.name]?.remove(effect.requestName)
-        val isConfirmed = end == FakeCancel.CONFIRMED
+        if (end != FakeCancelResult.IGNORED) upstreams.orphans[effect.upstream.name]?.remove(effect.requestName)
+        val isConfirmed = end == FakeCancelResult.CONFIRMED
         handle(CompanionEvent.OrphanEnded(effect.upstream.name, effect.requestName, isConfirmed))
     }
 
--- a/core/src/test/kotlin/org/lovageladder/core/CompanionTest.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/CompanionTest.kt
@@ -9,7 +9,7 @@
 import kotlin.time.Duration.Companion.seconds
 
 class CompanionTest {
-    private val bench = CompanionBench()
+    private val bench = CompanionHarness()
     private val first = attempt(1)
 
     @Test
@@ -67,13 +67,13 @@
 
     @Test
     fun aLostOrSilentEntryLosesWhatItHeld() {
-        val ends = listOf<Pair<String, CompanionBench.() -> Unit>>(
+        val ends = listOf<Pair<String, CompanionHarness.() -> Unit>>(
             "disconnected" to { disconnect() },
             "silent" to { pass(3.seconds + 1.milliseconds) },
             "connected again" to { connect(ConnectionId(9), process = "entry-1") },
         )
         for ((name, end) in ends) {
-            val bench = CompanionBench().makeReady().also { it.connect() }
+            val bench = CompanionHarness().makeReady().also { it.connect() }
             bench.receive(reserve(first, 4, holdAtMost = 60.seconds))
             bench.receive(reserve(attempt(2), 10, waitAtMost = 60.seconds))
             bench.receive(startPrefill(attempt(3), finishWithin = 60.seconds))
@@ -146,5 +146,5 @@
     }
 }
 
-private fun CompanionBench.listings(): List<UpstreamName> =
+private fun CompanionHarness.listings(): List<UpstreamName> =
     effects.filterIsInstance<CompanionEffect.ListRunning>().map { it.upstream.name }
--- a/core/src/test/kotlin/org/lovageladder/core/DecodeWorkTest.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/DecodeSchedulerTest.kt
@@ -9,12 +9,12 @@
 
 private val FINISHED = UpstreamReport.Finished(3, "stop")
 
-class DecodeWorkTest {
-    private val bench = CompanionBench().makeReady().also { it.connect() }
+class DecodeSchedulerTest {
+    private val bench = CompanionHarness().makeReady().also { it.connect() }
     private val first = attempt(1)
     private val second = attempt(2)
 
-    private class Row(val name: String, val steps: CompanionBench.() -> Unit, val free: Int)
+    private class Row(val name: String, val steps: CompanionHarness.() -> Unit, val free: Int)
 
     @Test
     fun memoryIsHeldUntilTheEngineCanHoldNothing() {
@@ -38,7 +38,7 @@
             Row("reserved after its end", { run().also { report(first, FINISHED) }.also { grant() } }, 10),
         )
         for (row in rows) {
-            val bench = CompanionBench().makeReady().also { it.connect() }
+            val bench = CompanionHarness().makeReady().also { it.connect() }
             row.steps(bench)
             assertEquals(row.free, bench.load(DECODE).piecesFree, row.name)
         }
@@ -53,7 +53,7 @@
             failed(FaultCause.CONNECTION_LOST),
         )
         for (end in ends) {
-            val bench = CompanionBench().makeReady().also { it.connect() }
+            val bench = CompanionHarness().makeReady().also { it.connect() }
             bench.run()
             bench.cancel()
             assertEquals(emptyList(), bench.report(first, end).messages(), end.toString())
@@ -100,7 +100,7 @@
             RefusalRow("one more than the rest, no wait", 5, Duration.ZERO, FaultCause.TIMEOUT, heldBefore = 6),
         )
         for (row in rows) {
-            val bench = CompanionBench().makeReady().also { it.connect() }
+            val bench = CompanionHarness().makeReady().also { it.connect() }
             if (row.heldBefore > 0) bench.receive(reserve(second, row.heldBefore))
             val sent = bench.receive(reserve(first, row.pieces, waitAtMost = row.wait)).messages().single()
             when (row.cause) {
@@ -134,7 +134,7 @@
 
     @Test
     fun aFullQueueKeepsTheMostWorthy() {
-        val bench = CompanionBench(CompanionBench().settings.copy(queueLimit = 2)).makeReady().also { it.connect() }
+        val bench = CompanionHarness(CompanionHarness().settings.copy(queueLimit = 2)).makeReady().also { it.connect() }
         bench.receive(reserve(first, 10))
         bench.receive(reserve(attempt(2), worth = 2.0))
         bench.receive(reserve(attempt(3), worth = 1.0))
@@ -184,14 +184,14 @@
         assertEquals(DECODE_PIECES, bench.load(DECODE).piecesFree)
     }
 
-    private fun CompanionBench.grant() = receive(reserve(first, 4))
+    private fun CompanionHarness.grant() = receive(reserve(first, 4))
 
-    private fun CompanionBench.run(): List<CompanionEffect> {
+    private fun CompanionHarness.run(): List<CompanionEffect> {
         grant()
         return receive(startDecode(first))
     }
 
-    private fun CompanionBench.cancel() = receive(PeerMessage.Cancel(first))
+    private fun CompanionHarness.cancel() = receive(PeerMessage.Cancel(first))
 
-    private fun CompanionBench.cancelEnded(confirmed: Boolean) = handle(CompanionEvent.CancelEnded(first, confirmed))
+    private fun CompanionHarness.cancelEnded(confirmed: Boolean) = handle(CompanionEvent.CancelEnded(first, confirmed))
 }
--- a/core/src/test/kotlin/org/lovageladder/core/FakeUpstreams.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/FakeUpstreams.kt
@@ -1,7 +1,7 @@
 package org.lovageladder.core
 
 /** How a call ends at a fake upstream. */
-internal enum class FakeEnd {
+internal enum class FakeCallEnd {
     /** The call is done. */
     DONE,
 
@@ -16,7 +16,7 @@
 }
 
 /** How a cancel ends at a fake upstream. */
-internal enum class FakeCancel {
+internal enum class FakeCancelResult {
     CONFIRMED,
     CONFIRMATION_LOST,
     IGNORED,
@@ -55,27 +55,27 @@
         if (call.start.call is UpstreamCall.Decode) report(call, UpstreamReport.Token(call.tokens, "t${call.tokens++}"))
     }
 
-    fun end(call: FakeCall, end: FakeEnd) {
+    fun end(call: FakeCall, end: FakeCallEnd) {
         when (end) {
-            FakeEnd.DONE -> report(call, resultOf(call))
-            FakeEnd.CRASHED -> report(call, failed(FaultCause.CRASHED))
-            FakeEnd.NOT_RUN -> report(call, failed(FaultCause.REJECTED, Execution.NOT_RUN))
-            FakeEnd.BROKEN -> report(call, failed(FaultCause.CONNECTION_LOST))
+            FakeCallEnd.DONE -> report(call, resultOf(call))
+            FakeCallEnd.CRASHED -> report(call, failed(FaultCause.CRASHED))
+            FakeCallEnd.NOT_RUN -> report(call, failed(FaultCause.REJECTED, Execution.NOT_RUN))
+            FakeCallEnd.BROKEN -> report(call, failed(FaultCause.CONNECTION_LOST))
         }
         broken += call.attempt
-        if (end != FakeEnd.BROKEN || !call.isEngine) calls.remove(call.attempt)
+        if (end != FakeCallEnd.BROKEN || !call.isEngine) calls.remove(call.attempt)
     }
 
     fun nextReport(attempt: AttemptId): UpstreamReport = streams.getValue(attempt).removeFirst()
 
     /** Carries out a cancel; returns whether it is confirmed to the companion. */
-    fun cancel(effect: CompanionEffect.CancelCall, end: FakeCancel): Boolean {
+    fun cancel(effect: CompanionEffect.CancelCall, end: FakeCancelResult): Boolean {
         cancels.remove(effect)
-        if (end != FakeCancel.IGNORED) {
+        if (end != FakeCancelResult.IGNORED) {
             calls.remove(effect.attempt)
             broken += effect.attempt
         }
-        return end == FakeCancel.CONFIRMED
+        return end == FakeCancelResult.CONFIRMED
     }
 
     private fun report(call: FakeCall, report: UpstreamReport) {
--- a/core/src/test/kotlin/org/lovageladder/core/DepartureTest.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/LeavingStateTest.kt
@@ -6,10 +6,10 @@
 import kotlin.test.assertTrue
 import kotlin.time.Duration.Companion.seconds
 
-class DepartureTest {
-    private val bench = CompanionBench().makeReady().also { it.connect() }
+class LeavingStateTest {
+    private val bench = CompanionHarness().makeReady().also { it.connect() }
 
-    private class Row(val name: String, val begin: CompanionBench.() -> Unit, val exits: Boolean)
+    private class Row(val name: String, val begin: CompanionHarness.() -> Unit, val exits: Boolean)
 
     private val rows = listOf(
         Row("stop", { handle(CompanionEvent.StopRequested) }, exits = true),
@@ -20,7 +20,7 @@
     @Test
     fun leavingIsAnnouncedRefusesNewWorkAndFinishesWhatWasGrantedOrStarted() {
         for (row in rows) {
-            val bench = CompanionBench().makeReady().also { it.connect() }
+            val bench = CompanionHarness().makeReady().also { it.connect() }
             bench.receive(reserve(attempt(1), 10, holdAtMost = 60.seconds))
             bench.receive(reserve(attempt(2), 10, waitAtMost = 60.seconds))
             bench.receive(startPrefill(attempt(3)))
@@ -91,10 +91,10 @@
         assertIs<PeerMessage.Granted>(bench.receive(reserve(attempt(3))).messages().single())
     }
 
-    private fun CompanionBench.refusals(cause: FaultCause) =
+    private fun CompanionHarness.refusals(cause: FaultCause) =
         effects.sent<PeerMessage.Refused>().filter { it.fault.cause == cause }.map { it.attempt }
 
-    private fun CompanionBench.finishAll() {
+    private fun CompanionHarness.finishAll() {
         receive(startDecode(attempt(1)))
         report(attempt(1), UpstreamReport.Token(0, "a"))
         report(attempt(1), UpstreamReport.Finished(1, "stop"))
--- a/core/src/test/kotlin/org/lovageladder/core/PrefillWorkTest.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/PrefillSchedulerTest.kt
@@ -6,8 +6,8 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
-class PrefillWorkTest {
-    private val bench = CompanionBench().makeReady().also { it.connect() }
+class PrefillSchedulerTest {
+    private val bench = CompanionHarness().makeReady().also { it.connect() }
 
     @Test
     fun prefillsRunUpToTheLimitInOrderOfWorthAndDeadline() {
@@ -95,10 +95,10 @@
         startPrefill(attempt(number), worth = worth, finishWithin = finishWithin.milliseconds),
     )
 
-    private fun CompanionBench.starts() = effects.filterIsInstance<CompanionEffect.StartCall>()
+    private fun CompanionHarness.starts() = effects.filterIsInstance<CompanionEffect.StartCall>()
 
-    private fun measuredBench(): CompanionBench {
-        val bench = CompanionBench().makeReady().also { it.connect() }
+    private fun measuredBench(): CompanionHarness {
+        val bench = CompanionHarness().makeReady().also { it.connect() }
         bench.receive(startPrefill(attempt(1), finishWithin = 5.seconds))
         bench.pass(100.milliseconds)
         bench.report(attempt(1), UpstreamReport.PrefillReady(TICKET))
--- a/core/src/test/kotlin/org/lovageladder/core/UpstreamOrdersTest.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/UpstreamOrdersTest.kt
@@ -11,7 +11,7 @@
 private val OTHER_ADAPTER = ModelName("adapter-b")
 
 class UpstreamOrdersTest {
-    private val bench = CompanionBench().makeReady().also { it.connect() }
+    private val bench = CompanionHarness().makeReady().also { it.connect() }
 
     @Test
     fun differencesBecomeOrdersOneAtATimeWithTheReleaseAsFencingNumber() {
@@ -81,6 +81,6 @@
         CompanionEvent.OrderEnded(DECODE, order, fencing, cause?.let { Fault(Step.ORDER, DECODE.text, it) }),
     )
 
-    private fun CompanionBench.orders() =
+    private fun CompanionHarness.orders() =
         effects.filterIsInstance<CompanionEffect.GiveOrder>().map { it.order to it.fencing }
 }
