--- a/core/src/main/kotlin/org/lovageladder/core/AttemptMessageHandler.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/AttemptMessageHandler.kt
@@ -2,12 +2,12 @@
 
 import kotlin.time.Duration
 
-/** Why a companion as a whole takes no new work, and when to try again. */
+/** Why a companion refuses all new work, and when to retry. */
 internal class NewWorkRefusal(val cause: FaultCause, val detail: String, val retryAfter: Duration)
 
 /**
- * Takes in the messages by which an entry begins, uses and cancels attempts. An attempt that is already known opens
- * nothing again, whether it still runs or has ended.
+ * Handles the messages with which an entry starts, uses and cancels attempts. A message that starts a known attempt
+ * again is ignored, whether the attempt is open or has ended.
  */
 internal class AttemptMessageHandler(
     private val context: CompanionContext,
@@ -45,12 +45,15 @@
             ending == AttemptEnding.ANSWERED || ending == AttemptEnding.CANCELLED -> Unit
             else -> {
                 val start = NewAttempt(connection, attempt, null, Step.DECODE)
-                refuse(start, FaultCause.EXPIRED, "no reservation stands for this attempt", Duration.ZERO)
+                refuse(start, FaultCause.EXPIRED, "this attempt has no reservation", Duration.ZERO)
             }
         }
     }
 
-    /** Frees what [attempt] holds. A cancel that arrives before what it cancels keeps that from taking effect. */
+    /**
+     * Cancels [attempt]. A cancel that arrives before the message that starts the attempt makes that message
+     * ineffective.
+     */
     fun cancel(attempt: AttemptId) {
         val openAttempt = attempts.find(attempt)
         when {
@@ -60,7 +63,7 @@
         }
     }
 
-    /** Forbids the start of a claim that was not started, and returns what is known of it. */
+    /** Forbids the start of a claim that was not started, and returns its state. */
     fun voidClaim(storeKey: String, number: Long): PeerMessage.ClaimStatus {
         val waiting = claims.registry.waitingAttempt(storeKey, number)
         val status = claims.registry.void(storeKey, number)
@@ -75,7 +78,7 @@
         }
         val scheduler = start.upstream?.let(upstreams::find)
         if (scheduler !is T) {
-            refuse(start, FaultCause.REJECTED, "no such upstream here", Duration.ZERO)
+            refuse(start, FaultCause.REJECTED, "upstream is not served on this host in this role", Duration.ZERO)
             return null
         }
         if (!upstreams.isUsable(scheduler.upstream.name)) {
--- a/core/src/main/kotlin/org/lovageladder/core/AttemptRegistry.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/AttemptRegistry.kt
@@ -3,24 +3,27 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
-/** How an attempt ended, as far as later messages about it are concerned. */
+/** How an attempt ended; decides how later messages about it are handled. */
 internal enum class AttemptEnding {
-    /** Its last answer was sent. */
+    /** Its final message was sent to the entry. */
     ANSWERED,
 
-    /** Its entry cancelled it and expects no answer. */
+    /** Its entry cancelled it and expects no further message. */
     CANCELLED,
 
     /** Its reservation lapsed, or the connection that owned it was lost. */
     LAPSED,
 }
 
-/** An attempt that holds a place in a queue, memory or a running call. */
+/**
+ * An attempt that is queued, holds a reservation or has a running call. Nothing more is sent about it when [owner] is
+ * null.
+ */
 internal class OpenAttempt(val scheduler: UpstreamScheduler, var owner: ConnectionId?)
 
 /**
- * All open attempts with the connection that owns each, and for a bounded time the ended ones, so that a message
- * which arrives late or twice does not open an attempt again.
+ * All open attempts with the connection that owns each. Ended attempts are kept for a limited time, so that a late or
+ * repeated message does not open them again.
  */
 internal class AttemptRegistry(private val output: CompanionOutput) {
     private val openAttempts = LinkedHashMap<AttemptId, OpenAttempt>()
@@ -37,7 +40,7 @@
 
     fun ownedBy(connection: ConnectionId): List<AttemptId> = attemptsByOwner[connection].orEmpty().toList()
 
-    /** Names by which engines know the open attempts. */
+    /** Request names under which engines list the open attempts. */
     fun openRequestNames(): Set<String> = openAttempts.keys.mapTo(HashSet()) { it.toString() }
 
     fun open(attempt: AttemptId, scheduler: UpstreamScheduler, owner: ConnectionId) {
@@ -45,11 +48,11 @@
         attemptsByOwner.getOrPut(owner) { LinkedHashSet() }.add(attempt)
     }
 
-    /** Keeps the attempt open without an owner: nothing more is sent about it. */
+    /** Removes the owner of an open attempt, so that nothing more is sent about it. */
     fun removeOwner(attempt: AttemptId) {
-        val entry = openAttempts[attempt] ?: return
-        val owner = entry.owner ?: return
-        entry.owner = null
+        val openAttempt = openAttempts[attempt] ?: return
+        val owner = openAttempt.owner ?: return
+        openAttempt.owner = null
         removeOwnedAttempt(owner, attempt)
     }
 
@@ -59,6 +62,7 @@
         endedAttempts[attempt] = EndedAttempt(ending, output.now)
     }
 
+    /** Removes ended attempts that are older than the retention time or exceed the maximum number. */
     fun removeExpired() {
         val iterator = endedAttempts.values.iterator()
         while (iterator.hasNext()) {
--- a/core/src/main/kotlin/org/lovageladder/core/ClaimAnswerWriter.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/ClaimAnswerWriter.kt
@@ -5,8 +5,8 @@
 import kotlin.time.Duration.Companion.seconds
 
 /**
- * Records the answers of claimed calls in the key-value service, so that a repeated key gets its first answer after
- * this process is gone. A write whose answer is lost is repeated until it is known to stand.
+ * Writes the answers of claimed calls to the key-value service, so that a repeated key gets its first answer even after
+ * this process has ended. A write whose result is not known is retried until the stored value is known.
  */
 internal class ClaimAnswerWriter(private val context: CompanionContext) {
     private class PendingAnswer(val claim: ClaimTicket, val record: ClaimRecord) {
@@ -35,7 +35,7 @@
         }
     }
 
-    /** Takes in the answer to [ticket]; false when it belongs to another part. */
+    /** Handles the answer to [ticket]; false when the ticket belongs to another component. */
     fun onStoreAnswer(ticket: Long, answer: StoreAnswer): Boolean {
         val storeKey = tickets.remove(ticket) ?: return false
         val entry = pending[storeKey] ?: return true
@@ -59,7 +59,9 @@
         context.output.add(CompanionEffect.AskStore(ticket, request, context.settings.storeTimeout))
     }
 
-    /** Another value stands: this answer, by an earlier write that was not confirmed, or another claim's. */
+    /**
+     * The claim has another value: this answer, from an earlier write that was not confirmed, or that of another claim.
+     */
     private fun onConflict(entry: PendingAnswer, conflict: StoreAnswer.Conflict) {
         pending.remove(entry.claim.storeKey)
         val current = conflict.current.firstOrNull { it.key == entry.claim.storeKey }
@@ -67,7 +69,7 @@
         context.output.record(
             EventKind.CLAIM_UNKNOWN,
             AttemptId(entry.record.request, 0),
-            detail = "answer of ${entry.claim.storeKey} not stored: the claim has another value or lapsed",
+            detail = "answer of ${entry.claim.storeKey} not stored: the claim has another value or expired",
         )
     }
 
--- a/core/src/main/kotlin/org/lovageladder/core/ClaimRegistry.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/ClaimRegistry.kt
@@ -1,6 +1,6 @@
 package org.lovageladder.core
 
-/** What the gate knows of the start that was last asked for one key. */
+/** Phase of the newest claim number of one key. */
 internal enum class ClaimPhase {
     WAITING,
     VOIDED,
@@ -9,17 +9,17 @@
     LOST,
 }
 
-/** One key of the gate. [number] is the highest number seen. */
-internal class ClaimEntry(val storeKey: String, var number: Long, var state: ClaimPhase, var changedAt: Moment) {
+/** State of one key. [number] is the highest claim number seen. */
+internal class ClaimEntry(val storeKey: String, var number: Long, var phase: ClaimPhase, var changedAt: Moment) {
     var attempt: AttemptId? = null
     var answer: PlainAnswer? = null
 
-    /** Whether the upstream was given the action and may have run it. */
+    /** Whether the call was sent to the upstream, which may have run it. */
     val wasStarted: Boolean
-        get() = state == ClaimPhase.STARTED || state == ClaimPhase.ANSWERED || state == ClaimPhase.LOST
+        get() = phase == ClaimPhase.STARTED || phase == ClaimPhase.ANSWERED || phase == ClaimPhase.LOST
 }
 
-/** Whether a claimed call may be queued for its start. */
+/** Whether a claimed call may be queued, or why not. */
 internal enum class ClaimAdmission {
     ADMITTED,
     OUTDATED,
@@ -28,17 +28,17 @@
 }
 
 /**
- * Start gate of non-idempotent calls, by key of their claim. A key is handed to its upstream at most once in this
- * incarnation, unless the upstream certainly did not run it; a voided number is never started.
+ * Claims of non-idempotent calls by store key. The call of a key is sent to its upstream at most once in this
+ * incarnation, unless the upstream certainly did not run it; a voided number never starts.
  */
 internal class ClaimRegistry(private val context: CompanionContext) {
     private val entries = LinkedHashMap<String, ClaimEntry>()
     private val followers = HashMap<String, LinkedHashSet<ClaimFollower>>()
 
-    /** Keys that were started. */
+    /** Number of keys whose call was started. */
     val startedCount: Int get() = entries.values.count { it.wasStarted }
 
-    /** Decides on a start of [claim] by [attempt] and, when admitted, makes it the one that waits for its start. */
+    /** Decides whether [attempt] may be queued under [claim] and, when admitted, records it as waiting to start. */
     fun admit(claim: ClaimTicket, attempt: AttemptId): ClaimAdmission {
         val entry = entries[claim.storeKey]
         val admission = if (entry == null) ClaimAdmission.ADMITTED else admissionOf(entry, claim.number)
@@ -54,17 +54,19 @@
         entry.wasStarted -> ClaimAdmission.ALREADY_STARTED
         number < entry.number -> ClaimAdmission.OUTDATED
         number > entry.number -> ClaimAdmission.ADMITTED
-        entry.state == ClaimPhase.VOIDED -> ClaimAdmission.VOIDED
+        entry.phase == ClaimPhase.VOIDED -> ClaimAdmission.VOIDED
         else -> ClaimAdmission.ALREADY_STARTED
     }
 
-    /** Attempt that waits for the start of [storeKey] under a number up to [number]. */
+    /** Attempt that waits to start [storeKey] under [number] or a lower one. */
     fun waitingAttempt(storeKey: String, number: Long): AttemptId? =
-        entries[storeKey]?.takeIf { it.state == ClaimPhase.WAITING && it.number <= number }?.attempt
+        entries[storeKey]?.takeIf { it.phase == ClaimPhase.WAITING && it.number <= number }?.attempt
 
     fun recordStart(claim: ClaimTicket) {
         val entry = checkNotNull(entries[claim.storeKey]) { "${claim.storeKey} was not admitted" }
-        check(entry.state == ClaimPhase.WAITING && entry.number == claim.number) { "${claim.storeKey} may not start" }
+        check(entry.phase == ClaimPhase.WAITING && entry.number == claim.number) {
+            "${claim.storeKey} does not wait to start under ${claim.number}"
+        }
         update(entry, ClaimPhase.STARTED)
         notifyFollowers(entry)
     }
@@ -82,16 +84,18 @@
         notifyFollowers(entry)
     }
 
-    /** Takes back an admitted or certainly not run start: its number never starts. */
+    /** Voids the number of a claim that was not started, or that the upstream certainly did not run. */
     fun voidNotRun(claim: ClaimTicket) {
         val entry = entries[claim.storeKey] ?: return
-        if (entry.number != claim.number || entry.state == ClaimPhase.VOIDED) return
+        if (entry.number != claim.number || entry.phase == ClaimPhase.VOIDED) return
         update(entry, ClaimPhase.VOIDED)
         context.output.record(EventKind.CLAIM_VOIDED, entry.attempt, detail = claim.storeKey)
         notifyFollowers(entry)
     }
 
-    /** Forbids the start of [storeKey] under [number], unless the key was started, and returns what is known. */
+    /**
+     * Forbids the start of [storeKey] under [number], unless the key was started, and returns the state of the claim.
+     */
     fun void(storeKey: String, number: Long): PeerMessage.ClaimStatus {
         val entry = entries[storeKey]
         if (entry == null) {
@@ -107,7 +111,7 @@
         return checkNotNull(status(entry, number)) { "$storeKey may still start under $number" }
     }
 
-    /** Registers [connection] to be told the end of the claim, and returns what is known now; null when nothing is. */
+    /** Subscribes [connection] to the end of the claim and returns its state; null when it may still start. */
     fun follow(connection: ConnectionId, storeKey: String, number: Long): PeerMessage.ClaimStatus? {
         val status = statusOf(storeKey, number)
         if (status == null || status.state == ClaimState.STARTED) {
@@ -116,8 +120,9 @@
         return status
     }
 
-    /** What is known of [storeKey] under [number]; null when it may still start under this number. */
-    fun statusOf(storeKey: String, number: Long): PeerMessage.ClaimStatus? = entries[storeKey]?.let { status(it, number) }
+    /** State of [storeKey] under [number]; null when it may still start under this number. */
+    fun statusOf(storeKey: String, number: Long): PeerMessage.ClaimStatus? =
+        entries[storeKey]?.let { status(it, number) }
 
     fun connectionLost(connection: ConnectionId) {
         val iterator = followers.values.iterator()
@@ -128,19 +133,22 @@
         }
     }
 
-    /** Forgets keys that ended long ago and whose answer is no longer [isNeeded]. Lost ones are kept. */
+    /**
+     * Removes keys that were voided or answered longer ago than the retention time and are no longer [isNeeded]. Keys
+     * whose answer was lost are kept.
+     */
     fun removeExpired(isNeeded: (String) -> Boolean) {
         val iterator = entries.values.iterator()
         while (iterator.hasNext()) {
             val entry = iterator.next()
             if (entry.changedAt + context.settings.claimMemory > context.now) return
-            val mayRemove = entry.state == ClaimPhase.VOIDED || entry.state == ClaimPhase.ANSWERED
+            val mayRemove = entry.phase == ClaimPhase.VOIDED || entry.phase == ClaimPhase.ANSWERED
             if (mayRemove && !isNeeded(entry.storeKey)) iterator.remove()
         }
     }
 
-    private fun update(entry: ClaimEntry, state: ClaimPhase, number: Long = entry.number) {
-        entry.state = state
+    private fun update(entry: ClaimEntry, phase: ClaimPhase, number: Long = entry.number) {
+        entry.phase = phase
         entry.number = number
         entry.changedAt = context.now
         entries.remove(entry.storeKey)
@@ -160,13 +168,18 @@
     private fun status(entry: ClaimEntry, number: Long): PeerMessage.ClaimStatus? {
         val state = when {
             number < entry.number -> ClaimState.VOIDED
-            entry.state == ClaimPhase.STARTED -> ClaimState.STARTED
-            entry.state == ClaimPhase.ANSWERED -> ClaimState.ANSWERED
-            entry.state == ClaimPhase.LOST -> ClaimState.LOST
-            entry.state == ClaimPhase.VOIDED && number == entry.number -> ClaimState.VOIDED
+            entry.phase == ClaimPhase.STARTED -> ClaimState.STARTED
+            entry.phase == ClaimPhase.ANSWERED -> ClaimState.ANSWERED
+            entry.phase == ClaimPhase.LOST -> ClaimState.LOST
+            entry.phase == ClaimPhase.VOIDED && number == entry.number -> ClaimState.VOIDED
             else -> return null
         }
-        return PeerMessage.ClaimStatus(entry.storeKey, number, state, entry.answer.takeIf { state == ClaimState.ANSWERED })
+        return PeerMessage.ClaimStatus(
+            entry.storeKey,
+            number,
+            state,
+            entry.answer.takeIf { state == ClaimState.ANSWERED },
+        )
     }
 
     private data class ClaimFollower(val connection: ConnectionId, val number: Long)
--- a/core/src/main/kotlin/org/lovageladder/core/ClaimedCalls.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/ClaimedCalls.kt
@@ -1,6 +1,8 @@
 package org.lovageladder.core
 
-/** The claimed calls of all plain upstreams of a companion: their start gate and the answers yet to be stored. */
+/**
+ * State of the claimed calls of all plain upstreams of a companion: their claims and the answers still to be stored.
+ */
 internal class ClaimedCalls(context: CompanionContext) {
     val registry = ClaimRegistry(context)
     val answerWriter = ClaimAnswerWriter(context)
--- a/core/src/main/kotlin/org/lovageladder/core/Companion.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/Companion.kt
@@ -6,8 +6,8 @@
 public fun companionDecisions(settings: CompanionSettings): CompanionDecisions = Companion(settings)
 
 /**
- * Routes each event to the part of the companion that it concerns. Before and after an event, everything that time
- * has made due is let pass, in that order: what lapses first, then what fits.
+ * Dispatches each event to the component that handles it. Before and after each event, timeouts that are due take
+ * effect first; then waiting attempts that fit are started.
  */
 private class Companion(private val settings: CompanionSettings) : CompanionDecisions {
     private val context = CompanionContext(settings)
@@ -59,7 +59,10 @@
         startedClaims = claims.registry.startedCount,
     )
 
-    /** After a gap in which this process must have been stopped, nothing is granted on old knowledge. */
+    /**
+     * A gap above the silence limit means that this process was suspended. Nothing is granted or started then until the
+     * release has been read again.
+     */
     private fun detectSuspension() {
         val last = lastEventAt
         lastEventAt = context.now
@@ -123,7 +126,9 @@
         if (!connections.remove(connection, detail)) return
         releases.connectionLost(connection)
         claims.registry.connectionLost(connection)
-        for (attempt in context.attempts.ownedBy(connection)) findScheduler(attempt)?.cancel(attempt, AttemptEnding.LAPSED)
+        for (attempt in context.attempts.ownedBy(connection)) {
+            findScheduler(attempt)?.cancel(attempt, AttemptEnding.LAPSED)
+        }
     }
 
     private fun onReceived(connection: ConnectionId, envelope: Envelope) {
@@ -139,7 +144,8 @@
             is PeerMessage.VoidClaim ->
                 output.send(connection, attemptMessages.voidClaim(message.storeKey, message.number))
             is PeerMessage.FollowClaim ->
-                claims.registry.follow(connection, message.storeKey, message.number)?.let { output.send(connection, it) }
+                claims.registry.follow(connection, message.storeKey, message.number)
+                    ?.let { output.send(connection, it) }
             is PeerMessage.Heartbeat -> connections.answerHeartbeat(connection, message.sequence, upstreams.loads())
             is PeerMessage.FetchNotes -> output.send(connection, releases.notesAfter(message.after))
             is PeerMessage.Notes -> releases.notesFrom(connection, message.notes)
@@ -159,7 +165,7 @@
         }
     }
 
-    /** Why no new work is taken at present; null when it is. */
+    /** Why new work is refused at present; null when it is accepted. */
     private fun newWorkRefusal(): NewWorkRefusal? = when {
         leavingState.isLeaving -> NewWorkRefusal(FaultCause.LEAVING, "host is leaving", Duration.ZERO)
         !ready -> NewWorkRefusal(FaultCause.REJECTED, "not ready", RetryDelayEstimate.MINIMUM_RETRY_DELAY)
--- a/core/src/main/kotlin/org/lovageladder/core/CompanionContext.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/CompanionContext.kt
@@ -1,6 +1,6 @@
 package org.lovageladder.core
 
-/** What all parts of one companion's decisions share. */
+/** State shared by the components of one companion. */
 internal class CompanionContext(val settings: CompanionSettings) {
     val output = CompanionOutput()
     val attempts = AttemptRegistry(output)
--- a/core/src/main/kotlin/org/lovageladder/core/CompanionLinks.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/CompanionLinks.kt
@@ -2,10 +2,10 @@
 
 /** State of an entry's link to the companion on one host. */
 internal class CompanionLink(val host: HostName, var address: Address) {
-    /** Connection being made or in use; null while waiting to try again. */
+    /** Connection being established or in use; null while waiting to reconnect. */
     var connection: ConnectionId? = null
 
-    /** The companion's first message on [connection]; null until it arrived. */
+    /** The companion's first message on [connection]; null until it arrives. */
     var welcome: PeerMessage.Welcome? = null
     var leaving: Boolean = false
     var lastMessageAt: Moment = Moment(0)
@@ -14,7 +14,7 @@
     val incarnation: Incarnation? get() = welcome?.incarnation
 }
 
-/** What the links tell the entry. */
+/** Receives the connects and disconnects of companion links. */
 internal interface LinkListener {
     fun linkUp(link: CompanionLink, now: Moment)
 
@@ -22,9 +22,9 @@
 }
 
 /**
- * Keeps one connection to each companion of the release: connects, sends heartbeats, drops a silent peer and
- * connects again. Only the newest connection of a link counts; whatever arrives on an older one is ignored.
- * Confined to one thread.
+ * Maintains one connection to each companion of the release: connects, sends heartbeats, closes the connection to a
+ * silent peer and reconnects. Only the newest connection of a link counts; events of older ones are ignored. Confined
+ * to one thread.
  */
 internal class CompanionLinks(
     private val settings: EntrySettings,
@@ -39,13 +39,16 @@
 
     val connected: List<CompanionLink> get() = links.values.filter { it.welcome != null }
 
-    /** The link to [host] when it is connected. */
+    /** The link to [host]; null when it is not connected. */
     fun up(host: HostName): CompanionLink? = links[host]?.takeIf { it.welcome != null }
 
-    /** The link that [connection] belongs to, if it is still the newest of its host. */
+    /** The link that [connection] belongs to; null when it is no longer the newest of its host. */
     fun ofConnection(connection: ConnectionId): CompanionLink? = linksByConnection[connection]
 
-    /** Connects to companions known from the settings, from which an entry learns the release in an outage. */
+    /**
+     * Connects to the companions named in the settings, from which an entry gets the release while the store is
+     * unavailable.
+     */
     fun bootstrap(peers: List<BootstrapPeer>) {
         peers.forEach { peer ->
             val link = links.getOrPut(peer.host) { CompanionLink(peer.host, peer.address) }
@@ -53,7 +56,10 @@
         }
     }
 
-    /** Connects to the companions of [state] and drops those that are gone from it once nothing runs there. */
+    /**
+     * Connects to the companions of [state]. Links to hosts that are no longer in it are removed once nothing runs
+     * there.
+     */
     fun apply(state: ReleaseState, now: Moment, isBusy: (HostName) -> Boolean) {
         val wanted = state.hosts.values.filter { it.role == HostRole.COMPANION }
         wanted.forEach { host ->
@@ -61,7 +67,11 @@
             val link = links.getOrPut(host.name) { CompanionLink(host.name, address) }
             if (link.address != address) {
                 link.address = address
-                closeConnection(link, Fault(Step.CONNECT, host.name.text, FaultCause.CONNECTION_LOST, "address changed"), now)
+                closeConnection(
+                    link,
+                    Fault(Step.CONNECT, host.name.text, FaultCause.CONNECTION_LOST, "address changed"),
+                    now,
+                )
             }
             if (link.connection == null) connect(link)
         }
@@ -101,13 +111,17 @@
         link.lastMessageAt = now
     }
 
-    /** Sends a heartbeat to each companion and drops those that were silent too long. */
+    /** Sends a heartbeat to each connected companion and disconnects those that were silent for too long. */
     fun beat(now: Moment) {
         heartbeatCount++
         links.values.filter { it.welcome != null }.forEach { link ->
             if (now - link.lastMessageAt > settings.peerSilenceLimit) {
                 output.record(EventDraft(EventKind.PEER_SILENT, host = link.host))
-                closeConnection(link, Fault(Step.CONNECT, link.host.text, FaultCause.TIMEOUT, "no heartbeat"), now)
+                closeConnection(
+                    link,
+                    Fault(Step.CONNECT, link.host.text, FaultCause.TIMEOUT, "no message within the silence limit"),
+                    now,
+                )
             } else {
                 send(link, PeerMessage.Heartbeat(heartbeatCount))
             }
--- a/core/src/main/kotlin/org/lovageladder/core/CompanionOutput.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/CompanionOutput.kt
@@ -1,6 +1,6 @@
 package org.lovageladder.core
 
-/** Effects that a companion's decisions give out while they handle one event at time [now], in order. */
+/** Collects, in order, the effects of handling one event at time [now]. */
 internal class CompanionOutput {
     var now: Moment = Moment(0)
     private var effects = ArrayList<CompanionEffect>()
@@ -10,7 +10,7 @@
         effects.add(effect)
     }
 
-    /** Sends [message] when there is a connection to send it on. */
+    /** Sends [message]; does nothing when [connection] is null. */
     fun send(connection: ConnectionId?, message: PeerMessage) {
         if (connection != null) add(CompanionEffect.Send(connection, message))
     }
@@ -26,10 +26,10 @@
         add(CompanionEffect.Record(EventDraft(kind, attempt?.request, upstream, host, note, detail)))
     }
 
-    /** Returns a number that no earlier call of the key-value service has. */
+    /** Returns a number that no earlier call of the key-value service was given. */
     fun nextTicket(): Long = ++lastTicket
 
-    /** Returns the effects given out since the last call. */
+    /** Returns the effects collected since the last call. */
     fun takeEffects(): List<CompanionEffect> {
         val taken = effects
         effects = ArrayList()
--- a/core/src/main/kotlin/org/lovageladder/core/CompanionPort.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/CompanionPort.kt
@@ -3,28 +3,29 @@
 import kotlin.time.Duration
 
 /*
- * What the decisions of a companion take in and give out; see EntryPort.kt for the manner of use.
+ * Events that a companion's decisions handle and effects that they return; EntryPort.kt describes how a process drives
+ * them.
  */
 
 /** Decisions of a companion, as a function of its state, an event and the time. Confined to one thread. */
 public interface CompanionDecisions {
-    /** Whether this companion has a release, has cancelled what an earlier incarnation left, and takes work. */
+    /** Whether this companion has a release, has cancelled the calls of earlier incarnations, and accepts work. */
     public val ready: Boolean
 
-    /** Release version in force here, sent with every message. */
+    /** Release version in force in this process, sent with every message. */
     public val release: ReleaseVersion
 
-    /** Handles [event] at [now] and returns what is to be done, in order. Times never go back between calls. */
+    /** Handles [event] at [now] and returns the effects to carry out, in order. [now] never decreases between calls. */
     public fun handle(event: CompanionEvent, now: Moment): List<CompanionEffect>
 
-    /** Time at which [CompanionEvent.TimePassed] is due at the latest; null when nothing waits. */
+    /** Time at which the next [CompanionEvent.TimePassed] is due at the latest; null when there is no deadline. */
     public fun nextDeadline(): Moment?
 
-    /** What operators see of this companion. */
+    /** Status that operators see. */
     public fun status(now: Moment): CompanionStatus
 }
 
-/** Something that happened to a companion. */
+/** An event that a companion handles. */
 public sealed interface CompanionEvent {
     /** An entry connected; its first message was checked for protocol, host and incarnation. */
     public data class Connected(val connection: ConnectionId, val hello: PeerMessage.Hello) : CompanionEvent
@@ -38,17 +39,20 @@
     /** An upstream reported on a call that [CompanionEffect.StartCall] started. */
     public data class Reported(val attempt: AttemptId, val report: UpstreamReport) : CompanionEvent
 
-    /** End of [CompanionEffect.CancelCall]; [confirmed] when the upstream holds nothing for the call. */
+    /** Result of [CompanionEffect.CancelCall]; [confirmed] when the upstream holds nothing for the call. */
     public data class CancelEnded(val attempt: AttemptId, val confirmed: Boolean) : CompanionEvent
 
-    /** What an upstream still runs, by request name; null when it did not answer. */
+    /**
+     * Result of [CompanionEffect.ListRunning]: the calls that an upstream runs, by request name; null when it did not
+     * answer.
+     */
     public data class RunningListed(val upstream: UpstreamName, val requests: List<String>?) : CompanionEvent
 
-    /** End of [CompanionEffect.CancelOrphan]. */
+    /** Result of [CompanionEffect.CancelOrphan]. */
     public data class OrphanEnded(val upstream: UpstreamName, val requestName: String, val confirmed: Boolean) :
         CompanionEvent
 
-    /** End of [CompanionEffect.GiveOrder]; [fault] is null when it was carried out. */
+    /** Result of [CompanionEffect.GiveOrder]; [fault] is null when the order was carried out. */
     public data class OrderEnded(
         val upstream: UpstreamName,
         val order: UpstreamOrder,
@@ -69,9 +73,9 @@
     public data object TimePassed : CompanionEvent
 }
 
-/** Something a companion's process has to do. */
+/** An effect that the process of a companion carries out. */
 public sealed interface CompanionEffect {
-    /** Sends a message on a connection; dropped when the connection is gone. */
+    /** Sends a message on a connection; dropped when the connection is closed. */
     public data class Send(val connection: ConnectionId, val message: PeerMessage) : CompanionEffect
 
     /** Closes a connection without waiting. */
@@ -90,7 +94,7 @@
     /** Cancels a call that an earlier incarnation started; answered by [CompanionEvent.OrphanEnded]. */
     public data class CancelOrphan(val upstream: ReleaseEntry.Upstream, val requestName: String) : CompanionEffect
 
-    /** Gives an upstream an order; answered by [CompanionEvent.OrderEnded]. */
+    /** Sends an order to an upstream; answered by [CompanionEvent.OrderEnded]. */
     public data class GiveOrder(val upstream: ReleaseEntry.Upstream, val order: UpstreamOrder, val fencing: Long) :
         CompanionEffect
 
@@ -100,11 +104,11 @@
     /** Records an event on the time line. */
     public data class Record(val event: EventDraft) : CompanionEffect
 
-    /** All work is finished after leaving: the process may exit. */
+    /** The process was asked to stop and all work is finished: it may exit. */
     public data object Exit : CompanionEffect
 }
 
-/** What operators see of a companion. */
+/** Status of a companion as operators see it. */
 @kotlinx.serialization.Serializable
 public data class CompanionStatus(
     val ready: Boolean,
--- a/core/src/main/kotlin/org/lovageladder/core/DecodeScheduler.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/DecodeScheduler.kt
@@ -3,10 +3,11 @@
 import kotlin.time.Duration
 
 /**
- * Reservations and running decodes of one engine. Memory counts from the grant of a reservation until the engine
- * can hold nothing for the attempt any more.
+ * Reservations and running decodes of one engine. The memory of an attempt counts as used from the grant of its
+ * reservation until the engine certainly holds nothing for it.
  */
-internal class DecodeScheduler(private val context: CompanionContext, upstream: ReleaseEntry.Upstream) : UpstreamScheduler {
+internal class DecodeScheduler(private val context: CompanionContext, upstream: ReleaseEntry.Upstream) :
+    UpstreamScheduler {
     private class Reservation(val lapsesAt: Moment)
 
     private val output = context.output
@@ -35,11 +36,15 @@
     fun reserve(connection: ConnectionId, message: PeerMessage.Reserve) {
         attempts.open(message.attempt, this, connection)
         if (message.pieces <= 0 || message.pieces > ledger.totalPieces) {
-            refuse(message.attempt, FaultCause.OUT_OF_MEMORY, "${message.pieces} of ${ledger.totalPieces} pieces")
+            refuse(
+                message.attempt,
+                FaultCause.OUT_OF_MEMORY,
+                "asked for ${message.pieces} of ${ledger.totalPieces} pieces",
+            )
             return
         }
         if (!message.holdAtMost.isPositive()) {
-            refuse(message.attempt, FaultCause.PROTOCOL, "held for ${message.holdAtMost}")
+            refuse(message.attempt, FaultCause.PROTOCOL, "holdAtMost is ${message.holdAtMost}, must be positive")
             return
         }
         queue.add(message.attempt, message.worth, context.now + message.waitAtMost, message)
@@ -50,7 +55,7 @@
     fun startDecode(connection: ConnectionId, message: PeerMessage.StartDecode) {
         val attempt = message.attempt
         if (calls.find(attempt) != null) return
-        if (queue.remove(attempt) != null) return refuse(attempt, FaultCause.PROTOCOL, "not granted yet")
+        if (queue.remove(attempt) != null) return refuse(attempt, FaultCause.PROTOCOL, "reservation not granted yet")
         if (attempts.owner(attempt) != connection) return
         openReservations.remove(attempt) ?: return
         firstTokenIndexes[attempt] = message.fromIndex
@@ -178,7 +183,7 @@
     }
 
     private fun refuseOverdue(entry: WaitingAttempt<PeerMessage.Reserve>) =
-        refuse(entry.attempt, FaultCause.TIMEOUT, "no memory free in time")
+        refuse(entry.attempt, FaultCause.TIMEOUT, "no memory was freed in time")
 
     private fun refuse(attempt: AttemptId, cause: FaultCause, detail: String) {
         output.record(EventKind.RESERVATION_REFUSED, attempt, upstream.name, detail = detail)
--- a/core/src/main/kotlin/org/lovageladder/core/Fault.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/Fault.kt
@@ -2,7 +2,7 @@
 
 import kotlinx.serialization.Serializable
 
-/** Step of a request or of an internal exchange at which a fault arose. */
+/** Step of a request or of an internal exchange at which a fault occurred. */
 @Serializable
 public enum class Step {
     ACCEPT,
@@ -39,7 +39,7 @@
     CRASHED,
 }
 
-/** A failure with the [step] at which it arose and the [peer] concerned (a process, upstream or address). */
+/** A failure with the [step] at which it occurred and the [peer] concerned (a process, upstream or address). */
 @Serializable
 public data class Fault(val step: Step, val peer: String, val cause: FaultCause, val detail: String = "") {
     override fun toString(): String = "$step at $peer: $cause${if (detail.isEmpty()) "" else " ($detail)"}"
--- a/core/src/main/kotlin/org/lovageladder/core/HostUpstreams.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/HostUpstreams.kt
@@ -4,8 +4,8 @@
 internal data class ServedUpstream(val upstream: ReleaseEntry.Upstream, val role: PoolRole)
 
 /**
- * The upstreams on this companion's host, kept in step with the release. Work of a withdrawn upstream, or of one that
- * changed its role, is kept apart until it ends.
+ * The upstreams on this companion's host as the release in force has them. The scheduler of an upstream that was
+ * withdrawn or changed its role is retired: it finishes what it granted or started and takes nothing new.
  */
 internal class HostUpstreams(private val context: CompanionContext, private val claims: ClaimedCalls) {
     private val servedUpstreams = LinkedHashMap<UpstreamName, ServedUpstream>()
@@ -14,7 +14,7 @@
     private val retiredSchedulers = ArrayList<UpstreamScheduler>()
     private val orders = UpstreamOrders(context)
 
-    /** Whether every engine was cleared of what an earlier incarnation left. */
+    /** Whether the calls of earlier incarnations are cancelled on every engine. */
     val areOrphansCancelled: Boolean get() = cleanups.values.all { it.isDone }
     val isIdle: Boolean get() = retiredSchedulers.isEmpty() && schedulers.values.all { it.isIdle }
     val reservationCount: Int get() = allSchedulers().sumOf { it.reservationCount }
@@ -24,12 +24,12 @@
 
     fun find(upstream: UpstreamName): UpstreamScheduler? = schedulers[upstream]
 
-    /** Whether [upstream] may be given work as far as its own state goes. */
+    /** Whether [upstream] can take work: no cleanup, retired scheduler or role change is pending there. */
     fun isUsable(upstream: UpstreamName): Boolean = cleanups[upstream]?.isDone != false &&
         retiredSchedulers.none { it.upstream.name == upstream } &&
         !orders.hasPendingRoleChange(upstream)
 
-    /** Brings the upstreams in step with [state]. */
+    /** Adds, changes and withdraws upstreams so that they match [state]. */
     fun applyRelease(state: ReleaseState) {
         val next = state.upstreams.values
             .filter { it.host == context.settings.host }
@@ -39,7 +39,7 @@
         next.values.forEach { addOrUpdate(it, state.version) }
     }
 
-    /** Refuses all that waits for any upstream. */
+    /** Refuses all waiting attempts of every upstream. */
     fun refuseWaiting(fault: Fault) {
         for (scheduler in allSchedulers()) scheduler.refuseWaiting(fault)
     }
@@ -92,7 +92,9 @@
 
     private fun retire(name: UpstreamName) {
         val scheduler = schedulers.remove(name) ?: return
-        scheduler.refuseWaiting(Fault(Step.CHOOSE, name.text, FaultCause.LEAVING, "upstream withdrawn or changed"))
+        scheduler.refuseWaiting(
+            Fault(Step.CHOOSE, name.text, FaultCause.LEAVING, "upstream withdrawn or its role changed"),
+        )
         if (!scheduler.isIdle) retiredSchedulers.add(scheduler)
     }
 
--- a/core/src/main/kotlin/org/lovageladder/core/LeavingState.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/LeavingState.kt
@@ -1,8 +1,8 @@
 package org.lovageladder.core
 
 /**
- * Whether this companion's host is leaving. Once announced, leaving is not taken back: a host that returns starts a
- * new incarnation. Each function returns whether leaving begins with it.
+ * Whether this companion's host is leaving. Leaving is final: a host that returns starts a new incarnation.
+ * [requestStop], [onHostsListed] and [onRelease] return whether the host begins to leave.
  */
 internal class LeavingState(private val context: CompanionContext) {
     private var wasInRelease = false
@@ -27,7 +27,7 @@
         return isWithdrawn && beginLeaving()
     }
 
-    /** Lets the process exit, once, when it was stopped and nothing is left to do. */
+    /** Lets the process exit, once, after a stop was requested and nothing is left to do. */
     fun exitIfDone(isDone: Boolean) {
         if (!isStopping || !isDone || hasExited) return
         hasExited = true
--- a/core/src/main/kotlin/org/lovageladder/core/MemoryLedger.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/MemoryLedger.kt
@@ -1,13 +1,13 @@
 package org.lovageladder.core
 
 /**
- * Exact account of a decode engine's memory in pieces. [totalPieces] and [maximumAttempts] may shrink below what is held; nothing
- * fits until enough is freed again.
+ * Exact account of a decode engine's memory in pieces. [totalPieces] and [maximumAttempts] may shrink below what is
+ * allocated; then nothing fits until enough is freed.
  */
 internal class MemoryLedger(var totalPieces: Int, var maximumAttempts: Int) {
     private val allocations = HashMap<AttemptId, Int>()
 
-    /** Pieces held by all attempts. */
+    /** Pieces allocated to all attempts. */
     var allocatedPieces: Int = 0
         private set
 
--- a/core/src/main/kotlin/org/lovageladder/core/Moment.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/Moment.kt
@@ -18,7 +18,7 @@
 
 /**
  * Time stamp of a hybrid logical clock: wall time in milliseconds, and a counter that orders events within one
- * millisecond or while the wall clock stands behind a stamp received from another process.
+ * millisecond or while the wall clock is behind a stamp received from another process.
  */
 @Serializable
 public data class HybridTime(val milliseconds: Long, val counter: Int) : Comparable<HybridTime> {
--- a/core/src/main/kotlin/org/lovageladder/core/Names.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/Names.kt
@@ -3,8 +3,8 @@
 import kotlinx.serialization.Serializable
 
 /*
- * Identifiers used across the system. Each is a distinct type, so that a host name cannot be passed where a
- * place name is expected. All serialize as their bare text or number.
+ * Identifiers used across the system. Each is a distinct type, so that a host name cannot be passed where a place name
+ * is expected. Those that wrap one text or number serialize as that value.
  */
 
 /** Name of a machine that runs processes of the system. */
@@ -63,14 +63,14 @@
     override fun toString(): String = text
 }
 
-/** Number that a process draws at its start; a successor of the same name has a different one. */
+/** Number that a process chooses at its start; a later process of the same name has a different one. */
 @Serializable
 @JvmInline
 public value class Incarnation(public val number: Long) {
     override fun toString(): String = number.toString()
 }
 
-/** Position of a release note in the one order of accepted notes; 0 stands for "no note yet". */
+/** Position of a release note in the order of accepted notes; 0 means that there is no note yet. */
 @Serializable
 @JvmInline
 public value class ReleaseVersion(public val number: Long) : Comparable<ReleaseVersion> {
@@ -87,7 +87,10 @@
     }
 }
 
-/** Identifier that the author of a release note gives it, by which a lost answer to its publication is resolved. */
+/**
+ * Identifier that the author of a release note gives it. It tells whether a note was accepted when the answer to its
+ * publication was lost.
+ */
 @Serializable
 @JvmInline
 public value class NoteId(public val text: String) {
@@ -101,7 +104,7 @@
     override fun toString(): String = text
 }
 
-/** Key by which a caller names one action, so that a repeated submission is recognised. */
+/** Key that a caller gives to one action, so that a repeated submission is recognised. */
 @Serializable
 @JvmInline
 public value class IdempotencyKey(public val text: String) {
@@ -109,19 +112,19 @@
 }
 
 /**
- * One try at one step of a request: a prefill, a decode or a plain call. The number is unique within the request.
- * A decode attempt's identifier also names its reservation.
+ * One attempt at one step of a request: a prefill, a decode or a plain call. The number is unique within the request. A
+ * decode attempt's identifier also names its reservation.
  */
 @Serializable
 public data class AttemptId(val request: RequestId, val number: Int) {
     override fun toString(): String = "$request.$number"
 }
 
-/** Identifier that a process gives to one connection; it is never used twice by that process. */
+/** Identifier that a process gives to one connection; the process never reuses it. */
 @JvmInline
 public value class ConnectionId(public val number: Long)
 
-/** Identifier of one exchange with a caller at an entry; it is never used twice by that process. */
+/** Identifier of one exchange with a caller at an entry; the process never reuses it. */
 @JvmInline
 public value class ExchangeId(public val number: Long)
 
--- a/core/src/main/kotlin/org/lovageladder/core/OrphanCleanup.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/OrphanCleanup.kt
@@ -1,8 +1,8 @@
 package org.lovageladder.core
 
 /**
- * Cancels what an engine still runs for an earlier incarnation of this process. Until [isDone] nothing is granted
- * or started there.
+ * Cancels the calls that an engine still runs for earlier incarnations of this process. Nothing is granted or started
+ * there until [isDone].
  */
 internal class OrphanCleanup(private val context: CompanionContext, private val upstream: ReleaseEntry.Upstream) {
     private val output = context.output
--- a/core/src/main/kotlin/org/lovageladder/core/PeerConnections.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/PeerConnections.kt
@@ -1,8 +1,8 @@
 package org.lovageladder.core
 
 /**
- * Connections of entries, each with when it was last heard and which loads it was told. They are kept in the order in
- * which they were last heard, so that the longest silent one is found at once.
+ * Connections of entries, each with the time of its last message and the loads sent to it. They are ordered by their
+ * last message, so that the one that was silent longest is found at once.
  */
 internal class PeerConnections(private val context: CompanionContext) {
     private class PeerConnection(val hello: PeerMessage.Hello, var lastMessageAt: Moment) {
@@ -23,14 +23,14 @@
         return replaced.toList()
     }
 
-    /** Takes the connection out; false when it was not there. */
+    /** Removes the connection; false when it is unknown. */
     fun remove(connection: ConnectionId, detail: String): Boolean {
         val peer = connections.remove(connection) ?: return false
         output.record(EventKind.PEER_LOST, detail = "${peer.hello.process}: $detail")
         return true
     }
 
-    /** Notes that a message arrived; false when the connection is not there. */
+    /** Records that a message arrived; false when the connection is unknown. */
     fun recordMessage(connection: ConnectionId): Boolean {
         val peer = connections.remove(connection) ?: return false
         peer.lastMessageAt = context.now
@@ -38,12 +38,12 @@
         return true
     }
 
-    /** Connections that were silent longer than the limit. */
+    /** Connections that were silent for longer than the limit. */
     fun findSilent(): List<ConnectionId> = connections.entries
         .takeWhile { it.value.lastMessageAt + context.settings.peerSilenceLimit < context.now }
         .map { it.key }
 
-    /** Answers a heartbeat with the loads that changed since the last one of this connection. */
+    /** Answers a heartbeat with the loads that changed since the last one on this connection. */
     fun answerHeartbeat(connection: ConnectionId, sequence: Long, loads: List<UpstreamLoad>) {
         val peer = connections[connection] ?: return
         val changed = loads.filter { peer.sentLoads[it.upstream] != it }
--- a/core/src/main/kotlin/org/lovageladder/core/PeerMessage.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/PeerMessage.kt
@@ -11,8 +11,8 @@
  */
 
 /**
- * A message with what every message carries: the sender's release version and hybrid time stamp. Names of messages
- * are short on the wire, since most messages are small.
+ * A message with the sender's release version and hybrid time stamp. Names are short on the wire, since most messages
+ * are small.
  */
 @Serializable
 public data class Envelope(
@@ -21,7 +21,7 @@
     @SerialName("m") val message: PeerMessage,
 )
 
-/** State of one upstream as its companion's ledger knows it. */
+/** Load of one upstream as its companion accounts for it. */
 @Serializable
 public data class UpstreamLoad(
     val upstream: UpstreamName,
@@ -32,11 +32,11 @@
     val queuedPrefillTokens: Long = 0,
 )
 
-/** What a decode engine needs in order to fetch a prefill's result, valid for [keepFor] from its arrival. */
+/** Parameters with which a decode engine fetches a prefill's result, valid for [keepFor] after their arrival. */
 @Serializable
 public data class TransferTicket(val parametersJson: String, val bytes: Long, val keepFor: Duration)
 
-/** The claim under which a non-idempotent call may start once. [number] grows with each takeover of the key. */
+/** The claim under which a non-idempotent call may start once. [number] increases with each takeover of the key. */
 @Serializable
 public data class ClaimTicket(val storeKey: String, val number: Long, val revision: Long, val record: ClaimRecord)
 
@@ -55,19 +55,19 @@
     val released: Boolean = false,
 )
 
-/** What a companion knows of one claim. */
+/** State of one claim at a companion. */
 @Serializable
 public enum class ClaimState {
-    /** It will never start under this number. */
+    /** The call never starts under this number. */
     VOIDED,
 
-    /** It was handed to the upstream and no answer has arrived. */
+    /** The call was sent to the upstream and no answer has arrived. */
     STARTED,
 
     /** The upstream's answer is known. */
     ANSWERED,
 
-    /** It was handed to the upstream, and its answer was lost. */
+    /** The call was sent to the upstream, and its answer was lost. */
     LOST,
 }
 
@@ -112,7 +112,7 @@
         val holdAtMost: Duration,
     ) : PeerMessage
 
-    /** The reservation stands for [holdFor] from now. */
+    /** The reservation is granted and lapses unless it is used within [holdFor]. */
     @Serializable
     @SerialName("grt")
     public data class Granted(val attempt: AttemptId, val holdFor: Duration, val load: UpstreamLoad) : PeerMessage
@@ -193,7 +193,10 @@
     public data class PlainFinished(val attempt: AttemptId, val answer: PlainAnswer, val load: UpstreamLoad) :
         PeerMessage
 
-    /** The attempt was started and broke off; whether it ran is in [execution]. Its memory is free. */
+    /**
+     * The attempt was started and failed; [execution] says whether it ran. [load] still counts its memory when the
+     * engine may not have ended the call.
+     */
     @Serializable
     @SerialName("afl")
     public data class AttemptFailed(
@@ -203,7 +206,10 @@
         val load: UpstreamLoad?,
     ) : PeerMessage
 
-    /** Frees what [attempt] holds: its reservation, its place in a queue or its running call. */
+    /**
+     * Cancels [attempt] and frees what it holds: its reservation, its place in a queue or its running call. A running
+     * claimed call continues, and only its answer is no longer sent.
+     */
     @Serializable
     @SerialName("cnl")
     public data class Cancel(val attempt: AttemptId) : PeerMessage
@@ -213,12 +219,12 @@
     @SerialName("vcl")
     public data class VoidClaim(val storeKey: String, val number: Long) : PeerMessage
 
-    /** Asks to be told the end of a claim that another submission started; answered by [ClaimStatus]. */
+    /** Subscribes to the end of a claim that another submission started; answered by [ClaimStatus]. */
     @Serializable
     @SerialName("fcl")
     public data class FollowClaim(val storeKey: String, val number: Long) : PeerMessage
 
-    /** What the companion knows of a claim; sent again when a followed claim ends. */
+    /** State of a claim; sent again when a followed claim ends. */
     @Serializable
     @SerialName("cst")
     public data class ClaimStatus(
@@ -228,7 +234,7 @@
         val answer: PlainAnswer? = null,
     ) : PeerMessage
 
-    /** Shows that the sender lives; a companion answers with [Loads]. */
+    /** Shows that the entry is alive; a companion answers with [Loads]. */
     @Serializable
     @SerialName("hbt")
     public data class Heartbeat(val sequence: Long) : PeerMessage
@@ -248,7 +254,7 @@
     @SerialName("nts")
     public data class Notes(val notes: List<AcceptedNote>) : PeerMessage
 
-    /** The companion's host is leaving: it takes no new work and finishes what it has. */
+    /** The companion's host is leaving: it accepts no new work and finishes the work in progress. */
     @Serializable
     @SerialName("lvg")
     public data class Leaving(val host: HostName) : PeerMessage
--- a/core/src/main/kotlin/org/lovageladder/core/PlainScheduler.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/PlainScheduler.kt
@@ -1,8 +1,8 @@
 package org.lovageladder.core
 
 /**
- * Queue and running calls of one worker of a plain service. Claimed calls pass the start gate first and, once
- * started, are left to run to their end, since they cannot be undone.
+ * Queue and running calls of one worker of a plain service. A claimed call must be admitted by the [ClaimRegistry] and,
+ * once started, runs to its end even when it is cancelled, since it cannot be undone.
  */
 internal class PlainScheduler(
     private val context: CompanionContext,
@@ -31,7 +31,7 @@
         }
     }
 
-    /** Takes a claimed start out of the queue and refuses it, since its number was voided. */
+    /** Removes a claimed call from the queue and refuses it, since its claim number was voided. */
     fun refuseVoided(attempt: AttemptId) {
         if (queue.find(attempt) == null) return
         refuse(attempt, fault(FaultCause.FENCED, "claim voided"))
@@ -77,17 +77,23 @@
         val settings = context.settings
         val record = claim.record
         if (record.host != settings.host || record.incarnation != settings.incarnation) {
-            refuseUnqueued(attempt, fault(FaultCause.FENCED, "claim names ${record.host} ${record.incarnation}"))
+            refuseUnqueued(
+                attempt,
+                fault(FaultCause.FENCED, "claim is for host ${record.host}, incarnation ${record.incarnation}"),
+            )
             return false
         }
         if (record.number != claim.number) {
-            refuseUnqueued(attempt, fault(FaultCause.FENCED, "claim ${claim.number}, record ${record.number}"))
+            refuseUnqueued(
+                attempt,
+                fault(FaultCause.FENCED, "claim number ${claim.number}, but ${record.number} in its record"),
+            )
             return false
         }
         claimRegistry.waitingAttempt(claim.storeKey, claim.number - 1)?.let(::refuseSuperseded)
         return when (claimRegistry.admit(claim, attempt)) {
             ClaimAdmission.ADMITTED -> true
-            ClaimAdmission.OUTDATED -> refuseClaim(attempt, claim, "a higher number of the claim was seen")
+            ClaimAdmission.OUTDATED -> refuseClaim(attempt, claim, "a higher claim number was seen")
             ClaimAdmission.VOIDED -> refuseClaim(attempt, claim, "claim voided")
             ClaimAdmission.ALREADY_STARTED -> refuseClaim(attempt, claim, "key already admitted")
         }
@@ -98,7 +104,7 @@
         if (scheduler is PlainScheduler) scheduler.refuseVoided(attempt)
     }
 
-    /** Refuses the attempt after the state of its claim, which may be that another attempt started it. */
+    /** Sends the state of the claim, which another attempt may have started, and refuses the attempt. */
     private fun refuseClaim(attempt: AttemptId, claim: ClaimTicket, detail: String): Boolean {
         claimRegistry.statusOf(claim.storeKey, claim.number)?.let { output.send(attempts.owner(attempt), it) }
         refuseUnqueued(attempt, fault(FaultCause.FENCED, detail))
@@ -163,15 +169,16 @@
 
     private fun refuseOverdue(entry: WaitingAttempt<PeerMessage.StartPlain>) {
         entry.message.claim?.let(claimRegistry::voidNotRun)
-        refuseUnqueued(entry.attempt, fault(FaultCause.TIMEOUT, "no worker free in time"))
+        refuseUnqueued(entry.attempt, fault(FaultCause.TIMEOUT, "no worker was free in time"))
     }
 
-    /** Refuses a waiting attempt; the number of its claim never starts. */
+    /** Removes an attempt from the queue, voids its claim number and refuses it. */
     private fun refuse(attempt: AttemptId, fault: Fault) {
         queue.remove(attempt)?.message?.claim?.let(claimRegistry::voidNotRun)
         refuseUnqueued(attempt, fault)
     }
 
+    /** Refuses an attempt that is not in the queue. */
     private fun refuseUnqueued(attempt: AttemptId, fault: Fault) =
         context.refuse(attempt, fault, retryDelay.retryAfter(queue.size), load)
 
--- a/core/src/main/kotlin/org/lovageladder/core/PrefillRate.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/PrefillRate.kt
@@ -3,11 +3,14 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.microseconds
 
-/** Smoothed time that a prefill engine takes per prompt token when it has nothing else to do; null until measured. */
+/**
+ * Smoothed time that a prefill engine needs per prompt token when it runs one prefill at a time; unknown until
+ * measured.
+ */
 internal class PrefillRate {
     private var microsecondsPerToken: Double? = null
 
-    /** Takes in a prefill of [tokens] that took [elapsed] while up to [concurrency] ran. */
+    /** Records a prefill of [tokens] that took [elapsed] while up to [concurrency] ran. */
     fun recordPrefill(tokens: Int, elapsed: Duration, concurrency: Int) {
         if (tokens <= 0) return
         val sample = elapsed.inWholeMicroseconds.toDouble() / tokens / concurrency
@@ -15,7 +18,7 @@
         microsecondsPerToken = if (previous == null) sample else previous + (sample - previous) * SMOOTHING_FACTOR
     }
 
-    /** Time for [tokens] one after the other; zero until measured. */
+    /** Time to process [tokens] one after the other; zero until measured. */
     fun timeFor(tokens: Long): Duration = ((microsecondsPerToken ?: 0.0) * tokens).toLong().microseconds
 
     private companion object {
--- a/core/src/main/kotlin/org/lovageladder/core/PrefillScheduler.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/PrefillScheduler.kt
@@ -3,8 +3,8 @@
 import kotlin.time.Duration
 
 /**
- * Queue and running calls of one prefill engine. A prefill that cannot finish in time is refused at once, so that
- * its decode reservation is not held for nothing.
+ * Queue and running calls of one prefill engine. A prefill that cannot finish in time is refused at once, so that its
+ * decode reservation is not held in vain.
  */
 internal class PrefillScheduler(private val context: CompanionContext, override var upstream: ReleaseEntry.Upstream) :
     UpstreamScheduler {
@@ -26,7 +26,7 @@
         attempts.open(message.attempt, this, connection)
         queue.add(message.attempt, message.worth, context.now + message.finishWithin, message)
         if (queue.size > context.settings.queueLimit) queue.last()?.let { refuse(it.attempt, QUEUE_FULL) }
-        refuseTooLate()
+        refuseLatePrefills()
     }
 
     override fun cancel(attempt: AttemptId, ending: AttemptEnding) {
@@ -73,8 +73,11 @@
         output.record(EventKind.PREFILL_STARTED, message.attempt, upstream.name)
     }
 
-    /** Refuses each waiting prefill whose turn, as estimated, comes too late for it; an idle engine is always tried. */
-    private fun refuseTooLate() {
+    /**
+     * Refuses each queued prefill that is estimated to end after its deadline. The first one for an idle engine is
+     * always tried.
+     */
+    private fun refuseLatePrefills() {
         var tokensAhead = remainingRunningTokens()
         var isFirst = calls.count == 0
         for (entry in queue) {
@@ -82,7 +85,7 @@
             val end = context.now + rate.timeFor(tokensAhead + tokens)
             if (end > entry.deadline && !isFirst) {
                 queue.remove(entry.attempt)
-                refuse(entry.attempt, "estimated to end ${end - entry.deadline} late")
+                refuse(entry.attempt, "estimated to end ${end - entry.deadline} after its deadline")
                 continue
             }
             tokensAhead += tokens
@@ -91,10 +94,11 @@
     }
 
     private fun remainingRunningTokens(): Long {
-        val microsecondsPerThousand = rate.timeFor(THOUSAND_TOKENS).inWholeMicroseconds
+        val microsecondsPerUnit = rate.timeFor(RATE_UNIT_TOKENS).inWholeMicroseconds
         return calls.all().sumOf { call ->
             val elapsed = (context.now - call.startedAt).inWholeMicroseconds
-            val done = if (microsecondsPerThousand == 0L) 0L else elapsed * THOUSAND_TOKENS / microsecondsPerThousand / calls.count
+            val done =
+                if (microsecondsPerUnit == 0L) 0L else elapsed * RATE_UNIT_TOKENS / microsecondsPerUnit / calls.count
             (runningTokens.getOrDefault(call.attempt, 0) - done).coerceAtLeast(0)
         }
     }
@@ -143,6 +147,6 @@
     private fun fault(cause: FaultCause, detail: String) = Fault(Step.PREFILL, upstream.name.text, cause, detail)
 
     private companion object {
-        const val THOUSAND_TOKENS = 1000L
+        const val RATE_UNIT_TOKENS = 1000L
     }
 }
--- a/core/src/main/kotlin/org/lovageladder/core/Release.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/Release.kt
@@ -9,7 +9,7 @@
  * form ("PT1.2S").
  */
 
-/** Work that the upstreams of a pool do. */
+/** Role of the upstreams of a pool. */
 @Serializable
 public enum class PoolRole {
     @SerialName("prefill")
@@ -22,7 +22,7 @@
     PLAIN,
 }
 
-/** Daemon role that a host runs. */
+/** Daemon that a host runs. */
 @Serializable
 public enum class HostRole {
     @SerialName("entry")
@@ -32,7 +32,7 @@
     COMPANION,
 }
 
-/** Latency that a request class promises. */
+/** Latency target of a request class. */
 @Serializable
 public sealed interface LatencyTarget {
     /** Targets of a token stream: time to the first token, and between one token and the next. */
@@ -46,14 +46,14 @@
     public data class Answer(val within: Duration) : LatencyTarget
 }
 
-/** One named thing that a release note adds, changes or withdraws. */
+/** A named entry that a release note adds, changes or withdraws. */
 @Serializable
 public sealed interface ReleaseEntry {
     /** Name, unique among entries of the same kind. */
     public val key: EntryKey
 
     /**
-     * A host and the process of ours on it. [peerAddress] is where a companion accepts entries; null for an entry
+     * A host and the daemon on it. [peerAddress] is where a companion accepts connections of entries; null for an entry
      * host. [adminAddress] serves health, metrics and the time line.
      */
     @Serializable
@@ -160,8 +160,8 @@
 public data class EntryKey(val kind: EntryKind, val name: String)
 
 /**
- * What an operator publishes: entries to add, to change (replaced whole) and to withdraw. [base] is the version that
- * the author looked at; publication fails when another note was accepted since.
+ * Changes that an operator publishes: entries to add, to change (replaced whole) and to withdraw. [base] is the version
+ * that the author started from; publication fails when another note was accepted since.
  */
 @Serializable
 public data class ReleaseNote(
--- a/core/src/main/kotlin/org/lovageladder/core/RetryDelayEstimate.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/RetryDelayEstimate.kt
@@ -5,7 +5,7 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
-/** Estimate of the time until a refused attempt could be served, from the smoothed gap between calls that ended. */
+/** Estimates when a refused attempt could be served, from the smoothed interval between the ends of calls. */
 internal class RetryDelayEstimate {
     private var lastEndAt: Moment? = null
     private var gapMicroseconds = INITIAL_GAP.inWholeMicroseconds.toDouble()
@@ -18,7 +18,7 @@
         gapMicroseconds += (boundedGap - gapMicroseconds) * SMOOTHING_FACTOR
     }
 
-    /** Time until [waiting] attempts and one more were served. */
+    /** Estimated time until [waiting] attempts and one more are served. */
     fun retryAfter(waiting: Int): Duration =
         (gapMicroseconds * (waiting + 1)).toLong().microseconds.coerceIn(MINIMUM_RETRY_DELAY, MAXIMUM_RETRY_DELAY)
 
--- a/core/src/main/kotlin/org/lovageladder/core/RunningCalls.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/RunningCalls.kt
@@ -1,20 +1,23 @@
 package org.lovageladder.core
 
-/** A call that was handed to an upstream and has not ended there. [upstream] is its entry at the start. */
+/**
+ * A call that was sent to an upstream and has not ended there. [upstream] is the release entry and [concurrency] the
+ * number of running calls, this one included, when the call started.
+ */
 internal class RunningCall(
     val attempt: AttemptId,
     val upstream: ReleaseEntry.Upstream,
     val startedAt: Moment,
     val concurrency: Int,
 ) {
-    /** Whether the call is to end and nothing is to be sent about it any more. */
+    /** Whether the call was cancelled, so that nothing more is sent to the entry about it. */
     var isCancelling: Boolean = false
 
-    /** When the cancel is repeated; null while its confirmation is awaited. */
+    /** Time at which the cancel is repeated; null while its confirmation is awaited. */
     var repeatCancelAt: Moment? = null
 }
 
-/** Calls that run at one upstream. A cancelled call counts until the upstream confirms that it is gone. */
+/** Running calls of one upstream. A cancelled call counts until it ends or the upstream confirms the cancel. */
 internal class RunningCalls(private val context: CompanionContext) {
     private val calls = LinkedHashMap<AttemptId, RunningCall>()
     private val output = context.output
@@ -26,15 +29,15 @@
     fun find(attempt: AttemptId): RunningCall? = calls[attempt]
 
     fun start(attempt: AttemptId, upstream: ReleaseEntry.Upstream, call: UpstreamCall) {
-        check(attempt !in calls) { "$attempt already runs" }
+        check(attempt !in calls) { "$attempt is already running" }
         calls[attempt] = RunningCall(attempt, upstream, context.now, calls.size + 1)
         output.add(CompanionEffect.StartCall(attempt, upstream, call))
     }
 
-    /** Takes the call out: the upstream holds nothing for it any more. */
+    /** Removes the call: the upstream holds nothing for it any more. */
     fun end(attempt: AttemptId): RunningCall? = calls.remove(attempt)
 
-    /** Cancels a running call, once; repeats are made by [repeatCancels]. */
+    /** Cancels a running call once; [repeatCancels] repeats the cancel until it is confirmed. */
     fun cancel(attempt: AttemptId) {
         val call = calls[attempt] ?: return
         if (call.isCancelling) return
@@ -43,7 +46,7 @@
         output.add(CompanionEffect.CancelCall(attempt, call.upstream))
     }
 
-    /** Takes in the end of a cancel; returns the call when the upstream confirmed that it is gone. */
+    /** Handles the result of a cancel; returns the call when the upstream confirmed that it holds nothing for it. */
     fun onCancelEnded(attempt: AttemptId, confirmed: Boolean): RunningCall? {
         val call = calls[attempt] ?: return null
         if (!call.isCancelling) return null
--- a/core/src/main/kotlin/org/lovageladder/core/Settings.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/Settings.kt
@@ -6,7 +6,7 @@
 import kotlin.time.Duration.Companion.minutes
 import kotlin.time.Duration.Companion.seconds
 
-/** Which way an entry chooses among upstreams; the first is the product, the second a baseline for comparison. */
+/** How an entry chooses among upstreams. [LEDGER] is the default; [ROUND_ROBIN] is a baseline for comparison. */
 public enum class ChoicePolicy {
     LEDGER,
     ROUND_ROBIN,
@@ -15,7 +15,7 @@
 /** A companion that an entry knows from its settings, before it has a release. */
 public data class BootstrapPeer(val host: HostName, val address: Address)
 
-/** Bounds and periods of an entry's decisions. */
+/** Limits and intervals of an entry's decisions. */
 public data class EntrySettings(
     val process: ProcessName,
     val host: HostName,
@@ -39,7 +39,7 @@
     val earlyRefusal: Boolean = true,
 )
 
-/** Bounds and periods of a companion's decisions. */
+/** Limits and intervals of a companion's decisions. */
 public data class CompanionSettings(
     val process: ProcessName,
     val host: HostName,
--- a/core/src/main/kotlin/org/lovageladder/core/Store.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/Store.kt
@@ -3,7 +3,7 @@
 import kotlin.time.Duration
 
 /*
- * The platform's key-value service as the system uses it. Each request costs one call there.
+ * The platform's key-value service as the system uses it. Each request costs one call of the service.
  */
 
 /** A key with its value and the revision at which it was last written. */
@@ -26,7 +26,7 @@
     /** Reads at most [limit] keys that begin with [prefix] and sort after [after]. */
     public data class ReadAfter(val prefix: String, val after: String, val limit: Int = 256) : StoreRequest
 
-    /** Obtains a lease that lapses [timeToLive] after its last renewal. */
+    /** Obtains a lease that expires [timeToLive] after its last renewal. */
     public data class GrantLease(val timeToLive: Duration) : StoreRequest
 
     /** Renews a lease. */
@@ -38,32 +38,32 @@
     /** The write took effect at [revision]. */
     public data class Written(val revision: Long) : StoreAnswer
 
-    /** The write did not take effect; [current] are the entries that stand at its keys. */
+    /** The write did not take effect; [current] are the present entries of its keys. */
     public data class Conflict(val current: List<StoredEntry>) : StoreAnswer
 
     /** Entries found, in order of key. */
     public data class Found(val entries: List<StoredEntry>) : StoreAnswer
 
-    /** The lease stands for [timeToLive] from the moment the request was sent. */
+    /** The lease is valid for [timeToLive] from the moment the request was sent. */
     public data class Leased(val lease: Long, val timeToLive: Duration) : StoreAnswer
 
     /** No answer arrived: a write may or may not have taken effect. */
     public data class Unavailable(val fault: Fault) : StoreAnswer
 }
 
-/** Key-value service port. Calls don't block; [answer] is called once, on any thread. */
+/** Port to the key-value service. Calls don't block; [answer] is called once, on any thread. */
 public interface KeyValueStore : AutoCloseable {
-    /** Sends [request]; gives [StoreAnswer.Unavailable] when no answer arrives within [timeout]. */
+    /** Sends [request]; answers [StoreAnswer.Unavailable] when no answer arrives within [timeout]. */
     public fun call(request: StoreRequest, timeout: Duration, answer: (StoreAnswer) -> Unit)
 
     /**
-     * Calls [changed] with each entry that is written under [prefix] after the watch is established, until the
-     * returned handle is closed. [ended] is called once when the watch breaks; it is not re-established.
+     * Calls [changed] with each entry that is written under [prefix] after the watch is established, until the returned
+     * handle is closed. [ended] is called once when the watch fails; it is not re-established.
      */
     public fun watch(prefix: String, changed: (StoredEntry) -> Unit, ended: (Fault) -> Unit): AutoCloseable
 }
 
-/** Key under which note [version] stands. Keys sort by version. */
+/** Key of the release note [version]. Keys sort by version. */
 public fun noteStoreKey(version: ReleaseVersion): String =
     NOTE_PREFIX + version.number.toString().padStart(NOTE_KEY_DIGITS, '0')
 
--- a/core/src/main/kotlin/org/lovageladder/core/StoredValues.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/StoredValues.kt
@@ -5,7 +5,7 @@
 import kotlinx.serialization.json.Json
 
 /*
- * JSON values of the key-value service.
+ * JSON encoding of the values in the key-value service.
  */
 
 private val STORED_JSON = Json { ignoreUnknownKeys = true }
@@ -19,8 +19,8 @@
 internal fun decodeNote(value: String): AcceptedNote? = decodeOrNull(AcceptedNote.serializer(), value)
 
 /**
- * The note stored in [entry]. One that cannot be read counts as empty, like one that fails the checks, so that a later
- * note can correct it; [unreadable] is told. Null when the key names no version.
+ * The note stored in [entry]. A note that cannot be read counts as empty, like one that fails the checks, so that a
+ * later note can correct it, and [unreadable] is called. Null when the key contains no version.
  */
 internal fun storedNote(entry: StoredEntry, unreadable: (StoredEntry) -> Unit): AcceptedNote? {
     val version = entry.key.removePrefix(NOTE_PREFIX).toLongOrNull()?.let(::ReleaseVersion)
--- a/core/src/main/kotlin/org/lovageladder/core/Submission.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/Submission.kt
@@ -11,14 +11,14 @@
     val content: RequestContent,
 )
 
-/** What a caller asks for. */
+/** Content of a request. */
 @Serializable
 public sealed interface RequestContent {
     /**
      * A generation. [body] is the caller's JSON request; [promptTokens] an estimate of its prompt's length;
      * [outputTokens] the caller's own bound, null when it named none; [prefixDigest] a digest of the prompt's first
-     * part, equal for prompts that can share cached prefixes. [model] is what engines are asked for in place of the
-     * body's `model`; null leaves the body's.
+     * part, equal for prompts that can share cached prefixes. [model] replaces the body's `model` in calls of engines;
+     * null keeps the body's.
      */
     @Serializable
     public data class Generation(
@@ -30,7 +30,9 @@
         val model: ModelName? = null,
     ) : RequestContent
 
-    /** A call of a plain service. [bodyDigest] identifies method, path and body when a key is submitted twice. */
+    /**
+     * A call of a plain service. [bodyDigest] identifies method, path and body, to compare submissions of the same key.
+     */
     @Serializable
     public data class Plain(
         val method: String,
@@ -45,7 +47,7 @@
 @Serializable
 public data class PlainAnswer(val status: Int, val contentType: String?, val body: String)
 
-/** Whether an action ran, as far as the system knows. */
+/** Whether a request ran, as far as the system knows. */
 @Serializable
 public enum class Execution {
     NOT_RUN,
@@ -72,17 +74,17 @@
     LEAVING,
 }
 
-/** Final result of one submission. Exactly one is given to each caller that stays. */
+/** Final result of one submission. Each caller that stays connected gets exactly one. */
 public sealed interface Outcome {
-    /** All tokens were handed over before. */
+    /** All tokens were sent before. */
     public data class Generated(val finishReason: String, val promptTokens: Int, val outputTokens: Int) : Outcome
 
-    /** A plain service's whole answer; [replayed] when it was given before to the same key. */
+    /** A plain service's whole answer; [replayed] when it repeats the answer to an earlier submission of the key. */
     public data class Answered(val answer: PlainAnswer, val replayed: Boolean = false) : Outcome
 
     /**
-     * The request is given up. [execution] is what is known of the action that the caller named; a submission that
-     * was itself not run has [submissionRan] false, while an earlier one of the same key may have run.
+     * The request is refused. [execution] says whether the action that the caller's key names ran, in this or an
+     * earlier submission; [submissionRan] is false when this submission itself did not run.
      */
     public data class Refused(
         val reason: RefusalReason,
--- a/core/src/main/kotlin/org/lovageladder/core/UpstreamOrders.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/UpstreamOrders.kt
@@ -5,15 +5,16 @@
 import kotlin.time.Duration.Companion.seconds
 
 /**
- * Orders to the upstreams of this host, one at a time for each upstream, numbered by the release that asks for them.
- * A failed order is repeated unless a newer order replaced it or the upstream refused its number.
+ * Orders to the upstreams of this host, one at a time for each upstream. The fencing number of an order is the release
+ * version that requires it. A failed order is retried unless a newer order replaced it or the upstream refused its
+ * fencing number.
  */
 internal class UpstreamOrders(private val context: CompanionContext) {
     private val queues = HashMap<UpstreamName, OrderQueue>()
 
     val isEmpty: Boolean get() = queues.isEmpty()
 
-    /** Asks for what distinguishes [new] from [old]; [old] is null for an upstream that was not served before. */
+    /** Queues the orders that turn [old] into [new]; [old] is null for an upstream that was not served before. */
     fun enqueueChanges(old: ServedUpstream?, new: ServedUpstream, version: ReleaseVersion) {
         val before = old?.upstream?.adapters.orEmpty()
         val after = new.upstream.adapters
@@ -37,7 +38,7 @@
         queues.remove(upstream)
     }
 
-    /** Whether the upstream was not yet told its role. */
+    /** Whether an order to change the role of the upstream is pending. */
     fun hasPendingRoleChange(upstream: UpstreamName): Boolean =
         queues[upstream]?.all().orEmpty().any { it.order is UpstreamOrder.ChangeRole }
 
@@ -57,7 +58,10 @@
         if (queue.isEmpty) queues.remove(event.upstream)
     }
 
-    /** Gives the next order of each upstream; a change of role waits until [isIdle] says that its old work ended. */
+    /**
+     * Sends the next order to each upstream. A role change waits until [isIdle] reports that the work in the old role
+     * has ended.
+     */
     fun advance(isIdle: (UpstreamName) -> Boolean) {
         val readyQueues = queues.values.filter { it.current == null && it.retryAt <= context.now }
         for (queue in readyQueues) {
@@ -78,9 +82,10 @@
     }
 
     private data class PendingOrder(val order: UpstreamOrder, val fencing: Long) {
-        fun supersedes(other: PendingOrder): Boolean = fencing >= other.fencing && adapterOf(order) == adapterOf(other.order)
+        fun supersedes(other: PendingOrder): Boolean =
+            fencing >= other.fencing && adapterOf(order) == adapterOf(other.order)
 
-        /** The adapter that an order is about; null when it is about the role. */
+        /** Adapter that an order concerns; null for a role change. */
         private fun adapterOf(order: UpstreamOrder): ModelName? = when (order) {
             is UpstreamOrder.LoadAdapter -> order.adapter
             is UpstreamOrder.UnloadAdapter -> order.adapter
--- a/core/src/main/kotlin/org/lovageladder/core/UpstreamScheduler.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/UpstreamScheduler.kt
@@ -2,9 +2,9 @@
 
 import kotlin.time.Duration
 
-/** What waits for, holds or runs at one upstream of a companion's host. */
+/** Queue, reservations and running calls of one upstream on a companion's host. */
 internal sealed interface UpstreamScheduler {
-    /** The upstream as the release in force has it. */
+    /** Entry of the upstream in the release in force. */
     var upstream: ReleaseEntry.Upstream
     val load: UpstreamLoad
 
@@ -13,17 +13,17 @@
     val reservationCount: Int
     val runningCallCount: Int
 
-    /** Frees what [attempt] holds; nothing more is sent about it. */
+    /** Cancels [attempt] and frees what it holds; nothing more is sent about it. */
     fun cancel(attempt: AttemptId, ending: AttemptEnding)
 
     fun onReport(attempt: AttemptId, report: UpstreamReport)
 
     fun onCancelEnded(attempt: AttemptId, confirmed: Boolean)
 
-    /** Refuses all that waits. What is granted or started stays. */
+    /** Refuses all waiting attempts. Granted and started ones continue. */
     fun refuseWaiting(fault: Fault)
 
-    /** Lets pass what is due, and starts what fits when [mayStart]. */
+    /** Applies timeouts that are due and, when [mayStart], starts the waiting attempts that fit. */
     fun advance(mayStart: Boolean)
 
     fun nextDeadline(): Moment?
@@ -35,7 +35,7 @@
     attempts.close(attempt, AttemptEnding.ANSWERED)
 }
 
-/** Whether an engine call that failed with [fault] may still occupy the engine, which has not said that it ended. */
+/** Whether an engine call that failed with [fault] may still run, since the engine did not confirm its end. */
 internal fun mayStillRun(fault: Fault): Boolean = fault.cause in CAUSES_WITHOUT_CONFIRMED_END
 
 private val CAUSES_WITHOUT_CONFIRMED_END = setOf(FaultCause.CONNECTION_LOST, FaultCause.TIMEOUT, FaultCause.PROTOCOL)
--- a/core/src/main/kotlin/org/lovageladder/core/Upstreams.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/Upstreams.kt
@@ -3,10 +3,10 @@
 import kotlin.time.Duration
 
 /*
- * Ports towards upstreams and the platform's host list, as a companion and an entry use them.
+ * Ports to upstreams and to the platform's host list, used by companions and entries.
  */
 
-/** Call that a companion makes of an upstream. */
+/** Call that a companion sends to an upstream. */
 public sealed interface UpstreamCall {
     /** Computes the KV cache of a prompt and keeps it for a decode engine. */
     public data class Prefill(val content: RequestContent.Generation, val priority: Int) : UpstreamCall
@@ -21,8 +21,8 @@
     ) : UpstreamCall
 
     /**
-     * Calls a plain service. [fencing] is sent along for upstreams that check it; the number of a claim is none, since
-     * it orders the claims of one key only and an upstream keeps one highest number for all.
+     * Calls a plain service. [fencing] is sent to upstreams that check it. The number of a claim is not used for it: it
+     * orders the claims of one key only, while an upstream keeps one highest number for all keys.
      */
     public data class Plain(
         val content: RequestContent.Plain,
@@ -31,7 +31,7 @@
     ) : UpstreamCall
 }
 
-/** What an upstream reports of a running call. The last report of a call is any but [Token]. */
+/** Report of an upstream on a running call. Any report except [Token] is the last one of its call. */
 public sealed interface UpstreamReport {
     public data class PrefillReady(val ticket: TransferTicket) : UpstreamReport
 
@@ -54,7 +54,7 @@
     public data class ChangeRole(val role: PoolRole) : UpstreamOrder
 }
 
-/** Upstream port, used only by the companion on the upstream's host. Callbacks may come on any thread, in order. */
+/** Port to upstreams, used only by the companion on the upstream's host. Callbacks may run on any thread, in order. */
 public interface UpstreamGateway : AutoCloseable {
     /** Starts [call]; the attempt's identifier is the engine's request id. */
     public fun start(
@@ -64,7 +64,7 @@
         report: (UpstreamReport) -> Unit,
     )
 
-    /** Cancels a running call; [done] is given whether the upstream confirmed that it holds nothing for it. */
+    /** Cancels a running call; [done] receives whether the upstream confirmed that it holds nothing for the call. */
     public fun cancel(attempt: AttemptId, upstream: ReleaseEntry.Upstream, done: (Boolean) -> Unit)
 
     /** Lists the calls that an engine runs, by request id; null when it does not answer. */
@@ -73,14 +73,14 @@
     /** Cancels a call by the engine's request id, for calls that an earlier incarnation started. */
     public fun cancelByName(requestName: String, upstream: ReleaseEntry.Upstream, done: (Boolean) -> Unit)
 
-    /** Gives an order with a fencing number; [done] is given null, or the fault. */
+    /** Sends an order with a fencing number; [done] receives the fault, or null when the order was carried out. */
     public fun order(upstream: ReleaseEntry.Upstream, order: UpstreamOrder, fencing: Long, done: (Fault?) -> Unit)
 }
 
 /** One host in the platform's list. */
 public data class ListedHost(val name: HostName, val place: PlaceName, val leaving: Boolean)
 
-/** Port of the platform's lagging host list. */
+/** Port to the platform's host list, which lags behind the actual state of the hosts. */
 public interface HostList : AutoCloseable {
     /** Reads the list; null when it cannot be read within [timeout]. */
     public fun read(timeout: Duration, listed: (List<ListedHost>?) -> Unit)
--- a/core/src/main/kotlin/org/lovageladder/core/WorthQueue.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/WorthQueue.kt
@@ -2,7 +2,7 @@
 
 import java.util.TreeSet
 
-/** One attempt that waits until [deadline]. [arrival] grows with each attempt that joins the queue. */
+/** An attempt that waits until [deadline]. [arrival] increases with each attempt added to the queue. */
 internal class WaitingAttempt<out T>(
     val attempt: AttemptId,
     val worth: Double,
@@ -40,10 +40,10 @@
         return waiting
     }
 
-    /** Removes and returns what should have left the queue before [moment]. */
+    /** Removes and returns the attempts whose deadline is before [moment]. */
     fun removeDueBefore(moment: Moment): List<WaitingAttempt<T>> = removeWhileDue { it < moment }
 
-    /** Removes and returns what should have left the queue by [moment] at the latest. */
+    /** Removes and returns the attempts whose deadline is at or before [moment]. */
     fun removeDueAt(moment: Moment): List<WaitingAttempt<T>> = removeWhileDue { it <= moment }
 
     fun removeAll(): List<WaitingAttempt<T>> = removeWhileDue { true }
--- a/core/src/test/kotlin/org/lovageladder/core/ClaimedCallsTest.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/ClaimedCallsTest.kt
@@ -25,7 +25,7 @@
 
     /** What a void says, and how often the action was started in the end although its start message follows. */
     @Test
-    fun aVoidedNumberNeverStartsAndAStartedOneIsNeverCalledVoided() {
+    fun aVoidedNumberNeverStartsAndAStartedOneIsNeverReportedAsVoided() {
         val rows = listOf(
             Row("never seen", {}, 1, ClaimState.VOIDED, 0),
             Row("waiting", { fillWorkers().also { start(first, 1) } }, 1, ClaimState.VOIDED, 0),
@@ -36,30 +36,30 @@
             Row("older than started", { start(first, 2) }, 1, ClaimState.VOIDED, 1),
             Row("newer than started", { start(first, 1) }, 2, ClaimState.STARTED, 1),
             Row("newer than waiting", { fillWorkers().also { start(first, 1) } }, 2, ClaimState.VOIDED, 0),
-            Row("refused in time", { fillWorkers().also { start(first, 1) }.also { pass(1.seconds) } }, 1, VOIDED, 0),
+            Row("refused in time", { fillWorkers().also { start(first, 1) }.also { advanceTime(1.seconds) } }, 1, VOIDED, 0),
             Row("cancelled waiting", { fillWorkers().also { start(first, 1) }.also { cancel() } }, 1, VOIDED, 0),
-            Row("owner lost, waiting", { fillWorkers().also { start(first, 1) }.also { lose() } }, 1, VOIDED, 0),
-            Row("owner lost, running", { start(first, 1).also { lose() } }, 1, ClaimState.STARTED, 1),
+            Row("owner lost, waiting", { fillWorkers().also { start(first, 1) }.also { reconnect() } }, 1, VOIDED, 0),
+            Row("owner lost, running", { start(first, 1).also { reconnect() } }, 1, ClaimState.STARTED, 1),
             Row("cancelled, running", { start(first, 1).also { cancel() } }, 1, ClaimState.STARTED, 1),
         )
         for (row in rows) {
-            val bench = bench()
-            row.before(bench)
-            val status = bench.receive(PeerMessage.VoidClaim(KEY, row.number)).sent<PeerMessage.ClaimStatus>().last()
+            val harness = harness()
+            row.before(harness)
+            val status = harness.receive(PeerMessage.VoidClaim(KEY, row.number)).sent<PeerMessage.ClaimStatus>().last()
             assertEquals(row.state, status.state, row.name)
             assertEquals(if (row.state == ClaimState.ANSWERED) ANSWER else null, status.answer, row.name)
-            bench.freeWorkers()
-            bench.start(attempt(9), row.number)
-            assertEquals(row.starts, bench.startsOfKey(), row.name)
+            harness.freeWorkers()
+            harness.start(attempt(9), row.number)
+            assertEquals(row.starts, harness.startsOfKey(), row.name)
         }
     }
 
     /** An upstream that keeps one highest number over all keys would refuse every fresh key after a contested one. */
     @Test
-    fun theNumberOfAClaimOrdersOnlyItsOwnKeyAndIsNotSentAsFencingNumber() {
-        val bench = bench()
-        val contested = bench.receive(startPlain(first, claim(17, "contested")))
-        val fresh = bench.receive(startPlain(second, claim(1, "fresh")))
+    fun aClaimNumberIsNotSentAsFencingNumber() {
+        val harness = harness()
+        val contested = harness.receive(startPlain(first, claim(17, "contested")))
+        val fresh = harness.receive(startPlain(second, claim(1, "fresh")))
         val calls = (contested + fresh).filterIsInstance<CompanionEffect.StartCall>().map {
             it.call as UpstreamCall.Plain
         }
@@ -78,115 +78,115 @@
             Triple("voided", claim(3, "voided"), FaultCause.FENCED),
         )
         for ((name, claim, cause) in rows) {
-            val bench = bench()
-            bench.receive(startPlain(attempt(10), claim(3, "started")))
-            bench.receive(PeerMessage.VoidClaim("voided", 3))
-            val effects = bench.receive(startPlain(first, claim))
+            val harness = harness()
+            harness.receive(startPlain(attempt(10), claim(3, "started")))
+            harness.receive(PeerMessage.VoidClaim("voided", 3))
+            val effects = harness.receive(startPlain(first, claim))
             assertEquals(cause, effects.sent<PeerMessage.Refused>().single().fault.cause, name)
             assertEquals(0, effects.count { it is CompanionEffect.StartCall }, name)
         }
     }
 
     @Test
-    fun aTakeoverAfterTheVoidStartsUnderItsHigherNumber() {
-        val bench = bench()
-        bench.receive(PeerMessage.VoidClaim(KEY, 1))
-        bench.start(first, 1)
-        bench.start(second, 2)
-        assertEquals(1, bench.startsOfKey())
+    fun aTakeoverOfAVoidedClaimStartsUnderItsHigherNumber() {
+        val harness = harness()
+        harness.receive(PeerMessage.VoidClaim(KEY, 1))
+        harness.start(first, 1)
+        harness.start(second, 2)
+        assertEquals(1, harness.startsOfKey())
     }
 
     @Test
-    fun aRefusedSecondStartOfAStartedKeyIsPrecededByItsStatus() {
-        val bench = bench()
-        bench.start(first, 1)
-        val sent = bench.start(second, 1).messages()
+    fun theClaimStatusIsSentBeforeASecondStartOfAStartedKeyIsRefused() {
+        val harness = harness()
+        harness.start(first, 1)
+        val sent = harness.start(second, 1).messages()
         assertEquals(ClaimState.STARTED, (sent[0] as PeerMessage.ClaimStatus).state)
         assertEquals(second, (sent[1] as PeerMessage.Refused).attempt)
     }
 
     @Test
-    fun aFollowerIsToldTheStateNowAndTheEnd() {
-        val ends = listOf<Pair<CompanionHarness.() -> Unit, ClaimState>>(
+    fun aFollowerReceivesTheCurrentAndTheFinalState() {
+        val endings = listOf<Pair<CompanionHarness.() -> Unit, ClaimState>>(
             Pair({ answer(first) }, ClaimState.ANSWERED),
             Pair({ fail(first, Execution.UNKNOWN) }, ClaimState.LOST),
             Pair({ fail(first, Execution.NOT_RUN) }, ClaimState.VOIDED),
         )
-        for ((end, state) in ends) {
-            val bench = bench().also { it.connect(OTHER_ENTRY) }
-            bench.start(first, 1)
-            bench.receive(PeerMessage.FollowClaim(KEY, 1), OTHER_ENTRY)
-            bench.end()
-            val told = bench.effects.messages(OTHER_ENTRY).filterIsInstance<PeerMessage.ClaimStatus>()
-            assertEquals(listOf(ClaimState.STARTED, state), told.map { it.state })
+        for ((end, state) in endings) {
+            val harness = harness().also { it.connect(OTHER_ENTRY) }
+            harness.start(first, 1)
+            harness.receive(PeerMessage.FollowClaim(KEY, 1), OTHER_ENTRY)
+            harness.end()
+            val states = harness.effects.messages(OTHER_ENTRY).filterIsInstance<PeerMessage.ClaimStatus>()
+            assertEquals(listOf(ClaimState.STARTED, state), states.map { it.state })
         }
     }
 
     @Test
-    fun aNumberThatMayStillStartIsNotCalledVoidedToAFollower() {
-        val bench = bench()
-        bench.receive(PeerMessage.VoidClaim(KEY, 1))
-        assertEquals(emptyList(), bench.receive(PeerMessage.FollowClaim(KEY, 2)).messages())
-        assertEquals(ClaimState.STARTED, bench.start(first, 2).sent<PeerMessage.ClaimStatus>().single().state)
+    fun aNumberThatMayStillStartIsNotReportedAsVoidedToAFollower() {
+        val harness = harness()
+        harness.receive(PeerMessage.VoidClaim(KEY, 1))
+        assertEquals(emptyList(), harness.receive(PeerMessage.FollowClaim(KEY, 2)).messages())
+        assertEquals(ClaimState.STARTED, harness.start(first, 2).sent<PeerMessage.ClaimStatus>().single().state)
     }
 
     @Test
-    fun aRunningClaimedCallOutlivesItsEntryAndAnUnclaimedOneDoesNot() {
-        val bench = bench()
-        bench.start(first, 1)
-        bench.receive(startPlain(second))
-        val cancelled = bench.disconnect().filterIsInstance<CompanionEffect.CancelCall>()
+    fun aRunningClaimedCallContinuesWithoutItsEntryAndAnUnclaimedOneIsCancelled() {
+        val harness = harness()
+        harness.start(first, 1)
+        harness.receive(startPlain(second))
+        val cancelled = harness.disconnect().filterIsInstance<CompanionEffect.CancelCall>()
         assertEquals(listOf(second), cancelled.map { it.attempt })
     }
 
     @Test
-    fun theAnswerIsWrittenUntilTheStoreHasIt() {
-        val bench = bench()
-        bench.start(first, 1)
-        var effects = bench.answer(first)
-        val replace = effects.asked().single() as StoreRequest.Replace
+    fun theWriteOfAnAnswerIsRetriedUntilTheStoreHasIt() {
+        val harness = harness()
+        harness.start(first, 1)
+        var effects = harness.answer(first)
+        val replace = effects.storeRequests().single() as StoreRequest.Replace
         assertEquals(claim().revision, replace.expectedRevision)
         assertEquals(
             claim().record.copy(answer = ANSWER),
             Json.decodeFromString(ClaimRecord.serializer(), replace.write.value),
         )
-        val gaps = (1..8).map {
-            bench.answerStore(effects, unavailable())
-            val from = bench.now
-            effects = bench.passUntilWrite()
-            bench.now - from
+        val intervals = (1..8).map {
+            harness.answerStore(effects, unavailable())
+            val startedAt = harness.now
+            effects = harness.advanceTimeUntilWrite()
+            harness.now - startedAt
         }
-        assertEquals(listOf(100, 200, 400, 800, 1600, 3200, 5000, 5000).map { it.milliseconds }, gaps)
+        assertEquals(listOf(100, 200, 400, 800, 1600, 3200, 5000, 5000).map { it.milliseconds }, intervals)
         val stored = StoredEntry(KEY, replace.write.value, 50)
-        bench.answerStore(effects, StoreAnswer.Conflict(listOf(stored)))
-        assertEquals(0, bench.pass(1.minutes).asked().count { it is StoreRequest.Replace })
-        assertTrue(EventKind.CLAIM_UNKNOWN !in bench.effects.recorded())
+        harness.answerStore(effects, StoreAnswer.Conflict(listOf(stored)))
+        assertEquals(0, harness.advanceTime(1.minutes).storeRequests().count { it is StoreRequest.Replace })
+        assertTrue(EventKind.CLAIM_UNKNOWN !in harness.effects.recorded())
     }
 
     @Test
-    fun anAnswerThatMeetsAnotherClaimIsReported() {
-        val bench = bench()
-        bench.start(first, 1)
-        val effects = bench.answerStore(bench.answer(first), StoreAnswer.Conflict(emptyList()))
+    fun anAnswerWhoseClaimHasChangedIsRecordedAsUnknown() {
+        val harness = harness()
+        harness.start(first, 1)
+        val effects = harness.answerStore(harness.answer(first), StoreAnswer.Conflict(emptyList()))
         assertTrue(EventKind.CLAIM_UNKNOWN in effects.recorded())
     }
 
     @Test
-    fun aLostClaimIsNeverForgottenWhileAnAnsweredOneIs() {
-        val bench = bench()
-        bench.start(first, 1)
-        bench.fail(first, Execution.UNKNOWN)
-        bench.receive(startPlain(second, claim(1, "other")))
-        bench.answerStore(bench.answer(second), StoreAnswer.Written(50))
-        bench.disconnect()
-        bench.pass(61.minutes)
-        assertEquals(1, bench.companion.status(bench.now).startedClaims)
-        bench.connect()
-        val status = bench.receive(PeerMessage.VoidClaim(KEY, 1)).sent<PeerMessage.ClaimStatus>().single()
+    fun aLostClaimIsNeverRemovedWhileAnAnsweredOneExpires() {
+        val harness = harness()
+        harness.start(first, 1)
+        harness.fail(first, Execution.UNKNOWN)
+        harness.receive(startPlain(second, claim(1, "other")))
+        harness.answerStore(harness.answer(second), StoreAnswer.Written(50))
+        harness.disconnect()
+        harness.advanceTime(61.minutes)
+        assertEquals(1, harness.companion.status(harness.now).startedClaims)
+        harness.connect()
+        val status = harness.receive(PeerMessage.VoidClaim(KEY, 1)).sent<PeerMessage.ClaimStatus>().single()
         assertEquals(ClaimState.LOST, status.state)
     }
 
-    private fun bench() = CompanionHarness().makeReady().also { it.connect() }
+    private fun harness() = CompanionHarness().makeReady().also { it.connect() }
 
     private fun CompanionHarness.start(attempt: AttemptId, number: Long) = receive(startPlain(attempt, claim(number)))
 
@@ -207,7 +207,7 @@
         for (number in 101..102) report(attempt(number), UpstreamReport.Answered(ANSWER))
     }
 
-    private fun CompanionHarness.lose() {
+    private fun CompanionHarness.reconnect() {
         disconnect()
         connect()
     }
@@ -215,12 +215,12 @@
     private fun CompanionHarness.startsOfKey(): Int = effects.filterIsInstance<CompanionEffect.StartCall>()
         .count { (it.call as UpstreamCall.Plain).idempotencyKey != null }
 
-    private fun List<CompanionEffect>.asked() = filterIsInstance<CompanionEffect.AskStore>().map { it.request }
+    private fun List<CompanionEffect>.storeRequests() = filterIsInstance<CompanionEffect.AskStore>().map { it.request }
 
     /** Passes time until an answer is written, answering other calls of the store with nothing new. */
-    private fun CompanionHarness.passUntilWrite(): List<CompanionEffect> {
-        repeat(LONGEST_WAIT_STEPS) {
-            val effects = pass(STEP)
+    private fun CompanionHarness.advanceTimeUntilWrite(): List<CompanionEffect> {
+        repeat(MAXIMUM_WAIT_STEPS) {
+            val effects = advanceTime(STEP)
             val (writes, others) = effects.partition {
                 (it as? CompanionEffect.AskStore)?.request is StoreRequest.Replace
             }
@@ -232,7 +232,7 @@
 
     private companion object {
         val STEP: Duration = 100.milliseconds
-        const val LONGEST_WAIT_STEPS = 100
+        const val MAXIMUM_WAIT_STEPS = 100
         val VOIDED = ClaimState.VOIDED
     }
 }
--- a/core/src/test/kotlin/org/lovageladder/core/CompanionHarness.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/CompanionHarness.kt
@@ -26,17 +26,17 @@
     val effects = ArrayList<CompanionEffect>()
 
     fun handle(event: CompanionEvent): List<CompanionEffect> {
-        val given = companion.handle(event, now)
-        effects += given
+        val newEffects = companion.handle(event, now)
+        effects += newEffects
         val next = companion.nextDeadline()
         check(next == null || next > now) { "left undone at $now: $next" }
-        return given
+        return newEffects
     }
 
     /** Lets [duration] pass, handling each deadline on the way, and returns all effects of that time. */
-    fun pass(duration: Duration): List<CompanionEffect> {
+    fun advanceTime(duration: Duration): List<CompanionEffect> {
         val end = now + duration
-        val from = effects.size
+        val firstNewEffect = effects.size
         while (true) {
             val next = companion.nextDeadline() ?: break
             if (next > end) break
@@ -45,11 +45,11 @@
         }
         now = end
         handle(CompanionEvent.TimePassed)
-        return effects.drop(from)
+        return effects.drop(firstNewEffect)
     }
 
     /** Lets [duration] pass without running the process, as when it is stopped and continued. */
-    fun freeze(duration: Duration) {
+    fun suspendFor(duration: Duration) {
         now += duration
     }
 
@@ -76,9 +76,9 @@
         return this
     }
 
-    /** Answers each call of the key-value service among [given]. */
-    fun answerStore(given: List<CompanionEffect>, answer: StoreAnswer): List<CompanionEffect> =
-        given.filterIsInstance<CompanionEffect.AskStore>()
+    /** Answers each call of the key-value service among [newEffects]. */
+    fun answerStore(newEffects: List<CompanionEffect>, answer: StoreAnswer): List<CompanionEffect> =
+        newEffects.filterIsInstance<CompanionEffect.AskStore>()
             .flatMap { handle(CompanionEvent.StoreAnswered(it.ticket, answer)) }
 
     fun load(upstream: UpstreamName): UpstreamLoad = companion.status(now).loads.first { it.upstream == upstream }
--- a/core/src/test/kotlin/org/lovageladder/core/CompanionSimulation.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/CompanionSimulation.kt
@@ -18,7 +18,7 @@
 internal class CompanionSimulation(startsReady: Boolean) {
     private class Delayed(val connection: ConnectionId, val message: PeerMessage)
 
-    private val bench = CompanionHarness(CompanionHarness().settings.copy(queueLimit = QUEUE_LIMIT))
+    private val harness = CompanionHarness(CompanionHarness().settings.copy(queueLimit = QUEUE_LIMIT))
     private val store = FakeStore()
     private val upstreams = FakeUpstreams()
     private val oracle = CompanionOracle(upstreams)
@@ -99,7 +99,7 @@
     }
 
     private fun judgeIdle() {
-        val status = bench.companion.status(bench.now)
+        val status = harness.companion.status(harness.now)
         assertTrue(status.ready, "not ready after all: $status")
         assertEquals(0, status.reservations, "$status")
         assertEquals(0, status.runningCalls, "$status")
@@ -126,19 +126,19 @@
     }
 
     private fun pass(code: Int) {
-        val end = bench.now + (code % LONGEST_PASS).milliseconds
+        val end = harness.now + (code % LONGEST_PASS).milliseconds
         while (!oracle.hasExited) {
-            val next = bench.companion.nextDeadline() ?: break
+            val next = harness.companion.nextDeadline() ?: break
             if (next > end) break
-            if (next > bench.now) bench.freeze(next - bench.now)
+            if (next > harness.now) harness.suspendFor(next - harness.now)
             handle(CompanionEvent.TimePassed)
         }
-        bench.freeze(end - bench.now)
+        harness.suspendFor(end - harness.now)
         if (!oracle.hasExited) handle(CompanionEvent.TimePassed)
     }
 
     private fun freeze() {
-        bench.freeze(bench.settings.peerSilenceLimit + 1.seconds)
+        harness.suspendFor(harness.settings.peerSilenceLimit + 1.seconds)
         oracle.mustRead = true
         outdated += asked.map { it.ticket }
     }
@@ -312,18 +312,18 @@
 
     private fun handle(event: CompanionEvent) {
         if (oracle.hasExited) return
-        val effects = bench.companion.handle(event, bench.now)
+        val effects = harness.companion.handle(event, harness.now)
         for (effect in effects) {
-            oracle.judge(effect, bench.now)
+            oracle.judge(effect, harness.now)
             carryOut(effect)
         }
-        val loads = bench.companion.status(bench.now).loads
+        val loads = harness.companion.status(harness.now).loads
         val isServed = loads.any { it.upstream == DECODE }
         if (isDecodeServed && !isServed) oracle.epoch++
         isDecodeServed = isServed
-        oracle.judgeLoads(loads, bench.now)
-        val next = assertNotNull(bench.companion.nextDeadline())
-        assertTrue(next > bench.now, "left undone at ${bench.now}: $next")
+        oracle.judgeLoads(loads, harness.now)
+        val next = assertNotNull(harness.companion.nextDeadline())
+        assertTrue(next > harness.now, "left undone at ${harness.now}: $next")
     }
 
     private fun carryOut(effect: CompanionEffect) {
--- a/core/src/test/kotlin/org/lovageladder/core/CompanionTest.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/CompanionTest.kt
@@ -9,142 +9,142 @@
 import kotlin.time.Duration.Companion.seconds
 
 class CompanionTest {
-    private val bench = CompanionHarness()
+    private val harness = CompanionHarness()
     private val first = attempt(1)
 
     @Test
-    fun itIsReadyOnceTheReleaseIsInForceAndEveryEngineIsCleared() {
-        bench.answerStore(bench.handle(CompanionEvent.TimePassed), found(listOf(firstNote())))
-        assertEquals(setOf(DECODE, PREFILL), bench.listings().toSet())
-        bench.handle(CompanionEvent.RunningListed(PREFILL, emptyList()))
-        bench.handle(CompanionEvent.RunningListed(DECODE, null))
-        assertFalse(bench.companion.ready)
-        bench.pass(100.milliseconds)
-        bench.handle(CompanionEvent.RunningListed(DECODE, listOf("old.1", "old.2")))
-        bench.handle(CompanionEvent.OrphanEnded(DECODE, "old.1", confirmed = true))
-        bench.handle(CompanionEvent.OrphanEnded(DECODE, "old.2", confirmed = false))
-        assertFalse(bench.companion.ready)
-        bench.pass(100.milliseconds)
-        bench.handle(CompanionEvent.RunningListed(DECODE, listOf("old.2")))
-        bench.handle(CompanionEvent.OrphanEnded(DECODE, "old.2", confirmed = true))
-        assertFalse(bench.companion.ready)
-        bench.handle(CompanionEvent.RunningListed(DECODE, emptyList()))
-        assertTrue(bench.companion.ready)
-        assertEquals(2, bench.effects.recorded().count { it == EventKind.ORPHAN_CANCELLED })
+    fun itIsReadyOnceTheReleaseIsInForceAndOrphansAreCancelledOnEveryEngine() {
+        harness.answerStore(harness.handle(CompanionEvent.TimePassed), found(listOf(firstNote())))
+        assertEquals(setOf(DECODE, PREFILL), harness.listedUpstreams().toSet())
+        harness.handle(CompanionEvent.RunningListed(PREFILL, emptyList()))
+        harness.handle(CompanionEvent.RunningListed(DECODE, null))
+        assertFalse(harness.companion.ready)
+        harness.advanceTime(100.milliseconds)
+        harness.handle(CompanionEvent.RunningListed(DECODE, listOf("old.1", "old.2")))
+        harness.handle(CompanionEvent.OrphanEnded(DECODE, "old.1", confirmed = true))
+        harness.handle(CompanionEvent.OrphanEnded(DECODE, "old.2", confirmed = false))
+        assertFalse(harness.companion.ready)
+        harness.advanceTime(100.milliseconds)
+        harness.handle(CompanionEvent.RunningListed(DECODE, listOf("old.2")))
+        harness.handle(CompanionEvent.OrphanEnded(DECODE, "old.2", confirmed = true))
+        assertFalse(harness.companion.ready)
+        harness.handle(CompanionEvent.RunningListed(DECODE, emptyList()))
+        assertTrue(harness.companion.ready)
+        assertEquals(2, harness.effects.recorded().count { it == EventKind.ORPHAN_CANCELLED })
     }
 
     @Test
-    fun nothingIsTakenBeforeItIsReady() {
-        bench.connect()
-        val refused = bench.receive(reserve(first)).sent<PeerMessage.Refused>().single()
+    fun workIsRefusedBeforeItIsReady() {
+        harness.connect()
+        val refused = harness.receive(reserve(first)).sent<PeerMessage.Refused>().single()
         assertTrue(refused.retryAfter.isPositive())
     }
 
     @Test
-    fun itTakesTheReleaseFromAnEntryWhileTheStoreIsAway() {
-        bench.answerStore(bench.handle(CompanionEvent.TimePassed), unavailable())
-        bench.connect()
-        val ahead = Envelope(ReleaseVersion(1), HybridTime(0, 0), PeerMessage.Heartbeat(1))
-        val asked = bench.handle(CompanionEvent.Received(ENTRY, ahead)).sent<PeerMessage.FetchNotes>()
-        val fetch = if (asked.isEmpty()) bench.effects.sent<PeerMessage.FetchNotes>().first() else asked.single()
+    fun itFetchesTheReleaseFromAnEntryWhileTheStoreIsUnavailable() {
+        harness.answerStore(harness.handle(CompanionEvent.TimePassed), unavailable())
+        harness.connect()
+        val newerRelease = Envelope(ReleaseVersion(1), HybridTime(0, 0), PeerMessage.Heartbeat(1))
+        val asked = harness.handle(CompanionEvent.Received(ENTRY, newerRelease)).sent<PeerMessage.FetchNotes>()
+        val fetch = if (asked.isEmpty()) harness.effects.sent<PeerMessage.FetchNotes>().first() else asked.single()
         assertEquals(ReleaseVersion.NONE, fetch.after)
-        bench.receive(PeerMessage.Notes(listOf(firstNote())))
-        bench.listings().forEach { bench.handle(CompanionEvent.RunningListed(it, emptyList())) }
-        assertTrue(bench.companion.ready)
-        assertEquals(1, bench.receive(reserve(first)).sent<PeerMessage.Granted>().size)
+        harness.receive(PeerMessage.Notes(listOf(firstNote())))
+        harness.listedUpstreams().forEach { harness.handle(CompanionEvent.RunningListed(it, emptyList())) }
+        assertTrue(harness.companion.ready)
+        assertEquals(1, harness.receive(reserve(first)).sent<PeerMessage.Granted>().size)
     }
 
     @Test
-    fun itNeverGoesBackToOlderNotes() {
-        bench.makeReady(listOf(firstNote(), note(2, changed = listOf(DECODE_ENTRY.copy(pieces = 20)))))
-        bench.answerStore(bench.pass(6.seconds), found(listOf(firstNote())))
-        assertEquals(ReleaseVersion(2), bench.companion.release)
-        assertEquals(20, bench.load(DECODE).piecesTotal)
-        bench.connect()
-        val notes = bench.receive(PeerMessage.FetchNotes(ReleaseVersion(1))).sent<PeerMessage.Notes>().single()
+    fun olderNotesAreNotApplied() {
+        harness.makeReady(listOf(firstNote(), note(2, changed = listOf(DECODE_ENTRY.copy(pieces = 20)))))
+        harness.answerStore(harness.advanceTime(6.seconds), found(listOf(firstNote())))
+        assertEquals(ReleaseVersion(2), harness.companion.release)
+        assertEquals(20, harness.load(DECODE).piecesTotal)
+        harness.connect()
+        val notes = harness.receive(PeerMessage.FetchNotes(ReleaseVersion(1))).sent<PeerMessage.Notes>().single()
         assertEquals(listOf(2L), notes.notes.map { it.version.number })
     }
 
     @Test
-    fun aLostOrSilentEntryLosesWhatItHeld() {
-        val ends = listOf<Pair<String, CompanionHarness.() -> Unit>>(
+    fun theAttemptsOfALostOrSilentEntryAreCancelled() {
+        val endings = listOf<Pair<String, CompanionHarness.() -> Unit>>(
             "disconnected" to { disconnect() },
-            "silent" to { pass(3.seconds + 1.milliseconds) },
+            "silent" to { advanceTime(3.seconds + 1.milliseconds) },
             "connected again" to { connect(ConnectionId(9), process = "entry-1") },
         )
-        for ((name, end) in ends) {
-            val bench = CompanionHarness().makeReady().also { it.connect() }
-            bench.receive(reserve(first, 4, holdAtMost = 60.seconds))
-            bench.receive(reserve(attempt(2), 10, waitAtMost = 60.seconds))
-            bench.receive(startPrefill(attempt(3), finishWithin = 60.seconds))
-            bench.end()
-            assertEquals(DECODE_PIECES, bench.load(DECODE).piecesFree, name)
-            assertEquals(0, bench.load(DECODE).waiting, name)
-            val cancelled = bench.effects.filterIsInstance<CompanionEffect.CancelCall>().map { it.attempt }
+        for ((name, end) in endings) {
+            val harness = CompanionHarness().makeReady().also { it.connect() }
+            harness.receive(reserve(first, 4, holdAtMost = 60.seconds))
+            harness.receive(reserve(attempt(2), 10, waitAtMost = 60.seconds))
+            harness.receive(startPrefill(attempt(3), finishWithin = 60.seconds))
+            harness.end()
+            assertEquals(DECODE_PIECES, harness.load(DECODE).piecesFree, name)
+            assertEquals(0, harness.load(DECODE).waiting, name)
+            val cancelled = harness.effects.filterIsInstance<CompanionEffect.CancelCall>().map { it.attempt }
             assertEquals(listOf(attempt(3)), cancelled, name)
-            if (name != "disconnected") assertTrue(CompanionEffect.Disconnect(ENTRY) in bench.effects, name)
+            if (name != "disconnected") assertTrue(CompanionEffect.Disconnect(ENTRY) in harness.effects, name)
         }
     }
 
     @Test
     fun aHeartbeatIsAnsweredWithTheLoadsThatChanged() {
-        bench.makeReady().connect()
-        assertEquals(3, bench.receive(PeerMessage.Heartbeat(1)).sent<PeerMessage.Loads>().single().loads.size)
-        assertEquals(0, bench.receive(PeerMessage.Heartbeat(2)).sent<PeerMessage.Loads>().single().loads.size)
-        bench.receive(reserve(first))
-        val loads = bench.receive(PeerMessage.Heartbeat(3)).sent<PeerMessage.Loads>().single()
+        harness.makeReady().connect()
+        assertEquals(3, harness.receive(PeerMessage.Heartbeat(1)).sent<PeerMessage.Loads>().single().loads.size)
+        assertEquals(0, harness.receive(PeerMessage.Heartbeat(2)).sent<PeerMessage.Loads>().single().loads.size)
+        harness.receive(reserve(first))
+        val loads = harness.receive(PeerMessage.Heartbeat(3)).sent<PeerMessage.Loads>().single()
         assertEquals(listOf(DECODE), loads.loads.map { it.upstream })
     }
 
     @Test
-    fun afterAPauseNothingIsGrantedOrStartedBeforeTheReleaseIsReadAnew() {
-        bench.makeReady()
-        bench.pass(100.milliseconds)
-        bench.freeze(4.seconds)
-        val reading = bench.connect()
-        val effects = bench.receive(reserve(first, waitAtMost = 2.seconds)) +
-            bench.receive(startPrefill(attempt(2))) +
-            bench.receive(startPlain(attempt(3), claim()))
+    fun afterASuspensionNothingIsGrantedOrStartedBeforeTheReleaseIsReadAgain() {
+        harness.makeReady()
+        harness.advanceTime(100.milliseconds)
+        harness.suspendFor(4.seconds)
+        val readEffects = harness.connect()
+        val effects = harness.receive(reserve(first, waitAtMost = 2.seconds)) +
+            harness.receive(startPrefill(attempt(2))) +
+            harness.receive(startPlain(attempt(3), claim()))
         assertEquals(emptyList(), effects.messages())
         assertEquals(0, effects.count { it is CompanionEffect.StartCall })
-        val after = bench.answerStore(reading, found(emptyList()))
+        val after = harness.answerStore(readEffects, found(emptyList()))
         assertEquals(1, after.sent<PeerMessage.Granted>().size)
         assertEquals(2, after.count { it is CompanionEffect.StartCall })
     }
 
     @Test
-    fun aReadingBegunBeforeAPauseDoesNotCountAsFresh() {
-        bench.makeReady()
-        val stale = bench.pass(5.seconds).filter { it is CompanionEffect.AskStore }
-        bench.freeze(4.seconds)
-        bench.connect()
-        bench.answerStore(stale, found(emptyList()))
-        assertEquals(emptyList(), bench.receive(reserve(first)).messages())
+    fun aReadBegunBeforeASuspensionDoesNotCountAsFresh() {
+        harness.makeReady()
+        val oldRead = harness.advanceTime(5.seconds).filter { it is CompanionEffect.AskStore }
+        harness.suspendFor(4.seconds)
+        harness.connect()
+        harness.answerStore(oldRead, found(emptyList()))
+        assertEquals(emptyList(), harness.receive(reserve(first)).messages())
     }
 
     @Test
-    fun aPauseDropsTheConnectionsThatWereSilentInIt() {
-        bench.makeReady().connect()
-        bench.receive(reserve(first, holdAtMost = 60.seconds))
-        bench.freeze(4.seconds)
-        val effects = bench.receive(startDecode(first))
+    fun aSuspensionClosesTheConnectionsThatWereSilentDuringIt() {
+        harness.makeReady().connect()
+        harness.receive(reserve(first, holdAtMost = 60.seconds))
+        harness.suspendFor(4.seconds)
+        val effects = harness.receive(startDecode(first))
         assertTrue(CompanionEffect.Disconnect(ENTRY) in effects)
         assertEquals(0, effects.count { it is CompanionEffect.StartCall })
-        assertEquals(DECODE_PIECES, bench.load(DECODE).piecesFree)
+        assertEquals(DECODE_PIECES, harness.load(DECODE).piecesFree)
     }
 
     @Test
-    fun anEngineAddedLaterIsClearedBeforeItIsUsed() {
-        bench.makeReady().connect()
+    fun orphansOfAnEngineAddedLaterAreCancelledBeforeItIsUsed() {
+        harness.makeReady().connect()
         val added = DECODE_ENTRY.copy(name = UpstreamName("decode-b"))
-        bench.receive(PeerMessage.Notes(listOf(note(2, added = listOf(added)))))
-        val early = bench.receive(reserve(first).copy(upstream = added.name))
+        harness.receive(PeerMessage.Notes(listOf(note(2, added = listOf(added)))))
+        val early = harness.receive(reserve(first).copy(upstream = added.name))
         assertIs<PeerMessage.Refused>(early.messages().single())
-        bench.handle(CompanionEvent.RunningListed(added.name, emptyList()))
-        val later = bench.receive(reserve(attempt(2)).copy(upstream = added.name))
+        harness.handle(CompanionEvent.RunningListed(added.name, emptyList()))
+        val later = harness.receive(reserve(attempt(2)).copy(upstream = added.name))
         assertIs<PeerMessage.Granted>(later.messages().single())
     }
 }
 
-private fun CompanionHarness.listings(): List<UpstreamName> =
+private fun CompanionHarness.listedUpstreams(): List<UpstreamName> =
     effects.filterIsInstance<CompanionEffect.ListRunning>().map { it.upstream.name }
--- a/core/src/test/kotlin/org/lovageladder/core/LeavingStateTest.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/LeavingStateTest.kt
@@ -7,88 +7,88 @@
 import kotlin.time.Duration.Companion.seconds
 
 class LeavingStateTest {
-    private val bench = CompanionHarness().makeReady().also { it.connect() }
+    private val harness = CompanionHarness().makeReady().also { it.connect() }
 
-    private class Row(val name: String, val begin: CompanionHarness.() -> Unit, val exits: Boolean)
+    private class Row(val name: String, val beginLeaving: CompanionHarness.() -> Unit, val mayExit: Boolean)
 
     private val rows = listOf(
-        Row("stop", { handle(CompanionEvent.StopRequested) }, exits = true),
-        Row("listed", { handle(CompanionEvent.HostsListed(listOf(ListedHost(HOST, PLACE, true)))) }, exits = false),
-        Row("withdrawn", { receive(PeerMessage.Notes(listOf(withdrawal()))) }, exits = false),
+        Row("stop", { handle(CompanionEvent.StopRequested) }, mayExit = true),
+        Row("listed", { handle(CompanionEvent.HostsListed(listOf(ListedHost(HOST, PLACE, true)))) }, mayExit = false),
+        Row("withdrawn", { receive(PeerMessage.Notes(listOf(noteWithdrawingTheHost()))) }, mayExit = false),
     )
 
     @Test
-    fun leavingIsAnnouncedRefusesNewWorkAndFinishesWhatWasGrantedOrStarted() {
+    fun aLeavingCompanionAnnouncesItRefusesNewWorkAndFinishesGrantedAndStartedAttempts() {
         for (row in rows) {
-            val bench = CompanionHarness().makeReady().also { it.connect() }
-            bench.receive(reserve(attempt(1), 10, holdAtMost = 60.seconds))
-            bench.receive(reserve(attempt(2), 10, waitAtMost = 60.seconds))
-            bench.receive(startPrefill(attempt(3)))
-            bench.receive(startPlain(attempt(4), claim()))
-            row.begin(bench)
-            assertEquals(1, bench.effects.sent<PeerMessage.Leaving>().size, row.name)
-            assertEquals(listOf(attempt(2)), bench.refusals(FaultCause.LEAVING), row.name)
-            bench.receive(reserve(attempt(11)))
-            bench.receive(startPrefill(attempt(12)))
-            bench.receive(startPlain(attempt(13)))
-            bench.receive(startPlain(attempt(14), claim(1, "other")))
-            assertEquals(listOf(2, 11, 12, 13, 14).map(::attempt), bench.refusals(FaultCause.LEAVING), row.name)
-            bench.finishAll()
-            assertEquals(row.exits, CompanionEffect.Exit in bench.effects, row.name)
+            val harness = CompanionHarness().makeReady().also { it.connect() }
+            harness.receive(reserve(attempt(1), 10, holdAtMost = 60.seconds))
+            harness.receive(reserve(attempt(2), 10, waitAtMost = 60.seconds))
+            harness.receive(startPrefill(attempt(3)))
+            harness.receive(startPlain(attempt(4), claim()))
+            row.beginLeaving(harness)
+            assertEquals(1, harness.effects.sent<PeerMessage.Leaving>().size, row.name)
+            assertEquals(listOf(attempt(2)), harness.refusals(FaultCause.LEAVING), row.name)
+            harness.receive(reserve(attempt(11)))
+            harness.receive(startPrefill(attempt(12)))
+            harness.receive(startPlain(attempt(13)))
+            harness.receive(startPlain(attempt(14), claim(1, "other")))
+            assertEquals(listOf(2, 11, 12, 13, 14).map(::attempt), harness.refusals(FaultCause.LEAVING), row.name)
+            harness.finishAll()
+            assertEquals(row.mayExit, CompanionEffect.Exit in harness.effects, row.name)
         }
     }
 
     @Test
-    fun theExitWaitsUntilTheAnswersOfClaimsAreStored() {
-        bench.receive(startPlain(attempt(1), claim()))
-        bench.handle(CompanionEvent.StopRequested)
-        val write = bench.report(attempt(1), UpstreamReport.Answered(ANSWER))
-        assertTrue(CompanionEffect.Exit !in bench.effects)
-        assertTrue(CompanionEffect.Exit in bench.answerStore(write, StoreAnswer.Written(50)))
-        assertEquals(1, bench.effects.count { it == CompanionEffect.Exit })
+    fun theExitWaitsUntilTheAnswersOfClaimedCallsAreStored() {
+        harness.receive(startPlain(attempt(1), claim()))
+        harness.handle(CompanionEvent.StopRequested)
+        val write = harness.report(attempt(1), UpstreamReport.Answered(ANSWER))
+        assertTrue(CompanionEffect.Exit !in harness.effects)
+        assertTrue(CompanionEffect.Exit in harness.answerStore(write, StoreAnswer.Written(50)))
+        assertEquals(1, harness.effects.count { it == CompanionEffect.Exit })
     }
 
     @Test
-    fun anIdleCompanionExitsAtOnceAndOnce() {
-        assertTrue(CompanionEffect.Exit in bench.handle(CompanionEvent.StopRequested))
-        bench.handle(CompanionEvent.StopRequested)
-        assertEquals(1, bench.effects.count { it == CompanionEffect.Exit })
+    fun anIdleCompanionExitsAtOnceAndOnlyOnce() {
+        assertTrue(CompanionEffect.Exit in harness.handle(CompanionEvent.StopRequested))
+        harness.handle(CompanionEvent.StopRequested)
+        assertEquals(1, harness.effects.count { it == CompanionEffect.Exit })
     }
 
     @Test
-    fun aNewConnectionLearnsOfTheLeaving() {
-        bench.receive(reserve(attempt(1)))
-        bench.handle(CompanionEvent.StopRequested)
-        assertTrue(bench.companion.status(bench.now).leaving)
-        assertEquals(listOf(PeerMessage.Leaving(HOST)), bench.connect(OTHER_ENTRY).messages(OTHER_ENTRY))
+    fun aNewConnectionIsToldThatTheHostIsLeaving() {
+        harness.receive(reserve(attempt(1)))
+        harness.handle(CompanionEvent.StopRequested)
+        assertTrue(harness.companion.status(harness.now).leaving)
+        assertEquals(listOf(PeerMessage.Leaving(HOST)), harness.connect(OTHER_ENTRY).messages(OTHER_ENTRY))
     }
 
     @Test
-    fun aWithdrawnUpstreamDrainsAlone() {
-        bench.receive(reserve(attempt(1), 10))
-        bench.receive(reserve(attempt(2), 10))
+    fun aWithdrawnUpstreamDrainsWhileOthersKeepWorking() {
+        harness.receive(reserve(attempt(1), 10))
+        harness.receive(reserve(attempt(2), 10))
         val note = note(2, withdrawn = listOf(DECODE_ENTRY.key))
-        val effects = bench.receive(PeerMessage.Notes(listOf(note)))
+        val effects = harness.receive(PeerMessage.Notes(listOf(note)))
         assertEquals(0, effects.sent<PeerMessage.Leaving>().size)
-        assertEquals(listOf(attempt(2)), bench.refusals(FaultCause.LEAVING))
-        assertIs<PeerMessage.Refused>(bench.receive(reserve(attempt(3))).messages().single())
-        assertEquals(1, bench.receive(startDecode(attempt(1))).count { it is CompanionEffect.StartCall })
-        val finished = bench.report(attempt(1), UpstreamReport.Finished(1, "stop")).messages().single()
+        assertEquals(listOf(attempt(2)), harness.refusals(FaultCause.LEAVING))
+        assertIs<PeerMessage.Refused>(harness.receive(reserve(attempt(3))).messages().single())
+        assertEquals(1, harness.receive(startDecode(attempt(1))).count { it is CompanionEffect.StartCall })
+        val finished = harness.report(attempt(1), UpstreamReport.Finished(1, "stop")).messages().single()
         assertIs<PeerMessage.DecodeFinished>(finished)
-        assertEquals(1, bench.receive(startPrefill(attempt(4))).count { it is CompanionEffect.StartCall })
+        assertEquals(1, harness.receive(startPrefill(attempt(4))).count { it is CompanionEffect.StartCall })
     }
 
     @Test
-    fun anUpstreamThatComesBackWaitsForItsOldWork() {
-        bench.receive(reserve(attempt(1), 10))
-        bench.receive(startDecode(attempt(1)))
-        bench.receive(PeerMessage.Notes(listOf(note(2, withdrawn = listOf(DECODE_ENTRY.key)))))
-        bench.receive(PeerMessage.Notes(listOf(note(3, added = listOf(DECODE_ENTRY)))))
-        bench.handle(CompanionEvent.RunningListed(DECODE, listOf(attempt(1).toString())))
-        assertEquals(0, bench.effects.count { it is CompanionEffect.CancelOrphan })
-        assertIs<PeerMessage.Refused>(bench.receive(reserve(attempt(2))).messages().single())
-        bench.report(attempt(1), UpstreamReport.Finished(1, "stop"))
-        assertIs<PeerMessage.Granted>(bench.receive(reserve(attempt(3))).messages().single())
+    fun anUpstreamAddedAgainIsUsedOnlyAfterItsOldCallsHaveEnded() {
+        harness.receive(reserve(attempt(1), 10))
+        harness.receive(startDecode(attempt(1)))
+        harness.receive(PeerMessage.Notes(listOf(note(2, withdrawn = listOf(DECODE_ENTRY.key)))))
+        harness.receive(PeerMessage.Notes(listOf(note(3, added = listOf(DECODE_ENTRY)))))
+        harness.handle(CompanionEvent.RunningListed(DECODE, listOf(attempt(1).toString())))
+        assertEquals(0, harness.effects.count { it is CompanionEffect.CancelOrphan })
+        assertIs<PeerMessage.Refused>(harness.receive(reserve(attempt(2))).messages().single())
+        harness.report(attempt(1), UpstreamReport.Finished(1, "stop"))
+        assertIs<PeerMessage.Granted>(harness.receive(reserve(attempt(3))).messages().single())
     }
 
     private fun CompanionHarness.refusals(cause: FaultCause) =
@@ -109,7 +109,7 @@
     }
 }
 
-private fun withdrawal() = note(
+private fun noteWithdrawingTheHost() = note(
     2,
     withdrawn = listOf(
         EntryKey(EntryKind.HOST, HOST.text),
