--- a/core/src/test/kotlin/org/lovageladder/core/ClaimedCallsTest.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/ClaimedCallsTest.kt
@@ -23,7 +23,10 @@
         val starts: Int,
     )
 
-    /** What a void says, and how often the action was started in the end although its start message follows. */
+    /**
+     * What voiding reports in each state, and how often the call was started in the end although its start message
+     * follows.
+     */
     @Test
     fun aVoidedNumberNeverStartsAndAStartedOneIsNeverReportedAsVoided() {
         val rows = listOf(
@@ -36,7 +39,13 @@
             Row("older than started", { start(first, 2) }, 1, ClaimState.VOIDED, 1),
             Row("newer than started", { start(first, 1) }, 2, ClaimState.STARTED, 1),
             Row("newer than waiting", { fillWorkers().also { start(first, 1) } }, 2, ClaimState.VOIDED, 0),
-            Row("refused in time", { fillWorkers().also { start(first, 1) }.also { advanceTime(1.seconds) } }, 1, VOIDED, 0),
+            Row(
+                "refused at its deadline",
+                { fillWorkers().also { start(first, 1) }.also { advanceTime(1.seconds) } },
+                1,
+                VOIDED,
+                0,
+            ),
             Row("cancelled waiting", { fillWorkers().also { start(first, 1) }.also { cancel() } }, 1, VOIDED, 0),
             Row("owner lost, waiting", { fillWorkers().also { start(first, 1) }.also { reconnect() } }, 1, VOIDED, 0),
             Row("owner lost, running", { start(first, 1).also { reconnect() } }, 1, ClaimState.STARTED, 1),
@@ -54,7 +63,9 @@
         }
     }
 
-    /** An upstream that keeps one highest number over all keys would refuse every fresh key after a contested one. */
+    /**
+     * An upstream that keeps one highest fencing number for all keys would refuse every new key after a contested one.
+     */
     @Test
     fun aClaimNumberIsNotSentAsFencingNumber() {
         val harness = harness()
@@ -197,7 +208,7 @@
 
     private fun CompanionHarness.cancel() = receive(PeerMessage.Cancel(first))
 
-    /** Takes every worker slot, on a connection that stays. */
+    /** Fills every worker slot from a connection that stays open. */
     private fun CompanionHarness.fillWorkers() {
         connect(OTHER_ENTRY)
         for (number in 101..102) receive(startPlain(attempt(number)), OTHER_ENTRY)
@@ -217,7 +228,7 @@
 
     private fun List<CompanionEffect>.storeRequests() = filterIsInstance<CompanionEffect.AskStore>().map { it.request }
 
-    /** Passes time until an answer is written, answering other calls of the store with nothing new. */
+    /** Advances time until an answer is written; other store calls are answered with no new notes. */
     private fun CompanionHarness.advanceTimeUntilWrite(): List<CompanionEffect> {
         repeat(MAXIMUM_WAIT_STEPS) {
             val effects = advanceTime(STEP)
--- a/core/src/test/kotlin/org/lovageladder/core/CompanionFuzzTest.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/CompanionFuzzTest.kt
@@ -10,27 +10,27 @@
 import net.jqwik.api.statistics.Statistics
 import java.util.function.Predicate
 
-private const val SHORTEST_SEQUENCE = 50
-private const val LONGEST_SEQUENCE = 90
+private const val MINIMUM_STEPS = 50
+private const val MAXIMUM_STEPS = 90
 
-/** Takes [steps] in a new world and lets it settle; fails where the oracle sees a promise broken. */
-private fun run(steps: List<FuzzStep>) {
-    val world = CompanionSimulation(startsReady = steps.first().third % 4 != 0)
-    steps.forEach(world::take)
-    world.settle()
-    requireCoverage(world.recorded)
+/** Performs [steps] in a new simulation and lets it settle; fails when the oracle finds a violation. */
+private fun runSequence(steps: List<FuzzStep>) {
+    val simulation = CompanionSimulation(startsReady = steps.first().third % 4 != 0)
+    steps.forEach(simulation::perform)
+    simulation.settle()
+    requireCoverage(simulation.recorded)
 }
 
-/** Fails the property when too few of its sequences reach the cases that it is about. */
+/** Fails the property when too few of its sequences reach the cases that it tests. */
 private fun requireCoverage(recorded: Set<EventKind>) {
-    for ((kind, least) in LEAST_COVERED_PERCENT) {
+    for ((kind, minimum) in MINIMUM_COVERAGE_PERCENT) {
         val statistics = Statistics.label(kind.name)
         statistics.collect(kind in recorded)
-        statistics.coverage { it.check(true).percentage(Predicate { percent -> percent >= least }) }
+        statistics.coverage { it.check(true).percentage(Predicate { percent -> percent >= minimum }) }
     }
 }
 
-private val LEAST_COVERED_PERCENT = mapOf(
+private val MINIMUM_COVERAGE_PERCENT = mapOf(
     EventKind.RESERVATION_GRANTED to 40.0,
     EventKind.RESERVATION_LAPSED to 25.0,
     EventKind.DECODE_FINISHED to 15.0,
@@ -45,30 +45,30 @@
 )
 
 private fun sequences(): Arbitrary<List<FuzzStep>> = Arbitraries.longs()
-    .between(0, FuzzStep.codes - 1)
+    .between(0, FuzzStep.codeCount - 1)
     .withDistribution(RandomDistribution.uniform())
     .map(FuzzStep::of)
     .list()
-    .ofMinSize(SHORTEST_SEQUENCE)
-    .ofMaxSize(LONGEST_SEQUENCE)
+    .ofMinSize(MINIMUM_STEPS)
+    .ofMaxSize(MAXIMUM_STEPS)
 
-/** Sequences of events at one companion, from a fixed seed. */
+/** Runs sequences of events against one companion, from a fixed seed. */
 class CompanionFuzzTest {
     @Property(tries = 10_000, seed = "20261204", edgeCases = EdgeCasesMode.NONE)
-    fun everySequenceKeepsThePromises(@ForAll("steps") steps: List<FuzzStep>) = run(steps)
+    fun everySequencePassesTheOracle(@ForAll("steps") steps: List<FuzzStep>) = runSequence(steps)
 
     @Provide
     fun steps(): Arbitrary<List<FuzzStep>> = sequences()
 }
 
 /**
- * The same from a fresh seed, which is printed; not part of the build. Run it by
+ * The same from a new seed, which is printed; not part of the build. Run it with
  * `mvn -pl core -am verify -Dtest=CompanionFreshFuzz -Dsurefire.failIfNoSpecifiedTests=false
  * -Djqwik.tries.default=200000`.
  */
 class CompanionFreshFuzz {
     @Property(edgeCases = EdgeCasesMode.NONE)
-    fun everySequenceKeepsThePromises(@ForAll("steps") steps: List<FuzzStep>) = run(steps)
+    fun everySequencePassesTheOracle(@ForAll("steps") steps: List<FuzzStep>) = runSequence(steps)
 
     @Provide
     fun steps(): Arbitrary<List<FuzzStep>> = sequences()
--- a/core/src/test/kotlin/org/lovageladder/core/CompanionHarness.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/CompanionHarness.kt
@@ -16,7 +16,7 @@
 internal val OTHER_ENTRY = ConnectionId(2)
 internal const val DECODE_PIECES = 10
 
-/** Companion under test with its virtual clock and all that it gave out. */
+/** Companion under test with a virtual clock and all effects that it returned. */
 internal class CompanionHarness(
     val settings: CompanionSettings = CompanionSettings(ProcessName("companion-a"), HOST, PLACE, INCARNATION),
 ) {
@@ -29,11 +29,11 @@
         val newEffects = companion.handle(event, now)
         effects += newEffects
         val next = companion.nextDeadline()
-        check(next == null || next > now) { "left undone at $now: $next" }
+        check(next == null || next > now) { "overdue deadline at $now: $next" }
         return newEffects
     }
 
-    /** Lets [duration] pass, handling each deadline on the way, and returns all effects of that time. */
+    /** Advances the clock by [duration], handles each deadline on the way and returns all effects of that time. */
     fun advanceTime(duration: Duration): List<CompanionEffect> {
         val end = now + duration
         val firstNewEffect = effects.size
@@ -48,7 +48,7 @@
         return effects.drop(firstNewEffect)
     }
 
-    /** Lets [duration] pass without running the process, as when it is stopped and continued. */
+    /** Advances the clock by [duration] without running the process, as when it is suspended and resumed. */
     fun suspendFor(duration: Duration) {
         now += duration
     }
@@ -65,7 +65,7 @@
 
     fun report(attempt: AttemptId, report: UpstreamReport) = handle(CompanionEvent.Reported(attempt, report))
 
-    /** Brings the companion to readiness with [notes] in the store and nothing running on its engines. */
+    /** Makes the companion ready, with [notes] in the store and no calls running on its engines. */
     fun makeReady(notes: List<AcceptedNote> = listOf(firstNote())): CompanionHarness {
         answerStore(handle(CompanionEvent.TimePassed), found(notes))
         for (listing in effects.filterIsInstance<CompanionEffect.ListRunning>()) {
@@ -76,9 +76,9 @@
         return this
     }
 
-    /** Answers each call of the key-value service among [newEffects]. */
-    fun answerStore(newEffects: List<CompanionEffect>, answer: StoreAnswer): List<CompanionEffect> =
-        newEffects.filterIsInstance<CompanionEffect.AskStore>()
+    /** Answers each call of the key-value service among [requested]. */
+    fun answerStore(requested: List<CompanionEffect>, answer: StoreAnswer): List<CompanionEffect> =
+        requested.filterIsInstance<CompanionEffect.AskStore>()
             .flatMap { handle(CompanionEvent.StoreAnswered(it.ticket, answer)) }
 
     fun load(upstream: UpstreamName): UpstreamLoad = companion.status(now).loads.first { it.upstream == upstream }
@@ -182,7 +182,7 @@
 internal fun failed(cause: FaultCause, execution: Execution = Execution.UNKNOWN) =
     UpstreamReport.Failed(Fault(Step.DECODE, "upstream", cause), execution)
 
-/** Messages sent among these effects, in order. */
+/** Messages sent by these effects, in order. */
 internal fun List<CompanionEffect>.messages(connection: ConnectionId? = null): List<PeerMessage> =
     filterIsInstance<CompanionEffect.Send>().filter {
         connection == null || it.connection == connection
--- a/core/src/test/kotlin/org/lovageladder/core/CompanionOracle.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/CompanionOracle.kt
@@ -6,221 +6,227 @@
 import kotlin.test.assertTrue
 import kotlin.test.fail
 
-/** What is known from outside about one attempt. */
-internal class KnownAttempt(val start: PeerMessage, val owner: ConnectionId, val epoch: Int) {
+/** What the entries and upstreams observed of one attempt. */
+internal class ObservedAttempt(val start: PeerMessage, val owner: ConnectionId, val ledgerEpoch: Int) {
     var isCancelled = false
     var isOwnerLost = false
     var grantedUntil: Moment? = null
-    var isDecodeAsked = false
+    var isDecodeRequested = false
     var isStarted = false
     var hasEndedAtUpstream = false
-    var finals = 0
+    var finalMessageCount = 0
     var lastIndex = -1
 
     val pieces: Int get() = (start as? PeerMessage.Reserve)?.pieces ?: 0
     val claim: ClaimTicket? get() = (start as? PeerMessage.StartPlain)?.claim
 }
 
-/**
- * Judges what a companion gives out, knowing only what it was sent, what it told whom, and what the upstreams run.
- */
+/** Verifies the effects of a companion from what was sent to it, what it sent, and what the upstreams run. */
 internal class CompanionOracle(private val upstreams: FakeUpstreams) {
-    val attempts = LinkedHashMap<AttemptId, KnownAttempt>()
-    val live = LinkedHashSet<ConnectionId>()
-    private val closedEarly = HashSet<AttemptId>()
-    private val startedKeys = HashMap<String, Long>()
-    private val neverStart = HashSet<Pair<String, Long>>()
-    val answeredKeys = HashMap<String, Long>()
-
-    /** Counts the withdrawals of the decode engine: each begins a new ledger. */
-    var epoch = 0
-    var mustRead = false
+    val attempts = LinkedHashMap<AttemptId, ObservedAttempt>()
+    val openConnections = LinkedHashSet<ConnectionId>()
+    private val attemptsEndedBeforeStart = HashSet<AttemptId>()
+    private val startedNumbers = HashMap<String, Long>()
+    private val voidedNumbers = HashSet<Pair<String, Long>>()
+    val answeredNumbers = HashMap<String, Long>()
+
+    /** Number of withdrawals of the decode engine so far: a new ledger begins with each. */
+    var ledgerEpoch = 0
+    var mustReadRelease = false
     var isLeaving = false
     var hasExited = false
 
-    fun delivered(connection: ConnectionId, message: PeerMessage) {
-        if (connection !in live) return
+    fun onDelivered(connection: ConnectionId, message: PeerMessage) {
+        if (connection !in openConnections) return
         when (message) {
-            is PeerMessage.Reserve -> opened(message.attempt, connection, message)
-            is PeerMessage.StartPrefill -> opened(message.attempt, connection, message)
-            is PeerMessage.StartPlain -> opened(message.attempt, connection, message)
-            is PeerMessage.StartDecode -> attempts[message.attempt]?.isDecodeAsked = true
-            is PeerMessage.Cancel -> cancelled(message.attempt)
+            is PeerMessage.Reserve -> onStartMessage(message.attempt, connection, message)
+            is PeerMessage.StartPrefill -> onStartMessage(message.attempt, connection, message)
+            is PeerMessage.StartPlain -> onStartMessage(message.attempt, connection, message)
+            is PeerMessage.StartDecode -> attempts[message.attempt]?.isDecodeRequested = true
+            is PeerMessage.Cancel -> onCancelMessage(message.attempt)
             else -> Unit
         }
     }
 
-    fun connectionEnded(connection: ConnectionId) {
-        live -= connection
+    fun onConnectionEnded(connection: ConnectionId) {
+        openConnections -= connection
         attempts.values.filter { it.owner == connection }.forEach { it.isOwnerLost = true }
     }
 
-    /** Takes in a report that is about to reach the companion. */
-    fun reported(attempt: AttemptId, report: UpstreamReport) {
-        val known = attempts.getValue(attempt)
-        val isEngineCall = known.claim == null && known.start !is PeerMessage.StartPlain
+    /** Records a report that is about to reach the companion. */
+    fun onReport(attempt: AttemptId, report: UpstreamReport) {
+        val observed = attempts.getValue(attempt)
+        val isEngineCall = observed.claim == null && observed.start !is PeerMessage.StartPlain
         when (report) {
             is UpstreamReport.Token -> return
             is UpstreamReport.Failed -> {
-                val stays = isEngineCall && report.fault.cause == FaultCause.CONNECTION_LOST
-                if (!stays) known.hasEndedAtUpstream = true
-                if (report.execution == Execution.NOT_RUN) known.claim?.let { startedKeys.remove(it.storeKey) }
+                val staysAtUpstream = isEngineCall && report.fault.cause == FaultCause.CONNECTION_LOST
+                if (!staysAtUpstream) observed.hasEndedAtUpstream = true
+                if (report.execution == Execution.NOT_RUN) observed.claim?.let { startedNumbers.remove(it.storeKey) }
             }
             is UpstreamReport.Answered -> {
-                known.hasEndedAtUpstream = true
-                known.claim?.let { answeredKeys[it.storeKey] = it.number }
+                observed.hasEndedAtUpstream = true
+                observed.claim?.let { answeredNumbers[it.storeKey] = it.number }
             }
-            is UpstreamReport.Finished, is UpstreamReport.PrefillReady -> known.hasEndedAtUpstream = true
+            is UpstreamReport.Finished, is UpstreamReport.PrefillReady -> observed.hasEndedAtUpstream = true
         }
     }
 
-    fun cancelConfirmed(attempt: AttemptId) {
+    fun onCancelConfirmed(attempt: AttemptId) {
         attempts.getValue(attempt).hasEndedAtUpstream = true
     }
 
-    /** Judges one effect at [now]. */
-    fun judge(effect: CompanionEffect, now: Moment) {
+    /** Verifies one effect at [now]. */
+    fun verify(effect: CompanionEffect, now: Moment) {
         assertTrue(!hasExited, "after the exit: $effect")
         when (effect) {
-            is CompanionEffect.Send -> judgeMessage(effect.connection, effect.message, now)
-            is CompanionEffect.StartCall -> judgeStart(effect)
-            is CompanionEffect.Disconnect -> connectionEnded(effect.connection)
-            is CompanionEffect.Exit -> judgeExit(now)
+            is CompanionEffect.Send -> verifyMessage(effect.connection, effect.message, now)
+            is CompanionEffect.StartCall -> verifyStart(effect)
+            is CompanionEffect.Disconnect -> onConnectionEnded(effect.connection)
+            is CompanionEffect.Exit -> verifyExit(now)
             else -> Unit
         }
     }
 
-    /** Judges the companion's [loads] after an event. */
-    fun judgeLoads(loads: List<UpstreamLoad>, now: Moment) {
-        val engineHeld = upstreams.held.filter { it.start.upstream.name == DECODE }
+    /** Verifies the companion's [loads] after an event. */
+    fun verifyLoads(loads: List<UpstreamLoad>, now: Moment) {
+        val engineAllocated = upstreams.activeCalls.filter { it.start.upstream.name == DECODE }
             .sumOf { attempts.getValue(it.attempt).pieces }
-        assertTrue(engineHeld <= DECODE_PIECES, "the engine holds $engineHeld of $DECODE_PIECES pieces")
+        assertTrue(engineAllocated <= DECODE_PIECES, "the engine holds $engineAllocated of $DECODE_PIECES pieces")
         val load = loads.firstOrNull { it.upstream == DECODE } ?: return
-        assertEquals(DECODE_PIECES, load.piecesFree + ledgerHeld(now), "free and held pieces, $load")
+        assertEquals(DECODE_PIECES, load.piecesFree + allocatedPieces(now), "free and allocated pieces, $load")
     }
 
-    /** Judges that each start on a connection that lives got its one last answer, unless it was cancelled. */
-    fun judgeAnswers() {
-        for ((attempt, known) in attempts) {
-            if (known.isCancelled || known.isOwnerLost) continue
-            val expected = if (known.grantedUntil != null && !known.isDecodeAsked) 0 else 1
-            assertEquals(expected, known.finals, "last answers to $attempt: ${known.start}")
+    /**
+     * Verifies that each start message on an open connection got exactly one final message, unless it was cancelled.
+     */
+    fun verifyAnswers() {
+        for ((attempt, observed) in attempts) {
+            if (observed.isCancelled || observed.isOwnerLost) continue
+            val expected = if (observed.grantedUntil != null && !observed.isDecodeRequested) 0 else 1
+            assertEquals(expected, observed.finalMessageCount, "final messages about $attempt: ${observed.start}")
         }
     }
 
-    private fun opened(attempt: AttemptId, connection: ConnectionId, message: PeerMessage) {
-        if (attempt in attempts || attempt in closedEarly) return
-        attempts[attempt] = KnownAttempt(message, connection, epoch)
+    private fun onStartMessage(attempt: AttemptId, connection: ConnectionId, message: PeerMessage) {
+        if (attempt in attempts || attempt in attemptsEndedBeforeStart) return
+        attempts[attempt] = ObservedAttempt(message, connection, ledgerEpoch)
     }
 
-    private fun cancelled(attempt: AttemptId) {
-        val known = attempts[attempt]
-        if (known == null) closedEarly += attempt else known.isCancelled = true
+    private fun onCancelMessage(attempt: AttemptId) {
+        val observed = attempts[attempt]
+        if (observed == null) attemptsEndedBeforeStart += attempt else observed.isCancelled = true
     }
 
-    private fun ledgerHeld(now: Moment): Int = attempts.values.filter { it.epoch == epoch }.sumOf { known ->
-        val until = known.grantedUntil
-        val isReserved = until != null && !known.isStarted && until > now && !known.isCancelled && !known.isOwnerLost
-        val isRunning = known.isStarted && !known.hasEndedAtUpstream
-        if (isReserved || isRunning) known.pieces else 0
+    private fun allocatedPieces(now: Moment): Int = attempts.values.filter {
+        it.ledgerEpoch == ledgerEpoch
+    }.sumOf { observed ->
+        val until = observed.grantedUntil
+        val isReserved =
+            until != null && !observed.isStarted && until > now && !observed.isCancelled && !observed.isOwnerLost
+        val isRunning = observed.isStarted && !observed.hasEndedAtUpstream
+        if (isReserved || isRunning) observed.pieces else 0
     }
 
-    private fun judgeMessage(connection: ConnectionId, message: PeerMessage, now: Moment) {
+    private fun verifyMessage(connection: ConnectionId, message: PeerMessage, now: Moment) {
         when (message) {
-            is PeerMessage.Granted -> granted(known(connection, message.attempt, message), message, now)
-            is PeerMessage.TokenProduced -> token(known(connection, message.attempt, message), message)
-            is PeerMessage.Refused -> refused(connection, message)
-            is PeerMessage.PrefillReady -> final(
-                known(connection, message.attempt, message),
+            is PeerMessage.Granted -> verifyGrant(findAttempt(connection, message.attempt, message), message, now)
+            is PeerMessage.TokenProduced -> verifyToken(findAttempt(connection, message.attempt, message), message)
+            is PeerMessage.Refused -> verifyRefusal(connection, message)
+            is PeerMessage.PrefillReady -> verifyFinalMessage(
+                findAttempt(connection, message.attempt, message),
                 message,
                 needsStart = true,
             )
             is PeerMessage.DecodeFinished ->
-                final(known(connection, message.attempt, message), message, needsStart = true)
+                verifyFinalMessage(findAttempt(connection, message.attempt, message), message, needsStart = true)
             is PeerMessage.PlainFinished ->
-                final(known(connection, message.attempt, message), message, needsStart = true)
+                verifyFinalMessage(findAttempt(connection, message.attempt, message), message, needsStart = true)
             is PeerMessage.AttemptFailed ->
-                final(known(connection, message.attempt, message), message, needsStart = true)
-            is PeerMessage.ClaimStatus -> claimStatus(message)
+                verifyFinalMessage(findAttempt(connection, message.attempt, message), message, needsStart = true)
+            is PeerMessage.ClaimStatus -> verifyClaimStatus(message)
             is PeerMessage.Leaving -> isLeaving = true
             else -> Unit
         }
     }
 
-    private fun known(connection: ConnectionId, attempt: AttemptId, message: PeerMessage): KnownAttempt {
-        val known = attempts[attempt] ?: fail("message about an unknown attempt: $message")
-        assertEquals(known.owner, connection, "owner of $message")
-        assertTrue(connection in live, "on a dead connection: $message")
-        assertTrue(!known.isCancelled, "after its cancel: $message")
-        assertEquals(0, known.finals, "after the last answer: $message")
-        return known
+    private fun findAttempt(connection: ConnectionId, attempt: AttemptId, message: PeerMessage): ObservedAttempt {
+        val observed = attempts[attempt] ?: fail("message about an unknown attempt: $message")
+        assertEquals(observed.owner, connection, "owner of $message")
+        assertTrue(connection in openConnections, "on a closed connection: $message")
+        assertTrue(!observed.isCancelled, "after its cancel: $message")
+        assertEquals(0, observed.finalMessageCount, "after the final message: $message")
+        return observed
     }
 
-    private fun granted(known: KnownAttempt, message: PeerMessage.Granted, now: Moment) {
-        assertNull(known.grantedUntil, "granted twice: $message")
-        mayTakeNew(message.attempt, DECODE)
-        known.grantedUntil = now + message.holdFor
+    private fun verifyGrant(observed: ObservedAttempt, message: PeerMessage.Granted, now: Moment) {
+        assertNull(observed.grantedUntil, "granted twice: $message")
+        verifyMayStart(message.attempt, DECODE)
+        observed.grantedUntil = now + message.holdFor
     }
 
-    private fun token(known: KnownAttempt, message: PeerMessage.TokenProduced) {
-        assertTrue(known.isStarted, "token before the start: $message")
-        assertTrue(message.index > known.lastIndex, "index given twice: $message")
-        known.lastIndex = message.index
+    private fun verifyToken(observed: ObservedAttempt, message: PeerMessage.TokenProduced) {
+        assertTrue(observed.isStarted, "token before the start: $message")
+        assertTrue(message.index > observed.lastIndex, "index sent twice: $message")
+        observed.lastIndex = message.index
     }
 
-    private fun refused(connection: ConnectionId, message: PeerMessage.Refused) {
+    private fun verifyRefusal(connection: ConnectionId, message: PeerMessage.Refused) {
         if (message.attempt !in attempts) {
-            closedEarly += message.attempt
+            attemptsEndedBeforeStart += message.attempt
             return
         }
-        val known = known(connection, message.attempt, message)
-        final(known, message, needsStart = false)
-        val claim = known.claim?.takeIf { message.fault.cause != FaultCause.FENCED } ?: return
-        if (startedKeys[claim.storeKey] != claim.number) neverStart += claim.storeKey to claim.number
+        val observed = findAttempt(connection, message.attempt, message)
+        verifyFinalMessage(observed, message, needsStart = false)
+        val claim = observed.claim?.takeIf { message.fault.cause != FaultCause.FENCED } ?: return
+        if (startedNumbers[claim.storeKey] != claim.number) voidedNumbers += claim.storeKey to claim.number
     }
 
-    private fun final(known: KnownAttempt, message: PeerMessage, needsStart: Boolean) {
-        assertEquals(needsStart, known.isStarted, "started before: $message")
-        known.finals++
+    private fun verifyFinalMessage(observed: ObservedAttempt, message: PeerMessage, needsStart: Boolean) {
+        assertEquals(needsStart, observed.isStarted, "started before: $message")
+        observed.finalMessageCount++
     }
 
-    private fun claimStatus(message: PeerMessage.ClaimStatus) {
-        val started = startedKeys[message.storeKey]
+    private fun verifyClaimStatus(message: PeerMessage.ClaimStatus) {
+        val started = startedNumbers[message.storeKey]
         if (message.state != ClaimState.VOIDED) {
             assertNotNull(started, "never started: $message")
             return
         }
         assertTrue(started != message.number, "was started: $message")
-        neverStart += message.storeKey to message.number
+        voidedNumbers += message.storeKey to message.number
     }
 
-    private fun judgeStart(effect: CompanionEffect.StartCall) {
-        val known = attempts[effect.attempt] ?: fail("start of an unknown attempt: $effect")
-        assertTrue(!known.isStarted && !known.isCancelled && !known.isOwnerLost && known.finals == 0, "start: $effect")
+    private fun verifyStart(effect: CompanionEffect.StartCall) {
+        val observed = attempts[effect.attempt] ?: fail("start of an unknown attempt: $effect")
+        assertTrue(
+            !observed.isStarted && !observed.isCancelled && !observed.isOwnerLost && observed.finalMessageCount == 0,
+            "start: $effect",
+        )
         if (effect.call is UpstreamCall.Decode) {
-            assertNotNull(known.grantedUntil, "no reservation: $effect")
+            assertNotNull(observed.grantedUntil, "no reservation: $effect")
         } else {
-            mayTakeNew(effect.attempt, effect.upstream.name)
+            verifyMayStart(effect.attempt, effect.upstream.name)
         }
-        known.isStarted = true
-        known.claim?.let(::judgeClaimedStart)
+        observed.isStarted = true
+        observed.claim?.let(::verifyClaimedStart)
     }
 
-    private fun judgeClaimedStart(claim: ClaimTicket) {
-        assertNull(startedKeys[claim.storeKey], "started twice: $claim")
-        assertTrue(claim.storeKey to claim.number !in neverStart, "voided: $claim")
-        startedKeys[claim.storeKey] = claim.number
+    private fun verifyClaimedStart(claim: ClaimTicket) {
+        assertNull(startedNumbers[claim.storeKey], "started twice: $claim")
+        assertTrue(claim.storeKey to claim.number !in voidedNumbers, "voided before: $claim")
+        startedNumbers[claim.storeKey] = claim.number
     }
 
-    private fun mayTakeNew(attempt: AttemptId, upstream: UpstreamName) {
-        assertTrue(!mustRead, "before the release was read anew: $attempt")
+    private fun verifyMayStart(attempt: AttemptId, upstream: UpstreamName) {
+        assertTrue(!mustReadRelease, "before the release was read again: $attempt")
         assertTrue(!isLeaving, "after leaving: $attempt")
-        assertTrue(upstreams.orphans[upstream].isNullOrEmpty(), "beside calls of an earlier incarnation: $attempt")
+        assertTrue(upstreams.orphans[upstream].isNullOrEmpty(), "before orphans were cancelled: $attempt")
     }
 
-    private fun judgeExit(now: Moment) {
-        assertEquals(0, ledgerHeld(now), "held at the exit")
-        assertTrue(attempts.values.none { it.isStarted && !it.hasEndedAtUpstream }, "running at the exit")
+    private fun verifyExit(now: Moment) {
+        assertEquals(0, allocatedPieces(now), "pieces allocated at the exit")
+        assertTrue(attempts.values.none { it.isStarted && !it.hasEndedAtUpstream }, "calls running at the exit")
         hasExited = true
     }
 }
--- a/core/src/test/kotlin/org/lovageladder/core/DecodeSchedulerTest.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/DecodeSchedulerTest.kt
@@ -23,7 +23,7 @@
             Row("running", { startDecoding() }, 6),
             Row("finished", { startDecoding().also { report(first, FINISHED) } }, 10),
             Row("crashed", { startDecoding().also { report(first, failed(FaultCause.CRASHED)) } }, 10),
-            Row("broken stream", { startDecoding().also { report(first, failed(FaultCause.CONNECTION_LOST)) } }, 6),
+            Row("connection lost", { startDecoding().also { report(first, failed(FaultCause.CONNECTION_LOST)) } }, 6),
             Row("cancelled, granted", { grant().also { cancel() } }, 10),
             Row("cancelled, running", { startDecoding().also { cancel() } }, 6),
             Row("cancelled, unconfirmed", { startDecoding().also { cancel() }.also { endCancel(false) } }, 6),
@@ -134,7 +134,8 @@
 
     @Test
     fun aFullQueueKeepsTheAttemptsOfHighestWorth() {
-        val harness = CompanionHarness(CompanionHarness().settings.copy(queueLimit = 2)).makeReady().also { it.connect() }
+        val harness =
+            CompanionHarness(CompanionHarness().settings.copy(queueLimit = 2)).makeReady().also { it.connect() }
         harness.receive(reserve(first, 10))
         harness.receive(reserve(attempt(2), worth = 2.0))
         harness.receive(reserve(attempt(3), worth = 1.0))
--- a/core/src/test/kotlin/org/lovageladder/core/FakeStore.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/FakeStore.kt
@@ -2,7 +2,7 @@
 
 import kotlinx.serialization.json.Json
 
-/** Key-value service in memory. Its clients see outages, lost answers and older data through the fuzz steps. */
+/** Key-value service in memory. The fuzz steps add unavailability, lost answers and outdated reads. */
 internal class FakeStore {
     private val entries = sortedMapOf<String, StoredEntry>()
     private var revision = 0L
@@ -20,7 +20,7 @@
 
     fun read(key: String): StoredEntry? = entries[key]
 
-    /** Carries out [request]. Only the first [visibleNotes] notes are given out, as by a server with older data. */
+    /** Carries out [request]. Reads return only the first [visibleNotes] notes, as a server with outdated data does. */
     fun call(request: StoreRequest, visibleNotes: Int = notes.size): StoreAnswer = when (request) {
         is StoreRequest.Read -> StoreAnswer.Found(listOfNotNull(entries[request.key]))
         is StoreRequest.ReadAfter -> StoreAnswer.Found(after(request, visibleNotes))
--- a/core/src/test/kotlin/org/lovageladder/core/FakeUpstreams.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/FakeUpstreams.kt
@@ -2,7 +2,7 @@
 
 /** How a call ends at a fake upstream. */
 internal enum class FakeCallEnd {
-    /** The call is done. */
+    /** The call finished. */
     DONE,
 
     /** The upstream crashed and holds nothing any more. */
@@ -11,8 +11,8 @@
     /** The upstream did not start the call. */
     NOT_RUN,
 
-    /** Only the connection to the upstream broke: an engine goes on. */
-    BROKEN,
+    /** Only the connection to the upstream was lost: an engine continues the call. */
+    CONNECTION_LOST,
 }
 
 /** How a cancel ends at a fake upstream. */
@@ -29,27 +29,27 @@
     var tokens = 0
 }
 
-/** What the upstreams of one host really run and hold, and their reports on the way to the companion. */
+/** Calls that the upstreams of one host run and hold, and their reports that the companion has not received. */
 internal class FakeUpstreams {
     private val calls = LinkedHashMap<AttemptId, FakeCall>()
-    private val streams = LinkedHashMap<AttemptId, ArrayDeque<UpstreamReport>>()
-    private val broken = HashSet<AttemptId>()
+    private val reportQueues = LinkedHashMap<AttemptId, ArrayDeque<UpstreamReport>>()
+    private val closedStreams = HashSet<AttemptId>()
     val orphans = hashMapOf(DECODE to linkedSetOf("old.1", "old.2"), PREFILL to linkedSetOf("old.3"))
     val cancels = ArrayList<CompanionEffect.CancelCall>()
 
-    /** Calls that an upstream works on or holds memory for. */
-    val held: List<FakeCall> get() = calls.values.toList()
+    /** Calls that an upstream runs or holds memory for. */
+    val activeCalls: List<FakeCall> get() = calls.values.toList()
 
-    /** Calls with a report that the companion has not seen. */
-    val reporting: List<AttemptId> get() = streams.filterValues { it.isNotEmpty() }.keys.toList()
+    /** Attempts with a report that the companion has not received. */
+    val attemptsWithReports: List<AttemptId> get() = reportQueues.filterValues { it.isNotEmpty() }.keys.toList()
 
     fun start(effect: CompanionEffect.StartCall) {
         check(calls.put(effect.attempt, FakeCall(effect)) == null) { "${effect.attempt} was started twice" }
-        streams[effect.attempt] = ArrayDeque()
+        reportQueues[effect.attempt] = ArrayDeque()
     }
 
     fun running(upstream: UpstreamName): List<String> = orphans[upstream].orEmpty().toList() +
-        held.filter { it.start.upstream.name == upstream }.map { it.attempt.toString() }
+        activeCalls.filter { it.start.upstream.name == upstream }.map { it.attempt.toString() }
 
     fun token(call: FakeCall) {
         if (call.start.call is UpstreamCall.Decode) report(call, UpstreamReport.Token(call.tokens, "t${call.tokens++}"))
@@ -60,26 +60,26 @@
             FakeCallEnd.DONE -> report(call, resultOf(call))
             FakeCallEnd.CRASHED -> report(call, failed(FaultCause.CRASHED))
             FakeCallEnd.NOT_RUN -> report(call, failed(FaultCause.REJECTED, Execution.NOT_RUN))
-            FakeCallEnd.BROKEN -> report(call, failed(FaultCause.CONNECTION_LOST))
+            FakeCallEnd.CONNECTION_LOST -> report(call, failed(FaultCause.CONNECTION_LOST))
         }
-        broken += call.attempt
-        if (end != FakeCallEnd.BROKEN || !call.isEngine) calls.remove(call.attempt)
+        closedStreams += call.attempt
+        if (end != FakeCallEnd.CONNECTION_LOST || !call.isEngine) calls.remove(call.attempt)
     }
 
-    fun nextReport(attempt: AttemptId): UpstreamReport = streams.getValue(attempt).removeFirst()
+    fun nextReport(attempt: AttemptId): UpstreamReport = reportQueues.getValue(attempt).removeFirst()
 
-    /** Carries out a cancel; returns whether it is confirmed to the companion. */
+    /** Cancels a call; returns whether the companion receives a confirmation. */
     fun cancel(effect: CompanionEffect.CancelCall, end: FakeCancelResult): Boolean {
         cancels.remove(effect)
         if (end != FakeCancelResult.IGNORED) {
             calls.remove(effect.attempt)
-            broken += effect.attempt
+            closedStreams += effect.attempt
         }
         return end == FakeCancelResult.CONFIRMED
     }
 
     private fun report(call: FakeCall, report: UpstreamReport) {
-        if (call.attempt !in broken) streams.getValue(call.attempt).addLast(report)
+        if (call.attempt !in closedStreams) reportQueues.getValue(call.attempt).addLast(report)
     }
 
     private fun resultOf(call: FakeCall): UpstreamReport = when (call.start.call) {
--- a/core/src/test/kotlin/org/lovageladder/core/FuzzStep.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/FuzzStep.kt
@@ -1,34 +1,34 @@
 package org.lovageladder.core
 
 /**
- * One step of a fuzz sequence. The numbers select among what exists when the step is taken, so that each part of a
- * sequence is a sequence too and failures can be shortened.
+ * One step of a fuzz sequence. The numbers select among what exists when the step is performed, so that any subsequence
+ * is valid and failures can be shrunk.
  */
 data class FuzzStep(val kind: FuzzKind, val first: Int, val second: Int, val third: Int) {
     fun <T> pick(from: List<T>): T? = if (from.isEmpty()) null else from[first % from.size]
 
     companion object {
-        private const val FIELD = 1000
-        private val weighted = FuzzKind.entries.flatMap { kind -> List(kind.weight) { kind } }
+        private const val VALUES_PER_FIELD = 1000
+        private val kindsByWeight = FuzzKind.entries.flatMap { kind -> List(kind.weight) { kind } }
 
-        /** Bound of the numbers that [of] takes. */
-        val codes: Long = weighted.size.toLong() * FIELD * FIELD * FIELD
+        /** Number of codes that [of] accepts: 0 to below this number. */
+        val codeCount: Long = kindsByWeight.size.toLong() * VALUES_PER_FIELD * VALUES_PER_FIELD * VALUES_PER_FIELD
 
         fun of(code: Long): FuzzStep {
-            val fields = code / weighted.size
+            val fields = code / kindsByWeight.size
             return FuzzStep(
-                weighted[(code % weighted.size).toInt()],
-                (fields % FIELD).toInt(),
-                (fields / FIELD % FIELD).toInt(),
-                (fields / FIELD / FIELD % FIELD).toInt(),
+                kindsByWeight[(code % kindsByWeight.size).toInt()],
+                (fields % VALUES_PER_FIELD).toInt(),
+                (fields / VALUES_PER_FIELD % VALUES_PER_FIELD).toInt(),
+                (fields / VALUES_PER_FIELD / VALUES_PER_FIELD % VALUES_PER_FIELD).toInt(),
             )
         }
     }
 }
 
-/** What happens in a step, with how often it is chosen. */
+/** Kind of a step, with the weight with which it is chosen. */
 enum class FuzzKind(val weight: Int) {
-    PASS(10),
+    ADVANCE_TIME(10),
     CONNECT(5),
     RESERVE(12),
     START_DECODE(12),
@@ -39,7 +39,7 @@
     VOID_CLAIM(4),
     FOLLOW_CLAIM(2),
     HEARTBEAT(5),
-    DELIVER(8),
+    DELIVER_DELAYED(8),
     DELIVER_AGAIN(3),
     TOKEN(5),
     END_CALL(10),
@@ -50,7 +50,7 @@
     END_ORPHAN(4),
     END_ORDER(2),
     DISCONNECT(2),
-    FREEZE(1),
+    SUSPEND(1),
     PUBLISH(2),
     LIST_HOSTS(1),
     STOP(1),
--- a/core/src/test/kotlin/org/lovageladder/core/PrefillSchedulerTest.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/PrefillSchedulerTest.kt
@@ -27,7 +27,7 @@
 
     private class Row(val name: String, val tokens: Int, val finishWithinMilliseconds: Int, val isRefused: Boolean)
 
-    /** One prefill of 1,000 tokens was seen to take 100 ms, and another one has just begun. */
+    /** One prefill of 1,000 tokens was measured to take 100 ms, and another one has just started. */
     @Test
     fun aPrefillThatCannotFinishInTimeIsRefusedAtOnce() {
         val rows = listOf(
