--- a/core/src/main/kotlin/org/lovageladder/core/Companion.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/Companion.kt
@@ -74,8 +74,8 @@
             is CompanionEvent.Connected -> onConnected(event)
             is CompanionEvent.Disconnected -> onConnectionLost(event.connection, event.fault.toString())
             is CompanionEvent.Received -> onReceived(event.connection, event.envelope)
-            is CompanionEvent.Reported -> findScheduler(event.attempt)?.onReport(event.attempt, event.report)
-            is CompanionEvent.CancelEnded -> findScheduler(event.attempt)?.onCancelEnded(event.attempt, event.confirmed)
+            is CompanionEvent.Reported -> schedulerOf(event.attempt)?.onReport(event.attempt, event.report)
+            is CompanionEvent.CancelEnded -> schedulerOf(event.attempt)?.onCancelEnded(event.attempt, event.confirmed)
             is CompanionEvent.RunningListed -> upstreams.onRunningListed(event.upstream, event.requests)
             is CompanionEvent.OrphanEnded -> upstreams.onOrphanEnded(event)
             is CompanionEvent.OrderEnded -> upstreams.onOrderEnded(event)
@@ -126,9 +126,7 @@
         if (!connections.remove(connection, detail)) return
         releases.connectionLost(connection)
         claims.registry.connectionLost(connection)
-        for (attempt in context.attempts.ownedBy(connection)) {
-            findScheduler(attempt)?.cancel(attempt, AttemptEnding.LAPSED)
-        }
+        for (id in context.attempts.ownedBy(connection)) schedulerOf(id)?.cancel(id, AttemptEnding.LAPSED)
     }
 
     private fun onReceived(connection: ConnectionId, envelope: Envelope) {
@@ -186,5 +184,5 @@
         upstreams.refuseWaiting(Fault(Step.CHOOSE, settings.host.text, FaultCause.LEAVING, "host is leaving"))
     }
 
-    private fun findScheduler(attempt: AttemptId): UpstreamScheduler? = context.attempts.find(attempt)?.scheduler
+    private fun schedulerOf(attempt: AttemptId): UpstreamScheduler? = context.attempts.find(attempt)?.scheduler
 }
--- a/core/src/main/kotlin/org/lovageladder/core/CompanionOutput.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/CompanionOutput.kt
@@ -26,13 +26,13 @@
         add(CompanionEffect.Record(EventDraft(kind, attempt?.request, upstream, host, note, detail)))
     }
 
-    /** Returns a number that no earlier call of the key-value service was given. */
+    /** Returns a number that was not used for an earlier call of the key-value service. */
     fun nextTicket(): Long = ++lastTicket
 
     /** Returns the effects collected since the last call. */
     fun takeEffects(): List<CompanionEffect> {
-        val taken = effects
+        val collected = effects
         effects = ArrayList()
-        return taken
+        return collected
     }
 }
--- a/core/src/main/kotlin/org/lovageladder/core/EventKind.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/EventKind.kt
@@ -105,7 +105,7 @@
         "Check the process that writes it.",
     ),
     SETTINGS_RELOADED(3006, EventLevel.INFO, "The settings file was read again.", "None."),
-    ROLE_CHANGE_BEGUN(3007, EventLevel.INFO, "An engine is to change its role; this is announced first.", "None."),
+    ROLE_CHANGE_BEGUN(3007, EventLevel.INFO, "A role change of an engine begins with its announcement.", "None."),
     ROLE_ORDERED(3008, EventLevel.INFO, "An engine was ordered to change its role.", "None."),
     ENTRY_REGISTERED(3009, EventLevel.INFO, "The number of entries that share limits changed.", "None."),
     UPSTREAM_NOTICE(3010, EventLevel.INFO, "An upstream said that it is leaving, or asked for a pause.", "None."),
--- a/core/src/main/kotlin/org/lovageladder/core/HostUpstreams.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/HostUpstreams.kt
@@ -5,7 +5,7 @@
 
 /**
  * The upstreams on this companion's host as the release in force has them. The scheduler of an upstream that was
- * withdrawn or changed its role is retired: it finishes what it granted or started and takes nothing new.
+ * withdrawn or changed its role is retired: it finishes what it granted or started and accepts no new work.
  */
 internal class HostUpstreams(private val context: CompanionContext, private val claims: ClaimedCalls) {
     private val servedUpstreams = LinkedHashMap<UpstreamName, ServedUpstream>()
@@ -24,7 +24,7 @@
 
     fun find(upstream: UpstreamName): UpstreamScheduler? = schedulers[upstream]
 
-    /** Whether [upstream] can take work: no cleanup, retired scheduler or role change is pending there. */
+    /** Whether [upstream] can accept work: no cleanup, retired scheduler or role change is pending there. */
     fun isUsable(upstream: UpstreamName): Boolean = cleanups[upstream]?.isDone != false &&
         retiredSchedulers.none { it.upstream.name == upstream } &&
         !orders.hasPendingRoleChange(upstream)
--- a/core/src/main/kotlin/org/lovageladder/core/LeavingState.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/LeavingState.kt
@@ -27,7 +27,7 @@
         return isWithdrawn && beginLeaving()
     }
 
-    /** Lets the process exit, once, after a stop was requested and nothing is left to do. */
+    /** Adds [CompanionEffect.Exit] once, when a stop was requested and nothing is left to do. */
     fun exitIfDone(isDone: Boolean) {
         if (!isStopping || !isDone || hasExited) return
         hasExited = true
--- a/core/src/main/kotlin/org/lovageladder/core/Names.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/Names.kt
@@ -49,7 +49,7 @@
     override fun toString(): String = text
 }
 
-/** Name of a model as callers and engines know it. */
+/** Name of a model as used by callers and engines. */
 @Serializable
 @JvmInline
 public value class ModelName(public val text: String) {
--- a/core/src/main/kotlin/org/lovageladder/core/PeerMessage.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/PeerMessage.kt
@@ -41,8 +41,8 @@
 public data class ClaimTicket(val storeKey: String, val number: Long, val revision: Long, val record: ClaimRecord)
 
 /**
- * Value of a claim in the key-value service. A [released] claim was given up before anything started under it or
- * under an earlier number.
+ * Value of a claim in the key-value service. A [released] claim was released before any call started under it or under
+ * an earlier number.
  */
 @Serializable
 public data class ClaimRecord(
@@ -74,7 +74,10 @@
 /** One message between an entry and a companion. */
 @Serializable
 public sealed interface PeerMessage {
-    /** First message of an entry. A companion of another [expectedHost] or incarnation closes the connection. */
+    /**
+     * First message of an entry. A companion closes the connection when it is not [expectedHost] or has another
+     * incarnation.
+     */
     @Serializable
     @SerialName("hello")
     public data class Hello(
--- a/core/src/main/kotlin/org/lovageladder/core/Submission.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/Submission.kt
@@ -16,7 +16,7 @@
 public sealed interface RequestContent {
     /**
      * A generation. [body] is the caller's JSON request; [promptTokens] an estimate of its prompt's length;
-     * [outputTokens] the caller's own bound, null when it named none; [prefixDigest] a digest of the prompt's first
+     * [outputTokens] the caller's own bound, null when not given; [prefixDigest] a digest of the prompt's first
      * part, equal for prompts that can share cached prefixes. [model] replaces the body's `model` in calls of engines;
      * null keeps the body's.
      */
--- a/core/src/test/kotlin/org/lovageladder/core/CompanionOracle.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/CompanionOracle.kt
@@ -98,9 +98,10 @@
     }
 
     /**
-     * Verifies that each start message on an open connection got exactly one final message, unless it was cancelled.
+     * Verifies that each start message on an open connection got exactly one final message, unless the attempt was
+     * cancelled. A reservation that was granted and not used gets none.
      */
-    fun verifyAnswers() {
+    fun verifyFinalMessages() {
         for ((attempt, observed) in attempts) {
             if (observed.isCancelled || observed.isOwnerLost) continue
             val expected = if (observed.grantedUntil != null && !observed.isDecodeRequested) 0 else 1
@@ -118,15 +119,15 @@
         if (observed == null) attemptsEndedBeforeStart += attempt else observed.isCancelled = true
     }
 
-    private fun allocatedPieces(now: Moment): Int = attempts.values.filter {
-        it.ledgerEpoch == ledgerEpoch
-    }.sumOf { observed ->
-        val until = observed.grantedUntil
-        val isReserved =
-            until != null && !observed.isStarted && until > now && !observed.isCancelled && !observed.isOwnerLost
-        val isRunning = observed.isStarted && !observed.hasEndedAtUpstream
-        if (isReserved || isRunning) observed.pieces else 0
-    }
+    private fun allocatedPieces(now: Moment): Int = attempts.values
+        .filter { it.ledgerEpoch == ledgerEpoch }
+        .sumOf { observed ->
+            val until = observed.grantedUntil
+            val isReserved =
+                until != null && !observed.isStarted && until > now && !observed.isCancelled && !observed.isOwnerLost
+            val isRunning = observed.isStarted && !observed.hasEndedAtUpstream
+            if (isReserved || isRunning) observed.pieces else 0
+        }
 
     private fun verifyMessage(connection: ConnectionId, message: PeerMessage, now: Moment) {
         when (message) {
--- a/core/src/test/kotlin/org/lovageladder/core/CompanionSimulation.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/CompanionSimulation.kt
@@ -70,7 +70,7 @@
             FuzzKind.DELIVER_AGAIN -> step.pick(sentMessages)?.let { deliver(it.connection, it.message) }
             FuzzKind.TOKEN -> step.pick(upstreams.activeCalls)?.let(upstreams::token)
             FuzzKind.END_CALL -> step.pick(upstreams.activeCalls)?.let { upstreams.end(it, callEndOf(step)) }
-            FuzzKind.REPORT -> step.pick(upstreams.attemptsWithReports)?.let(::report)
+            FuzzKind.REPORT -> step.pick(upstreams.pendingReports)?.let(::report)
             FuzzKind.END_CANCEL -> step.pick(upstreams.cancels)?.let { endCancel(it, cancelResultOf(step)) }
             FuzzKind.ANSWER_STORE -> step.pick(storeCalls)?.let { answerStore(it, step.second) }
             FuzzKind.LIST_RUNNING -> step.pick(pendingListings)?.let { listRunning(it, answers = step.second % 4 != 0) }
@@ -86,7 +86,7 @@
     fun settle() {
         repeat(SETTLE_ROUNDS) { settleOnce() }
         if (oracle.hasExited) return
-        oracle.verifyAnswers()
+        oracle.verifyFinalMessages()
         connections.keys.toList().forEach(::disconnect)
         repeat(SETTLE_ROUNDS) { settleOnce() }
         if (oracle.hasExited) return
@@ -123,9 +123,7 @@
         pendingOrders.toList().forEach { endOrder(it, 0) }
         upstreams.cancels.toList().forEach { endCancel(it, FakeCancelResult.CONFIRMED) }
         upstreams.activeCalls.forEach { upstreams.end(it, FakeCallEnd.DONE) }
-        while (upstreams.attemptsWithReports.isNotEmpty() && !oracle.hasExited) {
-            report(upstreams.attemptsWithReports.first())
-        }
+        while (upstreams.pendingReports.isNotEmpty() && !oracle.hasExited) report(upstreams.pendingReports.first())
         advanceTime(SETTLE_STEP_MILLISECONDS)
     }
 
@@ -202,14 +200,8 @@
             val newest = store.read(key)?.let { decodeClaim(it.value)?.number } ?: 0
             if (number > newest) claim.copy(revision = store.write(key, encodeClaim(claim.record))) else claim
         }
-        val isForeign = step.third % 10 == 9
-        return if (isOtherIncarnation) {
-            ticket.copy(
-                record = ticket.record.copy(incarnation = Incarnation(6)),
-            )
-        } else {
-            ticket
-        }
+        val isStale = step.third % 10 == 9
+        return if (isStale) ticket.copy(record = ticket.record.copy(incarnation = Incarnation(6))) else ticket
     }
 
     private fun withConnection(step: FuzzStep, action: (ConnectionId) -> Unit) {
@@ -353,7 +345,7 @@
     }
 
     private fun cancelOrphan(effect: CompanionEffect.CancelOrphan) {
-        assertTrue(effect.requestName.startsWith("old"), "own call taken for an orphan: ${effect.requestName}")
+        assertTrue(effect.requestName.startsWith("old"), "own call treated as an orphan: ${effect.requestName}")
         pendingOrphanCancels += effect
     }
 
--- a/core/src/test/kotlin/org/lovageladder/core/CompanionTest.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/CompanionTest.kt
@@ -45,8 +45,8 @@
         harness.answerStore(harness.handle(CompanionEvent.TimePassed), unavailable())
         harness.connect()
         val newerRelease = Envelope(ReleaseVersion(1), HybridTime(0, 0), PeerMessage.Heartbeat(1))
-        val asked = harness.handle(CompanionEvent.Received(ENTRY, newerRelease)).sent<PeerMessage.FetchNotes>()
-        val fetch = if (asked.isEmpty()) harness.effects.sent<PeerMessage.FetchNotes>().first() else asked.single()
+        val fetches = harness.handle(CompanionEvent.Received(ENTRY, newerRelease)).sent<PeerMessage.FetchNotes>()
+        val fetch = if (fetches.isEmpty()) harness.effects.sent<PeerMessage.FetchNotes>().first() else fetches.single()
         assertEquals(ReleaseVersion.NONE, fetch.after)
         harness.receive(PeerMessage.Notes(listOf(firstNote())))
         harness.listedUpstreams().forEach { harness.handle(CompanionEvent.RunningListed(it, emptyList())) }
--- a/core/src/test/kotlin/org/lovageladder/core/FakeUpstreams.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/FakeUpstreams.kt
@@ -41,7 +41,7 @@
     val activeCalls: List<FakeCall> get() = calls.values.toList()
 
     /** Attempts with a report that the companion has not received. */
-    val attemptsWithReports: List<AttemptId> get() = reportQueues.filterValues { it.isNotEmpty() }.keys.toList()
+    val pendingReports: List<AttemptId> get() = reportQueues.filterValues { it.isNotEmpty() }.keys.toList()
 
     fun start(effect: CompanionEffect.StartCall) {
         check(calls.put(effect.attempt, FakeCall(effect)) == null) { "${effect.attempt} was started twice" }
--- a/core/src/test/kotlin/org/lovageladder/core/LeavingStateTest.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/LeavingStateTest.kt
@@ -9,12 +9,12 @@
 class LeavingStateTest {
     private val harness = CompanionHarness().makeReady().also { it.connect() }
 
-    private class Row(val name: String, val beginLeaving: CompanionHarness.() -> Unit, val mayExit: Boolean)
+    private class Row(val name: String, val beginLeaving: CompanionHarness.() -> Unit, val mustExit: Boolean)
 
     private val rows = listOf(
-        Row("stop", { handle(CompanionEvent.StopRequested) }, mayExit = true),
-        Row("listed", { handle(CompanionEvent.HostsListed(listOf(ListedHost(HOST, PLACE, true)))) }, mayExit = false),
-        Row("withdrawn", { receive(PeerMessage.Notes(listOf(noteWithdrawingTheHost()))) }, mayExit = false),
+        Row("stop", { handle(CompanionEvent.StopRequested) }, mustExit = true),
+        Row("listed", { handle(CompanionEvent.HostsListed(listOf(ListedHost(HOST, PLACE, true)))) }, mustExit = false),
+        Row("withdrawn", { receive(PeerMessage.Notes(listOf(noteWithdrawingTheHost()))) }, mustExit = false),
     )
 
     @Test
@@ -34,7 +34,7 @@
             harness.receive(startPlain(attempt(14), claim(1, "other")))
             assertEquals(listOf(2, 11, 12, 13, 14).map(::attempt), harness.refusals(FaultCause.LEAVING), row.name)
             harness.finishAll()
-            assertEquals(row.mayExit, CompanionEffect.Exit in harness.effects, row.name)
+            assertEquals(row.mustExit, CompanionEffect.Exit in harness.effects, row.name)
         }
     }
 
