--- a/core/src/test/kotlin/org/lovageladder/core/CompanionSimulation.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/CompanionSimulation.kt
@@ -305,11 +305,11 @@
     }
 
     /** Lets the companion process what is due first, so that later effects are those of [event] alone. */
-    private fun handleAfterDueWork(event: CompanionEvent, onReady: () -> Unit) {
+    private fun handleAfterDueWork(event: CompanionEvent, beforeEvent: () -> Unit) {
         if (oracle.hasExited) return
         handle(CompanionEvent.TimePassed)
         if (oracle.hasExited) return
-        onReady()
+        beforeEvent()
         handle(event)
     }
 
