--- a/core/src/main/kotlin/org/lovageladder/core/AttemptRegistry.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/AttemptRegistry.kt
@@ -3,79 +3,83 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
-/** How an attempt ended, as far as later messages about it are concerned. */
+/** How an attempt ended; decides how later messages about it are handled. */
 internal enum class AttemptEnding {
-    /** Its last answer was sent. */
+    /** Its final message was sent to the entry. */
     ANSWERED,
 
-    /** Its entry cancelled it and expects no answer. */
+    /** Its entry cancelled it and expects no further message. */
     CANCELLED,
 
     /** Its reservation lapsed, or the connection that owned it was lost. */
     LAPSED,
 }
 
-/** An attempt that holds a place in a queue, memory or a running call. */
-internal class OpenAttempt(val work: UpstreamWork, var owner: ConnectionId?)
+/**
+ * An attempt that is queued, holds a reservation or has a running call. Nothing more is sent about it when [owner] is
+ * null.
+ */
+internal class OpenAttempt(val scheduler: UpstreamScheduler, var owner: ConnectionId?)
 
 /**
- * All open attempts with the connection that owns each, and for a bounded time the ended ones, so that a message
- * which arrives late or twice does not open an attempt again.
+ * All open attempts with the connection that owns each. Ended attempts are kept for a limited time, so that a late or
+ * repeated message does not open them again.
  */
 internal class AttemptRegistry(private val output: CompanionOutput) {
-    private val open = LinkedHashMap<AttemptId, OpenAttempt>()
-    private val owned = HashMap<ConnectionId, LinkedHashSet<AttemptId>>()
-    private val ended = LinkedHashMap<AttemptId, EndedAttempt>()
+    private val openAttempts = LinkedHashMap<AttemptId, OpenAttempt>()
+    private val attemptsByOwner = HashMap<ConnectionId, LinkedHashSet<AttemptId>>()
+    private val endedAttempts = LinkedHashMap<AttemptId, EndedAttempt>()
 
-    fun find(attempt: AttemptId): OpenAttempt? = open[attempt]
+    fun find(attempt: AttemptId): OpenAttempt? = openAttempts[attempt]
 
-    fun owner(attempt: AttemptId): ConnectionId? = open[attempt]?.owner
+    fun owner(attempt: AttemptId): ConnectionId? = openAttempts[attempt]?.owner
 
-    fun ending(attempt: AttemptId): AttemptEnding? = ended[attempt]?.ending
+    fun ending(attempt: AttemptId): AttemptEnding? = endedAttempts[attempt]?.ending
 
-    fun isKnown(attempt: AttemptId): Boolean = attempt in open || attempt in ended
+    fun isKnown(attempt: AttemptId): Boolean = attempt in openAttempts || attempt in endedAttempts
 
-    fun ownedBy(connection: ConnectionId): List<AttemptId> = owned[connection].orEmpty().toList()
+    fun ownedBy(connection: ConnectionId): List<AttemptId> = attemptsByOwner[connection].orEmpty().toList()
 
-    /** Names by which engines know the open attempts. */
-    fun openNames(): Set<String> = open.keys.mapTo(HashSet()) { it.toString() }
+    /** Request names under which engines list the open attempts. */
+    fun openRequestNames(): Set<String> = openAttempts.keys.mapTo(HashSet()) { it.toString() }
 
-    fun open(attempt: AttemptId, work: UpstreamWork, owner: ConnectionId) {
-        open[attempt] = OpenAttempt(work, owner)
-        owned.getOrPut(owner) { LinkedHashSet() }.add(attempt)
+    fun open(attempt: AttemptId, scheduler: UpstreamScheduler, owner: ConnectionId) {
+        openAttempts[attempt] = OpenAttempt(scheduler, owner)
+        attemptsByOwner.getOrPut(owner) { LinkedHashSet() }.add(attempt)
     }
 
-    /** Keeps the attempt open without an owner: nothing more is sent about it. */
-    fun disown(attempt: AttemptId) {
-        val entry = open[attempt] ?: return
-        val owner = entry.owner ?: return
-        entry.owner = null
-        forgetOwned(owner, attempt)
+    /** Removes the owner of an open attempt, so that nothing more is sent about it. */
+    fun removeOwner(attempt: AttemptId) {
+        val openAttempt = openAttempts[attempt] ?: return
+        val owner = openAttempt.owner ?: return
+        openAttempt.owner = null
+        removeOwnedAttempt(owner, attempt)
     }
 
     fun close(attempt: AttemptId, ending: AttemptEnding) {
-        open.remove(attempt)?.owner?.let { forgetOwned(it, attempt) }
-        ended.remove(attempt)
-        ended[attempt] = EndedAttempt(ending, output.now)
+        openAttempts.remove(attempt)?.owner?.let { removeOwnedAttempt(it, attempt) }
+        endedAttempts.remove(attempt)
+        endedAttempts[attempt] = EndedAttempt(ending, output.now)
     }
 
-    fun forgetOld() {
-        val iterator = ended.values.iterator()
+    /** Removes ended attempts that are older than the retention time or exceed the maximum number. */
+    fun removeExpired() {
+        val iterator = endedAttempts.values.iterator()
         while (iterator.hasNext()) {
-            val isOld = iterator.next().at + ENDED_ATTEMPT_MEMORY <= output.now
-            if (!isOld && ended.size <= ENDED_ATTEMPT_LIMIT) return
+            val isExpired = iterator.next().endedAt + ENDED_ATTEMPT_RETENTION <= output.now
+            if (!isExpired && endedAttempts.size <= MAXIMUM_ENDED_ATTEMPTS) return
             iterator.remove()
         }
     }
 
-    private fun forgetOwned(owner: ConnectionId, attempt: AttemptId) {
-        val attempts = owned[owner] ?: return
+    private fun removeOwnedAttempt(owner: ConnectionId, attempt: AttemptId) {
+        val attempts = attemptsByOwner[owner] ?: return
         attempts.remove(attempt)
-        if (attempts.isEmpty()) owned.remove(owner)
+        if (attempts.isEmpty()) attemptsByOwner.remove(owner)
     }
 
-    private class EndedAttempt(val ending: AttemptEnding, val at: Moment)
+    private class EndedAttempt(val ending: AttemptEnding, val endedAt: Moment)
 }
 
-private val ENDED_ATTEMPT_MEMORY: Duration = 10.seconds
-private const val ENDED_ATTEMPT_LIMIT = 65_536
+private val ENDED_ATTEMPT_RETENTION: Duration = 10.seconds
+private const val MAXIMUM_ENDED_ATTEMPTS = 65_536
--- a/core/src/test/kotlin/org/lovageladder/core/CompanionBench.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/CompanionHarness.kt
@@ -16,8 +16,8 @@
 internal val OTHER_ENTRY = ConnectionId(2)
 internal const val DECODE_PIECES = 10
 
-/** Companion under test with its virtual clock and all that it gave out. */
-internal class CompanionBench(
+/** Companion under test with a virtual clock and all effects that it returned. */
+internal class CompanionHarness(
     val settings: CompanionSettings = CompanionSettings(ProcessName("companion-a"), HOST, PLACE, INCARNATION),
 ) {
     val companion = companionDecisions(settings)
@@ -26,17 +26,17 @@
     val effects = ArrayList<CompanionEffect>()
 
     fun handle(event: CompanionEvent): List<CompanionEffect> {
-        val given = companion.handle(event, now)
-        effects += given
+        val newEffects = companion.handle(event, now)
+        effects += newEffects
         val next = companion.nextDeadline()
-        check(next == null || next > now) { "left undone at $now: $next" }
-        return given
+        check(next == null || next > now) { "overdue deadline at $now: $next" }
+        return newEffects
     }
 
-    /** Lets [duration] pass, handling each deadline on the way, and returns all effects of that time. */
-    fun pass(duration: Duration): List<CompanionEffect> {
+    /** Advances the clock by [duration], handles each deadline on the way and returns all effects of that time. */
+    fun advanceTime(duration: Duration): List<CompanionEffect> {
         val end = now + duration
-        val from = effects.size
+        val firstNewEffect = effects.size
         while (true) {
             val next = companion.nextDeadline() ?: break
             if (next > end) break
@@ -45,11 +45,11 @@
         }
         now = end
         handle(CompanionEvent.TimePassed)
-        return effects.drop(from)
+        return effects.drop(firstNewEffect)
     }
 
-    /** Lets [duration] pass without running the process, as when it is stopped and continued. */
-    fun freeze(duration: Duration) {
+    /** Advances the clock by [duration] without running the process, as when it is suspended and resumed. */
+    fun suspendFor(duration: Duration) {
         now += duration
     }
 
@@ -65,8 +65,8 @@
 
     fun report(attempt: AttemptId, report: UpstreamReport) = handle(CompanionEvent.Reported(attempt, report))
 
-    /** Brings the companion to readiness with [notes] in the store and nothing running on its engines. */
-    fun makeReady(notes: List<AcceptedNote> = listOf(firstNote())): CompanionBench {
+    /** Makes the companion ready, with [notes] in the store and no calls running on its engines. */
+    fun makeReady(notes: List<AcceptedNote> = listOf(firstNote())): CompanionHarness {
         answerStore(handle(CompanionEvent.TimePassed), found(notes))
         for (listing in effects.filterIsInstance<CompanionEffect.ListRunning>()) {
             handle(CompanionEvent.RunningListed(listing.upstream.name, emptyList()))
@@ -76,9 +76,9 @@
         return this
     }
 
-    /** Answers each call of the key-value service among [given]. */
-    fun answerStore(given: List<CompanionEffect>, answer: StoreAnswer): List<CompanionEffect> =
-        given.filterIsInstance<CompanionEffect.AskStore>()
+    /** Answers each call of the key-value service among [requested]. */
+    fun answerStore(requested: List<CompanionEffect>, answer: StoreAnswer): List<CompanionEffect> =
+        requested.filterIsInstance<CompanionEffect.AskStore>()
             .flatMap { handle(CompanionEvent.StoreAnswered(it.ticket, answer)) }
 
     fun load(upstream: UpstreamName): UpstreamLoad = companion.status(now).loads.first { it.upstream == upstream }
@@ -182,7 +182,7 @@
 internal fun failed(cause: FaultCause, execution: Execution = Execution.UNKNOWN) =
     UpstreamReport.Failed(Fault(Step.DECODE, "upstream", cause), execution)
 
-/** Messages sent among these effects, in order. */
+/** Messages sent by these effects, in order. */
 internal fun List<CompanionEffect>.messages(connection: ConnectionId? = null): List<PeerMessage> =
     filterIsInstance<CompanionEffect.Send>().filter {
         connection == null || it.connection == connection
