--- a/http/src/main/kotlin/org/lovageladder/http/AdminClient.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/AdminClient.kt
@@ -18,47 +18,48 @@
 import java.util.concurrent.CompletableFuture
 import kotlin.time.Duration
 
-/** Asks the admin servers of processes. Functions block until the answer or the timeout. */
+/** Client of the admin servers of processes. Calls block until the answer arrives or the timeout ends. */
 public interface AdminClient : AutoCloseable {
-    /** State of the process as a JSON object. */
+    /** Status of the process as a JSON object. */
     public fun status(address: Address): Result<String, Fault>
 
-    /** Events of the process that fit [filter]. */
+    /** Recorded events of the process that match [filter]. */
     public fun events(address: Address, filter: EventFilter = EventFilter()): Result<List<EventRecord>, Fault>
 
-    /** Events that say why [request] went where it went, or was refused. */
+    /** Recorded events that explain how [request] was routed or why it was refused. */
     public fun explain(address: Address, request: RequestId): Result<List<EventRecord>, Fault>
 
     /** Starts to drain the process. */
     public fun drain(address: Address): Result<Unit, Fault>
 
-    /** Whether the process takes work. */
+    /** Whether the process is ready to accept requests. */
     public fun ready(address: Address): Result<Boolean, Fault>
 }
 
-/** Opens an [AdminClient] whose calls take [timeout] at most. */
+/** Opens an [AdminClient] whose calls fail after [timeout]. */
 public fun openAdminClient(timeout: Duration, threads: HttpThreads = HttpThreads.shared): AdminClient =
     NettyAdminClient(timeout, HttpClient(threads))
 
 private class NettyAdminClient(private val timeout: Duration, private val client: HttpClient) : AdminClient {
-    override fun status(address: Address): Result<String, Fault> = success(address, get(STATUS_PATH)).map { it.body }
+    override fun status(address: Address): Result<String, Fault> =
+        callSuccessfully(address, get(STATUS_PATH)).map { it.body }
 
     override fun events(address: Address, filter: EventFilter): Result<List<EventRecord>, Fault> =
-        success(address, get(targetOf(filter))).andThen { readEvents(address, it) }
+        callSuccessfully(address, get(eventsTarget(filter))).andThen { parseEvents(address, it) }
 
     override fun explain(address: Address, request: RequestId): Result<List<EventRecord>, Fault> {
         val name = URLEncoder.encode(request.text, StandardCharsets.UTF_8).replace("+", "%20")
-        return success(address, get(EXPLAIN_PREFIX + name)).andThen { readEvents(address, it) }
+        return callSuccessfully(address, get(EXPLAIN_PREFIX + name)).andThen { parseEvents(address, it) }
     }
 
     override fun drain(address: Address): Result<Unit, Fault> =
-        success(address, HttpCall(HttpMethod.POST, DRAIN_PATH)).map { }
+        callSuccessfully(address, HttpCall(HttpMethod.POST, DRAIN_PATH)).map { }
 
     override fun ready(address: Address): Result<Boolean, Fault> = ask(address, get(READY_PATH)).andThen { answer ->
         when (answer.status) {
             STATUS_OK -> Ok(true)
             STATUS_UNAVAILABLE -> Ok(false)
-            else -> Err(rejected(address, answer))
+            else -> Err(rejectedFault(address, answer))
         }
     }
 
@@ -66,38 +67,38 @@
 
     private fun get(target: String) = HttpCall(HttpMethod.GET, target)
 
-    private fun success(address: Address, call: HttpCall): Result<HttpAnswer, Fault> =
+    private fun callSuccessfully(address: Address, call: HttpCall): Result<HttpAnswer, Fault> =
         ask(address, call).andThen { answer ->
-            if (answer.status in SUCCESSFUL) Ok(answer) else Err(rejected(address, answer))
+            if (answer.status in SUCCESS_STATUSES) Ok(answer) else Err(rejectedFault(address, answer))
         }
 
     private fun ask(address: Address, call: HttpCall): Result<HttpAnswer, Fault> {
-        val arrived = CompletableFuture<HttpResult>()
-        client.ask(address, call, HttpWait(timeout, timeout)) { arrived.complete(it) }
-        return when (val result = arrived.get()) {
+        val pending = CompletableFuture<HttpResult>()
+        client.ask(address, call, HttpWait(timeout, timeout)) { pending.complete(it) }
+        return when (val result = pending.get()) {
             is HttpResult.Answered -> Ok(result.answer)
             is HttpResult.Failed -> Err(fault(address, result.failure.cause, result.failure.detail))
         }
     }
 
-    private fun readEvents(address: Address, answer: HttpAnswer): Result<List<EventRecord>, Fault> = try {
+    private fun parseEvents(address: Address, answer: HttpAnswer): Result<List<EventRecord>, Fault> = try {
         Ok(adminJson.decodeFromString<EventPage>(answer.body).events)
     } catch (malformed: IllegalArgumentException) {
         Err(fault(address, FaultCause.PROTOCOL, malformed.message.orEmpty()))
     }
 
-    private fun rejected(address: Address, answer: HttpAnswer) =
+    private fun rejectedFault(address: Address, answer: HttpAnswer) =
         fault(address, FaultCause.REJECTED, "status ${answer.status}: ${answer.body}")
 
     private fun fault(address: Address, cause: FaultCause, detail: String) =
         Fault(Step.CONNECT, address.toString(), cause, detail)
 
     private companion object {
-        val SUCCESSFUL = 200..299
+        val SUCCESS_STATUSES = 200..299
     }
 }
 
-private fun targetOf(filter: EventFilter): String {
+private fun eventsTarget(filter: EventFilter): String {
     val target = QueryStringEncoder(EVENTS_PATH)
     filter.request?.let { target.addParam("request", it.text) }
     filter.upstream?.let { target.addParam("upstream", it.text) }
--- a/http/src/main/kotlin/org/lovageladder/http/AdminRoutes.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/AdminRoutes.kt
@@ -11,10 +11,10 @@
 import org.lovageladder.core.RequestId
 import org.lovageladder.core.UpstreamName
 
-/** Answer of an admin route. */
+/** Answer of one admin route, before it is written as HTTP. */
 internal data class AdminAnswer(val status: Int, val contentType: String, val body: String)
 
-/** Body of the answers that list events. */
+/** JSON body of the event routes. */
 @Serializable
 internal data class EventPage(val events: List<EventRecord>)
 
@@ -26,16 +26,18 @@
 internal const val DRAIN_PATH: String = "/v1/drain"
 internal const val READY_PATH: String = "/readyz"
 
-/** Answers requests of operators. Its functions block as long as the [admin] does. */
+/** Routes the requests of operators to [admin]. Calls block while the handler runs. */
 internal class AdminRoutes(private val admin: AdminHandler, private val registry: PrometheusMeterRegistry) {
     fun answer(method: HttpMethod, target: String): AdminAnswer {
         val uri = QueryStringDecoder(target)
         val allowed = if (uri.path() == DRAIN_PATH) HttpMethod.POST else HttpMethod.GET
         return try {
-            if (isKnown(uri.path()) && method != allowed) throw InputRejected(wrongMethod(method, allowed, uri.path()))
+            if (isServed(uri.path()) && method != allowed) {
+                throw InvalidRequestException(wrongMethod(method, allowed, uri.path()))
+            }
             route(uri)
-        } catch (rejected: InputRejected) {
-            val problem = problemOf(rejected.fault, keyed = false)
+        } catch (invalid: InvalidRequestException) {
+            val problem = problemOf(invalid.error, mayHaveKey = false)
             AdminAnswer(problem.status, PROBLEM_TYPE, problem.toJson())
         }
     }
@@ -44,76 +46,78 @@
         val path = uri.path()
         return when {
             path == HEALTH_PATH -> AdminAnswer(STATUS_OK, TEXT_TYPE, "ok\n")
-            path == READY_PATH -> readiness()
+            path == READY_PATH -> readinessAnswer()
             path == METRICS_PATH -> AdminAnswer(STATUS_OK, PROMETHEUS_TYPE, registry.scrape())
             path == STATUS_PATH -> AdminAnswer(STATUS_OK, JSON_TYPE, admin.statusJson())
-            path == EVENTS_PATH -> events(admin.events(filterIn(uri)))
-            path == DRAIN_PATH -> drain()
-            path.startsWith(EXPLAIN_PREFIX) -> events(admin.explain(requestIn(path)))
-            else -> throw InputRejected(unknownPath(path))
+            path == EVENTS_PATH -> eventPage(admin.events(parseFilter(uri)))
+            path == DRAIN_PATH -> startDrain()
+            path.startsWith(EXPLAIN_PREFIX) -> eventPage(admin.explain(parseRequestId(path)))
+            else -> throw InvalidRequestException(unknownPath(path))
         }
     }
 
-    private fun isKnown(path: String) = path in FIXED_PATHS || path.startsWith(EXPLAIN_PREFIX)
+    private fun isServed(path: String) = path in FIXED_PATHS || path.startsWith(EXPLAIN_PREFIX)
 
-    private fun readiness(): AdminAnswer = if (admin.ready()) {
+    private fun readinessAnswer(): AdminAnswer = if (admin.ready()) {
         AdminAnswer(STATUS_OK, TEXT_TYPE, "ready\n")
     } else {
         AdminAnswer(STATUS_UNAVAILABLE, TEXT_TYPE, "not ready\n")
     }
 
-    private fun drain(): AdminAnswer {
+    private fun startDrain(): AdminAnswer {
         admin.drain()
         return AdminAnswer(STATUS_ACCEPTED, JSON_TYPE, """{"draining":true}""")
     }
 
-    private fun events(events: List<EventRecord>) =
+    private fun eventPage(events: List<EventRecord>) =
         AdminAnswer(STATUS_OK, JSON_TYPE, adminJson.encodeToString(EventPage(events)))
 
-    private fun requestIn(path: String): RequestId {
+    private fun parseRequestId(path: String): RequestId {
         val text = path.removePrefix(EXPLAIN_PREFIX)
-        if (text.isEmpty()) throw badField("request", "the path names no request; allowed is ${EXPLAIN_PREFIX}REQUEST")
+        if (text.isEmpty()) {
+            throw invalidField("request", "the path contains no request; expected ${EXPLAIN_PREFIX}REQUEST")
+        }
         return RequestId(text)
     }
 
-    private fun filterIn(uri: QueryStringDecoder): EventFilter {
+    private fun parseFilter(uri: QueryStringDecoder): EventFilter {
         val unknown = uri.parameters().keys - FILTER_FIELDS
         if (unknown.isNotEmpty()) {
             val field = unknown.first()
-            throw badField(field, "parameter $field is not known; allowed are ${FILTER_FIELDS.joinToString()}")
+            throw invalidField(field, "unknown parameter $field; allowed are ${FILTER_FIELDS.joinToString()}")
         }
         return EventFilter(
             request = parameter(uri, "request")?.let { RequestId(it) },
             upstream = parameter(uri, "upstream")?.let { UpstreamName(it) },
-            note = number(uri, "note", 0..Long.MAX_VALUE)?.let { ReleaseVersion(it) },
-            afterMilliseconds = number(uri, "after", 0..Long.MAX_VALUE),
-            limit = number(uri, "limit", 1L..MAXIMUM_LIMIT)?.toInt() ?: EventFilter().limit,
+            note = longParameter(uri, "note", 0..Long.MAX_VALUE)?.let { ReleaseVersion(it) },
+            afterMilliseconds = longParameter(uri, "after", 0..Long.MAX_VALUE),
+            limit = longParameter(uri, "limit", 1L..MAXIMUM_LIMIT)?.toInt() ?: EventFilter().limit,
         )
     }
 
     private fun parameter(uri: QueryStringDecoder, name: String): String? =
         uri.parameters()[name]?.lastOrNull()?.takeIf { it.isNotEmpty() }
 
-    private fun number(uri: QueryStringDecoder, name: String, allowed: LongRange): Long? {
+    private fun longParameter(uri: QueryStringDecoder, name: String, allowed: LongRange): Long? {
         val text = parameter(uri, name) ?: return null
         val value = text.toLongOrNull()
         if (value == null || value !in allowed) {
             val range = "whole numbers from ${allowed.first} to ${allowed.last}"
-            throw badField(name, "parameter $name is '$text', allowed are $range")
+            throw invalidField(name, "parameter $name is '$text', allowed are $range")
         }
         return value
     }
 
-    private fun wrongMethod(method: HttpMethod, allowed: HttpMethod, path: String) = InputFault(
+    private fun wrongMethod(method: HttpMethod, allowed: HttpMethod, path: String) = RequestError(
         status = STATUS_METHOD_NOT_ALLOWED,
-        name = "wrong-method",
+        typeName = "wrong-method",
         detail = "method $method is not served at $path; allowed is $allowed",
         field = "method",
     )
 
-    private fun unknownPath(path: String) = InputFault(
+    private fun unknownPath(path: String) = RequestError(
         status = STATUS_NOT_FOUND,
-        name = "unknown-path",
+        typeName = "unknown-path",
         detail = "path '$path' is not served; allowed are ${FIXED_PATHS.joinToString()} and ${EXPLAIN_PREFIX}REQUEST",
         field = "path",
     )
--- a/http/src/main/kotlin/org/lovageladder/http/AdminServer.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/AdminServer.kt
@@ -7,25 +7,25 @@
 import org.lovageladder.core.RequestId
 import org.lovageladder.core.UpstreamName
 
-/** What a process shows its operators. Called on threads of the admin server, which the functions may block. */
+/** State and operations of a process for operators. Called on worker threads of the admin server; may block. */
 public interface AdminHandler {
-    /** Whether the process takes work. */
+    /** Whether the process is ready to accept requests. */
     public fun ready(): Boolean
 
-    /** State of the process as a JSON object. */
+    /** Status of the process as a JSON object. */
     public fun statusJson(): String
 
-    /** Recorded events that fit [filter], in order of time. */
+    /** Recorded events that match [filter], oldest first. */
     public fun events(filter: EventFilter): List<EventRecord>
 
-    /** Recorded events that say why [request] went where it went, or was refused. */
+    /** Recorded events that explain how [request] was routed or why it was refused. */
     public fun explain(request: RequestId): List<EventRecord>
 
     /** Starts to drain the process. */
     public fun drain()
 }
 
-/** Which events are wanted; members that are null admit all. [afterMilliseconds] is wall time since 1970. */
+/** Selects events; a null member matches every event. [afterMilliseconds] is wall-clock time since 1970-01-01 UTC. */
 public data class EventFilter(
     val request: RequestId? = null,
     val upstream: UpstreamName? = null,
@@ -34,16 +34,16 @@
     val limit: Int = 1000,
 )
 
-/** HTTP server towards operators and the platform's probes. */
+/** HTTP server for operators and the platform's health probes. */
 public interface AdminServer : AutoCloseable {
-    /** Where the server listens, with the port that was chosen when 0 was asked for. */
+    /** Address the server listens on; with the assigned port when the requested port was 0. */
     public val address: Address
 
-    /** Closes the server and its connections. */
+    /** Stops listening and closes all connections. */
     override fun close()
 }
 
-/** Starts an [AdminServer] on [bind]; throws [java.net.BindException] when the address is taken. */
+/** Starts an [AdminServer] on [bind]; throws [java.net.BindException] when the address is in use. */
 public fun startAdminServer(
     bind: Address,
     admin: AdminHandler,
--- a/http/src/main/kotlin/org/lovageladder/http/AnswerWriter.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/AnswerWriter.kt
@@ -17,51 +17,52 @@
 import org.lovageladder.core.RequestId
 
 /**
- * Writes one answer on a connection. [mayKeepAlive] is asked when the answer begins; [onEnd] is told, when the last
- * part is handed over, whether the connection stays open.
+ * Writes one answer to a connection. [mayKeepAlive] is evaluated when the answer starts. [onEnd] is called when the
+ * last part has been passed to the channel, with whether the connection stays open and the future of that write. The
+ * connection is closed when more than [maximumUnsentBytes] of a stream wait to be sent.
  */
 internal class AnswerWriter(
     private val context: ChannelHandlerContext,
-    private val unreadLimit: Int = Int.MAX_VALUE,
+    private val maximumUnsentBytes: Int = Int.MAX_VALUE,
     private val mayKeepAlive: () -> Boolean,
     private val onEnd: (keptAlive: Boolean, written: ChannelFuture) -> Unit,
 ) {
     private var keepAlive = false
 
-    /** Whether the head of a streamed answer was written. */
-    var streaming: Boolean = false
+    /** Whether the head of a streamed answer has been written. */
+    var streamStarted: Boolean = false
         private set
 
-    fun whole(status: Int, contentType: String?, body: String, fields: List<HttpField> = emptyList()) {
+    fun writeWhole(status: Int, contentType: String?, body: String, fields: List<HttpField> = emptyList()) {
         val content = encode(body)
         val response = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), content)
         contentType?.let { response.headers().set(HttpHeaderNames.CONTENT_TYPE, it) }
         fields.forEach { response.headers().set(it.name, it.value) }
         HttpUtil.setContentLength(response, content.readableBytes().toLong())
-        decideKeepAlive(response.headers())
+        setKeepAlive(response.headers())
         onEnd(keepAlive, context.writeAndFlush(response))
     }
 
-    fun problem(problem: Problem, fields: List<HttpField> = emptyList()) {
+    fun writeProblem(problem: Problem, fields: List<HttpField> = emptyList()) {
         val retryAfter = problem.retryAfterSeconds?.let { HttpField("Retry-After", it.toString()) }
-        whole(problem.status, PROBLEM_TYPE, problem.toJson(), fields + listOfNotNull(retryAfter))
+        writeWhole(problem.status, PROBLEM_TYPE, problem.toJson(), fields + listOfNotNull(retryAfter))
     }
 
-    fun beginStream() {
+    fun startStream() {
         val response = DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK)
         response.headers().set(HttpHeaderNames.CONTENT_TYPE, EVENT_STREAM_TYPE)
         response.headers().set(HttpHeaderNames.CACHE_CONTROL, HttpHeaderValues.NO_CACHE)
-        response.headers().set(HttpHeaderNames.TRAILER, REQUEST_HEADER)
+        response.headers().set(HttpHeaderNames.TRAILER, REQUEST_ID_HEADER)
         HttpUtil.setTransferEncodingChunked(response, true)
-        decideKeepAlive(response.headers())
-        streaming = true
+        setKeepAlive(response.headers())
+        streamStarted = true
         context.write(response)
     }
 
-    /** Writes an event; closes the connection instead when the caller leaves too much unread. */
-    fun streamEvent(data: String) {
-        val unread = context.channel().unsafe().outboundBuffer()?.totalPendingWriteBytes() ?: return
-        if (unread > unreadLimit) {
+    /** Writes an event; closes the connection instead when too many bytes wait because the caller does not read. */
+    fun writeEvent(data: String) {
+        val unsent = context.channel().unsafe().outboundBuffer()?.totalPendingWriteBytes() ?: return
+        if (unsent > maximumUnsentBytes) {
             context.close()
         } else {
             context.writeAndFlush(contentOf("data: $data\n\n"))
@@ -70,12 +71,12 @@
 
     fun endStream(request: RequestId) {
         val last = DefaultLastHttpContent()
-        last.trailingHeaders().set(REQUEST_HEADER, request.text)
+        last.trailingHeaders().set(REQUEST_ID_HEADER, request.text)
         onEnd(keepAlive, context.writeAndFlush(last))
     }
 
-    /** Ends a stream with an error event; the connection closes without the end of the stream. */
-    fun breakStream(problem: Problem) {
+    /** Writes an error event and leaves the stream without its last chunk, so that the connection is closed. */
+    fun abortStream(problem: Problem) {
         onEnd(false, context.writeAndFlush(contentOf("event: error\ndata: ${problem.toJson()}\n\n")))
     }
 
@@ -87,7 +88,7 @@
         return bytes
     }
 
-    private fun decideKeepAlive(headers: HttpHeaders) {
+    private fun setKeepAlive(headers: HttpHeaders) {
         keepAlive = mayKeepAlive()
         if (!keepAlive) headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
     }
--- a/http/src/main/kotlin/org/lovageladder/http/CallerConnection.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/CallerConnection.kt
@@ -23,8 +23,8 @@
 import kotlin.time.Duration.Companion.seconds
 
 /**
- * One connection of a caller: reads a request, hands it over, and reads the next once it is answered. Bytes are read
- * all the time, so that a caller's going is seen while its answer is awaited.
+ * One connection of a caller. Requests are handled one at a time; messages that arrive while an answer is pending are
+ * queued. The channel is read continuously, so that a disconnect is noticed while the caller waits for its answer.
  */
 internal class CallerConnection(
     private val limits: HttpLimits,
@@ -33,43 +33,43 @@
 ) : SimpleChannelInboundHandler<HttpObject>(false) {
     private lateinit var context: ChannelHandlerContext
     private lateinit var timer: ReceiveTimer
-    private val early = ArrayDeque<HttpObject>()
-    private var earlyBytes = 0
+    private val queued = ArrayDeque<HttpObject>()
+    private var queuedBytes = 0
     private var state = State.RECEIVING
-    private var receiving: RequestAssembly? = null
+    private var partialRequest: PartialRequest? = null
     private var exchange: CallerExchange? = null
-    private var unread: Future<*>? = null
+    private var writeTimeoutTask: Future<*>? = null
 
     override fun handlerAdded(context: ChannelHandlerContext) {
         this.context = context
-        timer = ReceiveTimer(context.channel().eventLoop(), limits, ::expire)
+        timer = ReceiveTimer(context.channel().eventLoop(), limits, ::onTimeout)
         timer.awaitRequest()
     }
 
-    /** Some bytes came, whole messages or not. */
+    /** Called when bytes arrive, before they are decoded. */
     fun bytesArrived() {
         if (state == State.RECEIVING) timer.bytesArrived()
     }
 
     override fun channelRead0(context: ChannelHandlerContext, message: HttpObject) {
         when (state) {
-            State.RECEIVING -> take(message)
-            State.ANSWERING -> keepForLater(message)
+            State.RECEIVING -> process(message)
+            State.ANSWERING -> enqueue(message)
             State.CLOSING -> ReferenceCountUtil.release(message)
         }
     }
 
     override fun channelInactive(context: ChannelHandlerContext) {
         timer.stop()
-        unread?.cancel(false)
-        releaseEarly()
-        exchange?.leave()
+        writeTimeoutTask?.cancel(false)
+        releaseQueued()
+        exchange?.onCallerDisconnected()
         exchange = null
     }
 
     override fun channelWritabilityChanged(context: ChannelHandlerContext) {
-        unread?.cancel(false)
-        unread = if (context.channel().isWritable) null else closeIn(limits.writeIdle)
+        writeTimeoutTask?.cancel(false)
+        writeTimeoutTask = if (context.channel().isWritable) null else closeAfterDelay(limits.writeTimeout)
     }
 
     @Deprecated("Deprecated in Netty's base class, but still the place for connection errors.")
@@ -77,12 +77,15 @@
         context.close()
     }
 
-    private fun take(message: HttpObject) {
+    private fun process(message: HttpObject) {
         try {
             val failure = message.decoderResult().cause()
             when {
-                failure != null -> refuse(malformed(failure), keyed = receiving?.hasKey ?: true)
-                message is HttpRequest -> begin(message)
+                failure != null -> refuse(
+                    decodingError(failure),
+                    mayHaveKey = partialRequest?.hasIdempotencyKey ?: true,
+                )
+                message is HttpRequest -> startRequest(message)
             }
             if (message is HttpContent && state == State.RECEIVING) append(message)
         } finally {
@@ -90,12 +93,12 @@
         }
     }
 
-    private fun begin(head: HttpRequest) {
-        val assembly = RequestAssembly(head)
-        receiving = assembly
-        val announced = HttpUtil.getContentLength(head, -1L)
+    private fun startRequest(head: HttpRequest) {
+        val request = PartialRequest(head)
+        partialRequest = request
+        val announcedLength = HttpUtil.getContentLength(head, -1L)
         when {
-            announced > limits.bodyBytes -> refuse(tooLarge(), assembly.hasKey)
+            announcedLength > limits.bodyBytes -> refuse(bodyTooLarge(), request.hasIdempotencyKey)
             HttpUtil.is100ContinueExpected(head) -> {
                 context.writeAndFlush(DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE))
             }
@@ -103,145 +106,152 @@
     }
 
     private fun append(content: HttpContent) {
-        val assembly = receiving ?: return
-        if (assembly.size + content.content().readableBytes() > limits.bodyBytes) {
-            refuse(tooLarge(), assembly.hasKey)
+        val request = partialRequest ?: return
+        if (request.size + content.content().readableBytes() > limits.bodyBytes) {
+            refuse(bodyTooLarge(), request.hasIdempotencyKey)
             return
         }
-        assembly.append(content.content())
-        if (content is LastHttpContent) complete(assembly)
+        request.append(content.content())
+        if (content is LastHttpContent) onRequestComplete(request)
     }
 
-    private fun complete(assembly: RequestAssembly) {
+    private fun onRequestComplete(request: PartialRequest) {
         state = State.ANSWERING
-        receiving = null
+        partialRequest = null
         timer.stop()
-        reader.read(assembly.toRequest()) { parsed ->
+        reader.read(request.toRequest()) { parsed ->
             if (context.channel().eventLoop().inEventLoop()) {
-                submit(assembly, parsed)
+                submit(request, parsed)
             } else {
-                context.channel().eventLoop().execute { submit(assembly, parsed) }
+                context.channel().eventLoop().execute { submit(request, parsed) }
             }
         }
     }
 
-    private fun submit(assembly: RequestAssembly, parsed: Result<ParsedRequest, InputFault>) {
+    private fun submit(request: PartialRequest, parsed: Result<ParsedRequest, RequestError>) {
         if (!context.channel().isActive) return
-        val answer = writer(assembly.keepAlive)
+        val answer = answerWriter(request.keepAlive)
         parsed.fold(
-            success = { request ->
-                val begun = CallerExchange(exchanges.nextId(), request.answer, context.channel(), answer, exchanges)
-                exchange = begun
-                exchanges.begin(begun, request.submission)
+            success = { parsedRequest ->
+                val started =
+                    CallerExchange(exchanges.nextId(), parsedRequest.answerFormat, context.channel(), answer, exchanges)
+                exchange = started
+                exchanges.start(started, parsedRequest.submission)
             },
-            failure = { fault -> answer.problem(problemOf(fault, assembly.hasKey)) },
+            failure = { error -> answer.writeProblem(problemOf(error, request.hasIdempotencyKey)) },
         )
     }
 
-    private fun writer(keepAlive: Boolean) = AnswerWriter(context, limits.unreadBytes, mayKeepAlive = {
-        keepAlive && !exchanges.draining
-    }, onEnd = ::answered)
+    private fun answerWriter(keepAlive: Boolean) = AnswerWriter(context, limits.maximumUnsentBytes, mayKeepAlive = {
+        keepAlive && !exchanges.isDraining
+    }, onEnd = ::onAnswerEnd)
 
-    private fun answered(keptAlive: Boolean, written: ChannelFuture) {
+    private fun onAnswerEnd(keptAlive: Boolean, written: ChannelFuture) {
         exchange = null
         if (!keptAlive) {
-            closeAfter(written)
+            closeOnceWritten(written)
             return
         }
         state = State.RECEIVING
         timer.awaitRequest()
-        closeUnlessWritten(written)
-        takeEarly()
+        closeIfNotWritten(written)
+        processQueued()
     }
 
-    /** Answers a request that cannot be read to its end, and closes the connection. */
-    private fun refuse(fault: InputFault, keyed: Boolean) {
+    /** Answers a request that cannot be read to the end, and closes the connection. */
+    private fun refuse(error: RequestError, mayHaveKey: Boolean) {
         state = State.CLOSING
         timer.stop()
-        val answer = AnswerWriter(context, mayKeepAlive = { false }, onEnd = ::answered)
-        answer.problem(problemOf(fault, keyed))
+        val answer = AnswerWriter(context, mayKeepAlive = { false }, onEnd = ::onAnswerEnd)
+        answer.writeProblem(problemOf(error, mayHaveKey))
     }
 
-    /** Closes our side once all is written, and the whole once the caller has seen that, lest it lose the answer. */
-    private fun closeAfter(written: ChannelFuture) {
+    /**
+     * Shuts down output once the answer is written, and closes the connection after [LINGER_TIMEOUT]. Closing at once
+     * could reset the connection before the caller has read the answer.
+     */
+    private fun closeOnceWritten(written: ChannelFuture) {
         state = State.CLOSING
-        releaseEarly()
-        closeUnlessWritten(written)
+        releaseQueued()
+        closeIfNotWritten(written)
         written.addListener {
             (context.channel() as SocketChannel).shutdownOutput()
-            closeIn(LINGER)
+            closeAfterDelay(LINGER_TIMEOUT)
         }
     }
 
-    private fun closeUnlessWritten(written: ChannelFuture) {
+    private fun closeIfNotWritten(written: ChannelFuture) {
         if (written.isDone) return
-        val closing = closeIn(limits.writeIdle)
+        val closing = closeAfterDelay(limits.writeTimeout)
         written.addListener { closing.cancel(false) }
     }
 
-    private fun closeIn(delay: Duration) = context.channel().eventLoop().schedule(
+    private fun closeAfterDelay(delay: Duration) = context.channel().eventLoop().schedule(
         { context.close() },
         delay.inWholeMilliseconds,
         TimeUnit.MILLISECONDS,
     )
 
-    private fun expire(detail: String?) {
+    private fun onTimeout(detail: String?) {
         if (detail == null) {
             context.close()
         } else {
-            refuse(InputFault(STATUS_REQUEST_TIMEOUT, "request-timeout", detail), keyed = receiving?.hasKey ?: true)
+            refuse(
+                RequestError(STATUS_REQUEST_TIMEOUT, "request-timeout", detail),
+                mayHaveKey = partialRequest?.hasIdempotencyKey ?: true,
+            )
         }
     }
 
-    private fun keepForLater(message: HttpObject) {
-        earlyBytes += (message as? HttpContent)?.content()?.readableBytes() ?: 0
-        early.addLast(message)
-        if (earlyBytes > limits.bodyBytes || early.size > MAXIMUM_EARLY_MESSAGES) context.close()
+    private fun enqueue(message: HttpObject) {
+        queuedBytes += (message as? HttpContent)?.content()?.readableBytes() ?: 0
+        queued.addLast(message)
+        if (queuedBytes > limits.bodyBytes || queued.size > MAXIMUM_QUEUED_MESSAGES) context.close()
     }
 
-    private fun takeEarly() {
+    private fun processQueued() {
         while (state == State.RECEIVING) {
-            val message = early.removeFirstOrNull() ?: break
-            earlyBytes -= (message as? HttpContent)?.content()?.readableBytes() ?: 0
+            val message = queued.removeFirstOrNull() ?: break
+            queuedBytes -= (message as? HttpContent)?.content()?.readableBytes() ?: 0
             timer.bytesArrived()
-            take(message)
+            process(message)
         }
     }
 
-    private fun releaseEarly() {
-        early.forEach { ReferenceCountUtil.release(it) }
-        early.clear()
+    private fun releaseQueued() {
+        queued.forEach { ReferenceCountUtil.release(it) }
+        queued.clear()
     }
 
-    private fun tooLarge() =
-        InputFault(STATUS_TOO_LARGE, "body-too-large", "the body is larger than ${limits.bodyBytes} bytes", "body")
+    private fun bodyTooLarge() =
+        RequestError(STATUS_TOO_LARGE, "body-too-large", "the body is larger than ${limits.bodyBytes} bytes", "body")
 
-    private fun malformed(cause: Throwable): InputFault = when (cause) {
+    private fun decodingError(cause: Throwable): RequestError = when (cause) {
         is TooLongHttpHeaderException ->
-            InputFault(
+            RequestError(
                 STATUS_HEADERS_TOO_LARGE,
                 "headers-too-large",
                 "headers exceed ${limits.headerBytes} bytes",
                 "headers",
             )
         is TooLongHttpLineException ->
-            InputFault(STATUS_TARGET_TOO_LONG, "target-too-long", "the request line is too long", "path")
-        else -> InputFault(STATUS_BAD_REQUEST, "malformed-request", "the request is not HTTP/1.1: ${cause.message}")
+            RequestError(STATUS_TARGET_TOO_LONG, "target-too-long", "the request line is too long", "path")
+        else -> RequestError(STATUS_BAD_REQUEST, "malformed-request", "the request is not HTTP/1.1: ${cause.message}")
     }
 
     private enum class State {
-        /** Between requests or within one. */
+        /** Waiting for a request or reading one. */
         RECEIVING,
 
-        /** A request is whole and its answer is not. */
+        /** A request was read completely; its answer is not finished. */
         ANSWERING,
 
-        /** The last answer is handed over and what comes in is dropped. */
+        /** The last answer was passed to the channel; further input is dropped. */
         CLOSING,
     }
 
     private companion object {
-        const val MAXIMUM_EARLY_MESSAGES = 1024
-        val LINGER = 1.seconds
+        const val MAXIMUM_QUEUED_MESSAGES = 1024
+        val LINGER_TIMEOUT = 1.seconds
     }
 }
--- a/http/src/main/kotlin/org/lovageladder/http/CallerExchange.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/CallerExchange.kt
@@ -8,148 +8,153 @@
 import org.lovageladder.core.RefusalReason
 import org.lovageladder.core.RequestId
 
-/** One request of a caller and the writing of its one answer. Runs on the event loop of its connection. */
+/** One request of a caller; writes its answer. Confined to the event loop of its connection. */
 internal class CallerExchange(
     val id: ExchangeId,
-    private val shape: AnswerShape,
+    private val format: AnswerFormat,
     private val channel: Channel,
     private val answer: AnswerWriter,
     private val exchanges: CallerExchanges,
 ) {
-    private val beganAt = System.nanoTime()
+    private val startedAt = System.nanoTime()
     private val createdSeconds = System.currentTimeMillis() / MILLISECONDS_PER_SECOND
-    private val collected = StringBuilder()
-    private var nextIndex = 0
-    private var ended = false
+    private val collectedText = StringBuilder()
+    private var nextTokenIndex = 0
+    private var isFinished = false
 
-    /** Runs [action] on the connection's event loop. */
-    inline fun onLoop(crossinline action: CallerExchange.() -> Unit) {
+    /** Runs [action] on the event loop of the connection. */
+    inline fun runOnEventLoop(crossinline action: CallerExchange.() -> Unit) {
         if (channel.eventLoop().inEventLoop()) action() else channel.eventLoop().execute { action() }
     }
 
-    fun token(index: Int, text: String) {
-        if (ended || index < nextIndex || shape !is AnswerShape.Generation) return
-        if (nextIndex == 0) exchanges.meters.firstTokenAfter(System.nanoTime() - beganAt)
-        if (shape.stream) {
-            if (nextIndex == 0) answer.beginStream()
-            answer.streamEvent(chunk(shape, text, isFirst = nextIndex == 0))
+    fun writeToken(index: Int, text: String) {
+        if (isFinished || index < nextTokenIndex || format !is AnswerFormat.Generation) return
+        if (nextTokenIndex == 0) exchanges.meters.recordFirstToken(System.nanoTime() - startedAt)
+        if (format.stream) {
+            if (nextTokenIndex == 0) answer.startStream()
+            answer.writeEvent(tokenChunk(format, text, isFirst = nextTokenIndex == 0))
         } else {
-            collected.append(text)
+            collectedText.append(text)
         }
-        nextIndex = index + 1
+        nextTokenIndex = index + 1
     }
 
     fun finish(request: RequestId, outcome: Outcome) {
-        if (ended) return
-        ended = true
-        exchanges.end(this)
+        if (isFinished) return
+        isFinished = true
+        exchanges.remove(this)
         val status = when {
-            outcome is Outcome.Refused -> refuse(request, outcome)
-            outcome is Outcome.Generated && shape is AnswerShape.Generation ->
-                finishGeneration(shape, request, outcome)
-            outcome is Outcome.Answered && shape == AnswerShape.Plain -> finishPlain(request, outcome)
-            else -> refuse(request, wrongKind)
+            outcome is Outcome.Refused -> writeRefusal(request, outcome)
+            outcome is Outcome.Generated && format is AnswerFormat.Generation ->
+                writeGenerationEnd(format, request, outcome)
+            outcome is Outcome.Answered && format == AnswerFormat.Plain -> writePlainAnswer(request, outcome)
+            else -> writeRefusal(request, mismatchedOutcome)
         }
-        exchanges.meters.answeredAfter(System.nanoTime() - beganAt, status)
+        exchanges.meters.recordAnswer(System.nanoTime() - startedAt, status)
     }
 
-    /** The caller's connection closed. */
-    fun leave() {
-        if (ended) return
-        ended = true
-        exchanges.leave(this)
+    /** Called when the connection of the caller closed. */
+    fun onCallerDisconnected() {
+        if (isFinished) return
+        isFinished = true
+        exchanges.onCallerDisconnected(this)
     }
 
-    private fun finishGeneration(shape: AnswerShape.Generation, request: RequestId, outcome: Outcome.Generated): Int {
+    private fun writeGenerationEnd(
+        format: AnswerFormat.Generation,
+        request: RequestId,
+        outcome: Outcome.Generated,
+    ): Int {
         val usage = AnswerUsage(
             promptTokens = outcome.promptTokens,
             completionTokens = outcome.outputTokens,
             totalTokens = outcome.promptTokens + outcome.outputTokens,
         )
-        if (shape.stream) {
-            if (nextIndex == 0) answer.beginStream()
-            answer.streamEvent(lastChunk(shape, request, outcome.finishReason, usage))
-            answer.streamEvent(END_OF_STREAM)
+        if (format.stream) {
+            if (nextTokenIndex == 0) answer.startStream()
+            answer.writeEvent(lastChunk(format, request, outcome.finishReason, usage))
+            answer.writeEvent(END_OF_STREAM)
             answer.endStream(request)
         } else {
-            val whole = generationJson.encodeToString(whole(shape, request, outcome.finishReason, usage))
-            answer.whole(STATUS_OK, JSON_TYPE, whole, listOf(requestField(request)))
+            val answerJson = generationJson.encodeToString(wholeAnswer(format, request, outcome.finishReason, usage))
+            answer.writeWhole(STATUS_OK, JSON_TYPE, answerJson, listOf(requestField(request)))
         }
         return STATUS_OK
     }
 
-    private fun finishPlain(request: RequestId, outcome: Outcome.Answered): Int {
+    private fun writePlainAnswer(request: RequestId, outcome: Outcome.Answered): Int {
         val replayed = HttpField("Idempotency-Replayed", "true").takeIf { outcome.replayed }
         val fields = listOfNotNull(requestField(request), replayed)
-        answer.whole(outcome.answer.status, outcome.answer.contentType, outcome.answer.body, fields)
+        answer.writeWhole(outcome.answer.status, outcome.answer.contentType, outcome.answer.body, fields)
         return outcome.answer.status
     }
 
-    private fun refuse(request: RequestId, outcome: Outcome.Refused): Int {
+    private fun writeRefusal(request: RequestId, outcome: Outcome.Refused): Int {
         val problem = problemOf(request, outcome)
-        if (answer.streaming) {
-            answer.breakStream(problem)
+        if (answer.streamStarted) {
+            answer.abortStream(problem)
         } else {
-            answer.problem(problem, listOf(requestField(request)))
+            answer.writeProblem(problem, listOf(requestField(request)))
         }
         return problem.status
     }
 
-    private fun chunk(shape: AnswerShape.Generation, text: String, isFirst: Boolean): String {
-        val choice = when (shape.shape) {
-            GenerationShape.TEXT -> AnswerChoice(text = text)
-            GenerationShape.CHAT -> AnswerChoice(delta = AnswerMessage(ASSISTANT.takeIf { isFirst }, text))
+    private fun tokenChunk(format: AnswerFormat.Generation, text: String, isFirst: Boolean): String {
+        val choice = when (format.api) {
+            GenerationApi.TEXT -> AnswerChoice(text = text)
+            GenerationApi.CHAT -> AnswerChoice(delta = AnswerMessage(ASSISTANT.takeIf { isFirst }, text))
         }
-        return generationJson.encodeToString(generation(shape, shape.shape.chunkName, choice))
+        return generationJson.encodeToString(generationAnswer(format, format.api.chunkObject, choice))
     }
 
     private fun lastChunk(
-        shape: AnswerShape.Generation,
+        format: AnswerFormat.Generation,
         request: RequestId,
         finishReason: String,
         usage: AnswerUsage,
     ): String {
-        val choice = when (shape.shape) {
-            GenerationShape.TEXT -> AnswerChoice(text = "", finishReason = finishReason)
-            GenerationShape.CHAT -> AnswerChoice(delta = AnswerMessage(), finishReason = finishReason)
+        val choice = when (format.api) {
+            GenerationApi.TEXT -> AnswerChoice(text = "", finishReason = finishReason)
+            GenerationApi.CHAT -> AnswerChoice(delta = AnswerMessage(), finishReason = finishReason)
         }
-        val last = generation(shape, shape.shape.chunkName, choice).copy(usage = usage, request = request)
+        val last = generationAnswer(format, format.api.chunkObject, choice).copy(usage = usage, request = request)
         return generationJson.encodeToString(last)
     }
 
-    private fun whole(
-        shape: AnswerShape.Generation,
+    private fun wholeAnswer(
+        format: AnswerFormat.Generation,
         request: RequestId,
         finishReason: String,
         usage: AnswerUsage,
     ): GenerationAnswer {
-        val text = collected.toString()
-        val choice = when (shape.shape) {
-            GenerationShape.TEXT -> AnswerChoice(text = text, finishReason = finishReason)
-            GenerationShape.CHAT ->
+        val text = collectedText.toString()
+        val choice = when (format.api) {
+            GenerationApi.TEXT -> AnswerChoice(text = text, finishReason = finishReason)
+            GenerationApi.CHAT ->
                 AnswerChoice(message = AnswerMessage(ASSISTANT, text), finishReason = finishReason)
         }
-        return generation(shape, shape.shape.wholeName, choice).copy(usage = usage, request = request)
+        return generationAnswer(format, format.api.answerObject, choice).copy(usage = usage, request = request)
     }
 
-    private fun generation(shape: AnswerShape.Generation, objectName: String, choice: AnswerChoice) = GenerationAnswer(
-        id = "cmpl-${id.number}",
-        objectName = objectName,
-        created = createdSeconds,
-        model = shape.model,
-        choices = listOf(choice),
-    )
+    private fun generationAnswer(format: AnswerFormat.Generation, objectName: String, choice: AnswerChoice) =
+        GenerationAnswer(
+            id = "cmpl-${id.number}",
+            objectName = objectName,
+            created = createdSeconds,
+            model = format.model,
+            choices = listOf(choice),
+        )
 
-    private fun requestField(request: RequestId) = HttpField(REQUEST_HEADER, request.text)
+    private fun requestField(request: RequestId) = HttpField(REQUEST_ID_HEADER, request.text)
 
     private companion object {
         const val MILLISECONDS_PER_SECOND = 1000
         const val ASSISTANT = "assistant"
         const val END_OF_STREAM = "[DONE]"
-        val wrongKind = Outcome.Refused(
+        val mismatchedOutcome = Outcome.Refused(
             reason = RefusalReason.UPSTREAM_FAILED,
             execution = Execution.RAN,
-            detail = "the answer is of another kind than the request",
+            detail = "the outcome does not match the kind of request",
         )
     }
 }
--- a/http/src/main/kotlin/org/lovageladder/http/CallerExchanges.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/CallerExchanges.kt
@@ -5,36 +5,36 @@
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.atomic.AtomicLong
 
-/** Exchanges that wait for their outcome, by identifier. */
+/** The exchanges whose outcome is not yet written, by identifier. */
 internal class CallerExchanges(private val handler: CallerHandler, val meters: CallerMeters) {
     private val lastId = AtomicLong()
-    private val waiting = ConcurrentHashMap<ExchangeId, CallerExchange>()
+    private val unfinished = ConcurrentHashMap<ExchangeId, CallerExchange>()
 
-    /** Whether answers ask callers to close their connections. */
+    /** Whether every answer asks the caller to close its connection. */
     @Volatile
-    var draining: Boolean = false
+    var isDraining: Boolean = false
 
     val count: Int
-        get() = waiting.size
+        get() = unfinished.size
 
-    fun find(id: ExchangeId): CallerExchange? = waiting[id]
+    fun find(id: ExchangeId): CallerExchange? = unfinished[id]
 
     fun nextId(): ExchangeId = ExchangeId(lastId.incrementAndGet())
 
-    fun begin(exchange: CallerExchange, submission: Submission) {
-        waiting[exchange.id] = exchange
+    fun start(exchange: CallerExchange, submission: Submission) {
+        unfinished[exchange.id] = exchange
         handler.submitted(exchange.id, submission)
     }
 
-    /** Forgets an exchange whose outcome was written. */
-    fun end(exchange: CallerExchange) {
-        waiting.remove(exchange.id)
+    /** Removes an exchange whose outcome was written. */
+    fun remove(exchange: CallerExchange) {
+        unfinished.remove(exchange.id)
     }
 
-    /** Forgets an exchange whose caller is gone. */
-    fun leave(exchange: CallerExchange) {
-        if (waiting.remove(exchange.id) != null) {
-            meters.callerLeft()
+    /** Removes an exchange whose caller disconnected, and notifies the handler. */
+    fun onCallerDisconnected(exchange: CallerExchange) {
+        if (unfinished.remove(exchange.id) != null) {
+            meters.recordDisconnect()
             handler.left(exchange.id)
         }
     }
--- a/http/src/main/kotlin/org/lovageladder/http/CallerHeaders.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/CallerHeaders.kt
@@ -1,13 +1,13 @@
 package org.lovageladder.http
 
-/** Names the request class; the service's default applies without it. */
-internal const val CLASS_HEADER: String = "Lovageladder-Class"
+/** Request class of the request. Without it, the service's default class applies. */
+internal const val REQUEST_CLASS_HEADER: String = "Lovageladder-Class"
 
-/** Names the service of a generation; the body's `model` does without it. */
+/** Service of a generation. Without it, `model` in the body names the service. */
 internal const val SERVICE_HEADER: String = "Lovageladder-Service"
 
-/** Tells the caller the identifier of its request. */
-internal const val REQUEST_HEADER: String = "Lovageladder-Request"
+/** Identifier of the request, sent with the answer. */
+internal const val REQUEST_ID_HEADER: String = "Lovageladder-Request"
 
-/** Names an action, so that a repeated submission is recognised. */
-internal const val KEY_HEADER: String = "Idempotency-Key"
+/** Key of the caller's action, by which a repeated submission is recognised. */
+internal const val IDEMPOTENCY_KEY_HEADER: String = "Idempotency-Key"
--- a/http/src/main/kotlin/org/lovageladder/http/CallerMeters.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/CallerMeters.kt
@@ -7,29 +7,29 @@
 import io.netty.channel.Channel
 import java.util.concurrent.TimeUnit
 
-/** Metrics of the server towards callers. */
+/** Metrics of the caller server. */
 internal class CallerMeters(private val registry: MeterRegistry) {
     private val firstToken: Timer = Timer.builder("lovageladder.caller.first.token")
-        .description("Time from the end of a caller's request to the first token handed to it")
+        .description("Time from the end of a caller's request to its first token")
         .register(registry)
-    private val left: Counter = Counter.builder("lovageladder.caller.left")
-        .description("Callers whose connection closed before their outcome was written")
+    private val disconnects: Counter = Counter.builder("lovageladder.caller.left")
+        .description("Callers that disconnected before their outcome was written")
         .register(registry)
 
-    fun watch(connections: Set<Channel>, exchanges: CallerExchanges) {
+    fun registerGauges(connections: Set<Channel>, exchanges: CallerExchanges) {
         Gauge.builder("lovageladder.caller.connections", connections) { it.size.toDouble() }
             .description("Open connections of callers")
             .register(registry)
         Gauge.builder("lovageladder.caller.exchanges", exchanges) { it.count.toDouble() }
-            .description("Requests of callers that wait for their outcome")
+            .description("Requests of callers whose outcome is not yet written")
             .register(registry)
     }
 
-    fun firstTokenAfter(nanoseconds: Long): Unit = firstToken.record(nanoseconds, TimeUnit.NANOSECONDS)
+    fun recordFirstToken(nanoseconds: Long): Unit = firstToken.record(nanoseconds, TimeUnit.NANOSECONDS)
 
-    fun callerLeft(): Unit = left.increment()
+    fun recordDisconnect(): Unit = disconnects.increment()
 
-    fun answeredAfter(nanoseconds: Long, status: Int) {
+    fun recordAnswer(nanoseconds: Long, status: Int) {
         registry.timer("lovageladder.caller.answer", "status", status.toString())
             .record(nanoseconds, TimeUnit.NANOSECONDS)
     }
--- a/http/src/main/kotlin/org/lovageladder/http/CallerServer.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/CallerServer.kt
@@ -7,34 +7,34 @@
 import org.lovageladder.core.RequestId
 import org.lovageladder.core.Submission
 
-/** Is told what callers do. Called on event loop threads, so that both functions have to return at once. */
+/** Receives the submissions of callers. Called on event loop threads; implementations must not block. */
 public interface CallerHandler {
-    /** A caller submitted a request, which is to be answered by [CallerServer.giveOutcome]. */
+    /** A caller submitted a request; it is answered by [CallerServer.giveOutcome]. */
     public fun submitted(exchange: ExchangeId, submission: Submission)
 
-    /** The caller's connection closed before its outcome was written; nothing can be given to it any more. */
+    /** The caller disconnected before its outcome was written; tokens and outcomes for it are now ignored. */
     public fun left(exchange: ExchangeId)
 }
 
-/** HTTP server towards callers. All functions may be called on any thread and don't block. */
+/** HTTP server for callers. Thread-safe; no function blocks. */
 public interface CallerServer : AutoCloseable {
-    /** Where the server listens, with the port that was chosen when 0 was asked for. */
+    /** Address the server listens on; with the assigned port when the requested port was 0. */
     public val address: Address
 
-    /** Hands a token to the caller of a generation; nothing happens when the exchange is over. */
+    /** Passes a token to the caller of a generation. Ignored when the exchange has ended. */
     public fun giveToken(exchange: ExchangeId, index: Int, text: String)
 
-    /** Ends an exchange; nothing happens when it is over. */
+    /** Writes the outcome and ends the exchange. Ignored when the exchange has ended. */
     public fun giveOutcome(exchange: ExchangeId, request: RequestId, outcome: Outcome)
 
-    /** Accepts no more connections, and asks callers with each answer to close theirs. */
+    /** Stops accepting connections, and asks callers with each answer to close theirs. */
     public fun drain()
 
     /** Closes all connections. */
     override fun close()
 }
 
-/** Starts a [CallerServer] on [bind]; throws [java.net.BindException] when the address is taken. */
+/** Starts a [CallerServer] on [bind]; throws [java.net.BindException] when the address is in use. */
 public fun startCallerServer(
     bind: Address,
     limits: HttpLimits = HttpLimits(),
--- a/http/src/main/kotlin/org/lovageladder/http/DecodeReceiver.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/DecodeReceiver.kt
@@ -12,17 +12,17 @@
 import java.nio.charset.StandardCharsets
 
 /**
- * Reads an engine's token stream and reports each token at once. The number of tokens reported at the end counts from
- * index 0, those before [fromIndex] included. Reports nothing after the last report.
+ * Reads an engine's token stream and reports each token as it arrives. The token count of the final report includes the
+ * tokens before [fromIndex]. Nothing is reported after the final report.
  */
 internal class DecodeReceiver(private val peer: String, fromIndex: Int, private val report: (UpstreamReport) -> Unit) :
     HttpReceiver {
     private val lines = LineReader(MAXIMUM_LINE_BYTES)
-    private val refusal = ByteArrayOutputStream()
+    private val errorBody = ByteArrayOutputStream()
     private var status = 0
-    private var nextIndex = fromIndex
+    private var nextTokenIndex = fromIndex
     private var finishReason: String? = null
-    private var ended = false
+    private var isEnded = false
 
     override fun onHead(status: Int, headers: HttpHeaders) {
         this.status = status
@@ -30,46 +30,46 @@
 
     override fun onContent(bytes: ByteBuf) {
         if (status != STATUS_OK) {
-            val length = minOf(bytes.readableBytes(), MAXIMUM_LINE_BYTES - refusal.size())
-            bytes.readBytes(refusal, length)
+            val length = minOf(bytes.readableBytes(), MAXIMUM_LINE_BYTES - errorBody.size())
+            bytes.readBytes(errorBody, length)
             return
         }
         try {
-            lines.read(bytes) { if (!ended) readLine(it) }
+            lines.read(bytes) { if (!isEnded) processLine(it) }
         } catch (malformed: IllegalArgumentException) {
             fail(FaultCause.PROTOCOL, malformed.message.orEmpty(), Execution.UNKNOWN)
         }
     }
 
     override fun onEnd() {
-        if (ended) return
+        if (isEnded) return
         if (status == STATUS_OK) {
-            fail(FaultCause.CONNECTION_LOST, "the stream ended after $nextIndex tokens", Execution.UNKNOWN)
+            fail(FaultCause.CONNECTION_LOST, "the stream ended after $nextTokenIndex tokens", Execution.UNKNOWN)
         } else {
-            val body = refusal.toString(StandardCharsets.UTF_8)
-            end(refusedByEngine(Step.DECODE, peer, HttpAnswer(status, EmptyHttpHeaders.INSTANCE, body)))
+            val body = errorBody.toString(StandardCharsets.UTF_8)
+            end(engineFailure(Step.DECODE, peer, HttpAnswer(status, EmptyHttpHeaders.INSTANCE, body)))
         }
     }
 
     override fun onFailure(failure: HttpFailure) {
-        if (!ended) end(lostCall(Step.DECODE, peer, failure))
+        if (!isEnded) end(callFailure(Step.DECODE, peer, failure))
     }
 
-    private fun readLine(line: String) {
+    private fun processLine(line: String) {
         if (!line.startsWith(DATA_FIELD)) return
         val data = line.removePrefix(DATA_FIELD).trim()
-        if (data == END_OF_STREAM) finish() else readChunk(engineJson.decodeFromString<EngineChunk>(data))
+        if (data == END_OF_STREAM) finish() else processChunk(engineJson.decodeFromString<EngineChunk>(data))
     }
 
-    private fun readChunk(chunk: EngineChunk) {
+    private fun processChunk(chunk: EngineChunk) {
         chunk.error?.let {
             fail(FaultCause.CRASHED, it.message, Execution.UNKNOWN)
             return
         }
         val choice = chunk.choices.firstOrNull() ?: return
         if (choice.isToken) {
-            report(UpstreamReport.Token(nextIndex, choice.content))
-            nextIndex++
+            report(UpstreamReport.Token(nextTokenIndex, choice.content))
+            nextTokenIndex++
         }
         choice.finishReason?.let { finishReason = it }
     }
@@ -77,23 +77,23 @@
     private fun finish() {
         when (val reason = finishReason) {
             null -> fail(FaultCause.PROTOCOL, "the stream ended without a finish reason", Execution.UNKNOWN)
-            in BROKEN_OFF_REASONS -> fail(FaultCause.CANCELLED, "the engine ended it: $reason", Execution.RAN)
-            else -> end(UpstreamReport.Finished(nextIndex, reason))
+            in ABORT_REASONS -> fail(FaultCause.CANCELLED, "the engine ended the stream: $reason", Execution.RAN)
+            else -> end(UpstreamReport.Finished(nextTokenIndex, reason))
         }
     }
 
     private fun fail(cause: FaultCause, detail: String, execution: Execution): Unit =
         end(UpstreamReport.Failed(Fault(Step.DECODE, peer, cause, detail), execution))
 
-    private fun end(last: UpstreamReport) {
-        ended = true
-        report(last)
+    private fun end(finalReport: UpstreamReport) {
+        isEnded = true
+        report(finalReport)
     }
 
     private companion object {
         const val DATA_FIELD = "data:"
         const val END_OF_STREAM = "[DONE]"
         const val MAXIMUM_LINE_BYTES = 1024 * 1024
-        val BROKEN_OFF_REASONS = setOf("cancelled", "abort", "error")
+        val ABORT_REASONS = setOf("cancelled", "abort", "error")
     }
 }
--- a/http/src/main/kotlin/org/lovageladder/http/EngineBody.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/EngineBody.kt
@@ -10,22 +10,22 @@
 import org.lovageladder.core.UpstreamCall
 
 /*
- * Bodies of engine calls: the caller's own request with the members that the router decides put in their place.
+ * Bodies of engine calls: the caller's JSON request with the members that the router sets itself replaced.
  */
 
-/** Throws [IllegalArgumentException] when the caller's body or the ticket is not a JSON object. */
+/** Body of a prefill; throws [IllegalArgumentException] when the caller's body is not a JSON object. */
 internal fun prefillBody(call: UpstreamCall.Prefill): String {
-    val members = callerMembers(call.content)
+    val members = passedOnMembers(call.content)
     members["stream"] = JsonPrimitive(false)
     members["max_tokens"] = JsonPrimitive(1)
     members["priority"] = JsonPrimitive(call.priority)
-    members[TRANSFER_MEMBER] = wantedTransfer
+    members[TRANSFER_MEMBER] = transferRequest
     return JsonObject(members).toString()
 }
 
-/** Throws [IllegalArgumentException] when the caller's body or the ticket is not a JSON object. */
+/** Body of a decode; throws [IllegalArgumentException] when the caller's body or the ticket is not a JSON object. */
 internal fun decodeBody(call: UpstreamCall.Decode): String {
-    val members = callerMembers(call.content)
+    val members = passedOnMembers(call.content)
     members["stream"] = JsonPrimitive(true)
     members["max_tokens"] = JsonPrimitive(call.outputBound)
     members["priority"] = JsonPrimitive(call.priority)
@@ -34,19 +34,19 @@
     return JsonObject(members).toString()
 }
 
-/** Reads [text] as a JSON object; throws [IllegalArgumentException] when it is not one. */
+/** Parses [text] as a JSON object; throws [IllegalArgumentException] when it is not one. */
 internal fun parseObject(text: String): JsonObject {
     val element = engineJson.parseToJsonElement(text)
-    require(element is JsonObject) { "a JSON object is expected" }
+    require(element is JsonObject) { "expected a JSON object" }
     return element
 }
 
 internal const val TRANSFER_MEMBER: String = "kv_transfer_params"
 
-private val decidedHere =
+private val routerMembers =
     setOf("stream", "stream_options", "max_tokens", "max_completion_tokens", "priority", "resume_from", TRANSFER_MEMBER)
 
-private val wantedTransfer: JsonObject = buildJsonObject {
+private val transferRequest: JsonObject = buildJsonObject {
     put("do_remote_decode", true)
     put("do_remote_prefill", false)
     put("remote_engine_id", JsonNull)
@@ -55,8 +55,8 @@
     put("remote_port", JsonNull)
 }
 
-private fun callerMembers(content: RequestContent.Generation): MutableMap<String, JsonElement> {
-    val members = parseObject(content.body).filterKeys { it !in decidedHere }.toMutableMap()
+private fun passedOnMembers(content: RequestContent.Generation): MutableMap<String, JsonElement> {
+    val members = parseObject(content.body).filterKeys { it !in routerMembers }.toMutableMap()
     content.model?.let { members["model"] = JsonPrimitive(it.text) }
     return members
 }
--- a/http/src/main/kotlin/org/lovageladder/http/EngineMessages.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/EngineMessages.kt
@@ -6,7 +6,7 @@
 import kotlinx.serialization.json.JsonObject
 
 /*
- * Messages of the OpenAI-compatible interface as engines serve it, as far as they are read here.
+ * Messages of the OpenAI-compatible interface of engines, with only the members that the router uses.
  */
 
 internal val engineJson: Json = Json {
@@ -22,7 +22,7 @@
     val error: EngineError? = null,
 )
 
-/** One part of a stream; [text] in completions, [delta] in chat completions. */
+/** One choice of a streamed chunk: [text] is set in completions, [delta] in chat completions. */
 @Serializable
 internal data class EngineChoice(
     val text: String? = null,
@@ -31,7 +31,7 @@
 ) {
     val content: String get() = text ?: delta?.content.orEmpty()
 
-    /** Whether this part carries a token; the first part of a chat carries only the role, the last often nothing. */
+    /** Whether this chunk carries a token. The first chunk of a chat may hold only the role, the last one nothing. */
     val isToken: Boolean get() = content.isNotEmpty() || (finishReason == null && delta?.role == null)
 }
 
@@ -41,9 +41,9 @@
 @Serializable
 internal data class EngineUsage(@SerialName("completion_tokens") val completionTokens: Int = 0)
 
-/** Body of a refused call; some engines put the members of `error` at the top. */
+/** Body of an error answer. Some engines put the members of `error` at the top level. */
 @Serializable
-internal data class EngineRefusal(
+internal data class EngineErrorAnswer(
     val error: EngineError? = null,
     val type: String? = null,
     val message: String? = null,
--- a/http/src/main/kotlin/org/lovageladder/http/EtcdMessages.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/EtcdMessages.kt
@@ -8,7 +8,7 @@
 import java.util.Base64
 
 /*
- * Messages of etcd v3's published JSON mapping: bytes as base64, 64-bit numbers as strings, defaults left out.
+ * Messages of etcd's v3 JSON gateway: bytes are base64, 64-bit integers are strings, default values are left out.
  */
 
 internal val etcdJson: Json = Json {
@@ -16,21 +16,24 @@
     explicitNulls = false
 }
 
-internal fun encodeBytes(text: String): String = Base64.getEncoder().encodeToString(text.toByteArray())
+internal fun encodeBase64(text: String): String = Base64.getEncoder().encodeToString(text.toByteArray())
 
-internal fun decodeBytes(text: String): String = String(Base64.getDecoder().decode(text), StandardCharsets.UTF_8)
+internal fun decodeBase64(text: String): String = String(Base64.getDecoder().decode(text), StandardCharsets.UTF_8)
 
-/** First key after all keys that begin with [prefix], encoded; `\0`, which stands for no end, when there is none. */
+/**
+ * Base64 of the first key after all keys that start with [prefix], used as `range_end`. When there is none, base64 of
+ * `\0`, by which etcd reads to the last key.
+ */
 internal fun encodedPrefixEnd(prefix: String): String {
     val bytes = prefix.toByteArray()
-    val last = bytes.indexOfLast { it != MAXIMUM_BYTE }
+    val last = bytes.indexOfLast { it != BYTE_FF }
     if (last < 0) return Base64.getEncoder().encodeToString(byteArrayOf(0))
     val end = bytes.copyOf(last + 1)
     end[last]++
     return Base64.getEncoder().encodeToString(end)
 }
 
-private const val MAXIMUM_BYTE: Byte = -1
+private const val BYTE_FF: Byte = -1
 
 @Serializable
 internal data class EtcdHeader(val revision: String = "0")
@@ -41,7 +44,7 @@
     val value: String = "",
     @SerialName("mod_revision") val modRevision: String = "0",
 ) {
-    fun toStoredEntry(): StoredEntry = StoredEntry(decodeBytes(key), decodeBytes(value), modRevision.toLong())
+    fun toStoredEntry(): StoredEntry = StoredEntry(decodeBase64(key), decodeBase64(value), modRevision.toLong())
 }
 
 @Serializable
--- a/http/src/main/kotlin/org/lovageladder/http/EtcdStore.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/EtcdStore.kt
@@ -15,30 +15,30 @@
 import kotlin.time.TimeSource
 
 /**
- * Opens the platform's key-value service at [addresses] by etcd v3's JSON mapping over HTTP.
+ * Opens the platform's key-value service at [addresses], using the JSON gateway of etcd v3 over HTTP.
  *
- * A read goes on to the next address when a connection fails. A write does so only when the connection was not made;
- * once it may have been sent, a lost answer is [StoreAnswer.Unavailable]. An error answered by the service is
- * [StoreAnswer.Unavailable] with cause [FaultCause.REJECTED]. A lease that lapsed is renewed for no time at all:
- * [StoreAnswer.Leased] with a time to live of zero.
+ * A read is retried at the next address when a call fails. A write is retried only when the connection was not made;
+ * once it may have been sent, a missing answer gives [StoreAnswer.Unavailable]. An error answer of the service gives
+ * [StoreAnswer.Unavailable] with cause [FaultCause.REJECTED]. Renewing an expired lease gives [StoreAnswer.Leased] with
+ * a time to live of zero.
  */
 public fun openEtcdStore(addresses: List<Address>, threads: HttpThreads = HttpThreads.shared): KeyValueStore {
-    require(addresses.isNotEmpty()) { "the key-value service has no address, at least one is needed" }
+    require(addresses.isNotEmpty()) { "the key-value service needs at least one address" }
     return EtcdStore(addresses, HttpClient(threads))
 }
 
 private class EtcdStore(private val addresses: List<Address>, private val client: HttpClient) : KeyValueStore {
-    private val preferred = AtomicInteger()
+    private val preferredIndex = AtomicInteger()
 
     override fun call(request: StoreRequest, timeout: Duration, answer: (StoreAnswer) -> Unit) {
         val deadline = TimeSource.Monotonic.markNow() + timeout
-        Attempt(EtcdRequest.of(request), deadline, answer).send(addressesLeft = addresses.size)
+        PendingRequest(EtcdRequest.of(request), deadline, answer).send(remainingAddresses = addresses.size)
     }
 
     override fun watch(prefix: String, changed: (StoredEntry) -> Unit, ended: (Fault) -> Unit): AutoCloseable {
-        val index = preferred.get()
+        val index = preferredIndex.get()
         val receiver = EtcdWatchReceiver(addresses[index], changed) { fault ->
-            preferNextAfter(index)
+            preferNextAddress(index)
             ended(fault)
         }
         val running = client.start(addresses[index], watchCall(prefix), receiver, ConnectionUse.FRESH)
@@ -47,38 +47,38 @@
 
     override fun close(): Unit = client.close()
 
-    private fun preferNextAfter(index: Int) {
-        preferred.compareAndSet(index, (index + 1) % addresses.size)
+    private fun preferNextAddress(index: Int) {
+        preferredIndex.compareAndSet(index, (index + 1) % addresses.size)
     }
 
-    /** One request on its way through the addresses. */
-    private inner class Attempt(
+    /** One request, sent to one address after another until it is answered or may not be retried. */
+    private inner class PendingRequest(
         private val request: EtcdRequest,
         private val deadline: TimeMark,
         private val answer: (StoreAnswer) -> Unit,
     ) {
-        fun send(addressesLeft: Int) {
-            val index = preferred.get()
+        fun send(remainingAddresses: Int) {
+            val index = preferredIndex.get()
             val address = addresses[index]
-            val left = -deadline.elapsedNow()
-            if (!left.isPositive()) {
-                answer(unavailable(address, FaultCause.TIMEOUT, "no time is left to ask"))
+            val timeLeft = -deadline.elapsedNow()
+            if (!timeLeft.isPositive()) {
+                answer(unavailable(address, FaultCause.TIMEOUT, "the timeout ended before the request was sent"))
                 return
             }
             val call = jsonPost(request.path, request.body)
-            client.ask(address, call, HttpWait(minOf(left, HttpClient.CONNECT_LIMIT), left)) { result ->
+            client.ask(address, call, HttpWait(minOf(timeLeft, HttpClient.CONNECT_LIMIT), timeLeft)) { result ->
                 when (result) {
                     is HttpResult.Answered -> answer(read(address, result.answer))
-                    is HttpResult.Failed -> goOn(index, result.failure, addressesLeft - 1)
+                    is HttpResult.Failed -> failOver(index, result.failure, remainingAddresses - 1)
                 }
             }
         }
 
-        private fun goOn(index: Int, failure: HttpFailure, addressesLeft: Int) {
-            preferNextAfter(index)
-            val mayRepeat = request.isRead || !failure.sent
-            if (mayRepeat && addressesLeft > 0 && failure.cause != FaultCause.CANCELLED) {
-                send(addressesLeft)
+        private fun failOver(index: Int, failure: HttpFailure, remainingAddresses: Int) {
+            preferNextAddress(index)
+            val mayRetry = request.isSafeToRetry || !failure.sent
+            if (mayRetry && remainingAddresses > 0 && failure.cause != FaultCause.CANCELLED) {
+                send(remainingAddresses)
             } else {
                 answer(unavailable(addresses[index], failure.cause, failure.detail))
             }
@@ -101,10 +101,10 @@
     StoreAnswer.Unavailable(Fault(Step.STORE, address.toString(), cause, detail))
 
 private fun watchCall(prefix: String): HttpCall {
-    val creation = EtcdWatchCreation(EtcdRange(encodeBytes(prefix), encodedPrefixEnd(prefix)))
+    val creation = EtcdWatchCreation(EtcdRange(encodeBase64(prefix), encodedPrefixEnd(prefix)))
     return jsonPost("/v3/watch", etcdJson.encodeToString(EtcdWatchCreation.serializer(), creation))
 }
 
-/** A `POST` of JSON. */
+/** A `POST` request with a JSON body. */
 internal fun jsonPost(path: String, body: String, fields: List<HttpField> = emptyList()): HttpCall =
     HttpCall(HttpMethod.POST, path, body.encodeToByteArray(), contentType = JSON_TYPE, fields = fields)
--- a/http/src/main/kotlin/org/lovageladder/http/EtcdWatchReceiver.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/EtcdWatchReceiver.kt
@@ -8,46 +8,46 @@
 import org.lovageladder.core.Step
 import org.lovageladder.core.StoredEntry
 
-/** Reads the stream of a watch: one JSON object a line. */
+/** Reads the stream of a watch: one JSON object per line. Calls [onFault] once, when the watch ends. */
 internal class EtcdWatchReceiver(
     private val address: Address,
-    private val changed: (StoredEntry) -> Unit,
-    private val ended: (Fault) -> Unit,
+    private val onEntry: (StoredEntry) -> Unit,
+    private val onFault: (Fault) -> Unit,
 ) : HttpReceiver {
     private val lines = LineReader(MAXIMUM_LINE_BYTES)
-    private var broken = false
+    private var isEnded = false
 
     override fun onHead(status: Int, headers: HttpHeaders) {
-        if (status != STATUS_OK) end(FaultCause.REJECTED, "status $status")
+        if (status != STATUS_OK) reportEnd(FaultCause.REJECTED, "status $status")
     }
 
     override fun onContent(bytes: ByteBuf) {
         try {
-            lines.read(bytes) { if (!broken && it.isNotBlank()) take(it) }
+            lines.read(bytes) { if (!isEnded && it.isNotBlank()) processLine(it) }
         } catch (malformed: IllegalArgumentException) {
-            end(FaultCause.PROTOCOL, malformed.message.orEmpty())
+            reportEnd(FaultCause.PROTOCOL, malformed.message.orEmpty())
         }
     }
 
-    override fun onEnd(): Unit = end(FaultCause.CONNECTION_LOST, "the watch ended")
+    override fun onEnd(): Unit = reportEnd(FaultCause.CONNECTION_LOST, "the watch ended")
 
-    override fun onFailure(failure: HttpFailure): Unit = end(failure.cause, failure.detail)
+    override fun onFailure(failure: HttpFailure): Unit = reportEnd(failure.cause, failure.detail)
 
-    private fun take(line: String) {
+    private fun processLine(line: String) {
         val message = etcdJson.decodeFromString<EtcdWatchMessage>(line)
         val result = message.result
         if (result == null || result.canceled) {
             val reason = result?.cancelReason ?: message.error?.text
-            end(FaultCause.REJECTED, "the watch was cancelled: $reason")
+            reportEnd(FaultCause.REJECTED, "the watch was cancelled: $reason")
             return
         }
-        result.events.filter { it.type == EtcdWatchEvent.PUT }.forEach { changed(it.kv.toStoredEntry()) }
+        result.events.filter { it.type == EtcdWatchEvent.PUT }.forEach { onEntry(it.kv.toStoredEntry()) }
     }
 
-    private fun end(cause: FaultCause, detail: String) {
-        if (broken) return
-        broken = true
-        ended(Fault(Step.STORE, address.toString(), cause, detail))
+    private fun reportEnd(cause: FaultCause, detail: String) {
+        if (isEnded) return
+        isEnded = true
+        onFault(Fault(Step.STORE, address.toString(), cause, detail))
     }
 
     private companion object {
--- a/http/src/main/kotlin/org/lovageladder/http/GenerationMessages.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/GenerationMessages.kt
@@ -8,14 +8,14 @@
 import org.lovageladder.core.RequestId
 
 /*
- * Answers to generations in OpenAI's shapes. Members without a value are left out, but for `finish_reason`.
+ * Answers to generations in the format of OpenAI's API. Null members are left out, except `finish_reason`.
  */
 
-/** How an answer is written to its caller. */
-internal sealed interface AnswerShape {
-    data class Generation(val shape: GenerationShape, val stream: Boolean, val model: String) : AnswerShape
+/** Format of the answer to a caller. */
+internal sealed interface AnswerFormat {
+    data class Generation(val api: GenerationApi, val stream: Boolean, val model: String) : AnswerFormat
 
-    data object Plain : AnswerShape
+    data object Plain : AnswerFormat
 }
 
 internal val generationJson: Json = Json { explicitNulls = true }
@@ -31,7 +31,7 @@
     @SerialName("lovageladder_request") val request: RequestId? = null,
 )
 
-/** One of [text], [message] and [delta] is set. */
+/** Exactly one of [text], [message] and [delta] is set. */
 @OptIn(ExperimentalSerializationApi::class)
 @Serializable
 internal data class AnswerChoice(
--- a/http/src/main/kotlin/org/lovageladder/http/GenerationRequest.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/GenerationRequest.kt
@@ -12,13 +12,13 @@
 import java.nio.ByteBuffer
 import java.security.MessageDigest
 
-/** Which of the two published generation interfaces a request came by. */
-internal enum class GenerationShape(val path: String, val wholeName: String, val chunkName: String) {
+/** The OpenAI endpoints for generations, with the value of `object` in whole answers and in streamed chunks. */
+internal enum class GenerationApi(val path: String, val answerObject: String, val chunkObject: String) {
     TEXT("/v1/completions", "text_completion", "text_completion"),
     CHAT("/v1/chat/completions", "chat.completion", "chat.completion.chunk"),
 }
 
-/** What is read of a caller's generation request; the rest is passed on as it came. */
+/** Members of a caller's generation request that the router uses; the others are passed on unread. */
 internal data class GenerationRequest(
     val model: String?,
     val promptParts: List<String>,
@@ -28,30 +28,30 @@
 
 private const val CHARACTERS_PER_TOKEN = 4
 private const val PREFIX_CHARACTERS = 1024
-private const val MAXIMUM_NESTING = 64
-private val whitespace = Regex("\\s+")
-
-/** Throws [InputRejected] naming the member that is missing or has the wrong type. */
-internal fun readGeneration(body: String, shape: GenerationShape): GenerationRequest {
-    val members = membersOf(body)
-    val parts = when (shape) {
-        GenerationShape.TEXT -> listOf(promptIn(members))
-        GenerationShape.CHAT -> messagesIn(members)
+private const val MAXIMUM_DEPTH = 64
+private val WHITESPACE = Regex("\\s+")
+
+/** Parses a generation request; throws [InvalidRequestException] that names a missing or invalid member. */
+internal fun parseGenerationBody(body: String, api: GenerationApi): GenerationRequest {
+    val members = parseObjectBody(body)
+    val parts = when (api) {
+        GenerationApi.TEXT -> listOf(parsePrompt(members))
+        GenerationApi.CHAT -> parseMessages(members)
     }
-    if ((countIn(members, "n") ?: 1) != 1) throw mistyped("n", members.getValue("n"), "1")
+    if ((parseCount(members, "n") ?: 1) != 1) throw invalidValue("n", members.getValue("n"), "1")
     return GenerationRequest(
-        model = modelIn(members),
+        model = parseModel(members),
         promptParts = parts,
-        outputTokens = countIn(members, "max_completion_tokens") ?: countIn(members, "max_tokens"),
-        stream = streamIn(members),
+        outputTokens = parseCount(members, "max_completion_tokens") ?: parseCount(members, "max_tokens"),
+        stream = parseStream(members),
     )
 }
 
-/** Estimate of the tokens in a prompt: a quarter of its characters, at least its words, summed over [parts]. */
+/** Estimates the tokens of a prompt: per part the larger of a quarter of its characters and its words, summed. */
 internal fun estimateTokens(parts: List<String>): Int =
-    parts.sumOf { maxOf(it.length / CHARACTERS_PER_TOKEN, wordsIn(it)) }
+    parts.sumOf { maxOf(it.length / CHARACTERS_PER_TOKEN, countWords(it)) }
 
-/** First 64 bits of the SHA-256 digest of the prompt's first characters. */
+/** First 64 bits of the SHA-256 digest of the first [PREFIX_CHARACTERS] characters of the prompt. */
 internal fun prefixDigest(parts: List<String>): Long {
     val prefix = StringBuilder()
     for (part in parts) {
@@ -62,24 +62,25 @@
     return ByteBuffer.wrap(digest).getLong()
 }
 
-private fun wordsIn(text: String): Int = whitespace.splitToSequence(text).count { it.isNotEmpty() }
+private fun countWords(text: String): Int = WHITESPACE.splitToSequence(text).count { it.isNotEmpty() }
 
-private fun membersOf(body: String): JsonObject {
-    if (nestsDeeperThan(MAXIMUM_NESTING, body)) {
-        throw badField("body", "the body nests deeper than $MAXIMUM_NESTING levels, which is the most allowed")
+private fun parseObjectBody(body: String): JsonObject {
+    if (exceedsDepth(MAXIMUM_DEPTH, body)) {
+        throw invalidField("body", "the body nests deeper than the allowed $MAXIMUM_DEPTH levels")
     }
-    val element = parse(body)
-    return element as? JsonObject ?: throw badField("body", "the body is ${kindOf(element)}, allowed is a JSON object")
+    val element = parseJson(body)
+    return element as? JsonObject
+        ?: throw invalidField("body", "the body is ${describe(element)}, allowed is a JSON object")
 }
 
-private fun parse(body: String): JsonElement = try {
+private fun parseJson(body: String): JsonElement = try {
     Json.parseToJsonElement(body)
 } catch (malformed: SerializationException) {
-    throw badField("body", "the body is not JSON: ${malformed.message?.lineSequence()?.first()}", malformed)
+    throw invalidField("body", "the body is not JSON: ${malformed.message?.lineSequence()?.first()}", malformed)
 }
 
-/** Whether JSON text nests deeper than [limit], counted without a parser that the nesting could overthrow. */
-private fun nestsDeeperThan(limit: Int, json: String): Boolean {
+/** Whether JSON text nests deeper than [limit]. Counts brackets, since a recursive parser could overflow its stack. */
+private fun exceedsDepth(limit: Int, json: String): Boolean {
     var depth = 0
     var inString = false
     var escaped = false
@@ -96,56 +97,57 @@
     return false
 }
 
-private fun promptIn(members: JsonObject): String {
-    val prompt = present(members, "prompt") ?: throw missing("prompt", "a string")
-    return textOf(prompt) ?: throw mistyped("prompt", prompt, "a string")
+private fun parsePrompt(members: JsonObject): String {
+    val prompt = nonNullMember(members, "prompt") ?: throw missingField("prompt", "a string")
+    return stringOrNull(prompt) ?: throw invalidValue("prompt", prompt, "a string")
 }
 
-private fun messagesIn(members: JsonObject): List<String> {
-    val messages = present(members, "messages") ?: throw missing("messages", "an array of messages")
-    if (messages !is JsonArray || messages.isEmpty()) throw mistyped("messages", messages, "an array of messages")
-    return messages.mapIndexed { index, message -> messageText("messages[$index]", message) }
+private fun parseMessages(members: JsonObject): List<String> {
+    val messages = nonNullMember(members, "messages") ?: throw missingField("messages", "an array of messages")
+    if (messages !is JsonArray || messages.isEmpty()) throw invalidValue("messages", messages, "an array of messages")
+    return messages.mapIndexed { index, message -> parseMessage("messages[$index]", message) }
 }
 
-private fun messageText(field: String, message: JsonElement): String {
-    if (message !is JsonObject) throw mistyped(field, message, "an object with role and content")
-    return requiredText(message, field, "role") + " " + requiredText(message, field, "content")
+private fun parseMessage(field: String, message: JsonElement): String {
+    if (message !is JsonObject) throw invalidValue(field, message, "an object with role and content")
+    return requiredString(message, field, "role") + " " + requiredString(message, field, "content")
 }
 
-private fun requiredText(members: JsonObject, parent: String, name: String): String {
+private fun requiredString(members: JsonObject, parent: String, name: String): String {
     val field = "$parent.$name"
-    val element = present(members, name) ?: throw missing(field, "a string")
-    return textOf(element) ?: throw mistyped(field, element, "a string")
+    val element = nonNullMember(members, name) ?: throw missingField(field, "a string")
+    return stringOrNull(element) ?: throw invalidValue(field, element, "a string")
 }
 
-private fun modelIn(members: JsonObject): String? {
-    val model = present(members, "model") ?: return null
-    return textOf(model) ?: throw mistyped("model", model, "a string")
+private fun parseModel(members: JsonObject): String? {
+    val model = nonNullMember(members, "model") ?: return null
+    return stringOrNull(model) ?: throw invalidValue("model", model, "a string")
 }
 
-private fun streamIn(members: JsonObject): Boolean {
-    val stream = present(members, "stream") ?: return false
+private fun parseStream(members: JsonObject): Boolean {
+    val stream = nonNullMember(members, "stream") ?: return false
     val value = (stream as? JsonPrimitive)?.takeIf { !it.isString }?.booleanOrNull
-    return value ?: throw mistyped("stream", stream, "true or false")
+    return value ?: throw invalidValue("stream", stream, "true or false")
 }
 
-private fun countIn(members: JsonObject, name: String): Int? {
-    val element = present(members, name) ?: return null
+private fun parseCount(members: JsonObject, name: String): Int? {
+    val element = nonNullMember(members, name) ?: return null
     val count = (element as? JsonPrimitive)?.takeIf { !it.isString }?.intOrNull
-    if (count == null || count < 1) throw mistyped(name, element, "a whole number of 1 or more")
+    if (count == null || count < 1) throw invalidValue(name, element, "a whole number of 1 or more")
     return count
 }
 
-private fun present(members: JsonObject, name: String): JsonElement? = members[name]?.takeIf { it !is JsonNull }
+private fun nonNullMember(members: JsonObject, name: String): JsonElement? = members[name]?.takeIf { it !is JsonNull }
 
-private fun textOf(element: JsonElement): String? = (element as? JsonPrimitive)?.takeIf { it.isString }?.content
+private fun stringOrNull(element: JsonElement): String? = (element as? JsonPrimitive)?.takeIf { it.isString }?.content
 
-private fun missing(field: String, allowed: String) = badField(field, "field $field is missing, allowed is $allowed")
+private fun missingField(field: String, allowed: String) =
+    invalidField(field, "field $field is missing, allowed is $allowed")
 
-private fun mistyped(field: String, element: JsonElement, allowed: String) =
-    badField(field, "field $field is ${kindOf(element)}, allowed is $allowed")
+private fun invalidValue(field: String, element: JsonElement, allowed: String) =
+    invalidField(field, "field $field is ${describe(element)}, allowed is $allowed")
 
-private fun kindOf(element: JsonElement): String = when (element) {
+private fun describe(element: JsonElement): String = when (element) {
     is JsonObject -> "an object"
     is JsonArray -> "an array of ${element.size}"
     is JsonPrimitive -> if (element.isString) "a string" else element.content
--- a/http/src/main/kotlin/org/lovageladder/http/HttpCall.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/HttpCall.kt
@@ -6,12 +6,12 @@
 import org.lovageladder.core.FaultCause
 import kotlin.time.Duration
 
-/** A header to send. */
+/** A header field of a request or answer. */
 internal data class HttpField(val name: String, val value: String)
 
 /**
- * A request to send, whole. A `Host` among [fields] replaces the address that the call goes to. The call fails as soon
- * as its answer has more than [answerBytes]; null sets no bound of its own.
+ * A complete request. A `Host` header in [fields] replaces the default one, which is the address of the call. The call
+ * fails as soon as its answer exceeds [answerBytes]; with null, the limit of the function that sends the call applies.
  */
 internal class HttpCall(
     val method: HttpMethod,
@@ -24,26 +24,29 @@
 
 private val NO_BODY = ByteArray(0)
 
-/** Which connection carries a call. */
+/** Which connection a call is sent on. */
 internal enum class ConnectionUse {
-    /** An idle connection of the pool when there is one; returned to the pool afterwards. */
+    /** An idle pooled connection, or a new one when there is none; returned to the pool afterwards. */
     POOLED,
 
-    /** A connection of its own, so that it cannot meet a connection that the peer is closing. */
+    /**
+     * A new connection. The peer may be closing a pooled one while the call is sent, and then it is unknown whether the
+     * call ran.
+     */
     FRESH,
 }
 
-/** Why a call got no whole answer. When [sent] is false, certainly no byte of the request reached the peer. */
+/** Why a call got no complete answer. When [sent] is false, no byte of the request can have reached the peer. */
 internal data class HttpFailure(val cause: FaultCause, val sent: Boolean, val detail: String)
 
-/** Receives an answer on an event loop thread, in order; the last call is [onEnd] or [onFailure]. */
+/** Receives one answer on an event loop thread, in order. The last callback is [onEnd] or [onFailure]. */
 internal interface HttpReceiver {
-    /** Whether an answer with [headers] belongs to this call; any other is skipped. */
+    /** Whether the answer with [headers] belongs to this call; answers that do not are skipped. */
     fun isAnswer(headers: HttpHeaders): Boolean = true
 
     fun onHead(status: Int, headers: HttpHeaders)
 
-    /** [bytes] are released after the call. */
+    /** Called for each part of the body; [bytes] are released when it returns. */
     fun onContent(bytes: ByteBuf)
 
     fun onEnd()
@@ -51,15 +54,15 @@
     fun onFailure(failure: HttpFailure)
 }
 
-/** A whole answer. */
+/** A complete answer. */
 internal data class HttpAnswer(val status: Int, val headers: HttpHeaders, val body: String)
 
-/** Result of a call whose answer is read whole. */
+/** Result of a call whose answer is read completely. */
 internal sealed interface HttpResult {
     data class Answered(val answer: HttpAnswer) : HttpResult
 
     data class Failed(val failure: HttpFailure) : HttpResult
 }
 
-/** How long to wait for a connection and, when set, for the end of the answer, both from the start of the call. */
+/** Timeouts for the connection and, when set, for the end of the answer; both count from the start of the call. */
 internal data class HttpWait(val connect: Duration, val answer: Duration?)
--- a/http/src/main/kotlin/org/lovageladder/http/HttpClient.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/HttpClient.kt
@@ -17,17 +17,17 @@
 import kotlin.time.Duration.Companion.seconds
 
 /**
- * HTTP/1.1 client with a pool of idle connections per address and one call at a time on each. A call that was handed
- * to a connection is never sent a second time.
+ * HTTP/1.1 client with a pool of idle connections per address. A connection carries one call at a time. The client
+ * never resends a call.
  */
 internal class HttpClient(private val threads: HttpThreads) : AutoCloseable {
-    private val idle = IdleConnections()
-    private val open = ConcurrentHashMap.newKeySet<Channel>()
+    private val idleConnections = IdleConnections()
+    private val openChannels = ConcurrentHashMap.newKeySet<Channel>()
 
     @Volatile
     private var closed = false
 
-    /** Starts [call]; the returned handle breaks it off. All of [receiver] runs on an event loop thread. */
+    /** Starts [call]; the returned handle can cancel it. All callbacks of [receiver] run on an event loop thread. */
     fun start(
         address: Address,
         call: HttpCall,
@@ -35,11 +35,11 @@
         use: ConnectionUse = ConnectionUse.POOLED,
         wait: HttpWait = HttpWait(CONNECT_LIMIT, answer = null),
     ): RunningHttpCall {
-        val running = RunningHttpCall(address, call, receiver, call.answerBytes ?: Int.MAX_VALUE)
-        return begin(running, use, wait)
+        val runningCall = RunningHttpCall(address, call, receiver, call.answerBytes ?: Int.MAX_VALUE)
+        return startCall(runningCall, use, wait)
     }
 
-    /** Starts [call] and gives its whole answer to [onResult]. */
+    /** Starts [call] and passes its complete answer to [onResult]. */
     fun ask(
         address: Address,
         call: HttpCall,
@@ -48,86 +48,86 @@
         onResult: (HttpResult) -> Unit,
     ): RunningHttpCall {
         val receiver = WholeAnswerReceiver(onResult)
-        return begin(RunningHttpCall(address, call, receiver, call.answerBytes ?: WHOLE_ANSWER_BYTES), use, wait)
+        return startCall(RunningHttpCall(address, call, receiver, call.answerBytes ?: MAXIMUM_ANSWER_BYTES), use, wait)
     }
 
-    private fun begin(running: RunningHttpCall, use: ConnectionUse, wait: HttpWait): RunningHttpCall {
-        wait.answer?.let { limit -> expireAfter(running, limit) }
-        val pooled = if (use == ConnectionUse.POOLED) idle.take(running.address) else null
+    private fun startCall(runningCall: RunningHttpCall, use: ConnectionUse, wait: HttpWait): RunningHttpCall {
+        wait.answer?.let { limit -> scheduleTimeout(runningCall, limit) }
+        val pooled = if (use == ConnectionUse.POOLED) idleConnections.acquire(runningCall.address) else null
         if (pooled == null) {
-            connect(running, wait.connect)
+            connect(runningCall, wait.connect)
         } else {
-            pooled.eventLoop().execute { reuse(pooled, running, wait.connect) }
+            pooled.eventLoop().execute { sendOnPooled(pooled, runningCall, wait.connect) }
         }
-        return running
+        return runningCall
     }
 
-    /** Closes all connections; calls under way fail. */
+    /** Closes all connections; running calls fail. */
     override fun close() {
         closed = true
-        open.forEach { it.close() }
+        openChannels.forEach { it.close() }
     }
 
-    private fun reuse(channel: Channel, running: RunningHttpCall, connectLimit: Duration) {
+    private fun sendOnPooled(channel: Channel, runningCall: RunningHttpCall, connectTimeout: Duration) {
         if (channel.isActive) {
-            send(channel, running)
+            send(channel, runningCall)
         } else {
-            connect(running, connectLimit)
+            connect(runningCall, connectTimeout)
         }
     }
 
-    private fun connect(running: RunningHttpCall, limit: Duration) {
+    private fun connect(runningCall: RunningHttpCall, limit: Duration) {
         val bootstrap = Bootstrap()
             .group(threads.group)
             .channel(NioSocketChannel::class.java)
             .option(ChannelOption.TCP_NODELAY, true)
             .option(ChannelOption.SO_KEEPALIVE, true)
-            .option(ChannelOption.ALLOCATOR, SmallBuffers.allocator)
+            .option(ChannelOption.ALLOCATOR, HttpBuffers.allocator)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, limit.inWholeMilliseconds.coerceAtLeast(1).toInt())
-            .handler(Initializer())
-        bootstrap.connect(running.address.ip, running.address.port).addListener { connected ->
+            .handler(ConnectionInitializer())
+        bootstrap.connect(runningCall.address.ip, runningCall.address.port).addListener { connected ->
             connected as ChannelFuture
             if (connected.isSuccess) {
-                send(connected.channel(), running)
+                send(connected.channel(), runningCall)
             } else {
-                running.fail(notConnected(connected.cause()))
+                runningCall.fail(connectFailure(connected.cause()))
             }
         }
     }
 
-    private fun send(channel: Channel, running: RunningHttpCall) {
+    private fun send(channel: Channel, runningCall: RunningHttpCall) {
         if (closed) {
             channel.close()
-            running.fail(HttpFailure(FaultCause.CANCELLED, sent = false, detail = "the client is closed"))
+            runningCall.fail(HttpFailure(FaultCause.CANCELLED, sent = false, detail = "the client is closed"))
             return
         }
-        channel.pipeline().get(HttpClientConnection::class.java).begin(running)
+        channel.pipeline().get(HttpClientConnection::class.java).send(runningCall)
     }
 
-    private fun expireAfter(running: RunningHttpCall, limit: Duration) {
-        val expiry = threads.group.next().schedule(
-            { running.expire("no whole answer within $limit") },
+    private fun scheduleTimeout(runningCall: RunningHttpCall, limit: Duration) {
+        val timeout = threads.group.next().schedule(
+            { runningCall.onTimeout("no complete answer within $limit") },
             limit.inWholeNanoseconds,
             TimeUnit.NANOSECONDS,
         )
-        running.onOver = { expiry.cancel(false) }
+        runningCall.completionListener = { timeout.cancel(false) }
     }
 
-    private fun notConnected(cause: Throwable): HttpFailure {
+    private fun connectFailure(cause: Throwable): HttpFailure {
         val kind = if (cause is ConnectTimeoutException) FaultCause.TIMEOUT else FaultCause.UNREACHABLE
         return HttpFailure(kind, sent = false, detail = cause.message ?: cause.javaClass.simpleName)
     }
 
-    private inner class Initializer : ChannelInitializer<SocketChannel>() {
+    private inner class ConnectionInitializer : ChannelInitializer<SocketChannel>() {
         override fun initChannel(channel: SocketChannel) {
-            open.add(channel)
-            channel.closeFuture().addListener { open.remove(channel) }
-            channel.pipeline().addLast(HttpClientCodec(), HttpClientConnection(idle))
+            openChannels.add(channel)
+            channel.closeFuture().addListener { openChannels.remove(channel) }
+            channel.pipeline().addLast(HttpClientCodec(), HttpClientConnection(idleConnections))
         }
     }
 
     companion object {
         val CONNECT_LIMIT: Duration = 1.seconds
-        private const val WHOLE_ANSWER_BYTES = 16 * 1024 * 1024
+        private const val MAXIMUM_ANSWER_BYTES = 16 * 1024 * 1024
     }
 }
--- a/http/src/main/kotlin/org/lovageladder/http/HttpClientConnection.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/HttpClientConnection.kt
@@ -21,120 +21,124 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
-/** One client connection and the call that it carries now. Runs on its event loop thread. */
-internal class HttpClientConnection(private val idle: IdleConnections) : SimpleChannelInboundHandler<HttpObject>() {
+/** One client connection and its current call. Confined to its event loop thread. */
+internal class HttpClientConnection(private val idleConnections: IdleConnections) :
+    SimpleChannelInboundHandler<HttpObject>() {
     private lateinit var context: ChannelHandlerContext
-    private var current: RunningHttpCall? = null
+    private var currentCall: RunningHttpCall? = null
     private var address: Address? = null
     private var keepAlive = true
-    private var skipping = false
-    private var idleLimit: Duration? = null
+    private var skippingAnswer = false
+    private var idleTimeout: Duration? = null
 
     override fun handlerAdded(context: ChannelHandlerContext) {
         this.context = context
     }
 
-    /** Sends the request of [running]; the connection carries no other call. */
-    fun begin(running: RunningHttpCall) {
-        if (running.isOver) {
+    /** Sends the request of [runningCall]. The connection must not have a current call. */
+    fun send(runningCall: RunningHttpCall) {
+        if (runningCall.isEnded) {
             context.close()
             return
         }
-        val request = encodeOrFail(running) ?: return
-        current = running
-        address = running.address
-        running.begin(context.channel())
+        val request = encodeOrFail(runningCall) ?: return
+        currentCall = runningCall
+        address = runningCall.address
+        runningCall.onSend(context.channel())
         context.writeAndFlush(request).addListener { written ->
             if (!written.isSuccess) {
-                lose(written.cause())
+                onConnectionLost(written.cause())
                 context.close()
             }
         }
     }
 
     override fun channelRead0(context: ChannelHandlerContext, message: HttpObject) {
-        val running = current
-        if (running == null || message.decoderResult().isFailure) {
-            breakOff(message.decoderResult().cause())
+        val runningCall = currentCall
+        if (runningCall == null || message.decoderResult().isFailure) {
+            onProtocolError(message.decoderResult().cause())
             return
         }
-        if (message is HttpResponse) head(running, message)
-        if (message is HttpContent && !skipping) {
-            running.content(message.content())
-            if (message is LastHttpContent) finish(running)
+        if (message is HttpResponse) startAnswer(runningCall, message)
+        if (message is HttpContent && !skippingAnswer) {
+            runningCall.onContent(message.content())
+            if (message is LastHttpContent) finishAnswer(runningCall)
         }
     }
 
-    /** Begins the answer, or skips it when it is a provisional one or belongs to another call. */
-    private fun head(running: RunningHttpCall, response: HttpResponse) {
-        val informational = response.status().codeClass() == HttpStatusClass.INFORMATIONAL
-        val foreign = !informational && !running.isAnswer(response.headers())
-        skipping = informational || foreign
-        if (foreign) keepAlive = false
-        if (skipping) return
+    /** Starts the answer, or skips it when it is an interim (1xx) answer or belongs to another call. */
+    private fun startAnswer(runningCall: RunningHttpCall, response: HttpResponse) {
+        val interim = response.status().codeClass() == HttpStatusClass.INFORMATIONAL
+        val unrelated = !interim && !runningCall.isAnswer(response.headers())
+        skippingAnswer = interim || unrelated
+        if (unrelated) keepAlive = false
+        if (skippingAnswer) return
         keepAlive = keepAlive && HttpUtil.isKeepAlive(response)
-        idleLimit = announcedIdleLimit(response)
-        running.head(response.status().code(), response.headers())
+        idleTimeout = announcedIdleTimeout(response)
+        runningCall.onHead(response.status().code(), response.headers())
     }
 
-    /** Time that the peer keeps an idle connection, as its `Keep-Alive` header says; null when it says none. */
-    private fun announcedIdleLimit(response: HttpResponse): Duration? {
+    /** How long the peer keeps an idle connection, from its `Keep-Alive` header; null when the header names no time. */
+    private fun announcedIdleTimeout(response: HttpResponse): Duration? {
         val field = response.headers().get("Keep-Alive") ?: return null
         return KEEP_ALIVE_TIMEOUT.find(field)?.groupValues?.get(1)?.toLongOrNull()?.seconds
     }
 
     override fun channelInactive(context: ChannelHandlerContext) {
-        address?.let { idle.remove(it, context.channel()) }
-        lose(null)
+        address?.let { idleConnections.remove(it, context.channel()) }
+        onConnectionLost(null)
     }
 
     @Deprecated("Deprecated in Netty's base class, but still the place for connection errors.")
     override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
-        lose(cause)
+        onConnectionLost(cause)
         context.close()
     }
 
-    private fun finish(running: RunningHttpCall) {
-        current = null
-        if (running.isOver || !keepAlive) {
+    private fun finishAnswer(runningCall: RunningHttpCall) {
+        currentCall = null
+        if (runningCall.isEnded || !keepAlive) {
             context.close()
         } else {
-            idle.give(running.address, context.channel(), idleLimit)
+            idleConnections.release(runningCall.address, context.channel(), idleTimeout)
         }
-        running.end()
+        runningCall.onEnd()
     }
 
-    private fun breakOff(cause: Throwable?) {
-        val detail = "the answer is not HTTP: ${cause?.message ?: "unexpected data"}"
-        val running = current
-        current = null
-        running?.fail(HttpFailure(FaultCause.PROTOCOL, sent = true, detail = detail))
+    private fun onProtocolError(cause: Throwable?) {
+        val detail = "the answer is not valid HTTP: ${cause?.message ?: "unexpected data"}"
+        val runningCall = currentCall
+        currentCall = null
+        runningCall?.fail(HttpFailure(FaultCause.PROTOCOL, sent = true, detail = detail))
         context.close()
     }
 
-    private fun lose(cause: Throwable?) {
-        val running = current ?: return
-        current = null
+    private fun onConnectionLost(cause: Throwable?) {
+        val runningCall = currentCall ?: return
+        currentCall = null
         val detail = cause?.message ?: "the connection closed before the answer ended"
-        running.fail(HttpFailure(FaultCause.CONNECTION_LOST, sent = true, detail = detail))
+        runningCall.fail(HttpFailure(FaultCause.CONNECTION_LOST, sent = true, detail = detail))
     }
 
-    /** Null when the call has a path or header that HTTP does not allow. */
-    private fun encodeOrFail(running: RunningHttpCall): FullHttpRequest? = try {
-        encode(running)
+    /** Encodes the request. When its path or a header is invalid, fails the call and returns null. */
+    private fun encodeOrFail(runningCall: RunningHttpCall): FullHttpRequest? = try {
+        encode(runningCall)
     } catch (invalid: IllegalArgumentException) {
         context.close()
-        running.fail(HttpFailure(FaultCause.PROTOCOL, sent = false, detail = invalid.message.orEmpty()))
+        runningCall.fail(HttpFailure(FaultCause.PROTOCOL, sent = false, detail = invalid.message.orEmpty()))
         null
     }
 
-    private fun encode(running: RunningHttpCall): FullHttpRequest {
-        val call = running.call
+    private fun encode(runningCall: RunningHttpCall): FullHttpRequest {
+        val call = runningCall.call
         val headers = DefaultHttpHeadersFactory.headersFactory().newHeaders()
         call.contentType?.let { headers.set(HttpHeaderNames.CONTENT_TYPE, it) }
         call.fields.forEach { headers.add(it.name, it.value) }
         if (!headers.contains(HttpHeaderNames.HOST)) {
-            headers.set(HttpHeaderNames.HOST, NetUtil.toSocketAddressString(running.address.ip, running.address.port))
+            headers.set(
+                HttpHeaderNames.HOST,
+                NetUtil.toSocketAddressString(runningCall.address.ip, runningCall.address.port),
+            )
         }
         headers.set(HttpHeaderNames.CONTENT_LENGTH, call.body.size)
         val head = DefaultHttpRequest(HttpVersion.HTTP_1_1, call.method, call.path, headers)
--- a/http/src/main/kotlin/org/lovageladder/http/HttpHostList.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/HttpHostList.kt
@@ -10,7 +10,7 @@
 import org.lovageladder.core.PlaceName
 import kotlin.time.Duration
 
-/** Opens the platform's host list at [address], read by `GET /v1/hosts`. */
+/** Opens the platform's host list at [address]. It is read with `GET /v1/hosts`. */
 public fun openHttpHostList(address: Address, threads: HttpThreads = HttpThreads.shared): HostList =
     HttpHostList(address, HttpClient(threads))
 
@@ -18,13 +18,13 @@
     override fun read(timeout: Duration, listed: (List<ListedHost>?) -> Unit) {
         val wait = HttpWait(minOf(timeout, HttpClient.CONNECT_LIMIT), timeout)
         client.ask(address, HttpCall(HttpMethod.GET, "/v1/hosts"), wait) { result ->
-            listed((result as? HttpResult.Answered)?.let { hostsIn(it.answer) })
+            listed((result as? HttpResult.Answered)?.let { parseHosts(it.answer) })
         }
     }
 
     override fun close(): Unit = client.close()
 
-    private fun hostsIn(answer: HttpAnswer): List<ListedHost>? {
+    private fun parseHosts(answer: HttpAnswer): List<ListedHost>? {
         if (answer.status != STATUS_OK) return null
         return try {
             hostListJson.decodeFromString<HostListAnswer>(answer.body).hosts.map { it.toListedHost() }
@@ -37,10 +37,10 @@
 private val hostListJson = Json { ignoreUnknownKeys = true }
 
 @Serializable
-private data class HostListAnswer(val hosts: List<HostLine>)
+private data class HostListAnswer(val hosts: List<HostEntry>)
 
 @Serializable
-private data class HostLine(val name: HostName, val place: PlaceName, val state: String) {
+private data class HostEntry(val name: HostName, val place: PlaceName, val state: String) {
     fun toListedHost(): ListedHost = ListedHost(name, place, leaving = state == LEAVING)
 
     private companion object {
--- a/http/src/main/kotlin/org/lovageladder/http/HttpLimits.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/HttpLimits.kt
@@ -4,22 +4,23 @@
 import kotlin.time.Duration.Companion.seconds
 
 /**
- * What a caller's connection may use. [readIdle] bounds the pause between two parts of one request, [readWhole] the
- * time for all of it; [keepAlive] the pause between two requests. A caller that leaves much of a stream unread is
- * given up after [writeIdle], or at once when [unreadBytes] wait for it.
+ * Limits of caller connections. A connection is closed when a request makes no progress for [readIdle], is not complete
+ * within [requestTimeout], or when no request starts for [keepAlive]. A caller that does not read its answer is
+ * disconnected after [writeTimeout], or at once when more than [maximumUnsentBytes] of a stream wait to be sent. The
+ * server keeps at most [maximumConnections] open.
  */
 public data class HttpLimits(
     val bodyBytes: Int = MAXIMUM_BODY_BYTES,
     val headerBytes: Int = MAXIMUM_HEADER_BYTES,
     val readIdle: Duration = 10.seconds,
-    val readWhole: Duration = 60.seconds,
+    val requestTimeout: Duration = 60.seconds,
     val keepAlive: Duration = 75.seconds,
-    val writeIdle: Duration = 30.seconds,
-    val unreadBytes: Int = MAXIMUM_UNREAD_BYTES,
-    val connections: Int = MAXIMUM_CONNECTIONS,
+    val writeTimeout: Duration = 30.seconds,
+    val maximumUnsentBytes: Int = MAXIMUM_UNSENT_BYTES,
+    val maximumConnections: Int = MAXIMUM_CONNECTIONS,
 )
 
 private const val MAXIMUM_BODY_BYTES = 8 * 1024 * 1024
 private const val MAXIMUM_HEADER_BYTES = 32 * 1024
-private const val MAXIMUM_UNREAD_BYTES = 1024 * 1024
+private const val MAXIMUM_UNSENT_BYTES = 1024 * 1024
 private const val MAXIMUM_CONNECTIONS = 10_000
--- a/http/src/main/kotlin/org/lovageladder/http/Listening.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/HttpListener.kt
@@ -9,11 +9,11 @@
 import org.lovageladder.core.Address
 import java.net.InetSocketAddress
 
-/** Listens on [bind]; [connections] prepares each connection. Throws [java.net.BindException] when it is taken. */
+/** Listens on [bind] and sets up connections with [initializer]; throws [java.net.BindException] when it is in use. */
 internal fun listenForHttp(
     bind: Address,
     threads: HttpThreads,
-    connections: ChannelInitializer<SocketChannel>,
+    initializer: ChannelInitializer<SocketChannel>,
 ): Channel = ServerBootstrap()
     .group(threads.group)
     .channel(NioServerSocketChannel::class.java)
@@ -21,15 +21,15 @@
     .option(ChannelOption.SO_REUSEADDR, true)
     .childOption(ChannelOption.TCP_NODELAY, true)
     .childOption(ChannelOption.SO_KEEPALIVE, true)
-    .childOption(ChannelOption.ALLOCATOR, SmallBuffers.allocator)
-    .childHandler(connections)
+    .childOption(ChannelOption.ALLOCATOR, HttpBuffers.allocator)
+    .childHandler(initializer)
     .bind(bind.ip, bind.port)
     .syncUninterruptibly()
     .channel()
 
-/** Where a listening channel accepts connections, with the port that was chosen when 0 was asked for. */
+/** Address that [listener] is bound to; with the assigned port when the requested port was 0. */
 internal fun addressOf(listener: Channel): Address =
     (listener.localAddress() as InetSocketAddress).let { Address(it.address.hostAddress, it.port) }
 
-/** Connections that wait to be accepted; above the usual 50, since callers connect in bursts. */
+/** Maximum connections waiting to be accepted; more than the usual 50, since callers connect in bursts. */
 private const val BACKLOG = 1024
--- a/http/src/main/kotlin/org/lovageladder/http/HttpUpstreamGateway.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/HttpUpstreamGateway.kt
@@ -15,10 +15,11 @@
 import kotlin.time.Duration.Companion.seconds
 
 /**
- * Opens the way to upstreams by HTTP: engines by the OpenAI-compatible interface, plain services as they are.
+ * Opens a gateway that calls upstreams by HTTP: engines through the OpenAI-compatible interface, plain services with
+ * the caller's own method and path.
  *
- * The first report of [UpstreamReport.Finished] counts tokens from index 0. A cancelled call ends with a report of
- * cause [FaultCause.CANCELLED]. A plain service cannot cancel; there, a cancel closes the connection.
+ * The token count of [UpstreamReport.Finished] starts at index 0, also for a resumed stream. A cancelled engine call
+ * ends with a report of cause [FaultCause.CANCELLED]. A plain service has no cancel call, so its connection is closed.
  */
 public fun openHttpUpstreamGateway(threads: HttpThreads = HttpThreads.shared): UpstreamGateway =
     HttpUpstreamGateway(HttpClient(threads))
@@ -34,9 +35,9 @@
     ) {
         try {
             when (call) {
-                is UpstreamCall.Prefill -> prefill(attempt, upstream, call, report)
-                is UpstreamCall.Decode -> decode(attempt, upstream, call, report)
-                is UpstreamCall.Plain -> plain(attempt, upstream, call, report)
+                is UpstreamCall.Prefill -> startPrefill(attempt, upstream, call, report)
+                is UpstreamCall.Decode -> startDecode(attempt, upstream, call, report)
+                is UpstreamCall.Plain -> startPlain(attempt, upstream, call, report)
             }
         } catch (malformed: IllegalArgumentException) {
             val fault = Fault(stepOf(call), upstream.name.text, FaultCause.PROTOCOL, malformed.message.orEmpty())
@@ -49,37 +50,37 @@
         when {
             started == null -> done(true)
             started.isPlain -> {
-                started.abandon()
+                started.disconnect()
                 done(true)
             }
             else -> {
-                started.quieten()
-                askCancel(attempt.toString(), upstream) { answer -> done(started.isGone(answer)) }
+                started.suppressTokens()
+                sendCancel(attempt.toString(), upstream) { answer -> done(started.confirmCancel(answer)) }
             }
         }
     }
 
     override fun running(upstream: ReleaseEntry.Upstream, listed: (List<String>?) -> Unit) {
-        client.ask(upstream.address, HttpCall(HttpMethod.GET, "/v1/running"), CONTROL_WAIT) { result ->
-            val answer = successIn(result)
-            listed(answer?.let { read<RunningAnswer>(it) }?.running?.map { it.requestName })
+        client.ask(upstream.address, HttpCall(HttpMethod.GET, "/v1/running"), CONTROL_TIMEOUTS) { result ->
+            val answer = successfulAnswer(result)
+            listed(answer?.let { decodeOrNull<RunningAnswer>(it) }?.running?.map { it.requestName })
         }
     }
 
     override fun cancelByName(requestName: String, upstream: ReleaseEntry.Upstream, done: (Boolean) -> Unit) {
-        askCancel(requestName, upstream) { done(it != null) }
+        sendCancel(requestName, upstream) { done(it != null) }
     }
 
     override fun order(upstream: ReleaseEntry.Upstream, order: UpstreamOrder, fencing: Long, done: (Fault?) -> Unit) {
         val call = orderCall(order, fencing)
-        client.ask(upstream.address, call, ORDER_WAIT, ConnectionUse.FRESH) { result ->
+        client.ask(upstream.address, call, ORDER_TIMEOUTS, ConnectionUse.FRESH) { result ->
             done(orderFault(upstream.name.text, order, result))
         }
     }
 
     override fun close(): Unit = client.close()
 
-    private fun prefill(
+    private fun startPrefill(
         attempt: AttemptId,
         upstream: ReleaseEntry.Upstream,
         call: UpstreamCall.Prefill,
@@ -88,10 +89,10 @@
         val request = engineCall(attempt, call.content.path, prefillBody(call))
         val started = calls.add(attempt, report, isPlain = false)
         val receiver = WholeAnswerReceiver { started.report(prefillReport(upstream.name.text, it)) }
-        started.running = client.start(upstream.address, request, receiver)
+        started.httpCall = client.start(upstream.address, request, receiver)
     }
 
-    private fun decode(
+    private fun startDecode(
         attempt: AttemptId,
         upstream: ReleaseEntry.Upstream,
         call: UpstreamCall.Decode,
@@ -100,10 +101,10 @@
         val request = engineCall(attempt, call.content.path, decodeBody(call))
         val started = calls.add(attempt, report, isPlain = false)
         val receiver = DecodeReceiver(upstream.name.text, call.fromIndex, started::report)
-        started.running = client.start(upstream.address, request, receiver)
+        started.httpCall = client.start(upstream.address, request, receiver)
     }
 
-    private fun plain(
+    private fun startPlain(
         attempt: AttemptId,
         upstream: ReleaseEntry.Upstream,
         call: UpstreamCall.Plain,
@@ -113,20 +114,20 @@
         val started = calls.add(attempt, report, isPlain = true)
         val receiver = WholeAnswerReceiver { started.report(plainReport(upstream.name.text, it)) }
         val use = if (call.idempotencyKey == null) ConnectionUse.POOLED else ConnectionUse.FRESH
-        started.running = client.start(upstream.address, request, receiver, use)
+        started.httpCall = client.start(upstream.address, request, receiver, use)
     }
 
-    /** Gives whether the engine ended a call of that name; null when it did not answer. */
-    private fun askCancel(requestName: String, upstream: ReleaseEntry.Upstream, answered: (Boolean?) -> Unit) {
+    /** Asks the engine to cancel a call. The result is whether it ended one with that name; null without an answer. */
+    private fun sendCancel(requestName: String, upstream: ReleaseEntry.Upstream, onAnswer: (Boolean?) -> Unit) {
         val call = jsonPost("/v1/cancel", engineJson.encodeToString(CancelBody(requestName)))
-        client.ask(upstream.address, call, CONTROL_WAIT) { result ->
-            answered(successIn(result)?.let { read<CancelAnswer>(it) }?.cancelled)
+        client.ask(upstream.address, call, CONTROL_TIMEOUTS) { result ->
+            onAnswer(successfulAnswer(result)?.let { decodeOrNull<CancelAnswer>(it) }?.cancelled)
         }
     }
 
     private companion object {
-        val CONTROL_WAIT = HttpWait(connect = 1.seconds, answer = 2.seconds)
-        val ORDER_WAIT = HttpWait(connect = 1.seconds, answer = 30.seconds)
+        val CONTROL_TIMEOUTS = HttpWait(connect = 1.seconds, answer = 2.seconds)
+        val ORDER_TIMEOUTS = HttpWait(connect = 1.seconds, answer = 30.seconds)
     }
 }
 
@@ -139,10 +140,10 @@
 private fun engineCall(attempt: AttemptId, path: String, body: String): HttpCall =
     jsonPost(path, body, listOf(HttpField("X-Request-Id", attempt.toString())))
 
-private fun successIn(result: HttpResult): HttpAnswer? =
+private fun successfulAnswer(result: HttpResult): HttpAnswer? =
     (result as? HttpResult.Answered)?.answer?.takeIf { it.status == STATUS_OK }
 
-private inline fun <reified Body> read(answer: HttpAnswer): Body? = try {
+private inline fun <reified Body> decodeOrNull(answer: HttpAnswer): Body? = try {
     engineJson.decodeFromString<Body>(answer.body)
 } catch (_: IllegalArgumentException) {
     null
--- a/http/src/main/kotlin/org/lovageladder/http/IdleConnections.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/IdleConnections.kt
@@ -10,44 +10,44 @@
 import kotlin.time.TimeMark
 import kotlin.time.TimeSource
 
-/** Connections that carry no call now, by the address they lead to. The one used last is taken first. */
+/** Pool of connections without a call, by peer address. The most recently used connection is acquired first. */
 internal class IdleConnections {
     private val byAddress = ConcurrentHashMap<Address, ConcurrentLinkedDeque<IdleConnection>>()
 
-    /** Takes a connection that is open and was used lately, or null. */
-    fun take(address: Address): Channel? {
+    /** Removes and returns an open connection whose idle timeout has not ended, or null. */
+    fun acquire(address: Address): Channel? {
         val connections = byAddress[address] ?: return null
         while (true) {
             val connection = connections.pollFirst() ?: return null
             if (!connection.channel.isActive) {
                 continue
             }
-            if (connection.since.elapsedNow() < connection.limit) {
+            if (connection.idleSince.elapsedNow() < connection.timeout) {
                 return connection.channel
             }
             connection.channel.close()
         }
     }
 
-    /** Keeps an open connection for later calls; [announced] is how long the peer said that it keeps it. */
-    fun give(address: Address, channel: Channel, announced: Duration? = null) {
-        val limit = announced?.let { it - CLOSE_MARGIN } ?: IDLE_LIMIT
+    /** Returns an open connection to the pool; [announcedTimeout] is the idle timeout that the peer announced. */
+    fun release(address: Address, channel: Channel, announcedTimeout: Duration? = null) {
+        val timeout = announcedTimeout?.let { it - CLOSE_MARGIN } ?: DEFAULT_TIMEOUT
         val connections = byAddress.computeIfAbsent(address) { ConcurrentLinkedDeque() }
-        connections.addFirst(IdleConnection(channel, TimeSource.Monotonic.markNow(), limit))
+        connections.addFirst(IdleConnection(channel, TimeSource.Monotonic.markNow(), timeout))
     }
 
-    /** Forgets a connection that closed. */
+    /** Removes a closed connection. */
     fun remove(address: Address, channel: Channel) {
         byAddress[address]?.removeIf { it.channel === channel }
     }
 
-    private class IdleConnection(val channel: Channel, val since: TimeMark, val limit: Duration)
+    private class IdleConnection(val channel: Channel, val idleSince: TimeMark, val timeout: Duration)
 
     private companion object {
-        /** Below the five seconds after which common engine servers close an idle connection. */
-        val IDLE_LIMIT = 4.seconds
+        /** Default idle timeout, below the five seconds after which common engine servers close idle connections. */
+        val DEFAULT_TIMEOUT = 4.seconds
 
-        /** A peer may close a connection this long before the announced time is over on this side. */
+        /** Subtracted from the announced timeout, since a peer may close this much earlier than this side expects. */
         val CLOSE_MARGIN = 500.milliseconds
     }
 }
--- a/http/src/main/kotlin/org/lovageladder/http/LineReader.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/LineReader.kt
@@ -4,21 +4,21 @@
 import java.io.ByteArrayOutputStream
 import java.nio.charset.StandardCharsets
 
-/** Splits a stream of bytes into lines of UTF-8 text. */
+/** Splits a byte stream into lines of UTF-8 text. */
 internal class LineReader(private val maximumBytes: Int) {
-    private val begun = ByteArrayOutputStream()
+    private val partialLine = ByteArrayOutputStream()
 
-    /** Hands each line that [bytes] completes to [onLine]; throws [IllegalArgumentException] on one too long. */
+    /** Passes each completed line to [onLine]; throws [IllegalArgumentException] when one exceeds [maximumBytes]. */
     fun read(bytes: ByteBuf, onLine: (String) -> Unit) {
         while (bytes.isReadable) {
             val length = bytes.bytesBefore(LINE_FEED)
-            val part = if (length < 0) bytes.readableBytes() else length
-            require(begun.size() + part <= maximumBytes) { "a line is longer than $maximumBytes bytes" }
-            bytes.readBytes(begun, part)
+            val partLength = if (length < 0) bytes.readableBytes() else length
+            require(partialLine.size() + partLength <= maximumBytes) { "a line is longer than $maximumBytes bytes" }
+            bytes.readBytes(partialLine, partLength)
             if (length < 0) return
             bytes.skipBytes(1)
-            val line = begun.toString(StandardCharsets.UTF_8).removeSuffix("\r")
-            begun.reset()
+            val line = partialLine.toString(StandardCharsets.UTF_8).removeSuffix("\r")
+            partialLine.reset()
             onLine(line)
         }
     }
--- a/http/src/main/kotlin/org/lovageladder/http/NettyAdminServer.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/NettyAdminServer.kt
@@ -16,13 +16,13 @@
 import java.util.concurrent.ExecutorService
 import java.util.concurrent.Executors
 
-/** Serves [AdminRoutes]; each answer is worked out on a worker thread, never on an event loop. */
+/** Serves [AdminRoutes]. Requests are handled on worker threads, since handlers may block. */
 internal class NettyAdminServer(bind: Address, private val routes: AdminRoutes, threads: HttpThreads) : AdminServer {
     private val connections = ConcurrentHashMap.newKeySet<Channel>()
-    private val workers: ExecutorService = Executors.newFixedThreadPool(WORKERS) { task ->
+    private val workers: ExecutorService = Executors.newFixedThreadPool(WORKER_THREADS) { task ->
         Thread(task, "admin").apply { isDaemon = true }
     }
-    private val listener: Channel = listenForHttp(bind, threads, Initializer())
+    private val listener: Channel = listenForHttp(bind, threads, ConnectionInitializer())
 
     override val address: Address =
         addressOf(listener)
@@ -33,12 +33,12 @@
         workers.shutdown()
     }
 
-    private inner class Initializer : ChannelInitializer<SocketChannel>() {
+    private inner class ConnectionInitializer : ChannelInitializer<SocketChannel>() {
         override fun initChannel(channel: SocketChannel) {
             connections.add(channel)
             channel.closeFuture().addListener { connections.remove(channel) }
             channel.pipeline().addLast(
-                ReadTimeoutHandler(IDLE_LIMIT_SECONDS),
+                ReadTimeoutHandler(READ_TIMEOUT_SECONDS),
                 HttpServerCodec(),
                 HttpObjectAggregator(MAXIMUM_BODY_BYTES),
                 AdminConnection(),
@@ -57,7 +57,7 @@
             val keepAlive = HttpUtil.isKeepAlive(request)
             context.channel().config().isAutoRead = false
             workers.execute {
-                val answer = answerOrFailure(method, target)
+                val answer = answerOrInternalError(method, target)
                 context.executor().execute { write(context, answer, keepAlive) }
             }
         }
@@ -75,21 +75,21 @@
                     written.addListener { context.close() }
                 }
             }
-            writer.whole(answer.status, answer.contentType, answer.body)
+            writer.writeWhole(answer.status, answer.contentType, answer.body)
         }
     }
 
-    /** The handler is code of others: whatever it throws becomes an answer, so that no operator waits for nothing. */
+    /** Turns an exception of the handler into an answer with status 500, so that the operator always gets an answer. */
     @Suppress("TooGenericExceptionCaught")
-    private fun answerOrFailure(method: HttpMethod, target: String): AdminAnswer = try {
+    private fun answerOrInternalError(method: HttpMethod, target: String): AdminAnswer = try {
         routes.answer(method, target)
     } catch (failure: RuntimeException) {
-        AdminAnswer(STATUS_INTERNAL_ERROR, TEXT_TYPE, "the process failed to answer: $failure\n")
+        AdminAnswer(STATUS_INTERNAL_ERROR, TEXT_TYPE, "internal error: $failure\n")
     }
 
     private companion object {
-        const val WORKERS = 2
-        const val IDLE_LIMIT_SECONDS = 60
+        const val WORKER_THREADS = 2
+        const val READ_TIMEOUT_SECONDS = 60
         const val MAXIMUM_BODY_BYTES = 64 * 1024
     }
 }
--- a/http/src/main/kotlin/org/lovageladder/http/NettyCallerServer.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/NettyCallerServer.kt
@@ -11,7 +11,7 @@
 import org.lovageladder.core.RequestId
 import java.util.concurrent.ConcurrentHashMap
 
-/** The server's connections and the exchanges that run on them. */
+/** Netty implementation of [CallerServer]. */
 internal class NettyCallerServer(
     bind: Address,
     private val limits: HttpLimits,
@@ -21,53 +21,55 @@
 ) : CallerServer {
     private val connections = ConcurrentHashMap.newKeySet<Channel>()
     private val exchanges = CallerExchanges(handler, meters)
-    private val parser = SubmissionReader()
-    private val listener: Channel = listenForHttp(bind, threads, Initializer())
+    private val submissionReader = SubmissionReader()
+    private val listener: Channel = listenForHttp(bind, threads, ConnectionInitializer())
 
     override val address: Address =
         addressOf(listener)
 
     init {
-        meters.watch(connections, exchanges)
+        meters.registerGauges(connections, exchanges)
     }
 
     override fun giveToken(exchange: ExchangeId, index: Int, text: String) {
-        exchanges.find(exchange)?.onLoop { token(index, text) }
+        exchanges.find(exchange)?.runOnEventLoop { writeToken(index, text) }
     }
 
     override fun giveOutcome(exchange: ExchangeId, request: RequestId, outcome: Outcome) {
-        exchanges.find(exchange)?.onLoop { finish(request, outcome) }
+        exchanges.find(exchange)?.runOnEventLoop { finish(request, outcome) }
     }
 
     override fun drain() {
-        exchanges.draining = true
+        exchanges.isDraining = true
         listener.close()
     }
 
     override fun close() {
         drain()
         connections.forEach { it.close() }
-        parser.close()
+        submissionReader.close()
     }
 
-    private inner class Initializer : ChannelInitializer<SocketChannel>() {
+    private inner class ConnectionInitializer : ChannelInitializer<SocketChannel>() {
         override fun initChannel(channel: SocketChannel) {
-            if (connections.size >= limits.connections) {
+            if (connections.size >= limits.maximumConnections) {
                 channel.close()
                 return
             }
             connections.add(channel)
             channel.closeFuture().addListener { connections.remove(channel) }
-            val connection = CallerConnection(limits, exchanges, parser)
+            val connection = CallerConnection(limits, exchanges, submissionReader)
             channel.pipeline().addLast(ArrivalHandler(connection::bytesArrived), codec(), connection)
         }
 
         private fun codec() = HttpServerCodec(
-            HttpDecoderConfig().setMaxInitialLineLength(MAXIMUM_LINE_BYTES).setMaxHeaderSize(limits.headerBytes),
+            HttpDecoderConfig()
+                .setMaxInitialLineLength(MAXIMUM_REQUEST_LINE_BYTES)
+                .setMaxHeaderSize(limits.headerBytes),
         )
     }
 
     private companion object {
-        const val MAXIMUM_LINE_BYTES = 8192
+        const val MAXIMUM_REQUEST_LINE_BYTES = 8192
     }
 }
--- a/http/src/main/kotlin/org/lovageladder/http/RequestAssembly.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/PartialRequest.kt
@@ -5,14 +5,14 @@
 import io.netty.handler.codec.http.HttpUtil
 import java.io.ByteArrayOutputStream
 
-/** A request whose head was read and whose body is being read. */
-internal class RequestAssembly(private val head: HttpRequest) {
+/** A request whose head has been read and whose body is still arriving. */
+internal class PartialRequest(private val head: HttpRequest) {
     private val body = ByteArrayOutputStream()
 
     val keepAlive: Boolean = HttpUtil.isKeepAlive(head)
 
-    /** Whether the request names an action that an earlier submission may have run. */
-    val hasKey: Boolean = head.headers().contains(KEY_HEADER)
+    /** Whether the request has an idempotency key, so that an earlier submission may have run the same action. */
+    val hasIdempotencyKey: Boolean = head.headers().contains(IDEMPOTENCY_KEY_HEADER)
 
     val size: Int
         get() = body.size()
--- a/http/src/main/kotlin/org/lovageladder/http/Problem.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/Problem.kt
@@ -14,8 +14,8 @@
 import kotlin.time.Duration.Companion.seconds
 
 /**
- * Problem details after RFC 9457. [outcome] is what is known of the action that the caller named, [submission] of
- * this very submission; [field] names the member or header at fault.
+ * Problem details as of RFC 9457. [outcome] says whether the caller's action ran, counting earlier submissions with the
+ * same idempotency key; [submission] says whether this submission ran it. [field] names the invalid member or header.
  */
 @Serializable
 internal data class Problem(
@@ -31,14 +31,14 @@
     val peer: String? = null,
     @SerialName("retry_after_ms") val retryAfterMilliseconds: Long? = null,
 ) {
-    /** Value of the header `Retry-After`: whole seconds, rounded up. */
+    /** Value of the `Retry-After` header: seconds, rounded up. */
     val retryAfterSeconds: Long?
-        get() = retryAfterMilliseconds?.let { roundUpToSeconds(it.milliseconds) }
+        get() = retryAfterMilliseconds?.let { ceilToSeconds(it.milliseconds) }
 
     fun toJson(): String = problemJson.encodeToString(this)
 }
 
-/** An [Execution] as callers read it. */
+/** [Execution] as it is written to callers. */
 @Serializable
 internal enum class ProblemOutcome {
     @SerialName("not-run")
@@ -55,15 +55,18 @@
 
 private const val TYPE_PREFIX = "urn:lovageladder:problem:"
 
-/** [keyed] says whether the request names, or may name, an action that an earlier submission may have run. */
-internal fun problemOf(fault: InputFault, keyed: Boolean): Problem = Problem(
-    type = TYPE_PREFIX + fault.name,
-    title = fault.name.replace('-', ' ').replaceFirstChar { it.uppercase() },
-    status = fault.status,
-    detail = fault.detail,
-    outcome = if (keyed) ProblemOutcome.UNKNOWN else ProblemOutcome.NOT_RUN,
+/**
+ * Problem of a request that was not submitted. [mayHaveKey] is true when the request has an idempotency key or its
+ * headers could not be read. Then an earlier submission may have run the action, so the outcome is unknown.
+ */
+internal fun problemOf(error: RequestError, mayHaveKey: Boolean): Problem = Problem(
+    type = TYPE_PREFIX + error.typeName,
+    title = error.typeName.replace('-', ' ').replaceFirstChar { it.uppercase() },
+    status = error.status,
+    detail = error.detail,
+    outcome = if (mayHaveKey) ProblemOutcome.UNKNOWN else ProblemOutcome.NOT_RUN,
     submission = ProblemOutcome.NOT_RUN,
-    field = fault.field,
+    field = error.field,
 )
 
 internal fun problemOf(request: RequestId, refused: Outcome.Refused): Problem = Problem(
@@ -85,7 +88,7 @@
     Execution.UNKNOWN -> ProblemOutcome.UNKNOWN
 }
 
-private fun roundUpToSeconds(duration: Duration): Long {
+private fun ceilToSeconds(duration: Duration): Long {
     val whole = duration.inWholeSeconds
     return if (whole.seconds < duration) whole + 1 else whole
 }
--- a/http/src/main/kotlin/org/lovageladder/http/ReceiveTimer.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/ReceiveTimer.kt
@@ -9,63 +9,63 @@
 import kotlin.time.Duration.Companion.nanoseconds
 
 /**
- * Watches that requests come in time. [onExpired] is given null when no request began, else what took too long.
- * Runs on the event loop thread.
+ * Enforces the receive timeouts of [limits]. [onExpired] gets null when no request started within the keep-alive time,
+ * otherwise a text that says which timeout ended. Confined to the event loop thread.
  */
 internal class ReceiveTimer(
     private val loop: EventLoop,
     private val limits: HttpLimits,
     private val onExpired: (String?) -> Unit,
 ) {
-    private var pending: Future<*>? = null
+    private var timeoutTask: Future<*>? = null
     private var startedAt = 0L
     private var lastArrivalAt = 0L
-    private var begun = false
+    private var requestStarted = false
 
-    /** Waits for the first byte of a request. */
+    /** Starts to wait for the first byte of a request. */
     fun awaitRequest() {
-        begun = false
+        requestStarted = false
         startedAt = System.nanoTime()
         schedule(limits.keepAlive)
     }
 
-    /** Part of a request came. */
+    /** Called when bytes of a request arrive. */
     fun bytesArrived() {
         lastArrivalAt = System.nanoTime()
-        if (begun) return
-        begun = true
+        if (requestStarted) return
+        requestStarted = true
         startedAt = lastArrivalAt
-        schedule(minOf(limits.readIdle, limits.readWhole))
+        schedule(minOf(limits.readIdle, limits.requestTimeout))
     }
 
     fun stop() {
-        pending?.cancel(false)
-        pending = null
+        timeoutTask?.cancel(false)
+        timeoutTask = null
     }
 
     private fun schedule(delay: Duration) {
         stop()
-        pending = loop.schedule(::check, delay.inWholeNanoseconds, TimeUnit.NANOSECONDS)
+        timeoutTask = loop.schedule(::checkTimeouts, delay.inWholeNanoseconds, TimeUnit.NANOSECONDS)
     }
 
-    private fun check() {
-        pending = null
+    private fun checkTimeouts() {
+        timeoutTask = null
         val now = System.nanoTime()
-        val idleLeft = limits.readIdle - (now - lastArrivalAt).nanoseconds
-        val wholeLeft = limits.readWhole - (now - startedAt).nanoseconds
+        val idleTimeLeft = limits.readIdle - (now - lastArrivalAt).nanoseconds
+        val requestTimeLeft = limits.requestTimeout - (now - startedAt).nanoseconds
         when {
-            !begun -> onExpired(null)
-            !idleLeft.isPositive() -> onExpired("no further part of the request came within ${limits.readIdle}")
-            !wholeLeft.isPositive() -> onExpired("the request was not whole within ${limits.readWhole}")
-            else -> schedule(minOf(idleLeft, wholeLeft))
+            !requestStarted -> onExpired(null)
+            !idleTimeLeft.isPositive() -> onExpired("no further bytes of the request arrived within ${limits.readIdle}")
+            !requestTimeLeft.isPositive() -> onExpired("the request was not complete within ${limits.requestTimeout}")
+            else -> schedule(minOf(idleTimeLeft, requestTimeLeft))
         }
     }
 }
 
-/** Tells of bytes before they are decoded, so that a half-sent head counts too. */
-internal class ArrivalHandler(private val arrived: () -> Unit) : ChannelInboundHandlerAdapter() {
+/** Reports the arrival of bytes before they are decoded, so that an incomplete request head counts too. */
+internal class ArrivalHandler(private val onArrival: () -> Unit) : ChannelInboundHandlerAdapter() {
     override fun channelRead(context: ChannelHandlerContext, message: Any) {
-        arrived()
+        onArrival()
         context.fireChannelRead(message)
     }
 }
--- a/http/src/main/kotlin/org/lovageladder/http/RunningHttpCall.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/RunningHttpCall.kt
@@ -8,87 +8,87 @@
 import java.util.concurrent.atomic.AtomicBoolean
 
 /**
- * One call under way. Its end is told to the receiver once: an answer's end, or a failure. An answer of more than
- * [answerBytes] is a failure at once, since it may have no end.
+ * A call that has been started. Its receiver is told of the end once: end of the answer, or failure. The call fails as
+ * soon as the answer exceeds [maximumAnswerBytes], since the answer may be endless.
  */
 internal class RunningHttpCall(
     val address: Address,
     val call: HttpCall,
     private val receiver: HttpReceiver,
-    private val answerBytes: Int,
+    private val maximumAnswerBytes: Int,
 ) {
-    private val over = AtomicBoolean()
+    private val ended = AtomicBoolean()
 
     @Volatile
     private var channel: Channel? = null
-    private var received = 0L
+    private var receivedBytes = 0L
 
-    /** Whether a byte of the request may have reached the peer. */
+    /** Whether part of the request may have reached the peer. */
     @Volatile
-    var sent: Boolean = false
+    var requestSent: Boolean = false
         private set
 
-    /** Whether the peer began to answer, hence has received the request. */
+    /** Whether the peer has started to answer, and so has received the request. */
     @Volatile
-    var answering: Boolean = false
+    var answerStarted: Boolean = false
         private set
 
-    /** Called when the call ends in whatever way; set before the call is sent. */
+    /** Called when the call ends for any reason; set before the call is sent. */
     @Volatile
-    var onOver: () -> Unit = {}
+    var completionListener: () -> Unit = {}
 
-    val isOver: Boolean
-        get() = over.get()
+    val isEnded: Boolean
+        get() = ended.get()
 
-    /** Ends the call without telling the receiver, and closes its connection. */
+    /** Ends the call without notifying the receiver, and closes its connection. */
     fun abandon() {
-        over.set(true)
-        onOver()
+        ended.set(true)
+        completionListener()
         channel?.close()
     }
 
-    fun begin(channel: Channel) {
+    fun onSend(channel: Channel) {
         this.channel = channel
-        sent = true
+        requestSent = true
     }
 
-    fun isAnswer(headers: HttpHeaders): Boolean = isOver || receiver.isAnswer(headers)
+    fun isAnswer(headers: HttpHeaders): Boolean = isEnded || receiver.isAnswer(headers)
 
-    fun head(status: Int, headers: HttpHeaders) {
-        answering = true
-        if (!isOver) receiver.onHead(status, headers)
+    fun onHead(status: Int, headers: HttpHeaders) {
+        answerStarted = true
+        if (!isEnded) receiver.onHead(status, headers)
     }
 
-    fun content(bytes: ByteBuf) {
-        if (isOver) return
-        received += bytes.readableBytes()
-        if (received <= answerBytes) {
+    fun onContent(bytes: ByteBuf) {
+        if (isEnded) return
+        receivedBytes += bytes.readableBytes()
+        if (receivedBytes <= maximumAnswerBytes) {
             receiver.onContent(bytes)
             return
         }
-        fail(HttpFailure(FaultCause.PROTOCOL, sent = true, "the answer is larger than $answerBytes bytes"))
+        fail(HttpFailure(FaultCause.PROTOCOL, sent = true, "the answer is larger than $maximumAnswerBytes bytes"))
         channel?.close()
     }
 
-    fun end() {
-        onOver()
-        if (over.compareAndSet(false, true)) receiver.onEnd()
+    fun onEnd() {
+        completionListener()
+        if (ended.compareAndSet(false, true)) receiver.onEnd()
     }
 
     fun fail(failure: HttpFailure) {
-        onOver()
-        if (over.compareAndSet(false, true)) receiver.onFailure(failure)
+        completionListener()
+        if (ended.compareAndSet(false, true)) receiver.onFailure(failure)
     }
 
-    /** Fails the call for lack of time; on the thread of its connection, lest the receiver be called on two at once. */
-    fun expire(detail: String) {
-        if (isOver) return
+    /** Fails the call with a timeout, on the event loop of its connection so that receiver callbacks do not overlap. */
+    fun onTimeout(detail: String) {
+        if (isEnded) return
         val connected = channel
         if (connected == null || connected.eventLoop().inEventLoop()) {
-            fail(HttpFailure(FaultCause.TIMEOUT, sent, detail))
+            fail(HttpFailure(FaultCause.TIMEOUT, requestSent, detail))
             connected?.close()
         } else {
-            connected.eventLoop().execute { expire(detail) }
+            connected.eventLoop().execute { onTimeout(detail) }
         }
     }
 }
--- a/http/src/main/kotlin/org/lovageladder/http/StartedCalls.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/StartedCalls.kt
@@ -7,13 +7,13 @@
 import java.util.concurrent.ConcurrentHashMap
 
 /**
- * Calls whose upstream may still hold something: those under way, and engine calls that broke off so that the engine
- * may still run them. A call is forgotten when it ends whole or its cancel is confirmed; of those broken off, only
- * the last [BROKEN_LIMIT] are kept.
+ * Calls that an upstream may still hold resources for: running calls, and failed engine calls that the engine may still
+ * run. A call is removed when its end is known or its cancel is confirmed. Of the failed calls only the last
+ * [MAXIMUM_UNCONFIRMED] are kept.
  */
 internal class StartedCalls {
     private val running = ConcurrentHashMap<AttemptId, StartedCall>()
-    private val broken = Collections.synchronizedMap(BoundedCalls())
+    private val unconfirmed = Collections.synchronizedMap(BoundedCallMap())
 
     fun add(attempt: AttemptId, report: (UpstreamReport) -> Unit, isPlain: Boolean): StartedCall {
         val started = StartedCall(attempt, isPlain, report, calls = this)
@@ -21,30 +21,30 @@
         return started
     }
 
-    fun find(attempt: AttemptId): StartedCall? = running[attempt] ?: broken[attempt]
+    fun find(attempt: AttemptId): StartedCall? = running[attempt] ?: unconfirmed[attempt]
 
-    /** Keeps a call that the upstream may still run. */
-    fun breakOff(call: StartedCall) {
-        broken[call.attempt] = call
+    /** Keeps a failed call that the upstream may still run. */
+    fun keepUnconfirmed(call: StartedCall) {
+        unconfirmed[call.attempt] = call
         running.remove(call.attempt)
     }
 
-    fun forget(call: StartedCall) {
+    fun remove(call: StartedCall) {
         running.remove(call.attempt)
-        broken.remove(call.attempt)
+        unconfirmed.remove(call.attempt)
     }
 
-    private class BoundedCalls : LinkedHashMap<AttemptId, StartedCall>() {
+    private class BoundedCallMap : LinkedHashMap<AttemptId, StartedCall>() {
         override fun removeEldestEntry(eldest: MutableMap.MutableEntry<AttemptId, StartedCall>): Boolean =
-            size > BROKEN_LIMIT
+            size > MAXIMUM_UNCONFIRMED
     }
 
     private companion object {
-        const val BROKEN_LIMIT = 4096
+        const val MAXIMUM_UNCONFIRMED = 4096
     }
 }
 
-/** One call that was started, and how it ends. */
+/** One call to an upstream. Passes its reports on and keeps track of whether the upstream may still run it. */
 internal class StartedCall(
     val attempt: AttemptId,
     val isPlain: Boolean,
@@ -52,46 +52,47 @@
     private val calls: StartedCalls,
 ) {
     @Volatile
-    var running: RunningHttpCall? = null
+    var httpCall: RunningHttpCall? = null
 
     @Volatile
-    private var quiet = false
+    private var tokensSuppressed = false
 
     /**
-     * Passes a report on; tokens are held back once the call is being cancelled. A last report that comes before the
-     * answer's end, as of a broken stream, closes the connection.
+     * Passes a report on; tokens are dropped once the call is being cancelled. A final report before the end of the
+     * answer, as for an invalid stream, closes the connection.
      */
     fun report(report: UpstreamReport) {
         if (report is UpstreamReport.Token) {
-            if (!quiet) onReport(report)
+            if (!tokensSuppressed) onReport(report)
             return
         }
-        running?.takeIf { !it.isOver }?.abandon()
-        if (!isPlain && mayStillRun(report)) calls.breakOff(this) else calls.forget(this)
+        httpCall?.takeIf { !it.isEnded }?.abandon()
+        if (!isPlain && mayStillRun(report)) calls.keepUnconfirmed(this) else calls.remove(this)
         onReport(report)
     }
 
-    /** Stops passing tokens on. */
-    fun quieten() {
-        quiet = true
+    /** Drops further tokens. */
+    fun suppressTokens() {
+        tokensSuppressed = true
     }
 
     /** Closes the connection; nothing is reported afterwards. */
-    fun abandon() {
-        running?.abandon()
-        calls.forget(this)
+    fun disconnect() {
+        httpCall?.abandon()
+        calls.remove(this)
     }
 
     /**
-     * Whether the engine holds nothing for this call, given its answer to a cancel. An engine that did not know the
-     * call may not have read its request yet, unless it has begun to answer it or the connection is gone.
+     * Whether the engine no longer holds resources for this call, given its answer to a cancel; removes the call if so.
+     * An engine that did not know the call may not have read its request yet, unless it has started to answer or the
+     * connection is closed.
      */
-    fun isGone(cancelled: Boolean?): Boolean {
-        val current = running
-        val wasRead = current != null && (current.isOver || current.answering)
-        val gone = cancelled == true || (cancelled == false && wasRead)
-        if (gone) calls.forget(this)
-        return gone
+    fun confirmCancel(cancelled: Boolean?): Boolean {
+        val current = httpCall
+        val requestRead = current != null && (current.isEnded || current.answerStarted)
+        val confirmed = cancelled == true || (cancelled == false && requestRead)
+        if (confirmed) calls.remove(this)
+        return confirmed
     }
 
     private fun mayStillRun(report: UpstreamReport): Boolean =
--- a/http/src/main/kotlin/org/lovageladder/http/SubmissionReader.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/SubmissionReader.kt
@@ -8,24 +8,24 @@
 import java.util.concurrent.ExecutorService
 import java.util.concurrent.Executors
 
-/** A caller's request as it came, whole. */
+/** A complete request of a caller, not yet parsed. */
 internal class ReceivedRequest(val method: String, val target: String, val headers: HttpHeaders, val body: ByteArray)
 
-/** A submission and how its answer is to be written. */
-internal data class ParsedRequest(val submission: Submission, val answer: AnswerShape)
+/** A submission and the format of its answer. */
+internal data class ParsedRequest(val submission: Submission, val answerFormat: AnswerFormat)
 
-/** Turns requests into submissions. Large bodies are read on a thread of their own, to keep event loops free. */
+/** Parses requests into submissions. Large bodies are parsed on a separate thread, to keep event loops free. */
 internal class SubmissionReader : AutoCloseable {
     private val largeBodies: ExecutorService = Executors.newSingleThreadExecutor { task ->
         Thread(task, "http-large-bodies").apply { isDaemon = true }
     }
 
-    /** Gives the result to [onRead], on this thread or another. */
-    fun read(request: ReceivedRequest, onRead: (Result<ParsedRequest, InputFault>) -> Unit) {
-        if (request.body.size <= SMALL_BODY_BYTES) {
-            onRead(read(request))
+    /** Parses [request] and passes the result to [onRead], on this thread or on the one for large bodies. */
+    fun read(request: ReceivedRequest, onRead: (Result<ParsedRequest, RequestError>) -> Unit) {
+        if (request.body.size <= MAXIMUM_INLINE_BODY_BYTES) {
+            onRead(parse(request))
         } else {
-            largeBodies.execute { onRead(read(request)) }
+            largeBodies.execute { onRead(parse(request)) }
         }
     }
 
@@ -33,13 +33,13 @@
         largeBodies.shutdownNow()
     }
 
-    private fun read(request: ReceivedRequest): Result<ParsedRequest, InputFault> = try {
+    private fun parse(request: ReceivedRequest): Result<ParsedRequest, RequestError> = try {
         Ok(parseRequest(request))
-    } catch (rejected: InputRejected) {
-        Err(rejected.fault)
+    } catch (invalid: InvalidRequestException) {
+        Err(invalid.error)
     }
 
     private companion object {
-        const val SMALL_BODY_BYTES = 64 * 1024
+        const val MAXIMUM_INLINE_BODY_BYTES = 64 * 1024
     }
 }
--- a/http/src/main/kotlin/org/lovageladder/http/UpstreamMessages.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/UpstreamMessages.kt
@@ -20,7 +20,7 @@
 import kotlin.time.Duration.Companion.milliseconds
 
 /*
- * How prefills, plain calls and orders are put to upstreams, and how their answers are read.
+ * Requests of plain calls and orders, and the parsing of answers to prefills, plain calls and orders.
  */
 
 private const val FENCING_HEADER = "X-Fencing-Number"
@@ -30,31 +30,31 @@
 private const val DEFAULT_KEEP_MILLISECONDS = 800L
 
 internal fun prefillReport(peer: String, result: HttpResult): UpstreamReport = when (result) {
-    is HttpResult.Failed -> lostCall(Step.PREFILL, peer, result.failure)
+    is HttpResult.Failed -> callFailure(Step.PREFILL, peer, result.failure)
     is HttpResult.Answered ->
         if (result.answer.status == STATUS_OK) {
-            readPrefill(peer, result.answer)
+            parsePrefill(peer, result.answer)
         } else {
-            refusedByEngine(Step.PREFILL, peer, result.answer)
+            engineFailure(Step.PREFILL, peer, result.answer)
         }
 }
 
-private fun readPrefill(peer: String, answer: HttpAnswer): UpstreamReport = try {
+private fun parsePrefill(peer: String, answer: HttpAnswer): UpstreamReport = try {
     val transfer = engineJson.decodeFromString<PrefillAnswer>(answer.body).transfer
     requireNotNull(transfer) { "member $TRANSFER_MEMBER is missing" }
-    UpstreamReport.PrefillReady(ticketOf(transfer))
+    UpstreamReport.PrefillReady(transferTicket(transfer))
 } catch (malformed: IllegalArgumentException) {
     val fault = Fault(Step.PREFILL, peer, FaultCause.PROTOCOL, malformed.message.orEmpty())
     UpstreamReport.Failed(fault, Execution.RAN)
 }
 
-private fun ticketOf(transfer: JsonObject): TransferTicket = TransferTicket(
+private fun transferTicket(transfer: JsonObject): TransferTicket = TransferTicket(
     parametersJson = transfer.toString(),
-    bytes = numberIn(transfer, BYTES_MEMBER) ?: 0,
-    keepFor = (numberIn(transfer, KEEP_MEMBER) ?: DEFAULT_KEEP_MILLISECONDS).milliseconds,
+    bytes = longMember(transfer, BYTES_MEMBER) ?: 0,
+    keepFor = (longMember(transfer, KEEP_MEMBER) ?: DEFAULT_KEEP_MILLISECONDS).milliseconds,
 )
 
-private fun numberIn(members: JsonObject, name: String): Long? = (members[name] as? JsonPrimitive)?.longOrNull
+private fun longMember(members: JsonObject, name: String): Long? = (members[name] as? JsonPrimitive)?.longOrNull
 
 internal fun plainCall(attempt: AttemptId, call: UpstreamCall.Plain): HttpCall = HttpCall(
     method = HttpMethod.valueOf(call.content.method),
@@ -69,8 +69,8 @@
 )
 
 internal fun plainReport(peer: String, result: HttpResult): UpstreamReport = when (result) {
-    is HttpResult.Failed -> lostCall(Step.PLAIN_CALL, peer, result.failure)
-    is HttpResult.Answered -> refusedByService(peer, result.answer) ?: UpstreamReport.Answered(
+    is HttpResult.Failed -> callFailure(Step.PLAIN_CALL, peer, result.failure)
+    is HttpResult.Answered -> serviceFailure(peer, result.answer) ?: UpstreamReport.Answered(
         PlainAnswer(
             status = result.answer.status,
             contentType = result.answer.headers.get(HttpHeaderNames.CONTENT_TYPE),
@@ -91,30 +91,30 @@
             jsonPost("/v1/unload_lora_adapter", engineJson.encodeToString(body), fields)
         }
         is UpstreamOrder.ChangeRole -> {
-            val body = RoleBody(wordFor(order.role), fencing)
+            val body = RoleBody(roleName(order.role), fencing)
             jsonPost("/v1/role", engineJson.encodeToString(body), fields)
         }
     }
 }
 
-/** Null when the order was carried out, or when what it asks for was already so. */
+/** Fault of an order; null when it was carried out or was already in effect. */
 internal fun orderFault(peer: String, order: UpstreamOrder, result: HttpResult): Fault? = when (result) {
     is HttpResult.Failed -> Fault(Step.ORDER, peer, result.failure.cause, result.failure.detail)
     is HttpResult.Answered -> when {
-        result.answer.status == STATUS_OK || wasSoBefore(order, result.answer) -> null
-        isFenced(result.answer) -> Fault(Step.ORDER, peer, FaultCause.FENCED, detailOf(result.answer))
-        else -> Fault(Step.ORDER, peer, FaultCause.REJECTED, detailOf(result.answer))
+        result.answer.status == STATUS_OK || wasAlreadyInEffect(order, result.answer) -> null
+        isFenced(result.answer) -> Fault(Step.ORDER, peer, FaultCause.FENCED, failureDetail(result.answer))
+        else -> Fault(Step.ORDER, peer, FaultCause.REJECTED, failureDetail(result.answer))
     }
 }
 
-private fun wasSoBefore(order: UpstreamOrder, answer: HttpAnswer): Boolean = when (order) {
+private fun wasAlreadyInEffect(order: UpstreamOrder, answer: HttpAnswer): Boolean = when (order) {
     is UpstreamOrder.LoadAdapter ->
-        answer.status == STATUS_BAD_REQUEST && detailOf(answer).contains("already been loaded")
+        answer.status == STATUS_BAD_REQUEST && failureDetail(answer).contains("already been loaded")
     is UpstreamOrder.UnloadAdapter -> answer.status == STATUS_NOT_FOUND
     is UpstreamOrder.ChangeRole -> false
 }
 
-private fun wordFor(role: PoolRole): String = when (role) {
+private fun roleName(role: PoolRole): String = when (role) {
     PoolRole.PREFILL -> "prefill"
     PoolRole.DECODE -> "decode"
     PoolRole.PLAIN -> "plain"
--- a/http/src/main/kotlin/org/lovageladder/http/WholeAnswerReceiver.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/WholeAnswerReceiver.kt
@@ -9,7 +9,7 @@
 import java.nio.charset.CharacterCodingException
 import java.nio.charset.StandardCharsets
 
-/** Collects an answer whole and hands it to [onResult]. */
+/** Collects a complete answer and passes it to [onResult]. */
 internal class WholeAnswerReceiver(private val onResult: (HttpResult) -> Unit) : HttpReceiver {
     private val body = ByteArrayOutputStream()
     private var status = 0
@@ -32,7 +32,7 @@
         val text = StandardCharsets.UTF_8.newDecoder().decode(ByteBuffer.wrap(body.toByteArray())).toString()
         HttpResult.Answered(HttpAnswer(status, headers, text))
     } catch (_: CharacterCodingException) {
-        val detail = "the answer's body is not UTF-8 text, which alone can be passed on"
+        val detail = "the body of the answer is not UTF-8 text"
         HttpResult.Failed(HttpFailure(FaultCause.PROTOCOL, sent = true, detail = detail))
     }
 }
--- a/http/src/test/kotlin/org/lovageladder/http/AdminServerTest.kt
+++ b/http/src/test/kotlin/org/lovageladder/http/AdminServerTest.kt
@@ -36,7 +36,7 @@
     }
 
     @Test
-    fun routesAnswerWithTheirStatus() {
+    fun routesAnswerWithExpectedStatusAndBody() {
         registry.counter("some.count").increment()
         val rows = listOf(
             RouteRow("GET", "/healthz", 200, "ok"),
@@ -62,11 +62,11 @@
                 assertTrue(row.text in answer.body, "$row: $answer")
             }
         }
-        assertEquals(1, admin.drains)
+        assertEquals(1, admin.drainCount)
     }
 
     @Test
-    fun theClientReadsWhatTheServerShows() {
+    fun clientReadsStatusEventsAndReadiness() {
         val filters = listOf(
             EventFilter(),
             EventFilter(RequestId("a b/ő&="), UpstreamName("u"), ReleaseVersion(3), afterMilliseconds = 7, limit = 5),
@@ -82,25 +82,25 @@
         admin.isReady = true
         assertEquals(true, client.ready(server.address).get())
         assertEquals(Unit, client.drain(server.address).get())
-        assertEquals(1, admin.drains)
+        assertEquals(1, admin.drainCount)
     }
 
     @Test
-    fun theClientTellsFaultsApart() {
-        val behaviours = listOf(
+    fun clientReportsTheCauseOfAFault() {
+        val rows = listOf(
             FaultRow(null, FaultCause.UNREACHABLE),
-            FaultRow(PeerBehaviour.CloseAtOnce, FaultCause.CONNECTION_LOST),
+            FaultRow(PeerBehaviour.CloseOnAccept, FaultCause.CONNECTION_LOST),
             FaultRow(PeerBehaviour.Silence, FaultCause.TIMEOUT),
             FaultRow(PeerBehaviour.Send(FaultyPeer.answer(500, "")), FaultCause.REJECTED),
             FaultRow(PeerBehaviour.Send(FaultyPeer.answer(200, "nonsense")), FaultCause.PROTOCOL),
         )
-        for (row in behaviours) {
-            // Only a silent peer is to be given up soon; on a busy machine the others may take a while.
-            val limit = if (row.cause == FaultCause.TIMEOUT) 300.milliseconds else 20.seconds
-            openAdminClient(timeout = limit).use { hasty ->
+        for (row in rows) {
+            // A short timeout only for the silent peer; the other faults may be slow to appear on a busy machine.
+            val timeout = if (row.cause == FaultCause.TIMEOUT) 300.milliseconds else 20.seconds
+            openAdminClient(timeout = timeout).use { faultyClient ->
                 val peer = row.behaviour?.let { FaultyPeer(it) }
-                val address = peer?.address ?: FaultyPeer.deadAddress()
-                val failed: Result<*, Fault> = hasty.events(address)
+                val address = peer?.address ?: FaultyPeer.unusedAddress()
+                val failed: Result<*, Fault> = faultyClient.events(address)
                 assertEquals(row.cause, failed.getError()?.cause, "$row")
                 assertEquals(address.toString(), failed.getError()?.peer, "$row")
                 peer?.close()
@@ -109,17 +109,17 @@
     }
 
     @Test
-    fun aSlowHandlerHoldsUpNoOtherConnection() {
-        admin.statusTakes = 30.seconds
+    fun slowHandlerDoesNotBlockOtherConnections() {
+        admin.statusDelay = 30.seconds
         CallerSocket(server.address).use { slow ->
             slow.send("GET /v1/status HTTP/1.1\r\n\r\n")
             assertEquals(false, client.ready(server.address).get())
         }
-        admin.statusTakes = Duration.ZERO
+        admin.statusDelay = Duration.ZERO
     }
 
     @Test
-    fun aHandlerThatFailsIsAnsweredWith500() {
+    fun exceptionInHandlerIsAnsweredWith500() {
         admin.failure = IllegalStateException("broken")
         CallerSocket(server.address).use { socket ->
             socket.send("GET /v1/status HTTP/1.1\r\n\r\n")
@@ -140,10 +140,10 @@
     var isReady = false
 
     @Volatile
-    var drains = 0
+    var drainCount = 0
 
     @Volatile
-    var statusTakes: Duration = Duration.ZERO
+    var statusDelay: Duration = Duration.ZERO
 
     @Volatile
     var failure: RuntimeException? = null
@@ -153,7 +153,7 @@
     override fun statusJson(): String {
         failure?.let { throw it }
         val start = System.nanoTime()
-        while (System.nanoTime() - start < statusTakes.inWholeNanoseconds) Thread.yield()
+        while (System.nanoTime() - start < statusDelay.inWholeNanoseconds) Thread.yield()
         return "{\"a\":1}"
     }
 
@@ -165,6 +165,6 @@
     override fun explain(request: RequestId): List<EventRecord> = listOf(event.copy(request = request))
 
     override fun drain() {
-        drains++
+        drainCount++
     }
 }
--- a/http/src/test/kotlin/org/lovageladder/http/Awaiting.kt
+++ b/http/src/test/kotlin/org/lovageladder/http/AsyncAssertions.kt
@@ -6,18 +6,18 @@
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.TimeSource
 
-/** Waits for the one value that [start] gives to its callback. */
+/** Returns the value that [start] passes to its callback; fails after 20 seconds or when it is called twice. */
 internal fun <Value> awaitCallback(start: ((Value) -> Unit) -> Unit): Value {
-    val arrived = CompletableFuture<Value>()
-    start { check(arrived.complete(it)) { "the callback was called twice" } }
-    return arrived.get(20, TimeUnit.SECONDS)
+    val result = CompletableFuture<Value>()
+    start { check(result.complete(it)) { "the callback was called twice" } }
+    return result.get(20, TimeUnit.SECONDS)
 }
 
-/** Asks [probe] again and again until it holds. */
+/** Polls [probe] until it is true; fails after 20 seconds. */
 internal fun awaitTrue(description: String, probe: () -> Boolean) {
     val start = TimeSource.Monotonic.markNow()
     while (!probe()) {
-        if (start.elapsedNow() > 20.seconds) fail("did not happen: $description")
+        if (start.elapsedNow() > 20.seconds) fail("condition not met within 20 seconds: $description")
         Thread.onSpinWait()
     }
 }
--- a/http/src/test/kotlin/org/lovageladder/http/CallerServerTest.kt
+++ b/http/src/test/kotlin/org/lovageladder/http/CallerServerTest.kt
@@ -31,9 +31,9 @@
 import kotlin.time.Duration.Companion.seconds
 
 class CallerServerTest {
-    private val callers = RecordingCallers()
+    private val callers = RecordingCallerHandler()
     private val limits =
-        HttpLimits(bodyBytes = 2_000, headerBytes = 4_000, readIdle = 200.milliseconds, writeIdle = 200.milliseconds)
+        HttpLimits(bodyBytes = 2_000, headerBytes = 4_000, readIdle = 200.milliseconds, writeTimeout = 200.milliseconds)
     private val server = startCallerServer(
         bind = Address("127.0.0.1", 0),
         limits = limits,
@@ -47,87 +47,125 @@
     }
 
     @Test
-    fun badInputIsAnsweredWithProblemDetailsThatNameTheField() {
+    fun invalidRequestIsAnsweredWithProblemThatNamesTheField() {
         val bigBody = "x".repeat(2_001)
         val rows = listOf(
-            BadInput(post("/v1/completions", "{"), 400, "body"),
-            BadInput(post("/v1/completions", "[]"), 400, "body"),
-            BadInput(post("/v1/completions", """{"model":"m"}"""), 400, "prompt"),
-            BadInput(post("/v1/completions", """{"model":"m","prompt":7}"""), 400, "prompt"),
-            BadInput(post("/v1/completions", """{"model":"m","prompt":null}"""), 400, "prompt"),
-            BadInput(post("/v1/completions", """{"prompt":"p"}"""), 400, "model"),
-            BadInput(post("/v1/completions", """{"model":1,"prompt":"p"}"""), 400, "model"),
-            BadInput(post("/v1/completions", """{"model":"m","prompt":"p","max_tokens":"7"}"""), 400, "max_tokens"),
-            BadInput(post("/v1/completions", """{"model":"m","prompt":"p","max_tokens":0}"""), 400, "max_tokens"),
-            BadInput(post("/v1/completions", """{"model":"m","prompt":"p","max_tokens":1.5}"""), 400, "max_tokens"),
-            BadInput(post("/v1/completions", """{"model":"m","prompt":"p","stream":"true"}"""), 400, "stream"),
-            BadInput(post("/v1/completions", """{"model":"m","prompt":"p","n":2}"""), 400, "n"),
-            BadInput(post("/v1/completions", "[".repeat(2_000)), 400, "body"),
-            BadInput(
+            InvalidRequestRow(post("/v1/completions", "{"), 400, "body"),
+            InvalidRequestRow(post("/v1/completions", "[]"), 400, "body"),
+            InvalidRequestRow(post("/v1/completions", """{"model":"m"}"""), 400, "prompt"),
+            InvalidRequestRow(post("/v1/completions", """{"model":"m","prompt":7}"""), 400, "prompt"),
+            InvalidRequestRow(post("/v1/completions", """{"model":"m","prompt":null}"""), 400, "prompt"),
+            InvalidRequestRow(post("/v1/completions", """{"prompt":"p"}"""), 400, "model"),
+            InvalidRequestRow(post("/v1/completions", """{"model":1,"prompt":"p"}"""), 400, "model"),
+            InvalidRequestRow(
+                post("/v1/completions", """{"model":"m","prompt":"p","max_tokens":"7"}"""),
+                400,
+                "max_tokens",
+            ),
+            InvalidRequestRow(
+                post("/v1/completions", """{"model":"m","prompt":"p","max_tokens":0}"""),
+                400,
+                "max_tokens",
+            ),
+            InvalidRequestRow(
+                post("/v1/completions", """{"model":"m","prompt":"p","max_tokens":1.5}"""),
+                400,
+                "max_tokens",
+            ),
+            InvalidRequestRow(post("/v1/completions", """{"model":"m","prompt":"p","stream":"true"}"""), 400, "stream"),
+            InvalidRequestRow(post("/v1/completions", """{"model":"m","prompt":"p","n":2}"""), 400, "n"),
+            InvalidRequestRow(post("/v1/completions", "[".repeat(2_000)), 400, "body"),
+            InvalidRequestRow(
                 post("/v1/completions", """{"model":"m","prompt":${"[".repeat(65)}${"]".repeat(65)}}"""),
                 400,
                 "body",
             ),
-            BadInput(post("/v1/chat/completions", """{"model":"m","prompt":"p"}"""), 400, "messages"),
-            BadInput(post("/v1/chat/completions", """{"model":"m","messages":[]}"""), 400, "messages"),
-            BadInput(post("/v1/chat/completions", """{"model":"m","messages":["p"]}"""), 400, "messages[0]"),
-            BadInput(
+            InvalidRequestRow(post("/v1/chat/completions", """{"model":"m","prompt":"p"}"""), 400, "messages"),
+            InvalidRequestRow(post("/v1/chat/completions", """{"model":"m","messages":[]}"""), 400, "messages"),
+            InvalidRequestRow(post("/v1/chat/completions", """{"model":"m","messages":["p"]}"""), 400, "messages[0]"),
+            InvalidRequestRow(
                 post("/v1/chat/completions", """{"model":"m","messages":[{"role":"user"}]}"""),
                 400,
                 "messages[0].content",
             ),
-            BadInput(post("/v1/completions", "{}", "Lovageladder-Class: two words"), 400, "prompt"),
-            BadInput(post("/services/desk/x", "{}", "Lovageladder-Class: two words"), 400, "Lovageladder-Class"),
-            BadInput(post("/services/desk/x", "{}", "Idempotency-Key: ä"), 400, "Idempotency-Key", keyed = true),
-            BadInput(post("/services/desk/x", "{}", "Idempotency-Key:"), 400, "Idempotency-Key", keyed = true),
-            BadInput(post("/services/", "{}"), 404, "path"),
-            BadInput(post("/services//x", "{}"), 404, "path"),
-            BadInput(post("/v2/completions", "{}"), 404, "path"),
-            BadInput("GET /v1/completions HTTP/1.1\r\nHost: a\r\n\r\n", 405, "method"),
-            BadInput("CONNECT /services/desk/x HTTP/1.1\r\n\r\n", 405, "method"),
-            BadInput("TRACE /services/desk/x HTTP/1.1\r\n\r\n", 405, "method"),
-            BadInput(post("/services/desk/x", bigBody), 413, "body"),
-            BadInput(post("/services/desk/x", bigBody, "Idempotency-Key: k"), 413, "body", keyed = true),
-            BadInput(chunked("/services/desk/x", bigBody), 413, "body"),
-            BadInput(post("/services/desk/x", "{}", "X-Long: " + "y".repeat(4_001)), 431, "headers", keyed = true),
-            BadInput("GET /" + "z".repeat(9_000) + " HTTP/1.1\r\n\r\n", 414, "path", keyed = true),
-            BadInput("NO HTTP\r\n\r\n", 400, null, keyed = true),
-            BadInput("POST /services/desk/x HT", 408, null, keyed = true),
-            BadInput("POST /services/desk/x HTTP/1.1\r\nContent-Length: 9\r\n\r\nhalf", 408, null),
+            InvalidRequestRow(post("/v1/completions", "{}", "Lovageladder-Class: two words"), 400, "prompt"),
+            InvalidRequestRow(
+                post("/services/desk/x", "{}", "Lovageladder-Class: two words"),
+                400,
+                "Lovageladder-Class",
+            ),
+            InvalidRequestRow(
+                post("/services/desk/x", "{}", "Idempotency-Key: ä"),
+                400,
+                "Idempotency-Key",
+                mayHaveKey = true,
+            ),
+            InvalidRequestRow(
+                post("/services/desk/x", "{}", "Idempotency-Key:"),
+                400,
+                "Idempotency-Key",
+                mayHaveKey = true,
+            ),
+            InvalidRequestRow(post("/services/", "{}"), 404, "path"),
+            InvalidRequestRow(post("/services//x", "{}"), 404, "path"),
+            InvalidRequestRow(post("/v2/completions", "{}"), 404, "path"),
+            InvalidRequestRow("GET /v1/completions HTTP/1.1\r\nHost: a\r\n\r\n", 405, "method"),
+            InvalidRequestRow("CONNECT /services/desk/x HTTP/1.1\r\n\r\n", 405, "method"),
+            InvalidRequestRow("TRACE /services/desk/x HTTP/1.1\r\n\r\n", 405, "method"),
+            InvalidRequestRow(post("/services/desk/x", bigBody), 413, "body"),
+            InvalidRequestRow(post("/services/desk/x", bigBody, "Idempotency-Key: k"), 413, "body", mayHaveKey = true),
+            InvalidRequestRow(chunked("/services/desk/x", bigBody), 413, "body"),
+            InvalidRequestRow(
+                post("/services/desk/x", "{}", "X-Long: " + "y".repeat(4_001)),
+                431,
+                "headers",
+                mayHaveKey = true,
+            ),
+            InvalidRequestRow("GET /" + "z".repeat(9_000) + " HTTP/1.1\r\n\r\n", 414, "path", mayHaveKey = true),
+            InvalidRequestRow("NO HTTP\r\n\r\n", 400, null, mayHaveKey = true),
+            InvalidRequestRow("POST /services/desk/x HT", 408, null, mayHaveKey = true),
+            InvalidRequestRow("POST /services/desk/x HTTP/1.1\r\nContent-Length: 9\r\n\r\nhalf", 408, null),
         )
         for (row in rows) {
             CallerSocket(server.address).use { socket ->
                 socket.send(row.request)
                 val answer = socket.readAnswer()
                 val problem = answer.json()
-                val told = "${row.request.take(80)} -> $answer"
-                assertEquals(row.status, answer.status, told)
-                assertEquals("application/problem+json", answer.headers["content-type"], told)
-                assertEquals(row.status.toString(), problem.text("status"), told)
-                assertEquals(row.field, problem.text("field"), told)
-                assertEquals("not-run", problem.text("submission"), told)
-                assertEquals(if (row.keyed) "unknown" else "not-run", problem.text("outcome"), told)
-                assertNotNull(problem.text("type"), told)
-                assertNotNull(problem.text("title"), told)
-                assertNotNull(problem.text("detail"), told)
+                val description = "${row.request.take(80)} -> $answer"
+                assertEquals(row.status, answer.status, description)
+                assertEquals("application/problem+json", answer.headers["content-type"], description)
+                assertEquals(row.status.toString(), problem.text("status"), description)
+                assertEquals(row.field, problem.text("field"), description)
+                assertEquals("not-run", problem.text("submission"), description)
+                assertEquals(if (row.mayHaveKey) "unknown" else "not-run", problem.text("outcome"), description)
+                assertNotNull(problem.text("type"), description)
+                assertNotNull(problem.text("title"), description)
+                assertNotNull(problem.text("detail"), description)
             }
         }
-        assertTrue(callers.submitted.isEmpty(), "nothing of it was submitted")
+        assertTrue(callers.submitted.isEmpty(), "an invalid request was submitted")
     }
 
     @Test
-    fun aGenerationIsParsedIntoASubmission() {
+    fun generationRequestIsParsedIntoSubmission() {
         val text = """{"model":"lesson-lm","prompt":"a b c d e","max_tokens":7}"""
         val chat = """{"model":"lesson-lm","messages":[{"role":"user","content":"${"x".repeat(40)}"}]}"""
         val rows = listOf(
-            ParsedRow(post("/v1/completions", text, "Lovageladder-Class: summary"), "lesson-lm", null, 5, 7, "summary"),
-            ParsedRow(post("/v1/completions", text, "Lovageladder-Service: lm"), "lm", "lesson-lm", 5, 7),
-            ParsedRow(post("/v1/chat/completions?a=b", chat), "lesson-lm", null, 11, null),
+            GenerationRow(
+                post("/v1/completions", text, "Lovageladder-Class: summary"),
+                "lesson-lm",
+                null,
+                5,
+                7,
+                "summary",
+            ),
+            GenerationRow(post("/v1/completions", text, "Lovageladder-Service: lm"), "lm", "lesson-lm", 5, 7),
+            GenerationRow(post("/v1/chat/completions?a=b", chat), "lesson-lm", null, 11, null),
         )
         for (row in rows) {
             CallerSocket(server.address).use { socket ->
                 socket.send(row.request)
-                val submission = callers.next().submission
+                val submission = callers.nextSubmission().submission
                 val content = assertIs<RequestContent.Generation>(submission.content)
                 assertEquals(row.service, submission.service.text, "$row")
                 assertEquals(row.requestClass, submission.requestClass?.text, "$row")
@@ -140,7 +178,7 @@
     }
 
     @Test
-    fun aPlainCallKeepsMethodRemainderAndBody() {
+    fun plainRequestKeepsMethodPathAndBody() {
         val rows = listOf(
             PlainRow("PUT", "/services/desk/seats/7?day=2", "/seats/7?day=2"),
             PlainRow("GET", "/services/desk", "/"),
@@ -151,7 +189,7 @@
                 socket.send(
                     "${row.method} ${row.target} HTTP/1.1\r\nIdempotency-Key: \"k1\"\r\nContent-Length: 2\r\n\r\n{}",
                 )
-                val submission = callers.next().submission
+                val submission = callers.nextSubmission().submission
                 val content = assertIs<RequestContent.Plain>(submission.content)
                 assertEquals("desk", submission.service.text)
                 assertEquals("k1", submission.idempotencyKey?.text)
@@ -163,16 +201,16 @@
     }
 
     @Test
-    fun aStreamIsWrittenTokenByTokenAndEndsWithUsage() {
-        for (shape in GenerationShape.entries) {
+    fun streamIsWrittenTokenByTokenAndEndsWithUsage() {
+        for (api in GenerationApi.entries) {
             CallerSocket(server.address).use { socket ->
-                socket.send(post(shape.path, generation(shape, stream = true)))
-                val exchange = callers.next().exchange
+                socket.send(post(api.path, generation(api, stream = true)))
+                val exchange = callers.nextSubmission().exchange
                 server.giveToken(exchange, 0, "one ")
-                assertEquals("one ", contentOf(shape, socket.readEvent()))
+                assertEquals("one ", contentIn(api, socket.readEvent()))
                 server.giveToken(exchange, 0, "one ")
                 server.giveToken(exchange, 1, "two")
-                assertEquals("two", contentOf(shape, socket.readEvent()))
+                assertEquals("two", contentIn(api, socket.readEvent()))
                 server.giveOutcome(exchange, RequestId("r-1"), Outcome.Generated("length", 3, 2))
                 val last = Json.parseToJsonElement(socket.readEvent()).jsonObject
                 assertEquals("length", last.choice().text("finish_reason"))
@@ -184,11 +222,11 @@
     }
 
     @Test
-    fun aWholeAnswerIsBuiltFromTheTokensAndTheConnectionServesTheNextRequest() {
+    fun wholeAnswerIsBuiltFromTokensAndConnectionIsReused() {
         CallerSocket(server.address).use { socket ->
-            for (shape in GenerationShape.entries) {
-                socket.send(post(shape.path, generation(shape, stream = false)))
-                val exchange = callers.next().exchange
+            for (api in GenerationApi.entries) {
+                socket.send(post(api.path, generation(api, stream = false)))
+                val exchange = callers.nextSubmission().exchange
                 server.giveToken(exchange, 0, "ä ")
                 server.giveToken(exchange, 1, "b")
                 server.giveOutcome(exchange, RequestId("r-2"), Outcome.Generated("length", 3, 2))
@@ -196,14 +234,14 @@
                 assertEquals(200, answer.status)
                 assertEquals("r-2", answer.headers["lovageladder-request"])
                 val choice = answer.json().choice()
-                val text = if (shape == GenerationShape.TEXT) choice.text("text") else choice.message("message")
+                val text = if (api == GenerationApi.TEXT) choice.text("text") else choice.message("message")
                 assertEquals("ä b", text)
             }
         }
     }
 
     @Test
-    fun eachRefusalHasItsStatusAndTheTrueOutcome() {
+    fun refusalIsAnsweredWithItsStatusAndOutcome() {
         val statuses = mapOf(
             RefusalReason.UNKNOWN_SERVICE to 404,
             RefusalReason.UNKNOWN_CLASS to 400,
@@ -223,25 +261,25 @@
         assertEquals(RefusalReason.entries.toSet(), statuses.keys)
         CallerSocket(server.address).use { socket ->
             for ((reason, status) in statuses) {
-                val answer = refuse(socket, Outcome.Refused(reason, Execution.NOT_RUN))
+                val answer = submitAndRefuse(socket, Outcome.Refused(reason, Execution.NOT_RUN))
                 assertEquals(status, answer.status, "$reason")
             }
         }
         val fault = Fault(Step.PLAIN_CALL, "desk-1", FaultCause.CONNECTION_LOST)
         val rows = listOf(
-            RefusedRow(
+            RefusalRow(
                 Outcome.Refused(RefusalReason.OVERLOADED, Execution.NOT_RUN, retryAfter = 1200.milliseconds),
                 "2",
             ),
-            RefusedRow(Outcome.Refused(RefusalReason.OVERLOADED, Execution.NOT_RUN, retryAfter = 1.seconds), "1"),
-            RefusedRow(
+            RefusalRow(Outcome.Refused(RefusalReason.OVERLOADED, Execution.NOT_RUN, retryAfter = 1.seconds), "1"),
+            RefusalRow(
                 Outcome.Refused(RefusalReason.DEADLINE, Execution.UNKNOWN, fault = fault),
                 null,
                 "unknown",
                 "unknown",
             ),
-            RefusedRow(Outcome.Refused(RefusalReason.UPSTREAM_FAILED, Execution.RAN), null, "ran", "ran"),
-            RefusedRow(
+            RefusalRow(Outcome.Refused(RefusalReason.UPSTREAM_FAILED, Execution.RAN), null, "ran", "ran"),
+            RefusalRow(
                 Outcome.Refused(RefusalReason.STORE_UNAVAILABLE, Execution.UNKNOWN, submissionRan = false),
                 null,
                 outcome = "unknown",
@@ -249,7 +287,7 @@
         )
         CallerSocket(server.address).use { socket ->
             for (row in rows) {
-                val answer = refuse(socket, row.refused)
+                val answer = submitAndRefuse(socket, row.refused)
                 val problem = answer.json()
                 assertEquals(row.outcome, problem.text("outcome"), "$row")
                 assertEquals(row.submission, problem.text("submission"), "$row")
@@ -263,10 +301,10 @@
     }
 
     @Test
-    fun aRefusalAfterTokensIsAnErrorEventAndTheStreamIsNotEnded() {
+    fun refusalAfterTokensIsWrittenAsErrorEventWithoutEndOfStream() {
         CallerSocket(server.address).use { socket ->
-            socket.send(post("/v1/completions", generation(GenerationShape.TEXT, stream = true)))
-            val exchange = callers.next().exchange
+            socket.send(post("/v1/completions", generation(GenerationApi.TEXT, stream = true)))
+            val exchange = callers.nextSubmission().exchange
             server.giveToken(exchange, 0, "one")
             val refused = Outcome.Refused(RefusalReason.DEADLINE, Execution.RAN, retryAfter = 1.seconds)
             server.giveOutcome(exchange, RequestId("r-4"), refused)
@@ -278,16 +316,16 @@
     }
 
     @Test
-    fun aCallerWhoGoesIsReportedWhereverItsRequestStands() {
+    fun disconnectIsReportedAtEachStageOfAStream() {
         for (tokens in 0..2) {
             val exchange = CallerSocket(server.address).use { socket ->
-                socket.send(post("/v1/completions", generation(GenerationShape.TEXT, stream = true)))
-                val begun = callers.next().exchange
+                socket.send(post("/v1/completions", generation(GenerationApi.TEXT, stream = true)))
+                val submittedExchange = callers.nextSubmission().exchange
                 repeat(tokens) {
-                    server.giveToken(begun, it, "t")
+                    server.giveToken(submittedExchange, it, "t")
                     socket.readEvent()
                 }
-                begun
+                submittedExchange
             }
             assertEquals(exchange, callers.left.poll(10, TimeUnit.SECONDS), "after $tokens tokens")
             server.giveToken(exchange, tokens, "late")
@@ -297,10 +335,10 @@
     }
 
     @Test
-    fun aCallerWhoDoesNotReadIsGivenUp() {
+    fun callerThatDoesNotReadIsDisconnected() {
         CallerSocket(server.address).use { socket ->
-            socket.send(post("/v1/completions", generation(GenerationShape.TEXT, stream = true)))
-            val exchange = callers.next().exchange
+            socket.send(post("/v1/completions", generation(GenerationApi.TEXT, stream = true)))
+            val exchange = callers.nextSubmission().exchange
             val text = "x".repeat(100_000)
             var index = 0
             while (callers.left.isEmpty() && index < 10_000) server.giveToken(exchange, index++, text)
@@ -309,15 +347,15 @@
     }
 
     @Test
-    fun pipelinedRequestsAreAnsweredOneAfterAnother() {
+    fun pipelinedRequestsAreHandledOneAtATime() {
         CallerSocket(server.address).use { socket ->
             socket.send(post("/services/desk/1", "{}") + post("/services/desk/2", "{}"))
             for (number in 1..2) {
-                val begun = callers.next()
-                assertEquals("/$number", (begun.submission.content as RequestContent.Plain).path)
-                assertTrue(callers.submitted.isEmpty(), "the next waits")
+                val submitted = callers.nextSubmission()
+                assertEquals("/$number", (submitted.submission.content as RequestContent.Plain).path)
+                assertTrue(callers.submitted.isEmpty(), "the second request was submitted too early")
                 val answer = PlainAnswer(201, "text/plain", "answer $number")
-                server.giveOutcome(begun.exchange, RequestId("r"), Outcome.Answered(answer, replayed = number == 2))
+                server.giveOutcome(submitted.exchange, RequestId("r"), Outcome.Answered(answer, replayed = number == 2))
                 val received = socket.readAnswer()
                 assertEquals(201, received.status)
                 assertEquals("answer $number", received.body)
@@ -327,40 +365,40 @@
     }
 
     @Test
-    fun aConnectionStaysOpenWhereTheRequestAllowsIt() {
+    fun connectionStaysOpenWhenTheRequestAllowsIt() {
         val rows = listOf(
-            PersistenceRow("HTTP/1.1", "", closes = false),
-            PersistenceRow("HTTP/1.1", "Connection: close\r\n", closes = true),
-            PersistenceRow("HTTP/1.0", "", closes = true),
-            PersistenceRow("HTTP/1.1", "Expect: 100-continue\r\n", closes = false, continues = true),
+            KeepAliveRow("HTTP/1.1", "", isClosed = false),
+            KeepAliveRow("HTTP/1.1", "Connection: close\r\n", isClosed = true),
+            KeepAliveRow("HTTP/1.0", "", isClosed = true),
+            KeepAliveRow("HTTP/1.1", "Expect: 100-continue\r\n", isClosed = false, expectsContinue = true),
         )
         for (row in rows) {
             CallerSocket(server.address).use { socket ->
                 socket.send("POST /services/desk/x ${row.version}\r\n${row.header}Content-Length: 2\r\n\r\n")
-                if (row.continues) assertEquals(100, socket.readHead().status, "$row")
+                if (row.expectsContinue) assertEquals(100, socket.readHead().status, "$row")
                 socket.send("{}")
-                val exchange = callers.next().exchange
+                val exchange = callers.nextSubmission().exchange
                 server.giveOutcome(exchange, RequestId("r"), Outcome.Answered(PlainAnswer(200, null, "ok")))
                 assertEquals("ok", socket.readAnswer().body, "$row")
-                if (row.closes) assertEquals("", socket.readToEnd(), "$row") else refuse(socket, leaving)
+                if (row.isClosed) assertEquals("", socket.readToEnd(), "$row") else submitAndRefuse(socket, leaving)
             }
         }
     }
 
     @Test
-    fun anAddressThatIsTakenIsReported() {
+    fun startFailsWhenTheAddressIsInUse() {
         assertFailsWith<BindException> {
             startCallerServer(server.address, handler = callers, registry = SimpleMeterRegistry())
         }
     }
 
     @Test
-    fun aDrainingServerFinishesWhatRunsAndAsksToClose() {
+    fun drainingServerFinishesOpenRequestsAndClosesConnections() {
         CallerSocket(server.address).use { socket ->
             socket.send(post("/services/desk/1", "{}"))
-            val begun = callers.next()
+            val submitted = callers.nextSubmission()
             server.drain()
-            server.giveOutcome(begun.exchange, RequestId("r"), Outcome.Answered(PlainAnswer(200, null, "")))
+            server.giveOutcome(submitted.exchange, RequestId("r"), Outcome.Answered(PlainAnswer(200, null, "")))
             assertEquals("close", socket.readAnswer().headers["connection"])
             assertEquals("", socket.readToEnd())
         }
@@ -368,27 +406,32 @@
 
     private val leaving = Outcome.Refused(RefusalReason.LEAVING, Execution.NOT_RUN)
 
-    private fun refuse(socket: CallerSocket, refused: Outcome.Refused): CallerAnswer {
+    private fun submitAndRefuse(socket: CallerSocket, refused: Outcome.Refused): CallerAnswer {
         socket.send(post("/services/desk/x", "{}"))
-        server.giveOutcome(callers.next().exchange, RequestId("r-3"), refused)
+        server.giveOutcome(callers.nextSubmission().exchange, RequestId("r-3"), refused)
         return socket.readAnswer()
     }
 
-    private fun generation(shape: GenerationShape, stream: Boolean): String = when (shape) {
-        GenerationShape.TEXT -> """{"model":"m","prompt":"p","stream":$stream}"""
-        GenerationShape.CHAT -> """{"model":"m","messages":[{"role":"user","content":"p"}],"stream":$stream}"""
+    private fun generation(api: GenerationApi, stream: Boolean): String = when (api) {
+        GenerationApi.TEXT -> """{"model":"m","prompt":"p","stream":$stream}"""
+        GenerationApi.CHAT -> """{"model":"m","messages":[{"role":"user","content":"p"}],"stream":$stream}"""
     }
 
-    private fun contentOf(shape: GenerationShape, event: String): String? {
+    private fun contentIn(api: GenerationApi, event: String): String? {
         val choice = Json.parseToJsonElement(event).jsonObject.choice()
-        return if (shape == GenerationShape.TEXT) choice.text("text") else choice.message("delta")
+        return if (api == GenerationApi.TEXT) choice.text("text") else choice.message("delta")
     }
 
     private fun JsonObject.message(name: String) = getValue(name).jsonObject.text("content")
 
-    private data class BadInput(val request: String, val status: Int, val field: String?, val keyed: Boolean = false)
+    private data class InvalidRequestRow(
+        val request: String,
+        val status: Int,
+        val field: String?,
+        val mayHaveKey: Boolean = false,
+    )
 
-    private data class ParsedRow(
+    private data class GenerationRow(
         val request: String,
         val service: String,
         val model: String?,
@@ -397,16 +440,16 @@
         val requestClass: String? = null,
     )
 
-    private data class PersistenceRow(
+    private data class KeepAliveRow(
         val version: String,
         val header: String,
-        val closes: Boolean,
-        val continues: Boolean = false,
+        val isClosed: Boolean,
+        val expectsContinue: Boolean = false,
     )
 
     private data class PlainRow(val method: String, val target: String, val path: String)
 
-    private data class RefusedRow(
+    private data class RefusalRow(
         val refused: Outcome.Refused,
         val retryAfter: String?,
         val outcome: String = "not-run",
@@ -416,12 +459,12 @@
 
 internal data class Submitted(val exchange: ExchangeId, val submission: Submission)
 
-/** Keeps what callers did, in order. */
-internal class RecordingCallers : CallerHandler {
+/** Records submissions and disconnects in order. */
+internal class RecordingCallerHandler : CallerHandler {
     val submitted = LinkedBlockingQueue<Submitted>()
     val left = LinkedBlockingQueue<ExchangeId>()
 
-    fun next(): Submitted = assertNotNull(submitted.poll(10, TimeUnit.SECONDS), "nothing was submitted")
+    fun nextSubmission(): Submitted = assertNotNull(submitted.poll(10, TimeUnit.SECONDS), "no request was submitted")
 
     override fun submitted(exchange: ExchangeId, submission: Submission) {
         submitted.add(Submitted(exchange, submission))
--- a/http/src/test/kotlin/org/lovageladder/http/CallerSocket.kt
+++ b/http/src/test/kotlin/org/lovageladder/http/CallerSocket.kt
@@ -9,14 +9,14 @@
 import java.net.Socket
 import kotlin.test.fail
 
-/** An answer as a caller reads it; header names in lower case. */
+/** An answer as received by a caller; header names are in lower case. */
 internal data class CallerAnswer(val status: Int, val headers: Map<String, String>, val body: String) {
     fun json(): JsonObject = Json.parseToJsonElement(body).jsonObject
 }
 
-/** A caller's plain socket, so that requests can be cut, crossed and malformed at will. */
+/** Raw socket of a caller, for requests that are incomplete, pipelined or malformed. */
 internal class CallerSocket(address: Address) : AutoCloseable {
-    private val socket = Socket(address.ip, address.port).apply { soTimeout = READ_LIMIT_MILLISECONDS }
+    private val socket = Socket(address.ip, address.port).apply { soTimeout = READ_TIMEOUT_MILLISECONDS }
     private val input = BufferedInputStream(socket.getInputStream())
     private var headRead = false
 
@@ -27,7 +27,7 @@
 
     fun readAnswer(): CallerAnswer {
         val head = readHead()
-        val length = head.headers["content-length"]?.toInt() ?: fail("no length in $head")
+        val length = head.headers["content-length"]?.toInt() ?: fail("no content length in $head")
         return head.copy(body = String(input.readNBytes(length)))
     }
 
@@ -36,7 +36,7 @@
         return CallerAnswer(status, readHeaders(), body = "")
     }
 
-    /** Data of the next event of a streamed answer. */
+    /** Reads the next event of a streamed answer and returns its data. */
     fun readEvent(): String {
         if (!headRead) {
             check(readHead().status == 200)
@@ -48,13 +48,13 @@
         return event.removePrefix("data: ").removeSuffix("\n\n")
     }
 
-    /** Headers after the last chunk. */
+    /** Reads the trailers after the last chunk. */
     fun readTrailers(): Map<String, String> {
-        check(readLine() == "0") { "the stream goes on" }
+        check(readLine() == "0") { "the stream has not ended" }
         return readHeaders()
     }
 
-    /** All that comes until the server closes. */
+    /** Reads until the server closes the connection. */
     fun readToEnd(): String = String(input.readAllBytes())
 
     override fun close() {
@@ -70,14 +70,14 @@
         val line = ByteArrayOutputStream()
         while (true) {
             val next = input.read()
-            if (next < 0) fail("the server closed after '$line'")
+            if (next < 0) fail("the server closed the connection after '$line'")
             if (next == '\n'.code) return line.toString().removeSuffix("\r")
             line.write(next)
         }
     }
 
     private companion object {
-        const val READ_LIMIT_MILLISECONDS = 10_000
+        const val READ_TIMEOUT_MILLISECONDS = 10_000
         const val CHUNK_RADIX = 16
     }
 }
