--- a/http/src/test/kotlin/org/lovageladder/http/KeyValueStoreTest.kt
+++ b/http/src/test/kotlin/org/lovageladder/http/EtcdStoreTest.kt
@@ -21,15 +21,15 @@
     private var time = Duration.ZERO
     override val store = InMemoryKeyValueStore { time }
 
-    override fun takeDown() {
-        store.down = true
+    override fun stopService() {
+        store.isDown = true
     }
 
     override fun loseNextAnswer() {
         store.loseNextAnswer = true
     }
 
-    override fun letLeaseLapse() {
+    override fun expireLease() {
         time += 1.seconds
     }
 }
@@ -44,22 +44,22 @@
         service.close()
     }
 
-    override fun takeDown(): Unit = fault("""{"down_ms":600000}""")
+    override fun stopService(): Unit = injectFault("""{"down_ms":600000}""")
 
-    override fun loseNextAnswer(): Unit = fault("""{"lose_answers":1}""")
+    override fun loseNextAnswer(): Unit = injectFault("""{"lose_answers":1}""")
 
-    override fun letLeaseLapse(): Unit = Unit
+    override fun expireLease(): Unit = Unit
 
     @Test
-    fun faultsOfAnAddressAreToldApart() {
+    fun faultOfAnAddressIsReportedWithItsCause() {
         val create = create("a" to "1")
         val read = StoreRequest.Read("a")
         val whole = FaultyPeer.answer(200, """{"header":{"revision":"1"}}""")
         val rows = listOf(
-            FaultRow(PeerBehaviour.CloseAtOnce, create, FaultCause.CONNECTION_LOST),
+            FaultRow(PeerBehaviour.CloseOnAccept, create, FaultCause.CONNECTION_LOST),
             FaultRow(PeerBehaviour.Silence, create, FaultCause.TIMEOUT),
             FaultRow(PeerBehaviour.Silence, read, FaultCause.TIMEOUT),
-            FaultRow(PeerBehaviour.Send(FaultyPeer.cutAnswer("{")), create, FaultCause.CONNECTION_LOST),
+            FaultRow(PeerBehaviour.Send(FaultyPeer.truncatedAnswer("{")), create, FaultCause.CONNECTION_LOST),
             FaultRow(PeerBehaviour.Send(FaultyPeer.answer(503, "{}")), read, FaultCause.REJECTED),
             FaultRow(PeerBehaviour.Send(FaultyPeer.answer(200, "nonsense")), read, FaultCause.PROTOCOL),
             FaultRow(PeerBehaviour.Send(FaultyPeer.answer(200, "{}")), create, FaultCause.PROTOCOL),
@@ -68,8 +68,8 @@
         )
         for (row in rows) {
             FaultyPeer(row.behaviour).use { peer ->
-                openEtcdStore(listOf(peer.address)).use { faulty ->
-                    val answer = awaitCallback { faulty.call(row.request, limitFor(row.cause), it) }
+                openEtcdStore(listOf(peer.address)).use { faultyStore ->
+                    val answer = awaitCallback { faultyStore.call(row.request, timeoutFor(row.cause), it) }
                     val cause = (answer as? StoreAnswer.Unavailable)?.fault?.cause
                     assertEquals(row.cause, cause, "$row: $answer")
                 }
@@ -77,57 +77,61 @@
         }
     }
 
-    /** Only a silent peer is to be given up soon; on a busy machine the others may take a while. */
-    private fun limitFor(cause: FaultCause?) = if (cause == FaultCause.TIMEOUT) 300.milliseconds else 20.seconds
+    /** A short timeout only for the silent peer; the other faults may be slow to appear on a busy machine. */
+    private fun timeoutFor(cause: FaultCause?) = if (cause == FaultCause.TIMEOUT) 300.milliseconds else 20.seconds
 
     @Test
-    fun onlyWhatCannotHaveTakenEffectGoesOnToTheNextAddress() {
+    fun onlyRequestsWithoutEffectAreRetriedAtTheNextAddress() {
         val create = create("moved" to "1")
         val replace = StoreRequest.Replace(StoreWrite("moved", "2"), 1)
         val read = StoreRequest.Read("moved")
         val rows = listOf(
-            NextRow(first = PeerBehaviour.Silence, create, reaches = false),
-            NextRow(PeerBehaviour.Send(FaultyPeer.cutAnswer("")), create, reaches = false),
-            NextRow(PeerBehaviour.Send(FaultyPeer.cutAnswer("")), replace, reaches = false),
-            NextRow(PeerBehaviour.Send(FaultyPeer.cutAnswer("")), StoreRequest.GrantLease(1.seconds), reaches = false),
-            NextRow(PeerBehaviour.Send(FaultyPeer.cutAnswer("")), read, reaches = true),
-            NextRow(first = null, read, reaches = true),
-            NextRow(first = null, replace, reaches = true),
+            FailoverRow(first = PeerBehaviour.Silence, create, isRetried = false),
+            FailoverRow(PeerBehaviour.Send(FaultyPeer.truncatedAnswer("")), create, isRetried = false),
+            FailoverRow(PeerBehaviour.Send(FaultyPeer.truncatedAnswer("")), replace, isRetried = false),
+            FailoverRow(
+                PeerBehaviour.Send(FaultyPeer.truncatedAnswer("")),
+                StoreRequest.GrantLease(1.seconds),
+                isRetried = false,
+            ),
+            FailoverRow(PeerBehaviour.Send(FaultyPeer.truncatedAnswer("")), read, isRetried = true),
+            FailoverRow(first = null, read, isRetried = true),
+            FailoverRow(first = null, replace, isRetried = true),
         )
         for (row in rows) {
             val peer = row.first?.let { FaultyPeer(it) }
-            openEtcdStore(listOf(peer?.address ?: FaultyPeer.deadAddress(), address)).use { several ->
-                val answer = awaitCallback { several.call(row.request, 500.milliseconds, it) }
-                assertEquals(row.reaches, answer !is StoreAnswer.Unavailable, "$row: $answer")
+            openEtcdStore(listOf(peer?.address ?: FaultyPeer.unusedAddress(), address)).use { failoverStore ->
+                val answer = awaitCallback { failoverStore.call(row.request, 500.milliseconds, it) }
+                assertEquals(row.isRetried, answer !is StoreAnswer.Unavailable, "$row: $answer")
                 assertTrue(peer == null || peer.requests.size <= 1, "sent twice: ${peer?.requests}")
             }
             peer?.close()
         }
-        assertEquals(emptyList(), read("moved"), "no lost write was repeated")
+        assertEquals(emptyList(), read("moved"), "no write with a lost answer was retried")
     }
 
     @Test
-    fun aSlowServiceIsGivenUpInTime() {
-        fault("""{"slow_ms":60000,"for_ms":600000}""")
-        val taken = measureTime {
+    fun callToSlowServiceTimesOut() {
+        injectFault("""{"slow_ms":60000,"for_ms":600000}""")
+        val elapsed = measureTime {
             val answer = awaitCallback { store.call(create("a" to "1"), 200.milliseconds, it) }
             assertEquals(FaultCause.TIMEOUT, assertIs<StoreAnswer.Unavailable>(answer).fault.cause)
         }
-        assertTrue(taken < 5.seconds, "$taken")
+        assertTrue(elapsed < 5.seconds, "$elapsed")
     }
 
     @Test
-    fun aValueOfAMegabyteIsCarried() {
+    fun valueOfOneMegabyteIsStored() {
         val large = "x".repeat(1_000_000)
         assertIs<StoreAnswer.Written>(call(create("large" to large)))
         assertEquals(large, read("large").single().value)
     }
 
-    private fun fault(json: String) {
+    private fun injectFault(json: String) {
         assertEquals(200, postJson(address, "/fault", json).status)
     }
 
     private data class FaultRow(val behaviour: PeerBehaviour, val request: StoreRequest, val cause: FaultCause?)
 
-    private data class NextRow(val first: PeerBehaviour?, val request: StoreRequest, val reaches: Boolean)
+    private data class FailoverRow(val first: PeerBehaviour?, val request: StoreRequest, val isRetried: Boolean)
 }
--- a/http/src/test/kotlin/org/lovageladder/http/FaultyPeer.kt
+++ b/http/src/test/kotlin/org/lovageladder/http/FaultyPeer.kt
@@ -13,43 +13,43 @@
 import java.util.concurrent.atomic.AtomicLong
 import kotlin.concurrent.thread
 
-/** What a [FaultyPeer] does with each request. */
+/** How a [FaultyPeer] treats requests. */
 internal sealed interface PeerBehaviour {
-    /** Sends [bytes] after the request was read, and then closes. */
+    /** Reads a request, sends [bytes] and closes the connection. */
     data class Send(val bytes: String) : PeerBehaviour
 
-    /** Sends [bytes] for the first request of a connection, and closes when it has read a second. */
-    data class SendOnce(val bytes: String) : PeerBehaviour
+    /** Sends [bytes] for the first request of a connection, and closes the connection after reading a second one. */
+    data class SendForFirstRequest(val bytes: String) : PeerBehaviour
 
-    /** Sends [bytes] for requests to [path], and never answers others. */
+    /** Sends [bytes] for requests to [path]; does not answer others. */
     data class SendTo(val path: String, val bytes: String) : PeerBehaviour
 
-    /** Sends [head], then [part] again and again until the caller closes. */
+    /** Sends [head], then repeats [part] until the client closes the connection. */
     data class SendEndlessly(val head: String, val part: String) : PeerBehaviour
 
-    /** Reads the request and never answers. */
+    /** Reads requests and never answers. */
     data object Silence : PeerBehaviour
 
-    /** Closes as soon as the connection is made. */
-    data object CloseAtOnce : PeerBehaviour
+    /** Closes each connection as soon as it is accepted. */
+    data object CloseOnAccept : PeerBehaviour
 }
 
-/** A server that misbehaves as told, and keeps the requests that reached it. */
+/** Server with a configurable fault, which records the requests it receives. */
 internal class FaultyPeer(private val behaviour: PeerBehaviour) : AutoCloseable {
     private val listener = ServerSocket(0, BACKLOG, InetAddress.getByName("127.0.0.1"))
     private val sockets = CopyOnWriteArrayList<Socket>()
-    private val firstArrived = CountDownLatch(1)
+    private val firstRequestRead = CountDownLatch(1)
     private val acceptor = thread(isDaemon = true) { acceptAll() }
-    private val sent = AtomicLong()
+    private val sentBytes = AtomicLong()
     val requests = CopyOnWriteArrayList<String>()
 
-    /** Bytes of answers that callers took so far. */
-    val bytesSent: Long get() = sent.get()
+    /** Bytes of endless answers written so far. */
+    val bytesSent: Long get() = sentBytes.get()
     val address = Address("127.0.0.1", listener.localPort)
 
-    /** Waits until a request was read. */
+    /** Waits until a request has been read. */
     fun awaitRequest() {
-        check(firstArrived.await(10, TimeUnit.SECONDS)) { "no request came" }
+        check(firstRequestRead.await(10, TimeUnit.SECONDS)) { "no request arrived" }
     }
 
     override fun close() {
@@ -72,23 +72,23 @@
 
     private fun serve(socket: Socket) {
         try {
-            if (behaviour == PeerBehaviour.CloseAtOnce) return socket.close()
+            if (behaviour == PeerBehaviour.CloseOnAccept) return socket.close()
             val input = BufferedInputStream(socket.getInputStream())
-            var served = 0
+            var servedRequests = 0
             while (true) {
                 val request = readRequest(input) ?: return socket.close()
                 requests.add(request)
-                firstArrived.countDown()
-                if (!answer(socket, request, served++)) return socket.close()
+                firstRequestRead.countDown()
+                if (!answer(socket, request, servedRequests++)) return socket.close()
             }
         } catch (_: IOException) {
             socket.close()
         }
     }
 
-    /** Returns whether the connection stays open. */
+    /** Answers [request]; returns whether the connection stays open. */
     private fun answer(socket: Socket, request: String, servedBefore: Int): Boolean = when (behaviour) {
-        PeerBehaviour.CloseAtOnce -> false
+        PeerBehaviour.CloseOnAccept -> false
         PeerBehaviour.Silence -> true
         is PeerBehaviour.SendEndlessly -> sendEndlessly(socket, behaviour)
         is PeerBehaviour.Send -> {
@@ -99,7 +99,7 @@
             if (behaviour.path in request) socket.getOutputStream().write(behaviour.bytes.toByteArray())
             true
         }
-        is PeerBehaviour.SendOnce -> {
+        is PeerBehaviour.SendForFirstRequest -> {
             if (servedBefore == 0) socket.getOutputStream().write(behaviour.bytes.toByteArray())
             servedBefore == 0
         }
@@ -111,7 +111,7 @@
         val part = behaviour.part.repeat(ENDLESS_PART_REPEATS).toByteArray()
         while (true) {
             output.write(part)
-            sent.addAndGet(part.size.toLong())
+            sentBytes.addAndGet(part.size.toLong())
         }
     }
 
@@ -131,17 +131,17 @@
         private const val BACKLOG = 50
         private const val ENDLESS_PART_REPEATS = 1_000
 
-        /** An answer with a correct length. */
+        /** An HTTP answer with a correct content length. */
         fun answer(status: Int, body: String, vararg headers: String): String {
             val lines = headers.joinToString("") { "$it\r\n" }
             return "HTTP/1.1 $status X\r\n${lines}Content-Length: ${body.toByteArray().size}\r\n\r\n$body"
         }
 
-        /** The beginning of an answer, which announces more than it holds. */
-        fun cutAnswer(body: String): String = "HTTP/1.1 200 OK\r\nContent-Length: 9999\r\n\r\n$body"
+        /** An answer that announces more content than it has. */
+        fun truncatedAnswer(body: String): String = "HTTP/1.1 200 OK\r\nContent-Length: 9999\r\n\r\n$body"
 
-        /** A loopback address at which nothing listens. */
-        fun deadAddress(): Address {
+        /** A loopback address on which nothing listens. */
+        fun unusedAddress(): Address {
             val port = ServerSocket(0, 1, InetAddress.getByName("127.0.0.1")).use { it.localPort }
             return Address("127.0.0.1", port)
         }
--- a/http/src/test/kotlin/org/lovageladder/http/HostListTest.kt
+++ b/http/src/test/kotlin/org/lovageladder/http/HttpHostListTest.kt
@@ -14,34 +14,34 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
-/** What every [HostList] has to do. */
+/** Behaviour required of every [HostList]. */
 internal abstract class HostListContract {
     protected abstract val hosts: HostList
 
-    /** Lists [host], or lists it otherwise than before. */
-    protected abstract fun list(host: ListedHost)
+    /** Adds [host] to the list, or changes its entry. */
+    protected abstract fun putHost(host: ListedHost)
 
-    protected abstract fun remove(name: HostName)
+    protected abstract fun removeHost(name: HostName)
 
-    protected abstract fun takeDown()
+    protected abstract fun stopService()
 
     @Test
-    fun hostsAreReadAsTheyAreListed() {
+    fun readReturnsTheListedHosts() {
         val first = ListedHost(HostName("host-1"), PlaceName("mohacs-telep"), leaving = false)
         val second = ListedHost(HostName("host-2"), PlaceName("bc-coast-a"), leaving = true)
         assertEquals(emptyList(), read())
-        list(first)
-        list(second)
-        awaitTrue("both are listed") { read()?.toSet() == setOf(first, second) }
-        list(first.copy(leaving = true))
-        awaitTrue("the first is leaving") { read()?.all { it.leaving } == true }
-        remove(first.name)
-        awaitTrue("the first is gone") { read() == listOf(second) }
+        putHost(first)
+        putHost(second)
+        awaitTrue("both hosts are listed") { read()?.toSet() == setOf(first, second) }
+        putHost(first.copy(leaving = true))
+        awaitTrue("the first host is leaving") { read()?.all { it.leaving } == true }
+        removeHost(first.name)
+        awaitTrue("the first host is removed") { read() == listOf(second) }
     }
 
     @Test
-    fun aListThatIsDownIsNull() {
-        takeDown()
+    fun readReturnsNullWhenTheServiceIsDown() {
+        stopService()
         assertNull(read())
     }
 
@@ -59,32 +59,32 @@
         service.close()
     }
 
-    override fun list(host: ListedHost) {
+    override fun putHost(host: ListedHost) {
         val state = if (host.leaving) "leaving" else "live"
         val body = """{"name":"${host.name}","place":"${host.place}","state":"$state","address":"10.0.0.1:1"}"""
         assertEquals(200, postJson(address, "/v1/hosts", body).status)
     }
 
-    override fun remove(name: HostName) {
+    override fun removeHost(name: HostName) {
         assertEquals(200, delete(address, "/v1/hosts/$name").status)
     }
 
-    override fun takeDown(): Unit = service.close()
+    override fun stopService(): Unit = service.close()
 
     @Test
-    fun faultyAnswersAreNull() {
+    fun readReturnsNullOnFaultyAnswers() {
         val behaviours = listOf(
-            PeerBehaviour.CloseAtOnce,
+            PeerBehaviour.CloseOnAccept,
             PeerBehaviour.Silence,
-            PeerBehaviour.Send(FaultyPeer.cutAnswer("""{"hosts":[]}""")),
+            PeerBehaviour.Send(FaultyPeer.truncatedAnswer("""{"hosts":[]}""")),
             PeerBehaviour.Send(FaultyPeer.answer(503, """{"hosts":[]}""")),
             PeerBehaviour.Send(FaultyPeer.answer(200, "nonsense")),
             PeerBehaviour.Send(FaultyPeer.answer(200, """{"hosts":[{"name":"a"}]}""")),
         )
         for (behaviour in behaviours) {
             FaultyPeer(behaviour).use { peer ->
-                openHttpHostList(peer.address).use { faulty ->
-                    assertNull(awaitCallback { faulty.read(300.milliseconds, it) }, "$behaviour")
+                openHttpHostList(peer.address).use { faultyList ->
+                    assertNull(awaitCallback { faultyList.read(300.milliseconds, it) }, "$behaviour")
                 }
             }
         }
--- a/http/src/test/kotlin/org/lovageladder/http/HttpUpstreamGatewayTest.kt
+++ b/http/src/test/kotlin/org/lovageladder/http/HttpUpstreamGatewayTest.kt
@@ -51,27 +51,27 @@
     }
 
     @Test
-    fun anEngineThatRefusesRanNothing() {
+    fun refusalByEngineIsReportedAsNotRun() {
         val small = EngineStandIn.start(settings = EngineSettings(pieces = 1, name = "small"))
         val expiring = EngineStandIn.start(settings = EngineSettings(keepTime = 1.milliseconds, name = "expiring"))
-        val content = generation(GenerationShape.TEXT, "p")
-        val ready = run(upstream("expiring", loopback(expiring.port)), UpstreamCall.Prefill(content, 0)).last
+        val content = generation(GenerationApi.TEXT, "p")
+        val ready = run(upstream("expiring", loopback(expiring.port)), UpstreamCall.Prefill(content, 0)).finalReport
         val ticket = assertIs<UpstreamReport.PrefillReady>(ready).ticket
-        awaitTrue("the prefill's result expired") {
+        awaitTrue("the prefill result expires") {
             get(loopback(expiring.port), "/stats").json().getValue("prefills_expired").jsonPrimitive.content == "1"
         }
         val rows = listOf(
-            FailedRow(run(upstream("small", loopback(small.port)), decode(content, 9000)), FaultCause.OUT_OF_MEMORY),
-            FailedRow(run(prefillEngine, decode(content, 2)), FaultCause.REJECTED),
-            FailedRow(run(decodeEngine, decode(content, 2, ticket)), FaultCause.EXPIRED),
-            FailedRow(run(decodeEngine, decode(content.copy(body = "no JSON"), 2)), FaultCause.PROTOCOL),
-            FailedRow(run(decodeEngine, decode(content.copy(body = "{}"), 2)), FaultCause.REJECTED),
-            FailedRow(run(service, plain("NOT A METHOD", "/a", IdempotencyKey("k"))), FaultCause.PROTOCOL),
-            FailedRow(run(service, plain("POST", "/a b\r\n", IdempotencyKey("k"))), FaultCause.PROTOCOL),
-            FailedRow(run(service, plain("POST", "/a", IdempotencyKey("k\r\nx"))), FaultCause.PROTOCOL),
+            NotRunRow(run(upstream("small", loopback(small.port)), decode(content, 9000)), FaultCause.OUT_OF_MEMORY),
+            NotRunRow(run(prefillEngine, decode(content, 2)), FaultCause.REJECTED),
+            NotRunRow(run(decodeEngine, decode(content, 2, ticket)), FaultCause.EXPIRED),
+            NotRunRow(run(decodeEngine, decode(content.copy(body = "no JSON"), 2)), FaultCause.PROTOCOL),
+            NotRunRow(run(decodeEngine, decode(content.copy(body = "{}"), 2)), FaultCause.REJECTED),
+            NotRunRow(run(service, plain("NOT A METHOD", "/a", IdempotencyKey("k"))), FaultCause.PROTOCOL),
+            NotRunRow(run(service, plain("POST", "/a b\r\n", IdempotencyKey("k"))), FaultCause.PROTOCOL),
+            NotRunRow(run(service, plain("POST", "/a", IdempotencyKey("k\r\nx"))), FaultCause.PROTOCOL),
         )
         for (row in rows) {
-            val failed = assertIs<UpstreamReport.Failed>(row.ended.last, "$row")
+            val failed = assertIs<UpstreamReport.Failed>(row.ended.finalReport, "$row")
             assertEquals(row.cause, failed.fault.cause, "$row")
             assertEquals(Execution.NOT_RUN, failed.execution, "$row")
             assertEquals(emptyList(), row.ended.tokens, "$row")
@@ -80,53 +80,57 @@
     }
 
     @Test
-    fun anEngineThatCrashesInTheMiddleLeavesTheCallUnknown() {
-        val call = start(decodeEngine, decode(generation(GenerationShape.TEXT, "p"), bound = 1000))
-        assertIs<UpstreamReport.Token>(call.next())
+    fun crashDuringDecodeIsReportedAsUnknown() {
+        val call = start(decodeEngine, decode(generation(GenerationApi.TEXT, "p"), bound = 1000))
+        assertIs<UpstreamReport.Token>(call.nextReport())
         postJson(decodeEngine.address, "/fault", """{"crash":true}""")
-        val failed = assertIs<UpstreamReport.Failed>(call.last())
+        val failed = assertIs<UpstreamReport.Failed>(call.awaitLast())
         assertEquals(FaultCause.CONNECTION_LOST, failed.fault.cause)
         assertEquals(Execution.UNKNOWN, failed.execution)
-        assertTrue(!cancel(call.attempt, decodeEngine), "nobody confirms")
+        assertTrue(!cancel(call.attempt, decodeEngine), "a crashed engine cannot confirm")
     }
 
     @Test
-    fun aPlainAnswerLostAfterTheEffectIsUnknownAndNotRepeated() {
+    fun lostPlainAnswerIsReportedAsUnknownAndNotRetried() {
         val key = IdempotencyKey("lost")
         run(service, plain("GET", "/warm", key = null))
         postJson(service.address, "/fault", """{"drop_answers":1}""")
-        val failed = assertIs<UpstreamReport.Failed>(run(service, plain("POST", "/a", key)).last)
+        val failed = assertIs<UpstreamReport.Failed>(run(service, plain("POST", "/a", key)).finalReport)
         assertEquals(FaultCause.CONNECTION_LOST, failed.fault.cause)
         assertEquals(Execution.UNKNOWN, failed.execution)
         assertEquals(1, executions(key))
     }
 
     @Test
-    fun faultsOfAPeerAreToldApartByWhatMayHaveRun() {
+    fun peerFaultsAreMappedToExecution() {
         val token = """data: {"choices":[{"text":"a","finish_reason":null}]}"""
         val rows = listOf(
-            PeerRow(PeerBehaviour.CloseAtOnce, Execution.UNKNOWN, Execution.UNKNOWN),
-            PeerRow(send(FaultyPeer.cutAnswer("{}")), Execution.UNKNOWN, Execution.UNKNOWN),
-            PeerRow(send("nonsense\r\n\r\n"), Execution.UNKNOWN, Execution.UNKNOWN),
-            PeerRow(send(FaultyPeer.answer(400, "{}")), Execution.NOT_RUN, null),
-            PeerRow(send(FaultyPeer.answer(404, "")), Execution.NOT_RUN, null),
-            PeerRow(send(FaultyPeer.answer(409, """{"error":{"type":"seat_taken"}}""")), Execution.NOT_RUN, null),
-            PeerRow(
+            PeerFaultRow(PeerBehaviour.CloseOnAccept, Execution.UNKNOWN, Execution.UNKNOWN),
+            PeerFaultRow(send(FaultyPeer.truncatedAnswer("{}")), Execution.UNKNOWN, Execution.UNKNOWN),
+            PeerFaultRow(send("nonsense\r\n\r\n"), Execution.UNKNOWN, Execution.UNKNOWN),
+            PeerFaultRow(send(FaultyPeer.answer(400, "{}")), Execution.NOT_RUN, null),
+            PeerFaultRow(send(FaultyPeer.answer(404, "")), Execution.NOT_RUN, null),
+            PeerFaultRow(send(FaultyPeer.answer(409, """{"error":{"type":"seat_taken"}}""")), Execution.NOT_RUN, null),
+            PeerFaultRow(
                 send(FaultyPeer.answer(409, """{"error":{"type":"outdated_fencing_number"}}""")),
                 Execution.NOT_RUN,
                 Execution.NOT_RUN,
             ),
-            PeerRow(send(FaultyPeer.answer(410, "{}")), Execution.NOT_RUN, null),
-            PeerRow(send(FaultyPeer.answer(500, "{}")), Execution.UNKNOWN, null),
-            PeerRow(send(FaultyPeer.answer(502, "{}")), Execution.UNKNOWN, Execution.UNKNOWN),
-            PeerRow(send(FaultyPeer.answer(503, "{}")), Execution.NOT_RUN, Execution.UNKNOWN),
-            PeerRow(send(FaultyPeer.answer(503, "", "X-Not-Executed: true")), Execution.NOT_RUN, Execution.NOT_RUN),
-            PeerRow(send(FaultyPeer.answer(504, "{}")), Execution.UNKNOWN, Execution.UNKNOWN),
-            PeerRow(send(FaultyPeer.answer(200, "")), Execution.UNKNOWN, null),
-            PeerRow(send(FaultyPeer.answer(200, "$token\n\n")), Execution.UNKNOWN, null),
-            PeerRow(send(FaultyPeer.answer(200, "$token\n\ndata: [DONE]\n\n")), Execution.UNKNOWN, null),
-            PeerRow(send(FaultyPeer.answer(200, "data: nonsense\n\n")), Execution.UNKNOWN, null),
-            PeerRow(
+            PeerFaultRow(send(FaultyPeer.answer(410, "{}")), Execution.NOT_RUN, null),
+            PeerFaultRow(send(FaultyPeer.answer(500, "{}")), Execution.UNKNOWN, null),
+            PeerFaultRow(send(FaultyPeer.answer(502, "{}")), Execution.UNKNOWN, Execution.UNKNOWN),
+            PeerFaultRow(send(FaultyPeer.answer(503, "{}")), Execution.NOT_RUN, Execution.UNKNOWN),
+            PeerFaultRow(
+                send(FaultyPeer.answer(503, "", "X-Not-Executed: true")),
+                Execution.NOT_RUN,
+                Execution.NOT_RUN,
+            ),
+            PeerFaultRow(send(FaultyPeer.answer(504, "{}")), Execution.UNKNOWN, Execution.UNKNOWN),
+            PeerFaultRow(send(FaultyPeer.answer(200, "")), Execution.UNKNOWN, null),
+            PeerFaultRow(send(FaultyPeer.answer(200, "$token\n\n")), Execution.UNKNOWN, null),
+            PeerFaultRow(send(FaultyPeer.answer(200, "$token\n\ndata: [DONE]\n\n")), Execution.UNKNOWN, null),
+            PeerFaultRow(send(FaultyPeer.answer(200, "data: nonsense\n\n")), Execution.UNKNOWN, null),
+            PeerFaultRow(
                 send(FaultyPeer.answer(200, """data: {"error":{"message":"x"}}""" + "\n\n")),
                 Execution.UNKNOWN,
                 null,
@@ -135,9 +139,9 @@
         for (row in rows) {
             FaultyPeer(row.behaviour).use { peer ->
                 val faulty = upstream("faulty", peer.address)
-                val decoded = run(faulty, decode(generation(GenerationShape.TEXT, "p"), 2)).last
+                val decoded = run(faulty, decode(generation(GenerationApi.TEXT, "p"), 2)).finalReport
                 assertEquals(row.decode, assertIs<UpstreamReport.Failed>(decoded, "$row").execution, "$row: $decoded")
-                val called = run(faulty, plain("POST", "/a", IdempotencyKey("k"))).last
+                val called = run(faulty, plain("POST", "/a", IdempotencyKey("k"))).finalReport
                 assertEquals(row.plain, (called as? UpstreamReport.Failed)?.execution, "$row: $called")
                 assertTrue(peer.requests.size <= 2, "each call was sent once: ${peer.requests}")
             }
@@ -145,25 +149,25 @@
     }
 
     @Test
-    fun aKeyedCallNeverMeetsAUsedConnection() {
-        FaultyPeer(PeerBehaviour.SendOnce(FaultyPeer.answer(200, "ok"))).use { peer ->
+    fun callWithIdempotencyKeyUsesANewConnection() {
+        FaultyPeer(PeerBehaviour.SendForFirstRequest(FaultyPeer.answer(200, "ok"))).use { peer ->
             val closing = upstream("closing", peer.address)
             val lookup = plain("GET", "/lookup", key = null)
             val action = plain("POST", "/action", IdempotencyKey("k"))
-            assertIs<UpstreamReport.Answered>(run(closing, lookup).last)
-            assertIs<UpstreamReport.Answered>(run(closing, action).last, "it has a connection of its own")
-            val pooled = assertIs<UpstreamReport.Failed>(run(closing, lookup).last, "it meets the first's connection")
+            assertIs<UpstreamReport.Answered>(run(closing, lookup).finalReport)
+            assertIs<UpstreamReport.Answered>(run(closing, action).finalReport, "the keyed call has its own connection")
+            val pooled = assertIs<UpstreamReport.Failed>(run(closing, lookup).finalReport, "the peer closed it")
             assertEquals(Execution.UNKNOWN, pooled.execution)
             assertEquals(1, peer.requests.count { it.startsWith("POST") })
-            assertEquals(2, peer.requests.count { it.startsWith("GET") }, "what was sent is not sent again")
+            assertEquals(2, peer.requests.count { it.startsWith("GET") }, "a sent call is not sent again")
         }
     }
 
     @Test
-    fun theRequestCarriesWhatTheRouterDecidesAndTheRestAsItCame() {
+    fun engineRequestReplacesRouterMembersAndKeepsTheOthers() {
         FaultyPeer(PeerBehaviour.SendTo("/v1/", FaultyPeer.answer(503, "{}"))).use { peer ->
             val recorded = upstream("recorded", peer.address)
-            val content = generation(GenerationShape.CHAT, "p").copy(model = ModelName("lesson-8b"))
+            val content = generation(GenerationApi.CHAT, "p").copy(model = ModelName("lesson-8b"))
             run(recorded, UpstreamCall.Prefill(content, priority = 3))
             run(recorded, decode(content, bound = 7, ticket = null, fromIndex = 2))
             val (prefilled, decoded) = peer.requests.map { it.substringAfter("\r\n\r\n") }
@@ -177,11 +181,11 @@
     }
 
     @Test
-    fun aCallThatTheEngineMayNotHaveReadIsNotConfirmedAsGone() {
+    fun cancelOfACallThatMayBeUnreadIsNotConfirmed() {
         val unknown = FaultyPeer.answer(200, """{"cancelled":false}""")
         FaultyPeer(PeerBehaviour.SendTo("/v1/cancel", unknown)).use { peer ->
             val silent = upstream("silent", peer.address)
-            val call = start(silent, decode(generation(GenerationShape.TEXT, "p"), 2))
+            val call = start(silent, decode(generation(GenerationApi.TEXT, "p"), 2))
             peer.awaitRequest()
             assertTrue(!cancel(call.attempt, silent))
         }
@@ -191,8 +195,8 @@
 
     private fun loopback(port: Int) = Address("127.0.0.1", port)
 
-    private data class FailedRow(val ended: EndedCall, val cause: FaultCause)
+    private data class NotRunRow(val ended: CompletedCall, val cause: FaultCause)
 
     /** [plain] is null when the answer is passed on to the caller. */
-    private data class PeerRow(val behaviour: PeerBehaviour, val decode: Execution, val plain: Execution?)
+    private data class PeerFaultRow(val behaviour: PeerBehaviour, val decode: Execution, val plain: Execution?)
 }
--- a/http/src/test/kotlin/org/lovageladder/http/InMemoryKeyValueStore.kt
+++ b/http/src/test/kotlin/org/lovageladder/http/InMemoryKeyValueStore.kt
@@ -12,17 +12,17 @@
 import kotlin.time.Duration
 
 /**
- * Key-value service in memory that answers before a call returns. Leases lapse when [now] passes their end.
- * [down] makes it answer nothing; [loseNextAnswer] lets the next write take effect and loses its answer.
+ * In-memory key-value store that answers synchronously. Leases expire when [now] reaches their end. While [isDown],
+ * every call is unavailable; [loseNextAnswer] makes the next write take effect but drops its answer.
  */
 internal class InMemoryKeyValueStore(private val now: () -> Duration) : KeyValueStore {
-    private val entries = TreeMap<String, Held>()
+    private val entries = TreeMap<String, EntryWithLease>()
     private val leases = HashMap<Long, Lease>()
     private val watches = LinkedHashSet<Watch>()
     private var revision = 1L
     private var lastLease = 0L
 
-    var down: Boolean = false
+    var isDown: Boolean = false
         set(value) {
             field = value
             if (value) endWatches()
@@ -32,21 +32,21 @@
 
     @Synchronized
     override fun call(request: StoreRequest, timeout: Duration, answer: (StoreAnswer) -> Unit) {
-        if (down) {
-            answer(StoreAnswer.Unavailable(lost("it is down")))
+        if (isDown) {
+            answer(StoreAnswer.Unavailable(connectionLost("the store is down")))
             return
         }
-        dropLapsed()
+        removeExpired()
         val result = run(request)
         val lose = loseNextAnswer && result is StoreAnswer.Written
         if (lose) loseNextAnswer = false
-        answer(if (lose) StoreAnswer.Unavailable(lost("its answer was lost")) else result)
+        answer(if (lose) StoreAnswer.Unavailable(connectionLost("the answer was lost")) else result)
     }
 
     @Synchronized
     override fun watch(prefix: String, changed: (StoredEntry) -> Unit, ended: (Fault) -> Unit): AutoCloseable {
         val watch = Watch(prefix, changed, ended)
-        if (down) ended(lost("it is down")) else watches.add(watch)
+        if (isDown) ended(connectionLost("the store is down")) else watches.add(watch)
         return AutoCloseable { watches.remove(watch) }
     }
 
@@ -70,14 +70,14 @@
         return when {
             current.isNotEmpty() -> StoreAnswer.Conflict(current)
             request.lease != null && request.lease !in leases ->
-                StoreAnswer.Unavailable(Fault(Step.STORE, PEER, FaultCause.REJECTED, "no such lease"))
+                StoreAnswer.Unavailable(Fault(Step.STORE, PEER, FaultCause.REJECTED, "the lease does not exist"))
             else -> write(request.writes, request.lease)
         }
     }
 
     private fun replace(request: StoreRequest.Replace): StoreAnswer {
-        val held = entries[request.write.key]
-        if (held?.entry?.revision != request.expectedRevision) return StoreAnswer.Conflict(listOfNotNull(held?.entry))
+        val old = entries[request.write.key]
+        if (old?.entry?.revision != request.expectedRevision) return StoreAnswer.Conflict(listOfNotNull(old?.entry))
         return write(listOf(request.write), lease = null)
     }
 
@@ -85,7 +85,7 @@
         revision++
         for (write in writes) {
             val entry = StoredEntry(write.key, write.value, revision)
-            entries[write.key] = Held(entry, lease)
+            entries[write.key] = EntryWithLease(entry, lease)
             watches.toList().filter { write.key.startsWith(it.prefix) }.forEach { it.changed(entry) }
         }
         return StoreAnswer.Written(revision)
@@ -102,7 +102,7 @@
         return StoreAnswer.Leased(id, lease.timeToLive)
     }
 
-    private fun dropLapsed() {
+    private fun removeExpired() {
         leases.values.removeIf { it.end <= now() }
         entries.values.removeIf { it.lease != null && it.lease !in leases }
     }
@@ -110,12 +110,12 @@
     private fun endWatches() {
         val ending = watches.toList()
         watches.clear()
-        ending.forEach { it.ended(lost("the watch ended")) }
+        ending.forEach { it.ended(connectionLost("the watch ended")) }
     }
 
-    private fun lost(detail: String) = Fault(Step.STORE, PEER, FaultCause.CONNECTION_LOST, detail)
+    private fun connectionLost(detail: String) = Fault(Step.STORE, PEER, FaultCause.CONNECTION_LOST, detail)
 
-    private data class Held(val entry: StoredEntry, val lease: Long?)
+    private data class EntryWithLease(val entry: StoredEntry, val lease: Long?)
 
     private data class Lease(val timeToLive: Duration, val end: Duration)
 
--- a/http/src/test/kotlin/org/lovageladder/http/KeyValueStoreContract.kt
+++ b/http/src/test/kotlin/org/lovageladder/http/KeyValueStoreContract.kt
@@ -18,18 +18,18 @@
 import kotlin.test.assertTrue
 import kotlin.time.Duration.Companion.seconds
 
-/** What every [KeyValueStore] has to do. */
+/** Behaviour required of every [KeyValueStore]. */
 internal abstract class KeyValueStoreContract {
     protected abstract val store: KeyValueStore
 
-    /** Makes the service down, with its connections closed. */
-    protected abstract fun takeDown()
+    /** Makes the service unavailable and closes its connections. */
+    protected abstract fun stopService()
 
-    /** Lets the next write take effect and loses its answer. */
+    /** Makes the next write take effect but drops its answer. */
     protected abstract fun loseNextAnswer()
 
-    /** Lets the time of a lease of one second pass. */
-    protected abstract fun letLeaseLapse()
+    /** Advances the clock past the end of a lease of one second; nothing to do for a service that uses real time. */
+    protected abstract fun expireLease()
 
     @AfterTest
     fun closeStore() {
@@ -61,7 +61,7 @@
     }
 
     @Test
-    fun replaceNeedsTheExpectedRevision() {
+    fun replaceRequiresTheExpectedRevision() {
         val first = assertIs<StoreAnswer.Written>(call(create("k" to "1"))).revision
         val second = assertIs<StoreAnswer.Written>(call(StoreRequest.Replace(StoreWrite("k", "2"), first))).revision
         assertTrue(second > first)
@@ -75,7 +75,7 @@
     }
 
     @Test
-    fun keysAreReadInOrderAfterAGivenOne() {
+    fun readAfterReturnsKeysInOrder() {
         val keys = listOf("n/1", "n/2", "n/2/x", "n/ő", "n0", "m", "o")
         call(create(*keys.map { it to "v" }.toTypedArray()))
         val rows = listOf(
@@ -94,44 +94,44 @@
     }
 
     @Test
-    fun leasesAreGrantedRenewedAndLapseWithTheirKeys() {
+    fun expiredLeaseRemovesItsKeys() {
         val lease = assertIs<StoreAnswer.Leased>(call(StoreRequest.GrantLease(1.seconds)))
         assertEquals(1.seconds, lease.timeToLive)
         assertIs<StoreAnswer.Written>(call(StoreRequest.Create(listOf(StoreWrite("seat", "me")), lease.lease)))
         val renewed = assertIs<StoreAnswer.Leased>(call(StoreRequest.RenewLease(lease.lease)))
         assertEquals(lease, renewed)
-        letLeaseLapse()
-        awaitTrue("the key goes with its lease") { read("seat").isEmpty() }
-        val lapsed = assertIs<StoreAnswer.Leased>(call(StoreRequest.RenewLease(lease.lease)))
-        assertEquals(0.seconds, lapsed.timeToLive)
+        expireLease()
+        awaitTrue("the key is removed with its lease") { read("seat").isEmpty() }
+        val expired = assertIs<StoreAnswer.Leased>(call(StoreRequest.RenewLease(lease.lease)))
+        assertEquals(0.seconds, expired.timeToLive)
         val rejected = call(StoreRequest.Create(listOf(StoreWrite("seat", "late")), lease.lease))
         assertEquals(FaultCause.REJECTED, assertIs<StoreAnswer.Unavailable>(rejected).fault.cause)
         assertEquals(emptyList(), read("seat"))
     }
 
     @Test
-    fun aWatchGivesWhatIsWrittenUnderItsPrefixUntilItIsClosed() {
+    fun watchReportsWritesUnderItsPrefixUntilClosed() {
         val seen = LinkedBlockingQueue<StoredEntry>()
         val ends = LinkedBlockingQueue<Fault>()
         val handle = store.watch("w/", seen::add, ends::add)
         awaitEstablished("w/marker", seen)
         val first = assertIs<StoreAnswer.Written>(call(create("w/1" to "ő", "w0" to "no", "v" to "no"))).revision
         val second = assertIs<StoreAnswer.Written>(call(StoreRequest.Replace(StoreWrite("w/1", "b"), first))).revision
-        assertEquals(StoredEntry("w/1", "ő", first), poll(seen))
-        assertEquals(StoredEntry("w/1", "b", second), poll(seen))
+        assertEquals(StoredEntry("w/1", "ő", first), nextEntry(seen))
+        assertEquals(StoredEntry("w/1", "b", second), nextEntry(seen))
         handle.close()
         call(create("w/2" to "c"))
-        assertTrue(ends.isEmpty(), "closing is not a fault")
+        assertTrue(ends.isEmpty(), "closing a watch is not reported as a fault")
         assertTrue(seen.isEmpty(), "$seen")
     }
 
     @Test
-    fun aBrokenWatchIsToldOnce() {
+    fun endOfAWatchIsReportedOnce() {
         val seen = LinkedBlockingQueue<StoredEntry>()
         val ends = LinkedBlockingQueue<Fault>()
         store.watch("w/", seen::add, ends::add)
         awaitEstablished("w/marker", seen)
-        takeDown()
+        stopService()
         assertNotNull(ends.poll(10, TimeUnit.SECONDS))
         store.watch("w/", seen::add, ends::add)
         assertNotNull(ends.poll(10, TimeUnit.SECONDS))
@@ -139,8 +139,8 @@
     }
 
     @Test
-    fun aServiceThatIsDownIsUnavailable() {
-        takeDown()
+    fun everyRequestIsUnavailableWhenTheServiceIsDown() {
+        stopService()
         val requests = listOf(
             create("a" to "1"),
             StoreRequest.Replace(StoreWrite("a", "1"), 1),
@@ -155,7 +155,7 @@
     }
 
     @Test
-    fun aWriteWhoseAnswerIsLostTookEffect() {
+    fun writeWithLostAnswerTakesEffect() {
         loseNextAnswer()
         assertIs<StoreAnswer.Unavailable>(call(create("lost" to "1")))
         val written = read("lost").single()
@@ -174,18 +174,18 @@
     protected fun create(vararg writes: Pair<String, String>): StoreRequest.Create =
         StoreRequest.Create(writes.map { (key, value) -> StoreWrite(key, value) })
 
-    private fun poll(seen: LinkedBlockingQueue<StoredEntry>) =
-        assertNotNull(seen.poll(10, TimeUnit.SECONDS), "nothing was seen")
+    private fun nextEntry(seen: LinkedBlockingQueue<StoredEntry>) =
+        assertNotNull(seen.poll(10, TimeUnit.SECONDS), "the watch reported no entry")
 
-    /** Writes markers until the watch shows one, and takes out of [seen] all that it shows of them. */
+    /** Writes markers until the watch reports one, then removes all reported markers from [seen]. */
     private fun awaitEstablished(prefix: String, seen: LinkedBlockingQueue<StoredEntry>) {
         var written = 0
-        var shown: StoredEntry?
+        var reported: StoredEntry?
         do {
             call(create("$prefix${++written}" to ""))
-            shown = seen.poll(MARKER_PAUSE_MILLISECONDS, TimeUnit.MILLISECONDS)
-        } while (shown == null)
-        while (shown?.key != "$prefix$written") shown = poll(seen)
+            reported = seen.poll(MARKER_INTERVAL_MILLISECONDS, TimeUnit.MILLISECONDS)
+        } while (reported == null)
+        while (reported?.key != "$prefix$written") reported = nextEntry(seen)
     }
 
     private data class CreateRow(val writes: List<Pair<String, String>>, val conflict: List<Pair<String, String>>?)
@@ -193,6 +193,6 @@
     private data class RangeRow(val prefix: String, val after: String, val limit: Int, val keys: List<String>)
 
     private companion object {
-        const val MARKER_PAUSE_MILLISECONDS = 50L
+        const val MARKER_INTERVAL_MILLISECONDS = 50L
     }
 }
--- a/http/src/test/kotlin/org/lovageladder/http/ManyStreamsTest.kt
+++ b/http/src/test/kotlin/org/lovageladder/http/ManyStreamsTest.kt
@@ -29,7 +29,7 @@
 
 class ManyStreamsTest {
     @Test
-    fun aThousandStreamsAreWholeAndTheirOwn() {
+    fun thousandConcurrentStreamsAreCompleteAndNotMixedUp() {
         val settings = EngineSettings(
             pieces = STREAMS,
             maximumRunning = STREAMS,
@@ -39,9 +39,9 @@
         )
         EngineStandIn.start(settings = settings).use { engine ->
             openHttpUpstreamGateway().use { gateway ->
-                PassingOn(gateway, upstream(Address("127.0.0.1", engine.port))).use { entry ->
+                ForwardingServer(gateway, upstream(Address("127.0.0.1", engine.port))).use { entry ->
                     val texts = streamAll(gateway, upstream(entry.address))
-                    assertEquals(STREAMS, texts.map { it.substringAfter('-').take(6) }.toSet().size, "own marks")
+                    assertEquals(STREAMS, texts.map { it.substringAfter('-').take(6) }.toSet().size, "unique marks")
                     texts.forEach { assertTokens(it) }
                 }
             }
@@ -49,7 +49,7 @@
     }
 
     private fun streamAll(gateway: UpstreamGateway, entry: ReleaseEntry.Upstream): List<String> {
-        val ended = CountDownLatch(STREAMS)
+        val endedStreams = CountDownLatch(STREAMS)
         val texts = List(STREAMS) { StringBuffer() }
         texts.forEachIndexed { number, text ->
             val call = UpstreamCall.Decode(
@@ -64,11 +64,11 @@
                     text.append(report.text)
                 } else {
                     if (report != UpstreamReport.Finished(TOKENS, "length")) text.append(report)
-                    ended.countDown()
+                    endedStreams.countDown()
                 }
             }
         }
-        assertTrue(ended.await(60, TimeUnit.SECONDS), "${ended.count} streams did not end")
+        assertTrue(endedStreams.await(60, TimeUnit.SECONDS), "${endedStreams.count} streams did not end")
         return texts.map { it.toString() }
     }
 
@@ -89,8 +89,8 @@
     }
 }
 
-/** A server towards callers that hands each generation to one engine. */
-private class PassingOn(private val gateway: UpstreamGateway, private val engine: ReleaseEntry.Upstream) :
+/** Caller server that forwards each generation to one engine. */
+private class ForwardingServer(private val gateway: UpstreamGateway, private val engine: ReleaseEntry.Upstream) :
     CallerHandler,
     AutoCloseable {
     private val server = startCallerServer(Address("127.0.0.1", 0), HttpLimits(), this, SimpleMeterRegistry())
@@ -106,7 +106,7 @@
                 is UpstreamReport.Token -> server.giveToken(exchange, report.index, report.text)
                 is UpstreamReport.Finished ->
                     server.giveOutcome(exchange, request, Outcome.Generated(report.finishReason, 2, report.tokens))
-                else -> server.giveOutcome(exchange, request, refused(report))
+                else -> server.giveOutcome(exchange, request, refusal(report))
             }
         }
     }
@@ -117,6 +117,6 @@
 
     override fun close(): Unit = server.close()
 
-    private fun refused(report: UpstreamReport) =
+    private fun refusal(report: UpstreamReport) =
         Outcome.Refused(RefusalReason.UPSTREAM_FAILED, Execution.UNKNOWN, detail = report.toString())
 }
--- a/http/src/test/kotlin/org/lovageladder/http/StandInCalls.kt
+++ b/http/src/test/kotlin/org/lovageladder/http/StandInCalls.kt
@@ -8,7 +8,7 @@
 
 private val client: HttpClient = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build()
 
-/** Calls a server with a client that is not under test. */
+/** Sends a `POST` with the JDK's HTTP client, which is not under test. */
 internal fun postJson(address: Address, path: String, body: String): CallerAnswer =
     send(address, path) { POST(HttpRequest.BodyPublishers.ofString(body)) }
 
--- a/http/src/test/kotlin/org/lovageladder/http/UpstreamGatewayContract.kt
+++ b/http/src/test/kotlin/org/lovageladder/http/UpstreamGatewayContract.kt
@@ -29,93 +29,94 @@
 import kotlin.test.assertNull
 import kotlin.test.assertTrue
 
-/** What every [UpstreamGateway] has to do with engines and plain services that work. */
+/** Behaviour required of every [UpstreamGateway] towards engines and plain services that work. */
 internal abstract class UpstreamGatewayContract {
     protected abstract val gateway: UpstreamGateway
 
-    /** An engine that prefills only. */
+    /** An engine with the prefill role. */
     protected abstract val prefillEngine: ReleaseEntry.Upstream
 
-    /** An engine that decodes, with memory for at least four calls. */
+    /** An engine with the decode role and memory for at least four calls. */
     protected abstract val decodeEngine: ReleaseEntry.Upstream
 
     /** A plain service that checks fencing numbers. */
     protected abstract val service: ReleaseEntry.Upstream
 
-    /** How often the plain service executed [key]. */
+    /** How often the plain service has executed the action with [key]. */
     protected abstract fun executions(key: IdempotencyKey): Int
 
-    /** Tokens of a prompt, as the engines produce them. */
+    /** The tokens that the engines produce for [prompt], for the indices in [range]. */
     protected abstract fun tokens(prompt: String, range: IntRange): List<String>
 
     private val lastAttempt = AtomicInteger()
 
     @Test
-    fun aPrefillGoesOnAsADecodeWithEachTokenOnce() {
-        for (shape in GenerationShape.entries) {
-            val content = generation(shape, "one two three")
-            val ready = run(prefillEngine, UpstreamCall.Prefill(content, priority = 0)).last
+    fun decodeContinuesAPrefillAndReportsEachTokenOnce() {
+        for (api in GenerationApi.entries) {
+            val content = generation(api, "one two three")
+            val ready = run(prefillEngine, UpstreamCall.Prefill(content, priority = 0)).finalReport
             val ticket = assertIs<UpstreamReport.PrefillReady>(ready).ticket
             assertTrue(ticket.keepFor.isPositive())
             val decoded = run(decodeEngine, decode(content, bound = 4, ticket))
-            assertEquals(tokens("one two three", 0..3), decoded.tokens.map { it.text }, "$shape")
-            assertEquals((0..3).toList(), decoded.tokens.map { it.index }, "$shape")
-            assertEquals(UpstreamReport.Finished(4, "length"), decoded.last, "$shape")
+            assertEquals(tokens("one two three", 0..3), decoded.tokens.map { it.text }, "$api")
+            assertEquals((0..3).toList(), decoded.tokens.map { it.index }, "$api")
+            assertEquals(UpstreamReport.Finished(4, "length"), decoded.finalReport, "$api")
         }
     }
 
     @Test
-    fun aStreamResumesFromAnIndex() {
-        val content = generation(GenerationShape.TEXT, "go on")
+    fun decodeResumesFromAnIndex() {
+        val content = generation(GenerationApi.TEXT, "go on")
         for (fromIndex in listOf(0, 1, 5)) {
             val decoded = run(decodeEngine, decode(content, bound = 6, ticket = null, fromIndex))
             assertEquals((fromIndex..5).toList(), decoded.tokens.map { it.index })
             assertEquals(tokens("go on", fromIndex..5), decoded.tokens.map { it.text })
-            assertEquals(UpstreamReport.Finished(6, "length"), decoded.last)
+            assertEquals(UpstreamReport.Finished(6, "length"), decoded.finalReport)
         }
     }
 
     @Test
-    fun aCancelledCallEndsAndTheEngineHoldsNothing() {
+    fun cancelEndsTheCallAndFreesTheEngine() {
         for (tokensSeen in 0..2) {
-            val call = start(decodeEngine, decode(generation(GenerationShape.TEXT, "long"), bound = 1000))
-            repeat(tokensSeen) { assertIs<UpstreamReport.Token>(call.next()) }
+            val call = start(decodeEngine, decode(generation(GenerationApi.TEXT, "long"), bound = 1000))
+            repeat(tokensSeen) { assertIs<UpstreamReport.Token>(call.nextReport()) }
             awaitTrue("the cancel is confirmed after $tokensSeen tokens") { cancel(call.attempt, decodeEngine) }
             assertEquals(emptyList(), running(decodeEngine))
-            val last = assertIs<UpstreamReport.Failed>(call.last())
-            assertEquals(FaultCause.CANCELLED, last.fault.cause)
+            val finalReport = assertIs<UpstreamReport.Failed>(call.awaitLast())
+            assertEquals(FaultCause.CANCELLED, finalReport.fault.cause)
             assertTrue(cancel(call.attempt, decodeEngine), "a repeated cancel is confirmed")
         }
     }
 
     @Test
-    fun aCallThatEndedIsConfirmedWithoutAsking() {
-        val finished = start(decodeEngine, decode(generation(GenerationShape.TEXT, "short"), bound = 1))
-        finished.last()
+    fun cancelOfACompletedCallIsConfirmedWithoutAskingTheEngine() {
+        val finished = start(decodeEngine, decode(generation(GenerationApi.TEXT, "short"), bound = 1))
+        finished.awaitLast()
         assertTrue(cancel(finished.attempt, decodeEngine))
         val answered = start(service, plain("GET", "/lookup", key = null))
-        answered.last()
+        answered.awaitLast()
         assertTrue(cancel(answered.attempt, service))
     }
 
     @Test
     fun runningCallsAreListedAndCancelledByName() {
-        val calls = List(2) { start(decodeEngine, decode(generation(GenerationShape.TEXT, "run"), bound = 1000)) }
-        calls.forEach { it.next() }
+        val calls = List(2) { start(decodeEngine, decode(generation(GenerationApi.TEXT, "run"), bound = 1000)) }
+        calls.forEach { it.nextReport() }
         val names = calls.map { it.attempt.toString() }
         assertEquals(names.toSet(), running(decodeEngine)?.toSet())
         assertTrue(awaitCallback { gateway.cancelByName(names[0], decodeEngine, it) })
         assertEquals(listOf(names[1]), running(decodeEngine))
-        assertTrue(awaitCallback { gateway.cancelByName("never-seen", decodeEngine, it) }, "nothing is held for it")
+        assertTrue(awaitCallback { gateway.cancelByName("never-seen", decodeEngine, it) }, "it never ran")
         assertTrue(cancel(calls[1].attempt, decodeEngine))
-        calls.forEach { assertIs<UpstreamReport.Failed>(it.last()) }
+        calls.forEach { assertIs<UpstreamReport.Failed>(it.awaitLast()) }
     }
 
     @Test
-    fun aPlainCallCarriesItsKeyAndIsExecutedOnce() {
+    fun plainCallSendsItsKeyAndIsExecutedOnce() {
         for (method in listOf("POST", "PUT", "DELETE")) {
             val key = IdempotencyKey("key-$method")
-            val answered = assertIs<UpstreamReport.Answered>(run(service, plain(method, "/seats/7?day=2", key)).last)
+            val answered =
+                assertIs<UpstreamReport.Answered>(run(service, plain(method, "/seats/7?day=2", key)).finalReport)
             assertEquals(200, answered.answer.status)
             assertEquals("application/json", answered.answer.contentType)
             assertTrue("key-$method" in answered.answer.body, answered.answer.body)
@@ -124,7 +125,7 @@
     }
 
     @Test
-    fun ordersAreCarriedOutInTheOrderOfTheirNumbers() {
+    fun orderWithOutdatedFencingNumberIsRefused() {
         val drill = ModelName("drill")
         val rows = listOf(
             OrderRow(UpstreamOrder.LoadAdapter(drill), 5, null),
@@ -140,24 +141,26 @@
             val fault = order(decodeEngine, row.order, row.fencing)
             assertEquals(row.cause, fault?.cause, "$row: $fault")
         }
-        val refused = run(decodeEngine, decode(generation(GenerationShape.TEXT, "p"), bound = 1)).last
+        val refused = run(decodeEngine, decode(generation(GenerationApi.TEXT, "p"), bound = 1)).finalReport
         assertEquals(Execution.NOT_RUN, assertIs<UpstreamReport.Failed>(refused).execution, "its role changed")
     }
 
     @Test
-    fun anOutdatedFencingNumberKeepsAPlainCallFromRunning() {
+    fun plainCallWithOutdatedFencingNumberIsNotRun() {
         val key = IdempotencyKey("fenced")
-        assertIs<UpstreamReport.Answered>(run(service, plain("POST", "/a", IdempotencyKey("new"), fencing = 9)).last)
-        val failed = assertIs<UpstreamReport.Failed>(run(service, plain("POST", "/a", key, fencing = 8)).last)
+        assertIs<UpstreamReport.Answered>(
+            run(service, plain("POST", "/a", IdempotencyKey("new"), fencing = 9)).finalReport,
+        )
+        val failed = assertIs<UpstreamReport.Failed>(run(service, plain("POST", "/a", key, fencing = 8)).finalReport)
         assertEquals(FaultCause.FENCED, failed.fault.cause)
         assertEquals(Execution.NOT_RUN, failed.execution)
         assertEquals(0, executions(key))
     }
 
     @Test
-    fun aDeadUpstreamRanNothing() {
-        val dead = upstream("dead", FaultyPeer.deadAddress())
-        val content = generation(GenerationShape.TEXT, "p")
+    fun callToUnreachableUpstreamIsReportedAsNotRun() {
+        val dead = upstream("dead", FaultyPeer.unusedAddress())
+        val content = generation(GenerationApi.TEXT, "p")
         val calls = listOf(
             UpstreamCall.Prefill(content, 0),
             decode(content, bound = 1),
@@ -165,7 +168,7 @@
             plain("GET", "/a", key = null),
         )
         for (call in calls) {
-            val failed = assertIs<UpstreamReport.Failed>(run(dead, call).last, "$call")
+            val failed = assertIs<UpstreamReport.Failed>(run(dead, call).finalReport, "$call")
             assertEquals(Execution.NOT_RUN, failed.execution, "$call")
             assertEquals("dead", failed.fault.peer, "$call")
         }
@@ -174,10 +177,10 @@
         assertNotNull(order(dead, UpstreamOrder.ChangeRole(PoolRole.DECODE), fencing = 1))
     }
 
-    protected fun run(upstream: ReleaseEntry.Upstream, call: UpstreamCall): EndedCall {
+    protected fun run(upstream: ReleaseEntry.Upstream, call: UpstreamCall): CompletedCall {
         val started = start(upstream, call)
-        val last = started.last()
-        return EndedCall(started.tokensSeen, last)
+        val finalReport = started.awaitLast()
+        return CompletedCall(started.tokensSeen, finalReport)
     }
 
     protected fun start(upstream: ReleaseEntry.Upstream, call: UpstreamCall): ReportedCall {
@@ -196,11 +199,11 @@
     protected fun order(upstream: ReleaseEntry.Upstream, order: UpstreamOrder, fencing: Long): Fault? =
         awaitCallback { gateway.order(upstream, order, fencing, it) }
 
-    protected fun generation(shape: GenerationShape, prompt: String) = RequestContent.Generation(
-        path = shape.path,
-        body = when (shape) {
-            GenerationShape.TEXT -> """{"prompt":"$prompt","max_tokens":3,"temperature":0.5}"""
-            GenerationShape.CHAT -> """{"messages":[{"role":"user","content":"$prompt"}],"max_completion_tokens":9}"""
+    protected fun generation(api: GenerationApi, prompt: String) = RequestContent.Generation(
+        path = api.path,
+        body = when (api) {
+            GenerationApi.TEXT -> """{"prompt":"$prompt","max_tokens":3,"temperature":0.5}"""
+            GenerationApi.CHAT -> """{"messages":[{"role":"user","content":"$prompt"}],"max_completion_tokens":9}"""
         },
         promptTokens = 3,
         outputTokens = null,
@@ -220,18 +223,18 @@
     protected fun upstream(name: String, address: Address) =
         ReleaseEntry.Upstream(UpstreamName(name), PoolName("pool"), HostName("host"), address)
 
-    protected data class EndedCall(val tokens: List<UpstreamReport.Token>, val last: UpstreamReport)
+    protected data class CompletedCall(val tokens: List<UpstreamReport.Token>, val finalReport: UpstreamReport)
 
-    /** A started call and what was reported of it. */
+    /** A started call and its reports. */
     protected class ReportedCall(val attempt: AttemptId) {
         val reports = LinkedBlockingQueue<UpstreamReport>()
         val tokensSeen = ArrayList<UpstreamReport.Token>()
 
-        fun next(): UpstreamReport = assertNotNull(reports.poll(20, TimeUnit.SECONDS), "nothing was reported")
+        fun nextReport(): UpstreamReport = assertNotNull(reports.poll(20, TimeUnit.SECONDS), "no report arrived")
 
-        fun last(): UpstreamReport {
+        fun awaitLast(): UpstreamReport {
             while (true) {
-                val report = next()
+                val report = nextReport()
                 if (report !is UpstreamReport.Token) return report
                 tokensSeen.add(report)
             }
