--- a/http/src/main/kotlin/org/lovageladder/http/CallerConnection.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/CallerConnection.kt
@@ -224,7 +224,7 @@
     }
 
     private fun bodyTooLarge() =
-        RequestError(STATUS_TOO_LARGE, "body-too-large", "the body is larger than ${limits.bodyBytes} bytes", "body")
+        RequestError(STATUS_CONTENT_TOO_LARGE, "body-too-large", "the body is larger than ${limits.bodyBytes} bytes", "body")
 
     private fun decodingError(cause: Throwable): RequestError = when (cause) {
         is TooLongHttpHeaderException ->
--- a/http/src/main/kotlin/org/lovageladder/http/RequestParsing.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/RequestParsing.kt
@@ -66,8 +66,8 @@
         val detail = "method ${request.method} is not passed on; allowed are ${FORWARDED_METHODS.joinToString()}"
         throw InvalidRequestException(RequestError(STATUS_METHOD_NOT_ALLOWED, "wrong-method", detail, "method"))
     }
-    val target = request.target.removePrefix(SERVICES_PREFIX)
-    val name = target.takeWhile { it != '/' && it != '?' }
+    val serviceTarget = request.target.removePrefix(SERVICES_PREFIX)
+    val name = serviceTarget.takeWhile { it != '/' && it != '?' }
     if (name.isEmpty()) {
         throw InvalidRequestException(
             RequestError(
@@ -78,7 +78,7 @@
             ),
         )
     }
-    val upstreamPath = target.removePrefix(name).let { if (it.startsWith('/')) it else "/$it" }
+    val upstreamPath = serviceTarget.removePrefix(name).let { if (it.startsWith('/')) it else "/$it" }
     val body = decodeUtf8(request.body)
     val content = RequestContent.Plain(
         method = request.method,
