--- a/http/src/main/kotlin/org/lovageladder/http/CallerConnection.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/CallerConnection.kt
@@ -223,8 +223,12 @@
         queued.clear()
     }
 
-    private fun bodyTooLarge() =
-        RequestError(STATUS_CONTENT_TOO_LARGE, "body-too-large", "the body is larger than ${limits.bodyBytes} bytes", "body")
+    private fun bodyTooLarge() = RequestError(
+        STATUS_CONTENT_TOO_LARGE,
+        "body-too-large",
+        "the body is larger than ${limits.bodyBytes} bytes",
+        "body",
+    )
 
     private fun decodingError(cause: Throwable): RequestError = when (cause) {
         is TooLongHttpHeaderException ->
