--- a/core/src/main/kotlin/org/lovageladder/core/Attempts.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/Attempts.kt
@@ -1,42 +1,42 @@
 package org.lovageladder.core
 
-/** Receives what becomes of one attempt. Exactly one of the last reports ends the attempt. */
-internal interface AttemptOwner {
-    /** A message about [attempt] arrived. */
-    fun received(attempt: Attempt, message: PeerMessage, now: Moment)
+/** Receives the messages and the connection loss of an attempt. Exactly one of them ends the attempt. */
+internal interface AttemptListener {
+    /** Handles a message about [attempt]. */
+    fun onMessage(attempt: Attempt, message: PeerMessage, now: Moment)
 
-    /** The connection that carried [attempt] is gone, and nothing more will be heard of it on that connection. */
-    fun lost(attempt: Attempt, fault: Fault, now: Moment)
+    /** Handles the loss of the connection that carried [attempt]; no more messages about it arrive on it. */
+    fun onConnectionLost(attempt: Attempt, fault: Fault, now: Moment)
 }
 
-/** One attempt under way at a companion. */
+/** An attempt in flight at a companion. */
 internal class Attempt(
     val id: AttemptId,
     val upstream: UpstreamRecord,
     val link: CompanionLink,
     val connection: ConnectionId,
-    val owner: AttemptOwner,
+    val listener: AttemptListener,
     val startedAt: Moment,
     val pieces: Int = 0,
     val promptTokens: Int = 0,
 ) {
-    /** Whether the asked pieces and tokens still count, that is, no ledger state came after the asking. */
-    var counted: Boolean = true
+    /** Whether the pieces and tokens count as pending: the companion has not answered with its ledger state yet. */
+    var isPending: Boolean = true
 }
 
-/** All attempts of this entry under way, by identifier. Confined to one thread. */
+/** All attempts of this entry in flight, by identifier. Confined to one thread. */
 internal class Attempts(private val links: CompanionLinks, private val table: UpstreamTable) {
     private val open = HashMap<AttemptId, Attempt>()
 
     operator fun get(id: AttemptId): Attempt? = open[id]
 
-    fun runsOn(host: HostName): Boolean = open.values.any { it.link.host == host }
+    fun hasAttemptsAt(host: HostName): Boolean = open.values.any { it.link.host == host }
 
-    /** Begins an attempt by sending [message]; null when the upstream's companion is not connected. */
-    fun begin(
+    /** Starts an attempt by sending [message]; returns null when the upstream's companion is not connected. */
+    fun start(
         id: AttemptId,
         upstream: UpstreamRecord,
-        owner: AttemptOwner,
+        listener: AttemptListener,
         message: PeerMessage,
         now: Moment,
         pieces: Int = 0,
@@ -44,29 +44,29 @@
     ): Attempt? {
         val link = links.up(upstream.entry.host) ?: return null
         val connection = link.connection ?: return null
-        val attempt = Attempt(id, upstream, link, connection, owner, now, pieces, promptTokens)
+        val attempt = Attempt(id, upstream, link, connection, listener, now, pieces, promptTokens)
         open[id] = attempt
         upstream.inFlight++
-        upstream.piecesAsked += pieces
-        upstream.promptTokensAsked += promptTokens
+        upstream.pendingPieces += pieces
+        upstream.pendingPromptTokens += promptTokens
         links.send(link, message)
         return attempt
     }
 
-    /** Takes in [load], which shows what was asked for before. */
-    fun learn(attempt: Attempt, load: UpstreamLoad?, now: Moment) {
-        load?.let { table.learn(it, now) }
-        uncount(attempt)
+    /** Records [load], which already includes what [attempt] requested. */
+    fun recordLoad(attempt: Attempt, load: UpstreamLoad?, now: Moment) {
+        load?.let { table.recordLoad(it, now) }
+        removeFromPending(attempt)
     }
 
-    /** Ends an attempt whose last report arrived. */
+    /** Ends an attempt whose final message arrived. */
     fun end(attempt: Attempt) {
         if (open.remove(attempt.id) == null) return
         attempt.upstream.inFlight--
-        uncount(attempt)
+        removeFromPending(attempt)
     }
 
-    /** Ends an attempt that is no longer wanted and frees what it holds at its companion. */
+    /** Ends an attempt that is no longer needed and frees what it holds at its companion. */
     fun cancel(attempt: Attempt) {
         if (open[attempt.id] !== attempt) return
         end(attempt)
@@ -75,17 +75,17 @@
         }
     }
 
-    /** Ends all attempts carried by [connection] and tells their owners. */
-    fun connectionLost(connection: ConnectionId, fault: Fault, now: Moment) {
+    /** Ends all attempts carried by [connection] and notifies their listeners. */
+    fun onConnectionLost(connection: ConnectionId, fault: Fault, now: Moment) {
         val lost = open.values.filter { it.connection == connection }.sortedBy { it.id.toString() }
         lost.forEach(::end)
-        lost.forEach { it.owner.lost(it, fault, now) }
+        lost.forEach { it.listener.onConnectionLost(it, fault, now) }
     }
 
-    private fun uncount(attempt: Attempt) {
-        if (!attempt.counted) return
-        attempt.counted = false
-        attempt.upstream.piecesAsked -= attempt.pieces
-        attempt.upstream.promptTokensAsked -= attempt.promptTokens
+    private fun removeFromPending(attempt: Attempt) {
+        if (!attempt.isPending) return
+        attempt.isPending = false
+        attempt.upstream.pendingPieces -= attempt.pieces
+        attempt.upstream.pendingPromptTokens -= attempt.promptTokens
     }
 }
--- a/core/src/main/kotlin/org/lovageladder/core/ClaimWriter.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/ClaimWriter.kt
@@ -2,123 +2,130 @@
 
 import kotlin.time.Duration.Companion.milliseconds
 
-/** What became of the creation of a claim. */
-internal sealed interface ClaimAnswer {
-    /** The claim is ours, written at [revision]. */
-    data class Ours(val revision: Long) : ClaimAnswer
+/** Result of creating a claim. */
+internal sealed interface ClaimResult {
+    /** The claim was created at [revision]. */
+    data class Created(val revision: Long) : ClaimResult
 
-    /** Another submission claimed the key before. */
-    data class Theirs(val entry: StoredEntry) : ClaimAnswer
+    /** Another submission has already claimed the key; [entry] is its claim. */
+    data class AlreadyClaimed(val entry: StoredEntry) : ClaimResult
 
-    /** The key-value service gave no answer; the claim may stand. */
-    data class Unavailable(val fault: Fault) : ClaimAnswer
+    /** The key-value service gave no answer; the claim may have been created. */
+    data class Unavailable(val fault: Fault) : ClaimResult
 
-    /** The key-value service is not answering at present and was not asked. */
-    data class NotAsked(val fault: Fault) : ClaimAnswer
+    /** The request was not sent, since the key-value service is unavailable. */
+    data class NotSent(val fault: Fault) : ClaimResult
 }
 
 /**
  * Creates claims in the key-value service. While one transaction is in flight, further claims wait and share the
- * next one, so that the rate of calls is bounded by the service's latency and not by the rate of actions. Claims
- * expire with a lease that many of them share.
+ * next one, so that the rate of transactions is limited by the service's latency instead of by the request rate.
+ * Claims expire with a lease that many of them share.
  *
- * After a call without an answer, new claims are turned away at once while a further call is in flight and for
- * [DOUBT] after it, so that callers need not wait for a service that is away. Confined to one thread.
+ * After a call without an answer, new claims fail at once while a further call is in flight and for [SKIP_PERIOD]
+ * after the last failure, so that callers don't wait for a service that is unavailable. Confined to one thread.
  */
 internal class ClaimWriter(private val settings: EntrySettings, private val output: EntryOutput) {
-    private class Pending(val write: StoreWrite, val answered: (ClaimAnswer, Moment) -> Unit)
+    private class PendingClaim(val write: StoreWrite, val onResult: (ClaimResult, Moment) -> Unit)
 
-    private val waiting = ArrayDeque<Pending>()
-    private var inFlight = false
+    private val waiting = ArrayDeque<PendingClaim>()
+    private var isCallInFlight = false
     private var lease: Long? = null
-    private var leaseSince = Moment(0)
-    private var doubt: Fault? = null
-    private var doubtUntil = Moment(0)
+    private var leaseGrantedAt = Moment(0)
+    private var storeFault: Fault? = null
+    private var skipUntil = Moment(0)
 
-    /** Creates [record] at [storeKey] unless the key exists; a [repeated] call is made whatever the doubt. */
+    /** Creates [record] at [storeKey] unless the key exists. A retry is sent even while the service is unavailable. */
     fun create(
         storeKey: String,
         record: ClaimRecord,
         now: Moment,
-        repeated: Boolean,
-        answered: (ClaimAnswer, Moment) -> Unit,
+        isRetry: Boolean,
+        onResult: (ClaimResult, Moment) -> Unit,
     ) {
-        val inDoubt = doubt?.takeIf { inFlight || now < doubtUntil }
-        if (inDoubt != null && !repeated) {
-            answered(ClaimAnswer.NotAsked(inDoubt), now)
+        val skipReason = storeFault?.takeIf { isCallInFlight || now < skipUntil }
+        if (skipReason != null && !isRetry) {
+            onResult(ClaimResult.NotSent(skipReason), now)
             return
         }
-        waiting += Pending(StoreWrite(storeKey, encodeClaim(record)), answered)
+        waiting += PendingClaim(StoreWrite(storeKey, encodeClaim(record)), onResult)
         send(now)
     }
 
     private fun send(now: Moment) {
-        if (inFlight || waiting.isEmpty()) return
-        inFlight = true
+        if (isCallInFlight || waiting.isEmpty()) return
+        isCallInFlight = true
         val current = lease
-        if (current == null || now - leaseSince > settings.claimLeaseTimeToLive * LEASE_SHARED_PART) {
-            output.askStore(StoreRequest.GrantLease(settings.claimLeaseTimeToLive), settings.storeTimeout, ::leased)
+        if (current == null || now - leaseGrantedAt > settings.claimLeaseTimeToLive * LEASE_SHARED_FRACTION) {
+            output.askStore(
+                StoreRequest.GrantLease(settings.claimLeaseTimeToLive),
+                settings.storeTimeout,
+                ::onLeaseAnswer,
+            )
         } else {
-            write(current)
+            writeBatch(current)
         }
     }
 
-    private fun judge(answer: StoreAnswer, now: Moment) {
-        doubt = (answer as? StoreAnswer.Unavailable)?.fault
-        doubtUntil = now + DOUBT
+    private fun updateAvailability(answer: StoreAnswer, now: Moment) {
+        storeFault = (answer as? StoreAnswer.Unavailable)?.fault
+        skipUntil = now + SKIP_PERIOD
     }
 
-    private fun leased(answer: StoreAnswer, now: Moment) {
-        judge(answer, now)
+    private fun onLeaseAnswer(answer: StoreAnswer, now: Moment) {
+        updateAvailability(answer, now)
         if (answer is StoreAnswer.Leased) {
             lease = answer.lease
-            leaseSince = now
-            write(answer.lease)
+            leaseGrantedAt = now
+            writeBatch(answer.lease)
             return
         }
-        inFlight = false
+        isCallInFlight = false
         val fault = faultOf(answer)
         val failed = waiting.toList()
         waiting.clear()
-        failed.forEach { it.answered(ClaimAnswer.Unavailable(fault), now) }
+        failed.forEach { it.onResult(ClaimResult.Unavailable(fault), now) }
     }
 
-    private fun write(lease: Long) {
-        val batch = distinctKeys()
+    private fun writeBatch(lease: Long) {
+        val batch = takeBatch()
         val request = StoreRequest.Create(batch.map { it.write }, lease)
-        output.askStore(request, settings.storeTimeout) { answer, now -> written(batch, answer, now) }
+        output.askStore(request, settings.storeTimeout) { answer, now -> onWriteAnswer(batch, answer, now) }
     }
 
-    /** Takes up to [BATCH_LIMIT] waiting claims; of two with one key the second waits for the next transaction. */
-    private fun distinctKeys(): List<Pending> {
+    /** Takes up to [MAXIMUM_BATCH] waiting claims. Of two with the same key, the second waits for the next batch. */
+    private fun takeBatch(): List<PendingClaim> {
         val keys = mutableSetOf<String>()
-        val batch = waiting.filter { keys.size < BATCH_LIMIT && keys.add(it.write.key) }
+        val batch = waiting.filter { keys.size < MAXIMUM_BATCH && keys.add(it.write.key) }
         waiting.removeAll(batch.toSet())
         return batch
     }
 
-    private fun written(batch: List<Pending>, answer: StoreAnswer, now: Moment) {
-        inFlight = false
-        judge(answer, now)
+    private fun onWriteAnswer(batch: List<PendingClaim>, answer: StoreAnswer, now: Moment) {
+        isCallInFlight = false
+        updateAvailability(answer, now)
         when (answer) {
-            is StoreAnswer.Written -> batch.forEach { it.answered(ClaimAnswer.Ours(answer.revision), now) }
-            is StoreAnswer.Conflict -> conflict(batch, answer.current.associateBy { it.key }, now)
-            is StoreAnswer.Unavailable -> batch.forEach { it.answered(ClaimAnswer.Unavailable(answer.fault), now) }
+            is StoreAnswer.Written -> batch.forEach { it.onResult(ClaimResult.Created(answer.revision), now) }
+            is StoreAnswer.Conflict -> onConflict(batch, answer.current.associateBy { it.key }, now)
+            is StoreAnswer.Unavailable -> batch.forEach { it.onResult(ClaimResult.Unavailable(answer.fault), now) }
             is StoreAnswer.Found, is StoreAnswer.Leased -> {
                 val fault = faultOf(answer)
-                batch.forEach { it.answered(ClaimAnswer.Unavailable(fault), now) }
+                batch.forEach { it.onResult(ClaimResult.Unavailable(fault), now) }
             }
         }
         send(now)
     }
 
-    private fun conflict(batch: List<Pending>, current: Map<String, StoredEntry>, now: Moment) {
+    private fun onConflict(batch: List<PendingClaim>, current: Map<String, StoredEntry>, now: Moment) {
         val free = batch.filter { it.write.key !in current }
         free.asReversed().forEach(waiting::addFirst)
         batch.forEach { pending ->
             val entry = current[pending.write.key] ?: return@forEach
-            val ours = entry.value == pending.write.value
-            pending.answered(if (ours) ClaimAnswer.Ours(entry.revision) else ClaimAnswer.Theirs(entry), now)
+            val isOurs = entry.value == pending.write.value
+            pending.onResult(
+                if (isOurs) ClaimResult.Created(entry.revision) else ClaimResult.AlreadyClaimed(entry),
+                now,
+            )
         }
     }
 
@@ -128,11 +135,11 @@
     }
 
     private companion object {
-        const val BATCH_LIMIT = 64
-        val DOUBT = 500.milliseconds
-        const val LEASE_SHARED_PART = 0.02
+        const val MAXIMUM_BATCH = 64
+        val SKIP_PERIOD = 500.milliseconds
+        const val LEASE_SHARED_FRACTION = 0.02
     }
 }
 
-/** Name under which faults mention the key-value service. */
+/** Peer name of the key-value service in faults. */
 internal const val STORE_PEER: String = "key-value service"
--- a/core/src/main/kotlin/org/lovageladder/core/EntryOutput.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/EntryOutput.kt
@@ -2,10 +2,10 @@
 
 import kotlin.time.Duration
 
-/** Collects the effects of one event, in order, and matches answers of the key-value service to their askers. */
+/** Collects the effects of an event in order, and passes answers of the key-value service to their callbacks. */
 internal class EntryOutput {
     private var effects = mutableListOf<EntryEffect>()
-    private val storeAnswers = HashMap<Long, (StoreAnswer, Moment) -> Unit>()
+    private val answerHandlers = HashMap<Long, (StoreAnswer, Moment) -> Unit>()
     private var lastTicket = 0L
 
     fun add(effect: EntryEffect) {
@@ -16,19 +16,19 @@
         effects += EntryEffect.Record(event)
     }
 
-    /** Calls the key-value service; [answered] is run once. */
-    fun askStore(request: StoreRequest, timeout: Duration, answered: (StoreAnswer, Moment) -> Unit) {
+    /** Sends [request] to the key-value service; [onAnswer] is called at most once. */
+    fun askStore(request: StoreRequest, timeout: Duration, onAnswer: (StoreAnswer, Moment) -> Unit) {
         val ticket = ++lastTicket
-        storeAnswers[ticket] = answered
+        answerHandlers[ticket] = onAnswer
         effects += EntryEffect.AskStore(ticket, request, timeout)
     }
 
-    fun storeAnswered(ticket: Long, answer: StoreAnswer, now: Moment) {
-        storeAnswers.remove(ticket)?.invoke(answer, now)
+    fun onStoreAnswer(ticket: Long, answer: StoreAnswer, now: Moment) {
+        answerHandlers.remove(ticket)?.invoke(answer, now)
     }
 
     /** Returns the effects collected since the last call. */
-    fun take(): List<EntryEffect> {
+    fun takeEffects(): List<EntryEffect> {
         val taken = effects
         effects = mutableListOf()
         return taken
--- a/core/src/main/kotlin/org/lovageladder/core/EntryPort.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/EntryPort.kt
@@ -3,40 +3,40 @@
 import kotlin.time.Duration
 
 /*
- * What the decisions of an entry take in and give out. The decisions have no input or output of their own: the
- * process hands each event to [EntryDecisions.handle] on its control thread and carries out the effects in order.
+ * Events and effects of an entry's decisions. The decisions do no input or output: the process passes each event to
+ * [EntryDecisions.handle] on its control thread and carries out the returned effects in order.
  */
 
-/** Decisions of an entry, as a function of its state, an event and the time. Confined to one thread. */
+/** State machine of an entry: each event at a time yields effects. Confined to one thread. */
 public interface EntryDecisions {
-    /** Whether this entry has a release and takes requests. */
+    /** Whether this entry has a release and accepts requests. */
     public val ready: Boolean
 
-    /** Release version in force here, sent with every message. */
+    /** Version of the applied release, sent with every message. */
     public val release: ReleaseVersion
 
-    /** Handles [event] at [now] and returns what is to be done, in order. Times never go back between calls. */
+    /** Handles [event] at [now] and returns its effects in order. [now] must not decrease between calls. */
     public fun handle(event: EntryEvent, now: Moment): List<EntryEffect>
 
-    /** Time at which [EntryEvent.TimePassed] is due at the latest; null when nothing waits. */
+    /** Time by which [EntryEvent.TimePassed] must be delivered; null when no timer is set. */
     public fun nextDeadline(): Moment?
 
-    /** What operators see of this entry. */
+    /** Status of this entry for operators. */
     public fun status(now: Moment): EntryStatus
 }
 
-/** Something that happened to an entry. */
+/** Input of an entry. */
 public sealed interface EntryEvent {
     /** A caller submitted a request. */
     public data class Submitted(val exchange: ExchangeId, val submission: Submission) : EntryEvent
 
-    /** The caller's connection is gone, or it cancelled. */
+    /** The caller closed its connection or cancelled the request. */
     public data class CallerLeft(val exchange: ExchangeId) : EntryEvent
 
-    /** A connection is established; the companion's first message arrived. */
+    /** A connection is established and the companion's first message has arrived. */
     public data class Connected(val connection: ConnectionId, val welcome: PeerMessage.Welcome) : EntryEvent
 
-    /** A connection, or an attempt to connect to [host], ended. */
+    /** The connection to [host] was closed or could not be established. */
     public data class Disconnected(val connection: ConnectionId, val host: HostName, val fault: Fault) : EntryEvent
 
     /** A message arrived on a connection. */
@@ -45,50 +45,50 @@
     /** The answer to [EntryEffect.AskStore] with the same ticket. */
     public data class StoreAnswered(val ticket: Long, val answer: StoreAnswer) : EntryEvent
 
-    /** A watch reported a note. */
+    /** The watch of release notes delivered a note. */
     public data class NoteSeen(val note: AcceptedNote) : EntryEvent
 
     /** The platform's host list was read. */
     public data class HostsListed(val hosts: List<ListedHost>) : EntryEvent
 
-    /** The process was asked to stop: finish what is in flight, take nothing new. */
+    /** The process was asked to stop: requests in flight are finished and new ones are refused. */
     public data object StopRequested : EntryEvent
 
-    /** Time passed up to [EntryDecisions.nextDeadline]. */
+    /** The time returned by [EntryDecisions.nextDeadline] was reached. */
     public data object TimePassed : EntryEvent
 }
 
-/** Something an entry's process has to do. */
+/** Output of an entry, carried out by its process. */
 public sealed interface EntryEffect {
-    /** Hands one token to a caller. Indexes are given once each, in order, from 0. */
+    /** Sends one token to a caller. Each index from 0 is sent once, in order. */
     public data class GiveToken(val exchange: ExchangeId, val index: Int, val text: String) : EntryEffect
 
-    /** Gives a caller its final outcome. Nothing follows for this exchange. */
+    /** Sends a caller its outcome. It is the last effect of this exchange. */
     public data class GiveOutcome(val exchange: ExchangeId, val request: RequestId, val outcome: Outcome) : EntryEffect
 
     /** Connects to a companion; answered by [EntryEvent.Connected] or [EntryEvent.Disconnected]. */
     public data class Connect(val connection: ConnectionId, val host: HostName, val address: Address) : EntryEffect
 
-    /** Closes a connection without waiting. */
+    /** Closes a connection at once. */
     public data class Disconnect(val connection: ConnectionId) : EntryEffect
 
-    /** Sends a message on a connection; dropped when the connection is gone. */
+    /** Sends a message on a connection; it is dropped if the connection is closed. */
     public data class Send(val connection: ConnectionId, val message: PeerMessage) : EntryEffect
 
     /** Calls the key-value service; answered by [EntryEvent.StoreAnswered]. */
     public data class AskStore(val ticket: Long, val request: StoreRequest, val timeout: Duration) : EntryEffect
 
-    /** Starts or ends the watch of release notes. */
+    /** Starts or ends the watch of release notes, as [watching] says. */
     public data class WatchNotes(val watching: Boolean) : EntryEffect
 
-    /** Records an event on the time line. */
+    /** Adds an event to the time line. */
     public data class Record(val event: EventDraft) : EntryEffect
 
-    /** All work is finished after [EntryEvent.StopRequested]: the process may exit. */
+    /** All requests are finished after [EntryEvent.StopRequested]; the process may exit. */
     public data object Exit : EntryEffect
 }
 
-/** What operators see of an entry. */
+/** Status of an entry for operators. */
 @kotlinx.serialization.Serializable
 public data class EntryStatus(
     val ready: Boolean,
@@ -99,7 +99,10 @@
     val upstreams: List<UpstreamView>,
 )
 
-/** An upstream as an entry sees it. [firstLatencyMicroseconds] is its smoothed time to the first answer. */
+/**
+ * Status of an upstream at one entry. [firstLatencyMicroseconds] is the smoothed time to the first token of a decode or
+ * to the whole answer of a plain call.
+ */
 @kotlinx.serialization.Serializable
 public data class UpstreamView(
     val upstream: UpstreamName,
@@ -113,7 +116,7 @@
     val tokenGapMicroseconds: Long,
 )
 
-/** Whether an upstream gets work. */
+/** Whether an upstream gets requests. */
 @kotlinx.serialization.Serializable
 public enum class UpstreamState {
     SERVING,
--- a/core/src/main/kotlin/org/lovageladder/core/GenerationFlow.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/GenerationFlow.kt
@@ -6,12 +6,12 @@
 import kotlin.time.Duration.Companion.seconds
 
 /**
- * Course of a generation: decode memory is reserved first, then the prompt is prefilled, then the decode fetches the
- * prefill's result and streams tokens. A stream that stalls or breaks is resumed on another upstream from its next
- * token index. Until the first token, whatever cannot meet the first-token target any more is refused at once.
+ * Handles a generation: reserves decode memory, prefills the prompt, then starts the decode, which fetches the
+ * prefill's result and streams tokens. A stream that stalls or fails is resumed on another upstream from its next
+ * token index. Until the first token, a request that can no longer meet its first-token target is refused at once.
  */
 internal class GenerationFlow(
-    private val work: EntryWork,
+    private val components: EntryComponents,
     private val context: RequestContext,
     private val content: RequestContent.Generation,
     private val target: LatencyTarget.Stream,
@@ -21,120 +21,133 @@
         minOf(content.outputTokens ?: context.requestClass.outputBound, context.requestClass.outputBound)
     private val pieces = (content.promptTokens + outputBound + PIECE_TOKENS - 1) / PIECE_TOKENS
     private val tokens = TokenSequence { index, text ->
-        work.output.add(EntryEffect.GiveToken(context.exchange, index, text))
+        components.output.add(EntryEffect.GiveToken(context.exchange, index, text))
     }
     private val excluded = mutableSetOf<UpstreamName>()
     private val excludedPrefill = mutableSetOf<UpstreamName>()
     private var reservation: Attempt? = null
-    private var reserved = false
+    private var isReserved = false
     private val prefills = mutableListOf<Attempt>()
     private var ticket: TransferTicket? = null
     private var decodeStartedAt: Moment? = null
     private var lastTokenAt: Moment? = null
     private var reserveTries = 0
-    private var prefilledAgain = false
-    private var deadline: Timer? = null
-    private var hedge: Timer? = null
-    private var stall: Timer? = null
+    private var hasRepeatedPrefill = false
+    private var deadlineTimer: Timer? = null
+    private var hedgeTimer: Timer? = null
+    private var stallTimer: Timer? = null
 
-    private val firstTokenDue: Moment get() = acceptedAt + target.firstToken
+    private val firstTokenDeadline: Moment get() = acceptedAt + target.firstToken
 
     override fun begin(now: Moment) {
-        deadline = work.timers.at(firstTokenDue) { expire(it) }
+        deadlineTimer = components.timers.at(firstTokenDeadline) { onFirstTokenDeadline(it) }
         val pool = context.service.decodePool
-        val largest = pool?.let(work.table::largestPieces)
+        val largest = pool?.let(components.table::largestUpstreamPieces)
         when {
             largest == null -> refuse(RefusalReason.NO_UPSTREAM, detail = "pool $pool has no upstream")
             pieces > largest -> refusePromptTooLarge(largest)
-            work.settings.reserveFirst -> reserve(now)
-            else -> prefill(now)
+            components.settings.reserveFirst -> reserve(now)
+            else -> startPrefill(now)
         }
     }
 
-    override fun callerLeft(now: Moment) {
-        release()
+    override fun onCallerDisconnected(now: Moment) {
+        releaseResources()
         context.abandon()
     }
 
-    override fun received(attempt: Attempt, message: PeerMessage, now: Moment) {
+    override fun onMessage(attempt: Attempt, message: PeerMessage, now: Moment) {
         when (message) {
-            is PeerMessage.Granted -> granted(attempt, message, now)
-            is PeerMessage.Refused -> refused(attempt, message, now)
-            is PeerMessage.PrefillReady -> prefillReady(attempt, message, now)
-            is PeerMessage.TokenProduced -> tokenProduced(attempt, message, now)
-            is PeerMessage.DecodeFinished -> decodeFinished(attempt, message, now)
-            is PeerMessage.AttemptFailed -> failed(attempt, message.fault, message.load, now)
+            is PeerMessage.Granted -> onGranted(attempt, message, now)
+            is PeerMessage.Refused -> onRefused(attempt, message, now)
+            is PeerMessage.PrefillReady -> onPrefillReady(attempt, message, now)
+            is PeerMessage.TokenProduced -> onTokenProduced(attempt, message, now)
+            is PeerMessage.DecodeFinished -> onDecodeFinished(attempt, message, now)
+            is PeerMessage.AttemptFailed -> onAttemptFailed(attempt, message.fault, message.load, now)
             else -> Unit
         }
     }
 
-    override fun lost(attempt: Attempt, fault: Fault, now: Moment) {
-        brokeOff(attempt, fault, now)
+    override fun onConnectionLost(attempt: Attempt, fault: Fault, now: Moment) {
+        handleFailure(attempt, fault, now)
     }
 
     private fun reserve(now: Moment) {
         val pool = context.service.decodePool ?: return
-        val upstream = work.choice.pick(pool, Placement.Decode(pieces), excluded, now)
+        val upstream = components.selector.select(pool, Placement.Decode(pieces), excluded, now)
         if (upstream == null) {
-            refuse(RefusalReason.NO_UPSTREAM, detail = "no usable upstream in pool $pool")
+            refuse(RefusalReason.NO_UPSTREAM, detail = "no available upstream in pool $pool")
             return
         }
-        val wait = (firstTokenDue - now) - expectedPrefill()
-        val tooLate = wait <= Duration.ZERO || (work.settings.earlyRefusal && expectedWait(upstream, now) > wait)
-        if (tooLate && tokens.next == 0) {
+        val timeToReserve = (firstTokenDeadline - now) - expectedPrefillTime()
+        val isTooLate =
+            timeToReserve <= Duration.ZERO ||
+                (components.settings.earlyRefusal && expectedWait(upstream, now) > timeToReserve)
+        if (isTooLate && tokens.nextIndex == 0) {
             refuse(RefusalReason.OVERLOADED, detail = "the first token cannot arrive within ${target.firstToken}")
             return
         }
         reserveTries++
-        val id = context.nextAttempt()
+        val id = context.nextAttemptId()
         val message = PeerMessage.Reserve(
             attempt = id,
             upstream = upstream.name,
             pieces = pieces,
             worth = context.requestClass.worth,
             priority = context.requestClass.priority,
-            waitAtMost = if (tokens.next > 0) RESUME_WAIT else wait.coerceAtLeast(Duration.ZERO),
-            holdAtMost = (firstTokenDue - now).coerceAtLeast(RESUME_WAIT) + HOLD_MARGIN,
+            waitAtMost = if (tokens.nextIndex > 0) MINIMUM_RESUME_TIME else timeToReserve.coerceAtLeast(Duration.ZERO),
+            holdAtMost = (firstTokenDeadline - now).coerceAtLeast(MINIMUM_RESUME_TIME) + HOLD_MARGIN,
         )
         context.record(EventKind.UPSTREAM_CHOSEN, upstream.name)
-        reservation = work.attempts.begin(id, upstream, this, message, now, pieces = pieces)
+        reservation = components.attempts.start(id, upstream, this, message, now, pieces = pieces)
     }
 
-    /** Time until memory is expected to be free, from the ledger and the time that calls take there. */
+    /**
+     * Expected wait for memory, from the queue in a recent ledger state. It assumes that each call runs for its whole
+     * output bound at the target token gap.
+     */
     private fun expectedWait(upstream: UpstreamRecord, now: Moment): Duration {
         val load = upstream.load ?: return Duration.ZERO
-        val age = upstream.loadAt?.let { now - it } ?: return Duration.ZERO
+        val age = upstream.loadReceivedAt?.let { now - it } ?: return Duration.ZERO
         if (age > LOAD_VALIDITY || load.waiting == 0 || load.running == 0) return Duration.ZERO
         val callTime = target.tokenGap * outputBound
         return callTime * (load.waiting + 1) / load.running
     }
 
-    private fun expectedPrefill(): Duration {
+    private fun expectedPrefillTime(): Duration {
         val pool = context.service.prefillPool ?: return Duration.ZERO
-        val fastest = work.table.nearest(pool)
-            .filter { !it.prefillPerThousandTokens.isEmpty }
-            .minOfOrNull { it.prefillPerThousandTokens.smoothedMicroseconds } ?: return Duration.ZERO
-        return (fastest * content.promptTokens / THOUSAND).microseconds
+        val fastest = components.table.nearestUsable(pool)
+            .filter { !it.prefillTimePerThousandTokens.isEmpty }
+            .minOfOrNull { it.prefillTimePerThousandTokens.smoothedMicroseconds } ?: return Duration.ZERO
+        return (fastest * content.promptTokens / TOKENS_PER_UNIT).microseconds
     }
 
-    private fun granted(attempt: Attempt, message: PeerMessage.Granted, now: Moment) {
-        work.attempts.learn(attempt, message.load, now)
-        if (attempt !== reservation || reserved) return
-        reserved = true
+    private fun onGranted(attempt: Attempt, message: PeerMessage.Granted, now: Moment) {
+        components.attempts.recordLoad(attempt, message.load, now)
+        if (attempt !== reservation || isReserved) return
+        isReserved = true
         context.record(EventKind.RESERVATION_GRANTED, attempt.upstream.name)
-        if (ticket == null) prefill(now) else decode(now)
+        if (ticket == null) startPrefill(now) else startDecode(now)
     }
 
-    private fun prefill(now: Moment) {
+    private fun startPrefill(now: Moment) {
         val pool = context.service.prefillPool ?: return
         val placement = Placement.Prefill(content.promptTokens, content.prefixDigest)
-        val upstream = work.choice.pick(pool, placement, excludedPrefill, now)
+        val upstream = components.selector.select(pool, placement, excludedPrefill, now)
         if (upstream == null) {
-            if (prefills.isEmpty()) refuse(RefusalReason.NO_UPSTREAM, detail = "no usable upstream in pool $pool")
+            if (prefills.isEmpty()) refuse(RefusalReason.NO_UPSTREAM, detail = "no available upstream in pool $pool")
             return
         }
-        val remaining = (firstTokenDue - now).coerceAtLeast(if (tokens.next > 0) RESUME_WAIT else Duration.ZERO)
-        val id = context.nextAttempt()
+        val remaining = (firstTokenDeadline - now).coerceAtLeast(
+            if (tokens.nextIndex >
+                0
+            ) {
+                MINIMUM_RESUME_TIME
+            } else {
+                Duration.ZERO
+            },
+        )
+        val id = context.nextAttemptId()
         val message = PeerMessage.StartPrefill(
             attempt = id,
             upstream = upstream.name,
@@ -145,53 +158,53 @@
             finishWithin = remaining,
         )
         context.record(EventKind.PREFILL_STARTED, upstream.name)
-        val attempt = work.attempts.begin(id, upstream, this, message, now, promptTokens = content.promptTokens)
+        val attempt = components.attempts.start(id, upstream, this, message, now, promptTokens = content.promptTokens)
         if (attempt != null) prefills += attempt
         scheduleHedge(upstream, now)
     }
 
     private fun scheduleHedge(upstream: UpstreamRecord, now: Moment) {
-        if (!work.settings.hedging || prefills.size > 1) return
-        val perThousand = upstream.prefillPerThousandTokens.quantile(HEDGE_QUANTILE) ?: return
-        val delay = perThousand * (content.promptTokens / THOUSAND) * HEDGE_FACTOR + HEDGE_FLOOR
-        hedge?.cancel()
-        hedge = work.timers.at(now + delay) { hedgePrefill(it) }
+        if (!components.settings.hedging || prefills.size > 1) return
+        val timePerThousandTokens = upstream.prefillTimePerThousandTokens.quantile(HEDGE_QUANTILE) ?: return
+        val delay = timePerThousandTokens * (content.promptTokens / TOKENS_PER_UNIT) * HEDGE_FACTOR + HEDGE_DELAY_OFFSET
+        hedgeTimer?.cancel()
+        hedgeTimer = components.timers.at(now + delay) { startHedgePrefill(it) }
     }
 
-    private fun hedgePrefill(now: Moment) {
-        val awaitsOne = !context.over && ticket == null && prefills.size == 1
-        if (!awaitsOne || !work.hedges.take()) return
+    private fun startHedgePrefill(now: Moment) {
+        val isAwaitingOnePrefill = !context.isFinished && ticket == null && prefills.size == 1
+        if (!isAwaitingOnePrefill || !components.hedgeBudget.tryTake()) return
         excludedPrefill += prefills.single().upstream.name
         context.record(EventKind.ATTEMPT_HEDGED, prefills.single().upstream.name, "prefill")
-        prefill(now)
+        startPrefill(now)
     }
 
-    private fun prefillReady(attempt: Attempt, message: PeerMessage.PrefillReady, now: Moment) {
-        work.attempts.learn(attempt, message.load, now)
-        work.attempts.end(attempt)
+    private fun onPrefillReady(attempt: Attempt, message: PeerMessage.PrefillReady, now: Moment) {
+        components.attempts.recordLoad(attempt, message.load, now)
+        components.attempts.end(attempt)
         if (!prefills.remove(attempt)) return
-        observePrefill(attempt, now)
-        hedge?.cancel()
-        prefills.forEach { work.attempts.cancel(it) }
+        recordPrefillTime(attempt, now)
+        hedgeTimer?.cancel()
+        prefills.forEach { components.attempts.cancel(it) }
         prefills.clear()
         ticket = message.ticket
         context.record(EventKind.PREFILL_READY, attempt.upstream.name)
         when {
-            reserved -> decode(now)
+            isReserved -> startDecode(now)
             reservation == null -> reserve(now)
         }
     }
 
-    private fun observePrefill(attempt: Attempt, now: Moment) {
-        val taken = now - attempt.startedAt
-        val thousands = (content.promptTokens / THOUSAND).coerceAtLeast(1 / THOUSAND)
-        attempt.upstream.prefillPerThousandTokens.observe(taken / thousands)
-        work.table.judge(attempt.upstream, UpstreamRecord::prefillPerThousandTokens, now)
+    private fun recordPrefillTime(attempt: Attempt, now: Moment) {
+        val elapsed = now - attempt.startedAt
+        val thousandsOfTokens = (content.promptTokens / TOKENS_PER_UNIT).coerceAtLeast(1 / TOKENS_PER_UNIT)
+        attempt.upstream.prefillTimePerThousandTokens.record(elapsed / thousandsOfTokens)
+        components.table.updateProbation(attempt.upstream, UpstreamRecord::prefillTimePerThousandTokens, now)
     }
 
-    private fun decode(now: Moment) {
+    private fun startDecode(now: Moment) {
         val attempt = reservation ?: return
-        val used = ticket ?: return
+        val transferTicket = ticket ?: return
         decodeStartedAt = now
         context.record(EventKind.DECODE_STARTED, attempt.upstream.name)
         val message = PeerMessage.StartDecode(
@@ -199,171 +212,180 @@
             content = content,
             outputBound = outputBound,
             priority = context.requestClass.priority,
-            ticket = used,
-            fromIndex = tokens.next,
+            ticket = transferTicket,
+            fromIndex = tokens.nextIndex,
         )
-        work.links.send(attempt.link, message)
-        watchStall(now)
+        components.links.send(attempt.link, message)
+        restartStallTimer(now)
     }
 
-    private fun tokenProduced(attempt: Attempt, message: PeerMessage.TokenProduced, now: Moment) {
-        if (attempt !== reservation || context.over) return
-        val started = decodeStartedAt
+    private fun onTokenProduced(attempt: Attempt, message: PeerMessage.TokenProduced, now: Moment) {
+        if (attempt !== reservation || context.isFinished) return
+        val decodeStart = decodeStartedAt
         val previous = lastTokenAt
-        if (!tokens.offer(message.index, message.text)) return
-        deadline?.cancel()
-        if (previous != null) attempt.upstream.tokenGap.observe(now - previous)
-        if (previous == null && started != null) attempt.upstream.firstLatency.observe(now - started)
+        if (!tokens.add(message.index, message.text)) return
+        deadlineTimer?.cancel()
+        if (previous != null) attempt.upstream.tokenGap.record(now - previous)
+        if (previous == null && decodeStart != null) attempt.upstream.firstLatency.record(now - decodeStart)
         lastTokenAt = now
-        watchStall(now)
+        restartStallTimer(now)
     }
 
-    /** Time without a token after which the stream counts as stalled. */
-    private fun stallLimit(): Duration {
-        val waitingForFirst = lastTokenAt == null
-        val base = if (waitingForFirst) target.firstToken else target.tokenGap * STALL_GAPS
-        return base.coerceIn(STALL_FLOOR, STALL_CEILING)
+    /** Time without a token after which the stream is treated as stalled. */
+    private fun stallTimeout(): Duration {
+        val isAwaitingFirstToken = lastTokenAt == null
+        val base = if (isAwaitingFirstToken) target.firstToken else target.tokenGap * STALL_TOKEN_GAPS
+        return base.coerceIn(MINIMUM_STALL_TIMEOUT, MAXIMUM_STALL_TIMEOUT)
     }
 
-    private fun watchStall(now: Moment) {
-        stall?.cancel()
-        stall = work.timers.at(now + stallLimit()) { stalled(it) }
+    private fun restartStallTimer(now: Moment) {
+        stallTimer?.cancel()
+        stallTimer = components.timers.at(now + stallTimeout()) { onStall(it) }
     }
 
-    private fun stalled(now: Moment) {
+    private fun onStall(now: Moment) {
         val attempt = reservation ?: return
-        if (context.over) return
-        attempt.upstream.tokenGap.observe(stallLimit())
-        work.table.judge(attempt.upstream, UpstreamRecord::tokenGap, now)
-        val elsewhere = excluded + attempt.upstream.name
+        if (context.isFinished) return
+        attempt.upstream.tokenGap.record(stallTimeout())
+        components.table.updateProbation(attempt.upstream, UpstreamRecord::tokenGap, now)
+        val excludedNow = excluded + attempt.upstream.name
         val pool = context.service.decodePool ?: return
-        val other = work.choice.pick(pool, Placement.Decode(pieces), elsewhere, now)
-        if (other == null || !work.retries.take()) {
-            watchStall(now)
+        val alternative = components.selector.select(pool, Placement.Decode(pieces), excludedNow, now)
+        if (alternative == null || !components.retryBudget.tryTake()) {
+            restartStallTimer(now)
             return
         }
-        work.attempts.cancel(attempt)
+        components.attempts.cancel(attempt)
         excluded += attempt.upstream.name
-        context.record(EventKind.STREAM_RESUMED, attempt.upstream.name, "stalled at token ${tokens.next}")
+        context.record(EventKind.STREAM_RESUMED, attempt.upstream.name, "stalled at token ${tokens.nextIndex}")
         restart(now)
     }
 
     private fun restart(now: Moment) {
         reservation = null
-        reserved = false
+        isReserved = false
         ticket = null
         decodeStartedAt = null
-        stall?.cancel()
+        stallTimer?.cancel()
         reserve(now)
     }
 
-    private fun decodeFinished(attempt: Attempt, message: PeerMessage.DecodeFinished, now: Moment) {
-        work.attempts.learn(attempt, message.load, now)
-        work.attempts.end(attempt)
-        if (attempt !== reservation || context.over) return
-        if (tokens.next < message.tokens) {
-            val fault = Fault(Step.DECODE, attempt.upstream.name.text, FaultCause.PROTOCOL, "tokens are missing")
-            brokeOff(attempt, fault, now)
+    private fun onDecodeFinished(attempt: Attempt, message: PeerMessage.DecodeFinished, now: Moment) {
+        components.attempts.recordLoad(attempt, message.load, now)
+        components.attempts.end(attempt)
+        if (attempt !== reservation || context.isFinished) return
+        if (tokens.nextIndex < message.tokens) {
+            val fault =
+                Fault(
+                    Step.DECODE,
+                    attempt.upstream.name.text,
+                    FaultCause.PROTOCOL,
+                    "the decode finished before all its tokens arrived",
+                )
+            handleFailure(attempt, fault, now)
             return
         }
         context.record(EventKind.DECODE_FINISHED, attempt.upstream.name)
-        work.retries.succeeded()
-        work.hedges.succeeded()
+        components.retryBudget.recordSuccess()
+        components.hedgeBudget.recordSuccess()
         stopTimers()
-        context.give(Outcome.Generated(message.finishReason, content.promptTokens, message.tokens))
+        context.finish(Outcome.Generated(message.finishReason, content.promptTokens, message.tokens))
     }
 
-    private fun refused(attempt: Attempt, message: PeerMessage.Refused, now: Moment) {
-        work.attempts.learn(attempt, message.load, now)
-        work.attempts.end(attempt)
-        if (context.over) return
+    private fun onRefused(attempt: Attempt, message: PeerMessage.Refused, now: Moment) {
+        components.attempts.recordLoad(attempt, message.load, now)
+        components.attempts.end(attempt)
+        if (context.isFinished) return
         if (prefills.remove(attempt)) {
-            prefillRefused(attempt, message, now)
+            onPrefillRefused(attempt, message, now)
         } else if (attempt === reservation) {
-            reservationRefused(attempt, message, now)
+            onReservationRefused(attempt, message, now)
         }
     }
 
-    private fun prefillRefused(attempt: Attempt, message: PeerMessage.Refused, now: Moment) {
+    private fun onPrefillRefused(attempt: Attempt, message: PeerMessage.Refused, now: Moment) {
         excludedPrefill += attempt.upstream.name
         if (prefills.isNotEmpty()) return
-        if (now < firstTokenDue && anotherPrefill(now)) prefill(now) else refuse(message)
+        if (now < firstTokenDeadline && hasOtherPrefillUpstream(now)) startPrefill(now) else refuse(message)
     }
 
-    private fun anotherPrefill(now: Moment): Boolean {
+    private fun hasOtherPrefillUpstream(now: Moment): Boolean {
         val pool = context.service.prefillPool ?: return false
         val placement = Placement.Prefill(content.promptTokens, content.prefixDigest)
-        return work.choice.pick(pool, placement, excludedPrefill, now) != null
+        return components.selector.select(pool, placement, excludedPrefill, now) != null
     }
 
-    private fun reservationRefused(attempt: Attempt, message: PeerMessage.Refused, now: Moment) {
+    private fun onReservationRefused(attempt: Attempt, message: PeerMessage.Refused, now: Moment) {
         context.record(EventKind.RESERVATION_REFUSED, attempt.upstream.name, message.fault.toString())
         val step = message.fault.step
         excluded += attempt.upstream.name
-        if (step == Step.DECODE || reserved) {
-            brokeOff(attempt, message.fault, now)
+        if (step == Step.DECODE || isReserved) {
+            handleFailure(attempt, message.fault, now)
             return
         }
         reservation = null
         val pool = context.service.decodePool ?: return
-        val other = work.choice.pick(pool, Placement.Decode(pieces), excluded, now)
-        val mayTry = other != null && reserveTries < MAX_RESERVE_TRIES && now < firstTokenDue
-        if (mayTry || (tokens.next > 0 && other != null)) reserve(now) else refuse(message)
+        val alternative = components.selector.select(pool, Placement.Decode(pieces), excluded, now)
+        val mayReserveAgain = alternative != null && reserveTries < MAXIMUM_RESERVE_TRIES && now < firstTokenDeadline
+        if (mayReserveAgain || (tokens.nextIndex > 0 && alternative != null)) reserve(now) else refuse(message)
     }
 
-    private fun failed(attempt: Attempt, fault: Fault, load: UpstreamLoad?, now: Moment) {
-        work.attempts.learn(attempt, load, now)
-        work.attempts.end(attempt)
-        brokeOff(attempt, fault, now)
+    private fun onAttemptFailed(attempt: Attempt, fault: Fault, load: UpstreamLoad?, now: Moment) {
+        components.attempts.recordLoad(attempt, load, now)
+        components.attempts.end(attempt)
+        handleFailure(attempt, fault, now)
     }
 
-    private fun brokeOff(attempt: Attempt, fault: Fault, now: Moment) {
-        if (context.over) return
+    private fun handleFailure(attempt: Attempt, fault: Fault, now: Moment) {
+        if (context.isFinished) return
         context.record(EventKind.ATTEMPT_FAILED, attempt.upstream.name, fault.toString())
         if (prefills.remove(attempt)) {
             excludedPrefill += attempt.upstream.name
-            if (prefills.isEmpty()) retryOrRefuse(fault, now) { prefill(it) }
+            if (prefills.isEmpty()) retryOrRefuse(fault, now) { startPrefill(it) }
             return
         }
         if (attempt !== reservation) return
-        if (fault.cause == FaultCause.EXPIRED && prefillAgain(now)) return
+        if (fault.cause == FaultCause.EXPIRED && repeatExpiredPrefill(now)) return
         excluded += attempt.upstream.name
-        val startedDecode = decodeStartedAt != null
-        if (startedDecode) {
+        val hasStartedDecode = decodeStartedAt != null
+        if (hasStartedDecode) {
             retryOrRefuse(fault, now) { restart(it) }
         } else {
             reservation = null
-            reserved = false
+            isReserved = false
             retryOrRefuse(fault, now) { reserve(it) }
         }
     }
 
-    /** A prefill's result that expired before its transfer is computed anew, once, when that still fits the target. */
-    private fun prefillAgain(now: Moment): Boolean {
-        val fits = tokens.next == 0 && now + expectedPrefill() < firstTokenDue
-        if (!fits || prefilledAgain) return false
-        prefilledAgain = true
+    /** Repeats a prefill whose result expired before its transfer, once and if the target can still be met. */
+    private fun repeatExpiredPrefill(now: Moment): Boolean {
+        val fitsTarget = tokens.nextIndex == 0 && now + expectedPrefillTime() < firstTokenDeadline
+        if (!fitsTarget || hasRepeatedPrefill) return false
+        hasRepeatedPrefill = true
         context.record(EventKind.PREFILL_WASTED, detail = "expired before its transfer")
         restart(now)
         return true
     }
 
-    private fun retryOrRefuse(fault: Fault, now: Moment, again: (Moment) -> Unit) {
-        val inTime = tokens.next > 0 || now < firstTokenDue
-        if (inTime && work.retries.take()) {
+    private fun retryOrRefuse(fault: Fault, now: Moment, retry: (Moment) -> Unit) {
+        val isInTime = tokens.nextIndex > 0 || now < firstTokenDeadline
+        if (isInTime && components.retryBudget.tryTake()) {
             context.record(EventKind.ATTEMPT_RETRIED, detail = fault.toString())
-            again(now)
+            retry(now)
         } else {
             refuse(RefusalReason.UPSTREAM_FAILED, fault = fault)
         }
     }
 
-    /** Gives up before the first token; a decode that was started has as long again, since its prefill is spent. */
-    private fun expire(now: Moment) {
-        if (context.over || tokens.next > 0) return
-        val lastMoment = firstTokenDue + target.firstToken
-        if (decodeStartedAt != null && now < lastMoment) {
-            deadline = work.timers.at(lastMoment) { expire(it) }
+    /**
+     * Refuses a request that has no first token yet. A started decode gets twice the target, since its prefill would be
+     * wasted.
+     */
+    private fun onFirstTokenDeadline(now: Moment) {
+        if (context.isFinished || tokens.nextIndex > 0) return
+        val extendedDeadline = firstTokenDeadline + target.firstToken
+        if (decodeStartedAt != null && now < extendedDeadline) {
+            deadlineTimer = components.timers.at(extendedDeadline) { onFirstTokenDeadline(it) }
             return
         }
         refuse(RefusalReason.DEADLINE, detail = "no first token within ${target.firstToken}")
@@ -381,9 +403,9 @@
     }
 
     private fun refusePromptTooLarge(largest: Int) {
-        release()
-        val detail = "needs $pieces pieces of $PIECE_TOKENS tokens, the largest upstream has $largest"
-        context.give(Outcome.Refused(RefusalReason.PROMPT_TOO_LARGE, Execution.NOT_RUN, detail = detail))
+        releaseResources()
+        val detail = "needs $pieces pieces of $PIECE_TOKENS tokens; the largest upstream has $largest"
+        context.finish(Outcome.Refused(RefusalReason.PROMPT_TOO_LARGE, Execution.NOT_RUN, detail = detail))
     }
 
     private fun refuse(
@@ -392,39 +414,41 @@
         fault: Fault? = null,
         detail: String = "",
     ) {
-        release()
-        val execution = if (decodeStartedAt == null && tokens.next == 0) Execution.NOT_RUN else Execution.UNKNOWN
-        val spread = work.spread(retryAfter.coerceIn(MIN_RETRY_AFTER, MAX_RETRY_AFTER))
-        context.give(Outcome.Refused(reason, execution, retryAfter = spread, fault = fault, detail = detail))
+        releaseResources()
+        val execution = if (decodeStartedAt == null && tokens.nextIndex == 0) Execution.NOT_RUN else Execution.UNKNOWN
+        val spreadRetryAfter = components.addJitter(retryAfter.coerceIn(MINIMUM_RETRY_AFTER, MAXIMUM_RETRY_AFTER))
+        context.finish(
+            Outcome.Refused(reason, execution, retryAfter = spreadRetryAfter, fault = fault, detail = detail),
+        )
     }
 
-    private fun release() {
+    private fun releaseResources() {
         stopTimers()
         if (ticket != null && decodeStartedAt == null) context.record(EventKind.PREFILL_WASTED)
-        prefills.forEach { work.attempts.cancel(it) }
+        prefills.forEach { components.attempts.cancel(it) }
         prefills.clear()
-        reservation?.let { work.attempts.cancel(it) }
+        reservation?.let { components.attempts.cancel(it) }
     }
 
     private fun stopTimers() {
-        deadline?.cancel()
-        hedge?.cancel()
-        stall?.cancel()
+        deadlineTimer?.cancel()
+        hedgeTimer?.cancel()
+        stallTimer?.cancel()
     }
 
     private companion object {
-        const val THOUSAND = 1000.0
-        const val MAX_RESERVE_TRIES = 3
-        const val STALL_GAPS = 8
+        const val TOKENS_PER_UNIT = 1000.0
+        const val MAXIMUM_RESERVE_TRIES = 3
+        const val STALL_TOKEN_GAPS = 8
         const val HEDGE_QUANTILE = 0.95
         const val HEDGE_FACTOR = 2.0
-        val HEDGE_FLOOR = 20.milliseconds
-        val RESUME_WAIT = 1.seconds
+        val HEDGE_DELAY_OFFSET = 20.milliseconds
+        val MINIMUM_RESUME_TIME = 1.seconds
         val HOLD_MARGIN = 1.seconds
         val LOAD_VALIDITY = 250.milliseconds
-        val STALL_FLOOR = 250.milliseconds
-        val STALL_CEILING = 5.seconds
-        val MIN_RETRY_AFTER = 50.milliseconds
-        val MAX_RETRY_AFTER = 30.seconds
+        val MINIMUM_STALL_TIMEOUT = 250.milliseconds
+        val MAXIMUM_STALL_TIMEOUT = 5.seconds
+        val MINIMUM_RETRY_AFTER = 50.milliseconds
+        val MAXIMUM_RETRY_AFTER = 30.seconds
     }
 }
--- a/core/src/main/kotlin/org/lovageladder/core/JsonPositions.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/JsonPositions.kt
@@ -1,15 +1,15 @@
 package org.lovageladder.core
 
 /*
- * Line numbers of the members of a JSON text, which the JSON library does not keep.
+ * Line numbers of the values of a JSON text, which the JSON library does not record.
  */
 
 /**
- * Line, from 1, at which each value of a JSON text begins, by its path (`added[2].pool`; the root's path is empty).
- * [duplicates] are paths of members that stand twice in one object, and [depth] is the deepest nesting.
+ * Line, from 1, on which each value of a JSON text begins, by its path (`added[2].pool`; the root's path is empty).
+ * [duplicates] are the paths of members that occur more than once in one object, [depth] the maximum nesting.
  */
 internal class JsonPositions(val duplicates: List<String>, val depth: Int, private val lines: Map<String, Int>) {
-    /** Line of the value at [path], or of the nearest value around it; null in an empty text. */
+    /** Line of the value at [path], or of the innermost recorded value that encloses it; null in an empty text. */
     fun line(path: String): Int? {
         var nearest = path
         while (nearest !in lines && nearest.isNotEmpty()) nearest = parentPath(nearest)
@@ -28,7 +28,7 @@
 /** Path of element [index] of the list at [path]. */
 internal fun elementPath(path: String, index: Int): String = "$path[$index]"
 
-/** Scans [text], which need not be well-formed: positions before the first error are right. */
+/** Scans [text], which may be malformed: positions before the first error are correct. */
 internal fun scanJsonPositions(text: String): JsonPositions = JsonPositionScanner(text).scan()
 
 private class JsonPositionScanner(private val text: String) {
@@ -90,7 +90,7 @@
     }
 }
 
-/** An object or list that is open at the scanner's position. */
+/** An object or list that is not closed yet at the scanner's position. */
 private class Container(val path: String, val isList: Boolean) {
     var member: String? = null
     private var index = 0
--- a/core/src/main/kotlin/org/lovageladder/core/JsonShape.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/JsonShape.kt
@@ -21,17 +21,17 @@
 import kotlin.time.Duration
 
 /*
- * Comparison of a JSON value with the serial descriptor that it is to be decoded by. Decoding stops at the first
- * error and names no field for some; this finds all of them, each with its path.
+ * Checks a JSON value against the serial descriptor that it will be decoded with. Decoding stops at the first error
+ * and does not always name the field; these checks report every error with its path.
  */
 
-/** Member that tells the subclass of a sealed type. */
+/** Member that names the subclass of a sealed type. */
 private const val TYPE_MEMBER = "type"
 
-/** Longest part of a wrong value that a message quotes. */
+/** Number of characters after which a value quoted in a message is cut. */
 private const val QUOTED_CHARACTERS = 60
 
-/** Faults of [element] at [path] as a value of [descriptor]; empty when it can be decoded. */
+/** Returns the faults of [element] at [path] as a value of [descriptor]; empty when it can be decoded. */
 @OptIn(ExperimentalSerializationApi::class)
 internal fun checkJsonShape(element: JsonElement, descriptor: SerialDescriptor, path: String = ""): List<NoteFault> {
     if (element is JsonNull) return checkNull(descriptor, path)
@@ -106,7 +106,7 @@
     return if (expected == null) emptyList() else listOf(wrongType(path, expected, element))
 }
 
-/** What is expected of a text that [primitive] is not, or null. */
+/** Returns a description of the expected text if [primitive] is not one, and null if it is. */
 private fun checkText(primitive: JsonPrimitive?, descriptor: SerialDescriptor): String? {
     val text = primitive?.takeIf { it.isString }?.content
     if (descriptor.serialName != Duration.serializer().descriptor.serialName) return "a text".takeIf { text == null }
--- a/core/src/main/kotlin/org/lovageladder/core/ReleaseChecks.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/ReleaseChecks.kt
@@ -3,10 +3,10 @@
 import kotlin.time.Duration
 
 /*
- * Checks of a release note: values within one entry, and references between the entries that would be in force.
+ * Checks of a release note: values within one entry, and references between the entries after the note is applied.
  */
 
-private const val MAX_PORT = 65535
+private const val MAXIMUM_PORT = 65535
 private val NAME_PATTERN = Regex("[a-z0-9]([a-z0-9._-]{0,62})")
 
 internal fun valueFaults(entry: ReleaseEntry, field: String): List<NoteFault> = buildList {
@@ -25,7 +25,7 @@
 
 private fun hostFaults(host: ReleaseEntry.Host, field: String): List<NoteFault> = buildList {
     if (host.role == HostRole.COMPANION && host.peerAddress == null) {
-        add(NoteFault("$field.peerAddress", "a companion host needs one"))
+        add(NoteFault("$field.peerAddress", "is required for a companion host"))
     }
     host.peerAddress?.let { addAll(addressFaults(it, "$field.peerAddress")) }
     addAll(addressFaults(host.adminAddress, "$field.adminAddress"))
@@ -41,12 +41,12 @@
 }
 
 private fun serviceFaults(service: ReleaseEntry.Service, field: String): List<NoteFault> = buildList {
-    val generation = service.prefillPool != null || service.decodePool != null
-    if (generation == (service.plainPool != null)) {
-        add(NoteFault("$field.plainPool", "name either plainPool, or prefillPool and decodePool"))
+    val isGeneration = service.prefillPool != null || service.decodePool != null
+    if (isGeneration == (service.plainPool != null)) {
+        add(NoteFault("$field.plainPool", "set either plainPool, or prefillPool and decodePool"))
     }
-    if (generation && service.prefillPool == null) add(NoteFault("$field.prefillPool", "missing"))
-    if (generation && service.decodePool == null) add(NoteFault("$field.decodePool", "missing"))
+    if (isGeneration && service.prefillPool == null) add(NoteFault("$field.prefillPool", "missing"))
+    if (isGeneration && service.decodePool == null) add(NoteFault("$field.decodePool", "missing"))
     if (service.kvBytesPerToken < 0) add(NoteFault("$field.kvBytesPerToken", "must not be negative"))
 }
 
@@ -70,10 +70,14 @@
 
 private fun addressFaults(address: Address, field: String): List<NoteFault> = buildList {
     if (address.ip.isBlank()) add(NoteFault("$field.ip", "must not be empty"))
-    if (address.port !in 1..MAX_PORT) add(NoteFault("$field.port", "must be from 1 to $MAX_PORT, got ${address.port}"))
+    if (address.port !in
+        1..MAXIMUM_PORT
+    ) {
+        add(NoteFault("$field.port", "must be from 1 to $MAXIMUM_PORT, got ${address.port}"))
+    }
 }
 
-/** Faults of references between entries of [state], named by the entry of [note] that brings them about. */
+/** Returns faults of references between the entries of [state], with the field of the referring entry in [note]. */
 internal fun referenceFaults(state: ReleaseState, note: ReleaseNote): List<NoteFault> {
     val fields = fieldsByKey(note)
     return buildList {
@@ -98,25 +102,25 @@
         val host = state.hosts[upstream.host]
         if (host == null) add(NoteFault("$field.host", "upstream ${upstream.name}: no host ${upstream.host}"))
         if (host != null && host.role != HostRole.COMPANION) {
-            add(NoteFault("$field.host", "upstream ${upstream.name}: host ${host.name} runs no companion"))
+            add(NoteFault("$field.host", "upstream ${upstream.name}: host ${host.name} is not a companion host"))
         }
         val role = state.roleOf(upstream)
         if (role == null) add(NoteFault("$field.pool", "upstream ${upstream.name}: no pool ${upstream.pool}"))
         if (role == PoolRole.DECODE && upstream.pieces == 0) {
-            add(NoteFault("$field.pieces", "upstream ${upstream.name}: a decode upstream needs at least 1"))
+            add(NoteFault("$field.pieces", "upstream ${upstream.name}: must be at least 1 for a decode upstream"))
         }
     }
 
 private fun serviceReferences(state: ReleaseState, service: ReleaseEntry.Service, field: String): List<NoteFault> =
     buildList {
-        fun expect(pool: PoolName?, role: PoolRole, name: String) {
+        fun checkPoolRole(pool: PoolName?, role: PoolRole, name: String) {
             if (pool != null && state.pools[pool]?.role != role) {
-                add(NoteFault("$field.$name", "service ${service.name}: $pool is no ${role.name.lowercase()} pool"))
+                add(NoteFault("$field.$name", "service ${service.name}: $pool is not a ${role.name.lowercase()} pool"))
             }
         }
-        expect(service.prefillPool, PoolRole.PREFILL, "prefillPool")
-        expect(service.decodePool, PoolRole.DECODE, "decodePool")
-        expect(service.plainPool, PoolRole.PLAIN, "plainPool")
+        checkPoolRole(service.prefillPool, PoolRole.PREFILL, "prefillPool")
+        checkPoolRole(service.decodePool, PoolRole.DECODE, "decodePool")
+        checkPoolRole(service.plainPool, PoolRole.PLAIN, "plainPool")
         if (state.requestClass(service, null) == null) {
             add(NoteFault("$field.defaultClass", "service ${service.name}: no class ${service.defaultClass}"))
         }
--- a/core/src/main/kotlin/org/lovageladder/core/ReleaseSync.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/ReleaseSync.kt
@@ -4,134 +4,139 @@
 import kotlin.time.Duration.Companion.seconds
 
 /**
- * Keeps a companion's release current: from the key-value service at its start and in every refresh interval, from
- * entries that know more, and anew after a pause.
+ * Keeps a companion's release up to date. It reads the key-value service at the start, at every refresh interval and
+ * after a pause, and gets newer notes from entries.
  */
 internal class ReleaseSync(private val context: CompanionContext) {
     private val settings = context.settings
     private val output = context.output
-    private val follower = ReleaseFollower()
-    private val asked = HashMap<ConnectionId, AskedNotes>()
+    private val history = ReleaseHistory()
+    private val fetchRequests = HashMap<ConnectionId, FetchRequest>()
     private var readTicket: Long? = null
-    private var readAt: Moment? = null
-    private var readings = 0
-    private var isStoreLost = false
+    private var nextReadAt: Moment? = null
+    private var refreshes = 0
+    private var isStoreUnavailable = false
 
-    /** Whether the release was read, from the store or else from a peer, since the process started or woke. */
+    /** Whether the release was read, from the store or a peer, since the process started or was last paused. */
     var isFresh: Boolean = false
         private set
 
-    val state: ReleaseState get() = follower.state
-    val version: ReleaseVersion get() = follower.state.version
+    val state: ReleaseState get() = history.state
+    val version: ReleaseVersion get() = history.state.version
 
-    /** Notes to send to a peer that knows those up to [after]. */
-    fun notesAfter(after: ReleaseVersion): PeerMessage.Notes = PeerMessage.Notes(follower.after(after))
+    /** Notes for a peer that has those up to [after]. */
+    fun notesAfter(after: ReleaseVersion): PeerMessage.Notes = PeerMessage.Notes(history.notesAfter(after))
 
-    /** Discards what a reading that began before a pause may still answer, and reads anew. */
+    /** Reads again after a pause, and ignores the answer to a read from before it. */
     fun wake() {
         isFresh = false
         readTicket = null
-        readAt = context.now
+        nextReadAt = context.now
     }
 
     fun advance() {
         if (readTicket != null) return
-        if ((readAt ?: context.now) > context.now) return
+        if ((nextReadAt ?: context.now) > context.now) return
         val ticket = output.nextTicket()
         readTicket = ticket
         val request = StoreRequest.ReadAfter(NOTE_PREFIX, noteStoreKey(version))
         output.add(CompanionEffect.AskStore(ticket, request, settings.storeTimeout))
     }
 
-    /** Takes in the answer to [ticket]; false when it belongs to another part. */
+    /** Handles the answer to [ticket]; returns false when another component sent that request. */
     fun storeAnswered(ticket: Long, answer: StoreAnswer): Boolean {
         if (ticket != readTicket) return false
         readTicket = null
         when (answer) {
-            is StoreAnswer.Found -> found(answer.entries)
-            is StoreAnswer.Unavailable, is StoreAnswer.Written, is StoreAnswer.Conflict, is StoreAnswer.Leased -> lost()
+            is StoreAnswer.Found -> onNotesRead(answer.entries)
+            is StoreAnswer.Unavailable, is StoreAnswer.Written, is StoreAnswer.Conflict, is StoreAnswer.Leased ->
+                onStoreUnavailable()
         }
         return true
     }
 
-    /** Asks [connection] for the missing notes when its release [peerVersion] is newer. */
+    /** Asks the peer on [connection] for the missing notes when its release [peerVersion] is newer. */
     fun heardOf(connection: ConnectionId, peerVersion: ReleaseVersion) {
-        if (follower.behind(peerVersion)) askPeer(connection, peerVersion)
+        if (history.isBehind(peerVersion)) fetchNotes(connection, peerVersion)
     }
 
-    /** Takes in notes from the peer on [connection]. */
+    /** Applies notes from the peer on [connection], and asks for more while some are missing. */
     fun notesFrom(connection: ConnectionId, notes: List<AcceptedNote>) {
-        val wasAsked = asked.remove(connection) ?: return apply(notes)
-        apply(notes)
-        if (follower.behind(wasAsked.upTo) && notes.isNotEmpty()) return askPeer(connection, wasAsked.upTo)
-        if (isStoreLost && version > ReleaseVersion.NONE) isFresh = true
+        val request = fetchRequests.remove(connection) ?: return applyNotes(notes)
+        applyNotes(notes)
+        if (history.isBehind(request.targetVersion) && notes.isNotEmpty()) return fetchNotes(connection, request.targetVersion)
+        if (isStoreUnavailable && version > ReleaseVersion.NONE) isFresh = true
     }
 
-    /** Asks a peer that connected while the store is away and the release may be outdated. */
+    /** Asks a newly connected peer for notes if the store is unavailable and the release may be outdated. */
     fun connected(connection: ConnectionId) {
-        if (isStoreLost && !isFresh) askPeer(connection, version)
+        if (isStoreUnavailable && !isFresh) fetchNotes(connection, version)
     }
 
     fun connectionLost(connection: ConnectionId) {
-        asked.remove(connection)
+        fetchRequests.remove(connection)
     }
 
-    fun nextDeadline(): Moment? = if (readTicket == null) readAt ?: context.now else null
+    fun nextDeadline(): Moment? = if (readTicket == null) nextReadAt ?: context.now else null
 
-    private fun askPeer(connection: ConnectionId, upTo: ReleaseVersion) {
-        val previous = asked[connection]
-        if (previous != null && previous.at + FETCH_REPEAT > context.now) {
-            previous.upTo = maxOf(previous.upTo, upTo)
+    private fun fetchNotes(connection: ConnectionId, targetVersion: ReleaseVersion) {
+        val previous = fetchRequests[connection]
+        if (previous != null && previous.sentAt + FETCH_RETRY_INTERVAL > context.now) {
+            previous.targetVersion = maxOf(previous.targetVersion, targetVersion)
             return
         }
-        asked[connection] = AskedNotes(upTo, context.now)
+        fetchRequests[connection] = FetchRequest(targetVersion, context.now)
         output.send(connection, PeerMessage.FetchNotes(version))
     }
 
-    private fun found(entries: List<StoredEntry>) {
-        if (isStoreLost) output.record(EventKind.STORE_BACK)
-        isStoreLost = false
+    private fun onNotesRead(entries: List<StoredEntry>) {
+        if (isStoreUnavailable) output.record(EventKind.STORE_BACK)
+        isStoreUnavailable = false
         val before = version
-        apply(entries.mapNotNull(::decode))
-        val mayHaveMore = entries.size >= READ_LIMIT && version > before
+        applyNotes(entries.mapNotNull(::decode))
+        val mayHaveMore = entries.size >= PAGE_SIZE && version > before
         if (!mayHaveMore) isFresh = true
-        readAt = if (mayHaveMore) context.now else context.now + refreshInterval()
+        nextReadAt = if (mayHaveMore) context.now else context.now + refreshInterval()
     }
 
-    private fun lost() {
-        if (!isStoreLost) output.record(EventKind.STORE_LOST)
-        isStoreLost = true
-        readAt = context.now + settings.storeRefreshInterval.coerceAtMost(LOST_STORE_REPEAT)
+    private fun onStoreUnavailable() {
+        if (!isStoreUnavailable) output.record(EventKind.STORE_LOST)
+        isStoreUnavailable = true
+        nextReadAt = context.now + settings.storeRefreshInterval.coerceAtMost(MAXIMUM_UNAVAILABLE_READ_INTERVAL)
     }
 
     /**
-     * Short before the first release. The first interval after it is cut by a part that differs among incarnations, so
-     * that their readings spread out.
+     * Time until the next read; shorter while there is no release. The first interval after the first release is a
+     * fraction that depends on the incarnation, so that companions don't all read at the same time.
      */
     private fun refreshInterval(): Duration {
-        if (version == ReleaseVersion.NONE) return settings.storeRefreshInterval.coerceAtMost(NO_RELEASE_REPEAT)
-        readings++
-        if (readings > 1) return settings.storeRefreshInterval
-        val part = settings.incarnation.number.mod(STAGGER_PARTS) + 1
-        return settings.storeRefreshInterval * (part.toDouble() / STAGGER_PARTS)
+        if (version ==
+            ReleaseVersion.NONE
+        ) {
+            return settings.storeRefreshInterval.coerceAtMost(MAXIMUM_NO_RELEASE_READ_INTERVAL)
+        }
+        refreshes++
+        if (refreshes > 1) return settings.storeRefreshInterval
+        val fraction = settings.incarnation.number.mod(STAGGER_STEPS) + 1
+        return settings.storeRefreshInterval * (fraction.toDouble() / STAGGER_STEPS)
     }
 
     private fun decode(entry: StoredEntry): AcceptedNote? =
         storedNote(entry) { output.record(EventKind.NOTE_UNREADABLE, detail = it.key) }
 
-    private fun apply(notes: List<AcceptedNote>) {
-        for (note in follower.offer(notes)) {
+    private fun applyNotes(notes: List<AcceptedNote>) {
+        for (note in history.add(notes)) {
             output.record(EventKind.NOTE_APPLIED, note = note.version, detail = note.note.id.text)
         }
     }
 
-    private class AskedNotes(var upTo: ReleaseVersion, val at: Moment)
+    private class FetchRequest(var targetVersion: ReleaseVersion, val sentAt: Moment)
 
     private companion object {
-        val FETCH_REPEAT: Duration = 1.seconds
-        val LOST_STORE_REPEAT: Duration = 1.seconds
-        val NO_RELEASE_REPEAT: Duration = 2.seconds
-        const val STAGGER_PARTS = 1000L
-        const val READ_LIMIT = 256
+        val FETCH_RETRY_INTERVAL: Duration = 1.seconds
+        val MAXIMUM_UNAVAILABLE_READ_INTERVAL: Duration = 1.seconds
+        val MAXIMUM_NO_RELEASE_READ_INTERVAL: Duration = 2.seconds
+        const val STAGGER_STEPS = 1000L
+        const val PAGE_SIZE = 256
     }
 }
--- a/core/src/main/kotlin/org/lovageladder/core/RequestFlow.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/RequestFlow.kt
@@ -4,72 +4,72 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
-/** Course of one accepted request, from its admission to its one outcome. */
-internal interface RequestFlow : AttemptOwner {
+/** Handles one accepted request until its single outcome. */
+internal interface RequestFlow : AttemptListener {
     fun begin(now: Moment)
 
-    /** Frees everything that the request holds; its caller is gone. */
-    fun callerLeft(now: Moment)
+    /** Frees everything that the request holds after its caller disconnected. */
+    fun onCallerDisconnected(now: Moment)
 }
 
-/** What the course of a request needs of its entry. */
-internal class EntryWork(
+/** Components of an entry that are shared by the flows of all requests. */
+internal class EntryComponents(
     val settings: EntrySettings,
     val output: EntryOutput,
     val timers: Timers,
     val attempts: Attempts,
-    val choice: UpstreamChoice,
+    val selector: UpstreamSelector,
     val table: UpstreamTable,
     val links: CompanionLinks,
 ) {
-    val retries = WorkBudget(settings.retryBudgetRatio)
-    val hedges = WorkBudget(settings.hedgeBudgetRatio)
-    val claims = ClaimWriter(settings, output)
+    val retryBudget = ExtraAttemptBudget(settings.retryBudgetRatio)
+    val hedgeBudget = ExtraAttemptBudget(settings.hedgeBudgetRatio)
+    val claimWriter = ClaimWriter(settings, output)
     private val random = Random(settings.randomSeed)
 
-    /** [base] spread by a random part, so that refused callers don't come back together. */
-    fun spread(base: Duration): Duration = base * (1.0 + random.nextDouble())
+    /** Adds up to 100% random jitter to [base], so that refused callers don't all retry at once. */
+    fun addJitter(base: Duration): Duration = base * (1.0 + random.nextDouble())
 }
 
-/** What a request is, for its whole course. */
+/** Identity, class and lifecycle of one request. */
 internal class RequestContext(
     val exchange: ExchangeId,
     val id: RequestId,
     val service: ReleaseEntry.Service,
     val requestClass: ReleaseEntry.RequestClass,
     private val output: EntryOutput,
-    private val finished: (ExchangeId) -> Unit,
+    private val onFinished: (ExchangeId) -> Unit,
 ) {
-    private var lastAttempt = 0
+    private var lastAttemptNumber = 0
 
-    /** Whether the outcome was given or the caller is gone. */
-    var over: Boolean = false
+    /** Whether the outcome was sent or the caller disconnected. */
+    var isFinished: Boolean = false
         private set
 
-    fun nextAttempt(): AttemptId = AttemptId(id, ++lastAttempt)
+    fun nextAttemptId(): AttemptId = AttemptId(id, ++lastAttemptNumber)
 
     fun record(kind: EventKind, upstream: UpstreamName? = null, detail: String = "") {
         output.record(EventDraft(kind, request = id, upstream = upstream, detail = detail))
     }
 
-    /** Gives the caller its outcome; does nothing when the request is over. */
-    fun give(outcome: Outcome) {
-        if (over) return
-        over = true
+    /** Sends the caller its outcome; does nothing when the request is finished. */
+    fun finish(outcome: Outcome) {
+        if (isFinished) return
+        isFinished = true
         when (outcome) {
             is Outcome.Generated, is Outcome.Answered -> record(EventKind.REQUEST_FINISHED)
             is Outcome.Refused -> record(EventKind.REQUEST_REFUSED, detail = refusalDetail(outcome))
         }
         output.add(EntryEffect.GiveOutcome(exchange, id, outcome))
-        finished(exchange)
+        onFinished(exchange)
     }
 
-    /** Ends the request without an outcome, since nobody is there to receive it. */
+    /** Finishes the request without an outcome, after its caller disconnected. */
     fun abandon() {
-        if (over) return
-        over = true
+        if (isFinished) return
+        isFinished = true
         record(EventKind.CALLER_LEFT)
-        finished(exchange)
+        onFinished(exchange)
     }
 }
 
@@ -83,5 +83,5 @@
 )
     .joinToString(" ")
 
-/** Time after which a refused caller may come back when nothing better is known. */
+/** Retry delay for refused callers when no estimate is available. */
 internal val DEFAULT_RETRY_AFTER: Duration = 500.milliseconds
--- a/core/src/main/kotlin/org/lovageladder/core/Timers.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/Timers.kt
@@ -2,34 +2,32 @@
 
 import java.util.TreeMap
 
-/**
- * Actions due at given times, run by their owner in order of time and then of scheduling. Confined to one thread.
- */
+/** Scheduled actions, run in order of time and then of scheduling when [runDue] is called. Confined to one thread. */
 internal class Timers {
-    private val due = TreeMap<TimerKey, (Moment) -> Unit>()
+    private val actions = TreeMap<TimerKey, (Moment) -> Unit>()
     private var sequence = 0L
 
-    /** Runs [action] at [moment] unless the returned timer is cancelled before. */
+    /** Schedules [action] for [moment]; the returned timer cancels it. */
     fun at(moment: Moment, action: (Moment) -> Unit): Timer {
         val key = TimerKey(moment, sequence++)
-        due[key] = action
-        return Timer { due.remove(key) }
+        actions[key] = action
+        return Timer { actions.remove(key) }
     }
 
     /** Time of the earliest action; null when there is none. */
-    fun next(): Moment? = if (due.isEmpty()) null else due.firstKey().moment
+    fun earliest(): Moment? = if (actions.isEmpty()) null else actions.firstKey().moment
 
-    /** Runs every action due at [now], including those scheduled meanwhile for [now] or before. */
+    /** Runs every action due at [now], including those that these actions schedule for [now] or earlier. */
     fun runDue(now: Moment) {
-        while (due.isNotEmpty() && due.firstKey().moment <= now) {
-            due.pollFirstEntry().value(now)
+        while (actions.isNotEmpty() && actions.firstKey().moment <= now) {
+            actions.pollFirstEntry().value(now)
         }
     }
 }
 
 /** Handle of a scheduled action. */
 internal fun interface Timer {
-    /** Prevents the action; does nothing when it ran already. */
+    /** Cancels the action; does nothing when it has already run. */
     fun cancel()
 }
 
--- a/core/src/main/kotlin/org/lovageladder/core/TokenSequence.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/TokenSequence.kt
@@ -1,26 +1,26 @@
 package org.lovageladder.core
 
 /**
- * Puts the tokens of one answer in order: each index is passed on once, in order, whichever attempt produced it and
- * however often. Confined to one thread.
+ * Orders and deduplicates the tokens of one answer: [onNext] gets each index once and in order, even if several
+ * attempts produce it. Confined to one thread.
  */
-internal class TokenSequence(private val pass: (Int, String) -> Unit) {
-    private val early = HashMap<Int, String>()
+internal class TokenSequence(private val onNext: (Int, String) -> Unit) {
+    private val outOfOrder = HashMap<Int, String>()
 
-    /** Index of the next token to be passed on. */
-    var next: Int = 0
+    /** Index of the next token to pass to [onNext]. */
+    var nextIndex: Int = 0
         private set
 
-    /** Takes in one token; returns whether any was passed on. */
-    fun offer(index: Int, text: String): Boolean {
-        if (index < next) return false
-        early.putIfAbsent(index, text)
-        val before = next
+    /** Adds one token; returns whether any was passed to [onNext]. */
+    fun add(index: Int, text: String): Boolean {
+        if (index < nextIndex) return false
+        outOfOrder.putIfAbsent(index, text)
+        val before = nextIndex
         while (true) {
-            val token = early.remove(next) ?: break
-            pass(next, token)
-            next++
+            val token = outOfOrder.remove(nextIndex) ?: break
+            onNext(nextIndex, token)
+            nextIndex++
         }
-        return next > before
+        return nextIndex > before
     }
 }
--- a/core/src/main/kotlin/org/lovageladder/core/UpstreamTable.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/UpstreamTable.kt
@@ -4,143 +4,147 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
-/** What an entry knows of one upstream: the companion's last ledger, and its own latencies and attempts. */
+/** State of one upstream at an entry: the companion's last ledger state, and this entry's latencies and attempts. */
 internal class UpstreamRecord(var entry: ReleaseEntry.Upstream, var role: PoolRole, var place: PlaceName) {
     val name: UpstreamName get() = entry.name
 
-    /** Last ledger state received, and when. */
+    /** Last ledger state received, at [loadReceivedAt]. */
     var load: UpstreamLoad? = null
         private set
-    var loadAt: Moment? = null
+    var loadReceivedAt: Moment? = null
         private set
 
     /** Attempts of this entry that are not finished. */
     var inFlight: Int = 0
 
-    /** Pieces asked for since the last ledger state. */
-    var piecesAsked: Int = 0
+    /** Pieces requested by attempts that the companion has not answered yet. */
+    var pendingPieces: Int = 0
 
-    /** Prompt tokens sent for prefill and not yet answered. */
-    var promptTokensAsked: Long = 0
+    /** Prompt tokens of prefills that the companion has not answered yet. */
+    var pendingPromptTokens: Long = 0
 
     val firstLatency = RecentLatency()
     val tokenGap = RecentLatency()
 
     /** Smoothed time of a prefill per 1,000 prompt tokens. */
-    val prefillPerThousandTokens = RecentLatency()
+    val prefillTimePerThousandTokens = RecentLatency()
 
-    /** End of the probation in force; null when there is none. */
+    /** End of the current probation; null when there is none. */
     var probationUntil: Moment? = null
-    var probationLength: Duration = FIRST_PROBATION
+    var nextProbationDuration: Duration = MINIMUM_PROBATION
 
-    fun learn(received: UpstreamLoad, now: Moment) {
+    fun recordLoad(received: UpstreamLoad, now: Moment) {
         load = received
-        loadAt = now
+        loadReceivedAt = now
     }
 
-    fun onProbation(now: Moment): Boolean = probationUntil.let { it != null && now < it }
+    fun isOnProbation(now: Moment): Boolean = probationUntil.let { it != null && now < it }
 
-    /** Part of the decode memory that is used or asked for; above 1 when more is asked for than there is. */
+    /** Fraction of the decode memory that is used or requested; above 1 when more is requested than available. */
     fun occupancy(extraPieces: Int): Double {
         val total = (load?.piecesTotal ?: entry.pieces).coerceAtLeast(1)
-        val used = total - (load?.piecesFree ?: total) + piecesAsked + extraPieces
+        val used = total - (load?.piecesFree ?: total) + pendingPieces + extraPieces
         return used.toDouble() / total
     }
 
-    /** Calls that run or wait there, as far as known. */
+    /** Number of calls running or waiting there, from the ledger or from this entry's attempts if those are more. */
     fun backlog(): Int = maxOf(load?.let { it.running + it.waiting } ?: 0, inFlight)
 
     companion object {
-        val FIRST_PROBATION: Duration = 500.milliseconds
-        val LONGEST_PROBATION: Duration = 8.seconds
+        val MINIMUM_PROBATION: Duration = 500.milliseconds
+        val MAXIMUM_PROBATION: Duration = 8.seconds
     }
 }
 
 /**
- * All upstreams of the release in force, with what this entry knows of them. Each pool is kept in this entry's order
- * of preference: its own place first, then by rendezvous hashing on its name, so that the entries spread over a large
- * pool and each keeps to [NEAREST] of its upstreams. Confined to one thread.
+ * All upstreams of the applied release with their state at this entry. The upstreams of a pool are sorted by
+ * preference: this entry's place first, then by rendezvous hashing on its process name. Each entry uses only the first
+ * [NEAREST_LIMIT], so that the entries spread over a large pool. Confined to one thread.
  */
 internal class UpstreamTable(
     private val settings: EntrySettings,
-    private val usable: (UpstreamRecord) -> Boolean,
-    private val record: (EventDraft) -> Unit,
+    private val isUsable: (UpstreamRecord) -> Boolean,
+    private val recordEvent: (EventDraft) -> Unit,
 ) {
     private val records = LinkedHashMap<UpstreamName, UpstreamRecord>()
     private val byPool = HashMap<PoolName, List<UpstreamRecord>>()
-    private val largest = HashMap<PoolName, Int>()
+    private val largestPiecesByPool = HashMap<PoolName, Int>()
 
     val all: Collection<UpstreamRecord> get() = records.values
 
     operator fun get(name: UpstreamName): UpstreamRecord? = records[name]
 
-    /** The usable upstreams of [pool] that this entry keeps to, nearest first; none of [excluded]. */
-    fun nearest(pool: PoolName, excluded: Set<UpstreamName> = emptySet()): List<UpstreamRecord> =
+    /** The first [NEAREST_LIMIT] usable upstreams of [pool] in order of preference, without [excluded]. */
+    fun nearestUsable(pool: PoolName, excluded: Set<UpstreamName> = emptySet()): List<UpstreamRecord> =
         byPool[pool].orEmpty().asSequence()
-            .filter { it.name !in excluded && usable(it) }
-            .take(NEAREST)
+            .filter { it.name !in excluded && isUsable(it) }
+            .take(NEAREST_LIMIT)
             .toList()
 
-    /** Memory in pieces of the largest upstream of [pool]; null when it has none. */
-    fun largestPieces(pool: PoolName): Int? = largest[pool]
+    /** Memory of the largest upstream of [pool], in pieces; null when the pool has none. */
+    fun largestUpstreamPieces(pool: PoolName): Int? = largestPiecesByPool[pool]
 
-    /** Takes over the upstreams of [state]; what is known of those that stay is kept. */
-    fun apply(state: ReleaseState) {
+    /** Applies the upstreams of [state]; the state of those that remain is kept. */
+    fun applyRelease(state: ReleaseState) {
         records.keys.retainAll(state.upstreams.keys)
         state.upstreams.values.forEach { entry ->
             val role = state.roleOf(entry) ?: return@forEach
             val place = state.hosts[entry.host]?.place ?: return@forEach
-            val known = records.getOrPut(entry.name) { UpstreamRecord(entry, role, place) }
-            known.entry = entry
-            known.role = role
-            known.place = place
+            val upstream = records.getOrPut(entry.name) { UpstreamRecord(entry, role, place) }
+            upstream.entry = entry
+            upstream.role = role
+            upstream.place = place
         }
         byPool.clear()
-        records.values.groupBy { it.entry.pool }.forEach { (pool, members) -> byPool[pool] = preferred(members) }
-        largest.clear()
-        byPool.forEach { (pool, members) -> largest[pool] = members.maxOf { it.entry.pieces } }
+        records.values.groupBy { it.entry.pool }.forEach { (pool, members) -> byPool[pool] = sortByPreference(members) }
+        largestPiecesByPool.clear()
+        byPool.forEach { (pool, members) -> largestPiecesByPool[pool] = members.maxOf { it.entry.pieces } }
     }
 
-    private fun preferred(members: List<UpstreamRecord>): List<UpstreamRecord> =
-        members.sortedWith(compareBy({ it.place != settings.place }, { rendezvous(settings.process.text, it.name) }))
+    private fun sortByPreference(members: List<UpstreamRecord>): List<UpstreamRecord> = members.sortedWith(
+        compareBy({
+            it.place != settings.place
+        }, { rendezvousHash(settings.process.text, it.name) }),
+    )
 
-    fun learn(load: UpstreamLoad, now: Moment) {
-        records[load.upstream]?.learn(load, now)
+    fun recordLoad(load: UpstreamLoad, now: Moment) {
+        records[load.upstream]?.recordLoad(load, now)
     }
 
-    /** Compares [upstream]'s first-answer latency with its pool's after a sample, and sets or ends its probation. */
-    fun judge(upstream: UpstreamRecord, latency: (UpstreamRecord) -> RecentLatency, now: Moment) {
-        val peers = nearest(upstream.entry.pool).filter { it !== upstream && !latency(it).isEmpty }
+    /** Compares [latency] of [upstream] with the median of its pool, and starts or ends its probation. */
+    fun updateProbation(upstream: UpstreamRecord, latency: (UpstreamRecord) -> RecentLatency, now: Moment) {
+        val peers = nearestUsable(upstream.entry.pool).filter { it !== upstream && !latency(it).isEmpty }
         if (peers.isEmpty()) return
         val own = latency(upstream).smoothedMicroseconds
         val median = peers.map { latency(it).smoothedMicroseconds }.sorted()[(peers.size - 1) / 2]
-        val slow = own > median * SLOW_RATIO && own - median > SLOW_FLOOR.inWholeMicroseconds
-        if (slow) eject(upstream, now) else restore(upstream, now)
+        val isSlow = own > median * SLOW_RATIO && own - median > MINIMUM_SLOW_DIFFERENCE.inWholeMicroseconds
+        if (isSlow) startProbation(upstream, now) else endProbation(upstream, now)
     }
 
-    private fun eject(upstream: UpstreamRecord, now: Moment) {
-        if (upstream.onProbation(now) || ejectedLimitReached(upstream, now)) return
-        upstream.probationUntil = now + upstream.probationLength
-        upstream.probationLength = (upstream.probationLength * 2).coerceAtMost(UpstreamRecord.LONGEST_PROBATION)
-        record(EventDraft(EventKind.UPSTREAM_SLOW, upstream = upstream.name))
+    private fun startProbation(upstream: UpstreamRecord, now: Moment) {
+        if (upstream.isOnProbation(now) || isProbationLimitReached(upstream, now)) return
+        upstream.probationUntil = now + upstream.nextProbationDuration
+        upstream.nextProbationDuration =
+            (upstream.nextProbationDuration * 2).coerceAtMost(UpstreamRecord.MAXIMUM_PROBATION)
+        recordEvent(EventDraft(EventKind.UPSTREAM_SLOW, upstream = upstream.name))
     }
 
-    private fun restore(upstream: UpstreamRecord, now: Moment) {
-        if (upstream.probationUntil == null || upstream.onProbation(now)) return
+    private fun endProbation(upstream: UpstreamRecord, now: Moment) {
+        if (upstream.probationUntil == null || upstream.isOnProbation(now)) return
         upstream.probationUntil = null
-        upstream.probationLength = UpstreamRecord.FIRST_PROBATION
-        record(EventDraft(EventKind.UPSTREAM_RESTORED, upstream = upstream.name))
+        upstream.nextProbationDuration = UpstreamRecord.MINIMUM_PROBATION
+        recordEvent(EventDraft(EventKind.UPSTREAM_RESTORED, upstream = upstream.name))
     }
 
-    private fun ejectedLimitReached(upstream: UpstreamRecord, now: Moment): Boolean {
-        val pool = nearest(upstream.entry.pool)
-        val ejected = pool.count { it.onProbation(now) }
-        return ejected + 1 > pool.size * settings.ejectedShareLimit
+    private fun isProbationLimitReached(upstream: UpstreamRecord, now: Moment): Boolean {
+        val pool = nearestUsable(upstream.entry.pool)
+        val countOnProbation = pool.count { it.isOnProbation(now) }
+        return countOnProbation + 1 > pool.size * settings.ejectedShareLimit
     }
 
     private companion object {
-        const val NEAREST = 16
+        const val NEAREST_LIMIT = 16
         const val SLOW_RATIO = 3.0
-        val SLOW_FLOOR = 2.milliseconds
+        val MINIMUM_SLOW_DIFFERENCE = 2.milliseconds
     }
 }
--- a/core/src/test/kotlin/org/lovageladder/core/NoteTextTest.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/NoteTextTest.kt
@@ -30,34 +30,34 @@
     )
 
     @Test
-    fun aWrittenNoteIsReadBackEqual() {
+    fun writtenNotesAreReadBackEqual() {
         assertEquals(note, readReleaseNote(writeReleaseNote(note)).unwrap())
         val accepted = AcceptedNote(ReleaseVersion(7), note)
         assertEquals(accepted, readAcceptedNote(writeAcceptedNote(accepted)).unwrap())
     }
 
     @Test
-    fun unknownFieldsOfAStoredNoteAreIgnoredAndOtherFaultsAreNamed() {
-        val newer = """{"version": 3, "note": {"id": "a", "reason": "new"}, "stamp": 1}"""
-        assertEquals(AcceptedNote(ReleaseVersion(3), ReleaseNote(NoteId("a"))), readAcceptedNote(newer).unwrap())
-        val broken = """{"version": "three", "note": {"id": "a"}}"""
-        assertEquals(listOf("version"), readAcceptedNote(broken).getError()?.map { it.field })
+    fun storedNotesIgnoreUnknownFieldsAndReportOtherFaultsByField() {
+        val newerVersion = """{"version": 3, "note": {"id": "a", "reason": "new"}, "stamp": 1}"""
+        assertEquals(AcceptedNote(ReleaseVersion(3), ReleaseNote(NoteId("a"))), readAcceptedNote(newerVersion).unwrap())
+        val wrongType = """{"version": "three", "note": {"id": "a"}}"""
+        assertEquals(listOf("version"), readAcceptedNote(wrongType).getError()?.map { it.field })
     }
 
     @Test
-    fun anAcceptedNoteStandsOnOneLine() {
+    fun anAcceptedNoteIsWrittenOnOneLine() {
         assertEquals(1, writeAcceptedNote(AcceptedNote(ReleaseVersion(7), note)).lines().size)
     }
 
-    private data class Found(val field: String, val line: Int?)
+    private data class ReportedFault(val field: String, val line: Int?)
 
-    private data class Case(val name: String, val text: String, val faults: List<Found>) {
+    private data class ParseCase(val name: String, val text: String, val faults: List<ReportedFault>) {
         constructor(
             name: String,
             text: String,
             field: String,
             line: Int?,
-        ) : this(name, text, listOf(Found(field, line)))
+        ) : this(name, text, listOf(ReportedFault(field, line)))
     }
 
     private fun pool(members: String) = "{\n\"id\": \"a\",\n\"added\": [\n{\"type\": \"pool\",\n$members\n}]\n}"
@@ -66,69 +66,69 @@
         "{\"id\": \"a\", \"added\": [{\"type\": \"class\", \"name\": \"n\", \"service\": \"s\",\n$members\n}]}"
 
     private val cases = listOf(
-        Case("empty text", "", "", 1),
-        Case("cut off", "{\n\"id\": \"a\",\n", "", 2),
-        Case("missing comma", "{\n\"id\": \"a\"\n\"base\": 0\n}", "", 3),
-        Case("text after the end", "{\"id\": \"a\"}\n]", "", 2),
-        Case("not an object", "\n[]", "", 2),
-        Case("missing id", "{\n\"base\": 0\n}", "id", 1),
-        Case("unknown member", "{\"id\": \"a\",\n\"adds\": []}", "adds", 2),
-        Case("member twice", "{\"id\": \"a\",\n\"id\": \"b\"}", "id", 1),
-        Case("number as text", "{\"id\": \"a\",\n\"base\": \"0\"}", "base", 2),
-        Case("fraction as whole number", "{\"id\": \"a\",\n\"base\": 0.5}", "base", 2),
-        Case("text as number", "{\n\"id\": 5}", "id", 2),
-        Case("null", "{\n\"id\": null}", "id", 2),
-        Case("unquoted text", "{\n\"id\": abc}", "id", 2),
-        Case("object as list", "{\"id\": \"a\",\n\"added\": {}}", "added", 2),
-        Case("no type", "{\"id\": \"a\",\n\"added\": [\n{\"name\": \"p\"}]}", "added[0].type", 3),
-        Case("unknown type", "{\"id\": \"a\", \"added\": [\n{\"type\": \"pond\"}]}", "added[0].type", 2),
-        Case("unknown role", pool("\"name\": \"p\",\n\"role\": \"middle\""), "added[0].role", 6),
-        Case("missing role", pool("\"name\": \"p\""), "added[0].role", 4),
-        Case(
+        ParseCase("empty text", "", "", 1),
+        ParseCase("cut off", "{\n\"id\": \"a\",\n", "", 2),
+        ParseCase("missing comma", "{\n\"id\": \"a\"\n\"base\": 0\n}", "", 3),
+        ParseCase("text after the end", "{\"id\": \"a\"}\n]", "", 2),
+        ParseCase("not an object", "\n[]", "", 2),
+        ParseCase("missing id", "{\n\"base\": 0\n}", "id", 1),
+        ParseCase("unknown member", "{\"id\": \"a\",\n\"adds\": []}", "adds", 2),
+        ParseCase("member twice", "{\"id\": \"a\",\n\"id\": \"b\"}", "id", 1),
+        ParseCase("number as text", "{\"id\": \"a\",\n\"base\": \"0\"}", "base", 2),
+        ParseCase("fraction as whole number", "{\"id\": \"a\",\n\"base\": 0.5}", "base", 2),
+        ParseCase("text as number", "{\n\"id\": 5}", "id", 2),
+        ParseCase("null", "{\n\"id\": null}", "id", 2),
+        ParseCase("unquoted text", "{\n\"id\": abc}", "id", 2),
+        ParseCase("object as list", "{\"id\": \"a\",\n\"added\": {}}", "added", 2),
+        ParseCase("no type", "{\"id\": \"a\",\n\"added\": [\n{\"name\": \"p\"}]}", "added[0].type", 3),
+        ParseCase("unknown type", "{\"id\": \"a\", \"added\": [\n{\"type\": \"pond\"}]}", "added[0].type", 2),
+        ParseCase("unknown role", pool("\"name\": \"p\",\n\"role\": \"middle\""), "added[0].role", 6),
+        ParseCase("missing role", pool("\"name\": \"p\""), "added[0].role", 4),
+        ParseCase(
             "unknown and wrong",
             pool("\"name\": 1,\n\"rank\": 2, \"role\": \"plain\""),
-            listOf(Found("added[0].rank", 6), Found("added[0].name", 5)),
+            listOf(ReportedFault("added[0].rank", 6), ReportedFault("added[0].name", 5)),
         ),
-        Case(
+        ParseCase(
             "duration not in ISO form",
             requestClass("\"target\": {\"type\": \"answer\",\n\"within\": \"2s\"}"),
             "added[0].target.within",
             3,
         ),
-        Case(
+        ParseCase(
             "number that is not finite",
             requestClass("\"target\": {\"type\": \"answer\", \"within\": \"PT2S\"},\n\"worth\": 1e999"),
             "added[0].worth",
             3,
         ),
-        Case(
+        ParseCase(
             "withdrawn kind",
             "{\"id\": \"a\",\n\"withdrawn\": [{\"kind\": \"x\", \"name\": \"y\"}]}",
             "withdrawn[0].kind",
             2,
         ),
-        Case("nested too deep", "{\"id\": \"a\", \"added\": " + "[".repeat(10_000), "", null),
-        Case("too large", "{\"id\": \"" + "a".repeat(NOTE_LIMIT_BYTES) + "\"}", "", null),
+        ParseCase("nested too deep", "{\"id\": \"a\", \"added\": " + "[".repeat(10_000), "", null),
+        ParseCase("too large", "{\"id\": \"" + "a".repeat(NOTE_LIMIT_BYTES) + "\"}", "", null),
     )
 
     @Test
-    fun faultsOfFormNameFieldAndLine() {
+    fun structureFaultsNameFieldAndLine() {
         for (case in cases) {
             val faults = readReleaseNote(case.text).getError().orEmpty()
-            assertEquals(case.faults, faults.map { Found(it.field, it.line) }, "${case.name}: $faults")
+            assertEquals(case.faults, faults.map { ReportedFault(it.field, it.line) }, "${case.name}: $faults")
         }
     }
 
     @Test
-    fun aFaultOfContentIsLocated() {
+    fun locateFindsTheLineOfAFault() {
         val text = writeReleaseNote(note)
         val poolLine = text.lines().indexOfFirst { it.contains("\"name\": \"prefill\"") } + 1
-        val rows = listOf(
-            Found("added[1].name", poolLine),
-            Found("added[1].absent", poolLine - 2),
-            Found("nowhere", 1),
+        val expectedLines = listOf(
+            ReportedFault("added[1].name", poolLine),
+            ReportedFault("added[1].absent", poolLine - 2),
+            ReportedFault("nowhere", 1),
         )
-        for ((field, line) in rows) {
+        for ((field, line) in expectedLines) {
             assertEquals(line, locate(text, NoteFault(field, "is wrong")).line, field)
         }
     }
--- a/core/src/test/kotlin/org/lovageladder/core/world/FakeStore.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/world/FakeStore.kt
@@ -11,50 +11,50 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
-/** Key-value service with the faults that the platform's one shows. */
+/** In-memory key-value service with injectable faults. */
 internal class FakeStore(private val time: VirtualTime) {
     private val entries = TreeMap<String, StoredEntry>()
     private val watchers = mutableListOf<(StoredEntry) -> Unit>()
     private var revision = 0L
-    private var leases = 0L
+    private var lastLease = 0L
 
-    var down = false
-    var slow = false
-    var answersToLose = 0
+    var isDown = false
+    var isSlow = false
+    var writeAnswersToLose = 0
 
-    /** Revisions of notes that reads leave out, as if an older copy answered. */
+    /** Number of newest notes that reads leave out, as a lagging replica would. */
     var hiddenNotes = 0
 
-    fun watch(changed: (StoredEntry) -> Unit) {
-        watchers += changed
+    fun watch(onChange: (StoredEntry) -> Unit) {
+        watchers += onChange
     }
 
-    /** Writes at once, whatever the faults. */
+    /** Writes at once and ignores the injected faults. */
     fun put(write: StoreWrite) {
         revision++
         write(write)
     }
 
-    fun call(request: StoreRequest, timeout: Duration, answered: (StoreAnswer) -> Unit) {
-        var done = false
-        val once: (StoreAnswer) -> Unit = { answer ->
-            if (!done) {
-                done = true
-                answered(answer)
+    fun call(request: StoreRequest, timeout: Duration, onAnswer: (StoreAnswer) -> Unit) {
+        var isAnswered = false
+        val answerOnce: (StoreAnswer) -> Unit = { answer ->
+            if (!isAnswered) {
+                isAnswered = true
+                onAnswer(answer)
             }
         }
-        time.after(timeout) { once(unavailable()) }
-        if (down) return
-        val delay = if (slow) SLOW else FAST
+        time.after(timeout) { answerOnce(unavailable()) }
+        if (isDown) return
+        val delay = if (isSlow) SLOW_DELAY else FAST_DELAY
         time.after(delay) {
-            if (down) return@after
-            val answer = take(request)
-            val lost = answer is StoreAnswer.Written && answersToLose > 0
-            if (lost) answersToLose-- else time.after(FAST) { once(answer) }
+            if (isDown) return@after
+            val answer = process(request)
+            val isAnswerLost = answer is StoreAnswer.Written && writeAnswersToLose > 0
+            if (isAnswerLost) writeAnswersToLose-- else time.after(FAST_DELAY) { answerOnce(answer) }
         }
     }
 
-    private fun take(request: StoreRequest): StoreAnswer = when (request) {
+    private fun process(request: StoreRequest): StoreAnswer = when (request) {
         is StoreRequest.Create -> create(request)
         is StoreRequest.Replace -> replace(request)
         is StoreRequest.Read -> StoreAnswer.Found(listOfNotNull(entries[request.key]))
@@ -62,13 +62,13 @@
             val found = entries.tailMap(request.after, false).values.filter { it.key.startsWith(request.prefix) }
             StoreAnswer.Found(found.dropLast(hiddenNotes).take(request.limit))
         }
-        is StoreRequest.GrantLease -> StoreAnswer.Leased(++leases, request.timeToLive)
+        is StoreRequest.GrantLease -> StoreAnswer.Leased(++lastLease, request.timeToLive)
         is StoreRequest.RenewLease -> StoreAnswer.Leased(request.lease, 1.milliseconds)
     }
 
     private fun create(request: StoreRequest.Create): StoreAnswer {
-        val standing = request.writes.mapNotNull { entries[it.key] }
-        if (standing.isNotEmpty()) return StoreAnswer.Conflict(standing)
+        val existing = request.writes.mapNotNull { entries[it.key] }
+        if (existing.isNotEmpty()) return StoreAnswer.Conflict(existing)
         revision++
         request.writes.forEach(::write)
         return StoreAnswer.Written(revision)
@@ -91,7 +91,7 @@
     private fun unavailable() = StoreAnswer.Unavailable(Fault(Step.STORE, "store", FaultCause.TIMEOUT))
 
     private companion object {
-        val FAST = 1.milliseconds
-        val SLOW = 300.milliseconds
+        val FAST_DELAY = 1.milliseconds
+        val SLOW_DELAY = 300.milliseconds
     }
 }
--- a/core/src/test/kotlin/org/lovageladder/core/world/FakeUpstream.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/world/FakeUpstream.kt
@@ -16,7 +16,7 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
-/** An engine or plain service that outlives the companion beside it and holds memory until told otherwise. */
+/** An engine or plain service. Its calls outlive the companion and hold memory until they end or are cancelled. */
 internal class FakeUpstream(
     val entry: ReleaseEntry.Upstream,
     private val time: VirtualTime,
@@ -27,7 +27,7 @@
 
     private val running = LinkedHashMap<String, Call>()
 
-    var stalled = false
+    var isStalled = false
     var slowFactor = 1
     var answersToDrop = 0
 
@@ -41,7 +41,7 @@
             is UpstreamCall.Decode -> decode(name, call, report)
             is UpstreamCall.Plain -> plain(name, call, report)
         }
-        oracle.started(entry.name, time.now)
+        oracle.checkWorkAllowed(entry.name, time.now)
     }
 
     fun cancel(name: String): Boolean {
@@ -52,7 +52,7 @@
 
     private fun prefill(name: String, report: (UpstreamReport) -> Unit) {
         running[name] = Call(0, report)
-        later {
+        afterStepTime {
             if (running.remove(name) != null) {
                 report(UpstreamReport.PrefillReady(TransferTicket("{}", 1, 800.milliseconds)))
             }
@@ -62,18 +62,18 @@
     private fun decode(name: String, call: UpstreamCall.Decode, report: (UpstreamReport) -> Unit) {
         val pieces = (call.content.promptTokens + call.outputBound + PIECE_TOKENS - 1) / PIECE_TOKENS
         if (piecesHeld + pieces > entry.pieces) {
-            oracle.violation("${entry.name} was given more than its memory holds")
+            oracle.addViolation("${entry.name} was given more than its memory can hold")
         }
         running[name] = Call(pieces, report)
-        token(name, call, call.fromIndex)
+        produceToken(name, call, call.fromIndex)
     }
 
-    private fun token(name: String, call: UpstreamCall.Decode, index: Int) {
-        later {
-            val current = running[name] ?: return@later
+    private fun produceToken(name: String, call: UpstreamCall.Decode, index: Int) {
+        afterStepTime {
+            val current = running[name] ?: return@afterStepTime
             if (index < call.outputBound) {
                 current.report(UpstreamReport.Token(index, tokenText(call.content, index)))
-                token(name, call, index + 1)
+                produceToken(name, call, index + 1)
             } else {
                 running.remove(name)
                 current.report(UpstreamReport.Finished(call.outputBound, "length"))
@@ -83,12 +83,12 @@
 
     private fun plain(name: String, call: UpstreamCall.Plain, report: (UpstreamReport) -> Unit) {
         running[name] = Call(0, report)
-        call.idempotencyKey?.let { oracle.executed(it, time.now) }
-        later {
+        call.idempotencyKey?.let { oracle.recordExecution(it, time.now) }
+        afterStepTime {
             if (running.remove(name) != null) {
-                val dropped = answersToDrop > 0
-                if (dropped) answersToDrop--
-                report(if (dropped) lostAnswer() else UpstreamReport.Answered(plainAnswer(call.content)))
+                val isAnswerDropped = answersToDrop > 0
+                if (isAnswerDropped) answersToDrop--
+                report(if (isAnswerDropped) lostAnswer() else UpstreamReport.Answered(plainAnswer(call.content)))
             }
         }
     }
@@ -97,10 +97,10 @@
 
     private fun fault(cause: FaultCause) = Fault(Step.DECODE, entry.name.text, cause)
 
-    /** Runs [step] after this upstream's time for one step; while it is stalled, steps wait. */
-    private fun later(step: () -> Unit) {
+    /** Runs [action] after the time of one step; while the upstream is stalled, the step is postponed. */
+    private fun afterStepTime(action: () -> Unit) {
         val delay: Duration = (1 + random.nextInt(MAX_STEP_MILLISECONDS)).milliseconds * slowFactor
-        time.after(delay) { if (stalled) later(step) else step() }
+        time.after(delay) { if (isStalled) afterStepTime(action) else action() }
     }
 
     private companion object {
--- a/core/src/test/kotlin/org/lovageladder/core/world/FleetRelease.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/world/InitialRelease.kt
@@ -17,8 +17,8 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
-/** The release that the world begins with: two upstreams in each of three pools, each on a host of its own. */
-internal class FleetRelease {
+/** First release of the simulation: three pools of two upstreams, each upstream on its own host. */
+internal class InitialRelease {
     val place = PlaceName("mohacs-telep")
     val entryHosts = listOf(HostName("entry-1"), HostName("entry-2"))
     private val pools = listOf(
--- a/core/src/test/kotlin/org/lovageladder/core/world/Network.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/world/Network.kt
@@ -5,76 +5,86 @@
 import kotlin.random.Random
 import kotlin.time.Duration.Companion.microseconds
 
-/** Connections between processes: ordered, delayed, and cut in one or both directions on demand. */
+/** Ordered, delayed connections between processes, with injectable faults. */
 internal class Network(private val time: VirtualTime, private val random: Random) {
     private val channels = mutableListOf<Channel>()
-    private var cutAll: Cut? = null
+    private var blockedForNewConnections: Direction? = null
 
-    var duplicates = false
+    var duplicatesMessages = false
 
-    /** Makes every open connection, or every later one too, deliver nothing in the directions of [cut]. */
-    fun cut(cut: Cut, lasting: Boolean) {
-        channels.filter { it.open }.forEach { it.cuts += cut }
-        if (lasting) cutAll = cut
+    /** Stops delivery in [direction] on every open connection and, if [alsoNewConnections], on every later one. */
+    fun block(direction: Direction, alsoNewConnections: Boolean) {
+        channels.filter { it.isOpen }.forEach { it.blockedDirections += direction }
+        if (alsoNewConnections) blockedForNewConnections = direction
     }
 
-    /** Breaks every open connection; what is under way on it is lost. */
-    fun breakAll() {
-        channels.filter { it.open }.forEach { it.close() }
+    /** Closes every open connection; messages in transit are lost. */
+    fun closeAll() {
+        channels.filter { it.isOpen }.forEach { it.close() }
     }
 
-    fun heal() {
-        cutAll = null
-        duplicates = false
+    fun removeFaults() {
+        blockedForNewConnections = null
+        duplicatesMessages = false
     }
 
     fun open(entrySide: Endpoint, companionSide: Endpoint): Channel {
-        channels.removeAll { !it.open }
+        channels.removeAll { !it.isOpen }
         val channel = Channel(entrySide, companionSide)
-        cutAll?.let { channel.cuts += it }
+        blockedForNewConnections?.let { channel.blockedDirections += it }
         channels += channel
         return channel
     }
 
     inner class Channel(private val entrySide: Endpoint, private val companionSide: Endpoint) {
-        val cuts = mutableSetOf<Cut>()
+        val blockedDirections = mutableSetOf<Direction>()
         private var lastToEntry = time.now
         private var lastToCompanion = time.now
 
-        private var delivering = true
+        private var isDelivering = true
 
-        var open = true
+        var isOpen = true
             private set
 
-        fun toEntry(envelope: Envelope) {
-            if (!open || Cut.TO_ENTRY in cuts) return
+        fun sendToEntry(envelope: Envelope) {
+            if (!isOpen || Direction.TO_ENTRY in blockedDirections) return
             lastToEntry = maxOf(lastToEntry, time.now + delay())
-            carry(lastToEntry) { entrySide.received(envelope) }
+            scheduleDelivery(lastToEntry) { entrySide.onReceived(envelope) }
         }
 
-        fun toCompanion(envelope: Envelope) {
-            if (!open || Cut.TO_COMPANION in cuts) return
+        fun sendToCompanion(envelope: Envelope) {
+            if (!isOpen || Direction.TO_COMPANION in blockedDirections) return
             lastToCompanion = maxOf(lastToCompanion, time.now + delay())
-            carry(lastToCompanion) { companionSide.received(envelope) }
+            scheduleDelivery(lastToCompanion) { companionSide.onReceived(envelope) }
         }
 
         /**
-         * Closes the connection; each side that is still reached learns it. What was sent before is delivered first
-         * when the close is [orderly], and lost otherwise.
+         * Closes the connection and notifies each side that is not blocked. Messages in transit are delivered first if
+         * [deliverPending] is set, and lost otherwise.
          */
-        fun close(orderly: Boolean = false) {
-            if (!open) return
-            open = false
-            delivering = orderly
-            time.at(maxOf(lastToEntry, time.now + delay())) { if (Cut.TO_ENTRY !in cuts) entrySide.closed() }
+        fun close(deliverPending: Boolean = false) {
+            if (!isOpen) return
+            isOpen = false
+            isDelivering = deliverPending
+            time.at(maxOf(lastToEntry, time.now + delay())) {
+                if (Direction.TO_ENTRY !in
+                    blockedDirections
+                ) {
+                    entrySide.onClosed()
+                }
+            }
             time.at(maxOf(lastToCompanion, time.now + delay())) {
-                if (Cut.TO_COMPANION !in cuts) companionSide.closed()
+                if (Direction.TO_COMPANION !in blockedDirections) companionSide.onClosed()
             }
         }
 
-        private fun carry(moment: Moment, deliver: () -> Unit) {
-            time.at(moment) { if (delivering) deliver() }
-            if (duplicates && random.nextInt(DUPLICATE_ONE_IN) == 0) time.at(moment) { if (delivering) deliver() }
+        private fun scheduleDelivery(moment: Moment, deliver: () -> Unit) {
+            time.at(moment) { if (isDelivering) deliver() }
+            if (duplicatesMessages &&
+                random.nextInt(DUPLICATE_ONE_IN) == 0
+            ) {
+                time.at(moment) { if (isDelivering) deliver() }
+            }
         }
 
         private fun delay() = random.nextInt(MAX_DELAY_MICROSECONDS).microseconds
@@ -86,14 +96,14 @@
     }
 }
 
-internal enum class Cut {
+internal enum class Direction {
     TO_ENTRY,
     TO_COMPANION,
 }
 
-/** One end of a connection, as its process sees it. */
+/** Callbacks of the process at one end of a connection. */
 internal interface Endpoint {
-    fun received(envelope: Envelope)
+    fun onReceived(envelope: Envelope)
 
-    fun closed()
+    fun onClosed()
 }
--- a/core/src/test/kotlin/org/lovageladder/core/world/CompanionProcess.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/world/SimulatedCompanion.kt
@@ -20,58 +20,61 @@
 import org.lovageladder.core.companionDecisions
 import kotlin.time.Duration.Companion.milliseconds
 
-/** A companion's decisions with fake connections and upstreams around them. */
-internal class CompanionProcess(val host: HostName, world: World, private val upstreams: List<FakeUpstream>) :
-    Process<CompanionEvent>(world) {
+/** A companion's decisions with simulated connections, store and upstreams. */
+internal class SimulatedCompanion(
+    val host: HostName,
+    system: SimulatedSystem,
+    private val upstreams: List<FakeUpstream>,
+) : SimulatedProcess<CompanionEvent>(system) {
     private lateinit var decisions: CompanionDecisions
     private val channels = HashMap<ConnectionId, Network.Channel>()
     private var lastConnection = 0L
 
-    override val timePassed: CompanionEvent get() = CompanionEvent.TimePassed
+    override val timePassedEvent: CompanionEvent get() = CompanionEvent.TimePassed
 
     override val release: ReleaseVersion get() = decisions.release
 
-    override fun start(incarnation: Long) {
-        val place = world.entryFor(host).place
+    override fun createDecisions(incarnation: Long) {
+        val place = system.hostEntry(host).place
         decisions = companionDecisions(
             CompanionSettings(ProcessName("companion-$host"), host, place, Incarnation(incarnation)),
         )
-        upstreams.forEach { world.oracle.closed(it.entry.name, null) }
+        upstreams.forEach { system.oracle.setLeaving(it.entry.name, null) }
     }
 
-    override fun closeConnections(orderly: Boolean) {
-        channels.values.forEach { it.close(orderly) }
+    override fun closeConnections(deliverPending: Boolean) {
+        channels.values.forEach { it.close(deliverPending) }
         channels.clear()
     }
 
     override fun deadline(): Moment? = decisions.nextDeadline()
 
     override fun handle(event: CompanionEvent) {
-        decisions.handle(event, world.time.now).forEach(::perform)
-        if (event is CompanionEvent.Connected) welcome(event.connection)
+        decisions.handle(event, system.time.now).forEach(::perform)
+        if (event is CompanionEvent.Connected) sendWelcome(event.connection)
     }
 
-    /** Accepts a connection unless the process is gone. */
+    /** Accepts a connection; returns null when the process is not running. */
     fun accept(hello: PeerMessage.Hello, entrySide: Endpoint): Network.Channel? {
-        if (!alive) return null
+        if (!isRunning) return null
         val connection = ConnectionId(++lastConnection)
-        val channel = world.network.open(entrySide, side(connection, incarnation))
+        val channel = system.network.open(entrySide, createEndpoint(connection, incarnation))
         channels[connection] = channel
         deliver(CompanionEvent.Connected(connection, hello))
         return channel
     }
 
-    private fun welcome(connection: ConnectionId) {
-        val status = decisions.status(world.time.now)
+    private fun sendWelcome(connection: ConnectionId) {
+        val status = decisions.status(system.time.now)
         val message = PeerMessage.Welcome(PEER_PROTOCOL, host, status.incarnation, status.leaving, status.loads)
-        channels[connection]?.toEntry(envelope(message))
+        channels[connection]?.sendToEntry(envelope(message))
     }
 
     private fun envelope(message: PeerMessage) = Envelope(decisions.release, clock(), message)
 
     private fun perform(effect: CompanionEffect) {
         when (effect) {
-            is CompanionEffect.Send -> channels[effect.connection]?.toEntry(envelope(effect.message))
+            is CompanionEffect.Send -> channels[effect.connection]?.sendToEntry(envelope(effect.message))
             is CompanionEffect.Disconnect -> channels.remove(effect.connection)?.close()
             is CompanionEffect.StartCall -> startCall(effect)
             is CompanionEffect.CancelCall -> cancel(effect.upstream.name, effect.attempt.toString()) {
@@ -80,10 +83,10 @@
             is CompanionEffect.CancelOrphan -> cancel(effect.upstream.name, effect.requestName) {
                 CompanionEvent.OrphanEnded(effect.upstream.name, effect.requestName, it)
             }
-            is CompanionEffect.ListRunning -> later {
+            is CompanionEffect.ListRunning -> afterRoundTrip {
                 CompanionEvent.RunningListed(effect.upstream.name, upstream(effect.upstream.name).requests)
             }
-            is CompanionEffect.GiveOrder -> later {
+            is CompanionEffect.GiveOrder -> afterRoundTrip {
                 CompanionEvent.OrderEnded(effect.upstream.name, effect.order, effect.fencing, null)
             }
             is CompanionEffect.AskStore -> askStore(effect)
@@ -95,56 +98,56 @@
     private fun upstream(name: UpstreamName) = upstreams.first { it.entry.name == name }
 
     private fun startCall(effect: CompanionEffect.StartCall) {
-        val current = incarnation
+        val startedIncarnation = incarnation
         upstream(effect.upstream.name).start(effect.attempt, effect.call) { report ->
-            if (current == incarnation) deliver(CompanionEvent.Reported(effect.attempt, report))
+            if (startedIncarnation == incarnation) deliver(CompanionEvent.Reported(effect.attempt, report))
         }
     }
 
-    private fun cancel(name: UpstreamName, request: String, ended: (Boolean) -> CompanionEvent) = later {
-        ended(upstream(name).cancel(request))
+    private fun cancel(name: UpstreamName, request: String, createEvent: (Boolean) -> CompanionEvent) = afterRoundTrip {
+        createEvent(upstream(name).cancel(request))
     }
 
-    /** Delivers the event that [ask] brings about after a round trip on the host. */
-    private fun later(ask: () -> CompanionEvent) {
-        val current = incarnation
-        world.time.after(1.milliseconds) {
-            val event = ask()
-            if (current == incarnation) deliver(event)
+    /** Delivers the event that [createEvent] returns after the time of a round trip on the host. */
+    private fun afterRoundTrip(createEvent: () -> CompanionEvent) {
+        val startedIncarnation = incarnation
+        system.time.after(1.milliseconds) {
+            val event = createEvent()
+            if (startedIncarnation == incarnation) deliver(event)
         }
     }
 
     private fun askStore(effect: CompanionEffect.AskStore) {
-        val current = incarnation
-        world.store.call(effect.request, effect.timeout) { answer ->
-            if (current == incarnation) deliver(CompanionEvent.StoreAnswered(effect.ticket, answer))
+        val startedIncarnation = incarnation
+        system.store.call(effect.request, effect.timeout) { answer ->
+            if (startedIncarnation == incarnation) deliver(CompanionEvent.StoreAnswered(effect.ticket, answer))
         }
     }
 
-    private fun side(connection: ConnectionId, current: Long) = object : Endpoint {
-        override fun received(envelope: Envelope) {
-            if (current == incarnation) deliver(CompanionEvent.Received(connection, envelope))
+    private fun createEndpoint(connection: ConnectionId, startedIncarnation: Long) = object : Endpoint {
+        override fun onReceived(envelope: Envelope) {
+            if (startedIncarnation == incarnation) deliver(CompanionEvent.Received(connection, envelope))
         }
 
-        override fun closed() {
-            if (current != incarnation || channels.remove(connection) == null) return
+        override fun onClosed() {
+            if (startedIncarnation != incarnation || channels.remove(connection) == null) return
             val fault = Fault(Step.CONNECT, "entry", FaultCause.CONNECTION_LOST)
             deliver(CompanionEvent.Disconnected(connection, fault))
         }
     }
 
-    /** Asks the process to stop; its upstreams are to get no new work soon after. */
-    fun stop() {
-        if (!alive) return
-        upstreams.forEach { world.oracle.closed(it.entry.name, world.time.now) }
+    /** Asks the process to stop; its upstreams must get no new work after [Oracle.DRAIN_TIMEOUT]. */
+    fun requestStop() {
+        if (!isRunning) return
+        upstreams.forEach { system.oracle.setLeaving(it.entry.name, system.time.now) }
         deliver(CompanionEvent.StopRequested)
     }
 
-    fun checkSettled(oracle: Oracle) {
-        val status = decisions.status(world.time.now)
-        val idle = status.reservations == 0 && status.runningCalls == 0
-        val free = status.loads.all { it.piecesFree == it.piecesTotal && it.waiting == 0 }
-        if (!idle || !free) oracle.violation("$host counts memory held for nobody: $status")
+    fun checkNothingHeld(oracle: Oracle) {
+        val status = decisions.status(system.time.now)
+        val isIdle = status.reservations == 0 && status.runningCalls == 0
+        val isMemoryFree = status.loads.all { it.piecesFree == it.piecesTotal && it.waiting == 0 }
+        if (!isIdle || !isMemoryFree) oracle.addViolation("$host still counts memory or calls: $status")
     }
 
     override fun toString(): String = host.text
--- a/core/src/test/kotlin/org/lovageladder/core/world/VirtualTime.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/world/VirtualTime.kt
@@ -4,7 +4,7 @@
 import java.util.PriorityQueue
 import kotlin.time.Duration
 
-/** Clock of the world under test: actions run in order of time and then of scheduling. */
+/** Clock and scheduler of the simulation: actions run in order of time and then of scheduling. */
 internal class VirtualTime {
     private val queue = PriorityQueue<Scheduled>()
     private var sequence = 0L
--- a/core/src/test/kotlin/org/lovageladder/core/world/WholeSystemFuzzTest.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/world/WholeSystemFuzzTest.kt
@@ -10,14 +10,14 @@
 import kotlin.test.assertEquals
 import kotlin.time.Duration.Companion.milliseconds
 
-/** One thing that happens to the world; [which] and [amount] choose among processes, callers, keys and lengths. */
-data class Command(val kind: CommandKind, val which: Int, val amount: Int)
+/** One step of a simulation; [selection] and [amount] choose processes, keys, lengths and durations. */
+data class Command(val kind: CommandKind, val selection: Int, val amount: Int)
 
 enum class CommandKind {
     GENERATION,
     LOOKUP,
     ACTION,
-    CALLER_LEAVES,
+    CALLER_DISCONNECTS,
     ADVANCE,
     KILL_ENTRY,
     KILL_COMPANION,
@@ -27,117 +27,117 @@
     START_ALL,
     FREEZE_ENTRY,
     FREEZE_COMPANION,
-    WAKE_ALL,
-    CUT_TO_ENTRY,
-    CUT_TO_COMPANION,
+    UNFREEZE_ALL,
+    BLOCK_TO_ENTRY,
+    BLOCK_TO_COMPANION,
     PARTITION,
-    BREAK_CONNECTIONS,
-    HEAL,
-    DUPLICATE,
+    CLOSE_CONNECTIONS,
+    REMOVE_NETWORK_FAULTS,
+    DUPLICATE_MESSAGES,
     STORE_DOWN,
     STORE_SLOW,
     STORE_LOSES_ANSWERS,
-    STORE_OLDER_DATA,
-    STORE_WELL,
+    STORE_READS_STALE,
+    STORE_REPAIRED,
     UPSTREAM_STALLS,
     UPSTREAM_SLOW,
     UPSTREAM_DROPS_ANSWERS,
-    UPSTREAMS_WELL,
+    UPSTREAMS_REPAIRED,
     PUBLISH,
 }
 
-class WholeSystemFuzzTest : CommandSequences() {
+class WholeSystemFuzzTest : CommandSequenceProperty() {
     @Property(seed = "20261204", tries = 10_000, shrinking = ShrinkingMode.BOUNDED)
-    fun noPromiseIsBrokenUnderAnySequenceOfFaults(@ForAll("sequences") commands: List<Command>) = check(commands)
+    fun invariantsHoldUnderAnySequenceOfFaults(@ForAll("sequences") commands: List<Command>) = runAndCheck(commands)
 }
 
-/** The same with fresh seeds, run by name only; `-Djqwik.tries.default` sets how many sequences. */
-class WholeSystemFreshFuzz : CommandSequences() {
+/** The same property with random seeds, run only by name; `-Djqwik.tries.default` sets the number of sequences. */
+class WholeSystemFreshFuzz : CommandSequenceProperty() {
     @Property(shrinking = ShrinkingMode.BOUNDED)
-    fun noPromiseIsBrokenUnderAnySequenceOfFaults(@ForAll("sequences") commands: List<Command>) = check(commands)
+    fun invariantsHoldUnderAnySequenceOfFaults(@ForAll("sequences") commands: List<Command>) = runAndCheck(commands)
 }
 
-/** Draws sequences of commands and runs them. */
-abstract class CommandSequences {
-    protected fun check(commands: List<Command>) {
-        val world = World(commands.hashCode().toLong())
-        commands.forEach { run(world, it) }
-        world.settle()
-        assertEquals(emptyList(), world.oracle.violations)
+/** Generates sequences of commands, runs them and checks the guarantees at the end. */
+abstract class CommandSequenceProperty {
+    protected fun runAndCheck(commands: List<Command>) {
+        val system = SimulatedSystem(commands.hashCode().toLong())
+        commands.forEach { execute(system, it) }
+        system.endFaultsAndCheck()
+        assertEquals(emptyList(), system.oracle.violations)
     }
 
     @Provide
     fun sequences(): Arbitrary<List<Command>> {
-        val kinds = Arbitraries.frequency(*CommandKind.entries.map { weighted(it) }.toTypedArray())
+        val kinds = Arbitraries.frequency(*CommandKind.entries.map { weightOf(it) }.toTypedArray())
         val numbers = Arbitraries.integers().between(0, 1_000)
         return Combinators.combine(kinds, numbers, numbers).`as`(::Command).list().ofMinSize(50).ofMaxSize(70)
     }
 
-    private fun weighted(kind: CommandKind): net.jqwik.api.Tuple.Tuple2<Int, CommandKind> {
+    private fun weightOf(kind: CommandKind): net.jqwik.api.Tuple.Tuple2<Int, CommandKind> {
         val weight = when (kind) {
             CommandKind.ADVANCE -> 12
             CommandKind.GENERATION, CommandKind.ACTION -> 6
-            CommandKind.LOOKUP, CommandKind.CALLER_LEAVES -> 3
-            CommandKind.START_ALL, CommandKind.WAKE_ALL, CommandKind.HEAL -> 2
-            CommandKind.STORE_WELL, CommandKind.UPSTREAMS_WELL -> 2
+            CommandKind.LOOKUP, CommandKind.CALLER_DISCONNECTS -> 3
+            CommandKind.START_ALL, CommandKind.UNFREEZE_ALL, CommandKind.REMOVE_NETWORK_FAULTS -> 2
+            CommandKind.STORE_REPAIRED, CommandKind.UPSTREAMS_REPAIRED -> 2
             else -> 1
         }
         return net.jqwik.api.Tuple.of(weight, kind)
     }
 
-    private fun run(world: World, command: Command) {
-        val upstream = world.upstreams[command.which % world.upstreams.size]
-        val companion = world.companions[command.which % world.companions.size]
-        val entry = world.entries[command.which % world.entries.size]
+    private fun execute(system: SimulatedSystem, command: Command) {
+        val upstream = system.upstreams[command.selection % system.upstreams.size]
+        val companion = system.companions[command.selection % system.companions.size]
+        val entry = system.entries[command.selection % system.entries.size]
         when (command.kind) {
-            CommandKind.GENERATION -> world.generation(command.which, 1 + command.amount % 12)
-            CommandKind.LOOKUP -> world.lookup(command.which)
-            CommandKind.ACTION -> world.action(command.which, command.amount % 4)
-            CommandKind.CALLER_LEAVES -> world.oracle.callers.lastOrNull()?.let(world::leave)
-            CommandKind.ADVANCE -> world.advance(lengthOf(command).milliseconds)
+            CommandKind.GENERATION -> system.submitGeneration(command.selection, 1 + command.amount % 12)
+            CommandKind.LOOKUP -> system.submitLookup(command.selection)
+            CommandKind.ACTION -> system.submitAction(command.selection, command.amount % 4)
+            CommandKind.CALLER_DISCONNECTS -> system.oracle.callers.lastOrNull()?.let(system::disconnect)
+            CommandKind.ADVANCE -> system.advance(advanceMilliseconds(command).milliseconds)
             CommandKind.KILL_ENTRY -> entry.kill()
             CommandKind.KILL_COMPANION -> companion.kill()
-            CommandKind.STOP_COMPANION -> companion.stop()
-            CommandKind.STOP_ENTRY -> entry.stop()
-            CommandKind.LIST_LEAVING -> world.hostsListed(companion.host)
-            CommandKind.START_ALL -> (world.entries + world.companions).forEach { it.boot() }
+            CommandKind.STOP_COMPANION -> companion.requestStop()
+            CommandKind.STOP_ENTRY -> entry.requestStop()
+            CommandKind.LIST_LEAVING -> system.listHostAsLeaving(companion.host)
+            CommandKind.START_ALL -> (system.entries + system.companions).forEach { it.start() }
             CommandKind.FREEZE_ENTRY -> entry.freeze()
             CommandKind.FREEZE_COMPANION -> companion.freeze()
-            CommandKind.WAKE_ALL -> (world.entries + world.companions).forEach { it.wake() }
-            CommandKind.CUT_TO_ENTRY -> world.network.cut(Cut.TO_ENTRY, lasting = false)
-            CommandKind.CUT_TO_COMPANION -> world.network.cut(Cut.TO_COMPANION, lasting = false)
-            CommandKind.PARTITION -> Cut.entries.forEach { world.network.cut(it, lasting = true) }
-            CommandKind.BREAK_CONNECTIONS -> world.network.breakAll()
-            CommandKind.HEAL -> world.network.heal()
-            CommandKind.DUPLICATE -> world.network.duplicates = true
-            CommandKind.STORE_DOWN -> world.store.down = true
-            CommandKind.STORE_SLOW -> world.store.slow = true
-            CommandKind.STORE_LOSES_ANSWERS -> world.store.answersToLose = 1 + command.amount % 3
-            CommandKind.STORE_OLDER_DATA -> world.store.hiddenNotes = 1
-            CommandKind.STORE_WELL -> storeWell(world)
-            CommandKind.UPSTREAM_STALLS -> upstream.stalled = true
+            CommandKind.UNFREEZE_ALL -> (system.entries + system.companions).forEach { it.unfreeze() }
+            CommandKind.BLOCK_TO_ENTRY -> system.network.block(Direction.TO_ENTRY, alsoNewConnections = false)
+            CommandKind.BLOCK_TO_COMPANION -> system.network.block(Direction.TO_COMPANION, alsoNewConnections = false)
+            CommandKind.PARTITION -> Direction.entries.forEach { system.network.block(it, alsoNewConnections = true) }
+            CommandKind.CLOSE_CONNECTIONS -> system.network.closeAll()
+            CommandKind.REMOVE_NETWORK_FAULTS -> system.network.removeFaults()
+            CommandKind.DUPLICATE_MESSAGES -> system.network.duplicatesMessages = true
+            CommandKind.STORE_DOWN -> system.store.isDown = true
+            CommandKind.STORE_SLOW -> system.store.isSlow = true
+            CommandKind.STORE_LOSES_ANSWERS -> system.store.writeAnswersToLose = 1 + command.amount % 3
+            CommandKind.STORE_READS_STALE -> system.store.hiddenNotes = 1
+            CommandKind.STORE_REPAIRED -> repairStore(system)
+            CommandKind.UPSTREAM_STALLS -> upstream.isStalled = true
             CommandKind.UPSTREAM_SLOW -> upstream.slowFactor = 10
             CommandKind.UPSTREAM_DROPS_ANSWERS -> upstream.answersToDrop = 1 + command.amount % 2
-            CommandKind.UPSTREAMS_WELL -> world.upstreams.forEach(::well)
-            CommandKind.PUBLISH -> world.publishWorth(1 + command.amount)
+            CommandKind.UPSTREAMS_REPAIRED -> system.upstreams.forEach(::repairUpstream)
+            CommandKind.PUBLISH -> system.publishLookupWorth(1 + command.amount)
         }
     }
 
-    /** Mostly a few milliseconds, so that events cross; at times longer than every bound. */
-    private fun lengthOf(command: Command): Int = when (command.which % 10) {
+    /** Mostly a few milliseconds, so that events overlap; sometimes longer than every timeout. */
+    private fun advanceMilliseconds(command: Command): Int = when (command.selection % 10) {
         0 -> 3000 + command.amount * 2
         1, 2 -> command.amount
         else -> command.amount % 30
     }
 
-    private fun storeWell(world: World) {
-        world.store.down = false
-        world.store.slow = false
-        world.store.hiddenNotes = 0
+    private fun repairStore(system: SimulatedSystem) {
+        system.store.isDown = false
+        system.store.isSlow = false
+        system.store.hiddenNotes = 0
     }
 
-    private fun well(upstream: FakeUpstream) {
-        upstream.stalled = false
+    private fun repairUpstream(upstream: FakeUpstream) {
+        upstream.isStalled = false
         upstream.slowFactor = 1
         upstream.answersToDrop = 0
     }
