--- a/core/src/main/kotlin/org/lovageladder/core/GenerationFlow.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/GenerationFlow.kt
@@ -138,15 +138,8 @@
             if (prefills.isEmpty()) refuse(RefusalReason.NO_UPSTREAM, detail = "no available upstream in pool $pool")
             return
         }
-        val remaining = (firstTokenDeadline - now).coerceAtLeast(
-            if (tokens.nextIndex >
-                0
-            ) {
-                MINIMUM_RESUME_TIME
-            } else {
-                Duration.ZERO
-            },
-        )
+        val remaining =
+            (firstTokenDeadline - now).coerceAtLeast(if (tokens.nextIndex > 0) MINIMUM_RESUME_TIME else Duration.ZERO)
         val id = context.nextAttemptId()
         val message = PeerMessage.StartPrefill(
             attempt = id,
@@ -392,9 +385,7 @@
     }
 
     private fun refuse(message: PeerMessage.Refused) {
-        val reason = if (message.fault.cause ==
-            FaultCause.LEAVING
-        ) {
+        val reason = if (message.fault.cause == FaultCause.LEAVING) {
             RefusalReason.NO_UPSTREAM
         } else {
             RefusalReason.OVERLOADED
--- a/core/src/main/kotlin/org/lovageladder/core/NonIdempotentCallFlow.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/NonIdempotentCallFlow.kt
@@ -326,9 +326,7 @@
         components.output.askStore(StoreRequest.Read(storeKey), components.settings.storeTimeout) { answer, at ->
             if (!context.isFinished) {
                 val found = (answer as? StoreAnswer.Found)?.entries
-                if (found ==
-                    null
-                ) {
+                if (found == null) {
                     readTakeOverResult(upstream, record, at)
                 } else {
                     onTakeOverConflict(upstream, record, found.firstOrNull(), at)
--- a/core/src/main/kotlin/org/lovageladder/core/ReleaseChecks.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/ReleaseChecks.kt
@@ -6,7 +6,7 @@
  * Checks of a release note: values within one entry, and references between the entries after the note is applied.
  */
 
-private const val MAXIMUM_PORT = 65535
+private const val LAST_PORT = 65535
 private val NAME_PATTERN = Regex("[a-z0-9]([a-z0-9._-]{0,62})")
 
 internal fun valueFaults(entry: ReleaseEntry, field: String): List<NoteFault> = buildList {
@@ -70,11 +70,7 @@
 
 private fun addressFaults(address: Address, field: String): List<NoteFault> = buildList {
     if (address.ip.isBlank()) add(NoteFault("$field.ip", "must not be empty"))
-    if (address.port !in
-        1..MAXIMUM_PORT
-    ) {
-        add(NoteFault("$field.port", "must be from 1 to $MAXIMUM_PORT, got ${address.port}"))
-    }
+    if (address.port !in 1..LAST_PORT) add(NoteFault("$field.port", "must be 1 to $LAST_PORT, got ${address.port}"))
 }
 
 /** Returns faults of references between the entries of [state], with the field of the referring entry in [note]. */
--- a/core/src/main/kotlin/org/lovageladder/core/ReleaseState.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/ReleaseState.kt
@@ -71,14 +71,7 @@
     }
 
     private fun duplicateFaults(seenKeys: MutableSet<EntryKey>, key: EntryKey, field: String): List<NoteFault> =
-        if (seenKeys.add(
-                key,
-            )
-        ) {
-            emptyList()
-        } else {
-            listOf(NoteFault(field, "${key.name} occurs more than once in this note"))
-        }
+        if (seenKeys.add(key)) emptyList() else listOf(NoteFault(field, "${key.name} occurs twice in this note"))
 
     private fun withNote(note: ReleaseNote, next: ReleaseVersion): ReleaseState {
         val remaining = note.withdrawn.fold(this) { state, key -> state.without(key) }
--- a/core/src/main/kotlin/org/lovageladder/core/ReleaseSync.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/ReleaseSync.kt
@@ -64,7 +64,7 @@
     fun notesFrom(connection: ConnectionId, notes: List<AcceptedNote>) {
         val request = fetchRequests.remove(connection) ?: return applyNotes(notes)
         applyNotes(notes)
-        if (history.isBehind(request.targetVersion) && notes.isNotEmpty()) return fetchNotes(connection, request.targetVersion)
+        if (history.isBehind(request.upTo) && notes.isNotEmpty()) return fetchNotes(connection, request.upTo)
         if (isStoreUnavailable && version > ReleaseVersion.NONE) isFresh = true
     }
 
@@ -79,13 +79,13 @@
 
     fun nextDeadline(): Moment? = if (readTicket == null) nextReadAt ?: context.now else null
 
-    private fun fetchNotes(connection: ConnectionId, targetVersion: ReleaseVersion) {
+    private fun fetchNotes(connection: ConnectionId, upTo: ReleaseVersion) {
         val previous = fetchRequests[connection]
         if (previous != null && previous.sentAt + FETCH_RETRY_INTERVAL > context.now) {
-            previous.targetVersion = maxOf(previous.targetVersion, targetVersion)
+            previous.upTo = maxOf(previous.upTo, upTo)
             return
         }
-        fetchRequests[connection] = FetchRequest(targetVersion, context.now)
+        fetchRequests[connection] = FetchRequest(upTo, context.now)
         output.send(connection, PeerMessage.FetchNotes(version))
     }
 
@@ -102,7 +102,7 @@
     private fun onStoreUnavailable() {
         if (!isStoreUnavailable) output.record(EventKind.STORE_LOST)
         isStoreUnavailable = true
-        nextReadAt = context.now + settings.storeRefreshInterval.coerceAtMost(MAXIMUM_UNAVAILABLE_READ_INTERVAL)
+        nextReadAt = context.now + settings.storeRefreshInterval.coerceAtMost(UNAVAILABLE_STORE_READ_INTERVAL)
     }
 
     /**
@@ -110,11 +110,7 @@
      * fraction that depends on the incarnation, so that companions don't all read at the same time.
      */
     private fun refreshInterval(): Duration {
-        if (version ==
-            ReleaseVersion.NONE
-        ) {
-            return settings.storeRefreshInterval.coerceAtMost(MAXIMUM_NO_RELEASE_READ_INTERVAL)
-        }
+        if (version == ReleaseVersion.NONE) return settings.storeRefreshInterval.coerceAtMost(NO_RELEASE_READ_INTERVAL)
         refreshes++
         if (refreshes > 1) return settings.storeRefreshInterval
         val fraction = settings.incarnation.number.mod(STAGGER_STEPS) + 1
@@ -130,12 +126,13 @@
         }
     }
 
-    private class FetchRequest(var targetVersion: ReleaseVersion, val sentAt: Moment)
+    /** Request sent to a peer at [sentAt] for the notes up to [upTo]. */
+    private class FetchRequest(var upTo: ReleaseVersion, val sentAt: Moment)
 
     private companion object {
         val FETCH_RETRY_INTERVAL: Duration = 1.seconds
-        val MAXIMUM_UNAVAILABLE_READ_INTERVAL: Duration = 1.seconds
-        val MAXIMUM_NO_RELEASE_READ_INTERVAL: Duration = 2.seconds
+        val UNAVAILABLE_STORE_READ_INTERVAL: Duration = 1.seconds
+        val NO_RELEASE_READ_INTERVAL: Duration = 2.seconds
         const val STAGGER_STEPS = 1000L
         const val PAGE_SIZE = 256
     }
--- a/core/src/main/kotlin/org/lovageladder/core/RequestFlow.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/RequestFlow.kt
@@ -77,11 +77,8 @@
     refused.reason.name,
     refused.execution.name,
     refused.fault?.toString(),
-    refused.detail.ifEmpty {
-        null
-    },
-)
-    .joinToString(" ")
+    refused.detail.ifEmpty { null },
+).joinToString(" ")
 
 /** Retry delay for refused callers when no estimate is available. */
 internal val DEFAULT_RETRY_AFTER: Duration = 500.milliseconds
--- a/core/src/test/kotlin/org/lovageladder/core/world/FakeUpstream.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/world/FakeUpstream.kt
@@ -99,12 +99,12 @@
 
     /** Runs [action] after the time of one step; while the upstream is stalled, the step is postponed. */
     private fun afterStepTime(action: () -> Unit) {
-        val delay: Duration = (1 + random.nextInt(MAX_STEP_MILLISECONDS)).milliseconds * slowFactor
+        val delay: Duration = (1 + random.nextInt(MAXIMUM_STEP_MILLISECONDS)).milliseconds * slowFactor
         time.after(delay) { if (isStalled) afterStepTime(action) else action() }
     }
 
     private companion object {
-        const val MAX_STEP_MILLISECONDS = 8
+        const val MAXIMUM_STEP_MILLISECONDS = 8
     }
 }
 
--- a/core/src/test/kotlin/org/lovageladder/core/world/Network.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/world/Network.kt
@@ -10,11 +10,11 @@
     private val channels = mutableListOf<Channel>()
     private var blockedForNewConnections: Direction? = null
 
-    var duplicatesMessages = false
+    var isDuplicating = false
 
     /** Stops delivery in [direction] on every open connection and, if [alsoNewConnections], on every later one. */
     fun block(direction: Direction, alsoNewConnections: Boolean) {
-        channels.filter { it.isOpen }.forEach { it.blockedDirections += direction }
+        channels.filter { it.isOpen }.forEach { it.blocked += direction }
         if (alsoNewConnections) blockedForNewConnections = direction
     }
 
@@ -25,19 +25,19 @@
 
     fun removeFaults() {
         blockedForNewConnections = null
-        duplicatesMessages = false
+        isDuplicating = false
     }
 
     fun open(entrySide: Endpoint, companionSide: Endpoint): Channel {
         channels.removeAll { !it.isOpen }
         val channel = Channel(entrySide, companionSide)
-        blockedForNewConnections?.let { channel.blockedDirections += it }
+        blockedForNewConnections?.let { channel.blocked += it }
         channels += channel
         return channel
     }
 
     inner class Channel(private val entrySide: Endpoint, private val companionSide: Endpoint) {
-        val blockedDirections = mutableSetOf<Direction>()
+        val blocked = mutableSetOf<Direction>()
         private var lastToEntry = time.now
         private var lastToCompanion = time.now
 
@@ -47,13 +47,13 @@
             private set
 
         fun sendToEntry(envelope: Envelope) {
-            if (!isOpen || Direction.TO_ENTRY in blockedDirections) return
+            if (!isOpen || Direction.TO_ENTRY in blocked) return
             lastToEntry = maxOf(lastToEntry, time.now + delay())
             scheduleDelivery(lastToEntry) { entrySide.onReceived(envelope) }
         }
 
         fun sendToCompanion(envelope: Envelope) {
-            if (!isOpen || Direction.TO_COMPANION in blockedDirections) return
+            if (!isOpen || Direction.TO_COMPANION in blocked) return
             lastToCompanion = maxOf(lastToCompanion, time.now + delay())
             scheduleDelivery(lastToCompanion) { companionSide.onReceived(envelope) }
         }
@@ -66,32 +66,22 @@
             if (!isOpen) return
             isOpen = false
             isDelivering = deliverPending
-            time.at(maxOf(lastToEntry, time.now + delay())) {
-                if (Direction.TO_ENTRY !in
-                    blockedDirections
-                ) {
-                    entrySide.onClosed()
-                }
-            }
+            time.at(maxOf(lastToEntry, time.now + delay())) { if (Direction.TO_ENTRY !in blocked) entrySide.onClosed() }
             time.at(maxOf(lastToCompanion, time.now + delay())) {
-                if (Direction.TO_COMPANION !in blockedDirections) companionSide.onClosed()
+                if (Direction.TO_COMPANION !in blocked) companionSide.onClosed()
             }
         }
 
         private fun scheduleDelivery(moment: Moment, deliver: () -> Unit) {
             time.at(moment) { if (isDelivering) deliver() }
-            if (duplicatesMessages &&
-                random.nextInt(DUPLICATE_ONE_IN) == 0
-            ) {
-                time.at(moment) { if (isDelivering) deliver() }
-            }
+            if (isDuplicating && random.nextInt(DUPLICATE_ONE_IN) == 0) time.at(moment) { if (isDelivering) deliver() }
         }
 
-        private fun delay() = random.nextInt(MAX_DELAY_MICROSECONDS).microseconds
+        private fun delay() = random.nextInt(MAXIMUM_DELAY_MICROSECONDS).microseconds
     }
 
     private companion object {
-        const val MAX_DELAY_MICROSECONDS = 2000
+        const val MAXIMUM_DELAY_MICROSECONDS = 2000
         const val DUPLICATE_ONE_IN = 5
     }
 }
--- a/core/src/test/kotlin/org/lovageladder/core/world/SimulatedProcess.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/world/SimulatedProcess.kt
@@ -81,11 +81,7 @@
     private fun handleAndReschedule(event: E) {
         handle(event)
         if (!isRunning) return
-        if (release <
-            highestRelease
-        ) {
-            system.oracle.addViolation("$this went back from release $highestRelease to $release")
-        }
+        if (release < highestRelease) system.oracle.addViolation("$this went back from $highestRelease to $release")
         highestRelease = release
         scheduleNext()
     }
--- a/core/src/test/kotlin/org/lovageladder/core/world/WholeSystemFuzzTest.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/world/WholeSystemFuzzTest.kt
@@ -109,7 +109,7 @@
             CommandKind.PARTITION -> Direction.entries.forEach { system.network.block(it, alsoNewConnections = true) }
             CommandKind.CLOSE_CONNECTIONS -> system.network.closeAll()
             CommandKind.REMOVE_NETWORK_FAULTS -> system.network.removeFaults()
-            CommandKind.DUPLICATE_MESSAGES -> system.network.duplicatesMessages = true
+            CommandKind.DUPLICATE_MESSAGES -> system.network.isDuplicating = true
             CommandKind.STORE_DOWN -> system.store.isDown = true
             CommandKind.STORE_SLOW -> system.store.isSlow = true
             CommandKind.STORE_LOSES_ANSWERS -> system.store.writeAnswersToLose = 1 + command.amount % 3
