--- a/core/src/main/kotlin/org/lovageladder/core/ClaimWriter.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/ClaimWriter.kt
@@ -93,10 +93,10 @@
         output.askStore(request, settings.storeTimeout) { answer, now -> onWriteAnswer(batch, answer, now) }
     }
 
-    /** Takes up to [MAXIMUM_BATCH] waiting claims. Of two with the same key, the second waits for the next batch. */
+    /** Takes up to [MAXIMUM_BATCH_SIZE] waiting claims. Of two with one key, the second waits for the next batch. */
     private fun takeBatch(): List<PendingClaim> {
         val keys = mutableSetOf<String>()
-        val batch = waiting.filter { keys.size < MAXIMUM_BATCH && keys.add(it.write.key) }
+        val batch = waiting.filter { keys.size < MAXIMUM_BATCH_SIZE && keys.add(it.write.key) }
         waiting.removeAll(batch.toSet())
         return batch
     }
@@ -135,8 +135,10 @@
     }
 
     private companion object {
-        const val MAXIMUM_BATCH = 64
+        const val MAXIMUM_BATCH_SIZE = 64
         val SKIP_PERIOD = 500.milliseconds
+
+        /** Fraction of a lease's time to live during which new claims share it. */
         const val LEASE_SHARED_FRACTION = 0.02
     }
 }
--- a/core/src/main/kotlin/org/lovageladder/core/GenerationFlow.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/GenerationFlow.kt
@@ -119,7 +119,7 @@
         val fastest = components.table.nearestUsable(pool)
             .filter { !it.prefillTimePerThousandTokens.isEmpty }
             .minOfOrNull { it.prefillTimePerThousandTokens.smoothedMicroseconds } ?: return Duration.ZERO
-        return (fastest * content.promptTokens / TOKENS_PER_UNIT).microseconds
+        return (fastest * content.promptTokens / THOUSAND).microseconds
     }
 
     private fun onGranted(attempt: Attempt, message: PeerMessage.Granted, now: Moment) {
@@ -159,7 +159,7 @@
     private fun scheduleHedge(upstream: UpstreamRecord, now: Moment) {
         if (!components.settings.hedging || prefills.size > 1) return
         val timePerThousandTokens = upstream.prefillTimePerThousandTokens.quantile(HEDGE_QUANTILE) ?: return
-        val delay = timePerThousandTokens * (content.promptTokens / TOKENS_PER_UNIT) * HEDGE_FACTOR + HEDGE_DELAY_OFFSET
+        val delay = timePerThousandTokens * (content.promptTokens / THOUSAND) * HEDGE_FACTOR + HEDGE_DELAY_OFFSET
         hedgeTimer?.cancel()
         hedgeTimer = components.timers.at(now + delay) { startHedgePrefill(it) }
     }
@@ -190,7 +190,7 @@
 
     private fun recordPrefillTime(attempt: Attempt, now: Moment) {
         val elapsed = now - attempt.startedAt
-        val thousandsOfTokens = (content.promptTokens / TOKENS_PER_UNIT).coerceAtLeast(1 / TOKENS_PER_UNIT)
+        val thousandsOfTokens = (content.promptTokens / THOUSAND).coerceAtLeast(1 / THOUSAND)
         attempt.upstream.prefillTimePerThousandTokens.record(elapsed / thousandsOfTokens)
         components.table.updateProbation(attempt.upstream, UpstreamRecord::prefillTimePerThousandTokens, now)
     }
@@ -428,12 +428,14 @@
     }
 
     private companion object {
-        const val TOKENS_PER_UNIT = 1000.0
+        const val THOUSAND = 1000.0
         const val MAXIMUM_RESERVE_TRIES = 3
         const val STALL_TOKEN_GAPS = 8
         const val HEDGE_QUANTILE = 0.95
         const val HEDGE_FACTOR = 2.0
         val HEDGE_DELAY_OFFSET = 20.milliseconds
+
+        /** Minimum time for the reservation and the prefill of a resumed stream; its first token is already sent. */
         val MINIMUM_RESUME_TIME = 1.seconds
         val HOLD_MARGIN = 1.seconds
         val LOAD_VALIDITY = 250.milliseconds
--- a/core/src/main/kotlin/org/lovageladder/core/NonIdempotentCallFlow.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/NonIdempotentCallFlow.kt
@@ -6,7 +6,7 @@
 /**
  * Handles a non-idempotent call. Before anything is sent, a claim that names the companion and its incarnation is
  * created in the key-value service; only that incarnation may start the call, and only once. The caller is told "not
- * run" only when the companion voided the claim, when this entry did not send the call, or when the upstream refused
+ * run" only when the companion voided the claim, when this entry did not send the call, or when the upstream declined
  * it. A repeated submission of a key gets the answer to the first one.
  */
 internal class NonIdempotentCallFlow(
--- a/core/src/test/kotlin/org/lovageladder/core/world/Oracle.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/world/Oracle.kt
@@ -37,7 +37,7 @@
     fun recordExecution(key: IdempotencyKey, now: Moment) {
         val starts = executions.getOrPut(key) { mutableListOf() }
         starts += now
-        if (starts.size > 1) addViolation("action $key ran ${starts.size} times")
+        if (starts.size > 1) addViolation("the call with key $key ran ${starts.size} times")
     }
 
     /** From [DRAIN_TIMEOUT] after [now], [upstream] must get no new work; null allows it again. */
--- a/core/src/test/kotlin/org/lovageladder/core/world/SimulatedSystem.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/world/SimulatedSystem.kt
@@ -58,9 +58,9 @@
         return submit(entry, Submission(ServiceName("report-model"), null, null, content))
     }
 
-    fun submitLookup(entry: Int): Caller = submit(entry, plainSubmission("lookup", null))
+    fun submitIdempotentCall(entry: Int): Caller = submit(entry, plainSubmission("lookup", null))
 
-    fun submitAction(entry: Int, key: Int): Caller =
+    fun submitNonIdempotentCall(entry: Int, key: Int): Caller =
         submit(entry, plainSubmission("action", IdempotencyKey("key-$key")))
 
     private fun plainSubmission(requestClass: String, key: IdempotencyKey?): Submission {
--- a/core/src/test/kotlin/org/lovageladder/core/world/WholeSystemFuzzTest.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/world/WholeSystemFuzzTest.kt
@@ -15,8 +15,8 @@
 
 enum class CommandKind {
     GENERATION,
-    LOOKUP,
-    ACTION,
+    IDEMPOTENT_CALL,
+    NON_IDEMPOTENT_CALL,
     CALLER_DISCONNECTS,
     ADVANCE,
     KILL_ENTRY,
@@ -76,8 +76,8 @@
     private fun weightOf(kind: CommandKind): net.jqwik.api.Tuple.Tuple2<Int, CommandKind> {
         val weight = when (kind) {
             CommandKind.ADVANCE -> 12
-            CommandKind.GENERATION, CommandKind.ACTION -> 6
-            CommandKind.LOOKUP, CommandKind.CALLER_DISCONNECTS -> 3
+            CommandKind.GENERATION, CommandKind.NON_IDEMPOTENT_CALL -> 6
+            CommandKind.IDEMPOTENT_CALL, CommandKind.CALLER_DISCONNECTS -> 3
             CommandKind.START_ALL, CommandKind.UNFREEZE_ALL, CommandKind.REMOVE_NETWORK_FAULTS -> 2
             CommandKind.STORE_REPAIRED, CommandKind.UPSTREAMS_REPAIRED -> 2
             else -> 1
@@ -91,8 +91,8 @@
         val entry = system.entries[command.selection % system.entries.size]
         when (command.kind) {
             CommandKind.GENERATION -> system.submitGeneration(command.selection, 1 + command.amount % 12)
-            CommandKind.LOOKUP -> system.submitLookup(command.selection)
-            CommandKind.ACTION -> system.submitAction(command.selection, command.amount % 4)
+            CommandKind.IDEMPOTENT_CALL -> system.submitIdempotentCall(command.selection)
+            CommandKind.NON_IDEMPOTENT_CALL -> system.submitNonIdempotentCall(command.selection, command.amount % 4)
             CommandKind.CALLER_DISCONNECTS -> system.oracle.callers.lastOrNull()?.let(system::disconnect)
             CommandKind.ADVANCE -> system.advance(advanceMilliseconds(command).milliseconds)
             CommandKind.KILL_ENTRY -> entry.kill()
--- a/core/src/test/kotlin/org/lovageladder/core/world/WholeSystemTest.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/world/WholeSystemTest.kt
@@ -20,10 +20,10 @@
     fun memoryIsFreedAfterACallerOrProcessIsLost() {
         val silenceTimeout = 4.seconds + 250.milliseconds
         val cases = listOf(
-            AbandonmentCase("caller left", 250.milliseconds) { system, caller -> system.disconnect(caller) },
-            AbandonmentCase("entry died", 250.milliseconds) { system, _ -> system.entries[0].kill() },
-            AbandonmentCase("entry froze", silenceTimeout) { system, _ -> system.entries[0].freeze() },
-            AbandonmentCase("entry cut off", silenceTimeout) { system, _ ->
+            AbandonmentCase("caller disconnected", 250.milliseconds) { system, caller -> system.disconnect(caller) },
+            AbandonmentCase("entry killed", 250.milliseconds) { system, _ -> system.entries[0].kill() },
+            AbandonmentCase("entry frozen", silenceTimeout) { system, _ -> system.entries[0].freeze() },
+            AbandonmentCase("entry cannot reach companions", silenceTimeout) { system, _ ->
                 system.network.block(Direction.TO_COMPANION, alsoNewConnections = true)
             },
             AbandonmentCase("companion restarted", 2.seconds) { system, _ ->
@@ -78,10 +78,10 @@
     @Test
     fun aRepeatedKeyRunsOnceAndEverySubmissionIsAnswered() {
         val system = SimulatedSystem(1)
-        val first = system.submitAction(entry = 0, key = 1)
-        val concurrent = system.submitAction(entry = 1, key = 1)
+        val first = system.submitNonIdempotentCall(entry = 0, key = 1)
+        val concurrent = system.submitNonIdempotentCall(entry = 1, key = 1)
         system.advance(1.seconds)
-        val late = system.submitAction(entry = 1, key = 1)
+        val late = system.submitNonIdempotentCall(entry = 1, key = 1)
         system.advance(1.seconds)
         listOf(first, concurrent, late).forEach { assertIs<Outcome.Answered>(it.outcome) }
         assertTrue(assertIs<Outcome.Answered>(late.outcome).replayed)
@@ -99,12 +99,12 @@
         for (case in cases) {
             val takeOvers = (0..60).count { step ->
                 val system = SimulatedSystem(1)
-                val first = system.submitAction(entry = 0, key = 1)
+                val first = system.submitNonIdempotentCall(entry = 0, key = 1)
                 system.advance(4.milliseconds + 50.microseconds * step)
                 system.network.closeAll()
                 system.entries[0].freeze()
                 system.advance(700.milliseconds)
-                val second = system.submitAction(entry = 1, key = 1)
+                val second = system.submitNonIdempotentCall(entry = 1, key = 1)
                 system.advance(300.milliseconds)
                 system.store.isDown = case.storeDown
                 system.entries[0].unfreeze()
@@ -142,7 +142,7 @@
         system.entries[0].start()
         system.advance(4.seconds)
         assertTrue(system.entries[0].isReady())
-        val lookup = system.submitLookup(entry = 0)
+        val lookup = system.submitIdempotentCall(entry = 0)
         system.advance(1.seconds)
         assertIs<Outcome.Answered>(lookup.outcome)
     }
@@ -150,22 +150,22 @@
     @Test
     fun aNonIdempotentCallDuringAStoreOutageIsRefusedAsUnknown() {
         val system = SimulatedSystem(1)
-        val before = system.submitAction(entry = 0, key = 1)
+        val before = system.submitNonIdempotentCall(entry = 0, key = 1)
         system.advance(1.seconds)
         assertIs<Outcome.Answered>(before.outcome)
         system.store.isDown = true
-        val repeated = system.submitAction(entry = 1, key = 1)
+        val repeated = system.submitNonIdempotentCall(entry = 1, key = 1)
         system.advance(1700.milliseconds)
         val refused = assertIs<Outcome.Refused>(repeated.outcome)
         assertEquals(RefusalReason.STORE_UNAVAILABLE, refused.reason)
         assertEquals(Execution.UNKNOWN, refused.execution)
         assertEquals(false, refused.submissionRan)
         assertNotNull(refused.retryAfter)
-        val next = system.submitAction(entry = 1, key = 2)
+        val next = system.submitNonIdempotentCall(entry = 1, key = 2)
         assertIs<Outcome.Refused>(next.outcome, "refused at once while the service is known to be unavailable")
         system.store.isDown = false
         system.advance(1.seconds)
-        val after = system.submitAction(entry = 1, key = 2)
+        val after = system.submitNonIdempotentCall(entry = 1, key = 2)
         system.advance(1.seconds)
         assertIs<Outcome.Answered>(after.outcome)
     }
@@ -180,13 +180,13 @@
         val system = SimulatedSystem(1)
         val contestedCallers = (1..40).flatMap { key ->
             if (key == 20) system.companions.last().kill()
-            val callers = List(4) { number -> system.submitAction(entry = number % 2, key = key) }
+            val callers = List(4) { number -> system.submitNonIdempotentCall(entry = number % 2, key = key) }
             system.advance(20.milliseconds)
             callers
         }
         system.advance(20.seconds)
         assertTrue(contestedCallers.all { it.outcome != null })
-        val fresh = (101..110).map { key -> system.submitAction(entry = key % 2, key = key) }
+        val fresh = (101..110).map { key -> system.submitNonIdempotentCall(entry = key % 2, key = key) }
         system.advance(5.seconds)
         fresh.forEach { assertIs<Outcome.Answered>(it.outcome) }
         assertEquals(emptyList(), system.oracle.violations)
