--- a/core/src/main/kotlin/org/lovageladder/core/GenerationFlow.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/GenerationFlow.kt
@@ -268,13 +268,7 @@
         components.attempts.end(attempt)
         if (attempt !== reservation || context.isFinished) return
         if (tokens.nextIndex < message.tokens) {
-            val fault =
-                Fault(
-                    Step.DECODE,
-                    attempt.upstream.name.text,
-                    FaultCause.PROTOCOL,
-                    "the decode finished before all its tokens arrived",
-                )
+            val fault = Fault(Step.DECODE, attempt.upstream.name.text, FaultCause.PROTOCOL, "some tokens are missing")
             handleFailure(attempt, fault, now)
             return
         }
@@ -371,8 +365,8 @@
     }
 
     /**
-     * Refuses a request that has no first token yet. A started decode gets twice the target, since its prefill would be
-     * wasted.
+     * Refuses a request that has no first token yet. A started decode gets twice the target, since its prefill is already
+     * used.
      */
     private fun onFirstTokenDeadline(now: Moment) {
         if (context.isFinished || tokens.nextIndex > 0) return
@@ -407,9 +401,9 @@
     ) {
         releaseResources()
         val execution = if (decodeStartedAt == null && tokens.nextIndex == 0) Execution.NOT_RUN else Execution.UNKNOWN
-        val spreadRetryAfter = components.addJitter(retryAfter.coerceIn(MINIMUM_RETRY_AFTER, MAXIMUM_RETRY_AFTER))
+        val jitteredRetryAfter = components.addJitter(retryAfter.coerceIn(MINIMUM_RETRY_AFTER, MAXIMUM_RETRY_AFTER))
         context.finish(
-            Outcome.Refused(reason, execution, retryAfter = spreadRetryAfter, fault = fault, detail = detail),
+            Outcome.Refused(reason, execution, retryAfter = jitteredRetryAfter, fault = fault, detail = detail),
         )
     }
 
--- a/core/src/main/kotlin/org/lovageladder/core/IdempotentCallFlow.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/IdempotentCallFlow.kt
@@ -89,9 +89,9 @@
      * upstream does not lengthen it.
      */
     private fun hedgeDelay(pool: PoolName): Duration? {
-        val quantiles = components.table.nearestUsable(pool).mapNotNull {
-            it.firstLatency.quantile(HEDGE_QUANTILE)
-        }.sorted()
+        val quantiles = components.table.nearestUsable(pool)
+            .mapNotNull { it.firstLatency.quantile(HEDGE_QUANTILE) }
+            .sorted()
         if (quantiles.isEmpty()) return null
         return (quantiles[(quantiles.size - 1) / 2] * HEDGE_FACTOR).coerceAtLeast(MINIMUM_HEDGE_DELAY)
     }
--- a/core/src/main/kotlin/org/lovageladder/core/NoteText.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/NoteText.kt
@@ -12,7 +12,7 @@
  */
 
 /** Maximum size of a note in bytes of UTF-8: the limit of the key-value service for one value. */
-public const val NOTE_LIMIT_BYTES: Int = 1_000_000
+public const val MAXIMUM_NOTE_BYTES: Int = 1_000_000
 
 /** Maximum nesting of a note's JSON; the structure of a valid note needs less. */
 private const val MAXIMUM_NESTING = 16
@@ -53,8 +53,8 @@
 
 private fun <T> readNoteText(text: String, serializer: KSerializer<T>): Result<T, List<NoteFault>> {
     val size = text.toByteArray().size
-    if (size > NOTE_LIMIT_BYTES) {
-        return Err(listOf(NoteFault("", "is $size bytes long; allowed: at most $NOTE_LIMIT_BYTES")))
+    if (size > MAXIMUM_NOTE_BYTES) {
+        return Err(listOf(NoteFault("", "is $size bytes long; allowed: at most $MAXIMUM_NOTE_BYTES")))
     }
     val positions = scanJsonPositions(text)
     if (positions.depth > MAXIMUM_NESTING) {
--- a/core/src/test/kotlin/org/lovageladder/core/NoteTextTest.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/NoteTextTest.kt
@@ -108,7 +108,7 @@
             2,
         ),
         ParseCase("nested too deep", "{\"id\": \"a\", \"added\": " + "[".repeat(10_000), "", null),
-        ParseCase("too large", "{\"id\": \"" + "a".repeat(NOTE_LIMIT_BYTES) + "\"}", "", null),
+        ParseCase("too large", "{\"id\": \"" + "a".repeat(MAXIMUM_NOTE_BYTES) + "\"}", "", null),
     )
 
     @Test
