--- a/core/src/main/kotlin/org/lovageladder/core/GenerationFlow.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/GenerationFlow.kt
@@ -365,8 +365,8 @@
     }
 
     /**
-     * Refuses a request that has no first token yet. A started decode gets twice the target, since its prefill is already
-     * used.
+     * Refuses a request that has no first token yet. A started decode gets twice the target, since its prefill has
+     * already been used.
      */
     private fun onFirstTokenDeadline(now: Moment) {
         if (context.isFinished || tokens.nextIndex > 0) return
