--- a/client/src/main/kotlin/org/lovageladder/client/ClientCommand.kt
+++ b/client/src/main/kotlin/org/lovageladder/client/ClientCommand.kt
@@ -12,33 +12,33 @@
 import org.lovageladder.core.KeyValueStore
 import org.lovageladder.http.openEtcdStore
 
-/** A command of the operators. Answers go to standard output, failures to standard error. */
-internal abstract class ClientCommand(name: String, private val summary: String) : CliktCommand(name) {
+/** Base class of the commands. Results go to standard output, failures to standard error. */
+internal abstract class ClientCommand(name: String, private val helpText: String) : CliktCommand(name) {
     private val outputOptions by OutputOptions()
 
-    /** Does the command's work and prints its answer. */
+    /** Runs the command and prints its result. */
     protected abstract fun execute(): Result<Unit, ClientFailure>
 
-    final override fun help(context: Context): String = summary
+    final override fun help(context: Context): String = helpText
 
     final override fun run() {
         execute().onFailure { throw PrintMessage(it.message, it.exitCode.status, printError = true) }
     }
 
-    /** Prints [value] as JSON when that is asked for, else as [text]. */
+    /** Prints [value] as JSON when `--json` is given, else as the result of [text]. */
     protected fun <T> print(value: T, serializer: KSerializer<T>, text: (T) -> String) {
-        echo(if (outputOptions.json) printedJson.encodeToString(serializer, value) else text(value))
+        echo(if (outputOptions.json) outputJson.encodeToString(serializer, value) else text(value))
     }
 
-    /** Calls [use] with the key-value service and closes it. */
-    protected fun <T> withNotes(options: StoreOptions, use: (NoteStore) -> T): T {
+    /** Calls [action] with the notes in the key-value service, and closes the connection afterwards. */
+    protected fun <T> withNoteStore(options: StoreOptions, action: (NoteStore) -> T): T {
         val addresses = options.addresses
             ?: throw UsageError("--store is missing; allowed: IP:PORT,... (or LOVAGELADDER_STORE)")
-        return openEtcdStore(addresses).use { store: KeyValueStore -> use(NoteStore(store, options.timeout)) }
+        return openEtcdStore(addresses).use { store: KeyValueStore -> action(NoteStore(store, options.timeout)) }
     }
 }
 
-private val printedJson = Json {
+private val outputJson = Json {
     prettyPrint = true
     prettyPrintIndent = "  "
     encodeDefaults = true
--- a/client/src/main/kotlin/org/lovageladder/client/ClientFailure.kt
+++ b/client/src/main/kotlin/org/lovageladder/client/ClientFailure.kt
@@ -6,7 +6,7 @@
 import org.lovageladder.core.ReleaseNote
 import org.lovageladder.core.ReleaseVersion
 
-/** Why a command did not do what was asked, with the text that the operator reads. */
+/** Why a command failed, with the message for the operator and the exit code. */
 internal sealed interface ClientFailure {
     val exitCode: ExitCode
     val message: String
@@ -16,49 +16,49 @@
         override val exitCode: ExitCode get() = ExitCode.BAD_INPUT
     }
 
-    /** The note in [file] cannot be accepted. */
+    /** The note in [file] is malformed, or its content fails the checks. */
     data class NoteRejected(val file: String, val faults: List<NoteFault>) : ClientFailure {
         override val exitCode: ExitCode get() = ExitCode.BAD_INPUT
         override val message: String get() = faults.joinToString("\n") { describeFault(file, it) }
     }
 
-    /** Notes that the author had not seen were accepted after the note's base. */
-    data class NoteConflict(val note: ReleaseNote, val since: List<AcceptedNote>) : ClientFailure {
+    /** [newerNotes] were accepted after the base of [note], so its author had not seen them. */
+    data class NoteConflict(val note: ReleaseNote, val newerNotes: List<AcceptedNote>) : ClientFailure {
         override val exitCode: ExitCode get() = ExitCode.CONFLICT
-        override val message: String get() = describeConflict(note, since)
+        override val message: String get() = describeConflict(note, newerNotes)
     }
 
-    /** The note's identifier belongs to another note. */
+    /** An accepted note with other content has the same identifier. */
     data class NoteIdTaken(val accepted: AcceptedNote) : ClientFailure {
         override val exitCode: ExitCode get() = ExitCode.CONFLICT
         override val message: String
             get() = "not accepted: id '${accepted.note.id}' belongs to version ${accepted.version}, whose content " +
-                "is different; give this note an id of its own"
+                "is different; give this note another id"
     }
 
-    /** The note was sent, and no answer tells whether it was accepted as [version]. */
+    /** The note may have been sent, and no answer says whether it was accepted as [version]. */
     data class PublicationUnknown(val note: ReleaseNote, val version: ReleaseVersion, val fault: Fault) :
         ClientFailure {
         override val exitCode: ExitCode get() = ExitCode.OUTCOME_UNKNOWN
         override val message: String
             get() = "unknown whether note '${note.id}' was accepted as version $version: $fault\n" +
                 "publish the same file again once the key-value service answers: an accepted note is recognised " +
-                "by its id and not accepted twice; 'note history' shows it too"
+                "by its id and not accepted twice; 'note history' also shows whether it was accepted"
     }
 
-    /** The key-value service did not answer; [consequence] says what that means for the command. */
+    /** The key-value service did not answer; [consequence] says what this means for the command. */
     data class StoreUnreachable(val fault: Fault, val consequence: String) : ClientFailure {
         override val exitCode: ExitCode get() = ExitCode.UNREACHABLE
         override val message: String get() = "$consequence: $fault"
     }
 
-    /** A process did not answer. */
+    /** A process did not answer; [consequence] says what this means for the command. */
     data class ProcessUnreachable(val fault: Fault, val consequence: String) : ClientFailure {
         override val exitCode: ExitCode get() = ExitCode.UNREACHABLE
         override val message: String get() = "$consequence: $fault"
     }
 
-    /** What the key-value service holds under [key] is no note that can follow those before it. */
+    /** The value under [key] in the key-value service is not a note of that version, or it is missing. */
     data class HistoryUnreadable(val key: String, val faults: List<NoteFault>) : ClientFailure {
         override val exitCode: ExitCode get() = ExitCode.FAILED
         override val message: String
@@ -66,7 +66,7 @@
                 faults.joinToString("\n") { describeFault(key, it) }
     }
 
-    /** The processes that answered know nothing of what was asked for. */
+    /** Nothing exists that the command could show. */
     data class NothingFound(override val message: String) : ClientFailure {
         override val exitCode: ExitCode get() = ExitCode.FAILED
     }
@@ -78,21 +78,21 @@
     return "$source$line: $field ${fault.message}"
 }
 
-private fun describeConflict(note: ReleaseNote, since: List<AcceptedNote>): String {
-    val newest = since.last().version
-    val changes = since.joinToString("\n") { accepted -> "  ${summarize(accepted)}" }
+private fun describeConflict(note: ReleaseNote, newerNotes: List<AcceptedNote>): String {
+    val newest = newerNotes.last().version
+    val changes = newerNotes.joinToString("\n") { accepted -> "  ${describeChanges(accepted)}" }
     return "not accepted: note '${note.id}' has base ${note.base}, and version $newest is in force; since then:\n" +
-        "$changes\nlook at these, set \"base\" to $newest and publish again"
+        "$changes\nreview these changes, set \"base\" to $newest and publish again"
 }
 
-/** One line that names all that a note touches. */
-internal fun summarize(accepted: AcceptedNote): String {
+/** Describes in one line the entries that a note adds, changes and withdraws. */
+internal fun describeChanges(accepted: AcceptedNote): String {
     val note = accepted.note
     val author = if (note.author.isEmpty()) "" else " by ${note.author}"
     val parts = listOf(
-        ChangedNames("adds", note.added.map { it.key }),
-        ChangedNames("changes", note.changed.map { it.key }),
-        ChangedNames("withdraws", note.withdrawn),
+        EntryChanges("adds", note.added.map { it.key }),
+        EntryChanges("changes", note.changed.map { it.key }),
+        EntryChanges("withdraws", note.withdrawn),
     )
     val changes = parts.filter { it.keys.isNotEmpty() }.joinToString("; ").ifEmpty { "changes nothing" }
     return "version ${accepted.version} '${note.id}'$author: $changes"
--- a/client/src/main/kotlin/org/lovageladder/client/Settings.kt
+++ b/client/src/main/kotlin/org/lovageladder/client/CommonOptions.kt
@@ -16,74 +16,74 @@
 import kotlin.time.Duration.Companion.seconds
 
 /*
- * Options that several commands share. Each has an environment variable.
+ * Options shared by several commands. Each can also be set by an environment variable.
  */
 
-private val SHORTEST_TIMEOUT = 1.milliseconds
-private val LONGEST_TIMEOUT = 10.minutes
+private val MINIMUM_TIMEOUT = 1.milliseconds
+private val MAXIMUM_TIMEOUT = 10.minutes
 private const val MAXIMUM_PORT = 65_535
 private val ADDRESS_PATTERN = Regex("""([0-9.]+|\[[0-9a-fA-F:.]+]):(\d{1,5})""")
 
-/** Where the key-value service is, and how long to wait for it. */
+/** Addresses of the key-value service, and the timeout of its calls. */
 internal class StoreOptions : OptionGroup("Key-value service") {
     val addresses: List<Address>? by option(
         "--store",
         envvar = "LOVAGELADDER_STORE",
         metavar = "IP:PORT,...",
         help = "Addresses of the key-value service (LOVAGELADDER_STORE).",
-    ).convert { value -> value.split(',').map { address(it) } }
+    ).convert { value -> value.split(',').map { parseAddress(it) } }
 
     val timeout: Duration by option(
         "--store-timeout",
         envvar = "LOVAGELADDER_STORE_TIMEOUT",
         metavar = "DURATION",
-        help = "How long one call of the key-value service may take (default 2s).",
-    ).convert { duration(it) }.default(2.seconds)
+        help = "Timeout of one call of the key-value service (default 2s).",
+    ).convert { parseDuration(it) }.default(2.seconds)
 }
 
-/** Which processes to ask, and how long to wait for them. */
+/** Processes to query, and the timeout of their answers. */
 internal class ProcessOptions : OptionGroup("Processes") {
     val addresses: List<Address> by option(
         "--process",
         envvar = "LOVAGELADDER_PROCESS",
         metavar = "IP:PORT",
-        help = "Admin address of a process to ask; may be repeated. Without it all hosts in force are asked.",
-    ).convert { address(it) }.multiple()
+        help = "Admin address of a process to query; may be repeated. Without it all hosts in force are queried.",
+    ).convert { parseAddress(it) }.multiple()
 
     val timeout: Duration by option(
         "--process-timeout",
         envvar = "LOVAGELADDER_PROCESS_TIMEOUT",
         metavar = "DURATION",
-        help = "How long a process may take to answer (default 2s).",
-    ).convert { duration(it) }.default(2.seconds)
+        help = "Timeout of a process's answer (default 2s).",
+    ).convert { parseDuration(it) }.default(2.seconds)
 }
 
-/** How answers are printed. */
+/** Output format. */
 internal class OutputOptions : OptionGroup("Output") {
     val json: Boolean by option(
         "--json",
         envvar = "LOVAGELADDER_JSON",
-        help = "Print the answer as JSON.",
+        help = "Print the result as JSON.",
     ).flag()
 }
 
-/** Reads an IP address and port; fails naming what is allowed. */
-internal fun OptionCallTransformContext.address(value: String): Address =
-    readAddress(value) ?: fail("'$value' given; allowed: IP:PORT with a port from 1 to $MAXIMUM_PORT")
+/** Parses `IP:PORT`; the failure message says what is allowed. */
+internal fun OptionCallTransformContext.parseAddress(value: String): Address =
+    parseAddressOrNull(value) ?: fail("'$value' given; allowed: IP:PORT with a port from 1 to $MAXIMUM_PORT")
 
-/** Reads a duration such as `500ms`, `2s` or `1m 30s`; fails naming what is allowed. */
-internal fun OptionCallTransformContext.duration(value: String): Duration {
+/** Parses a duration such as `500ms`, `2s` or `1m 30s`; the failure message says what is allowed. */
+internal fun OptionCallTransformContext.parseDuration(value: String): Duration {
     val duration = Duration.parseOrNull(value)
-    if (duration != null && duration in SHORTEST_TIMEOUT..LONGEST_TIMEOUT) return duration
-    fail("'$value' given; allowed: a duration from $SHORTEST_TIMEOUT to $LONGEST_TIMEOUT, such as 500ms or 2s")
+    if (duration != null && duration in MINIMUM_TIMEOUT..MAXIMUM_TIMEOUT) return duration
+    fail("'$value' given; allowed: a duration from $MINIMUM_TIMEOUT to $MAXIMUM_TIMEOUT, such as 500ms or 2s")
 }
 
-/** Reads `IP:PORT`; null when [value] is anything else. */
-internal fun readAddress(value: String): Address? {
+/** Parses `IP:PORT`; null when [value] is anything else. */
+internal fun parseAddressOrNull(value: String): Address? {
     val match = ADDRESS_PATTERN.matchEntire(value.trim()) ?: return null
     val (ip, portText) = match.destructured
-    val bareIp = ip.trim('[', ']')
+    val unbracketedIp = ip.trim('[', ']')
     val port = portText.toInt()
-    val validIp = NetUtil.isValidIpV4Address(bareIp) || NetUtil.isValidIpV6Address(bareIp)
-    return if (validIp && port in 1..MAXIMUM_PORT) Address(bareIp, port) else null
+    val validIp = NetUtil.isValidIpV4Address(unbracketedIp) || NetUtil.isValidIpV6Address(unbracketedIp)
+    return if (validIp && port in 1..MAXIMUM_PORT) Address(unbracketedIp, port) else null
 }
--- a/client/src/main/kotlin/org/lovageladder/client/ExitCode.kt
+++ b/client/src/main/kotlin/org/lovageladder/client/ExitCode.kt
@@ -2,10 +2,10 @@
 
 /** Exit status of the command line. The README lists the same codes. */
 internal enum class ExitCode(val status: Int) {
-    /** What was asked for is done. */
+    /** The command succeeded. */
     DONE(0),
 
-    /** It failed for a reason that none of the others names. */
+    /** The command failed for a reason that no other code covers. */
     FAILED(1),
 
     /** The command line, a setting or a release note is wrong. */
@@ -14,7 +14,7 @@
     /** Another release note was accepted first. */
     CONFLICT(3),
 
-    /** Whether a release note was accepted is not known. */
+    /** It is unknown whether a release note was accepted. */
     OUTCOME_UNKNOWN(4),
 
     /** The key-value service or a process did not answer. */
--- a/client/src/main/kotlin/org/lovageladder/client/Main.kt
+++ b/client/src/main/kotlin/org/lovageladder/client/Main.kt
@@ -10,7 +10,7 @@
 import com.github.ajalt.clikt.core.subcommands
 import kotlin.system.exitProcess
 
-/** Runs the operators' command line. */
+/** Runs one command and exits with its exit code. */
 public fun main(arguments: Array<String>) {
     exitProcess(runClient(arguments.toList()).status)
 }
@@ -47,7 +47,7 @@
     }
 
     override fun help(context: Context): String =
-        "Operate lovageladder: publish release notes and see what all processes do."
+        "Operate lovageladder: publish release notes and inspect the running processes."
 
     override fun helpEpilog(context: Context): String =
         "Exit codes: 0 done, 1 failed, 2 bad input, 3 another note was accepted first, 4 outcome unknown, " +
--- a/client/src/main/kotlin/org/lovageladder/client/NoteCommand.kt
+++ b/client/src/main/kotlin/org/lovageladder/client/NoteCommand.kt
@@ -38,66 +38,66 @@
 }
 
 private class NoteCheckCommand :
-    ClientCommand("check", "Check a release note: its form, and its content against the release in force.") {
+    ClientCommand("check", "Check a release note: its format, and its content against the release in force.") {
     private val file by argument("FILE", help = "Release note as JSON.")
         .file(mustExist = true, canBeDir = false, mustBeReadable = true)
     private val storeOptions by StoreOptions()
 
-    override fun execute(): Result<Unit, ClientFailure> = readDocument(file.path, file.readText())
+    override fun execute(): Result<Unit, ClientFailure> = parseDocument(file.path, file.readText())
         .andThen { document -> checkAgainstRelease(document) }
         .map { check -> print(check, NoteCheck.serializer()) { it.describe(file.path) } }
 
     private fun checkAgainstRelease(document: NoteDocument): Result<NoteCheck, ClientFailure> {
-        if (storeOptions.addresses != null) return withNotes(storeOptions) { checkAgainstStore(it, document) }
+        if (storeOptions.addresses != null) return withNoteStore(storeOptions) { checkAgainstStore(it, document) }
         if (document.note.base != ReleaseVersion.NONE) return Ok(NoteCheck(document.note.id, against = null))
         return checkContent(document, ReleaseState.EMPTY).map { NoteCheck(document.note.id, ReleaseVersion.NONE) }
     }
 
-    private fun checkAgainstStore(notes: NoteStore, document: NoteDocument): Result<NoteCheck, ClientFailure> =
-        notes.readHistory("the content cannot be checked")
+    private fun checkAgainstStore(noteStore: NoteStore, document: NoteDocument): Result<NoteCheck, ClientFailure> =
+        noteStore.readHistory("the content cannot be checked")
             .andThen { history -> checkBase(document, history).map { history.state } }
             .andThen { state -> checkContent(document, state).map { NoteCheck(document.note.id, state.version) } }
 }
 
 private class NotePublishCommand :
-    ClientCommand("publish", "Publish a release note. An accepted note is in force everywhere and stays so.") {
+    ClientCommand("publish", "Publish a release note. An accepted note takes effect in all processes and is final.") {
     private val file by argument("FILE", help = "Release note as JSON.")
         .file(mustExist = true, canBeDir = false, mustBeReadable = true)
     private val storeOptions by StoreOptions()
-    private val giveUpAfter: Duration by option(
+    private val retryTimeout: Duration by option(
         "--give-up-after",
         envvar = "LOVAGELADDER_GIVE_UP_AFTER",
         metavar = "DURATION",
-        help = "How long to go on when the key-value service does not answer (default 10s).",
-    ).convert { duration(it) }.default(NotePublisher.DEFAULT_GIVE_UP_AFTER)
+        help = "How long to retry while the key-value service does not answer (default 10s).",
+    ).convert { parseDuration(it) }.default(NotePublisher.DEFAULT_RETRY_TIMEOUT)
 
-    override fun execute(): Result<Unit, ClientFailure> = readDocument(file.path, file.readText())
-        .andThen { document -> withNotes(storeOptions) { NotePublisher(it, giveUpAfter).publish(document) } }
+    override fun execute(): Result<Unit, ClientFailure> = parseDocument(file.path, file.readText())
+        .andThen { document -> withNoteStore(storeOptions) { NotePublisher(it, retryTimeout).publish(document) } }
         .map { publication -> print(publication, Publication.serializer()) { it.describe() } }
 }
 
 private class NoteShowCommand :
-    ClientCommand("show", "Show one accepted note, the newest without VERSION, or all that it left in force.") {
+    ClientCommand("show", "Show one accepted note (without VERSION the newest), or the release in force after it.") {
     private val version by argument("VERSION", help = "Version of the note.")
         .long().restrictTo(1..Long.MAX_VALUE).optional()
     private val inForce by option("--in-force", help = "Show everything in force after the note.").flag()
     private val storeOptions by StoreOptions()
 
     override fun execute(): Result<Unit, ClientFailure> =
-        withNotes(storeOptions) { it.readHistory("the notes cannot be read") }
+        withNoteStore(storeOptions) { it.readHistory("the notes cannot be read") }
             .andThen { history -> notesUpToVersion(history) }
             .andThen { notes -> if (inForce) showRelease(notes) else showNote(notes.last()) }
 
     private fun notesUpToVersion(history: NoteHistory): Result<List<AcceptedNote>, ClientFailure> {
-        val newest = history.state.version
-        val wanted = version?.let { ReleaseVersion(it) } ?: newest
-        if (newest == ReleaseVersion.NONE) {
+        val newestVersion = history.state.version
+        val requestedVersion = version?.let { ReleaseVersion(it) } ?: newestVersion
+        if (newestVersion == ReleaseVersion.NONE) {
             return Err(ClientFailure.NothingFound("no release note was accepted yet"))
         }
-        if (wanted > newest) {
-            return Err(ClientFailure.BadArgument("VERSION is $wanted; allowed: 1 to $newest"))
+        if (requestedVersion > newestVersion) {
+            return Err(ClientFailure.BadArgument("VERSION is $requestedVersion; allowed: 1 to $newestVersion"))
         }
-        return Ok(history.notes.filter { it.version <= wanted })
+        return Ok(history.notes.filter { it.version <= requestedVersion })
     }
 
     private fun showNote(accepted: AcceptedNote): Result<Unit, ClientFailure> {
@@ -106,8 +106,8 @@
     }
 
     private fun showRelease(notes: List<AcceptedNote>): Result<Unit, ClientFailure> =
-        foldHistory(notes).map { history ->
-            print(inForce(history.state), ReleaseInForce.serializer()) { it.describe() }
+        buildHistory(notes).map { history ->
+            print(releaseInForce(history.state), ReleaseInForce.serializer()) { it.describe() }
         }
 }
 
@@ -115,9 +115,9 @@
     private val storeOptions by StoreOptions()
 
     override fun execute(): Result<Unit, ClientFailure> =
-        withNotes(storeOptions) { it.readHistory("the notes cannot be read") }
+        withNoteStore(storeOptions) { it.readHistory("the notes cannot be read") }
             .map { history ->
-                print(history.notes, ListSerializer(AcceptedNote.serializer())) { listNotes(it) }
-                history.withoutEffect.forEach { echo(it.describe(), err = true) }
+                print(history.notes, ListSerializer(AcceptedNote.serializer())) { describeNotes(it) }
+                history.ineffectiveNotes.forEach { echo(it.describe(), err = true) }
             }
 }
--- a/client/src/main/kotlin/org/lovageladder/client/NotePublisher.kt
+++ b/client/src/main/kotlin/org/lovageladder/client/NotePublisher.kt
@@ -21,22 +21,22 @@
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.TimeSource
 
-/** A release note as its author wrote it: [text] is the content of [file]. */
+/** A parsed release note and the [text] of the [file] that it came from. */
 internal data class NoteDocument(val file: String, val text: String, val note: ReleaseNote)
 
-/** Reads the text of a note's file; fails with all faults of form. */
-internal fun readDocument(file: String, text: String): Result<NoteDocument, ClientFailure> {
+/** Parses the text of a note's file; a failure lists all faults of its format. */
+internal fun parseDocument(file: String, text: String): Result<NoteDocument, ClientFailure> {
     val note = readReleaseNote(text).getOrElse { return Err(ClientFailure.NoteRejected(file, it)) }
     return Ok(NoteDocument(file, text, note))
 }
 
-/** Checks the content of a note against the release that it is to follow. */
+/** Checks the content of a note against [state], the release that it would follow. */
 internal fun checkContent(document: NoteDocument, state: ReleaseState): Result<NoteDocument, ClientFailure> {
     val faults = state.check(document.note).map { locate(document.text, it) }
     return if (faults.isEmpty()) Ok(document) else Err(ClientFailure.NoteRejected(document.file, faults))
 }
 
-/** Checks that the author of a note saw the newest release. */
+/** Checks that a note is based on the newest accepted version. */
 internal fun checkBase(document: NoteDocument, history: NoteHistory): Result<NoteDocument, ClientFailure> {
     val base = document.note.base
     val newest = history.state.version
@@ -49,69 +49,75 @@
     }
 }
 
-/** How a note came to be in force as [accepted]. */
+/** Result of publishing a note: it is [accepted], and [earlier] says whether an earlier call had published it. */
 @Serializable
 internal data class Publication(val accepted: AcceptedNote, val earlier: Boolean)
 
 /**
- * Publishes release notes. The one write is the creation of the note under the next version, when nothing stands
- * there: of two racing operators one wins. When its answer is lost the write is repeated, which changes nothing if
- * the first took effect, and the note that stands at the version is told apart by its identifier.
- * After [giveUpAfter] without an answer the outcome is reported as unknown.
+ * Publishes release notes. The only write creates the note under the next version if that key does not exist yet, so
+ * one of several concurrent publishers succeeds. When the answer is lost, the write is retried. This changes nothing if
+ * the first write took effect: the retry conflicts, and the identifier of the stored note shows which note it is.
+ * After [retryTimeout] without an answer the outcome is reported as unknown, unless no write can have been sent.
  */
 internal class NotePublisher(
-    private val notes: NoteStore,
-    private val giveUpAfter: Duration = DEFAULT_GIVE_UP_AFTER,
-    private val repeatAfter: Duration = DEFAULT_REPEAT_AFTER,
+    private val noteStore: NoteStore,
+    private val retryTimeout: Duration = DEFAULT_RETRY_TIMEOUT,
+    private val retryDelay: Duration = DEFAULT_RETRY_DELAY,
 ) {
     fun publish(document: NoteDocument): Result<Publication, ClientFailure> {
         val note = document.note
-        val history = notes.readHistory("not accepted, nothing was sent").getOrElse { return Err(it) }
+        val history = noteStore.readHistory("not accepted, nothing was sent").getOrElse { return Err(it) }
         val earlier = history.notes.find { it.note.id == note.id }
-        if (earlier != null) return recognise(note, earlier)
+        if (earlier != null) return resolveDuplicateId(note, earlier)
         return checkBase(document, history)
             .andThen { checkContent(document, history.state) }
-            .andThen { create(AcceptedNote(history.state.version.next(), note)) }
+            .andThen { createNote(AcceptedNote(history.state.version.next(), note)) }
     }
 
-    private fun recognise(note: ReleaseNote, earlier: AcceptedNote): Result<Publication, ClientFailure> =
+    private fun resolveDuplicateId(note: ReleaseNote, earlier: AcceptedNote): Result<Publication, ClientFailure> =
         if (earlier.note == note) Ok(Publication(earlier, earlier = true)) else Err(ClientFailure.NoteIdTaken(earlier))
 
-    private fun create(accepted: AcceptedNote): Result<Publication, ClientFailure> {
-        val deadline = TimeSource.Monotonic.markNow() + giveUpAfter
-        var sent = false
+    private fun createNote(accepted: AcceptedNote): Result<Publication, ClientFailure> {
+        val deadline = TimeSource.Monotonic.markNow() + retryTimeout
+        var mayHaveBeenSent = false
         while (true) {
-            val answer = notes.create(accepted)
+            val answer = noteStore.create(accepted)
             val fault = when (answer) {
                 is StoreAnswer.Written -> return Ok(Publication(accepted, earlier = false))
-                is StoreAnswer.Conflict -> return resolve(accepted, answer)
+                is StoreAnswer.Conflict -> return resolveConflict(accepted, answer)
                 is StoreAnswer.Unavailable -> answer.fault
-                is StoreAnswer.Found, is StoreAnswer.Leased -> unexpected(answer)
+                is StoreAnswer.Found, is StoreAnswer.Leased -> unexpectedAnswerFault(answer)
             }
-            sent = sent || fault.cause != FaultCause.UNREACHABLE
-            if (deadline.hasPassedNow()) return Err(givenUp(accepted, fault, sent))
-            Thread.sleep(repeatAfter.inWholeMilliseconds)
+            mayHaveBeenSent = mayHaveBeenSent || fault.cause != FaultCause.UNREACHABLE
+            if (deadline.hasPassedNow()) return Err(timeoutFailure(accepted, fault, mayHaveBeenSent))
+            Thread.sleep(retryDelay.inWholeMilliseconds)
         }
     }
 
-    private fun givenUp(accepted: AcceptedNote, fault: Fault, sent: Boolean): ClientFailure = if (sent) {
-        ClientFailure.PublicationUnknown(accepted.note, accepted.version, fault)
-    } else {
-        ClientFailure.StoreUnreachable(fault, "not accepted, nothing was sent")
-    }
+    private fun timeoutFailure(accepted: AcceptedNote, fault: Fault, mayHaveBeenSent: Boolean): ClientFailure =
+        if (mayHaveBeenSent) {
+            ClientFailure.PublicationUnknown(accepted.note, accepted.version, fault)
+        } else {
+            ClientFailure.StoreUnreachable(fault, "not accepted, nothing was sent")
+        }
 
-    private fun resolve(accepted: AcceptedNote, conflict: StoreAnswer.Conflict): Result<Publication, ClientFailure> {
+    private fun resolveConflict(
+        accepted: AcceptedNote,
+        conflict: StoreAnswer.Conflict,
+    ): Result<Publication, ClientFailure> {
         val current = conflict.current.firstOrNull()
-            ?: return Err(ClientFailure.PublicationUnknown(accepted.note, accepted.version, unexpected(conflict)))
-        val winner = readEntry(current).getOrElse { return Err(it) }
-        if (winner.note.id == accepted.note.id) return recognise(accepted.note, winner)
-        val history = notes.readHistory("the notes that were accepted since cannot be read")
-        val since = history.map { it.notesAfter(accepted.note.base) }.getOrElse { listOf(winner) }
-        return Err(ClientFailure.NoteConflict(accepted.note, since))
+            ?: return Err(
+                ClientFailure.PublicationUnknown(accepted.note, accepted.version, unexpectedAnswerFault(conflict)),
+            )
+        val existingNote = parseStoredNote(current).getOrElse { return Err(it) }
+        if (existingNote.note.id == accepted.note.id) return resolveDuplicateId(accepted.note, existingNote)
+        val history = noteStore.readHistory("the notes that were accepted since cannot be read")
+        val newerNotes = history.map { it.notesAfter(accepted.note.base) }.getOrElse { listOf(existingNote) }
+        return Err(ClientFailure.NoteConflict(accepted.note, newerNotes))
     }
 
     companion object {
-        val DEFAULT_GIVE_UP_AFTER: Duration = 10.seconds
-        private val DEFAULT_REPEAT_AFTER: Duration = 200.milliseconds
+        val DEFAULT_RETRY_TIMEOUT: Duration = 10.seconds
+        private val DEFAULT_RETRY_DELAY: Duration = 200.milliseconds
     }
 }
--- a/client/src/main/kotlin/org/lovageladder/client/NoteReports.kt
+++ b/client/src/main/kotlin/org/lovageladder/client/NoteReports.kt
@@ -11,14 +11,14 @@
 import org.lovageladder.core.ReleaseVersion
 
 /*
- * What the commands on release notes print.
+ * Output of the commands on release notes.
  */
 
-/** Result of a check; [against] is the release that the content was checked against, null when it was not. */
+/** Result of a check; [against] is the version that the content was checked against, null when only the format was. */
 @Serializable
 internal data class NoteCheck(val id: NoteId, val against: ReleaseVersion?) {
     fun describe(file: String): String = when (against) {
-        null -> "$file: the form is right; name --store to check the content against the release in force"
+        null -> "$file: the format is valid; pass --store to check the content against the release in force"
         else -> "$file: can be published; checked against version $against"
     }
 }
@@ -31,7 +31,7 @@
 internal fun IneffectiveNote.describe(): String =
     "version $version has no effect: " + faults.joinToString("; ") { "${it.field} ${it.message}" }
 
-/** Everything in force at [version]. */
+/** All entries in force at [version]. */
 @Serializable
 internal data class ReleaseInForce(val version: ReleaseVersion, val entries: List<ReleaseEntry>) {
     fun describe(): String {
@@ -40,33 +40,33 @@
     }
 }
 
-/** Lists all that [state] holds, by kind and name. */
-internal fun inForce(state: ReleaseState): ReleaseInForce {
+/** Returns all entries of [state], sorted by kind and name. */
+internal fun releaseInForce(state: ReleaseState): ReleaseInForce {
     val entries: List<ReleaseEntry> = state.hosts.values + state.pools.values + state.upstreams.values +
         state.services.values + state.classes.values
     return ReleaseInForce(state.version, entries.sortedWith(compareBy({ it.key.kind }, { it.key.name })))
 }
 
-/** Text of one note: who and when, then a row for each thing that it touches. */
+/** Describes one note: its version and origin, then a row for each entry that it adds, changes or withdraws. */
 internal fun describeNote(accepted: AcceptedNote): String {
     val note = accepted.note
     val rows = note.added.map { changeRow("added", it) } +
         note.changed.map { changeRow("changed", it) } +
-        note.withdrawn.map { listOf("withdrawn", kindOf(it), it.name, ABSENT) }
-    val author = note.author.ifEmpty { ABSENT }
+        note.withdrawn.map { listOf("withdrawn", kindOf(it), it.name, ABSENT_CELL) }
+    val author = note.author.ifEmpty { ABSENT_CELL }
     return "version ${accepted.version}  id ${note.id}  author $author  base ${note.base}\n" +
         Table(listOf("CHANGE", "KIND", "NAME", "SETTINGS"), rows).render()
 }
 
-/** Table of accepted notes. */
-internal fun listNotes(notes: List<AcceptedNote>): String {
+/** Describes accepted notes, one row each. */
+internal fun describeNotes(notes: List<AcceptedNote>): String {
     val headings = listOf("VERSION", "ID", "AUTHOR", "BASE", "ADDED", "CHANGED", "WITHDRAWN")
     val rows = notes.map { accepted ->
         val note = accepted.note
         listOf(
             accepted.version.toString(),
             note.id.text,
-            note.author.ifEmpty { ABSENT },
+            note.author.ifEmpty { ABSENT_CELL },
             note.base.toString(),
             note.added.size.toString(),
             note.changed.size.toString(),
@@ -104,7 +104,7 @@
 
 private fun describeService(service: ReleaseEntry.Service): String {
     val pools = when (val plain = service.plainPool) {
-        null -> "prefill ${service.prefillPool}, decode ${service.decodePool}, model ${service.model ?: ABSENT}"
+        null -> "prefill ${service.prefillPool}, decode ${service.decodePool}, model ${service.model ?: ABSENT_CELL}"
         else -> "plain $plain"
     }
     return "$pools, default class ${service.defaultClass}"
@@ -115,7 +115,7 @@
         is LatencyTarget.Stream -> "first token ${target.firstToken}, token gap ${target.tokenGap}"
         is LatencyTarget.Answer -> "answer within ${target.within}"
     }
-    val repeat = if (requestClass.idempotent) "idempotent" else "not idempotent"
-    return "$target, $repeat, worth ${requestClass.worth}, priority ${requestClass.priority}, " +
+    val idempotence = if (requestClass.idempotent) "idempotent" else "not idempotent"
+    return "$target, $idempotence, worth ${requestClass.worth}, priority ${requestClass.priority}, " +
         "share ${requestClass.share}, at most ${requestClass.outputBound} tokens"
 }
--- a/client/src/main/kotlin/org/lovageladder/client/NoteStore.kt
+++ b/client/src/main/kotlin/org/lovageladder/client/NoteStore.kt
@@ -26,68 +26,68 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
-/** Accepted release notes in the key-value service. Calls block for at most [timeout] each. */
+/** Reads and creates accepted notes in the key-value service. Each call of the service blocks for at most [timeout]. */
 internal class NoteStore(private val store: KeyValueStore, private val timeout: Duration = DEFAULT_STORE_TIMEOUT) {
-    /** Reads all accepted notes, in order of version. [consequence] begins the message when the service is away. */
+    /** Reads all accepted notes in order. [consequence] begins the failure message if the service is unreachable. */
     fun readHistory(consequence: String): Result<NoteHistory, ClientFailure> {
         val notes = mutableListOf<AcceptedNote>()
         var lastKey = NOTE_PREFIX
         while (true) {
             val page = readPage(lastKey, consequence).getOrElse { return Err(it) }
-            for (entry in page) notes += readEntry(entry).getOrElse { return Err(it) }
-            if (page.size < PAGE_LIMIT) return foldHistory(notes)
+            for (entry in page) notes += parseStoredNote(entry).getOrElse { return Err(it) }
+            if (page.size < PAGE_SIZE) return buildHistory(notes)
             lastKey = page.last().key
         }
     }
 
-    /** Creates [note] under its version when nothing stands there. */
+    /** Creates [note] under its version, unless that version exists already. */
     fun create(note: AcceptedNote): StoreAnswer {
         val write = StoreWrite(noteStoreKey(note.version), writeAcceptedNote(note))
         return call(StoreRequest.Create(listOf(write)))
     }
 
     private fun readPage(after: String, consequence: String): Result<List<StoredEntry>, ClientFailure> =
-        when (val answer = call(StoreRequest.ReadAfter(NOTE_PREFIX, after, PAGE_LIMIT))) {
+        when (val answer = call(StoreRequest.ReadAfter(NOTE_PREFIX, after, PAGE_SIZE))) {
             is StoreAnswer.Found -> Ok(answer.entries)
             is StoreAnswer.Unavailable -> Err(ClientFailure.StoreUnreachable(answer.fault, consequence))
             is StoreAnswer.Written, is StoreAnswer.Conflict, is StoreAnswer.Leased ->
-                Err(ClientFailure.StoreUnreachable(unexpected(answer), consequence))
+                Err(ClientFailure.StoreUnreachable(unexpectedAnswerFault(answer), consequence))
         }
 
     private fun call(request: StoreRequest): StoreAnswer {
-        val answered = CompletableFuture<StoreAnswer>()
-        store.call(request, timeout) { answered.complete(it) }
-        return answered.get()
+        val pendingAnswer = CompletableFuture<StoreAnswer>()
+        store.call(request, timeout) { pendingAnswer.complete(it) }
+        return pendingAnswer.get()
     }
 
     companion object {
         val DEFAULT_STORE_TIMEOUT: Duration = 2.seconds
-        private const val PAGE_LIMIT = 64
+        private const val PAGE_SIZE = 64
     }
 }
 
 /**
- * All accepted notes and the release that they add up to. Notes [withoutEffect] do not pass the checks; they count
- * as empty here as in every process.
+ * All accepted notes and the release that results from them. The [ineffectiveNotes] fail the checks and change only the
+ * version, here as in every process.
  */
 internal data class NoteHistory(
     val notes: List<AcceptedNote>,
     val state: ReleaseState,
-    val withoutEffect: List<IneffectiveNote> = emptyList(),
+    val ineffectiveNotes: List<IneffectiveNote> = emptyList(),
 ) {
-    /** Notes that were accepted after [version]. */
+    /** Returns the notes that were accepted after [version]. */
     fun notesAfter(version: ReleaseVersion): List<AcceptedNote> = notes.filter { it.version > version }
 }
 
-/** A note that an author published around the checks. */
+/** An accepted note whose content fails the checks, for example because it was written to the store without them. */
 internal data class IneffectiveNote(val version: ReleaseVersion, val faults: List<NoteFault>)
 
-/** Fault for an answer that does not belong to the request. */
-internal fun unexpected(answer: StoreAnswer): Fault =
+/** Fault for an answer of a type that the request cannot have. */
+internal fun unexpectedAnswerFault(answer: StoreAnswer): Fault =
     Fault(Step.STORE, "key-value service", FaultCause.PROTOCOL, "unexpected answer ${answer::class.simpleName}")
 
-/** Reads one stored note. */
-internal fun readEntry(entry: StoredEntry): Result<AcceptedNote, ClientFailure> = readAcceptedNote(entry.value)
+/** Parses a stored note and checks that it is stored under the key of its version. */
+internal fun parseStoredNote(entry: StoredEntry): Result<AcceptedNote, ClientFailure> = readAcceptedNote(entry.value)
     .mapError { ClientFailure.HistoryUnreadable(entry.key, it) }
     .andThen { checkVersion(entry.key, it) }
 
@@ -98,20 +98,20 @@
     return Err(ClientFailure.HistoryUnreadable(key, listOf(fault)))
 }
 
-/** The release that [notes] add up to; fails when a version is missing. */
-internal fun foldHistory(notes: List<AcceptedNote>): Result<NoteHistory, ClientFailure> {
+/** Applies [notes] in order; fails when a version is missing. */
+internal fun buildHistory(notes: List<AcceptedNote>): Result<NoteHistory, ClientFailure> {
     var state = ReleaseState.EMPTY
-    val withoutEffect = mutableListOf<IneffectiveNote>()
+    val ineffectiveNotes = mutableListOf<IneffectiveNote>()
     for (accepted in notes) {
-        val missing = state.version.next()
-        if (accepted.version != missing) {
-            val fault = NoteFault("version", "is missing, and version ${accepted.version} is there")
-            return Err(ClientFailure.HistoryUnreadable(noteStoreKey(missing), listOf(fault)))
+        val expectedVersion = state.version.next()
+        if (accepted.version != expectedVersion) {
+            val fault = NoteFault("version", "is missing, but version ${accepted.version} exists")
+            return Err(ClientFailure.HistoryUnreadable(noteStoreKey(expectedVersion), listOf(fault)))
         }
         state = state.apply(accepted).getOrElse { faults ->
-            withoutEffect += IneffectiveNote(accepted.version, faults)
+            ineffectiveNotes += IneffectiveNote(accepted.version, faults)
             state.copy(version = accepted.version)
         }
     }
-    return Ok(NoteHistory(notes, state, withoutEffect))
+    return Ok(NoteHistory(notes, state, ineffectiveNotes))
 }
--- a/client/src/main/kotlin/org/lovageladder/client/ProcessCommand.kt
+++ b/client/src/main/kotlin/org/lovageladder/client/ProcessCommand.kt
@@ -13,47 +13,49 @@
 import org.lovageladder.http.AdminClient
 import org.lovageladder.http.openAdminClient
 
-/** A command that asks processes of the system, found from the release in force or named by address. */
+/** Base class of the commands that query processes: those of all hosts in force, or those named by `--process`. */
 internal abstract class ProcessCommand(name: String, summary: String) : ClientCommand(name, summary) {
     private val storeOptions by StoreOptions()
     private val processOptions by ProcessOptions()
 
-    /** Processes to ask, and what is in force; the release is empty when it cannot be read and processes are named. */
-    protected fun findSystem(): Result<FoundSystem, ClientFailure> {
-        if (storeOptions.addresses != null) return readRelease().map { foundSystem(it) }
+    /** Selects the processes to query. The release is empty when it cannot be read and `--process` names processes. */
+    protected fun selectProcesses(): Result<ProcessSelection, ClientFailure> {
+        if (storeOptions.addresses != null) return readRelease().map { createSelection(it) }
         if (processOptions.addresses.isEmpty()) {
             throw UsageError("--store is missing; allowed: IP:PORT,... (or LOVAGELADDER_STORE), or --process IP:PORT")
         }
-        return Ok(foundSystem(ReleaseState.EMPTY))
+        return Ok(createSelection(ReleaseState.EMPTY))
     }
 
     private fun readRelease(): Result<ReleaseState, ClientFailure> {
-        val history = withNotes(storeOptions) { it.readHistory("the hosts in force cannot be read; name --process") }
+        val history = withNoteStore(storeOptions) { it.readHistory("cannot read the hosts in force; pass --process") }
         if (processOptions.addresses.isEmpty()) return history.map { it.state }
         val state = history.map { it.state }.getOrElse { failure ->
-            echo("without the release: ${failure.message}", err = true)
+            echo("continuing without the release: ${failure.message}", err = true)
             ReleaseState.EMPTY
         }
         return Ok(state)
     }
 
-    /** Calls [use] with a client for the admin addresses of processes and closes it. */
-    protected fun <T> withAdmin(use: (AdminClient) -> T): T = openAdminClient(processOptions.timeout).use(use)
+    /** Calls [action] with a client for the admin addresses of processes, and closes the client afterwards. */
+    protected fun <T> withAdminClient(action: (AdminClient) -> T): T =
+        openAdminClient(processOptions.timeout).use(action)
 
-    /** Asks [targets] for their status. */
-    protected fun askStatuses(targets: List<Target>): Answers<ProcessStatus> = withAdmin { client ->
-        askAll(targets) { address -> client.status(address).andThen { readStatus(address, it) } }
+    /** Queries the status of [targets]. */
+    protected fun queryStatuses(targets: List<ProcessTarget>): QueryResult<ProcessStatus> = withAdminClient { client ->
+        queryAll(targets) { address -> client.status(address).andThen { parseStatus(address, it) } }
     }
 
-    /** Fails when some of the processes did not answer; what the others said is printed by then. */
-    protected fun requireAll(unanswered: List<Unanswered>): Result<Unit, ClientFailure> {
-        val fault: Fault = unanswered.firstOrNull()?.fault ?: return Ok(Unit)
-        val consequence = "no answer from ${unanswered.size} of the processes, the first"
+    /** Fails when a process did not answer. Called after the answers of the others have been printed. */
+    protected fun requireAllAnswered(unreachable: List<UnreachableProcess>): Result<Unit, ClientFailure> {
+        val fault: Fault = unreachable.firstOrNull()?.fault ?: return Ok(Unit)
+        val consequence = "no answer from ${unreachable.size} processes, first failure"
         return Err(ClientFailure.ProcessUnreachable(fault, consequence))
     }
 
-    private fun foundSystem(release: ReleaseState) = FoundSystem(release, targets(processOptions.addresses, release))
+    private fun createSelection(release: ReleaseState) =
+        ProcessSelection(release, selectTargets(processOptions.addresses, release))
 }
 
-/** The release in force and the processes to ask. */
-internal data class FoundSystem(val release: ReleaseState, val targets: List<Target>)
+/** The processes to query, and the release in force. */
+internal data class ProcessSelection(val release: ReleaseState, val targets: List<ProcessTarget>)
--- a/client/src/main/kotlin/org/lovageladder/client/ProcessCommands.kt
+++ b/client/src/main/kotlin/org/lovageladder/client/ProcessCommands.kt
@@ -23,34 +23,34 @@
 import kotlin.time.Duration
 
 /*
- * Commands that ask the processes of the system.
+ * Commands that query or drain processes.
  */
 
 internal class StatusCommand : ProcessCommand("status", "Show every process: its state, release and work.") {
-    override fun execute(): Result<Unit, ClientFailure> = findSystem().andThen { system ->
-        val answers = askStatuses(system.targets)
-        val processes = answers.given.map { ReportedProcess(it.target.address, it.target.host, it.value) }
-        print(StatusReport(processes, answers.unanswered), StatusReport.serializer()) { it.describe() }
-        requireAll(answers.unanswered)
+    override fun execute(): Result<Unit, ClientFailure> = selectProcesses().andThen { selection ->
+        val result = queryStatuses(selection.targets)
+        val processes = result.answers.map { ReportedProcess(it.target.address, it.target.host, it.value) }
+        print(StatusReport(processes, result.unreachable), StatusReport.serializer()) { it.describe() }
+        requireAllAnswered(result.unreachable)
     }
 }
 
 internal class UpstreamsCommand :
     ProcessCommand("upstreams", "Show every upstream: its load at its companion, its state at the entries.") {
-    override fun execute(): Result<Unit, ClientFailure> = findSystem().andThen {
+    override fun execute(): Result<Unit, ClientFailure> = selectProcesses().andThen {
         requireRelease(it)
-    }.andThen { system ->
-        val answers = askStatuses(system.targets)
-        print(reportUpstreams(system.release, answers), UpstreamReport.serializer()) { it.describe() }
-        requireAll(answers.unanswered)
+    }.andThen { selection ->
+        val result = queryStatuses(selection.targets)
+        print(reportUpstreams(selection.release, result), UpstreamReport.serializer()) { it.describe() }
+        requireAllAnswered(result.unreachable)
     }
 }
 
-private fun requireRelease(system: FoundSystem): Result<FoundSystem, ClientFailure> =
-    if (system.release == ReleaseState.EMPTY) {
+private fun requireRelease(selection: ProcessSelection): Result<ProcessSelection, ClientFailure> =
+    if (selection.release == ReleaseState.EMPTY) {
         Err(ClientFailure.NothingFound("no release is in force: there are no upstreams to show"))
     } else {
-        Ok(system)
+        Ok(selection)
     }
 
 internal class TimelineCommand :
@@ -63,15 +63,17 @@
         "--since",
         metavar = "DURATION|TIME",
         help = "Only events of the last DURATION (5m), or after TIME (2026-01-31T08:00:00Z).",
-    ).convert { value -> since(value) ?: fail("'$value' given; allowed: a duration such as 5m, or an ISO 8601 time") }
-    private val limit by option("--limit", help = "At most so many events of each process (default 1000).")
-        .int().restrictTo(1..MAXIMUM_EVENTS).default(DEFAULT_EVENTS)
+    ).convert { value ->
+        parseSince(value) ?: fail("'$value' given; allowed: a duration such as 5m, or an ISO 8601 time")
+    }
+    private val limit by option("--limit", help = "Maximum number of events of each process (default 1000).")
+        .int().restrictTo(1..MAXIMUM_EVENT_LIMIT).default(DEFAULT_EVENT_LIMIT)
 
-    override fun execute(): Result<Unit, ClientFailure> = findSystem().andThen { system ->
-        val answers = withAdmin { client -> askAll(system.targets) { client.events(it, filter()) } }
-        val timeline = mergeEvents(answers.given.map { it.value }, answers.unanswered)
+    override fun execute(): Result<Unit, ClientFailure> = selectProcesses().andThen { selection ->
+        val result = withAdminClient { client -> queryAll(selection.targets) { client.events(it, filter()) } }
+        val timeline = mergeEvents(result.answers.map { it.value }, result.unreachable)
         print(timeline, Timeline.serializer()) { it.describe() }
-        requireAll(answers.unanswered)
+        requireAllAnswered(result.unreachable)
     }
 
     private fun filter() = EventFilter(
@@ -82,7 +84,7 @@
         limit = limit,
     )
 
-    private fun since(value: String): Instant? {
+    private fun parseSince(value: String): Instant? {
         val duration = Duration.parseOrNull(value)
         if (duration != null) return Instant.now().minusMillis(duration.inWholeMilliseconds)
         return try {
@@ -93,55 +95,57 @@
     }
 
     private companion object {
-        const val DEFAULT_EVENTS = 1000
-        const val MAXIMUM_EVENTS = 100_000
+        const val DEFAULT_EVENT_LIMIT = 1000
+        const val MAXIMUM_EVENT_LIMIT = 100_000
     }
 }
 
 internal class ExplainCommand :
-    ProcessCommand("explain", "Tell why a request went where it went, or was refused.") {
-    private val request by argument("REQUEST", help = "Identifier of the request, as its answer carried it.")
+    ProcessCommand("explain", "Explain how a request was routed, or why it was refused.") {
+    private val request by argument("REQUEST", help = "Identifier of the request, as given in its answer.")
 
-    override fun execute(): Result<Unit, ClientFailure> = findSystem().andThen { system ->
-        val answers = withAdmin { client -> askAll(system.targets) { client.explain(it, RequestId(request)) } }
-        val timeline = mergeEvents(answers.given.map { it.value }, answers.unanswered)
+    override fun execute(): Result<Unit, ClientFailure> = selectProcesses().andThen { selection ->
+        val result = withAdminClient { client ->
+            queryAll(selection.targets) { client.explain(it, RequestId(request)) }
+        }
+        val timeline = mergeEvents(result.answers.map { it.value }, result.unreachable)
         if (timeline.events.isNotEmpty()) print(explain(timeline), Explanation.serializer()) { it.describe() }
-        requireAll(answers.unanswered).andThen { requireFound(timeline) }
+        requireAllAnswered(result.unreachable).andThen { requireFound(timeline) }
     }
 
     private fun requireFound(timeline: Timeline): Result<Unit, ClientFailure> = if (timeline.events.isEmpty()) {
-        Err(ClientFailure.NothingFound("no process knows request '$request'"))
+        Err(ClientFailure.NothingFound("no process has events of request '$request'"))
     } else {
         Ok(Unit)
     }
 }
 
 internal class DrainCommand :
-    ProcessCommand("drain", "Let a process finish what it has, take nothing new, and exit.") {
+    ProcessCommand("drain", "Let a process finish its work, accept nothing new, and exit.") {
     private val process by argument("HOST|PROCESS|IP:PORT", help = "Host or process to drain, or its admin address.")
 
     override fun execute(): Result<Unit, ClientFailure> = findTarget().andThen { target ->
-        withAdmin { it.drain(target.address) }
+        withAdminClient { it.drain(target.address) }
             .mapError { ClientFailure.ProcessUnreachable(it, "$target was not told to drain, or did not confirm it") }
-            .map { echo("$target drains: it takes nothing new and exits when its work is finished") }
+            .map { echo("$target is draining: it accepts nothing new and exits when its work is finished") }
     }
 
-    private fun findTarget(): Result<Target, ClientFailure> {
-        val address = readAddress(process)
-        if (address != null) return Ok(Target(address, host = null))
-        return findSystem().andThen { system ->
-            val host = system.targets.find { it.host?.name?.text == process }
-            if (host == null) findByProcess(system) else Ok(host)
+    private fun findTarget(): Result<ProcessTarget, ClientFailure> {
+        val address = parseAddressOrNull(process)
+        if (address != null) return Ok(ProcessTarget(address, host = null))
+        return selectProcesses().andThen { selection ->
+            val host = selection.targets.find { it.host?.name?.text == process }
+            if (host == null) findByProcessName(selection) else Ok(host)
         }
     }
 
-    private fun findByProcess(system: FoundSystem): Result<Target, ClientFailure> {
-        val answers = askStatuses(system.targets)
-        val found = answers.given.find { it.value.process.text == process }
+    private fun findByProcessName(selection: ProcessSelection): Result<ProcessTarget, ClientFailure> {
+        val result = queryStatuses(selection.targets)
+        val found = result.answers.find { it.value.process.text == process }
         if (found != null) return Ok(found.target)
-        val known = answers.given.joinToString { it.value.process.text }
-        val message = "no host or process is named '$process'; processes that answered: $known" +
-            describeUnreachable(answers.unanswered)
+        val knownNames = result.answers.joinToString { it.value.process.text }
+        val message = "no host or process is named '$process'; processes that answered: $knownNames" +
+            describeUnreachable(result.unreachable)
         return Err(ClientFailure.BadArgument(message))
     }
 }
--- a/client/src/main/kotlin/org/lovageladder/client/ProcessReports.kt
+++ b/client/src/main/kotlin/org/lovageladder/client/ProcessReports.kt
@@ -13,12 +13,12 @@
 import java.util.Locale
 
 /*
- * What the commands on processes and upstreams print.
+ * Output of the commands on processes and upstreams.
  */
 
-/** Status of all processes that were asked. */
+/** Status of the processes that answered, and those that did not. */
 @Serializable
-internal data class StatusReport(val processes: List<ReportedProcess>, val unreachable: List<Unanswered>) {
+internal data class StatusReport(val processes: List<ReportedProcess>, val unreachable: List<UnreachableProcess>) {
     fun describe(): String {
         val headings = listOf("PROCESS", "ROLE", "PLACE", "ADMIN", "STATE", "RELEASE", "WORK")
         return Table(headings, processes.map { it.cells() }).render() + describeUnreachable(unreachable)
@@ -29,8 +29,8 @@
 @Serializable
 internal data class ReportedProcess(val address: Address, val host: ReleaseEntry.Host?, val status: ProcessStatus) {
     fun cells(): List<String> {
-        val place = host?.place?.text ?: ABSENT
-        val rest = when (val status = status) {
+        val place = host?.place?.text ?: ABSENT_CELL
+        val statusCells = when (val status = status) {
             is ProcessStatus.OfEntry -> listOf(stateOf(status.status), "${status.release}", workOf(status.status))
             is ProcessStatus.OfCompanion -> listOf(stateOf(status.status), "${status.release}", workOf(status.status))
         }
@@ -38,7 +38,7 @@
             is ProcessStatus.OfEntry -> "entry"
             is ProcessStatus.OfCompanion -> "companion"
         }
-        return listOf(status.process.text, role, place, address.toString()) + rest
+        return listOf(status.process.text, role, place, address.toString()) + statusCells
     }
 }
 
@@ -61,12 +61,12 @@
     "${status.runningCalls} calls, ${status.reservations} reservations, " +
         "${status.connectedEntries.size} entries connected"
 
-/** All upstreams of a release as companions and entries see them. */
+/** All upstreams of a release, as reported by companions and entries. */
 @Serializable
 internal data class UpstreamReport(
     val release: ReleaseVersion,
     val upstreams: List<ReportedUpstream>,
-    val unreachable: List<Unanswered>,
+    val unreachable: List<UnreachableProcess>,
 ) {
     fun describe(): String {
         val headings =
@@ -75,7 +75,7 @@
     }
 }
 
-/** An upstream, its companion's [load] (null when that did not answer) and the [views] of the entries. */
+/** An upstream, its [load] from the companion (null when that did not answer), and the [views] of the entries. */
 @Serializable
 internal data class ReportedUpstream(
     val upstream: ReleaseEntry.Upstream,
@@ -87,29 +87,29 @@
         upstream.name.text,
         upstream.pool.text,
         upstream.host.text,
-        host?.place?.text ?: ABSENT,
+        host?.place?.text ?: ABSENT_CELL,
         describeStates(),
-        if (load == null || load.piecesTotal == 0) ABSENT else "${load.piecesFree}/${load.piecesTotal}",
-        load?.running?.toString() ?: ABSENT,
-        load?.waiting?.toString() ?: ABSENT,
-        milliseconds(views.maxOfOrNull { it.firstLatencyMicroseconds }),
-        milliseconds(views.maxOfOrNull { it.tokenGapMicroseconds }),
+        if (load == null || load.piecesTotal == 0) ABSENT_CELL else "${load.piecesFree}/${load.piecesTotal}",
+        load?.running?.toString() ?: ABSENT_CELL,
+        load?.waiting?.toString() ?: ABSENT_CELL,
+        formatMilliseconds(views.maxOfOrNull { it.firstLatencyMicroseconds }),
+        formatMilliseconds(views.maxOfOrNull { it.tokenGapMicroseconds }),
     )
 
-    /** The state that all entries agree on, or each state with the number of entries that see it. */
+    /** The state, if all entries report the same one, else each state with the number of entries that report it. */
     private fun describeStates(): String {
         val counts = views.groupingBy { it.state }.eachCount()
         return when (counts.size) {
-            0 -> ABSENT
-            1 -> nameOf(counts.keys.single())
-            else -> counts.entries.sortedBy { it.key }.joinToString { "${nameOf(it.key)} at ${it.value}" }
+            0 -> ABSENT_CELL
+            1 -> displayName(counts.keys.single())
+            else -> counts.entries.sortedBy { it.key }.joinToString { "${displayName(it.key)} at ${it.value}" }
         }
     }
 }
 
-/** Joins what the companions and entries that answered say of each upstream of [release]. */
-internal fun reportUpstreams(release: ReleaseState, answers: Answers<ProcessStatus>): UpstreamReport {
-    val statuses = answers.given.map { it.value }
+/** Combines, for each upstream of [release], the load from its companion and the views of the entries. */
+internal fun reportUpstreams(release: ReleaseState, result: QueryResult<ProcessStatus>): UpstreamReport {
+    val statuses = result.answers.map { it.value }
     val loads = statuses.filterIsInstance<ProcessStatus.OfCompanion>().flatMap { it.status.loads }
     val views = statuses.filterIsInstance<ProcessStatus.OfEntry>().flatMap { it.status.upstreams }
     val upstreams = release.upstreams.values.sortedWith(compareBy({ it.pool.text }, { it.name.text }))
@@ -121,19 +121,19 @@
             views = views.filter { it.upstream == upstream.name },
         )
     }
-    return UpstreamReport(release.version, reported, answers.unanswered)
+    return UpstreamReport(release.version, reported, result.unreachable)
 }
 
-/** Lines for the processes that did not answer; empty when all did. */
-internal fun describeUnreachable(unreachable: List<Unanswered>): String =
+/** One line for each process that did not answer, each after a line break. */
+internal fun describeUnreachable(unreachable: List<UnreachableProcess>): String =
     unreachable.joinToString("") { "\nno answer from $it" }
 
-private fun nameOf(state: UpstreamState): String = state.name.lowercase()
+private fun displayName(state: UpstreamState): String = state.name.lowercase()
 
 private const val MICROSECONDS_PER_MILLISECOND = 1000.0
 
-private fun milliseconds(microseconds: Long?): String = if (microseconds == null || microseconds <= 0) {
-    ABSENT
+private fun formatMilliseconds(microseconds: Long?): String = if (microseconds == null || microseconds <= 0) {
+    ABSENT_CELL
 } else {
     String.format(Locale.ROOT, "%.1fms", microseconds / MICROSECONDS_PER_MILLISECOND)
 }
--- a/client/src/main/kotlin/org/lovageladder/client/ProcessStatus.kt
+++ b/client/src/main/kotlin/org/lovageladder/client/ProcessStatus.kt
@@ -20,7 +20,7 @@
 import org.lovageladder.core.ReleaseVersion
 import org.lovageladder.core.Step
 
-/** What one process says of itself. */
+/** Status that a process reports, by its role. */
 @Serializable
 internal sealed interface ProcessStatus {
     val process: ProcessName
@@ -41,26 +41,26 @@
 
 private val statusJson = Json { ignoreUnknownKeys = true }
 
-/** Reads the status of the process at [address], whose members `role` and `process` stand beside those of the role. */
-internal fun readStatus(address: Address, text: String): Result<ProcessStatus, Fault> = try {
+/** Parses the status of the process at [address]: one object with `role`, `process` and the members of that role. */
+internal fun parseStatus(address: Address, text: String): Result<ProcessStatus, Fault> = try {
     val element = statusJson.parseToJsonElement(text)
-    val process = ProcessName(member(element, "process"))
-    when (val role = member(element, "role")) {
-        "entry" -> Ok(ProcessStatus.OfEntry(process, decode(EntryStatus.serializer(), element)))
-        "companion" -> Ok(ProcessStatus.OfCompanion(process, decode(CompanionStatus.serializer(), element)))
-        else -> Err(unreadable(address, "role is '$role'; allowed: entry, companion"))
+    val process = ProcessName(textMember(element, "process"))
+    when (val role = textMember(element, "role")) {
+        "entry" -> Ok(ProcessStatus.OfEntry(process, decodeStatus(EntryStatus.serializer(), element)))
+        "companion" -> Ok(ProcessStatus.OfCompanion(process, decodeStatus(CompanionStatus.serializer(), element)))
+        else -> Err(unreadableStatusFault(address, "role is '$role'; allowed: entry, companion"))
     }
 } catch (failure: SerializationException) {
-    Err(unreadable(address, failure.message.orEmpty().lineSequence().first()))
+    Err(unreadableStatusFault(address, failure.message.orEmpty().lineSequence().first()))
 }
 
-private fun <T> decode(serializer: KSerializer<T>, element: JsonElement): T =
+private fun <T> decodeStatus(serializer: KSerializer<T>, element: JsonElement): T =
     statusJson.decodeFromJsonElement(serializer, element)
 
-private fun member(element: JsonElement, name: String): String {
+private fun textMember(element: JsonElement, name: String): String {
     val value = (element as? JsonObject)?.get(name) as? JsonPrimitive
     return value?.content ?: throw SerializationException("member $name is missing")
 }
 
-private fun unreadable(address: Address, detail: String) =
+private fun unreadableStatusFault(address: Address, detail: String) =
     Fault(Step.CONNECT, address.toString(), FaultCause.PROTOCOL, "its status cannot be read: $detail")
--- a/client/src/main/kotlin/org/lovageladder/client/Table.kt
+++ b/client/src/main/kotlin/org/lovageladder/client/Table.kt
@@ -1,6 +1,6 @@
 package org.lovageladder.client
 
-/** Text in aligned columns, as commands print it. Each row has as many cells as there are [headings]. */
+/** A table printed in aligned columns. Each row has as many cells as there are [headings]. */
 internal data class Table(val headings: List<String>, val rows: List<List<String>>) {
     fun render(): String {
         val lines = listOf(headings) + rows
@@ -12,5 +12,5 @@
         cells.zip(widths) { cell, width -> cell.padEnd(width) }.joinToString("  ").trimEnd()
 }
 
-/** Stands in a cell for a value that is absent. */
-internal const val ABSENT: String = "-"
+/** Text of a cell without a value. */
+internal const val ABSENT_CELL: String = "-"
--- a/client/src/test/kotlin/org/lovageladder/client/EventsPageTest.kt
+++ b/client/src/test/kotlin/org/lovageladder/client/EventsPageTest.kt
@@ -8,12 +8,12 @@
 
 class EventsPageTest {
     @Test
-    fun thePageListsTheEventsOfTheCatalogueInItsOrder() {
-        val page = Path.of("..", "docs", "EVENTS.md").readLines()
-        val catalogue = EventKind.entries.map { kind ->
+    fun theEventsPageListsAllEventKindsInOrder() {
+        val pageLines = Path.of("..", "docs", "EVENTS.md").readLines()
+        val expectedRows = EventKind.entries.map { kind ->
             val name = kind.name.lowercase().replace('_', ' ')
             "| ${kind.code} | $name | ${kind.level} | ${kind.meaning} | ${kind.operatorAction} |"
         }
-        assertEquals(catalogue, page.filter { it.startsWith("| LL-") })
+        assertEquals(expectedRows, pageLines.filter { it.startsWith("| LL-") })
     }
 }
--- a/client/src/test/kotlin/org/lovageladder/client/ExamplesTest.kt
+++ b/client/src/test/kotlin/org/lovageladder/client/ExamplesTest.kt
@@ -14,9 +14,9 @@
     private val root = Path.of("..")
 
     @Test
-    fun theExampleNotesCanBePublishedInTheirOrder() {
+    fun theExampleNotesCanBePublishedInOrder() {
         val state = listOf("first-note.json", "second-note.json").fold(ReleaseState.EMPTY) { state, name ->
-            val document = readDocument(name, root.resolve("examples/$name").readText())
+            val document = parseDocument(name, root.resolve("examples/$name").readText())
                 .andThen { checkContent(it, state) }
                 .unwrap()
             state.apply(AcceptedNote(state.version.next(), document.note)).unwrap()
--- a/client/src/test/kotlin/org/lovageladder/client/FakeProcess.kt
+++ b/client/src/test/kotlin/org/lovageladder/client/FakeProcess.kt
@@ -13,11 +13,11 @@
 import org.lovageladder.http.EventFilter
 import org.lovageladder.http.startAdminServer
 
-/** Admin server of a process that shows [status] and has recorded [events]. */
+/** Admin server of a process that reports the JSON text [status] and has recorded [events]. */
 internal class FakeProcess(private val status: String, private val events: List<EventRecord> = emptyList()) :
     AutoCloseable {
     @Volatile
-    var drained: Boolean = false
+    var isDrainRequested: Boolean = false
         private set
 
     private val handler = object : AdminHandler {
@@ -34,7 +34,7 @@
         override fun explain(request: RequestId) = events.filter { it.request == request }
 
         override fun drain() {
-            drained = true
+            isDrainRequested = true
         }
     }
 
--- a/client/src/test/kotlin/org/lovageladder/client/NotePublisherTest.kt
+++ b/client/src/test/kotlin/org/lovageladder/client/NotePublisherTest.kt
@@ -28,13 +28,13 @@
 import kotlin.time.Duration.Companion.seconds
 
 class NotePublisherTest {
-    private val service = KeyValueStandIn.start()
-    private val store = openEtcdStore(listOf(Address("127.0.0.1", service.port)))
+    private val keyValueService = KeyValueStandIn.start()
+    private val store = openEtcdStore(listOf(Address("127.0.0.1", keyValueService.port)))
 
     @AfterTest
     fun close() {
         store.close()
-        service.close()
+        keyValueService.close()
     }
 
     private fun document(id: String, base: Long = 0, pool: String = "pool-$id"): NoteDocument {
@@ -45,62 +45,69 @@
 
     private fun publish(
         document: NoteDocument,
-        through: KeyValueStore = store,
-        giveUpAfter: Duration = 10.seconds,
+        targetStore: KeyValueStore = store,
+        retryTimeout: Duration = 10.seconds,
     ): Result<Publication, ClientFailure> =
-        NotePublisher(NoteStore(through), giveUpAfter, 1.milliseconds).publish(document)
+        NotePublisher(NoteStore(targetStore), retryTimeout, 1.milliseconds).publish(document)
 
     private fun history(): List<String> =
         NoteStore(store).readHistory("unreadable").unwrap().notes.map { it.note.id.text }
 
     @Test
-    fun notesAreAcceptedInOrderAndRecognisedWhenPublishedAgain() {
+    fun notesAreAcceptedInOrderAndARepublishedNoteIsRecognised() {
         assertEquals(1, publish(document("a")).unwrap().accepted.version.number)
         assertEquals(2, publish(document("b", base = 1)).unwrap().accepted.version.number)
-        val again = publish(document("a")).unwrap()
-        assertEquals(1, again.accepted.version.number)
-        assertEquals(true, again.earlier)
+        val republished = publish(document("a")).unwrap()
+        assertEquals(1, republished.accepted.version.number)
+        assertEquals(true, republished.earlier)
         assertEquals(listOf("a", "b"), history())
     }
 
-    private data class Refusal(val name: String, val document: NoteDocument, val exitCode: ExitCode, val says: String)
+    private data class RefusalCase(
+        val name: String,
+        val document: NoteDocument,
+        val exitCode: ExitCode,
+        val expectedText: String,
+    )
 
     @Test
-    fun aNoteThatCannotFollowIsRefusedAndNothingIsWritten() {
+    fun aNoteThatCannotFollowTheReleaseIsRefusedAndNotWritten() {
         publish(document("a")).unwrap()
         publish(document("b", base = 1)).unwrap()
         val refusals = listOf(
-            Refusal("base behind", document("c", base = 1), ExitCode.CONFLICT, "'b': adds pool pool-b"),
-            Refusal("base ahead", document("c", base = 3), ExitCode.BAD_INPUT, "c.json:3: base is 3; allowed"),
-            Refusal("base below 0", document("c", base = -1), ExitCode.BAD_INPUT, "c.json:3: base is -1"),
-            Refusal(
-                "name there",
+            RefusalCase("base behind", document("c", base = 1), ExitCode.CONFLICT, "'b': adds pool pool-b"),
+            RefusalCase("base ahead", document("c", base = 3), ExitCode.BAD_INPUT, "c.json:3: base is 3; allowed"),
+            RefusalCase("base below 0", document("c", base = -1), ExitCode.BAD_INPUT, "c.json:3: base is -1"),
+            RefusalCase(
+                "name taken",
                 document("c", base = 2, pool = "pool-a"),
                 ExitCode.BAD_INPUT,
                 "c.json:7: added[0].name",
             ),
-            Refusal("id of another", document("a", pool = "other"), ExitCode.CONFLICT, "version 1"),
+            RefusalCase("id of another note", document("a", pool = "other"), ExitCode.CONFLICT, "version 1"),
         )
         for (refusal in refusals) {
             val failure = publish(refusal.document).getError()
             assertEquals(refusal.exitCode, failure?.exitCode, "${refusal.name}: $failure")
-            assertEquals(true, failure?.message?.contains(refusal.says), "${refusal.name}: ${failure?.message}")
+            assertEquals(true, failure?.message?.contains(refusal.expectedText), "${refusal.name}: ${failure?.message}")
         }
         assertEquals(listOf("a", "b"), history())
     }
 
     @Test
-    fun ofRacingPublishersOneWinsEachVersion() {
+    fun oneOfSeveralConcurrentPublishersSucceedsForEachVersion() {
         val rounds = 20
-        val racers = 4
-        val threads = Executors.newFixedThreadPool(racers)
+        val publishers = 4
+        val threads = Executors.newFixedThreadPool(publishers)
         for (round in 0 until rounds) {
-            val race = List(racers) { Callable { publish(document("note-$round-$it", base = round.toLong())) } }
-            val results = threads.invokeAll(race).map { it.get() }
+            val publications = List(publishers) {
+                Callable { publish(document("note-$round-$it", base = round.toLong())) }
+            }
+            val results = threads.invokeAll(publications).map { it.get() }
             assertEquals(1, results.count { it.isOk }, "round $round: $results")
-            for (loser in results.filter { it.isErr }) {
-                val conflict = assertIs<ClientFailure.NoteConflict>(loser.getError())
-                assertEquals(listOf(round + 1L), conflict.since.map { it.version.number })
+            for (refused in results.filter { it.isErr }) {
+                val conflict = assertIs<ClientFailure.NoteConflict>(refused.getError())
+                assertEquals(listOf(round + 1L), conflict.newerNotes.map { it.version.number })
             }
         }
         threads.shutdown()
@@ -108,12 +115,12 @@
     }
 
     @Test
-    fun aStoredNoteThatFailsTheChecksCountsAsEmpty() {
+    fun aStoredNoteThatFailsTheChecksHasNoEffectButKeepsItsVersion() {
         publish(document("a")).unwrap()
-        val faulty = AcceptedNote(ReleaseVersion(2), document("a", base = 1).note)
-        assertIs<StoreAnswer.Written>(NoteStore(store).create(faulty))
+        val ineffectiveNote = AcceptedNote(ReleaseVersion(2), document("a", base = 1).note)
+        assertIs<StoreAnswer.Written>(NoteStore(store).create(ineffectiveNote))
         val history = NoteStore(store).readHistory("unreadable").unwrap()
-        assertEquals(listOf(2L), history.withoutEffect.map { it.version.number })
+        assertEquals(listOf(2L), history.ineffectiveNotes.map { it.version.number })
         assertEquals(3, publish(document("b", base = 2)).unwrap().accepted.version.number)
     }
 
@@ -125,22 +132,22 @@
     }
 
     @Test
-    fun aLostAnswerIsResolvedByWhatStandsAtTheVersion() {
+    fun aLostAnswerIsResolvedByTheNoteStoredUnderTheVersion() {
         inject("""{"lose_answers": 3}""")
         assertEquals(1, publish(document("a")).unwrap().accepted.version.number)
         assertEquals(listOf("a"), history())
     }
 
     @Test
-    fun anotherNoteThatWinsWhileTheAnswerIsLostIsAConflict() {
-        val racing = OnFirstWrite(store) { publish(document("winner")).unwrap() }
-        val conflict = assertIs<ClientFailure.NoteConflict>(publish(document("loser"), racing).getError())
-        assertEquals(listOf("winner"), conflict.since.map { it.note.id.text })
-        assertEquals(listOf("winner"), history())
+    fun anotherNoteCreatedUnderTheSameVersionIsAConflict() {
+        val interceptor = FirstCreateInterceptor(store) { publish(document("first")).unwrap() }
+        val conflict = assertIs<ClientFailure.NoteConflict>(publish(document("second"), interceptor).getError())
+        assertEquals(listOf("first"), conflict.newerNotes.map { it.note.id.text })
+        assertEquals(listOf("first"), history())
     }
 
     @Test
-    fun anOutageBeforeTheWriteSaysThatNothingWasSent() {
+    fun anOutageBeforeTheWriteIsReportedAsNothingSent() {
         inject("""{"down_ms": 600000}""")
         val failure = assertIs<ClientFailure.StoreUnreachable>(publish(document("a")).getError())
         assertEquals("not accepted, nothing was sent", failure.consequence)
@@ -148,41 +155,42 @@
         assertEquals(emptyList(), history())
     }
 
-    private data class Outage(val name: String, val fault: String, val accepted: List<String>)
+    private data class OutageCase(val name: String, val fault: String, val accepted: List<String>)
 
     @Test
-    fun anOutageDuringTheWriteIsUnknownAndPublishingAgainSettlesIt() {
+    fun anOutageDuringTheWriteIsReportedAsUnknownAndRepublishingResolvesIt() {
         val outages = listOf(
-            Outage("before the effect", """{"down_ms": 600000}""", emptyList()),
-            Outage("after the effect", """{"lose_answers": 1000000}""", listOf("a")),
+            OutageCase("before the effect", """{"down_ms": 600000}""", emptyList()),
+            OutageCase("after the effect", """{"lose_answers": 1000000}""", listOf("a")),
         )
         for (outage in outages) {
-            KeyValueStandIn.start().use { service ->
-                openEtcdStore(listOf(Address("127.0.0.1", service.port))).use { store ->
-                    val failing = OnFirstWrite(store) { injectFault(service.port, outage.fault) }
-                    val failure = publish(document("a"), failing, giveUpAfter = 20.milliseconds).getError()
+            KeyValueStandIn.start().use { keyValueService ->
+                openEtcdStore(listOf(Address("127.0.0.1", keyValueService.port))).use { store ->
+                    val interceptor = FirstCreateInterceptor(store) { injectFault(keyValueService.port, outage.fault) }
+                    val failure = publish(document("a"), interceptor, retryTimeout = 20.milliseconds).getError()
                     assertIs<ClientFailure.PublicationUnknown>(failure, outage.name)
-                    injectFault(service.port, """{"down_ms": 0, "lose_answers": 0}""")
+                    injectFault(keyValueService.port, """{"down_ms": 0, "lose_answers": 0}""")
                     val notes = NoteStore(store).readHistory("unreadable").unwrap().notes
                     assertEquals(outage.accepted, notes.map { it.note.id.text }, outage.name)
-                    val settled = publish(document("a"), store).unwrap()
-                    assertEquals(1, settled.accepted.version.number, outage.name)
-                    assertEquals(outage.accepted.isNotEmpty(), settled.earlier, outage.name)
+                    val republished = publish(document("a"), store).unwrap()
+                    assertEquals(1, republished.accepted.version.number, outage.name)
+                    assertEquals(outage.accepted.isNotEmpty(), republished.earlier, outage.name)
                 }
             }
         }
     }
 
-    private fun inject(fault: String) = injectFault(service.port, fault)
+    private fun inject(fault: String) = injectFault(keyValueService.port, fault)
 }
 
-/** Runs [action] once, before the first write is passed on. */
-private class OnFirstWrite(private val store: KeyValueStore, private val action: () -> Unit) : KeyValueStore by store {
-    private var pending = true
+/** Passes calls to [store]; runs [action] once, before the first create request. */
+private class FirstCreateInterceptor(private val store: KeyValueStore, private val action: () -> Unit) :
+    KeyValueStore by store {
+    private var isPending = true
 
     override fun call(request: StoreRequest, timeout: Duration, answer: (StoreAnswer) -> Unit) {
-        if (pending && request is StoreRequest.Create) {
-            pending = false
+        if (isPending && request is StoreRequest.Create) {
+            isPending = false
             action()
         }
         store.call(request, timeout, answer)
--- a/client/src/test/kotlin/org/lovageladder/client/ProcessCommandsTest.kt
+++ b/client/src/test/kotlin/org/lovageladder/client/ProcessCommandsTest.kt
@@ -37,18 +37,18 @@
             "piecesFree": 78, "running": 2, "waiting": 1}], "reservations": 0, "runningCalls": 2, "startedClaims": 1}""",
         listOf(event(1000, 1, "c", EventKind.CLAIM_STARTED, "desk-1")),
     )
-    private val absent = Address("127.0.0.1", ServerSocket(0).use { it.localPort })
-    private val service = KeyValueStandIn.start()
-    private val store = "127.0.0.1:${service.port}"
+    private val closedAddress = Address("127.0.0.1", ServerSocket(0).use { it.localPort })
+    private val keyValueService = KeyValueStandIn.start()
+    private val storeAddress = "127.0.0.1:${keyValueService.port}"
 
     @AfterTest
     fun close() {
         entry.close()
         companion.close()
-        service.close()
+        keyValueService.close()
     }
 
-    private fun host(name: String, role: HostRole, admin: Address) = ReleaseEntry.Host(
+    private fun hostEntry(name: String, role: HostRole, admin: Address) = ReleaseEntry.Host(
         name = HostName(name),
         place = PlaceName("bc-coast-a"),
         role = role,
@@ -65,29 +65,29 @@
         )
         val added = hosts.toList() + ReleaseEntry.Pool(PoolName("desk"), PoolRole.PLAIN) + upstream
         val note = ReleaseNote(NoteId("first"), added = added)
-        openEtcdStore(listOf(Address("127.0.0.1", service.port))).use { opened ->
-            NotePublisher(NoteStore(opened)).publish(NoteDocument("first.json", "", note)).unwrap()
+        openEtcdStore(listOf(Address("127.0.0.1", keyValueService.port))).use { keyValueStore ->
+            NotePublisher(NoteStore(keyValueStore)).publish(NoteDocument("first.json", "", note)).unwrap()
         }
     }
 
     private fun publishAll() = publish(
-        host("desk-1", HostRole.COMPANION, companion.address),
-        host("entry-1", HostRole.ENTRY, entry.address),
-        host("entry-2", HostRole.ENTRY, absent),
+        hostEntry("desk-1", HostRole.COMPANION, companion.address),
+        hostEntry("entry-1", HostRole.ENTRY, entry.address),
+        hostEntry("entry-2", HostRole.ENTRY, closedAddress),
     )
 
-    private data class Shown(val status: Int, val lines: List<String>)
+    private data class CommandOutput(val status: Int, val lines: List<String>)
 
-    private fun run(vararg arguments: String): Shown {
-        val result = LovageladderCommand().test(arguments.toList() + listOf("--store", store))
-        return Shown(result.statusCode, result.stdout.trim().lines())
+    private fun run(vararg arguments: String): CommandOutput {
+        val result = LovageladderCommand().test(arguments.toList() + listOf("--store", storeAddress))
+        return CommandOutput(result.statusCode, result.stdout.trim().lines())
     }
 
     @Test
-    fun statusShowsThoseThatAnswerAndThoseThatDoNot() {
+    fun statusShowsProcessesThatAnswerAndThoseThatDoNot() {
         publishAll()
-        val shown = run("status")
-        assertEquals(ExitCode.UNREACHABLE.status, shown.status)
+        val output = run("status")
+        assertEquals(ExitCode.UNREACHABLE.status, output.status)
         assertEquals(
             listOf(
                 "PROCESS  ROLE       PLACE       ADMIN            STATE    RELEASE  WORK",
@@ -95,22 +95,22 @@
                     "2 calls, 0 reservations, 1 entries connected",
                 "e        entry      bc-coast-a  ${entry.address}  ready    1        3 requests, 1 hosts connected",
             ),
-            shown.lines.take(3),
+            output.lines.take(3),
         )
-        assertEquals(true, shown.lines[3].startsWith("no answer from entry-2: CONNECT at $absent: UNREACHABLE"))
+        assertEquals(true, output.lines[3].startsWith("no answer from entry-2: CONNECT at $closedAddress: UNREACHABLE"))
     }
 
     @Test
-    fun namedProcessesAreAskedWhileTheKeyValueServiceIsAway() {
-        service.close()
+    fun processesNamedByAddressAreQueriedWithoutTheKeyValueService() {
+        keyValueService.close()
         assertEquals(ExitCode.UNREACHABLE.status, run("status").status)
-        val shown = run("status", "--process", entry.address.toString())
-        assertEquals(ExitCode.DONE.status, shown.status)
-        assertEquals(true, shown.lines[1].startsWith("e        entry"))
+        val output = run("status", "--process", entry.address.toString())
+        assertEquals(ExitCode.DONE.status, output.status)
+        assertEquals(true, output.lines[1].startsWith("e        entry"))
     }
 
     @Test
-    fun upstreamsJoinTheCompanionsLedgerAndTheEntriesView() {
+    fun upstreamsCombinesLoadsOfCompanionsAndViewsOfEntries() {
         publishAll()
         val cells = run("upstreams").lines[1].split(Regex("\\s{2,}"))
         assertEquals(
@@ -120,12 +120,12 @@
     }
 
     @Test
-    fun theTimelineMergesTheProcessesAndPassesOnItsFilters() {
+    fun timelineMergesTheEventsOfProcessesAndAppliesFilters() {
         publish(
-            host("desk-1", HostRole.COMPANION, companion.address),
-            host("entry-1", HostRole.ENTRY, entry.address),
+            hostEntry("desk-1", HostRole.COMPANION, companion.address),
+            hostEntry("entry-1", HostRole.ENTRY, entry.address),
         )
-        val codes = { shown: Shown -> shown.lines.drop(1).map { it.split(Regex("\\s+"))[2] } }
+        val codes = { output: CommandOutput -> output.lines.drop(1).map { it.split(Regex("\\s+"))[2] } }
         val all = run("timeline")
         assertEquals(ExitCode.DONE.status, all.status)
         assertEquals(listOf("LL-2001", "LL-2205", "LL-2003"), codes(all))
@@ -133,20 +133,20 @@
         assertEquals(emptyList(), codes(run("timeline", "--request", "r-2")))
         assertEquals(emptyList(), codes(run("timeline", "--since", "1970-01-01T00:00:01Z")))
         assertEquals(
-            "It got its whole answer. Route: started once on desk-1.",
+            "It was answered completely. Route: started once on desk-1.",
             run("explain", "r-1").lines.last(),
         )
         assertEquals(ExitCode.FAILED.status, run("explain", "r-2").status)
     }
 
     @Test
-    fun drainTakesAHostAProcessOrAnAddress() {
+    fun drainAcceptsAHostAProcessOrAnAddress() {
         publishAll()
         assertEquals(ExitCode.DONE.status, run("drain", "desk-1").status)
-        assertEquals(true, companion.drained)
-        assertEquals(false, entry.drained)
+        assertEquals(true, companion.isDrainRequested)
+        assertEquals(false, entry.isDrainRequested)
         assertEquals(ExitCode.DONE.status, run("drain", "e").status)
-        assertEquals(true, entry.drained)
+        assertEquals(true, entry.isDrainRequested)
         assertEquals(ExitCode.DONE.status, run("drain", companion.address.toString()).status)
         assertEquals(ExitCode.BAD_INPUT.status, run("drain", "nobody").status)
     }
--- a/client/src/test/kotlin/org/lovageladder/client/TimelineTest.kt
+++ b/client/src/test/kotlin/org/lovageladder/client/TimelineTest.kt
@@ -18,32 +18,32 @@
         )
         val merged = mergeEvents(listOf(companion, entry), emptyList())
         assertEquals(listOf(0, 1, 2, 3), merged.events.map { it.clock.counter })
-        assertEquals("00:00:01.000", describeTime(HybridTime(1000, 0)))
-        assertEquals("00:00:01.000+3", describeTime(HybridTime(1000, 3)))
+        assertEquals("00:00:01.000", formatTime(HybridTime(1000, 0)))
+        assertEquals("00:00:01.000+3", formatTime(HybridTime(1000, 3)))
     }
 
-    private data class Course(val kinds: List<EventKind>, val conclusion: String)
+    private data class ExplanationCase(val kinds: List<EventKind>, val conclusion: String)
 
     @Test
-    fun anExplanationTellsTheRouteAndTheEnd() {
-        val courses = listOf(
-            Course(
+    fun anExplanationDescribesTheRouteAndTheEnd() {
+        val cases = listOf(
+            ExplanationCase(
                 listOf(EventKind.REQUEST_ACCEPTED, EventKind.PREFILL_STARTED, EventKind.DECODE_STARTED),
-                "The time lines show no end: it may still run, or its entry's time line was not read. " +
+                "The time lines show no end: it may still be running, or the time line of its entry was not read. " +
                     "Route: prefill on u, decode on u.",
             ),
-            Course(listOf(EventKind.REQUEST_ACCEPTED, EventKind.REQUEST_REFUSED), "It was refused."),
-            Course(
+            ExplanationCase(listOf(EventKind.REQUEST_ACCEPTED, EventKind.REQUEST_REFUSED), "It was refused."),
+            ExplanationCase(
                 listOf(EventKind.CLAIM_STARTED, EventKind.ATTEMPT_RETRIED, EventKind.REQUEST_FINISHED),
-                "It got its whole answer. Route: started once on u, retries: 1.",
+                "It was answered completely. Route: started once on u, retries: 1.",
             ),
-            Course(listOf(EventKind.CALLER_LEFT), "Its caller went away, and its work was cancelled."),
+            ExplanationCase(listOf(EventKind.CALLER_LEFT), "Its caller disconnected, and its attempts were cancelled."),
         )
-        for (course in courses) {
-            val events = course.kinds.mapIndexed { index, kind -> event(1000, index, "entry-1", kind, "u") }
+        for (case in cases) {
+            val events = case.kinds.mapIndexed { index, kind -> event(1000, index, "entry-1", kind, "u") }
             val explanation = explain(Timeline(events, emptyList()))
-            assertEquals(course.conclusion, explanation.conclusion)
-            assertEquals(course.kinds.size, explanation.course.size)
+            assertEquals(case.conclusion, explanation.conclusion)
+            assertEquals(case.kinds.size, explanation.course.size)
         }
     }
 }
--- a/peer/src/main/kotlin/org/lovageladder/peer/Frames.kt
+++ b/peer/src/main/kotlin/org/lovageladder/peer/Frames.kt
@@ -21,8 +21,8 @@
 import org.lovageladder.core.Step
 
 /*
- * Frames on a connection: the length of the body as four bytes, most significant first, then the body, an envelope
- * in CBOR with definite lengths.
+ * Frames on a connection: the length of the body as four bytes in big-endian order, then the body, an envelope in CBOR
+ * with definite lengths.
  */
 
 @OptIn(ExperimentalSerializationApi::class)
@@ -40,55 +40,59 @@
 @OptIn(ExperimentalSerializationApi::class)
 internal fun decodeEnvelope(body: ByteArray, peer: String): Result<Envelope, Fault> =
     runCatching { cbor.decodeFromByteArray(Envelope.serializer(), body) }
-        .mapError { failure -> protocolFault(peer, "not an envelope in CBOR: ${failure.javaClass.simpleName}") }
+        .mapError { failure -> protocolFault(peer, "body is not an envelope in CBOR: ${failure.javaClass.simpleName}") }
 
-/** Reads one frame of at most [limitBytes]. The cause is CONNECTION_LOST when the stream ends between two frames. */
-internal suspend fun ByteReadChannel.readFrame(limitBytes: Int, peer: String): Result<Envelope, Fault> {
+/**
+ * Reads one frame whose body has at most [maximumBytes]. The cause of a fault is CONNECTION_LOST when the stream ends
+ * between two frames or cannot be read, and PROTOCOL when a frame is invalid or truncated.
+ */
+internal suspend fun ByteReadChannel.readFrame(maximumBytes: Int, peer: String): Result<Envelope, Fault> {
     return try {
-        if (!awaitContent()) return Err(connectionLost(peer, "closed by the peer"))
+        if (!awaitContent()) return Err(connectionLostFault(peer, "the peer closed the connection"))
         val length = readInt()
-        if (length !in 1..limitBytes) {
-            return Err(protocolFault(peer, "frame length $length, allowed are 1 to $limitBytes bytes"))
+        if (length !in 1..maximumBytes) {
+            return Err(protocolFault(peer, "frame length is $length; allowed: 1 to $maximumBytes bytes"))
         }
         decodeEnvelope(readByteArray(length), peer)
-    } catch (ended: java.io.EOFException) {
-        Err(protocolFault(peer, "truncated frame: ${ended.message}"))
-    } catch (broken: IOException) {
-        Err(lostBy(peer, broken))
+    } catch (failure: java.io.EOFException) {
+        Err(protocolFault(peer, "truncated frame: ${failure.message}"))
+    } catch (failure: IOException) {
+        Err(connectionLostFault(peer, failure))
     }
 }
 
-/** Writes one frame without flushing it. */
+/** Writes [body] as one frame, without flushing. */
 internal suspend fun ByteWriteChannel.writeFrame(body: ByteArray) {
     writeInt(body.size)
     writeFully(body)
 }
 
-/** Approximate memory that [envelope] takes in a queue, in bytes. */
-internal fun queuedBytes(envelope: Envelope): Long = BASE_MESSAGE_BYTES + bodyBytes(envelope.message)
+/** Estimates the memory that [envelope] takes in a queue, in bytes; exact sizes are known only after encoding. */
+internal fun estimateQueuedBytes(envelope: Envelope): Long =
+    MESSAGE_OVERHEAD_BYTES + estimateBodyBytes(envelope.message)
 
-private fun bodyBytes(message: PeerMessage): Int = when (message) {
-    is PeerMessage.StartPrefill -> contentBytes(message.content)
-    is PeerMessage.StartDecode -> contentBytes(message.content)
-    is PeerMessage.StartPlain -> contentBytes(message.content)
+private fun estimateBodyBytes(message: PeerMessage): Int = when (message) {
+    is PeerMessage.StartPrefill -> estimateContentBytes(message.content)
+    is PeerMessage.StartDecode -> estimateContentBytes(message.content)
+    is PeerMessage.StartPlain -> estimateContentBytes(message.content)
     is PeerMessage.PlainFinished -> message.answer.body.length
     is PeerMessage.ClaimStatus -> message.answer?.body?.length ?: 0
-    is PeerMessage.Notes -> message.notes.size * BASE_NOTE_BYTES
+    is PeerMessage.Notes -> message.notes.size * ESTIMATED_NOTE_BYTES
     else -> 0
 }
 
-private fun contentBytes(content: RequestContent): Int = when (content) {
+private fun estimateContentBytes(content: RequestContent): Int = when (content) {
     is RequestContent.Generation -> content.body.length
     is RequestContent.Plain -> content.body.length
 }
 
 internal fun protocolFault(peer: String, detail: String): Fault = Fault(Step.CONNECT, peer, FaultCause.PROTOCOL, detail)
 
-internal fun connectionLost(peer: String, detail: String): Fault =
+internal fun connectionLostFault(peer: String, detail: String): Fault =
     Fault(Step.CONNECT, peer, FaultCause.CONNECTION_LOST, detail)
 
-internal fun lostBy(peer: String, failure: Exception): Fault =
-    connectionLost(peer, failure.message ?: failure.javaClass.simpleName)
+internal fun connectionLostFault(peer: String, failure: Exception): Fault =
+    connectionLostFault(peer, failure.message ?: failure.javaClass.simpleName)
 
-private const val BASE_MESSAGE_BYTES = 256L
-private const val BASE_NOTE_BYTES = 4096
+private const val MESSAGE_OVERHEAD_BYTES = 256L
+private const val ESTIMATED_NOTE_BYTES = 4096
--- a/peer/src/main/kotlin/org/lovageladder/peer/PeerDialer.kt
+++ b/peer/src/main/kotlin/org/lovageladder/peer/PeerDialer.kt
@@ -20,41 +20,41 @@
 
 /** Opens connections from an entry to companions. */
 public interface PeerDialer : AutoCloseable {
-    /** Opens [connection] to the companion of [host] and sends [hello], whose message is a [PeerMessage.Hello]. */
+    /** Opens [connection] to the companion of [host] and sends [hello], which must carry a [PeerMessage.Hello]. */
     public fun dial(connection: ConnectionId, host: HostName, address: Address, hello: Envelope)
 
-    /** Queues [envelope] without blocking; dropped when the connection is not established. */
+    /** Queues [envelope] without blocking; drops it when the connection is not established. */
     public fun send(connection: ConnectionId, envelope: Envelope)
 
-    /** Closes a connection, or gives up its opening, without waiting and without a report. */
+    /** Closes a connection, or cancels its opening, without waiting and without a call to [DialerHandler.lost]. */
     public fun close(connection: ConnectionId)
 
-    /** Closes all connections and waits, at most [PeerSettings.closeTimeout], until what is queued was sent. */
+    /** Closes all connections and waits until queued messages are sent, at most [PeerSettings.closeTimeout]. */
     override fun close()
 }
 
-/** Creates a dialer without connections. */
+/** Creates a dialer that has no connections yet. */
 public fun openPeerDialer(settings: PeerSettings = PeerSettings(), handler: DialerHandler): PeerDialer =
     SocketPeerDialer(settings, handler)
 
-/** A connection that is wanted; [link] is null while it is being opened. */
-private class Dialed(val host: HostName, val address: Address) {
+/** A connection from the call of [PeerDialer.dial] until its end; [link] is null while the socket is being opened. */
+private class OutgoingConnection(val host: HostName, val address: Address) {
     @Volatile
     var link: PeerLink? = null
 }
 
 private class SocketPeerDialer(private val settings: PeerSettings, private val handler: DialerHandler) : PeerDialer {
-    private val traffic = PeerTraffic()
-    private val connections = ConcurrentHashMap<ConnectionId, Dialed>()
+    private val resources = SocketResources()
+    private val connections = ConcurrentHashMap<ConnectionId, OutgoingConnection>()
 
     override fun dial(connection: ConnectionId, host: HostName, address: Address, hello: Envelope) {
-        val dialed = Dialed(host, address)
-        connections[connection] = dialed
-        traffic.scope.launch { open(connection, dialed, hello) }
+        val outgoing = OutgoingConnection(host, address)
+        connections[connection] = outgoing
+        resources.scope.launch { openConnection(connection, outgoing, hello) }
     }
 
     override fun send(connection: ConnectionId, envelope: Envelope) {
-        connections[connection]?.link?.takeIf { it.established }?.send(envelope)
+        connections[connection]?.link?.takeIf { it.isEstablished }?.send(envelope)
     }
 
     override fun close(connection: ConnectionId) {
@@ -63,55 +63,65 @@
 
     override fun close() {
         connections.keys.forEach(::close)
-        traffic.close(settings.closeTimeout)
+        resources.close(settings.closeTimeout)
     }
 
-    private suspend fun open(connection: ConnectionId, dialed: Dialed, hello: Envelope) {
+    private suspend fun openConnection(connection: ConnectionId, outgoing: OutgoingConnection, hello: Envelope) {
         val socket =
             try {
-                withTimeoutOrNull(settings.connectTimeout) { connect(dialed.address) }
-                    ?: return failed(connection, dialed, FaultCause.TIMEOUT, "not connected in time")
+                withTimeoutOrNull(settings.connectTimeout) { openSocket(outgoing.address) }
+                    ?: return onDialFailure(
+                        connection,
+                        outgoing,
+                        FaultCause.TIMEOUT,
+                        "no connection within ${settings.connectTimeout}",
+                    )
             } catch (failure: IOException) {
-                return failed(connection, dialed, FaultCause.UNREACHABLE, failure.message.orEmpty())
+                return onDialFailure(connection, outgoing, FaultCause.UNREACHABLE, failure.message.orEmpty())
             } catch (_: UnresolvedAddressException) {
-                return failed(connection, dialed, FaultCause.UNREACHABLE, "not an IP address")
+                return onDialFailure(connection, outgoing, FaultCause.UNREACHABLE, "not an IP address")
             }
-        val link = PeerLink(connection, dialed.address.toString(), socket, traffic.scope, settings, ::ended)
-        dialed.link = link
-        if (connections[connection] !== dialed) return link.close()
+        val link = PeerLink(connection, outgoing.address.toString(), socket, resources.scope, settings, ::onLinkEnd)
+        outgoing.link = link
+        if (connections[connection] !== outgoing) return link.close()
         link.send(hello)
         try {
-            awaitWelcome(link, dialed)
+            awaitWelcome(link, outgoing)
         } finally {
-            link.end(connectionLost(link.peer, "no longer read"))
+            link.end(connectionLostFault(link.peer, "reading stopped"))
         }
     }
 
-    private suspend fun connect(address: Address): Socket =
-        aSocket(traffic.selector).tcp().connect(address.ip, address.port)
+    private suspend fun openSocket(address: Address): Socket =
+        aSocket(resources.selector).tcp().connect(address.ip, address.port)
 
-    private suspend fun awaitWelcome(link: PeerLink, dialed: Dialed) {
-        link.readFirst(settings).andThen { envelope -> checkWelcome(envelope, dialed.host, link.peer) }.fold(
-            success = { first -> begin(link, first) },
+    private suspend fun awaitWelcome(link: PeerLink, outgoing: OutgoingConnection) {
+        link.readFirstMessage(settings).andThen { envelope -> checkWelcome(envelope, outgoing.host, link.peer) }.fold(
+            success = { welcome -> establishAndReceive(link, welcome) },
             failure = { rejection ->
-                link.whileOpen { rejection.kind?.let { kind -> handler.rejected(kind, rejection.fault) } }
+                link.runIfOpen { rejection.eventKind?.let { kind -> handler.rejected(kind, rejection.fault) } }
                 link.end(rejection.fault)
             },
         )
     }
 
-    private suspend fun begin(link: PeerLink, first: FirstMessage<PeerMessage.Welcome>) {
-        link.establish { handler.connected(link.connection, first.envelope, first.message) }
-        link.receiveAll({ envelope -> handler.received(link.connection, envelope) }, handler::rejected)
+    private suspend fun establishAndReceive(link: PeerLink, welcome: FirstMessage<PeerMessage.Welcome>) {
+        link.establish { handler.connected(link.connection, welcome.envelope, welcome.message) }
+        link.receiveMessages({ envelope -> handler.received(link.connection, envelope) }, handler::rejected)
     }
 
-    private fun failed(connection: ConnectionId, dialed: Dialed, cause: FaultCause, detail: String) {
-        if (!connections.remove(connection, dialed)) return
-        handler.lost(connection, dialed.host, Fault(Step.CONNECT, dialed.address.toString(), cause, detail))
+    private fun onDialFailure(
+        connection: ConnectionId,
+        outgoing: OutgoingConnection,
+        cause: FaultCause,
+        detail: String,
+    ) {
+        if (!connections.remove(connection, outgoing)) return
+        handler.lost(connection, outgoing.host, Fault(Step.CONNECT, outgoing.address.toString(), cause, detail))
     }
 
-    private fun ended(link: PeerLink, fault: Fault) {
-        val dialed = connections.remove(link.connection) ?: return
-        handler.lost(link.connection, dialed.host, fault)
+    private fun onLinkEnd(link: PeerLink, fault: Fault) {
+        val outgoing = connections.remove(link.connection) ?: return
+        handler.lost(link.connection, outgoing.host, fault)
     }
 }
--- a/peer/src/main/kotlin/org/lovageladder/peer/PeerHandler.kt
+++ b/peer/src/main/kotlin/org/lovageladder/peer/PeerHandler.kt
@@ -8,36 +8,36 @@
 import org.lovageladder.core.PeerMessage
 
 /*
- * What a process is told of its connections. Calls come on any thread, but one at a time and in order for each
- * connection: established, then messages, then at most one loss. They must not block.
+ * Callbacks for the events of connections. They may run on any thread, but for each connection one at a time and in
+ * order: connected, then messages, then at most one loss. They must not block.
  */
 
-/** Receives what happens on connections that entries opened. */
+/** Receives the events of connections that entries opened to this companion. */
 public interface ListenerHandler {
-    /** An entry's first message was checked; the connection can be sent to. */
+    /** The first message of an entry passed its checks; from now on messages can be sent on the connection. */
     public fun connected(connection: ConnectionId, envelope: Envelope, hello: PeerMessage.Hello)
 
     /** A message arrived. */
     public fun received(connection: ConnectionId, envelope: Envelope)
 
-    /** A connection that was reported as connected ended, other than by [PeerListener.close]. */
+    /** A connection that was reported as connected ended for another reason than [PeerListener.close]. */
     public fun lost(connection: ConnectionId, fault: Fault)
 
-    /** A connection was closed for what it sent; [kind] is the event that is to be recorded. */
+    /** A connection was closed for an invalid message, or accepting one failed; [kind] is the event to record. */
     public fun rejected(kind: EventKind, fault: Fault)
 }
 
-/** Receives what happens on connections that this process opened. */
+/** Receives the events of connections that this entry opened. */
 public interface DialerHandler {
-    /** The companion's first message arrived; the connection can be sent to. */
+    /** The first message of the companion passed its checks; from now on messages can be sent on the connection. */
     public fun connected(connection: ConnectionId, envelope: Envelope, welcome: PeerMessage.Welcome)
 
     /** A message arrived. */
     public fun received(connection: ConnectionId, envelope: Envelope)
 
-    /** A connection, or the attempt to open it, ended other than by [PeerDialer.close]. */
+    /** A connection could not be opened, or ended for another reason than [PeerDialer.close]. */
     public fun lost(connection: ConnectionId, host: HostName, fault: Fault)
 
-    /** A connection was closed for what it sent; [kind] is the event that is to be recorded. */
+    /** A connection was closed for an invalid message; [kind] is the event to record. */
     public fun rejected(kind: EventKind, fault: Fault)
 }
--- a/peer/src/main/kotlin/org/lovageladder/peer/PeerLink.kt
+++ b/peer/src/main/kotlin/org/lovageladder/peer/PeerLink.kt
@@ -21,8 +21,9 @@
 import java.util.concurrent.atomic.AtomicLong
 
 /**
- * One connection: a bounded queue of outgoing messages that one coroutine writes, and frames read by its user.
- * [onEnd] is called at most once, with the fault that ended it, and never after [close].
+ * One connection to a peer: a bounded queue of outgoing messages that one coroutine writes, and frames that the owner
+ * reads. [peer] names the other process in faults. [onEnd] is called at most once, with the fault that ended the
+ * connection, and never after [close].
  */
 internal class PeerLink(
     val connection: ConnectionId,
@@ -34,116 +35,121 @@
 ) {
     private val input = socket.openReadChannel()
     private val output = socket.openWriteChannel(autoFlush = false)
-    private val outgoing = Channel<Envelope>(settings.outgoingLimit)
-    private val outgoingBytes = AtomicLong()
-    private var ended = false
+    private val outgoingQueue = Channel<Envelope>(settings.maximumQueuedMessages)
+    private val outgoingQueueBytes = AtomicLong()
+    private var isEnded = false
 
-    /** Whether the first messages were exchanged and the process was told of the connection. */
-    var established = false
+    /** Whether the first messages were exchanged and the handler was told of the connection. */
+    var isEstablished = false
         private set
 
     init {
-        scope.launch { writeAll() }
+        scope.launch { writeQueuedMessages() }
     }
 
-    /** Queues [envelope]; ends the connection when the peer does not read what was queued before. */
+    /** Queues [envelope]; ends the connection when the queue is full because the peer does not read. */
     fun send(envelope: Envelope) {
-        val size = queuedBytes(envelope)
-        val queued = outgoingBytes.addAndGet(size)
-        if (queued > settings.outgoingLimitBytes) return overflow("$queued bytes queued")
-        val result = outgoing.trySend(envelope)
-        if (result.isFailure && !result.isClosed) overflow("${settings.outgoingLimit} messages queued")
+        val size = estimateQueuedBytes(envelope)
+        val queueBytes = outgoingQueueBytes.addAndGet(size)
+        if (queueBytes > settings.maximumQueuedBytes) return endOnOverflow("$queueBytes bytes queued")
+        val result = outgoingQueue.trySend(envelope)
+        if (result.isFailure && !result.isClosed) endOnOverflow("${settings.maximumQueuedMessages} messages queued")
     }
 
-    private fun overflow(detail: String) {
+    private fun endOnOverflow(detail: String) {
         end(Fault(Step.CONNECT, peer, FaultCause.TIMEOUT, "the peer does not read: $detail"))
     }
 
-    /** Reads one frame of at most [limitBytes]. */
-    suspend fun read(limitBytes: Int = settings.frameLimitBytes): Result<Envelope, Fault> =
-        input.readFrame(limitBytes, peer)
-
-    /** Runs [report] unless the connection ended, excluding a concurrent end. Returns whether it ran. */
-    fun whileOpen(report: () -> Unit): Boolean = synchronized(this) {
-        if (!ended) report()
-        !ended
+    /** Reads one frame whose body has at most [maximumBytes]. */
+    suspend fun readEnvelope(maximumBytes: Int = settings.maximumFrameBytes): Result<Envelope, Fault> =
+        input.readFrame(maximumBytes, peer)
+
+    /**
+     * Runs [action] unless the connection ended; a concurrent end waits until it returns. Returns whether the
+     * connection is still open afterwards.
+     */
+    fun runIfOpen(action: () -> Unit): Boolean = synchronized(this) {
+        if (!isEnded) action()
+        !isEnded
     }
 
-    /** Reports the connection as established, unless it ended meanwhile. */
+    /** Marks the connection as established and runs [report], unless it ended meanwhile. */
     fun establish(report: () -> Unit) {
-        whileOpen {
-            established = true
+        runIfOpen {
+            isEstablished = true
             report()
         }
     }
 
-    /** Passes on all messages until the connection ends. */
-    suspend fun receiveAll(received: (Envelope) -> Unit, rejected: (EventKind, Fault) -> Unit) {
-        var open = true
-        while (open) {
-            read().fold(
-                success = { envelope -> open = whileOpen { received(envelope) } },
+    /** Passes messages to [onReceived] until the connection ends; an invalid frame goes to [onRejected] and ends it. */
+    suspend fun receiveMessages(onReceived: (Envelope) -> Unit, onRejected: (EventKind, Fault) -> Unit) {
+        var isOpen = true
+        while (isOpen) {
+            readEnvelope().fold(
+                success = { envelope -> isOpen = runIfOpen { onReceived(envelope) } },
                 failure = { fault ->
-                    open = false
-                    if (fault.cause == FaultCause.PROTOCOL) whileOpen { rejected(EventKind.FRAME_REJECTED, fault) }
+                    isOpen = false
+                    if (fault.cause == FaultCause.PROTOCOL) runIfOpen { onRejected(EventKind.FRAME_REJECTED, fault) }
                     end(fault)
                 },
             )
         }
     }
 
-    /** Ends the connection at once and reports [fault], unless it ended before. */
+    /** Closes the socket at once and reports [fault], unless the connection ended before. */
     fun end(fault: Fault) {
         synchronized(this) {
-            if (ended) return
-            ended = true
+            if (isEnded) return
+            isEnded = true
             onEnd(this, fault)
         }
-        abort()
+        closeImmediately()
     }
 
-    /** Ends the connection without a report; what is queued is still sent for [PeerSettings.closeTimeout]. */
+    /** Ends the connection without a report; queued messages are still sent for [PeerSettings.closeTimeout]. */
     fun close() {
         synchronized(this) {
-            if (ended) return
-            ended = true
+            if (isEnded) return
+            isEnded = true
         }
-        outgoing.close()
+        outgoingQueue.close()
     }
 
-    private fun abort() {
-        outgoing.cancel()
+    private fun closeImmediately() {
+        outgoingQueue.cancel()
         socket.cancel()
         socket.close()
     }
 
-    private suspend fun writeAll() {
+    private suspend fun writeQueuedMessages() {
         try {
-            for (envelope in outgoing) {
-                output.writeQueued(envelope)
+            for (envelope in outgoingQueue) {
+                output.writeBatch(envelope)
                 output.flush()
             }
             withTimeoutOrNull(settings.closeTimeout) { output.flushAndClose() }
             socket.close()
         } catch (failure: IOException) {
-            end(lostBy(peer, failure))
+            end(connectionLostFault(peer, failure))
         } finally {
-            finishClosing()
+            cancelSocketAfterTimeout()
         }
     }
 
-    private suspend fun ByteWriteChannel.writeQueued(first: Envelope) {
+    private suspend fun ByteWriteChannel.writeBatch(first: Envelope) {
         var next: Envelope? = first
         while (next != null) {
             val body = encodeEnvelope(next)
-            if (body.size > settings.frameLimitBytes) return end(protocolFault(peer, "outgoing frame of ${body.size}"))
+            if (body.size > settings.maximumFrameBytes) {
+                return end(protocolFault(peer, "outgoing frame of ${body.size} bytes"))
+            }
             writeFrame(body)
-            outgoingBytes.addAndGet(-queuedBytes(next))
-            next = outgoing.tryReceive().getOrNull()
+            outgoingQueueBytes.addAndGet(-estimateQueuedBytes(next))
+            next = outgoingQueue.tryReceive().getOrNull()
         }
     }
 
-    private fun finishClosing() {
+    private fun cancelSocketAfterTimeout() {
         scope.launch {
             withTimeoutOrNull(settings.closeTimeout) { socket.socketContext.join() }
             socket.cancel()
--- a/peer/src/main/kotlin/org/lovageladder/peer/PeerListener.kt
+++ b/peer/src/main/kotlin/org/lovageladder/peer/PeerListener.kt
@@ -22,24 +22,24 @@
 import java.util.concurrent.atomic.AtomicLong
 import kotlin.time.Duration.Companion.milliseconds
 
-/** Accepts connections of entries at a companion. */
+/** Accepts the connections that entries open to a companion. */
 public interface PeerListener : AutoCloseable {
-    /** Address on which connections are accepted, with the port that was picked when 0 was asked for. */
+    /** Address on which connections are accepted, with the assigned port when port 0 was requested. */
     public val address: Address
 
-    /** Queues [envelope] without blocking; dropped when the connection is gone. */
+    /** Queues [envelope] without blocking; drops it when the connection has ended. */
     public fun send(connection: ConnectionId, envelope: Envelope)
 
-    /** Closes a connection after what is queued, without waiting and without a report. */
+    /** Closes a connection after its queued messages, without waiting and without a call to [ListenerHandler.lost]. */
     public fun close(connection: ConnectionId)
 
-    /** Closes all connections and waits, at most [PeerSettings.closeTimeout], until what is queued was sent. */
+    /** Closes all connections and waits until queued messages are sent, at most [PeerSettings.closeTimeout]. */
     override fun close()
 }
 
 /**
- * Listens on [bind] as the companion of [host] in [incarnation]. Of two connections from one process the one that was
- * accepted later stays. Throws [java.io.IOException] when the address cannot be bound.
+ * Listens on [bind] as the companion of [host] in [incarnation]. When one process has two connections, the one that was
+ * accepted first is closed. Throws [java.io.IOException] when the address cannot be bound.
  */
 public fun startPeerListener(
     bind: Address,
@@ -48,36 +48,36 @@
     settings: PeerSettings = PeerSettings(),
     handler: ListenerHandler,
 ): PeerListener {
-    val traffic = PeerTraffic()
-    val socket =
+    val resources = SocketResources()
+    val serverSocket =
         try {
-            runBlocking { aSocket(traffic.selector).tcp().bind(bind.ip, bind.port) { reuseAddress = true } }
+            runBlocking { aSocket(resources.selector).tcp().bind(bind.ip, bind.port) { reuseAddress = true } }
         } catch (failure: IOException) {
-            traffic.close()
+            resources.close()
             throw failure
         }
-    return SocketPeerListener(bind, socket, ExpectedHello(host, incarnation), settings, handler, traffic)
+    return SocketPeerListener(bind, serverSocket, ExpectedHello(host, incarnation), settings, handler, resources)
 }
 
 private class SocketPeerListener(
     bind: Address,
-    private val socket: ServerSocket,
-    private val expected: ExpectedHello,
+    private val serverSocket: ServerSocket,
+    private val expectedHello: ExpectedHello,
     private val settings: PeerSettings,
     private val handler: ListenerHandler,
-    private val traffic: PeerTraffic,
+    private val resources: SocketResources,
 ) : PeerListener {
     private val links = ConcurrentHashMap<ConnectionId, PeerLink>()
-    private val registry = ProcessRegistry()
-    private val lastConnection = AtomicLong()
+    private val linksByProcess = ProcessLinks()
+    private val lastConnectionNumber = AtomicLong()
 
     @Volatile
-    private var closing = false
+    private var isClosing = false
 
-    override val address: Address = Address(bind.ip, (socket.localAddress as InetSocketAddress).port)
+    override val address: Address = Address(bind.ip, (serverSocket.localAddress as InetSocketAddress).port)
 
     init {
-        traffic.scope.launch { acceptAll() }
+        resources.scope.launch { acceptConnections() }
     }
 
     override fun send(connection: ConnectionId, envelope: Envelope) {
@@ -89,65 +89,65 @@
     }
 
     override fun close() {
-        closing = true
-        socket.close()
+        isClosing = true
+        serverSocket.close()
         links.values.forEach(::closeLink)
-        traffic.close(settings.closeTimeout)
+        resources.close(settings.closeTimeout)
     }
 
     private fun closeLink(link: PeerLink) {
         link.close()
-        forget(link)
+        removeLink(link)
     }
 
-    private fun forget(link: PeerLink) {
+    private fun removeLink(link: PeerLink) {
         links.remove(link.connection)
-        registry.remove(link)
+        linksByProcess.remove(link)
     }
 
-    private suspend fun acceptAll() {
-        while (!closing) {
+    private suspend fun acceptConnections() {
+        while (!isClosing) {
             try {
-                val accepted = socket.accept()
-                val connection = ConnectionId(lastConnection.incrementAndGet())
-                traffic.scope.launch { serve(connection, accepted) }
+                val acceptedSocket = serverSocket.accept()
+                val connection = ConnectionId(lastConnectionNumber.incrementAndGet())
+                resources.scope.launch { handleConnection(connection, acceptedSocket) }
             } catch (failure: IOException) {
-                if (closing) return
-                handler.rejected(EventKind.PEER_REFUSED, lostBy("$address", failure))
-                delay(ACCEPT_PAUSE)
+                if (isClosing) return
+                handler.rejected(EventKind.PEER_REFUSED, connectionLostFault("$address", failure))
+                delay(ACCEPT_RETRY_DELAY)
             }
         }
     }
 
-    private suspend fun serve(connection: ConnectionId, accepted: Socket) {
-        val peer = accepted.remoteAddress.toString().removePrefix("/")
-        val link = PeerLink(connection, peer, accepted, traffic.scope, settings, ::ended)
+    private suspend fun handleConnection(connection: ConnectionId, acceptedSocket: Socket) {
+        val peer = acceptedSocket.remoteAddress.toString().removePrefix("/")
+        val link = PeerLink(connection, peer, acceptedSocket, resources.scope, settings, ::onLinkEnd)
         try {
-            link.readFirst(settings).andThen { envelope -> expected.check(envelope, peer) }.fold(
-                success = { hello -> begin(link, hello) },
+            link.readFirstMessage(settings).andThen { envelope -> expectedHello.check(envelope, peer) }.fold(
+                success = { hello -> establishAndReceive(link, hello) },
                 failure = { rejection -> reject(link, rejection) },
             )
         } finally {
-            link.end(connectionLost(peer, "no longer read"))
+            link.end(connectionLostFault(peer, "reading stopped"))
         }
     }
 
-    private suspend fun begin(link: PeerLink, first: FirstMessage<PeerMessage.Hello>) {
+    private suspend fun establishAndReceive(link: PeerLink, hello: FirstMessage<PeerMessage.Hello>) {
         links[link.connection] = link
-        registry.claim(first.message.process, link)?.let { older -> older.end(replacedFault(older.peer)) }
-        link.establish { handler.connected(link.connection, first.envelope, first.message) }
-        link.receiveAll({ envelope -> handler.received(link.connection, envelope) }, handler::rejected)
+        linksByProcess.register(hello.message.process, link)?.let { old -> old.end(connectionReplacedFault(old.peer)) }
+        link.establish { handler.connected(link.connection, hello.envelope, hello.message) }
+        link.receiveMessages({ envelope -> handler.received(link.connection, envelope) }, handler::rejected)
     }
 
     private fun reject(link: PeerLink, rejection: Rejection) {
-        rejection.kind?.let { kind -> handler.rejected(kind, rejection.fault) }
+        rejection.eventKind?.let { kind -> handler.rejected(kind, rejection.fault) }
         link.end(rejection.fault)
     }
 
-    private fun ended(link: PeerLink, fault: Fault) {
-        forget(link)
-        if (link.established) handler.lost(link.connection, fault)
+    private fun onLinkEnd(link: PeerLink, fault: Fault) {
+        removeLink(link)
+        if (link.isEstablished) handler.lost(link.connection, fault)
     }
 }
 
-private val ACCEPT_PAUSE = 100.milliseconds
+private val ACCEPT_RETRY_DELAY = 100.milliseconds
--- a/peer/src/main/kotlin/org/lovageladder/peer/PeerTraffic.kt
+++ b/peer/src/main/kotlin/org/lovageladder/peer/SocketResources.kt
@@ -13,18 +13,18 @@
 import java.util.concurrent.Executors
 import kotlin.time.Duration
 
-/** Threads that carry the traffic of one listener or dialer. */
-internal class PeerTraffic : AutoCloseable {
+/** Selector thread and coroutine scope of one listener or dialer. */
+internal class SocketResources : AutoCloseable {
     private val selectorThread =
-        Executors.newSingleThreadExecutor { task -> Thread(task, "peer-selector").apply { isDaemon = true } }
+        Executors.newSingleThreadExecutor { runnable -> Thread(runnable, "peer-selector").apply { isDaemon = true } }
 
     val selector = SelectorManager(selectorThread.asCoroutineDispatcher())
     val scope = CoroutineScope(SupervisorJob() + Dispatchers.IO + CoroutineName("peer"))
 
-    /** Waits at most [grace] until all connections have ended by themselves, then ends everything. */
-    fun close(grace: Duration) {
+    /** Waits at most [gracePeriod] until all connections have ended, then cancels those that remain. */
+    fun close(gracePeriod: Duration) {
         runBlocking {
-            withTimeoutOrNull(grace) { scope.coroutineContext.job.children.forEach { it.join() } }
+            withTimeoutOrNull(gracePeriod) { scope.coroutineContext.job.children.forEach { it.join() } }
         }
         close()
     }
--- a/peer/src/test/kotlin/org/lovageladder/peer/FramesTest.kt
+++ b/peer/src/test/kotlin/org/lovageladder/peer/FramesTest.kt
@@ -9,14 +9,14 @@
 
 class FramesTest {
     @Test
-    fun envelopesSurviveTheWayThroughAFrame() {
+    fun anEncodedEnvelopeIsDecodedUnchanged() {
         listOf(hello(), welcome(), heartbeat(Long.MAX_VALUE)).forEach { envelope ->
             assertEquals(envelope, decodeEnvelope(encodeEnvelope(envelope), "peer").get())
         }
     }
 
     @Test
-    fun damagedFramesGiveAProtocolFaultAndNeverThrow() {
+    fun decodingADamagedBodyReturnsAProtocolFaultAndNeverThrows() {
         val random = Random(SEED)
         val body = encodeEnvelope(hello())
         repeat(20_000) {
--- a/peer/src/test/kotlin/org/lovageladder/peer/PeerDialerTest.kt
+++ b/peer/src/test/kotlin/org/lovageladder/peer/PeerDialerTest.kt
@@ -15,63 +15,66 @@
 import kotlin.test.assertEquals
 import kotlin.time.Duration.Companion.milliseconds
 
-internal fun attempt(number: Int): AttemptId = AttemptId(RequestId("request-1"), number)
+internal fun attemptId(number: Int): AttemptId = AttemptId(RequestId("request-1"), number)
 
 class PeerDialerTest {
-    private val entry = RecordingDialerHandler()
-    private val companion = RecordingListenerHandler()
-    private val dialer = openPeerDialer(handler = entry)
-    private val listener = startPeerListener(anyPort, testHost, testIncarnation, handler = companion)
+    private val entryHandler = RecordingDialerHandler()
+    private val companionHandler = RecordingListenerHandler()
+    private val dialer = openPeerDialer(handler = entryHandler)
+    private val listener = startPeerListener(anyLoopbackPort, testHost, testIncarnation, handler = companionHandler)
 
     @AfterTest
-    fun closeBoth() {
+    fun closeDialerAndListener() {
         dialer.close()
         listener.close()
     }
 
-    private fun connect(number: Long = 1): ConnectionId {
+    private fun openConnection(number: Long = 1): ConnectionId {
         dialer.dial(ConnectionId(number), testHost, listener.address, hello())
-        val connected = companion.log.nextIs<Seen.Connected>()
+        val connected = companionHandler.calls.nextIs<HandlerCall.Connected>()
         listener.send(connected.connection, welcome())
-        assertEquals(ConnectionId(number), entry.log.nextIs<Seen.Connected>().connection)
+        assertEquals(ConnectionId(number), entryHandler.calls.nextIs<HandlerCall.Connected>().connection)
         return connected.connection
     }
 
     @Test
     fun tenThousandMessagesEachWayArriveInOrder() {
-        val atCompanion = connect()
+        val listenerId = openConnection()
         val senders =
             listOf(
-                Thread { repeat(MESSAGES) { index -> dialer.send(ConnectionId(1), heartbeat(index.toLong())) } },
-                Thread { repeat(MESSAGES) { index -> listener.send(atCompanion, token(index)) } },
+                Thread { repeat(MESSAGE_COUNT) { index -> dialer.send(ConnectionId(1), heartbeat(index.toLong())) } },
+                Thread { repeat(MESSAGE_COUNT) { index -> listener.send(listenerId, tokenProduced(index)) } },
             )
         senders.forEach(Thread::start)
-        repeat(MESSAGES) { index ->
-            assertEquals(Seen.Received(atCompanion, PeerMessage.Heartbeat(index.toLong())), companion.log.next())
-            assertEquals(Seen.Received(ConnectionId(1), token(index).message), entry.log.next())
+        repeat(MESSAGE_COUNT) { index ->
+            assertEquals(
+                HandlerCall.Received(listenerId, PeerMessage.Heartbeat(index.toLong())),
+                companionHandler.calls.next(),
+            )
+            assertEquals(HandlerCall.Received(ConnectionId(1), tokenProduced(index).message), entryHandler.calls.next())
         }
     }
 
-    private fun token(index: Int) = enveloped(PeerMessage.TokenProduced(attempt(1), index, " wörd"))
+    private fun tokenProduced(index: Int) = envelopeOf(PeerMessage.TokenProduced(attemptId(1), index, " wörd"))
 
     @Test
-    fun aLostCompanionIsReportedOnceAndAReconnectWorks() {
-        val atCompanion = connect()
-        listener.close(atCompanion)
-        assertEquals(FaultCause.CONNECTION_LOST, entry.log.nextIs<Seen.Lost>().fault.cause)
-        connect(number = 2)
+    fun aLostConnectionIsReportedOnceAndAReconnectWorks() {
+        val listenerId = openConnection()
+        listener.close(listenerId)
+        assertEquals(FaultCause.CONNECTION_LOST, entryHandler.calls.nextIs<HandlerCall.Lost>().fault.cause)
+        openConnection(number = 2)
     }
 
     @Test
-    fun aCloseIsNotReportedHereAndIsReportedThere() {
-        val atCompanion = connect()
+    fun aCloseIsReportedToTheCompanionOnly() {
+        val listenerId = openConnection()
         dialer.close(ConnectionId(1))
-        assertEquals(atCompanion, companion.log.nextIs<Seen.Lost>().connection)
-        connect(number = 2)
+        assertEquals(listenerId, companionHandler.calls.nextIs<HandlerCall.Lost>().connection)
+        openConnection(number = 2)
     }
 
     @Test
-    fun failedAttemptsNameHostAndCause() {
+    fun aConnectionThatCannotBeOpenedIsReportedAsUnreachable() {
         val closedPort = ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use { it.localPort }
         val cases =
             listOf(
@@ -80,39 +83,39 @@
             )
         cases.forEachIndexed { index, (name, address, cause) ->
             dialer.dial(ConnectionId(index.toLong()), testHost, address, hello())
-            assertEquals(cause, entry.log.nextIs<Seen.Lost>().fault.cause, name)
+            assertEquals(cause, entryHandler.calls.nextIs<HandlerCall.Lost>().fault.cause, name)
         }
     }
 
     @Test
-    fun wrongFirstAnswersAreRefused() {
+    fun anInvalidFirstAnswerIsRejectedAndEndsTheConnection() {
         val cases =
             listOf(
                 "other host" to welcome(host = HostName("other")),
                 "other protocol" to welcome(protocol = 2),
                 "not a welcome" to heartbeat(1),
             )
-        cases.forEachIndexed { index, (name, answer) ->
+        cases.forEachIndexed { index, (name, firstAnswer) ->
             dialer.dial(ConnectionId(index.toLong()), testHost, listener.address, hello(process = name))
-            listener.send(companion.log.nextIs<Seen.Connected>().connection, answer)
-            entry.log.nextIs<Seen.Rejected>()
-            entry.log.nextIs<Seen.Lost>()
-            companion.log.nextIs<Seen.Lost>()
+            listener.send(companionHandler.calls.nextIs<HandlerCall.Connected>().connection, firstAnswer)
+            entryHandler.calls.nextIs<HandlerCall.Rejected>()
+            entryHandler.calls.nextIs<HandlerCall.Lost>()
+            companionHandler.calls.nextIs<HandlerCall.Lost>()
         }
     }
 
     @Test
-    fun aCompanionThatStaysSilentTimesOut() {
+    fun aCompanionWithoutAFirstMessageTimesOut() {
         val settings = PeerSettings(firstFrameTimeout = 50.milliseconds)
-        openPeerDialer(settings, entry).use { impatient ->
-            impatient.dial(ConnectionId(1), testHost, listener.address, hello())
-            entry.log.nextIs<Seen.Rejected>()
-            val fault: Fault = entry.log.nextIs<Seen.Lost>().fault
+        openPeerDialer(settings, entryHandler).use { dialerWithShortTimeout ->
+            dialerWithShortTimeout.dial(ConnectionId(1), testHost, listener.address, hello())
+            entryHandler.calls.nextIs<HandlerCall.Rejected>()
+            val fault: Fault = entryHandler.calls.nextIs<HandlerCall.Lost>().fault
             assertEquals(FaultCause.TIMEOUT, fault.cause)
         }
     }
 
     private companion object {
-        const val MESSAGES = 10_000
+        const val MESSAGE_COUNT = 10_000
     }
 }
--- a/peer/src/test/kotlin/org/lovageladder/peer/PeerListenerTest.kt
+++ b/peer/src/test/kotlin/org/lovageladder/peer/PeerListenerTest.kt
@@ -14,58 +14,85 @@
 import kotlin.time.Duration.Companion.milliseconds
 
 class PeerListenerTest {
-    private val settings = PeerSettings(frameLimitBytes = 100_000, firstFrameLimitBytes = 2_000)
+    private val settings = PeerSettings(maximumFrameBytes = 100_000, maximumFirstFrameBytes = 2_000)
     private val handler = RecordingListenerHandler()
-    private val listener = start(settings)
+    private val listener = startListener(settings)
 
-    private fun start(settings: PeerSettings): PeerListener =
-        startPeerListener(anyPort, testHost, testIncarnation, settings, handler)
+    private fun startListener(settings: PeerSettings): PeerListener =
+        startPeerListener(anyLoopbackPort, testHost, testIncarnation, settings, handler)
 
     @AfterTest
     fun closeListener() {
         listener.close()
     }
 
-    private class BadFirst(
+    private class InvalidFrame(
         val name: String,
-        val bytes: ByteArray,
+        val encodedBytes: ByteArray,
         val kind: EventKind,
         val cause: FaultCause,
-        val closes: Boolean = false,
+        val outputClosed: Boolean = false,
     )
 
     @Test
-    fun badFirstFramesCloseOnlyTheirConnection() {
+    fun anInvalidFirstFrameClosesOnlyItsConnection() {
         val cases =
             listOf(
-                BadFirst("truncated header", byteArrayOf(0, 0), FRAME, FaultCause.PROTOCOL, closes = true),
-                BadFirst("truncated body", frame(encodeEnvelope(hello())).copyOf(20), FRAME, FaultCause.PROTOCOL, true),
-                BadFirst("length too large", header(2_001), FRAME, FaultCause.PROTOCOL),
-                BadFirst("length zero", header(0), FRAME, FaultCause.PROTOCOL),
-                BadFirst("length negative", header(-1), FRAME, FaultCause.PROTOCOL),
-                BadFirst("garbage", frame(ByteArray(64) { 0x5b }), FRAME, FaultCause.PROTOCOL),
-                BadFirst("empty map", frame(byteArrayOf(0xa0.toByte())), FRAME, FaultCause.PROTOCOL),
-                BadFirst("nested arrays", frame(ByteArray(1_000) { 0x81.toByte() }), FRAME, FaultCause.PROTOCOL),
-                BadFirst("message before hello", frame(encodeEnvelope(heartbeat(1))), FRAME, FaultCause.PROTOCOL),
-                BadFirst("wrong protocol", frame(encodeEnvelope(hello(protocol = 99))), REFUSED, FaultCause.REJECTED),
-                BadFirst(
+                InvalidFrame(
+                    "truncated header",
+                    byteArrayOf(0, 0),
+                    FRAME_REJECTED,
+                    FaultCause.PROTOCOL,
+                    outputClosed = true,
+                ),
+                InvalidFrame(
+                    "truncated body",
+                    frame(encodeEnvelope(hello())).copyOf(20),
+                    FRAME_REJECTED,
+                    FaultCause.PROTOCOL,
+                    true,
+                ),
+                InvalidFrame("length too large", lengthHeader(2_001), FRAME_REJECTED, FaultCause.PROTOCOL),
+                InvalidFrame("length zero", lengthHeader(0), FRAME_REJECTED, FaultCause.PROTOCOL),
+                InvalidFrame("length negative", lengthHeader(-1), FRAME_REJECTED, FaultCause.PROTOCOL),
+                InvalidFrame("garbage", frame(ByteArray(64) { 0x5b }), FRAME_REJECTED, FaultCause.PROTOCOL),
+                InvalidFrame("empty map", frame(byteArrayOf(0xa0.toByte())), FRAME_REJECTED, FaultCause.PROTOCOL),
+                InvalidFrame(
+                    "nested arrays",
+                    frame(ByteArray(1_000) { 0x81.toByte() }),
+                    FRAME_REJECTED,
+                    FaultCause.PROTOCOL,
+                ),
+                InvalidFrame(
+                    "message before hello",
+                    frame(encodeEnvelope(heartbeat(1))),
+                    FRAME_REJECTED,
+                    FaultCause.PROTOCOL,
+                ),
+                InvalidFrame(
+                    "wrong protocol",
+                    frame(encodeEnvelope(hello(protocol = 99))),
+                    PEER_REFUSED,
+                    FaultCause.REJECTED,
+                ),
+                InvalidFrame(
                     "wrong host",
                     frame(encodeEnvelope(hello(host = HostName("other")))),
-                    REFUSED,
+                    PEER_REFUSED,
                     FaultCause.REJECTED,
                 ),
-                BadFirst(
+                InvalidFrame(
                     "wrong incarnation",
                     frame(encodeEnvelope(hello(incarnation = Incarnation(6)))),
-                    REFUSED,
+                    PEER_REFUSED,
                     FaultCause.REJECTED,
                 ),
             )
         cases.forEach { case ->
             rawSocket().use { socket ->
-                socket.getOutputStream().write(case.bytes)
-                if (case.closes) socket.shutdownOutput()
-                val rejected = handler.log.nextIs<Seen.Rejected>()
+                socket.getOutputStream().write(case.encodedBytes)
+                if (case.outputClosed) socket.shutdownOutput()
+                val rejected = handler.calls.nextIs<HandlerCall.Rejected>()
                 assertEquals(case.kind, rejected.kind, case.name)
                 assertEquals(case.cause, rejected.fault.cause, case.name)
                 assertEquals(-1, socket.getInputStream().read(), case.name)
@@ -73,15 +100,15 @@
         }
         rawSocket().use { socket ->
             socket.getOutputStream().write(frame(encodeEnvelope(hello(incarnation = testIncarnation))))
-            handler.log.nextIs<Seen.Connected>()
+            handler.calls.nextIs<HandlerCall.Connected>()
         }
     }
 
     @Test
-    fun aLateFirstFrameClosesTheConnection() {
-        start(settings.copy(firstFrameTimeout = 50.milliseconds)).use { listener ->
+    fun aMissingFirstFrameClosesTheConnectionAfterTheTimeout() {
+        startListener(settings.copy(firstFrameTimeout = 50.milliseconds)).use { listener ->
             rawSocket(listener.address).use { socket ->
-                val rejected = handler.log.nextIs<Seen.Rejected>()
+                val rejected = handler.calls.nextIs<HandlerCall.Rejected>()
                 assertEquals(FaultCause.TIMEOUT, rejected.fault.cause)
                 assertEquals(-1, socket.getInputStream().read())
             }
@@ -89,14 +116,14 @@
     }
 
     @Test
-    fun aBadFrameLaterOnIsReportedAsRejectedAndLost() {
-        val cases = listOf("garbage" to frame(ByteArray(9) { -1 }), "too large" to header(100_001))
-        cases.forEach { (name, bytes) ->
+    fun anInvalidLaterFrameIsReportedAsRejectedAndLost() {
+        val cases = listOf("garbage" to frame(ByteArray(9) { -1 }), "too large" to lengthHeader(100_001))
+        cases.forEach { (name, encodedBytes) ->
             rawSocket().use { socket ->
-                socket.getOutputStream().write(frame(encodeEnvelope(hello(process = name))) + bytes)
-                val connected = handler.log.nextIs<Seen.Connected>()
-                assertEquals(EventKind.FRAME_REJECTED, handler.log.nextIs<Seen.Rejected>().kind, name)
-                assertEquals(connected.connection, handler.log.nextIs<Seen.Lost>().connection, name)
+                socket.getOutputStream().write(frame(encodeEnvelope(hello(process = name))) + encodedBytes)
+                val connected = handler.calls.nextIs<HandlerCall.Connected>()
+                assertEquals(EventKind.FRAME_REJECTED, handler.calls.nextIs<HandlerCall.Rejected>().kind, name)
+                assertEquals(connected.connection, handler.calls.nextIs<HandlerCall.Lost>().connection, name)
             }
         }
     }
@@ -105,78 +132,81 @@
     fun theNewerOfTwoConnectionsOfOneProcessReplacesTheOlder() {
         rawSocket().use { older ->
             older.getOutputStream().write(frame(encodeEnvelope(hello())))
-            val first = handler.log.nextIs<Seen.Connected>()
+            val olderConnection = handler.calls.nextIs<HandlerCall.Connected>()
             rawSocket().use { newer ->
                 newer.getOutputStream().write(frame(encodeEnvelope(hello())))
-                assertEquals(first.connection, handler.log.nextIs<Seen.Lost>().connection)
-                handler.log.nextIs<Seen.Connected>()
+                assertEquals(olderConnection.connection, handler.calls.nextIs<HandlerCall.Lost>().connection)
+                handler.calls.nextIs<HandlerCall.Connected>()
                 assertEquals(-1, older.getInputStream().read())
             }
         }
     }
 
     @Test
-    fun anOlderConnectionWhoseHelloComesLateGivesWayToTheNewer() {
+    fun anOlderConnectionWhoseHelloArrivesLastIsClosed() {
         rawSocket().use { older ->
             rawSocket().use { newer ->
                 newer.getOutputStream().write(frame(encodeEnvelope(hello())))
-                val kept = handler.log.nextIs<Seen.Connected>()
+                val newerConnection = handler.calls.nextIs<HandlerCall.Connected>()
                 older.getOutputStream().write(frame(encodeEnvelope(hello())))
                 assertEquals(-1, older.getInputStream().read())
                 newer.getOutputStream().write(frame(encodeEnvelope(heartbeat(5))))
-                assertEquals(Seen.Received(kept.connection, PeerMessage.Heartbeat(5)), handler.log.next())
+                assertEquals(
+                    HandlerCall.Received(newerConnection.connection, PeerMessage.Heartbeat(5)),
+                    handler.calls.next(),
+                )
             }
         }
     }
 
     @Test
     fun aPeerThatDoesNotReadIsDisconnected() {
-        start(settings.copy(outgoingLimit = 100)).use { listener ->
+        startListener(settings.copy(maximumQueuedMessages = 100)).use { listener ->
             rawSocket(listener.address).use { socket ->
                 socket.getOutputStream().write(frame(encodeEnvelope(hello())))
-                val connected = handler.log.nextIs<Seen.Connected>()
-                val large = enveloped(PeerMessage.TokenProduced(attempt(1), 0, "x".repeat(90_000)))
-                var lost: Seen? = null
+                val connected = handler.calls.nextIs<HandlerCall.Connected>()
+                val largeMessage = envelopeOf(PeerMessage.TokenProduced(attemptId(1), 0, "x".repeat(90_000)))
+                var lost: HandlerCall? = null
                 while (lost == null) {
-                    listener.send(connected.connection, large)
-                    lost = handler.log.queue.poll()
+                    listener.send(connected.connection, largeMessage)
+                    lost = handler.calls.queue.poll()
                 }
-                assertEquals(FaultCause.TIMEOUT, (lost as Seen.Lost).fault.cause)
+                assertEquals(FaultCause.TIMEOUT, (lost as HandlerCall.Lost).fault.cause)
             }
         }
     }
 
     @Test
-    fun whatWasSentBeforeACloseStillArrives() {
+    fun messagesQueuedBeforeACloseStillArrive() {
         rawSocket().use { socket ->
             socket.getOutputStream().write(frame(encodeEnvelope(hello())))
-            val connected = handler.log.nextIs<Seen.Connected>()
+            val connected = handler.calls.nextIs<HandlerCall.Connected>()
             val body = encodeEnvelope(heartbeat(1))
             repeat(1_000) { listener.send(connected.connection, heartbeat(1)) }
             listener.close(connected.connection)
             assertEquals(1_000 * (4 + body.size), socket.getInputStream().readAllBytes().size)
-            assertEquals(null, handler.log.queue.poll())
+            assertEquals(null, handler.calls.queue.poll())
         }
     }
 
     private fun rawSocket(address: Address = listener.address): Socket =
         Socket(address.ip, address.port).apply { soTimeout = 20_000 }
 
-    private fun header(length: Int): ByteArray = bytes { writeInt(length) }
+    private fun lengthHeader(length: Int): ByteArray = encodedBytes { writeInt(length) }
 
-    private fun frame(body: ByteArray): ByteArray = bytes {
+    private fun frame(body: ByteArray): ByteArray = encodedBytes {
         writeInt(body.size)
         write(body)
     }
 
-    private fun bytes(write: DataOutputStream.() -> Unit): ByteArray {
+    private fun encodedBytes(write: DataOutputStream.() -> Unit): ByteArray {
         val buffer = java.io.ByteArrayOutputStream()
         DataOutputStream(buffer).write()
         return buffer.toByteArray()
     }
 
     private companion object {
-        val FRAME = EventKind.FRAME_REJECTED
-        val REFUSED = EventKind.PEER_REFUSED
+        val FRAME_REJECTED = EventKind.FRAME_REJECTED
+        val PEER_REFUSED = EventKind.PEER_REFUSED
     }
 }
--- a/peer/src/test/kotlin/org/lovageladder/peer/Recorders.kt
+++ b/peer/src/test/kotlin/org/lovageladder/peer/RecordingHandlers.kt
@@ -19,77 +19,79 @@
 
 internal val testHost = HostName("mohacs-1")
 internal val testIncarnation = Incarnation(7)
-internal val anyPort = Address("127.0.0.1", 0)
+internal val anyLoopbackPort = Address("127.0.0.1", 0)
 
-internal sealed interface Seen {
-    data class Connected(val connection: ConnectionId, val first: PeerMessage) : Seen
+/** Call of a [ListenerHandler] or [DialerHandler]. */
+internal sealed interface HandlerCall {
+    data class Connected(val connection: ConnectionId, val firstMessage: PeerMessage) : HandlerCall
 
-    data class Received(val connection: ConnectionId, val message: PeerMessage) : Seen
+    data class Received(val connection: ConnectionId, val message: PeerMessage) : HandlerCall
 
-    data class Lost(val connection: ConnectionId, val fault: Fault) : Seen
+    data class Lost(val connection: ConnectionId, val fault: Fault) : HandlerCall
 
-    data class Rejected(val kind: EventKind, val fault: Fault) : Seen
+    data class Rejected(val kind: EventKind, val fault: Fault) : HandlerCall
 }
 
-/** Queue of what a handler was told, in order. */
-internal class Log {
-    val queue = LinkedBlockingQueue<Seen>()
+/** Calls that a handler received, in order. */
+internal class HandlerCallQueue {
+    val queue = LinkedBlockingQueue<HandlerCall>()
 
-    fun next(): Seen = assertNotNull(queue.poll(20, TimeUnit.SECONDS), "nothing was reported")
+    fun next(): HandlerCall =
+        assertNotNull(queue.poll(20, TimeUnit.SECONDS), "the handler was not called within 20 seconds")
 
-    inline fun <reified T : Seen> nextIs(): T = assertIs<T>(next())
+    inline fun <reified T : HandlerCall> nextIs(): T = assertIs<T>(next())
 }
 
 internal class RecordingListenerHandler : ListenerHandler {
-    val log = Log()
+    val calls = HandlerCallQueue()
 
     override fun connected(connection: ConnectionId, envelope: Envelope, hello: PeerMessage.Hello) {
-        log.queue.add(Seen.Connected(connection, hello))
+        calls.queue.add(HandlerCall.Connected(connection, hello))
     }
 
     override fun received(connection: ConnectionId, envelope: Envelope) {
-        log.queue.add(Seen.Received(connection, envelope.message))
+        calls.queue.add(HandlerCall.Received(connection, envelope.message))
     }
 
     override fun lost(connection: ConnectionId, fault: Fault) {
-        log.queue.add(Seen.Lost(connection, fault))
+        calls.queue.add(HandlerCall.Lost(connection, fault))
     }
 
     override fun rejected(kind: EventKind, fault: Fault) {
-        log.queue.add(Seen.Rejected(kind, fault))
+        calls.queue.add(HandlerCall.Rejected(kind, fault))
     }
 }
 
 internal class RecordingDialerHandler : DialerHandler {
-    val log = Log()
+    val calls = HandlerCallQueue()
 
     override fun connected(connection: ConnectionId, envelope: Envelope, welcome: PeerMessage.Welcome) {
-        log.queue.add(Seen.Connected(connection, welcome))
+        calls.queue.add(HandlerCall.Connected(connection, welcome))
     }
 
     override fun received(connection: ConnectionId, envelope: Envelope) {
-        log.queue.add(Seen.Received(connection, envelope.message))
+        calls.queue.add(HandlerCall.Received(connection, envelope.message))
     }
 
     override fun lost(connection: ConnectionId, host: HostName, fault: Fault) {
-        log.queue.add(Seen.Lost(connection, fault))
+        calls.queue.add(HandlerCall.Lost(connection, fault))
     }
 
     override fun rejected(kind: EventKind, fault: Fault) {
-        log.queue.add(Seen.Rejected(kind, fault))
+        calls.queue.add(HandlerCall.Rejected(kind, fault))
     }
 }
 
-internal fun enveloped(message: PeerMessage): Envelope = Envelope(ReleaseVersion(3), HybridTime(1, 0), message)
+internal fun envelopeOf(message: PeerMessage): Envelope = Envelope(ReleaseVersion(3), HybridTime(1, 0), message)
 
 internal fun hello(
     process: String = "entry-1",
     protocol: Int = PEER_PROTOCOL,
     host: HostName = testHost,
     incarnation: Incarnation? = null,
-): Envelope = enveloped(PeerMessage.Hello(protocol, ProcessName(process), Incarnation(1), host, incarnation))
+): Envelope = envelopeOf(PeerMessage.Hello(protocol, ProcessName(process), Incarnation(1), host, incarnation))
 
 internal fun welcome(protocol: Int = PEER_PROTOCOL, host: HostName = testHost): Envelope =
-    enveloped(PeerMessage.Welcome(protocol, host, testIncarnation, leaving = false, loads = emptyList()))
+    envelopeOf(PeerMessage.Welcome(protocol, host, testIncarnation, leaving = false, loads = emptyList()))
 
-internal fun heartbeat(sequence: Long): Envelope = enveloped(PeerMessage.Heartbeat(sequence))
+internal fun heartbeat(sequence: Long): Envelope = envelopeOf(PeerMessage.Heartbeat(sequence))
