--- a/peer/src/main/kotlin/org/lovageladder/peer/FirstMessage.kt
+++ b/peer/src/main/kotlin/org/lovageladder/peer/FirstMessage.kt
@@ -22,7 +22,7 @@
 /** A first message that passed its checks, with its envelope. */
 internal data class FirstMessage<T : PeerMessage>(val envelope: Envelope, val message: T)
 
-/** Why a connection was not established, and the event to record for it; null when the connection was just lost. */
+/** Why a connection was not established. [eventKind] is the event to record, null if the connection was only lost. */
 internal data class Rejection(val eventKind: EventKind?, val fault: Fault)
 
 /** Reads the first frame within the size and time limits of [settings]. */
--- a/peer/src/main/kotlin/org/lovageladder/peer/PeerDialer.kt
+++ b/peer/src/main/kotlin/org/lovageladder/peer/PeerDialer.kt
@@ -106,8 +106,8 @@
     }
 
     private suspend fun establishAndReceive(link: PeerLink, welcome: FirstMessage<PeerMessage.Welcome>) {
-        link.establish { handler.connected(link.connection, welcome.envelope, welcome.message) }
-        link.receiveMessages({ envelope -> handler.received(link.connection, envelope) }, handler::rejected)
+        link.establish { handler.connected(link.connectionId, welcome.envelope, welcome.message) }
+        link.receiveMessages({ envelope -> handler.received(link.connectionId, envelope) }, handler::rejected)
     }
 
     private fun onDialFailure(
@@ -121,7 +121,7 @@
     }
 
     private fun onLinkEnd(link: PeerLink, fault: Fault) {
-        val outgoing = connections.remove(link.connection) ?: return
-        handler.lost(link.connection, outgoing.host, fault)
+        val outgoing = connections.remove(link.connectionId) ?: return
+        handler.lost(link.connectionId, outgoing.host, fault)
     }
 }
--- a/peer/src/main/kotlin/org/lovageladder/peer/PeerHandler.kt
+++ b/peer/src/main/kotlin/org/lovageladder/peer/PeerHandler.kt
@@ -23,7 +23,10 @@
     /** A connection that was reported as connected ended for another reason than [PeerListener.close]. */
     public fun lost(connection: ConnectionId, fault: Fault)
 
-    /** A connection was closed for an invalid message, or accepting one failed; [kind] is the event to record. */
+    /**
+     * A connection was closed because a message was invalid or the first one did not arrive in time, or accepting a
+     * connection failed. [kind] is the event to record.
+     */
     public fun rejected(kind: EventKind, fault: Fault)
 }
 
@@ -38,6 +41,9 @@
     /** A connection could not be opened, or ended for another reason than [PeerDialer.close]. */
     public fun lost(connection: ConnectionId, host: HostName, fault: Fault)
 
-    /** A connection was closed for an invalid message; [kind] is the event to record. */
+    /**
+     * A connection was closed because a message was invalid or the first one did not arrive in time. [kind] is the
+     * event to record.
+     */
     public fun rejected(kind: EventKind, fault: Fault)
 }
--- a/peer/src/main/kotlin/org/lovageladder/peer/PeerLink.kt
+++ b/peer/src/main/kotlin/org/lovageladder/peer/PeerLink.kt
@@ -26,7 +26,7 @@
  * connection, and never after [close].
  */
 internal class PeerLink(
-    val connection: ConnectionId,
+    val connectionId: ConnectionId,
     val peer: String,
     private val socket: Socket,
     private val scope: CoroutineScope,
--- a/peer/src/main/kotlin/org/lovageladder/peer/PeerListener.kt
+++ b/peer/src/main/kotlin/org/lovageladder/peer/PeerListener.kt
@@ -30,7 +30,7 @@
     /** Queues [envelope] without blocking; drops it when the connection has ended. */
     public fun send(connection: ConnectionId, envelope: Envelope)
 
-    /** Closes a connection after its queued messages, without waiting and without a call to [ListenerHandler.lost]. */
+    /** Closes a connection once its queue is sent, without waiting and without a call to [ListenerHandler.lost]. */
     public fun close(connection: ConnectionId)
 
     /** Closes all connections and waits until queued messages are sent, at most [PeerSettings.closeTimeout]. */
@@ -101,7 +101,7 @@
     }
 
     private fun removeLink(link: PeerLink) {
-        links.remove(link.connection)
+        links.remove(link.connectionId)
         linksByProcess.remove(link)
     }
 
@@ -133,10 +133,10 @@
     }
 
     private suspend fun establishAndReceive(link: PeerLink, hello: FirstMessage<PeerMessage.Hello>) {
-        links[link.connection] = link
+        links[link.connectionId] = link
         linksByProcess.register(hello.message.process, link)?.let { old -> old.end(connectionReplacedFault(old.peer)) }
-        link.establish { handler.connected(link.connection, hello.envelope, hello.message) }
-        link.receiveMessages({ envelope -> handler.received(link.connection, envelope) }, handler::rejected)
+        link.establish { handler.connected(link.connectionId, hello.envelope, hello.message) }
+        link.receiveMessages({ envelope -> handler.received(link.connectionId, envelope) }, handler::rejected)
     }
 
     private fun reject(link: PeerLink, rejection: Rejection) {
@@ -146,7 +146,7 @@
 
     private fun onLinkEnd(link: PeerLink, fault: Fault) {
         removeLink(link)
-        if (link.isEstablished) handler.lost(link.connection, fault)
+        if (link.isEstablished) handler.lost(link.connectionId, fault)
     }
 }
 
--- a/peer/src/main/kotlin/org/lovageladder/peer/ProcessLinks.kt
+++ b/peer/src/main/kotlin/org/lovageladder/peer/ProcessLinks.kt
@@ -13,7 +13,7 @@
     @Synchronized
     fun register(process: ProcessName, link: PeerLink): PeerLink? {
         val registered = links[process]
-        if (registered != null && registered.connection.number > link.connection.number) return link
+        if (registered != null && registered.connectionId.number > link.connectionId.number) return link
         links[process] = link
         return registered
     }
--- a/peer/src/test/kotlin/org/lovageladder/peer/PeerDialerTest.kt
+++ b/peer/src/test/kotlin/org/lovageladder/peer/PeerDialerTest.kt
@@ -32,9 +32,9 @@
     private fun openConnection(number: Long = 1): ConnectionId {
         dialer.dial(ConnectionId(number), testHost, listener.address, hello())
         val connected = companionHandler.calls.nextIs<HandlerCall.Connected>()
-        listener.send(connected.connection, welcome())
-        assertEquals(ConnectionId(number), entryHandler.calls.nextIs<HandlerCall.Connected>().connection)
-        return connected.connection
+        listener.send(connected.connectionId, welcome())
+        assertEquals(ConnectionId(number), entryHandler.calls.nextIs<HandlerCall.Connected>().connectionId)
+        return connected.connectionId
     }
 
     @Test
@@ -69,7 +69,7 @@
     fun aCloseIsReportedToTheCompanionOnly() {
         val listenerId = openConnection()
         dialer.close(ConnectionId(1))
-        assertEquals(listenerId, companionHandler.calls.nextIs<HandlerCall.Lost>().connection)
+        assertEquals(listenerId, companionHandler.calls.nextIs<HandlerCall.Lost>().connectionId)
         openConnection(number = 2)
     }
 
@@ -97,7 +97,7 @@
             )
         cases.forEachIndexed { index, (name, firstAnswer) ->
             dialer.dial(ConnectionId(index.toLong()), testHost, listener.address, hello(process = name))
-            listener.send(companionHandler.calls.nextIs<HandlerCall.Connected>().connection, firstAnswer)
+            listener.send(companionHandler.calls.nextIs<HandlerCall.Connected>().connectionId, firstAnswer)
             entryHandler.calls.nextIs<HandlerCall.Rejected>()
             entryHandler.calls.nextIs<HandlerCall.Lost>()
             companionHandler.calls.nextIs<HandlerCall.Lost>()
--- a/peer/src/test/kotlin/org/lovageladder/peer/PeerListenerTest.kt
+++ b/peer/src/test/kotlin/org/lovageladder/peer/PeerListenerTest.kt
@@ -123,7 +123,7 @@
                 socket.getOutputStream().write(frame(encodeEnvelope(hello(process = name))) + encodedBytes)
                 val connected = handler.calls.nextIs<HandlerCall.Connected>()
                 assertEquals(EventKind.FRAME_REJECTED, handler.calls.nextIs<HandlerCall.Rejected>().kind, name)
-                assertEquals(connected.connection, handler.calls.nextIs<HandlerCall.Lost>().connection, name)
+                assertEquals(connected.connectionId, handler.calls.nextIs<HandlerCall.Lost>().connectionId, name)
             }
         }
     }
@@ -135,7 +135,7 @@
             val olderConnection = handler.calls.nextIs<HandlerCall.Connected>()
             rawSocket().use { newer ->
                 newer.getOutputStream().write(frame(encodeEnvelope(hello())))
-                assertEquals(olderConnection.connection, handler.calls.nextIs<HandlerCall.Lost>().connection)
+                assertEquals(olderConnection.connectionId, handler.calls.nextIs<HandlerCall.Lost>().connectionId)
                 handler.calls.nextIs<HandlerCall.Connected>()
                 assertEquals(-1, older.getInputStream().read())
             }
@@ -152,7 +152,7 @@
                 assertEquals(-1, older.getInputStream().read())
                 newer.getOutputStream().write(frame(encodeEnvelope(heartbeat(5))))
                 assertEquals(
-                    HandlerCall.Received(newerConnection.connection, PeerMessage.Heartbeat(5)),
+                    HandlerCall.Received(newerConnection.connectionId, PeerMessage.Heartbeat(5)),
                     handler.calls.next(),
                 )
             }
@@ -168,7 +168,7 @@
                 val largeMessage = envelopeOf(PeerMessage.TokenProduced(attemptId(1), 0, "x".repeat(90_000)))
                 var lost: HandlerCall? = null
                 while (lost == null) {
-                    listener.send(connected.connection, largeMessage)
+                    listener.send(connected.connectionId, largeMessage)
                     lost = handler.calls.queue.poll()
                 }
                 assertEquals(FaultCause.TIMEOUT, (lost as HandlerCall.Lost).fault.cause)
@@ -182,8 +182,8 @@
             socket.getOutputStream().write(frame(encodeEnvelope(hello())))
             val connected = handler.calls.nextIs<HandlerCall.Connected>()
             val body = encodeEnvelope(heartbeat(1))
-            repeat(1_000) { listener.send(connected.connection, heartbeat(1)) }
-            listener.close(connected.connection)
+            repeat(1_000) { listener.send(connected.connectionId, heartbeat(1)) }
+            listener.close(connected.connectionId)
             assertEquals(1_000 * (4 + body.size), socket.getInputStream().readAllBytes().size)
             assertEquals(null, handler.calls.queue.poll())
         }
--- a/peer/src/test/kotlin/org/lovageladder/peer/RecordingHandlers.kt
+++ b/peer/src/test/kotlin/org/lovageladder/peer/RecordingHandlers.kt
@@ -23,11 +23,11 @@
 
 /** Call of a [ListenerHandler] or [DialerHandler]. */
 internal sealed interface HandlerCall {
-    data class Connected(val connection: ConnectionId, val firstMessage: PeerMessage) : HandlerCall
+    data class Connected(val connectionId: ConnectionId, val firstMessage: PeerMessage) : HandlerCall
 
-    data class Received(val connection: ConnectionId, val message: PeerMessage) : HandlerCall
+    data class Received(val connectionId: ConnectionId, val message: PeerMessage) : HandlerCall
 
-    data class Lost(val connection: ConnectionId, val fault: Fault) : HandlerCall
+    data class Lost(val connectionId: ConnectionId, val fault: Fault) : HandlerCall
 
     data class Rejected(val kind: EventKind, val fault: Fault) : HandlerCall
 }
