--- a/stand-in/src/main/kotlin/org/lovageladder/standin/CacheEventLog.kt
+++ b/stand-in/src/main/kotlin/org/lovageladder/standin/CacheEventLog.kt
@@ -4,7 +4,7 @@
 import kotlinx.serialization.Serializable
 import kotlin.time.Duration
 
-/** What happened to blocks of the prefix cache, in the published words. */
+/** Kind of change to the prefix cache; the serial names are vLLM's published event names. */
 @Serializable
 internal enum class CacheEventType {
     @SerialName("BlockStored")
@@ -24,29 +24,37 @@
 @Serializable
 internal data class CacheEventList(val events: List<CacheEvent>)
 
-/** The newest events of a prefix cache, shown [lag] late and without every [gapEvery]th; 0 leaves none out. */
-internal class CacheEvents(private val thread: EventLoopThread, private val lag: Duration, private val gapEvery: Int) {
-    private val shown = ArrayDeque<CacheEvent>()
+/**
+ * The newest events of a prefix cache, listed [delay] after they happen.
+ *
+ * Every [omitEvery]th event is left out, so that readers see gaps in the sequence numbers; 0 omits none.
+ */
+internal class CacheEventLog(
+    private val thread: EventLoopThread,
+    private val delay: Duration,
+    private val omitEvery: Int,
+) {
+    private val listed = ArrayDeque<CacheEvent>()
     private var lastSequence = 0L
 
-    fun add(type: CacheEventType, blockHashes: List<String>) {
+    fun record(type: CacheEventType, blockHashes: List<String>) {
         val event = CacheEvent(++lastSequence, type, blockHashes)
-        if (gapEvery == 0 || event.sequence % gapEvery != 0L) {
-            thread.after(lag) { show(event) }
+        if (omitEvery == 0 || event.sequence % omitEvery != 0L) {
+            thread.schedule(delay) { list(event) }
         }
     }
 
-    /** The events shown by now whose sequence number is above [sequence]. */
-    fun after(sequence: Long): CacheEventList = CacheEventList(shown.filter { it.sequence > sequence })
+    /** Listed events whose sequence number is above [sequence]. */
+    fun after(sequence: Long): CacheEventList = CacheEventList(listed.filter { it.sequence > sequence })
 
-    private fun show(event: CacheEvent) {
-        shown.addLast(event)
-        if (shown.size > KEPT_EVENTS) {
-            shown.removeFirst()
+    private fun list(event: CacheEvent) {
+        listed.addLast(event)
+        if (listed.size > MAXIMUM_LISTED_EVENTS) {
+            listed.removeFirst()
         }
     }
 
     private companion object {
-        const val KEPT_EVENTS = 1000
+        const val MAXIMUM_LISTED_EVENTS = 1000
     }
 }
--- a/stand-in/src/main/kotlin/org/lovageladder/standin/CallRateLimiter.kt
+++ b/stand-in/src/main/kotlin/org/lovageladder/standin/CallRateLimiter.kt
@@ -4,18 +4,18 @@
 import kotlin.time.Duration.Companion.ZERO
 import kotlin.time.Duration.Companion.seconds
 
-/** Spaces calls out to [callsPerSecond]: each waits until the ones before it have had their share; 0 sets no limit. */
-internal class KeyValuePace(private val thread: EventLoopThread, private val callsPerSecond: Int) {
-    private var nextStart = ZERO
+/** Rate limiter that spaces call starts evenly at [callsPerSecond], in order of arrival; 0 sets no limit. */
+internal class CallRateLimiter(private val thread: EventLoopThread, private val callsPerSecond: Int) {
+    private var nextStartAt = ZERO
 
-    /** Takes the next place and says how long the call has to wait for it. */
-    fun takePlace(): Duration {
+    /** Reserves the next start time and returns how long the call must wait for it. */
+    fun reserveStart(): Duration {
         if (callsPerSecond == 0) {
             return ZERO
         }
         val now = thread.now()
-        val start = maxOf(now, nextStart)
-        nextStart = start + 1.seconds / callsPerSecond
-        return start - now
+        val startAt = maxOf(now, nextStartAt)
+        nextStartAt = startAt + 1.seconds / callsPerSecond
+        return startAt - now
     }
 }
--- a/stand-in/src/main/kotlin/org/lovageladder/standin/CompletionRequest.kt
+++ b/stand-in/src/main/kotlin/org/lovageladder/standin/CompletionRequest.kt
@@ -4,10 +4,10 @@
 import kotlinx.serialization.Serializable
 import java.security.MessageDigest
 
-/** A completion or chat completion as a caller asked for it, checked. */
+/** A validated request for a completion or chat completion. */
 internal data class CompletionRequest(
     val requestId: String,
-    val shape: CompletionShape,
+    val api: CompletionApi,
     val model: String?,
     val prompt: String,
     val stream: Boolean,
@@ -18,30 +18,30 @@
 ) {
     val promptTokens: Int = wordsOf(prompt).count()
 
-    /** Tokens whose keys and values have to exist before the next token can be produced. */
+    /** Tokens whose keys and values must be computed before the next token: the prompt and any resumed output. */
     val prefillTokens: Int = promptTokens + resumeFrom
 
-    private val promptMark = markOf(prompt)
+    private val promptDigest = digestPrefix(prompt)
 
-    /** Text of the output token at [index], the same in each run of the same prompt. */
-    fun token(index: Int): String = "w$index-$promptMark "
+    /** Text of the output token at [index]; depends only on the prompt and the index. */
+    fun outputToken(index: Int): String = "w$index-$promptDigest "
 
     companion object {
         const val REQUEST_ID_HEADER: String = "X-Request-Id"
-        private const val MARK_BYTES = 3
+        private const val DIGEST_PREFIX_BYTES = 3
         private const val DEFAULT_MAXIMUM_TOKENS = 16
 
-        /** Reads a request; throws [RequestRefused] with status 400 naming the field that doesn't fit. */
-        fun read(request: HttpRequest, shape: CompletionShape, requestId: String): CompletionRequest {
+        /** Parses and validates a request; throws [RequestRefused] with status 400 naming the invalid field. */
+        fun parse(request: HttpRequest, api: CompletionApi, requestId: String): CompletionRequest {
             val body = StandInJson.read<CompletionBody>(request.body)
             val maximumTokens = body.maximumCompletionTokens ?: body.maximumTokens ?: DEFAULT_MAXIMUM_TOKENS
             requireField(maximumTokens >= 1, "max_tokens", maximumTokens, "1 or more")
-            checkResume(body, maximumTokens)
+            checkResumeFrom(body, maximumTokens)
             return CompletionRequest(
                 requestId = requestId,
-                shape = shape,
+                api = api,
                 model = body.model,
-                prompt = shape.promptOf(body),
+                prompt = api.promptOf(body),
                 stream = body.stream,
                 maximumTokens = maximumTokens,
                 priority = body.priority,
@@ -50,36 +50,36 @@
             )
         }
 
-        /** A prefill whose decode runs elsewhere may be for any index, as its `max_tokens` is always 1. */
-        private fun checkResume(body: CompletionBody, maximumTokens: Int) {
-            val onlyPrefill = body.transfer?.remoteDecode == true
-            val bound = if (onlyPrefill) Int.MAX_VALUE else maximumTokens
-            requireField(body.resumeFrom in 0 until bound, "resume_from", body.resumeFrom, "0 to below $bound")
+        /** A prefill-only call may resume from any index, because its `max_tokens` is always 1. */
+        private fun checkResumeFrom(body: CompletionBody, maximumTokens: Int) {
+            val prefillOnly = body.transfer?.remoteDecode == true
+            val limit = if (prefillOnly) Int.MAX_VALUE else maximumTokens
+            requireField(body.resumeFrom in 0 until limit, "resume_from", body.resumeFrom, "0 to below $limit")
         }
 
-        private fun markOf(prompt: String): String = MessageDigest
+        private fun digestPrefix(prompt: String): String = MessageDigest
             .getInstance("SHA-256")
             .digest(prompt.toByteArray())
-            .take(MARK_BYTES)
+            .take(DIGEST_PREFIX_BYTES)
             .joinToString("") { "%02x".format(it) }
     }
 }
 
-/** Which of the two published completion interfaces a call came by. */
-internal enum class CompletionShape(val path: String, val wholeName: String, val chunkName: String) {
+/** The two published completion endpoints, with the `object` names of their answers. */
+internal enum class CompletionApi(val path: String, val completeObjectName: String, val chunkObjectName: String) {
     TEXT("/v1/completions", "text_completion", "text_completion"),
     CHAT("/v1/chat/completions", "chat.completion", "chat.completion.chunk"),
     ;
 
     fun promptOf(body: CompletionBody): String = when (this) {
-        TEXT -> body.prompt ?: throw RequestRefused.badField("prompt", "field prompt is missing")
+        TEXT -> body.prompt ?: throw RequestRefused.invalidField("prompt", "field prompt is missing")
         CHAT ->
             body.messages?.joinToString("\n") { it.content }
-                ?: throw RequestRefused.badField("messages", "field messages is missing")
+                ?: throw RequestRefused.invalidField("messages", "field messages is missing")
     }
 
     companion object {
-        fun at(path: String): CompletionShape? = entries.find { it.path == path }
+        fun forPath(path: String): CompletionApi? = entries.find { it.path == path }
     }
 }
 
@@ -99,7 +99,7 @@
 @Serializable
 internal data class ChatMessage(val role: String, val content: String)
 
-/** The published parameters by which a prefill's result is passed on to a decode engine. */
+/** vLLM's published `kv_transfer_params`, which tell a decode engine where to fetch a prefill result. */
 @Serializable
 internal data class TransferParameters(
     @SerialName("do_remote_decode") val remoteDecode: Boolean = false,
@@ -111,14 +111,14 @@
     @SerialName("remote_request_id") val requestId: String? = null,
 )
 
-/** Throws [RequestRefused] with status 400 when a field's [value] is not [allowed]. */
-internal fun requireField(holds: Boolean, field: String, value: Any?, allowed: String) {
-    if (!holds) {
-        throw RequestRefused.badField(field, "field $field is '$value', allowed is $allowed")
+/** Throws [RequestRefused] with status 400 unless [isValid]; [allowed] describes the accepted values. */
+internal fun requireField(isValid: Boolean, field: String, value: Any?, allowed: String) {
+    if (!isValid) {
+        throw RequestRefused.invalidField(field, "field $field is '$value', allowed is $allowed")
     }
 }
 
 private val whitespace = Regex("\\s+")
 
-/** The words of [prompt], each of which counts as one token. */
+/** The words of [prompt]; the stand-in counts each word as one token. */
 internal fun wordsOf(prompt: String): Sequence<String> = prompt.splitToSequence(whitespace).filter { it.isNotEmpty() }
--- a/stand-in/src/main/kotlin/org/lovageladder/standin/CompletionWriter.kt
+++ b/stand-in/src/main/kotlin/org/lovageladder/standin/CompletionWriter.kt
@@ -4,24 +4,24 @@
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.encodeToString
 
-/** Why a generation ended, in the words of the published interface. */
-internal enum class FinishReason(val word: String) {
+/** Why a generation ended; [wireName] is the published `finish_reason`. */
+internal enum class FinishReason(val wireName: String) {
     LENGTH("length"),
     CANCELLED("cancelled"),
 }
 
-/** Writes one completion to its caller, as a stream of events or whole at the end. */
-internal class CompletionAnswer(
+/** Writes one completion to its caller, either as server-sent events or as one JSON body at the end. */
+internal class CompletionWriter(
     private val request: CompletionRequest,
     private val exchange: HttpExchange,
     private val model: String,
 ) {
     private val text = StringBuilder()
     private val createdSeconds = System.currentTimeMillis() / MILLISECONDS_PER_SECOND
-    private var streaming = false
+    private var streamStarted = false
 
-    fun token(index: Int) {
-        val token = request.token(index)
+    fun writeToken(index: Int) {
+        val token = request.outputToken(index)
         if (request.stream) {
             sendChunk(token, null, null, null)
         } else {
@@ -33,8 +33,8 @@
         val usage =
             Usage(
                 promptTokens = request.promptTokens,
-                completionTokens = call.produced,
-                totalTokens = request.promptTokens + call.produced,
+                completionTokens = call.producedTokens,
+                totalTokens = request.promptTokens + call.producedTokens,
                 promptDetails = PromptDetails(call.cachedTokens),
             )
         if (request.stream) {
@@ -42,55 +42,56 @@
             exchange.write("data: [DONE]\n\n")
             exchange.end()
         } else {
-            exchange.answer(whole(reason, usage, transfer))
+            exchange.answer(completeBody(reason, usage, transfer))
         }
     }
 
-    /** Refuses the call while nothing was sent; a stream already begun is cut instead. */
+    /** Answers with an error if nothing has been sent yet; otherwise aborts the stream. */
     fun fail(refused: RequestRefused) {
-        if (streaming) {
-            exchange.drop()
+        if (streamStarted) {
+            exchange.abort()
         } else {
             exchange.refuse(refused)
         }
     }
 
     private fun sendChunk(token: String, reason: FinishReason?, usage: Usage?, transfer: TransferParameters?) {
-        if (!streaming) {
-            streaming = true
+        if (!streamStarted) {
+            streamStarted = true
             exchange.startStream(HttpExchange.EVENT_STREAM_TYPE)
         }
         val chunk =
-            when (request.shape) {
-                CompletionShape.TEXT -> encode(TextChoice(token, reason?.word), usage, transfer, chunkName())
-                CompletionShape.CHAT -> encode(ChatChunk(ChatDelta(token), reason?.word), usage, transfer, chunkName())
+            when (request.api) {
+                CompletionApi.TEXT -> encode(TextChoice(token, reason?.wireName), usage, transfer, chunkName())
+                CompletionApi.CHAT ->
+                    encode(ChatChunk(ChatDelta(token), reason?.wireName), usage, transfer, chunkName())
             }
         exchange.write("data: $chunk\n\n")
     }
 
-    private fun whole(reason: FinishReason, usage: Usage, transfer: TransferParameters?): String =
-        when (request.shape) {
-            CompletionShape.TEXT ->
-                encode(TextChoice(text.toString(), reason.word), usage, transfer, wholeName())
-            CompletionShape.CHAT ->
+    private fun completeBody(reason: FinishReason, usage: Usage, transfer: TransferParameters?): String =
+        when (request.api) {
+            CompletionApi.TEXT ->
+                encode(TextChoice(text.toString(), reason.wireName), usage, transfer, bodyName())
+            CompletionApi.CHAT ->
                 encode(
-                    ChatChoice(ChatMessage("assistant", text.toString()), reason.word),
+                    ChatChoice(ChatMessage("assistant", text.toString()), reason.wireName),
                     usage,
                     transfer,
-                    wholeName(),
+                    bodyName(),
                 )
         }
 
-    private fun chunkName() = request.shape.chunkName
+    private fun chunkName() = request.api.chunkObjectName
 
-    private fun wholeName() = request.shape.wholeName
+    private fun bodyName() = request.api.completeObjectName
 
     private inline fun <reified Choice> encode(
         choice: Choice,
         usage: Usage?,
         transfer: TransferParameters?,
         objectName: String,
-    ): String = StandInJson.answers.encodeToString(
+    ): String = StandInJson.lenient.encodeToString(
         Completion(request.requestId, objectName, createdSeconds, model, listOf(choice), usage, transfer),
     )
 
--- a/stand-in/src/main/kotlin/org/lovageladder/standin/DecodeBatch.kt
+++ b/stand-in/src/main/kotlin/org/lovageladder/standin/DecodeBatch.kt
@@ -4,8 +4,8 @@
 import kotlin.time.Duration.Companion.ZERO
 
 /**
- * Continuous batching: each step produces one token for every call in the batch, and calls join and leave between
- * steps. The gap between steps grows with the number of calls.
+ * Continuous batching: each step produces one token for every call in the batch, and calls are added and removed
+ * between steps. The interval between steps grows with the number of calls.
  */
 internal class DecodeBatch(
     private val thread: EventLoopThread,
@@ -18,7 +18,7 @@
     private var nextStepAt = ZERO
 
     /** Output tokens produced so far. */
-    var tokensTotal: Long = 0
+    var producedTokens: Long = 0
         private set
 
     val size: Int
@@ -27,7 +27,7 @@
     fun add(call: EngineCall) {
         calls.add(call)
         if (nextStep == null) {
-            nextStepAt = thread.now() + gap()
+            nextStepAt = thread.now() + stepInterval()
             scheduleStep()
         }
     }
@@ -36,13 +36,13 @@
         calls.remove(call)
     }
 
-    private fun gap(): Duration {
-        val steady = settings.baseTokenGap + settings.tokenGapPerRunning * (calls.size - 1).coerceAtLeast(0)
-        return steady * slowness.currentFactor()
+    private fun stepInterval(): Duration {
+        val normalInterval = settings.baseTokenGap + settings.tokenGapPerRunning * (calls.size - 1).coerceAtLeast(0)
+        return normalInterval * slowness.currentFactor()
     }
 
     private fun scheduleStep() {
-        nextStep = thread.after(nextStepAt - thread.now()) { step() }
+        nextStep = thread.schedule(nextStepAt - thread.now()) { step() }
     }
 
     private fun step() {
@@ -57,15 +57,15 @@
             return
         }
         calls.toList().forEach { produceToken(it) }
-        nextStepAt = maxOf(nextStepAt + gap(), thread.now())
+        nextStepAt = maxOf(nextStepAt + stepInterval(), thread.now())
         scheduleStep()
     }
 
     private fun produceToken(call: EngineCall) {
-        call.answer.token(call.nextToken)
-        call.nextToken++
-        tokensTotal++
-        if (call.nextToken >= call.request.maximumTokens) {
+        call.writer.writeToken(call.nextTokenIndex)
+        call.nextTokenIndex++
+        producedTokens++
+        if (call.nextTokenIndex >= call.request.maximumTokens) {
             calls.remove(call)
             onFinished(call)
         }
--- a/stand-in/src/main/kotlin/org/lovageladder/standin/EngineCall.kt
+++ b/stand-in/src/main/kotlin/org/lovageladder/standin/EngineCall.kt
@@ -1,21 +1,21 @@
 package org.lovageladder.standin
 
-/** One call that an engine has accepted and not finished yet. */
+/** A call that an engine has accepted and not finished yet. */
 internal class EngineCall(
     val request: CompletionRequest,
-    val answer: CompletionAnswer,
-    /** Memory held until the call is finished or cancelled; 0 for a prefill whose decode runs elsewhere. */
+    val writer: CompletionWriter,
+    /** Pieces held until the call is finished or cancelled; 0 for a prefill whose decode runs elsewhere. */
     val pieces: Int,
 ) {
     /** Index of the next token to produce. */
-    var nextToken: Int = request.resumeFrom
+    var nextTokenIndex: Int = request.resumeFrom
 
-    /** Prompt tokens that the prefix cache spared the prefill. */
+    /** Prompt tokens found in the prefix cache, which need no prefill. */
     var cachedTokens: Int = 0
 
-    val produced: Int
-        get() = nextToken - request.resumeFrom
+    val producedTokens: Int
+        get() = nextTokenIndex - request.resumeFrom
 
-    /** Takes the call out of the prefill queue, the transfer or the batch that it is in now. */
-    var withdraw: () -> Unit = {}
+    /** Cancels the current stage: removes the call from the prefill queue or decode batch, or stops its transfer. */
+    var cancelStage: () -> Unit = {}
 }
--- a/stand-in/src/main/kotlin/org/lovageladder/standin/EngineMessages.kt
+++ b/stand-in/src/main/kotlin/org/lovageladder/standin/EngineMessages.kt
@@ -19,7 +19,7 @@
 @Serializable
 internal data class CancelAnswer(val cancelled: Boolean)
 
-/** Counters since the engine started, and what it holds now. */
+/** Counters since the engine started, and its current calls and memory. */
 @Serializable
 internal data class EngineStats(
     @SerialName("prefill_tokens_total") val prefillTokens: Long,
@@ -49,9 +49,9 @@
 @Serializable
 internal data class RoleOrder(val role: String, val fencing: Long? = null)
 
-/** Answer to an order: what the engine serves from now on. */
+/** Answer to an order: the engine's role and models once the order is applied. */
 @Serializable
-internal data class EngineDuties(val name: String, val role: String, val models: List<String>)
+internal data class OrderAnswer(val name: String, val role: String, val models: List<String>)
 
 @Serializable
 internal data class ModelList(val data: List<ModelCard>, @SerialName("object") val objectName: String = "list")
@@ -64,7 +64,7 @@
     @SerialName("object") val objectName: String = "model",
 )
 
-/** Faults to inject into an engine; each field stands for itself and several may come together. */
+/** Faults to inject into an engine; the fields are independent and may be combined. */
 @Serializable
 internal data class EngineFault(
     @SerialName("slow_factor") val slowFactor: Double? = null,
--- a/stand-in/src/main/kotlin/org/lovageladder/standin/EngineSettings.kt
+++ b/stand-in/src/main/kotlin/org/lovageladder/standin/EngineSettings.kt
@@ -4,27 +4,27 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
-/** What an engine stand-in may be asked to do. */
+/** Which kinds of calls an engine stand-in accepts. */
 public enum class EngineRole {
     PREFILL,
     DECODE,
     BOTH,
     ;
 
-    internal val word: String = name.lowercase()
+    internal val wireName: String = name.lowercase()
 
-    internal val takesDecode: Boolean
+    internal val acceptsDecode: Boolean
         get() = this != PREFILL
 
-    internal val takesPrefill: Boolean
+    internal val acceptsPrefill: Boolean
         get() = this != DECODE
 }
 
-/** Size, speed and habits of an [EngineStandIn]. */
+/** Size, speed and optional behaviour of an [EngineStandIn]. */
 public data class EngineSettings(
     val role: EngineRole = EngineRole.BOTH,
     val name: String = "engine",
-    /** The only model name answered to, besides loaded models and adapters; null answers to any. */
+    /** The only model name accepted besides loaded models and adapters; null accepts any name. */
     val model: String? = null,
     val pieces: Int = 80,
     val pieceTokens: Int = 4096,
@@ -32,21 +32,22 @@
     val prefillTokensPerSecond: Long = 20_000,
     val baseTokenGap: Duration = 20.milliseconds,
     val tokenGapPerRunning: Duration = 1.milliseconds,
-    /** How long a prefill's result can be fetched after the prefill has ended. */
+    /** How long a prefill result can be fetched after the prefill has ended. */
     val keepTime: Duration = 800.milliseconds,
-    /** Rate at which this engine sends prefill results, shared by all fetches under way. */
+    /** Rate at which this engine sends prefill results, shared by all fetches in progress. */
     val linkBytesPerSecond: Long = 4_000_000_000,
     val keyValueBytesPerToken: Long = 100_000,
     /** Age of the load that the metrics show. */
     val reportLag: Duration = 2.seconds,
-    /** Blocks of prompt prefixes that need no prefill again; 0 caches nothing. */
+    /** Capacity of the prefix cache in blocks; 0 disables it. */
     val prefixCacheBlocks: Int = 0,
     val prefixBlockTokens: Int = 64,
-    /** How late cache events are shown. */
+    /** Delay before a cache event is listed. */
     val cacheEventLag: Duration = 1.seconds,
-    /** Every so manyth cache event is lost; 0 loses none. */
+    /** Every Nth cache event is omitted; 0 omits none. */
     val cacheEventGapEvery: Int = 0,
-    /** Whether a closed connection ends its generation; otherwise only a cancel does. */
+    /** Whether closing a connection cancels its call; otherwise only a cancel order does. */
     val freeOnDisconnect: Boolean = false,
+    /** Accepts orders with outdated fencing numbers. */
     val ignoreFencing: Boolean = false,
 )
--- a/stand-in/src/main/kotlin/org/lovageladder/standin/EngineStandIn.kt
+++ b/stand-in/src/main/kotlin/org/lovageladder/standin/EngineStandIn.kt
@@ -5,15 +5,16 @@
 import kotlin.time.Duration.Companion.milliseconds
 
 /**
- * A language-model engine without a model: it batches, holds memory, prefills and passes prefill results on as a real
- * one would, and answers with tokens that follow from the prompt alone.
+ * Simulates a language-model engine: batching, memory use, prefill and the transfer of prefill results take the time
+ * that the settings give them. Output tokens depend only on the prompt.
  *
  * A call that is refused for memory, role or an expired prefill result gets a JSON error whose `type` is
  * `out_of_memory`, `wrong_role`, `kv_expired` or `kv_unreachable`.
  *
- * It serves the OpenAI-compatible completions with vLLM's additions (`kv_transfer_params`, `priority`, adapter load
- * and unload, Prometheus names), and plain JSON for what has no published form: `GET /v1/running`, `POST /v1/cancel`,
- * `POST /v1/role`, `POST /v1/load_model`, `GET /v1/cache_events?after=SEQUENCE`, `POST /fault` and `GET /stats`.
+ * It serves OpenAI-compatible completions with vLLM's additions (`kv_transfer_params`, `priority`, adapter load and
+ * unload, Prometheus names). Functions without a published protocol use plain JSON: `GET /v1/running`,
+ * `POST /v1/cancel`, `POST /v1/role`, `POST /v1/load_model`, `GET /v1/cache_events?after=SEQUENCE`, `POST /fault` and
+ * `GET /stats`.
  */
 public class EngineStandIn private constructor(
     private val settings: EngineSettings,
@@ -23,20 +24,21 @@
     private val thread = EventLoopThread()
     private val slowness = Slowness(thread)
     private val link = SharedLink(thread, settings.linkBytesPerSecond)
-    private val kept = KeptPrefills(thread, settings.keepTime, link, settings.keyValueBytesPerToken)
-    private val cacheEvents = CacheEvents(thread, settings.cacheEventLag, settings.cacheEventGapEvery)
-    private val prefixes = PrefixCache(settings.prefixCacheBlocks, settings.prefixBlockTokens, cacheEvents)
-    private val calls = EngineCalls(thread, settings, slowness, kept, prefixes) { ownAddress() }
-    private val report = LoadReport(thread, settings.reportLag) { calls.load() }
+    private val prefillResults = PrefillResults(thread, settings.keepTime, link, settings.keyValueBytesPerToken)
+    private val cacheEvents = CacheEventLog(thread, settings.cacheEventLag, settings.cacheEventGapEvery)
+    private val prefixCache = PrefixCache(settings.prefixCacheBlocks, settings.prefixBlockTokens, cacheEvents)
+    private val scheduler =
+        EngineScheduler(thread, settings, slowness, prefillResults, prefixCache) { ownTransferParameters() }
+    private val load = LoadReport(thread, settings.reportLag) { scheduler.currentLoad() }
     private val models = ServedModels(settings.model, settings.name)
-    private val fencing = FencingGate(settings.ignoreFencing)
+    private val fencing = FencingCheck(settings.ignoreFencing)
     private val engineId = "${settings.name}-${UUID.randomUUID()}"
     private var role = settings.role
     private val server = HttpServer.start(thread, requestedPort) { route(it) }
 
     public val port: Int = server.port
 
-    /** Stops the engine and closes its connections without finishing what runs. */
+    /** Stops the engine and closes its connections without finishing running calls. */
     override fun close() {
         server.close()
         thread.close()
@@ -44,44 +46,44 @@
 
     private fun route(exchange: HttpExchange) {
         val request = exchange.request
-        val shape = CompletionShape.at(request.path)
+        val api = CompletionApi.forPath(request.path)
         when {
-            shape != null && request.method == "POST" -> complete(exchange, shape)
-            request.method == "POST" -> order(exchange)
-            else -> read(exchange)
+            api != null && request.method == "POST" -> handleCompletion(exchange, api)
+            request.method == "POST" -> handlePost(exchange)
+            else -> handleGet(exchange)
         }
     }
 
-    private fun complete(exchange: HttpExchange, shape: CompletionShape) {
+    private fun handleCompletion(exchange: HttpExchange, api: CompletionApi) {
         val requestId = exchange.request.header(CompletionRequest.REQUEST_ID_HEADER) ?: "cmpl-${UUID.randomUUID()}"
         exchange.addHeader(CompletionRequest.REQUEST_ID_HEADER, requestId)
-        val request = CompletionRequest.read(exchange.request, shape, requestId)
-        models.check(request.model)
-        calls.accept(request, exchange, role)
+        val request = CompletionRequest.parse(exchange.request, api, requestId)
+        models.requireServed(request.model)
+        scheduler.accept(request, exchange, role)
     }
 
-    private fun read(exchange: HttpExchange) {
-        val json = StandInJson.answers
+    private fun handleGet(exchange: HttpExchange) {
+        val json = StandInJson.lenient
         when (exchange.request.path) {
             "/health" -> exchange.answer("")
             "/v1/models" -> exchange.answer(json.encodeToString(models.list()))
-            "/v1/running" -> exchange.answer(json.encodeToString(calls.running()))
-            "/v1/cache_events" -> exchange.answer(json.encodeToString(cacheEvents.after(sequenceIn(exchange.request))))
-            "/stats" -> exchange.answer(json.encodeToString(calls.stats()))
-            "/metrics" -> exchange.answer(report.prometheusText(models.names.first()), contentType = PROMETHEUS_TYPE)
+            "/v1/running" -> exchange.answer(json.encodeToString(scheduler.runningCalls()))
+            "/v1/cache_events" -> exchange.answer(json.encodeToString(cacheEvents.after(sequenceOf(exchange.request))))
+            "/stats" -> exchange.answer(json.encodeToString(scheduler.stats()))
+            "/metrics" -> exchange.answer(load.prometheusText(models.names.first()), contentType = PROMETHEUS_TYPE)
             else -> throw RequestRefused.unknownPath(exchange.request)
         }
     }
 
-    private fun sequenceIn(request: HttpRequest): Long {
+    private fun sequenceOf(request: HttpRequest): Long {
         val value = request.query["after"]?.firstOrNull() ?: return 0
         return value.toLongOrNull()
-            ?: throw RequestRefused.badField("after", "parameter after is '$value', allowed is a whole number")
+            ?: throw RequestRefused.invalidField("after", "parameter after is '$value', allowed is a whole number")
     }
 
-    private fun order(exchange: HttpExchange) {
+    private fun handlePost(exchange: HttpExchange) {
         when (exchange.request.path) {
-            PrefillFetch.PATH -> sendPrefill(exchange)
+            PrefillFetch.PATH -> sendPrefillResult(exchange)
             "/v1/cancel" -> cancel(exchange)
             "/v1/load_lora_adapter" -> loadAdapter(exchange)
             "/v1/unload_lora_adapter" -> unloadAdapter(exchange)
@@ -92,53 +94,53 @@
         }
     }
 
-    private fun sendPrefill(exchange: HttpExchange) {
-        val wanted = body<FetchBody>(exchange)
-        if (wanted.engineId != null && wanted.engineId != engineId) {
-            throw KeptPrefills.expired(wanted.requestId)
+    private fun sendPrefillResult(exchange: HttpExchange) {
+        val requested = readBody<FetchBody>(exchange)
+        if (requested.engineId != null && requested.engineId != engineId) {
+            throw PrefillResults.expiredAnswer(requested.requestId)
         }
-        kept.fetch(wanted.requestId, exchange)
+        prefillResults.fetch(requested.requestId, exchange)
     }
 
     private fun cancel(exchange: HttpExchange) {
-        fencing.check(FencingGate.numberIn(exchange.request))
-        val cancelled = calls.cancel(body<CancelOrder>(exchange).requestId)
-        exchange.answer(StandInJson.answers.encodeToString(CancelAnswer(cancelled)))
+        fencing.check(FencingCheck.parseHeader(exchange.request))
+        val cancelled = scheduler.cancel(readBody<CancelOrder>(exchange).requestId)
+        exchange.answer(StandInJson.lenient.encodeToString(CancelAnswer(cancelled)))
     }
 
     private fun loadAdapter(exchange: HttpExchange) {
-        val order = body<AdapterLoadOrder>(exchange)
-        fencing.check(FencingGate.numberIn(exchange.request))
+        val order = readBody<AdapterLoadOrder>(exchange)
+        fencing.check(FencingCheck.parseHeader(exchange.request))
         models.loadAdapter(order)
         exchange.answer("Success: LoRA adapter '${order.name}' added successfully.", contentType = TEXT_TYPE)
     }
 
     private fun unloadAdapter(exchange: HttpExchange) {
-        val order = body<AdapterUnloadOrder>(exchange)
-        fencing.check(FencingGate.numberIn(exchange.request))
+        val order = readBody<AdapterUnloadOrder>(exchange)
+        fencing.check(FencingCheck.parseHeader(exchange.request))
         models.unloadAdapter(order)
         exchange.answer("Success: LoRA adapter '${order.name}' removed successfully.", contentType = TEXT_TYPE)
     }
 
     private fun loadModel(exchange: HttpExchange) {
-        val order = body<ModelLoadOrder>(exchange)
-        fencing.check(order.fencing ?: FencingGate.numberIn(exchange.request))
+        val order = readBody<ModelLoadOrder>(exchange)
+        fencing.check(order.fencing ?: FencingCheck.parseHeader(exchange.request))
         models.loadModel(order)
-        answerDuties(exchange)
+        answerOrder(exchange)
     }
 
     private fun changeRole(exchange: HttpExchange) {
-        val order = body<RoleOrder>(exchange)
-        val wanted = EngineRole.entries.find { it.word == order.role }
-        requireField(wanted != null, "role", order.role, EngineRole.entries.joinToString { it.word })
-        fencing.check(order.fencing ?: FencingGate.numberIn(exchange.request))
-        role = wanted ?: role
-        answerDuties(exchange)
+        val order = readBody<RoleOrder>(exchange)
+        val requested = EngineRole.entries.find { it.wireName == order.role }
+        requireField(requested != null, "role", order.role, EngineRole.entries.joinToString { it.wireName })
+        fencing.check(order.fencing ?: FencingCheck.parseHeader(exchange.request))
+        role = requested ?: role
+        answerOrder(exchange)
     }
 
-    private fun answerDuties(exchange: HttpExchange) {
-        val duties = EngineDuties(settings.name, role.word, models.names)
-        exchange.answer(StandInJson.answers.encodeToString(duties))
+    private fun answerOrder(exchange: HttpExchange) {
+        val answer = OrderAnswer(settings.name, role.wireName, models.names)
+        exchange.answer(StandInJson.lenient.encodeToString(answer))
     }
 
     private fun injectFault(exchange: HttpExchange) {
@@ -150,7 +152,7 @@
         }
         exchange.answer("{}")
         if (fault.crash) {
-            thread.crashSoon { crash() }
+            thread.scheduleCrash { crash() }
         }
     }
 
@@ -159,7 +161,7 @@
         close()
     }
 
-    private fun ownAddress() = TransferParameters(
+    private fun ownTransferParameters() = TransferParameters(
         remoteDecode = false,
         remotePrefill = true,
         engineId = engineId,
@@ -167,7 +169,7 @@
         port = port,
     )
 
-    private inline fun <reified Body> body(exchange: HttpExchange): Body = StandInJson.read(exchange.request.body)
+    private inline fun <reified Body> readBody(exchange: HttpExchange): Body = StandInJson.read(exchange.request.body)
 
     public companion object {
         private const val LOOPBACK = "127.0.0.1"
@@ -176,7 +178,7 @@
 
         /**
          * Starts an engine on loopback at [port], or at a free port when it is 0; throws when the port is taken.
-         * [onCrash] is called for the injected fault `crash`, before the engine closes itself abruptly.
+         * [onCrash] runs when the fault `crash` is injected, before the engine closes its connections abruptly.
          */
         public fun start(
             port: Int = 0,
--- a/stand-in/src/main/kotlin/org/lovageladder/standin/EventLoopThread.kt
+++ b/stand-in/src/main/kotlin/org/lovageladder/standin/EventLoopThread.kt
@@ -12,7 +12,7 @@
 import kotlin.time.Duration.Companion.nanoseconds
 
 /**
- * The one thread that a stand-in runs on. Connections and timers share it, so the state of a stand-in needs no locks.
+ * The single event-loop thread of a stand-in. All its connections and timers run on it, so its state needs no locks.
  */
 internal class EventLoopThread : AutoCloseable {
     val group: EventLoopGroup = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
@@ -21,41 +21,41 @@
 
     private val startNanoseconds = System.nanoTime()
 
-    /** Time since this thread was created, from a clock that never goes back. */
+    /** Time since this thread was created, from a monotonic clock. */
     fun now(): Duration = (System.nanoTime() - startNanoseconds).nanoseconds
 
     /** Runs [action] after [delay] on this thread; the returned timer can be cancelled. */
-    fun after(delay: Duration, action: () -> Unit): Timer {
+    fun schedule(delay: Duration, action: () -> Unit): Timer {
         val nanoseconds = delay.inWholeNanoseconds.coerceAtLeast(0)
         val future = eventLoop.schedule(Runnable { action() }, nanoseconds, TimeUnit.NANOSECONDS)
         return Timer { future.cancel(false) }
     }
 
-    /** Runs [action] once in every [period] on this thread until the stand-in is closed. */
-    fun every(period: Duration, action: () -> Unit) {
+    /** Runs [action] on this thread every [period], first after one period, until the stand-in is closed. */
+    fun scheduleEvery(period: Duration, action: () -> Unit) {
         val nanoseconds = period.inWholeNanoseconds
         eventLoop.scheduleAtFixedRate({ action() }, nanoseconds, nanoseconds, TimeUnit.NANOSECONDS)
     }
 
-    /** Runs [action] on this thread and waits for its end. Does nothing when the thread has ended. */
-    fun run(action: () -> Unit) {
+    /** Runs [action] on this thread and waits for its end. Does nothing after [close]. */
+    fun runAndWait(action: () -> Unit) {
         if (eventLoop.inEventLoop()) {
             action()
             return
         }
         try {
             eventLoop.submit(Runnable { action() }).syncUninterruptibly()
-        } catch (ended: RejectedExecutionException) {
-            Logger.debug(ended, "the stand-in was closed before")
+        } catch (shutDown: RejectedExecutionException) {
+            Logger.debug(shutDown, "event loop is already shut down, action not run")
         }
     }
 
-    /** Runs [crash] once the answer to the order that asked for it has had time to leave. */
-    fun crashSoon(crash: () -> Unit) {
-        after(CRASH_DELAY, crash)
+    /** Runs [crash] after a short delay, so that the answer to the fault request can still be sent. */
+    fun scheduleCrash(crash: () -> Unit) {
+        schedule(CRASH_DELAY, crash)
     }
 
-    /** Stops the thread. Waits for its end unless called from it. */
+    /** Stops the thread and waits for its end, except when called on the thread itself. */
     override fun close() {
         val stopped = group.shutdownGracefully(0, SHUTDOWN_TIMEOUT_SECONDS, TimeUnit.SECONDS)
         if (!eventLoop.inEventLoop()) {
@@ -69,7 +69,7 @@
     }
 }
 
-/** A scheduled action that has not run yet or is already over. */
+/** Handle of a scheduled action; [cancel] has no effect once the action has run. */
 internal fun interface Timer {
     fun cancel()
 }
--- a/stand-in/src/main/kotlin/org/lovageladder/standin/HostListCommand.kt
+++ b/stand-in/src/main/kotlin/org/lovageladder/standin/HostListCommand.kt
@@ -5,12 +5,13 @@
 import com.github.ajalt.clikt.parameters.options.option
 import kotlin.time.Duration.Companion.milliseconds
 
-/** Flags of a [HostListStandIn]. */
-internal class HostListCommand : ServerCommand("host-list", "The lagging list of live and leaving hosts.") {
+/** The `host-list` subcommand, which runs a [HostListStandIn]. */
+internal class HostListCommand : ServerCommand("host-list", "The list of live and leaving hosts, shown with a lag.") {
     private val defaults = HostListSettings()
-    private val lag by milliseconds("--lag-ms", "How late changes are listed.", defaults.lag.inWholeMilliseconds)
-    private val hosts by option("--host", metavar = "NAME,PLACE,IP:PORT", help = "A live host listed from the start.")
-        .convert { value -> hostOf(value) ?: fail("'$value' given, allowed is NAME,PLACE,IP:PORT") }
+    private val lag by
+        millisecondsOption("--lag-ms", "Delay before a change is listed.", defaults.lag.inWholeMilliseconds)
+    private val hosts by option("--host", metavar = "NAME,PLACE,IP:PORT", help = "A live host, listed from the start.")
+        .convert { value -> parseHost(value) ?: fail("'$value' given, allowed is NAME,PLACE,IP:PORT") }
         .multiple()
 
     override fun start(port: Int): RunningStandIn {
@@ -18,16 +19,16 @@
         return RunningStandIn(list, list.port)
     }
 
-    private fun hostOf(value: String): ListedHost? {
-        val parts = value.split(",")
-        if (parts.size != HOST_PARTS) {
+    private fun parseHost(value: String): ListedHost? {
+        val fields = value.split(",")
+        if (fields.size != HOST_FIELD_COUNT) {
             return null
         }
-        val (name, place, address) = parts
+        val (name, place, address) = fields
         return ListedHost(name = name, place = place, address = address)
     }
 
     private companion object {
-        const val HOST_PARTS = 3
+        const val HOST_FIELD_COUNT = 3
     }
 }
--- a/stand-in/src/main/kotlin/org/lovageladder/standin/HttpConnection.kt
+++ b/stand-in/src/main/kotlin/org/lovageladder/standin/HttpConnection.kt
@@ -13,30 +13,30 @@
 import java.io.IOException
 import java.nio.charset.StandardCharsets
 
-/** One client connection: hands its requests to [handler] in the order of arrival, one at a time. */
+/** One client connection, which passes its requests to [handler] one at a time, in order of arrival. */
 internal class HttpConnection(private val handler: HttpHandler) : SimpleChannelInboundHandler<FullHttpRequest>() {
-    private val waiting = ArrayDeque<HttpRequest>()
-    private var current: HttpExchange? = null
+    private val pendingRequests = ArrayDeque<HttpRequest>()
+    private var currentExchange: HttpExchange? = null
 
     override fun channelRead0(context: ChannelHandlerContext, message: FullHttpRequest) {
         if (message.decoderResult().isFailure) {
             refuseMalformed(context)
             return
         }
-        waiting.addLast(HttpRequest.of(message))
-        startNext(context)
+        pendingRequests.addLast(HttpRequest.from(message))
+        handleNext(context)
     }
 
     override fun channelInactive(context: ChannelHandlerContext) {
-        waiting.clear()
-        current?.connectionClosed()
-        current = null
+        pendingRequests.clear()
+        currentExchange?.onConnectionClosed()
+        currentExchange = null
     }
 
-    @Deprecated("Deprecated in Netty's base class, but still the place for connection errors.")
+    @Deprecated("Deprecated in Netty's base class, but still where connection errors are reported.")
     override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
         if (cause !is IOException) {
-            Logger.warn(cause, "connection closed after an error")
+            Logger.warn(cause, "closing the connection after an error")
         }
         context.close()
     }
@@ -47,17 +47,17 @@
         context.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE)
     }
 
-    private fun startNext(context: ChannelHandlerContext) {
-        if (current != null) {
+    private fun handleNext(context: ChannelHandlerContext) {
+        if (currentExchange != null) {
             return
         }
-        val request = waiting.removeFirstOrNull() ?: return
+        val request = pendingRequests.removeFirstOrNull() ?: return
         val exchange =
             HttpExchange(request, context.channel()) {
-                current = null
-                startNext(context)
+                currentExchange = null
+                handleNext(context)
             }
-        current = exchange
+        currentExchange = exchange
         try {
             handler.handle(exchange)
         } catch (refused: RequestRefused) {
@@ -66,7 +66,7 @@
     }
 }
 
-/** A received HTTP request, whole. */
+/** A complete HTTP request; header names are in lower case. */
 internal data class HttpRequest(
     val method: String,
     val path: String,
@@ -75,11 +75,11 @@
     val body: String,
     val keepAlive: Boolean,
 ) {
-    /** The value of the header [name], whatever its case, or null. */
+    /** The value of the header [name] in any case, or null. */
     fun header(name: String): String? = headers[name.lowercase()]
 
     companion object {
-        fun of(message: FullHttpRequest): HttpRequest {
+        fun from(message: FullHttpRequest): HttpRequest {
             val target = QueryStringDecoder(message.uri())
             return HttpRequest(
                 method = message.method().name(),
--- a/stand-in/src/main/kotlin/org/lovageladder/standin/HttpExchange.kt
+++ b/stand-in/src/main/kotlin/org/lovageladder/standin/HttpExchange.kt
@@ -15,23 +15,23 @@
 import io.netty.handler.codec.http.HttpVersion
 import java.nio.charset.StandardCharsets
 
-/** One request and the means to answer it once. Used on the stand-in's thread only. */
+/** One request and its single answer. Confined to the stand-in's thread. */
 internal class HttpExchange(val request: HttpRequest, private val channel: Channel, private val onEnded: () -> Unit) {
-    private val addedHeaders = LinkedHashMap<String, String>()
-    private var ended = false
+    private val extraHeaders = LinkedHashMap<String, String>()
+    private var hasEnded = false
 
-    /** Called once when the client's connection closes before the answer has ended. */
-    var onClosed: () -> Unit = {}
+    /** Called once when the caller disconnects before the answer has ended. */
+    var onDisconnect: () -> Unit = {}
 
     val isOpen: Boolean
-        get() = !ended && channel.isActive
+        get() = !hasEnded && channel.isActive
 
-    /** Adds a header to the answer; has no effect once the answer has begun. */
+    /** Adds a header to the answer; has no effect after the answer's headers are sent. */
     fun addHeader(name: String, value: String) {
-        addedHeaders[name] = value
+        extraHeaders[name] = value
     }
 
-    /** Answers whole. */
+    /** Sends a complete answer, unless the exchange is over. */
     fun answer(body: String, status: Int = HttpResponseStatus.OK.code(), contentType: String = JSON_TYPE) {
         if (!isOpen) {
             return
@@ -56,7 +56,7 @@
 
     fun write(text: String): Unit = write(Unpooled.copiedBuffer(text, StandardCharsets.UTF_8)) {}
 
-    /** Sends [bytes] and calls [onWritten] when the connection has taken them. */
+    /** Sends [bytes] and calls [onWritten] once they are written to the socket; releases them when it has ended. */
     fun write(bytes: ByteBuf, onWritten: () -> Unit) {
         if (!isOpen) {
             bytes.release()
@@ -77,31 +77,31 @@
         answer(refused.body(), refused.status)
     }
 
-    fun cameBy(connection: Channel): Boolean = connection === channel
+    fun usesConnection(connection: Channel): Boolean = connection === channel
 
-    /** Closes the connection without an answer. */
-    fun drop() {
-        ended = true
+    /** Closes the connection abruptly, without an answer or without the rest of one. */
+    fun abort() {
+        hasEnded = true
         channel.closeAbruptly()
     }
 
-    fun connectionClosed() {
-        if (!ended) {
-            ended = true
-            onClosed()
+    fun onConnectionClosed() {
+        if (!hasEnded) {
+            hasEnded = true
+            onDisconnect()
         }
     }
 
     private fun setHeaders(headers: HttpHeaders, contentType: String) {
         headers.set(HttpHeaderNames.CONTENT_TYPE, contentType)
-        addedHeaders.forEach { (name, value) -> headers.set(name, value) }
+        extraHeaders.forEach { (name, value) -> headers.set(name, value) }
         if (!request.keepAlive) {
             headers.set(HttpHeaderNames.CONNECTION, "close")
         }
     }
 
     private fun finish(last: Any) {
-        ended = true
+        hasEnded = true
         val written = channel.writeAndFlush(last)
         if (!request.keepAlive) {
             written.addListener(ChannelFutureListener.CLOSE)
@@ -112,6 +112,6 @@
     companion object {
         const val JSON_TYPE: String = "application/json"
         const val EVENT_STREAM_TYPE: String = "text/event-stream"
-        const val BYTES_TYPE: String = "application/octet-stream"
+        const val OCTET_STREAM_TYPE: String = "application/octet-stream"
     }
 }
--- a/stand-in/src/main/kotlin/org/lovageladder/standin/HttpServer.kt
+++ b/stand-in/src/main/kotlin/org/lovageladder/standin/HttpServer.kt
@@ -13,14 +13,14 @@
 import java.net.InetAddress
 import java.net.InetSocketAddress
 
-/** Answers one HTTP request, at once or later, through its [HttpExchange]. Runs on the stand-in's thread. */
+/** Answers an HTTP request, at once or later, through its [HttpExchange]. Runs on the stand-in's thread. */
 internal fun interface HttpHandler {
-    /** Throws [RequestRefused] to answer with an error. */
+    /** Handles one request; throws [RequestRefused] to answer with an error. */
     fun handle(exchange: HttpExchange)
 }
 
 /**
- * HTTP/1.1 server on loopback that all stand-ins share.
+ * HTTP/1.1 server on loopback, used by every stand-in.
  *
  * Requests on one connection are handled one after the other. Bodies above [MAXIMUM_BODY_BYTES] are refused with 413.
  */
@@ -31,10 +31,10 @@
 ) : AutoCloseable {
     val port: Int = (listener.localAddress() as InetSocketAddress).port
 
-    /** Closes all connections but that of [exchange], without answering; the server keeps listening. */
-    fun closeConnections(exchange: HttpExchange? = null) {
-        thread.run {
-            connections.filterNot { exchange?.cameBy(it) ?: false }.forEach { it.closeAbruptly() }
+    /** Closes all connections but that of [except], without answering; the server keeps listening. */
+    fun closeConnections(except: HttpExchange? = null) {
+        thread.runAndWait {
+            connections.filterNot { except?.usesConnection(it) ?: false }.forEach { it.closeAbruptly() }
         }
     }
 
@@ -82,7 +82,7 @@
     }
 }
 
-/** Closes without sending what is still to be sent; on the thread of the connection. */
+/** Closes the connection with a reset, discarding unsent data. Call it on the event loop of the connection. */
 internal fun Channel.closeAbruptly() {
     if (isOpen) {
         config().setOption(ChannelOption.SO_LINGER, 0)
--- a/stand-in/src/main/kotlin/org/lovageladder/standin/KeyValueFaults.kt
+++ b/stand-in/src/main/kotlin/org/lovageladder/standin/KeyValueFaults.kt
@@ -6,28 +6,28 @@
 import kotlin.time.Duration.Companion.ZERO
 import kotlin.time.Duration.Companion.milliseconds
 
-/** Injected faults of the key-value service, each ending by itself. */
+/** Faults injected into the key-value service; each ends after its duration or count. */
 internal class KeyValueFaults(private val thread: EventLoopThread) {
-    private var downEnds = ZERO
-    private var slowBy = ZERO
-    private var slowEnds = ZERO
+    private var downUntil = ZERO
+    private var slowDelay = ZERO
+    private var slowUntil = ZERO
     private var answersToLose = 0
     private var oldDataRevisions = 0L
-    private var oldDataEnds = ZERO
+    private var oldDataUntil = ZERO
 
     val isDown: Boolean
-        get() = thread.now() < downEnds
+        get() = thread.now() < downUntil
 
-    /** How long each call waits before it is handled. */
-    val delay: Duration
-        get() = if (thread.now() < slowEnds) slowBy else ZERO
+    /** Injected delay before each call is handled. */
+    val callDelay: Duration
+        get() = if (thread.now() < slowUntil) slowDelay else ZERO
 
-    /** How many revisions reads lie back. */
-    val revisionsBack: Long
-        get() = if (thread.now() < oldDataEnds) oldDataRevisions else 0
+    /** Number of revisions by which reads are stale. */
+    val staleRevisions: Long
+        get() = if (thread.now() < oldDataUntil) oldDataRevisions else 0
 
-    /** Whether the answer to the write that just took effect is lost. */
-    fun losesAnswer(): Boolean {
+    /** Whether to drop the answer to the write that just took effect; counts down the injected losses. */
+    fun consumeAnswerLoss(): Boolean {
         if (answersToLose == 0) {
             return false
         }
@@ -37,33 +37,33 @@
 
     /** Throws [RequestRefused] with status 400 when a value is out of range or `for_ms` is missing. */
     fun inject(fault: KeyValueFault) {
-        check(fault)
+        validate(fault)
         val now = thread.now()
         val duration = (fault.forMilliseconds ?: 0).milliseconds
-        fault.downMilliseconds?.let { downEnds = now + it.milliseconds }
+        fault.downMilliseconds?.let { downUntil = now + it.milliseconds }
         fault.loseAnswers?.let { answersToLose = it }
         fault.slowMilliseconds?.let {
-            slowBy = it.milliseconds
-            slowEnds = now + duration
+            slowDelay = it.milliseconds
+            slowUntil = now + duration
         }
         fault.oldDataRevisions?.let {
             oldDataRevisions = it
-            oldDataEnds = now + duration
+            oldDataUntil = now + duration
         }
     }
 
-    private fun check(fault: KeyValueFault) {
-        val durationWanted = fault.slowMilliseconds != null || fault.oldDataRevisions != null
+    private fun validate(fault: KeyValueFault) {
+        val needsDuration = fault.slowMilliseconds != null || fault.oldDataRevisions != null
         val allowed = "a number of milliseconds, with slow_ms and old_data_revisions"
-        requireField(!durationWanted || fault.forMilliseconds != null, "for_ms", fault.forMilliseconds, allowed)
-        checkNotNegative("down_ms", fault.downMilliseconds)
-        checkNotNegative("slow_ms", fault.slowMilliseconds)
-        checkNotNegative("for_ms", fault.forMilliseconds)
-        checkNotNegative("lose_answers", fault.loseAnswers?.toLong())
-        checkNotNegative("old_data_revisions", fault.oldDataRevisions)
+        requireField(!needsDuration || fault.forMilliseconds != null, "for_ms", fault.forMilliseconds, allowed)
+        requireNotNegative("down_ms", fault.downMilliseconds)
+        requireNotNegative("slow_ms", fault.slowMilliseconds)
+        requireNotNegative("for_ms", fault.forMilliseconds)
+        requireNotNegative("lose_answers", fault.loseAnswers?.toLong())
+        requireNotNegative("old_data_revisions", fault.oldDataRevisions)
     }
 
-    private fun checkNotNegative(field: String, value: Long?) {
+    private fun requireNotNegative(field: String, value: Long?) {
         requireField(value == null || value >= 0, field, value, "0 or more")
     }
 }
--- a/stand-in/src/main/kotlin/org/lovageladder/standin/KeyValueJson.kt
+++ b/stand-in/src/main/kotlin/org/lovageladder/standin/KeyValueJson.kt
@@ -13,14 +13,17 @@
 import java.nio.charset.StandardCharsets
 import java.util.Base64
 
-/** Messages of etcd v3's published JSON mapping: bytes as base64, 64-bit numbers as strings, defaults left out. */
+/** JSON format of etcd v3's published gateway: bytes as base64, 64-bit numbers as strings, default values omitted. */
 internal val keyValueJson: Json =
     Json {
         ignoreUnknownKeys = true
         coerceInputValues = true
     }
 
-/** Keys and values: base64 on the wire, here one character per byte so that order and size are those of the bytes. */
+/**
+ * Keys and values: base64 on the wire, one ISO 8859-1 character per byte in memory, so that string order and length are
+ * those of the bytes.
+ */
 internal object BytesSerializer : KSerializer<String> {
     override val descriptor: SerialDescriptor = PrimitiveSerialDescriptor("Bytes", PrimitiveKind.STRING)
 
--- a/stand-in/src/main/kotlin/org/lovageladder/standin/KeyValueLeases.kt
+++ b/stand-in/src/main/kotlin/org/lovageladder/standin/KeyValueLeases.kt
@@ -3,7 +3,7 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
-/** Leases of the key-value service: a lease that isn't kept alive takes its keys with it when it expires. */
+/** Leases of the key-value service; revoking or expiring a lease deletes the keys attached to it. */
 internal class KeyValueLeases(private val thread: EventLoopThread, private val store: KeyValueStore) {
     private val leases = HashMap<Long, GrantedLease>()
     private var nextId = FIRST_ID
@@ -25,37 +25,37 @@
     fun revoke(id: Long): LeaseRevokeResponse {
         val lease = leases[id] ?: throw notFound()
         lease.timer?.cancel()
-        end(lease)
+        remove(lease)
         return LeaseRevokeResponse(store.header())
     }
 
-    /** Extends the lease; the answer carries no time to live when it has expired. */
+    /** Extends the lease by its full time to live; the answer has no time to live when the lease doesn't exist. */
     fun keepAlive(id: Long): LeaseResponse {
         val lease = leases[id] ?: return LeaseResponse(store.header(), id)
         extend(lease)
         return LeaseResponse(store.header(), id, lease.timeToLiveSeconds)
     }
 
-    /** Says how long the lease still lives; -1 when it has expired or never was. */
+    /** The remaining time to live of a lease; -1 when it has expired or never existed. */
     fun timeToLive(request: LeaseRequest): LeaseResponse {
-        val lease = leases[request.id] ?: return LeaseResponse(store.header(), request.id, GONE_TIME_TO_LIVE)
+        val lease = leases[request.id] ?: return LeaseResponse(store.header(), request.id, EXPIRED_TIME_TO_LIVE)
         return LeaseResponse(
             header = store.header(),
             id = lease.id,
             timeToLiveSeconds = (lease.expiresAt - thread.now()).inWholeSeconds,
             grantedSeconds = lease.timeToLiveSeconds,
-            keys = if (request.keys) keysOf(lease) else emptyList(),
+            keys = if (request.keys) attachedKeys(lease) else emptyList(),
         )
     }
 
     /** Throws [KeyValueRefused] when a put names a lease that doesn't exist. */
-    fun check(put: PutRequest) {
+    fun requireLease(put: PutRequest) {
         if (put.lease != 0L && put.lease !in leases) {
             throw notFound()
         }
     }
 
-    /** Notes that [key] now belongs to [lease], or to none when it is 0. */
+    /** Records that [key] is attached to [lease]; does nothing when that is 0, as no lease has this id. */
     fun attach(key: String, lease: Long) {
         leases[lease]?.keys?.add(key)
     }
@@ -63,16 +63,16 @@
     private fun extend(lease: GrantedLease) {
         lease.timer?.cancel()
         lease.expiresAt = thread.now() + lease.timeToLiveSeconds.seconds
-        lease.timer = thread.after(lease.timeToLiveSeconds.seconds) { end(lease) }
+        lease.timer = thread.schedule(lease.timeToLiveSeconds.seconds) { remove(lease) }
     }
 
-    private fun end(lease: GrantedLease) {
+    private fun remove(lease: GrantedLease) {
         leases.remove(lease.id)
-        val keys = keysOf(lease)
-        store.change { keys.forEach { deleteRange(DeleteRangeRequest(it)) } }
+        val keys = attachedKeys(lease)
+        store.commit { keys.forEach { deleteRange(DeleteRangeRequest(it)) } }
     }
 
-    private fun keysOf(lease: GrantedLease) = lease.keys.filter { store.get(it)?.lease == lease.id }
+    private fun attachedKeys(lease: GrantedLease) = lease.keys.filter { store.get(it)?.lease == lease.id }
 
     private fun notFound() = KeyValueRefused.notFound("etcdserver: requested lease not found")
 
@@ -84,6 +84,6 @@
 
     private companion object {
         const val FIRST_ID = 7_587_000_000_000_000_001L
-        const val GONE_TIME_TO_LIVE = -1L
+        const val EXPIRED_TIME_TO_LIVE = -1L
     }
 }
--- a/stand-in/src/main/kotlin/org/lovageladder/standin/KeyValueMessages.kt
+++ b/stand-in/src/main/kotlin/org/lovageladder/standin/KeyValueMessages.kt
@@ -48,7 +48,7 @@
     val key: Bytes = "",
     val value: Bytes = "",
     val lease: LongText = 0,
-    @JsonNames("prevKv") @SerialName("prev_kv") val previousWanted: Boolean = false,
+    @JsonNames("prevKv") @SerialName("prev_kv") val returnPrevious: Boolean = false,
 )
 
 @Serializable
@@ -58,7 +58,7 @@
 internal data class DeleteRangeRequest(
     val key: Bytes = "",
     @JsonNames("rangeEnd") @SerialName("range_end") val rangeEnd: Bytes = "",
-    @JsonNames("prevKv") @SerialName("prev_kv") val previousWanted: Boolean = false,
+    @JsonNames("prevKv") @SerialName("prev_kv") val returnPrevious: Boolean = false,
 )
 
 @Serializable
@@ -68,6 +68,6 @@
     @SerialName("prev_kvs") val previous: List<KeyValue> = emptyList(),
 )
 
-/** An error as the JSON mapping carries it; [code] is the RPC's status code. */
+/** An error answer of the JSON gateway; [code] is the gRPC status code. */
 @Serializable
 internal data class KeyValueError(val error: String, val code: Int, val message: String = error)
--- a/stand-in/src/main/kotlin/org/lovageladder/standin/KeyValueStandIn.kt
+++ b/stand-in/src/main/kotlin/org/lovageladder/standin/KeyValueStandIn.kt
@@ -2,24 +2,25 @@
 
 import kotlinx.serialization.encodeToString
 
-/** Rates that a [KeyValueStandIn] takes; calls beyond them wait for their turn, and 0 sets no limit. */
+/** Rate limits of a [KeyValueStandIn]; calls above a limit wait, and 0 sets no limit. */
 public data class KeyValueSettings(val writesPerSecond: Int = 0, val readsPerSecond: Int = 0)
 
 /**
- * The platform's key-value service: the published JSON mapping of etcd v3 for keys, transactions, leases and watches,
- * in memory. Leases go on to expire while the service is down.
+ * In-memory version of the platform's key-value service, with the published JSON gateway of etcd v3 for keys,
+ * transactions, leases and watches. Leases also expire while the service is down.
  *
- * Besides: `GET /stats` counts calls by kind; `POST /fault` makes it down, slow, lose answers or answer old data.
+ * `GET /stats` returns call counts by kind. `POST /fault` makes the service unavailable or slow, or makes it lose
+ * answers to writes or return old data.
  */
 public class KeyValueStandIn private constructor(settings: KeyValueSettings, requestedPort: Int) : AutoCloseable {
     private val thread = EventLoopThread()
     private val faults = KeyValueFaults(thread)
-    private val writePace = KeyValuePace(thread, settings.writesPerSecond)
-    private val readPace = KeyValuePace(thread, settings.readsPerSecond)
+    private val writeLimiter = CallRateLimiter(thread, settings.writesPerSecond)
+    private val readLimiter = CallRateLimiter(thread, settings.readsPerSecond)
     private val store: KeyValueStore = KeyValueStore { revision, changes -> onChanges(revision, changes) }
     private val leases = KeyValueLeases(thread, store)
     private val watches = KeyValueWatches(store)
-    private val meter = KeyValueMeter(thread) { watches.openCount }
+    private val callCounter = KeyValueCallCounter(thread) { watches.openCount }
     private val server = HttpServer.start(thread, requestedPort) { route(it) }
 
     public val port: Int = server.port
@@ -33,15 +34,15 @@
     private fun route(exchange: HttpExchange) {
         val request = exchange.request
         when (request.method + " " + request.path) {
-            "GET /stats" -> exchange.answer(StandInJson.answers.encodeToString(meter.stats(store.revision)))
+            "GET /stats" -> exchange.answer(StandInJson.lenient.encodeToString(callCounter.stats(store.revision)))
             "POST /fault" -> injectFault(exchange)
-            else -> receive(exchange)
+            else -> receiveCall(exchange)
         }
     }
 
-    private fun receive(exchange: HttpExchange) {
+    private fun receiveCall(exchange: HttpExchange) {
         if (faults.isDown) {
-            exchange.drop()
+            exchange.abort()
             return
         }
         val request = exchange.request
@@ -49,15 +50,15 @@
             exchange.answer("""{"health":"true"}""")
             return
         }
-        val call = KeyValueCall.at(request.path).takeIf { request.method == "POST" }
+        val call = KeyValueCall.forPath(request.path).takeIf { request.method == "POST" }
         if (call == null) {
             throw RequestRefused.unknownPath(request)
         }
-        meter.count(call)
-        val pace = if (call.writes) writePace else readPace
-        val delay = faults.delay + pace.takePlace()
+        callCounter.record(call)
+        val limiter = if (call.isWrite) writeLimiter else readLimiter
+        val delay = faults.callDelay + limiter.reserveStart()
         if (delay.isPositive()) {
-            thread.after(delay) { handle(call, exchange) }
+            thread.schedule(delay) { handle(call, exchange) }
         } else {
             handle(call, exchange)
         }
@@ -65,7 +66,7 @@
 
     private fun handle(call: KeyValueCall, exchange: HttpExchange) {
         if (faults.isDown) {
-            exchange.drop()
+            exchange.abort()
             return
         }
         try {
@@ -79,15 +80,15 @@
     }
 
     private fun answer(call: KeyValueCall, exchange: HttpExchange) {
-        val body = run(call, exchange.request.body)
-        if (call.writes && faults.losesAnswer()) {
-            exchange.drop()
+        val body = execute(call, exchange.request.body)
+        if (call.isWrite && faults.consumeAnswerLoss()) {
+            exchange.abort()
         } else {
             exchange.answer(body)
         }
     }
 
-    private fun run(call: KeyValueCall, body: String): String = when (call) {
+    private fun execute(call: KeyValueCall, body: String): String = when (call) {
         KeyValueCall.RANGE -> encode(range(read(body)))
         KeyValueCall.PUT -> encode(put(read(body)))
         KeyValueCall.DELETE_RANGE -> encode(deleteRange(read(body)))
@@ -96,38 +97,38 @@
         KeyValueCall.LEASE_REVOKE -> encode(leases.revoke(read<LeaseRequest>(body).id))
         KeyValueCall.LEASE_KEEP_ALIVE -> encode(keepAlive(read(body)))
         KeyValueCall.LEASE_TIME_TO_LIVE -> encode(leases.timeToLive(read(body)))
-        KeyValueCall.WATCH -> error("a watch is a stream and has no single answer")
+        KeyValueCall.WATCH -> error("a watch is answered with a stream, not a single body")
     }
 
     private fun range(request: RangeRequest): RangeResponse {
         checkKey(request.key)
-        val seenRevision = (store.revision - faults.revisionsBack).coerceAtLeast(maxOf(store.compactRevision, 1))
-        return store.range(request, seenRevision)
+        val visibleRevision = (store.revision - faults.staleRevisions).coerceAtLeast(maxOf(store.compactRevision, 1))
+        return store.range(request, visibleRevision)
     }
 
     private fun put(request: PutRequest): PutResponse {
-        check(request)
-        return store.change { put(request) }
+        checkPut(request)
+        return store.commit { put(request) }
     }
 
     private fun deleteRange(request: DeleteRangeRequest): DeleteRangeResponse {
         checkKey(request.key)
-        return store.change { deleteRange(request) }
+        return store.commit { deleteRange(request) }
     }
 
     private fun transact(request: TxnRequest): TxnResponse {
-        (request.success + request.failure).mapNotNull { it.put }.forEach { check(it) }
-        return store.run(request)
+        (request.success + request.failure).mapNotNull { it.put }.forEach { checkPut(it) }
+        return store.runTransaction(request)
     }
 
     private fun keepAlive(request: LeaseRequest) = LeaseKeepAliveEnvelope(leases.keepAlive(request.id))
 
-    private fun check(put: PutRequest) {
+    private fun checkPut(put: PutRequest) {
         checkKey(put.key)
         if (put.value.length > MAXIMUM_VALUE_BYTES) {
             throw KeyValueRefused.invalid("etcdserver: request is too large")
         }
-        leases.check(put)
+        leases.requireLease(put)
     }
 
     private fun checkKey(key: String) {
@@ -145,7 +146,7 @@
 
     private fun onChanges(revision: Long, changes: List<KeyChange>) {
         changes.forEach { leases.attach(it.kv.key, it.kv.lease) }
-        watches.announce(revision, changes)
+        watches.notifyWatches(revision, changes)
     }
 
     private fun injectFault(exchange: HttpExchange) {
--- a/stand-in/src/main/kotlin/org/lovageladder/standin/KeyValueStore.kt
+++ b/stand-in/src/main/kotlin/org/lovageladder/standin/KeyValueStore.kt
@@ -2,7 +2,7 @@
 
 import java.util.TreeMap
 
-/** Refusal of a key-value call: HTTP [status], RPC status [code] and the published text of the error. */
+/** Refuses a key-value call with the HTTP [status], the gRPC status [code] and etcd's published error text. */
 internal class KeyValueRefused(val status: Int, val code: Int, override val message: String) :
     Exception(message, null, false, false) {
     companion object {
@@ -18,14 +18,14 @@
     }
 }
 
-/** A change of one key at one revision; [previous] is what it replaced. */
+/** A change of one key at one revision; [previous] is the replaced or deleted entry. */
 internal data class KeyChange(val type: EventType, val kv: KeyValue, val previous: KeyValue?)
 
 /**
- * Keys with their history by revision, as etcd v3 keeps them.
+ * Multi-version key-value store with the revisions of etcd v3.
  *
- * Each transaction that changes something is one revision. Reads may ask for an earlier revision as long as it is
- * among the last [HISTORY_CHANGES] changes.
+ * Each transaction that changes something creates one revision. Earlier revisions stay readable while their changes
+ * are among the last [MAXIMUM_HISTORY_CHANGES].
  */
 internal class KeyValueStore(private val onChanges: (revision: Long, changes: List<KeyChange>) -> Unit) {
     private val current = TreeMap<String, KeyValue>()
@@ -35,31 +35,31 @@
     var revision: Long = 1
         private set
 
-    /** History up to this revision is gone. */
+    /** History up to this revision has been removed. */
     var compactRevision: Long = 0
         private set
 
     /** Reads the keys in [request] as of its revision, or as of [defaultRevision]. */
     fun range(request: RangeRequest, defaultRevision: Long = revision): RangeResponse {
-        val wanted = if (request.revision > 0) request.revision else defaultRevision
+        val targetRevision = if (request.revision > 0) request.revision else defaultRevision
         val range = KeyRange(request.key, request.rangeEnd)
-        val found = valuesAt(wanted, range)
+        val found = entriesAt(targetRevision, range)
         val limit = if (request.limit > 0) request.limit.toInt() else found.size
-        val shown = if (request.countOnly) emptyList() else found.take(limit)
+        val returned = if (request.countOnly) emptyList() else found.take(limit)
         return RangeResponse(
             header = header(minOf(defaultRevision, revision)),
-            kvs = if (request.keysOnly) shown.map { it.copy(value = "") } else shown,
+            kvs = if (request.keysOnly) returned.map { it.copy(value = "") } else returned,
             more = !request.countOnly && found.size > limit,
             count = found.size.toLong(),
         )
     }
 
-    /** The present value of [key], or null. */
+    /** The current entry of [key], or null. */
     fun get(key: String): KeyValue? = current[key]
 
-    /** Runs [change] as one revision and tells about what it changed. */
-    fun <Result> change(change: Revision.() -> Result): Result {
-        val pending = Revision(revision + 1)
+    /** Runs [change] as one revision and passes its changes to [onChanges]; no changes, no new revision. */
+    fun <Result> commit(change: PendingRevision.() -> Result): Result {
+        val pending = PendingRevision(revision + 1)
         val result = pending.change()
         if (pending.changes.isNotEmpty()) {
             revision = pending.number
@@ -70,36 +70,36 @@
         return result
     }
 
-    /** All changes of [range] from [startRevision] on, oldest first. */
+    /** All changes in [range] from [startRevision] on, oldest first. */
     fun changesSince(startRevision: Long, range: KeyRange): List<KeyChange> =
         history.filter { it.kv.modRevision >= startRevision && range.contains(it.kv.key) }
 
     fun header(revision: Long = this.revision): ResponseHeader = ResponseHeader(revision)
 
-    private fun valuesAt(wanted: Long, range: KeyRange): List<KeyValue> {
-        if (wanted > revision) {
+    private fun entriesAt(targetRevision: Long, range: KeyRange): List<KeyValue> {
+        if (targetRevision > revision) {
             throw KeyValueRefused.outOfRange("etcdserver: mvcc: required revision is a future revision")
         }
-        if (wanted < compactRevision) {
+        if (targetRevision < compactRevision) {
             throw KeyValueRefused.outOfRange("etcdserver: mvcc: required revision has been compacted")
         }
-        if (range.end.isEmpty() && wanted == revision) {
+        if (range.end.isEmpty() && targetRevision == revision) {
             return listOfNotNull(current[range.key])
         }
-        val values = TreeMap(range.of(current))
+        val values = TreeMap(range.select(current))
         for (index in history.indices.reversed()) {
             val change = history[index]
-            if (change.kv.modRevision <= wanted) {
+            if (change.kv.modRevision <= targetRevision) {
                 break
             }
             if (range.contains(change.kv.key)) {
-                undo(change, values)
+                revert(change, values)
             }
         }
         return values.values.toList()
     }
 
-    private fun undo(change: KeyChange, values: TreeMap<String, KeyValue>) {
+    private fun revert(change: KeyChange, values: TreeMap<String, KeyValue>) {
         if (change.previous == null) {
             values.remove(change.kv.key)
         } else {
@@ -108,13 +108,13 @@
     }
 
     private fun trimHistory() {
-        while (history.size > HISTORY_CHANGES) {
+        while (history.size > MAXIMUM_HISTORY_CHANGES) {
             compactRevision = history.removeFirst().kv.modRevision
         }
     }
 
-    /** The changes of one transaction, visible to reads at once. */
-    inner class Revision(val number: Long) {
+    /** The changes of one transaction; each is visible to reads at once. */
+    inner class PendingRevision(val number: Long) {
         val changes = ArrayList<KeyChange>()
 
         fun put(request: PutRequest): PutResponse {
@@ -130,22 +130,22 @@
                 )
             current[request.key] = value
             changes.add(KeyChange(EventType.PUT, value, previous))
-            return PutResponse(header(number), previous.takeIf { request.previousWanted })
+            return PutResponse(header(number), previous.takeIf { request.returnPrevious })
         }
 
         fun deleteRange(request: DeleteRangeRequest): DeleteRangeResponse {
             val range = KeyRange(request.key, request.rangeEnd)
-            val deleted = range.of(current).values.toList()
+            val deleted = range.select(current).values.toList()
             deleted.forEach { previous ->
                 current.remove(previous.key)
                 val tombstone = KeyValue(key = previous.key, modRevision = number)
                 changes.add(KeyChange(EventType.DELETE, tombstone, previous))
             }
-            val shown = if (request.previousWanted) deleted else emptyList()
+            val returned = if (request.returnPrevious) deleted else emptyList()
             return DeleteRangeResponse(
                 header(if (deleted.isEmpty()) revision else number),
                 deleted.size.toLong(),
-                shown,
+                returned,
             )
         }
 
@@ -153,6 +153,6 @@
     }
 
     private companion object {
-        const val HISTORY_CHANGES = 100_000
+        const val MAXIMUM_HISTORY_CHANGES = 100_000
     }
 }
--- a/stand-in/src/main/kotlin/org/lovageladder/standin/KeyValueWatches.kt
+++ b/stand-in/src/main/kotlin/org/lovageladder/standin/KeyValueWatches.kt
@@ -2,14 +2,17 @@
 
 import kotlinx.serialization.encodeToString
 
-/** Open watches: each is a stream of JSON lines that carries the changes of its keys, one line per revision. */
+/** Open watches; each streams the changes of its keys as JSON lines, one line per revision. */
 internal class KeyValueWatches(private val store: KeyValueStore) {
     private val watches = LinkedHashSet<OpenWatch>()
 
     val openCount: Int
         get() = watches.size
 
-    /** Opens a watch; changes since the wanted revision are sent first. */
+    /**
+     * Opens a watch and first sends the changes since its start revision. Answers that the watch is cancelled when that
+     * revision is already compacted.
+     */
     fun open(request: WatchCreateRequest, exchange: HttpExchange) {
         exchange.startStream(HttpExchange.JSON_TYPE)
         val start = request.startRevision
@@ -19,9 +22,9 @@
             exchange.end()
             return
         }
-        val watch = OpenWatch(KeyRange(request.key, request.rangeEnd), start, request.previousWanted, exchange)
+        val watch = OpenWatch(KeyRange(request.key, request.rangeEnd), start, request.returnPrevious, exchange)
         watches.add(watch)
-        exchange.onClosed = { watches.remove(watch) }
+        exchange.onDisconnect = { watches.remove(watch) }
         send(exchange, WatchResponse(store.header(), created = true))
         if (start != 0L) {
             val missed = store.changesSince(start, watch.range).groupBy { it.kv.modRevision }
@@ -29,8 +32,8 @@
         }
     }
 
-    /** Passes the changes of one revision on to the watches of their keys. */
-    fun announce(revision: Long, changes: List<KeyChange>) {
+    /** Sends the changes of one revision to the watches whose range contains their keys. */
+    fun notifyWatches(revision: Long, changes: List<KeyChange>) {
         for (watch in watches.toList()) {
             val matching = changes.filter { watch.range.contains(it.kv.key) }
             if (matching.isNotEmpty() && revision >= watch.startRevision) {
@@ -39,13 +42,13 @@
         }
     }
 
-    /** Forgets all watches; their connections are closed by the caller. */
+    /** Removes all watches without closing their connections; the caller closes them. */
     fun clear() {
         watches.clear()
     }
 
     private fun sendChanges(watch: OpenWatch, changes: List<KeyChange>) {
-        val events = changes.map { WatchEvent(it.type, it.kv, it.previous.takeIf { watch.previousWanted }) }
+        val events = changes.map { WatchEvent(it.type, it.kv, it.previous.takeIf { watch.returnPrevious }) }
         send(watch.exchange, WatchResponse(store.header(), events = events))
     }
 
@@ -56,7 +59,7 @@
     private class OpenWatch(
         val range: KeyRange,
         val startRevision: Long,
-        val previousWanted: Boolean,
+        val returnPrevious: Boolean,
         val exchange: HttpExchange,
     )
 }
--- a/stand-in/src/main/kotlin/org/lovageladder/standin/Main.kt
+++ b/stand-in/src/main/kotlin/org/lovageladder/standin/Main.kt
@@ -6,9 +6,9 @@
 import com.github.ajalt.clikt.core.subcommands
 import kotlin.system.exitProcess
 
-private const val USAGE_STATUS = 2
+private const val USAGE_ERROR_STATUS = 2
 
-/** Runs the stand-in named by the subcommand until a stop signal. Wrong flags end it with status 2. */
+/** Runs the stand-in named by the subcommand until SIGTERM. Invalid flags end the process with status 2. */
 public fun main(arguments: Array<String>) {
     val command =
         StandInCommand().subcommands(
@@ -20,11 +20,11 @@
         )
     try {
         command.parse(arguments)
-    } catch (wrongUse: UsageError) {
-        command.echoFormattedHelp(wrongUse)
-        exitProcess(USAGE_STATUS)
-    } catch (ended: CliktError) {
-        command.echoFormattedHelp(ended)
-        exitProcess(ended.statusCode)
+    } catch (usageError: UsageError) {
+        command.echoFormattedHelp(usageError)
+        exitProcess(USAGE_ERROR_STATUS)
+    } catch (commandError: CliktError) {
+        command.echoFormattedHelp(commandError)
+        exitProcess(commandError.statusCode)
     }
 }
--- a/stand-in/src/main/kotlin/org/lovageladder/standin/PlainStandIn.kt
+++ b/stand-in/src/main/kotlin/org/lovageladder/standin/PlainStandIn.kt
@@ -10,7 +10,7 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
-/** Name, speed and habits of a [PlainStandIn]. */
+/** Name, speed and limits of a [PlainStandIn]; [ignoreFencing] executes calls with outdated fencing numbers. */
 public data class PlainSettings(
     val name: String = "plain",
     val latency: Duration = 2.milliseconds,
@@ -19,10 +19,10 @@
 )
 
 /**
- * A plain service: it executes every call to any path after its latency, and counts executions per `Idempotency-Key`
- * so that a test can see whether something ran twice.
+ * A plain service: it executes a call to any path after the configured latency, and counts executions per
+ * `Idempotency-Key` so that a test can detect a call that ran twice.
  *
- * A call beyond the limit or with an outdated fencing number is refused and the answer carries [NOT_EXECUTED_HEADER].
+ * A call above the concurrency limit or with an outdated fencing number is refused with [NOT_EXECUTED_HEADER].
  *
  * Reserved paths: `GET /executions`, `GET /health`, `POST /fault`.
  */
@@ -33,7 +33,7 @@
 ) : AutoCloseable {
     private val thread = EventLoopThread()
     private val slowness = Slowness(thread)
-    private val fencing = FencingGate(settings.ignoreFencing)
+    private val fencing = FencingCheck(settings.ignoreFencing)
     private val executions = LinkedHashMap<String, Long>()
     private var totalExecutions = 0L
     private var running = 0
@@ -42,7 +42,7 @@
 
     public val port: Int = server.port
 
-    /** Stops the service and closes its connections without answering what runs. */
+    /** Stops the service and closes its connections without answering running calls. */
     override fun close() {
         server.close()
         thread.close()
@@ -60,7 +60,7 @@
 
     private fun execute(exchange: HttpExchange) {
         try {
-            checkAcceptance(exchange.request)
+            checkAccepted(exchange.request)
         } catch (refused: RequestRefused) {
             exchange.addHeader(NOT_EXECUTED_HEADER, "true")
             exchange.refuse(refused)
@@ -68,11 +68,11 @@
         }
         running++
         val duration = settings.latency * slowness.currentFactor()
-        thread.after(slowness.remainingStall() + duration) { finish(exchange) }
+        thread.schedule(slowness.remainingStall() + duration) { finish(exchange) }
     }
 
-    private fun checkAcceptance(request: HttpRequest) {
-        fencing.check(FencingGate.numberIn(request))
+    private fun checkAccepted(request: HttpRequest) {
+        fencing.check(FencingCheck.parseHeader(request))
         if (running >= settings.maximumRunning) {
             val reason = "$running of ${settings.maximumRunning} calls are running"
             throw RequestRefused(RequestRefused.UNAVAILABLE, "overloaded", reason)
@@ -82,7 +82,7 @@
     private fun finish(exchange: HttpExchange) {
         val stall = slowness.remainingStall()
         if (stall.isPositive()) {
-            thread.after(stall) { finish(exchange) }
+            thread.schedule(stall) { finish(exchange) }
             return
         }
         running--
@@ -91,7 +91,7 @@
         val execution = if (key == null) totalExecutions else executions.merge(key, 1L, Long::plus) ?: 1L
         if (answersToDrop > 0) {
             answersToDrop--
-            exchange.drop()
+            exchange.abort()
             return
         }
         exchange.answer(encode(PlainAnswer(settings.name, key, echo(exchange.request.body), execution)))
@@ -104,7 +104,7 @@
         answersToDrop += fault.dropAnswers
         exchange.answer("{}")
         if (fault.crash) {
-            thread.crashSoon { crash() }
+            thread.scheduleCrash { crash() }
         }
     }
 
@@ -119,15 +119,15 @@
         JsonPrimitive(body)
     }
 
-    private inline fun <reified Body> encode(body: Body): String = StandInJson.answers.encodeToString(body)
+    private inline fun <reified Body> encode(body: Body): String = StandInJson.lenient.encodeToString(body)
 
     public companion object {
-        /** Header of a refusal; its value `true` says that the call was not executed. */
+        /** Header whose value `true` in a refusal says that the call was not executed. */
         public const val NOT_EXECUTED_HEADER: String = "X-Not-Executed"
 
         /**
          * Starts a service on loopback at [port], or at a free port when it is 0; throws when the port is taken.
-         * [onCrash] is called for the injected fault `crash`, before the service closes itself abruptly.
+         * [onCrash] runs when the fault `crash` is injected, before the service closes its connections abruptly.
          */
         public fun start(
             port: Int = 0,
@@ -137,14 +137,14 @@
     }
 }
 
-/** Answer of one execution; [execution] counts per key, or over all calls when there is no key. */
+/** Answer to an executed call; [execution] counts the executions with its [key], or all executions without a key. */
 @Serializable
 private data class PlainAnswer(val service: String, val key: String?, val echo: JsonElement, val execution: Long)
 
 @Serializable
 private data class Executions(val executions: Map<String, Long>, val total: Long, val running: Int)
 
-/** Faults to inject into a plain service; `drop_answers` executes that many calls without answering them. */
+/** Faults to inject into a plain service; `drop_answers` executes the next that many calls without answering them. */
 @Serializable
 private data class PlainFault(
     @SerialName("slow_factor") val slowFactor: Double? = null,
--- a/stand-in/src/main/kotlin/org/lovageladder/standin/PrefillFetch.kt
+++ b/stand-in/src/main/kotlin/org/lovageladder/standin/PrefillFetch.kt
@@ -21,24 +21,24 @@
 import kotlinx.serialization.encodeToString
 import java.nio.charset.StandardCharsets
 
-/** How the fetch of a prefill's result from another engine ended. */
+/** Outcome of fetching a prefill result from another engine. */
 internal enum class FetchOutcome {
     FETCHED,
     EXPIRED,
     UNREACHABLE,
 }
 
-/** Fetches a prefill's result from the engine that holds it; reports the outcome once unless cancelled. */
+/** Fetches a prefill result from the engine that stores it; reports the outcome once, or never if cancelled. */
 internal class PrefillFetch private constructor(
     private val source: FetchSource,
     private val onOutcome: (FetchOutcome) -> Unit,
 ) {
     private var channel: Channel? = null
-    private var over = false
+    private var isFinished = false
 
-    /** Breaks the transfer off; its outcome is not reported. */
+    /** Aborts the transfer; its outcome is not reported. */
     fun cancel() {
-        over = true
+        isFinished = true
         channel?.close()
     }
 
@@ -52,12 +52,12 @@
             if (!connected.isSuccess) report(FetchOutcome.UNREACHABLE)
         }.also { connecting ->
             channel = connecting.channel()
-            connecting.addListener { if (it.isSuccess && !over) send(connecting.channel()) }
+            connecting.addListener { if (it.isSuccess && !isFinished) send(connecting.channel()) }
         }
     }
 
     private fun send(channel: Channel) {
-        val body = StandInJson.answers.encodeToString(FetchBody(source.requestId, source.engineId))
+        val body = StandInJson.lenient.encodeToString(FetchBody(source.requestId, source.engineId))
         val content = Unpooled.copiedBuffer(body, StandardCharsets.UTF_8)
         val request = DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, PATH, content)
         HttpUtil.setContentLength(request, content.readableBytes().toLong())
@@ -66,10 +66,10 @@
     }
 
     private fun report(outcome: FetchOutcome) {
-        if (over) {
+        if (isFinished) {
             return
         }
-        over = true
+        isFinished = true
         channel?.close()
         onOutcome(outcome)
     }
@@ -82,19 +82,19 @@
     }
 }
 
-/** Where a prefill's result is kept and under which name. */
+/** The engine that stores a prefill result, and the result's name there. */
 internal data class FetchSource(val host: String, val port: Int, val requestId: String, val engineId: String?) {
     companion object {
-        /** Throws [RequestRefused] with status 400 when [parameters] do not say where the result is. */
-        fun of(parameters: TransferParameters): FetchSource = FetchSource(
-            host = parameters.host ?: throw missing("remote_host"),
-            port = parameters.port ?: throw missing("remote_port"),
-            requestId = parameters.requestId ?: throw missing("remote_request_id"),
+        /** Throws [RequestRefused] with status 400 when [parameters] lack the address or the name of the result. */
+        fun from(parameters: TransferParameters): FetchSource = FetchSource(
+            host = parameters.host ?: throw missingField("remote_host"),
+            port = parameters.port ?: throw missingField("remote_port"),
+            requestId = parameters.requestId ?: throw missingField("remote_request_id"),
             engineId = parameters.engineId,
         )
 
-        private fun missing(field: String) =
-            RequestRefused.badField("kv_transfer_params.$field", "field kv_transfer_params.$field is missing")
+        private fun missingField(field: String) =
+            RequestRefused.invalidField("kv_transfer_params.$field", "field kv_transfer_params.$field is missing")
     }
 }
 
@@ -121,7 +121,7 @@
     SimpleChannelInboundHandler<FullHttpResponse>() {
     override fun channelRead0(context: ChannelHandlerContext, message: FullHttpResponse) {
         when (message.status().code()) {
-            SUCCESS -> report(FetchOutcome.FETCHED)
+            OK_STATUS -> report(FetchOutcome.FETCHED)
             RequestRefused.GONE -> report(FetchOutcome.EXPIRED)
             else -> report(FetchOutcome.UNREACHABLE)
         }
@@ -129,12 +129,12 @@
 
     override fun channelInactive(context: ChannelHandlerContext): Unit = report(FetchOutcome.UNREACHABLE)
 
-    @Deprecated("Deprecated in Netty's base class, but still the place for connection errors.")
+    @Deprecated("Deprecated in Netty's base class, but still where connection errors are reported.")
     override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
         context.close()
     }
 
     private companion object {
-        const val SUCCESS = 200
+        const val OK_STATUS = 200
     }
 }
--- a/stand-in/src/main/kotlin/org/lovageladder/standin/PrefillQueue.kt
+++ b/stand-in/src/main/kotlin/org/lovageladder/standin/PrefillQueue.kt
@@ -3,7 +3,7 @@
 import java.util.PriorityQueue
 import kotlin.time.Duration.Companion.seconds
 
-/** Runs prefills one at a time, lower priority numbers first, in order of arrival among equals. */
+/** Runs prefills one at a time, lower priority numbers first, and equal priorities in order of arrival. */
 internal class PrefillQueue(
     private val thread: EventLoopThread,
     private val tokensPerSecond: Long,
@@ -12,10 +12,10 @@
     private val waiting = PriorityQueue<QueuedPrefill>(compareBy({ it.priority }, { it.arrival }))
     private var running: QueuedPrefill? = null
     private var timer: Timer? = null
-    private var arrivals = 0L
+    private var nextArrival = 0L
 
-    /** Tokens of all prefills run to their end. */
-    var tokensTotal: Long = 0
+    /** Total tokens of completed prefills. */
+    var prefilledTokens: Long = 0
         private set
 
     val waitingCount: Int
@@ -24,15 +24,15 @@
     val runningCount: Int
         get() = if (running == null) 0 else 1
 
-    /** Queues a prefill whose [tokens] are counted when it starts; the returned handle is for [remove]. */
+    /** Queues a prefill; [tokens] is evaluated when it starts. The returned handle is for [remove]. */
     fun add(priority: Int, tokens: () -> Int, onPrefilled: () -> Unit): QueuedPrefill {
-        val prefill = QueuedPrefill(priority, arrivals++, tokens, onPrefilled)
+        val prefill = QueuedPrefill(priority, nextArrival++, tokens, onPrefilled)
         waiting.add(prefill)
         startNext()
         return prefill
     }
 
-    /** Drops a prefill that waits or runs; its end is not reported. */
+    /** Removes a waiting or running prefill without calling its callback. */
     fun remove(prefill: QueuedPrefill) {
         waiting.remove(prefill)
         if (running === prefill) {
@@ -50,21 +50,21 @@
         running = next
         val tokens = next.tokens()
         val duration = (tokens.toDouble() / tokensPerSecond).seconds * slowness.currentFactor()
-        timer = thread.after(slowness.remainingStall() + duration) { finish(next, tokens) }
+        timer = thread.schedule(slowness.remainingStall() + duration) { finish(next, tokens) }
     }
 
     private fun finish(prefill: QueuedPrefill, tokens: Int) {
         val stall = slowness.remainingStall()
         if (stall.isPositive()) {
-            timer = thread.after(stall) { finish(prefill, tokens) }
+            timer = thread.schedule(stall) { finish(prefill, tokens) }
             return
         }
-        tokensTotal += tokens
+        prefilledTokens += tokens
         running = null
         startNext()
         prefill.onPrefilled()
     }
 }
 
-/** A prefill in a [PrefillQueue]. */
+/** A waiting or running prefill; [arrival] is its sequence number in the queue. */
 internal class QueuedPrefill(val priority: Int, val arrival: Long, val tokens: () -> Int, val onPrefilled: () -> Unit)
--- a/stand-in/src/main/kotlin/org/lovageladder/standin/PrefillResults.kt
+++ b/stand-in/src/main/kotlin/org/lovageladder/standin/PrefillResults.kt
@@ -2,71 +2,71 @@
 
 import kotlin.time.Duration
 
-/** Prefill results that wait to be fetched by a decode engine, each dropped when its keep time is over. */
-internal class KeptPrefills(
+/** Prefill results that decode engines can fetch; each expires [keepTime] after its prefill. */
+internal class PrefillResults(
     private val thread: EventLoopThread,
     private val keepTime: Duration,
     private val link: SharedLink,
     private val bytesPerToken: Long,
 ) {
-    private val kept = HashMap<String, KeptPrefill>()
+    private val results = HashMap<String, PrefillResult>()
     private var sequence = 0L
 
-    /** Results dropped without having been fetched whole. */
-    var expiredTotal: Long = 0
+    /** Results that expired before any fetch of them was complete. */
+    var expiredCount: Long = 0
         private set
 
-    /** Tokens of those results. */
-    var expiredTokensTotal: Long = 0
+    /** Total tokens of the results in [expiredCount]. */
+    var expiredTokens: Long = 0
         private set
 
-    /** Keeps a result of [tokens] and returns the name to fetch it by. */
-    fun keep(requestId: String, tokens: Int): String {
+    /** Stores a result of [tokens] tokens and returns the name to fetch it by. */
+    fun store(requestId: String, tokens: Int): String {
         val name = "$requestId-${sequence++}"
-        kept[name] = KeptPrefill(tokens)
-        thread.after(keepTime) { drop(name) }
+        results[name] = PrefillResult(tokens)
+        thread.schedule(keepTime) { expire(name) }
         return name
     }
 
-    /** Sends the result [name] over the link; answers 410 when it is not kept, or expires on the way. */
+    /** Sends the result [name] over the link; answers 410 when it is unknown or expires before the transfer ends. */
     fun fetch(name: String, exchange: HttpExchange) {
-        val prefill = kept[name] ?: throw expired(name)
-        val bytes = prefill.tokens * bytesPerToken
+        val result = results[name] ?: throw expiredAnswer(name)
+        val bytes = result.tokens * bytesPerToken
         lateinit var transfer: LinkTransfer
         transfer =
-            link.move(bytes) {
-                prefill.transfers.remove(transfer)
-                prefill.fetched = true
-                exchange.answer(StandInJson.answers.encodeToString(FetchedPrefill.serializer(), FetchedPrefill(bytes)))
+            link.startTransfer(bytes) {
+                result.transfers.remove(transfer)
+                result.isFetched = true
+                exchange.answer(StandInJson.lenient.encodeToString(FetchedPrefill.serializer(), FetchedPrefill(bytes)))
             }
-        prefill.transfers[transfer] = exchange
-        exchange.onClosed = {
-            prefill.transfers.remove(transfer)
+        result.transfers[transfer] = exchange
+        exchange.onDisconnect = {
+            result.transfers.remove(transfer)
             link.abort(transfer)
         }
     }
 
-    private fun drop(name: String) {
-        val prefill = kept.remove(name) ?: return
-        if (!prefill.fetched) {
-            expiredTotal++
-            expiredTokensTotal += prefill.tokens
+    private fun expire(name: String) {
+        val result = results.remove(name) ?: return
+        if (!result.isFetched) {
+            expiredCount++
+            expiredTokens += result.tokens
         }
-        prefill.transfers.forEach { (transfer, exchange) ->
+        result.transfers.forEach { (transfer, exchange) ->
             link.abort(transfer)
-            exchange.refuse(expired(name))
+            exchange.refuse(expiredAnswer(name))
         }
     }
 
     companion object {
-        fun expired(name: String): RequestRefused {
-            val reason = "prefill result $name is not kept, or not any longer"
+        fun expiredAnswer(name: String): RequestRefused {
+            val reason = "prefill result $name is unknown or has expired"
             return RequestRefused(RequestRefused.GONE, "kv_expired", reason)
         }
     }
 }
 
-private class KeptPrefill(val tokens: Int) {
+private class PrefillResult(val tokens: Int) {
     val transfers = LinkedHashMap<LinkTransfer, HttpExchange>()
-    var fetched = false
+    var isFetched = false
 }
--- a/stand-in/src/main/kotlin/org/lovageladder/standin/PrefixCache.kt
+++ b/stand-in/src/main/kotlin/org/lovageladder/standin/PrefixCache.kt
@@ -1,60 +1,64 @@
 package org.lovageladder.standin
 
 /**
- * Prompt prefixes that need no prefill again: blocks of tokens in limited memory, the least recently used dropped
- * first. A block's name stands for its own tokens and all before them.
+ * Least-recently-used cache of prompt prefixes, in blocks of [blockTokens] tokens; cached tokens need no prefill.
+ *
+ * A block's hash covers its own tokens and all tokens before them.
  */
 internal class PrefixCache(
     private val capacityBlocks: Int,
     private val blockTokens: Int,
-    private val events: CacheEvents,
+    private val events: CacheEventLog,
 ) {
     private val blocks = LinkedHashSet<String>()
 
-    /** How many of the first tokens of [prompt] are cached. */
+    /** Number of leading tokens of [prompt] that are cached; marks their blocks as used. */
     fun cachedTokens(prompt: String): Int {
-        val hits = blockNames(prompt).takeWhile { it in blocks }
-        touch(hits)
+        val hits = blockHashes(prompt).takeWhile { it in blocks }
+        markUsed(hits)
         return hits.size * blockTokens
     }
 
-    /** Takes the whole blocks of [prompt] in. */
+    /** Adds the full blocks of [prompt]; an incomplete last block is not cached. */
     fun store(prompt: String) {
-        val names = blockNames(prompt).take(capacityBlocks)
-        val added = names.filterNot { it in blocks }
-        touch(names)
+        val hashes = blockHashes(prompt).take(capacityBlocks)
+        val added = hashes.filterNot { it in blocks }
+        markUsed(hashes)
         if (added.isNotEmpty()) {
-            events.add(CacheEventType.STORED, added)
+            events.record(CacheEventType.STORED, added)
         }
-        dropOldest()
+        evictOldest()
     }
 
-    /** Makes [names] the most recently used, their last block first to go: it is of no use without those before. */
-    private fun touch(names: List<String>) {
-        blocks.removeAll(names.toSet())
-        blocks.addAll(names.asReversed())
+    /**
+     * Marks [hashes] as the most recently used. Among them the last block is evicted first, as it is useless without
+     * the blocks before it.
+     */
+    private fun markUsed(hashes: List<String>) {
+        blocks.removeAll(hashes.toSet())
+        blocks.addAll(hashes.asReversed())
     }
 
-    private fun dropOldest() {
-        val dropped = blocks.take((blocks.size - capacityBlocks).coerceAtLeast(0))
-        blocks.removeAll(dropped.toSet())
-        if (dropped.isNotEmpty()) {
-            events.add(CacheEventType.REMOVED, dropped)
+    private fun evictOldest() {
+        val evicted = blocks.take((blocks.size - capacityBlocks).coerceAtLeast(0))
+        blocks.removeAll(evicted.toSet())
+        if (evicted.isNotEmpty()) {
+            events.record(CacheEventType.REMOVED, evicted)
         }
     }
 
-    private fun blockNames(prompt: String): List<String> {
+    private fun blockHashes(prompt: String): List<String> {
         if (capacityBlocks == 0) {
             return emptyList()
         }
         var hash = 0L
         return wordsOf(prompt).toList().chunked(blockTokens).filter { it.size == blockTokens }.map { words ->
-            hash = words.fold(hash) { sum, word -> sum * HASH_FACTOR + word.hashCode() }
+            hash = words.fold(hash) { hashSoFar, word -> hashSoFar * HASH_MULTIPLIER + word.hashCode() }
             "%016x".format(hash)
         }
     }
 
     private companion object {
-        const val HASH_FACTOR = 1_000_003L
+        const val HASH_MULTIPLIER = 1_000_003L
     }
 }
--- a/stand-in/src/main/kotlin/org/lovageladder/standin/RequestRefused.kt
+++ b/stand-in/src/main/kotlin/org/lovageladder/standin/RequestRefused.kt
@@ -4,15 +4,15 @@
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.encodeToString
 
-/** Ends the handling of a request with the HTTP [status] and an error body that carries [type] and the message. */
+/** Refuses a request with the HTTP [status] and an error body that contains [type], [message] and [field]. */
 internal class RequestRefused(
     val status: Int,
     val type: String,
     override val message: String,
     val field: String? = null,
 ) : Exception(message, null, false, false) {
-    /** The error as JSON, shaped as engines publish it. */
-    fun body(): String = StandInJson.answers.encodeToString(ErrorBody(ErrorDetail(message, type, field, status)))
+    /** The error body, in the format of the OpenAI API. */
+    fun body(): String = StandInJson.lenient.encodeToString(ErrorBody(ErrorDetail(message, type, field, status)))
 
     companion object {
         const val BAD_REQUEST: Int = 400
@@ -22,11 +22,11 @@
         const val GONE: Int = 410
         const val UNAVAILABLE: Int = 503
 
-        fun badField(field: String, message: String): RequestRefused =
+        fun invalidField(field: String, message: String): RequestRefused =
             RequestRefused(BAD_REQUEST, "invalid_request_error", message, field)
 
         fun unknownPath(request: HttpRequest): RequestRefused =
-            RequestRefused(NOT_FOUND, "not_found", "no ${request.method} ${request.path} here")
+            RequestRefused(NOT_FOUND, "not_found", "${request.method} ${request.path} does not exist")
     }
 }
 
--- a/stand-in/src/main/kotlin/org/lovageladder/standin/ServedModels.kt
+++ b/stand-in/src/main/kotlin/org/lovageladder/standin/ServedModels.kt
@@ -1,6 +1,6 @@
 package org.lovageladder.standin
 
-/** The models and adapters that an engine answers to. */
+/** The models and adapters that an engine serves; without [baseModel] it accepts any model name. */
 internal class ServedModels(private val baseModel: String?, private val engineName: String) {
     private val adapters = LinkedHashMap<String, String>()
     private val loadedVersions = LinkedHashMap<String, String>()
@@ -10,7 +10,7 @@
             adapters.keys
 
     /** Throws [RequestRefused] with status 404 for a model that the engine doesn't serve. */
-    fun check(model: String?) {
+    fun requireServed(model: String?) {
         if (model == null || baseModel == null) {
             return
         }
--- a/stand-in/src/main/kotlin/org/lovageladder/standin/ServerCommand.kt
+++ b/stand-in/src/main/kotlin/org/lovageladder/standin/ServerCommand.kt
@@ -12,7 +12,7 @@
 import java.net.BindException
 import java.util.concurrent.CountDownLatch
 
-/** The stand-ins' command line; each subcommand is one stand-in. */
+/** The command line; each subcommand runs one stand-in. */
 internal class StandInCommand : NoOpCliktCommand(name = "stand-in") {
     init {
         context { autoEnvvarPrefix = "LOVAGELADDER_STAND_IN" }
@@ -20,13 +20,13 @@
 
     override fun help(context: Context): String =
         "Small stand-ins for engines, plain services and the platform, on loopback. " +
-            "Prints 'ready SUBCOMMAND 127.0.0.1:PORT' when it serves and ends on SIGTERM. " +
+            "Prints 'ready SUBCOMMAND 127.0.0.1:PORT' when it accepts connections; ends on SIGTERM. " +
             "Flag --FLAG-NAME may also be set as LOVAGELADDER_STAND_IN_SUBCOMMAND_FLAG_NAME."
 }
 
-/** One stand-in as a process: starts it, reports its address and waits for the stop signal. */
+/** Subcommand that starts one stand-in, prints its address and waits for SIGTERM. */
 internal abstract class ServerCommand(name: String, private val summary: String) : CliktCommand(name = name) {
-    private val port by option("--port", help = "Port on loopback; 0 takes a free one.")
+    private val port by option("--port", help = "Port on loopback; 0 picks a free one.")
         .int()
         .restrictTo(0..MAXIMUM_PORT)
         .default(0)
@@ -50,8 +50,8 @@
 
     private fun startOrFail(): RunningStandIn = try {
         start(port)
-    } catch (taken: BindException) {
-        val reason = "--port $port cannot be listened on (${taken.message}), allowed is a free port or 0"
+    } catch (portTaken: BindException) {
+        val reason = "--port $port cannot be listened on (${portTaken.message}), allowed is a free port or 0"
         throw PrintMessage(reason, statusCode = 1, printError = true)
     }
 
--- a/stand-in/src/main/kotlin/org/lovageladder/standin/SharedLink.kt
+++ b/stand-in/src/main/kotlin/org/lovageladder/standin/SharedLink.kt
@@ -7,44 +7,44 @@
 import kotlin.time.DurationUnit
 
 /**
- * A link of limited rate whose transfers share it evenly.
+ * A rate-limited link whose bandwidth is shared equally by its transfers.
  *
- * Each transfer sees the same progress, so the link keeps only the bytes that one transfer would have got since the
- * start, and each transfer ends when that count reaches its own mark.
+ * All transfers progress at the same rate, so the link only counts the bytes that a transfer open since the start would
+ * have received. A transfer is complete when that count reaches its [LinkTransfer.endMark].
  */
 internal class SharedLink(private val thread: EventLoopThread, private val bytesPerSecond: Long) {
     private val transfers = PriorityQueue<LinkTransfer>(compareBy { it.endMark })
     private var bytesPerTransfer = 0.0
     private var countedUntil = ZERO
-    private var stallEnds = ZERO
+    private var stalledUntil = ZERO
     private var timer: Timer? = null
 
-    /** Starts to move [bytes] and calls [onMoved] when they have passed. */
-    fun move(bytes: Long, onMoved: () -> Unit): LinkTransfer {
+    /** Starts a transfer of [bytes] and calls [onCompleted] when it is complete. */
+    fun startTransfer(bytes: Long, onCompleted: () -> Unit): LinkTransfer {
         advance()
-        val transfer = LinkTransfer(bytesPerTransfer + bytes, onMoved)
+        val transfer = LinkTransfer(bytesPerTransfer + bytes, onCompleted)
         transfers.add(transfer)
         reschedule()
         return transfer
     }
 
-    /** Gives the share of [transfer] back; its end is not reported. */
+    /** Aborts [transfer] without calling its callback; the other transfers share its bandwidth. */
     fun abort(transfer: LinkTransfer) {
         advance()
         transfers.remove(transfer)
         reschedule()
     }
 
-    /** Nothing moves for [duration]. */
+    /** Stops all transfers for [duration]. */
     fun stall(duration: Duration) {
         advance()
-        stallEnds = thread.now() + duration
+        stalledUntil = thread.now() + duration
         reschedule()
     }
 
     private fun advance() {
         val now = thread.now()
-        val from = maxOf(countedUntil, stallEnds)
+        val from = maxOf(countedUntil, stalledUntil)
         if (transfers.isNotEmpty() && now > from) {
             bytesPerTransfer += (now - from).toDouble(DurationUnit.SECONDS) * bytesPerSecond / transfers.size
         }
@@ -54,29 +54,30 @@
     private fun reschedule() {
         timer?.cancel()
         val next = transfers.peek()
-        timer = next?.let { thread.after(timeUntil(it)) { finishReached() } }
+        timer = next?.let { thread.schedule(timeUntil(it)) { completeTransfers() } }
     }
 
     private fun timeUntil(transfer: LinkTransfer): Duration {
-        val remainingStall = (stallEnds - thread.now()).coerceAtLeast(ZERO)
+        val remainingStall = (stalledUntil - thread.now()).coerceAtLeast(ZERO)
         val bytes = (transfer.endMark - bytesPerTransfer).coerceAtLeast(0.0) * transfers.size
         return remainingStall + (bytes / bytesPerSecond).seconds
     }
 
-    private fun finishReached() {
+    private fun completeTransfers() {
         advance()
-        val moved = ArrayList<LinkTransfer>()
-        while (transfers.isNotEmpty() && transfers.peek().endMark <= bytesPerTransfer + ROUNDING_BYTES) {
-            moved.add(transfers.poll())
+        val completed = ArrayList<LinkTransfer>()
+        while (transfers.isNotEmpty() && transfers.peek().endMark <= bytesPerTransfer + ROUNDING_TOLERANCE_BYTES) {
+            completed.add(transfers.poll())
         }
         reschedule()
-        moved.forEach { it.onMoved() }
+        completed.forEach { it.onCompleted() }
     }
 
     private companion object {
-        const val ROUNDING_BYTES = 1.0
+        /** Tolerance for floating-point rounding of the byte count. */
+        const val ROUNDING_TOLERANCE_BYTES = 1.0
     }
 }
 
-/** A transfer under way on a [SharedLink]. */
-internal class LinkTransfer(val endMark: Double, val onMoved: () -> Unit)
+/** A transfer in progress on a [SharedLink], complete when the link's byte count reaches [endMark]. */
+internal class LinkTransfer(val endMark: Double, val onCompleted: () -> Unit)
--- a/stand-in/src/main/kotlin/org/lovageladder/standin/Slowness.kt
+++ b/stand-in/src/main/kotlin/org/lovageladder/standin/Slowness.kt
@@ -3,24 +3,24 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.ZERO
 
-/** Injected slowness and stalls of a stand-in, each ending by itself. */
+/** Slowness and stalls injected into a stand-in; each ends after its duration. */
 internal class Slowness(private val thread: EventLoopThread) {
     private var factor = 1.0
-    private var factorEnds = ZERO
-    private var stallEnds = ZERO
+    private var slowUntil = ZERO
+    private var stalledUntil = ZERO
 
-    /** What the time of each step is multiplied by now; 1 when nothing is injected. */
-    fun currentFactor(): Double = if (thread.now() < factorEnds) factor else 1.0
+    /** Factor by which step durations are currently multiplied; 1 when nothing is injected. */
+    fun currentFactor(): Double = if (thread.now() < slowUntil) factor else 1.0
 
-    /** How long the present stall still lasts; zero when there is none. */
-    fun remainingStall(): Duration = (stallEnds - thread.now()).coerceAtLeast(ZERO)
+    /** Remaining time of the current stall; zero when there is none. */
+    fun remainingStall(): Duration = (stalledUntil - thread.now()).coerceAtLeast(ZERO)
 
     fun slowDown(factor: Double, duration: Duration) {
         this.factor = factor
-        factorEnds = thread.now() + duration
+        slowUntil = thread.now() + duration
     }
 
     fun stall(duration: Duration) {
-        stallEnds = thread.now() + duration
+        stalledUntil = thread.now() + duration
     }
 }
--- a/stand-in/src/main/kotlin/org/lovageladder/standin/SlownessFault.kt
+++ b/stand-in/src/main/kotlin/org/lovageladder/standin/SlownessFault.kt
@@ -2,9 +2,9 @@
 
 import kotlin.time.Duration.Companion.milliseconds
 
-/** Slowness and stall as ordered by `POST /fault`, checked by [applyTo]. */
+/** Slowness and stall fields of a `POST /fault` body. */
 internal data class SlownessFault(val slowFactor: Double?, val forMilliseconds: Long?, val stallMilliseconds: Long?) {
-    /** Throws [RequestRefused] with status 400 when a value is out of range or `for_ms` is missing. */
+    /** Injects the fault; throws [RequestRefused] with status 400 if a value is out of range or `for_ms` is missing. */
     fun applyTo(slowness: Slowness) {
         if (slowFactor != null) {
             requireField(slowFactor > 0, "slow_factor", slowFactor, "above 0")
--- a/stand-in/src/main/kotlin/org/lovageladder/standin/StandInJson.kt
+++ b/stand-in/src/main/kotlin/org/lovageladder/standin/StandInJson.kt
@@ -9,48 +9,48 @@
 import kotlinx.serialization.json.JsonObject
 import kotlinx.serialization.json.JsonPrimitive
 
-/** JSON formats of the stand-ins and the reading of bodies. */
+/** JSON formats of the stand-ins, and parsing of request bodies. */
 internal object StandInJson {
-    /** Writes defaults and nulls, as engines do. Unknown fields in what is read are ignored. */
-    val answers: Json =
+    /** Ignores unknown fields when reading; writes default values and nulls, as engines do. */
+    val lenient: Json =
         Json {
             encodeDefaults = true
             ignoreUnknownKeys = true
         }
 
-    /** Refuses unknown fields; for orders whose misspelling would otherwise pass unnoticed. */
+    /** Rejects unknown fields; for bodies whose misspelled fields would otherwise be ignored without notice. */
     val strict: Json = Json { encodeDefaults = true }
 
     private val fieldPattern = Regex("""(?:unknown key '|at path:? \$\.?)([\w.\[\]]+)""")
 
-    /** Reads [body]; throws [RequestRefused] with status 400 naming the field when it doesn't fit. */
-    inline fun <reified Body> read(body: String, format: Json = answers): Body = try {
+    /** Reads [body]; throws [RequestRefused] with status 400 naming the field when it is invalid. */
+    inline fun <reified Body> read(body: String, format: Json = lenient): Body = try {
         format.decodeFromString<Body>(body)
     } catch (malformed: SerializationException) {
-        throw refusal(malformed, body)
+        throw refusalFor(malformed, body)
     }
 
-    fun refusal(malformed: SerializationException, body: String): RequestRefused {
+    fun refusalFor(malformed: SerializationException, body: String): RequestRefused {
         val reason = malformed.message.orEmpty().substringBefore("\n")
-        val field = fieldOf(malformed, body) ?: "body"
-        return RequestRefused.badField(field, "field $field: $reason")
+        val field = invalidField(malformed, body) ?: "body"
+        return RequestRefused.invalidField(field, "field $field: $reason")
     }
 
     @OptIn(ExperimentalSerializationApi::class)
-    private fun fieldOf(malformed: SerializationException, body: String): String? = when (malformed) {
+    private fun invalidField(malformed: SerializationException, body: String): String? = when (malformed) {
         is MissingFieldException -> malformed.missingFields.joinToString(",")
-        is MalformedValue -> fieldWith(malformed.value, Json.parseToJsonElement(body), field = null)
+        is MalformedValue -> findFieldWithValue(malformed.value, Json.parseToJsonElement(body), field = null)
         else -> fieldPattern.find(malformed.message.orEmpty())?.groupValues?.get(1)
     }
 
     /** The name of the first field in [element] that holds [value]; [field] is the name of [element] itself. */
-    private fun fieldWith(value: String, element: JsonElement, field: String?): String? = when (element) {
-        is JsonObject -> element.firstNotNullOfOrNull { (name, child) -> fieldWith(value, child, name) }
-        is JsonArray -> element.firstNotNullOfOrNull { fieldWith(value, it, field) }
+    private fun findFieldWithValue(value: String, element: JsonElement, field: String?): String? = when (element) {
+        is JsonObject -> element.firstNotNullOfOrNull { (name, child) -> findFieldWithValue(value, child, name) }
+        is JsonArray -> element.firstNotNullOfOrNull { findFieldWithValue(value, it, field) }
         is JsonPrimitive -> field.takeIf { element.content == value }
     }
 }
 
-/** A field's [value] that its type doesn't allow, found where the name of the field isn't known. */
+/** An invalid field [value], thrown by a serializer that doesn't know the name of the field. */
 internal class MalformedValue(val value: String, message: String, cause: Throwable? = null) :
     SerializationException(message, cause)
--- a/stand-in/src/main/kotlin/org/lovageladder/standin/WatchMessages.kt
+++ b/stand-in/src/main/kotlin/org/lovageladder/standin/WatchMessages.kt
@@ -17,7 +17,7 @@
     val key: Bytes = "",
     @JsonNames("rangeEnd") @SerialName("range_end") val rangeEnd: Bytes = "",
     @JsonNames("startRevision") @SerialName("start_revision") val startRevision: LongText = 0,
-    @JsonNames("prevKv") @SerialName("prev_kv") val previousWanted: Boolean = false,
+    @JsonNames("prevKv") @SerialName("prev_kv") val returnPrevious: Boolean = false,
 )
 
 @Serializable
--- a/stand-in/src/main/kotlin/org/lovageladder/standin/WeightStoreStandIn.kt
+++ b/stand-in/src/main/kotlin/org/lovageladder/standin/WeightStoreStandIn.kt
@@ -2,7 +2,7 @@
 
 import io.netty.buffer.Unpooled
 
-/** Rate of a [WeightStoreStandIn], shared by all its callers. */
+/** Total rate of a [WeightStoreStandIn], shared by all its callers. */
 public data class WeightStoreSettings(val bytesPerSecond: Long = 100_000_000)
 
 /** The platform's rate-limited weight store: `GET /weights/NAME?bytes=N` streams N zero bytes. */
@@ -14,7 +14,7 @@
 
     public val port: Int = server.port
 
-    /** Stops the store and breaks off what it streams. */
+    /** Stops the store and aborts its streams. */
     override fun close() {
         server.close()
         thread.close()
@@ -24,30 +24,30 @@
         val request = exchange.request
         when {
             request.method == "GET" && request.path == "/health" -> exchange.answer("")
-            request.method == "GET" && request.path.startsWith("/weights/") -> stream(exchange)
+            request.method == "GET" && request.path.startsWith("/weights/") -> streamWeights(exchange)
             else -> throw RequestRefused.unknownPath(request)
         }
     }
 
-    private fun stream(exchange: HttpExchange) {
+    private fun streamWeights(exchange: HttpExchange) {
         val value = exchange.request.query["bytes"]?.firstOrNull()
         val bytes = value?.toLongOrNull()
         requireField(bytes != null && bytes >= 0, "bytes", value, "a whole number, 0 or more")
-        exchange.startStream(HttpExchange.BYTES_TYPE)
-        sendNext(exchange, bytes ?: 0)
+        exchange.startStream(HttpExchange.OCTET_STREAM_TYPE)
+        sendRest(exchange, bytes ?: 0)
     }
 
-    private fun sendNext(exchange: HttpExchange, remaining: Long) {
+    private fun sendRest(exchange: HttpExchange, remaining: Long) {
         if (remaining == 0L) {
             exchange.end()
             return
         }
         val size = remaining.coerceAtMost(CHUNK_BYTES)
         val transfer =
-            link.move(size) {
-                exchange.write(Unpooled.wrappedBuffer(ByteArray(size.toInt()))) { sendNext(exchange, remaining - size) }
+            link.startTransfer(size) {
+                exchange.write(Unpooled.wrappedBuffer(ByteArray(size.toInt()))) { sendRest(exchange, remaining - size) }
             }
-        exchange.onClosed = { link.abort(transfer) }
+        exchange.onDisconnect = { link.abort(transfer) }
     }
 
     public companion object {
--- a/stand-in/src/main/kotlin/org/lovageladder/standin/WeightsCommand.kt
+++ b/stand-in/src/main/kotlin/org/lovageladder/standin/WeightsCommand.kt
@@ -1,10 +1,10 @@
 package org.lovageladder.standin
 
-/** Flags of a [WeightStoreStandIn]. */
+/** The `weights` subcommand, which runs a [WeightStoreStandIn]. */
 internal class WeightsCommand : ServerCommand("weights", "The rate-limited weight store.") {
-    private val rate by positiveLong(
+    private val rate by positiveLongOption(
         "--bytes-per-second",
-        "Rate shared by all callers.",
+        "Total rate, shared by all callers.",
         WeightStoreSettings().bytesPerSecond,
     )
 
--- a/stand-in/src/test/kotlin/org/lovageladder/standin/HttpServerTest.kt
+++ b/stand-in/src/test/kotlin/org/lovageladder/standin/HttpServerTest.kt
@@ -7,42 +7,42 @@
 
 class HttpServerTest {
     @Test
-    fun wrongHeadsAreRefusedAndRequestsAnsweredInTheirOrder() {
-        val rows =
+    fun invalidRequestsAreRefusedAndPipelinedRequestsAnsweredInOrder() {
+        val cases =
             listOf(
-                HeadRow("nonsense\r\n\r\n", listOf("HTTP/1.1 400 Bad Request")),
-                HeadRow(
+                RawRequestCase("nonsense\r\n\r\n", listOf("HTTP/1.1 400 Bad Request")),
+                RawRequestCase(
                     "GET /nowhere HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n",
                     listOf("HTTP/1.1 404 Not Found"),
                 ),
-                HeadRow(
+                RawRequestCase(
                     "POST /v1/hosts HTTP/1.1\r\nHost: x\r\nConnection: close\r\nContent-Length: 999999999\r\n\r\n",
                     listOf("HTTP/1.1 413 Request Entity Too Large"),
                 ),
-                HeadRow(
+                RawRequestCase(
                     "GET /weights/a?bytes=10 HTTP/1.1\r\nHost: x\r\n\r\n" +
                         "GET /nowhere HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n",
                     listOf("HTTP/1.1 200 OK", "HTTP/1.1 404 Not Found"),
                 ),
             )
         WeightStoreStandIn.start(settings = WeightStoreSettings(bytesPerSecond = 100)).use { store ->
-            for (row in rows) {
-                assertEquals(row.statusLines, send(store.port, row.head), row.head)
+            for (case in cases) {
+                assertEquals(case.statusLines, send(store.port, case.rawRequest), case.rawRequest)
             }
         }
     }
 
-    private fun send(port: Int, head: String): List<String> =
+    private fun send(port: Int, rawRequest: String): List<String> =
         Socket(InetAddress.getLoopbackAddress(), port).use { socket ->
-            socket.soTimeout = LIMIT_MILLISECONDS
-            socket.getOutputStream().write(head.toByteArray())
+            socket.soTimeout = READ_TIMEOUT_MILLISECONDS
+            socket.getOutputStream().write(rawRequest.toByteArray())
             val answer = socket.getInputStream().readBytes().decodeToString()
             Regex("HTTP/1.1 [^\r]*").findAll(answer).map { it.value }.toList()
         }
 
-    private data class HeadRow(val head: String, val statusLines: List<String>)
+    private data class RawRequestCase(val rawRequest: String, val statusLines: List<String>)
 
     private companion object {
-        const val LIMIT_MILLISECONDS = 20_000
+        const val READ_TIMEOUT_MILLISECONDS = 20_000
     }
 }
--- a/stand-in/src/test/kotlin/org/lovageladder/standin/KeyValueStandInTest.kt
+++ b/stand-in/src/test/kotlin/org/lovageladder/standin/KeyValueStandInTest.kt
@@ -15,28 +15,28 @@
 
 class KeyValueStandInTest {
     @Test
-    fun rangesFollowTheBytesOfTheKeys() {
-        val rows =
+    fun rangesAreOrderedByKeyBytes() {
+        val cases =
             listOf(
-                RangeRow(""""key":"${base64("a")}"""", listOf("a")),
-                RangeRow(""""key":"${base64("absent")}"""", emptyList()),
-                RangeRow(""""key":"${base64("a")}","range_end":"${base64("b")}"""", listOf("a", "a/1", "a/2")),
-                RangeRow(""""key":"${base64("a/")}","rangeEnd":"${base64("a0")}","limit":"1"""", listOf("a/1")),
-                RangeRow(""""key":"${base64("a/2")}","range_end":"AA=="""", listOf("a/2", "b", "é")),
-                RangeRow(""""key":"${base64("c")}","range_end":"${base64("b")}"""", emptyList()),
-                RangeRow(""""key":"AA==","range_end":"AA==","revision":"3"""", listOf("a/1", "é")),
+                RangeCase(""""key":"${base64("a")}"""", listOf("a")),
+                RangeCase(""""key":"${base64("absent")}"""", emptyList()),
+                RangeCase(""""key":"${base64("a")}","range_end":"${base64("b")}"""", listOf("a", "a/1", "a/2")),
+                RangeCase(""""key":"${base64("a/")}","rangeEnd":"${base64("a0")}","limit":"1"""", listOf("a/1")),
+                RangeCase(""""key":"${base64("a/2")}","range_end":"AA=="""", listOf("a/2", "b", "é")),
+                RangeCase(""""key":"${base64("c")}","range_end":"${base64("b")}"""", emptyList()),
+                RangeCase(""""key":"AA==","range_end":"AA==","revision":"3"""", listOf("a/1", "é")),
             )
         withService { service ->
             listOf("é", "a/1", "b", "a", "a/2").forEach { service.put(it, "v") }
-            for (row in rows) {
-                assertEquals(row.keys, service.range(row.request).keys(), row.request)
+            for (case in cases) {
+                assertEquals(case.keys, service.range(case.request).keys(), case.request)
             }
             assertEquals("6", service.range(""""key":"AA==","range_end":"AA=="""").text("header", "revision"))
         }
     }
 
     @Test
-    fun aDeleteEndsTheVersionsOfAKey() {
+    fun deleteResetsTheVersionOfAKey() {
         withService { service ->
             service.put("k", "1")
             service.put("k", "2")
@@ -51,25 +51,25 @@
     }
 
     @Test
-    fun transactionsCompareBeforeTheyChange() {
-        val rows =
+    fun transactionsRunTheOperationsThatTheirComparisonsSelect() {
+        val cases =
             listOf(
-                CompareRow(""""target":"CREATE","result":"EQUAL","createRevision":"0"""", "absent", true),
-                CompareRow(""""target":"CREATE","result":"EQUAL","create_revision":0""", "k", false),
-                CompareRow(""""target":"MOD","result":"EQUAL","mod_revision":"3"""", "k", true),
-                CompareRow(""""target":"MOD","result":"LESS","mod_revision":"3"""", "k", false),
-                CompareRow(""""target":"VERSION","result":"GREATER","version":"1"""", "k", true),
-                CompareRow(""""target":"VERSION","result":"NOT_EQUAL","version":"2"""", "k", false),
-                CompareRow(""""target":"VALUE","result":"EQUAL","value":"${base64("2")}"""", "k", true),
-                CompareRow(""""target":"VALUE","result":"NOT_EQUAL","value":"${base64("2")}"""", "absent", false),
+                CompareCase(""""target":"CREATE","result":"EQUAL","createRevision":"0"""", "absent", true),
+                CompareCase(""""target":"CREATE","result":"EQUAL","create_revision":0""", "k", false),
+                CompareCase(""""target":"MOD","result":"EQUAL","mod_revision":"3"""", "k", true),
+                CompareCase(""""target":"MOD","result":"LESS","mod_revision":"3"""", "k", false),
+                CompareCase(""""target":"VERSION","result":"GREATER","version":"1"""", "k", true),
+                CompareCase(""""target":"VERSION","result":"NOT_EQUAL","version":"2"""", "k", false),
+                CompareCase(""""target":"VALUE","result":"EQUAL","value":"${base64("2")}"""", "k", true),
+                CompareCase(""""target":"VALUE","result":"NOT_EQUAL","value":"${base64("2")}"""", "absent", false),
             )
-        for (row in rows) {
+        for (case in cases) {
             withService { service ->
                 service.put("k", "1")
                 service.put("k", "2")
-                val answer = service.transact(row.compare, row.key)
+                val answer = service.transact(case.compare, case.key)
                 val succeeded = answer.jsonObject["succeeded"] != null
-                assertEquals(row.succeeds, succeeded, "$row")
+                assertEquals(case.expectedSuccess, succeeded, "$case")
                 assertEquals(if (succeeded) "4" else "3", answer.text("header", "revision"))
                 val response = if (succeeded) "response_put" else "response_range"
                 answer.at("responses", "0", response)
@@ -78,34 +78,34 @@
     }
 
     @Test
-    fun wrongCallsAreRefused() {
+    fun invalidCallsAreRefused() {
         val tooLarge = base64("x".repeat(1024 * 1024 + 1))
-        val twice = """{"request_put":{"key":"aw==","value":"dg=="}}"""
-        val rows =
+        val put = """{"request_put":{"key":"aw==","value":"dg=="}}"""
+        val cases =
             listOf(
-                WrongRow("/v3/kv/put", """{"key":"aw==","value":"$tooLarge"}""", 400, "too large"),
-                WrongRow("/v3/kv/put", """{"value":"dg=="}""", 400, "key is not provided"),
-                WrongRow("/v3/kv/put", """{"key":"aw==","lease":"7"}""", 404, "lease not found"),
-                WrongRow("/v3/kv/put", """{"key":"no base64!"}""", 400, "key"),
-                WrongRow("/v3/kv/range", """{"key":"aw==","revision":"99"}""", 400, "future revision"),
-                WrongRow("/v3/kv/range", """{"key":"aw==","limit":"many"}""", 400, "limit"),
-                WrongRow("/v3/kv/txn", """{"success":[$twice,$twice]}""", 400, "duplicate key"),
-                WrongRow("/v3/lease/grant", "{}", 400, "TTL"),
-                WrongRow("/v3/lease/revoke", """{"ID":"5"}""", 404, "lease not found"),
-                WrongRow("/fault", """{"slow_ms":5}""", 400, "for_ms"),
-                WrongRow("/v3/none", "{}", 404, "/v3/none"),
+                InvalidRequestCase("/v3/kv/put", """{"key":"aw==","value":"$tooLarge"}""", 400, "too large"),
+                InvalidRequestCase("/v3/kv/put", """{"value":"dg=="}""", 400, "key is not provided"),
+                InvalidRequestCase("/v3/kv/put", """{"key":"aw==","lease":"7"}""", 404, "lease not found"),
+                InvalidRequestCase("/v3/kv/put", """{"key":"no base64!"}""", 400, "key"),
+                InvalidRequestCase("/v3/kv/range", """{"key":"aw==","revision":"99"}""", 400, "future revision"),
+                InvalidRequestCase("/v3/kv/range", """{"key":"aw==","limit":"many"}""", 400, "limit"),
+                InvalidRequestCase("/v3/kv/txn", """{"success":[$put,$put]}""", 400, "duplicate key"),
+                InvalidRequestCase("/v3/lease/grant", "{}", 400, "TTL"),
+                InvalidRequestCase("/v3/lease/revoke", """{"ID":"5"}""", 404, "lease not found"),
+                InvalidRequestCase("/fault", """{"slow_ms":5}""", 400, "for_ms"),
+                InvalidRequestCase("/v3/none", "{}", 404, "/v3/none"),
             )
         withService { service ->
-            for (row in rows) {
-                val answer = service.post(row.path, row.body)
-                assertEquals(row.status, answer.statusCode(), "${row.path} ${answer.body()}")
-                assertTrue(row.named in answer.body(), answer.body())
+            for (case in cases) {
+                val answer = service.post(case.path, case.body)
+                assertEquals(case.status, answer.statusCode(), "${case.path} ${answer.body()}")
+                assertTrue(case.expectedText in answer.body(), answer.body())
             }
         }
     }
 
     @Test
-    fun aWatchTellsEveryChangeOfItsKeysFromItsRevisionOn() {
+    fun watchSendsEveryChangeOfItsKeysFromItsStartRevision() {
         withService { service ->
             service.put("a", "1")
             service.put("b", "1")
@@ -124,15 +124,15 @@
     }
 
     @Test
-    fun keysGoWithTheirLease() {
-        val rows =
+    fun keysAreDeletedWithTheirLease() {
+        val cases =
             listOf(
-                LeaseRow(timeToLiveSeconds = 600) { service, id -> service.post(REVOKE, """{"ID":"$id"}""") },
-                LeaseRow(timeToLiveSeconds = 2) { _, _ -> },
+                LeaseCase(timeToLiveSeconds = 600) { service, id -> service.post(REVOKE_PATH, """{"ID":"$id"}""") },
+                LeaseCase(timeToLiveSeconds = 2) { _, _ -> },
             )
-        for (row in rows) {
+        for (case in cases) {
             withService { service ->
-                val granted = service.post("/v3/lease/grant", """{"TTL":"${row.timeToLiveSeconds}"}""").json()
+                val granted = service.post("/v3/lease/grant", """{"TTL":"${case.timeToLiveSeconds}"}""").json()
                 val id = granted.text("ID")
                 service.put("k", "v", lease = id)
                 val kept = service.post("/v3/lease/keepalive", """{"ID":"$id"}""").json()
@@ -141,18 +141,18 @@
                 assertEquals(listOf("k"), known.at("keys").jsonArray.map { decoded(it.text()) })
                 service.watch(""""key":"${base64("k")}"""").use { watch ->
                     assertEquals("true", watch.next().text("created"))
-                    row.end(service, id)
+                    case.endLease(service, id)
                     assertEquals("DELETE k ", watch.nextEvent())
                 }
-                val gone = service.post("/v3/lease/keepalive", """{"ID":"$id"}""").json()
-                assertNull(gone.at("result").jsonObject["TTL"])
+                val expired = service.post("/v3/lease/keepalive", """{"ID":"$id"}""").json()
+                assertNull(expired.at("result").jsonObject["TTL"])
                 assertEquals("-1", service.post("/v3/lease/timetolive", """{"ID":"$id"}""").json().text("TTL"))
             }
         }
     }
 
     @Test
-    fun anOutageAnswersNothingAndLosesNothing() {
+    fun outageAnswersNoCallAndLosesNoData() {
         withService { service ->
             service.put("k", "v")
             val watch = service.watch(""""key":"${base64("k")}"""")
@@ -167,7 +167,7 @@
     }
 
     @Test
-    fun aLostAnswerHasTakenEffect() {
+    fun writeWithLostAnswerTakesEffect() {
         withService { service ->
             service.post("/fault", """{"lose_answers":1}""")
             service.range(""""key":"${base64("k")}"""")
@@ -179,7 +179,7 @@
     }
 
     @Test
-    fun readsMayLieBackInRevisions() {
+    fun readsReturnOldDataDuringTheFault() {
         withService { service ->
             listOf("1", "2", "3").forEach { service.put("k", it) }
             service.post("/fault", """{"old_data_revisions":2,"for_ms":60000}""")
@@ -192,7 +192,7 @@
     }
 
     @Test
-    fun aSlowServiceAnswersLate() {
+    fun injectedSlownessDelaysAnswers() {
         withService { service ->
             service.post("/fault", """{"slow_ms":300,"for_ms":60000}""")
             assertTrue(measureTime { service.put("k", "v") } >= 300.milliseconds)
@@ -200,17 +200,17 @@
     }
 
     @Test
-    fun callsBeyondTheRateWaitForTheirTurn() {
+    fun callsAboveTheRateLimitWait() {
         val settings = KeyValueSettings(writesPerSecond = 20)
-        KeyValueStandIn.start(settings = settings).use { keyValue ->
-            val service = TestClient(keyValue.port)
+        KeyValueStandIn.start(settings = settings).use { standIn ->
+            val service = TestClient(standIn.port)
             val duration = measureTime { repeat(7) { service.put("k", "v") } }
             assertTrue(duration >= 300.milliseconds, "took $duration")
         }
     }
 
     @Test
-    fun callsAreCountedByKindAndWaitingWatchesBySecond() {
+    fun callsAreCountedByKindAndOpenWatchesPerSecond() {
         withService { service ->
             service.put("k", "v")
             service.range(""""key":"${base64("k")}"""")
@@ -261,15 +261,15 @@
 
     private fun decoded(text: String) = String(Base64.getDecoder().decode(text))
 
-    private data class RangeRow(val request: String, val keys: List<String>)
+    private data class RangeCase(val request: String, val keys: List<String>)
 
-    private data class CompareRow(val compare: String, val key: String, val succeeds: Boolean)
+    private data class CompareCase(val compare: String, val key: String, val expectedSuccess: Boolean)
 
-    private data class WrongRow(val path: String, val body: String, val status: Int, val named: String)
+    private data class InvalidRequestCase(val path: String, val body: String, val status: Int, val expectedText: String)
 
-    private class LeaseRow(val timeToLiveSeconds: Int, val end: (TestClient, String) -> Unit)
+    private class LeaseCase(val timeToLiveSeconds: Int, val endLease: (TestClient, String) -> Unit)
 
     private companion object {
-        const val REVOKE = "/v3/kv/lease/revoke"
+        const val REVOKE_PATH = "/v3/kv/lease/revoke"
     }
 }
--- a/stand-in/src/test/kotlin/org/lovageladder/standin/MainTest.kt
+++ b/stand-in/src/test/kotlin/org/lovageladder/standin/MainTest.kt
@@ -7,41 +7,41 @@
 
 class MainTest {
     @Test
-    fun everyStandInSaysItsAddressAndEndsCleanlyOnAStopSignal() {
+    fun eachStandInPrintsItsAddressAndExitsCleanlyOnSigterm() {
         for (name in listOf("engine", "plain", "kv", "host-list", "weights")) {
             val process = launch(name, "--port", "0")
             val ready = process.inputReader().readLine()
             assertTrue(ready.startsWith("ready $name 127.0.0.1:"), ready)
             assertEquals(200, TestClient(ready.substringAfterLast(":").toInt()).get("/health").statusCode())
             process.destroy()
-            assertTrue(process.waitFor(LIMIT_SECONDS, TimeUnit.SECONDS))
+            assertTrue(process.waitFor(EXIT_TIMEOUT_SECONDS, TimeUnit.SECONDS))
             assertEquals(0, process.exitValue(), name)
         }
     }
 
     @Test
-    fun wrongFlagsAreNamedWithTheirValueAndWhatIsAllowed() {
-        val rows =
+    fun usageErrorsNameTheFlagItsValueAndTheAllowedValues() {
+        val cases =
             listOf(
-                FlagRow(2, listOf("--role", "cook", "prefill, decode, both"), "engine", "--role", "cook"),
-                FlagRow(2, listOf("--pieces", "0", "minimum", "1"), "engine", "--pieces", "0"),
-                FlagRow(2, listOf("--latency-ms", "soon", "integer"), "plain", "--latency-ms", "soon"),
-                FlagRow(2, listOf("--port", "70000", "65535"), "kv", "--port", "70000"),
-                FlagRow(2, listOf("--host", "x", "NAME,PLACE,IP:PORT"), "host-list", "--host", "x"),
-                FlagRow(2, listOf("--nope"), "weights", "--nope"),
-                FlagRow(2, listOf("cook"), "cook"),
+                UsageErrorCase(2, listOf("--role", "cook", "prefill, decode, both"), "engine", "--role", "cook"),
+                UsageErrorCase(2, listOf("--pieces", "0", "minimum", "1"), "engine", "--pieces", "0"),
+                UsageErrorCase(2, listOf("--latency-ms", "soon", "integer"), "plain", "--latency-ms", "soon"),
+                UsageErrorCase(2, listOf("--port", "70000", "65535"), "kv", "--port", "70000"),
+                UsageErrorCase(2, listOf("--host", "x", "NAME,PLACE,IP:PORT"), "host-list", "--host", "x"),
+                UsageErrorCase(2, listOf("--nope"), "weights", "--nope"),
+                UsageErrorCase(2, listOf("cook"), "cook"),
             )
-        for (row in rows) {
-            val process = launch(*row.arguments)
+        for (case in cases) {
+            val process = launch(*case.arguments)
             val errors = process.errorReader().readText()
-            assertEquals(row.status, process.waitFor(), errors)
-            row.named.forEach { assertTrue(it in errors, "$it in $errors") }
+            assertEquals(case.status, process.waitFor(), errors)
+            case.expectedTexts.forEach { assertTrue(it in errors, "$it in $errors") }
         }
     }
 
     @Test
-    fun flagsAreTakenFromTheEnvironmentToo() {
-        val builder = builder("host-list")
+    fun flagsAreReadFromEnvironmentVariables() {
+        val builder = processBuilder("host-list")
         builder.environment()["LOVAGELADDER_STAND_IN_HOST_LIST_LAG_MS"] = "soon"
         val process = builder.start()
         val errors = process.errorReader().readText()
@@ -50,7 +50,7 @@
     }
 
     @Test
-    fun aTakenPortIsNamed() {
+    fun portInUseIsNamedInTheError() {
         KeyValueStandIn.start().use { taken ->
             val process = launch("plain", "--port", taken.port.toString())
             val errors = process.errorReader().readText()
@@ -59,17 +59,17 @@
         }
     }
 
-    private fun launch(vararg arguments: String): Process = builder(*arguments).start()
+    private fun launch(vararg arguments: String): Process = processBuilder(*arguments).start()
 
-    private fun builder(vararg arguments: String): ProcessBuilder {
+    private fun processBuilder(vararg arguments: String): ProcessBuilder {
         val java = System.getProperty("java.home") + "/bin/java"
         val classPath = System.getProperty("java.class.path")
         return ProcessBuilder(java, "-Xmx64m", "-cp", classPath, "org.lovageladder.standin.MainKt", *arguments)
     }
 
-    private class FlagRow(val status: Int, val named: List<String>, vararg val arguments: String)
+    private class UsageErrorCase(val status: Int, val expectedTexts: List<String>, vararg val arguments: String)
 
     private companion object {
-        const val LIMIT_SECONDS = 20L
+        const val EXIT_TIMEOUT_SECONDS = 20L
     }
 }
--- a/stand-in/src/test/kotlin/org/lovageladder/standin/OrdersTest.kt
+++ b/stand-in/src/test/kotlin/org/lovageladder/standin/OrdersTest.kt
@@ -6,29 +6,33 @@
 
 class OrdersTest {
     @Test
-    fun ordersWithOutdatedNumbersAreRefusedUnlessIgnored() {
-        val rows =
+    fun ordersWithOutdatedFencingNumbersAreRefusedUnlessIgnored() {
+        val cases =
             listOf(
-                FencingRow(
-                    ignores = false,
-                    numbers = listOf("3", "3", "2", "4"),
+                FencingCase(
+                    ignoreFencing = false,
+                    fencingNumbers = listOf("3", "3", "2", "4"),
                     statuses = listOf(200, 200, 409, 200),
                 ),
-                FencingRow(ignores = true, numbers = listOf("3", "2"), statuses = listOf(200, 200)),
-                FencingRow(ignores = false, numbers = listOf("three"), statuses = listOf(400)),
+                FencingCase(ignoreFencing = true, fencingNumbers = listOf("3", "2"), statuses = listOf(200, 200)),
+                FencingCase(ignoreFencing = false, fencingNumbers = listOf("three"), statuses = listOf(400)),
             )
-        for (row in rows) {
-            EngineStandIn.start(settings = EngineSettings(ignoreFencing = row.ignores)).use { engine ->
+        for (case in cases) {
+            EngineStandIn.start(settings = EngineSettings(ignoreFencing = case.ignoreFencing)).use { engine ->
                 val client = TestClient(engine.port)
                 val order = """{"request_id":"none"}"""
-                val statuses = row.numbers.map { client.post("/v1/cancel", order, FencingGate.HEADER, it).statusCode() }
-                assertEquals(row.statuses, statuses, "$row")
+                val statuses = case.fencingNumbers.map {
+                    client.post("/v1/cancel", order, FencingCheck.HEADER, it).statusCode()
+                }
+                assertEquals(case.statuses, statuses, "$case")
             }
-            PlainStandIn.start(settings = PlainSettings(ignoreFencing = row.ignores)).use { plain ->
+            PlainStandIn.start(settings = PlainSettings(ignoreFencing = case.ignoreFencing)).use { plain ->
                 val client = TestClient(plain.port)
-                val statuses = row.numbers.map { client.post("/act", "{}", FencingGate.HEADER, it).statusCode() }
-                assertEquals(row.statuses, statuses, "$row")
-                val executed = row.statuses.count { it == 200 }.toString()
+                val statuses = case.fencingNumbers.map {
+                    client.post("/act", "{}", FencingCheck.HEADER, it).statusCode()
+                }
+                assertEquals(case.statuses, statuses, "$case")
+                val executed = case.statuses.count { it == 200 }.toString()
                 assertEquals(executed, client.json("/executions").text("total"))
             }
         }
@@ -37,24 +41,28 @@
     @Test
     fun adaptersAndModelsAreLoadedAndListed() {
         val load = """{"lora_name":"drill","lora_path":"/weights/drill"}"""
-        val rows =
+        val cases =
             listOf(
-                LoadRow("/v1/load_lora_adapter", load, 200, listOf("base", "drill")),
-                LoadRow("/v1/load_lora_adapter", load, 400, listOf("base", "drill")),
-                LoadRow("/v1/load_model", """{"model":"next","version":"2"}""", 200, listOf("base", "next", "drill")),
-                LoadRow("/v1/unload_lora_adapter", """{"lora_name":"drill"}""", 200, listOf("base", "next")),
-                LoadRow("/v1/unload_lora_adapter", """{"lora_name":"drill"}""", 404, listOf("base", "next")),
+                LoadCase("/v1/load_lora_adapter", load, 200, listOf("base", "drill")),
+                LoadCase("/v1/load_lora_adapter", load, 400, listOf("base", "drill")),
+                LoadCase("/v1/load_model", """{"model":"next","version":"2"}""", 200, listOf("base", "next", "drill")),
+                LoadCase("/v1/unload_lora_adapter", """{"lora_name":"drill"}""", 200, listOf("base", "next")),
+                LoadCase("/v1/unload_lora_adapter", """{"lora_name":"drill"}""", 404, listOf("base", "next")),
             )
         EngineStandIn.start(settings = EngineSettings(model = "base")).use { engine ->
             val client = TestClient(engine.port)
-            for (row in rows) {
-                assertEquals(row.status, client.post(row.path, row.body).statusCode(), "$row")
-                assertEquals(row.listed, client.json("/v1/models").at("data").jsonArray.map { it.text("id") }, "$row")
+            for (case in cases) {
+                assertEquals(case.status, client.post(case.path, case.body).statusCode(), "$case")
+                assertEquals(case.listed, client.json("/v1/models").at("data").jsonArray.map { it.text("id") }, "$case")
             }
         }
     }
 
-    private data class FencingRow(val ignores: Boolean, val numbers: List<String>, val statuses: List<Int>)
+    private data class FencingCase(
+        val ignoreFencing: Boolean,
+        val fencingNumbers: List<String>,
+        val statuses: List<Int>,
+    )
 
-    private data class LoadRow(val path: String, val body: String, val status: Int, val listed: List<String>)
+    private data class LoadCase(val path: String, val body: String, val status: Int, val listed: List<String>)
 }
--- a/stand-in/src/test/kotlin/org/lovageladder/standin/PlainStandInTest.kt
+++ b/stand-in/src/test/kotlin/org/lovageladder/standin/PlainStandInTest.kt
@@ -10,11 +10,11 @@
 
 class PlainStandInTest {
     @Test
-    fun executionsAreCountedPerKey() {
+    fun executionsAreCountedPerIdempotencyKey() {
         PlainStandIn.start(settings = PlainSettings(name = "klon-app")).use { plain ->
             val client = TestClient(plain.port)
             for ((key, execution) in listOf("a" to "1", "b" to "1", "a" to "2")) {
-                val answer = client.post("/clones", """{"n":1}""", KEY, key).json()
+                val answer = client.post("/clones", """{"n":1}""", IDEMPOTENCY_KEY, key).json()
                 assertEquals("klon-app", answer.text("service"))
                 assertEquals("1", answer.text("echo", "n"))
                 assertEquals(execution, answer.text("execution"))
@@ -25,41 +25,41 @@
     }
 
     @Test
-    fun aDroppedAnswerStillExecuted() {
+    fun callWithDroppedAnswerIsExecuted() {
         PlainStandIn.start().use { plain ->
             val client = TestClient(plain.port)
             client.post("/fault", """{"drop_answers":1}""")
-            assertTrue(runCatching { client.post("/clones", "{}", KEY, "a") }.isFailure)
+            assertTrue(runCatching { client.post("/clones", "{}", IDEMPOTENCY_KEY, "a") }.isFailure)
             assertEquals("1", client.json("/executions").text("executions", "a"))
-            assertEquals(200, client.post("/clones", "{}", KEY, "b").statusCode())
+            assertEquals(200, client.post("/clones", "{}", IDEMPOTENCY_KEY, "b").statusCode())
         }
     }
 
     @Test
     fun slownessAndStallsDelayTheAnswer() {
-        val rows =
+        val cases =
             listOf(
-                SlowRow("""{"slow_factor":10,"for_ms":60000}""", 300.milliseconds),
-                SlowRow("""{"stall_ms":300}""", 300.milliseconds),
+                DelayCase("""{"slow_factor":10,"for_ms":60000}""", 300.milliseconds),
+                DelayCase("""{"stall_ms":300}""", 300.milliseconds),
             )
-        for (row in rows) {
+        for (case in cases) {
             PlainStandIn.start(settings = PlainSettings(latency = 30.milliseconds)).use { plain ->
                 val client = TestClient(plain.port)
                 val duration =
                     measureTime {
-                        client.post("/fault", row.fault)
+                        client.post("/fault", case.fault)
                         client.get("/lookup")
                     }
-                assertTrue(duration >= row.atLeast, "${row.fault} took $duration")
+                assertTrue(duration >= case.minimumDuration, "${case.fault} took $duration")
             }
         }
     }
 
     @Test
-    fun callsBeyondTheLimitAreRefused() {
+    fun callsAboveTheConcurrencyLimitAreRefused() {
         PlainStandIn.start(settings = PlainSettings(latency = 1.hours, maximumRunning = 1)).use { plain ->
             val client = TestClient(plain.port)
-            client.postLater("/clones", "{}")
+            client.postAsync("/clones", "{}")
             awaitTrue { client.json("/executions").text("running") == "1" }
             val refused = client.get("/lookup")
             assertEquals(503, refused.statusCode())
@@ -68,10 +68,10 @@
     }
 
     @Test
-    fun aCrashClosesTheConnectionsOfCallsThatRun() {
+    fun crashClosesConnectionsOfRunningCalls() {
         PlainStandIn.start(settings = PlainSettings(latency = 1.hours)).use { plain ->
             val client = TestClient(plain.port)
-            val running = client.postLater("/clones", "{}")
+            val running = client.postAsync("/clones", "{}")
             awaitTrue { client.json("/executions").text("running") == "1" }
             client.post("/fault", """{"crash":true}""")
             assertTrue(running.handle { _, error -> error != null }.get())
@@ -79,9 +79,9 @@
         }
     }
 
-    private data class SlowRow(val fault: String, val atLeast: Duration)
+    private data class DelayCase(val fault: String, val minimumDuration: Duration)
 
     private companion object {
-        const val KEY = "Idempotency-Key"
+        const val IDEMPOTENCY_KEY = "Idempotency-Key"
     }
 }
--- a/stand-in/src/test/kotlin/org/lovageladder/standin/PlatformStandInsTest.kt
+++ b/stand-in/src/test/kotlin/org/lovageladder/standin/PlatformStandInsTest.kt
@@ -13,7 +13,7 @@
     private val first = ListedHost("first", "pecs-kozpont", address = "127.0.0.1:9000")
 
     @Test
-    fun changesOfTheHostListShowAfterTheLag() {
+    fun hostListChangesAppearAfterTheLag() {
         val settings = HostListSettings(lag = 200.milliseconds, hosts = listOf(first))
         HostListStandIn.start(settings = settings).use { list ->
             val client = TestClient(list.port)
@@ -35,8 +35,8 @@
     }
 
     @Test
-    fun wrongHostsAreRefusedNamingTheField() {
-        val rows =
+    fun invalidHostsAreRefusedWithTheFieldName() {
+        val cases =
             listOf(
                 host("h", "asleep") to "state",
                 host("", "live") to "name",
@@ -45,7 +45,7 @@
                 """{"name":"h","colour":"red"}""" to "colour",
             )
         HostListStandIn.start(settings = HostListSettings(lag = 1.hours)).use { list ->
-            for ((body, field) in rows) {
+            for ((body, field) in cases) {
                 val refused = TestClient(list.port).post("/v1/hosts", body)
                 assertEquals(400, refused.statusCode(), body)
                 assertTrue(field in refused.json().text("error", "message"), refused.body())
@@ -54,7 +54,7 @@
     }
 
     @Test
-    fun callersOfTheWeightStoreShareItsRate() {
+    fun weightStoreCallersShareTheRate() {
         WeightStoreStandIn.start(settings = WeightStoreSettings(bytesPerSecond = 1_000_000)).use { store ->
             val path = "/weights/base?bytes=200000"
             val duration =
--- a/stand-in/src/test/kotlin/org/lovageladder/standin/PrefillTransferTest.kt
+++ b/stand-in/src/test/kotlin/org/lovageladder/standin/PrefillTransferTest.kt
@@ -16,12 +16,12 @@
         EngineSettings(role = EngineRole.DECODE, name = "d", baseTokenGap = 1.milliseconds)
 
     @Test
-    fun aFetchedPrefillDecodesToTheSameTokens() {
+    fun decodeAfterFetchProducesTheSameTokens() {
         withEngines(prefillSettings) { prefill, decode ->
-            val transfer = prefill.post(TEXT, """{"prompt":"a b c","max_tokens":1,$REMOTE_DECODE}""").transfer()
+            val transfer = prefill.post(COMPLETIONS, """{"prompt":"a b c","max_tokens":1,$REMOTE_DECODE}""").transfer()
             assertEquals("true", transfer.text("do_remote_prefill"))
-            val answer = decode.post(TEXT, decodeBody(transfer)).json()
-            val alone = decode.post(TEXT, """{"prompt":"a b c","max_tokens":2}""").json()
+            val answer = decode.post(COMPLETIONS, decodeBody(transfer)).json()
+            val alone = decode.post(COMPLETIONS, """{"prompt":"a b c","max_tokens":2}""").json()
             assertEquals(alone.text("choices", "0", "text"), answer.text("choices", "0", "text"))
             assertEquals("3", prefill.json("/stats").text("prefill_tokens_total"))
             assertEquals("3", decode.json("/stats").text("prefill_tokens_total"))
@@ -29,85 +29,105 @@
     }
 
     @Test
-    fun aDecodeResumesFromAPrefillOfPromptAndTokens() {
+    fun decodeResumesFromPrefillOfPromptAndEarlierTokens() {
         withEngines(prefillSettings) { prefill, decode ->
-            val again = """"resume_from":1,$REMOTE_DECODE"""
-            val first = prefill.post(TEXT, """{"prompt":"a b c","max_tokens":1,$again}""")
+            val resumeFields = """"resume_from":1,$REMOTE_DECODE"""
+            val first = prefill.post(COMPLETIONS, """{"prompt":"a b c","max_tokens":1,$resumeFields}""")
             assertEquals("4", prefill.json("/stats").text("prefill_tokens_total"))
-            val whole = decode.post(TEXT, """{"prompt":"a b c","max_tokens":2}""").json().text("choices", "0", "text")
+            val whole = decode.post(
+                COMPLETIONS,
+                """{"prompt":"a b c","max_tokens":2}""",
+            ).json().text("choices", "0", "text")
             val body = decodeBody(first.transfer()).dropLast(1) + ""","resume_from":1}"""
-            val rest = decode.post(TEXT, body).json().text("choices", "0", "text")
+            val rest = decode.post(COMPLETIONS, body).json().text("choices", "0", "text")
             assertEquals(whole.substringAfter(" "), rest)
         }
     }
 
     @Test
-    fun aPrefillThatCannotBeFetchedFailsTheDecodeAndFreesItsMemory() {
-        val lost = JsonPrimitive("lost")
-        val rows =
+    fun failedFetchFailsTheDecodeAndFreesItsMemory() {
+        val unknown = JsonPrimitive("lost")
+        val cases =
             listOf(
-                LossRow("expired before", prefillSettings.copy(keepTime = 1.milliseconds), 410) {
+                FetchFailureCase("expired before the transfer", prefillSettings.copy(keepTime = 1.milliseconds), 410) {
                     awaitTrue { it.json("/stats").text("prefills_expired") == "1" }
                 },
-                LossRow(
-                    "expired on the way",
+                FetchFailureCase(
+                    "expired during the transfer",
                     prefillSettings.copy(keepTime = 200.milliseconds, linkBytesPerSecond = 1),
                     410,
                 ),
-                LossRow("unknown name", prefillSettings, 410, change = mapOf("remote_request_id" to lost)),
-                LossRow("successor at the address", prefillSettings, 410, change = mapOf("remote_engine_id" to lost)),
-                LossRow(
-                    "nobody at the address",
+                FetchFailureCase(
+                    "unknown name",
+                    prefillSettings,
+                    410,
+                    changedParameters = mapOf(
+                        "remote_request_id" to unknown,
+                    ),
+                ),
+                FetchFailureCase(
+                    "different engine at the address",
+                    prefillSettings,
+                    410,
+                    changedParameters = mapOf(
+                        "remote_engine_id" to unknown,
+                    ),
+                ),
+                FetchFailureCase(
+                    "no engine at the address",
                     prefillSettings,
                     502,
-                    change = mapOf("remote_port" to JsonPrimitive(1)),
+                    changedParameters = mapOf("remote_port" to JsonPrimitive(1)),
                 ),
             )
-        for (row in rows) {
-            withEngines(row.settings) { prefill, decode ->
-                val transfer = prefill.post(TEXT, """{"prompt":"a b c","max_tokens":1,$REMOTE_DECODE}""").transfer()
-                row.meanwhile(prefill)
-                val answer = decode.post(TEXT, decodeBody(JsonObject(transfer + row.change)))
-                assertEquals(row.status, answer.statusCode(), row.name)
-                assertEquals("0", decode.json(RUNNING).text("pieces_held"), row.name)
+        for (case in cases) {
+            withEngines(case.settings) { prefill, decode ->
+                val transfer = prefill.post(
+                    COMPLETIONS,
+                    """{"prompt":"a b c","max_tokens":1,$REMOTE_DECODE}""",
+                ).transfer()
+                case.beforeDecode(prefill)
+                val answer = decode.post(COMPLETIONS, decodeBody(JsonObject(transfer + case.changedParameters)))
+                assertEquals(case.status, answer.statusCode(), case.name)
+                assertEquals("0", decode.json(RUNNING_CALLS).text("pieces_held"), case.name)
             }
         }
     }
 
     @Test
-    fun aStalledTransferResumes() {
+    fun stalledTransferCompletesAfterTheStall() {
         withEngines(prefillSettings) { prefill, decode ->
-            val transfer = prefill.post(TEXT, """{"prompt":"a b c","max_tokens":1,$REMOTE_DECODE}""").transfer()
+            val transfer = prefill.post(COMPLETIONS, """{"prompt":"a b c","max_tokens":1,$REMOTE_DECODE}""").transfer()
             val duration =
                 measureTime {
                     prefill.post("/fault", """{"transfer_stall_ms":400}""")
-                    assertEquals(200, decode.post(TEXT, decodeBody(transfer)).statusCode())
+                    assertEquals(200, decode.post(COMPLETIONS, decodeBody(transfer)).statusCode())
                 }
             assertTrue(duration >= 400.milliseconds, "took $duration")
         }
     }
 
     @Test
-    fun aCancelDuringTheTransferFreesTheMemory() {
+    fun cancelDuringTransferFreesMemory() {
         withEngines(prefillSettings.copy(linkBytesPerSecond = 1)) { prefill, decode ->
-            val transfer = prefill.post(TEXT, """{"prompt":"a b c","max_tokens":1,$REMOTE_DECODE}""").transfer()
-            val answer = decode.postLater(TEXT, decodeBody(transfer), ID, "r")
-            awaitTrue { decode.json(RUNNING).text("pieces_held") == "1" }
+            val transfer = prefill.post(COMPLETIONS, """{"prompt":"a b c","max_tokens":1,$REMOTE_DECODE}""").transfer()
+            val answer = decode.postAsync(COMPLETIONS, decodeBody(transfer), REQUEST_ID, "r")
+            awaitTrue { decode.json(RUNNING_CALLS).text("pieces_held") == "1" }
             decode.post("/v1/cancel", """{"request_id":"r"}""")
-            assertEquals("0", decode.json(RUNNING).text("pieces_held"))
+            assertEquals("0", decode.json(RUNNING_CALLS).text("pieces_held"))
             assertEquals("cancelled", answer.get().json().text("choices", "0", "finish_reason"))
         }
     }
 
     @Test
-    fun anEngineTakesOnlyCallsOfItsRoleUntilItIsChanged() {
+    fun engineAcceptsOnlyCallsOfItsCurrentRole() {
         withEngines(prefillSettings) { prefill, decode ->
             val plain = """{"prompt":"a","max_tokens":1}"""
             val remote = """{"prompt":"a","max_tokens":1,$REMOTE_DECODE}"""
-            assertEquals(400, prefill.post(TEXT, plain).statusCode())
-            assertEquals(400, decode.post(TEXT, remote).statusCode())
+            assertEquals(400, prefill.post(COMPLETIONS, plain).statusCode())
+            assertEquals(400, decode.post(COMPLETIONS, remote).statusCode())
             assertEquals("prefill", decode.post("/v1/role", """{"role":"prefill","fencing":3}""").json().text("role"))
-            assertEquals(200, decode.post(TEXT, remote).statusCode())
+            assertEquals(200, decode.post(COMPLETIONS, remote).statusCode())
         }
     }
 
@@ -122,11 +142,11 @@
         }
     }
 
-    private class LossRow(
+    private class FetchFailureCase(
         val name: String,
         val settings: EngineSettings,
         val status: Int,
-        val change: Map<String, JsonPrimitive> = emptyMap(),
-        val meanwhile: (prefill: TestClient) -> Unit = {},
+        val changedParameters: Map<String, JsonPrimitive> = emptyMap(),
+        val beforeDecode: (prefill: TestClient) -> Unit = {},
     )
 }
--- a/stand-in/src/test/kotlin/org/lovageladder/standin/PrefixCacheTest.kt
+++ b/stand-in/src/test/kotlin/org/lovageladder/standin/PrefixCacheTest.kt
@@ -7,30 +7,30 @@
 
 class PrefixCacheTest {
     @Test
-    fun cachedBlocksSpareThePrefillUntilTheyAreDropped() {
-        val rows =
+    fun cachedBlocksNeedNoPrefillUntilEvicted() {
+        val cases =
             listOf(
-                CacheRow("a b c d e", cached = 0, prefilled = 5),
-                CacheRow("a b c d f g", cached = 4, prefilled = 2),
-                CacheRow("a b x y", cached = 2, prefilled = 2),
-                CacheRow("p q r s", cached = 0, prefilled = 4),
-                CacheRow("a b c d", cached = 2, prefilled = 2),
-                CacheRow("m n", cached = 0, prefilled = 2),
-                CacheRow("p q r s", cached = 2, prefilled = 2),
+                CacheCase("a b c d e", cached = 0, prefilled = 5),
+                CacheCase("a b c d f g", cached = 4, prefilled = 2),
+                CacheCase("a b x y", cached = 2, prefilled = 2),
+                CacheCase("p q r s", cached = 0, prefilled = 4),
+                CacheCase("a b c d", cached = 2, prefilled = 2),
+                CacheCase("m n", cached = 0, prefilled = 2),
+                CacheCase("p q r s", cached = 2, prefilled = 2),
             )
         withEngine(EngineSettings(prefixCacheBlocks = 4, prefixBlockTokens = 2)) { engine ->
             var prefilled = 0
-            for (row in rows) {
-                val usage = engine.complete(row.prompt).at("usage")
-                assertEquals(row.cached.toString(), usage.text("prompt_tokens_details", "cached_tokens"), "$row")
-                prefilled += row.prefilled
-                assertEquals(prefilled.toString(), engine.json("/stats").text("prefill_tokens_total"), "$row")
+            for (case in cases) {
+                val usage = engine.complete(case.prompt).at("usage")
+                assertEquals(case.cached.toString(), usage.text("prompt_tokens_details", "cached_tokens"), "$case")
+                prefilled += case.prefilled
+                assertEquals(prefilled.toString(), engine.json("/stats").text("prefill_tokens_total"), "$case")
             }
         }
     }
 
     @Test
-    fun cacheEventsComeNumberedAndWithGaps() {
+    fun cacheEventsHaveSequenceNumbersAndConfiguredGaps() {
         val settings =
             EngineSettings(
                 prefixCacheBlocks = 1,
@@ -47,7 +47,8 @@
         }
     }
 
-    private fun TestClient.complete(prompt: String) = post(TEXT, """{"prompt":"$prompt","max_tokens":1}""").json()
+    private fun TestClient.complete(prompt: String) =
+        post(COMPLETIONS, """{"prompt":"$prompt","max_tokens":1}""").json()
 
     private fun TestClient.events(after: Int) =
         json("/v1/cache_events?after=$after").at("events").jsonArray.map { it.text("sequence") + " " + it.text("type") }
@@ -56,5 +57,5 @@
         EngineStandIn.start(settings = settings).use { check(TestClient(it.port)) }
     }
 
-    private data class CacheRow(val prompt: String, val cached: Int, val prefilled: Int)
+    private data class CacheCase(val prompt: String, val cached: Int, val prefilled: Int)
 }
--- a/stand-in/src/test/kotlin/org/lovageladder/standin/TestClient.kt
+++ b/stand-in/src/test/kotlin/org/lovageladder/standin/TestClient.kt
@@ -17,21 +17,21 @@
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.TimeSource
 
-/** Calls one stand-in over loopback. */
+/** HTTP client of one stand-in on loopback. */
 internal class TestClient(private val port: Int) {
     fun get(path: String): HttpResponse<String> = client.send(request(path).GET().build(), BodyHandlers.ofString())
 
     fun json(path: String): JsonObject = get(path).json()
 
     fun post(path: String, body: String, vararg headers: String): HttpResponse<String> =
-        postLater(path, body, *headers).get()
+        postAsync(path, body, *headers).get()
 
-    fun postLater(path: String, body: String, vararg headers: String): CompletableFuture<HttpResponse<String>> {
+    fun postAsync(path: String, body: String, vararg headers: String): CompletableFuture<HttpResponse<String>> {
         val request = request(path, *headers).POST(BodyPublishers.ofString(body)).build()
         return client.sendAsync(request, BodyHandlers.ofString())
     }
 
-    /** Posts and returns the answer's lines as they come; closing the reader closes the connection. */
+    /** Posts and returns a reader of the answer as it arrives; closing the reader closes the connection. */
     fun openStream(path: String, body: String, vararg headers: String): BufferedReader {
         val request = request(path, *headers).POST(BodyPublishers.ofString(body)).build()
         return client.send(request, BodyHandlers.ofInputStream()).body().bufferedReader()
@@ -52,7 +52,7 @@
 
 internal fun HttpResponse<String>.json(): JsonObject = Json.parseToJsonElement(body()).jsonObject
 
-/** The element at [path], whose steps are field names and list indexes. */
+/** The element at [path], which consists of field names and list indexes; fails when there is none. */
 internal fun JsonElement.at(vararg path: String): JsonElement = path.fold(this) { element, step ->
     val index = step.toIntOrNull()
     val found = if (index == null) element.jsonObject[step] else element.jsonArray.getOrNull(index)
@@ -61,13 +61,13 @@
 
 internal fun JsonElement.text(vararg path: String): String = at(*path).jsonPrimitive.content
 
-/** Asks [probe] again and again until it gives a value; fails when that takes too long. */
+/** Polls [probe] until it returns a value; fails after 20 seconds. */
 internal fun <Value : Any> awaitValue(probe: () -> Value?): Value {
     val start = TimeSource.Monotonic.markNow()
     while (start.elapsedNow() < 20.seconds) {
         probe()?.let { return it }
     }
-    fail("the awaited state did not come")
+    fail("the condition was not met within 20 seconds")
 }
 
 internal fun awaitTrue(probe: () -> Boolean) {
