--- a/stand-in/src/main/kotlin/org/lovageladder/standin/CompletionWriter.kt
+++ b/stand-in/src/main/kotlin/org/lovageladder/standin/CompletionWriter.kt
@@ -72,19 +72,19 @@
     private fun completeBody(reason: FinishReason, usage: Usage, transfer: TransferParameters?): String =
         when (request.api) {
             CompletionApi.TEXT ->
-                encode(TextChoice(text.toString(), reason.wireName), usage, transfer, bodyName())
+                encode(TextChoice(text.toString(), reason.wireName), usage, transfer, completeName())
             CompletionApi.CHAT ->
                 encode(
                     ChatChoice(ChatMessage("assistant", text.toString()), reason.wireName),
                     usage,
                     transfer,
-                    bodyName(),
+                    completeName(),
                 )
         }
 
     private fun chunkName() = request.api.chunkObjectName
 
-    private fun bodyName() = request.api.completeObjectName
+    private fun completeName() = request.api.completeObjectName
 
     private inline fun <reified Choice> encode(
         choice: Choice,
--- a/stand-in/src/main/kotlin/org/lovageladder/standin/EngineScheduler.kt
+++ b/stand-in/src/main/kotlin/org/lovageladder/standin/EngineScheduler.kt
@@ -73,7 +73,7 @@
         val isAccepted = if (prefillOnly) role.acceptsPrefill else role.acceptsDecode
         if (!isAccepted) {
             val stage = if (prefillOnly) "prefill" else "decode"
-            val reason = "engine ${settings.name} has role ${role.wireName} and takes no $stage call"
+            val reason = "engine ${settings.name} has role ${role.wireName} and accepts no $stage call"
             throw RequestRefused(RequestRefused.BAD_REQUEST, "wrong_role", reason)
         }
     }
--- a/stand-in/src/main/kotlin/org/lovageladder/standin/EngineStandIn.kt
+++ b/stand-in/src/main/kotlin/org/lovageladder/standin/EngineStandIn.kt
@@ -29,7 +29,7 @@
     private val prefixCache = PrefixCache(settings.prefixCacheBlocks, settings.prefixBlockTokens, cacheEvents)
     private val scheduler =
         EngineScheduler(thread, settings, slowness, prefillResults, prefixCache) { ownTransferParameters() }
-    private val load = LoadReport(thread, settings.reportLag) { scheduler.currentLoad() }
+    private val loadReport = LoadReport(thread, settings.reportLag) { scheduler.currentLoad() }
     private val models = ServedModels(settings.model, settings.name)
     private val fencing = FencingCheck(settings.ignoreFencing)
     private val engineId = "${settings.name}-${UUID.randomUUID()}"
@@ -68,14 +68,14 @@
             "/health" -> exchange.answer("")
             "/v1/models" -> exchange.answer(json.encodeToString(models.list()))
             "/v1/running" -> exchange.answer(json.encodeToString(scheduler.runningCalls()))
-            "/v1/cache_events" -> exchange.answer(json.encodeToString(cacheEvents.after(sequenceOf(exchange.request))))
+            "/v1/cache_events" -> exchange.answer(json.encodeToString(cacheEvents.after(parseAfter(exchange.request))))
             "/stats" -> exchange.answer(json.encodeToString(scheduler.stats()))
-            "/metrics" -> exchange.answer(load.prometheusText(models.names.first()), contentType = PROMETHEUS_TYPE)
+            "/metrics" -> exchange.answer(loadReport.prometheusText(models.names.first()), contentType = METRICS_TYPE)
             else -> throw RequestRefused.unknownPath(exchange.request)
         }
     }
 
-    private fun sequenceOf(request: HttpRequest): Long {
+    private fun parseAfter(request: HttpRequest): Long {
         val value = request.query["after"]?.firstOrNull() ?: return 0
         return value.toLongOrNull()
             ?: throw RequestRefused.invalidField("after", "parameter after is '$value', allowed is a whole number")
@@ -174,7 +174,7 @@
     public companion object {
         private const val LOOPBACK = "127.0.0.1"
         private const val TEXT_TYPE = "text/plain"
-        private const val PROMETHEUS_TYPE = "text/plain; version=0.0.4"
+        private const val METRICS_TYPE = "text/plain; version=0.0.4"
 
         /**
          * Starts an engine on loopback at [port], or at a free port when it is 0; throws when the port is taken.
--- a/stand-in/src/main/kotlin/org/lovageladder/standin/HttpExchange.kt
+++ b/stand-in/src/main/kotlin/org/lovageladder/standin/HttpExchange.kt
@@ -56,7 +56,7 @@
 
     fun write(text: String): Unit = write(Unpooled.copiedBuffer(text, StandardCharsets.UTF_8)) {}
 
-    /** Sends [bytes] and calls [onWritten] once they are written to the socket; releases them when it has ended. */
+    /** Sends [bytes] and calls [onWritten] once they are written; releases them if the exchange has ended. */
     fun write(bytes: ByteBuf, onWritten: () -> Unit) {
         if (!isOpen) {
             bytes.release()
--- a/stand-in/src/main/kotlin/org/lovageladder/standin/ServerCommand.kt
+++ b/stand-in/src/main/kotlin/org/lovageladder/standin/ServerCommand.kt
@@ -50,13 +50,15 @@
 
     private fun startOrFail(): RunningStandIn = try {
         start(port)
-    } catch (portTaken: BindException) {
-        val reason = "--port $port cannot be listened on (${portTaken.message}), allowed is a free port or 0"
+    } catch (portInUse: BindException) {
+        val reason = "cannot listen on --port $port (${portInUse.message}), allowed is a free port or 0"
         throw PrintMessage(reason, statusCode = 1, printError = true)
     }
 
     protected companion object {
         const val MAXIMUM_PORT: Int = 65_535
+
+        /** Exit status of a process that SIGKILL ended: 128 + 9. */
         const val CRASH_STATUS: Int = 137
 
         fun haltProcess() {
--- a/stand-in/src/main/kotlin/org/lovageladder/standin/SharedLink.kt
+++ b/stand-in/src/main/kotlin/org/lovageladder/standin/SharedLink.kt
@@ -10,10 +10,10 @@
  * A rate-limited link whose bandwidth is shared equally by its transfers.
  *
  * All transfers progress at the same rate, so the link only counts the bytes that a transfer open since the start would
- * have received. A transfer is complete when that count reaches its [LinkTransfer.endMark].
+ * have received. A transfer is complete when that count reaches its [LinkTransfer.endByteCount].
  */
 internal class SharedLink(private val thread: EventLoopThread, private val bytesPerSecond: Long) {
-    private val transfers = PriorityQueue<LinkTransfer>(compareBy { it.endMark })
+    private val transfers = PriorityQueue<LinkTransfer>(compareBy { it.endByteCount })
     private var bytesPerTransfer = 0.0
     private var countedUntil = ZERO
     private var stalledUntil = ZERO
@@ -59,14 +59,14 @@
 
     private fun timeUntil(transfer: LinkTransfer): Duration {
         val remainingStall = (stalledUntil - thread.now()).coerceAtLeast(ZERO)
-        val bytes = (transfer.endMark - bytesPerTransfer).coerceAtLeast(0.0) * transfers.size
+        val bytes = (transfer.endByteCount - bytesPerTransfer).coerceAtLeast(0.0) * transfers.size
         return remainingStall + (bytes / bytesPerSecond).seconds
     }
 
     private fun completeTransfers() {
         advance()
         val completed = ArrayList<LinkTransfer>()
-        while (transfers.isNotEmpty() && transfers.peek().endMark <= bytesPerTransfer + ROUNDING_TOLERANCE_BYTES) {
+        while (transfers.isNotEmpty() && transfers.peek().endByteCount <= bytesPerTransfer + ROUNDING_TOLERANCE_BYTES) {
             completed.add(transfers.poll())
         }
         reschedule()
@@ -79,5 +79,5 @@
     }
 }
 
-/** A transfer in progress on a [SharedLink], complete when the link's byte count reaches [endMark]. */
-internal class LinkTransfer(val endMark: Double, val onCompleted: () -> Unit)
+/** A transfer in progress on a [SharedLink], complete when the link's byte count reaches [endByteCount]. */
+internal class LinkTransfer(val endByteCount: Double, val onCompleted: () -> Unit)
--- a/stand-in/src/test/kotlin/org/lovageladder/standin/EngineStandInTest.kt
+++ b/stand-in/src/test/kotlin/org/lovageladder/standin/EngineStandInTest.kt
@@ -26,9 +26,9 @@
         EngineStandIn.start(settings = fastSettings).use { engine ->
             val client = TestClient(engine.port)
             for (case in cases) {
-                val whole = client.post(COMPLETIONS, case.body, REQUEST_ID, "r").json()
-                assertEquals(case.expected(), whole.text("choices", "0", "text"))
-                assertEquals(case.indexes.count().toString(), whole.text("usage", "completion_tokens"))
+                val complete = client.post(COMPLETIONS, case.body, REQUEST_ID, "r").json()
+                assertEquals(case.expected(), complete.text("choices", "0", "text"))
+                assertEquals(case.indexes.count().toString(), complete.text("usage", "completion_tokens"))
                 val streamed = client.post(COMPLETIONS, case.body.dropLast(1) + ""","stream":true}""", REQUEST_ID, "r")
                 assertEquals("r", streamed.headers().firstValue(REQUEST_ID).get())
                 assertEquals(case.expected(), streamedText(streamed.body(), "text"))
@@ -42,8 +42,8 @@
         val expected = CompletionCase("", "hello there", 0..1).expected()
         EngineStandIn.start(settings = fastSettings).use { engine ->
             val client = TestClient(engine.port)
-            val whole = client.post(CHAT_COMPLETIONS, "$body}").json()
-            assertEquals(expected, whole.text("choices", "0", "message", "content"))
+            val complete = client.post(CHAT_COMPLETIONS, "$body}").json()
+            assertEquals(expected, complete.text("choices", "0", "message", "content"))
             val streamed = client.post(CHAT_COMPLETIONS, """$body,"stream":true}""").body()
             assertEquals(expected, streamedText(streamed, "delta", "content"))
         }
--- a/stand-in/src/test/kotlin/org/lovageladder/standin/MainTest.kt
+++ b/stand-in/src/test/kotlin/org/lovageladder/standin/MainTest.kt
@@ -51,11 +51,11 @@
 
     @Test
     fun portInUseIsNamedInTheError() {
-        KeyValueStandIn.start().use { taken ->
-            val process = launch("plain", "--port", taken.port.toString())
+        KeyValueStandIn.start().use { portOwner ->
+            val process = launch("plain", "--port", portOwner.port.toString())
             val errors = process.errorReader().readText()
             assertEquals(1, process.waitFor(), errors)
-            assertTrue("--port ${taken.port}" in errors, errors)
+            assertTrue("--port ${portOwner.port}" in errors, errors)
         }
     }
 
--- a/stand-in/src/test/kotlin/org/lovageladder/standin/OrdersTest.kt
+++ b/stand-in/src/test/kotlin/org/lovageladder/standin/OrdersTest.kt
@@ -40,11 +40,11 @@
 
     @Test
     fun adaptersAndModelsAreLoadedAndListed() {
-        val load = """{"lora_name":"drill","lora_path":"/weights/drill"}"""
+        val adapterBody = """{"lora_name":"drill","lora_path":"/weights/drill"}"""
         val cases =
             listOf(
-                LoadCase("/v1/load_lora_adapter", load, 200, listOf("base", "drill")),
-                LoadCase("/v1/load_lora_adapter", load, 400, listOf("base", "drill")),
+                LoadCase("/v1/load_lora_adapter", adapterBody, 200, listOf("base", "drill")),
+                LoadCase("/v1/load_lora_adapter", adapterBody, 400, listOf("base", "drill")),
                 LoadCase("/v1/load_model", """{"model":"next","version":"2"}""", 200, listOf("base", "next", "drill")),
                 LoadCase("/v1/unload_lora_adapter", """{"lora_name":"drill"}""", 200, listOf("base", "next")),
                 LoadCase("/v1/unload_lora_adapter", """{"lora_name":"drill"}""", 404, listOf("base", "next")),
@@ -53,7 +53,7 @@
             val client = TestClient(engine.port)
             for (case in cases) {
                 assertEquals(case.status, client.post(case.path, case.body).statusCode(), "$case")
-                assertEquals(case.listed, client.json("/v1/models").at("data").jsonArray.map { it.text("id") }, "$case")
+                assertEquals(case.models, client.json("/v1/models").at("data").jsonArray.map { it.text("id") }, "$case")
             }
         }
     }
@@ -64,5 +64,5 @@
         val statuses: List<Int>,
     )
 
-    private data class LoadCase(val path: String, val body: String, val status: Int, val listed: List<String>)
+    private data class LoadCase(val path: String, val body: String, val status: Int, val models: List<String>)
 }
--- a/stand-in/src/test/kotlin/org/lovageladder/standin/PlatformStandInsTest.kt
+++ b/stand-in/src/test/kotlin/org/lovageladder/standin/PlatformStandInsTest.kt
@@ -10,11 +10,11 @@
 import kotlin.time.measureTime
 
 class PlatformStandInsTest {
-    private val first = ListedHost("first", "pecs-kozpont", address = "127.0.0.1:9000")
+    private val firstHost = ListedHost("first", "pecs-kozpont", address = "127.0.0.1:9000")
 
     @Test
     fun hostListChangesAppearAfterTheLag() {
-        val settings = HostListSettings(lag = 200.milliseconds, hosts = listOf(first))
+        val settings = HostListSettings(lag = 200.milliseconds, hosts = listOf(firstHost))
         HostListStandIn.start(settings = settings).use { list ->
             val client = TestClient(list.port)
             assertEquals(listOf("first live"), client.hosts())
--- a/stand-in/src/test/kotlin/org/lovageladder/standin/PrefillTransferTest.kt
+++ b/stand-in/src/test/kotlin/org/lovageladder/standin/PrefillTransferTest.kt
@@ -21,8 +21,8 @@
             val transfer = prefill.post(COMPLETIONS, """{"prompt":"a b c","max_tokens":1,$REMOTE_DECODE}""").transfer()
             assertEquals("true", transfer.text("do_remote_prefill"))
             val answer = decode.post(COMPLETIONS, decodeBody(transfer)).json()
-            val alone = decode.post(COMPLETIONS, """{"prompt":"a b c","max_tokens":2}""").json()
-            assertEquals(alone.text("choices", "0", "text"), answer.text("choices", "0", "text"))
+            val withoutFetch = decode.post(COMPLETIONS, """{"prompt":"a b c","max_tokens":2}""").json()
+            assertEquals(withoutFetch.text("choices", "0", "text"), answer.text("choices", "0", "text"))
             assertEquals("3", prefill.json("/stats").text("prefill_tokens_total"))
             assertEquals("3", decode.json("/stats").text("prefill_tokens_total"))
         }
@@ -34,13 +34,10 @@
             val resumeFields = """"resume_from":1,$REMOTE_DECODE"""
             val first = prefill.post(COMPLETIONS, """{"prompt":"a b c","max_tokens":1,$resumeFields}""")
             assertEquals("4", prefill.json("/stats").text("prefill_tokens_total"))
-            val whole = decode.post(
-                COMPLETIONS,
-                """{"prompt":"a b c","max_tokens":2}""",
-            ).json().text("choices", "0", "text")
+            val complete = decode.post(COMPLETIONS, """{"prompt":"a b c","max_tokens":2}""").json()
             val body = decodeBody(first.transfer()).dropLast(1) + ""","resume_from":1}"""
             val rest = decode.post(COMPLETIONS, body).json().text("choices", "0", "text")
-            assertEquals(whole.substringAfter(" "), rest)
+            assertEquals(complete.text("choices", "0", "text").substringAfter(" "), rest)
         }
     }
 
@@ -61,23 +58,19 @@
                     "unknown name",
                     prefillSettings,
                     410,
-                    changedParameters = mapOf(
-                        "remote_request_id" to unknown,
-                    ),
+                    parameterOverrides = mapOf("remote_request_id" to unknown),
                 ),
                 FetchFailureCase(
                     "different engine at the address",
                     prefillSettings,
                     410,
-                    changedParameters = mapOf(
-                        "remote_engine_id" to unknown,
-                    ),
+                    parameterOverrides = mapOf("remote_engine_id" to unknown),
                 ),
                 FetchFailureCase(
                     "no engine at the address",
                     prefillSettings,
                     502,
-                    changedParameters = mapOf("remote_port" to JsonPrimitive(1)),
+                    parameterOverrides = mapOf("remote_port" to JsonPrimitive(1)),
                 ),
             )
         for (case in cases) {
@@ -87,7 +80,7 @@
                     """{"prompt":"a b c","max_tokens":1,$REMOTE_DECODE}""",
                 ).transfer()
                 case.beforeDecode(prefill)
-                val answer = decode.post(COMPLETIONS, decodeBody(JsonObject(transfer + case.changedParameters)))
+                val answer = decode.post(COMPLETIONS, decodeBody(JsonObject(transfer + case.parameterOverrides)))
                 assertEquals(case.status, answer.statusCode(), case.name)
                 assertEquals("0", decode.json(RUNNING_CALLS).text("pieces_held"), case.name)
             }
@@ -146,7 +139,7 @@
         val name: String,
         val settings: EngineSettings,
         val status: Int,
-        val changedParameters: Map<String, JsonPrimitive> = emptyMap(),
+        val parameterOverrides: Map<String, JsonPrimitive> = emptyMap(),
         val beforeDecode: (prefill: TestClient) -> Unit = {},
     )
 }
