--- a/daemon/src/main/kotlin/org/lovageladder/daemon/CommonFlags.kt
+++ b/daemon/src/main/kotlin/org/lovageladder/daemon/CommonFlags.kt
@@ -13,29 +13,39 @@
 import kotlin.time.Duration.Companion.minutes
 import kotlin.time.Duration.Companion.seconds
 
-/** Flags of both roles. */
-internal class CommonFlags : OptionGroup("Flags of both roles") {
-    private val name by nameFlag("--name", "Name of this process, unique among those that run.").required()
+/** Flags that all roles have. */
+internal class CommonFlags : OptionGroup("Flags of all roles") {
+    private val name by nameFlag("--name", "Name of this process, unique among running processes.").required()
     private val hostName by nameFlag("--host", "Name of the host in the release.").required()
-    private val placeName by nameFlag("--place", "Name of the host's place.").required()
-    private val admin by addressFlag("--admin", "Where health, metrics, status and events are served.").required()
-    private val store by addressesFlag("--store", "The key-value service; may be repeated.")
-        .transformAll { given -> given.flatten().ifEmpty { fail("missing, allowed is one IP:PORT or more") } }
-    private val hostList by addressFlag("--host-list", "The platform's host list.")
+    private val placeName by nameFlag("--place", "Name of the data centre of the host.").required()
+    private val admin by addressFlag("--admin", "Address that serves health, metrics, status and events.").required()
+    private val store by addressesFlag("--store", "Address of the key-value service; may be repeated.")
+        .transformAll { values -> values.flatten().ifEmpty { fail("missing, at least one IP:PORT is required") } }
+    private val hostList by addressFlag("--host-list", "Address of the platform's host list.")
     private val hostListInterval by
-        durationFlag("--host-list-interval", "Pause between reads of it.", 1.seconds, 100.milliseconds..1.minutes)
+        durationFlag(
+            "--host-list-interval",
+            "Interval between reads of the host list.",
+            1.seconds,
+            100.milliseconds..1.minutes,
+        )
     private val drainTimeout by
-        durationFlag("--drain-timeout", "Longest time to finish what is in flight.", 10.minutes, 0.seconds..24.hours)
+        durationFlag(
+            "--drain-timeout",
+            "Longest time to finish requests in flight after a stop.",
+            10.minutes,
+            0.seconds..24.hours,
+        )
     private val logLevel by
-        choiceFlag("--log-level", "Least level to log.", LogLevel.entries.associateBy { it.word }, LogLevel.INFO)
+        choiceFlag("--log-level", "Lowest level to log.", LogLevel.entries.associateBy { it.word }, LogLevel.INFO)
     private val logFormat by
-        choiceFlag("--log-format", "Form of log lines.", LogFormat.entries.associateBy { it.word }, LogFormat.TEXT)
+        choiceFlag("--log-format", "Format of log lines.", LogFormat.entries.associateBy { it.word }, LogFormat.TEXT)
 
     val process: ProcessName get() = ProcessName(name)
     val host: HostName get() = HostName(hostName)
     val place: PlaceName get() = PlaceName(placeName)
 
-    /** Sets up the log as asked for. */
+    /** Configures the log to write to [stream], with the level and format of the flags. */
     fun configureLog(stream: LogStream = LogStream.ERROR) {
         configureLog(logLevel, logFormat, stream)
     }
@@ -49,7 +59,8 @@
     )
 }
 
-/** Draws the number of a process's life. It is small enough to be exact in every JSON reader. */
-internal fun drawIncarnation(): Incarnation = Incarnation(1 + (SecureRandom().nextLong() ushr INCARNATION_SHIFT))
+/** Returns a random incarnation number of at most 2^52, which is exact also in JSON readers that use doubles. */
+internal fun randomIncarnation(): Incarnation =
+    Incarnation(1 + (SecureRandom().nextLong() ushr INCARNATION_UNUSED_BITS))
 
-private const val INCARNATION_SHIFT = 12
+private const val INCARNATION_UNUSED_BITS = 12
--- a/daemon/src/main/kotlin/org/lovageladder/daemon/CompanionCommand.kt
+++ b/daemon/src/main/kotlin/org/lovageladder/daemon/CompanionCommand.kt
@@ -10,25 +10,50 @@
 import kotlin.time.Duration.Companion.minutes
 import kotlin.time.Duration.Companion.seconds
 
-/** Runs a companion. */
+/** The subcommand that runs a companion. */
 internal class CompanionCommand : CliktCommand("companion") {
     private val common by CommonFlags()
-    private val peerListen by addressFlag("--peer-listen", "Where entries connect.").required()
+    private val peerListen by addressFlag("--peer-listen", "Address where entries connect.").required()
     private val peerSilenceLimit by
-        durationFlag("--peer-silence-limit", "Silence after which an entry is gone.", 3.seconds, PERIODS)
+        durationFlag(
+            "--peer-silence-limit",
+            "Time without messages after which an entry is disconnected.",
+            3.seconds,
+            ALLOWED_DURATIONS,
+        )
     private val storeTimeout by
-        durationFlag("--store-timeout", "For an answer of the key-value service.", 500.milliseconds, PERIODS)
+        durationFlag(
+            "--store-timeout",
+            "Timeout of calls to the key-value service.",
+            500.milliseconds,
+            ALLOWED_DURATIONS,
+        )
     private val storeRefreshInterval by
-        durationFlag("--store-refresh-interval", "Between reads of the release.", 30.seconds, PERIODS)
+        durationFlag(
+            "--store-refresh-interval",
+            "Interval between reads of the release.",
+            30.seconds,
+            ALLOWED_DURATIONS,
+        )
     private val cancelRetryInterval by
-        durationFlag("--cancel-retry-interval", "Before a cancel is repeated.", 100.milliseconds, PERIODS)
+        durationFlag(
+            "--cancel-retry-interval",
+            "Interval between retries of a cancellation.",
+            100.milliseconds,
+            ALLOWED_DURATIONS,
+        )
     private val claimMemory by
-        durationFlag("--claim-memory", "How long ended claims are remembered.", 60.minutes, 1.minutes..24.hours)
+        durationFlag("--claim-memory", "How long ended claims are kept in memory.", 60.minutes, 1.minutes..24.hours)
 
     private val queueLimit by
-        countFlag("--queue-limit", "Calls and reservations that wait for an upstream.", QUEUE_LIMIT, 1..MOST_QUEUED)
+        countFlag(
+            "--queue-limit",
+            "Maximum of calls and reservations waiting for an upstream.",
+            DEFAULT_QUEUE_LIMIT,
+            1..MAXIMUM_QUEUE_LIMIT,
+        )
 
-    override fun help(context: Context): String = "Guards the upstreams of its host and runs calls on them."
+    override fun help(context: Context): String = "Reserves memory on the upstreams of its host and runs calls on them."
 
     override fun run() {
         common.configureLog()
@@ -41,7 +66,7 @@
             process = common.process,
             host = common.host,
             place = common.place,
-            incarnation = drawIncarnation(),
+            incarnation = randomIncarnation(),
             peerSilenceLimit = peerSilenceLimit,
             storeTimeout = storeTimeout,
             storeRefreshInterval = storeRefreshInterval,
@@ -50,12 +75,12 @@
             queueLimit = queueLimit,
         ),
         process = common.processSettings(),
-        peer = peerListen,
+        peerAddress = peerListen,
     )
 
     private companion object {
-        const val QUEUE_LIMIT = 256
-        const val MOST_QUEUED = 100_000
-        val PERIODS = 10.milliseconds..10.minutes
+        const val DEFAULT_QUEUE_LIMIT = 256
+        const val MAXIMUM_QUEUE_LIMIT = 100_000
+        val ALLOWED_DURATIONS = 10.milliseconds..10.minutes
     }
 }
--- a/daemon/src/main/kotlin/org/lovageladder/daemon/CompanionProcess.kt
+++ b/daemon/src/main/kotlin/org/lovageladder/daemon/CompanionProcess.kt
@@ -18,71 +18,78 @@
 import org.lovageladder.peer.ListenerHandler
 import org.lovageladder.peer.startPeerListener
 
-/** Starts a companion; throws [AddressUnavailable] when it cannot listen. */
+/** Starts a companion; throws [AddressUnavailable] when it cannot bind an address. */
 internal fun startCompanion(settings: CompanionProcessSettings): RunningProcess = CompanionProcess(settings)
 
-/** Connects the decisions of a companion with entries, the upstreams of its host and the platform. */
+/**
+ * Connects the decisions of a companion with entries, the upstreams of its host, the key-value service and the host
+ * list.
+ */
 private class CompanionProcess(private val settings: CompanionProcessSettings) : RunningProcess {
     private val decisions = companionDecisions(settings.decisions)
-    private val parts = ProcessParts(settings.decisions.process, settings.process)
-    private val control = ControlThread(Machine(), ControlMeters(parts.registry), parts.ending::failed)
-    private val upstreams = openHttpUpstreamGateway(parts.threads)
-    private val listener =
-        listenOn("--peer-listen", settings.peer) {
+    private val components = ProcessComponents(settings.decisions.process, settings.process)
+    private val control = ControlThread(
+        StateMachineAdapter(),
+        ControlMeters(components.registry),
+        components.termination::onControlThreadFailure,
+    )
+    private val gateway = openHttpUpstreamGateway(components.threads)
+    private val peerListener =
+        listenOn("--peer-listen", settings.peerAddress) {
             startPeerListener(
-                bind = settings.peer,
+                bind = settings.peerAddress,
                 host = settings.decisions.host,
                 incarnation = settings.decisions.incarnation,
-                handler = Entries(),
+                handler = EntryConnectionHandler(),
             )
         }
     private val adminServer =
         listenOn("--admin", settings.process.admin) {
-            val operators = ProcessAdmin(parts.state, parts.ring, ::statusJson, ::requestStop)
-            startAdminServer(settings.process.admin, operators, parts.registry, parts.threads)
+            val adminHandler = ProcessAdmin(components.state, components.ring, ::statusJson, ::requestStop)
+            startAdminServer(settings.process.admin, adminHandler, components.registry, components.threads)
         }
 
-    override val traffic = listener.address
+    override val traffic = peerListener.address
     override val admin = adminServer.address
 
     init {
         control.start(CompanionEvent.TimePassed)
-        parts.pollHostList { control.post(CompanionEvent.HostsListed(it)) }
+        components.pollHostList { control.post(CompanionEvent.HostsListed(it)) }
     }
 
     override fun requestStop() {
-        parts.ending.requestStop { control.post(CompanionEvent.StopRequested) }
+        components.termination.requestStop { control.post(CompanionEvent.StopRequested) }
     }
 
-    override fun awaitEnd(): ProcessEnd = parts.ending.await()
+    override fun awaitEnd(): ProcessEnd = components.termination.await()
 
     override fun close() {
         control.close()
-        listener.close()
-        upstreams.close()
+        peerListener.close()
+        gateway.close()
         adminServer.close()
-        parts.close()
+        components.close()
     }
 
-    private fun statusJson(): String? = control.ask { decisions.status(monotonicNow()) }
+    private fun statusJson(): String? = control.query { decisions.status(monotonicNow()) }
         ?.let { statusText("companion", settings.decisions.process, CompanionStatus.serializer(), it) }
 
-    private inner class Machine : ControlledMachine<CompanionEvent> {
+    private inner class StateMachineAdapter : StateMachine<CompanionEvent> {
         override val timePassed: CompanionEvent = CompanionEvent.TimePassed
 
         override fun handle(event: CompanionEvent, now: Moment) {
-            if (event is CompanionEvent.Connected) listener.send(event.connection, enveloped(welcome(now)))
-            decisions.handle(event, now).forEach(::carryOut)
-            parts.state.ready = decisions.ready
-            parts.state.release = decisions.release
+            if (event is CompanionEvent.Connected) peerListener.send(event.connection, envelopeOf(welcome(now)))
+            decisions.handle(event, now).forEach(::performEffect)
+            components.state.ready = decisions.ready
+            components.state.release = decisions.release
         }
 
-        override fun observe(clock: HybridTime): Unit = parts.clock.observe(clock)
+        override fun observe(clock: HybridTime): Unit = components.clock.observe(clock)
 
         override fun nextDeadline(): Moment? = decisions.nextDeadline()
     }
 
-    /** The first message on a connection, which goes out before whatever the decisions send on it. */
+    /** The first message on a connection, sent before any message of the decisions. */
     private fun welcome(now: Moment): PeerMessage.Welcome {
         val status = decisions.status(now)
         return PeerMessage.Welcome(
@@ -94,51 +101,52 @@
         )
     }
 
-    private fun carryOut(effect: CompanionEffect) {
+    private fun performEffect(effect: CompanionEffect) {
         when (effect) {
-            is CompanionEffect.Send -> listener.send(effect.connection, enveloped(effect.message))
-            is CompanionEffect.Disconnect -> listener.close(effect.connection)
-            is CompanionEffect.StartCall -> start(effect)
+            is CompanionEffect.Send -> peerListener.send(effect.connection, envelopeOf(effect.message))
+            is CompanionEffect.Disconnect -> peerListener.close(effect.connection)
+            is CompanionEffect.StartCall -> startCall(effect)
             is CompanionEffect.CancelCall ->
-                upstreams.cancel(effect.attempt, effect.upstream) { confirmed ->
+                gateway.cancel(effect.attempt, effect.upstream) { confirmed ->
                     control.post(CompanionEvent.CancelEnded(effect.attempt, confirmed))
                 }
             is CompanionEffect.ListRunning ->
-                upstreams.running(effect.upstream) { requests ->
+                gateway.running(effect.upstream) { requests ->
                     control.post(CompanionEvent.RunningListed(effect.upstream.name, requests))
                 }
             is CompanionEffect.CancelOrphan -> cancelOrphan(effect)
-            is CompanionEffect.GiveOrder -> give(effect)
+            is CompanionEffect.GiveOrder -> giveOrder(effect)
             is CompanionEffect.AskStore ->
-                parts.store.call(effect.request, effect.timeout) { answer ->
+                components.store.call(effect.request, effect.timeout) { answer ->
                     control.post(CompanionEvent.StoreAnswered(effect.ticket, answer))
                 }
-            is CompanionEffect.Record -> parts.record(effect.event)
-            is CompanionEffect.Exit -> parts.ending.finished()
+            is CompanionEffect.Record -> components.recordEvent(effect.event)
+            is CompanionEffect.Exit -> components.termination.finished()
         }
     }
 
-    private fun start(effect: CompanionEffect.StartCall) {
-        upstreams.start(effect.attempt, effect.upstream, effect.call) { report ->
+    private fun startCall(effect: CompanionEffect.StartCall) {
+        gateway.start(effect.attempt, effect.upstream, effect.call) { report ->
             control.post(CompanionEvent.Reported(effect.attempt, report))
         }
     }
 
     private fun cancelOrphan(effect: CompanionEffect.CancelOrphan) {
-        upstreams.cancelByName(effect.requestName, effect.upstream) { confirmed ->
+        gateway.cancelByName(effect.requestName, effect.upstream) { confirmed ->
             control.post(CompanionEvent.OrphanEnded(effect.upstream.name, effect.requestName, confirmed))
         }
     }
 
-    private fun give(effect: CompanionEffect.GiveOrder) {
-        upstreams.order(effect.upstream, effect.order, effect.fencing) { fault ->
+    private fun giveOrder(effect: CompanionEffect.GiveOrder) {
+        gateway.order(effect.upstream, effect.order, effect.fencing) { fault ->
             control.post(CompanionEvent.OrderEnded(effect.upstream.name, effect.order, effect.fencing, fault))
         }
     }
 
-    private fun enveloped(message: PeerMessage): Envelope = Envelope(decisions.release, parts.clock.next(), message)
+    private fun envelopeOf(message: PeerMessage): Envelope =
+        Envelope(decisions.release, components.clock.next(), message)
 
-    private inner class Entries : ListenerHandler {
+    private inner class EntryConnectionHandler : ListenerHandler {
         override fun connected(connection: ConnectionId, envelope: Envelope, hello: PeerMessage.Hello): Unit =
             control.post(CompanionEvent.Connected(connection, hello), envelope.clock)
 
@@ -149,6 +157,6 @@
             control.post(CompanionEvent.Disconnected(connection, fault))
 
         override fun rejected(kind: EventKind, fault: Fault): Unit =
-            control.execute { parts.record(EventDraft(kind, detail = fault.toString())) }
+            control.execute { components.recordEvent(EventDraft(kind, detail = fault.toString())) }
     }
 }
--- a/daemon/src/main/kotlin/org/lovageladder/daemon/ControlLoop.kt
+++ b/daemon/src/main/kotlin/org/lovageladder/daemon/ControlLoop.kt
@@ -4,77 +4,78 @@
 import org.lovageladder.core.Moment
 import kotlin.time.Duration.Companion.seconds
 
-/** Decisions as the control loop drives them: events go in, and effects are carried out before the next one. */
-internal interface ControlledMachine<Event : Any> {
-    /** The event that reports nothing but the time. */
+/** Handles the events of a [ControlLoop], which passes the next event when the effects of the last are performed. */
+internal interface StateMachine<Event : Any> {
+    /** The event that only reports that time passed. */
     val timePassed: Event
 
-    /** Handles [event] and carries out what follows from it. */
+    /** Handles [event] at [now] and performs its effects. */
     fun handle(event: Event, now: Moment)
 
-    /** Takes notice of a stamp on a message from another process. */
+    /** Advances the hybrid clock past [clock], the time stamp of a message from another process. */
     fun observe(clock: HybridTime)
 
-    /** When [timePassed] is due at the latest; null when nothing waits. */
+    /** Latest time at which [timePassed] has to be handled; null without a pending deadline. */
     fun nextDeadline(): Moment?
 }
 
-/** What the control thread is asked to do. */
+/** A task in the queue of the control thread. */
 internal sealed interface ControlTask<out Event : Any> {
-    /** Handles an event that came with the stamp [clock] when another process sent it. */
+    /** Handles [event]; [clock] is the time stamp of the message when another process sent it. */
     data class Handle<Event : Any>(val event: Event, val clock: HybridTime? = null) : ControlTask<Event>
 
-    /** Runs something that needs the state of the control thread. */
+    /** Runs [action], which uses state that is confined to the control thread. */
     class Run(val action: () -> Unit) : ControlTask<Nothing>
 }
 
 /**
- * Runs tasks against a machine in the order of their arrival, and reports deadlines. When more than [PAUSE_LIMIT]
- * passed since the loop last looked at the clock, the process was not running: the machine is told of the time before
- * anything that waited. Confined to one thread, which has to call [run] at least every half of [PAUSE_LIMIT].
+ * Runs tasks against a state machine in the order of their arrival, and reports passed deadlines. More than
+ * [SUSPENSION_THRESHOLD] between two reads of the clock means that the process was suspended: the state machine handles
+ * [StateMachine.timePassed] before any task that waited. Confined to one thread, which has to call [run] at least every
+ * half of [SUSPENSION_THRESHOLD].
  */
 internal class ControlLoop<Event : Any>(
-    private val machine: ControlledMachine<Event>,
+    private val stateMachine: StateMachine<Event>,
     private val clock: () -> Moment = ::monotonicNow,
 ) {
-    private var lastLook = clock()
+    private var lastReadAt = clock()
 
-    /** Runs all of [tasks], then reports the time if a deadline has passed. */
+    /** Runs all of [tasks], then handles [StateMachine.timePassed] if a deadline has passed. */
     fun run(tasks: List<ControlTask<Event>>) {
-        tasks.forEach(::runOne)
-        val now = look()
-        val due = machine.nextDeadline()
-        if (due != null && due <= now) machine.handle(machine.timePassed, now)
+        tasks.forEach(::runTask)
+        val now = readClock()
+        val due = stateMachine.nextDeadline()
+        if (due != null && due <= now) stateMachine.handle(stateMachine.timePassed, now)
     }
 
-    /** When [run] is due at the latest, even without tasks. */
-    fun nextDeadline(): Moment? = machine.nextDeadline()
+    /** Latest time of the next [run], also without tasks; null without a pending deadline. */
+    fun nextDeadline(): Moment? = stateMachine.nextDeadline()
 
-    private fun runOne(task: ControlTask<Event>) {
-        val now = look()
+    private fun runTask(task: ControlTask<Event>) {
+        val now = readClock()
         when (task) {
             is ControlTask.Run -> task.action()
             is ControlTask.Handle -> {
-                task.clock?.let(machine::observe)
-                machine.handle(task.event, now)
+                task.clock?.let(stateMachine::observe)
+                stateMachine.handle(task.event, now)
             }
         }
     }
 
-    private fun look(): Moment {
+    private fun readClock(): Moment {
         val now = clock()
-        val paused = now - lastLook > PAUSE_LIMIT
-        lastLook = now
-        if (paused) machine.handle(machine.timePassed, now)
+        val wasSuspended = now - lastReadAt > SUSPENSION_THRESHOLD
+        lastReadAt = now
+        if (wasSuspended) stateMachine.handle(stateMachine.timePassed, now)
         return now
     }
 
     internal companion object {
-        val PAUSE_LIMIT = 1.seconds
+        val SUSPENSION_THRESHOLD = 1.seconds
     }
 }
 
-/** The process's monotonic clock. */
+/** Time of the monotonic clock of this process. */
 internal fun monotonicNow(): Moment = Moment(System.nanoTime() / NANOSECONDS_PER_MICROSECOND)
 
 private const val NANOSECONDS_PER_MICROSECOND = 1000L
--- a/daemon/src/main/kotlin/org/lovageladder/daemon/ControlMeters.kt
+++ b/daemon/src/main/kotlin/org/lovageladder/daemon/ControlMeters.kt
@@ -13,17 +13,17 @@
             .description("Time to handle all that was queued, with its effects")
             .register(registry)
 
-    /** Shows the length of [queue]. */
-    fun watchQueue(queue: Collection<*>) {
+    /** Registers the length of [queue] as a metric. */
+    fun registerQueue(queue: Collection<*>) {
         Gauge.builder("lovageladder.control.queue", queue) { it.size.toDouble() }.register(registry)
     }
 
-    /** Times [run], which handles [count] tasks. */
-    fun handle(count: Int, run: () -> Unit) {
-        val begin = System.nanoTime()
-        run()
-        if (count == 0) return
-        handling.record(System.nanoTime() - begin, TimeUnit.NANOSECONDS)
-        tasks.increment(count.toDouble())
+    /** Runs [handleTasks], which handles [taskCount] tasks, and records its duration; without tasks records nothing. */
+    fun recordTasks(taskCount: Int, handleTasks: () -> Unit) {
+        val startedAt = System.nanoTime()
+        handleTasks()
+        if (taskCount == 0) return
+        handling.record(System.nanoTime() - startedAt, TimeUnit.NANOSECONDS)
+        tasks.increment(taskCount.toDouble())
     }
 }
--- a/daemon/src/main/kotlin/org/lovageladder/daemon/ControlThread.kt
+++ b/daemon/src/main/kotlin/org/lovageladder/daemon/ControlThread.kt
@@ -8,26 +8,26 @@
 import kotlin.time.Duration.Companion.milliseconds
 
 /**
- * The one thread that owns the control state of a process. Other threads post events to it and never wait for it,
- * except with [ask]. An exception on this thread is given to [failed]; the thread has ended then.
+ * The only thread that uses the control state of a process. Other threads post events to it and don't wait for it,
+ * except with [query]. An exception ends the thread and is passed to [onFailure].
  */
 internal class ControlThread<Event : Any>(
-    machine: ControlledMachine<Event>,
+    stateMachine: StateMachine<Event>,
     private val meters: ControlMeters,
-    private val failed: (Throwable) -> Unit,
+    private val onFailure: (Throwable) -> Unit,
 ) : AutoCloseable {
     private val queue = LinkedBlockingQueue<ControlTask<Event>>()
-    private val loop = ControlLoop(machine)
+    private val loop = ControlLoop(stateMachine)
     private val thread = Thread(::runUntilInterrupted, "control").apply { isDaemon = true }
 
-    /** Starts the thread, which handles [first] before anything that was posted. */
+    /** Handles [first] on the calling thread, then starts the control thread. */
     fun start(first: Event) {
-        meters.watchQueue(queue)
+        meters.registerQueue(queue)
         loop.run(listOf(ControlTask.Handle(first)))
         thread.start()
     }
 
-    /** Queues [event], which came with the stamp [clock] when another process sent it. */
+    /** Queues [event]; [clock] is the time stamp of the message when another process sent it. */
     fun post(event: Event, clock: HybridTime? = null) {
         queue.add(ControlTask.Handle(event, clock))
     }
@@ -37,10 +37,10 @@
         queue.add(ControlTask.Run(action))
     }
 
-    /** Runs [question] on the control thread and waits for its answer; null when none came within [timeout]. */
-    fun <Answer : Any> ask(timeout: Duration = ANSWER_TIMEOUT, question: () -> Answer): Answer? {
+    /** Runs [action] on the control thread and returns its result; null without a result within [timeout]. */
+    fun <Answer : Any> query(timeout: Duration = QUERY_TIMEOUT, action: () -> Answer): Answer? {
         val answer = CompletableFuture<Answer>()
-        execute { answer.complete(question()) }
+        execute { answer.complete(action()) }
         return answer.completeOnTimeout(null, timeout.inWholeMilliseconds, TimeUnit.MILLISECONDS).get()
     }
 
@@ -48,36 +48,36 @@
         thread.interrupt()
     }
 
-    @Suppress("TooGenericExceptionCaught") // Whatever escapes from the decisions leaves their state in doubt.
+    @Suppress("TooGenericExceptionCaught") // After any exception the state of the decisions may be inconsistent.
     private fun runUntilInterrupted() {
         val tasks = ArrayList<ControlTask<Event>>()
         try {
             while (true) {
-                takeInto(tasks)
-                meters.handle(tasks.size) { loop.run(tasks) }
+                takeTasks(tasks)
+                meters.recordTasks(tasks.size) { loop.run(tasks) }
                 tasks.clear()
             }
         } catch (_: InterruptedException) {
             return
         } catch (failure: Throwable) {
-            failed(failure)
+            onFailure(failure)
         }
     }
 
-    private fun takeInto(tasks: MutableList<ControlTask<Event>>) {
-        val first = queue.poll(waitMicroseconds(), TimeUnit.MICROSECONDS) ?: return
+    private fun takeTasks(tasks: MutableList<ControlTask<Event>>) {
+        val first = queue.poll(pollTimeoutMicroseconds(), TimeUnit.MICROSECONDS) ?: return
         tasks.add(first)
         queue.drainTo(tasks, BATCH_LIMIT)
     }
 
-    private fun waitMicroseconds(): Long {
-        val due = loop.nextDeadline() ?: return WAIT_LIMIT.inWholeMicroseconds
-        return (due - monotonicNow()).coerceIn(Duration.ZERO, WAIT_LIMIT).inWholeMicroseconds
+    private fun pollTimeoutMicroseconds(): Long {
+        val due = loop.nextDeadline() ?: return MAXIMUM_POLL_TIMEOUT.inWholeMicroseconds
+        return (due - monotonicNow()).coerceIn(Duration.ZERO, MAXIMUM_POLL_TIMEOUT).inWholeMicroseconds
     }
 
     private companion object {
-        val ANSWER_TIMEOUT = 2_000.milliseconds
-        val WAIT_LIMIT = ControlLoop.PAUSE_LIMIT / 4
+        val QUERY_TIMEOUT = 2_000.milliseconds
+        val MAXIMUM_POLL_TIMEOUT = ControlLoop.SUSPENSION_THRESHOLD / 4
         const val BATCH_LIMIT = 1024
     }
 }
--- a/daemon/src/main/kotlin/org/lovageladder/daemon/EntryProcess.kt
+++ b/daemon/src/main/kotlin/org/lovageladder/daemon/EntryProcess.kt
@@ -24,104 +24,109 @@
 import org.lovageladder.peer.DialerHandler
 import org.lovageladder.peer.openPeerDialer
 
-/** Starts an entry; throws [AddressUnavailable] when it cannot listen. */
+/** Starts an entry; throws [AddressUnavailable] when it cannot bind an address. */
 internal fun startEntry(settings: EntryProcessSettings): RunningProcess = EntryProcess(settings)
 
-/** Connects the decisions of an entry with its callers, companions and the platform. */
+/** Connects the decisions of an entry with callers, companions, the key-value service and the host list. */
 private class EntryProcess(private val settings: EntryProcessSettings) : RunningProcess {
     private val decisions = entryDecisions(settings.decisions)
-    private val parts = ProcessParts(settings.decisions.process, settings.process)
-    private val requestMeters = RequestMeters(parts.registry)
-    private val control = ControlThread(Machine(), ControlMeters(parts.registry), parts.ending::failed)
-    private val noteWatch = NoteWatch(parts.store, parts.timer, Notes())
-    private val dialer = openPeerDialer(handler = Companions())
-    private val callers =
-        listenOn("--listen", settings.callers) {
+    private val components = ProcessComponents(settings.decisions.process, settings.process)
+    private val requestMeters = RequestMeters(components.registry)
+    private val control = ControlThread(
+        StateMachineAdapter(),
+        ControlMeters(components.registry),
+        components.termination::onControlThreadFailure,
+    )
+    private val noteWatcher = NoteWatcher(components.store, components.timer, EntryNoteListener())
+    private val dialer = openPeerDialer(handler = CompanionConnectionHandler())
+    private val callerServer =
+        listenOn("--listen", settings.callerAddress) {
             startCallerServer(
-                bind = settings.callers,
-                handler = Callers(),
-                registry = parts.registry,
-                threads = parts.threads,
+                bind = settings.callerAddress,
+                handler = EntryCallerHandler(),
+                registry = components.registry,
+                threads = components.threads,
             )
         }
     private val adminServer =
         listenOn("--admin", settings.process.admin) {
-            val operators = ProcessAdmin(parts.state, parts.ring, ::statusJson, ::requestStop)
-            startAdminServer(settings.process.admin, operators, parts.registry, parts.threads)
+            val adminHandler = ProcessAdmin(components.state, components.ring, ::statusJson, ::requestStop)
+            startAdminServer(settings.process.admin, adminHandler, components.registry, components.threads)
         }
 
-    override val traffic = callers.address
+    override val traffic = callerServer.address
     override val admin = adminServer.address
 
     init {
         control.start(EntryEvent.TimePassed)
-        parts.pollHostList { control.post(EntryEvent.HostsListed(it)) }
+        components.pollHostList { control.post(EntryEvent.HostsListed(it)) }
     }
 
     override fun requestStop() {
-        parts.ending.requestStop {
-            callers.drain()
+        components.termination.requestStop {
+            callerServer.drain()
             control.post(EntryEvent.StopRequested)
         }
     }
 
-    override fun awaitEnd(): ProcessEnd = parts.ending.await()
+    override fun awaitEnd(): ProcessEnd = components.termination.await()
 
     override fun close() {
-        noteWatch.close()
+        noteWatcher.close()
         control.close()
-        callers.close()
+        callerServer.close()
         dialer.close()
         adminServer.close()
-        parts.close()
+        components.close()
     }
 
-    private fun statusJson(): String? = control.ask { decisions.status(monotonicNow()) }
+    private fun statusJson(): String? = control.query { decisions.status(monotonicNow()) }
         ?.let { statusText("entry", settings.decisions.process, EntryStatus.serializer(), it) }
 
-    private inner class Machine : ControlledMachine<EntryEvent> {
+    private inner class StateMachineAdapter : StateMachine<EntryEvent> {
         override val timePassed: EntryEvent = EntryEvent.TimePassed
 
         override fun handle(event: EntryEvent, now: Moment) {
-            meter(event, now)
-            decisions.handle(event, now).forEach { effect -> carryOut(effect, now) }
-            parts.state.ready = decisions.ready
-            parts.state.release = decisions.release
+            recordMetrics(event, now)
+            decisions.handle(event, now).forEach { effect -> performEffect(effect, now) }
+            components.state.ready = decisions.ready
+            components.state.release = decisions.release
         }
 
-        override fun observe(clock: HybridTime): Unit = parts.clock.observe(clock)
+        override fun observe(clock: HybridTime): Unit = components.clock.observe(clock)
 
         override fun nextDeadline(): Moment? = decisions.nextDeadline()
     }
 
-    private fun meter(event: EntryEvent, now: Moment) {
-        if (event is EntryEvent.Submitted) requestMeters.submitted(event.exchange, event.submission, now)
-        if (event is EntryEvent.CallerLeft) requestMeters.left(event.exchange, now)
+    private fun recordMetrics(event: EntryEvent, now: Moment) {
+        if (event is EntryEvent.Submitted) requestMeters.onSubmitted(event.exchange, event.submission, now)
+        if (event is EntryEvent.CallerLeft) requestMeters.onCallerDisconnected(event.exchange, now)
     }
 
-    private fun carryOut(effect: EntryEffect, now: Moment) {
+    private fun performEffect(effect: EntryEffect, now: Moment) {
         when (effect) {
-            is EntryEffect.GiveToken -> callers.giveToken(effect.exchange, effect.index, effect.text)
+            is EntryEffect.GiveToken -> callerServer.giveToken(effect.exchange, effect.index, effect.text)
             is EntryEffect.GiveOutcome -> {
-                requestMeters.ended(effect.exchange, effect.outcome, now)
-                callers.giveOutcome(effect.exchange, effect.request, effect.outcome)
+                requestMeters.onOutcome(effect.exchange, effect.outcome, now)
+                callerServer.giveOutcome(effect.exchange, effect.request, effect.outcome)
             }
             is EntryEffect.Connect -> dialer.dial(effect.connection, effect.host, effect.address, hello(effect.host))
             is EntryEffect.Disconnect -> dialer.close(effect.connection)
-            is EntryEffect.Send -> dialer.send(effect.connection, enveloped(effect.message))
+            is EntryEffect.Send -> dialer.send(effect.connection, envelopeOf(effect.message))
             is EntryEffect.AskStore ->
-                parts.store.call(effect.request, effect.timeout) { answer ->
+                components.store.call(effect.request, effect.timeout) { answer ->
                     control.post(EntryEvent.StoreAnswered(effect.ticket, answer))
                 }
-            is EntryEffect.WatchNotes -> noteWatch.watch(effect.watching)
-            is EntryEffect.Record -> parts.record(effect.event)
-            is EntryEffect.Exit -> parts.ending.finished()
+            is EntryEffect.WatchNotes -> noteWatcher.setEnabled(effect.watching)
+            is EntryEffect.Record -> components.recordEvent(effect.event)
+            is EntryEffect.Exit -> components.termination.finished()
         }
     }
 
-    private fun enveloped(message: PeerMessage): Envelope = Envelope(decisions.release, parts.clock.next(), message)
+    private fun envelopeOf(message: PeerMessage): Envelope =
+        Envelope(decisions.release, components.clock.next(), message)
 
-    private fun hello(host: HostName): Envelope = enveloped(
+    private fun hello(host: HostName): Envelope = envelopeOf(
         PeerMessage.Hello(
             protocol = PEER_PROTOCOL,
             process = settings.decisions.process,
@@ -130,14 +135,14 @@
         ),
     )
 
-    private inner class Callers : CallerHandler {
+    private inner class EntryCallerHandler : CallerHandler {
         override fun submitted(exchange: ExchangeId, submission: Submission): Unit =
             control.post(EntryEvent.Submitted(exchange, submission))
 
         override fun left(exchange: ExchangeId): Unit = control.post(EntryEvent.CallerLeft(exchange))
     }
 
-    private inner class Companions : DialerHandler {
+    private inner class CompanionConnectionHandler : DialerHandler {
         override fun connected(connection: ConnectionId, envelope: Envelope, welcome: PeerMessage.Welcome): Unit =
             control.post(EntryEvent.Connected(connection, welcome), envelope.clock)
 
@@ -148,15 +153,15 @@
             control.post(EntryEvent.Disconnected(connection, host, fault))
 
         override fun rejected(kind: EventKind, fault: Fault): Unit =
-            control.execute { parts.record(EventDraft(kind, detail = fault.toString())) }
+            control.execute { components.recordEvent(EventDraft(kind, detail = fault.toString())) }
     }
 
-    private inner class Notes : NoteReader {
-        override val release: ReleaseVersion get() = parts.state.release
+    private inner class EntryNoteListener : NoteListener {
+        override val release: ReleaseVersion get() = components.state.release
 
-        override fun seen(note: AcceptedNote): Unit = control.post(EntryEvent.NoteSeen(note))
+        override fun onNote(note: AcceptedNote): Unit = control.post(EntryEvent.NoteSeen(note))
 
-        override fun unreadable(key: String): Unit =
-            control.execute { parts.record(EventDraft(EventKind.NOTE_UNREADABLE, detail = key)) }
+        override fun onUnreadableNote(key: String): Unit =
+            control.execute { components.recordEvent(EventDraft(EventKind.NOTE_UNREADABLE, detail = key)) }
     }
 }
--- a/daemon/src/main/kotlin/org/lovageladder/daemon/Flags.kt
+++ b/daemon/src/main/kotlin/org/lovageladder/daemon/Flags.kt
@@ -15,7 +15,7 @@
 import kotlin.time.Duration
 
 /*
- * Kinds of flags. Each flag can be given by an environment variable instead: `--peer-listen` by
+ * Flag types. Each flag can also be set by an environment variable, such as `--peer-listen` by
  * `LOVAGELADDER_PEER_LISTEN`.
  */
 
@@ -23,10 +23,10 @@
 internal fun environmentVariable(flag: String): String =
     "LOVAGELADDER_" + flag.removePrefix("--").replace('-', '_').uppercase()
 
-/** A flag that takes the name of a process, host or place. */
+/** A flag that takes the name of a process, host or data centre. */
 internal fun ParameterHolder.nameFlag(flag: String, help: String): NullableOption<String, String> =
     option(flag, help = help, envvar = environmentVariable(flag), metavar = "NAME").convert { value ->
-        if (!NAME.matches(value)) {
+        if (!NAME_PATTERN.matches(value)) {
             fail("\"$value\", allowed are 1 to 63 letters, digits, dots, dashes and underscores, no dash first")
         }
         value
@@ -35,26 +35,26 @@
 /** A flag that takes an IP address and port. */
 internal fun ParameterHolder.addressFlag(flag: String, help: String): NullableOption<Address, Address> =
     option(flag, help = help, envvar = environmentVariable(flag), metavar = "IP:PORT").convert { value ->
-        parseAddress(value) ?: fail("\"$value\", $ALLOWED_ADDRESS")
+        parseAddress(value) ?: fail("\"$value\", $ADDRESS_FORMAT")
     }
 
 /** A flag that takes one or more addresses, separated by commas. */
 internal fun ParameterHolder.addressesFlag(flag: String, help: String): NullableOption<List<Address>, List<Address>> =
     option(flag, help = help, envvar = environmentVariable(flag), metavar = "IP:PORT,...").convert { value ->
-        value.split(',').map { part -> parseAddress(part.trim()) ?: fail("\"$part\", $ALLOWED_ADDRESS") }
+        value.split(',').map { element -> parseAddress(element.trim()) ?: fail("\"$element\", $ADDRESS_FORMAT") }
     }
 
-/** A flag that takes companions by host and address, separated by commas. */
+/** A flag that takes one or more companions as HOST@IP:PORT, separated by commas. */
 internal fun ParameterHolder.companionsFlag(
     flag: String,
     help: String,
 ): NullableOption<List<BootstrapPeer>, List<BootstrapPeer>> =
     option(flag, help = help, envvar = environmentVariable(flag), metavar = "HOST@IP:PORT,...").convert { value ->
-        value.split(',').map { part -> parseCompanion(part.trim()) ?: fail("\"$part\", $ALLOWED_COMPANION") }
+        value.split(',').map { element -> parseCompanion(element.trim()) ?: fail("\"$element\", $COMPANION_FORMAT") }
     }
 
 private fun parseCompanion(text: String): BootstrapPeer? {
-    val host = text.substringBefore('@', "").takeIf(NAME::matches) ?: return null
+    val host = text.substringBefore('@', "").takeIf(NAME_PATTERN::matches) ?: return null
     return parseAddress(text.substringAfter('@'))?.let { BootstrapPeer(HostName(host), it) }
 }
 
@@ -71,7 +71,7 @@
                 ?: fail("\"$value\", allowed are ${allowed.start} to ${allowed.endInclusive}, such as 500ms or 10m")
         }.default(default, defaultForHelp = default.toString())
 
-/** A flag that takes a part of a whole, 0 to 1. */
+/** A flag that takes a ratio from 0 to 1. */
 internal fun ParameterHolder.ratioFlag(
     flag: String,
     help: String,
@@ -94,7 +94,7 @@
             ?: fail("\"$value\", allowed are ${allowed.first} to ${allowed.last}")
     }.default(default, defaultForHelp = default.toString())
 
-/** A flag that takes one of [values] by their words. */
+/** A flag that takes one of [values] by its key. */
 internal fun <Value : Any> ParameterHolder.choiceFlag(
     flag: String,
     help: String,
@@ -108,23 +108,23 @@
 internal fun ParameterHolder.switchFlag(flag: String, help: String, default: Boolean) =
     choiceFlag(flag, help, mapOf("on" to true, "off" to false), default)
 
-/** Reads `IP:PORT`, with an IPv6 address in brackets; null when [text] is neither. */
+/** Parses `IP:PORT`, with an IPv6 address in brackets; null when [text] is not a valid address. */
 internal fun parseAddress(text: String): Address? {
     val port = text.substringAfterLast(':', "").toIntOrNull()?.takeIf { it in 0..MAXIMUM_PORT } ?: return null
     val host = text.substringBeforeLast(':')
-    val bare = host.removeSurrounding("[", "]")
-    val valid = if (bare == host) IP_VERSION_4.matches(host) else isIpVersion6(bare)
-    return Address(bare, port).takeIf { valid }
+    val unbracketed = host.removeSurrounding("[", "]")
+    val isValid = if (unbracketed == host) IPV4_PATTERN.matches(host) else isIpv6Address(unbracketed)
+    return Address(unbracketed, port).takeIf { isValid }
 }
 
-private fun isIpVersion6(text: String): Boolean = try {
+private fun isIpv6Address(text: String): Boolean = try {
     text.contains(':') && InetAddress.getByName("[$text]").hostAddress.isNotEmpty()
 } catch (_: UnknownHostException) {
     false
 }
 
-private val IP_VERSION_4 = Regex("""(?:(?:25[0-5]|2[0-4]\d|1?\d?\d)(?:\.(?!$)|$)){4}""")
-private val NAME = Regex("[A-Za-z0-9_.][A-Za-z0-9_.-]{0,62}")
+private val IPV4_PATTERN = Regex("""(?:(?:25[0-5]|2[0-4]\d|1?\d?\d)(?:\.(?!$)|$)){4}""")
+private val NAME_PATTERN = Regex("[A-Za-z0-9_.][A-Za-z0-9_.-]{0,62}")
 private const val MAXIMUM_PORT = 65_535
-private const val ALLOWED_COMPANION = "allowed is HOST@IP:PORT, such as host-1@127.0.0.1:8080"
-private const val ALLOWED_ADDRESS = "allowed is IP:PORT, such as 127.0.0.1:8080 or [::1]:8080"
+private const val COMPANION_FORMAT = "allowed is HOST@IP:PORT, such as host-1@127.0.0.1:8080"
+private const val ADDRESS_FORMAT = "allowed is IP:PORT, such as 127.0.0.1:8080 or [::1]:8080"
--- a/daemon/src/main/kotlin/org/lovageladder/daemon/HostListPoll.kt
+++ b/daemon/src/main/kotlin/org/lovageladder/daemon/HostListPoller.kt
@@ -7,26 +7,26 @@
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
 
-/** Reads [list] again [interval] after each answer, and passes on what it could read. */
-internal class HostListPoll(
-    private val list: HostList,
+/** Reads [hostList] again [interval] after each answer, and passes each successful read to [onHosts]. */
+internal class HostListPoller(
+    private val hostList: HostList,
     private val interval: Duration,
     private val timer: ScheduledExecutorService,
-    private val listed: (List<ListedHost>) -> Unit,
+    private val onHosts: (List<ListedHost>) -> Unit,
 ) {
-    /** Starts reading; ends when the timer is shut down. */
+    /** Starts reading, until [timer] is shut down. */
     fun start() {
         timer.execute(::read)
     }
 
     private fun read() {
-        list.read(interval) { hosts ->
-            hosts?.let(listed)
-            readLater()
+        hostList.read(interval) { hosts ->
+            hosts?.let(onHosts)
+            scheduleRead()
         }
     }
 
-    private fun readLater() {
+    private fun scheduleRead() {
         try {
             timer.schedule(::read, interval.inWholeMilliseconds, TimeUnit.MILLISECONDS)
         } catch (_: RejectedExecutionException) {
--- a/daemon/src/main/kotlin/org/lovageladder/daemon/Main.kt
+++ b/daemon/src/main/kotlin/org/lovageladder/daemon/Main.kt
@@ -8,25 +8,25 @@
 import com.github.ajalt.clikt.core.subcommands
 import kotlin.system.exitProcess
 
-private const val USAGE_STATUS = 2
+private const val USAGE_ERROR_STATUS = 2
 
-/** The daemon: its subcommand is the role. */
+/** The command line of the daemon, with one subcommand per role. */
 internal class DaemonCommand : CliktCommand("lovageladder-daemon") {
     override fun help(context: Context): String = "Runs one process of the router for prefill and decode pools."
 
     override fun run(): Unit = Unit
 }
 
-/** Runs the role that [arguments] name until it is stopped. A wrong flag or value ends the process with status 2. */
+/** Runs the role that [arguments] select until it is stopped. An invalid flag or value exits with status 2. */
 public fun main(arguments: Array<String>) {
     val command = DaemonCommand().subcommands(EntryCommand(), CompanionCommand(), ForwardCommand())
     try {
         command.parse(arguments)
-    } catch (wrongUse: UsageError) {
-        command.echoFormattedHelp(wrongUse)
-        exitProcess(USAGE_STATUS)
-    } catch (ended: CliktError) {
-        command.echoFormattedHelp(ended)
-        exitProcess(ended.statusCode)
+    } catch (usageError: UsageError) {
+        command.echoFormattedHelp(usageError)
+        exitProcess(USAGE_ERROR_STATUS)
+    } catch (error: CliktError) {
+        command.echoFormattedHelp(error)
+        exitProcess(error.statusCode)
     }
 }
--- a/daemon/src/main/kotlin/org/lovageladder/daemon/ProcessAdmin.kt
+++ b/daemon/src/main/kotlin/org/lovageladder/daemon/ProcessAdmin.kt
@@ -5,20 +5,20 @@
 import org.lovageladder.http.AdminHandler
 import org.lovageladder.http.EventFilter
 
-/** Answers operators; [status] is the process's state as JSON, [stop] begins to drain it. */
+/** Answers admin requests; [readStatus] returns the process status as JSON, [requestStop] starts draining. */
 internal class ProcessAdmin(
     private val state: PublishedState,
     private val ring: EventRing,
-    private val status: () -> String?,
-    private val stop: () -> Unit,
+    private val readStatus: () -> String?,
+    private val requestStop: () -> Unit,
 ) : AdminHandler {
     override fun ready(): Boolean = state.ready
 
-    override fun statusJson(): String = status() ?: "{}"
+    override fun statusJson(): String = readStatus() ?: "{}"
 
     override fun events(filter: EventFilter): List<EventRecord> = ring.select(filter)
 
     override fun explain(request: RequestId): List<EventRecord> = ring.of(request)
 
-    override fun drain(): Unit = stop()
+    override fun drain(): Unit = requestStop()
 }
--- a/daemon/src/main/kotlin/org/lovageladder/daemon/ProcessParts.kt
+++ b/daemon/src/main/kotlin/org/lovageladder/daemon/ProcessComponents.kt
@@ -18,8 +18,8 @@
 import java.util.concurrent.Executors
 import java.util.concurrent.ScheduledExecutorService
 
-/** Parts that a process of either role has. */
-internal class ProcessParts(name: ProcessName, private val settings: ProcessSettings) : AutoCloseable {
+/** Components that entry and companion processes share. */
+internal class ProcessComponents(name: ProcessName, private val settings: ProcessSettings) : AutoCloseable {
     val timer: ScheduledExecutorService =
         Executors.newSingleThreadScheduledExecutor { task -> Thread(task, "timer").apply { isDaemon = true } }
     val registry = PrometheusMeterRegistry(PrometheusConfig.DEFAULT)
@@ -27,33 +27,33 @@
     val ring = EventRing()
     val threads = HttpThreads()
     val store = openEtcdStore(settings.store, threads)
-    val ending = ProcessEnding(settings.drainTimeout, timer)
+    val termination = ProcessEnding(settings.drainTimeout, timer)
     val state = PublishedState()
     private val hostList: HostList? = settings.hostList?.let { openHttpHostList(it, threads) }
-    private val log = EventLog(name, clock, ring, registry)
-    private val garbageCollection = JvmGcMetrics()
+    private val eventLog = EventLog(name, clock, ring, registry)
+    private val garbageCollectionMetrics = JvmGcMetrics()
 
     init {
         JvmMemoryMetrics().bindTo(registry)
         ProcessorMetrics().bindTo(registry)
-        garbageCollection.bindTo(registry)
+        garbageCollectionMetrics.bindTo(registry)
         state.showIn(registry)
     }
 
-    /** Records an event; only on the control thread. */
-    fun record(draft: EventDraft) {
-        log.record(draft)
+    /** Records an event. Confined to the control thread. */
+    fun recordEvent(draft: EventDraft) {
+        eventLog.record(draft)
     }
 
-    /** Reads the host list at intervals, if the process has one. */
-    fun pollHostList(listed: (List<ListedHost>) -> Unit) {
+    /** Starts reading the host list at intervals, if one is configured. */
+    fun pollHostList(onHosts: (List<ListedHost>) -> Unit) {
         val list = hostList ?: return
-        HostListPoll(list, settings.hostListInterval, timer, listed).start()
+        HostListPoller(list, settings.hostListInterval, timer, onHosts).start()
     }
 
     override fun close() {
         timer.shutdownNow()
-        garbageCollection.close()
+        garbageCollectionMetrics.close()
         store.close()
         hostList?.close()
         threads.close()
@@ -61,7 +61,7 @@
     }
 }
 
-/** What other threads may read of the control state without asking for it. */
+/** Copies of control state that any thread may read. */
 internal class PublishedState {
     @Volatile
     var ready = false
@@ -69,7 +69,7 @@
     @Volatile
     var release = ReleaseVersion.NONE
 
-    /** Shows the state as metrics. */
+    /** Registers the state as metrics. */
     fun showIn(registry: PrometheusMeterRegistry) {
         Gauge.builder("lovageladder.ready", this) { if (it.ready) 1.0 else 0.0 }.register(registry)
         Gauge.builder("lovageladder.release", this) { it.release.number.toDouble() }.register(registry)
--- a/daemon/src/main/kotlin/org/lovageladder/daemon/ProcessEnding.kt
+++ b/daemon/src/main/kotlin/org/lovageladder/daemon/ProcessEnding.kt
@@ -7,30 +7,30 @@
 import java.util.concurrent.atomic.AtomicBoolean
 import kotlin.time.Duration
 
-/** Course of a process's end: a stop request, at most [drainTimeout] to finish what is in flight, then the end. */
+/** Ends a process after a stop request: when requests in flight are finished, or [drainTimeout] after the request. */
 internal class ProcessEnding(private val drainTimeout: Duration, private val timer: ScheduledExecutorService) {
-    private val stopRequested = AtomicBoolean()
+    private val isStopRequested = AtomicBoolean()
     private val end = CompletableFuture<ProcessEnd>()
 
-    /** Runs [stop] at the first request, and sets the time by which the process ends in any case. */
-    fun requestStop(stop: () -> Unit) {
-        if (!stopRequested.compareAndSet(false, true)) return
-        val timeout = Runnable { end.complete(ProcessEnd.DRAIN_TIMEOUT) }
-        timer.schedule(timeout, drainTimeout.inWholeMilliseconds, TimeUnit.MILLISECONDS)
-        stop()
+    /** Runs [beginDrain] and starts the drain timeout. Only the first call has an effect. */
+    fun requestStop(beginDrain: () -> Unit) {
+        if (!isStopRequested.compareAndSet(false, true)) return
+        val onTimeout = Runnable { end.complete(ProcessEnd.DRAIN_TIMEOUT) }
+        timer.schedule(onTimeout, drainTimeout.inWholeMilliseconds, TimeUnit.MILLISECONDS)
+        beginDrain()
     }
 
-    /** All work is finished. */
+    /** Ends the process because all requests in flight are finished. */
     fun finished() {
         end.complete(ProcessEnd.FINISHED)
     }
 
-    /** The control thread broke off with [failure]. */
-    fun failed(failure: Throwable) {
-        Logger.error(failure, "the control thread broke off")
+    /** Ends the process because the control thread failed with [failure]. */
+    fun onControlThreadFailure(failure: Throwable) {
+        Logger.error(failure, "the control thread failed")
         end.complete(ProcessEnd.FAILED)
     }
 
-    /** Waits for the end. */
+    /** Waits until the process ends. */
     fun await(): ProcessEnd = end.get()
 }
--- a/daemon/src/main/kotlin/org/lovageladder/daemon/RequestMeters.kt
+++ b/daemon/src/main/kotlin/org/lovageladder/daemon/RequestMeters.kt
@@ -12,46 +12,46 @@
 import java.util.concurrent.TimeUnit
 
 /**
- * Counts and times callers' requests by service, class and outcome. Names that no release knows are not taken over
- * into the metrics, since callers choose them. Confined to the control thread.
+ * Counts and times callers' requests by service, class and outcome. Names that are not in the release are recorded as
+ * `unknown`, since callers choose them and could create any number of time series. Confined to the control thread.
  */
 internal class RequestMeters(private val registry: MeterRegistry) {
-    private data class Open(val service: String, val requestClass: String, val begin: Moment)
+    private data class OpenRequest(val service: String, val requestClass: String, val submittedAt: Moment)
 
-    private val open = ConcurrentHashMap<ExchangeId, Open>()
+    private val openRequests = ConcurrentHashMap<ExchangeId, OpenRequest>()
 
     init {
-        Gauge.builder("lovageladder.requests.open", open) { it.size.toDouble() }.register(registry)
+        Gauge.builder("lovageladder.requests.open", openRequests) { it.size.toDouble() }.register(registry)
     }
 
     /** A caller submitted a request. */
-    fun submitted(exchange: ExchangeId, submission: Submission, now: Moment) {
+    fun onSubmitted(exchange: ExchangeId, submission: Submission, now: Moment) {
         val requestClass = submission.requestClass?.text ?: "default"
-        open[exchange] = Open(submission.service.text, requestClass, now)
+        openRequests[exchange] = OpenRequest(submission.service.text, requestClass, now)
     }
 
-    /** A caller went away before its outcome. */
-    fun left(exchange: ExchangeId, now: Moment) {
-        val request = open.remove(exchange) ?: return
-        record(request, "left", now)
+    /** A caller disconnected before its outcome. */
+    fun onCallerDisconnected(exchange: ExchangeId, now: Moment) {
+        val request = openRequests.remove(exchange) ?: return
+        recordDuration(request, "left", now)
     }
 
-    /** A caller was given its outcome. */
-    fun ended(exchange: ExchangeId, outcome: Outcome, now: Moment) {
-        val request = open.remove(exchange) ?: return
+    /** An outcome was sent to a caller. */
+    fun onOutcome(exchange: ExchangeId, outcome: Outcome, now: Moment) {
+        val request = openRequests.remove(exchange) ?: return
         when (outcome) {
-            is Outcome.Generated -> record(request, "generated", now)
-            is Outcome.Answered -> record(request, if (outcome.replayed) "replayed" else "answered", now)
-            is Outcome.Refused -> record(known(request, outcome.reason), word(outcome.reason), now)
+            is Outcome.Generated -> recordDuration(request, "generated", now)
+            is Outcome.Answered -> recordDuration(request, if (outcome.replayed) "replayed" else "answered", now)
+            is Outcome.Refused -> recordDuration(withKnownLabels(request, outcome.reason), label(outcome.reason), now)
         }
     }
 
-    private fun known(request: Open, reason: RefusalReason): Open = when (reason) {
+    private fun withKnownLabels(request: OpenRequest, reason: RefusalReason): OpenRequest = when (reason) {
         RefusalReason.UNKNOWN_SERVICE,
         RefusalReason.NOT_READY,
         RefusalReason.LEAVING,
-        -> request.copy(service = UNKNOWN, requestClass = UNKNOWN)
-        RefusalReason.UNKNOWN_CLASS -> request.copy(requestClass = UNKNOWN)
+        -> request.copy(service = UNKNOWN_LABEL, requestClass = UNKNOWN_LABEL)
+        RefusalReason.UNKNOWN_CLASS -> request.copy(requestClass = UNKNOWN_LABEL)
         RefusalReason.WRONG_CONTENT,
         RefusalReason.KEY_MISSING,
         RefusalReason.KEY_REUSED,
@@ -65,18 +65,18 @@
         -> request
     }
 
-    private fun word(reason: RefusalReason): String = reason.name.lowercase().replace('_', '-')
+    private fun label(reason: RefusalReason): String = reason.name.lowercase().replace('_', '-')
 
-    private fun record(request: Open, outcome: String, now: Moment) {
+    private fun recordDuration(request: OpenRequest, outcome: String, now: Moment) {
         Timer.builder("lovageladder.requests")
             .tag("service", request.service)
             .tag("class", request.requestClass)
             .tag("outcome", outcome)
             .register(registry)
-            .record((now - request.begin).inWholeMicroseconds, TimeUnit.MICROSECONDS)
+            .record((now - request.submittedAt).inWholeMicroseconds, TimeUnit.MICROSECONDS)
     }
 
     private companion object {
-        const val UNKNOWN = "unknown"
+        const val UNKNOWN_LABEL = "unknown"
     }
 }
--- a/daemon/src/main/kotlin/org/lovageladder/daemon/RunningProcess.kt
+++ b/daemon/src/main/kotlin/org/lovageladder/daemon/RunningProcess.kt
@@ -4,37 +4,37 @@
 import org.lovageladder.core.Address
 import java.io.IOException
 
-/** A started process of either role. */
+/** A started process of any role. */
 internal interface RunningProcess : AutoCloseable {
-    /** Where callers or entries connect. */
+    /** Address where callers or entries connect. */
     val traffic: Address
 
-    /** Where operators and probes connect. */
+    /** Address where operators and probes connect. */
     val admin: Address
 
-    /** Stops taking new work; the process ends once what is in flight is finished. */
+    /** Stops accepting requests; the process ends once the requests in flight are finished. */
     fun requestStop()
 
     /** Waits until the process has ended. */
     fun awaitEnd(): ProcessEnd
 
-    /** Closes all connections, sending first what was written to them. */
+    /** Closes all connections after sending what was written to them. */
     override fun close()
 }
 
-/** How a process ended, with its exit status. */
-internal enum class ProcessEnd(val status: Int) {
-    /** All work was finished after a stop was requested. */
+/** How a process ended, with its exit [exitStatus]. */
+internal enum class ProcessEnd(val exitStatus: Int) {
+    /** All requests in flight were finished after a stop request. */
     FINISHED(0),
 
-    /** The control thread broke off. */
+    /** The control thread failed. */
     FAILED(1),
 
-    /** Work was still in flight at the drain timeout. */
+    /** Requests were still in flight at the drain timeout. */
     DRAIN_TIMEOUT(3),
 }
 
-/** The [address] given by [flag] cannot be listened on. */
+/** The [address] given by [flag] cannot be bound. */
 internal class AddressUnavailable(flag: String, address: Address, cause: IOException) :
     UsageError("$flag $address cannot be bound (${cause.message}), allowed is a free address of this host") {
     init {
@@ -42,9 +42,9 @@
     }
 }
 
-/** Runs [start], which listens on [address]; throws [AddressUnavailable] when that fails. */
-internal fun <Server> listenOn(flag: String, address: Address, start: () -> Server): Server = try {
-    start()
+/** Runs [startListening], which binds [address]; throws [AddressUnavailable] when that fails. */
+internal fun <Server> listenOn(flag: String, address: Address, startListening: () -> Server): Server = try {
+    startListening()
 } catch (failure: IOException) {
     throw AddressUnavailable(flag, address, failure)
 }
--- a/daemon/src/main/kotlin/org/lovageladder/daemon/Settings.kt
+++ b/daemon/src/main/kotlin/org/lovageladder/daemon/Settings.kt
@@ -7,7 +7,7 @@
 import kotlin.time.Duration.Companion.minutes
 import kotlin.time.Duration.Companion.seconds
 
-/** What a process of either role needs besides the settings of its decisions. */
+/** Settings of a process of any role, without those of its decisions. */
 internal data class ProcessSettings(
     val admin: Address,
     val store: List<Address>,
@@ -16,16 +16,16 @@
     val drainTimeout: Duration = 10.minutes,
 )
 
-/** Settings of an entry process; callers connect to [callers]. */
+/** Settings of an entry process; callers connect to [callerAddress]. */
 internal data class EntryProcessSettings(
     val decisions: EntrySettings,
     val process: ProcessSettings,
-    val callers: Address,
+    val callerAddress: Address,
 )
 
-/** Settings of a companion process; entries connect to [peer]. */
+/** Settings of a companion process; entries connect to [peerAddress]. */
 internal data class CompanionProcessSettings(
     val decisions: CompanionSettings,
     val process: ProcessSettings,
-    val peer: Address,
+    val peerAddress: Address,
 )
--- a/daemon/src/main/kotlin/org/lovageladder/daemon/StatusText.kt
+++ b/daemon/src/main/kotlin/org/lovageladder/daemon/StatusText.kt
@@ -7,7 +7,7 @@
 import kotlinx.serialization.json.jsonObject
 import org.lovageladder.core.ProcessName
 
-/** Writes [status] as a JSON object, with the [role] and name of the [process] beside its members. */
+/** Encodes [status] as a JSON object to which the [role] and name of the [process] are added. */
 internal fun <T> statusText(role: String, process: ProcessName, serializer: KSerializer<T>, status: T): String {
     val identity = mapOf("role" to JsonPrimitive(role), "process" to JsonPrimitive(process.text))
     return JsonObject(identity + Json.encodeToJsonElement(serializer, status).jsonObject).toString()
--- a/daemon/src/test/kotlin/org/lovageladder/daemon/CommandTest.kt
+++ b/daemon/src/test/kotlin/org/lovageladder/daemon/CommandTest.kt
@@ -9,9 +9,9 @@
 import kotlin.test.assertNotEquals
 
 class CommandTest {
-    private class Case(val flag: String, val value: String, val allowed: String, val role: String = "entry")
+    private class Case(val flag: String, val value: String, val expectedMessage: String, val role: String = "entry")
 
-    private val required = mapOf(
+    private val requiredFlags = mapOf(
         "--name" to "a",
         "--host" to "h",
         "--place" to "p",
@@ -19,7 +19,7 @@
         "--store" to "127.0.0.1:1",
     )
 
-    private val cases = listOf(
+    private val invalidValueCases = listOf(
         Case("--name", "two words", "letters, digits"),
         Case("--admin", "127.0.0.1", "IP:PORT"),
         Case("--admin", "localhost:80", "IP:PORT"),
@@ -45,36 +45,36 @@
             .test(listOf(role) + flags.flatMap { listOf(it.key, it.value) }, envvars = environment, width = 200)
 
     @Test
-    fun wrongValuesAreNamedWithFlagAndWhatIsAllowed() {
-        cases.forEach { case ->
-            val result = run(case.role, required + (case.flag to case.value))
+    fun invalidValuesAreReportedWithFlagAndAllowedValues() {
+        invalidValueCases.forEach { case ->
+            val result = run(case.role, requiredFlags + (case.flag to case.value))
             assertNotEquals(0, result.statusCode, case.flag)
-            listOf(case.flag, case.value.substringAfter(','), case.allowed).forEach {
+            listOf(case.flag, case.value.substringAfter(','), case.expectedMessage).forEach {
                 assertContains(result.stderr, it)
             }
         }
     }
 
     @Test
-    fun wrongValuesOfEnvironmentVariablesAreNamedToo() {
-        cases.forEach { case ->
+    fun invalidEnvironmentVariablesAreReportedWithNameAndAllowedValues() {
+        invalidValueCases.forEach { case ->
             val variable = environmentVariable(case.flag)
-            val result = run(case.role, required - case.flag, mapOf(variable to case.value))
-            listOf(variable, case.allowed).forEach { assertContains(result.stderr, it) }
+            val result = run(case.role, requiredFlags - case.flag, mapOf(variable to case.value))
+            listOf(variable, case.expectedMessage).forEach { assertContains(result.stderr, it) }
         }
     }
 
     @Test
-    fun missingFlagsAreNamed() {
-        required.keys.forEach { flag -> assertContains(run("entry", required - flag).stderr, flag) }
+    fun missingFlagsAreReported() {
+        requiredFlags.keys.forEach { flag -> assertContains(run("entry", requiredFlags - flag).stderr, flag) }
     }
 
     @Test
-    fun anAddressInUseIsNamedWithItsFlag() {
-        ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use { taken ->
-            val address = "127.0.0.1:${taken.localPort}"
+    fun addressInUseIsReportedWithItsFlag() {
+        ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use { occupied ->
+            val address = "127.0.0.1:${occupied.localPort}"
             listOf("entry" to "--listen", "companion" to "--peer-listen").forEach { (role, flag) ->
-                val result = run(role, required + (flag to address))
+                val result = run(role, requiredFlags + (flag to address))
                 assertContains(result.stderr, "$flag $address cannot be bound")
             }
         }
--- a/daemon/src/test/kotlin/org/lovageladder/daemon/ControlLoopTest.kt
+++ b/daemon/src/test/kotlin/org/lovageladder/daemon/ControlLoopTest.kt
@@ -8,20 +8,20 @@
 class ControlLoopTest {
     private var now = Moment(0)
     private var deadline: Moment? = null
-    private val seen = mutableListOf<String>()
+    private val calls = mutableListOf<String>()
 
     private val loop = ControlLoop(
-        object : ControlledMachine<String> {
+        object : StateMachine<String> {
             override val timePassed = "time"
 
             override fun handle(event: String, now: Moment) {
-                seen += "$event@${now.microseconds}"
+                calls += "$event@${now.microseconds}"
                 if (event == "time") deadline = null
-                if (event == "slow") this@ControlLoopTest.now = Moment(now.microseconds + PAUSE)
+                if (event == "slow") this@ControlLoopTest.now = Moment(now.microseconds + SUSPENSION_MICROSECONDS)
             }
 
             override fun observe(clock: HybridTime) {
-                seen += "clock ${clock.milliseconds}"
+                calls += "clock ${clock.milliseconds}"
             }
 
             override fun nextDeadline(): Moment? = deadline
@@ -37,37 +37,47 @@
     )
 
     @Test
-    fun eventsAndTheTimeAreHandledInOrder() {
-        val stamped = ControlTask.Handle("b", HybridTime(7, 0))
+    fun eventsDeadlinesAndSuspensionsAreHandledInOrder() {
+        val eventWithClock = ControlTask.Handle("b", HybridTime(7, 0))
         val cases = listOf(
-            Case("in order of arrival", listOf(handle("a"), stamped), listOf("a@10", "clock 7", "b@10"), start = 10),
+            Case(
+                "in order of arrival",
+                listOf(handle("a"), eventWithClock),
+                listOf("a@10", "clock 7", "b@10"),
+                start = 10,
+            ),
             Case("a deadline that is not due", listOf(handle("a")), listOf("a@10"), start = 10, deadline = 11),
             Case("queued events come before a deadline", listOf(handle("a")), listOf("a@10", "time@10"), 10, 10),
             Case("a deadline without events", emptyList(), listOf("time@10"), start = 10, deadline = 9),
-            Case("after a pause the time comes first", listOf(handle("a")), listOf("time@2000000", "a@2000000"), PAUSE),
-            Case("a pause without events", emptyList(), listOf("time@2000000"), start = PAUSE),
             Case(
-                "a pause between two events of one batch",
+                "after a suspension the time comes first",
+                listOf(handle("a")),
+                listOf("time@2000000", "a@2000000"),
+                SUSPENSION_MICROSECONDS,
+            ),
+            Case("a suspension without events", emptyList(), listOf("time@2000000"), start = SUSPENSION_MICROSECONDS),
+            Case(
+                "a suspension between two events of one batch",
                 listOf(handle("slow"), handle("b")),
                 listOf("slow@0", "time@2000000", "b@2000000"),
             ),
-            Case("exactly the limit is no pause", listOf(handle("a")), listOf("a@1000000"), start = 1_000_000),
+            Case("exactly the threshold is no suspension", listOf(handle("a")), listOf("a@1000000"), start = 1_000_000),
         )
         cases.forEach { case ->
             now = Moment(0)
             deadline = null
             loop.run(emptyList())
-            seen.clear()
+            calls.clear()
             now = Moment(case.start)
             deadline = case.deadline?.let(::Moment)
             loop.run(case.tasks)
-            assertEquals(case.expected, seen.toList(), case.name)
+            assertEquals(case.expected, calls.toList(), case.name)
         }
     }
 
     private fun handle(event: String) = ControlTask.Handle(event)
 
     private companion object {
-        const val PAUSE = 2_000_000L
+        const val SUSPENSION_MICROSECONDS = 2_000_000L
     }
 }
--- a/daemon/src/test/kotlin/org/lovageladder/daemon/EventRingTest.kt
+++ b/daemon/src/test/kotlin/org/lovageladder/daemon/EventRingTest.kt
@@ -25,7 +25,7 @@
     )
 
     @Test
-    fun filtersSelectTheNewestEventsInOrderOfTime() {
+    fun selectReturnsTheNewestMatchingEventsInOrderOfTime() {
         ring.add(record(1, request = "dropped"))
         ring.add(record(2, request = "r-1", upstream = "u-1"))
         ring.add(record(3, request = "r-2", note = 5))
@@ -46,7 +46,7 @@
     }
 
     @Test
-    fun aLogLineNamesCodeAndWhatTheEventConcerns() {
+    fun logLineContainsCodeAndFieldsOfTheEvent() {
         val expected = "LL-2101 An upstream was chosen for an attempt. kind=UPSTREAM_CHOSEN process=entry-1 " +
             "request=r-1 upstream=u-1 note=2 detail=\"a 'quoted' detail\""
         assertEquals(expected, eventLine(record(1, request = "r-1", upstream = "u-1", note = 2)))
--- a/daemon/src/test/kotlin/org/lovageladder/daemon/NoteWatchTest.kt
+++ b/daemon/src/test/kotlin/org/lovageladder/daemon/NoteWatcherTest.kt
@@ -23,14 +23,14 @@
 import kotlin.test.assertNotNull
 import kotlin.time.Duration
 
-class NoteWatchTest {
-    private class Watched(val changed: (StoredEntry) -> Unit, val ended: (Fault) -> Unit) {
+class NoteWatcherTest {
+    private class StartedWatch(val changed: (StoredEntry) -> Unit, val ended: (Fault) -> Unit) {
         val closed = CompletableFuture<Unit>()
     }
 
     private val stored = mutableListOf<StoredEntry>()
-    private val watches = LinkedBlockingQueue<Watched>()
-    private val found = LinkedBlockingQueue<String>()
+    private val watches = LinkedBlockingQueue<StartedWatch>()
+    private val received = LinkedBlockingQueue<String>()
     private val timer = Executors.newSingleThreadScheduledExecutor()
 
     private val store = object : KeyValueStore {
@@ -40,27 +40,27 @@
         }
 
         override fun watch(prefix: String, changed: (StoredEntry) -> Unit, ended: (Fault) -> Unit): AutoCloseable {
-            val watched = Watched(changed, ended)
-            watches.add(watched)
-            return AutoCloseable { watched.closed.complete(Unit) }
+            val started = StartedWatch(changed, ended)
+            watches.add(started)
+            return AutoCloseable { started.closed.complete(Unit) }
         }
 
         override fun close() = Unit
     }
 
-    private val reader = object : NoteReader {
+    private val listener = object : NoteListener {
         override val release = ReleaseVersion(1)
 
-        override fun seen(note: AcceptedNote) {
-            found.add(note.note.id.text)
+        override fun onNote(note: AcceptedNote) {
+            received.add(note.note.id.text)
         }
 
-        override fun unreadable(key: String) {
-            found.add("unreadable $key")
+        override fun onUnreadableNote(key: String) {
+            received.add("unreadable $key")
         }
     }
 
-    private val watch = NoteWatch(store, timer, reader)
+    private val watcher = NoteWatcher(store, timer, listener)
 
     @AfterTest
     fun stopTimer() {
@@ -72,22 +72,22 @@
         return StoredEntry(noteStoreKey(note.version), Json.encodeToString(AcceptedNote.serializer(), note), version)
     }
 
-    private fun <T> LinkedBlockingQueue<T>.next(): T = assertNotNull(poll(20, TimeUnit.SECONDS))
+    private fun <T> LinkedBlockingQueue<T>.awaitNext(): T = assertNotNull(poll(20, TimeUnit.SECONDS))
 
     @Test
-    fun aBrokenWatchIsEstablishedAgainAndReadsWhatItMissed() {
+    fun brokenWatchIsRestartedAndNotesWrittenMeanwhileAreRead() {
         stored += entry(1)
-        watch.watch(true)
-        val first = watches.next()
+        watcher.setEnabled(true)
+        val first = watches.awaitNext()
         first.changed(entry(2))
-        assertEquals("note-2", found.next())
+        assertEquals("note-2", received.awaitNext())
         stored += entry(3)
         first.ended(Fault(Step.STORE, "store", FaultCause.CONNECTION_LOST))
-        val second = watches.next()
-        assertEquals("note-3", found.next())
+        val second = watches.awaitNext()
+        assertEquals("note-3", received.awaitNext())
         second.changed(StoredEntry("notes/9", "not a note", 1))
-        assertEquals("unreadable notes/9", generateSequence { found.next() }.first { it != "note-3" })
-        watch.watch(false)
+        assertEquals("unreadable notes/9", generateSequence { received.awaitNext() }.first { it != "note-3" })
+        watcher.setEnabled(false)
         second.closed.get(20, TimeUnit.SECONDS)
     }
 }
--- a/daemon/src/test/kotlin/org/lovageladder/daemon/ProcessTest.kt
+++ b/daemon/src/test/kotlin/org/lovageladder/daemon/ProcessTest.kt
@@ -63,17 +63,17 @@
     }
 
     @Test
-    fun eachKindOfRequestIsServedAndAnActionSentTwiceRunsOnce() {
-        publish()
+    fun allRequestKindsAreServedAndANonIdempotentRequestSentTwiceRunsOnce() {
+        publishRelease()
         entries.forEach(::awaitServing)
         val body = """{"model":"m","prompt":"one two three","max_tokens":6}"""
-        val whole = post(entries[0], "/v1/completions", body, "Lovageladder-Service", "jelentes-llm")
-        assertEquals(200, whole.statusCode(), whole.body())
-        assertContains(whole.body(), "\"completion_tokens\":6")
-        val streamed = body.replace("}", ""","stream":true}""")
-        val stream = post(entries[1], "/v1/completions", streamed, "Lovageladder-Service", "jelentes-llm")
-        assertEquals(6, Regex("\"text\":\"w\\d").findAll(stream.body()).count(), stream.body())
-        assertContains(stream.body(), "data: [DONE]")
+        val wholeAnswer = post(entries[0], "/v1/completions", body, "Lovageladder-Service", "jelentes-llm")
+        assertEquals(200, wholeAnswer.statusCode(), wholeAnswer.body())
+        assertContains(wholeAnswer.body(), "\"completion_tokens\":6")
+        val streamBody = body.replace("}", ""","stream":true}""")
+        val streamAnswer = post(entries[1], "/v1/completions", streamBody, "Lovageladder-Service", "jelentes-llm")
+        assertEquals(6, Regex("\"text\":\"w\\d").findAll(streamAnswer.body()).count(), streamAnswer.body())
+        assertContains(streamAnswer.body(), "data: [DONE]")
         assertEquals(200, get(entries[0].traffic, "/services/klon-app/codes/7").statusCode())
         entries.map { entry ->
             val answer = post(entry, "/services/klon-app/clones", "{}", "Idempotency-Key", "key-1", "clone")
@@ -86,8 +86,8 @@
     }
 
     @Test
-    fun aDrainedEntryAnswersWhatIsInFlightAndEnds() {
-        publish()
+    fun drainedEntryAnswersRequestsInFlightAndEnds() {
+        publishRelease()
         awaitServing(entries[0])
         val body = """{"model":"m","prompt":"one two three","max_tokens":20}"""
         val answer = CompletableFuture.supplyAsync {
@@ -105,18 +105,18 @@
         process = ProcessName(name),
         host = HostName("host-$name"),
         place = PlaceName("mohacs-telep"),
-        incarnation = drawIncarnation(),
+        incarnation = randomIncarnation(),
     )
 
     private fun companionSettings() = CompanionSettings(
         process = ProcessName("companion-1"),
         host = HostName("host-1"),
         place = PlaceName("mohacs-telep"),
-        incarnation = drawIncarnation(),
+        incarnation = randomIncarnation(),
     )
 
-    private fun publish() {
-        val note = AcceptedNote(ReleaseVersion(1), ReleaseNote(NoteId("first"), added = entriesOfRelease()))
+    private fun publishRelease() {
+        val note = AcceptedNote(ReleaseVersion(1), ReleaseNote(NoteId("first"), added = releaseEntries()))
         val write = StoreWrite(noteStoreKey(note.version), Json.encodeToString(AcceptedNote.serializer(), note))
         openEtcdStore(listOf(loopback(keyValue.port))).use { store ->
             val answer = CompletableFuture<StoreAnswer>()
@@ -125,13 +125,13 @@
         }
     }
 
-    private fun entriesOfRelease(): List<ReleaseEntry> {
+    private fun releaseEntries(): List<ReleaseEntry> {
         val place = PlaceName("mohacs-telep")
         val host = HostName("host-1")
         val pools = PoolRole.entries.associateWith { PoolName(it.name.lowercase()) }
         val generation = ServiceName("jelentes-llm")
         val lookups = ServiceName("klon-app")
-        val second = LatencyTarget.Answer(2.seconds)
+        val target = LatencyTarget.Answer(2.seconds)
         return pools.map { (role, name) -> ReleaseEntry.Pool(name, role) } + listOf(
             ReleaseEntry.Host(host, place, HostRole.COMPANION, companion.traffic, companion.admin),
             ReleaseEntry.Upstream(UpstreamName("p-1"), PoolName("prefill"), host, loopback(prefill.port)),
@@ -140,8 +140,8 @@
             ReleaseEntry.Service(generation, ClassName("report"), PoolName("prefill"), PoolName("decode")),
             ReleaseEntry.Service(lookups, ClassName("lookup"), plainPool = PoolName("plain")),
             ReleaseEntry.RequestClass(ClassName("report"), generation, LatencyTarget.Stream(5.seconds, 2.seconds)),
-            ReleaseEntry.RequestClass(ClassName("lookup"), lookups, second),
-            ReleaseEntry.RequestClass(ClassName("clone"), lookups, second, idempotent = false),
+            ReleaseEntry.RequestClass(ClassName("lookup"), lookups, target),
+            ReleaseEntry.RequestClass(ClassName("clone"), lookups, target, idempotent = false),
         )
     }
 
--- a/measure/src/main/kotlin/org/lovageladder/measure/Arrivals.kt
+++ b/measure/src/main/kotlin/org/lovageladder/measure/Arrivals.kt
@@ -6,15 +6,17 @@
 import kotlin.time.Duration.Companion.seconds
 
 /**
- * Draws the arrival times of a Poisson process of [ratePerSecond] over [length], counted from its start, in order.
- * The same seed gives the same times.
+ * Returns the arrival times of a Poisson process of [ratePerSecond] over [duration], from its start, in ascending
+ * order. The same seed gives the same times.
  */
-internal fun drawArrivals(ratePerSecond: Double, length: Duration, seed: Long): List<Duration> {
+internal fun poissonArrivals(ratePerSecond: Double, duration: Duration, seed: Long): List<Duration> {
     val random = Random(seed)
-    return generateSequence(exponentialGap(random, ratePerSecond)) { it + exponentialGap(random, ratePerSecond) }
-        .takeWhile { it < length }
+    return generateSequence(exponentialInterval(random, ratePerSecond)) {
+        it + exponentialInterval(random, ratePerSecond)
+    }
+        .takeWhile { it < duration }
         .toList()
 }
 
-private fun exponentialGap(random: Random, ratePerSecond: Double): Duration =
+private fun exponentialInterval(random: Random, ratePerSecond: Double): Duration =
     (-ln(1 - random.nextDouble()) / ratePerSecond).seconds
--- a/measure/src/main/kotlin/org/lovageladder/measure/CompanionSlopes.kt
+++ b/measure/src/main/kotlin/org/lovageladder/measure/CompanionSlopes.kt
@@ -22,50 +22,50 @@
 import kotlin.time.DurationUnit
 
 private const val NANOSECONDS_PER_MICROSECOND = 1e3
-private const val COMPANIONS_IN_NOTE = 370
-private const val WAKE_LIMIT = 100
+private const val COMPANIONS_IN_RELEASE = 370
+private const val MAXIMUM_TIMER_EVENTS = 100
 private val HEARTBEAT_INTERVAL = 1.seconds
 
-/** Measures an idle companion connected to [entries] entries over [length] of virtual time. */
-internal fun measureIdleCompanion(entries: Int, length: Duration): IdleCost {
+/** Measures an idle companion connected to [entries] entries over [duration] of virtual time. */
+internal fun measureIdleCompanion(entries: Int, duration: Duration): IdleCost {
     val heapBefore = usedHeapBytes()
     val companion = MeasuredCompanion()
     companion.start(entries)
     val heapBytes = usedHeapBytes() - heapBefore
-    val handlingBefore = companion.handling.nanoseconds
-    val codingBefore = companion.coding.nanoseconds
-    val beats = length.inWholeSeconds.toInt()
-    repeat(beats) { companion.beat(it.toLong()) }
-    val seconds = length.toDouble(DurationUnit.SECONDS)
-    val nanosecondsPerFigure = NANOSECONDS_PER_MICROSECOND * seconds
+    val handlingBefore = companion.handlingTime.nanoseconds
+    val codingBefore = companion.codingTime.nanoseconds
+    val heartbeatIntervals = duration.inWholeSeconds.toInt()
+    repeat(heartbeatIntervals) { companion.passHeartbeatInterval(it.toLong()) }
+    val seconds = duration.toDouble(DurationUnit.SECONDS)
+    val rateDivisor = NANOSECONDS_PER_MICROSECOND * seconds
     return IdleCost(
         size = entries,
-        handlingMicroseconds = (companion.handling.nanoseconds - handlingBefore) / nanosecondsPerFigure,
-        codingMicroseconds = (companion.coding.nanoseconds - codingBefore) / nanosecondsPerFigure,
-        messagesOut = companion.sent.messages / seconds,
-        messagesIn = companion.received.messages / seconds,
-        bytesOut = companion.sent.bytes / seconds,
-        bytesIn = companion.received.bytes / seconds,
+        handlingMicroseconds = (companion.handlingTime.nanoseconds - handlingBefore) / rateDivisor,
+        codingMicroseconds = (companion.codingTime.nanoseconds - codingBefore) / rateDivisor,
+        messagesOut = companion.sentTraffic.messages / seconds,
+        messagesIn = companion.receivedTraffic.messages / seconds,
+        bytesOut = companion.sentTraffic.bytes / seconds,
+        bytesIn = companion.receivedTraffic.bytes / seconds,
         heapBytes = heapBytes,
     )
 }
 
-/** A companion's decisions with entries that only send heartbeats; see [MeasuredEntry] for what is counted. */
+/** The decisions of a companion whose entries only send heartbeats; counts the same as [MeasuredEntry]. */
 private class MeasuredCompanion {
     private val decisions: CompanionDecisions = companionDecisions(
         CompanionSettings(ProcessName("companion-0"), Fleet.hostName(0), Fleet.placeOf(0), Incarnation(1)),
     )
     private var connections = emptyList<ConnectionId>()
     private var now = Moment(0)
-    val handling = ProcessorMeter()
-    val coding = ProcessorMeter()
-    val sent = TrafficMeter()
-    val received = TrafficMeter()
+    val handlingTime = CpuTimeMeter()
+    val codingTime = CpuTimeMeter()
+    val sentTraffic = TrafficMeter()
+    val receivedTraffic = TrafficMeter()
 
     fun start(entries: Int) {
-        process(listOf(CompanionEvent.TimePassed))
+        handleAll(listOf(CompanionEvent.TimePassed))
         connections = List(entries) { ConnectionId(it + 1L) }
-        process(connections.map { CompanionEvent.Connected(it, hello(it)) })
+        handleAll(connections.map { CompanionEvent.Connected(it, hello(it)) })
         check(decisions.ready) { "the companion is not ready" }
         check(decisions.status(now).connectedEntries.size == entries) { "not all entries are connected" }
     }
@@ -73,38 +73,40 @@
     private fun hello(connection: ConnectionId) =
         PeerMessage.Hello(PEER_PROTOCOL, ProcessName("entry-${connection.number}"), Incarnation(1), Fleet.hostName(0))
 
-    /** Lets one heartbeat interval pass and takes a heartbeat of each entry. */
-    fun beat(sequence: Long) {
-        passTo(now + HEARTBEAT_INTERVAL)
-        val bodies = connections.map { encode(PeerMessage.Heartbeat(sequence)) }
-        bodies.forEach(received::count)
-        process(
-            coding.measure {
-                connections.zip(bodies) { connection, body -> CompanionEvent.Received(connection, decode(body)) }
+    /** Advances by one heartbeat interval and handles one heartbeat from each entry. */
+    fun passHeartbeatInterval(sequence: Long) {
+        advanceTo(now + HEARTBEAT_INTERVAL)
+        val bodies = connections.map { encodeFrameBody(PeerMessage.Heartbeat(sequence)) }
+        bodies.forEach(receivedTraffic::record)
+        handleAll(
+            codingTime.measure {
+                connections.zip(bodies) { connection, body ->
+                    CompanionEvent.Received(connection, decodeFrameBody(body))
+                }
             },
         )
     }
 
-    private fun passTo(end: Moment) {
-        generateSequence { decisions.nextDeadline()?.takeIf { it <= end } }.take(WAKE_LIMIT).forEach { due ->
+    private fun advanceTo(end: Moment) {
+        generateSequence { decisions.nextDeadline()?.takeIf { it <= end } }.take(MAXIMUM_TIMER_EVENTS).forEach { due ->
             now = maxOf(now, due)
-            process(listOf(CompanionEvent.TimePassed))
+            handleAll(listOf(CompanionEvent.TimePassed))
         }
         now = end
     }
 
-    private fun process(first: List<CompanionEvent>) {
-        var events = first
+    private fun handleAll(initialEvents: List<CompanionEvent>) {
+        var events = initialEvents
         while (events.isNotEmpty()) {
-            val effects = handling.measure { events.flatMap { decisions.handle(it, now) } }
-            val sends = effects.filterIsInstance<CompanionEffect.Send>()
-            coding.measure { sends.map { encode(it.message) } }.forEach(sent::count)
-            events = effects.mapNotNull(::answerTo)
+            val effects = handlingTime.measure { events.flatMap { decisions.handle(it, now) } }
+            val sendEffects = effects.filterIsInstance<CompanionEffect.Send>()
+            codingTime.measure { sendEffects.map { encodeFrameBody(it.message) } }.forEach(sentTraffic::record)
+            events = effects.mapNotNull(::resultOf)
         }
     }
 
-    private fun answerTo(effect: CompanionEffect): CompanionEvent? = when (effect) {
-        is CompanionEffect.AskStore -> CompanionEvent.StoreAnswered(effect.ticket, notesFor(effect.request))
+    private fun resultOf(effect: CompanionEffect): CompanionEvent? = when (effect) {
+        is CompanionEffect.AskStore -> CompanionEvent.StoreAnswered(effect.ticket, storedNotes(effect.request))
         is CompanionEffect.ListRunning -> CompanionEvent.RunningListed(effect.upstream.name, emptyList())
         is CompanionEffect.GiveOrder ->
             CompanionEvent.OrderEnded(effect.upstream.name, effect.order, effect.fencing, fault = null)
@@ -118,10 +120,10 @@
         -> null
     }
 
-    private fun notesFor(request: StoreRequest): StoreAnswer {
-        val key = noteStoreKey(FIRST_VERSION)
+    private fun storedNotes(request: StoreRequest): StoreAnswer {
+        val key = noteStoreKey(RELEASE_VERSION)
         if (request !is StoreRequest.ReadAfter || request.after >= key) return StoreAnswer.Found(emptyList())
-        val value = Json.encodeToString(AcceptedNote.serializer(), Fleet(COMPANIONS_IN_NOTE).note())
+        val value = Json.encodeToString(AcceptedNote.serializer(), Fleet(COMPANIONS_IN_RELEASE).note())
         return StoreAnswer.Found(listOf(StoredEntry(key, value, revision = 1)))
     }
 }
--- a/measure/src/main/kotlin/org/lovageladder/measure/EndedStream.kt
+++ b/measure/src/main/kotlin/org/lovageladder/measure/EndedStream.kt
@@ -7,59 +7,59 @@
 import java.time.Instant
 import java.time.format.DateTimeParseException
 
-/** A stream as the line that tells its end has it. Times are in milliseconds; sizes are in tokens. */
+/** A stream as logged at its end. Times are in milliseconds, sizes in tokens; [endedAt] is since the epoch. */
 internal data class EndedStream(
     val endedAt: Long,
     val outcome: String,
     val route: String,
-    val took: Int,
-    val waited: Int,
-    val first: Int?,
-    val callerWait: Int?,
-    val prompt: Int,
-    val expected: Int?,
-    val reserved: Int,
-    val events: Int,
+    val durationMilliseconds: Int,
+    val waitedMilliseconds: Int,
+    val firstEventMilliseconds: Int?,
+    val callerWaitMilliseconds: Int?,
+    val promptTokens: Int,
+    val expectedOutputTokens: Int?,
+    val reservedTokens: Int,
+    val eventCount: Int,
 ) {
     /** When the request arrived. */
-    val arrivedAt: Long get() = endedAt - took
+    val arrivedAt: Long get() = endedAt - durationMilliseconds
 
-    /** Whether the caller got the whole stream. */
-    val answered: Boolean get() = outcome == "answered"
+    /** Whether the caller received the complete stream. */
+    val isAnswered: Boolean get() = outcome == "answered"
 
-    /** Whether the caller was turned away. */
-    val refused: Boolean get() = outcome.startsWith("refused")
+    /** Whether the caller was refused. */
+    val isRefused: Boolean get() = outcome.startsWith("refused")
 }
 
 @Serializable
 private data class LogLine(val time: String, @SerialName("message") val text: String)
 
 private val logJson = Json { ignoreUnknownKeys = true }
-private val field = Regex("""(\w+)=(-?\d+|null)(?:ms)?\b""")
+private val fieldPattern = Regex("""(\w+)=(-?\d+|null)(?:ms)?\b""")
 
-/** Reads the ends of streams from [lines] of JSON logs, which may stand behind other text; passes other lines over. */
-internal fun endedStreams(lines: Sequence<String>): List<EndedStream> =
-    lines.filter { "LL-3104" in it && " reserved=" in it }.mapNotNull(::endedStream).toList()
+/** Parses the ended streams in [lines] of JSON logs, which may have other text before the JSON; ignores other lines. */
+internal fun parseEndedStreams(lines: Sequence<String>): List<EndedStream> =
+    lines.filter { "LL-3104" in it && " reserved=" in it }.mapNotNull(::parseEndedStream).toList()
 
-private fun endedStream(line: String): EndedStream? = try {
-    val entry = logJson.decodeFromString<LogLine>(line.substring(line.indexOf('{')))
-    val detail = entry.text.substringAfter("detail=\"").trimEnd('"')
-    val figures = field.findAll(detail).associate { it.groupValues[1] to it.groupValues[2].toIntOrNull() }
+private fun parseEndedStream(line: String): EndedStream? = try {
+    val logLine = logJson.decodeFromString<LogLine>(line.substring(line.indexOf('{')))
+    val detail = logLine.text.substringAfter("detail=\"").trimEnd('"')
+    val values = fieldPattern.findAll(detail).associate { it.groupValues[1] to it.groupValues[2].toIntOrNull() }
     EndedStream(
-        endedAt = Instant.parse(entry.time).toEpochMilli(),
+        endedAt = Instant.parse(logLine.time).toEpochMilli(),
         outcome = detail.substringBefore(" route="),
         route = detail.substringAfter(" route=").substringBefore(' '),
-        took = figures["took"] ?: 0,
-        waited = figures["waited"] ?: 0,
-        first = figures["first"],
-        callerWait = figures["wait"],
-        prompt = figures["prompt"] ?: 0,
-        expected = figures["expected"],
-        reserved = figures["reserved"] ?: 0,
-        events = figures["events"] ?: 0,
+        durationMilliseconds = values["took"] ?: 0,
+        waitedMilliseconds = values["waited"] ?: 0,
+        firstEventMilliseconds = values["first"],
+        callerWaitMilliseconds = values["wait"],
+        promptTokens = values["prompt"] ?: 0,
+        expectedOutputTokens = values["expected"],
+        reservedTokens = values["reserved"] ?: 0,
+        eventCount = values["events"] ?: 0,
     )
 } catch (_: SerializationException) {
-    null // A line cut off by the end of a process.
+    null // The line is incomplete because the process ended while it was written.
 } catch (_: DateTimeParseException) {
     null
 }
--- a/measure/src/main/kotlin/org/lovageladder/measure/EntrySlopes.kt
+++ b/measure/src/main/kotlin/org/lovageladder/measure/EntrySlopes.kt
@@ -10,23 +10,23 @@
 private const val NANOSECONDS_PER_MICROSECOND = 1e3
 private const val OUTPUT_TOKENS = 50
 private const val PROMPT_TOKENS = 200
-private const val BATCH_REQUESTS = 50
-private const val BATCHES = 20
-private val SETTLING = 5.seconds
+private const val REQUESTS_PER_BATCH = 50
+private const val BATCH_COUNT = 20
+private val SETTLING_TIME = 5.seconds
 
-/** Measures an idle entry connected to [companions] companions over [length] of virtual time. */
-internal fun measureIdleEntry(companions: Int, length: Duration): IdleCost {
+/** Measures an idle entry connected to [companions] companions over [duration] of virtual time. */
+internal fun measureIdleEntry(companions: Int, duration: Duration): IdleCost {
     val heapBefore = usedHeapBytes()
     val entry = startEntry(companions)
     val heapBytes = usedHeapBytes() - heapBefore
-    val before = EntryReading(entry)
-    entry.pass(length)
-    val after = EntryReading(entry)
-    val seconds = length.toDouble(DurationUnit.SECONDS)
+    val before = MeterSnapshot(entry)
+    entry.advance(duration)
+    val after = MeterSnapshot(entry)
+    val seconds = duration.toDouble(DurationUnit.SECONDS)
     return IdleCost(
         size = companions,
-        handlingMicroseconds = (after.handling - before.handling) / seconds,
-        codingMicroseconds = (after.coding - before.coding) / seconds,
+        handlingMicroseconds = (after.handlingMicroseconds - before.handlingMicroseconds) / seconds,
+        codingMicroseconds = (after.codingMicroseconds - before.codingMicroseconds) / seconds,
         messagesOut = (after.messagesOut - before.messagesOut) / seconds,
         messagesIn = (after.messagesIn - before.messagesIn) / seconds,
         bytesOut = (after.bytesOut - before.bytesOut) / seconds,
@@ -35,25 +35,25 @@
     )
 }
 
-/** Measures requests of [kind] at an entry with [companions] companions, in batches of [BATCH_REQUESTS] at once. */
+/** Measures requests of [kind] at an entry with [companions] companions, in batches of [REQUESTS_PER_BATCH] at once. */
 internal fun measureRequests(kind: RequestKind, companions: Int): RequestCost {
     val entry = startEntry(companions)
-    val readings = (0..BATCHES).map { batch ->
-        if (batch > 0) entry.submit(List(BATCH_REQUESTS) { submission(kind) })
-        EntryReading(entry)
+    val snapshots = (0..BATCH_COUNT).map { batch ->
+        if (batch > 0) entry.submit(List(REQUESTS_PER_BATCH) { submission(kind) })
+        MeterSnapshot(entry)
     }
     checkOutcomes(kind, entry)
-    fun perRequest(figure: (EntryReading) -> Double) = fitLine(
-        readings.mapIndexed { batch, reading ->
-            Sample((batch * BATCH_REQUESTS).toDouble(), figure(reading))
+    fun perRequest(value: (MeterSnapshot) -> Double) = fitLine(
+        snapshots.mapIndexed { batch, snapshot ->
+            Sample((batch * REQUESTS_PER_BATCH).toDouble(), value(snapshot))
         },
     ).slope
     return RequestCost(
         kind = kind,
         companions = companions,
-        requests = BATCHES * BATCH_REQUESTS,
-        handlingMicroseconds = perRequest { it.handling },
-        codingMicroseconds = perRequest { it.coding },
+        requests = BATCH_COUNT * REQUESTS_PER_BATCH,
+        handlingMicroseconds = perRequest { it.handlingMicroseconds },
+        codingMicroseconds = perRequest { it.codingMicroseconds },
         bytesOut = perRequest { it.bytesOut },
         bytesIn = perRequest { it.bytesIn },
     )
@@ -61,19 +61,21 @@
 
 private fun startEntry(companions: Int): MeasuredEntry {
     val companion = FakeCompanion(OUTPUT_TOKENS)
-    val entry = MeasuredEntry(companion::answer)
+    val entry = MeasuredEntry(companion::answersTo)
     entry.start(Fleet(companions))
-    entry.pass(SETTLING)
-    check(entry.connected == companions) { "${entry.connected} of $companions companions are connected" }
+    entry.advance(SETTLING_TIME)
+    check(entry.connectedCompanions == companions) {
+        "${entry.connectedCompanions} of $companions companions are connected"
+    }
     return entry
 }
 
 private fun checkOutcomes(kind: RequestKind, entry: MeasuredEntry) {
-    val requests = BATCHES * BATCH_REQUESTS
-    val served = entry.outcomes.count { it is Outcome.Generated || it is Outcome.Answered }
-    check(served == requests) { "$served of $requests requests were served: ${entry.outcomes.last()}" }
+    val requests = BATCH_COUNT * REQUESTS_PER_BATCH
+    val answered = entry.outcomes.count { it is Outcome.Generated || it is Outcome.Answered }
+    check(answered == requests) { "$answered of $requests requests were answered: ${entry.outcomes.last()}" }
     val expected = if (kind == RequestKind.GENERATION) requests * OUTPUT_TOKENS else 0
-    check(entry.tokens == expected) { "${entry.tokens} tokens were given, not $expected" }
+    check(entry.tokenCount == expected) { "${entry.tokenCount} tokens were sent to callers instead of $expected" }
 }
 
 private fun submission(kind: RequestKind): Submission = when (kind) {
@@ -91,11 +93,11 @@
 
 private fun lookup() = RequestContent.Plain("POST", "/schedule", "application/json", """{"week":3}""", "a1b2c3")
 
-private class EntryReading(entry: MeasuredEntry) {
-    val handling = entry.handling.nanoseconds / NANOSECONDS_PER_MICROSECOND
-    val coding = entry.coding.nanoseconds / NANOSECONDS_PER_MICROSECOND
-    val messagesOut = entry.sent.messages.toDouble()
-    val messagesIn = entry.received.messages.toDouble()
-    val bytesOut = entry.sent.bytes.toDouble()
-    val bytesIn = entry.received.bytes.toDouble()
+private class MeterSnapshot(entry: MeasuredEntry) {
+    val handlingMicroseconds = entry.handlingTime.nanoseconds / NANOSECONDS_PER_MICROSECOND
+    val codingMicroseconds = entry.codingTime.nanoseconds / NANOSECONDS_PER_MICROSECOND
+    val messagesOut = entry.sentTraffic.messages.toDouble()
+    val messagesIn = entry.receivedTraffic.messages.toDouble()
+    val bytesOut = entry.sentTraffic.bytes.toDouble()
+    val bytesIn = entry.receivedTraffic.bytes.toDouble()
 }
--- a/measure/src/main/kotlin/org/lovageladder/measure/Exchange.kt
+++ b/measure/src/main/kotlin/org/lovageladder/measure/Exchange.kt
@@ -6,15 +6,15 @@
 import java.util.concurrent.Flow
 
 /** How one request ended. Times are in nanoseconds of the monotonic clock. */
-internal sealed interface ExchangeEnd {
-    /** An answer with status 200; [whole] when it was complete and its own. [arrivals] has one time per token. */
-    data class Answered(val whole: Boolean, val arrivals: List<Long>, val endedAt: Long) : ExchangeEnd
+internal sealed interface ExchangeResult {
+    /** An answer with status 200; [isCorrect] if it has the expected content. [arrivals] has one time per token. */
+    data class Answered(val isCorrect: Boolean, val arrivals: List<Long>, val endedAt: Long) : ExchangeResult
 
     /** Any other answer. */
-    data class Refused(val status: Int, val retryAfter: Boolean, val endedAt: Long) : ExchangeEnd
+    data class Refused(val status: Int, val hasRetryAfter: Boolean, val endedAt: Long) : ExchangeResult
 
-    /** No answer, or a broken one. */
-    data class Failed(val cause: String) : ExchangeEnd
+    /** No answer, or an answer that was cut off. */
+    data class Failed(val cause: String) : ExchangeResult
 }
 
 @Serializable
@@ -25,10 +25,10 @@
 
 private val chunkJson = Json { ignoreUnknownKeys = true }
 private const val DATA_PREFIX = "data: "
-private const val END_MARK = "data: [DONE]"
+private const val STREAM_END_LINE = "data: [DONE]"
 private const val STATUS_OK = 200
 
-/** Reads the lines of one answer as they arrive and compares them with what the upstream has to answer. */
+/** Reads the lines of one answer as they arrive and compares them with the expected answer. */
 internal sealed class AnswerReader : Flow.Subscriber<String> {
     protected val arrivals = mutableListOf<Long>()
 
@@ -38,49 +38,49 @@
 
     override fun onComplete() = Unit
 
-    protected abstract val whole: Boolean
+    protected abstract val isCorrect: Boolean
 
-    /** The end of the exchange after the whole of [response] arrived. */
-    fun end(response: HttpResponse<*>): ExchangeEnd {
+    /** Returns the result of the exchange once [response] was received completely. */
+    fun resultOf(response: HttpResponse<*>): ExchangeResult {
         val now = System.nanoTime()
-        if (response.statusCode() == STATUS_OK) return ExchangeEnd.Answered(whole, arrivals, now)
-        val retryAfter = response.headers().firstValue("Retry-After").isPresent
-        return ExchangeEnd.Refused(response.statusCode(), retryAfter, now)
+        if (response.statusCode() == STATUS_OK) return ExchangeResult.Answered(isCorrect, arrivals, now)
+        val hasRetryAfter = response.headers().firstValue("Retry-After").isPresent
+        return ExchangeResult.Refused(response.statusCode(), hasRetryAfter, now)
     }
 }
 
 /** Reads a token stream. */
-internal class StreamReader(private val expected: List<String>) : AnswerReader() {
+internal class TokenStreamReader(private val expectedTokens: List<String>) : AnswerReader() {
     private val tokens = mutableListOf<String>()
-    private var ended = false
+    private var endReceived = false
 
-    override val whole: Boolean get() = ended && tokens == expected
+    override val isCorrect: Boolean get() = endReceived && tokens == expectedTokens
 
     override fun onNext(line: String) {
-        if (line == END_MARK) {
-            ended = true
+        if (line == STREAM_END_LINE) {
+            endReceived = true
         } else if (line.startsWith(DATA_PREFIX)) {
-            val text = textOf(line.removePrefix(DATA_PREFIX)) ?: return
+            val text = tokenText(line.removePrefix(DATA_PREFIX)) ?: return
             if (text.isEmpty()) return
             tokens += text
             arrivals += System.nanoTime()
         }
     }
 
-    private fun textOf(json: String): String? = try {
+    private fun tokenText(json: String): String? = try {
         chunkJson.decodeFromString(Chunk.serializer(), json).choices.firstOrNull()?.text
     } catch (_: IllegalArgumentException) {
         null
     }
 }
 
-/** Reads a plain service's answer, which has to contain [echo]. */
-internal class EchoReader(private val echo: String) : AnswerReader() {
-    override var whole: Boolean = false
+/** Reads the answer of a plain service, of which one line has to contain [expectedEcho]. */
+internal class PlainAnswerReader(private val expectedEcho: String) : AnswerReader() {
+    override var isCorrect: Boolean = false
         private set
 
     override fun onNext(line: String) {
         arrivals += System.nanoTime()
-        if (echo in line) whole = true
+        if (expectedEcho in line) isCorrect = true
     }
 }
--- a/measure/src/main/kotlin/org/lovageladder/measure/Fleet.kt
+++ b/measure/src/main/kotlin/org/lovageladder/measure/Fleet.kt
@@ -19,20 +19,20 @@
 import kotlin.time.Duration.Companion.seconds
 
 /**
- * A system of [companions] companions with one upstream each, in two places: a quarter prefill, half decode and a
- * quarter plain.
+ * A release of [companions] companions with one upstream each, in two data centres: a quarter prefill, half decode and
+ * a quarter plain.
  */
 internal class Fleet(private val companions: Int) {
     private val prefill = ReleaseEntry.Pool(PoolName("prefill"), PoolRole.PREFILL)
     private val decode = ReleaseEntry.Pool(PoolName("decode"), PoolRole.DECODE)
     private val plain = ReleaseEntry.Pool(PoolName("desk"), PoolRole.PLAIN)
 
-    /** The note that describes the whole system. */
-    fun note(): AcceptedNote = AcceptedNote(FIRST_VERSION, ReleaseNote(NoteId("fleet"), added = entries()))
+    /** The note that adds all entries of the release. */
+    fun note(): AcceptedNote = AcceptedNote(RELEASE_VERSION, ReleaseNote(NoteId("fleet"), added = entries()))
 
     private fun entries(): List<ReleaseEntry> {
         val numbers = 0 until companions
-        return listOf(host(ENTRY_HOST, PLACE, HostRole.ENTRY), prefill, decode, plain) +
+        return listOf(host(ENTRY_HOST, ENTRY_PLACE, HostRole.ENTRY), prefill, decode, plain) +
             numbers.map { host(hostName(it), placeOf(it), HostRole.COMPANION) } +
             numbers.map(::upstream) +
             services()
@@ -52,7 +52,7 @@
         )
     }
 
-    private fun poolOf(number: Int): ReleaseEntry.Pool = when (number % POOL_PARTS) {
+    private fun poolOf(number: Int): ReleaseEntry.Pool = when (number % POOL_CYCLE_LENGTH) {
         0 -> prefill
         1 -> plain
         else -> decode
@@ -76,12 +76,12 @@
     )
 
     internal companion object {
-        val PLACE = PlaceName("place-0")
+        val ENTRY_PLACE = PlaceName("place-0")
         val ENTRY_HOST = HostName("entry-0")
         val GENERATION_SERVICE = ServiceName("lesson-lm")
         val LOOKUP_SERVICE = ServiceName("desk")
         const val DECODE_PIECES = 80
-        private const val POOL_PARTS = 4
+        private const val POOL_CYCLE_LENGTH = 4
         private val PEER_ADDRESS = Address("127.0.0.1", 7001)
         private val ADMIN_ADDRESS = Address("127.0.0.1", 7002)
         private val UPSTREAM_ADDRESS = Address("127.0.0.1", 7003)
--- a/measure/src/main/kotlin/org/lovageladder/measure/LoadResults.kt
+++ b/measure/src/main/kotlin/org/lovageladder/measure/LoadResults.kt
@@ -16,9 +16,10 @@
 internal data class Latency(val count: Long, val p50: Double, val p90: Double, val p99: Double, val maximum: Double)
 
 /**
- * Result of a run. [answered] requests have a whole answer of their own; [wrong] an answer that is not. [good]
- * requests are answered with the first token and every gap between tokens within their targets (a lookup: the whole
- * answer within the first-token target). [startLag] is how late the driver itself sent requests.
+ * Result of a run. [answered] counts requests with the complete expected answer; [wrong] those with status 200 and
+ * another or incomplete answer. [good] counts answered requests whose first token and every gap between tokens were
+ * within their targets (for lookups: the answer within the first-token target). [mostAtOnce] is the maximum of requests
+ * in flight. [startLag] is the delay between the scheduled time and the sending of requests.
  */
 @Serializable
 internal data class LoadSummary(
@@ -39,61 +40,61 @@
     val startLag: Latency,
 )
 
-/** Collects the ends of exchanges from any thread. */
+/** Collects the results of exchanges. May be used on any thread. */
 internal class LoadResults(private val workload: Workload) {
-    private val firstToken = histogram()
-    private val tokenGap = histogram()
-    private val wholeAnswer = histogram()
-    private val refusal = histogram()
-    private val startLag = histogram()
+    private val firstToken = createHistogram()
+    private val tokenGap = createHistogram()
+    private val wholeAnswer = createHistogram()
+    private val refusal = createHistogram()
+    private val startLag = createHistogram()
     private val refused = ConcurrentHashMap<Int, Int>()
     private val failed = ConcurrentHashMap<String, Int>()
     private val answered = AtomicInteger()
     private val wrong = AtomicInteger()
     private val good = AtomicInteger()
-    private val withoutRetryAfter = AtomicInteger()
+    private val refusedWithoutRetryAfter = AtomicInteger()
     private val submitted = AtomicInteger()
-    private val running = AtomicInteger()
-    private val mostAtOnce = AtomicInteger()
+    private val inFlight = AtomicInteger()
+    private val maximumInFlight = AtomicInteger()
 
-    fun started(lagNanoseconds: Long) {
-        record(startLag, lagNanoseconds)
+    fun recordStart(lagNanoseconds: Long) {
+        recordLatency(startLag, lagNanoseconds)
         submitted.incrementAndGet()
-        mostAtOnce.accumulateAndGet(running.incrementAndGet(), ::maxOf)
+        maximumInFlight.accumulateAndGet(inFlight.incrementAndGet(), ::maxOf)
     }
 
-    fun ended(intended: Long, end: ExchangeEnd) {
-        running.decrementAndGet()
-        when (end) {
-            is ExchangeEnd.Answered -> answered(intended, end)
-            is ExchangeEnd.Refused -> {
-                record(refusal, end.endedAt - intended)
-                refused.merge(end.status, 1, Int::plus)
-                if (!end.retryAfter) withoutRetryAfter.incrementAndGet()
+    fun recordEnd(scheduledAt: Long, result: ExchangeResult) {
+        inFlight.decrementAndGet()
+        when (result) {
+            is ExchangeResult.Answered -> recordAnswer(scheduledAt, result)
+            is ExchangeResult.Refused -> {
+                recordLatency(refusal, result.endedAt - scheduledAt)
+                refused.merge(result.status, 1, Int::plus)
+                if (!result.hasRetryAfter) refusedWithoutRetryAfter.incrementAndGet()
             }
-            is ExchangeEnd.Failed -> failed.merge(end.cause, 1, Int::plus)
+            is ExchangeResult.Failed -> failed.merge(result.cause, 1, Int::plus)
         }
     }
 
-    /** Counts a request whose answer did not end in time. */
-    fun unfinished() {
+    /** Counts a request whose answer was not complete by the drain timeout. */
+    fun recordUnfinished() {
         failed.merge("unfinished", 1, Int::plus)
     }
 
-    private fun answered(intended: Long, end: ExchangeEnd.Answered) {
-        if (!end.whole) {
+    private fun recordAnswer(scheduledAt: Long, result: ExchangeResult.Answered) {
+        if (!result.isCorrect) {
             wrong.incrementAndGet()
             return
         }
         answered.incrementAndGet()
-        val first = end.arrivals.first() - intended
-        val gaps = end.arrivals.zipWithNext { earlier, later -> later - earlier }
-        record(firstToken, first)
-        gaps.forEach { record(tokenGap, it) }
-        record(wholeAnswer, end.endedAt - intended)
-        val inTime = first <= workload.firstTokenTarget.inWholeNanoseconds
-        val steady = gaps.all { it <= workload.tokenGapTarget.inWholeNanoseconds }
-        if (inTime && steady) good.incrementAndGet()
+        val firstTokenLatency = result.arrivals.first() - scheduledAt
+        val gaps = result.arrivals.zipWithNext { earlier, later -> later - earlier }
+        recordLatency(firstToken, firstTokenLatency)
+        gaps.forEach { recordLatency(tokenGap, it) }
+        recordLatency(wholeAnswer, result.endedAt - scheduledAt)
+        val firstTokenOnTime = firstTokenLatency <= workload.firstTokenTarget.inWholeNanoseconds
+        val gapsOnTime = gaps.all { it <= workload.tokenGapTarget.inWholeNanoseconds }
+        if (firstTokenOnTime && gapsOnTime) good.incrementAndGet()
     }
 
     fun summary(elapsedNanoseconds: Long): LoadSummary {
@@ -103,27 +104,27 @@
             answered = answered.get(),
             wrong = wrong.get(),
             refused = refused.toMap(),
-            refusedWithoutRetryAfter = withoutRetryAfter.get(),
+            refusedWithoutRetryAfter = refusedWithoutRetryAfter.get(),
             failed = failed.toMap(),
             good = good.get(),
             goodPerSecond = good.get() / seconds,
             seconds = seconds,
-            mostAtOnce = mostAtOnce.get(),
-            firstToken = latency(firstToken),
-            tokenGap = latency(tokenGap),
-            wholeAnswer = latency(wholeAnswer),
-            refusal = latency(refusal),
-            startLag = latency(startLag),
+            mostAtOnce = maximumInFlight.get(),
+            firstToken = latencyOf(firstToken),
+            tokenGap = latencyOf(tokenGap),
+            wholeAnswer = latencyOf(wholeAnswer),
+            refusal = latencyOf(refusal),
+            startLag = latencyOf(startLag),
         )
     }
 
-    private fun histogram(): Histogram = ConcurrentHistogram(SIGNIFICANT_DIGITS)
+    private fun createHistogram(): Histogram = ConcurrentHistogram(SIGNIFICANT_DIGITS)
 
-    private fun record(histogram: Histogram, nanoseconds: Long) =
+    private fun recordLatency(histogram: Histogram, nanoseconds: Long) =
         histogram.recordValue((nanoseconds / NANOSECONDS_PER_MICROSECOND).coerceAtLeast(0))
 
     @Suppress("MagicNumber")
-    private fun latency(histogram: Histogram) = Latency(
+    private fun latencyOf(histogram: Histogram) = Latency(
         count = histogram.totalCount,
         p50 = histogram.getValueAtPercentile(50.0) / MICROSECONDS_PER_MILLISECOND,
         p90 = histogram.getValueAtPercentile(90.0) / MICROSECONDS_PER_MILLISECOND,
@@ -132,8 +133,8 @@
     )
 }
 
-/** The run as a text table. */
-internal fun LoadSummary.text(): String {
+/** Formats the results as text. */
+internal fun LoadSummary.toText(): String {
     val rows = listOf(
         "first token" to firstToken,
         "token gap" to tokenGap,
@@ -141,12 +142,13 @@
         "refusal" to refusal,
         "start lag" to startLag,
     ).map { (name, latency) ->
-        listOf(name, "${latency.count}") + listOf(latency.p50, latency.p90, latency.p99, latency.maximum).map(::decimal)
+        listOf(name, "${latency.count}") +
+            listOf(latency.p50, latency.p90, latency.p99, latency.maximum).map(::formatDecimal)
     }
-    return "submitted $submitted, answered $answered, wrong $wrong, good $good (${decimal(goodPerSecond)}/s), " +
+    return "submitted $submitted, answered $answered, wrong $wrong, good $good (${formatDecimal(goodPerSecond)}/s), " +
         "refused $refused (without Retry-After $refusedWithoutRetryAfter), failed $failed, " +
-        "most at once $mostAtOnce, ${decimal(seconds)} s\n" +
-        table(listOf("latency", "count", "p50 ms", "p90 ms", "p99 ms", "max ms"), rows)
+        "most at once $mostAtOnce, ${formatDecimal(seconds)} s\n" +
+        formatTable(listOf("latency", "count", "p50 ms", "p90 ms", "p99 ms", "max ms"), rows)
 }
 
-private fun decimal(value: Double): String = decimal(value, 2)
+private fun formatDecimal(value: Double): String = formatDecimal(value, 2)
--- a/measure/src/main/kotlin/org/lovageladder/measure/Main.kt
+++ b/measure/src/main/kotlin/org/lovageladder/measure/Main.kt
@@ -7,7 +7,7 @@
 import com.github.ajalt.clikt.core.subcommands
 import kotlin.system.exitProcess
 
-/** Runs the measuring command line. */
+/** Runs the command line of the measuring tool. */
 public fun main(arguments: Array<String>) {
     val command = MeasureCommand()
     val status = try {
@@ -26,5 +26,5 @@
     }
 
     override fun help(context: Context): String =
-        "Measure running processes under load, and what the decisions cost by the size of the system."
+        "Measure running processes under load, and the cost of the decisions by the size of the system."
 }
--- a/measure/src/main/kotlin/org/lovageladder/measure/MeasuredEntry.kt
+++ b/measure/src/main/kotlin/org/lovageladder/measure/MeasuredEntry.kt
@@ -18,62 +18,62 @@
 import kotlin.time.Duration.Companion.milliseconds
 
 /**
- * An entry's decisions, connected to all companions of its release, whose answers [companion] gives. Messages pass
- * through the encoding of connections but through no sockets. The meters count handling, encoding and decoding of
- * the entry; the companions' part is not counted.
+ * The decisions of an entry that is connected to all companions of its release, which answer with [answersTo]. Messages
+ * are encoded as on connections, but not sent through sockets. The meters count the handling, encoding and decoding of
+ * the entry, not those of the companions.
  */
-internal class MeasuredEntry(private val companion: (PeerMessage) -> List<PeerMessage>) {
+internal class MeasuredEntry(private val answersTo: (PeerMessage) -> List<PeerMessage>) {
     private val decisions = entryDecisions(
-        EntrySettings(ProcessName("entry-0"), Fleet.ENTRY_HOST, Fleet.PLACE, Incarnation(1)),
+        EntrySettings(ProcessName("entry-0"), Fleet.ENTRY_HOST, Fleet.ENTRY_PLACE, Incarnation(1)),
     )
     private var now = Moment(0)
     private var lastExchange = 0L
-    val handling = ProcessorMeter()
-    val coding = ProcessorMeter()
-    val sent = TrafficMeter()
-    val received = TrafficMeter()
+    val handlingTime = CpuTimeMeter()
+    val codingTime = CpuTimeMeter()
+    val sentTraffic = TrafficMeter()
+    val receivedTraffic = TrafficMeter()
 
-    /** Outcomes given to callers. */
+    /** Outcomes sent to callers. */
     val outcomes = mutableListOf<Outcome>()
 
-    /** Tokens given to callers. */
-    var tokens = 0
+    /** Number of tokens sent to callers. */
+    var tokenCount = 0
         private set
 
-    val connected: Int get() = decisions.status(now).connectedHosts.size
+    val connectedCompanions: Int get() = decisions.status(now).connectedHosts.size
 
     /** Applies the note of [fleet] and connects to its companions. */
     fun start(fleet: Fleet) {
-        process(listOf(EntryEvent.TimePassed))
-        process(listOf(EntryEvent.NoteSeen(fleet.note())))
+        handleAll(listOf(EntryEvent.TimePassed))
+        handleAll(listOf(EntryEvent.NoteSeen(fleet.note())))
     }
 
-    /** Lets [length] pass with whatever is due in it. */
-    fun pass(length: Duration) {
-        val end = now + length
-        generateSequence { decisions.nextDeadline()?.takeIf { it <= end } }.take(WAKE_LIMIT).forEach { due ->
+    /** Advances the virtual time by [duration] and handles the deadlines in it. */
+    fun advance(duration: Duration) {
+        val end = now + duration
+        generateSequence { decisions.nextDeadline()?.takeIf { it <= end } }.take(MAXIMUM_TIMER_EVENTS).forEach { due ->
             now = maxOf(now, due)
-            process(listOf(EntryEvent.TimePassed))
+            handleAll(listOf(EntryEvent.TimePassed))
         }
         now = end
     }
 
-    /** Submits [submissions] at once and runs until nothing more is sent. */
+    /** Submits [submissions] at once and runs until no more events follow. */
     fun submit(submissions: List<Submission>) {
-        process(submissions.map { EntryEvent.Submitted(ExchangeId(++lastExchange), it) })
+        handleAll(submissions.map { EntryEvent.Submitted(ExchangeId(++lastExchange), it) })
     }
 
-    private fun process(first: List<EntryEvent>) {
-        var events = first
+    private fun handleAll(initialEvents: List<EntryEvent>) {
+        var events = initialEvents
         while (events.isNotEmpty()) {
-            val effects = handling.measure { events.flatMap { decisions.handle(it, now) } }
-            now += STEP
-            events = effects.filterNot { it is EntryEffect.Send }.mapNotNull(::answerTo) +
-                exchange(effects.filterIsInstance<EntryEffect.Send>())
+            val effects = handlingTime.measure { events.flatMap { decisions.handle(it, now) } }
+            now += ROUND_TIME
+            events = effects.filterNot { it is EntryEffect.Send }.mapNotNull(::resultOf) +
+                deliver(effects.filterIsInstance<EntryEffect.Send>())
         }
     }
 
-    private fun answerTo(effect: EntryEffect): EntryEvent? {
+    private fun resultOf(effect: EntryEffect): EntryEvent? {
         when (effect) {
             is EntryEffect.Connect -> {
                 val welcome = PeerMessage.Welcome(
@@ -87,7 +87,7 @@
             }
             is EntryEffect.AskStore -> return EntryEvent.StoreAnswered(effect.ticket, StoreAnswer.Found(emptyList()))
             is EntryEffect.GiveOutcome -> outcomes += effect.outcome
-            is EntryEffect.GiveToken -> tokens++
+            is EntryEffect.GiveToken -> tokenCount++
             is EntryEffect.Send,
             is EntryEffect.Disconnect,
             is EntryEffect.WatchNotes,
@@ -98,18 +98,20 @@
         return null
     }
 
-    private fun exchange(sends: List<EntryEffect.Send>): List<EntryEvent> {
-        val bodies = coding.measure { sends.map { encode(it.message) } }
-        bodies.forEach(sent::count)
-        val answers = sends.flatMap { send -> companion(send.message).map { Frame(send.connection, encode(it)) } }
-        answers.forEach { received.count(it.body) }
-        return coding.measure { answers.map { EntryEvent.Received(it.connection, decode(it.body)) } }
+    private fun deliver(sendEffects: List<EntryEffect.Send>): List<EntryEvent> {
+        val bodies = codingTime.measure { sendEffects.map { encodeFrameBody(it.message) } }
+        bodies.forEach(sentTraffic::record)
+        val answers = sendEffects.flatMap { send ->
+            answersTo(send.message).map { ReceivedFrame(send.connection, encodeFrameBody(it)) }
+        }
+        answers.forEach { receivedTraffic.record(it.body) }
+        return codingTime.measure { answers.map { EntryEvent.Received(it.connection, decodeFrameBody(it.body)) } }
     }
 
-    private class Frame(val connection: ConnectionId, val body: ByteArray)
+    private class ReceivedFrame(val connection: ConnectionId, val body: ByteArray)
 
     private companion object {
-        const val WAKE_LIMIT = 100_000
-        val STEP = 1.milliseconds
+        const val MAXIMUM_TIMER_EVENTS = 100_000
+        val ROUND_TIME = 1.milliseconds
     }
 }
--- a/measure/src/main/kotlin/org/lovageladder/measure/Meter.kt
+++ b/measure/src/main/kotlin/org/lovageladder/measure/Meter.kt
@@ -2,36 +2,36 @@
 
 import java.lang.management.ManagementFactory
 
-private val threads = ManagementFactory.getThreadMXBean()
-private const val COLLECTIONS = 4
+private val threadBean = ManagementFactory.getThreadMXBean()
+private const val GARBAGE_COLLECTION_RUNS = 4
 
-/** Processor time that parts of a run on this thread took, in nanoseconds. Garbage collection is not counted. */
-internal class ProcessorMeter {
+/** CPU time of measured actions on the current thread, in nanoseconds. Garbage collection is not counted. */
+internal class CpuTimeMeter {
     var nanoseconds: Long = 0
         private set
 
-    /** Runs [part] and adds its processor time. */
-    fun <T> measure(part: () -> T): T {
-        val before = threads.currentThreadCpuTime
-        return part().also { nanoseconds += threads.currentThreadCpuTime - before }
+    /** Runs [action] and adds its CPU time. */
+    fun <T> measure(action: () -> T): T {
+        val startedAt = threadBean.currentThreadCpuTime
+        return action().also { nanoseconds += threadBean.currentThreadCpuTime - startedAt }
     }
 }
 
-/** Messages and their bytes in one direction. */
+/** Number of messages in one direction and their bytes with frame headers. */
 internal class TrafficMeter {
     var messages: Long = 0
         private set
     var bytes: Long = 0
         private set
 
-    fun count(body: ByteArray) {
+    fun record(body: ByteArray) {
         messages++
         bytes += body.size + FRAME_HEADER_BYTES
     }
 }
 
-/** Heap in use after a collection, in bytes. */
+/** Heap in use after garbage collection, in bytes. */
 internal fun usedHeapBytes(): Long {
-    repeat(COLLECTIONS) { System.gc() }
+    repeat(GARBAGE_COLLECTION_RUNS) { System.gc() }
     return ManagementFactory.getMemoryMXBean().heapMemoryUsage.used
 }
--- a/measure/src/main/kotlin/org/lovageladder/measure/ReportJson.kt
+++ b/measure/src/main/kotlin/org/lovageladder/measure/ReportJson.kt
@@ -2,5 +2,5 @@
 
 import kotlinx.serialization.json.Json
 
-/** JSON of all reports. */
+/** JSON format of all reports. */
 internal val reportJson = Json { prettyPrint = true }
--- a/measure/src/main/kotlin/org/lovageladder/measure/SlopeReport.kt
+++ b/measure/src/main/kotlin/org/lovageladder/measure/SlopeReport.kt
@@ -3,8 +3,8 @@
 import kotlinx.serialization.Serializable
 
 /**
- * Cost of an idle process at one [size]: companions of an entry, or entries of a companion. Processor times are
- * microseconds, and traffic messages and bytes, per second of virtual time.
+ * Cost of an idle process at one [size], the number of companions of an entry or entries of a companion. CPU times (in
+ * microseconds), messages and bytes are per second of virtual time.
  */
 @Serializable
 internal data class IdleCost(
@@ -18,13 +18,13 @@
     val heapBytes: Long,
 )
 
-/** Costs of an idle process at several sizes, and what each further peer adds. */
+/** Costs of an idle process at several sizes, and the line fitted to each figure, whose slope is the cost per peer. */
 @Serializable
 internal data class IdleSlopes(val costs: List<IdleCost>, val lines: Map<IdleFigure, Line>)
 
-/** Figures of [IdleCost]. */
+/** A figure of [IdleCost]; its name is a key in the JSON report. */
 @Serializable
-internal enum class IdleFigure(val title: String, val of: (IdleCost) -> Double) {
+internal enum class IdleFigure(val title: String, val valueIn: (IdleCost) -> Double) {
     HANDLING("handling us/s", { it.handlingMicroseconds }),
     CODING("coding us/s", { it.codingMicroseconds }),
     MESSAGES_OUT("messages out/s", { it.messagesOut }),
@@ -34,7 +34,7 @@
     HEAP("heap bytes", { it.heapBytes.toDouble() }),
 }
 
-/** Cost of one request at an entry with [companions] companions, from the slope over batches of requests. */
+/** Cost of one request at an entry with [companions] companions, as the slope of the cost over batches of requests. */
 @Serializable
 internal data class RequestCost(
     val kind: RequestKind,
@@ -46,40 +46,42 @@
     val bytesIn: Double,
 )
 
-/** All costs of one run. */
+/** Results of the slopes command. */
 @Serializable
 internal data class SlopeReport(val entry: IdleSlopes, val companion: IdleSlopes, val requests: List<RequestCost>)
 
-/** Fits a line through each figure of [costs]. */
-internal fun idleSlopes(costs: List<IdleCost>): IdleSlopes {
+/** Fits a line to each figure of [costs]. */
+internal fun fitIdleSlopes(costs: List<IdleCost>): IdleSlopes {
     val lines = IdleFigure.entries.associateWith { figure ->
-        fitLine(costs.map { Sample(it.size.toDouble(), figure.of(it)) })
+        fitLine(costs.map { Sample(it.size.toDouble(), figure.valueIn(it)) })
     }
     return IdleSlopes(costs, lines)
 }
 
-/** The report as text tables. */
-internal fun SlopeReport.text(): String = listOf(
+/** Formats the report as text tables. */
+internal fun SlopeReport.toText(): String = listOf(
     "An idle entry, by companions",
-    entry.text(),
+    entry.toText(),
     "An idle companion, by entries",
-    companion.text(),
+    companion.toText(),
     "One request at an entry",
     requestTable(requests),
 ).joinToString("\n")
 
-private fun IdleSlopes.text(): String {
-    val sizes = costs.map { cost -> listOf("${cost.size}") + IdleFigure.entries.map { decimal(it.of(cost)) } }
-    val slopes = listOf("slope") + IdleFigure.entries.map { decimal(lines.getValue(it).slope, SLOPE_DIGITS) }
-    val intercepts = listOf("at 0") + IdleFigure.entries.map { decimal(lines.getValue(it).intercept) }
-    return table(listOf("size") + IdleFigure.entries.map { it.title }, sizes + listOf(slopes, intercepts))
+private fun IdleSlopes.toText(): String {
+    val sizes = costs.map { cost ->
+        listOf("${cost.size}") + IdleFigure.entries.map { formatDecimal(it.valueIn(cost)) }
+    }
+    val slopes = listOf("slope") + IdleFigure.entries.map { formatDecimal(lines.getValue(it).slope, SLOPE_DIGITS) }
+    val intercepts = listOf("at 0") + IdleFigure.entries.map { formatDecimal(lines.getValue(it).intercept) }
+    return formatTable(listOf("size") + IdleFigure.entries.map { it.title }, sizes + listOf(slopes, intercepts))
 }
 
-private fun requestTable(requests: List<RequestCost>): String = table(
+private fun requestTable(requests: List<RequestCost>): String = formatTable(
     listOf("kind", "companions", "requests", "handling us", "coding us", "bytes out", "bytes in"),
     requests.map { cost ->
-        val figures = listOf(cost.handlingMicroseconds, cost.codingMicroseconds, cost.bytesOut, cost.bytesIn)
-        listOf(cost.kind.word, "${cost.companions}", "${cost.requests}") + figures.map { decimal(it) }
+        val values = listOf(cost.handlingMicroseconds, cost.codingMicroseconds, cost.bytesOut, cost.bytesIn)
+        listOf(cost.kind.label, "${cost.companions}", "${cost.requests}") + values.map { formatDecimal(it) }
     },
 )
 
--- a/measure/src/main/kotlin/org/lovageladder/measure/SlopesCommand.kt
+++ b/measure/src/main/kotlin/org/lovageladder/measure/SlopesCommand.kt
@@ -16,42 +16,40 @@
 private val ENTRY_COUNTS = listOf(10, 100, 370)
 private const val WARM_UP_COMPANIONS = 400
 private const val WARM_UP_ROUNDS = 3
-private val WARM_UP_LENGTH = 120.seconds
+private val WARM_UP_DURATION = 120.seconds
 
-/** Measures what the decisions cost, by the number of peers and per request. */
+/** Measures the cost of the decisions, by the number of peers and per request. */
 internal class SlopesCommand : CliktCommand("slopes") {
     private val companions by option("--companions", help = "Numbers of companions (default 100,400,1600,4800).")
         .int().restrictTo(1..10_000).split(",").default(COMPANION_COUNTS)
     private val entries by option("--entries", help = "Numbers of entries (default 10,100,370).")
         .int().restrictTo(1..1000).split(",").default(ENTRY_COUNTS)
-    private val length by option("--seconds", help = "Virtual seconds at each size (default 120).")
+    private val virtualSeconds by option("--seconds", help = "Virtual seconds at each size (default 120).")
         .int().restrictTo(1..3600).default(120)
-    private val json by option("--json", help = "Print JSON after the tables.").flag()
+    private val printJson by option("--json", help = "Print JSON after the tables.").flag()
 
     override fun help(context: Context): String =
         "Measure processor time, messages, bytes and heap of an entry and a companion, without sockets."
 
     override fun run() {
-        if (companions.distinct().size <
-            2
-        ) {
-            throw UsageError("--companions gives $companions; allowed: two or more sizes")
+        if (companions.distinct().size < 2) {
+            throw UsageError("--companions is $companions; allowed: two or more sizes")
         }
-        if (entries.distinct().size < 2) throw UsageError("--entries gives $entries; allowed: two or more sizes")
+        if (entries.distinct().size < 2) throw UsageError("--entries is $entries; allowed: two or more sizes")
         warmUp()
         val report = SlopeReport(
-            entry = idleSlopes(companions.map { measureIdleEntry(it, length.seconds) }),
-            companion = idleSlopes(entries.map { measureIdleCompanion(it, length.seconds) }),
+            entry = fitIdleSlopes(companions.map { measureIdleEntry(it, virtualSeconds.seconds) }),
+            companion = fitIdleSlopes(entries.map { measureIdleCompanion(it, virtualSeconds.seconds) }),
             requests = companions.flatMap { size -> RequestKind.entries.map { measureRequests(it, size) } },
         )
-        echo(report.text())
-        if (json) echo(reportJson.encodeToString(report))
+        echo(report.toText())
+        if (printJson) echo(reportJson.encodeToString(report))
     }
 
-    /** Runs each part until the compiler has seen it. */
+    /** Runs each measurement until the JIT compiler has compiled its code. */
     private fun warmUp() = repeat(WARM_UP_ROUNDS) {
-        measureIdleEntry(WARM_UP_COMPANIONS, WARM_UP_LENGTH)
-        measureIdleCompanion(ENTRY_COUNTS.last(), WARM_UP_LENGTH)
+        measureIdleEntry(WARM_UP_COMPANIONS, WARM_UP_DURATION)
+        measureIdleCompanion(ENTRY_COUNTS.last(), WARM_UP_DURATION)
         RequestKind.entries.forEach { measureRequests(it, WARM_UP_COMPANIONS) }
     }
 }
--- a/measure/src/main/kotlin/org/lovageladder/measure/StreamTables.kt
+++ b/measure/src/main/kotlin/org/lovageladder/measure/StreamTables.kt
@@ -1,83 +1,93 @@
 package org.lovageladder.measure
 
-/** Streams of a span of time that begins [from] milliseconds after the first arrival; tokens are as at its middle. */
-internal data class StreamSpan(
-    val from: Long,
+/**
+ * Streams in a time interval that starts [startMilliseconds] after the first arrival. Tokens and [waiting] are those in
+ * the middle of the interval.
+ */
+internal data class StreamInterval(
+    val startMilliseconds: Long,
     val arrived: Int,
     val answered: Int,
-    val refusedAtOnce: Int,
+    val refusedImmediately: Int,
     val refusedLater: Int,
-    val broken: Int,
-    val meanWait: Double,
+    val failed: Int,
+    val meanWaitMilliseconds: Double,
     val reservedTokens: Long,
     val usedTokens: Long,
     val waiting: Int,
 )
 
-/** What the streams of one route asked for and used. */
+/** Mean tokens that the answered streams of one route reserved and used. */
 internal data class RouteSizes(
     val route: String,
     val answered: Int,
     val reservedTokens: Double,
     val usedTokens: Double,
-    val outgrown: Int,
+    val exceededReservation: Int,
 )
 
-/** Cuts [streams] into spans of [step] milliseconds. */
-internal fun spans(streams: List<EndedStream>, step: Long): List<StreamSpan> {
+/** Groups [streams] into intervals of [lengthMilliseconds]. */
+internal fun intervalsOf(streams: List<EndedStream>, lengthMilliseconds: Long): List<StreamInterval> {
     if (streams.isEmpty()) return emptyList()
-    val begin = streams.minOf { it.arrivedAt }
-    val end = streams.maxOf { it.endedAt }
-    val tokens = tokensOfAnEvent(streams)
-    return (begin..end step step).map { from ->
-        val arrived = streams.filter { it.arrivedAt in from until from + step }
-        val middle = from + step / 2
-        StreamSpan(
-            from = from - begin,
+    val firstArrival = streams.minOf { it.arrivedAt }
+    val lastEnd = streams.maxOf { it.endedAt }
+    val tokensPerEvent = estimateTokensPerEvent(streams)
+    return (firstArrival..lastEnd step lengthMilliseconds).map { start ->
+        val arrived = streams.filter { it.arrivedAt in start until start + lengthMilliseconds }
+        val middle = start + lengthMilliseconds / 2
+        StreamInterval(
+            startMilliseconds = start - firstArrival,
             arrived = arrived.size,
-            answered = arrived.count { it.answered },
-            refusedAtOnce = arrived.count { it.refused && it.took < AT_ONCE },
-            refusedLater = arrived.count { it.refused && it.took >= AT_ONCE },
-            broken = arrived.count { !it.refused && !it.answered },
-            meanWait = arrived.map { it.waited }.average().takeUnless { it.isNaN() } ?: 0.0,
-            reservedTokens = streams.filter { it.holds(middle) }.sumOf { it.reserved.toLong() },
-            usedTokens = streams.filter { it.holds(middle) }.sumOf { it.usedAt(middle, tokens) },
-            waiting = streams.count { middle in it.arrivedAt until it.arrivedAt + it.waited },
+            answered = arrived.count { it.isAnswered },
+            refusedImmediately =
+            arrived.count { it.isRefused && it.durationMilliseconds < IMMEDIATE_REFUSAL_MILLISECONDS },
+            refusedLater = arrived.count { it.isRefused && it.durationMilliseconds >= IMMEDIATE_REFUSAL_MILLISECONDS },
+            failed = arrived.count { !it.isRefused && !it.isAnswered },
+            meanWaitMilliseconds = arrived.map { it.waitedMilliseconds }.average().takeUnless { it.isNaN() } ?: 0.0,
+            reservedTokens = streams.filter { it.holdsMemoryAt(middle) }.sumOf { it.reservedTokens.toLong() },
+            usedTokens = streams.filter { it.holdsMemoryAt(middle) }.sumOf { it.usedTokensAt(middle, tokensPerEvent) },
+            waiting = streams.count { middle in it.arrivedAt until it.arrivedAt + it.waitedMilliseconds },
         )
     }
 }
 
-/** What was asked for and used, by route. */
-internal fun sizes(streams: List<EndedStream>): List<RouteSizes> {
-    val tokens = tokensOfAnEvent(streams)
-    return streams.filter { it.answered }.groupBy { it.route }.toSortedMap().map { (route, answered) ->
+/** Reserved and used tokens of the answered streams, by route. */
+internal fun routeSizes(streams: List<EndedStream>): List<RouteSizes> {
+    val tokensPerEvent = estimateTokensPerEvent(streams)
+    return streams.filter { it.isAnswered }.groupBy { it.route }.toSortedMap().map { (route, answered) ->
         RouteSizes(
             route = route,
             answered = answered.size,
-            reservedTokens = answered.map { it.reserved }.average(),
-            usedTokens = answered.map { it.prompt + it.events * tokens }.average(),
-            outgrown = answered.count { it.prompt + it.events * tokens > it.reserved },
+            reservedTokens = answered.map { it.reservedTokens }.average(),
+            usedTokens = answered.map { it.promptTokens + it.eventCount * tokensPerEvent }.average(),
+            exceededReservation = answered.count {
+                it.promptTokens + it.eventCount * tokensPerEvent > it.reservedTokens
+            },
         )
     }
 }
 
-/** Callers' estimates are right at the median. */
-private fun tokensOfAnEvent(streams: List<EndedStream>): Double {
+/**
+ * Estimates the tokens per event as the median over streams of expected output tokens per event: callers' estimates of
+ * the output are right at the median.
+ */
+private fun estimateTokensPerEvent(streams: List<EndedStream>): Double {
     val ratios =
         streams
-            .filter { it.answered && it.expected != null && it.events > 0 }
-            .map { checkNotNull(it.expected).toDouble() / it.events }
+            .filter { it.isAnswered && it.expectedOutputTokens != null && it.eventCount > 0 }
+            .map { checkNotNull(it.expectedOutputTokens).toDouble() / it.eventCount }
             .sorted()
     return if (ratios.isEmpty()) 0.0 else ratios[ratios.size / 2]
 }
 
-private fun EndedStream.holds(time: Long) = first != null && time in arrivedAt + waited until endedAt
+private fun EndedStream.holdsMemoryAt(time: Long) =
+    firstEventMilliseconds != null && time in arrivedAt + waitedMilliseconds until endedAt
 
-private fun EndedStream.usedAt(time: Long, tokensOfAnEvent: Double): Long {
-    val begun = arrivedAt + checkNotNull(first)
-    val share = (time - begun).toDouble() / (endedAt - begun).coerceAtLeast(1)
-    return prompt + (share.coerceIn(0.0, 1.0) * events * tokensOfAnEvent).toLong()
+private fun EndedStream.usedTokensAt(time: Long, tokensPerEvent: Double): Long {
+    val firstEventAt = arrivedAt + checkNotNull(firstEventMilliseconds)
+    val progress = (time - firstEventAt).toDouble() / (endedAt - firstEventAt).coerceAtLeast(1)
+    return promptTokens + (progress.coerceIn(0.0, 1.0) * eventCount * tokensPerEvent).toLong()
 }
 
-/** Milliseconds within which a refusal counts as given on arrival. */
-private const val AT_ONCE = 5
+/** A refusal in less time than this counts as given on arrival. */
+private const val IMMEDIATE_REFUSAL_MILLISECONDS = 5
--- a/measure/src/main/kotlin/org/lovageladder/measure/StreamsCommand.kt
+++ b/measure/src/main/kotlin/org/lovageladder/measure/StreamsCommand.kt
@@ -11,50 +11,57 @@
 import com.github.ajalt.clikt.parameters.types.int
 import com.github.ajalt.clikt.parameters.types.restrictTo
 
-/** Tells from collected logs what streams asked of decode memory, used and waited for. */
+/** Prints from collected logs how much decode memory streams reserved and used, and how long they waited for it. */
 internal class StreamsCommand : CliktCommand("streams") {
     private val logs by argument("LOG", help = "JSON log of one or more entries.")
         .file(mustExist = true, canBeDir = false).multiple(required = true)
-    private val step by option("--step", help = "Seconds of one row (default 2).").int().restrictTo(1..3_600).default(2)
-    private val plot by option("--plot", metavar = "FILE", help = "Draws reserved and used memory as SVG.").file()
+    private val stepSeconds by option(
+        "--step",
+        help = "Seconds per table row (default 2).",
+    ).int().restrictTo(1..3_600).default(2)
+    private val plotFile by option(
+        "--plot",
+        metavar = "FILE",
+        help = "File for an SVG plot of reserved and used memory.",
+    ).file()
 
     override fun help(context: Context): String =
-        "Print what streams asked of decode memory, used and waited for, from collected logs."
+        "Print how much decode memory streams reserved and used and how long they waited, from collected logs."
 
     override fun run() {
-        val streams = logs.flatMap { file -> file.useLines { endedStreams(it) } }
-        if (streams.isEmpty()) throw UsageError("no log has the end of a stream (LL-3104 with its reservation)")
-        val spans = spans(streams, step * MILLISECONDS)
-        echo(sizeTable(sizes(streams)))
+        val streams = logs.flatMap { file -> file.useLines { parseEndedStreams(it) } }
+        if (streams.isEmpty()) throw UsageError("no log contains an ended stream (event LL-3104 with reserved=)")
+        val intervals = intervalsOf(streams, stepSeconds * MILLISECONDS_PER_SECOND)
+        echo(routeTable(routeSizes(streams)))
         echo()
-        echo(spanTable(spans))
-        plot?.writeText(plot(spans))
+        echo(intervalTable(intervals))
+        plotFile?.writeText(plotSvg(intervals))
     }
 
-    private fun sizeTable(sizes: List<RouteSizes>) = table(
+    private fun routeTable(sizes: List<RouteSizes>) = formatTable(
         listOf("route", "answered", "reserved", "used", "outgrew"),
         sizes.map {
             listOf(
                 it.route,
                 "${it.answered}",
-                decimal(it.reservedTokens, 0),
-                decimal(it.usedTokens, 0),
-                "${it.outgrown}",
+                formatDecimal(it.reservedTokens, 0),
+                formatDecimal(it.usedTokens, 0),
+                "${it.exceededReservation}",
             )
         },
     )
 
-    private fun spanTable(spans: List<StreamSpan>) = table(
+    private fun intervalTable(intervals: List<StreamInterval>) = formatTable(
         listOf("second", "arrived", "answered", "refused", "later", "broken", "wait ms", "reserved", "used", "waiting"),
-        spans.map {
+        intervals.map {
             listOf(
-                "${it.from / MILLISECONDS}",
+                "${it.startMilliseconds / MILLISECONDS_PER_SECOND}",
                 "${it.arrived}",
                 "${it.answered}",
-                "${it.refusedAtOnce}",
+                "${it.refusedImmediately}",
                 "${it.refusedLater}",
-                "${it.broken}",
-                decimal(it.meanWait, 0),
+                "${it.failed}",
+                formatDecimal(it.meanWaitMilliseconds, 0),
                 "${it.reservedTokens}",
                 "${it.usedTokens}",
                 "${it.waiting}",
@@ -63,6 +70,6 @@
     )
 
     private companion object {
-        const val MILLISECONDS = 1_000L
+        const val MILLISECONDS_PER_SECOND = 1_000L
     }
 }
--- a/measure/src/main/kotlin/org/lovageladder/measure/Table.kt
+++ b/measure/src/main/kotlin/org/lovageladder/measure/Table.kt
@@ -1,13 +1,13 @@
 package org.lovageladder.measure
 
-/** Returns [rows] under [header] as text, with columns aligned to the right. */
-internal fun table(header: List<String>, rows: List<List<String>>): String {
-    val all = listOf(header) + rows
-    val widths = header.indices.map { column -> all.maxOf { it[column].length } }
-    return all.joinToString("\n") { row ->
+/** Formats [rows] under [header] as text with right-aligned columns. */
+internal fun formatTable(header: List<String>, rows: List<List<String>>): String {
+    val allRows = listOf(header) + rows
+    val widths = header.indices.map { column -> allRows.maxOf { it[column].length } }
+    return allRows.joinToString("\n") { row ->
         row.mapIndexed { column, cell -> cell.padStart(widths[column]) }.joinToString("  ")
     }
 }
 
-/** [value] with [digits] digits after the point. */
-internal fun decimal(value: Double, digits: Int = 2): String = "%.${digits}f".format(java.util.Locale.ROOT, value)
+/** Formats [value] with [digits] decimal places. */
+internal fun formatDecimal(value: Double, digits: Int = 2): String = "%.${digits}f".format(java.util.Locale.ROOT, value)
--- a/measure/src/main/kotlin/org/lovageladder/measure/Workload.kt
+++ b/measure/src/main/kotlin/org/lovageladder/measure/Workload.kt
@@ -4,18 +4,18 @@
 import java.security.MessageDigest
 import kotlin.time.Duration
 
-/** What callers ask for. */
-internal enum class RequestKind(val word: String) {
+/** Kind of the requests of a workload. */
+internal enum class RequestKind(val label: String) {
     GENERATION("generation"),
     LOOKUP("lookup"),
 }
 
-/** Where requests go: the callers' address of an entry, or an upstream that is called directly. */
-internal data class Destination(val address: Address, val direct: Boolean)
+/** Where requests are sent: the caller address of an entry, or with [isDirect] an upstream stand-in. */
+internal data class Destination(val address: Address, val isDirect: Boolean)
 
 /**
- * Requests of one run. Prompts have [promptTokens] words; answers [outputTokens] tokens. The first [warmUpRequests]
- * arrivals are run beforehand with other prompts and not counted.
+ * Requests of one run. Prompts have [promptTokens] words, answers [outputTokens] tokens. The first [warmUpRequests]
+ * arrivals are first run with other prompts as a warm-up, which is not counted.
  */
 internal data class Workload(
     val kind: RequestKind,
@@ -30,18 +30,18 @@
     val tokenGapTarget: Duration,
 )
 
-private const val WORD = "abc"
-private const val MARK_BYTES = 3
+private const val FILLER_WORD = "abc"
+private const val DIGEST_BYTES = 3
 
 /** Prompt of the request at [index], different from all others. */
 internal fun Workload.prompt(index: Int): String =
-    (listOf("r$seed-$index") + List(promptTokens - 1) { WORD }).joinToString(" ")
+    (listOf("r$seed-$index") + List(promptTokens - 1) { FILLER_WORD }).joinToString(" ")
 
-/** Text of the token at [index] that a stand-in produces for [prompt]. */
+/** Texts of the first [count] tokens that a stand-in produces for [prompt]. */
 internal fun expectedTokens(prompt: String, count: Int): List<String> {
-    val mark = MessageDigest.getInstance("SHA-256")
+    val digest = MessageDigest.getInstance("SHA-256")
         .digest(prompt.toByteArray())
-        .take(MARK_BYTES)
+        .take(DIGEST_BYTES)
         .joinToString("") { "%02x".format(it) }
-    return List(count) { "w$it-$mark " }
+    return List(count) { "w$it-$digest " }
 }
--- a/measure/src/main/kotlin/org/lovageladder/measure/WorkloadOptions.kt
+++ b/measure/src/main/kotlin/org/lovageladder/measure/WorkloadOptions.kt
@@ -21,18 +21,18 @@
 private const val MAXIMUM_PORT = 65_535
 private val ADDRESS_PATTERN = Regex("""([0-9.]+):(\d{1,5})""")
 
-/** What is asked for, how often and with which targets. */
+/** Options that describe a workload: requests, rate and latency targets. */
 internal class WorkloadOptions : OptionGroup("Workload") {
-    private val kind by option("--kind", help = "What callers ask for (default generation).")
-        .choice(RequestKind.entries.associateBy { it.word })
+    private val kind by option("--kind", help = "Kind of requests (default generation).")
+        .choice(RequestKind.entries.associateBy { it.label })
         .default(RequestKind.GENERATION)
-    private val service by option("--service", help = "Service asked for (default lesson-lm).").default("lesson-lm")
-    private val requestClass by option("--class", help = "Request class; without it the service's default.")
+    private val service by option("--service", help = "Service to call (default lesson-lm).").default("lesson-lm")
+    private val requestClass by option("--class", help = "Request class (default that of the service).")
     private val rate by option("--rate", help = "Requests per second (default 10).")
         .double().restrictTo(0.01..MAXIMUM_RATE_PER_SECOND).default(10.0)
-    private val length by option("--seconds", help = "Length of a run (default 10).")
+    private val durationSeconds by option("--seconds", help = "Length of a run (default 10).")
         .int().restrictTo(1..MAXIMUM_SECONDS).default(10)
-    private val streams by option("--streams", help = "So many requests at once, in place of a rate.")
+    private val streams by option("--streams", help = "Number of requests sent at once, instead of a rate.")
         .int().restrictTo(1..MAXIMUM_STREAMS)
     private val seed by option("--seed", help = "Seed of the arrival times (default 1).").long().default(1)
     private val warmUp by option("--warm-up", help = "Requests sent beforehand, not counted (default 0).")
@@ -41,12 +41,15 @@
         .int().restrictTo(1..MAXIMUM_TOKENS).default(20)
     private val outputTokens by option("--output-tokens", help = "Tokens in an answer (default 10).")
         .int().restrictTo(1..MAXIMUM_TOKENS).default(10)
-    private val firstTokenTarget by option("--first-token-target-ms", help = "Target, milliseconds (default 2000).")
+    private val firstTokenTarget by option(
+        "--first-token-target-ms",
+        help = "Target of the first token (default 2000).",
+    )
         .int().restrictTo(min = 1).default(2000)
-    private val tokenGapTarget by option("--token-gap-target-ms", help = "Target, milliseconds (default 200).")
+    private val tokenGapTarget by option("--token-gap-target-ms", help = "Target of gaps between tokens (default 200).")
         .int().restrictTo(min = 1).default(200)
 
-    /** The workload of a [round]; each round has arrival times of its own. */
+    /** Returns the workload of a [round]; each round has other arrival times. */
     fun workload(round: Int = 0): Workload = Workload(
         kind = kind,
         service = service,
@@ -55,19 +58,19 @@
         outputTokens = outputTokens,
         seed = seed + round,
         arrivals = streams?.let { count -> List(count) { Duration.ZERO } }
-            ?: drawArrivals(rate, length.seconds, seed + round),
+            ?: poissonArrivals(rate, durationSeconds.seconds, seed + round),
         warmUpRequests = warmUp,
         firstTokenTarget = firstTokenTarget.milliseconds,
         tokenGapTarget = tokenGapTarget.milliseconds,
     )
 }
 
-/** Reads an IPv4 address and port; fails naming what is allowed. */
-internal fun OptionCallTransformContext.address(value: String): Address {
+/** Parses an IPv4 address and port; fails with the allowed format. */
+internal fun OptionCallTransformContext.parseAddress(value: String): Address {
     val match = ADDRESS_PATTERN.matchEntire(value)
     val port = match?.groupValues?.get(2)?.toInt()
     if (match == null || port !in 1..MAXIMUM_PORT) {
-        fail("'$value' given; allowed: IP:PORT with a port from 1 to $MAXIMUM_PORT")
+        fail("'$value' is invalid; allowed: IP:PORT with a port from 1 to $MAXIMUM_PORT")
     }
     return Address(match.groupValues[1], checkNotNull(port))
 }
