--- a/daemon/src/main/kotlin/org/lovageladder/daemon/NoteWatcher.kt
+++ b/daemon/src/main/kotlin/org/lovageladder/daemon/NoteWatcher.kt
@@ -64,7 +64,7 @@
         if (!isEnabled || watchGeneration != generation) return
         activeWatch = store.watch(NOTE_PREFIX, ::onEntryChanged) { onWatchEnded(watchGeneration) }
         readNewerNotes()
-        schedule(SECOND_READ_DELAY, ::readNewerNotes)
+        runAfter(SECOND_READ_DELAY, ::readNewerNotes)
     }
 
     @Synchronized
@@ -72,7 +72,7 @@
         if (!isEnabled || watchGeneration != generation) return
         generation++
         val next = generation
-        schedule(reconnectDelay) { startWatch(next) }
+        runAfter(reconnectDelay) { startWatch(next) }
         reconnectDelay = minOf(reconnectDelay * 2, MAXIMUM_RECONNECT_DELAY)
     }
 
@@ -101,7 +101,7 @@
         listener.onNote(note)
     }
 
-    private fun schedule(delay: Duration, action: () -> Unit) {
+    private fun runAfter(delay: Duration, action: () -> Unit) {
         try {
             timer.schedule(action, delay.inWholeMilliseconds, TimeUnit.MILLISECONDS)
         } catch (_: RejectedExecutionException) {
--- a/measure/src/main/kotlin/org/lovageladder/measure/SlopesCommand.kt
+++ b/measure/src/main/kotlin/org/lovageladder/measure/SlopesCommand.kt
@@ -29,7 +29,7 @@
     private val printJson by option("--json", help = "Print JSON after the tables.").flag()
 
     override fun help(context: Context): String =
-        "Measure processor time, messages, bytes and heap of an entry and a companion, without sockets."
+        "Measure CPU time, messages, bytes and heap of an entry and a companion, without sockets."
 
     override fun run() {
         if (companions.distinct().size < 2) {
