--- a/daemon/src/main/kotlin/org/lovageladder/daemon/RequestMeters.kt
+++ b/daemon/src/main/kotlin/org/lovageladder/daemon/RequestMeters.kt
@@ -12,8 +12,8 @@
 import java.util.concurrent.TimeUnit
 
 /**
- * Counts and times callers' requests by service, class and outcome. Names not known to be in the release are recorded as
- * `unknown`, since callers choose them and could create any number of time series. Confined to the control thread.
+ * Counts and times callers' requests by service, class and outcome. Names not known to be in the release are recorded
+ * as `unknown`, since callers choose them and could create any number of time series. Confined to the control thread.
  */
 internal class RequestMeters(private val registry: MeterRegistry) {
     private data class OpenRequest(val service: String, val requestClass: String, val submittedAt: Moment)
