--- a/core/src/main/kotlin/org/lovageladder/core/forward/Configuration.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/ForwardConfiguration.kt
@@ -10,10 +10,10 @@
  */
 
 /** One version of the operators' configuration. */
-public data class Configuration(
+public data class ForwardConfiguration(
     val version: ReleaseVersion,
     val routes: List<Route>,
-    val services: Map<ServiceName, ServiceTraits>,
+    val services: Map<ServiceName, ServiceConfiguration>,
     val limits: CallerLimits,
 )
 
@@ -23,7 +23,7 @@
     IDEMPOTENT,
 
     /** A request runs at most once. */
-    ONCE,
+    AT_MOST_ONCE,
 
     /** A request is answered by an event stream. It runs at most once unless the route is resumable. */
     STREAM,
@@ -59,14 +59,18 @@
  * A service. Each of its upstreams accepts [connectionLimit] connections from all entries together; null when no limit
  * is known. [engine] is null when its upstreams are not engines.
  */
-public data class ServiceTraits(val name: ServiceName, val connectionLimit: Int?, val engine: EngineTraits?)
+public data class ServiceConfiguration(
+    val name: ServiceName,
+    val connectionLimit: Int?,
+    val engine: EngineConfiguration?,
+)
 
 /**
  * Properties of the engines of a service. Each runs [slots] requests at once, which share memory for [memoryTokens]
  * tokens. A prefill result is kept for [prefillKeepTime] and a reservation for at most [reservationLimit]; a role
  * change takes [roleChangeTime].
  */
-public data class EngineTraits(
+public data class EngineConfiguration(
     val slots: Int,
     val memoryTokens: Int,
     val prefillKeepTime: Duration,
--- a/core/src/main/kotlin/org/lovageladder/core/forward/ForwardContext.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/ForwardContext.kt
@@ -13,7 +13,7 @@
 
 /** Dependencies and common operations of all request flows. */
 internal class ForwardContext(
-    val calls: UpstreamCalls,
+    val calls: UpstreamPort,
     val scheduler: Scheduler,
     val upstreamSelector: UpstreamSelector,
     val membership: Membership,
@@ -45,7 +45,7 @@
     /**
      * Releases [reservation] at [engine]. An engine that asked for a pause gets no call; the reservation lapses there.
      */
-    fun release(engine: Member, reservation: Reservation) {
+    fun release(engine: UpstreamRegistration, reservation: Reservation) {
         if (notices.pausedUntil(engine.start, now()) == null) {
             calls.release(engine.start, reservation)
         } else {
@@ -107,6 +107,6 @@
 internal data class Destination(
     val route: Route,
     val service: ServiceName,
-    val engine: EngineTraits?,
+    val engine: EngineConfiguration?,
     val connectionLimit: Int,
 )
--- a/core/src/main/kotlin/org/lovageladder/core/forward/ForwardPorts.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/ForwardPorts.kt
@@ -83,7 +83,7 @@
 }
 
 /** A call in progress. */
-public fun interface RunningCall {
+public fun interface Cancellable {
     /** Cancels the call. Its receiver or callback is not called afterwards. */
     public fun cancel()
 }
@@ -93,7 +93,7 @@
 public value class Reservation(public val text: String)
 
 /** The result of a prefill, which [engine] keeps under [handle]. */
-public data class PrefillResult(val engine: UpstreamStart, val handle: String)
+public data class PrefillResult(val engine: UpstreamIncarnation, val handle: String)
 
 /** Outcome of a call about the memory of an engine. */
 public sealed interface EngineAnswer<out Value> {
@@ -111,8 +111,8 @@
  * How a request is sent to an upstream. The upstream stops working on it after [timeout]. [prefill] is the result to
  * fetch, [reservation] the memory to use, and [resumeAfter] the id of the event after which the stream begins.
  */
-public data class Sending(
-    val upstream: UpstreamStart,
+public data class UpstreamAttempt(
+    val upstream: UpstreamIncarnation,
     val timeout: Duration,
     val prefill: PrefillResult? = null,
     val reservation: Reservation? = null,
@@ -126,27 +126,27 @@
  * Calls to upstreams. Answers arrive on the thread of the [Forwarder]. A notice in any of them is passed to
  * [Forwarder.noticed] before the answer.
  */
-public interface UpstreamCalls {
+public interface UpstreamPort {
     /** Sends the request of a caller. */
-    public fun send(request: ForwardRequest, sending: Sending, receiver: AnswerReceiver): RunningCall
+    public fun send(request: ForwardRequest, sending: UpstreamAttempt, receiver: AnswerReceiver): Cancellable
 
     /** Lets an engine prefill the prompt of [request] without decoding. */
     public fun prefill(
         request: ForwardRequest,
-        sending: Sending,
+        sending: UpstreamAttempt,
         answer: (EngineAnswer<PrefillResult>) -> Unit,
-    ): RunningCall
+    ): Cancellable
 
     /** Reserves a slot and memory for [tokens] tokens at [engine] for [keep]. */
     public fun reserve(
-        engine: UpstreamStart,
+        engine: UpstreamIncarnation,
         tokens: Int,
         keep: Duration,
         answer: (EngineAnswer<Reservation>) -> Unit,
-    ): RunningCall
+    ): Cancellable
 
     /** Releases a reservation that no request used. */
-    public fun release(engine: UpstreamStart, reservation: Reservation)
+    public fun release(engine: UpstreamIncarnation, reservation: Reservation)
 
     /** Frees a prefill result that no decode fetched. */
     public fun free(result: PrefillResult)
@@ -209,5 +209,5 @@
     public fun now(): Moment
 
     /** Runs [action] after [delay] unless the returned call is cancelled first. */
-    public fun after(delay: Duration, action: () -> Unit): RunningCall
+    public fun after(delay: Duration, action: () -> Unit): Cancellable
 }
--- a/core/src/main/kotlin/org/lovageladder/core/forward/Forwarder.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/Forwarder.kt
@@ -30,7 +30,7 @@
 private val DEFAULT_DRAIN_BOUND = Duration.parse("2s")
 
 /** Handle of a request in progress. */
-public fun interface OpenRequest {
+public fun interface RequestHandle {
     /** The caller disconnected. */
     public fun callerLeft()
 }
@@ -41,7 +41,7 @@
  */
 public class Forwarder(
     private val settings: ForwarderSettings,
-    calls: UpstreamCalls,
+    calls: UpstreamPort,
     private val scheduler: Scheduler,
     log: EventSink,
     random: Random = Random.Default,
@@ -67,10 +67,10 @@
         )
     private val memoryQueues = HashMap<ServiceName, MemoryQueue>()
     private val streamEstimates = HashMap<ServiceName, StreamEstimates>()
-    private var configuration: Configuration? = null
+    private var configuration: ForwardConfiguration? = null
     private var routes: RouteTable? = null
     private var drain: Drain? = null
-    private var leadership: Leadership? = null
+    private var leadership: LeaderElection? = null
 
     /** Number of requests in progress. */
     public var open: Int = 0
@@ -94,7 +94,7 @@
     }
 
     /** Activates [newer] unless the active configuration has the same or a later version. */
-    public fun configure(newer: Configuration) {
+    public fun configure(newer: ForwardConfiguration) {
         if (newer.version < version) {
             context.record(EventKind.CONFIGURATION_OUTDATED, detail = "ignored ${newer.version}, active is $version")
             return
@@ -113,12 +113,12 @@
         membership.apply(change, scheduler.now())
         if (change is RegistryChange.FullRead) entryCounter.markAllMissing(scheduler.now())
         when (change) {
-            is RegistryChange.Written -> recordMember(change.member)
+            is RegistryChange.Registered -> recordMember(change.member)
             is RegistryChange.Removed ->
                 context.record(EventKind.UPSTREAM_REGISTERED, upstream = change.name, detail = "registration removed")
-            is RegistryChange.RoleChanging -> recordRoleChange(change)
-            is RegistryChange.LeaderSeen -> leadership?.onLeaderObserved(change.held)
-            is RegistryChange.EntrySeen -> onEntrySeen(change)
+            is RegistryChange.RoleChangeAnnounced -> recordRoleChange(change)
+            is RegistryChange.LeaderChanged -> leadership?.onLeaderObserved(change.held)
+            is RegistryChange.EntryRegistrationChanged -> onEntrySeen(change)
             is RegistryChange.FullRead ->
                 context.record(EventKind.UPSTREAM_REGISTERED, detail = "full read: ${change.members.size} upstreams")
             RegistryChange.Unavailable -> context.record(EventKind.STORE_LOST, detail = "the registry is unavailable")
@@ -130,7 +130,7 @@
     }
 
     /** Records what an answer of [start] said about the requests that it accepts. */
-    public fun noticed(start: UpstreamStart, notice: UpstreamNotice) {
+    public fun noticed(start: UpstreamIncarnation, notice: UpstreamNotice) {
         val now = scheduler.now()
         if (notices.recordNotice(start, notice, now)) {
             val detail = if (notice.leaving) "leaving" else "asks for a pause of ${notice.pause}"
@@ -142,7 +142,7 @@
     }
 
     /** Begins to change the roles of engines through [orders] while this process holds [leadership]. */
-    public fun keepRoles(leadership: Leadership, orders: RoleOrders) {
+    public fun keepRoles(leadership: LeaderElection, orders: RoleOrderPort) {
         if (Mechanism.ROLE_CHANGES in settings.without) return
         this.leadership = leadership
         leadership.start()
@@ -153,13 +153,13 @@
         if (drain != null) return
         configuration?.services?.values?.forEach { service ->
             val engine = service.engine ?: return@forEach
-            val activeWorkOf = { member: Member -> activeWork(service.name, member) }
+            val activeWorkOf = { member: UpstreamRegistration -> activeWork(service.name, member) }
             controller.startDueChange(service.name, engine, estimatesOf(service.name).rolePlan, activeWorkOf)
         }
         scheduler.after(ROLE_CHECK_INTERVAL) { checkRoles(controller) }
     }
 
-    private fun activeWork(service: ServiceName, member: Member): Int =
+    private fun activeWork(service: ServiceName, member: UpstreamRegistration): Int =
         (memoryQueues[service]?.heldTokensAt(member.name) ?: 0) + upstreamSelector.health(member.name).inFlight
 
     /**
@@ -171,7 +171,7 @@
     }
 
     /** Forwards [request] and passes its outcome to [reply]. Returns null when the request was refused at once. */
-    public fun forward(request: ForwardRequest, reply: CallerReply): OpenRequest? {
+    public fun forward(request: ForwardRequest, reply: CallerReply): RequestHandle? {
         val table = routes
         if (table == null || !membership.isLoaded) return refuse(request, reply, RefusalReason.NOT_READY)
         val route = table.find(request.host, request.target)
@@ -187,19 +187,19 @@
         val flow = createFlow(request, destination, reply)
         open += 1
         flow.start()
-        return OpenRequest { flow.onCallerDisconnected() }
+        return RequestHandle { flow.onCallerDisconnected() }
     }
 
     /**
      * Connections that this entry may have to each upstream of a service. Part of the limit is kept free for
      * connections that are about to close.
      */
-    private fun connectionLimitPerUpstream(traits: ServiceTraits?): Int {
+    private fun connectionLimitPerUpstream(traits: ServiceConfiguration?): Int {
         val limit = traits?.connectionLimit ?: return Int.MAX_VALUE
         return (limit * USABLE_CONNECTION_FRACTION / entryCounter.count(scheduler.now())).toInt().coerceAtLeast(1)
     }
 
-    private fun createFlow(request: ForwardRequest, destination: Destination, reply: CallerReply): RequestFlow {
+    private fun createFlow(request: ForwardRequest, destination: Destination, reply: CallerReply): ForwardFlow {
         val onFinished = { open -= 1 }
         if (destination.engine == null) return PlainFlow(context, request, destination, reply, onFinished)
         val service = destination.service
@@ -213,7 +213,7 @@
 
     private fun engineTraitsOf(service: ServiceName) = configuration?.services?.get(service)?.engine
 
-    private fun refuse(request: ForwardRequest, reply: CallerReply, reason: RefusalReason): OpenRequest? {
+    private fun refuse(request: ForwardRequest, reply: CallerReply, reason: RefusalReason): RequestHandle? {
         val wait = request.wait ?: DEFAULT_CALLER_WAIT
         val minimum = if (reason == RefusalReason.LEAVING) Duration.ZERO else MINIMUM_RETURN_DELAY
         val returnAfter = if (reason.notRun) context.returnDelay(minimum, wait) else null
@@ -226,13 +226,13 @@
         return null
     }
 
-    private fun recordMember(member: Member) {
+    private fun recordMember(member: UpstreamRegistration) {
         val state = if (member.leaving) "leaving" else "serving"
         val detail = "$state service=${member.service} role=${member.role} at ${member.address}"
         context.record(EventKind.UPSTREAM_REGISTERED, upstream = member.name, detail = detail)
     }
 
-    private fun onEntrySeen(change: RegistryChange.EntrySeen) {
+    private fun onEntrySeen(change: RegistryChange.EntryRegistrationChanged) {
         val now = scheduler.now()
         val before = entryCounter.count(now)
         entryCounter.recordRegistration(change.name, change.registered, now)
@@ -244,7 +244,7 @@
         )
     }
 
-    private fun recordRoleChange(change: RegistryChange.RoleChanging) {
+    private fun recordRoleChange(change: RegistryChange.RoleChangeAnnounced) {
         val detail = if (change.changing) "gets no requests while its role changes" else "its role change has ended"
         context.record(EventKind.UPSTREAM_REGISTERED, upstream = change.name, detail = detail)
     }
--- a/core/src/main/kotlin/org/lovageladder/core/forward/Leadership.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/LeaderElection.kt
@@ -7,21 +7,21 @@
 public data class LeaderLease(val id: Long, val fencing: Long)
 
 /** Outcome of an attempt to become the leader. */
-public sealed interface LeadershipAnswer {
+public sealed interface AcquisitionResult {
     /** Leadership was acquired under [lease]. */
-    public data class Taken(val lease: LeaderLease) : LeadershipAnswer
+    public data class Acquired(val lease: LeaderLease) : AcquisitionResult
 
     /** Another process is the leader. */
-    public data object Occupied : LeadershipAnswer
+    public data object HeldByOther : AcquisitionResult
 
     /** Unknown whether leadership was acquired; if so, the lease expires unused. */
-    public data class Failed(val detail: String) : LeadershipAnswer
+    public data class Unknown(val detail: String) : AcquisitionResult
 }
 
 /** Port to the store that grants leadership to one process at a time. */
 public interface LeadershipPort {
     /** Tries to acquire leadership for [period]. */
-    public fun take(period: Duration, answer: (LeadershipAnswer) -> Unit)
+    public fun take(period: Duration, answer: (AcquisitionResult) -> Unit)
 
     /** Extends [lease] by its period from the arrival of the call. [answer] gets whether the lease was still valid. */
     public fun renew(lease: LeaderLease, answer: (Boolean) -> Unit)
@@ -35,7 +35,7 @@
  * measured from when the last successful call was sent, and orders are allowed only once the leases of earlier holders
  * must have expired. Confined to one thread.
  */
-public class Leadership(
+public class LeaderElection(
     private val port: LeadershipPort,
     private val scheduler: Scheduler,
     private val period: Duration,
@@ -45,7 +45,7 @@
     private var ordersAllowedAt = Moment(0)
     private var validUntil = Moment(0)
     private var isHeldElsewhere = false
-    private var scheduledAcquisition: RunningCall? = null
+    private var scheduledAcquisition: Cancellable? = null
 
     /** The lease under which orders may be given now; null when they may not. */
     public val activeLease: LeaderLease?
@@ -87,9 +87,11 @@
         val sentAt = scheduler.now()
         port.take(period) { answer ->
             when (answer) {
-                is LeadershipAnswer.Taken -> onAcquired(answer.lease, sentAt)
-                LeadershipAnswer.Occupied -> scheduleAcquisition(period * PERIODS_WHILE_HELD_ELSEWHERE * (1 + jitter()))
-                is LeadershipAnswer.Failed -> scheduleAcquisition(period * (1 + jitter()))
+                is AcquisitionResult.Acquired -> onAcquired(answer.lease, sentAt)
+                AcquisitionResult.HeldByOther -> scheduleAcquisition(
+                    period * PERIODS_WHILE_HELD_ELSEWHERE * (1 + jitter()),
+                )
+                is AcquisitionResult.Unknown -> scheduleAcquisition(period * (1 + jitter()))
             }
         }
     }
--- a/core/src/main/kotlin/org/lovageladder/core/forward/Membership.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/Membership.kt
@@ -14,7 +14,7 @@
  * An upstream as it registered itself. A [name] belongs to one start of the upstream unless [startedAt], the wall-clock
  * time of the start in milliseconds, says otherwise. A registration with a higher [revision] replaces an earlier one.
  */
-public data class Member(
+public data class UpstreamRegistration(
     val name: UpstreamName,
     val service: ServiceName,
     val address: Address,
@@ -26,28 +26,28 @@
     val revision: Long,
 ) {
     /** This start of the upstream. */
-    val start: UpstreamStart get() = UpstreamStart(name, address, startedAt)
+    val start: UpstreamIncarnation get() = UpstreamIncarnation(name, address, startedAt)
 }
 
 /** A change reported by the registry of upstreams. */
 public sealed interface RegistryChange {
     /** An upstream registered itself or updated its registration. */
-    public data class Written(val member: Member) : RegistryChange
+    public data class Registered(val member: UpstreamRegistration) : RegistryChange
 
     /** The registration of an upstream was removed at [revision]. */
     public data class Removed(val name: UpstreamName, val revision: Long) : RegistryChange
 
     /** A role change of an engine was announced, or the announcement was withdrawn. */
-    public data class RoleChanging(val name: UpstreamName, val changing: Boolean) : RegistryChange
+    public data class RoleChangeAnnounced(val name: UpstreamName, val changing: Boolean) : RegistryChange
 
     /** Whether some process holds leadership and may give orders to engines. */
-    public data class LeaderSeen(val held: Boolean) : RegistryChange
+    public data class LeaderChanged(val held: Boolean) : RegistryChange
 
     /** Whether the entry [name] is registered. */
-    public data class EntrySeen(val name: ProcessName, val registered: Boolean) : RegistryChange
+    public data class EntryRegistrationChanged(val name: ProcessName, val registered: Boolean) : RegistryChange
 
     /** A full read of the registry. Upstreams that are not in [members] have no registration. */
-    public data class FullRead(val members: List<Member>) : RegistryChange
+    public data class FullRead(val members: List<UpstreamRegistration>) : RegistryChange
 
     /** The registry is unavailable. */
     public data object Unavailable : RegistryChange
@@ -62,7 +62,7 @@
  * therefore stays in use until [REGISTRATION_GRACE_PERIOD] after the registry became available. Confined to one thread.
  */
 public class Membership {
-    private val members = HashMap<UpstreamName, Member>()
+    private val members = HashMap<UpstreamName, UpstreamRegistration>()
     private val missing = HashSet<UpstreamName>()
     private val endedStarts = HashMap<UpstreamName, Long?>()
     private val changingRole = HashSet<UpstreamName>()
@@ -76,11 +76,11 @@
     /** Applies [change]. */
     public fun apply(change: RegistryChange, now: Moment) {
         when (change) {
-            is RegistryChange.Written -> update(change.member)
+            is RegistryChange.Registered -> update(change.member)
             is RegistryChange.Removed -> remove(change, now)
-            is RegistryChange.RoleChanging ->
+            is RegistryChange.RoleChangeAnnounced ->
                 if (change.changing) changingRole += change.name else changingRole -= change.name
-            is RegistryChange.LeaderSeen, is RegistryChange.EntrySeen -> Unit
+            is RegistryChange.LeaderChanged, is RegistryChange.EntryRegistrationChanged -> Unit
             is RegistryChange.FullRead -> replaceAll(change.members, now)
             RegistryChange.Unavailable -> isUnavailable = true
             RegistryChange.Available -> {
@@ -98,19 +98,19 @@
     }
 
     /** Upstreams of [service] that accept new requests at [now]. */
-    public fun serving(service: ServiceName, now: Moment): List<Member> =
+    public fun serving(service: ServiceName, now: Moment): List<UpstreamRegistration> =
         registered(service, now).filter { it.name !in changingRole }
 
     /** Upstreams of [service] at [now], including those whose role is changing, excluding those that leave. */
-    public fun registered(service: ServiceName, now: Moment): List<Member> {
+    public fun registered(service: ServiceName, now: Moment): List<UpstreamRegistration> {
         removeExpired(now)
         return members.values.filter { it.service == service && !it.leaving }
     }
 
     /** The upstream [name], also when it is leaving; null when it is unknown. */
-    public operator fun get(name: UpstreamName): Member? = members[name]
+    public operator fun get(name: UpstreamName): UpstreamRegistration? = members[name]
 
-    private fun update(member: Member) {
+    private fun update(member: UpstreamRegistration) {
         if (endedStarts.containsKey(member.name) && endedStarts[member.name] == member.startedAt) return
         val current = members[member.name]
         if (current != null && current.revision > member.revision) return
@@ -136,7 +136,7 @@
     /** Whether a missing registration may still be renewed by a living upstream. */
     private fun isGracePeriod(now: Moment): Boolean = isUnavailable || gracePeriodUntil?.let { now < it } ?: false
 
-    private fun replaceAll(registrations: List<Member>, now: Moment) {
+    private fun replaceAll(registrations: List<UpstreamRegistration>, now: Moment) {
         isLoaded = true
         changingRole.clear()
         val names = registrations.mapTo(HashSet()) { it.name }
--- a/core/src/main/kotlin/org/lovageladder/core/forward/MemoryQueue.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/MemoryQueue.kt
@@ -26,7 +26,7 @@
 }
 
 /** Memory at [engine], reserved for a request until it is used or released. */
-internal data class MemoryGrant(val engine: Member, val tokens: Int, val reservation: Reservation)
+internal data class MemoryGrant(val engine: UpstreamRegistration, val tokens: Int, val reservation: Reservation)
 
 /**
  * Decode memory of a service as this process knows it: the tokens that it holds, its waiting requests, and the engines
@@ -44,14 +44,14 @@
 internal class MemoryQueue(
     private val context: ForwardContext,
     private val service: ServiceName,
-    private val engineTraits: () -> EngineTraits?,
+    private val engineTraits: () -> EngineConfiguration?,
 ) {
     private val waitingRequests = ArrayList<MemoryRequest>()
     private val heldTokens = HashMap<UpstreamName, Int>()
     private val fullUntil = HashMap<UpstreamName, Moment>()
     private val lastRefusedAt = HashMap<UpstreamName, Moment>()
     private val reservingEngines = HashSet<UpstreamName>()
-    private var nextRun: RunningCall? = null
+    private var nextRun: Cancellable? = null
     private var grantInterval = Duration.ZERO
     private var lastGrantAt: Moment? = null
 
@@ -172,7 +172,7 @@
     }
 
     /** Engines that may have memory for [request], the best first; null when there is no engine at all. */
-    private fun findEngines(request: MemoryRequest, now: Moment): List<Member>? {
+    private fun findEngines(request: MemoryRequest, now: Moment): List<UpstreamRegistration>? {
         val memory = (engineTraits()?.memoryTokens ?: 0).coerceAtLeast(1).toDouble()
         val candidates =
             context.upstreamSelector.candidates(service, PoolRole.DECODE, now, request.avoidedEngines) {
@@ -188,7 +188,7 @@
     private fun earliestPauseEnd(now: Moment): Moment? =
         context.upstreamSelector.earliestPauseEnd(service, PoolRole.DECODE, now)
 
-    private fun reserve(request: MemoryRequest, engine: Member) {
+    private fun reserve(request: MemoryRequest, engine: UpstreamRegistration) {
         val reservationTime = engineTraits()?.reservationLimit ?: DEFAULT_RESERVATION_TIME
         reservingEngines += engine.name
         heldTokens.merge(engine.name, request.tokens, Int::plus)
@@ -199,7 +199,11 @@
         }
     }
 
-    private fun onReservationAnswer(request: MemoryRequest, engine: Member, answer: EngineAnswer<Reservation>) {
+    private fun onReservationAnswer(
+        request: MemoryRequest,
+        engine: UpstreamRegistration,
+        answer: EngineAnswer<Reservation>,
+    ) {
         val now = context.now()
         if (answer is EngineAnswer.Done) {
             grant(request, MemoryGrant(engine, request.tokens, answer.value), now)
--- a/core/src/main/kotlin/org/lovageladder/core/forward/PlainFlow.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/PlainFlow.kt
@@ -19,12 +19,12 @@
     private val destination: Destination,
     private val reply: CallerReply,
     private val onFinished: () -> Unit,
-) : RequestFlow {
+) : ForwardFlow {
     private val route = destination.route
     private val deadlines = RequestDeadlines(request, route)
     private val attempts = ArrayList<Attempt>()
-    private var timeoutTimer: RunningCall? = null
-    private var hedgeTimer: RunningCall? = null
+    private var timeoutTimer: Cancellable? = null
+    private var hedgeTimer: Cancellable? = null
     private var lastErrorAnswer: CompleteAnswer? = null
     private var mayHaveRun = false
     private var isFinished = false
@@ -57,7 +57,7 @@
         send(member)
     }
 
-    private fun chooseUpstream(): Member? {
+    private fun chooseUpstream(): UpstreamRegistration? {
         val triedUpstreams = attempts.mapTo(HashSet()) { it.upstream }
         return context.upstreamSelector
             .candidates(destination.service, PoolRole.PLAIN, context.now(), triedUpstreams)
@@ -67,7 +67,7 @@
     private fun earliestPauseEnd(): Moment? =
         context.upstreamSelector.earliestPauseEnd(destination.service, PoolRole.PLAIN, context.now())
 
-    private fun send(member: Member) {
+    private fun send(member: UpstreamRegistration) {
         val attempt = Attempt(member.name)
         attempts += attempt
         context.upstreamSelector.health(member.name).inFlight += 1
@@ -77,7 +77,7 @@
             member.name,
             detail = "attempt ${attempts.size} of ${route.name}",
         )
-        val sending = Sending(member.start, deadlines.remaining(context.now()))
+        val sending = UpstreamAttempt(member.start, deadlines.remaining(context.now()))
         attempt.call = context.calls.send(request, sending, attempt)
     }
 
@@ -197,7 +197,7 @@
     private inner class Attempt(val upstream: UpstreamName) : AnswerReceiver {
         private val body = context.answerBuffers.newBuffer()
         private var head: AnswerHead? = null
-        var call: RunningCall? = null
+        var call: Cancellable? = null
         var isRunning = true
             private set
         var mayHaveRun = true
@@ -258,7 +258,7 @@
 }
 
 /** Processing of one request from its acceptance to its final answer. */
-internal interface RequestFlow {
+internal interface ForwardFlow {
     /** Begins the flow. Must be called once. */
     fun start()
 
--- a/core/src/main/kotlin/org/lovageladder/core/forward/PrefillStep.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/PrefillStep.kt
@@ -21,7 +21,7 @@
     private val onResult: (PrefillResult?) -> Unit,
     private val onBudgetExhausted: () -> Unit,
 ) {
-    private var call: RunningCall? = null
+    private var call: Cancellable? = null
     private var engine: UpstreamName? = null
     private var isPrefilled = false
 
@@ -38,7 +38,7 @@
         engine = null
     }
 
-    private fun chooseEngine(): Member? {
+    private fun chooseEngine(): UpstreamRegistration? {
         if (request.generation == null || !context.isEnabled(Mechanism.SEPARATE_PREFILL)) return null
         return context.upstreamSelector
             .candidates(destination.service, PoolRole.PREFILL, context.now(), avoidedEngines)
@@ -48,7 +48,7 @@
     /** The first prefill of a prompt belongs to the request itself; each further one is a retry. */
     private fun mayPrefill() = !isPrefilled || context.retryBudget.tryAcquire(destination.service, context.now())
 
-    private fun startPrefill(member: Member) {
+    private fun startPrefill(member: UpstreamRegistration) {
         val health = context.upstreamSelector.health(member.name)
         health.inFlight += 1
         engine = member.name
@@ -57,7 +57,7 @@
         val sentAt = context.now()
         val timeout = minOf(RequestDeadlines(request, destination.route).remaining(sentAt), estimates.prefillTimeout)
         call =
-            context.calls.prefill(request, Sending(member.start, timeout)) { answer ->
+            context.calls.prefill(request, UpstreamAttempt(member.start, timeout)) { answer ->
                 call = null
                 engine = null
                 health.inFlight -= 1
@@ -70,7 +70,7 @@
         request.generation?.let { estimates.rolePlan.recordPrefill(duration, it.promptTokens) }
     }
 
-    private fun onAnswer(member: Member, answer: EngineAnswer<PrefillResult>) {
+    private fun onAnswer(member: UpstreamRegistration, answer: EngineAnswer<PrefillResult>) {
         when (answer) {
             is EngineAnswer.Done -> {
                 context.upstreamSelector.health(member.name).recordSuccess()
--- a/core/src/main/kotlin/org/lovageladder/core/forward/RegistryFollower.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/RegistryFollower.kt
@@ -10,15 +10,15 @@
  */
 public data class RegistrySnapshot(
     val revision: Long,
-    val configuration: Configuration?,
-    val members: List<Member>,
+    val configuration: ForwardConfiguration?,
+    val members: List<UpstreamRegistration>,
     val others: List<RegistryChange> = emptyList(),
 )
 
 /** Outcome of a full read of the registry. */
 public sealed interface RegistryRead {
     /** The registry was read. */
-    public data class Whole(val snapshot: RegistrySnapshot) : RegistryRead
+    public data class Complete(val snapshot: RegistrySnapshot) : RegistryRead
 
     /** The read failed. */
     public data class Failed(val detail: String) : RegistryRead
@@ -29,12 +29,12 @@
     /** Changes up to [revision], in order; may be empty. */
     public data class Changed(
         val revision: Long,
-        val configurations: List<Configuration>,
+        val configurations: List<ForwardConfiguration>,
         val changes: List<RegistryChange>,
     ) : RegistryWatch
 
     /** The registry no longer keeps the requested changes. */
-    public data object HistoryLost : RegistryWatch
+    public data object HistoryExpired : RegistryWatch
 
     /** The watch failed. */
     public data class Failed(val detail: String) : RegistryWatch
@@ -44,7 +44,7 @@
  * Port to the registry of upstreams and the operators' configuration. Answers arrive on the thread of the
  * [RegistryFollower].
  */
-public interface UpstreamRegistry {
+public interface RegistryPort {
     /** Reads everything. */
     public fun read(answer: (RegistryRead) -> Unit)
 
@@ -55,7 +55,7 @@
 /** Receives what a [RegistryFollower] finds, in order. */
 public interface RegistryListener {
     /** A configuration was read. */
-    public fun configured(configuration: Configuration)
+    public fun configured(configuration: ForwardConfiguration)
 
     /** A registration changed, or the registry became available or unavailable. */
     public fun changed(change: RegistryChange)
@@ -67,7 +67,7 @@
  * would miss the changes made in between if the registry dropped its history at that moment. Confined to one thread.
  */
 public class RegistryFollower(
-    private val registry: UpstreamRegistry,
+    private val registry: RegistryPort,
     private val scheduler: Scheduler,
     private val listener: RegistryListener,
 ) {
@@ -82,7 +82,7 @@
     private fun readAll() {
         registry.read { read ->
             when (read) {
-                is RegistryRead.Whole -> {
+                is RegistryRead.Complete -> {
                     onAnswer()
                     read.snapshot.configuration?.let(listener::configured)
                     listener.changed(RegistryChange.FullRead(read.snapshot.members))
@@ -107,7 +107,7 @@
                     val batchingDelay = if (watch.changes.isEmpty()) Duration.ZERO else BATCHING_DELAY
                     scheduler.after(batchingDelay) { watchFrom(maxOf(revision, watch.revision)) }
                 }
-                RegistryWatch.HistoryLost -> {
+                RegistryWatch.HistoryExpired -> {
                     onAnswer()
                     readAll()
                 }
--- a/core/src/main/kotlin/org/lovageladder/core/forward/RoleController.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/RoleController.kt
@@ -10,19 +10,19 @@
 import kotlin.time.Duration.Companion.seconds
 
 /** Outcome of an order. */
-public sealed interface OrderAnswer {
+public sealed interface OrderResult {
     /** The engine carries out the order, or did so before. */
-    public data object Accepted : OrderAnswer
+    public data object Accepted : OrderResult
 
     /** The engine refused. [outdated] is set when it knows a higher fencing number. */
-    public data class Refused(val status: Int, val outdated: Boolean) : OrderAnswer
+    public data class Refused(val status: Int, val outdated: Boolean) : OrderResult
 
     /** No answer; the engine may carry out the order, possibly later. */
-    public data class Unknown(val detail: String) : OrderAnswer
+    public data class Unknown(val detail: String) : OrderResult
 }
 
 /** Port for role changes of engines. */
-public interface RoleOrders {
+public interface RoleOrderPort {
     /** Announces to all entries that [engine] changes its role, until [withdraw] or the end of [lease]. */
     public fun announce(engine: UpstreamName, lease: LeaderLease, answer: (Boolean) -> Unit)
 
@@ -30,7 +30,7 @@
     public fun withdraw(engine: UpstreamName)
 
     /** Orders [engine] to change to [role]. It refuses if it has seen a fencing number above [fencing]. */
-    public fun order(engine: Member, role: PoolRole, fencing: Long, answer: (OrderAnswer) -> Unit)
+    public fun order(engine: UpstreamRegistration, role: PoolRole, fencing: Long, answer: (OrderResult) -> Unit)
 }
 
 /**
@@ -42,8 +42,8 @@
  */
 internal class RoleController(
     private val context: ForwardContext,
-    private val leadership: Leadership,
-    private val orders: RoleOrders,
+    private val leadership: LeaderElection,
+    private val orders: RoleOrderPort,
 ) {
     /** A change to [role] that has been needed since [since]. */
     private data class ChangeNeed(val role: PoolRole, val since: Moment)
@@ -55,7 +55,12 @@
     private val changeNeeds = HashMap<ServiceName, ChangeNeed>()
 
     /** Begins the next role change in [service] if one is due. [work] is the load of an engine in any unit. */
-    fun startDueChange(service: ServiceName, engine: EngineTraits, plan: RolePlan, work: (Member) -> Int) {
+    fun startDueChange(
+        service: ServiceName,
+        engine: EngineConfiguration,
+        plan: RolePlan,
+        work: (UpstreamRegistration) -> Int,
+    ) {
         val now = context.now()
         removeCompleted(now)
         val lease = leadership.activeLease ?: return
@@ -77,7 +82,7 @@
         }
     }
 
-    private fun isEligible(member: Member, now: Moment): Boolean = member.role != PoolRole.PLAIN &&
+    private fun isEligible(member: UpstreamRegistration, now: Moment): Boolean = member.role != PoolRole.PLAIN &&
         context.notices.admits(member.start, now) &&
         !context.notices.isLeaving(member.start)
 
@@ -89,7 +94,11 @@
      * Next change, with the changes in progress counted as done. An engine leaves the decode role only when no other
      * change is in progress.
      */
-    private fun nextChange(plan: RolePlan, members: List<Member>, work: (Member) -> Int): RoleChange? {
+    private fun nextChange(
+        plan: RolePlan,
+        members: List<UpstreamRegistration>,
+        work: (UpstreamRegistration) -> Int,
+    ): RoleChange? {
         val withPendingRoles = members.map { member ->
             pendingChanges[member.name]?.let { member.copy(role = it.role) } ?: member
         }
@@ -118,15 +127,15 @@
         orders.order(change.engine, change.role, lease.fencing) { answer -> onOrderAnswer(name, change.role, answer) }
     }
 
-    private fun onOrderAnswer(engine: UpstreamName, role: PoolRole, answer: OrderAnswer) {
+    private fun onOrderAnswer(engine: UpstreamName, role: PoolRole, answer: OrderResult) {
         when (answer) {
-            OrderAnswer.Accepted ->
+            OrderResult.Accepted ->
                 context.record(EventKind.ORDER_GIVEN, upstream = engine, detail = "role=$role accepted")
-            is OrderAnswer.Refused -> {
+            is OrderResult.Refused -> {
                 rejectChange(engine, "role=$role status ${answer.status}")
                 if (answer.outdated) leadership.resign()
             }
-            is OrderAnswer.Unknown ->
+            is OrderResult.Unknown ->
                 context.record(
                     EventKind.ORDER_REFUSED,
                     upstream = engine,
--- a/core/src/main/kotlin/org/lovageladder/core/forward/RolePlan.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/RolePlan.kt
@@ -56,7 +56,7 @@
      * service for a while, a pool has to be too large by at least one engine; the engine with the least work in it is
      * changed.
      */
-    fun nextChange(members: List<Member>, work: (Member) -> Int): RoleChange? {
+    fun nextChange(members: List<UpstreamRegistration>, work: (UpstreamRegistration) -> Int): RoleChange? {
         val wanted = wantedPrefillEngines(members.size) ?: return null
         val (prefill, decode) = members.partition { it.role == PoolRole.PREFILL }
         return when {
@@ -106,4 +106,4 @@
 }
 
 /** A change of [engine] to [role]. */
-internal data class RoleChange(val engine: Member, val role: PoolRole)
+internal data class RoleChange(val engine: UpstreamRegistration, val role: PoolRole)
--- a/core/src/main/kotlin/org/lovageladder/core/forward/RouteTable.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/RouteTable.kt
@@ -1,7 +1,7 @@
 package org.lovageladder.core.forward
 
 /** Finds the route of a request: of the routes for its host, the one with the longest matching path prefix. */
-public class RouteTable(configuration: Configuration) {
+public class RouteTable(configuration: ForwardConfiguration) {
     private val routesByHost: Map<String, List<Route>> =
         configuration.routes
             .groupBy { it.host.lowercase() }
--- a/core/src/main/kotlin/org/lovageladder/core/forward/StreamEstimates.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/StreamEstimates.kt
@@ -35,7 +35,7 @@
     }
 
     /** Tokens of memory to reserve for a generation of [route]: its prompt and its output with a margin. */
-    fun requiredTokens(route: Route, generation: Generation?, engine: EngineTraits?): Int {
+    fun requiredTokens(route: Route, generation: Generation?, engine: EngineConfiguration?): Int {
         if (generation == null) return TOKENS_WITHOUT_GENERATION
         val output = generation.expectedOutputTokens?.let { forecastTokens(route, it) } ?: generation.outputBound
         val totalTokens = generation.promptTokens + output.coerceIn(1, generation.outputBound.coerceAtLeast(1))
--- a/core/src/main/kotlin/org/lovageladder/core/forward/StreamFlow.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/StreamFlow.kt
@@ -20,22 +20,22 @@
     private val estimates: StreamEstimates,
     private val reply: CallerReply,
     private val onFinished: () -> Unit,
-) : RequestFlow {
+) : ForwardFlow {
     private val route = destination.route
     private val deadlines = RequestDeadlines(request, route)
     private val eventSplitter = if (route.resumable) StreamEventSplitter() else null
     private val avoidedEngines = HashSet<UpstreamName>()
-    private var timeoutTimer: RunningCall? = null
+    private var timeoutTimer: Cancellable? = null
     private var memoryRequest: MemoryRequest? = null
     private var grant: MemoryGrant? = null
     private var prefillResult: PrefillResult? = null
-    private var decodeCall: RunningCall? = null
+    private var decodeCall: Cancellable? = null
     private val prefillStep =
         PrefillStep(context, request, destination, estimates, avoidedEngines, ::onPrefilled) {
             refuseOrAbort(RefusalReason.OVERLOADED)
         }
     private val summary = StreamSummary(request, deadlines, destination.route)
-    private var silenceTimer: RunningCall? = null
+    private var silenceTimer: Cancellable? = null
     private var lastEventId: Long? = request.resumeAfter
     private var runCount = 0
     private var attemptCount = 0
@@ -117,7 +117,7 @@
         context.upstreamSelector.health(name).inFlight += 1
         context.record(EventKind.REQUEST_SENT, request.id, name, detail = "decode of ${route.name} after=$lastEventId")
         val sending =
-            Sending(
+            UpstreamAttempt(
                 upstream = memory.engine.start,
                 timeout = deadlines.remaining(context.now()),
                 prefill = prefillResult,
--- a/core/src/main/kotlin/org/lovageladder/core/forward/UpstreamNotices.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/UpstreamNotices.kt
@@ -11,7 +11,7 @@
  * One start of the upstream [name], which listens at [address]. [startedAt], the wall-clock time of the start in
  * milliseconds, distinguishes starts under the same name where upstreams report it.
  */
-public data class UpstreamStart(val name: UpstreamName, val address: Address, val startedAt: Long? = null)
+public data class UpstreamIncarnation(val name: UpstreamName, val address: Address, val startedAt: Long? = null)
 
 /**
  * What an answer says about the requests that its upstream accepts: none any more when it is [leaving], and none for
@@ -31,12 +31,12 @@
 internal class UpstreamNotices(private val drainBound: Duration) {
     private class Pause(val since: Moment, val until: Moment)
 
-    private val leavingSince = HashMap<UpstreamStart, Moment>()
-    private val pauses = HashMap<UpstreamStart, Pause>()
+    private val leavingSince = HashMap<UpstreamIncarnation, Moment>()
+    private val pauses = HashMap<UpstreamIncarnation, Pause>()
     private val unreadableLoggedAt = HashMap<UpstreamName, Moment>()
 
     /** Records [notice] of [start]. Returns whether it says something new. */
-    fun recordNotice(start: UpstreamStart, notice: UpstreamNotice, now: Moment): Boolean {
+    fun recordNotice(start: UpstreamIncarnation, notice: UpstreamNotice, now: Moment): Boolean {
         val isNewlyLeaving = notice.leaving && leavingSince.putIfAbsent(start, now) == null
         val isNewPause = notice.pause?.let { startPause(start, it, now) } ?: false
         return isNewlyLeaving || isNewPause
@@ -54,23 +54,23 @@
     }
 
     /** Whether [start] may get a new request at [now]. */
-    fun admits(start: UpstreamStart, now: Moment): Boolean {
+    fun admits(start: UpstreamIncarnation, now: Moment): Boolean {
         if (pausedUntil(start, now) != null) return false
         val since = leavingSince[start] ?: return true
         return now - since < drainBound / 2
     }
 
     /** Whether [start] may get a request at [now] for which it has already reserved memory. */
-    fun admitsReserved(start: UpstreamStart, now: Moment): Boolean {
+    fun admitsReserved(start: UpstreamIncarnation, now: Moment): Boolean {
         val pause = pauses[start] ?: return true
         return now >= pause.until || now - pause.since < IN_FLIGHT_TOLERANCE
     }
 
     /** Whether [start] announced that it is leaving. */
-    fun isLeaving(start: UpstreamStart): Boolean = start in leavingSince
+    fun isLeaving(start: UpstreamIncarnation): Boolean = start in leavingSince
 
     /** When the pause of [start] ends; null when it is not paused. */
-    fun pausedUntil(start: UpstreamStart, now: Moment): Moment? = pauses[start]?.until?.takeIf { it > now }
+    fun pausedUntil(start: UpstreamIncarnation, now: Moment): Moment? = pauses[start]?.until?.takeIf { it > now }
 
     /** Removes expired notices, and those of upstreams for which [isRegistered] does not hold any more. */
     fun removeExpired(now: Moment, isRegistered: (UpstreamName) -> Boolean) {
@@ -81,7 +81,7 @@
         unreadableLoggedAt.values.removeIf { now - it > UNREADABLE_LOG_INTERVAL }
     }
 
-    private fun startPause(start: UpstreamStart, length: Duration, now: Moment): Boolean {
+    private fun startPause(start: UpstreamIncarnation, length: Duration, now: Moment): Boolean {
         val current = pauses[start]?.takeIf { it.until > now }
         val until = maxOf(now + length.coerceAtMost(MAXIMUM_PAUSE), current?.until ?: now)
         pauses[start] = Pause(since = current?.since ?: now, until = until)
--- a/core/src/main/kotlin/org/lovageladder/core/forward/UpstreamSelector.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/UpstreamSelector.kt
@@ -31,8 +31,8 @@
         role: PoolRole,
         now: Moment,
         avoided: Set<UpstreamName> = emptySet(),
-        extraCost: (Member) -> Double = { 0.0 },
-    ): List<Member> {
+        extraCost: (UpstreamRegistration) -> Double = { 0.0 },
+    ): List<UpstreamRegistration> {
         val accepting = membership.serving(service, now).filter { it.role == role && notices.admits(it.start, now) }
         val members = accepting.filterNot { notices.isLeaving(it.start) }.ifEmpty { accepting }
         val notEjected = members.filter { Mechanism.EJECTION in disabledMechanisms || health(it.name).admits(now) }
@@ -55,7 +55,7 @@
         health.keys.retainAll { membership[it] != null || health.getValue(it).inFlight > 0 }
     }
 
-    private fun cost(member: Member, now: Moment): Double {
+    private fun cost(member: UpstreamRegistration, now: Moment): Double {
         val health = health(member.name)
         val load = health.load(now).takeUnless { Mechanism.LOAD_REPORTS in disabledMechanisms }
         val slots = if (member.role == PoolRole.PREFILL) PREFILL_SLOTS else member.slots.coerceAtLeast(1).toDouble()
@@ -68,7 +68,7 @@
             random.nextDouble() * TIE_BREAK_COST
     }
 
-    private data class RankedMember(val member: Member, val isAvoided: Boolean, val cost: Double)
+    private data class RankedMember(val member: UpstreamRegistration, val isAvoided: Boolean, val cost: Double)
 
     private companion object {
         /** A prefill engine processes one prompt after the other, whatever its slots. */
--- a/core/src/test/kotlin/org/lovageladder/core/forward/EntryCounterTest.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/forward/EntryCounterTest.kt
@@ -11,7 +11,7 @@
 
 /** Number of entries that share the common limits, and the registration of this entry. */
 class EntryCounterTest {
-    private class FakeEntryRegistration(private val scheduler: VirtualScheduler) : EntryRegistration {
+    private class FakeEntryRegistrationPort(private val scheduler: VirtualScheduler) : EntryRegistrationPort {
         var isAvailable = true
         var lease = 0L
         var registrations = 0
@@ -58,8 +58,8 @@
     @Test
     fun expiredRegistrationIsRepeated() {
         val scheduler = VirtualScheduler()
-        val registration = FakeEntryRegistration(scheduler)
-        EntryPresence(registration, scheduler, 6.seconds).start()
+        val registration = FakeEntryRegistrationPort(scheduler)
+        EntryRegistrar(registration, scheduler, 6.seconds).start()
         scheduler.advance(20.seconds)
         assertEquals(1, registration.registrations)
         registration.isAvailable = false
@@ -77,7 +77,7 @@
     fun entryEventsAreRecordedOnlyWhenTheCountChanges() {
         val fixture = ForwardFixture()
         fun recordedEvents() = fixture.events.count { it.kind == EventKind.ENTRY_REGISTERED }
-        val entries = List(30) { RegistryChange.EntrySeen(ProcessName("entry-$it"), registered = true) }
+        val entries = List(30) { RegistryChange.EntryRegistrationChanged(ProcessName("entry-$it"), registered = true) }
         entries.forEach(fixture.forwarder::registryChanged)
         val initialCount = recordedEvents()
         repeat(5) {
--- a/core/src/test/kotlin/org/lovageladder/core/forward/ForwardFixture.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/forward/ForwardFixture.kt
@@ -24,10 +24,10 @@
 
     override fun now(): Moment = time
 
-    override fun after(delay: Duration, action: () -> Unit): RunningCall {
+    override fun after(delay: Duration, action: () -> Unit): Cancellable {
         val entry = ScheduledAction(time + delay, nextOrder++, action)
         scheduled.add(entry)
-        return RunningCall { scheduled.remove(entry) }
+        return Cancellable { scheduled.remove(entry) }
     }
 
     /** Advances the clock by [duration] and runs the actions that become due. */
@@ -43,7 +43,11 @@
 }
 
 /** A request as an upstream received it; the test sends the answer. */
-internal class ReceivedCall(val request: ForwardRequest, val sending: Sending, private val receiver: AnswerReceiver) {
+internal class ReceivedCall(
+    val request: ForwardRequest,
+    val sending: UpstreamAttempt,
+    private val receiver: AnswerReceiver,
+) {
     var isCancelled = false
         private set
 
@@ -76,38 +80,38 @@
 
 /** Upstreams that record calls. Each engine has memory for [memory] tokens; a prefill takes [prefillTime]. */
 internal class FakeUpstreams(private val scheduler: VirtualScheduler, private val memory: Int = 10_000) :
-    UpstreamCalls {
+    UpstreamPort {
     val receivedCalls = ArrayList<ReceivedCall>()
-    val prefills = ArrayList<Sending>()
+    val prefills = ArrayList<UpstreamAttempt>()
     val freed = ArrayList<PrefillResult>()
     val unreachable = HashSet<Address>()
     val prefillRefusals = HashSet<Address>()
     var prefillTime = 100.milliseconds
     private val reserved = HashMap<Address, MutableMap<String, Int>>()
     private var nextNumber = 0
-    val released = ArrayList<UpstreamStart>()
+    val released = ArrayList<UpstreamIncarnation>()
     var reservationRequests = 0
         private set
-    lateinit var lastReserved: UpstreamStart
+    lateinit var lastReserved: UpstreamIncarnation
         private set
 
     val reservations: Int get() = reserved.values.sumOf { it.size }
 
-    override fun send(request: ForwardRequest, sending: Sending, receiver: AnswerReceiver): RunningCall {
+    override fun send(request: ForwardRequest, sending: UpstreamAttempt, receiver: AnswerReceiver): Cancellable {
         val call = ReceivedCall(request, sending, receiver)
         if (sending.address in unreachable) {
             scheduler.after(1.milliseconds) { call.fail(sent = false) }
         } else {
             receivedCalls += call
         }
-        return RunningCall { call.cancel() }
+        return Cancellable { call.cancel() }
     }
 
     override fun prefill(
         request: ForwardRequest,
-        sending: Sending,
+        sending: UpstreamAttempt,
         answer: (EngineAnswer<PrefillResult>) -> Unit,
-    ): RunningCall {
+    ): Cancellable {
         prefills += sending
         if (sending.address in prefillRefusals) {
             return scheduler.after(1.milliseconds) { answer(EngineAnswer.Refused(503, wrongInstance = false)) }
@@ -118,11 +122,11 @@
     }
 
     override fun reserve(
-        engine: UpstreamStart,
+        engine: UpstreamIncarnation,
         tokens: Int,
         keep: Duration,
         answer: (EngineAnswer<Reservation>) -> Unit,
-    ): RunningCall = scheduler.after(1.milliseconds) {
+    ): Cancellable = scheduler.after(1.milliseconds) {
         reservationRequests += 1
         lastReserved = engine
         val reservationsOfEngine = reserved.getOrPut(engine.address) { HashMap() }
@@ -135,7 +139,7 @@
         }
     }
 
-    override fun release(engine: UpstreamStart, reservation: Reservation) {
+    override fun release(engine: UpstreamIncarnation, reservation: Reservation) {
         released += engine
         reserved[engine.address]?.remove(reservation.text)
     }
@@ -192,7 +196,7 @@
 }
 
 /** A forwarder with fake upstreams, one configuration and one set of registered upstreams. */
-internal class ForwardFixture(memory: Int = 10_000, wrapCalls: (UpstreamCalls) -> UpstreamCalls = { it }) {
+internal class ForwardFixture(memory: Int = 10_000, wrapCalls: (UpstreamPort) -> UpstreamPort = { it }) {
     val scheduler = VirtualScheduler()
     val upstreams = FakeUpstreams(scheduler, memory)
     val events = ArrayList<org.lovageladder.core.EventDraft>()
@@ -235,7 +239,7 @@
         return Submitted(reply, forwarder.forward(request, reply))
     }
 
-    class Submitted(val reply: RecordingReply, val open: OpenRequest?)
+    class Submitted(val reply: RecordingReply, val open: RequestHandle?)
 
     companion object {
         val HOME = PlaceName("home")
@@ -251,29 +255,30 @@
                 member("decode-2", ENGINES, PoolRole.DECODE, 5),
             )
 
-        fun member(name: String, service: ServiceName, role: PoolRole, port: Int, leaving: Boolean = false) = Member(
-            name = UpstreamName(name),
-            service = service,
-            address = Address("10.0.0.1", port),
-            place = HOME,
-            slots = 4,
-            leaving = leaving,
-            role = role,
-            startedAt = null,
-            revision = 1,
-        )
+        fun member(name: String, service: ServiceName, role: PoolRole, port: Int, leaving: Boolean = false) =
+            UpstreamRegistration(
+                name = UpstreamName(name),
+                service = service,
+                address = Address("10.0.0.1", port),
+                place = HOME,
+                slots = 4,
+                leaving = leaving,
+                role = role,
+                startedAt = null,
+                revision = 1,
+            )
 
         fun configuration(
             version: Long = 1,
             timeout: Duration = 10.seconds,
             plainConnections: Int? = 96,
-        ): Configuration = Configuration(
+        ): ForwardConfiguration = ForwardConfiguration(
             version = org.lovageladder.core.ReleaseVersion(version),
             routes =
             listOf(
                 route("/lookup/", RouteKind.IDEMPOTENT, PLAIN, 100.milliseconds, timeout, attempts = 2),
-                route("/action/", RouteKind.ONCE, PLAIN, 100.milliseconds, timeout),
-                route("/action-two/", RouteKind.ONCE, PLAIN, 100.milliseconds, timeout, attempts = 2),
+                route("/action/", RouteKind.AT_MOST_ONCE, PLAIN, 100.milliseconds, timeout),
+                route("/action-two/", RouteKind.AT_MOST_ONCE, PLAIN, 100.milliseconds, timeout, attempts = 2),
                 route("/stream/", RouteKind.STREAM, ENGINES, 900.milliseconds, timeout),
                 route(
                     "/stream-on/",
@@ -287,9 +292,13 @@
             ),
             services =
             mapOf(
-                PLAIN to ServiceTraits(PLAIN, plainConnections, engine = null),
+                PLAIN to ServiceConfiguration(PLAIN, plainConnections, engine = null),
                 ENGINES to
-                    ServiceTraits(ENGINES, 96, EngineTraits(4, 10_000, 500.milliseconds, 2.seconds, 6.seconds)),
+                    ServiceConfiguration(
+                        ENGINES,
+                        96,
+                        EngineConfiguration(4, 10_000, 500.milliseconds, 2.seconds, 6.seconds),
+                    ),
             ),
             limits = CallerLimits(16_384, 4_194_304, 3.seconds, 15.seconds),
         )
--- a/core/src/test/kotlin/org/lovageladder/core/forward/ForwardFuzzTest.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/forward/ForwardFuzzTest.kt
@@ -178,12 +178,14 @@
         fixture.upstreams.finish(call)
     }
 
-    private fun member(command: ForwardFuzzCommand): Member = members.values.elementAt(command.selector % members.size)
+    private fun member(command: ForwardFuzzCommand): UpstreamRegistration = members.values.elementAt(
+        command.selector % members.size,
+    )
 
-    private fun register(member: Member) {
+    private fun register(member: UpstreamRegistration) {
         val updated = member.copy(revision = ++revision)
         members[member.name] = updated
-        fixture.forwarder.registryChanged(RegistryChange.Written(updated))
+        fixture.forwarder.registryChanged(RegistryChange.Registered(updated))
     }
 
     private fun restart(command: ForwardFuzzCommand) {
@@ -218,7 +220,7 @@
  * Tracks what reached upstreams and what upstreams and callers reported, and fails the test on a call that must not be
  * made. A request that reached an upstream counts as run there unless the upstream declined it.
  */
-private class ForwardOracle(private val calls: UpstreamCalls) : UpstreamCalls {
+private class ForwardOracle(private val calls: UpstreamPort) : UpstreamPort {
     private class Request(val target: String) {
         val ranAt = ArrayList<UpstreamName>()
         var callCount = 0
@@ -230,8 +232,8 @@
 
     lateinit var clock: () -> org.lovageladder.core.Moment
     private val requests = ArrayList<Request>()
-    private val leaving = HashMap<UpstreamStart, org.lovageladder.core.Moment>()
-    private val pauses = HashMap<UpstreamStart, Pause>()
+    private val leaving = HashMap<UpstreamIncarnation, org.lovageladder.core.Moment>()
+    private val pauses = HashMap<UpstreamIncarnation, Pause>()
 
     fun onSubmit(target: String) {
         requests += Request(target)
@@ -245,7 +247,7 @@
         requestOf(call.request).ranAt -= call.sending.upstream.name
     }
 
-    fun onNotice(start: UpstreamStart, notice: UpstreamNotice) {
+    fun onNotice(start: UpstreamIncarnation, notice: UpstreamNotice) {
         val now = clock()
         if (notice.leaving) leaving.putIfAbsent(start, now)
         val pause = notice.pause ?: return
@@ -278,7 +280,7 @@
         )
     }
 
-    override fun send(request: ForwardRequest, sending: Sending, receiver: AnswerReceiver): RunningCall {
+    override fun send(request: ForwardRequest, sending: UpstreamAttempt, receiver: AnswerReceiver): Cancellable {
         val tracked = checkCall(request, sending.upstream, reserved = sending.reservation != null)
         tracked.ranAt += sending.upstream.name
         tracked.callCount += 1
@@ -297,9 +299,9 @@
 
     override fun prefill(
         request: ForwardRequest,
-        sending: Sending,
+        sending: UpstreamAttempt,
         answer: (EngineAnswer<PrefillResult>) -> Unit,
-    ): RunningCall {
+    ): Cancellable {
         val tracked = checkCall(request, sending.upstream, reserved = false)
         return calls.prefill(request, sending) { result ->
             val isFirstPrefill = result is EngineAnswer.Done && tracked.prefillCount++ == 0
@@ -309,29 +311,29 @@
     }
 
     override fun reserve(
-        engine: UpstreamStart,
+        engine: UpstreamIncarnation,
         tokens: Int,
         keep: kotlin.time.Duration,
         answer: (EngineAnswer<Reservation>) -> Unit,
-    ): RunningCall {
+    ): Cancellable {
         checkUpstream(engine, reserved = false)
         return calls.reserve(engine, tokens, keep, answer)
     }
 
-    override fun release(engine: UpstreamStart, reservation: Reservation) = calls.release(engine, reservation)
+    override fun release(engine: UpstreamIncarnation, reservation: Reservation) = calls.release(engine, reservation)
 
     override fun free(result: PrefillResult) = calls.free(result)
 
     private fun requestOf(request: ForwardRequest) = requests[request.id.text.substringAfter('-').toInt()]
 
-    private fun checkCall(request: ForwardRequest, upstream: UpstreamStart, reserved: Boolean): Request {
+    private fun checkCall(request: ForwardRequest, upstream: UpstreamIncarnation, reserved: Boolean): Request {
         val tracked = requestOf(request)
         assertTrue(!tracked.isEnded, "${tracked.target} was sent after it had ended")
         checkUpstream(upstream, reserved)
         return tracked
     }
 
-    private fun checkUpstream(upstream: UpstreamStart, reserved: Boolean) {
+    private fun checkUpstream(upstream: UpstreamIncarnation, reserved: Boolean) {
         val now = clock()
         val tolerance = if (reserved) IN_FLIGHT_TOLERANCE else 0.milliseconds
         pauses[upstream]?.let {
--- a/core/src/test/kotlin/org/lovageladder/core/forward/MembershipTest.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/forward/MembershipTest.kt
@@ -23,13 +23,13 @@
             Case("both registered", listOf(bothRegistered), 1, setOf("one", "two")),
             Case(
                 "one leaves",
-                listOf(bothRegistered, Step(1, RegistryChange.Written(one.copy(leaving = true, revision = 2)))),
+                listOf(bothRegistered, Step(1, RegistryChange.Registered(one.copy(leaving = true, revision = 2)))),
                 1,
                 setOf("two"),
             ),
             Case(
                 "an older registration arrives late",
-                listOf(bothRegistered, Step(1, RegistryChange.Written(one.copy(leaving = true, revision = 0)))),
+                listOf(bothRegistered, Step(1, RegistryChange.Registered(one.copy(leaving = true, revision = 0)))),
                 1,
                 setOf("one", "two"),
             ),
@@ -86,7 +86,7 @@
                     Step(1, RegistryChange.Unavailable),
                     Step(5, RegistryChange.Available),
                     Step(5, oneRemoved),
-                    Step(6, RegistryChange.Written(one.copy(revision = 3))),
+                    Step(6, RegistryChange.Registered(one.copy(revision = 3))),
                 ),
                 9,
                 setOf("one", "two"),
@@ -115,9 +115,9 @@
         val first = one.copy(startedAt = 1)
         membership.apply(RegistryChange.FullRead(listOf(first)), Moment(0))
         membership.removeEnded(first.name)
-        membership.apply(RegistryChange.Written(first.copy(revision = 2)), Moment(0))
+        membership.apply(RegistryChange.Registered(first.copy(revision = 2)), Moment(0))
         assertEquals(0, membership.serving(ForwardFixture.PLAIN, Moment(0)).size)
-        membership.apply(RegistryChange.Written(first.copy(startedAt = 2, revision = 3)), Moment(0))
+        membership.apply(RegistryChange.Registered(first.copy(startedAt = 2, revision = 3)), Moment(0))
         assertEquals(1, membership.serving(ForwardFixture.PLAIN, Moment(0)).size)
     }
 }
--- a/core/src/test/kotlin/org/lovageladder/core/forward/PlainFlowTest.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/forward/PlainFlowTest.kt
@@ -195,7 +195,7 @@
             fixture.forwarder.configure(ForwardFixture.configuration(version = 2, plainConnections = case.connections))
             repeat(case.entries) { number ->
                 fixture.forwarder.registryChanged(
-                    RegistryChange.EntrySeen(ProcessName("entry-$number"), registered = true),
+                    RegistryChange.EntryRegistrationChanged(ProcessName("entry-$number"), registered = true),
                 )
             }
             repeat(60) { fixture.submit("/action/1") }
--- a/core/src/test/kotlin/org/lovageladder/core/forward/RegistryFollowerTest.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/forward/RegistryFollowerTest.kt
@@ -10,7 +10,7 @@
 /** Following the registry when watches fail. */
 class RegistryFollowerTest {
     /** Registry whose first watch fails after a second. A change is made meanwhile, and its history is lost. */
-    private class HistoryLosingRegistry(private val scheduler: VirtualScheduler) : UpstreamRegistry {
+    private class HistoryLosingRegistry(private val scheduler: VirtualScheduler) : RegistryPort {
         var currentVersion = 1L
         var reads = 0
         var watches = 0
@@ -19,7 +19,7 @@
             reads += 1
             val snapshot =
                 RegistrySnapshot(currentVersion, ForwardFixture.configuration(currentVersion), ForwardFixture.MEMBERS)
-            scheduler.after(12.milliseconds) { answer(RegistryRead.Whole(snapshot)) }
+            scheduler.after(12.milliseconds) { answer(RegistryRead.Complete(snapshot)) }
         }
 
         override fun watch(revision: Long, wait: Duration, answer: (RegistryWatch) -> Unit) {
@@ -27,7 +27,7 @@
             if (watches == 1) {
                 scheduler.after(1.seconds) { answer(RegistryWatch.Failed("connection lost")) }
             } else {
-                scheduler.after(wait) { answer(RegistryWatch.HistoryLost) }
+                scheduler.after(wait) { answer(RegistryWatch.HistoryExpired) }
             }
         }
     }
@@ -43,7 +43,7 @@
         val versions = ArrayList<ReleaseVersion>()
         val listener =
             object : RegistryListener {
-                override fun configured(configuration: Configuration) {
+                override fun configured(configuration: ForwardConfiguration) {
                     versions += configuration.version
                 }
 
--- a/core/src/test/kotlin/org/lovageladder/core/forward/RoleControllerTest.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/forward/RoleControllerTest.kt
@@ -22,12 +22,12 @@
         var isAvailable = true
         private var nextFencing = 10L
 
-        override fun take(period: Duration, answer: (LeadershipAnswer) -> Unit) {
-            if (!isAvailable) return respond { answer(LeadershipAnswer.Failed("timeout")) }
-            if (holder != null) return respond { answer(LeadershipAnswer.Occupied) }
+        override fun take(period: Duration, answer: (AcquisitionResult) -> Unit) {
+            if (!isAvailable) return respond { answer(AcquisitionResult.Unknown("timeout")) }
+            if (holder != null) return respond { answer(AcquisitionResult.HeldByOther) }
             val lease = LeaderLease(nextFencing, nextFencing++)
             holder = lease
-            respond { answer(LeadershipAnswer.Taken(lease)) }
+            respond { answer(AcquisitionResult.Acquired(lease)) }
         }
 
         override fun renew(lease: LeaderLease, answer: (Boolean) -> Unit): Unit =
@@ -38,10 +38,10 @@
         }
     }
 
-    private class RecordingRoleOrders : RoleOrders {
+    private class RecordingRoleOrderPort : RoleOrderPort {
         val given = ArrayList<Triple<String, PoolRole, Long>>()
         val announced = ArrayList<String>()
-        var answer: OrderAnswer = OrderAnswer.Accepted
+        var answer: OrderResult = OrderResult.Accepted
         var acceptsAnnouncements = true
 
         override fun announce(engine: UpstreamName, lease: LeaderLease, answer: (Boolean) -> Unit) {
@@ -53,13 +53,13 @@
             announced -= engine.text
         }
 
-        override fun order(engine: Member, role: PoolRole, fencing: Long, answer: (OrderAnswer) -> Unit) {
+        override fun order(engine: UpstreamRegistration, role: PoolRole, fencing: Long, answer: (OrderResult) -> Unit) {
             given += Triple(engine.name.text, role, fencing)
             answer(this.answer)
         }
     }
 
-    private fun engines(prefill: Int, decode: Int): List<Member> =
+    private fun engines(prefill: Int, decode: Int): List<UpstreamRegistration> =
         (1..prefill).map { ForwardFixture.member("p$it", ForwardFixture.ENGINES, PoolRole.PREFILL, it) } +
             (1..decode).map { ForwardFixture.member("d$it", ForwardFixture.ENGINES, PoolRole.DECODE, 100 + it) }
 
@@ -72,7 +72,7 @@
         }
 
     private fun leadership(port: FakeLeadershipPort, scheduler: VirtualScheduler) =
-        Leadership(port, scheduler, 3.seconds) { 0.0 }
+        LeaderElection(port, scheduler, 3.seconds) { 0.0 }
 
     @Test
     fun enginesAreSplitByMeasuredRequestCost() {
@@ -178,7 +178,7 @@
     @Test
     fun unansweredOrderIsNotRepeatedWhileItMayTakeEffect() {
         val fixture = RoleControllerFixture()
-        fixture.orders.answer = OrderAnswer.Unknown("timeout")
+        fixture.orders.answer = OrderResult.Unknown("timeout")
         fixture.runFor(25.seconds)
         assertEquals(1, fixture.orders.given.size)
         fixture.runFor(8.seconds)
@@ -227,16 +227,16 @@
     fun announcedEnginesGetNoRequests() {
         val membership = Membership().apply { apply(RegistryChange.FullRead(engines(1, 1)), Moment(0)) }
         fun serving() = membership.serving(ForwardFixture.ENGINES, Moment(0)).map { it.name.text }.sorted()
-        membership.apply(RegistryChange.RoleChanging(UpstreamName("d1"), changing = true), Moment(0))
+        membership.apply(RegistryChange.RoleChangeAnnounced(UpstreamName("d1"), changing = true), Moment(0))
         assertEquals(listOf("p1"), serving())
-        membership.apply(RegistryChange.RoleChanging(UpstreamName("d1"), changing = false), Moment(0))
+        membership.apply(RegistryChange.RoleChangeAnnounced(UpstreamName("d1"), changing = false), Moment(0))
         assertEquals(listOf("d1", "p1"), serving())
     }
 
     @Test
     fun outdatedLeaderResigns() {
         val fixture = RoleControllerFixture()
-        fixture.orders.answer = OrderAnswer.Refused(412, outdated = true)
+        fixture.orders.answer = OrderResult.Refused(412, outdated = true)
         fixture.runFor(9.seconds)
         assertEquals(1, fixture.orders.given.size)
         assertNull(fixture.leadership.activeLease?.fencing)
@@ -247,7 +247,7 @@
     ) {
         val scheduler = VirtualScheduler()
         val membership = Membership().apply { apply(RegistryChange.FullRead(engines(4, 4)), scheduler.now()) }
-        val orders = RecordingRoleOrders()
+        val orders = RecordingRoleOrderPort()
         val leadership = leadership(FakeLeadershipPort(scheduler), scheduler).apply { start() }
         private val retryBudget = RetryBudget(RetryLimits(0.1, 1.0, 10.seconds)) { 1 }
         private val random = kotlin.random.Random(1)
@@ -271,7 +271,7 @@
 
         fun registerRole(engine: String, role: PoolRole) {
             val registered = engines(4, 4).single { it.name.text == engine }.copy(role = role, revision = 2)
-            membership.apply(RegistryChange.Written(registered), scheduler.now())
+            membership.apply(RegistryChange.Registered(registered), scheduler.now())
         }
 
         fun runFor(duration: Duration) {
--- a/core/src/test/kotlin/org/lovageladder/core/forward/StreamEstimatesTest.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/forward/StreamEstimatesTest.kt
@@ -21,7 +21,7 @@
             Case(Generation(promptTokens = 3_000, outputBound = 2_000, expectedOutputTokens = 1_000), 4_000, 4_000),
             Case(generation = null, memory = 40_000, tokens = 4_096),
         ).forEach { case ->
-            val engine = EngineTraits(8, case.memory, 500.milliseconds, 2.seconds, 6.seconds)
+            val engine = EngineConfiguration(8, case.memory, 500.milliseconds, 2.seconds, 6.seconds)
             val estimates = StreamEstimates(RolePlan(defaultPrefillShare = 0.2))
             assertEquals(case.tokens, estimates.requiredTokens(route, case.generation, engine), "$case")
         }
--- a/core/src/test/kotlin/org/lovageladder/core/forward/StreamFlowTest.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/forward/StreamFlowTest.kt
@@ -75,7 +75,7 @@
     fun engineThatDeclinesEveryPromptGetsFewPrompts() {
         val decliningEngine =
             ForwardFixture.member("prefill-2", ForwardFixture.ENGINES, org.lovageladder.core.PoolRole.PREFILL, 9)
-        fixture.forwarder.registryChanged(RegistryChange.Written(decliningEngine))
+        fixture.forwarder.registryChanged(RegistryChange.Registered(decliningEngine))
         fixture.upstreams.prefillRefusals += decliningEngine.address
         repeat(100) {
             fixture.submit("/stream/1").also { fixture.scheduler.advance(20.milliseconds) }.open?.callerLeft()
--- a/core/src/test/kotlin/org/lovageladder/core/forward/UpstreamNoticesTest.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/forward/UpstreamNoticesTest.kt
@@ -83,8 +83,8 @@
     fun leavingNoticeAppliesToOneStartWhateverTheRegistrySays() {
         data class Case(val name: String, val isUsed: Boolean, val change: (ForwardFixture) -> Unit)
         val start = member("plain-1").copy(startedAt = 7, revision = 2)
-        val register = { fixture: ForwardFixture, member: Member ->
-            fixture.forwarder.registryChanged(RegistryChange.Written(member))
+        val register = { fixture: ForwardFixture, member: UpstreamRegistration ->
+            fixture.forwarder.registryChanged(RegistryChange.Registered(member))
         }
         listOf(
             Case("registered again as serving", isUsed = false) { register(it, start.copy(revision = 3)) },
--- a/daemon/src/main/kotlin/org/lovageladder/daemon/ForwardProcess.kt
+++ b/daemon/src/main/kotlin/org/lovageladder/daemon/ForwardProcess.kt
@@ -12,13 +12,13 @@
 import org.lovageladder.core.ReleaseVersion
 import org.lovageladder.core.forward.CallerLimits
 import org.lovageladder.core.forward.CallerReply
-import org.lovageladder.core.forward.Configuration
-import org.lovageladder.core.forward.EntryPresence
+import org.lovageladder.core.forward.ForwardConfiguration
+import org.lovageladder.core.forward.EntryRegistrar
 import org.lovageladder.core.forward.ForwardRequest
 import org.lovageladder.core.forward.Forwarder
 import org.lovageladder.core.forward.ForwarderSettings
-import org.lovageladder.core.forward.Leadership
-import org.lovageladder.core.forward.OpenRequest
+import org.lovageladder.core.forward.LeaderElection
+import org.lovageladder.core.forward.RequestHandle
 import org.lovageladder.core.forward.RegistryChange
 import org.lovageladder.core.forward.RegistryFollower
 import org.lovageladder.core.forward.RegistryListener
@@ -106,14 +106,14 @@
         scheduler.execute {
             eventLog.record(EventDraft(EventKind.PROCESS_STARTED, detail = "callers=${settings.listenAddress}"))
             follower.start()
-            EntryPresence(PlatformEntryRegistration(store, settings.name), scheduler, REGISTRATION_LEASE).start()
+            EntryRegistrar(PlatformEntryRegistration(store, settings.name), scheduler, REGISTRATION_LEASE).start()
             startRoleChanges()
         }
     }
 
     private fun startRoleChanges() {
         val port = PlatformLeadership(store, settings.name)
-        val leadership = Leadership(port, scheduler, settings.orderLease, Random.Default::nextDouble)
+        val leadership = LeaderElection(port, scheduler, settings.orderLease, Random.Default::nextDouble)
         forwarder.keepRoles(leadership, PlatformRoleOrders(store, settings.name, storeClient, forwarder::noticed))
     }
 
@@ -188,7 +188,7 @@
     }
 
     private inner class RegistryUpdates : RegistryListener {
-        override fun configured(configuration: Configuration) {
+        override fun configured(configuration: ForwardConfiguration) {
             forwarder.configure(configuration)
             publishState()
         }
@@ -202,7 +202,7 @@
     private inner class RequestHandler : ForwardHandler {
         override val limits: CallerLimits? get() = forwarder.limits
 
-        override fun forward(request: ForwardRequest, reply: CallerReply): OpenRequest? =
+        override fun forward(request: ForwardRequest, reply: CallerReply): RequestHandle? =
             forwarder.forward(request, reply)
     }
 
--- a/http/src/main/kotlin/org/lovageladder/http/forward/EventLoopScheduler.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/forward/EventLoopScheduler.kt
@@ -1,7 +1,7 @@
 package org.lovageladder.http.forward
 
 import org.lovageladder.core.Moment
-import org.lovageladder.core.forward.RunningCall
+import org.lovageladder.core.forward.Cancellable
 import org.lovageladder.core.forward.Scheduler
 import org.lovageladder.http.HttpThreads
 import java.util.concurrent.TimeUnit
@@ -13,9 +13,9 @@
 
     override fun now(): Moment = Moment(TimeUnit.NANOSECONDS.toMicros(System.nanoTime()))
 
-    override fun after(delay: Duration, action: () -> Unit): RunningCall {
+    override fun after(delay: Duration, action: () -> Unit): Cancellable {
         val timer = loop.schedule(action, delay.inWholeNanoseconds.coerceAtLeast(0), TimeUnit.NANOSECONDS)
-        return RunningCall { timer.cancel(false) }
+        return Cancellable { timer.cancel(false) }
     }
 
     /** Runs [action] on the event loop thread. */
--- a/http/src/main/kotlin/org/lovageladder/http/forward/ForwardConnection.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/forward/ForwardConnection.kt
@@ -10,7 +10,7 @@
 import io.netty.handler.codec.http.TooLongHttpHeaderException
 import io.netty.handler.codec.http.TooLongHttpLineException
 import org.lovageladder.core.forward.CallerLimits
-import org.lovageladder.core.forward.OpenRequest
+import org.lovageladder.core.forward.RequestHandle
 import org.lovageladder.http.HttpLimits
 import org.lovageladder.http.ReceiveTimer
 import org.lovageladder.http.STATUS_BAD_REQUEST
@@ -33,7 +33,7 @@
     private val pipelined = ArrayDeque<FullHttpRequest>()
     private val receiveTimer = ReceiveTimer(channel.eventLoop(), toHttpLimits(limits), ::onReceiveTimeout)
     private var currentReply: ForwardReply? = null
-    private var openRequest: OpenRequest? = null
+    private var openRequest: RequestHandle? = null
 
     override fun channelActive(context: ChannelHandlerContext) {
         receiveTimer.awaitRequest()
@@ -93,7 +93,7 @@
             reply.reject(statusFor(fault), fault.message.orEmpty())
             return
         }
-        val received = toReceivedRequest(request)
+        val received = toUnparsedRequest(request)
         request.release()
         val parsed = parser.parse(received)
         if (parsed == null) {
@@ -104,7 +104,7 @@
         if (currentReply === reply) openRequest = opened
     }
 
-    private fun toReceivedRequest(request: FullHttpRequest) = ReceivedRequest(
+    private fun toUnparsedRequest(request: FullHttpRequest) = UnparsedRequest(
         method = request.method().name(),
         target = request.uri(),
         host = request.headers().get(HttpHeaderNames.HOST).orEmpty(),
--- a/http/src/main/kotlin/org/lovageladder/http/forward/ForwardServer.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/forward/ForwardServer.kt
@@ -9,7 +9,7 @@
 import org.lovageladder.core.forward.CallerLimits
 import org.lovageladder.core.forward.CallerReply
 import org.lovageladder.core.forward.ForwardRequest
-import org.lovageladder.core.forward.OpenRequest
+import org.lovageladder.core.forward.RequestHandle
 import org.lovageladder.http.ArrivalHandler
 import org.lovageladder.http.HttpThreads
 import org.lovageladder.http.addressOf
@@ -23,7 +23,7 @@
     public val limits: CallerLimits?
 
     /** Forwards [request] and sends the answer to [reply]. Returns null when the request was answered at once. */
-    public fun forward(request: ForwardRequest, reply: CallerReply): OpenRequest?
+    public fun forward(request: ForwardRequest, reply: CallerReply): RequestHandle?
 }
 
 /**
--- a/http/src/main/kotlin/org/lovageladder/http/forward/HttpUpstreamCalls.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/forward/HttpUpstreamCalls.kt
@@ -6,15 +6,15 @@
 import io.netty.handler.codec.http.HttpMethod
 import org.lovageladder.core.forward.AnswerReceiver
 import org.lovageladder.core.forward.CallFailure
+import org.lovageladder.core.forward.Cancellable
 import org.lovageladder.core.forward.EngineAnswer
 import org.lovageladder.core.forward.ForwardRequest
 import org.lovageladder.core.forward.PrefillResult
 import org.lovageladder.core.forward.Reservation
-import org.lovageladder.core.forward.RunningCall
-import org.lovageladder.core.forward.Sending
-import org.lovageladder.core.forward.UpstreamCalls
+import org.lovageladder.core.forward.UpstreamAttempt
+import org.lovageladder.core.forward.UpstreamIncarnation
 import org.lovageladder.core.forward.UpstreamNotice
-import org.lovageladder.core.forward.UpstreamStart
+import org.lovageladder.core.forward.UpstreamPort
 import org.lovageladder.http.HttpCall
 import org.lovageladder.http.HttpClient
 import org.lovageladder.http.HttpFailure
@@ -33,12 +33,12 @@
 public class HttpUpstreamCalls(
     threads: HttpThreads,
     private val codec: UpstreamCodec,
-    private val onNotice: (UpstreamStart, UpstreamNotice) -> Unit = { _, _ -> },
-) : UpstreamCalls,
+    private val onNotice: (UpstreamIncarnation, UpstreamNotice) -> Unit = { _, _ -> },
+) : UpstreamPort,
     AutoCloseable {
     private val client = HttpClient(threads)
 
-    override fun send(request: ForwardRequest, sending: Sending, receiver: AnswerReceiver): RunningCall {
+    override fun send(request: ForwardRequest, sending: UpstreamAttempt, receiver: AnswerReceiver): Cancellable {
         val fields = codec.requestHeaders(request, sending).map { HttpField(it.name, it.value) }
         val call = HttpCall(HttpMethod.valueOf(request.method), request.target, request.body, fields = fields)
         val wait = HttpWait(minOf(sending.timeout, CONNECT_TIMEOUT), answer = null)
@@ -48,14 +48,14 @@
             AnswerAdapter(request, sending.upstream, receiver),
             wait = wait,
         )
-        return RunningCall { running.abandon() }
+        return Cancellable { running.abandon() }
     }
 
     override fun prefill(
         request: ForwardRequest,
-        sending: Sending,
+        sending: UpstreamAttempt,
         answer: (EngineAnswer<PrefillResult>) -> Unit,
-    ): RunningCall {
+    ): Cancellable {
         val call = TextCall(request.method, request.target)
         val fields = codec.prefillHeaders(request, sending)
         return client.sendText(sending.address, call, sending.timeout, fields, request.body) { result ->
@@ -65,15 +65,15 @@
     }
 
     override fun reserve(
-        engine: UpstreamStart,
+        engine: UpstreamIncarnation,
         tokens: Int,
         keep: Duration,
         answer: (EngineAnswer<Reservation>) -> Unit,
-    ): RunningCall = callEngine(engine, codec.reserveCall(tokens, keep)) {
+    ): Cancellable = callEngine(engine, codec.reserveCall(tokens, keep)) {
         answer(toEngineAnswer(it, codec::parseReservation))
     }
 
-    override fun release(engine: UpstreamStart, reservation: Reservation) {
+    override fun release(engine: UpstreamIncarnation, reservation: Reservation) {
         callEngine(engine, codec.releaseCall(reservation)) { logFailure("release", engine, it) }
     }
 
@@ -84,13 +84,13 @@
     override fun close(): Unit = client.close()
 
     /** Makes a short call about an engine's memory. */
-    private fun callEngine(engine: UpstreamStart, call: TextCall, answer: (TextResult) -> Unit): RunningCall =
+    private fun callEngine(engine: UpstreamIncarnation, call: TextCall, answer: (TextResult) -> Unit): Cancellable =
         client.sendText(engine.address, call, ENGINE_CALL_TIMEOUT, emptyList(), ByteArray(0)) { result ->
             reportNotice(engine, result)
             answer(result)
         }
 
-    private fun reportNotice(upstream: UpstreamStart, result: TextResult) {
+    private fun reportNotice(upstream: UpstreamIncarnation, result: TextResult) {
         if (result !is TextResult.Answered) return
         codec.parseNotice(result.answer.status, result.answer.fields)?.let { onNotice(upstream, it) }
     }
@@ -103,7 +103,7 @@
         is TextResult.Failed -> EngineAnswer.Failed(result.failure)
     }
 
-    private fun logFailure(step: String, engine: UpstreamStart, result: TextResult) {
+    private fun logFailure(step: String, engine: UpstreamIncarnation, result: TextResult) {
         if (result is TextResult.Failed) {
             Logger.warn {
                 "$step at ${engine.address} failed, the engine frees the memory when it expires: ${result.failure}"
@@ -114,7 +114,7 @@
     /** Passes an upstream's answer to [receiver]. */
     private inner class AnswerAdapter(
         private val request: ForwardRequest,
-        private val upstream: UpstreamStart,
+        private val upstream: UpstreamIncarnation,
         private val receiver: AnswerReceiver,
     ) : HttpReceiver {
         override fun isAnswer(headers: HttpHeaders): Boolean = codec.isAnswerTo(request) { headers.get(it) }
--- a/http/src/main/kotlin/org/lovageladder/http/forward/TextClient.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/forward/TextClient.kt
@@ -3,8 +3,8 @@
 import io.netty.handler.codec.http.HttpMethod
 import org.lovageladder.core.Address
 import org.lovageladder.core.forward.CallFailure
+import org.lovageladder.core.forward.Cancellable
 import org.lovageladder.core.forward.HeaderField
-import org.lovageladder.core.forward.RunningCall
 import org.lovageladder.http.HttpCall
 import org.lovageladder.http.HttpClient
 import org.lovageladder.http.HttpField
@@ -33,7 +33,7 @@
         timeout: Duration,
         fields: List<HeaderField> = emptyList(),
         answer: (TextResult) -> Unit,
-    ): RunningCall = client.sendText(address, call, timeout, fields, ByteArray(0), answer)
+    ): Cancellable = client.sendText(address, call, timeout, fields, ByteArray(0), answer)
 
     override fun close(): Unit = client.close()
 }
@@ -49,7 +49,7 @@
     fields: List<HeaderField>,
     body: ByteArray,
     answer: (TextResult) -> Unit,
-): RunningCall {
+): Cancellable {
     val content = if (call.body.isEmpty()) body else call.body.encodeToByteArray()
     val contentType = if (call.body.isEmpty()) null else "application/json"
     val httpCall =
@@ -63,7 +63,7 @@
         )
     val running =
         ask(address, httpCall, HttpWait(minOf(timeout, HttpClient.CONNECT_LIMIT), timeout)) { answer(toTextResult(it)) }
-    return RunningCall { running.abandon() }
+    return Cancellable { running.abandon() }
 }
 
 private fun toTextResult(result: HttpResult): TextResult = when (result) {
--- a/http/src/main/kotlin/org/lovageladder/http/forward/UpstreamCodec.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/forward/UpstreamCodec.kt
@@ -7,7 +7,7 @@
 import org.lovageladder.core.forward.HeaderField
 import org.lovageladder.core.forward.PrefillResult
 import org.lovageladder.core.forward.Reservation
-import org.lovageladder.core.forward.Sending
+import org.lovageladder.core.forward.UpstreamAttempt
 import org.lovageladder.core.forward.UpstreamNotice
 import kotlin.time.Duration
 
@@ -29,10 +29,10 @@
  */
 public interface UpstreamCodec {
     /** Headers for sending [request] to the upstream of [sending]. */
-    public fun requestHeaders(request: ForwardRequest, sending: Sending): List<HeaderField>
+    public fun requestHeaders(request: ForwardRequest, sending: UpstreamAttempt): List<HeaderField>
 
     /** Headers for sending [request] to an engine that is to run its prefill only. */
-    public fun prefillHeaders(request: ForwardRequest, sending: Sending): List<HeaderField>
+    public fun prefillHeaders(request: ForwardRequest, sending: UpstreamAttempt): List<HeaderField>
 
     /** Whether an answer belongs to [request]; [header] returns the value of an answer's header by its name. */
     public fun isAnswerTo(request: ForwardRequest, header: (String) -> String?): Boolean
@@ -53,14 +53,14 @@
     public fun releaseCall(reservation: Reservation): TextCall
 
     /** Parses the answer to the prefill that was sent as [sending]. */
-    public fun parsePrefillResult(sending: Sending, answer: TextAnswer): EngineAnswer<PrefillResult>
+    public fun parsePrefillResult(sending: UpstreamAttempt, answer: TextAnswer): EngineAnswer<PrefillResult>
 
     /** Builds the call that frees the memory of [result]. */
     public fun freeCall(result: PrefillResult): TextCall
 }
 
 /** A caller's request as received. [fields] are its headers without the hop-by-hop headers. */
-public class ReceivedRequest(
+public class UnparsedRequest(
     public val method: String,
     public val target: String,
     public val host: String,
@@ -71,5 +71,5 @@
 /** Parses callers' requests. */
 public fun interface CallerRequestParser {
     /** Parses [received]; null when the request is invalid. */
-    public fun parse(received: ReceivedRequest): ForwardRequest?
+    public fun parse(received: UnparsedRequest): ForwardRequest?
 }
--- a/http/src/test/kotlin/org/lovageladder/http/forward/ForwardServerTest.kt
+++ b/http/src/test/kotlin/org/lovageladder/http/forward/ForwardServerTest.kt
@@ -8,9 +8,9 @@
 import org.lovageladder.core.forward.CallerReply
 import org.lovageladder.core.forward.ForwardRequest
 import org.lovageladder.core.forward.HeaderField
-import org.lovageladder.core.forward.OpenRequest
 import org.lovageladder.core.forward.Refusal
 import org.lovageladder.core.forward.RefusalReason
+import org.lovageladder.core.forward.RequestHandle
 import org.lovageladder.http.CallerSocket
 import org.lovageladder.http.HttpThreads
 import java.util.concurrent.CountDownLatch
@@ -35,9 +35,9 @@
             override val limits =
                 CallerLimits(512, 1_000, headerTimeout = 300.milliseconds, idleTimeout = 600.milliseconds)
 
-            override fun forward(request: ForwardRequest, reply: CallerReply): OpenRequest {
+            override fun forward(request: ForwardRequest, reply: CallerReply): RequestHandle {
                 forwarded.add(request to reply)
-                return OpenRequest { callerDisconnected.countDown() }
+                return RequestHandle { callerDisconnected.countDown() }
             }
         }
     private val parser = CallerRequestParser { received ->
--- a/http/src/test/kotlin/org/lovageladder/http/forward/HttpUpstreamCallsTest.kt
+++ b/http/src/test/kotlin/org/lovageladder/http/forward/HttpUpstreamCallsTest.kt
@@ -13,9 +13,9 @@
 import org.lovageladder.core.forward.HeaderField
 import org.lovageladder.core.forward.PrefillResult
 import org.lovageladder.core.forward.Reservation
-import org.lovageladder.core.forward.Sending
+import org.lovageladder.core.forward.UpstreamAttempt
+import org.lovageladder.core.forward.UpstreamIncarnation
 import org.lovageladder.core.forward.UpstreamNotice
-import org.lovageladder.core.forward.UpstreamStart
 import org.lovageladder.http.FaultyPeer
 import org.lovageladder.http.HttpThreads
 import org.lovageladder.http.PeerBehaviour
@@ -34,7 +34,7 @@
 /** Checks the outcome of calls to upstreams that send complete, malformed, partial or endless answers. */
 class HttpUpstreamCallsTest {
     private val threads = HttpThreads(1)
-    private val notices = CopyOnWriteArrayList<Pair<UpstreamStart, UpstreamNotice>>()
+    private val notices = CopyOnWriteArrayList<Pair<UpstreamIncarnation, UpstreamNotice>>()
     private val calls = HttpUpstreamCalls(threads, PlainCodec) { start, notice -> notices += start to notice }
 
     @AfterTest
@@ -45,9 +45,11 @@
 
     /** Forwards headers unchanged; answers to calls about memory are their body. */
     private object PlainCodec : UpstreamCodec {
-        override fun requestHeaders(request: ForwardRequest, sending: Sending): List<HeaderField> = request.fields
+        override fun requestHeaders(request: ForwardRequest, sending: UpstreamAttempt): List<HeaderField> =
+            request.fields
 
-        override fun prefillHeaders(request: ForwardRequest, sending: Sending): List<HeaderField> = request.fields
+        override fun prefillHeaders(request: ForwardRequest, sending: UpstreamAttempt): List<HeaderField> =
+            request.fields
 
         override fun isAnswerTo(request: ForwardRequest, header: (String) -> String?): Boolean =
             header("Id").let { it == null || it == request.id.text }
@@ -64,7 +66,7 @@
 
         override fun releaseCall(reservation: Reservation) = TextCall("DELETE", "/release/${reservation.text}")
 
-        override fun parsePrefillResult(sending: Sending, answer: TextAnswer) =
+        override fun parsePrefillResult(sending: UpstreamAttempt, answer: TextAnswer) =
             EngineAnswer.Done(PrefillResult(sending.upstream, answer.body))
 
         override fun freeCall(result: PrefillResult) = TextCall("DELETE", "/free/${result.handle}")
@@ -110,7 +112,7 @@
 
     private fun outcomeOf(address: Address): String {
         val recorder = Recorder()
-        calls.send(request(), Sending(UpstreamStart(UpstreamName("u"), address), 5.seconds), recorder)
+        calls.send(request(), UpstreamAttempt(UpstreamIncarnation(UpstreamName("u"), address), 5.seconds), recorder)
         return recorder.outcome.get(10, TimeUnit.SECONDS)
     }
 
@@ -159,8 +161,8 @@
             FaultyPeer(PeerBehaviour.SendTo("", FaultyPeer.answer(it, "1", "Leaving: 1")))
         }
         peers.forEach { peer ->
-            val start = UpstreamStart(UpstreamName("u"), peer.address, startedAt = 7)
-            val sending = Sending(start, 5.seconds)
+            val start = UpstreamIncarnation(UpstreamName("u"), peer.address, startedAt = 7)
+            val sending = UpstreamAttempt(start, 5.seconds)
             val kinds =
                 mapOf<String, (() -> Unit) -> Unit>(
                     "run" to { onDone -> calls.send(request(), sending, Recorder(onDone)) },
@@ -193,7 +195,7 @@
             )
         behaviours.forEach { behaviour ->
             FaultyPeer(behaviour).use { peer ->
-                val start = UpstreamStart(UpstreamName("u"), peer.address)
+                val start = UpstreamIncarnation(UpstreamName("u"), peer.address)
                 val reserved = CompletableFuture<EngineAnswer<Reservation>>()
                 calls.reserve(start, tokens = 1, keep = 1.seconds) { reserved.complete(it) }
                 val failed = assertIs<EngineAnswer.Failed>(reserved.get(10, TimeUnit.SECONDS), "$behaviour")
@@ -207,12 +209,12 @@
     fun engineCallsUseTheirPathsAndBodies() {
         FaultyPeer(PeerBehaviour.Send(FaultyPeer.answer(200, "k1", "Connection: close"))).use { peer ->
             val reserved = CompletableFuture<EngineAnswer<Reservation>>()
-            calls.reserve(UpstreamStart(UpstreamName("u"), peer.address), tokens = 30, keep = 1.seconds) {
+            calls.reserve(UpstreamIncarnation(UpstreamName("u"), peer.address), tokens = 30, keep = 1.seconds) {
                 reserved.complete(it)
             }
             assertEquals("k1", assertIs<EngineAnswer.Done<Reservation>>(reserved.get(10, TimeUnit.SECONDS)).value.text)
             val prefilled = CompletableFuture<EngineAnswer<PrefillResult>>()
-            calls.prefill(request(), Sending(UpstreamStart(UpstreamName("u"), peer.address), 5.seconds)) {
+            calls.prefill(request(), UpstreamAttempt(UpstreamIncarnation(UpstreamName("u"), peer.address), 5.seconds)) {
                 prefilled.complete(it)
             }
             assertIs<EngineAnswer.Done<PrefillResult>>(prefilled.get(10, TimeUnit.SECONDS))
