--- a/client/src/main/kotlin/org/lovageladder/client/ProcessCommands.kt
+++ b/client/src/main/kotlin/org/lovageladder/client/ProcessCommands.kt
@@ -125,7 +125,7 @@
     private val process by argument("HOST|PROCESS|IP:PORT", help = "Host or process to drain, or its admin address.")
 
     override fun execute(): Result<Unit, ClientFailure> = findTarget().andThen { target ->
-        withAdminClient { it.drain(target.address) }
+        withAdminClient { it.startDrain(target.address) }
             .mapError { ClientFailure.ProcessUnreachable(it, "$target was not told to drain, or did not confirm it") }
             .map { echo("$target is draining: it accepts nothing new and exits when its work is finished") }
     }
--- a/core/src/main/kotlin/org/lovageladder/core/forward/Drain.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/Drain.kt
@@ -9,7 +9,7 @@
     /** Whether a new [request] of [route] must be refused at [now] because it might not finish before termination. */
     fun mustRefuse(request: ForwardRequest, route: Route, now: Moment): Boolean {
         if (route.kind == RouteKind.STREAM) return now - startedAt > STREAM_ACCEPTANCE_PERIOD
-        val maximumDuration = minOf(request.wait ?: route.timeout, route.timeout)
+        val maximumDuration = minOf(request.callerTimeout ?: route.timeout, route.timeout)
         return now + maximumDuration > startedAt + gracePeriod
     }
 
--- a/core/src/main/kotlin/org/lovageladder/core/forward/EntryRegistrar.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/EntryRegistrar.kt
@@ -16,20 +16,20 @@
 
 /** Keeps this entry registered under a lease of [period]. Confined to one thread. */
 public class EntryRegistrar(
-    private val registration: EntryRegistrationPort,
+    private val port: EntryRegistrationPort,
     private val scheduler: Scheduler,
     private val period: Duration,
 ) {
     /** Registers this entry and keeps renewing the lease. Must be called once. */
     public fun start() {
-        registration.register(period) { lease ->
-            if (lease == null) scheduler.after(period * RETRY_FRACTION) { start() } else scheduleRenewal(lease)
+        port.register(period) { lease ->
+            if (lease == null) scheduler.schedule(period * RETRY_FRACTION) { start() } else scheduleRenewal(lease)
         }
     }
 
     private fun scheduleRenewal(lease: Long) {
-        scheduler.after(period * RENEWAL_FRACTION) {
-            registration.renew(lease) { extended -> if (extended) scheduleRenewal(lease) else start() }
+        scheduler.schedule(period * RENEWAL_FRACTION) {
+            port.renew(lease) { extended -> if (extended) scheduleRenewal(lease) else start() }
         }
     }
 
--- a/core/src/main/kotlin/org/lovageladder/core/forward/ForwardConfiguration.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/ForwardConfiguration.kt
@@ -14,7 +14,7 @@
     val version: ReleaseVersion,
     val routes: List<Route>,
     val services: Map<ServiceName, ServiceConfiguration>,
-    val limits: CallerLimits,
+    val callerLimits: CallerLimits,
 )
 
 /** Whether requests of a route may be repeated. */
@@ -32,9 +32,9 @@
 /**
  * Requests to [host] whose path begins with [prefix].
  *
- * [timeout] bounds the time until the answer is complete. [target] is the time within which an answer, or the first
- * event of a stream, counts as good. A request may run on at most [maximumAttempts] upstreams. A [resumable] stream
- * that breaks may be continued on another upstream after the last event that was passed on.
+ * [timeout] bounds the time until the answer is complete. [latencyTarget] is the time within which an answer, or the
+ * first event of a stream, counts as good. A request may run on at most [maximumRuns] upstreams. If [isResumable], a
+ * stream that breaks may be continued on another upstream after the last event that was passed on.
  */
 public data class Route(
     val name: String,
@@ -42,46 +42,46 @@
     val prefix: String,
     val kind: RouteKind,
     val timeout: Duration,
-    val target: Duration,
+    val latencyTarget: Duration,
     val priority: Int,
-    val shares: List<ServiceShare>,
-    val maximumAttempts: Int,
-    val resumable: Boolean,
+    val serviceShares: List<ServiceShare>,
+    val maximumRuns: Int,
+    val isResumable: Boolean,
 ) {
     /** Whether a request that may have run can be sent again. */
-    val isRetryable: Boolean get() = kind == RouteKind.IDEMPOTENT || resumable
+    val isRetryable: Boolean get() = kind == RouteKind.IDEMPOTENT || isResumable
 }
 
 /** Share of the requests of a route that goes to [service], in proportion to [weight]. */
 public data class ServiceShare(val service: ServiceName, val weight: Int)
 
 /**
- * A service. Each of its upstreams accepts [connectionLimit] connections from all entries together; null when no limit
- * is known. [engine] is null when its upstreams are not engines.
+ * A service. Each of its upstreams accepts [maximumConnections] connections from all entries together; null when no
+ * limit is known. [engine] is null when its upstreams are not engines.
  */
 public data class ServiceConfiguration(
     val name: ServiceName,
-    val connectionLimit: Int?,
+    val maximumConnections: Int?,
     val engine: EngineConfiguration?,
 )
 
 /**
  * Properties of the engines of a service. Each runs [slots] requests at once, which share memory for [memoryTokens]
- * tokens. A prefill result is kept for [prefillKeepTime] and a reservation for at most [reservationLimit]; a role
- * change takes [roleChangeTime].
+ * tokens. A prefill result is kept for [prefillResultTimeout] and a reservation for at most [maximumReservationTime]; a
+ * role change takes [roleChangeDuration].
  */
 public data class EngineConfiguration(
     val slots: Int,
     val memoryTokens: Int,
-    val prefillKeepTime: Duration,
-    val reservationLimit: Duration,
-    val roleChangeTime: Duration,
+    val prefillResultTimeout: Duration,
+    val maximumReservationTime: Duration,
+    val roleChangeDuration: Duration,
 )
 
 /** Limits on the size and timing of callers' requests. */
 public data class CallerLimits(
-    val headerBytes: Int,
-    val bodyBytes: Int,
+    val maximumHeaderBytes: Int,
+    val maximumBodyBytes: Int,
     val headerTimeout: Duration,
     val idleTimeout: Duration,
 )
--- a/core/src/main/kotlin/org/lovageladder/core/forward/ForwardContext.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/ForwardContext.kt
@@ -13,7 +13,7 @@
 
 /** Dependencies and common operations of all request flows. */
 internal class ForwardContext(
-    val calls: UpstreamPort,
+    val upstreamPort: UpstreamPort,
     val scheduler: Scheduler,
     val upstreamSelector: UpstreamSelector,
     val membership: Membership,
@@ -46,8 +46,8 @@
      * Releases [reservation] at [engine]. An engine that asked for a pause gets no call; the reservation lapses there.
      */
     fun release(engine: UpstreamRegistration, reservation: Reservation) {
-        if (notices.pausedUntil(engine.start, now()) == null) {
-            calls.release(engine.start, reservation)
+        if (notices.pausedUntil(engine.incarnation, now()) == null) {
+            upstreamPort.releaseReservation(engine.incarnation, reservation)
         } else {
             record(
                 EventKind.RESERVATION_LAPSED,
@@ -93,9 +93,9 @@
 
 /** Deadlines of a request. [deadline] is when the caller or the route times out, whichever is first. */
 internal class RequestDeadlines(request: ForwardRequest, route: Route) {
-    val arrivedAt: Moment = request.arrived
-    val deadline: Moment = arrivedAt + minOf(request.wait ?: route.timeout, route.timeout)
-    val targetAt: Moment = arrivedAt + route.target
+    val arrivedAt: Moment = request.arrivedAt
+    val deadline: Moment = arrivedAt + minOf(request.callerTimeout ?: route.timeout, route.timeout)
+    val targetAt: Moment = arrivedAt + route.latencyTarget
 
     fun remaining(now: Moment): Duration = deadline - now
 }
--- a/core/src/main/kotlin/org/lovageladder/core/forward/ForwardPorts.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/ForwardPorts.kt
@@ -14,38 +14,39 @@
 public data class HeaderField(val name: String, val value: String)
 
 /**
- * A complete request of a caller. [fields] are the headers to pass on. [wait] is how long the caller waits from
- * [arrived] on, null when it gave no time. [generation] is null when the request names no prompt. [resumeAfter] is the
- * id of the last event that the caller received of an earlier stream.
+ * A complete request of a caller. [headers] are to be passed on. [callerTimeout] is how long the caller waits from
+ * [arrivedAt] on, null when it gave no time. [generation] is null when the request names no prompt.
+ * [resumeAfterEventId] is the id of the last event that the caller received of an earlier stream.
  */
 public class ForwardRequest(
     public val id: RequestId,
     public val method: String,
     public val target: String,
     public val host: String,
-    public val fields: List<HeaderField>,
+    public val headers: List<HeaderField>,
     public val body: ByteArray,
-    public val arrived: Moment,
-    public val wait: Duration?,
+    public val arrivedAt: Moment,
+    public val callerTimeout: Duration?,
     public val generation: Generation?,
-    public val resumeAfter: Long?,
+    public val resumeAfterEventId: Long?,
 )
 
-/** Size of a generation in tokens. [expectedOutputTokens] is the estimate of the caller, often far off. */
-public data class Generation(val promptTokens: Int, val outputBound: Int, val expectedOutputTokens: Int?)
+/** Size of a generation in tokens. [estimatedOutputTokens] is the estimate of the caller, often far off. */
+public data class Generation(val promptTokens: Int, val maximumOutputTokens: Int, val estimatedOutputTokens: Int?)
 
 /**
- * Head of an upstream's answer. [notRun] is set when the upstream declined the request without running it.
- * [wrongInstance] is set when another upstream uses the address now, as opposed to the same one in another role. A
- * success that is not [genuine] lacks the proof that the expected upstream produced it, and must not reach the caller.
+ * Head of an upstream's answer. [isDeclined] is set when the upstream declined the request without running it.
+ * [isWrongInstance] is set when another upstream uses the address now, as opposed to the same one in another role. A
+ * success that is not [isGenuine] lacks the proof that the expected upstream produced it, and must not reach the
+ * caller.
  */
 public class AnswerHead(
     public val status: Int,
-    public val fields: List<HeaderField>,
-    public val notRun: Boolean,
-    public val wrongInstance: Boolean,
+    public val headers: List<HeaderField>,
+    public val isDeclined: Boolean,
+    public val isWrongInstance: Boolean,
     public val load: LoadReport?,
-    public val genuine: Boolean = true,
+    public val isGenuine: Boolean = true,
 ) {
     /** Whether the status reports success. */
     public val isSuccess: Boolean get() = status in SUCCESS_STATUSES
@@ -56,10 +57,15 @@
 }
 
 /**
- * Load reported by an upstream. [slowdown] is its processing time relative to the usual one: 1 is normal, 2 is half as
- * fast.
+ * Load reported by an upstream. [slowdownFactor] is its processing time relative to the usual one: 1 is normal, 2 is
+ * half as fast.
  */
-public data class LoadReport(val running: Int, val waiting: Int, val slots: Int, val slowdown: Double)
+public data class LoadReport(
+    val runningRequests: Int,
+    val waitingRequests: Int,
+    val slots: Int,
+    val slowdownFactor: Double,
+)
 
 /**
  * Why a call to an upstream ended without a complete answer. [sent] is false only when no part of the request can have
@@ -90,7 +96,7 @@
 
 /** Identifier of a memory reservation at an engine. */
 @JvmInline
-public value class Reservation(public val text: String)
+public value class Reservation(public val id: String)
 
 /** The result of a prefill, which [engine] keeps under [handle]. */
 public data class PrefillResult(val engine: UpstreamIncarnation, val handle: String)
@@ -100,23 +106,24 @@
     /** The engine did what was asked. */
     public data class Done<Value>(val value: Value) : EngineAnswer<Value>
 
-    /** The engine refused and did nothing. [wrongInstance] is set when another upstream uses the address now. */
-    public data class Refused(val status: Int, val wrongInstance: Boolean) : EngineAnswer<Nothing>
+    /** The engine refused and did nothing. [isWrongInstance] is set when another upstream uses the address now. */
+    public data class Refused(val status: Int, val isWrongInstance: Boolean) : EngineAnswer<Nothing>
 
     /** No answer; the engine may have done what was asked. */
     public data class Failed(val failure: CallFailure) : EngineAnswer<Nothing>
 }
 
 /**
- * How a request is sent to an upstream. The upstream stops working on it after [timeout]. [prefill] is the result to
- * fetch, [reservation] the memory to use, and [resumeAfter] the id of the event after which the stream begins.
+ * How a request is sent to an upstream. The upstream stops working on it after [timeout]. [prefillResult] is the result
+ * to fetch, [reservation] the memory to use, and [resumeAfterEventId] the id of the event after which the stream
+ * begins.
  */
 public data class UpstreamAttempt(
     val upstream: UpstreamIncarnation,
     val timeout: Duration,
-    val prefill: PrefillResult? = null,
+    val prefillResult: PrefillResult? = null,
     val reservation: Reservation? = null,
-    val resumeAfter: Long? = null,
+    val resumeAfterEventId: Long? = null,
 ) {
     /** Address of the upstream. */
     val address: Address get() = upstream.address
@@ -124,47 +131,47 @@
 
 /**
  * Calls to upstreams. Answers arrive on the thread of the [Forwarder]. A notice in any of them is passed to
- * [Forwarder.noticed] before the answer.
+ * [Forwarder.onUpstreamNotice] before the answer.
  */
 public interface UpstreamPort {
     /** Sends the request of a caller. */
-    public fun send(request: ForwardRequest, sending: UpstreamAttempt, receiver: AnswerReceiver): Cancellable
+    public fun send(request: ForwardRequest, attempt: UpstreamAttempt, receiver: AnswerReceiver): Cancellable
 
     /** Lets an engine prefill the prompt of [request] without decoding. */
     public fun prefill(
         request: ForwardRequest,
-        sending: UpstreamAttempt,
+        attempt: UpstreamAttempt,
         answer: (EngineAnswer<PrefillResult>) -> Unit,
     ): Cancellable
 
-    /** Reserves a slot and memory for [tokens] tokens at [engine] for [keep]. */
+    /** Reserves a slot and memory for [tokens] tokens at [engine] for [reservationTime]. */
     public fun reserve(
         engine: UpstreamIncarnation,
         tokens: Int,
-        keep: Duration,
+        reservationTime: Duration,
         answer: (EngineAnswer<Reservation>) -> Unit,
     ): Cancellable
 
     /** Releases a reservation that no request used. */
-    public fun release(engine: UpstreamIncarnation, reservation: Reservation)
+    public fun releaseReservation(engine: UpstreamIncarnation, reservation: Reservation)
 
     /** Frees a prefill result that no decode fetched. */
-    public fun free(result: PrefillResult)
+    public fun freePrefillResult(result: PrefillResult)
 }
 
-/** Reply to a caller. Exactly one of [refuse], [end] and [abort] is called, and nothing after it. */
+/** Reply to a caller. Exactly one of [refuse], [finish] and [abort] is called, and nothing after it. */
 public interface CallerReply {
     /**
      * Begins the answer with the [head] from an upstream. [length] is the body length in bytes, null when it is
      * unknown.
      */
-    public fun begin(head: AnswerHead, length: Int?)
+    public fun sendHead(head: AnswerHead, length: Int?)
 
     /** Passes on the next part of the body. */
-    public fun content(bytes: ByteArray)
+    public fun sendContent(bytes: ByteArray)
 
     /** Ends a complete answer. */
-    public fun end()
+    public fun finish()
 
     /** Answers with an error of this process instead of an answer from an upstream. */
     public fun refuse(refusal: Refusal)
@@ -173,11 +180,11 @@
     public fun abort()
 }
 
-/** An error answer of this process. The caller should return after [returnAfter]. */
-public data class Refusal(val reason: RefusalReason, val returnAfter: Duration? = null)
+/** An error answer of this process. The caller should return after [retryAfter]. */
+public data class Refusal(val reason: RefusalReason, val retryAfter: Duration? = null)
 
-/** Reason of a [Refusal]. [notRun] is reported to the caller, which may then send the request again. */
-public enum class RefusalReason(public val notRun: Boolean) {
+/** Reason of a [Refusal]. [isNotRun] is reported to the caller, which may then send the request again. */
+public enum class RefusalReason(public val isNotRun: Boolean) {
     /** No route matches the host and path of the request. */
     NO_ROUTE(false),
 
@@ -209,5 +216,5 @@
     public fun now(): Moment
 
     /** Runs [action] after [delay] unless the returned call is cancelled first. */
-    public fun after(delay: Duration, action: () -> Unit): Cancellable
+    public fun schedule(delay: Duration, action: () -> Unit): Cancellable
 }
--- a/core/src/main/kotlin/org/lovageladder/core/forward/Forwarder.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/Forwarder.kt
@@ -10,16 +10,16 @@
 /**
  * Settings of a [Forwarder].
  *
- * [place] is the data centre of this process. [retries] bounds the retries of all entries together. [expectedEntries]
- * is used until the number of entries is known, and [prefillShare], the part of an engine service's work that is
- * prefill, until enough requests were measured. An upstream that announced that it is leaving gets no new requests
- * after [drainBound]. The answer of a plain service may have [answerBytes] bytes. Experiments switch off the mechanisms
- * in [without].
+ * [place] is the data centre of this process. [retryLimits] bounds the retries of all entries together.
+ * [expectedEntryCount] is used until the number of entries is known, and [prefillShare], the part of an engine
+ * service's work that is prefill, until enough requests were measured. An upstream that announced that it is leaving
+ * gets no new requests after [drainBound]. The answer of a plain service may have [answerBytes] bytes. Experiments
+ * switch off the mechanisms in [without].
  */
 public data class ForwarderSettings(
     val place: PlaceName,
-    val retries: RetryLimits,
-    val expectedEntries: Int = 1,
+    val retryLimits: RetryLimits,
+    val expectedEntryCount: Int = 1,
     val prefillShare: Double = 0.2,
     val drainBound: Duration = DEFAULT_DRAIN_BOUND,
     val answerBytes: Int = DEFAULT_ANSWER_BYTES,
@@ -32,7 +32,7 @@
 /** Handle of a request in progress. */
 public fun interface RequestHandle {
     /** The caller disconnected. */
-    public fun callerLeft()
+    public fun onCallerDisconnected()
 }
 
 /**
@@ -41,7 +41,7 @@
  */
 public class Forwarder(
     private val settings: ForwarderSettings,
-    calls: UpstreamPort,
+    upstreamPort: UpstreamPort,
     private val scheduler: Scheduler,
     log: EventSink,
     random: Random = Random.Default,
@@ -49,12 +49,12 @@
     private val membership = Membership()
     private val notices = UpstreamNotices(settings.drainBound)
     private val upstreamSelector = UpstreamSelector(membership, notices, settings.place, random, settings.without)
-    private val entryCounter = EntryCounter(settings.expectedEntries)
-    private val retryBudget = RetryBudget(settings.retries) { entryCounter.count(scheduler.now()) }
+    private val entryCounter = EntryCounter(settings.expectedEntryCount)
+    private val retryBudget = RetryBudget(settings.retryLimits) { entryCounter.count(scheduler.now()) }
     private val answerBuffers = AnswerBufferPool(settings.answerBytes, settings.answerBytes * FULL_SIZE_ANSWERS)
     private val context =
         ForwardContext(
-            calls,
+            upstreamPort,
             scheduler,
             upstreamSelector,
             membership,
@@ -70,36 +70,39 @@
     private var configuration: ForwardConfiguration? = null
     private var routes: RouteTable? = null
     private var drain: Drain? = null
-    private var leadership: LeaderElection? = null
+    private var leaderElection: LeaderElection? = null
 
     /** Number of requests in progress. */
-    public var open: Int = 0
+    public var openRequests: Int = 0
         private set
 
     /** Number of engines of which the memory queues keep state. */
     internal val trackedEngines: Int get() = memoryQueues.values.sumOf { it.trackedEngines }
 
     /** Version of the active configuration. */
-    public val version: ReleaseVersion get() = configuration?.version ?: ReleaseVersion.NONE
+    public val configurationVersion: ReleaseVersion get() = configuration?.version ?: ReleaseVersion.NONE
 
     /** Limits on callers' requests; null before the first configuration. */
-    public val limits: CallerLimits? get() = configuration?.limits
+    public val callerLimits: CallerLimits? get() = configuration?.callerLimits
 
     /** Whether requests can be forwarded. */
-    public val ready: Boolean get() = configuration != null && membership.isLoaded
+    public val isReady: Boolean get() = configuration != null && membership.isLoaded
 
     /** Replaces the limits on retries. */
-    public fun limitRetries(newer: RetryLimits) {
+    public fun updateRetryLimits(newer: RetryLimits) {
         retryBudget.updateLimits(newer)
     }
 
     /** Activates [newer] unless the active configuration has the same or a later version. */
-    public fun configure(newer: ForwardConfiguration) {
-        if (newer.version < version) {
-            context.record(EventKind.CONFIGURATION_OUTDATED, detail = "ignored ${newer.version}, active is $version")
+    public fun applyConfiguration(newer: ForwardConfiguration) {
+        if (newer.version < configurationVersion) {
+            context.record(
+                EventKind.CONFIGURATION_OUTDATED,
+                detail = "ignored ${newer.version}, active is $configurationVersion",
+            )
             return
         }
-        if (newer.version == version) return
+        if (newer.version == configurationVersion) return
         configuration = newer
         routes = RouteTable(newer)
         val names = newer.routes.mapTo(HashSet()) { it.name }
@@ -109,18 +112,21 @@
     }
 
     /** Applies a change of the registry. */
-    public fun registryChanged(change: RegistryChange) {
+    public fun onRegistryChange(change: RegistryChange) {
         membership.apply(change, scheduler.now())
         if (change is RegistryChange.FullRead) entryCounter.markAllMissing(scheduler.now())
         when (change) {
-            is RegistryChange.Registered -> recordMember(change.member)
+            is RegistryChange.Registered -> recordRegistration(change.registration)
             is RegistryChange.Removed ->
                 context.record(EventKind.UPSTREAM_REGISTERED, upstream = change.name, detail = "registration removed")
             is RegistryChange.RoleChangeAnnounced -> recordRoleChange(change)
-            is RegistryChange.LeaderChanged -> leadership?.onLeaderObserved(change.held)
+            is RegistryChange.LeaderChanged -> leaderElection?.onLeaderObserved(change.hasLeader)
             is RegistryChange.EntryRegistrationChanged -> onEntrySeen(change)
             is RegistryChange.FullRead ->
-                context.record(EventKind.UPSTREAM_REGISTERED, detail = "full read: ${change.members.size} upstreams")
+                context.record(
+                    EventKind.UPSTREAM_REGISTERED,
+                    detail = "full read: ${change.registrations.size} upstreams",
+                )
             RegistryChange.Unavailable -> context.record(EventKind.STORE_LOST, detail = "the registry is unavailable")
             RegistryChange.Available -> context.record(EventKind.STORE_BACK, detail = "the registry is available again")
         }
@@ -129,45 +135,45 @@
         memoryQueues.values.forEach { it.removeUnregistered() }
     }
 
-    /** Records what an answer of [start] said about the requests that it accepts. */
-    public fun noticed(start: UpstreamIncarnation, notice: UpstreamNotice) {
+    /** Records what an answer of [incarnation] said about the requests that it accepts. */
+    public fun onUpstreamNotice(incarnation: UpstreamIncarnation, notice: UpstreamNotice) {
         val now = scheduler.now()
-        if (notices.recordNotice(start, notice, now)) {
-            val detail = if (notice.leaving) "leaving" else "asks for a pause of ${notice.pause}"
-            context.record(EventKind.UPSTREAM_NOTICE, upstream = start.name, detail = detail)
+        if (notices.recordNotice(incarnation, notice, now)) {
+            val detail = if (notice.isLeaving) "leaving" else "asks for a pause of ${notice.pause}"
+            context.record(EventKind.UPSTREAM_NOTICE, upstream = incarnation.name, detail = detail)
         }
-        if (notice.unreadable != null && notices.isUnreadableLogDue(start.name, now)) {
-            context.record(EventKind.NOTICE_UNREADABLE, upstream = start.name, detail = notice.unreadable)
+        if (notice.unreadablePart != null && notices.isUnreadableLogDue(incarnation.name, now)) {
+            context.record(EventKind.NOTICE_UNREADABLE, upstream = incarnation.name, detail = notice.unreadablePart)
         }
     }
 
-    /** Begins to change the roles of engines through [orders] while this process holds [leadership]. */
-    public fun keepRoles(leadership: LeaderElection, orders: RoleOrderPort) {
+    /** Begins to change the roles of engines through [roleOrderPort] while this process holds [leaderElection]. */
+    public fun startRoleChanges(leaderElection: LeaderElection, roleOrderPort: RoleOrderPort) {
         if (Mechanism.ROLE_CHANGES in settings.without) return
-        this.leadership = leadership
-        leadership.start()
-        checkRoles(RoleController(context, leadership, orders))
+        this.leaderElection = leaderElection
+        leaderElection.start()
+        checkRoles(RoleController(context, leaderElection, roleOrderPort))
     }
 
     private fun checkRoles(controller: RoleController) {
         if (drain != null) return
         configuration?.services?.values?.forEach { service ->
             val engine = service.engine ?: return@forEach
-            val activeWorkOf = { member: UpstreamRegistration -> activeWork(service.name, member) }
+            val activeWorkOf = { upstream: UpstreamRegistration -> activeWork(service.name, upstream) }
             controller.startDueChange(service.name, engine, estimatesOf(service.name).rolePlan, activeWorkOf)
         }
-        scheduler.after(ROLE_CHECK_INTERVAL) { checkRoles(controller) }
+        scheduler.schedule(ROLE_CHECK_INTERVAL) { checkRoles(controller) }
     }
 
-    private fun activeWork(service: ServiceName, member: UpstreamRegistration): Int =
-        (memoryQueues[service]?.heldTokensAt(member.name) ?: 0) + upstreamSelector.health(member.name).inFlight
+    private fun activeWork(service: ServiceName, upstream: UpstreamRegistration): Int =
+        (memoryQueues[service]?.heldTokensAt(upstream.name) ?: 0) + upstreamSelector.health(upstream.name).inFlight
 
     /**
-     * Begins to shut down; the process will be terminated after [grace]. Requests are accepted while they are certain
-     * to finish by then, and streams, which may last longer, only for a short time.
+     * Begins to shut down; the process will be terminated after [gracePeriod]. Requests are accepted while they are
+     * certain to finish by then, and streams, which may last longer, only for a short time.
      */
-    public fun drain(grace: Duration) {
-        drain = Drain(scheduler.now(), grace)
+    public fun drain(gracePeriod: Duration) {
+        drain = Drain(scheduler.now(), gracePeriod)
     }
 
     /** Forwards [request] and passes its outcome to [reply]. Returns null when the request was refused at once. */
@@ -176,16 +182,22 @@
         if (table == null || !membership.isLoaded) return refuse(request, reply, RefusalReason.NOT_READY)
         val route = table.find(request.host, request.target)
             ?: return refuse(request, reply, RefusalReason.NO_ROUTE)
-        val share = selectShare(route.shares, context.random.nextDouble())
+        val share = selectShare(route.serviceShares, context.random.nextDouble())
             ?: return refuse(request, reply, RefusalReason.NO_UPSTREAM)
         retryBudget.recordRequest(share.service, scheduler.now())
-        val traits = configuration?.services?.get(share.service)
+        val serviceConfiguration = configuration?.services?.get(share.service)
         if (drain?.mustRefuse(request, route, scheduler.now()) == true) {
             return refuse(request, reply, RefusalReason.LEAVING)
         }
-        val destination = Destination(route, share.service, traits?.engine, connectionLimitPerUpstream(traits))
+        val destination =
+            Destination(
+                route,
+                share.service,
+                serviceConfiguration?.engine,
+                connectionLimitPerUpstream(serviceConfiguration),
+            )
         val flow = createFlow(request, destination, reply)
-        open += 1
+        openRequests += 1
         flow.start()
         return RequestHandle { flow.onCallerDisconnected() }
     }
@@ -194,16 +206,16 @@
      * Connections that this entry may have to each upstream of a service. Part of the limit is kept free for
      * connections that are about to close.
      */
-    private fun connectionLimitPerUpstream(traits: ServiceConfiguration?): Int {
-        val limit = traits?.connectionLimit ?: return Int.MAX_VALUE
+    private fun connectionLimitPerUpstream(serviceConfiguration: ServiceConfiguration?): Int {
+        val limit = serviceConfiguration?.maximumConnections ?: return Int.MAX_VALUE
         return (limit * USABLE_CONNECTION_FRACTION / entryCounter.count(scheduler.now())).toInt().coerceAtLeast(1)
     }
 
     private fun createFlow(request: ForwardRequest, destination: Destination, reply: CallerReply): ForwardFlow {
-        val onFinished = { open -= 1 }
+        val onFinished = { openRequests -= 1 }
         if (destination.engine == null) return PlainFlow(context, request, destination, reply, onFinished)
         val service = destination.service
-        val queue = memoryQueues.getOrPut(service) { MemoryQueue(context, service) { engineTraitsOf(service) } }
+        val queue = memoryQueues.getOrPut(service) { MemoryQueue(context, service) { engineConfigurationOf(service) } }
         return StreamFlow(context, request, destination, queue, estimatesOf(service), reply, onFinished)
     }
 
@@ -211,31 +223,31 @@
         StreamEstimates(RolePlan(settings.prefillShare), settings.without)
     }
 
-    private fun engineTraitsOf(service: ServiceName) = configuration?.services?.get(service)?.engine
+    private fun engineConfigurationOf(service: ServiceName) = configuration?.services?.get(service)?.engine
 
     private fun refuse(request: ForwardRequest, reply: CallerReply, reason: RefusalReason): RequestHandle? {
-        val wait = request.wait ?: DEFAULT_CALLER_WAIT
+        val callerTimeout = request.callerTimeout ?: DEFAULT_CALLER_TIMEOUT
         val minimum = if (reason == RefusalReason.LEAVING) Duration.ZERO else MINIMUM_RETURN_DELAY
-        val returnAfter = if (reason.notRun) context.returnDelay(minimum, wait) else null
+        val retryAfter = if (reason.isNotRun) context.returnDelay(minimum, callerTimeout) else null
         context.record(
             EventKind.REQUEST_ENDED,
             request.id,
             detail = "refused: $reason ${request.host}${request.target}",
         )
-        reply.refuse(Refusal(reason, returnAfter))
+        reply.refuse(Refusal(reason, retryAfter))
         return null
     }
 
-    private fun recordMember(member: UpstreamRegistration) {
-        val state = if (member.leaving) "leaving" else "serving"
-        val detail = "$state service=${member.service} role=${member.role} at ${member.address}"
-        context.record(EventKind.UPSTREAM_REGISTERED, upstream = member.name, detail = detail)
+    private fun recordRegistration(registration: UpstreamRegistration) {
+        val state = if (registration.isLeaving) "leaving" else "serving"
+        val detail = "$state service=${registration.service} role=${registration.role} at ${registration.address}"
+        context.record(EventKind.UPSTREAM_REGISTERED, upstream = registration.name, detail = detail)
     }
 
     private fun onEntrySeen(change: RegistryChange.EntryRegistrationChanged) {
         val now = scheduler.now()
         val before = entryCounter.count(now)
-        entryCounter.recordRegistration(change.name, change.registered, now)
+        entryCounter.recordRegistration(change.name, change.isRegistered, now)
         val count = entryCounter.count(now)
         if (count == before) return
         context.record(
@@ -245,7 +257,7 @@
     }
 
     private fun recordRoleChange(change: RegistryChange.RoleChangeAnnounced) {
-        val detail = if (change.changing) "gets no requests while its role changes" else "its role change has ended"
+        val detail = if (change.isAnnounced) "gets no requests while its role changes" else "its role change has ended"
         context.record(EventKind.UPSTREAM_REGISTERED, upstream = change.name, detail = detail)
     }
 
@@ -256,6 +268,6 @@
         const val FULL_SIZE_ANSWERS = 12
         val ROLE_CHECK_INTERVAL = Duration.parse("250ms")
         val MINIMUM_RETURN_DELAY = Duration.parse("200ms")
-        val DEFAULT_CALLER_WAIT = Duration.parse("10s")
+        val DEFAULT_CALLER_TIMEOUT = Duration.parse("10s")
     }
 }
--- a/core/src/main/kotlin/org/lovageladder/core/forward/LeaderElection.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/LeaderElection.kt
@@ -3,8 +3,8 @@
 import org.lovageladder.core.Moment
 import kotlin.time.Duration
 
-/** A lease on the right to give orders. [fencing] is higher than that of every earlier holder. */
-public data class LeaderLease(val id: Long, val fencing: Long)
+/** A lease on the right to give orders. [fencingNumber] is higher than that of every earlier holder. */
+public data class LeaderLease(val id: Long, val fencingNumber: Long)
 
 /** Outcome of an attempt to become the leader. */
 public sealed interface AcquisitionResult {
@@ -21,7 +21,7 @@
 /** Port to the store that grants leadership to one process at a time. */
 public interface LeadershipPort {
     /** Tries to acquire leadership for [period]. */
-    public fun take(period: Duration, answer: (AcquisitionResult) -> Unit)
+    public fun acquire(period: Duration, answer: (AcquisitionResult) -> Unit)
 
     /** Extends [lease] by its period from the arrival of the call. [answer] gets whether the lease was still valid. */
     public fun renew(lease: LeaderLease, answer: (Boolean) -> Unit)
@@ -74,7 +74,7 @@
 
     private fun scheduleAcquisition(delay: Duration) {
         scheduledAcquisition?.cancel()
-        scheduledAcquisition = scheduler.after(delay) { acquire() }
+        scheduledAcquisition = scheduler.schedule(delay) { acquire() }
     }
 
     private fun acquire() {
@@ -85,7 +85,7 @@
             return
         }
         val sentAt = scheduler.now()
-        port.take(period) { answer ->
+        port.acquire(period) { answer ->
             when (answer) {
                 is AcquisitionResult.Acquired -> onAcquired(answer.lease, sentAt)
                 AcquisitionResult.HeldByOther -> scheduleAcquisition(
@@ -100,7 +100,7 @@
         lease = acquired
         ordersAllowedAt = scheduler.now() + period
         validUntil = sentAt + period * VALID_FRACTION
-        scheduler.after(period * RENEWAL_FRACTION) { renew(acquired) }
+        scheduler.schedule(period * RENEWAL_FRACTION) { renew(acquired) }
     }
 
     private fun renew(current: LeaderLease) {
@@ -111,7 +111,7 @@
                 lease != current -> Unit
                 isExtended -> {
                     validUntil = sentAt + period * VALID_FRACTION
-                    scheduler.after(period * RENEWAL_FRACTION) { renew(current) }
+                    scheduler.schedule(period * RENEWAL_FRACTION) { renew(current) }
                 }
                 else -> {
                     lease = null
--- a/core/src/main/kotlin/org/lovageladder/core/forward/Membership.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/Membership.kt
@@ -11,8 +11,9 @@
 import kotlin.time.Duration.Companion.milliseconds
 
 /**
- * An upstream as it registered itself. A [name] belongs to one start of the upstream unless [startedAt], the wall-clock
- * time of the start in milliseconds, says otherwise. A registration with a higher [revision] replaces an earlier one.
+ * An upstream as it registered itself. A [name] belongs to one incarnation of the upstream unless [startedAt], the
+ * wall-clock time of the start in milliseconds, says otherwise. A registration with a higher [revision] replaces an
+ * earlier one.
  */
 public data class UpstreamRegistration(
     val name: UpstreamName,
@@ -20,34 +21,34 @@
     val address: Address,
     val place: PlaceName,
     val slots: Int,
-    val leaving: Boolean,
+    val isLeaving: Boolean,
     val role: PoolRole,
     val startedAt: Long?,
     val revision: Long,
 ) {
-    /** This start of the upstream. */
-    val start: UpstreamIncarnation get() = UpstreamIncarnation(name, address, startedAt)
+    /** This incarnation of the upstream. */
+    val incarnation: UpstreamIncarnation get() = UpstreamIncarnation(name, address, startedAt)
 }
 
 /** A change reported by the registry of upstreams. */
 public sealed interface RegistryChange {
     /** An upstream registered itself or updated its registration. */
-    public data class Registered(val member: UpstreamRegistration) : RegistryChange
+    public data class Registered(val registration: UpstreamRegistration) : RegistryChange
 
     /** The registration of an upstream was removed at [revision]. */
     public data class Removed(val name: UpstreamName, val revision: Long) : RegistryChange
 
     /** A role change of an engine was announced, or the announcement was withdrawn. */
-    public data class RoleChangeAnnounced(val name: UpstreamName, val changing: Boolean) : RegistryChange
+    public data class RoleChangeAnnounced(val name: UpstreamName, val isAnnounced: Boolean) : RegistryChange
 
     /** Whether some process holds leadership and may give orders to engines. */
-    public data class LeaderChanged(val held: Boolean) : RegistryChange
+    public data class LeaderChanged(val hasLeader: Boolean) : RegistryChange
 
     /** Whether the entry [name] is registered. */
-    public data class EntryRegistrationChanged(val name: ProcessName, val registered: Boolean) : RegistryChange
+    public data class EntryRegistrationChanged(val name: ProcessName, val isRegistered: Boolean) : RegistryChange
 
-    /** A full read of the registry. Upstreams that are not in [members] have no registration. */
-    public data class FullRead(val members: List<UpstreamRegistration>) : RegistryChange
+    /** A full read of the registry. Upstreams that are not in [registrations] have no registration. */
+    public data class FullRead(val registrations: List<UpstreamRegistration>) : RegistryChange
 
     /** The registry is unavailable. */
     public data object Unavailable : RegistryChange
@@ -62,7 +63,7 @@
  * therefore stays in use until [REGISTRATION_GRACE_PERIOD] after the registry became available. Confined to one thread.
  */
 public class Membership {
-    private val members = HashMap<UpstreamName, UpstreamRegistration>()
+    private val registrations = HashMap<UpstreamName, UpstreamRegistration>()
     private val missing = HashSet<UpstreamName>()
     private val endedStarts = HashMap<UpstreamName, Long?>()
     private val changingRole = HashSet<UpstreamName>()
@@ -76,12 +77,12 @@
     /** Applies [change]. */
     public fun apply(change: RegistryChange, now: Moment) {
         when (change) {
-            is RegistryChange.Registered -> update(change.member)
+            is RegistryChange.Registered -> update(change.registration)
             is RegistryChange.Removed -> remove(change, now)
             is RegistryChange.RoleChangeAnnounced ->
-                if (change.changing) changingRole += change.name else changingRole -= change.name
+                if (change.isAnnounced) changingRole += change.name else changingRole -= change.name
             is RegistryChange.LeaderChanged, is RegistryChange.EntryRegistrationChanged -> Unit
-            is RegistryChange.FullRead -> replaceAll(change.members, now)
+            is RegistryChange.FullRead -> replaceAll(change.registrations, now)
             RegistryChange.Unavailable -> isUnavailable = true
             RegistryChange.Available -> {
                 isUnavailable = false
@@ -90,11 +91,11 @@
         }
     }
 
-    /** Removes the upstream [name] after it, or its address, reported that this start of it has ended. */
+    /** Removes the upstream [name] after it, or its address, reported that this incarnation has ended. */
     public fun removeEnded(name: UpstreamName) {
-        val member = members.remove(name) ?: return
+        val registration = registrations.remove(name) ?: return
         missing.remove(name)
-        endedStarts[name] = member.startedAt
+        endedStarts[name] = registration.startedAt
     }
 
     /** Upstreams of [service] that accept new requests at [now]. */
@@ -104,23 +105,27 @@
     /** Upstreams of [service] at [now], including those whose role is changing, excluding those that leave. */
     public fun registered(service: ServiceName, now: Moment): List<UpstreamRegistration> {
         removeExpired(now)
-        return members.values.filter { it.service == service && !it.leaving }
+        return registrations.values.filter { it.service == service && !it.isLeaving }
     }
 
     /** The upstream [name], also when it is leaving; null when it is unknown. */
-    public operator fun get(name: UpstreamName): UpstreamRegistration? = members[name]
-
-    private fun update(member: UpstreamRegistration) {
-        if (endedStarts.containsKey(member.name) && endedStarts[member.name] == member.startedAt) return
-        val current = members[member.name]
-        if (current != null && current.revision > member.revision) return
-        endedStarts.remove(member.name)
-        missing.remove(member.name)
-        members[member.name] = member
+    public operator fun get(name: UpstreamName): UpstreamRegistration? = registrations[name]
+
+    private fun update(registration: UpstreamRegistration) {
+        if (endedStarts.containsKey(registration.name) &&
+            endedStarts[registration.name] == registration.startedAt
+        ) {
+            return
+        }
+        val current = registrations[registration.name]
+        if (current != null && current.revision > registration.revision) return
+        endedStarts.remove(registration.name)
+        missing.remove(registration.name)
+        registrations[registration.name] = registration
     }
 
     private fun remove(change: RegistryChange.Removed, now: Moment) {
-        val current = members[change.name] ?: return
+        val current = registrations[change.name] ?: return
         if (current.revision < change.revision) markMissing(change.name, now)
     }
 
@@ -128,7 +133,7 @@
         if (isGracePeriod(now)) {
             missing += name
         } else {
-            members.remove(name)
+            registrations.remove(name)
             missing.remove(name)
         }
     }
@@ -136,18 +141,18 @@
     /** Whether a missing registration may still be renewed by a living upstream. */
     private fun isGracePeriod(now: Moment): Boolean = isUnavailable || gracePeriodUntil?.let { now < it } ?: false
 
-    private fun replaceAll(registrations: List<UpstreamRegistration>, now: Moment) {
+    private fun replaceAll(newRegistrations: List<UpstreamRegistration>, now: Moment) {
         isLoaded = true
         changingRole.clear()
-        val names = registrations.mapTo(HashSet()) { it.name }
-        members.keys.filter { it !in names }.forEach { markMissing(it, now) }
+        val names = newRegistrations.mapTo(HashSet()) { it.name }
+        registrations.keys.filter { it !in names }.forEach { markMissing(it, now) }
         endedStarts.keys.retainAll(names)
-        registrations.forEach(::update)
+        newRegistrations.forEach(::update)
     }
 
     private fun removeExpired(now: Moment) {
         if (missing.isEmpty() || isGracePeriod(now)) return
-        members.keys.removeAll(missing)
+        registrations.keys.removeAll(missing)
         missing.clear()
     }
 
--- a/core/src/main/kotlin/org/lovageladder/core/forward/MemoryQueue.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/MemoryQueue.kt
@@ -44,7 +44,7 @@
 internal class MemoryQueue(
     private val context: ForwardContext,
     private val service: ServiceName,
-    private val engineTraits: () -> EngineConfiguration?,
+    private val engineConfiguration: () -> EngineConfiguration?,
 ) {
     private val waitingRequests = ArrayList<MemoryRequest>()
     private val heldTokens = HashMap<UpstreamName, Int>()
@@ -173,7 +173,7 @@
 
     /** Engines that may have memory for [request], the best first; null when there is no engine at all. */
     private fun findEngines(request: MemoryRequest, now: Moment): List<UpstreamRegistration>? {
-        val memory = (engineTraits()?.memoryTokens ?: 0).coerceAtLeast(1).toDouble()
+        val memory = (engineConfiguration()?.memoryTokens ?: 0).coerceAtLeast(1).toDouble()
         val candidates =
             context.upstreamSelector.candidates(service, PoolRole.DECODE, now, request.avoidedEngines) {
                 heldTokensAt(it.name) / memory
@@ -189,10 +189,10 @@
         context.upstreamSelector.earliestPauseEnd(service, PoolRole.DECODE, now)
 
     private fun reserve(request: MemoryRequest, engine: UpstreamRegistration) {
-        val reservationTime = engineTraits()?.reservationLimit ?: DEFAULT_RESERVATION_TIME
+        val reservationTime = engineConfiguration()?.maximumReservationTime ?: DEFAULT_RESERVATION_TIME
         reservingEngines += engine.name
         heldTokens.merge(engine.name, request.tokens, Int::plus)
-        context.calls.reserve(engine.start, request.tokens, reservationTime) { answer ->
+        context.upstreamPort.reserve(engine.incarnation, request.tokens, reservationTime) { answer ->
             reservingEngines -= engine.name
             onReservationAnswer(request, engine, answer)
             serveWaiting()
@@ -213,7 +213,7 @@
         when (answer) {
             is EngineAnswer.Done -> Unit
             is EngineAnswer.Refused -> {
-                if (answer.wrongInstance) context.removeReplaced(engine.name, request.id)
+                if (answer.isWrongInstance) context.removeReplaced(engine.name, request.id)
                 fullUntil[engine.name] = now + FULL_ENGINE_RECHECK_DELAY
                 lastRefusedAt[engine.name] = now
             }
@@ -250,7 +250,7 @@
         val nextDeadline = waitingRequests.minOf { it.grantDeadline }
         val recheckAt = fullUntil.values.filter { it > now }.minOrNull() ?: nextDeadline
         val runAt = minOf(nextDeadline, recheckAt, earliestPauseEnd(now) ?: nextDeadline)
-        nextRun = context.scheduler.after((runAt - now).coerceAtLeast(MINIMUM_RUN_DELAY)) { serveWaiting() }
+        nextRun = context.scheduler.schedule((runAt - now).coerceAtLeast(MINIMUM_RUN_DELAY)) { serveWaiting() }
     }
 
     private companion object {
--- a/core/src/main/kotlin/org/lovageladder/core/forward/PlainFlow.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/PlainFlow.kt
@@ -30,10 +30,10 @@
     private var isFinished = false
 
     override fun start() {
-        timeoutTimer = context.scheduler.after(deadlines.remaining(context.now())) { onTimeout() }
+        timeoutTimer = context.scheduler.schedule(deadlines.remaining(context.now())) { onTimeout() }
         startAttempt()
         if (!isFinished && route.isRetryable && context.isEnabled(Mechanism.HEDGING)) {
-            hedgeTimer = context.scheduler.after(route.target * HEDGE_DELAY_FRACTION) { startHedge() }
+            hedgeTimer = context.scheduler.schedule(route.latencyTarget * HEDGE_DELAY_FRACTION) { startHedge() }
         }
     }
 
@@ -43,18 +43,18 @@
     }
 
     private fun startAttempt() {
-        val member = chooseUpstream()
-        if (member == null) {
+        val upstream = chooseUpstream()
+        if (upstream == null) {
             fail(if (earliestPauseEnd() == null) RefusalReason.NO_UPSTREAM else RefusalReason.OVERLOADED)
             return
         }
-        val health = context.upstreamSelector.health(member.name)
-        val callLimit = minOf(member.slots * CALLS_PER_SLOT, destination.connectionLimit)
+        val health = context.upstreamSelector.health(upstream.name)
+        val callLimit = minOf(upstream.slots * CALLS_PER_SLOT, destination.connectionLimit)
         if (attempts.isEmpty() && health.inFlight >= callLimit) {
             fail(RefusalReason.OVERLOADED)
             return
         }
-        send(member)
+        send(upstream)
     }
 
     private fun chooseUpstream(): UpstreamRegistration? {
@@ -67,23 +67,23 @@
     private fun earliestPauseEnd(): Moment? =
         context.upstreamSelector.earliestPauseEnd(destination.service, PoolRole.PLAIN, context.now())
 
-    private fun send(member: UpstreamRegistration) {
-        val attempt = Attempt(member.name)
+    private fun send(upstream: UpstreamRegistration) {
+        val attempt = Attempt(upstream.name)
         attempts += attempt
-        context.upstreamSelector.health(member.name).inFlight += 1
+        context.upstreamSelector.health(upstream.name).inFlight += 1
         context.record(
             EventKind.REQUEST_SENT,
             request.id,
-            member.name,
+            upstream.name,
             detail = "attempt ${attempts.size} of ${route.name}",
         )
-        val sending = UpstreamAttempt(member.start, deadlines.remaining(context.now()))
-        attempt.call = context.calls.send(request, sending, attempt)
+        val upstreamAttempt = UpstreamAttempt(upstream.incarnation, deadlines.remaining(context.now()))
+        attempt.call = context.upstreamPort.send(request, upstreamAttempt, attempt)
     }
 
     private fun startHedge() {
         val runCount = attempts.count { it.isRunning }
-        if (isFinished || runCount != 1 || attempts.size >= route.maximumAttempts) return
+        if (isFinished || runCount != 1 || attempts.size >= route.maximumRuns) return
         if (context.retryBudget.tryAcquire(destination.service, context.now())) startAttempt()
     }
 
@@ -92,12 +92,12 @@
         val health = context.upstreamSelector.health(attempt.upstream)
         head.load?.let { health.recordLoad(it, context.now()) }
         when {
-            head.wrongInstance -> {
+            head.isWrongInstance -> {
                 context.removeReplaced(attempt.upstream, request.id)
                 onDeclined(attempt, head)
             }
-            head.notRun -> onDeclined(attempt, head)
-            !head.genuine -> onFailed(attempt, UNPROVEN_SUCCESS)
+            head.isDeclined -> onDeclined(attempt, head)
+            !head.isGenuine -> onFailed(attempt, UNPROVEN_SUCCESS)
             head.status >= LOWEST_SERVER_ERROR_STATUS -> {
                 health.recordError(context.now())
                 mayHaveRun = true
@@ -135,7 +135,7 @@
         if (attempts.any { it.isRunning }) return true
         val hasEnoughTime = deadlines.remaining(context.now()) > MINIMUM_ATTEMPT_TIME
         val runCount = attempts.count { it.mayHaveRun }
-        if (!hasEnoughTime || attempts.size >= MAXIMUM_ATTEMPTS || runCount >= route.maximumAttempts) return false
+        if (!hasEnoughTime || attempts.size >= MAXIMUM_ATTEMPTS || runCount >= route.maximumRuns) return false
         if (!isExemptFromBudget && !context.retryBudget.tryAcquire(destination.service, context.now())) return false
         startAttempt()
         return true
@@ -149,7 +149,7 @@
             deliver(failure)
             return
         }
-        val reportedReason = if (mayHaveRun && reason.notRun) RefusalReason.ANSWER_LOST else reason
+        val reportedReason = if (mayHaveRun && reason.isNotRun) RefusalReason.ANSWER_LOST else reason
         refuse(reportedReason)
     }
 
@@ -161,9 +161,9 @@
 
     private fun refuse(reason: RefusalReason) {
         val remaining = deadlines.remaining(context.now())
-        val returnAfter = if (reason.notRun) context.returnDelay(minimumReturnDelay(), remaining) else null
+        val retryAfter = if (reason.isNotRun) context.returnDelay(minimumReturnDelay(), remaining) else null
         finish("refused: $reason")
-        reply.refuse(Refusal(reason, returnAfter))
+        reply.refuse(Refusal(reason, retryAfter))
     }
 
     private fun minimumReturnDelay(): Duration {
@@ -173,9 +173,9 @@
 
     private fun deliver(answer: CompleteAnswer) {
         finish("answered ${answer.head.status}")
-        reply.begin(answer.head, answer.body.size)
-        if (answer.body.isNotEmpty()) reply.content(answer.body)
-        reply.end()
+        reply.sendHead(answer.head, answer.body.size)
+        if (answer.body.isNotEmpty()) reply.sendContent(answer.body)
+        reply.finish()
     }
 
     private fun finish(outcome: String) {
@@ -216,7 +216,7 @@
         override fun onEnd() {
             val answer = CompleteAnswer(checkNotNull(head), body.takeBytes())
             markEnded()
-            if (answer.head.notRun) mayHaveRun = false
+            if (answer.head.isDeclined) mayHaveRun = false
             if (!isFinished) onAnswered(this, answer)
         }
 
--- a/core/src/main/kotlin/org/lovageladder/core/forward/PrefillStep.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/PrefillStep.kt
@@ -27,8 +27,8 @@
 
     /** Begins the prefill. */
     fun start() {
-        val member = chooseEngine()
-        if (member == null || !mayPrefill()) onResult(null) else startPrefill(member)
+        val upstream = chooseEngine()
+        if (upstream == null || !mayPrefill()) onResult(null) else startPrefill(upstream)
     }
 
     /** Cancels a prefill in progress. */
@@ -48,21 +48,21 @@
     /** The first prefill of a prompt belongs to the request itself; each further one is a retry. */
     private fun mayPrefill() = !isPrefilled || context.retryBudget.tryAcquire(destination.service, context.now())
 
-    private fun startPrefill(member: UpstreamRegistration) {
-        val health = context.upstreamSelector.health(member.name)
+    private fun startPrefill(upstream: UpstreamRegistration) {
+        val health = context.upstreamSelector.health(upstream.name)
         health.inFlight += 1
-        engine = member.name
+        engine = upstream.name
         val detail = "prefill of ${destination.route.name}"
-        context.record(EventKind.REQUEST_SENT, request.id, member.name, detail = detail)
+        context.record(EventKind.REQUEST_SENT, request.id, upstream.name, detail = detail)
         val sentAt = context.now()
         val timeout = minOf(RequestDeadlines(request, destination.route).remaining(sentAt), estimates.prefillTimeout)
         call =
-            context.calls.prefill(request, UpstreamAttempt(member.start, timeout)) { answer ->
+            context.upstreamPort.prefill(request, UpstreamAttempt(upstream.incarnation, timeout)) { answer ->
                 call = null
                 engine = null
                 health.inFlight -= 1
                 if (answer is EngineAnswer.Done) recordCost(context.now() - sentAt)
-                onAnswer(member, answer)
+                onAnswer(upstream, answer)
             }
     }
 
@@ -70,23 +70,28 @@
         request.generation?.let { estimates.rolePlan.recordPrefill(duration, it.promptTokens) }
     }
 
-    private fun onAnswer(member: UpstreamRegistration, answer: EngineAnswer<PrefillResult>) {
+    private fun onAnswer(upstream: UpstreamRegistration, answer: EngineAnswer<PrefillResult>) {
         when (answer) {
             is EngineAnswer.Done -> {
-                context.upstreamSelector.health(member.name).recordSuccess()
+                context.upstreamSelector.health(upstream.name).recordSuccess()
                 isPrefilled = true
                 onResult(answer.value)
             }
             is EngineAnswer.Refused -> {
-                if (answer.wrongInstance) context.removeReplaced(member.name, request.id)
-                context.upstreamSelector.health(member.name).recordDecline(context.now())
-                avoidedEngines += member.name
-                context.record(EventKind.REQUEST_DECLINED, request.id, member.name, detail = "prefill ${answer.status}")
+                if (answer.isWrongInstance) context.removeReplaced(upstream.name, request.id)
+                context.upstreamSelector.health(upstream.name).recordDecline(context.now())
+                avoidedEngines += upstream.name
+                context.record(
+                    EventKind.REQUEST_DECLINED,
+                    request.id,
+                    upstream.name,
+                    detail = "prefill ${answer.status}",
+                )
                 continueAfterFailure(reachedEngine = true)
             }
             is EngineAnswer.Failed -> {
-                avoidedEngines += member.name
-                context.recordFailure(member.name, request.id, "prefill", answer.failure)
+                avoidedEngines += upstream.name
+                context.recordFailure(upstream.name, request.id, "prefill", answer.failure)
                 continueAfterFailure(reachedEngine = answer.failure.sent)
             }
         }
--- a/core/src/main/kotlin/org/lovageladder/core/forward/RegistryFollower.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/RegistryFollower.kt
@@ -6,13 +6,13 @@
 
 /**
  * Result of a full read of the registry, as of [revision] or later. [configuration] is null when none is stored.
- * [others] are the facts that entries wrote.
+ * [otherChanges] are the facts that entries wrote.
  */
 public data class RegistrySnapshot(
     val revision: Long,
     val configuration: ForwardConfiguration?,
-    val members: List<UpstreamRegistration>,
-    val others: List<RegistryChange> = emptyList(),
+    val registrations: List<UpstreamRegistration>,
+    val otherChanges: List<RegistryChange> = emptyList(),
 )
 
 /** Outcome of a full read of the registry. */
@@ -48,17 +48,17 @@
     /** Reads everything. */
     public fun read(answer: (RegistryRead) -> Unit)
 
-    /** Waits up to [wait] for changes after [revision]. */
-    public fun watch(revision: Long, wait: Duration, answer: (RegistryWatch) -> Unit)
+    /** Waits up to [timeout] for changes after [revision]. */
+    public fun watch(revision: Long, timeout: Duration, answer: (RegistryWatch) -> Unit)
 }
 
 /** Receives what a [RegistryFollower] finds, in order. */
 public interface RegistryListener {
     /** A configuration was read. */
-    public fun configured(configuration: ForwardConfiguration)
+    public fun onConfiguration(configuration: ForwardConfiguration)
 
     /** A registration changed, or the registry became available or unavailable. */
-    public fun changed(change: RegistryChange)
+    public fun onChange(change: RegistryChange)
 }
 
 /**
@@ -84,14 +84,14 @@
             when (read) {
                 is RegistryRead.Complete -> {
                     onAnswer()
-                    read.snapshot.configuration?.let(listener::configured)
-                    listener.changed(RegistryChange.FullRead(read.snapshot.members))
-                    read.snapshot.others.forEach(listener::changed)
+                    read.snapshot.configuration?.let(listener::onConfiguration)
+                    listener.onChange(RegistryChange.FullRead(read.snapshot.registrations))
+                    read.snapshot.otherChanges.forEach(listener::onChange)
                     watchFrom(read.snapshot.revision)
                 }
                 is RegistryRead.Failed -> {
                     onFailure()
-                    scheduler.after(retryDelay()) { readAll() }
+                    scheduler.schedule(retryDelay()) { readAll() }
                 }
             }
         }
@@ -102,10 +102,10 @@
             when (watch) {
                 is RegistryWatch.Changed -> {
                     onAnswer()
-                    watch.configurations.forEach(listener::configured)
-                    watch.changes.forEach(listener::changed)
+                    watch.configurations.forEach(listener::onConfiguration)
+                    watch.changes.forEach(listener::onChange)
                     val batchingDelay = if (watch.changes.isEmpty()) Duration.ZERO else BATCHING_DELAY
-                    scheduler.after(batchingDelay) { watchFrom(maxOf(revision, watch.revision)) }
+                    scheduler.schedule(batchingDelay) { watchFrom(maxOf(revision, watch.revision)) }
                 }
                 RegistryWatch.HistoryExpired -> {
                     onAnswer()
@@ -113,7 +113,7 @@
                 }
                 is RegistryWatch.Failed -> {
                     onFailure()
-                    scheduler.after(retryDelay()) { readAll() }
+                    scheduler.schedule(retryDelay()) { readAll() }
                 }
             }
         }
@@ -123,14 +123,14 @@
         consecutiveFailures = 0
         if (!isUnavailable) return
         isUnavailable = false
-        listener.changed(RegistryChange.Available)
+        listener.onChange(RegistryChange.Available)
     }
 
     private fun onFailure() {
         consecutiveFailures += 1
         if (isUnavailable) return
         isUnavailable = true
-        listener.changed(RegistryChange.Unavailable)
+        listener.onChange(RegistryChange.Unavailable)
     }
 
     private fun retryDelay(): Duration =
--- a/core/src/main/kotlin/org/lovageladder/core/forward/RetryBudget.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/RetryBudget.kt
@@ -5,10 +5,10 @@
 import kotlin.time.Duration
 
 /**
- * Limits on the retries sent to one service in a [window]: [ratio] retries for each request, plus an [allowance] for
- * all entries together.
+ * Limits on the retries sent to one service in a [window]: [retriesPerRequest] retries for each request, plus
+ * [sharedRetriesPerWindow] retries for all entries together.
  */
-public data class RetryLimits(val ratio: Double, val allowance: Double, val window: Duration)
+public data class RetryLimits(val retriesPerRequest: Double, val sharedRetriesPerWindow: Double, val window: Duration)
 
 /**
  * Token bucket that bounds the retries and hedges which this process sends to each service. In any window they stay
@@ -29,7 +29,7 @@
     /** Records a request of a caller for [service]. */
     public fun recordRequest(service: ServiceName, now: Moment) {
         val bucket = refilled(service, now)
-        bucket.tokens = (bucket.tokens + limits.ratio).coerceAtMost(capacity())
+        bucket.tokens = (bucket.tokens + limits.retriesPerRequest).coerceAtMost(capacity())
     }
 
     /** Takes one retry or hedge out of the budget. Returns false when the budget is exhausted. */
@@ -50,5 +50,5 @@
 
     private fun capacity() = halfOfShare().coerceAtLeast(1.0)
 
-    private fun halfOfShare() = limits.allowance / entryCount() / 2
+    private fun halfOfShare() = limits.sharedRetriesPerWindow / entryCount() / 2
 }
--- a/core/src/main/kotlin/org/lovageladder/core/forward/RoleController.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/RoleController.kt
@@ -14,8 +14,8 @@
     /** The engine carries out the order, or did so before. */
     public data object Accepted : OrderResult
 
-    /** The engine refused. [outdated] is set when it knows a higher fencing number. */
-    public data class Refused(val status: Int, val outdated: Boolean) : OrderResult
+    /** The engine refused. [isFenced] is set when it knows a higher fencing number. */
+    public data class Refused(val status: Int, val isFenced: Boolean) : OrderResult
 
     /** No answer; the engine may carry out the order, possibly later. */
     public data class Unknown(val detail: String) : OrderResult
@@ -23,14 +23,19 @@
 
 /** Port for role changes of engines. */
 public interface RoleOrderPort {
-    /** Announces to all entries that [engine] changes its role, until [withdraw] or the end of [lease]. */
-    public fun announce(engine: UpstreamName, lease: LeaderLease, answer: (Boolean) -> Unit)
+    /** Announces to all entries that [engine] changes its role, until [withdrawAnnouncement] or the end of [lease]. */
+    public fun announceRoleChange(engine: UpstreamName, lease: LeaderLease, answer: (Boolean) -> Unit)
 
     /** Withdraws the announcement about [engine]. */
-    public fun withdraw(engine: UpstreamName)
-
-    /** Orders [engine] to change to [role]. It refuses if it has seen a fencing number above [fencing]. */
-    public fun order(engine: UpstreamRegistration, role: PoolRole, fencing: Long, answer: (OrderResult) -> Unit)
+    public fun withdrawAnnouncement(engine: UpstreamName)
+
+    /** Orders [engine] to change to [role]. It refuses if it has seen a fencing number above [fencingNumber]. */
+    public fun orderRole(
+        engine: UpstreamRegistration,
+        role: PoolRole,
+        fencingNumber: Long,
+        answer: (OrderResult) -> Unit,
+    )
 }
 
 /**
@@ -42,8 +47,8 @@
  */
 internal class RoleController(
     private val context: ForwardContext,
-    private val leadership: LeaderElection,
-    private val orders: RoleOrderPort,
+    private val leaderElection: LeaderElection,
+    private val roleOrderPort: RoleOrderPort,
 ) {
     /** A change to [role] that has been needed since [since]. */
     private data class ChangeNeed(val role: PoolRole, val since: Moment)
@@ -63,31 +68,31 @@
     ) {
         val now = context.now()
         removeCompleted(now)
-        val lease = leadership.activeLease ?: return
-        val members = context.membership.registered(service, now).filter { isEligible(it, now) }
-        val change = nextChange(plan, members, work)
+        val lease = leaderElection.activeLease ?: return
+        val upstreams = context.membership.registered(service, now).filter { isEligible(it, now) }
+        val change = nextChange(plan, upstreams, work)
         if (change == null) changeNeeds.remove(service)
         if (change == null || !hasPersisted(service, change.role, plan, now)) return
         changeNeeds.remove(service)
         val name = change.engine.name
         pendingChanges[name] =
-            PendingChange(change.role, now + ANNOUNCEMENT_TIME + engine.roleChangeTime + LATE_ORDER_TIME)
+            PendingChange(change.role, now + ANNOUNCEMENT_TIME + engine.roleChangeDuration + LATE_ORDER_TIME)
         context.record(
             EventKind.ROLE_CHANGE_BEGUN,
             upstream = name,
-            detail = "role=${change.role} lease=${lease.fencing}",
+            detail = "role=${change.role} lease=${lease.fencingNumber}",
         )
-        orders.announce(name, lease) { isAnnounced ->
+        roleOrderPort.announceRoleChange(name, lease) { isAnnounced ->
             if (isAnnounced) scheduleOrder(change, lease) else rejectChange(name, "announcement failed")
         }
     }
 
-    private fun isEligible(member: UpstreamRegistration, now: Moment): Boolean = member.role != PoolRole.PLAIN &&
-        context.notices.admits(member.start, now) &&
-        !context.notices.isLeaving(member.start)
+    private fun isEligible(upstream: UpstreamRegistration, now: Moment): Boolean = upstream.role != PoolRole.PLAIN &&
+        context.notices.admits(upstream.incarnation, now) &&
+        !context.notices.isLeaving(upstream.incarnation)
 
     private fun scheduleOrder(change: RoleChange, lease: LeaderLease) {
-        context.scheduler.after(ANNOUNCEMENT_TIME) { giveOrder(change, lease) }
+        context.scheduler.schedule(ANNOUNCEMENT_TIME) { giveOrder(change, lease) }
     }
 
     /**
@@ -96,11 +101,11 @@
      */
     private fun nextChange(
         plan: RolePlan,
-        members: List<UpstreamRegistration>,
+        upstreams: List<UpstreamRegistration>,
         work: (UpstreamRegistration) -> Int,
     ): RoleChange? {
-        val withPendingRoles = members.map { member ->
-            pendingChanges[member.name]?.let { member.copy(role = it.role) } ?: member
+        val withPendingRoles = upstreams.map { upstream ->
+            pendingChanges[upstream.name]?.let { upstream.copy(role = it.role) } ?: upstream
         }
         val change =
             plan.nextChange(withPendingRoles) { if (it.name in pendingChanges) Int.MAX_VALUE else work(it) }
@@ -119,12 +124,18 @@
 
     private fun giveOrder(change: RoleChange, lease: LeaderLease) {
         val name = change.engine.name
-        if (leadership.activeLease != lease) {
+        if (leaderElection.activeLease != lease) {
             rejectChange(name, "leadership was lost")
             return
         }
-        context.record(EventKind.ROLE_ORDERED, upstream = name, detail = "role=${change.role} fencing=${lease.fencing}")
-        orders.order(change.engine, change.role, lease.fencing) { answer -> onOrderAnswer(name, change.role, answer) }
+        context.record(
+            EventKind.ROLE_ORDERED,
+            upstream = name,
+            detail = "role=${change.role} fencing=${lease.fencingNumber}",
+        )
+        roleOrderPort.orderRole(change.engine, change.role, lease.fencingNumber) { answer ->
+            onOrderAnswer(name, change.role, answer)
+        }
     }
 
     private fun onOrderAnswer(engine: UpstreamName, role: PoolRole, answer: OrderResult) {
@@ -133,7 +144,7 @@
                 context.record(EventKind.ORDER_GIVEN, upstream = engine, detail = "role=$role accepted")
             is OrderResult.Refused -> {
                 rejectChange(engine, "role=$role status ${answer.status}")
-                if (answer.outdated) leadership.resign()
+                if (answer.isFenced) leaderElection.resign()
             }
             is OrderResult.Unknown ->
                 context.record(
@@ -155,7 +166,7 @@
 
     /** Without leadership the announcement ends with its lease. */
     private fun withdrawAnnouncement(engine: UpstreamName) {
-        if (leadership.activeLease != null) orders.withdraw(engine)
+        if (leaderElection.activeLease != null) roleOrderPort.withdrawAnnouncement(engine)
     }
 
     private fun removeCompleted(now: Moment) {
@@ -172,8 +183,8 @@
 
     /** Whether the registry shows engine [name] with [role], or no longer has it. */
     private fun isRoleRegistered(name: UpstreamName, role: PoolRole): Boolean {
-        val member = context.membership[name]
-        return member == null || member.role == role
+        val upstream = context.membership[name]
+        return upstream == null || upstream.role == role
     }
 
     private companion object {
--- a/core/src/main/kotlin/org/lovageladder/core/forward/RolePlan.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/RolePlan.kt
@@ -52,13 +52,13 @@
     }
 
     /**
-     * The next role change among [members], or null when none is needed. Because a change takes an engine out of
+     * The next role change among [upstreams], or null when none is needed. Because a change takes an engine out of
      * service for a while, a pool has to be too large by at least one engine; the engine with the least work in it is
      * changed.
      */
-    fun nextChange(members: List<UpstreamRegistration>, work: (UpstreamRegistration) -> Int): RoleChange? {
-        val wanted = wantedPrefillEngines(members.size) ?: return null
-        val (prefill, decode) = members.partition { it.role == PoolRole.PREFILL }
+    fun nextChange(upstreams: List<UpstreamRegistration>, work: (UpstreamRegistration) -> Int): RoleChange? {
+        val wanted = wantedPrefillEngines(upstreams.size) ?: return null
+        val (prefill, decode) = upstreams.partition { it.role == PoolRole.PREFILL }
         return when {
             prefill.size - wanted >= MINIMUM_EXCESS_ENGINES -> RoleChange(prefill.minBy(work), PoolRole.DECODE)
             wanted - prefill.size >= MINIMUM_EXCESS_ENGINES && decode.size > 1 ->
--- a/core/src/main/kotlin/org/lovageladder/core/forward/StreamEstimates.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/StreamEstimates.kt
@@ -30,15 +30,16 @@
 
     /** Records that a stream of [route] for [generation] ended normally after [events] events. */
     fun recordEnd(route: Route, generation: Generation?, events: Int) {
-        val estimate = generation?.expectedOutputTokens ?: return
+        val estimate = generation?.estimatedOutputTokens ?: return
         forecastOf(route).recordOutput(estimate, events)
     }
 
     /** Tokens of memory to reserve for a generation of [route]: its prompt and its output with a margin. */
     fun requiredTokens(route: Route, generation: Generation?, engine: EngineConfiguration?): Int {
         if (generation == null) return TOKENS_WITHOUT_GENERATION
-        val output = generation.expectedOutputTokens?.let { forecastTokens(route, it) } ?: generation.outputBound
-        val totalTokens = generation.promptTokens + output.coerceIn(1, generation.outputBound.coerceAtLeast(1))
+        val output =
+            generation.estimatedOutputTokens?.let { forecastTokens(route, it) } ?: generation.maximumOutputTokens
+        val totalTokens = generation.promptTokens + output.coerceIn(1, generation.maximumOutputTokens.coerceAtLeast(1))
         return totalTokens.coerceAtMost(engine?.memoryTokens ?: totalTokens)
     }
 
--- a/core/src/main/kotlin/org/lovageladder/core/forward/StreamFlow.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/StreamFlow.kt
@@ -23,7 +23,7 @@
 ) : ForwardFlow {
     private val route = destination.route
     private val deadlines = RequestDeadlines(request, route)
-    private val eventSplitter = if (route.resumable) StreamEventSplitter() else null
+    private val eventSplitter = if (route.isResumable) StreamEventSplitter() else null
     private val avoidedEngines = HashSet<UpstreamName>()
     private var timeoutTimer: Cancellable? = null
     private var memoryRequest: MemoryRequest? = null
@@ -36,14 +36,14 @@
         }
     private val summary = StreamSummary(request, deadlines, destination.route)
     private var silenceTimer: Cancellable? = null
-    private var lastEventId: Long? = request.resumeAfter
+    private var lastEventId: Long? = request.resumeAfterEventId
     private var runCount = 0
     private var attemptCount = 0
     private var headSent = false
     private var isFinished = false
 
     override fun start() {
-        timeoutTimer = context.scheduler.after(deadlines.remaining(context.now())) { onTimeout() }
+        timeoutTimer = context.scheduler.schedule(deadlines.remaining(context.now())) { onTimeout() }
         val isUnderPressure = memoryQueue.isUnderMemoryPressure()
         if (isTooLate(isUnderPressure) && isUnderPressure) {
             refuseOrAbort(RefusalReason.OVERLOADED)
@@ -57,12 +57,12 @@
      * rest of a stream is never too late.
      */
     private fun isTooLate(isUnderPressure: Boolean): Boolean {
-        val wait = request.wait ?: return false
-        if (request.resumeAfter != null || !context.isEnabled(Mechanism.LATE_REFUSAL)) return false
+        val callerTimeout = request.callerTimeout ?: return false
+        if (request.resumeAfterEventId != null || !context.isEnabled(Mechanism.LATE_REFUSAL)) return false
         val elapsedTime = estimates.elapsedTimeOf(route)
         if (isUnderPressure) elapsedTime.recordRefusal(context.now())
-        elapsedTime.recordArrival(wait, context.now())
-        return elapsedTime.minimumElapsed(wait) > route.target - estimates.startupTime
+        elapsedTime.recordArrival(callerTimeout, context.now())
+        return elapsedTime.minimumElapsed(callerTimeout) > route.latencyTarget - estimates.startupTime
     }
 
     override fun onCallerDisconnected() {
@@ -108,7 +108,7 @@
     private fun startDecode() {
         val memory = checkNotNull(grant)
         val name = memory.engine.name
-        if (!context.notices.admitsReserved(memory.engine.start, context.now())) {
+        if (!context.notices.admitsReserved(memory.engine.incarnation, context.now())) {
             replacePausedEngine(memory)
             return
         }
@@ -116,16 +116,16 @@
         runCount += 1
         context.upstreamSelector.health(name).inFlight += 1
         context.record(EventKind.REQUEST_SENT, request.id, name, detail = "decode of ${route.name} after=$lastEventId")
-        val sending =
+        val attempt =
             UpstreamAttempt(
-                upstream = memory.engine.start,
+                upstream = memory.engine.incarnation,
                 timeout = deadlines.remaining(context.now()),
-                prefill = prefillResult,
+                prefillResult = prefillResult,
                 reservation = memory.reservation,
-                resumeAfter = lastEventId,
+                resumeAfterEventId = lastEventId,
             )
         summary.recordDecodeStart(context.now())
-        decodeCall = context.calls.send(request, sending, DecodeReceiver(name))
+        decodeCall = context.upstreamPort.send(request, attempt, DecodeReceiver(name))
         restartSilenceTimer()
     }
 
@@ -144,7 +144,7 @@
     private fun restartSilenceTimer() {
         silenceTimer?.cancel()
         if (!mayResume() || !context.isEnabled(Mechanism.SILENCE_WATCH)) return
-        silenceTimer = context.scheduler.after(SILENCE_TIMEOUT) { onSilence() }
+        silenceTimer = context.scheduler.schedule(SILENCE_TIMEOUT) { onSilence() }
     }
 
     private fun onSilence() {
@@ -181,14 +181,14 @@
 
     private fun onHead(upstream: UpstreamName, head: AnswerHead) {
         head.load?.let { context.upstreamSelector.health(upstream).recordLoad(it, context.now()) }
-        if (!head.genuine) {
+        if (!head.isGenuine) {
             cancelFailedDecode(UNPROVEN_SUCCESS)
             return
         }
-        if (head.notRun || headSent) return
+        if (head.isDeclined || headSent) return
         if (!head.isSuccess && head.status >= LOWEST_SERVER_ERROR_STATUS && mayResume()) return
         headSent = true
-        reply.begin(head, length = null)
+        reply.sendHead(head, length = null)
     }
 
     private fun onContent(bytes: ByteArray) {
@@ -196,7 +196,7 @@
         restartSilenceTimer()
         val splitter = eventSplitter
         if (splitter == null) {
-            reply.content(bytes)
+            reply.sendContent(bytes)
             return
         }
         val events = splitter.append(bytes)
@@ -206,14 +206,14 @@
         }
         if (events == null) return
         events.lastEventId?.let { lastEventId = it }
-        reply.content(events.bytes)
+        reply.sendContent(events.bytes)
     }
 
     private fun onDeclined(upstream: UpstreamName, head: AnswerHead) {
         runCount -= 1
         avoidedEngines += upstream
         context.upstreamSelector.health(upstream).recordDecline(context.now())
-        if (head.wrongInstance) context.removeReplaced(upstream, request.id)
+        if (head.isWrongInstance) context.removeReplaced(upstream, request.id)
         context.record(EventKind.REQUEST_DECLINED, request.id, upstream, detail = "decode ${head.status}")
         if (attemptCount < MAXIMUM_ATTEMPTS && context.retryBudget.tryAcquire(destination.service, context.now())) {
             requestMemory()
@@ -235,15 +235,15 @@
     }
 
     private fun mayResume() =
-        route.resumable && runCount < route.maximumAttempts && context.isEnabled(Mechanism.RESUMPTION)
+        route.isResumable && runCount < route.maximumRuns && context.isEnabled(Mechanism.RESUMPTION)
 
     private fun onCompleted(upstream: UpstreamName) {
         context.upstreamSelector.health(upstream).recordSuccess()
         recordDecodeCost()
-        if (request.resumeAfter == null) estimates.recordEnd(route, request.generation, summary.events)
-        eventSplitter?.remainder()?.takeIf { it.isNotEmpty() }?.let(reply::content)
+        if (request.resumeAfterEventId == null) estimates.recordEnd(route, request.generation, summary.events)
+        eventSplitter?.remainder()?.takeIf { it.isNotEmpty() }?.let(reply::sendContent)
         finish("answered")
-        reply.end()
+        reply.finish()
     }
 
     /**
@@ -252,11 +252,11 @@
      */
     private fun recordDecodeCost() {
         val startedAt = summary.decodeStartedAt ?: return
-        val traits = destination.engine ?: return
+        val engineConfiguration = destination.engine ?: return
         val tokens = summary.requestedTokens
         val engineShare = maxOf(
-            1.0 / traits.slots.coerceAtLeast(1),
-            tokens.toDouble() / traits.memoryTokens.coerceAtLeast(1),
+            1.0 / engineConfiguration.slots.coerceAtLeast(1),
+            tokens.toDouble() / engineConfiguration.memoryTokens.coerceAtLeast(1),
         )
         estimates.rolePlan.recordDecode(context.now() - startedAt, engineShare)
     }
@@ -269,11 +269,11 @@
             return
         }
         estimates.elapsedTimeOf(route).recordRefusal(context.now())
-        val reportedReason = if (runCount > 0 && reason.notRun) RefusalReason.ANSWER_LOST else reason
+        val reportedReason = if (runCount > 0 && reason.isNotRun) RefusalReason.ANSWER_LOST else reason
         val remaining = deadlines.remaining(context.now())
-        val returnAfter = if (reportedReason.notRun) context.returnDelay(minimumReturnDelay(), remaining) else null
+        val retryAfter = if (reportedReason.isNotRun) context.returnDelay(minimumReturnDelay(), remaining) else null
         finish("refused: $reportedReason")
-        reply.refuse(Refusal(reportedReason, returnAfter))
+        reply.refuse(Refusal(reportedReason, retryAfter))
     }
 
     /**
@@ -319,7 +319,7 @@
         decodeCall = null
         if (!isUsed) {
             context.release(memory.engine, memory.reservation)
-            prefillResult?.let(context.calls::free)
+            prefillResult?.let(context.upstreamPort::freePrefillResult)
         }
         prefillResult = null
         memoryQueue.onFreed(memory)
@@ -340,7 +340,7 @@
         override fun onEnd() {
             if (isFinished) return
             val answered = checkNotNull(head)
-            if (answered.notRun) {
+            if (answered.isDeclined) {
                 releaseMemory(isUsed = false)
                 onDeclined(upstream, answered)
             } else if (isPassedOn()) {
@@ -359,7 +359,7 @@
 
         private fun isPassedOn(): Boolean {
             val answered = head ?: return false
-            return headSent && !answered.notRun && (answered.isSuccess || runCount == 1)
+            return headSent && !answered.isDeclined && (answered.isSuccess || runCount == 1)
         }
     }
 
--- a/core/src/main/kotlin/org/lovageladder/core/forward/StreamSummary.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/StreamSummary.kt
@@ -63,9 +63,9 @@
         val memory = memoryAtFirstRequest
         return "$outcome route=${route.name} sendings=$attempts first=${milliseconds(firstBytesAt)}ms " +
             "took=${milliseconds(now)}ms waited=${(waitedForMemory + currentWait(now)).inWholeMilliseconds}ms " +
-            "wait=${request.wait?.inWholeMilliseconds}ms prompt=${generation?.promptTokens} " +
-            "bound=${generation?.outputBound} expected=${generation?.expectedOutputTokens} reserved=$requestedTokens " +
-            "events=$events held=${memory?.heldTokens} waiting=${memory?.waitingRequests} full=${memory?.fullEngines}"
+            "wait=${request.callerTimeout?.inWholeMilliseconds}ms prompt=${generation?.promptTokens} " +
+            "bound=${generation?.maximumOutputTokens} expected=${generation?.estimatedOutputTokens} " +
+            "reserved=$requestedTokens events=$events held=${memory?.heldTokens} waiting=${memory?.waitingRequests} full=${memory?.fullEngines}"
     }
 
     private fun currentWait(now: Moment): Duration = requestedAt?.let { now - it } ?: Duration.ZERO
--- a/core/src/main/kotlin/org/lovageladder/core/forward/UpstreamNotices.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/UpstreamNotices.kt
@@ -8,25 +8,25 @@
 import kotlin.time.Duration.Companion.minutes
 
 /**
- * One start of the upstream [name], which listens at [address]. [startedAt], the wall-clock time of the start in
+ * One incarnation of the upstream [name], which listens at [address]. [startedAt], the wall-clock time of the start in
  * milliseconds, distinguishes starts under the same name where upstreams report it.
  */
 public data class UpstreamIncarnation(val name: UpstreamName, val address: Address, val startedAt: Long? = null)
 
 /**
- * What an answer says about the requests that its upstream accepts: none any more when it is [leaving], and none for
- * the time of [pause]. [unreadable] describes the part that could not be read.
+ * What an answer says about the requests that its upstream accepts: none any more when it is [isLeaving], and none for
+ * the time of [pause]. [unreadablePart] describes the part that could not be read.
  */
 public data class UpstreamNotice(
-    val leaving: Boolean = false,
+    val isLeaving: Boolean = false,
     val pause: Duration? = null,
-    val unreadable: String? = null,
+    val unreadablePart: String? = null,
 )
 
 /**
- * Upstreams that asked in their answers for no more requests or for a pause. Both apply to one start of an upstream,
- * whatever the registry says, because its registration may lag or expire. A leaving upstream is a last resort within
- * half of [drainBound] and gets nothing after that; a paused one gets nothing at all. Confined to one thread.
+ * Upstreams that asked in their answers for no more requests or for a pause. Both apply to one incarnation of an
+ * upstream, whatever the registry says, because its registration may lag or expire. A leaving upstream is a last resort
+ * within half of [drainBound] and gets nothing after that; a paused one gets nothing at all. Confined to one thread.
  */
 internal class UpstreamNotices(private val drainBound: Duration) {
     private class Pause(val since: Moment, val until: Moment)
@@ -35,10 +35,10 @@
     private val pauses = HashMap<UpstreamIncarnation, Pause>()
     private val unreadableLoggedAt = HashMap<UpstreamName, Moment>()
 
-    /** Records [notice] of [start]. Returns whether it says something new. */
-    fun recordNotice(start: UpstreamIncarnation, notice: UpstreamNotice, now: Moment): Boolean {
-        val isNewlyLeaving = notice.leaving && leavingSince.putIfAbsent(start, now) == null
-        val isNewPause = notice.pause?.let { startPause(start, it, now) } ?: false
+    /** Records [notice] of [incarnation]. Returns whether it says something new. */
+    fun recordNotice(incarnation: UpstreamIncarnation, notice: UpstreamNotice, now: Moment): Boolean {
+        val isNewlyLeaving = notice.isLeaving && leavingSince.putIfAbsent(incarnation, now) == null
+        val isNewPause = notice.pause?.let { startPause(incarnation, it, now) } ?: false
         return isNewlyLeaving || isNewPause
     }
 
@@ -53,38 +53,41 @@
         return true
     }
 
-    /** Whether [start] may get a new request at [now]. */
-    fun admits(start: UpstreamIncarnation, now: Moment): Boolean {
-        if (pausedUntil(start, now) != null) return false
-        val since = leavingSince[start] ?: return true
+    /** Whether [incarnation] may get a new request at [now]. */
+    fun admits(incarnation: UpstreamIncarnation, now: Moment): Boolean {
+        if (pausedUntil(incarnation, now) != null) return false
+        val since = leavingSince[incarnation] ?: return true
         return now - since < drainBound / 2
     }
 
-    /** Whether [start] may get a request at [now] for which it has already reserved memory. */
-    fun admitsReserved(start: UpstreamIncarnation, now: Moment): Boolean {
-        val pause = pauses[start] ?: return true
+    /** Whether [incarnation] may get a request at [now] for which it has already reserved memory. */
+    fun admitsReserved(incarnation: UpstreamIncarnation, now: Moment): Boolean {
+        val pause = pauses[incarnation] ?: return true
         return now >= pause.until || now - pause.since < IN_FLIGHT_TOLERANCE
     }
 
-    /** Whether [start] announced that it is leaving. */
-    fun isLeaving(start: UpstreamIncarnation): Boolean = start in leavingSince
+    /** Whether [incarnation] announced that it is leaving. */
+    fun isLeaving(incarnation: UpstreamIncarnation): Boolean = incarnation in leavingSince
 
-    /** When the pause of [start] ends; null when it is not paused. */
-    fun pausedUntil(start: UpstreamIncarnation, now: Moment): Moment? = pauses[start]?.until?.takeIf { it > now }
+    /** When the pause of [incarnation] ends; null when it is not paused. */
+    fun pausedUntil(incarnation: UpstreamIncarnation, now: Moment): Moment? = pauses[incarnation]?.until?.takeIf {
+        it >
+            now
+    }
 
     /** Removes expired notices, and those of upstreams for which [isRegistered] does not hold any more. */
     fun removeExpired(now: Moment, isRegistered: (UpstreamName) -> Boolean) {
         pauses.values.removeIf { it.until <= now }
-        leavingSince.entries.removeIf { (start, since) ->
-            now - since > UNREGISTERED_TIMEOUT && !isRegistered(start.name)
+        leavingSince.entries.removeIf { (incarnation, since) ->
+            now - since > UNREGISTERED_TIMEOUT && !isRegistered(incarnation.name)
         }
         unreadableLoggedAt.values.removeIf { now - it > UNREADABLE_LOG_INTERVAL }
     }
 
-    private fun startPause(start: UpstreamIncarnation, length: Duration, now: Moment): Boolean {
-        val current = pauses[start]?.takeIf { it.until > now }
+    private fun startPause(incarnation: UpstreamIncarnation, length: Duration, now: Moment): Boolean {
+        val current = pauses[incarnation]?.takeIf { it.until > now }
         val until = maxOf(now + length.coerceAtMost(MAXIMUM_PAUSE), current?.until ?: now)
-        pauses[start] = Pause(since = current?.since ?: now, until = until)
+        pauses[incarnation] = Pause(since = current?.since ?: now, until = until)
         return current == null
     }
 
--- a/core/src/main/kotlin/org/lovageladder/core/forward/UpstreamSelector.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/UpstreamSelector.kt
@@ -33,21 +33,23 @@
         avoided: Set<UpstreamName> = emptySet(),
         extraCost: (UpstreamRegistration) -> Double = { 0.0 },
     ): List<UpstreamRegistration> {
-        val accepting = membership.serving(service, now).filter { it.role == role && notices.admits(it.start, now) }
-        val members = accepting.filterNot { notices.isLeaving(it.start) }.ifEmpty { accepting }
-        val notEjected = members.filter { Mechanism.EJECTION in disabledMechanisms || health(it.name).admits(now) }
+        val accepting = membership.serving(service, now).filter {
+            it.role == role && notices.admits(it.incarnation, now)
+        }
+        val upstreams = accepting.filterNot { notices.isLeaving(it.incarnation) }.ifEmpty { accepting }
+        val notEjected = upstreams.filter { Mechanism.EJECTION in disabledMechanisms || health(it.name).admits(now) }
         return notEjected
-            .ifEmpty { members }
-            .map { RankedMember(it, it.name in avoided, cost(it, now) + extraCost(it)) }
-            .sortedWith(compareBy(RankedMember::isAvoided, RankedMember::cost))
-            .map(RankedMember::member)
+            .ifEmpty { upstreams }
+            .map { RankedUpstream(it, it.name in avoided, cost(it, now) + extraCost(it)) }
+            .sortedWith(compareBy(RankedUpstream::isAvoided, RankedUpstream::cost))
+            .map(RankedUpstream::upstream)
     }
 
     /** When the first pause requested by an upstream of [service] with [role] ends; null when none is paused. */
     fun earliestPauseEnd(service: ServiceName, role: PoolRole, now: Moment): Moment? = membership
         .serving(service, now)
         .filter { it.role == role }
-        .mapNotNull { notices.pausedUntil(it.start, now) }
+        .mapNotNull { notices.pausedUntil(it.incarnation, now) }
         .minOrNull()
 
     /** Drops the state of upstreams that are not registered any more and have no calls in progress. */
@@ -55,20 +57,26 @@
         health.keys.retainAll { membership[it] != null || health.getValue(it).inFlight > 0 }
     }
 
-    private fun cost(member: UpstreamRegistration, now: Moment): Double {
-        val health = health(member.name)
+    private fun cost(upstream: UpstreamRegistration, now: Moment): Double {
+        val health = health(upstream.name)
         val load = health.load(now).takeUnless { Mechanism.LOAD_REPORTS in disabledMechanisms }
-        val slots = if (member.role == PoolRole.PREFILL) PREFILL_SLOTS else member.slots.coerceAtLeast(1).toDouble()
-        val reportedLoad = load?.let { (it.running + it.waiting) / slots } ?: 0.0
+        val slots = if (upstream.role == PoolRole.PREFILL) PREFILL_SLOTS else upstream.slots.coerceAtLeast(1).toDouble()
+        val reportedLoad = load?.let { (it.runningRequests + it.waitingRequests) / slots } ?: 0.0
         val ownLoad = health.inFlight / slots
         val totalLoad = maxOf(reportedLoad, ownLoad) + ownLoad / OWN_LOAD_DIVISOR
-        val slowdown = load?.slowdown ?: 1.0
-        val placeCost = if (member.place == place || Mechanism.NEARNESS in disabledMechanisms) 0.0 else OTHER_PLACE_COST
-        return (BASE_COST + totalLoad) * slowdown * (1 + FAILURE_COST * health.failureShare) + placeCost +
+        val slowdownFactor = load?.slowdownFactor ?: 1.0
+        val placeCost = if (upstream.place == place ||
+            Mechanism.NEARNESS in disabledMechanisms
+        ) {
+            0.0
+        } else {
+            OTHER_PLACE_COST
+        }
+        return (BASE_COST + totalLoad) * slowdownFactor * (1 + FAILURE_COST * health.failureShare) + placeCost +
             random.nextDouble() * TIE_BREAK_COST
     }
 
-    private data class RankedMember(val member: UpstreamRegistration, val isAvoided: Boolean, val cost: Double)
+    private data class RankedUpstream(val upstream: UpstreamRegistration, val isAvoided: Boolean, val cost: Double)
 
     private companion object {
         /** A prefill engine processes one prompt after the other, whatever its slots. */
--- a/core/src/test/kotlin/org/lovageladder/core/forward/ElapsedTimeEstimatorTest.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/forward/ElapsedTimeEstimatorTest.kt
@@ -70,27 +70,27 @@
     fun lateCallersAreRefusedOnlyUnderMemoryPressure() {
         val fixture = ForwardFixture(memory = 8_000)
         repeat(8) {
-            fixture.submit("/stream/first", wait = 10.seconds)
+            fixture.submit("/stream/first", callerTimeout = 10.seconds)
             fixture.scheduler.advance(150.milliseconds)
             fixture.upstreams.receivedCalls.last().let { call ->
                 call.head(200)
                 fixture.upstreams.finish(call)
             }
         }
-        repeat(4) { fixture.submit("/stream/fill", wait = 10.seconds) }
-        val waitingCaller = fixture.submit("/stream/waits", wait = 10.seconds)
+        repeat(4) { fixture.submit("/stream/fill", callerTimeout = 10.seconds) }
+        val waitingCaller = fixture.submit("/stream/waits", callerTimeout = 10.seconds)
         fixture.scheduler.advance(150.milliseconds)
-        val lateCaller = fixture.submit("/stream/late", wait = 7.seconds)
+        val lateCaller = fixture.submit("/stream/late", callerTimeout = 7.seconds)
         assertEquals(RefusalReason.OVERLOADED, assertNotNull(lateCaller.reply.refusal).reason)
         assertNull(waitingCaller.reply.refusal, "this request can still be served in time")
-        val resumingCaller = fixture.submit("/stream/rest", wait = 7.seconds, resumeAfter = 3)
+        val resumingCaller = fixture.submit("/stream/rest", callerTimeout = 7.seconds, resumeAfterEventId = 3)
         assertNull(resumingCaller.reply.refusal, "this caller has received part of its answer")
         fixture.upstreams.receivedCalls.takeLast(4).forEach { call ->
             call.head(200)
             fixture.upstreams.finish(call)
         }
         fixture.scheduler.advance(800.milliseconds)
-        val lateCallerWithoutPressure = fixture.submit("/stream/late", wait = 7.seconds)
+        val lateCallerWithoutPressure = fixture.submit("/stream/late", callerTimeout = 7.seconds)
         fixture.scheduler.advance(150.milliseconds)
         assertNull(lateCallerWithoutPressure.reply.refusal, "there is free memory")
     }
--- a/core/src/test/kotlin/org/lovageladder/core/forward/EntryCounterTest.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/forward/EntryCounterTest.kt
@@ -22,25 +22,25 @@
         }
 
         override fun renew(lease: Long, answer: (Boolean) -> Unit) {
-            scheduler.after(Duration.ZERO) { answer(isAvailable && lease == this.lease) }
+            scheduler.schedule(Duration.ZERO) { answer(isAvailable && lease == this.lease) }
         }
     }
 
     @Test
     fun missingEntriesCountUntilTheTimeout() {
-        data class Step(val at: Int, val entry: String?, val registered: Boolean, val count: Int)
+        data class Step(val at: Int, val entry: String?, val isRegistered: Boolean, val count: Int)
         val counter = EntryCounter(expectedCount = 8)
         listOf(
-            Step(at = 0, entry = null, registered = false, count = 8),
-            Step(at = 0, entry = "a", registered = true, count = 1),
-            Step(at = 1, entry = "b", registered = true, count = 2),
-            Step(at = 2, entry = "b", registered = false, count = 2),
-            Step(at = 3, entry = "b", registered = true, count = 2),
-            Step(at = 4, entry = "b", registered = false, count = 2),
-            Step(at = 15, entry = null, registered = false, count = 1),
+            Step(at = 0, entry = null, isRegistered = false, count = 8),
+            Step(at = 0, entry = "a", isRegistered = true, count = 1),
+            Step(at = 1, entry = "b", isRegistered = true, count = 2),
+            Step(at = 2, entry = "b", isRegistered = false, count = 2),
+            Step(at = 3, entry = "b", isRegistered = true, count = 2),
+            Step(at = 4, entry = "b", isRegistered = false, count = 2),
+            Step(at = 15, entry = null, isRegistered = false, count = 1),
         ).forEach { step ->
             val now = Moment(0) + step.at.seconds
-            step.entry?.let { counter.recordRegistration(ProcessName(it), step.registered, now) }
+            step.entry?.let { counter.recordRegistration(ProcessName(it), step.isRegistered, now) }
             assertEquals(step.count, counter.count(now), "$step")
         }
     }
@@ -77,12 +77,13 @@
     fun entryEventsAreRecordedOnlyWhenTheCountChanges() {
         val fixture = ForwardFixture()
         fun recordedEvents() = fixture.events.count { it.kind == EventKind.ENTRY_REGISTERED }
-        val entries = List(30) { RegistryChange.EntryRegistrationChanged(ProcessName("entry-$it"), registered = true) }
-        entries.forEach(fixture.forwarder::registryChanged)
+        val entries =
+            List(30) { RegistryChange.EntryRegistrationChanged(ProcessName("entry-$it"), isRegistered = true) }
+        entries.forEach(fixture.forwarder::onRegistryChange)
         val initialCount = recordedEvents()
         repeat(5) {
-            fixture.forwarder.registryChanged(RegistryChange.FullRead(ForwardFixture.MEMBERS))
-            entries.forEach(fixture.forwarder::registryChanged)
+            fixture.forwarder.onRegistryChange(RegistryChange.FullRead(ForwardFixture.REGISTRATIONS))
+            entries.forEach(fixture.forwarder::onRegistryChange)
         }
         assertEquals(initialCount, recordedEvents())
     }
@@ -90,9 +91,17 @@
     /** Load pattern: many entries, each of which could retry most requests. */
     @Test
     fun retriesOfAllEntriesStayWithinTheBudget() {
-        data class Case(val entries: Int, val allowance: Double)
-        listOf(Case(entries = 4, allowance = 52.0), Case(entries = 30, allowance = 100.0)).forEach { case ->
-            val limits = RetryLimits(ratio = 0.2, allowance = case.allowance, window = 10.seconds)
+        data class Case(val entries: Int, val sharedRetriesPerWindow: Double)
+        listOf(
+            Case(entries = 4, sharedRetriesPerWindow = 52.0),
+            Case(entries = 30, sharedRetriesPerWindow = 100.0),
+        ).forEach { case ->
+            val limits =
+                RetryLimits(
+                    retriesPerRequest = 0.2,
+                    sharedRetriesPerWindow = case.sharedRetriesPerWindow,
+                    window = 10.seconds,
+                )
             val budgets = List(case.entries) { RetryBudget(limits) { case.entries } }
             var retries = 0
             (0 until 1_000).forEach { step ->
@@ -103,7 +112,7 @@
                 }
             }
             val requests = case.entries * 50
-            assertTrue(retries <= 0.2 * requests + case.allowance, "$case: $retries")
+            assertTrue(retries <= 0.2 * requests + case.sharedRetriesPerWindow, "$case: $retries")
             assertTrue(retries >= 0.2 * requests, "$case: $retries")
         }
     }
--- a/core/src/test/kotlin/org/lovageladder/core/forward/ForwardFixture.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/forward/ForwardFixture.kt
@@ -24,7 +24,7 @@
 
     override fun now(): Moment = time
 
-    override fun after(delay: Duration, action: () -> Unit): Cancellable {
+    override fun schedule(delay: Duration, action: () -> Unit): Cancellable {
         val entry = ScheduledAction(time + delay, nextOrder++, action)
         scheduled.add(entry)
         return Cancellable { scheduled.remove(entry) }
@@ -45,7 +45,7 @@
 /** A request as an upstream received it; the test sends the answer. */
 internal class ReceivedCall(
     val request: ForwardRequest,
-    val sending: UpstreamAttempt,
+    val attempt: UpstreamAttempt,
     private val receiver: AnswerReceiver,
 ) {
     var isCancelled = false
@@ -55,8 +55,12 @@
         isCancelled = true
     }
 
-    fun head(status: Int, notRun: Boolean = false, wrongInstance: Boolean = false, genuine: Boolean = true) {
-        if (!isCancelled) receiver.onHead(AnswerHead(status, emptyList(), notRun, wrongInstance, load = null, genuine))
+    fun head(status: Int, isDeclined: Boolean = false, isWrongInstance: Boolean = false, isGenuine: Boolean = true) {
+        if (!isCancelled) {
+            receiver.onHead(
+                AnswerHead(status, emptyList(), isDeclined, isWrongInstance, load = null, isGenuine),
+            )
+        }
     }
 
     fun content(text: String) {
@@ -71,8 +75,8 @@
         if (!isCancelled) receiver.onFailure(CallFailure(FaultCause.CONNECTION_LOST, sent, "reset"))
     }
 
-    fun answer(status: Int, body: String = "", notRun: Boolean = false, genuine: Boolean = true) {
-        head(status, notRun, genuine = genuine)
+    fun answer(status: Int, body: String = "", isDeclined: Boolean = false, isGenuine: Boolean = true) {
+        head(status, isDeclined, isGenuine = isGenuine)
         if (body.isNotEmpty()) content(body)
         end()
     }
@@ -97,10 +101,10 @@
 
     val reservations: Int get() = reserved.values.sumOf { it.size }
 
-    override fun send(request: ForwardRequest, sending: UpstreamAttempt, receiver: AnswerReceiver): Cancellable {
-        val call = ReceivedCall(request, sending, receiver)
-        if (sending.address in unreachable) {
-            scheduler.after(1.milliseconds) { call.fail(sent = false) }
+    override fun send(request: ForwardRequest, attempt: UpstreamAttempt, receiver: AnswerReceiver): Cancellable {
+        val call = ReceivedCall(request, attempt, receiver)
+        if (attempt.address in unreachable) {
+            scheduler.schedule(1.milliseconds) { call.fail(sent = false) }
         } else {
             receivedCalls += call
         }
@@ -109,29 +113,29 @@
 
     override fun prefill(
         request: ForwardRequest,
-        sending: UpstreamAttempt,
+        attempt: UpstreamAttempt,
         answer: (EngineAnswer<PrefillResult>) -> Unit,
     ): Cancellable {
-        prefills += sending
-        if (sending.address in prefillRefusals) {
-            return scheduler.after(1.milliseconds) { answer(EngineAnswer.Refused(503, wrongInstance = false)) }
+        prefills += attempt
+        if (attempt.address in prefillRefusals) {
+            return scheduler.schedule(1.milliseconds) { answer(EngineAnswer.Refused(503, isWrongInstance = false)) }
         }
-        return scheduler.after(prefillTime) {
-            answer(EngineAnswer.Done(PrefillResult(sending.upstream, "handle-${nextNumber++}")))
+        return scheduler.schedule(prefillTime) {
+            answer(EngineAnswer.Done(PrefillResult(attempt.upstream, "handle-${nextNumber++}")))
         }
     }
 
     override fun reserve(
         engine: UpstreamIncarnation,
         tokens: Int,
-        keep: Duration,
+        reservationTime: Duration,
         answer: (EngineAnswer<Reservation>) -> Unit,
-    ): Cancellable = scheduler.after(1.milliseconds) {
+    ): Cancellable = scheduler.schedule(1.milliseconds) {
         reservationRequests += 1
         lastReserved = engine
         val reservationsOfEngine = reserved.getOrPut(engine.address) { HashMap() }
         if (reservationsOfEngine.values.sum() + tokens > memory) {
-            answer(EngineAnswer.Refused(503, wrongInstance = false))
+            answer(EngineAnswer.Refused(503, isWrongInstance = false))
         } else {
             val name = "reservation-${nextNumber++}"
             reservationsOfEngine[name] = tokens
@@ -139,18 +143,18 @@
         }
     }
 
-    override fun release(engine: UpstreamIncarnation, reservation: Reservation) {
+    override fun releaseReservation(engine: UpstreamIncarnation, reservation: Reservation) {
         released += engine
-        reserved[engine.address]?.remove(reservation.text)
+        reserved[engine.address]?.remove(reservation.id)
     }
 
-    override fun free(result: PrefillResult) {
+    override fun freePrefillResult(result: PrefillResult) {
         freed += result
     }
 
     /** Ends the answer to [call] and frees its memory. */
     fun finish(call: ReceivedCall) {
-        call.sending.reservation?.let { release(call.sending.upstream, it) }
+        call.attempt.reservation?.let { releaseReservation(call.attempt.upstream, it) }
         call.end()
     }
 }
@@ -169,17 +173,17 @@
 
     val isFinal: Boolean get() = isComplete || isAborted || refusal != null
 
-    override fun begin(head: AnswerHead, length: Int?) {
+    override fun sendHead(head: AnswerHead, length: Int?) {
         check(this.head == null && !isFinal)
         this.head = head
     }
 
-    override fun content(bytes: ByteArray) {
+    override fun sendContent(bytes: ByteArray) {
         check(head != null && !isFinal)
         body.append(bytes.decodeToString())
     }
 
-    override fun end() {
+    override fun finish() {
         check(head != null && !isFinal)
         isComplete = true
     }
@@ -202,8 +206,11 @@
     val events = ArrayList<org.lovageladder.core.EventDraft>()
     val forwarder =
         Forwarder(
-            settings = ForwarderSettings(HOME, RetryLimits(ratio = 0.2, allowance = 8.0, window = 10.seconds)),
-            calls = wrapCalls(upstreams),
+            settings = ForwarderSettings(
+                HOME,
+                RetryLimits(retriesPerRequest = 0.2, sharedRetriesPerWindow = 8.0, window = 10.seconds),
+            ),
+            upstreamPort = wrapCalls(upstreams),
             scheduler = scheduler,
             log = { events += it },
             random = Random(1),
@@ -211,16 +218,16 @@
     private var requests = 0
 
     init {
-        forwarder.configure(configuration())
-        forwarder.registryChanged(RegistryChange.FullRead(MEMBERS))
+        forwarder.applyConfiguration(configuration())
+        forwarder.onRegistryChange(RegistryChange.FullRead(REGISTRATIONS))
     }
 
     /** Submits a request for [target]. Returns its reply and the handle with which the caller disconnects. */
     fun submit(
         target: String,
-        wait: Duration? = null,
+        callerTimeout: Duration? = null,
         generation: Generation? = GENERATION,
-        resumeAfter: Long? = null,
+        resumeAfterEventId: Long? = null,
     ): Submitted {
         val reply = RecordingReply()
         val request =
@@ -229,40 +236,40 @@
                 method = "POST",
                 target = target,
                 host = "desk.example",
-                fields = emptyList(),
+                headers = emptyList(),
                 body = ByteArray(0),
-                arrived = scheduler.now(),
-                wait = wait,
+                arrivedAt = scheduler.now(),
+                callerTimeout = callerTimeout,
                 generation = generation.takeIf { target.startsWith("/stream") },
-                resumeAfter = resumeAfter,
+                resumeAfterEventId = resumeAfterEventId,
             )
         return Submitted(reply, forwarder.forward(request, reply))
     }
 
-    class Submitted(val reply: RecordingReply, val open: RequestHandle?)
+    class Submitted(val reply: RecordingReply, val handle: RequestHandle?)
 
     companion object {
         val HOME = PlaceName("home")
         val PLAIN = ServiceName("desk")
         val ENGINES = ServiceName("model")
-        val GENERATION = Generation(promptTokens = 3_000, outputBound = 1_000, expectedOutputTokens = 1_000)
-        val MEMBERS =
+        val GENERATION = Generation(promptTokens = 3_000, maximumOutputTokens = 1_000, estimatedOutputTokens = 1_000)
+        val REGISTRATIONS =
             listOf(
-                member("plain-1", PLAIN, PoolRole.PLAIN, 1),
-                member("plain-2", PLAIN, PoolRole.PLAIN, 2),
-                member("prefill-1", ENGINES, PoolRole.PREFILL, 3),
-                member("decode-1", ENGINES, PoolRole.DECODE, 4),
-                member("decode-2", ENGINES, PoolRole.DECODE, 5),
+                registration("plain-1", PLAIN, PoolRole.PLAIN, 1),
+                registration("plain-2", PLAIN, PoolRole.PLAIN, 2),
+                registration("prefill-1", ENGINES, PoolRole.PREFILL, 3),
+                registration("decode-1", ENGINES, PoolRole.DECODE, 4),
+                registration("decode-2", ENGINES, PoolRole.DECODE, 5),
             )
 
-        fun member(name: String, service: ServiceName, role: PoolRole, port: Int, leaving: Boolean = false) =
+        fun registration(name: String, service: ServiceName, role: PoolRole, port: Int, leaving: Boolean = false) =
             UpstreamRegistration(
                 name = UpstreamName(name),
                 service = service,
                 address = Address("10.0.0.1", port),
                 place = HOME,
                 slots = 4,
-                leaving = leaving,
+                isLeaving = leaving,
                 role = role,
                 startedAt = null,
                 revision = 1,
@@ -287,7 +294,7 @@
                     900.milliseconds,
                     timeout,
                     attempts = 2,
-                    resumable = true,
+                    isResumable = true,
                 ),
             ),
             services =
@@ -300,28 +307,28 @@
                         EngineConfiguration(4, 10_000, 500.milliseconds, 2.seconds, 6.seconds),
                     ),
             ),
-            limits = CallerLimits(16_384, 4_194_304, 3.seconds, 15.seconds),
+            callerLimits = CallerLimits(16_384, 4_194_304, 3.seconds, 15.seconds),
         )
 
         private fun route(
             prefix: String,
             kind: RouteKind,
             service: ServiceName,
-            target: Duration,
+            latencyTarget: Duration,
             timeout: Duration,
             attempts: Int = 1,
-            resumable: Boolean = false,
+            isResumable: Boolean = false,
         ) = Route(
             name = prefix,
             host = "desk.example",
             prefix = prefix,
             kind = kind,
             timeout = timeout,
-            target = target,
+            latencyTarget = latencyTarget,
             priority = 1,
-            shares = listOf(ServiceShare(service, 1)),
-            maximumAttempts = attempts,
-            resumable = resumable,
+            serviceShares = listOf(ServiceShare(service, 1)),
+            maximumRuns = attempts,
+            isResumable = isResumable,
         )
     }
 }
--- a/core/src/test/kotlin/org/lovageladder/core/forward/ForwardFuzzTest.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/forward/ForwardFuzzTest.kt
@@ -85,7 +85,7 @@
         ForwardOracle(calls).also { oracle = it }
     }
     private val submitted = ArrayList<ForwardFixture.Submitted>()
-    private val members = ForwardFixture.MEMBERS.associateByTo(LinkedHashMap()) { it.name }
+    private val registrations = ForwardFixture.REGISTRATIONS.associateByTo(LinkedHashMap()) { it.name }
     private var revision = 1L
     private var version = 1L
     private var highestVersion = ReleaseVersion.NONE
@@ -100,29 +100,31 @@
             ForwardFuzzCommandKind.SUBMIT_MANY -> repeat(1 + command.amount % MAXIMUM_BURST) { submit(command) }
             ForwardFuzzCommandKind.ANSWER -> answer(command) { answerCompletely(it) }
             ForwardFuzzCommandKind.ANSWER_ERROR -> answer(command) { it.answer(500, "error") }
-            ForwardFuzzCommandKind.DECLINE -> decline(command, wrongInstance = false)
+            ForwardFuzzCommandKind.DECLINE -> decline(command, isWrongInstance = false)
             ForwardFuzzCommandKind.LOSE_ANSWER -> answer(command) { it.fail(sent = true) }
             ForwardFuzzCommandKind.TRUNCATE_ANSWER -> answer(command) {
                 it.head(200)
                 it.content("id: 1\ndata: a\n\nid: 2")
                 it.fail(sent = true)
             }
-            ForwardFuzzCommandKind.ANSWER_WITHOUT_PROOF -> answer(command) { it.answer(200, "x", genuine = false) }
-            ForwardFuzzCommandKind.ANSWER_WRONG_INSTANCE -> decline(command, wrongInstance = true)
+            ForwardFuzzCommandKind.ANSWER_WITHOUT_PROOF -> answer(command) { it.answer(200, "x", isGenuine = false) }
+            ForwardFuzzCommandKind.ANSWER_WRONG_INSTANCE -> decline(command, isWrongInstance = true)
             ForwardFuzzCommandKind.CALLER_DISCONNECTS -> disconnectCaller(command)
             ForwardFuzzCommandKind.ADVANCE_TIME -> fixture.scheduler.advance(command.amount.milliseconds)
-            ForwardFuzzCommandKind.MAKE_UNREACHABLE -> fixture.upstreams.unreachable += member(command).address
+            ForwardFuzzCommandKind.MAKE_UNREACHABLE -> fixture.upstreams.unreachable += registration(command).address
             ForwardFuzzCommandKind.MAKE_REACHABLE -> fixture.upstreams.unreachable.clear()
-            ForwardFuzzCommandKind.REFUSE_PREFILLS -> fixture.upstreams.prefillRefusals += member(command).address
-            ForwardFuzzCommandKind.NOTICE_LEAVING -> notice(command, UpstreamNotice(leaving = true))
+            ForwardFuzzCommandKind.REFUSE_PREFILLS -> fixture.upstreams.prefillRefusals += registration(command).address
+            ForwardFuzzCommandKind.NOTICE_LEAVING -> notice(command, UpstreamNotice(isLeaving = true))
             ForwardFuzzCommandKind.NOTICE_PAUSE -> notice(command, UpstreamNotice(pause = command.amount.milliseconds))
-            ForwardFuzzCommandKind.REGISTER_LEAVING -> register(member(command).copy(leaving = true))
-            ForwardFuzzCommandKind.REGISTER_SERVING -> register(member(command).copy(leaving = false))
+            ForwardFuzzCommandKind.REGISTER_LEAVING -> register(registration(command).copy(isLeaving = true))
+            ForwardFuzzCommandKind.REGISTER_SERVING -> register(registration(command).copy(isLeaving = false))
             ForwardFuzzCommandKind.RESTART -> restart(command)
             ForwardFuzzCommandKind.REMOVE_REGISTRATION ->
-                fixture.forwarder.registryChanged(RegistryChange.Removed(member(command).name, ++revision))
-            ForwardFuzzCommandKind.REGISTRY_UNAVAILABLE -> fixture.forwarder.registryChanged(RegistryChange.Unavailable)
-            ForwardFuzzCommandKind.REGISTRY_AVAILABLE -> fixture.forwarder.registryChanged(RegistryChange.Available)
+                fixture.forwarder.onRegistryChange(RegistryChange.Removed(registration(command).name, ++revision))
+            ForwardFuzzCommandKind.REGISTRY_UNAVAILABLE -> fixture.forwarder.onRegistryChange(
+                RegistryChange.Unavailable,
+            )
+            ForwardFuzzCommandKind.REGISTRY_AVAILABLE -> fixture.forwarder.onRegistryChange(RegistryChange.Available)
             ForwardFuzzCommandKind.CONFIGURE_NEWER -> configure(++version)
             ForwardFuzzCommandKind.CONFIGURE_OLDER -> configure((version - 1 - command.selector % 2).coerceAtLeast(1))
         }
@@ -133,7 +135,7 @@
     fun finish() {
         fixture.scheduler.advance(SETTLING_TIME)
         assertTrue(submitted.all { it.reply.isFinal || it in disconnected }, "a request has no final answer")
-        assertEquals(0, fixture.forwarder.open)
+        assertEquals(0, fixture.forwarder.openRequests)
         oracle.checkBudget(submitted.size, fixture.scheduler.now())
         checkRequests()
     }
@@ -143,7 +145,7 @@
     private fun submit(command: ForwardFuzzCommand) {
         val target = TARGETS[command.selector % TARGETS.size]
         oracle.onSubmit(target)
-        submitted += fixture.submit(target, wait = (500 + command.amount).milliseconds)
+        submitted += fixture.submit(target, callerTimeout = (500 + command.amount).milliseconds)
     }
 
     private fun disconnectCaller(command: ForwardFuzzCommand) {
@@ -153,7 +155,7 @@
                 .let { it.getOrNull(command.selector % (it.size + 1)) }
         if (caller == null) return
         disconnected += caller
-        caller.open?.callerLeft()
+        caller.handle?.onCallerDisconnected()
         oracle.onCallerDisconnected(submitted.indexOf(caller))
     }
 
@@ -166,9 +168,9 @@
 
     private val answeredCalls = HashSet<ReceivedCall>()
 
-    private fun decline(command: ForwardFuzzCommand, wrongInstance: Boolean) = answer(command) {
+    private fun decline(command: ForwardFuzzCommand, isWrongInstance: Boolean) = answer(command) {
         oracle.onDeclined(it)
-        it.head(if (wrongInstance) 421 else 503, notRun = true, wrongInstance = wrongInstance)
+        it.head(if (isWrongInstance) 421 else 503, isDeclined = true, isWrongInstance = isWrongInstance)
         it.end()
     }
 
@@ -178,31 +180,31 @@
         fixture.upstreams.finish(call)
     }
 
-    private fun member(command: ForwardFuzzCommand): UpstreamRegistration = members.values.elementAt(
-        command.selector % members.size,
+    private fun registration(command: ForwardFuzzCommand): UpstreamRegistration = registrations.values.elementAt(
+        command.selector % registrations.size,
     )
 
-    private fun register(member: UpstreamRegistration) {
-        val updated = member.copy(revision = ++revision)
-        members[member.name] = updated
-        fixture.forwarder.registryChanged(RegistryChange.Registered(updated))
+    private fun register(registration: UpstreamRegistration) {
+        val updated = registration.copy(revision = ++revision)
+        registrations[registration.name] = updated
+        fixture.forwarder.onRegistryChange(RegistryChange.Registered(updated))
     }
 
     private fun restart(command: ForwardFuzzCommand) {
-        val restarted = member(command).copy(leaving = false, startedAt = revision)
+        val restarted = registration(command).copy(isLeaving = false, startedAt = revision)
         register(restarted)
     }
 
     private fun notice(command: ForwardFuzzCommand, notice: UpstreamNotice) {
-        val start = member(command).start
-        oracle.onNotice(start, notice)
-        fixture.forwarder.noticed(start, notice)
+        val incarnation = registration(command).incarnation
+        oracle.onNotice(incarnation, notice)
+        fixture.forwarder.onUpstreamNotice(incarnation, notice)
     }
 
     private fun configure(configurationVersion: Long) {
-        fixture.forwarder.configure(ForwardFixture.configuration(version = configurationVersion))
-        assertTrue(fixture.forwarder.version >= highestVersion, "an older configuration was activated")
-        highestVersion = fixture.forwarder.version
+        fixture.forwarder.applyConfiguration(ForwardFixture.configuration(version = configurationVersion))
+        assertTrue(fixture.forwarder.configurationVersion >= highestVersion, "an older configuration was activated")
+        highestVersion = fixture.forwarder.configurationVersion
     }
 
     private fun checkRequests() {
@@ -244,15 +246,15 @@
     }
 
     fun onDeclined(call: ReceivedCall) {
-        requestOf(call.request).ranAt -= call.sending.upstream.name
+        requestOf(call.request).ranAt -= call.attempt.upstream.name
     }
 
-    fun onNotice(start: UpstreamIncarnation, notice: UpstreamNotice) {
+    fun onNotice(incarnation: UpstreamIncarnation, notice: UpstreamNotice) {
         val now = clock()
-        if (notice.leaving) leaving.putIfAbsent(start, now)
+        if (notice.isLeaving) leaving.putIfAbsent(incarnation, now)
         val pause = notice.pause ?: return
-        val current = pauses[start]?.takeIf { it.until > now }
-        pauses[start] = Pause(current?.since ?: now, maxOf(current?.until ?: now, now + pause))
+        val current = pauses[incarnation]?.takeIf { it.until > now }
+        pauses[incarnation] = Pause(current?.since ?: now, maxOf(current?.until ?: now, now + pause))
     }
 
     /** Checks the invariants of request [index]; [refusal] is what its caller was told. */
@@ -265,7 +267,7 @@
         )
         if (refusal == null) return
         request.isEnded = true
-        if (refusal.reason.notRun) {
+        if (refusal.reason.isNotRun) {
             assertEquals(emptyList(), request.ranAt, "${request.target} ran but was refused as not run")
         }
     }
@@ -280,30 +282,30 @@
         )
     }
 
-    override fun send(request: ForwardRequest, sending: UpstreamAttempt, receiver: AnswerReceiver): Cancellable {
-        val tracked = checkCall(request, sending.upstream, reserved = sending.reservation != null)
-        tracked.ranAt += sending.upstream.name
+    override fun send(request: ForwardRequest, attempt: UpstreamAttempt, receiver: AnswerReceiver): Cancellable {
+        val tracked = checkCall(request, attempt.upstream, reserved = attempt.reservation != null)
+        tracked.ranAt += attempt.upstream.name
         tracked.callCount += 1
         val trackingReceiver =
             object : AnswerReceiver by receiver {
                 override fun onFailure(failure: CallFailure) {
                     if (!failure.sent) {
-                        tracked.ranAt -= sending.upstream.name
+                        tracked.ranAt -= attempt.upstream.name
                         tracked.callCount -= 1
                     }
                     receiver.onFailure(failure)
                 }
             }
-        return calls.send(request, sending, trackingReceiver)
+        return calls.send(request, attempt, trackingReceiver)
     }
 
     override fun prefill(
         request: ForwardRequest,
-        sending: UpstreamAttempt,
+        attempt: UpstreamAttempt,
         answer: (EngineAnswer<PrefillResult>) -> Unit,
     ): Cancellable {
-        val tracked = checkCall(request, sending.upstream, reserved = false)
-        return calls.prefill(request, sending) { result ->
+        val tracked = checkCall(request, attempt.upstream, reserved = false)
+        return calls.prefill(request, attempt) { result ->
             val isFirstPrefill = result is EngineAnswer.Done && tracked.prefillCount++ == 0
             if (!isFirstPrefill) tracked.callCount += 1
             answer(result)
@@ -313,16 +315,17 @@
     override fun reserve(
         engine: UpstreamIncarnation,
         tokens: Int,
-        keep: kotlin.time.Duration,
+        reservationTime: kotlin.time.Duration,
         answer: (EngineAnswer<Reservation>) -> Unit,
     ): Cancellable {
         checkUpstream(engine, reserved = false)
-        return calls.reserve(engine, tokens, keep, answer)
+        return calls.reserve(engine, tokens, reservationTime, answer)
     }
 
-    override fun release(engine: UpstreamIncarnation, reservation: Reservation) = calls.release(engine, reservation)
+    override fun releaseReservation(engine: UpstreamIncarnation, reservation: Reservation) =
+        calls.releaseReservation(engine, reservation)
 
-    override fun free(result: PrefillResult) = calls.free(result)
+    override fun freePrefillResult(result: PrefillResult) = calls.freePrefillResult(result)
 
     private fun requestOf(request: ForwardRequest) = requests[request.id.text.substringAfter('-').toInt()]
 
--- a/core/src/test/kotlin/org/lovageladder/core/forward/ForwarderTest.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/forward/ForwarderTest.kt
@@ -12,9 +12,9 @@
     @Test
     fun olderConfigurationIsIgnored() {
         val fixture = ForwardFixture()
-        fixture.forwarder.configure(ForwardFixture.configuration(version = 7))
-        fixture.forwarder.configure(ForwardFixture.configuration(version = 5))
-        assertEquals(ReleaseVersion(7), fixture.forwarder.version)
+        fixture.forwarder.applyConfiguration(ForwardFixture.configuration(version = 7))
+        fixture.forwarder.applyConfiguration(ForwardFixture.configuration(version = 5))
+        assertEquals(ReleaseVersion(7), fixture.forwarder.configurationVersion)
     }
 
     @Test
@@ -29,12 +29,12 @@
                 method = "GET",
                 target = "/lookup/1",
                 host = "desk.example",
-                fields = emptyList(),
+                headers = emptyList(),
                 body = ByteArray(0),
-                arrived = Moment(0),
-                wait = null,
+                arrivedAt = Moment(0),
+                callerTimeout = null,
                 generation = null,
-                resumeAfter = null,
+                resumeAfterEventId = null,
             )
         assertNull(forwarder.forward(request, reply))
         assertEquals(RefusalReason.NOT_READY, reply.refusal?.reason)
@@ -67,7 +67,8 @@
 
     @Test
     fun retriesStayWithinTheBudgetOfAnyWindow() {
-        val budget = RetryBudget(RetryLimits(ratio = 0.2, allowance = 8.0, window = 10.seconds)) { 1 }
+        val budget =
+            RetryBudget(RetryLimits(retriesPerRequest = 0.2, sharedRetriesPerWindow = 8.0, window = 10.seconds)) { 1 }
         val retries = ArrayList<Moment>()
         (0 until 6_000).forEach { step ->
             val now = Moment(step * 10_000L)
--- a/core/src/test/kotlin/org/lovageladder/core/forward/MembershipTest.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/forward/MembershipTest.kt
@@ -13,8 +13,8 @@
 
     private data class Case(val name: String, val steps: List<Step>, val atSeconds: Int, val serving: Set<String>)
 
-    private val one = ForwardFixture.member("one", ForwardFixture.PLAIN, PoolRole.PLAIN, 1)
-    private val two = ForwardFixture.member("two", ForwardFixture.PLAIN, PoolRole.PLAIN, 2)
+    private val one = ForwardFixture.registration("one", ForwardFixture.PLAIN, PoolRole.PLAIN, 1)
+    private val two = ForwardFixture.registration("two", ForwardFixture.PLAIN, PoolRole.PLAIN, 2)
     private val bothRegistered = Step(0, RegistryChange.FullRead(listOf(one, two)))
     private val oneRemoved = RegistryChange.Removed(UpstreamName("one"), revision = 2)
 
@@ -23,13 +23,13 @@
             Case("both registered", listOf(bothRegistered), 1, setOf("one", "two")),
             Case(
                 "one leaves",
-                listOf(bothRegistered, Step(1, RegistryChange.Registered(one.copy(leaving = true, revision = 2)))),
+                listOf(bothRegistered, Step(1, RegistryChange.Registered(one.copy(isLeaving = true, revision = 2)))),
                 1,
                 setOf("two"),
             ),
             Case(
                 "an older registration arrives late",
-                listOf(bothRegistered, Step(1, RegistryChange.Registered(one.copy(leaving = true, revision = 0)))),
+                listOf(bothRegistered, Step(1, RegistryChange.Registered(one.copy(isLeaving = true, revision = 0)))),
                 1,
                 setOf("one", "two"),
             ),
--- a/core/src/test/kotlin/org/lovageladder/core/forward/MemoryQueueTest.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/forward/MemoryQueueTest.kt
@@ -15,7 +15,7 @@
     private val fixture = ForwardFixture(memory = 8_000)
 
     private fun occupyAllMemory(): List<ReceivedCall> {
-        repeat(4) { fixture.submit("/stream/fill", wait = 10.seconds) }
+        repeat(4) { fixture.submit("/stream/fill", callerTimeout = 10.seconds) }
         fixture.scheduler.advance(300.milliseconds)
         assertEquals(4, fixture.upstreams.receivedCalls.size)
         return fixture.upstreams.receivedCalls.toList()
@@ -24,7 +24,7 @@
     @Test
     fun waitingRequestIsServedWhenMemoryIsFreed() {
         val running = occupyAllMemory()
-        val waiting = fixture.submit("/stream/1", wait = 10.seconds)
+        val waiting = fixture.submit("/stream/1", callerTimeout = 10.seconds)
         fixture.scheduler.advance(200.milliseconds)
         running.first().head(200)
         fixture.upstreams.finish(running.first())
@@ -36,12 +36,12 @@
     @Test
     fun waitingRequestIsRefusedBeforeItsTarget() {
         occupyAllMemory()
-        val waiting = fixture.submit("/stream/1", wait = 10.seconds)
+        val waiting = fixture.submit("/stream/1", callerTimeout = 10.seconds)
         fixture.scheduler.advance(900.milliseconds)
         val refusal = assertNotNull(waiting.reply.refusal)
         assertEquals(RefusalReason.OVERLOADED, refusal.reason)
         assertTrue(
-            assertNotNull(refusal.returnAfter) in 2.seconds..10.seconds / 3,
+            assertNotNull(refusal.retryAfter) in 2.seconds..10.seconds / 3,
             "its target can no longer be met",
         )
         assertEquals(4, fixture.upstreams.receivedCalls.size)
@@ -50,12 +50,12 @@
     @Test
     fun requestBehindALongQueueIsRefusedAtOnce() {
         val running = occupyAllMemory()
-        repeat(3) { fixture.submit("/stream/1", wait = 10.seconds) }
+        repeat(3) { fixture.submit("/stream/1", callerTimeout = 10.seconds) }
         fixture.scheduler.advance(200.milliseconds)
         running.first().head(200)
         fixture.upstreams.finish(running.first())
         fixture.scheduler.advance(300.milliseconds)
-        val late = fixture.submit("/stream/2", wait = 10.seconds)
+        val late = fixture.submit("/stream/2", callerTimeout = 10.seconds)
         assertEquals(RefusalReason.OVERLOADED, late.reply.refusal?.reason)
     }
 
@@ -65,13 +65,14 @@
     @Test
     fun callerRefusedEarlyReturnsWithinItsTarget() {
         val running = occupyAllMemory()
-        repeat(3) { fixture.submit("/stream/1", wait = 10.seconds) }
+        repeat(3) { fixture.submit("/stream/1", callerTimeout = 10.seconds) }
         fixture.scheduler.advance(200.milliseconds)
         running.first().head(200)
         fixture.upstreams.finish(running.first())
         fixture.scheduler.advance(300.milliseconds)
-        val returnAfter = assertNotNull(fixture.submit("/stream/2", wait = 10.seconds).reply.refusal?.returnAfter)
-        assertTrue(returnAfter in 100.milliseconds..680.milliseconds, "$returnAfter of a target of 900 ms")
+        val retryAfter =
+            assertNotNull(fixture.submit("/stream/2", callerTimeout = 10.seconds).reply.refusal?.retryAfter)
+        assertTrue(retryAfter in 100.milliseconds..680.milliseconds, "$retryAfter of a target of 900 ms")
     }
 
     /** Load pattern: one of many entries, with few streams, when two arrive together during a load peak. */
@@ -81,7 +82,9 @@
         fixture.scheduler.advance(5.seconds)
         val pair =
             List(2) {
-                fixture.submit("/stream/1", wait = 10.seconds).also { fixture.scheduler.advance(20.milliseconds) }
+                fixture.submit("/stream/1", callerTimeout = 10.seconds).also {
+                    fixture.scheduler.advance(20.milliseconds)
+                }
             }
         fixture.scheduler.advance(200.milliseconds)
         assertTrue(pair.all { it.reply.refusal == null })
@@ -95,8 +98,8 @@
 
     @Test
     fun memoryOfADisconnectedCallerIsReleased() {
-        val submitted = fixture.submit("/stream/1", wait = 10.seconds)
-        submitted.open?.callerLeft()
+        val submitted = fixture.submit("/stream/1", callerTimeout = 10.seconds)
+        submitted.handle?.onCallerDisconnected()
         fixture.scheduler.advance(1.seconds)
         assertEquals(0, fixture.upstreams.reservations)
     }
@@ -105,15 +108,15 @@
     @Test
     fun stateOfRemovedEnginesIsDropped() {
         val last = occupyAllMemory().last()
-        ForwardFixture.MEMBERS.forEach {
-            fixture.forwarder.registryChanged(RegistryChange.Removed(it.name, revision = 2))
+        ForwardFixture.REGISTRATIONS.forEach {
+            fixture.forwarder.onRegistryChange(RegistryChange.Removed(it.name, revision = 2))
         }
         assertEquals(2, fixture.forwarder.trackedEngines, "streams still hold memory at both engines")
         fixture.upstreams.receivedCalls.toList().forEach {
             it.head(200)
             fixture.upstreams.finish(it)
         }
-        fixture.forwarder.registryChanged(RegistryChange.Removed(last.sending.upstream.name, revision = 3))
+        fixture.forwarder.onRegistryChange(RegistryChange.Removed(last.attempt.upstream.name, revision = 3))
         assertEquals(0, fixture.forwarder.trackedEngines)
     }
 }
--- a/core/src/test/kotlin/org/lovageladder/core/forward/PlainFlowTest.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/forward/PlainFlowTest.kt
@@ -16,16 +16,16 @@
     private enum class Behaviour(val action: (ReceivedCall) -> Unit) {
         ANSWERS({ it.answer(200, "done") }),
         ANSWERS_ERROR({ it.answer(500, "error") }),
-        DECLINES({ it.answer(503, notRun = true) }),
+        DECLINES({ it.answer(503, isDeclined = true) }),
         LOSES_ANSWER({ it.fail(sent = true) }),
         TRUNCATES_ANSWER({
             it.head(200)
             it.content("do")
             it.fail(sent = true)
         }),
-        ANSWERS_WITHOUT_PROOF({ it.answer(200, "done", genuine = false) }),
+        ANSWERS_WITHOUT_PROOF({ it.answer(200, "done", isGenuine = false) }),
         ANSWERS_WRONG_INSTANCE({
-            it.head(421, notRun = true, wrongInstance = true)
+            it.head(421, isDeclined = true, isWrongInstance = true)
             it.end()
         }),
     }
@@ -70,7 +70,7 @@
             assertEquals(case.status, submitted.reply.head?.status, "$case")
             assertEquals(case.refusal, submitted.reply.refusal?.reason, "$case")
             assertTrue(submitted.reply.isFinal, "$case")
-            assertEquals(0, fixture.forwarder.open, "$case")
+            assertEquals(0, fixture.forwarder.openRequests, "$case")
         }
     }
 
@@ -78,7 +78,7 @@
     fun unreachableUpstreamsGetNoActionAndTheCallerIsRefused() {
         val fixture = ForwardFixture()
         fixture.upstreams.unreachable +=
-            ForwardFixture.MEMBERS.filter { it.service == ForwardFixture.PLAIN }.map { it.address }
+            ForwardFixture.REGISTRATIONS.filter { it.service == ForwardFixture.PLAIN }.map { it.address }
         val submitted = fixture.submit("/action/1")
         fixture.scheduler.advance(1.seconds)
         assertEquals(RefusalReason.NO_UPSTREAM, submitted.reply.refusal?.reason)
@@ -88,7 +88,7 @@
     @Test
     fun unansweredActionTimesOutAtTheRouteTimeout() {
         val fixture = ForwardFixture()
-        val submitted = fixture.submit("/action/1", wait = 60.seconds)
+        val submitted = fixture.submit("/action/1", callerTimeout = 60.seconds)
         fixture.scheduler.advance(9.seconds)
         assertNull(submitted.reply.refusal)
         fixture.scheduler.advance(1.seconds)
@@ -119,9 +119,9 @@
     fun callsAreCancelledWhenTheCallerDisconnects() {
         val fixture = ForwardFixture()
         val submitted = fixture.submit("/action/1")
-        submitted.open?.callerLeft()
+        submitted.handle?.onCallerDisconnected()
         assertTrue(fixture.upstreams.receivedCalls.single().isCancelled)
-        assertEquals(0, fixture.forwarder.open)
+        assertEquals(0, fixture.forwarder.openRequests)
     }
 
     /** The load balancer does not send callers that keep their connection busy to another entry. */
@@ -137,10 +137,10 @@
             )
         cases.forEach { case ->
             val fixture = ForwardFixture()
-            fixture.forwarder.drain(grace = 8.seconds)
+            fixture.forwarder.drain(gracePeriod = 8.seconds)
             fixture.scheduler.advance(case.after)
-            val submitted = fixture.submit("/action/1", wait = case.wait)
-            assertEquals(case.isAccepted, submitted.open != null, "$case")
+            val submitted = fixture.submit("/action/1", callerTimeout = case.wait)
+            assertEquals(case.isAccepted, submitted.handle != null, "$case")
             assertEquals(!case.isAccepted, submitted.reply.refusal?.reason == RefusalReason.LEAVING, "$case")
         }
     }
@@ -148,9 +148,9 @@
     @Test
     fun upstreamGetsTheRemainingTimeAsTimeout() {
         val fixture = ForwardFixture()
-        fixture.submit("/lookup/1", wait = 600.milliseconds)
+        fixture.submit("/lookup/1", callerTimeout = 600.milliseconds)
         fixture.scheduler.advance(60.milliseconds)
-        val timeouts = fixture.upstreams.receivedCalls.map { it.sending.timeout }
+        val timeouts = fixture.upstreams.receivedCalls.map { it.attempt.timeout }
         assertEquals(listOf(600.milliseconds, 540.milliseconds), timeouts)
     }
 
@@ -192,10 +192,12 @@
             Case(connections = null, entries = 4, runningCalls = 2 * 12),
         ).forEach { case ->
             val fixture = ForwardFixture()
-            fixture.forwarder.configure(ForwardFixture.configuration(version = 2, plainConnections = case.connections))
+            fixture.forwarder.applyConfiguration(
+                ForwardFixture.configuration(version = 2, plainConnections = case.connections),
+            )
             repeat(case.entries) { number ->
-                fixture.forwarder.registryChanged(
-                    RegistryChange.EntryRegistrationChanged(ProcessName("entry-$number"), registered = true),
+                fixture.forwarder.onRegistryChange(
+                    RegistryChange.EntryRegistrationChanged(ProcessName("entry-$number"), isRegistered = true),
                 )
             }
             repeat(60) { fixture.submit("/action/1") }
--- a/core/src/test/kotlin/org/lovageladder/core/forward/RegistryFollowerTest.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/forward/RegistryFollowerTest.kt
@@ -18,16 +18,20 @@
         override fun read(answer: (RegistryRead) -> Unit) {
             reads += 1
             val snapshot =
-                RegistrySnapshot(currentVersion, ForwardFixture.configuration(currentVersion), ForwardFixture.MEMBERS)
-            scheduler.after(12.milliseconds) { answer(RegistryRead.Complete(snapshot)) }
+                RegistrySnapshot(
+                    currentVersion,
+                    ForwardFixture.configuration(currentVersion),
+                    ForwardFixture.REGISTRATIONS,
+                )
+            scheduler.schedule(12.milliseconds) { answer(RegistryRead.Complete(snapshot)) }
         }
 
-        override fun watch(revision: Long, wait: Duration, answer: (RegistryWatch) -> Unit) {
+        override fun watch(revision: Long, timeout: Duration, answer: (RegistryWatch) -> Unit) {
             watches += 1
             if (watches == 1) {
-                scheduler.after(1.seconds) { answer(RegistryWatch.Failed("connection lost")) }
+                scheduler.schedule(1.seconds) { answer(RegistryWatch.Failed("connection lost")) }
             } else {
-                scheduler.after(wait) { answer(RegistryWatch.HistoryExpired) }
+                scheduler.schedule(timeout) { answer(RegistryWatch.HistoryExpired) }
             }
         }
     }
@@ -43,11 +47,11 @@
         val versions = ArrayList<ReleaseVersion>()
         val listener =
             object : RegistryListener {
-                override fun configured(configuration: ForwardConfiguration) {
+                override fun onConfiguration(configuration: ForwardConfiguration) {
                     versions += configuration.version
                 }
 
-                override fun changed(change: RegistryChange) = Unit
+                override fun onChange(change: RegistryChange) = Unit
             }
         RegistryFollower(registry, scheduler, listener).start()
         scheduler.advance(500.milliseconds)
--- a/core/src/test/kotlin/org/lovageladder/core/forward/RoleControllerTest.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/forward/RoleControllerTest.kt
@@ -22,7 +22,7 @@
         var isAvailable = true
         private var nextFencing = 10L
 
-        override fun take(period: Duration, answer: (AcquisitionResult) -> Unit) {
+        override fun acquire(period: Duration, answer: (AcquisitionResult) -> Unit) {
             if (!isAvailable) return respond { answer(AcquisitionResult.Unknown("timeout")) }
             if (holder != null) return respond { answer(AcquisitionResult.HeldByOther) }
             val lease = LeaderLease(nextFencing, nextFencing++)
@@ -34,7 +34,7 @@
             respond { answer(isAvailable && holder == lease) }
 
         private fun respond(action: () -> Unit) {
-            scheduler.after(5.milliseconds, action)
+            scheduler.schedule(5.milliseconds, action)
         }
     }
 
@@ -44,24 +44,29 @@
         var answer: OrderResult = OrderResult.Accepted
         var acceptsAnnouncements = true
 
-        override fun announce(engine: UpstreamName, lease: LeaderLease, answer: (Boolean) -> Unit) {
+        override fun announceRoleChange(engine: UpstreamName, lease: LeaderLease, answer: (Boolean) -> Unit) {
             if (acceptsAnnouncements) announced += engine.text
             answer(acceptsAnnouncements)
         }
 
-        override fun withdraw(engine: UpstreamName) {
+        override fun withdrawAnnouncement(engine: UpstreamName) {
             announced -= engine.text
         }
 
-        override fun order(engine: UpstreamRegistration, role: PoolRole, fencing: Long, answer: (OrderResult) -> Unit) {
-            given += Triple(engine.name.text, role, fencing)
+        override fun orderRole(
+            engine: UpstreamRegistration,
+            role: PoolRole,
+            fencingNumber: Long,
+            answer: (OrderResult) -> Unit,
+        ) {
+            given += Triple(engine.name.text, role, fencingNumber)
             answer(this.answer)
         }
     }
 
     private fun engines(prefill: Int, decode: Int): List<UpstreamRegistration> =
-        (1..prefill).map { ForwardFixture.member("p$it", ForwardFixture.ENGINES, PoolRole.PREFILL, it) } +
-            (1..decode).map { ForwardFixture.member("d$it", ForwardFixture.ENGINES, PoolRole.DECODE, 100 + it) }
+        (1..prefill).map { ForwardFixture.registration("p$it", ForwardFixture.ENGINES, PoolRole.PREFILL, it) } +
+            (1..decode).map { ForwardFixture.registration("d$it", ForwardFixture.ENGINES, PoolRole.DECODE, 100 + it) }
 
     private fun plan(prefill: Duration, decode: Duration, share: Double, samples: Int = 20) =
         RolePlan(defaultPrefillShare = 0.25).apply {
@@ -71,7 +76,7 @@
             }
         }
 
-    private fun leadership(port: FakeLeadershipPort, scheduler: VirtualScheduler) =
+    private fun leaderElection(port: FakeLeadershipPort, scheduler: VirtualScheduler) =
         LeaderElection(port, scheduler, 3.seconds) { 0.0 }
 
     @Test
@@ -94,15 +99,15 @@
                 Case(fewSamples, prefill = 3, decode = 5, wanted = 2.85, change = null),
             )
         cases.forEach { case ->
-            val members = engines(case.prefill, case.decode)
+            val upstreams = engines(case.prefill, case.decode)
             assertEquals(
                 case.wanted,
-                case.plan.wantedPrefillEngines(members.size)?.let {
+                case.plan.wantedPrefillEngines(upstreams.size)?.let {
                     (it * 100).roundToInt() / 100.0
                 },
                 "$case",
             )
-            val change = case.plan.nextChange(members) { it.address.port }
+            val change = case.plan.nextChange(upstreams) { it.address.port }
             assertEquals(case.change, change?.let { "${it.engine.name} ${it.role}" }, "$case")
         }
     }
@@ -111,19 +116,19 @@
     fun leadershipIsActiveOnlyWhileItsLeaseIsCertain() {
         val scheduler = VirtualScheduler()
         val port = FakeLeadershipPort(scheduler)
-        val leadership = leadership(port, scheduler)
-        leadership.start()
+        val leaderElection = leaderElection(port, scheduler)
+        leaderElection.start()
         scheduler.advance(2.seconds)
-        assertNull(leadership.activeLease?.fencing, "the lease of an earlier holder may not have expired yet")
+        assertNull(leaderElection.activeLease?.fencingNumber, "the lease of an earlier holder may not have expired yet")
         scheduler.advance(2.seconds)
-        assertEquals(10, leadership.activeLease?.fencing)
+        assertEquals(10, leaderElection.activeLease?.fencingNumber)
         port.isAvailable = false
         scheduler.advance(3.seconds)
-        assertNull(leadership.activeLease?.fencing)
+        assertNull(leaderElection.activeLease?.fencingNumber)
         port.isAvailable = true
         port.holder = null
         scheduler.advance(20.seconds)
-        assertEquals(11, leadership.activeLease?.fencing)
+        assertEquals(11, leaderElection.activeLease?.fencingNumber)
     }
 
     /** Load pattern: long prefill queues, in which a prompt waits for others far longer than its own prefill takes. */
@@ -138,22 +143,22 @@
     fun leadershipIsAcquiredSoonAfterTheRegistryShowsNoLeader() {
         val scheduler = VirtualScheduler()
         val port = FakeLeadershipPort(scheduler).apply { holder = LeaderLease(1, 1) }
-        val leadership = leadership(port, scheduler)
-        leadership.start()
-        leadership.onLeaderObserved(isHeld = true)
+        val leaderElection = leaderElection(port, scheduler)
+        leaderElection.start()
+        leaderElection.onLeaderObserved(isHeld = true)
         scheduler.advance(10.seconds)
-        assertNull(leadership.activeLease)
+        assertNull(leaderElection.activeLease)
         port.holder = null
-        leadership.onLeaderObserved(isHeld = false)
+        leaderElection.onLeaderObserved(isHeld = false)
         scheduler.advance(4.seconds)
-        assertEquals(10, leadership.activeLease?.fencing)
+        assertEquals(10, leaderElection.activeLease?.fencingNumber)
     }
 
     @Test
     fun onlyOneOfTwoProcessesLeads() {
         val scheduler = VirtualScheduler()
         val port = FakeLeadershipPort(scheduler)
-        val processes = List(2) { leadership(port, scheduler) }
+        val processes = List(2) { leaderElection(port, scheduler) }
         processes.forEach { it.start() }
         scheduler.advance(60.seconds)
         assertEquals(1, processes.count { it.activeLease != null })
@@ -227,19 +232,19 @@
     fun announcedEnginesGetNoRequests() {
         val membership = Membership().apply { apply(RegistryChange.FullRead(engines(1, 1)), Moment(0)) }
         fun serving() = membership.serving(ForwardFixture.ENGINES, Moment(0)).map { it.name.text }.sorted()
-        membership.apply(RegistryChange.RoleChangeAnnounced(UpstreamName("d1"), changing = true), Moment(0))
+        membership.apply(RegistryChange.RoleChangeAnnounced(UpstreamName("d1"), isAnnounced = true), Moment(0))
         assertEquals(listOf("p1"), serving())
-        membership.apply(RegistryChange.RoleChangeAnnounced(UpstreamName("d1"), changing = false), Moment(0))
+        membership.apply(RegistryChange.RoleChangeAnnounced(UpstreamName("d1"), isAnnounced = false), Moment(0))
         assertEquals(listOf("d1", "p1"), serving())
     }
 
     @Test
     fun outdatedLeaderResigns() {
         val fixture = RoleControllerFixture()
-        fixture.orders.answer = OrderResult.Refused(412, outdated = true)
+        fixture.orders.answer = OrderResult.Refused(412, isFenced = true)
         fixture.runFor(9.seconds)
         assertEquals(1, fixture.orders.given.size)
-        assertNull(fixture.leadership.activeLease?.fencing)
+        assertNull(fixture.leaderElection.activeLease?.fencingNumber)
     }
 
     private inner class RoleControllerFixture(
@@ -248,14 +253,14 @@
         val scheduler = VirtualScheduler()
         val membership = Membership().apply { apply(RegistryChange.FullRead(engines(4, 4)), scheduler.now()) }
         val orders = RecordingRoleOrderPort()
-        val leadership = leadership(FakeLeadershipPort(scheduler), scheduler).apply { start() }
+        val leaderElection = leaderElection(FakeLeadershipPort(scheduler), scheduler).apply { start() }
         private val retryBudget = RetryBudget(RetryLimits(0.1, 1.0, 10.seconds)) { 1 }
         private val random = kotlin.random.Random(1)
         private val notices = UpstreamNotices(2.seconds)
         private val upstreamSelector = UpstreamSelector(membership, notices, ForwardFixture.HOME, random)
         private val context =
             ForwardContext(
-                calls = FakeUpstreams(scheduler),
+                upstreamPort = FakeUpstreams(scheduler),
                 scheduler = scheduler,
                 upstreamSelector = upstreamSelector,
                 membership = membership,
@@ -265,8 +270,8 @@
                 eventSink = {},
                 random = random,
             )
-        private val controller = RoleController(context, leadership, orders)
-        private val traits =
+        private val controller = RoleController(context, leaderElection, orders)
+        private val engineConfiguration =
             assertNotNull(ForwardFixture.configuration().services.getValue(ForwardFixture.ENGINES).engine)
 
         fun registerRole(engine: String, role: PoolRole) {
@@ -277,8 +282,8 @@
         fun runFor(duration: Duration) {
             repeat((duration / 500.milliseconds).toInt()) {
                 scheduler.advance(500.milliseconds)
-                controller.startDueChange(ForwardFixture.ENGINES, traits, plan) { it.address.port }
-                controller.startDueChange(ServiceName("other-engines"), traits, plan) { it.address.port }
+                controller.startDueChange(ForwardFixture.ENGINES, engineConfiguration, plan) { it.address.port }
+                controller.startDueChange(ServiceName("other-engines"), engineConfiguration, plan) { it.address.port }
             }
         }
     }
--- a/core/src/test/kotlin/org/lovageladder/core/forward/StreamEstimatesTest.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/forward/StreamEstimatesTest.kt
@@ -15,10 +15,26 @@
         val route = ForwardFixture.configuration().routes.first { it.kind == RouteKind.STREAM }
         data class Case(val generation: Generation?, val memory: Int, val tokens: Int)
         listOf(
-            Case(Generation(promptTokens = 3_000, outputBound = 3_000, expectedOutputTokens = 1_000), 40_000, 5_339),
-            Case(Generation(promptTokens = 3_000, outputBound = 1_100, expectedOutputTokens = 1_000), 40_000, 4_100),
-            Case(Generation(promptTokens = 3_000, outputBound = 2_000, expectedOutputTokens = null), 40_000, 5_000),
-            Case(Generation(promptTokens = 3_000, outputBound = 2_000, expectedOutputTokens = 1_000), 4_000, 4_000),
+            Case(
+                Generation(promptTokens = 3_000, maximumOutputTokens = 3_000, estimatedOutputTokens = 1_000),
+                40_000,
+                5_339,
+            ),
+            Case(
+                Generation(promptTokens = 3_000, maximumOutputTokens = 1_100, estimatedOutputTokens = 1_000),
+                40_000,
+                4_100,
+            ),
+            Case(
+                Generation(promptTokens = 3_000, maximumOutputTokens = 2_000, estimatedOutputTokens = null),
+                40_000,
+                5_000,
+            ),
+            Case(
+                Generation(promptTokens = 3_000, maximumOutputTokens = 2_000, estimatedOutputTokens = 1_000),
+                4_000,
+                4_000,
+            ),
             Case(generation = null, memory = 40_000, tokens = 4_096),
         ).forEach { case ->
             val engine = EngineConfiguration(8, case.memory, 500.milliseconds, 2.seconds, 6.seconds)
--- a/core/src/test/kotlin/org/lovageladder/core/forward/StreamFlowTest.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/forward/StreamFlowTest.kt
@@ -24,8 +24,8 @@
     fun memoryIsReservedBeforePrefillAndDecode() {
         val submitted = startStream()
         val call = fixture.upstreams.receivedCalls.single()
-        assertNotNull(call.sending.reservation)
-        assertNotNull(call.sending.prefill)
+        assertNotNull(call.attempt.reservation)
+        assertNotNull(call.attempt.prefillResult)
         call.head(200)
         call.content("id: 1\ndata: a\n\n")
         call.content("id: 2\ndata: b\n\n")
@@ -37,11 +37,11 @@
     @Test
     fun declinedDecodeIsRetriedOnAnotherEngine() {
         val submitted = startStream()
-        fixture.upstreams.receivedCalls.single().answer(503, notRun = true)
+        fixture.upstreams.receivedCalls.single().answer(503, isDeclined = true)
         assertEquals(1, fixture.upstreams.freed.size)
         fixture.scheduler.advance(150.milliseconds)
         val second = fixture.upstreams.receivedCalls[1]
-        assertFalse(second.sending.upstream == fixture.upstreams.receivedCalls[0].sending.upstream)
+        assertFalse(second.attempt.upstream == fixture.upstreams.receivedCalls[0].attempt.upstream)
         second.head(200)
         fixture.upstreams.finish(second)
         assertTrue(submitted.reply.isComplete)
@@ -63,7 +63,7 @@
             assertEquals(case.calls == 2, first.isCancelled, "$case")
             assertEquals(
                 if (case.calls == 2) 1L else null,
-                fixture.upstreams.receivedCalls.last().sending.resumeAfter,
+                fixture.upstreams.receivedCalls.last().attempt.resumeAfterEventId,
                 "$case",
             )
             assertFalse(submitted.reply.isFinal, "$case")
@@ -74,11 +74,13 @@
     @Test
     fun engineThatDeclinesEveryPromptGetsFewPrompts() {
         val decliningEngine =
-            ForwardFixture.member("prefill-2", ForwardFixture.ENGINES, org.lovageladder.core.PoolRole.PREFILL, 9)
-        fixture.forwarder.registryChanged(RegistryChange.Registered(decliningEngine))
+            ForwardFixture.registration("prefill-2", ForwardFixture.ENGINES, org.lovageladder.core.PoolRole.PREFILL, 9)
+        fixture.forwarder.onRegistryChange(RegistryChange.Registered(decliningEngine))
         fixture.upstreams.prefillRefusals += decliningEngine.address
         repeat(100) {
-            fixture.submit("/stream/1").also { fixture.scheduler.advance(20.milliseconds) }.open?.callerLeft()
+            fixture.submit("/stream/1").also {
+                fixture.scheduler.advance(20.milliseconds)
+            }.handle?.onCallerDisconnected()
         }
         val declined = fixture.upstreams.prefills.count { it.address == decliningEngine.address }
         assertTrue(declined <= 8, "$declined of ${fixture.upstreams.prefills.size}")
@@ -105,7 +107,7 @@
                 fixture.submit("/stream/1")
                 fixture.scheduler.advance(110.milliseconds)
                 if (case.decodeDeclines) {
-                    fixture.upstreams.receivedCalls.drop(before).forEach { it.answer(503, notRun = true) }
+                    fixture.upstreams.receivedCalls.drop(before).forEach { it.answer(503, isDeclined = true) }
                 }
                 fixture.scheduler.advance(110.milliseconds)
             }
@@ -118,9 +120,9 @@
 
     @Test
     fun decodeEngineGetsThePromptWhenPrefillIsRefused() {
-        fixture.upstreams.prefillRefusals += ForwardFixture.MEMBERS.first { it.name.text == "prefill-1" }.address
+        fixture.upstreams.prefillRefusals += ForwardFixture.REGISTRATIONS.first { it.name.text == "prefill-1" }.address
         startStream()
-        assertNull(fixture.upstreams.receivedCalls.single().sending.prefill)
+        assertNull(fixture.upstreams.receivedCalls.single().attempt.prefillResult)
     }
 
     @Test
@@ -150,7 +152,7 @@
         first.fail(sent = true)
         fixture.scheduler.advance(200.milliseconds)
         val second = fixture.upstreams.receivedCalls[1]
-        assertEquals(1, second.sending.resumeAfter)
+        assertEquals(1, second.attempt.resumeAfterEventId)
         second.head(200)
         second.content("id: 2\ndata: b\n\n")
         fixture.upstreams.finish(second)
@@ -186,7 +188,7 @@
     @Test
     fun successWithoutProofIsNotPassedOn() {
         val submitted = startStream()
-        fixture.upstreams.receivedCalls.single().head(200, genuine = false)
+        fixture.upstreams.receivedCalls.single().head(200, isGenuine = false)
         assertEquals(RefusalReason.ANSWER_LOST, submitted.reply.refusal?.reason)
         assertNull(submitted.reply.head)
     }
@@ -197,7 +199,7 @@
             val fixture = ForwardFixture()
             val submitted = fixture.submit("/stream/1")
             fixture.scheduler.advance(milliseconds.milliseconds)
-            submitted.open?.callerLeft()
+            submitted.handle?.onCallerDisconnected()
             fixture.scheduler.advance(1.seconds)
             val running = fixture.upstreams.receivedCalls.count { !it.isCancelled }
             assertEquals(0, running, "after $milliseconds ms")
@@ -208,10 +210,10 @@
 
     @Test
     fun streamsAreRefusedLateInADrain() {
-        fixture.forwarder.drain(grace = 60.seconds)
-        assertNotNull(fixture.submit("/stream/1").open)
+        fixture.forwarder.drain(gracePeriod = 60.seconds)
+        assertNotNull(fixture.submit("/stream/1").handle)
         fixture.scheduler.advance(3.seconds)
         assertEquals(RefusalReason.LEAVING, fixture.submit("/stream/1").reply.refusal?.reason)
-        assertNotNull(fixture.submit("/action/1").open)
+        assertNotNull(fixture.submit("/action/1").handle)
     }
 }
--- a/core/src/test/kotlin/org/lovageladder/core/forward/StreamSummaryTest.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/forward/StreamSummaryTest.kt
@@ -28,7 +28,7 @@
     @Test
     fun endEventContainsWhatTheStreamRequestedAndUsed() {
         val fixture = ForwardFixture()
-        fixture.submit("/stream/1", wait = 10.seconds)
+        fixture.submit("/stream/1", callerTimeout = 10.seconds)
         fixture.scheduler.advance(150.milliseconds)
         val call = fixture.upstreams.receivedCalls.single()
         call.head(200)
--- a/core/src/test/kotlin/org/lovageladder/core/forward/UpstreamNoticesTest.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/forward/UpstreamNoticesTest.kt
@@ -12,18 +12,18 @@
 
 /** Notices in upstream answers, as tables, and where requests are sent afterwards. The drain bound is two seconds. */
 class UpstreamNoticesTest {
-    private val leaving = UpstreamNotice(leaving = true)
+    private val leaving = UpstreamNotice(isLeaving = true)
 
-    private fun member(name: String) = ForwardFixture.MEMBERS.single { it.name.text == name }
+    private fun registration(name: String) = ForwardFixture.REGISTRATIONS.single { it.name.text == name }
 
     private fun ForwardFixture.sendNotice(name: String, notice: UpstreamNotice) =
-        forwarder.noticed(member(name).start, notice)
+        forwarder.onUpstreamNotice(registration(name).incarnation, notice)
 
     private fun ForwardFixture.callsAt(name: String) =
-        upstreams.receivedCalls.count { it.sending.upstream.name.text == name }
+        upstreams.receivedCalls.count { it.attempt.upstream.name.text == name }
 
     private fun ForwardFixture.submitMany(target: String) = repeat(20) {
-        submit(target, wait = 10.seconds)
+        submit(target, callerTimeout = 10.seconds)
         scheduler.advance(20.milliseconds)
         upstreams.receivedCalls.filterNot { it.isCancelled }.forEach { answerCompletely(it) }
     }
@@ -59,7 +59,7 @@
             Case(60.seconds, RefusalReason.NO_UPSTREAM),
         ).forEach { case ->
             val fixture = ForwardFixture()
-            fixture.forwarder.registryChanged(RegistryChange.Removed(UpstreamName("plain-2"), revision = 2))
+            fixture.forwarder.onRegistryChange(RegistryChange.Removed(UpstreamName("plain-2"), revision = 2))
             fixture.sendNotice("plain-1", leaving)
             fixture.scheduler.advance(case.after)
             assertEquals(case.refusal, fixture.submit("/action/1").reply.refusal?.reason, "$case")
@@ -82,31 +82,31 @@
     @Test
     fun leavingNoticeAppliesToOneStartWhateverTheRegistrySays() {
         data class Case(val name: String, val isUsed: Boolean, val change: (ForwardFixture) -> Unit)
-        val start = member("plain-1").copy(startedAt = 7, revision = 2)
-        val register = { fixture: ForwardFixture, member: UpstreamRegistration ->
-            fixture.forwarder.registryChanged(RegistryChange.Registered(member))
+        val restarted = registration("plain-1").copy(startedAt = 7, revision = 2)
+        val register = { fixture: ForwardFixture, registration: UpstreamRegistration ->
+            fixture.forwarder.onRegistryChange(RegistryChange.Registered(registration))
         }
         listOf(
-            Case("registered again as serving", isUsed = false) { register(it, start.copy(revision = 3)) },
+            Case("registered again as serving", isUsed = false) { register(it, restarted.copy(revision = 3)) },
             Case("full read", isUsed = false) {
-                it.forwarder.registryChanged(RegistryChange.FullRead(listOf(start.copy(revision = 3))))
+                it.forwarder.onRegistryChange(RegistryChange.FullRead(listOf(restarted.copy(revision = 3))))
             },
             Case("expired and registered again", isUsed = false) {
-                it.forwarder.registryChanged(RegistryChange.Removed(start.name, revision = 3))
+                it.forwarder.onRegistryChange(RegistryChange.Removed(restarted.name, revision = 3))
                 it.scheduler.advance(5.seconds)
-                register(it, start.copy(revision = 4))
+                register(it, restarted.copy(revision = 4))
             },
             Case("registry unavailable for a time", isUsed = false) {
-                it.forwarder.registryChanged(RegistryChange.Unavailable)
+                it.forwarder.onRegistryChange(RegistryChange.Unavailable)
                 it.scheduler.advance(30.seconds)
-                it.forwarder.registryChanged(RegistryChange.Available)
+                it.forwarder.onRegistryChange(RegistryChange.Available)
             },
-            Case("restarted", isUsed = true) { register(it, start.copy(startedAt = 8, revision = 3)) },
+            Case("restarted", isUsed = true) { register(it, restarted.copy(startedAt = 8, revision = 3)) },
         ).forEach { case ->
             val fixture = ForwardFixture()
-            register(fixture, start)
-            fixture.forwarder.registryChanged(RegistryChange.Removed(UpstreamName("plain-2"), revision = 2))
-            fixture.forwarder.noticed(start.start, leaving)
+            register(fixture, restarted)
+            fixture.forwarder.onRegistryChange(RegistryChange.Removed(UpstreamName("plain-2"), revision = 2))
+            fixture.forwarder.onUpstreamNotice(restarted.incarnation, leaving)
             fixture.scheduler.advance(2.seconds)
             case.change(fixture)
             fixture.submit("/action/1")
@@ -132,7 +132,7 @@
                 val fixture = ForwardFixture(memory = 100_000)
                 fixture.sendNotice(name, UpstreamNotice(pause = case.pause))
                 fixture.scheduler.advance(case.after)
-                fixture.submit(target, wait = 10.seconds)
+                fixture.submit(target, callerTimeout = 10.seconds)
                 fixture.submitMany(target)
                 val isBeforePauseEnd = fixture.scheduler.now() - org.lovageladder.core.Moment(0) < case.pause
                 assertEquals(
@@ -147,7 +147,7 @@
     @Test
     fun pauseIsNotShortenedByALaterNotice() {
         val fixture = ForwardFixture()
-        fixture.forwarder.registryChanged(RegistryChange.Removed(UpstreamName("plain-2"), revision = 2))
+        fixture.forwarder.onRegistryChange(RegistryChange.Removed(UpstreamName("plain-2"), revision = 2))
         fixture.sendNotice("plain-1", UpstreamNotice(pause = 3.seconds))
         fixture.sendNotice("plain-1", UpstreamNotice(pause = 1.seconds))
         fixture.scheduler.advance(2.seconds)
@@ -160,11 +160,11 @@
         val fixture = ForwardFixture()
         fixture.sendNotice("plain-1", UpstreamNotice(pause = 2.seconds))
         fixture.sendNotice("plain-2", UpstreamNotice(pause = 1.seconds))
-        val refusal = assertNotNull(fixture.submit("/action/1", wait = 9.seconds).reply.refusal)
+        val refusal = assertNotNull(fixture.submit("/action/1", callerTimeout = 9.seconds).reply.refusal)
         assertEquals(RefusalReason.OVERLOADED, refusal.reason)
-        assertTrue(assertNotNull(refusal.returnAfter) >= 1.seconds)
-        val shortWait = assertNotNull(fixture.submit("/action/1", wait = 600.milliseconds).reply.refusal)
-        assertTrue(assertNotNull(shortWait.returnAfter) <= 200.milliseconds)
+        assertTrue(assertNotNull(refusal.retryAfter) >= 1.seconds)
+        val shortWait = assertNotNull(fixture.submit("/action/1", callerTimeout = 600.milliseconds).reply.refusal)
+        assertTrue(assertNotNull(shortWait.retryAfter) <= 200.milliseconds)
         assertTrue(fixture.upstreams.receivedCalls.isEmpty())
     }
 
@@ -175,7 +175,7 @@
         listOf(Case(300.milliseconds, isServed = true), Case(3.seconds, isServed = false)).forEach { case ->
             val fixture = ForwardFixture()
             listOf("decode-1", "decode-2").forEach { fixture.sendNotice(it, UpstreamNotice(pause = case.pause)) }
-            val submitted = fixture.submit("/stream/1", wait = 10.seconds)
+            val submitted = fixture.submit("/stream/1", callerTimeout = 10.seconds)
             assertEquals(!case.isServed, submitted.reply.refusal?.reason == RefusalReason.OVERLOADED, "$case")
             fixture.scheduler.advance(600.milliseconds)
             assertEquals(if (case.isServed) 1 else 0, fixture.upstreams.receivedCalls.size, "$case")
@@ -187,25 +187,25 @@
     fun reservedMemoryIsNotUsedLongAfterItsEnginePaused() {
         val fixture = ForwardFixture()
         fixture.upstreams.prefillTime = 500.milliseconds
-        fixture.submit("/stream/1", wait = 10.seconds)
+        fixture.submit("/stream/1", callerTimeout = 10.seconds)
         fixture.scheduler.advance(20.milliseconds)
         val reserved = fixture.upstreams.lastReserved
-        fixture.forwarder.noticed(reserved, UpstreamNotice(pause = 3.seconds))
+        fixture.forwarder.onUpstreamNotice(reserved, UpstreamNotice(pause = 3.seconds))
         fixture.scheduler.advance(600.milliseconds)
         val call = fixture.upstreams.receivedCalls.single()
-        assertTrue(call.sending.upstream != reserved)
-        assertNotNull(call.sending.prefill, "the prompt is not prefilled twice")
+        assertTrue(call.attempt.upstream != reserved)
+        assertNotNull(call.attempt.prefillResult, "the prompt is not prefilled twice")
         assertNull(fixture.upstreams.released.find { it == reserved }, "a paused engine gets no calls")
     }
 
     @Test
     fun unreadableNoticesAreLoggedOncePerInterval() {
         val fixture = ForwardFixture()
-        repeat(100) { fixture.sendNotice("plain-1", UpstreamNotice(unreadable = "Retry-After: \"x\"")) }
+        repeat(100) { fixture.sendNotice("plain-1", UpstreamNotice(unreadablePart = "Retry-After: \"x\"")) }
         val loggedNotices = { fixture.events.count { it.kind == org.lovageladder.core.EventKind.NOTICE_UNREADABLE } }
         assertEquals(1, loggedNotices())
         fixture.scheduler.advance(61.seconds)
-        fixture.sendNotice("plain-1", UpstreamNotice(unreadable = "Retry-After: \"x\""))
+        fixture.sendNotice("plain-1", UpstreamNotice(unreadablePart = "Retry-After: \"x\""))
         assertEquals(2, loggedNotices())
     }
 }
--- a/daemon/src/main/kotlin/org/lovageladder/daemon/ForwardCommand.kt
+++ b/daemon/src/main/kotlin/org/lovageladder/daemon/ForwardCommand.kt
@@ -107,8 +107,8 @@
         forwarderSettings =
         ForwarderSettings(
             place = common.place,
-            retries = RetryLimits(retryRatio, retryAllowance.toDouble(), retryWindow),
-            expectedEntries = entryCount,
+            retryLimits = RetryLimits(retryRatio, retryAllowance.toDouble(), retryWindow),
+            expectedEntryCount = entryCount,
             prefillShare = prefillShare,
             drainBound = drainBound,
             answerBytes = answerBytes,
--- a/daemon/src/main/kotlin/org/lovageladder/daemon/ForwardProcess.kt
+++ b/daemon/src/main/kotlin/org/lovageladder/daemon/ForwardProcess.kt
@@ -12,16 +12,16 @@
 import org.lovageladder.core.ReleaseVersion
 import org.lovageladder.core.forward.CallerLimits
 import org.lovageladder.core.forward.CallerReply
-import org.lovageladder.core.forward.ForwardConfiguration
 import org.lovageladder.core.forward.EntryRegistrar
+import org.lovageladder.core.forward.ForwardConfiguration
 import org.lovageladder.core.forward.ForwardRequest
 import org.lovageladder.core.forward.Forwarder
 import org.lovageladder.core.forward.ForwarderSettings
 import org.lovageladder.core.forward.LeaderElection
-import org.lovageladder.core.forward.RequestHandle
 import org.lovageladder.core.forward.RegistryChange
 import org.lovageladder.core.forward.RegistryFollower
 import org.lovageladder.core.forward.RegistryListener
+import org.lovageladder.core.forward.RequestHandle
 import org.lovageladder.http.HttpThreads
 import org.lovageladder.http.forward.EventLoopScheduler
 import org.lovageladder.http.forward.ForwardHandler
@@ -73,7 +73,7 @@
     private val storeClient = TextClient(threads)
     private val store = StoreWriter(settings.process.store.first(), storeClient)
     private val calls = HttpUpstreamCalls(threads, PlatformUpstreamCodec()) { upstream, notice ->
-        forwarder.noticed(upstream, notice)
+        forwarder.onUpstreamNotice(upstream, notice)
     }
     private val forwarder: Forwarder = Forwarder(settings.forwarderSettings, calls, scheduler, eventLog::record)
     private val follower =
@@ -102,7 +102,7 @@
 
     init {
         state.showIn(registry)
-        Gauge.builder("lovageladder.requests.open", forwarder) { it.open.toDouble() }.register(registry)
+        Gauge.builder("lovageladder.requests.open", forwarder) { it.openRequests.toDouble() }.register(registry)
         scheduler.execute {
             eventLog.record(EventDraft(EventKind.PROCESS_STARTED, detail = "callers=${settings.listenAddress}"))
             follower.start()
@@ -113,8 +113,9 @@
 
     private fun startRoleChanges() {
         val port = PlatformLeadership(store, settings.name)
-        val leadership = LeaderElection(port, scheduler, settings.orderLease, Random.Default::nextDouble)
-        forwarder.keepRoles(leadership, PlatformRoleOrders(store, settings.name, storeClient, forwarder::noticed))
+        val leaderElection = LeaderElection(port, scheduler, settings.orderLease, Random.Default::nextDouble)
+        val orders = PlatformRoleOrders(store, settings.name, storeClient, forwarder::onUpstreamNotice)
+        forwarder.startRoleChanges(leaderElection, orders)
     }
 
     override fun requestStop(): Unit = ending.requestStop { scheduler.execute { drain() } }
@@ -133,7 +134,7 @@
 
     /** Applies those of [newSettings] that do not need a restart. */
     fun applySettings(newSettings: ForwardProcessSettings): Unit = scheduler.execute {
-        forwarder.limitRetries(newSettings.forwarderSettings.retries)
+        forwarder.updateRetryLimits(newSettings.forwarderSettings.retryLimits)
         val isComplete =
             newSettings.copy(forwarderSettings = settings.forwarderSettings) == settings &&
                 newSettings.forwarderSettings.place == settings.forwarderSettings.place
@@ -155,8 +156,8 @@
         state.ready = false
         server.drain()
         forwarder.drain(settings.stopGrace)
-        eventLog.record(EventDraft(EventKind.PROCESS_DRAINING, detail = "open=${forwarder.open}"))
-        scheduler.after(BALANCER_REMOVAL_DELAY) {
+        eventLog.record(EventDraft(EventKind.PROCESS_DRAINING, detail = "open=${forwarder.openRequests}"))
+        scheduler.schedule(BALANCER_REMOVAL_DELAY) {
             server.closeIdle()
             finishWhenIdle()
         }
@@ -164,8 +165,8 @@
 
     /** Ends the process once no request is open. */
     private fun finishWhenIdle() {
-        if (forwarder.open > 0) {
-            scheduler.after(DRAIN_CHECK_INTERVAL) { finishWhenIdle() }
+        if (forwarder.openRequests > 0) {
+            scheduler.schedule(DRAIN_CHECK_INTERVAL) { finishWhenIdle() }
             return
         }
         server.closeIdle()
@@ -174,12 +175,13 @@
     }
 
     private fun publishState() {
-        val ready = forwarder.ready && !isDraining
+        val ready = forwarder.isReady && !isDraining
         if (ready && !state.ready) {
-            eventLog.record(EventDraft(EventKind.PROCESS_READY, detail = "configuration=${forwarder.version}"))
+            val detail = "configuration=${forwarder.configurationVersion}"
+            eventLog.record(EventDraft(EventKind.PROCESS_READY, detail = detail))
         }
         state.ready = ready
-        state.release = forwarder.version
+        state.release = forwarder.configurationVersion
     }
 
     private fun statusJson(): String {
@@ -188,19 +190,19 @@
     }
 
     private inner class RegistryUpdates : RegistryListener {
-        override fun configured(configuration: ForwardConfiguration) {
-            forwarder.configure(configuration)
+        override fun onConfiguration(configuration: ForwardConfiguration) {
+            forwarder.applyConfiguration(configuration)
             publishState()
         }
 
-        override fun changed(change: RegistryChange) {
-            forwarder.registryChanged(change)
+        override fun onChange(change: RegistryChange) {
+            forwarder.onRegistryChange(change)
             publishState()
         }
     }
 
     private inner class RequestHandler : ForwardHandler {
-        override val limits: CallerLimits? get() = forwarder.limits
+        override val limits: CallerLimits? get() = forwarder.callerLimits
 
         override fun forward(request: ForwardRequest, reply: CallerReply): RequestHandle? =
             forwarder.forward(request, reply)
--- a/http/src/main/kotlin/org/lovageladder/http/AdminClient.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/AdminClient.kt
@@ -30,10 +30,10 @@
     public fun explain(address: Address, request: RequestId): Result<List<EventRecord>, Fault>
 
     /** Starts to drain the process. */
-    public fun drain(address: Address): Result<Unit, Fault>
+    public fun startDrain(address: Address): Result<Unit, Fault>
 
     /** Whether the process is ready to accept requests. */
-    public fun ready(address: Address): Result<Boolean, Fault>
+    public fun isReady(address: Address): Result<Boolean, Fault>
 }
 
 /** Opens an [AdminClient] whose calls fail after [timeout]. */
@@ -52,10 +52,10 @@
         return callSuccessfully(address, get(EXPLAIN_PREFIX + name)).andThen { parseEvents(address, it) }
     }
 
-    override fun drain(address: Address): Result<Unit, Fault> =
+    override fun startDrain(address: Address): Result<Unit, Fault> =
         callSuccessfully(address, HttpCall(HttpMethod.POST, DRAIN_PATH)).map { }
 
-    override fun ready(address: Address): Result<Boolean, Fault> = ask(address, get(READY_PATH)).andThen { answer ->
+    override fun isReady(address: Address): Result<Boolean, Fault> = ask(address, get(READY_PATH)).andThen { answer ->
         when (answer.status) {
             STATUS_OK -> Ok(true)
             STATUS_UNAVAILABLE -> Ok(false)
@@ -74,7 +74,7 @@
 
     private fun ask(address: Address, call: HttpCall): Result<HttpAnswer, Fault> {
         val pending = CompletableFuture<HttpResult>()
-        client.ask(address, call, HttpWait(timeout, timeout)) { pending.complete(it) }
+        client.callWhole(address, call, HttpTimeouts(timeout, timeout)) { pending.complete(it) }
         return when (val result = pending.get()) {
             is HttpResult.Answered -> Ok(result.answer)
             is HttpResult.Failed -> Err(fault(address, result.failure.cause, result.failure.detail))
--- a/http/src/main/kotlin/org/lovageladder/http/CallerConnection.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/CallerConnection.kt
@@ -47,8 +47,8 @@
     }
 
     /** Called when bytes arrive, before they are decoded. */
-    fun bytesArrived() {
-        if (state == State.RECEIVING) timer.bytesArrived()
+    fun onBytesArrived() {
+        if (state == State.RECEIVING) timer.onBytesArrived()
     }
 
     override fun channelRead0(context: ChannelHandlerContext, message: HttpObject) {
@@ -98,7 +98,7 @@
         partialRequest = request
         val announcedLength = HttpUtil.getContentLength(head, -1L)
         when {
-            announcedLength > limits.bodyBytes -> refuse(bodyTooLarge(), request.hasIdempotencyKey)
+            announcedLength > limits.maximumBodyBytes -> refuse(bodyTooLarge(), request.hasIdempotencyKey)
             HttpUtil.is100ContinueExpected(head) -> {
                 context.writeAndFlush(DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE))
             }
@@ -107,7 +107,7 @@
 
     private fun append(content: HttpContent) {
         val request = partialRequest ?: return
-        if (request.size + content.content().readableBytes() > limits.bodyBytes) {
+        if (request.size + content.content().readableBytes() > limits.maximumBodyBytes) {
             refuse(bodyTooLarge(), request.hasIdempotencyKey)
             return
         }
@@ -206,14 +206,14 @@
     private fun enqueue(message: HttpObject) {
         queuedBytes += (message as? HttpContent)?.content()?.readableBytes() ?: 0
         queued.addLast(message)
-        if (queuedBytes > limits.bodyBytes || queued.size > MAXIMUM_QUEUED_MESSAGES) context.close()
+        if (queuedBytes > limits.maximumBodyBytes || queued.size > MAXIMUM_QUEUED_MESSAGES) context.close()
     }
 
     private fun processQueued() {
         while (state == State.RECEIVING) {
             val message = queued.removeFirstOrNull() ?: break
             queuedBytes -= (message as? HttpContent)?.content()?.readableBytes() ?: 0
-            timer.bytesArrived()
+            timer.onBytesArrived()
             process(message)
         }
     }
@@ -226,7 +226,7 @@
     private fun bodyTooLarge() = RequestError(
         STATUS_CONTENT_TOO_LARGE,
         "body-too-large",
-        "the body is larger than ${limits.bodyBytes} bytes",
+        "the body is larger than ${limits.maximumBodyBytes} bytes",
         "body",
     )
 
@@ -235,11 +235,11 @@
             RequestError(
                 STATUS_HEADERS_TOO_LARGE,
                 "headers-too-large",
-                "headers exceed ${limits.headerBytes} bytes",
+                "headers exceed ${limits.maximumHeaderBytes} bytes",
                 "headers",
             )
         is TooLongHttpLineException ->
-            RequestError(STATUS_TARGET_TOO_LONG, "target-too-long", "the request line is too long", "path")
+            RequestError(STATUS_URI_TOO_LONG, "target-too-long", "the request line is too long", "path")
         else -> RequestError(STATUS_BAD_REQUEST, "malformed-request", "the request is not HTTP/1.1: ${cause.message}")
     }
 
--- a/http/src/main/kotlin/org/lovageladder/http/EtcdStore.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/EtcdStore.kt
@@ -42,7 +42,7 @@
             ended(fault)
         }
         val running = client.start(addresses[index], watchCall(prefix), receiver, ConnectionUse.FRESH)
-        return AutoCloseable { running.abandon() }
+        return AutoCloseable { running.cancel() }
     }
 
     override fun close(): Unit = client.close()
@@ -66,7 +66,11 @@
                 return
             }
             val call = jsonPost(request.path, request.body)
-            client.ask(address, call, HttpWait(minOf(timeLeft, HttpClient.CONNECT_LIMIT), timeLeft)) { result ->
+            client.callWhole(
+                address,
+                call,
+                HttpTimeouts(minOf(timeLeft, HttpClient.CONNECT_TIMEOUT), timeLeft),
+            ) { result ->
                 when (result) {
                     is HttpResult.Answered -> answer(read(address, result.answer))
                     is HttpResult.Failed -> failOver(index, result.failure, remainingAddresses - 1)
@@ -76,7 +80,7 @@
 
         private fun failOver(index: Int, failure: HttpFailure, remainingAddresses: Int) {
             preferNextAddress(index)
-            val mayRetry = request.isSafeToRetry || !failure.sent
+            val mayRetry = request.isSafeToRetry || !failure.requestSent
             if (mayRetry && remainingAddresses > 0 && failure.cause != FaultCause.CANCELLED) {
                 send(remainingAddresses)
             } else {
--- a/http/src/main/kotlin/org/lovageladder/http/HttpCall.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/HttpCall.kt
@@ -11,7 +11,8 @@
 
 /**
  * A complete request. A `Host` header in [fields] replaces the default one, which is the address of the call. The call
- * fails as soon as its answer exceeds [answerBytes]; with null, the limit of the function that sends the call applies.
+ * fails as soon as its answer exceeds [maximumAnswerBytes]; with null, the limit of the function that sends the call
+ * applies.
  */
 internal class HttpCall(
     val method: HttpMethod,
@@ -19,7 +20,7 @@
     val body: ByteArray = NO_BODY,
     val contentType: String? = null,
     val fields: List<HttpField> = emptyList(),
-    val answerBytes: Int? = null,
+    val maximumAnswerBytes: Int? = null,
 )
 
 private val NO_BODY = ByteArray(0)
@@ -36,8 +37,8 @@
     FRESH,
 }
 
-/** Why a call got no complete answer. When [sent] is false, no byte of the request can have reached the peer. */
-internal data class HttpFailure(val cause: FaultCause, val sent: Boolean, val detail: String)
+/** Why a call got no complete answer. When [requestSent] is false, no byte of the request can have reached the peer. */
+internal data class HttpFailure(val cause: FaultCause, val requestSent: Boolean, val detail: String)
 
 /** Receives one answer on an event loop thread, in order. The last callback is [onEnd] or [onFailure]. */
 internal interface HttpReceiver {
@@ -65,4 +66,4 @@
 }
 
 /** Timeouts for the connection and, when set, for the end of the answer; both count from the start of the call. */
-internal data class HttpWait(val connect: Duration, val answer: Duration?)
+internal data class HttpTimeouts(val connectTimeout: Duration, val answerTimeout: Duration?)
--- a/http/src/main/kotlin/org/lovageladder/http/HttpClient.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/HttpClient.kt
@@ -33,31 +33,35 @@
         call: HttpCall,
         receiver: HttpReceiver,
         use: ConnectionUse = ConnectionUse.POOLED,
-        wait: HttpWait = HttpWait(CONNECT_LIMIT, answer = null),
+        timeouts: HttpTimeouts = HttpTimeouts(CONNECT_TIMEOUT, answerTimeout = null),
     ): RunningHttpCall {
-        val runningCall = RunningHttpCall(address, call, receiver, call.answerBytes ?: Int.MAX_VALUE)
-        return startCall(runningCall, use, wait)
+        val runningCall = RunningHttpCall(address, call, receiver, call.maximumAnswerBytes ?: Int.MAX_VALUE)
+        return startCall(runningCall, use, timeouts)
     }
 
     /** Starts [call] and passes its complete answer to [onResult]. */
-    fun ask(
+    fun callWhole(
         address: Address,
         call: HttpCall,
-        wait: HttpWait,
+        timeouts: HttpTimeouts,
         use: ConnectionUse = ConnectionUse.POOLED,
         onResult: (HttpResult) -> Unit,
     ): RunningHttpCall {
         val receiver = WholeAnswerReceiver(onResult)
-        return startCall(RunningHttpCall(address, call, receiver, call.answerBytes ?: MAXIMUM_ANSWER_BYTES), use, wait)
+        return startCall(
+            RunningHttpCall(address, call, receiver, call.maximumAnswerBytes ?: MAXIMUM_ANSWER_BYTES),
+            use,
+            timeouts,
+        )
     }
 
-    private fun startCall(runningCall: RunningHttpCall, use: ConnectionUse, wait: HttpWait): RunningHttpCall {
-        wait.answer?.let { limit -> scheduleTimeout(runningCall, limit) }
+    private fun startCall(runningCall: RunningHttpCall, use: ConnectionUse, timeouts: HttpTimeouts): RunningHttpCall {
+        timeouts.answerTimeout?.let { limit -> scheduleTimeout(runningCall, limit) }
         val pooled = if (use == ConnectionUse.POOLED) idleConnections.acquire(runningCall.address) else null
         if (pooled == null) {
-            connect(runningCall, wait.connect)
+            connect(runningCall, timeouts.connectTimeout)
         } else {
-            pooled.eventLoop().execute { sendOnPooled(pooled, runningCall, wait.connect) }
+            pooled.eventLoop().execute { sendOnPooled(pooled, runningCall, timeouts.connectTimeout) }
         }
         return runningCall
     }
@@ -98,7 +102,7 @@
     private fun send(channel: Channel, runningCall: RunningHttpCall) {
         if (closed) {
             channel.close()
-            runningCall.fail(HttpFailure(FaultCause.CANCELLED, sent = false, detail = "the client is closed"))
+            runningCall.fail(HttpFailure(FaultCause.CANCELLED, requestSent = false, detail = "the client is closed"))
             return
         }
         channel.pipeline().get(HttpClientConnection::class.java).send(runningCall)
@@ -115,7 +119,7 @@
 
     private fun connectFailure(cause: Throwable): HttpFailure {
         val kind = if (cause is ConnectTimeoutException) FaultCause.TIMEOUT else FaultCause.UNREACHABLE
-        return HttpFailure(kind, sent = false, detail = cause.message ?: cause.javaClass.simpleName)
+        return HttpFailure(kind, requestSent = false, detail = cause.message ?: cause.javaClass.simpleName)
     }
 
     private inner class ConnectionInitializer : ChannelInitializer<SocketChannel>() {
@@ -127,7 +131,7 @@
     }
 
     companion object {
-        val CONNECT_LIMIT: Duration = 1.seconds
+        val CONNECT_TIMEOUT: Duration = 1.seconds
         private const val MAXIMUM_ANSWER_BYTES = 16 * 1024 * 1024
     }
 }
--- a/http/src/main/kotlin/org/lovageladder/http/HttpClientConnection.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/HttpClientConnection.kt
@@ -109,7 +109,7 @@
         val detail = "the answer is not valid HTTP: ${cause?.message ?: "unexpected data"}"
         val runningCall = currentCall
         currentCall = null
-        runningCall?.fail(HttpFailure(FaultCause.PROTOCOL, sent = true, detail = detail))
+        runningCall?.fail(HttpFailure(FaultCause.PROTOCOL, requestSent = true, detail = detail))
         context.close()
     }
 
@@ -117,7 +117,7 @@
         val runningCall = currentCall ?: return
         currentCall = null
         val detail = cause?.message ?: "the connection closed before the answer ended"
-        runningCall.fail(HttpFailure(FaultCause.CONNECTION_LOST, sent = true, detail = detail))
+        runningCall.fail(HttpFailure(FaultCause.CONNECTION_LOST, requestSent = true, detail = detail))
     }
 
     /** Encodes the request. When its path or a header is invalid, fails the call and returns null. */
@@ -125,7 +125,7 @@
         encode(runningCall)
     } catch (invalid: IllegalArgumentException) {
         context.close()
-        runningCall.fail(HttpFailure(FaultCause.PROTOCOL, sent = false, detail = invalid.message.orEmpty()))
+        runningCall.fail(HttpFailure(FaultCause.PROTOCOL, requestSent = false, detail = invalid.message.orEmpty()))
         null
     }
 
--- a/http/src/main/kotlin/org/lovageladder/http/HttpHostList.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/HttpHostList.kt
@@ -16,8 +16,8 @@
 
 private class HttpHostList(private val address: Address, private val client: HttpClient) : HostList {
     override fun read(timeout: Duration, listed: (List<ListedHost>?) -> Unit) {
-        val wait = HttpWait(minOf(timeout, HttpClient.CONNECT_LIMIT), timeout)
-        client.ask(address, HttpCall(HttpMethod.GET, "/v1/hosts"), wait) { result ->
+        val timeouts = HttpTimeouts(minOf(timeout, HttpClient.CONNECT_TIMEOUT), timeout)
+        client.callWhole(address, HttpCall(HttpMethod.GET, "/v1/hosts"), timeouts) { result ->
             listed((result as? HttpResult.Answered)?.let { parseHosts(it.answer) })
         }
     }
--- a/http/src/main/kotlin/org/lovageladder/http/HttpListener.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/HttpListener.kt
@@ -28,7 +28,7 @@
     .channel()
 
 /** Address that [listener] is bound to; with the assigned port when the requested port was 0. */
-internal fun addressOf(listener: Channel): Address =
+internal fun boundAddress(listener: Channel): Address =
     (listener.localAddress() as InetSocketAddress).let { Address(it.address.hostAddress, it.port) }
 
 /** Maximum connections waiting to be accepted; more than the usual 50, since callers connect in bursts. */
--- a/http/src/main/kotlin/org/lovageladder/http/HttpUpstreamGateway.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/HttpUpstreamGateway.kt
@@ -61,7 +61,7 @@
     }
 
     override fun running(upstream: ReleaseEntry.Upstream, listed: (List<String>?) -> Unit) {
-        client.ask(upstream.address, HttpCall(HttpMethod.GET, "/v1/running"), CONTROL_TIMEOUTS) { result ->
+        client.callWhole(upstream.address, HttpCall(HttpMethod.GET, "/v1/running"), CONTROL_TIMEOUTS) { result ->
             val answer = successfulAnswer(result)
             listed(answer?.let { decodeOrNull<RunningAnswer>(it) }?.running?.map { it.requestName })
         }
@@ -73,7 +73,7 @@
 
     override fun order(upstream: ReleaseEntry.Upstream, order: UpstreamOrder, fencing: Long, done: (Fault?) -> Unit) {
         val call = orderCall(order, fencing)
-        client.ask(upstream.address, call, ORDER_TIMEOUTS, ConnectionUse.FRESH) { result ->
+        client.callWhole(upstream.address, call, ORDER_TIMEOUTS, ConnectionUse.FRESH) { result ->
             done(orderFault(upstream.name.text, order, result))
         }
     }
@@ -120,14 +120,14 @@
     /** Asks the engine to cancel a call. The result is whether it ended one with that name; null without an answer. */
     private fun sendCancel(requestName: String, upstream: ReleaseEntry.Upstream, onAnswer: (Boolean?) -> Unit) {
         val call = jsonPost("/v1/cancel", engineJson.encodeToString(CancelBody(requestName)))
-        client.ask(upstream.address, call, CONTROL_TIMEOUTS) { result ->
+        client.callWhole(upstream.address, call, CONTROL_TIMEOUTS) { result ->
             onAnswer(successfulAnswer(result)?.let { decodeOrNull<CancelAnswer>(it) }?.cancelled)
         }
     }
 
     private companion object {
-        val CONTROL_TIMEOUTS = HttpWait(connect = 1.seconds, answer = 2.seconds)
-        val ORDER_TIMEOUTS = HttpWait(connect = 1.seconds, answer = 30.seconds)
+        val CONTROL_TIMEOUTS = HttpTimeouts(connectTimeout = 1.seconds, answerTimeout = 2.seconds)
+        val ORDER_TIMEOUTS = HttpTimeouts(connectTimeout = 1.seconds, answerTimeout = 30.seconds)
     }
 }
 
--- a/http/src/main/kotlin/org/lovageladder/http/NettyAdminServer.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/NettyAdminServer.kt
@@ -25,7 +25,7 @@
     private val listener: Channel = listenForHttp(bind, threads, ConnectionInitializer())
 
     override val address: Address =
-        addressOf(listener)
+        boundAddress(listener)
 
     override fun close() {
         listener.close()
--- a/http/src/main/kotlin/org/lovageladder/http/NettyCallerServer.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/NettyCallerServer.kt
@@ -25,7 +25,7 @@
     private val listener: Channel = listenForHttp(bind, threads, ConnectionInitializer())
 
     override val address: Address =
-        addressOf(listener)
+        boundAddress(listener)
 
     init {
         meters.registerGauges(connections, exchanges)
@@ -59,13 +59,13 @@
             connections.add(channel)
             channel.closeFuture().addListener { connections.remove(channel) }
             val connection = CallerConnection(limits, exchanges, submissionReader)
-            channel.pipeline().addLast(ArrivalHandler(connection::bytesArrived), codec(), connection)
+            channel.pipeline().addLast(ArrivalHandler(connection::onBytesArrived), codec(), connection)
         }
 
         private fun codec() = HttpServerCodec(
             HttpDecoderConfig()
                 .setMaxInitialLineLength(MAXIMUM_REQUEST_LINE_BYTES)
-                .setMaxHeaderSize(limits.headerBytes),
+                .setMaxHeaderSize(limits.maximumHeaderBytes),
         )
     }
 
--- a/http/src/main/kotlin/org/lovageladder/http/ReceiveTimer.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/ReceiveTimer.kt
@@ -26,16 +26,16 @@
     fun awaitRequest() {
         requestStarted = false
         startedAt = System.nanoTime()
-        schedule(limits.keepAlive)
+        schedule(limits.idleTimeout)
     }
 
     /** Called when bytes of a request arrive. */
-    fun bytesArrived() {
+    fun onBytesArrived() {
         lastArrivalAt = System.nanoTime()
         if (requestStarted) return
         requestStarted = true
         startedAt = lastArrivalAt
-        schedule(minOf(limits.readIdle, limits.requestTimeout))
+        schedule(minOf(limits.readTimeout, limits.requestTimeout))
     }
 
     fun stop() {
@@ -51,11 +51,13 @@
     private fun checkTimeouts() {
         timeoutTask = null
         val now = System.nanoTime()
-        val idleTimeLeft = limits.readIdle - (now - lastArrivalAt).nanoseconds
+        val idleTimeLeft = limits.readTimeout - (now - lastArrivalAt).nanoseconds
         val requestTimeLeft = limits.requestTimeout - (now - startedAt).nanoseconds
         when {
             !requestStarted -> onExpired(null)
-            !idleTimeLeft.isPositive() -> onExpired("no further bytes of the request arrived within ${limits.readIdle}")
+            !idleTimeLeft.isPositive() -> onExpired(
+                "no further bytes of the request arrived within ${limits.readTimeout}",
+            )
             !requestTimeLeft.isPositive() -> onExpired("the request was not complete within ${limits.requestTimeout}")
             else -> schedule(minOf(idleTimeLeft, requestTimeLeft))
         }
--- a/http/src/main/kotlin/org/lovageladder/http/RunningHttpCall.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/RunningHttpCall.kt
@@ -41,7 +41,7 @@
         get() = ended.get()
 
     /** Ends the call without notifying the receiver, and closes its connection. */
-    fun abandon() {
+    fun cancel() {
         ended.set(true)
         completionListener()
         channel?.close()
@@ -66,7 +66,9 @@
             receiver.onContent(bytes)
             return
         }
-        fail(HttpFailure(FaultCause.PROTOCOL, sent = true, "the answer is larger than $maximumAnswerBytes bytes"))
+        fail(
+            HttpFailure(FaultCause.PROTOCOL, requestSent = true, "the answer is larger than $maximumAnswerBytes bytes"),
+        )
         channel?.close()
     }
 
--- a/http/src/main/kotlin/org/lovageladder/http/StartedCalls.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/StartedCalls.kt
@@ -66,7 +66,7 @@
             if (!tokensSuppressed) onReport(report)
             return
         }
-        httpCall?.takeIf { !it.isEnded }?.abandon()
+        httpCall?.takeIf { !it.isEnded }?.cancel()
         if (!isPlain && mayStillRun(report)) calls.keepUnconfirmed(this) else calls.remove(this)
         onReport(report)
     }
@@ -78,7 +78,7 @@
 
     /** Closes the connection; nothing is reported afterwards. */
     fun disconnect() {
-        httpCall?.abandon()
+        httpCall?.cancel()
         calls.remove(this)
     }
 
--- a/http/src/main/kotlin/org/lovageladder/http/UpstreamFailures.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/UpstreamFailures.kt
@@ -19,7 +19,7 @@
 
 /** Report of a call that got no complete answer. */
 internal fun callFailure(step: Step, peer: String, failure: HttpFailure): UpstreamReport.Failed {
-    val execution = if (failure.sent) Execution.UNKNOWN else Execution.NOT_RUN
+    val execution = if (failure.requestSent) Execution.UNKNOWN else Execution.NOT_RUN
     return UpstreamReport.Failed(Fault(step, peer, failure.cause, failure.detail), execution)
 }
 
--- a/http/src/main/kotlin/org/lovageladder/http/WholeAnswerReceiver.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/WholeAnswerReceiver.kt
@@ -33,6 +33,6 @@
         HttpResult.Answered(HttpAnswer(status, headers, text))
     } catch (_: CharacterCodingException) {
         val detail = "the body of the answer is not UTF-8 text"
-        HttpResult.Failed(HttpFailure(FaultCause.PROTOCOL, sent = true, detail = detail))
+        HttpResult.Failed(HttpFailure(FaultCause.PROTOCOL, requestSent = true, detail = detail))
     }
 }
