--- a/http/src/main/kotlin/org/lovageladder/http/forward/EventLoopScheduler.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/forward/EventLoopScheduler.kt
@@ -13,7 +13,7 @@
 
     override fun now(): Moment = Moment(TimeUnit.NANOSECONDS.toMicros(System.nanoTime()))
 
-    override fun after(delay: Duration, action: () -> Unit): Cancellable {
+    override fun schedule(delay: Duration, action: () -> Unit): Cancellable {
         val timer = loop.schedule(action, delay.inWholeNanoseconds.coerceAtLeast(0), TimeUnit.NANOSECONDS)
         return Cancellable { timer.cancel(false) }
     }
--- a/http/src/main/kotlin/org/lovageladder/http/forward/ForwardConnection.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/forward/ForwardConnection.kt
@@ -16,7 +16,7 @@
 import org.lovageladder.http.STATUS_BAD_REQUEST
 import org.lovageladder.http.STATUS_HEADERS_TOO_LARGE
 import org.lovageladder.http.STATUS_REQUEST_TIMEOUT
-import org.lovageladder.http.STATUS_TARGET_TOO_LONG
+import org.lovageladder.http.STATUS_URI_TOO_LONG
 import org.tinylog.kotlin.Logger
 
 /**
@@ -42,7 +42,7 @@
 
     /** Called when bytes of a request arrived, before they are decoded. */
     fun onBytesReceived() {
-        if (currentReply == null) receiveTimer.bytesArrived()
+        if (currentReply == null) receiveTimer.onBytesArrived()
     }
 
     /** Closes the connection unless a request is in progress or waits on it. May be called on any thread. */
@@ -73,7 +73,7 @@
         val request = openRequest
         openRequest = null
         currentReply?.onCallerDisconnected()
-        request?.callerLeft()
+        request?.onCallerDisconnected()
     }
 
     @Deprecated("Deprecated in Netty's base class, but still the place to handle connection errors.")
@@ -138,7 +138,7 @@
 
     private fun statusFor(fault: Throwable): Int = when (fault) {
         is TooLongHttpHeaderException -> STATUS_HEADERS_TOO_LARGE
-        is TooLongHttpLineException -> STATUS_TARGET_TOO_LONG
+        is TooLongHttpLineException -> STATUS_URI_TOO_LONG
         else -> STATUS_BAD_REQUEST
     }
 
@@ -147,10 +147,10 @@
         const val MAXIMUM_PIPELINED_REQUESTS = 32
 
         fun toHttpLimits(limits: CallerLimits) = HttpLimits(
-            bodyBytes = limits.bodyBytes,
-            headerBytes = limits.headerBytes,
-            readIdle = limits.headerTimeout,
-            keepAlive = limits.idleTimeout,
+            maximumBodyBytes = limits.maximumBodyBytes,
+            maximumHeaderBytes = limits.maximumHeaderBytes,
+            readTimeout = limits.headerTimeout,
+            idleTimeout = limits.idleTimeout,
         )
     }
 }
--- a/http/src/main/kotlin/org/lovageladder/http/forward/ForwardReply.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/forward/ForwardReply.kt
@@ -44,22 +44,22 @@
         isFinished = true
     }
 
-    override fun begin(head: AnswerHead, length: Int?) {
+    override fun sendHead(head: AnswerHead, length: Int?) {
         if (isFinished) return
         keepAlive = mayKeepAlive()
         val response = DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(head.status))
-        head.fields.forEach { response.headers().add(it.name, it.value) }
+        head.headers.forEach { response.headers().add(it.name, it.value) }
         setFraming(response, length)
         if (length == null) channel.writeAndFlush(response) else channel.write(response)
     }
 
-    override fun content(bytes: ByteArray) {
+    override fun sendContent(bytes: ByteArray) {
         if (isFinished || method == "HEAD") return
         channel.writeAndFlush(DefaultHttpContent(Unpooled.wrappedBuffer(bytes)))
         if (channel.unsafe().outboundBuffer()?.totalPendingWriteBytes() ?: 0 > MAXIMUM_UNREAD_BYTES) channel.close()
     }
 
-    override fun end() {
+    override fun finish() {
         if (isFinished) return
         isFinished = true
         finish(channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT))
@@ -68,7 +68,7 @@
     override fun refuse(refusal: Refusal) {
         if (isFinished) return
         keepAlive = mayKeepAlive()
-        sendComplete(statusFor(refusal.reason), refusal.reason.name.lowercase(), refusal.returnAfter)
+        sendComplete(statusFor(refusal.reason), refusal.reason.name.lowercase(), refusal.retryAfter)
     }
 
     /** Answers a malformed or incomplete request with [status] and closes the connection. */
--- a/http/src/main/kotlin/org/lovageladder/http/forward/ForwardServer.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/forward/ForwardServer.kt
@@ -12,7 +12,7 @@
 import org.lovageladder.core.forward.RequestHandle
 import org.lovageladder.http.ArrivalHandler
 import org.lovageladder.http.HttpThreads
-import org.lovageladder.http.addressOf
+import org.lovageladder.http.boundAddress
 import org.lovageladder.http.listenForHttp
 import java.util.concurrent.ConcurrentHashMap
 import kotlin.time.Duration.Companion.seconds
@@ -44,7 +44,7 @@
 
     /** Address that the server listens at; for port 0 it holds the port that the system chose. */
     public val address: Address =
-        addressOf(server)
+        boundAddress(server)
 
     /** Closes each caller's connection after its next answer, which announces this by `Connection: close`. */
     public fun drain() {
@@ -70,9 +70,9 @@
             channel.closeFuture().addListener { connections.remove(connection) }
             channel.pipeline().addLast(
                 ArrivalHandler(connection::onBytesReceived),
-                StrictRequestDecoder(limits.headerBytes),
+                StrictRequestDecoder(limits.maximumHeaderBytes),
                 HttpResponseEncoder(),
-                HttpObjectAggregator(limits.bodyBytes),
+                HttpObjectAggregator(limits.maximumBodyBytes),
                 connection,
             )
         }
@@ -82,8 +82,8 @@
         /** Limits that apply until a configuration is known. */
         val DEFAULT_LIMITS =
             CallerLimits(
-                headerBytes = 16_384,
-                bodyBytes = 4_194_304,
+                maximumHeaderBytes = 16_384,
+                maximumBodyBytes = 4_194_304,
                 headerTimeout = 3.seconds,
                 idleTimeout = 15.seconds,
             )
--- a/http/src/main/kotlin/org/lovageladder/http/forward/HttpUpstreamCalls.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/forward/HttpUpstreamCalls.kt
@@ -21,7 +21,7 @@
 import org.lovageladder.http.HttpField
 import org.lovageladder.http.HttpReceiver
 import org.lovageladder.http.HttpThreads
-import org.lovageladder.http.HttpWait
+import org.lovageladder.http.HttpTimeouts
 import org.tinylog.kotlin.Logger
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -38,46 +38,46 @@
     AutoCloseable {
     private val client = HttpClient(threads)
 
-    override fun send(request: ForwardRequest, sending: UpstreamAttempt, receiver: AnswerReceiver): Cancellable {
-        val fields = codec.requestHeaders(request, sending).map { HttpField(it.name, it.value) }
+    override fun send(request: ForwardRequest, attempt: UpstreamAttempt, receiver: AnswerReceiver): Cancellable {
+        val fields = codec.requestHeaders(request, attempt).map { HttpField(it.name, it.value) }
         val call = HttpCall(HttpMethod.valueOf(request.method), request.target, request.body, fields = fields)
-        val wait = HttpWait(minOf(sending.timeout, CONNECT_TIMEOUT), answer = null)
+        val timeouts = HttpTimeouts(minOf(attempt.timeout, CONNECT_TIMEOUT), answerTimeout = null)
         val running = client.start(
-            sending.address,
+            attempt.address,
             call,
-            AnswerAdapter(request, sending.upstream, receiver),
-            wait = wait,
+            AnswerAdapter(request, attempt.upstream, receiver),
+            timeouts = timeouts,
         )
-        return Cancellable { running.abandon() }
+        return Cancellable { running.cancel() }
     }
 
     override fun prefill(
         request: ForwardRequest,
-        sending: UpstreamAttempt,
+        attempt: UpstreamAttempt,
         answer: (EngineAnswer<PrefillResult>) -> Unit,
     ): Cancellable {
         val call = TextCall(request.method, request.target)
-        val fields = codec.prefillHeaders(request, sending)
-        return client.sendText(sending.address, call, sending.timeout, fields, request.body) { result ->
-            reportNotice(sending.upstream, result)
-            answer(toEngineAnswer(result) { codec.parsePrefillResult(sending, it) })
+        val fields = codec.prefillHeaders(request, attempt)
+        return client.sendText(attempt.address, call, attempt.timeout, fields, request.body) { result ->
+            reportNotice(attempt.upstream, result)
+            answer(toEngineAnswer(result) { codec.parsePrefillResult(attempt, it) })
         }
     }
 
     override fun reserve(
         engine: UpstreamIncarnation,
         tokens: Int,
-        keep: Duration,
+        reservationTime: Duration,
         answer: (EngineAnswer<Reservation>) -> Unit,
-    ): Cancellable = callEngine(engine, codec.reserveCall(tokens, keep)) {
+    ): Cancellable = callEngine(engine, codec.reserveCall(tokens, reservationTime)) {
         answer(toEngineAnswer(it, codec::parseReservation))
     }
 
-    override fun release(engine: UpstreamIncarnation, reservation: Reservation) {
+    override fun releaseReservation(engine: UpstreamIncarnation, reservation: Reservation) {
         callEngine(engine, codec.releaseCall(reservation)) { logFailure("release", engine, it) }
     }
 
-    override fun free(result: PrefillResult) {
+    override fun freePrefillResult(result: PrefillResult) {
         callEngine(result.engine, codec.freeCall(result)) { logFailure("free", result.engine, it) }
     }
 
@@ -132,7 +132,7 @@
         override fun onEnd(): Unit = receiver.onEnd()
 
         override fun onFailure(failure: HttpFailure) {
-            receiver.onFailure(CallFailure(failure.cause, failure.sent, failure.detail))
+            receiver.onFailure(CallFailure(failure.cause, failure.requestSent, failure.detail))
         }
     }
 
--- a/http/src/main/kotlin/org/lovageladder/http/forward/TextClient.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/forward/TextClient.kt
@@ -10,7 +10,7 @@
 import org.lovageladder.http.HttpField
 import org.lovageladder.http.HttpResult
 import org.lovageladder.http.HttpThreads
-import org.lovageladder.http.HttpWait
+import org.lovageladder.http.HttpTimeouts
 import kotlin.time.Duration
 
 /** Result of a [TextCall]. */
@@ -59,11 +59,13 @@
             body = content,
             contentType = contentType,
             fields = fields.map { HttpField(it.name, it.value) },
-            answerBytes = call.maximumAnswerBytes,
+            maximumAnswerBytes = call.maximumAnswerBytes,
         )
     val running =
-        ask(address, httpCall, HttpWait(minOf(timeout, HttpClient.CONNECT_LIMIT), timeout)) { answer(toTextResult(it)) }
-    return Cancellable { running.abandon() }
+        callWhole(address, httpCall, HttpTimeouts(minOf(timeout, HttpClient.CONNECT_TIMEOUT), timeout)) {
+            answer(toTextResult(it))
+        }
+    return Cancellable { running.cancel() }
 }
 
 private fun toTextResult(result: HttpResult): TextResult = when (result) {
@@ -73,6 +75,6 @@
     }
     is HttpResult.Failed -> {
         val failure = result.failure
-        TextResult.Failed(CallFailure(failure.cause, failure.sent, failure.detail))
+        TextResult.Failed(CallFailure(failure.cause, failure.requestSent, failure.detail))
     }
 }
--- a/http/src/main/kotlin/org/lovageladder/http/forward/UpstreamCodec.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/forward/UpstreamCodec.kt
@@ -28,11 +28,11 @@
  * Encodes calls to upstreams and decodes their answers. Only implementations know the names of headers and JSON keys.
  */
 public interface UpstreamCodec {
-    /** Headers for sending [request] to the upstream of [sending]. */
-    public fun requestHeaders(request: ForwardRequest, sending: UpstreamAttempt): List<HeaderField>
+    /** Headers for sending [request] to the upstream of [attempt]. */
+    public fun requestHeaders(request: ForwardRequest, attempt: UpstreamAttempt): List<HeaderField>
 
     /** Headers for sending [request] to an engine that is to run its prefill only. */
-    public fun prefillHeaders(request: ForwardRequest, sending: UpstreamAttempt): List<HeaderField>
+    public fun prefillHeaders(request: ForwardRequest, attempt: UpstreamAttempt): List<HeaderField>
 
     /** Whether an answer belongs to [request]; [header] returns the value of an answer's header by its name. */
     public fun isAnswerTo(request: ForwardRequest, header: (String) -> String?): Boolean
@@ -52,8 +52,8 @@
     /** Builds the call that releases [reservation]. */
     public fun releaseCall(reservation: Reservation): TextCall
 
-    /** Parses the answer to the prefill that was sent as [sending]. */
-    public fun parsePrefillResult(sending: UpstreamAttempt, answer: TextAnswer): EngineAnswer<PrefillResult>
+    /** Parses the answer to the prefill that was sent as [attempt]. */
+    public fun parsePrefillResult(attempt: UpstreamAttempt, answer: TextAnswer): EngineAnswer<PrefillResult>
 
     /** Builds the call that frees the memory of [result]. */
     public fun freeCall(result: PrefillResult): TextCall
--- a/http/src/test/kotlin/org/lovageladder/http/AdminServerTest.kt
+++ b/http/src/test/kotlin/org/lovageladder/http/AdminServerTest.kt
@@ -78,10 +78,10 @@
         val request = RequestId("a b/ő&=")
         assertEquals(listOf(admin.event.copy(request = request)), client.explain(server.address, request).get())
         assertEquals("{\"a\":1}", client.status(server.address).get())
-        assertEquals(false, client.ready(server.address).get())
+        assertEquals(false, client.isReady(server.address).get())
         admin.isReady = true
-        assertEquals(true, client.ready(server.address).get())
-        assertEquals(Unit, client.drain(server.address).get())
+        assertEquals(true, client.isReady(server.address).get())
+        assertEquals(Unit, client.startDrain(server.address).get())
         assertEquals(1, admin.drainCount)
     }
 
@@ -90,7 +90,7 @@
         val rows = listOf(
             FaultRow(null, FaultCause.UNREACHABLE),
             FaultRow(PeerBehaviour.CloseOnAccept, FaultCause.CONNECTION_LOST),
-            FaultRow(PeerBehaviour.Silence, FaultCause.TIMEOUT),
+            FaultRow(PeerBehaviour.NeverAnswer, FaultCause.TIMEOUT),
             FaultRow(PeerBehaviour.Send(FaultyPeer.answer(500, "")), FaultCause.REJECTED),
             FaultRow(PeerBehaviour.Send(FaultyPeer.answer(200, "nonsense")), FaultCause.PROTOCOL),
         )
@@ -113,7 +113,7 @@
         admin.statusDelay = 30.seconds
         CallerSocket(server.address).use { slow ->
             slow.send("GET /v1/status HTTP/1.1\r\n\r\n")
-            assertEquals(false, client.ready(server.address).get())
+            assertEquals(false, client.isReady(server.address).get())
         }
         admin.statusDelay = Duration.ZERO
     }
--- a/http/src/test/kotlin/org/lovageladder/http/CallerServerTest.kt
+++ b/http/src/test/kotlin/org/lovageladder/http/CallerServerTest.kt
@@ -33,7 +33,12 @@
 class CallerServerTest {
     private val callers = RecordingCallerHandler()
     private val limits =
-        HttpLimits(bodyBytes = 2_000, headerBytes = 4_000, readIdle = 200.milliseconds, writeTimeout = 200.milliseconds)
+        HttpLimits(
+            maximumBodyBytes = 2_000,
+            maximumHeaderBytes = 4_000,
+            readTimeout = 200.milliseconds,
+            writeTimeout = 200.milliseconds,
+        )
     private val server = startCallerServer(
         bind = Address("127.0.0.1", 0),
         limits = limits,
@@ -308,7 +313,7 @@
             server.giveToken(exchange, 0, "one")
             val refused = Outcome.Refused(RefusalReason.DEADLINE, Execution.RAN, retryAfter = 1.seconds)
             server.giveOutcome(exchange, RequestId("r-4"), refused)
-            val rest = socket.readToEnd()
+            val rest = socket.readUntilClosed()
             assertTrue("event: error\ndata: {" in rest, rest)
             assertTrue("\"retry_after_ms\":1000" in rest, rest)
             assertTrue("[DONE]" !in rest, rest)
@@ -380,7 +385,15 @@
                 val exchange = callers.nextSubmission().exchange
                 server.giveOutcome(exchange, RequestId("r"), Outcome.Answered(PlainAnswer(200, null, "ok")))
                 assertEquals("ok", socket.readAnswer().body, "$row")
-                if (row.isClosed) assertEquals("", socket.readToEnd(), "$row") else submitAndRefuse(socket, leaving)
+                if (row.isClosed) {
+                    assertEquals(
+                        "",
+                        socket.readUntilClosed(),
+                        "$row",
+                    )
+                } else {
+                    submitAndRefuse(socket, leaving)
+                }
             }
         }
     }
@@ -400,7 +413,7 @@
             server.drain()
             server.giveOutcome(submitted.exchange, RequestId("r"), Outcome.Answered(PlainAnswer(200, null, "")))
             assertEquals("close", socket.readAnswer().headers["connection"])
-            assertEquals("", socket.readToEnd())
+            assertEquals("", socket.readUntilClosed())
         }
     }
 
--- a/http/src/test/kotlin/org/lovageladder/http/CallerSocket.kt
+++ b/http/src/test/kotlin/org/lovageladder/http/CallerSocket.kt
@@ -55,7 +55,7 @@
     }
 
     /** Reads until the server closes the connection. */
-    fun readToEnd(): String = String(input.readAllBytes())
+    fun readUntilClosed(): String = String(input.readAllBytes())
 
     override fun close() {
         socket.close()
--- a/http/src/test/kotlin/org/lovageladder/http/EtcdStoreTest.kt
+++ b/http/src/test/kotlin/org/lovageladder/http/EtcdStoreTest.kt
@@ -57,8 +57,8 @@
         val whole = FaultyPeer.answer(200, """{"header":{"revision":"1"}}""")
         val rows = listOf(
             FaultRow(PeerBehaviour.CloseOnAccept, create, FaultCause.CONNECTION_LOST),
-            FaultRow(PeerBehaviour.Silence, create, FaultCause.TIMEOUT),
-            FaultRow(PeerBehaviour.Silence, read, FaultCause.TIMEOUT),
+            FaultRow(PeerBehaviour.NeverAnswer, create, FaultCause.TIMEOUT),
+            FaultRow(PeerBehaviour.NeverAnswer, read, FaultCause.TIMEOUT),
             FaultRow(PeerBehaviour.Send(FaultyPeer.truncatedAnswer("{")), create, FaultCause.CONNECTION_LOST),
             FaultRow(PeerBehaviour.Send(FaultyPeer.answer(503, "{}")), read, FaultCause.REJECTED),
             FaultRow(PeerBehaviour.Send(FaultyPeer.answer(200, "nonsense")), read, FaultCause.PROTOCOL),
@@ -86,7 +86,7 @@
         val replace = StoreRequest.Replace(StoreWrite("moved", "2"), 1)
         val read = StoreRequest.Read("moved")
         val rows = listOf(
-            FailoverRow(first = PeerBehaviour.Silence, create, isRetried = false),
+            FailoverRow(first = PeerBehaviour.NeverAnswer, create, isRetried = false),
             FailoverRow(PeerBehaviour.Send(FaultyPeer.truncatedAnswer("")), create, isRetried = false),
             FailoverRow(PeerBehaviour.Send(FaultyPeer.truncatedAnswer("")), replace, isRetried = false),
             FailoverRow(
--- a/http/src/test/kotlin/org/lovageladder/http/FaultyPeer.kt
+++ b/http/src/test/kotlin/org/lovageladder/http/FaultyPeer.kt
@@ -28,7 +28,7 @@
     data class SendEndlessly(val head: String, val part: String) : PeerBehaviour
 
     /** Reads requests and never answers. */
-    data object Silence : PeerBehaviour
+    data object NeverAnswer : PeerBehaviour
 
     /** Closes each connection as soon as it is accepted. */
     data object CloseOnAccept : PeerBehaviour
@@ -89,7 +89,7 @@
     /** Answers [request]; returns whether the connection stays open. */
     private fun answer(socket: Socket, request: String, servedBefore: Int): Boolean = when (behaviour) {
         PeerBehaviour.CloseOnAccept -> false
-        PeerBehaviour.Silence -> true
+        PeerBehaviour.NeverAnswer -> true
         is PeerBehaviour.SendEndlessly -> sendEndlessly(socket, behaviour)
         is PeerBehaviour.Send -> {
             socket.getOutputStream().write(behaviour.bytes.toByteArray())
--- a/http/src/test/kotlin/org/lovageladder/http/HttpHostListTest.kt
+++ b/http/src/test/kotlin/org/lovageladder/http/HttpHostListTest.kt
@@ -75,7 +75,7 @@
     fun readReturnsNullOnFaultyAnswers() {
         val behaviours = listOf(
             PeerBehaviour.CloseOnAccept,
-            PeerBehaviour.Silence,
+            PeerBehaviour.NeverAnswer,
             PeerBehaviour.Send(FaultyPeer.truncatedAnswer("""{"hosts":[]}""")),
             PeerBehaviour.Send(FaultyPeer.answer(503, """{"hosts":[]}""")),
             PeerBehaviour.Send(FaultyPeer.answer(200, "nonsense")),
--- a/http/src/test/kotlin/org/lovageladder/http/forward/ForwardServerTest.kt
+++ b/http/src/test/kotlin/org/lovageladder/http/forward/ForwardServerTest.kt
@@ -47,12 +47,12 @@
             method = received.method,
             target = received.target,
             host = received.host,
-            fields = received.fields,
+            headers = received.fields,
             body = received.body,
-            arrived = Moment(0),
-            wait = 1.seconds,
+            arrivedAt = Moment(0),
+            callerTimeout = 1.seconds,
             generation = null,
-            resumeAfter = null,
+            resumeAfterEventId = null,
         )
     }
     private val server = ForwardServer(Address("127.0.0.1", 0), threads, parser, handler)
@@ -70,7 +70,7 @@
     }
 
     private fun answerHead(status: Int) =
-        AnswerHead(status, listOf(HeaderField("Seal", "s")), notRun = false, wrongInstance = false, load = null)
+        AnswerHead(status, listOf(HeaderField("Seal", "s")), isDeclined = false, isWrongInstance = false, load = null)
 
     @Test
     fun requestsAndAnswersAreForwardedWithoutHopByHopHeaders() {
@@ -81,11 +81,11 @@
             val (request, reply) = takeRequest()
             assertEquals("/a/b?c=%20d", request.target)
             assertEquals("ok", request.body.decodeToString())
-            assertEquals(listOf("Host", "Id"), request.fields.map { it.name })
+            assertEquals(listOf("Host", "Id"), request.headers.map { it.name })
             onEventLoop {
-                reply.begin(answerHead(201), length = 4)
-                reply.content("body".encodeToByteArray())
-                reply.end()
+                reply.sendHead(answerHead(201), length = 4)
+                reply.sendContent("body".encodeToByteArray())
+                reply.finish()
             }
             val answer = caller.readAnswer()
             assertEquals(201, answer.status)
@@ -145,7 +145,7 @@
             caller.send("GET /1 HTTP/1.1\r\nHo")
             assertEquals(408, caller.readAnswer().status)
         }
-        CallerSocket(server.address).use { caller -> assertEquals("", caller.readToEnd()) }
+        CallerSocket(server.address).use { caller -> assertEquals("", caller.readUntilClosed()) }
     }
 
     @Test
@@ -163,12 +163,12 @@
             caller.send("GET /1 HTTP/1.1\r\nHost: h\r\nId: 1\r\n\r\n")
             val (_, reply) = takeRequest()
             onEventLoop {
-                reply.begin(answerHead(200), length = null)
-                reply.content("part".encodeToByteArray())
+                reply.sendHead(answerHead(200), length = null)
+                reply.sendContent("part".encodeToByteArray())
             }
             assertEquals("chunked", caller.readHead().headers["transfer-encoding"])
             onEventLoop { reply.abort() }
-            assertEquals("4\r\npart\r\n", caller.readToEnd())
+            assertEquals("4\r\npart\r\n", caller.readUntilClosed())
         }
     }
 
--- a/http/src/test/kotlin/org/lovageladder/http/forward/HttpUpstreamCallsTest.kt
+++ b/http/src/test/kotlin/org/lovageladder/http/forward/HttpUpstreamCallsTest.kt
@@ -35,7 +35,8 @@
 class HttpUpstreamCallsTest {
     private val threads = HttpThreads(1)
     private val notices = CopyOnWriteArrayList<Pair<UpstreamIncarnation, UpstreamNotice>>()
-    private val calls = HttpUpstreamCalls(threads, PlainCodec) { start, notice -> notices += start to notice }
+    private val calls =
+        HttpUpstreamCalls(threads, PlainCodec) { incarnation, notice -> notices += incarnation to notice }
 
     @AfterTest
     fun close() {
@@ -45,29 +46,29 @@
 
     /** Forwards headers unchanged; answers to calls about memory are their body. */
     private object PlainCodec : UpstreamCodec {
-        override fun requestHeaders(request: ForwardRequest, sending: UpstreamAttempt): List<HeaderField> =
-            request.fields
+        override fun requestHeaders(request: ForwardRequest, attempt: UpstreamAttempt): List<HeaderField> =
+            request.headers
 
-        override fun prefillHeaders(request: ForwardRequest, sending: UpstreamAttempt): List<HeaderField> =
-            request.fields
+        override fun prefillHeaders(request: ForwardRequest, attempt: UpstreamAttempt): List<HeaderField> =
+            request.headers
 
         override fun isAnswerTo(request: ForwardRequest, header: (String) -> String?): Boolean =
             header("Id").let { it == null || it == request.id.text }
 
         override fun parseHead(status: Int, fields: List<HeaderField>, upstream: UpstreamName) =
-            AnswerHead(status, fields, notRun = false, wrongInstance = false, load = null)
+            AnswerHead(status, fields, isDeclined = false, isWrongInstance = false, load = null)
 
         override fun parseNotice(status: Int, fields: List<HeaderField>): UpstreamNotice? =
-            fields.firstOrNull { it.name == "Leaving" }?.let { UpstreamNotice(leaving = true) }
+            fields.firstOrNull { it.name == "Leaving" }?.let { UpstreamNotice(isLeaving = true) }
 
         override fun reserveCall(tokens: Int, duration: Duration) = TextCall("POST", "/reserve", "$tokens")
 
         override fun parseReservation(answer: TextAnswer) = EngineAnswer.Done(Reservation(answer.body))
 
-        override fun releaseCall(reservation: Reservation) = TextCall("DELETE", "/release/${reservation.text}")
+        override fun releaseCall(reservation: Reservation) = TextCall("DELETE", "/release/${reservation.id}")
 
-        override fun parsePrefillResult(sending: UpstreamAttempt, answer: TextAnswer) =
-            EngineAnswer.Done(PrefillResult(sending.upstream, answer.body))
+        override fun parsePrefillResult(attempt: UpstreamAttempt, answer: TextAnswer) =
+            EngineAnswer.Done(PrefillResult(attempt.upstream, answer.body))
 
         override fun freeCall(result: PrefillResult) = TextCall("DELETE", "/free/${result.handle}")
     }
@@ -102,12 +103,12 @@
         method = "POST",
         target = "/x?y=%31",
         host = "h",
-        fields = listOf(HeaderField("Host", "h"), HeaderField("Two", "a"), HeaderField("Two", "b")),
+        headers = listOf(HeaderField("Host", "h"), HeaderField("Two", "a"), HeaderField("Two", "b")),
         body = "body".encodeToByteArray(),
-        arrived = Moment(0),
-        wait = null,
+        arrivedAt = Moment(0),
+        callerTimeout = null,
         generation = null,
-        resumeAfter = null,
+        resumeAfterEventId = null,
     )
 
     private fun outcomeOf(address: Address): String {
@@ -150,7 +151,7 @@
 
     @Test
     fun failureToConnectCountsAsNotSent() {
-        val address = FaultyPeer(PeerBehaviour.Silence).use { it.address }
+        val address = FaultyPeer(PeerBehaviour.NeverAnswer).use { it.address }
         assertEquals("failed sent=false", outcomeOf(address))
     }
 
@@ -161,20 +162,21 @@
             FaultyPeer(PeerBehaviour.SendTo("", FaultyPeer.answer(it, "1", "Leaving: 1")))
         }
         peers.forEach { peer ->
-            val start = UpstreamIncarnation(UpstreamName("u"), peer.address, startedAt = 7)
-            val sending = UpstreamAttempt(start, 5.seconds)
+            val incarnation = UpstreamIncarnation(UpstreamName("u"), peer.address, startedAt = 7)
+            val attempt = UpstreamAttempt(incarnation, 5.seconds)
             val kinds =
                 mapOf<String, (() -> Unit) -> Unit>(
-                    "run" to { onDone -> calls.send(request(), sending, Recorder(onDone)) },
-                    "prefill" to { onDone -> calls.prefill(request(), sending) { onDone() } },
-                    "reserve" to { onDone -> calls.reserve(start, tokens = 1, keep = 1.seconds) { onDone() } },
+                    "run" to { onDone -> calls.send(request(), attempt, Recorder(onDone)) },
+                    "prefill" to { onDone -> calls.prefill(request(), attempt) { onDone() } },
+                    "reserve" to
+                        { onDone -> calls.reserve(incarnation, tokens = 1, reservationTime = 1.seconds) { onDone() } },
                 )
             kinds.forEach { (kind, call) ->
                 notices.clear()
                 val finished = CompletableFuture<Unit>()
                 call { finished.complete(Unit) }
                 finished.get(10, TimeUnit.SECONDS)
-                assertEquals(listOf(start to UpstreamNotice(leaving = true)), notices, kind)
+                assertEquals(listOf(incarnation to UpstreamNotice(isLeaving = true)), notices, kind)
             }
         }
         peers.forEach { it.close() }
@@ -195,9 +197,9 @@
             )
         behaviours.forEach { behaviour ->
             FaultyPeer(behaviour).use { peer ->
-                val start = UpstreamIncarnation(UpstreamName("u"), peer.address)
+                val incarnation = UpstreamIncarnation(UpstreamName("u"), peer.address)
                 val reserved = CompletableFuture<EngineAnswer<Reservation>>()
-                calls.reserve(start, tokens = 1, keep = 1.seconds) { reserved.complete(it) }
+                calls.reserve(incarnation, tokens = 1, reservationTime = 1.seconds) { reserved.complete(it) }
                 val failed = assertIs<EngineAnswer.Failed>(reserved.get(10, TimeUnit.SECONDS), "$behaviour")
                 assertEquals(FaultCause.PROTOCOL, failed.failure.cause, "$behaviour")
                 assertTrue(peer.bytesSent < SOCKET_BUFFERS, "$behaviour: ${peer.bytesSent} bytes taken")
@@ -209,10 +211,14 @@
     fun engineCallsUseTheirPathsAndBodies() {
         FaultyPeer(PeerBehaviour.Send(FaultyPeer.answer(200, "k1", "Connection: close"))).use { peer ->
             val reserved = CompletableFuture<EngineAnswer<Reservation>>()
-            calls.reserve(UpstreamIncarnation(UpstreamName("u"), peer.address), tokens = 30, keep = 1.seconds) {
+            calls.reserve(
+                UpstreamIncarnation(UpstreamName("u"), peer.address),
+                tokens = 30,
+                reservationTime = 1.seconds,
+            ) {
                 reserved.complete(it)
             }
-            assertEquals("k1", assertIs<EngineAnswer.Done<Reservation>>(reserved.get(10, TimeUnit.SECONDS)).value.text)
+            assertEquals("k1", assertIs<EngineAnswer.Done<Reservation>>(reserved.get(10, TimeUnit.SECONDS)).value.id)
             val prefilled = CompletableFuture<EngineAnswer<PrefillResult>>()
             calls.prefill(request(), UpstreamAttempt(UpstreamIncarnation(UpstreamName("u"), peer.address), 5.seconds)) {
                 prefilled.complete(it)
