--- a/core/src/main/kotlin/org/lovageladder/core/forward/MemoryQueue.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/MemoryQueue.kt
@@ -26,7 +26,7 @@
 }
 
 /** Memory at [engine], reserved for a request until it is used or released. */
-internal data class MemoryGrant(val engine: Member, val tokens: Int, val reservation: Reservation)
+internal data class MemoryGrant(val engine: UpstreamRegistration, val tokens: Int, val reservation: Reservation)
 
 /**
  * Decode memory of a service as this process knows it: the tokens that it holds, its waiting requests, and the engines
@@ -44,14 +44,14 @@
 internal class MemoryQueue(
     private val context: ForwardContext,
     private val service: ServiceName,
-    private val engineTraits: () -> EngineTraits?,
+    private val engineConfiguration: () -> EngineConfiguration?,
 ) {
     private val waitingRequests = ArrayList<MemoryRequest>()
     private val heldTokens = HashMap<UpstreamName, Int>()
     private val fullUntil = HashMap<UpstreamName, Moment>()
     private val lastRefusedAt = HashMap<UpstreamName, Moment>()
     private val reservingEngines = HashSet<UpstreamName>()
-    private var nextRun: RunningCall? = null
+    private var nextRun: Cancellable? = null
     private var grantInterval = Duration.ZERO
     private var lastGrantAt: Moment? = null
 
@@ -172,8 +172,8 @@
     }
 
     /** Engines that may have memory for [request], the best first; null when there is no engine at all. */
-    private fun findEngines(request: MemoryRequest, now: Moment): List<Member>? {
-        val memory = (engineTraits()?.memoryTokens ?: 0).coerceAtLeast(1).toDouble()
+    private fun findEngines(request: MemoryRequest, now: Moment): List<UpstreamRegistration>? {
+        val memory = (engineConfiguration()?.memoryTokens ?: 0).coerceAtLeast(1).toDouble()
         val candidates =
             context.upstreamSelector.candidates(service, PoolRole.DECODE, now, request.avoidedEngines) {
                 heldTokensAt(it.name) / memory
@@ -188,18 +188,22 @@
     private fun earliestPauseEnd(now: Moment): Moment? =
         context.upstreamSelector.earliestPauseEnd(service, PoolRole.DECODE, now)
 
-    private fun reserve(request: MemoryRequest, engine: Member) {
-        val reservationTime = engineTraits()?.reservationLimit ?: DEFAULT_RESERVATION_TIME
+    private fun reserve(request: MemoryRequest, engine: UpstreamRegistration) {
+        val reservationTime = engineConfiguration()?.maximumReservationTime ?: DEFAULT_RESERVATION_TIME
         reservingEngines += engine.name
         heldTokens.merge(engine.name, request.tokens, Int::plus)
-        context.calls.reserve(engine.start, request.tokens, reservationTime) { answer ->
+        context.upstreamPort.reserve(engine.incarnation, request.tokens, reservationTime) { answer ->
             reservingEngines -= engine.name
             onReservationAnswer(request, engine, answer)
             serveWaiting()
         }
     }
 
-    private fun onReservationAnswer(request: MemoryRequest, engine: Member, answer: EngineAnswer<Reservation>) {
+    private fun onReservationAnswer(
+        request: MemoryRequest,
+        engine: UpstreamRegistration,
+        answer: EngineAnswer<Reservation>,
+    ) {
         val now = context.now()
         if (answer is EngineAnswer.Done) {
             grant(request, MemoryGrant(engine, request.tokens, answer.value), now)
@@ -209,7 +213,7 @@
         when (answer) {
             is EngineAnswer.Done -> Unit
             is EngineAnswer.Refused -> {
-                if (answer.wrongInstance) context.removeReplaced(engine.name, request.id)
+                if (answer.isWrongInstance) context.removeReplaced(engine.name, request.id)
                 fullUntil[engine.name] = now + FULL_ENGINE_RECHECK_DELAY
                 lastRefusedAt[engine.name] = now
             }
@@ -246,7 +250,7 @@
         val nextDeadline = waitingRequests.minOf { it.grantDeadline }
         val recheckAt = fullUntil.values.filter { it > now }.minOrNull() ?: nextDeadline
         val runAt = minOf(nextDeadline, recheckAt, earliestPauseEnd(now) ?: nextDeadline)
-        nextRun = context.scheduler.after((runAt - now).coerceAtLeast(MINIMUM_RUN_DELAY)) { serveWaiting() }
+        nextRun = context.scheduler.schedule((runAt - now).coerceAtLeast(MINIMUM_RUN_DELAY)) { serveWaiting() }
     }
 
     private companion object {
--- a/core/src/main/kotlin/org/lovageladder/core/forward/RegistryFollower.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/RegistryFollower.kt
@@ -6,19 +6,19 @@
 
 /**
  * Result of a full read of the registry, as of [revision] or later. [configuration] is null when none is stored.
- * [others] are the facts that entries wrote.
+ * [otherChanges] are the facts that entries wrote.
  */
 public data class RegistrySnapshot(
     val revision: Long,
-    val configuration: Configuration?,
-    val members: List<Member>,
-    val others: List<RegistryChange> = emptyList(),
+    val configuration: ForwardConfiguration?,
+    val registrations: List<UpstreamRegistration>,
+    val otherChanges: List<RegistryChange> = emptyList(),
 )
 
 /** Outcome of a full read of the registry. */
 public sealed interface RegistryRead {
     /** The registry was read. */
-    public data class Whole(val snapshot: RegistrySnapshot) : RegistryRead
+    public data class Complete(val snapshot: RegistrySnapshot) : RegistryRead
 
     /** The read failed. */
     public data class Failed(val detail: String) : RegistryRead
@@ -29,12 +29,12 @@
     /** Changes up to [revision], in order; may be empty. */
     public data class Changed(
         val revision: Long,
-        val configurations: List<Configuration>,
+        val configurations: List<ForwardConfiguration>,
         val changes: List<RegistryChange>,
     ) : RegistryWatch
 
     /** The registry no longer keeps the requested changes. */
-    public data object HistoryLost : RegistryWatch
+    public data object HistoryExpired : RegistryWatch
 
     /** The watch failed. */
     public data class Failed(val detail: String) : RegistryWatch
@@ -44,21 +44,21 @@
  * Port to the registry of upstreams and the operators' configuration. Answers arrive on the thread of the
  * [RegistryFollower].
  */
-public interface UpstreamRegistry {
+public interface RegistryPort {
     /** Reads everything. */
     public fun read(answer: (RegistryRead) -> Unit)
 
-    /** Waits up to [wait] for changes after [revision]. */
-    public fun watch(revision: Long, wait: Duration, answer: (RegistryWatch) -> Unit)
+    /** Waits up to [timeout] for changes after [revision]. */
+    public fun watch(revision: Long, timeout: Duration, answer: (RegistryWatch) -> Unit)
 }
 
 /** Receives what a [RegistryFollower] finds, in order. */
 public interface RegistryListener {
     /** A configuration was read. */
-    public fun configured(configuration: Configuration)
+    public fun onConfiguration(configuration: ForwardConfiguration)
 
     /** A registration changed, or the registry became available or unavailable. */
-    public fun changed(change: RegistryChange)
+    public fun onChange(change: RegistryChange)
 }
 
 /**
@@ -67,7 +67,7 @@
  * would miss the changes made in between if the registry dropped its history at that moment. Confined to one thread.
  */
 public class RegistryFollower(
-    private val registry: UpstreamRegistry,
+    private val registry: RegistryPort,
     private val scheduler: Scheduler,
     private val listener: RegistryListener,
 ) {
@@ -82,16 +82,16 @@
     private fun readAll() {
         registry.read { read ->
             when (read) {
-                is RegistryRead.Whole -> {
+                is RegistryRead.Complete -> {
                     onAnswer()
-                    read.snapshot.configuration?.let(listener::configured)
-                    listener.changed(RegistryChange.FullRead(read.snapshot.members))
-                    read.snapshot.others.forEach(listener::changed)
+                    read.snapshot.configuration?.let(listener::onConfiguration)
+                    listener.onChange(RegistryChange.FullRead(read.snapshot.registrations))
+                    read.snapshot.otherChanges.forEach(listener::onChange)
                     watchFrom(read.snapshot.revision)
                 }
                 is RegistryRead.Failed -> {
                     onFailure()
-                    scheduler.after(retryDelay()) { readAll() }
+                    scheduler.schedule(retryDelay()) { readAll() }
                 }
             }
         }
@@ -102,18 +102,18 @@
             when (watch) {
                 is RegistryWatch.Changed -> {
                     onAnswer()
-                    watch.configurations.forEach(listener::configured)
-                    watch.changes.forEach(listener::changed)
+                    watch.configurations.forEach(listener::onConfiguration)
+                    watch.changes.forEach(listener::onChange)
                     val batchingDelay = if (watch.changes.isEmpty()) Duration.ZERO else BATCHING_DELAY
-                    scheduler.after(batchingDelay) { watchFrom(maxOf(revision, watch.revision)) }
+                    scheduler.schedule(batchingDelay) { watchFrom(maxOf(revision, watch.revision)) }
                 }
-                RegistryWatch.HistoryLost -> {
+                RegistryWatch.HistoryExpired -> {
                     onAnswer()
                     readAll()
                 }
                 is RegistryWatch.Failed -> {
                     onFailure()
-                    scheduler.after(retryDelay()) { readAll() }
+                    scheduler.schedule(retryDelay()) { readAll() }
                 }
             }
         }
@@ -123,14 +123,14 @@
         consecutiveFailures = 0
         if (!isUnavailable) return
         isUnavailable = false
-        listener.changed(RegistryChange.Available)
+        listener.onChange(RegistryChange.Available)
     }
 
     private fun onFailure() {
         consecutiveFailures += 1
         if (isUnavailable) return
         isUnavailable = true
-        listener.changed(RegistryChange.Unavailable)
+        listener.onChange(RegistryChange.Unavailable)
     }
 
     private fun retryDelay(): Duration =
--- a/core/src/test/kotlin/org/lovageladder/core/forward/ForwardFixture.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/forward/ForwardFixture.kt
@@ -24,10 +24,10 @@
 
     override fun now(): Moment = time
 
-    override fun after(delay: Duration, action: () -> Unit): RunningCall {
+    override fun schedule(delay: Duration, action: () -> Unit): Cancellable {
         val entry = ScheduledAction(time + delay, nextOrder++, action)
         scheduled.add(entry)
-        return RunningCall { scheduled.remove(entry) }
+        return Cancellable { scheduled.remove(entry) }
     }
 
     /** Advances the clock by [duration] and runs the actions that become due. */
@@ -43,7 +43,11 @@
 }
 
 /** A request as an upstream received it; the test sends the answer. */
-internal class ReceivedCall(val request: ForwardRequest, val sending: Sending, private val receiver: AnswerReceiver) {
+internal class ReceivedCall(
+    val request: ForwardRequest,
+    val attempt: UpstreamAttempt,
+    private val receiver: AnswerReceiver,
+) {
     var isCancelled = false
         private set
 
@@ -51,8 +55,12 @@
         isCancelled = true
     }
 
-    fun head(status: Int, notRun: Boolean = false, wrongInstance: Boolean = false, genuine: Boolean = true) {
-        if (!isCancelled) receiver.onHead(AnswerHead(status, emptyList(), notRun, wrongInstance, load = null, genuine))
+    fun head(status: Int, isDeclined: Boolean = false, isWrongInstance: Boolean = false, isGenuine: Boolean = true) {
+        if (!isCancelled) {
+            receiver.onHead(
+                AnswerHead(status, emptyList(), isDeclined, isWrongInstance, load = null, isGenuine),
+            )
+        }
     }
 
     fun content(text: String) {
@@ -67,8 +75,8 @@
         if (!isCancelled) receiver.onFailure(CallFailure(FaultCause.CONNECTION_LOST, sent, "reset"))
     }
 
-    fun answer(status: Int, body: String = "", notRun: Boolean = false, genuine: Boolean = true) {
-        head(status, notRun, genuine = genuine)
+    fun answer(status: Int, body: String = "", isDeclined: Boolean = false, isGenuine: Boolean = true) {
+        head(status, isDeclined, isGenuine = isGenuine)
         if (body.isNotEmpty()) content(body)
         end()
     }
@@ -76,58 +84,58 @@
 
 /** Upstreams that record calls. Each engine has memory for [memory] tokens; a prefill takes [prefillTime]. */
 internal class FakeUpstreams(private val scheduler: VirtualScheduler, private val memory: Int = 10_000) :
-    UpstreamCalls {
+    UpstreamPort {
     val receivedCalls = ArrayList<ReceivedCall>()
-    val prefills = ArrayList<Sending>()
+    val prefills = ArrayList<UpstreamAttempt>()
     val freed = ArrayList<PrefillResult>()
     val unreachable = HashSet<Address>()
     val prefillRefusals = HashSet<Address>()
     var prefillTime = 100.milliseconds
     private val reserved = HashMap<Address, MutableMap<String, Int>>()
     private var nextNumber = 0
-    val released = ArrayList<UpstreamStart>()
+    val released = ArrayList<UpstreamIncarnation>()
     var reservationRequests = 0
         private set
-    lateinit var lastReserved: UpstreamStart
+    lateinit var lastReserved: UpstreamIncarnation
         private set
 
     val reservations: Int get() = reserved.values.sumOf { it.size }
 
-    override fun send(request: ForwardRequest, sending: Sending, receiver: AnswerReceiver): RunningCall {
-        val call = ReceivedCall(request, sending, receiver)
-        if (sending.address in unreachable) {
-            scheduler.after(1.milliseconds) { call.fail(sent = false) }
+    override fun send(request: ForwardRequest, attempt: UpstreamAttempt, receiver: AnswerReceiver): Cancellable {
+        val call = ReceivedCall(request, attempt, receiver)
+        if (attempt.address in unreachable) {
+            scheduler.schedule(1.milliseconds) { call.fail(sent = false) }
         } else {
             receivedCalls += call
         }
-        return RunningCall { call.cancel() }
+        return Cancellable { call.cancel() }
     }
 
     override fun prefill(
         request: ForwardRequest,
-        sending: Sending,
+        attempt: UpstreamAttempt,
         answer: (EngineAnswer<PrefillResult>) -> Unit,
-    ): RunningCall {
-        prefills += sending
-        if (sending.address in prefillRefusals) {
-            return scheduler.after(1.milliseconds) { answer(EngineAnswer.Refused(503, wrongInstance = false)) }
+    ): Cancellable {
+        prefills += attempt
+        if (attempt.address in prefillRefusals) {
+            return scheduler.schedule(1.milliseconds) { answer(EngineAnswer.Refused(503, isWrongInstance = false)) }
         }
-        return scheduler.after(prefillTime) {
-            answer(EngineAnswer.Done(PrefillResult(sending.upstream, "handle-${nextNumber++}")))
+        return scheduler.schedule(prefillTime) {
+            answer(EngineAnswer.Done(PrefillResult(attempt.upstream, "handle-${nextNumber++}")))
         }
     }
 
     override fun reserve(
-        engine: UpstreamStart,
+        engine: UpstreamIncarnation,
         tokens: Int,
-        keep: Duration,
+        reservationTime: Duration,
         answer: (EngineAnswer<Reservation>) -> Unit,
-    ): RunningCall = scheduler.after(1.milliseconds) {
+    ): Cancellable = scheduler.schedule(1.milliseconds) {
         reservationRequests += 1
         lastReserved = engine
         val reservationsOfEngine = reserved.getOrPut(engine.address) { HashMap() }
         if (reservationsOfEngine.values.sum() + tokens > memory) {
-            answer(EngineAnswer.Refused(503, wrongInstance = false))
+            answer(EngineAnswer.Refused(503, isWrongInstance = false))
         } else {
             val name = "reservation-${nextNumber++}"
             reservationsOfEngine[name] = tokens
@@ -135,18 +143,18 @@
         }
     }
 
-    override fun release(engine: UpstreamStart, reservation: Reservation) {
+    override fun releaseReservation(engine: UpstreamIncarnation, reservation: Reservation) {
         released += engine
-        reserved[engine.address]?.remove(reservation.text)
+        reserved[engine.address]?.remove(reservation.id)
     }
 
-    override fun free(result: PrefillResult) {
+    override fun freePrefillResult(result: PrefillResult) {
         freed += result
     }
 
     /** Ends the answer to [call] and frees its memory. */
     fun finish(call: ReceivedCall) {
-        call.sending.reservation?.let { release(call.sending.upstream, it) }
+        call.attempt.reservation?.let { releaseReservation(call.attempt.upstream, it) }
         call.end()
     }
 }
@@ -165,17 +173,17 @@
 
     val isFinal: Boolean get() = isComplete || isAborted || refusal != null
 
-    override fun begin(head: AnswerHead, length: Int?) {
+    override fun sendHead(head: AnswerHead, length: Int?) {
         check(this.head == null && !isFinal)
         this.head = head
     }
 
-    override fun content(bytes: ByteArray) {
+    override fun sendContent(bytes: ByteArray) {
         check(head != null && !isFinal)
         body.append(bytes.decodeToString())
     }
 
-    override fun end() {
+    override fun finish() {
         check(head != null && !isFinal)
         isComplete = true
     }
@@ -192,14 +200,17 @@
 }
 
 /** A forwarder with fake upstreams, one configuration and one set of registered upstreams. */
-internal class ForwardFixture(memory: Int = 10_000, wrapCalls: (UpstreamCalls) -> UpstreamCalls = { it }) {
+internal class ForwardFixture(memory: Int = 10_000, wrapCalls: (UpstreamPort) -> UpstreamPort = { it }) {
     val scheduler = VirtualScheduler()
     val upstreams = FakeUpstreams(scheduler, memory)
     val events = ArrayList<org.lovageladder.core.EventDraft>()
     val forwarder =
         Forwarder(
-            settings = ForwarderSettings(HOME, RetryLimits(ratio = 0.2, allowance = 8.0, window = 10.seconds)),
-            calls = wrapCalls(upstreams),
+            settings = ForwarderSettings(
+                HOME,
+                RetryLimits(retriesPerRequest = 0.2, sharedRetriesPerWindow = 8.0, window = 10.seconds),
+            ),
+            upstreamPort = wrapCalls(upstreams),
             scheduler = scheduler,
             log = { events += it },
             random = Random(1),
@@ -207,16 +218,16 @@
     private var requests = 0
 
     init {
-        forwarder.configure(configuration())
-        forwarder.registryChanged(RegistryChange.FullRead(MEMBERS))
+        forwarder.applyConfiguration(configuration())
+        forwarder.onRegistryChange(RegistryChange.FullRead(REGISTRATIONS))
     }
 
     /** Submits a request for [target]. Returns its reply and the handle with which the caller disconnects. */
     fun submit(
         target: String,
-        wait: Duration? = null,
+        callerTimeout: Duration? = null,
         generation: Generation? = GENERATION,
-        resumeAfter: Long? = null,
+        resumeAfterEventId: Long? = null,
     ): Submitted {
         val reply = RecordingReply()
         val request =
@@ -225,55 +236,56 @@
                 method = "POST",
                 target = target,
                 host = "desk.example",
-                fields = emptyList(),
+                headers = emptyList(),
                 body = ByteArray(0),
-                arrived = scheduler.now(),
-                wait = wait,
+                arrivedAt = scheduler.now(),
+                callerTimeout = callerTimeout,
                 generation = generation.takeIf { target.startsWith("/stream") },
-                resumeAfter = resumeAfter,
+                resumeAfterEventId = resumeAfterEventId,
             )
         return Submitted(reply, forwarder.forward(request, reply))
     }
 
-    class Submitted(val reply: RecordingReply, val open: OpenRequest?)
+    class Submitted(val reply: RecordingReply, val handle: RequestHandle?)
 
     companion object {
         val HOME = PlaceName("home")
         val PLAIN = ServiceName("desk")
         val ENGINES = ServiceName("model")
-        val GENERATION = Generation(promptTokens = 3_000, outputBound = 1_000, expectedOutputTokens = 1_000)
-        val MEMBERS =
+        val GENERATION = Generation(promptTokens = 3_000, maximumOutputTokens = 1_000, estimatedOutputTokens = 1_000)
+        val REGISTRATIONS =
             listOf(
-                member("plain-1", PLAIN, PoolRole.PLAIN, 1),
-                member("plain-2", PLAIN, PoolRole.PLAIN, 2),
-                member("prefill-1", ENGINES, PoolRole.PREFILL, 3),
-                member("decode-1", ENGINES, PoolRole.DECODE, 4),
-                member("decode-2", ENGINES, PoolRole.DECODE, 5),
+                registration("plain-1", PLAIN, PoolRole.PLAIN, 1),
+                registration("plain-2", PLAIN, PoolRole.PLAIN, 2),
+                registration("prefill-1", ENGINES, PoolRole.PREFILL, 3),
+                registration("decode-1", ENGINES, PoolRole.DECODE, 4),
+                registration("decode-2", ENGINES, PoolRole.DECODE, 5),
             )
 
-        fun member(name: String, service: ServiceName, role: PoolRole, port: Int, leaving: Boolean = false) = Member(
-            name = UpstreamName(name),
-            service = service,
-            address = Address("10.0.0.1", port),
-            place = HOME,
-            slots = 4,
-            leaving = leaving,
-            role = role,
-            startedAt = null,
-            revision = 1,
-        )
+        fun registration(name: String, service: ServiceName, role: PoolRole, port: Int, leaving: Boolean = false) =
+            UpstreamRegistration(
+                name = UpstreamName(name),
+                service = service,
+                address = Address("10.0.0.1", port),
+                place = HOME,
+                slots = 4,
+                isLeaving = leaving,
+                role = role,
+                startedAt = null,
+                revision = 1,
+            )
 
         fun configuration(
             version: Long = 1,
             timeout: Duration = 10.seconds,
             plainConnections: Int? = 96,
-        ): Configuration = Configuration(
+        ): ForwardConfiguration = ForwardConfiguration(
             version = org.lovageladder.core.ReleaseVersion(version),
             routes =
             listOf(
                 route("/lookup/", RouteKind.IDEMPOTENT, PLAIN, 100.milliseconds, timeout, attempts = 2),
-                route("/action/", RouteKind.ONCE, PLAIN, 100.milliseconds, timeout),
-                route("/action-two/", RouteKind.ONCE, PLAIN, 100.milliseconds, timeout, attempts = 2),
+                route("/action/", RouteKind.AT_MOST_ONCE, PLAIN, 100.milliseconds, timeout),
+                route("/action-two/", RouteKind.AT_MOST_ONCE, PLAIN, 100.milliseconds, timeout, attempts = 2),
                 route("/stream/", RouteKind.STREAM, ENGINES, 900.milliseconds, timeout),
                 route(
                     "/stream-on/",
@@ -282,37 +294,41 @@
                     900.milliseconds,
                     timeout,
                     attempts = 2,
-                    resumable = true,
+                    isResumable = true,
                 ),
             ),
             services =
             mapOf(
-                PLAIN to ServiceTraits(PLAIN, plainConnections, engine = null),
+                PLAIN to ServiceConfiguration(PLAIN, plainConnections, engine = null),
                 ENGINES to
-                    ServiceTraits(ENGINES, 96, EngineTraits(4, 10_000, 500.milliseconds, 2.seconds, 6.seconds)),
+                    ServiceConfiguration(
+                        ENGINES,
+                        96,
+                        EngineConfiguration(4, 10_000, 500.milliseconds, 2.seconds, 6.seconds),
+                    ),
             ),
-            limits = CallerLimits(16_384, 4_194_304, 3.seconds, 15.seconds),
+            callerLimits = CallerLimits(16_384, 4_194_304, 3.seconds, 15.seconds),
         )
 
         private fun route(
             prefix: String,
             kind: RouteKind,
             service: ServiceName,
-            target: Duration,
+            latencyTarget: Duration,
             timeout: Duration,
             attempts: Int = 1,
-            resumable: Boolean = false,
+            isResumable: Boolean = false,
         ) = Route(
             name = prefix,
             host = "desk.example",
             prefix = prefix,
             kind = kind,
             timeout = timeout,
-            target = target,
+            latencyTarget = latencyTarget,
             priority = 1,
-            shares = listOf(ServiceShare(service, 1)),
-            maximumAttempts = attempts,
-            resumable = resumable,
+            serviceShares = listOf(ServiceShare(service, 1)),
+            maximumRuns = attempts,
+            isResumable = isResumable,
         )
     }
 }
--- a/core/src/test/kotlin/org/lovageladder/core/forward/RegistryFollowerTest.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/forward/RegistryFollowerTest.kt
@@ -10,7 +10,7 @@
 /** Following the registry when watches fail. */
 class RegistryFollowerTest {
     /** Registry whose first watch fails after a second. A change is made meanwhile, and its history is lost. */
-    private class HistoryLosingRegistry(private val scheduler: VirtualScheduler) : UpstreamRegistry {
+    private class HistoryLosingRegistry(private val scheduler: VirtualScheduler) : RegistryPort {
         var currentVersion = 1L
         var reads = 0
         var watches = 0
@@ -18,16 +18,20 @@
         override fun read(answer: (RegistryRead) -> Unit) {
             reads += 1
             val snapshot =
-                RegistrySnapshot(currentVersion, ForwardFixture.configuration(currentVersion), ForwardFixture.MEMBERS)
-            scheduler.after(12.milliseconds) { answer(RegistryRead.Whole(snapshot)) }
+                RegistrySnapshot(
+                    currentVersion,
+                    ForwardFixture.configuration(currentVersion),
+                    ForwardFixture.REGISTRATIONS,
+                )
+            scheduler.schedule(12.milliseconds) { answer(RegistryRead.Complete(snapshot)) }
         }
 
-        override fun watch(revision: Long, wait: Duration, answer: (RegistryWatch) -> Unit) {
+        override fun watch(revision: Long, timeout: Duration, answer: (RegistryWatch) -> Unit) {
             watches += 1
             if (watches == 1) {
-                scheduler.after(1.seconds) { answer(RegistryWatch.Failed("connection lost")) }
+                scheduler.schedule(1.seconds) { answer(RegistryWatch.Failed("connection lost")) }
             } else {
-                scheduler.after(wait) { answer(RegistryWatch.HistoryLost) }
+                scheduler.schedule(timeout) { answer(RegistryWatch.HistoryExpired) }
             }
         }
     }
@@ -43,11 +47,11 @@
         val versions = ArrayList<ReleaseVersion>()
         val listener =
             object : RegistryListener {
-                override fun configured(configuration: Configuration) {
+                override fun onConfiguration(configuration: ForwardConfiguration) {
                     versions += configuration.version
                 }
 
-                override fun changed(change: RegistryChange) = Unit
+                override fun onChange(change: RegistryChange) = Unit
             }
         RegistryFollower(registry, scheduler, listener).start()
         scheduler.advance(500.milliseconds)
--- a/core/src/test/kotlin/org/lovageladder/core/forward/RoleControllerTest.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/forward/RoleControllerTest.kt
@@ -22,46 +22,51 @@
         var isAvailable = true
         private var nextFencing = 10L
 
-        override fun take(period: Duration, answer: (LeadershipAnswer) -> Unit) {
-            if (!isAvailable) return respond { answer(LeadershipAnswer.Failed("timeout")) }
-            if (holder != null) return respond { answer(LeadershipAnswer.Occupied) }
+        override fun acquire(period: Duration, answer: (AcquisitionResult) -> Unit) {
+            if (!isAvailable) return respond { answer(AcquisitionResult.Unknown("timeout")) }
+            if (holder != null) return respond { answer(AcquisitionResult.HeldByOther) }
             val lease = LeaderLease(nextFencing, nextFencing++)
             holder = lease
-            respond { answer(LeadershipAnswer.Taken(lease)) }
+            respond { answer(AcquisitionResult.Acquired(lease)) }
         }
 
         override fun renew(lease: LeaderLease, answer: (Boolean) -> Unit): Unit =
             respond { answer(isAvailable && holder == lease) }
 
         private fun respond(action: () -> Unit) {
-            scheduler.after(5.milliseconds, action)
+            scheduler.schedule(5.milliseconds, action)
         }
     }
 
-    private class RecordingRoleOrders : RoleOrders {
+    private class RecordingRoleOrderPort : RoleOrderPort {
         val given = ArrayList<Triple<String, PoolRole, Long>>()
         val announced = ArrayList<String>()
-        var answer: OrderAnswer = OrderAnswer.Accepted
+        var answer: OrderResult = OrderResult.Accepted
         var acceptsAnnouncements = true
 
-        override fun announce(engine: UpstreamName, lease: LeaderLease, answer: (Boolean) -> Unit) {
+        override fun announceRoleChange(engine: UpstreamName, lease: LeaderLease, answer: (Boolean) -> Unit) {
             if (acceptsAnnouncements) announced += engine.text
             answer(acceptsAnnouncements)
         }
 
-        override fun withdraw(engine: UpstreamName) {
+        override fun withdrawAnnouncement(engine: UpstreamName) {
             announced -= engine.text
         }
 
-        override fun order(engine: Member, role: PoolRole, fencing: Long, answer: (OrderAnswer) -> Unit) {
-            given += Triple(engine.name.text, role, fencing)
+        override fun orderRole(
+            engine: UpstreamRegistration,
+            role: PoolRole,
+            fencingNumber: Long,
+            answer: (OrderResult) -> Unit,
+        ) {
+            given += Triple(engine.name.text, role, fencingNumber)
             answer(this.answer)
         }
     }
 
-    private fun engines(prefill: Int, decode: Int): List<Member> =
-        (1..prefill).map { ForwardFixture.member("p$it", ForwardFixture.ENGINES, PoolRole.PREFILL, it) } +
-            (1..decode).map { ForwardFixture.member("d$it", ForwardFixture.ENGINES, PoolRole.DECODE, 100 + it) }
+    private fun engines(prefill: Int, decode: Int): List<UpstreamRegistration> =
+        (1..prefill).map { ForwardFixture.registration("p$it", ForwardFixture.ENGINES, PoolRole.PREFILL, it) } +
+            (1..decode).map { ForwardFixture.registration("d$it", ForwardFixture.ENGINES, PoolRole.DECODE, 100 + it) }
 
     private fun plan(prefill: Duration, decode: Duration, share: Double, samples: Int = 20) =
         RolePlan(defaultPrefillShare = 0.25).apply {
@@ -71,8 +76,8 @@
             }
         }
 
-    private fun leadership(port: FakeLeadershipPort, scheduler: VirtualScheduler) =
-        Leadership(port, scheduler, 3.seconds) { 0.0 }
+    private fun leaderElection(port: FakeLeadershipPort, scheduler: VirtualScheduler) =
+        LeaderElection(port, scheduler, 3.seconds) { 0.0 }
 
     @Test
     fun enginesAreSplitByMeasuredRequestCost() {
@@ -94,15 +99,15 @@
                 Case(fewSamples, prefill = 3, decode = 5, wanted = 2.85, change = null),
             )
         cases.forEach { case ->
-            val members = engines(case.prefill, case.decode)
+            val upstreams = engines(case.prefill, case.decode)
             assertEquals(
                 case.wanted,
-                case.plan.wantedPrefillEngines(members.size)?.let {
+                case.plan.wantedPrefillEngines(upstreams.size)?.let {
                     (it * 100).roundToInt() / 100.0
                 },
                 "$case",
             )
-            val change = case.plan.nextChange(members) { it.address.port }
+            val change = case.plan.nextChange(upstreams) { it.address.port }
             assertEquals(case.change, change?.let { "${it.engine.name} ${it.role}" }, "$case")
         }
     }
@@ -111,19 +116,19 @@
     fun leadershipIsActiveOnlyWhileItsLeaseIsCertain() {
         val scheduler = VirtualScheduler()
         val port = FakeLeadershipPort(scheduler)
-        val leadership = leadership(port, scheduler)
-        leadership.start()
+        val leaderElection = leaderElection(port, scheduler)
+        leaderElection.start()
         scheduler.advance(2.seconds)
-        assertNull(leadership.activeLease?.fencing, "the lease of an earlier holder may not have expired yet")
+        assertNull(leaderElection.activeLease?.fencingNumber, "the lease of an earlier holder may not have expired yet")
         scheduler.advance(2.seconds)
-        assertEquals(10, leadership.activeLease?.fencing)
+        assertEquals(10, leaderElection.activeLease?.fencingNumber)
         port.isAvailable = false
         scheduler.advance(3.seconds)
-        assertNull(leadership.activeLease?.fencing)
+        assertNull(leaderElection.activeLease?.fencingNumber)
         port.isAvailable = true
         port.holder = null
         scheduler.advance(20.seconds)
-        assertEquals(11, leadership.activeLease?.fencing)
+        assertEquals(11, leaderElection.activeLease?.fencingNumber)
     }
 
     /** Load pattern: long prefill queues, in which a prompt waits for others far longer than its own prefill takes. */
@@ -138,22 +143,22 @@
     fun leadershipIsAcquiredSoonAfterTheRegistryShowsNoLeader() {
         val scheduler = VirtualScheduler()
         val port = FakeLeadershipPort(scheduler).apply { holder = LeaderLease(1, 1) }
-        val leadership = leadership(port, scheduler)
-        leadership.start()
-        leadership.onLeaderObserved(isHeld = true)
+        val leaderElection = leaderElection(port, scheduler)
+        leaderElection.start()
+        leaderElection.onLeaderObserved(isHeld = true)
         scheduler.advance(10.seconds)
-        assertNull(leadership.activeLease)
+        assertNull(leaderElection.activeLease)
         port.holder = null
-        leadership.onLeaderObserved(isHeld = false)
+        leaderElection.onLeaderObserved(isHeld = false)
         scheduler.advance(4.seconds)
-        assertEquals(10, leadership.activeLease?.fencing)
+        assertEquals(10, leaderElection.activeLease?.fencingNumber)
     }
 
     @Test
     fun onlyOneOfTwoProcessesLeads() {
         val scheduler = VirtualScheduler()
         val port = FakeLeadershipPort(scheduler)
-        val processes = List(2) { leadership(port, scheduler) }
+        val processes = List(2) { leaderElection(port, scheduler) }
         processes.forEach { it.start() }
         scheduler.advance(60.seconds)
         assertEquals(1, processes.count { it.activeLease != null })
@@ -178,7 +183,7 @@
     @Test
     fun unansweredOrderIsNotRepeatedWhileItMayTakeEffect() {
         val fixture = RoleControllerFixture()
-        fixture.orders.answer = OrderAnswer.Unknown("timeout")
+        fixture.orders.answer = OrderResult.Unknown("timeout")
         fixture.runFor(25.seconds)
         assertEquals(1, fixture.orders.given.size)
         fixture.runFor(8.seconds)
@@ -227,19 +232,19 @@
     fun announcedEnginesGetNoRequests() {
         val membership = Membership().apply { apply(RegistryChange.FullRead(engines(1, 1)), Moment(0)) }
         fun serving() = membership.serving(ForwardFixture.ENGINES, Moment(0)).map { it.name.text }.sorted()
-        membership.apply(RegistryChange.RoleChanging(UpstreamName("d1"), changing = true), Moment(0))
+        membership.apply(RegistryChange.RoleChangeAnnounced(UpstreamName("d1"), isAnnounced = true), Moment(0))
         assertEquals(listOf("p1"), serving())
-        membership.apply(RegistryChange.RoleChanging(UpstreamName("d1"), changing = false), Moment(0))
+        membership.apply(RegistryChange.RoleChangeAnnounced(UpstreamName("d1"), isAnnounced = false), Moment(0))
         assertEquals(listOf("d1", "p1"), serving())
     }
 
     @Test
     fun outdatedLeaderResigns() {
         val fixture = RoleControllerFixture()
-        fixture.orders.answer = OrderAnswer.Refused(412, outdated = true)
+        fixture.orders.answer = OrderResult.Refused(412, isFenced = true)
         fixture.runFor(9.seconds)
         assertEquals(1, fixture.orders.given.size)
-        assertNull(fixture.leadership.activeLease?.fencing)
+        assertNull(fixture.leaderElection.activeLease?.fencingNumber)
     }
 
     private inner class RoleControllerFixture(
@@ -247,15 +252,15 @@
     ) {
         val scheduler = VirtualScheduler()
         val membership = Membership().apply { apply(RegistryChange.FullRead(engines(4, 4)), scheduler.now()) }
-        val orders = RecordingRoleOrders()
-        val leadership = leadership(FakeLeadershipPort(scheduler), scheduler).apply { start() }
+        val orders = RecordingRoleOrderPort()
+        val leaderElection = leaderElection(FakeLeadershipPort(scheduler), scheduler).apply { start() }
         private val retryBudget = RetryBudget(RetryLimits(0.1, 1.0, 10.seconds)) { 1 }
         private val random = kotlin.random.Random(1)
         private val notices = UpstreamNotices(2.seconds)
         private val upstreamSelector = UpstreamSelector(membership, notices, ForwardFixture.HOME, random)
         private val context =
             ForwardContext(
-                calls = FakeUpstreams(scheduler),
+                upstreamPort = FakeUpstreams(scheduler),
                 scheduler = scheduler,
                 upstreamSelector = upstreamSelector,
                 membership = membership,
@@ -265,20 +270,20 @@
                 eventSink = {},
                 random = random,
             )
-        private val controller = RoleController(context, leadership, orders)
-        private val traits =
+        private val controller = RoleController(context, leaderElection, orders)
+        private val engineConfiguration =
             assertNotNull(ForwardFixture.configuration().services.getValue(ForwardFixture.ENGINES).engine)
 
         fun registerRole(engine: String, role: PoolRole) {
             val registered = engines(4, 4).single { it.name.text == engine }.copy(role = role, revision = 2)
-            membership.apply(RegistryChange.Written(registered), scheduler.now())
+            membership.apply(RegistryChange.Registered(registered), scheduler.now())
         }
 
         fun runFor(duration: Duration) {
             repeat((duration / 500.milliseconds).toInt()) {
                 scheduler.advance(500.milliseconds)
-                controller.startDueChange(ForwardFixture.ENGINES, traits, plan) { it.address.port }
-                controller.startDueChange(ServiceName("other-engines"), traits, plan) { it.address.port }
+                controller.startDueChange(ForwardFixture.ENGINES, engineConfiguration, plan) { it.address.port }
+                controller.startDueChange(ServiceName("other-engines"), engineConfiguration, plan) { it.address.port }
             }
         }
     }
--- a/http/src/main/kotlin/org/lovageladder/http/forward/ForwardConnection.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/forward/ForwardConnection.kt
@@ -10,13 +10,13 @@
 import io.netty.handler.codec.http.TooLongHttpHeaderException
 import io.netty.handler.codec.http.TooLongHttpLineException
 import org.lovageladder.core.forward.CallerLimits
-import org.lovageladder.core.forward.OpenRequest
+import org.lovageladder.core.forward.RequestHandle
 import org.lovageladder.http.HttpLimits
 import org.lovageladder.http.ReceiveTimer
 import org.lovageladder.http.STATUS_BAD_REQUEST
 import org.lovageladder.http.STATUS_HEADERS_TOO_LARGE
 import org.lovageladder.http.STATUS_REQUEST_TIMEOUT
-import org.lovageladder.http.STATUS_TARGET_TOO_LONG
+import org.lovageladder.http.STATUS_URI_TOO_LONG
 import org.tinylog.kotlin.Logger
 
 /**
@@ -33,7 +33,7 @@
     private val pipelined = ArrayDeque<FullHttpRequest>()
     private val receiveTimer = ReceiveTimer(channel.eventLoop(), toHttpLimits(limits), ::onReceiveTimeout)
     private var currentReply: ForwardReply? = null
-    private var openRequest: OpenRequest? = null
+    private var openRequest: RequestHandle? = null
 
     override fun channelActive(context: ChannelHandlerContext) {
         receiveTimer.awaitRequest()
@@ -42,7 +42,7 @@
 
     /** Called when bytes of a request arrived, before they are decoded. */
     fun onBytesReceived() {
-        if (currentReply == null) receiveTimer.bytesArrived()
+        if (currentReply == null) receiveTimer.onBytesArrived()
     }
 
     /** Closes the connection unless a request is in progress or waits on it. May be called on any thread. */
@@ -73,7 +73,7 @@
         val request = openRequest
         openRequest = null
         currentReply?.onCallerDisconnected()
-        request?.callerLeft()
+        request?.onCallerDisconnected()
     }
 
     @Deprecated("Deprecated in Netty's base class, but still the place to handle connection errors.")
@@ -93,7 +93,7 @@
             reply.reject(statusFor(fault), fault.message.orEmpty())
             return
         }
-        val received = toReceivedRequest(request)
+        val received = toUnparsedRequest(request)
         request.release()
         val parsed = parser.parse(received)
         if (parsed == null) {
@@ -104,7 +104,7 @@
         if (currentReply === reply) openRequest = opened
     }
 
-    private fun toReceivedRequest(request: FullHttpRequest) = ReceivedRequest(
+    private fun toUnparsedRequest(request: FullHttpRequest) = UnparsedRequest(
         method = request.method().name(),
         target = request.uri(),
         host = request.headers().get(HttpHeaderNames.HOST).orEmpty(),
@@ -138,7 +138,7 @@
 
     private fun statusFor(fault: Throwable): Int = when (fault) {
         is TooLongHttpHeaderException -> STATUS_HEADERS_TOO_LARGE
-        is TooLongHttpLineException -> STATUS_TARGET_TOO_LONG
+        is TooLongHttpLineException -> STATUS_URI_TOO_LONG
         else -> STATUS_BAD_REQUEST
     }
 
@@ -147,10 +147,10 @@
         const val MAXIMUM_PIPELINED_REQUESTS = 32
 
         fun toHttpLimits(limits: CallerLimits) = HttpLimits(
-            bodyBytes = limits.bodyBytes,
-            headerBytes = limits.headerBytes,
-            readIdle = limits.headerTimeout,
-            keepAlive = limits.idleTimeout,
+            maximumBodyBytes = limits.maximumBodyBytes,
+            maximumHeaderBytes = limits.maximumHeaderBytes,
+            readTimeout = limits.headerTimeout,
+            idleTimeout = limits.idleTimeout,
         )
     }
 }
--- a/http/src/main/kotlin/org/lovageladder/http/forward/HttpUpstreamCalls.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/forward/HttpUpstreamCalls.kt
@@ -6,22 +6,22 @@
 import io.netty.handler.codec.http.HttpMethod
 import org.lovageladder.core.forward.AnswerReceiver
 import org.lovageladder.core.forward.CallFailure
+import org.lovageladder.core.forward.Cancellable
 import org.lovageladder.core.forward.EngineAnswer
 import org.lovageladder.core.forward.ForwardRequest
 import org.lovageladder.core.forward.PrefillResult
 import org.lovageladder.core.forward.Reservation
-import org.lovageladder.core.forward.RunningCall
-import org.lovageladder.core.forward.Sending
-import org.lovageladder.core.forward.UpstreamCalls
+import org.lovageladder.core.forward.UpstreamAttempt
+import org.lovageladder.core.forward.UpstreamIncarnation
 import org.lovageladder.core.forward.UpstreamNotice
-import org.lovageladder.core.forward.UpstreamStart
+import org.lovageladder.core.forward.UpstreamPort
 import org.lovageladder.http.HttpCall
 import org.lovageladder.http.HttpClient
 import org.lovageladder.http.HttpFailure
 import org.lovageladder.http.HttpField
 import org.lovageladder.http.HttpReceiver
 import org.lovageladder.http.HttpThreads
-import org.lovageladder.http.HttpWait
+import org.lovageladder.http.HttpTimeouts
 import org.tinylog.kotlin.Logger
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -33,64 +33,64 @@
 public class HttpUpstreamCalls(
     threads: HttpThreads,
     private val codec: UpstreamCodec,
-    private val onNotice: (UpstreamStart, UpstreamNotice) -> Unit = { _, _ -> },
-) : UpstreamCalls,
+    private val onNotice: (UpstreamIncarnation, UpstreamNotice) -> Unit = { _, _ -> },
+) : UpstreamPort,
     AutoCloseable {
     private val client = HttpClient(threads)
 
-    override fun send(request: ForwardRequest, sending: Sending, receiver: AnswerReceiver): RunningCall {
-        val fields = codec.requestHeaders(request, sending).map { HttpField(it.name, it.value) }
+    override fun send(request: ForwardRequest, attempt: UpstreamAttempt, receiver: AnswerReceiver): Cancellable {
+        val fields = codec.requestHeaders(request, attempt).map { HttpField(it.name, it.value) }
         val call = HttpCall(HttpMethod.valueOf(request.method), request.target, request.body, fields = fields)
-        val wait = HttpWait(minOf(sending.timeout, CONNECT_TIMEOUT), answer = null)
+        val timeouts = HttpTimeouts(minOf(attempt.timeout, CONNECT_TIMEOUT), answerTimeout = null)
         val running = client.start(
-            sending.address,
+            attempt.address,
             call,
-            AnswerAdapter(request, sending.upstream, receiver),
-            wait = wait,
+            AnswerAdapter(request, attempt.upstream, receiver),
+            timeouts = timeouts,
         )
-        return RunningCall { running.abandon() }
+        return Cancellable { running.cancel() }
     }
 
     override fun prefill(
         request: ForwardRequest,
-        sending: Sending,
+        attempt: UpstreamAttempt,
         answer: (EngineAnswer<PrefillResult>) -> Unit,
-    ): RunningCall {
+    ): Cancellable {
         val call = TextCall(request.method, request.target)
-        val fields = codec.prefillHeaders(request, sending)
-        return client.sendText(sending.address, call, sending.timeout, fields, request.body) { result ->
-            reportNotice(sending.upstream, result)
-            answer(toEngineAnswer(result) { codec.parsePrefillResult(sending, it) })
+        val fields = codec.prefillHeaders(request, attempt)
+        return client.sendText(attempt.address, call, attempt.timeout, fields, request.body) { result ->
+            reportNotice(attempt.upstream, result)
+            answer(toEngineAnswer(result) { codec.parsePrefillResult(attempt, it) })
         }
     }
 
     override fun reserve(
-        engine: UpstreamStart,
+        engine: UpstreamIncarnation,
         tokens: Int,
-        keep: Duration,
+        reservationTime: Duration,
         answer: (EngineAnswer<Reservation>) -> Unit,
-    ): RunningCall = callEngine(engine, codec.reserveCall(tokens, keep)) {
+    ): Cancellable = callEngine(engine, codec.reserveCall(tokens, reservationTime)) {
         answer(toEngineAnswer(it, codec::parseReservation))
     }
 
-    override fun release(engine: UpstreamStart, reservation: Reservation) {
+    override fun releaseReservation(engine: UpstreamIncarnation, reservation: Reservation) {
         callEngine(engine, codec.releaseCall(reservation)) { logFailure("release", engine, it) }
     }
 
-    override fun free(result: PrefillResult) {
+    override fun freePrefillResult(result: PrefillResult) {
         callEngine(result.engine, codec.freeCall(result)) { logFailure("free", result.engine, it) }
     }
 
     override fun close(): Unit = client.close()
 
     /** Makes a short call about an engine's memory. */
-    private fun callEngine(engine: UpstreamStart, call: TextCall, answer: (TextResult) -> Unit): RunningCall =
+    private fun callEngine(engine: UpstreamIncarnation, call: TextCall, answer: (TextResult) -> Unit): Cancellable =
         client.sendText(engine.address, call, ENGINE_CALL_TIMEOUT, emptyList(), ByteArray(0)) { result ->
             reportNotice(engine, result)
             answer(result)
         }
 
-    private fun reportNotice(upstream: UpstreamStart, result: TextResult) {
+    private fun reportNotice(upstream: UpstreamIncarnation, result: TextResult) {
         if (result !is TextResult.Answered) return
         codec.parseNotice(result.answer.status, result.answer.fields)?.let { onNotice(upstream, it) }
     }
@@ -103,7 +103,7 @@
         is TextResult.Failed -> EngineAnswer.Failed(result.failure)
     }
 
-    private fun logFailure(step: String, engine: UpstreamStart, result: TextResult) {
+    private fun logFailure(step: String, engine: UpstreamIncarnation, result: TextResult) {
         if (result is TextResult.Failed) {
             Logger.warn {
                 "$step at ${engine.address} failed, the engine frees the memory when it expires: ${result.failure}"
@@ -114,7 +114,7 @@
     /** Passes an upstream's answer to [receiver]. */
     private inner class AnswerAdapter(
         private val request: ForwardRequest,
-        private val upstream: UpstreamStart,
+        private val upstream: UpstreamIncarnation,
         private val receiver: AnswerReceiver,
     ) : HttpReceiver {
         override fun isAnswer(headers: HttpHeaders): Boolean = codec.isAnswerTo(request) { headers.get(it) }
@@ -132,7 +132,7 @@
         override fun onEnd(): Unit = receiver.onEnd()
 
         override fun onFailure(failure: HttpFailure) {
-            receiver.onFailure(CallFailure(failure.cause, failure.sent, failure.detail))
+            receiver.onFailure(CallFailure(failure.cause, failure.requestSent, failure.detail))
         }
     }
 
--- a/http/src/main/kotlin/org/lovageladder/http/forward/TextClient.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/forward/TextClient.kt
@@ -3,14 +3,14 @@
 import io.netty.handler.codec.http.HttpMethod
 import org.lovageladder.core.Address
 import org.lovageladder.core.forward.CallFailure
+import org.lovageladder.core.forward.Cancellable
 import org.lovageladder.core.forward.HeaderField
-import org.lovageladder.core.forward.RunningCall
 import org.lovageladder.http.HttpCall
 import org.lovageladder.http.HttpClient
 import org.lovageladder.http.HttpField
 import org.lovageladder.http.HttpResult
 import org.lovageladder.http.HttpThreads
-import org.lovageladder.http.HttpWait
+import org.lovageladder.http.HttpTimeouts
 import kotlin.time.Duration
 
 /** Result of a [TextCall]. */
@@ -33,7 +33,7 @@
         timeout: Duration,
         fields: List<HeaderField> = emptyList(),
         answer: (TextResult) -> Unit,
-    ): RunningCall = client.sendText(address, call, timeout, fields, ByteArray(0), answer)
+    ): Cancellable = client.sendText(address, call, timeout, fields, ByteArray(0), answer)
 
     override fun close(): Unit = client.close()
 }
@@ -49,7 +49,7 @@
     fields: List<HeaderField>,
     body: ByteArray,
     answer: (TextResult) -> Unit,
-): RunningCall {
+): Cancellable {
     val content = if (call.body.isEmpty()) body else call.body.encodeToByteArray()
     val contentType = if (call.body.isEmpty()) null else "application/json"
     val httpCall =
@@ -59,11 +59,13 @@
             body = content,
             contentType = contentType,
             fields = fields.map { HttpField(it.name, it.value) },
-            answerBytes = call.maximumAnswerBytes,
+            maximumAnswerBytes = call.maximumAnswerBytes,
         )
     val running =
-        ask(address, httpCall, HttpWait(minOf(timeout, HttpClient.CONNECT_LIMIT), timeout)) { answer(toTextResult(it)) }
-    return RunningCall { running.abandon() }
+        callWhole(address, httpCall, HttpTimeouts(minOf(timeout, HttpClient.CONNECT_TIMEOUT), timeout)) {
+            answer(toTextResult(it))
+        }
+    return Cancellable { running.cancel() }
 }
 
 private fun toTextResult(result: HttpResult): TextResult = when (result) {
@@ -73,6 +75,6 @@
     }
     is HttpResult.Failed -> {
         val failure = result.failure
-        TextResult.Failed(CallFailure(failure.cause, failure.sent, failure.detail))
+        TextResult.Failed(CallFailure(failure.cause, failure.requestSent, failure.detail))
     }
 }
