--- a/core/src/main/kotlin/org/lovageladder/core/forward/StreamSummary.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/StreamSummary.kt
@@ -65,7 +65,8 @@
             "took=${milliseconds(now)}ms waited=${(waitedForMemory + currentWait(now)).inWholeMilliseconds}ms " +
             "wait=${request.callerTimeout?.inWholeMilliseconds}ms prompt=${generation?.promptTokens} " +
             "bound=${generation?.maximumOutputTokens} expected=${generation?.estimatedOutputTokens} " +
-            "reserved=$requestedTokens events=$events held=${memory?.heldTokens} waiting=${memory?.waitingRequests} full=${memory?.fullEngines}"
+            "reserved=$requestedTokens events=$events held=${memory?.heldTokens} " +
+            "waiting=${memory?.waitingRequests} full=${memory?.fullEngines}"
     }
 
     private fun currentWait(now: Moment): Duration = requestedAt?.let { now - it } ?: Duration.ZERO
