--- a/client/src/test/kotlin/org/lovageladder/client/FakeProcess.kt
+++ b/client/src/test/kotlin/org/lovageladder/client/FakeProcess.kt
@@ -21,7 +21,7 @@
         private set
 
     private val handler = object : AdminHandler {
-        override fun ready() = true
+        override fun isReady() = true
 
         override fun statusJson() = status
 
@@ -33,7 +33,7 @@
 
         override fun explain(request: RequestId) = events.filter { it.request == request }
 
-        override fun drain() {
+        override fun startDrain() {
             isDrainRequested = true
         }
     }
--- a/core/src/main/kotlin/org/lovageladder/core/ClaimAnswerWriter.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/ClaimAnswerWriter.kt
@@ -10,13 +10,13 @@
  */
 internal class ClaimAnswerWriter(private val context: CompanionContext) {
     private class PendingAnswer(val claim: ClaimTicket, val record: ClaimRecord) {
-        var ticket: Long? = null
+        var callNumber: Long? = null
         var writeAt: Moment = Moment(0)
         var backoff: Duration = INITIAL_BACKOFF
     }
 
     private val pending = LinkedHashMap<String, PendingAnswer>()
-    private val tickets = HashMap<Long, String>()
+    private val storeKeysByCall = HashMap<Long, String>()
 
     val isEmpty: Boolean get() = pending.isEmpty()
 
@@ -31,15 +31,15 @@
     /** Sends the writes that are due. */
     fun advance() {
         for (entry in pending.values) {
-            if (entry.ticket == null && entry.writeAt <= context.now) write(entry)
+            if (entry.callNumber == null && entry.writeAt <= context.now) write(entry)
         }
     }
 
-    /** Handles the answer to [ticket]; false when the ticket belongs to another component. */
-    fun onStoreAnswer(ticket: Long, answer: StoreAnswer): Boolean {
-        val storeKey = tickets.remove(ticket) ?: return false
+    /** Handles the answer to [callNumber]; false when another component sent that request. */
+    fun onStoreAnswer(callNumber: Long, answer: StoreAnswer): Boolean {
+        val storeKey = storeKeysByCall.remove(callNumber) ?: return false
         val entry = pending[storeKey] ?: return true
-        entry.ticket = null
+        entry.callNumber = null
         when (answer) {
             is StoreAnswer.Written -> pending.remove(storeKey)
             is StoreAnswer.Conflict -> onConflict(entry, answer)
@@ -48,15 +48,15 @@
         return true
     }
 
-    fun nextDeadline(): Moment? = pending.values.filter { it.ticket == null }.minOfOrNull { it.writeAt }
+    fun nextDeadline(): Moment? = pending.values.filter { it.callNumber == null }.minOfOrNull { it.writeAt }
 
     private fun write(entry: PendingAnswer) {
-        val ticket = context.output.nextTicket()
-        entry.ticket = ticket
-        tickets[ticket] = entry.claim.storeKey
+        val callNumber = context.output.nextStoreCallNumber()
+        entry.callNumber = callNumber
+        storeKeysByCall[callNumber] = entry.claim.storeKey
         val value = encodeClaim(entry.record)
         val request = StoreRequest.Replace(StoreWrite(entry.claim.storeKey, value), entry.claim.revision)
-        context.output.add(CompanionEffect.AskStore(ticket, request, context.settings.storeTimeout))
+        context.output.add(CompanionEffect.CallStore(callNumber, request, context.settings.storeTimeout))
     }
 
     /**
--- a/core/src/main/kotlin/org/lovageladder/core/ClaimWriter.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/ClaimWriter.kt
@@ -57,7 +57,7 @@
         isCallInFlight = true
         val current = lease
         if (current == null || now - leaseGrantedAt > settings.claimLeaseTimeToLive * LEASE_SHARED_FRACTION) {
-            output.askStore(
+            output.callStore(
                 StoreRequest.GrantLease(settings.claimLeaseTimeToLive),
                 settings.storeTimeout,
                 ::onLeaseAnswer,
@@ -90,7 +90,7 @@
     private fun writeBatch(lease: Long) {
         val batch = takeBatch()
         val request = StoreRequest.Create(batch.map { it.write }, lease)
-        output.askStore(request, settings.storeTimeout) { answer, now -> onWriteAnswer(batch, answer, now) }
+        output.callStore(request, settings.storeTimeout) { answer, now -> onWriteAnswer(batch, answer, now) }
     }
 
     /** Takes up to [MAXIMUM_BATCH_SIZE] waiting claims. Of two with one key, the second waits for the next batch. */
--- a/core/src/main/kotlin/org/lovageladder/core/Companion.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/Companion.kt
@@ -21,7 +21,7 @@
     private var lastEventAt: Moment? = null
     private var appliedRelease = ReleaseVersion.NONE
 
-    override var ready: Boolean = false
+    override var isReady: Boolean = false
         private set
 
     override val release: ReleaseVersion get() = releases.version
@@ -47,7 +47,7 @@
     )
 
     override fun status(now: Moment): CompanionStatus = CompanionStatus(
-        ready = ready,
+        ready = isReady,
         leaving = leavingState.isLeaving,
         release = release,
         host = settings.host,
@@ -74,12 +74,12 @@
             is CompanionEvent.Connected -> onConnected(event)
             is CompanionEvent.Disconnected -> onConnectionLost(event.connection, event.fault.toString())
             is CompanionEvent.Received -> onReceived(event.connection, event.envelope)
-            is CompanionEvent.Reported -> schedulerOf(event.attempt)?.onReport(event.attempt, event.report)
+            is CompanionEvent.CallReported -> schedulerOf(event.attempt)?.onReport(event.attempt, event.report)
             is CompanionEvent.CancelEnded -> schedulerOf(event.attempt)?.onCancelEnded(event.attempt, event.confirmed)
             is CompanionEvent.RunningListed -> upstreams.onRunningListed(event.upstream, event.requests)
-            is CompanionEvent.OrphanEnded -> upstreams.onOrphanEnded(event)
+            is CompanionEvent.OrphanCancelEnded -> upstreams.onOrphanEnded(event)
             is CompanionEvent.OrderEnded -> upstreams.onOrderEnded(event)
-            is CompanionEvent.StoreAnswered -> onStoreAnswer(event.ticket, event.answer)
+            is CompanionEvent.StoreAnswered -> onStoreAnswer(event.callNumber, event.answer)
             is CompanionEvent.HostsListed -> onHostsListed(event.hosts)
             is CompanionEvent.StopRequested -> if (leavingState.requestStop()) announceLeaving()
             is CompanionEvent.TimePassed -> Unit
@@ -90,7 +90,7 @@
         context.attempts.removeExpired()
         releases.advance()
         applyRelease()
-        upstreams.advance(mayStart = ready && releases.isFresh)
+        upstreams.advance(mayStart = isReady && releases.isFresh)
         claims.advance()
         updateReadiness()
         leavingState.exitIfDone(upstreams.isIdle && claims.answerWriter.isEmpty)
@@ -104,8 +104,8 @@
     }
 
     private fun updateReadiness() {
-        if (ready || release == ReleaseVersion.NONE || !upstreams.areOrphansCancelled) return
-        ready = true
+        if (isReady || release == ReleaseVersion.NONE || !upstreams.areOrphansCancelled) return
+        isReady = true
         output.record(EventKind.PROCESS_READY, host = settings.host, note = release)
     }
 
@@ -166,12 +166,12 @@
     /** Why new work is refused at present; null when it is accepted. */
     private fun newWorkRefusal(): NewWorkRefusal? = when {
         leavingState.isLeaving -> NewWorkRefusal(FaultCause.LEAVING, "host is leaving", Duration.ZERO)
-        !ready -> NewWorkRefusal(FaultCause.REJECTED, "not ready", RetryDelayEstimate.MINIMUM_RETRY_DELAY)
+        !isReady -> NewWorkRefusal(FaultCause.REJECTED, "not ready", RetryDelayEstimate.MINIMUM_RETRY_DELAY)
         else -> null
     }
 
-    private fun onStoreAnswer(ticket: Long, answer: StoreAnswer) {
-        if (!releases.storeAnswered(ticket, answer)) claims.answerWriter.onStoreAnswer(ticket, answer)
+    private fun onStoreAnswer(callNumber: Long, answer: StoreAnswer) {
+        if (!releases.storeAnswered(callNumber, answer)) claims.answerWriter.onStoreAnswer(callNumber, answer)
     }
 
     private fun onHostsListed(hosts: List<ListedHost>) {
--- a/core/src/main/kotlin/org/lovageladder/core/CompanionOutput.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/CompanionOutput.kt
@@ -4,7 +4,7 @@
 internal class CompanionOutput {
     var now: Moment = Moment(0)
     private var effects = ArrayList<CompanionEffect>()
-    private var lastTicket = 0L
+    private var lastStoreCallNumber = 0L
 
     fun add(effect: CompanionEffect) {
         effects.add(effect)
@@ -27,7 +27,7 @@
     }
 
     /** Returns a number that was not used for an earlier call of the key-value service. */
-    fun nextTicket(): Long = ++lastTicket
+    fun nextStoreCallNumber(): Long = ++lastStoreCallNumber
 
     /** Returns the effects collected since the last call. */
     fun takeEffects(): List<CompanionEffect> {
--- a/core/src/main/kotlin/org/lovageladder/core/CompanionPort.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/CompanionPort.kt
@@ -10,7 +10,7 @@
 /** Decisions of a companion, as a function of its state, an event and the time. Confined to one thread. */
 public interface CompanionDecisions {
     /** Whether this companion has a release, has cancelled the calls of earlier incarnations, and accepts work. */
-    public val ready: Boolean
+    public val isReady: Boolean
 
     /** Release version in force in this process, sent with every message. */
     public val release: ReleaseVersion
@@ -37,7 +37,7 @@
     public data class Received(val connection: ConnectionId, val envelope: Envelope) : CompanionEvent
 
     /** An upstream reported on a call that [CompanionEffect.StartCall] started. */
-    public data class Reported(val attempt: AttemptId, val report: UpstreamReport) : CompanionEvent
+    public data class CallReported(val attempt: AttemptId, val report: UpstreamReport) : CompanionEvent
 
     /** Result of [CompanionEffect.CancelCall]; [confirmed] when the upstream holds nothing for the call. */
     public data class CancelEnded(val attempt: AttemptId, val confirmed: Boolean) : CompanionEvent
@@ -49,10 +49,10 @@
     public data class RunningListed(val upstream: UpstreamName, val requests: List<String>?) : CompanionEvent
 
     /** Result of [CompanionEffect.CancelOrphan]. */
-    public data class OrphanEnded(val upstream: UpstreamName, val requestName: String, val confirmed: Boolean) :
+    public data class OrphanCancelEnded(val upstream: UpstreamName, val requestName: String, val confirmed: Boolean) :
         CompanionEvent
 
-    /** Result of [CompanionEffect.GiveOrder]; [fault] is null when the order was carried out. */
+    /** Result of [CompanionEffect.SendOrder]; [fault] is null when the order was carried out. */
     public data class OrderEnded(
         val upstream: UpstreamName,
         val order: UpstreamOrder,
@@ -60,8 +60,8 @@
         val fault: Fault?,
     ) : CompanionEvent
 
-    /** The answer to [CompanionEffect.AskStore] with the same ticket. */
-    public data class StoreAnswered(val ticket: Long, val answer: StoreAnswer) : CompanionEvent
+    /** The answer to [CompanionEffect.CallStore] with the same number. */
+    public data class StoreAnswered(val callNumber: Long, val answer: StoreAnswer) : CompanionEvent
 
     /** The platform's host list was read. */
     public data class HostsListed(val hosts: List<ListedHost>) : CompanionEvent
@@ -81,7 +81,7 @@
     /** Closes a connection without waiting. */
     public data class Disconnect(val connection: ConnectionId) : CompanionEffect
 
-    /** Starts a call of an upstream; answered by [CompanionEvent.Reported]. */
+    /** Starts a call of an upstream; answered by [CompanionEvent.CallReported]. */
     public data class StartCall(val attempt: AttemptId, val upstream: ReleaseEntry.Upstream, val call: UpstreamCall) :
         CompanionEffect
 
@@ -91,15 +91,16 @@
     /** Lists what an engine runs; answered by [CompanionEvent.RunningListed]. */
     public data class ListRunning(val upstream: ReleaseEntry.Upstream) : CompanionEffect
 
-    /** Cancels a call that an earlier incarnation started; answered by [CompanionEvent.OrphanEnded]. */
+    /** Cancels a call that an earlier incarnation started; answered by [CompanionEvent.OrphanCancelEnded]. */
     public data class CancelOrphan(val upstream: ReleaseEntry.Upstream, val requestName: String) : CompanionEffect
 
     /** Sends an order to an upstream; answered by [CompanionEvent.OrderEnded]. */
-    public data class GiveOrder(val upstream: ReleaseEntry.Upstream, val order: UpstreamOrder, val fencing: Long) :
+    public data class SendOrder(val upstream: ReleaseEntry.Upstream, val order: UpstreamOrder, val fencing: Long) :
         CompanionEffect
 
     /** Calls the key-value service; answered by [CompanionEvent.StoreAnswered]. */
-    public data class AskStore(val ticket: Long, val request: StoreRequest, val timeout: Duration) : CompanionEffect
+    public data class CallStore(val callNumber: Long, val request: StoreRequest, val timeout: Duration) :
+        CompanionEffect
 
     /** Records an event on the time line. */
     public data class Record(val event: EventDraft) : CompanionEffect
--- a/core/src/main/kotlin/org/lovageladder/core/EntryMachine.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/EntryMachine.kt
@@ -25,7 +25,7 @@
     private var draining = false
     private var hasExited = false
 
-    override val ready: Boolean get() = releaseSync.state.version > ReleaseVersion.NONE && !draining
+    override val isReady: Boolean get() = releaseSync.state.version > ReleaseVersion.NONE && !draining
 
     override val release: ReleaseVersion get() = releaseSync.state.version
 
@@ -33,12 +33,12 @@
         startOrDetectPause(now)
         when (event) {
             is EntryEvent.Submitted -> onSubmitted(event, now)
-            is EntryEvent.CallerLeft -> requests[event.exchange]?.onCallerDisconnected(now)
+            is EntryEvent.CallerDisconnected -> requests[event.exchange]?.onCallerDisconnected(now)
             is EntryEvent.Connected -> links.connected(event.connection, event.welcome, now)
             is EntryEvent.Disconnected -> links.disconnected(event.connection, event.fault, now)
             is EntryEvent.Received -> onReceived(event, now)
-            is EntryEvent.StoreAnswered -> output.onStoreAnswer(event.ticket, event.answer, now)
-            is EntryEvent.NoteSeen -> releaseSync.applyNotes(listOf(event.note), now)
+            is EntryEvent.StoreAnswered -> output.onStoreAnswer(event.callNumber, event.answer, now)
+            is EntryEvent.NoteReceived -> releaseSync.applyNotes(listOf(event.note), now)
             is EntryEvent.HostsListed -> links.hostsListed(event.hosts)
             is EntryEvent.StopRequested -> startDraining()
             is EntryEvent.TimePassed -> Unit
@@ -51,7 +51,7 @@
     override fun nextDeadline(): Moment? = timers.earliest()
 
     override fun status(now: Moment): EntryStatus = EntryStatus(
-        ready = ready,
+        ready = isReady,
         draining = draining,
         release = release,
         requestsInFlight = requests.size,
@@ -111,7 +111,7 @@
         if (refusal != null) {
             val detail = refusalDetail(refusal)
             output.record(EventDraft(EventKind.REQUEST_REFUSED, request = id, detail = detail))
-            output.add(EntryEffect.GiveOutcome(event.exchange, id, refusal))
+            output.add(EntryEffect.SendOutcome(event.exchange, id, refusal))
             return
         }
         val flow = createFlow(event, id, now)
@@ -125,7 +125,7 @@
         val requestClass = service?.let { releaseSync.state.requestClass(it, submission.requestClass) }
         return when {
             draining -> refuseNotRun(RefusalReason.LEAVING, "this entry is shutting down", mayRetry = true)
-            !ready -> refuseNotRun(
+            !isReady -> refuseNotRun(
                 RefusalReason.NOT_READY,
                 "no release note has been applied here yet",
                 mayRetry = true,
--- a/core/src/main/kotlin/org/lovageladder/core/EntryOutput.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/EntryOutput.kt
@@ -6,7 +6,7 @@
 internal class EntryOutput {
     private var effects = mutableListOf<EntryEffect>()
     private val answerHandlers = HashMap<Long, (StoreAnswer, Moment) -> Unit>()
-    private var lastTicket = 0L
+    private var lastStoreCallNumber = 0L
 
     fun add(effect: EntryEffect) {
         effects += effect
@@ -17,14 +17,14 @@
     }
 
     /** Sends [request] to the key-value service; [onAnswer] is called at most once. */
-    fun askStore(request: StoreRequest, timeout: Duration, onAnswer: (StoreAnswer, Moment) -> Unit) {
-        val ticket = ++lastTicket
-        answerHandlers[ticket] = onAnswer
-        effects += EntryEffect.AskStore(ticket, request, timeout)
+    fun callStore(request: StoreRequest, timeout: Duration, onAnswer: (StoreAnswer, Moment) -> Unit) {
+        val callNumber = ++lastStoreCallNumber
+        answerHandlers[callNumber] = onAnswer
+        effects += EntryEffect.CallStore(callNumber, request, timeout)
     }
 
-    fun onStoreAnswer(ticket: Long, answer: StoreAnswer, now: Moment) {
-        answerHandlers.remove(ticket)?.invoke(answer, now)
+    fun onStoreAnswer(callNumber: Long, answer: StoreAnswer, now: Moment) {
+        answerHandlers.remove(callNumber)?.invoke(answer, now)
     }
 
     /** Returns the effects collected since the last call. */
--- a/core/src/main/kotlin/org/lovageladder/core/EntryPort.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/EntryPort.kt
@@ -10,7 +10,7 @@
 /** State machine of an entry: each event at a time yields effects. Confined to one thread. */
 public interface EntryDecisions {
     /** Whether this entry has a release and accepts requests. */
-    public val ready: Boolean
+    public val isReady: Boolean
 
     /** Version of the applied release, sent with every message. */
     public val release: ReleaseVersion
@@ -31,7 +31,7 @@
     public data class Submitted(val exchange: ExchangeId, val submission: Submission) : EntryEvent
 
     /** The caller closed its connection or cancelled the request. */
-    public data class CallerLeft(val exchange: ExchangeId) : EntryEvent
+    public data class CallerDisconnected(val exchange: ExchangeId) : EntryEvent
 
     /** A connection is established and the companion's first message has arrived. */
     public data class Connected(val connection: ConnectionId, val welcome: PeerMessage.Welcome) : EntryEvent
@@ -42,11 +42,11 @@
     /** A message arrived on a connection. */
     public data class Received(val connection: ConnectionId, val envelope: Envelope) : EntryEvent
 
-    /** The answer to [EntryEffect.AskStore] with the same ticket. */
-    public data class StoreAnswered(val ticket: Long, val answer: StoreAnswer) : EntryEvent
+    /** The answer to [EntryEffect.CallStore] with the same number. */
+    public data class StoreAnswered(val callNumber: Long, val answer: StoreAnswer) : EntryEvent
 
     /** The watch of release notes delivered a note. */
-    public data class NoteSeen(val note: AcceptedNote) : EntryEvent
+    public data class NoteReceived(val note: AcceptedNote) : EntryEvent
 
     /** The platform's host list was read. */
     public data class HostsListed(val hosts: List<ListedHost>) : EntryEvent
@@ -61,10 +61,10 @@
 /** Output of an entry, carried out by its process. */
 public sealed interface EntryEffect {
     /** Sends one token to a caller. Each index from 0 is sent once, in order. */
-    public data class GiveToken(val exchange: ExchangeId, val index: Int, val text: String) : EntryEffect
+    public data class SendToken(val exchange: ExchangeId, val index: Int, val text: String) : EntryEffect
 
     /** Sends a caller its outcome. It is the last effect of this exchange. */
-    public data class GiveOutcome(val exchange: ExchangeId, val request: RequestId, val outcome: Outcome) : EntryEffect
+    public data class SendOutcome(val exchange: ExchangeId, val request: RequestId, val outcome: Outcome) : EntryEffect
 
     /** Connects to a companion; answered by [EntryEvent.Connected] or [EntryEvent.Disconnected]. */
     public data class Connect(val connection: ConnectionId, val host: HostName, val address: Address) : EntryEffect
@@ -76,7 +76,7 @@
     public data class Send(val connection: ConnectionId, val message: PeerMessage) : EntryEffect
 
     /** Calls the key-value service; answered by [EntryEvent.StoreAnswered]. */
-    public data class AskStore(val ticket: Long, val request: StoreRequest, val timeout: Duration) : EntryEffect
+    public data class CallStore(val callNumber: Long, val request: StoreRequest, val timeout: Duration) : EntryEffect
 
     /** Starts or ends the watch of release notes, as [watching] says. */
     public data class WatchNotes(val watching: Boolean) : EntryEffect
--- a/core/src/main/kotlin/org/lovageladder/core/EntryReleaseSync.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/EntryReleaseSync.kt
@@ -71,7 +71,7 @@
         if (isReading) return
         isReading = true
         val request = StoreRequest.ReadAfter(NOTE_PREFIX, noteStoreKey(state.version), PAGE_SIZE)
-        output.askStore(request, settings.storeTimeout) { answer, now -> onStoreAnswer(answer, now) }
+        output.callStore(request, settings.storeTimeout) { answer, now -> onStoreAnswer(answer, now) }
     }
 
     private fun onStoreAnswer(answer: StoreAnswer, now: Moment) {
--- a/core/src/main/kotlin/org/lovageladder/core/GenerationFlow.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/GenerationFlow.kt
@@ -21,7 +21,7 @@
         minOf(content.outputTokens ?: context.requestClass.outputBound, context.requestClass.outputBound)
     private val pieces = (content.promptTokens + outputBound + PIECE_TOKENS - 1) / PIECE_TOKENS
     private val tokens = TokenSequence { index, text ->
-        components.output.add(EntryEffect.GiveToken(context.exchange, index, text))
+        components.output.add(EntryEffect.SendToken(context.exchange, index, text))
     }
     private val excluded = mutableSetOf<UpstreamName>()
     private val excludedPrefill = mutableSetOf<UpstreamName>()
--- a/core/src/main/kotlin/org/lovageladder/core/HostUpstreams.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/HostUpstreams.kt
@@ -48,7 +48,7 @@
         cleanups[upstream]?.onRunningListed(requests)
     }
 
-    fun onOrphanEnded(event: CompanionEvent.OrphanEnded) {
+    fun onOrphanEnded(event: CompanionEvent.OrphanCancelEnded) {
         cleanups[event.upstream]?.onCancelEnded(event.requestName, event.confirmed)
     }
 
--- a/core/src/main/kotlin/org/lovageladder/core/NonIdempotentCallFlow.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/NonIdempotentCallFlow.kt
@@ -251,7 +251,7 @@
         state = NonIdempotentCallState.Claiming
         val released = record.copy(number = record.number + 1, request = context.id, released = true)
         val request = StoreRequest.Replace(StoreWrite(storeKey, encodeClaim(released)), revision)
-        components.output.askStore(request, components.settings.storeTimeout) { answer, at ->
+        components.output.callStore(request, components.settings.storeTimeout) { answer, at ->
             when {
                 context.isFinished -> Unit
                 answer is StoreAnswer.Written -> refuse(reason, Execution.NOT_RUN, detail, fault, retryAfter)
@@ -292,7 +292,7 @@
         val record = ClaimRecord(content.bodyDigest, previous.number + 1, upstream.entry.host, incarnation, context.id)
         state = NonIdempotentCallState.Claiming
         val request = StoreRequest.Replace(StoreWrite(storeKey, encodeClaim(record)), revision)
-        components.output.askStore(request, components.settings.storeTimeout) { answer, at ->
+        components.output.callStore(request, components.settings.storeTimeout) { answer, at ->
             onTakeOverAnswer(upstream, record, answer, at)
         }
     }
@@ -323,7 +323,7 @@
             refuse(RefusalReason.STORE_UNAVAILABLE, Execution.UNKNOWN, "this submission was not sent")
             return
         }
-        components.output.askStore(StoreRequest.Read(storeKey), components.settings.storeTimeout) { answer, at ->
+        components.output.callStore(StoreRequest.Read(storeKey), components.settings.storeTimeout) { answer, at ->
             if (!context.isFinished) {
                 val found = (answer as? StoreAnswer.Found)?.entries
                 if (found == null) {
@@ -361,7 +361,7 @@
             refuse(RefusalReason.STORE_UNAVAILABLE, Execution.UNKNOWN, "another submission took the claim over")
             return
         }
-        components.output.askStore(StoreRequest.Read(storeKey), components.settings.storeTimeout) { answer, at ->
+        components.output.callStore(StoreRequest.Read(storeKey), components.settings.storeTimeout) { answer, at ->
             if (!context.isFinished) {
                 val entry = (answer as? StoreAnswer.Found)?.entries?.firstOrNull()
                 if (entry == null) readCurrentClaim(at) else resolveExistingClaim(entry, at)
--- a/core/src/main/kotlin/org/lovageladder/core/ReleaseSync.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/ReleaseSync.kt
@@ -12,7 +12,7 @@
     private val output = context.output
     private val history = ReleaseHistory()
     private val fetchRequests = HashMap<ConnectionId, FetchRequest>()
-    private var readTicket: Long? = null
+    private var readCallNumber: Long? = null
     private var nextReadAt: Moment? = null
     private var refreshes = 0
     private var isStoreUnavailable = false
@@ -30,23 +30,23 @@
     /** Reads again after a pause, and ignores the answer to a read from before it. */
     fun wake() {
         isFresh = false
-        readTicket = null
+        readCallNumber = null
         nextReadAt = context.now
     }
 
     fun advance() {
-        if (readTicket != null) return
+        if (readCallNumber != null) return
         if ((nextReadAt ?: context.now) > context.now) return
-        val ticket = output.nextTicket()
-        readTicket = ticket
+        val callNumber = output.nextStoreCallNumber()
+        readCallNumber = callNumber
         val request = StoreRequest.ReadAfter(NOTE_PREFIX, noteStoreKey(version))
-        output.add(CompanionEffect.AskStore(ticket, request, settings.storeTimeout))
+        output.add(CompanionEffect.CallStore(callNumber, request, settings.storeTimeout))
     }
 
-    /** Handles the answer to [ticket]; returns false when another component sent that request. */
-    fun storeAnswered(ticket: Long, answer: StoreAnswer): Boolean {
-        if (ticket != readTicket) return false
-        readTicket = null
+    /** Handles the answer to [callNumber]; returns false when another component sent that request. */
+    fun storeAnswered(callNumber: Long, answer: StoreAnswer): Boolean {
+        if (callNumber != readCallNumber) return false
+        readCallNumber = null
         when (answer) {
             is StoreAnswer.Found -> onNotesRead(answer.entries)
             is StoreAnswer.Unavailable, is StoreAnswer.Written, is StoreAnswer.Conflict, is StoreAnswer.Leased ->
@@ -77,7 +77,7 @@
         fetchRequests.remove(connection)
     }
 
-    fun nextDeadline(): Moment? = if (readTicket == null) nextReadAt ?: context.now else null
+    fun nextDeadline(): Moment? = if (readCallNumber == null) nextReadAt ?: context.now else null
 
     private fun fetchNotes(connection: ConnectionId, upTo: ReleaseVersion) {
         val previous = fetchRequests[connection]
--- a/core/src/main/kotlin/org/lovageladder/core/RequestFlow.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/RequestFlow.kt
@@ -60,7 +60,7 @@
             is Outcome.Generated, is Outcome.Answered -> record(EventKind.REQUEST_FINISHED)
             is Outcome.Refused -> record(EventKind.REQUEST_REFUSED, detail = refusalDetail(outcome))
         }
-        output.add(EntryEffect.GiveOutcome(exchange, id, outcome))
+        output.add(EntryEffect.SendOutcome(exchange, id, outcome))
         onFinished(exchange)
     }
 
--- a/core/src/main/kotlin/org/lovageladder/core/UpstreamOrders.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/UpstreamOrders.kt
@@ -70,7 +70,7 @@
             if (next == null || mustWait) continue
             queue.removeFirst()
             queue.current = next
-            context.output.add(CompanionEffect.GiveOrder(queue.upstream, next.order, next.fencing))
+            context.output.add(CompanionEffect.SendOrder(queue.upstream, next.order, next.fencing))
         }
     }
 
--- a/core/src/test/kotlin/org/lovageladder/core/ClaimedCallsTest.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/ClaimedCallsTest.kt
@@ -226,14 +226,14 @@
     private fun CompanionHarness.startsOfKey(): Int = effects.filterIsInstance<CompanionEffect.StartCall>()
         .count { (it.call as UpstreamCall.Plain).idempotencyKey != null }
 
-    private fun List<CompanionEffect>.storeRequests() = filterIsInstance<CompanionEffect.AskStore>().map { it.request }
+    private fun List<CompanionEffect>.storeRequests() = filterIsInstance<CompanionEffect.CallStore>().map { it.request }
 
     /** Advances time until an answer is written; other store calls are answered with no new notes. */
     private fun CompanionHarness.advanceTimeUntilWrite(): List<CompanionEffect> {
         repeat(MAXIMUM_WAIT_STEPS) {
             val effects = advanceTime(STEP)
             val (writes, others) = effects.partition {
-                (it as? CompanionEffect.AskStore)?.request is StoreRequest.Replace
+                (it as? CompanionEffect.CallStore)?.request is StoreRequest.Replace
             }
             answerStore(others, found(emptyList()))
             if (writes.isNotEmpty()) return writes
--- a/core/src/test/kotlin/org/lovageladder/core/CompanionHarness.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/CompanionHarness.kt
@@ -63,7 +63,7 @@
         CompanionEvent.Disconnected(connection, Fault(Step.CONNECT, "entry", FaultCause.CONNECTION_LOST)),
     )
 
-    fun report(attempt: AttemptId, report: UpstreamReport) = handle(CompanionEvent.Reported(attempt, report))
+    fun report(attempt: AttemptId, report: UpstreamReport) = handle(CompanionEvent.CallReported(attempt, report))
 
     /** Makes the companion ready, with [notes] in the store and no calls running on its engines. */
     fun makeReady(notes: List<AcceptedNote> = listOf(firstNote())): CompanionHarness {
@@ -71,15 +71,15 @@
         for (listing in effects.filterIsInstance<CompanionEffect.ListRunning>()) {
             handle(CompanionEvent.RunningListed(listing.upstream.name, emptyList()))
         }
-        check(companion.ready) { "not ready: ${companion.status(now)}" }
+        check(companion.isReady) { "not ready: ${companion.status(now)}" }
         effects.clear()
         return this
     }
 
     /** Answers each call of the key-value service among [requested]. */
     fun answerStore(requested: List<CompanionEffect>, answer: StoreAnswer): List<CompanionEffect> =
-        requested.filterIsInstance<CompanionEffect.AskStore>()
-            .flatMap { handle(CompanionEvent.StoreAnswered(it.ticket, answer)) }
+        requested.filterIsInstance<CompanionEffect.CallStore>()
+            .flatMap { handle(CompanionEvent.StoreAnswered(it.callNumber, answer)) }
 
     fun load(upstream: UpstreamName): UpstreamLoad = companion.status(now).loads.first { it.upstream == upstream }
 
--- a/core/src/test/kotlin/org/lovageladder/core/CompanionSimulation.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/CompanionSimulation.kt
@@ -26,11 +26,11 @@
     private val delayedMessages = ArrayList<Delivery>()
     private val sentMessages = ArrayList<Delivery>()
     private val claims = HashMap<Pair<String, Long>, ClaimTicket>()
-    private val storeCalls = ArrayList<CompanionEffect.AskStore>()
+    private val storeCalls = ArrayList<CompanionEffect.CallStore>()
     private val outdatedStoreCalls = HashSet<Long>()
     private val pendingListings = ArrayList<UpstreamName>()
     private val pendingOrphanCancels = ArrayList<CompanionEffect.CancelOrphan>()
-    private val pendingOrders = ArrayList<CompanionEffect.GiveOrder>()
+    private val pendingOrders = ArrayList<CompanionEffect.SendOrder>()
     private var connectionCount = 0L
     private var attemptCount = 0
     private var heartbeatCount = 0L
@@ -142,7 +142,7 @@
     private fun suspendProcess() {
         harness.suspendFor(harness.settings.peerSilenceLimit + 1.seconds)
         oracle.mustReadRelease = true
-        outdatedStoreCalls += storeCalls.map { it.ticket }
+        outdatedStoreCalls += storeCalls.map { it.callNumber }
     }
 
     private fun connect(entry: Int) {
@@ -240,7 +240,7 @@
 
     private fun report(attempt: AttemptId) {
         val report = upstreams.nextReport(attempt)
-        handleAfterDueWork(CompanionEvent.Reported(attempt, report)) { oracle.onReport(attempt, report) }
+        handleAfterDueWork(CompanionEvent.CallReported(attempt, report)) { oracle.onReport(attempt, report) }
     }
 
     private fun endCancel(effect: CompanionEffect.CancelCall, end: FakeCancelResult) {
@@ -250,7 +250,7 @@
         }
     }
 
-    private fun answerStore(effect: CompanionEffect.AskStore, code: Int) {
+    private fun answerStore(effect: CompanionEffect.CallStore, code: Int) {
         storeCalls -= effect
         val answer = when (code % 8) {
             0 -> unavailable()
@@ -259,8 +259,8 @@
             else -> store.call(effect.request)
         }
         val isReleaseRead = effect.request is StoreRequest.ReadAfter && answer is StoreAnswer.Found
-        handleAfterDueWork(CompanionEvent.StoreAnswered(effect.ticket, answer)) {
-            if (isReleaseRead && effect.ticket !in outdatedStoreCalls) oracle.mustReadRelease = false
+        handleAfterDueWork(CompanionEvent.StoreAnswered(effect.callNumber, answer)) {
+            if (isReleaseRead && effect.callNumber !in outdatedStoreCalls) oracle.mustReadRelease = false
         }
     }
 
@@ -273,10 +273,10 @@
         pendingOrphanCancels -= effect
         if (end != FakeCancelResult.IGNORED) upstreams.orphans[effect.upstream.name]?.remove(effect.requestName)
         val isConfirmed = end == FakeCancelResult.CONFIRMED
-        handle(CompanionEvent.OrphanEnded(effect.upstream.name, effect.requestName, isConfirmed))
+        handle(CompanionEvent.OrphanCancelEnded(effect.upstream.name, effect.requestName, isConfirmed))
     }
 
-    private fun endOrder(effect: CompanionEffect.GiveOrder, code: Int) {
+    private fun endOrder(effect: CompanionEffect.SendOrder, code: Int) {
         pendingOrders -= effect
         val cause = listOf(null, null, FaultCause.TIMEOUT, FaultCause.FENCED)[code % 4]
         val fault = cause?.let { Fault(Step.ORDER, effect.upstream.name.text, it) }
@@ -333,10 +333,10 @@
         when (effect) {
             is CompanionEffect.StartCall -> upstreams.start(effect)
             is CompanionEffect.CancelCall -> upstreams.cancels += effect
-            is CompanionEffect.AskStore -> storeCalls += effect
+            is CompanionEffect.CallStore -> storeCalls += effect
             is CompanionEffect.ListRunning -> pendingListings += effect.upstream.name
             is CompanionEffect.CancelOrphan -> cancelOrphan(effect)
-            is CompanionEffect.GiveOrder -> giveOrder(effect)
+            is CompanionEffect.SendOrder -> sendOrder(effect)
             is CompanionEffect.Disconnect -> connections.values.remove(effect.connection)
             is CompanionEffect.Send -> answerFetch(effect)
             is CompanionEffect.Record -> recordedKinds += effect.event.kind
@@ -349,7 +349,7 @@
         pendingOrphanCancels += effect
     }
 
-    private fun giveOrder(effect: CompanionEffect.GiveOrder) {
+    private fun sendOrder(effect: CompanionEffect.SendOrder) {
         assertTrue(pendingOrders.none { it.upstream.name == effect.upstream.name }, "two orders at once: $effect")
         pendingOrders += effect
     }
--- a/core/src/test/kotlin/org/lovageladder/core/CompanionTest.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/CompanionTest.kt
@@ -18,18 +18,18 @@
         assertEquals(setOf(DECODE, PREFILL), harness.listedUpstreams().toSet())
         harness.handle(CompanionEvent.RunningListed(PREFILL, emptyList()))
         harness.handle(CompanionEvent.RunningListed(DECODE, null))
-        assertFalse(harness.companion.ready)
+        assertFalse(harness.companion.isReady)
         harness.advanceTime(100.milliseconds)
         harness.handle(CompanionEvent.RunningListed(DECODE, listOf("old.1", "old.2")))
-        harness.handle(CompanionEvent.OrphanEnded(DECODE, "old.1", confirmed = true))
-        harness.handle(CompanionEvent.OrphanEnded(DECODE, "old.2", confirmed = false))
-        assertFalse(harness.companion.ready)
+        harness.handle(CompanionEvent.OrphanCancelEnded(DECODE, "old.1", confirmed = true))
+        harness.handle(CompanionEvent.OrphanCancelEnded(DECODE, "old.2", confirmed = false))
+        assertFalse(harness.companion.isReady)
         harness.advanceTime(100.milliseconds)
         harness.handle(CompanionEvent.RunningListed(DECODE, listOf("old.2")))
-        harness.handle(CompanionEvent.OrphanEnded(DECODE, "old.2", confirmed = true))
-        assertFalse(harness.companion.ready)
+        harness.handle(CompanionEvent.OrphanCancelEnded(DECODE, "old.2", confirmed = true))
+        assertFalse(harness.companion.isReady)
         harness.handle(CompanionEvent.RunningListed(DECODE, emptyList()))
-        assertTrue(harness.companion.ready)
+        assertTrue(harness.companion.isReady)
         assertEquals(2, harness.effects.recorded().count { it == EventKind.ORPHAN_CANCELLED })
     }
 
@@ -50,7 +50,7 @@
         assertEquals(ReleaseVersion.NONE, fetch.after)
         harness.receive(PeerMessage.Notes(listOf(firstNote())))
         harness.listedUpstreams().forEach { harness.handle(CompanionEvent.RunningListed(it, emptyList())) }
-        assertTrue(harness.companion.ready)
+        assertTrue(harness.companion.isReady)
         assertEquals(1, harness.receive(reserve(first)).sent<PeerMessage.Granted>().size)
     }
 
@@ -115,7 +115,7 @@
     @Test
     fun aReadBegunBeforeASuspensionDoesNotCountAsFresh() {
         harness.makeReady()
-        val oldRead = harness.advanceTime(5.seconds).filter { it is CompanionEffect.AskStore }
+        val oldRead = harness.advanceTime(5.seconds).filter { it is CompanionEffect.CallStore }
         harness.suspendFor(4.seconds)
         harness.connect()
         harness.answerStore(oldRead, found(emptyList()))
--- a/core/src/test/kotlin/org/lovageladder/core/UpstreamOrdersTest.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/UpstreamOrdersTest.kt
@@ -82,5 +82,5 @@
     )
 
     private fun CompanionHarness.orders() =
-        effects.filterIsInstance<CompanionEffect.GiveOrder>().map { it.order to it.fencing }
+        effects.filterIsInstance<CompanionEffect.SendOrder>().map { it.order to it.fencing }
 }
--- a/core/src/test/kotlin/org/lovageladder/core/world/SimulatedCompanion.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/world/SimulatedCompanion.kt
@@ -81,15 +81,15 @@
                 CompanionEvent.CancelEnded(effect.attempt, it)
             }
             is CompanionEffect.CancelOrphan -> cancel(effect.upstream.name, effect.requestName) {
-                CompanionEvent.OrphanEnded(effect.upstream.name, effect.requestName, it)
+                CompanionEvent.OrphanCancelEnded(effect.upstream.name, effect.requestName, it)
             }
             is CompanionEffect.ListRunning -> afterRoundTrip {
                 CompanionEvent.RunningListed(effect.upstream.name, upstream(effect.upstream.name).requests)
             }
-            is CompanionEffect.GiveOrder -> afterRoundTrip {
+            is CompanionEffect.SendOrder -> afterRoundTrip {
                 CompanionEvent.OrderEnded(effect.upstream.name, effect.order, effect.fencing, null)
             }
-            is CompanionEffect.AskStore -> askStore(effect)
+            is CompanionEffect.CallStore -> callStore(effect)
             is CompanionEffect.Record -> Unit
             is CompanionEffect.Exit -> exit()
         }
@@ -100,7 +100,7 @@
     private fun startCall(effect: CompanionEffect.StartCall) {
         val startedIncarnation = incarnation
         upstream(effect.upstream.name).start(effect.attempt, effect.call) { report ->
-            if (startedIncarnation == incarnation) deliver(CompanionEvent.Reported(effect.attempt, report))
+            if (startedIncarnation == incarnation) deliver(CompanionEvent.CallReported(effect.attempt, report))
         }
     }
 
@@ -117,10 +117,10 @@
         }
     }
 
-    private fun askStore(effect: CompanionEffect.AskStore) {
+    private fun callStore(effect: CompanionEffect.CallStore) {
         val startedIncarnation = incarnation
         system.store.call(effect.request, effect.timeout) { answer ->
-            if (startedIncarnation == incarnation) deliver(CompanionEvent.StoreAnswered(effect.ticket, answer))
+            if (startedIncarnation == incarnation) deliver(CompanionEvent.StoreAnswered(effect.callNumber, answer))
         }
     }
 
--- a/core/src/test/kotlin/org/lovageladder/core/world/SimulatedEntry.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/world/SimulatedEntry.kt
@@ -51,7 +51,7 @@
 
     private fun onNoteWritten(value: String) {
         val note = runCatching { Json.decodeFromString(AcceptedNote.serializer(), value) }.getOrNull() ?: return
-        system.time.after(1.milliseconds) { deliver(EntryEvent.NoteSeen(note)) }
+        system.time.after(1.milliseconds) { deliver(EntryEvent.NoteReceived(note)) }
     }
 
     override fun closeConnections(deliverPending: Boolean) {
@@ -79,21 +79,21 @@
     fun disconnectCaller(caller: Caller) {
         val exchange = callers.entries.firstOrNull { it.value === caller }?.key ?: return
         callers.remove(exchange)
-        deliver(EntryEvent.CallerLeft(exchange))
+        deliver(EntryEvent.CallerDisconnected(exchange))
     }
 
     private fun perform(effect: EntryEffect) {
         when (effect) {
-            is EntryEffect.GiveToken -> callers[effect.exchange]?.let {
+            is EntryEffect.SendToken -> callers[effect.exchange]?.let {
                 system.oracle.onToken(it, effect.index, effect.text)
             }
-            is EntryEffect.GiveOutcome -> callers.remove(effect.exchange)?.let {
+            is EntryEffect.SendOutcome -> callers.remove(effect.exchange)?.let {
                 system.oracle.onOutcome(it, effect.outcome, system.time.now)
             }
             is EntryEffect.Connect -> connect(effect)
             is EntryEffect.Disconnect -> channels.remove(effect.connection)?.close()
             is EntryEffect.Send -> channels[effect.connection]?.sendToCompanion(envelope(effect.message))
-            is EntryEffect.AskStore -> askStore(effect)
+            is EntryEffect.CallStore -> callStore(effect)
             is EntryEffect.WatchNotes -> isWatching = effect.watching
             is EntryEffect.Record -> Unit
             is EntryEffect.Exit -> exit()
@@ -102,10 +102,10 @@
 
     private fun envelope(message: PeerMessage) = Envelope(decisions.release, clock(), message)
 
-    private fun askStore(effect: EntryEffect.AskStore) {
+    private fun callStore(effect: EntryEffect.CallStore) {
         val startedIncarnation = incarnation
         system.store.call(effect.request, effect.timeout) { answer ->
-            if (startedIncarnation == incarnation) deliver(EntryEvent.StoreAnswered(effect.ticket, answer))
+            if (startedIncarnation == incarnation) deliver(EntryEvent.StoreAnswered(effect.callNumber, answer))
         }
     }
 
@@ -154,7 +154,7 @@
 
     fun requestStop() = deliver(EntryEvent.StopRequested)
 
-    fun isReady(): Boolean = isRunning && decisions.ready
+    fun isReady(): Boolean = isRunning && decisions.isReady
 
     override fun toString(): String = host.text
 }
--- a/daemon/src/main/kotlin/org/lovageladder/daemon/CompanionProcess.kt
+++ b/daemon/src/main/kotlin/org/lovageladder/daemon/CompanionProcess.kt
@@ -80,7 +80,7 @@
         override fun handle(event: CompanionEvent, now: Moment) {
             if (event is CompanionEvent.Connected) peerListener.send(event.connection, envelopeOf(welcome(now)))
             decisions.handle(event, now).forEach(::performEffect)
-            components.state.ready = decisions.ready
+            components.state.ready = decisions.isReady
             components.state.release = decisions.release
         }
 
@@ -115,10 +115,10 @@
                     control.post(CompanionEvent.RunningListed(effect.upstream.name, requests))
                 }
             is CompanionEffect.CancelOrphan -> cancelOrphan(effect)
-            is CompanionEffect.GiveOrder -> giveOrder(effect)
-            is CompanionEffect.AskStore ->
+            is CompanionEffect.SendOrder -> sendOrder(effect)
+            is CompanionEffect.CallStore ->
                 components.store.call(effect.request, effect.timeout) { answer ->
-                    control.post(CompanionEvent.StoreAnswered(effect.ticket, answer))
+                    control.post(CompanionEvent.StoreAnswered(effect.callNumber, answer))
                 }
             is CompanionEffect.Record -> components.recordEvent(effect.event)
             is CompanionEffect.Exit -> components.termination.finished()
@@ -127,17 +127,17 @@
 
     private fun startCall(effect: CompanionEffect.StartCall) {
         gateway.start(effect.attempt, effect.upstream, effect.call) { report ->
-            control.post(CompanionEvent.Reported(effect.attempt, report))
+            control.post(CompanionEvent.CallReported(effect.attempt, report))
         }
     }
 
     private fun cancelOrphan(effect: CompanionEffect.CancelOrphan) {
         gateway.cancelByName(effect.requestName, effect.upstream) { confirmed ->
-            control.post(CompanionEvent.OrphanEnded(effect.upstream.name, effect.requestName, confirmed))
+            control.post(CompanionEvent.OrphanCancelEnded(effect.upstream.name, effect.requestName, confirmed))
         }
     }
 
-    private fun giveOrder(effect: CompanionEffect.GiveOrder) {
+    private fun sendOrder(effect: CompanionEffect.SendOrder) {
         gateway.order(effect.upstream, effect.order, effect.fencing) { fault ->
             control.post(CompanionEvent.OrderEnded(effect.upstream.name, effect.order, effect.fencing, fault))
         }
--- a/daemon/src/main/kotlin/org/lovageladder/daemon/EntryProcess.kt
+++ b/daemon/src/main/kotlin/org/lovageladder/daemon/EntryProcess.kt
@@ -89,7 +89,7 @@
         override fun handle(event: EntryEvent, now: Moment) {
             recordMetrics(event, now)
             decisions.handle(event, now).forEach { effect -> performEffect(effect, now) }
-            components.state.ready = decisions.ready
+            components.state.ready = decisions.isReady
             components.state.release = decisions.release
         }
 
@@ -100,22 +100,22 @@
 
     private fun recordMetrics(event: EntryEvent, now: Moment) {
         if (event is EntryEvent.Submitted) requestMeters.onSubmitted(event.exchange, event.submission, now)
-        if (event is EntryEvent.CallerLeft) requestMeters.onCallerDisconnected(event.exchange, now)
+        if (event is EntryEvent.CallerDisconnected) requestMeters.onCallerDisconnected(event.exchange, now)
     }
 
     private fun performEffect(effect: EntryEffect, now: Moment) {
         when (effect) {
-            is EntryEffect.GiveToken -> callerServer.giveToken(effect.exchange, effect.index, effect.text)
-            is EntryEffect.GiveOutcome -> {
+            is EntryEffect.SendToken -> callerServer.sendToken(effect.exchange, effect.index, effect.text)
+            is EntryEffect.SendOutcome -> {
                 requestMeters.onOutcome(effect.exchange, effect.outcome, now)
-                callerServer.giveOutcome(effect.exchange, effect.request, effect.outcome)
+                callerServer.sendOutcome(effect.exchange, effect.request, effect.outcome)
             }
             is EntryEffect.Connect -> dialer.dial(effect.connection, effect.host, effect.address, hello(effect.host))
             is EntryEffect.Disconnect -> dialer.close(effect.connection)
             is EntryEffect.Send -> dialer.send(effect.connection, envelopeOf(effect.message))
-            is EntryEffect.AskStore ->
+            is EntryEffect.CallStore ->
                 components.store.call(effect.request, effect.timeout) { answer ->
-                    control.post(EntryEvent.StoreAnswered(effect.ticket, answer))
+                    control.post(EntryEvent.StoreAnswered(effect.callNumber, answer))
                 }
             is EntryEffect.WatchNotes -> noteWatcher.setEnabled(effect.watching)
             is EntryEffect.Record -> components.recordEvent(effect.event)
@@ -136,10 +136,11 @@
     )
 
     private inner class EntryCallerHandler : CallerHandler {
-        override fun submitted(exchange: ExchangeId, submission: Submission): Unit =
+        override fun onSubmission(exchange: ExchangeId, submission: Submission): Unit =
             control.post(EntryEvent.Submitted(exchange, submission))
 
-        override fun left(exchange: ExchangeId): Unit = control.post(EntryEvent.CallerLeft(exchange))
+        override fun onCallerDisconnected(exchange: ExchangeId): Unit =
+            control.post(EntryEvent.CallerDisconnected(exchange))
     }
 
     private inner class CompanionConnectionHandler : DialerHandler {
@@ -159,7 +160,7 @@
     private inner class EntryNoteListener : NoteListener {
         override val release: ReleaseVersion get() = components.state.release
 
-        override fun onNote(note: AcceptedNote): Unit = control.post(EntryEvent.NoteSeen(note))
+        override fun onNote(note: AcceptedNote): Unit = control.post(EntryEvent.NoteReceived(note))
 
         override fun onUnreadableNote(key: String): Unit =
             control.execute { components.recordEvent(EventDraft(EventKind.NOTE_UNREADABLE, detail = key)) }
--- a/daemon/src/main/kotlin/org/lovageladder/daemon/ProcessAdmin.kt
+++ b/daemon/src/main/kotlin/org/lovageladder/daemon/ProcessAdmin.kt
@@ -12,7 +12,7 @@
     private val readStatus: () -> String?,
     private val requestStop: () -> Unit,
 ) : AdminHandler {
-    override fun ready(): Boolean = state.ready
+    override fun isReady(): Boolean = state.ready
 
     override fun statusJson(): String = readStatus() ?: "{}"
 
@@ -20,5 +20,5 @@
 
     override fun explain(request: RequestId): List<EventRecord> = ring.of(request)
 
-    override fun drain(): Unit = requestStop()
+    override fun startDrain(): Unit = requestStop()
 }
--- a/http/src/main/kotlin/org/lovageladder/http/AdminRoutes.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/AdminRoutes.kt
@@ -58,14 +58,14 @@
 
     private fun isServed(path: String) = path in FIXED_PATHS || path.startsWith(EXPLAIN_PREFIX)
 
-    private fun readinessAnswer(): AdminAnswer = if (admin.ready()) {
+    private fun readinessAnswer(): AdminAnswer = if (admin.isReady()) {
         AdminAnswer(STATUS_OK, TEXT_TYPE, "ready\n")
     } else {
         AdminAnswer(STATUS_UNAVAILABLE, TEXT_TYPE, "not ready\n")
     }
 
     private fun startDrain(): AdminAnswer {
-        admin.drain()
+        admin.startDrain()
         return AdminAnswer(STATUS_ACCEPTED, JSON_TYPE, """{"draining":true}""")
     }
 
--- a/http/src/main/kotlin/org/lovageladder/http/AdminServer.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/AdminServer.kt
@@ -10,7 +10,7 @@
 /** State and operations of a process for operators. Called on worker threads of the admin server; may block. */
 public interface AdminHandler {
     /** Whether the process is ready to accept requests. */
-    public fun ready(): Boolean
+    public fun isReady(): Boolean
 
     /** Status of the process as a JSON object. */
     public fun statusJson(): String
@@ -22,7 +22,7 @@
     public fun explain(request: RequestId): List<EventRecord>
 
     /** Starts to drain the process. */
-    public fun drain()
+    public fun startDrain()
 }
 
 /** Selects events; a null member matches every event. [afterMilliseconds] is wall-clock time since 1970-01-01 UTC. */
--- a/http/src/main/kotlin/org/lovageladder/http/CallerExchanges.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/CallerExchanges.kt
@@ -23,7 +23,7 @@
 
     fun start(exchange: CallerExchange, submission: Submission) {
         unfinished[exchange.id] = exchange
-        handler.submitted(exchange.id, submission)
+        handler.onSubmission(exchange.id, submission)
     }
 
     /** Removes an exchange whose outcome was written. */
@@ -35,7 +35,7 @@
     fun onCallerDisconnected(exchange: CallerExchange) {
         if (unfinished.remove(exchange.id) != null) {
             meters.recordDisconnect()
-            handler.left(exchange.id)
+            handler.onCallerDisconnected(exchange.id)
         }
     }
 }
--- a/http/src/main/kotlin/org/lovageladder/http/CallerServer.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/CallerServer.kt
@@ -9,11 +9,11 @@
 
 /** Receives the submissions of callers. Called on event loop threads; implementations must not block. */
 public interface CallerHandler {
-    /** A caller submitted a request; it is answered by [CallerServer.giveOutcome]. */
-    public fun submitted(exchange: ExchangeId, submission: Submission)
+    /** A caller submitted a request; it is answered by [CallerServer.sendOutcome]. */
+    public fun onSubmission(exchange: ExchangeId, submission: Submission)
 
     /** The caller disconnected before its outcome was written; tokens and outcomes for it are now ignored. */
-    public fun left(exchange: ExchangeId)
+    public fun onCallerDisconnected(exchange: ExchangeId)
 }
 
 /** HTTP server for callers. Thread-safe; no function blocks. */
@@ -22,10 +22,10 @@
     public val address: Address
 
     /** Passes a token to the caller of a generation. Ignored when the exchange has ended. */
-    public fun giveToken(exchange: ExchangeId, index: Int, text: String)
+    public fun sendToken(exchange: ExchangeId, index: Int, text: String)
 
     /** Writes the outcome and ends the exchange. Ignored when the exchange has ended. */
-    public fun giveOutcome(exchange: ExchangeId, request: RequestId, outcome: Outcome)
+    public fun sendOutcome(exchange: ExchangeId, request: RequestId, outcome: Outcome)
 
     /** Stops accepting connections, and asks callers with each answer to close theirs. */
     public fun drain()
--- a/http/src/main/kotlin/org/lovageladder/http/NettyCallerServer.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/NettyCallerServer.kt
@@ -31,11 +31,11 @@
         meters.registerGauges(connections, exchanges)
     }
 
-    override fun giveToken(exchange: ExchangeId, index: Int, text: String) {
+    override fun sendToken(exchange: ExchangeId, index: Int, text: String) {
         exchanges.find(exchange)?.runOnEventLoop { writeToken(index, text) }
     }
 
-    override fun giveOutcome(exchange: ExchangeId, request: RequestId, outcome: Outcome) {
+    override fun sendOutcome(exchange: ExchangeId, request: RequestId, outcome: Outcome) {
         exchanges.find(exchange)?.runOnEventLoop { finish(request, outcome) }
     }
 
--- a/http/src/test/kotlin/org/lovageladder/http/AdminServerTest.kt
+++ b/http/src/test/kotlin/org/lovageladder/http/AdminServerTest.kt
@@ -79,7 +79,7 @@
         assertEquals(listOf(admin.event.copy(request = request)), client.explain(server.address, request).get())
         assertEquals("{\"a\":1}", client.status(server.address).get())
         assertEquals(false, client.isReady(server.address).get())
-        admin.isReady = true
+        admin.reportsReady = true
         assertEquals(true, client.isReady(server.address).get())
         assertEquals(Unit, client.startDrain(server.address).get())
         assertEquals(1, admin.drainCount)
@@ -137,7 +137,7 @@
     val filters = ArrayDeque<EventFilter>()
 
     @Volatile
-    var isReady = false
+    var reportsReady = false
 
     @Volatile
     var drainCount = 0
@@ -148,7 +148,7 @@
     @Volatile
     var failure: RuntimeException? = null
 
-    override fun ready(): Boolean = isReady
+    override fun isReady(): Boolean = reportsReady
 
     override fun statusJson(): String {
         failure?.let { throw it }
@@ -164,7 +164,7 @@
 
     override fun explain(request: RequestId): List<EventRecord> = listOf(event.copy(request = request))
 
-    override fun drain() {
+    override fun startDrain() {
         drainCount++
     }
 }
--- a/http/src/test/kotlin/org/lovageladder/http/CallerServerTest.kt
+++ b/http/src/test/kotlin/org/lovageladder/http/CallerServerTest.kt
@@ -211,12 +211,12 @@
             CallerSocket(server.address).use { socket ->
                 socket.send(post(api.path, generation(api, stream = true)))
                 val exchange = callers.nextSubmission().exchange
-                server.giveToken(exchange, 0, "one ")
+                server.sendToken(exchange, 0, "one ")
                 assertEquals("one ", contentIn(api, socket.readEvent()))
-                server.giveToken(exchange, 0, "one ")
-                server.giveToken(exchange, 1, "two")
+                server.sendToken(exchange, 0, "one ")
+                server.sendToken(exchange, 1, "two")
                 assertEquals("two", contentIn(api, socket.readEvent()))
-                server.giveOutcome(exchange, RequestId("r-1"), Outcome.Generated("length", 3, 2))
+                server.sendOutcome(exchange, RequestId("r-1"), Outcome.Generated("length", 3, 2))
                 val last = Json.parseToJsonElement(socket.readEvent()).jsonObject
                 assertEquals("length", last.choice().text("finish_reason"))
                 assertEquals("5", last.getValue("usage").jsonObject.text("total_tokens"))
@@ -232,9 +232,9 @@
             for (api in GenerationApi.entries) {
                 socket.send(post(api.path, generation(api, stream = false)))
                 val exchange = callers.nextSubmission().exchange
-                server.giveToken(exchange, 0, "ä ")
-                server.giveToken(exchange, 1, "b")
-                server.giveOutcome(exchange, RequestId("r-2"), Outcome.Generated("length", 3, 2))
+                server.sendToken(exchange, 0, "ä ")
+                server.sendToken(exchange, 1, "b")
+                server.sendOutcome(exchange, RequestId("r-2"), Outcome.Generated("length", 3, 2))
                 val answer = socket.readAnswer()
                 assertEquals(200, answer.status)
                 assertEquals("r-2", answer.headers["lovageladder-request"])
@@ -310,9 +310,9 @@
         CallerSocket(server.address).use { socket ->
             socket.send(post("/v1/completions", generation(GenerationApi.TEXT, stream = true)))
             val exchange = callers.nextSubmission().exchange
-            server.giveToken(exchange, 0, "one")
+            server.sendToken(exchange, 0, "one")
             val refused = Outcome.Refused(RefusalReason.DEADLINE, Execution.RAN, retryAfter = 1.seconds)
-            server.giveOutcome(exchange, RequestId("r-4"), refused)
+            server.sendOutcome(exchange, RequestId("r-4"), refused)
             val rest = socket.readUntilClosed()
             assertTrue("event: error\ndata: {" in rest, rest)
             assertTrue("\"retry_after_ms\":1000" in rest, rest)
@@ -327,14 +327,14 @@
                 socket.send(post("/v1/completions", generation(GenerationApi.TEXT, stream = true)))
                 val submittedExchange = callers.nextSubmission().exchange
                 repeat(tokens) {
-                    server.giveToken(submittedExchange, it, "t")
+                    server.sendToken(submittedExchange, it, "t")
                     socket.readEvent()
                 }
                 submittedExchange
             }
             assertEquals(exchange, callers.left.poll(10, TimeUnit.SECONDS), "after $tokens tokens")
-            server.giveToken(exchange, tokens, "late")
-            server.giveOutcome(exchange, RequestId("r"), Outcome.Generated("length", 1, tokens))
+            server.sendToken(exchange, tokens, "late")
+            server.sendOutcome(exchange, RequestId("r"), Outcome.Generated("length", 1, tokens))
         }
         assertTrue(callers.left.isEmpty())
     }
@@ -346,7 +346,7 @@
             val exchange = callers.nextSubmission().exchange
             val text = "x".repeat(100_000)
             var index = 0
-            while (callers.left.isEmpty() && index < 10_000) server.giveToken(exchange, index++, text)
+            while (callers.left.isEmpty() && index < 10_000) server.sendToken(exchange, index++, text)
             assertEquals(exchange, callers.left.poll(10, TimeUnit.SECONDS))
         }
     }
@@ -360,7 +360,7 @@
                 assertEquals("/$number", (submitted.submission.content as RequestContent.Plain).path)
                 assertTrue(callers.submitted.isEmpty(), "the second request was submitted too early")
                 val answer = PlainAnswer(201, "text/plain", "answer $number")
-                server.giveOutcome(submitted.exchange, RequestId("r"), Outcome.Answered(answer, replayed = number == 2))
+                server.sendOutcome(submitted.exchange, RequestId("r"), Outcome.Answered(answer, replayed = number == 2))
                 val received = socket.readAnswer()
                 assertEquals(201, received.status)
                 assertEquals("answer $number", received.body)
@@ -383,7 +383,7 @@
                 if (row.expectsContinue) assertEquals(100, socket.readHead().status, "$row")
                 socket.send("{}")
                 val exchange = callers.nextSubmission().exchange
-                server.giveOutcome(exchange, RequestId("r"), Outcome.Answered(PlainAnswer(200, null, "ok")))
+                server.sendOutcome(exchange, RequestId("r"), Outcome.Answered(PlainAnswer(200, null, "ok")))
                 assertEquals("ok", socket.readAnswer().body, "$row")
                 if (row.isClosed) {
                     assertEquals(
@@ -411,7 +411,7 @@
             socket.send(post("/services/desk/1", "{}"))
             val submitted = callers.nextSubmission()
             server.drain()
-            server.giveOutcome(submitted.exchange, RequestId("r"), Outcome.Answered(PlainAnswer(200, null, "")))
+            server.sendOutcome(submitted.exchange, RequestId("r"), Outcome.Answered(PlainAnswer(200, null, "")))
             assertEquals("close", socket.readAnswer().headers["connection"])
             assertEquals("", socket.readUntilClosed())
         }
@@ -421,7 +421,7 @@
 
     private fun submitAndRefuse(socket: CallerSocket, refused: Outcome.Refused): CallerAnswer {
         socket.send(post("/services/desk/x", "{}"))
-        server.giveOutcome(callers.nextSubmission().exchange, RequestId("r-3"), refused)
+        server.sendOutcome(callers.nextSubmission().exchange, RequestId("r-3"), refused)
         return socket.readAnswer()
     }
 
@@ -479,11 +479,11 @@
 
     fun nextSubmission(): Submitted = assertNotNull(submitted.poll(10, TimeUnit.SECONDS), "no request was submitted")
 
-    override fun submitted(exchange: ExchangeId, submission: Submission) {
+    override fun onSubmission(exchange: ExchangeId, submission: Submission) {
         submitted.add(Submitted(exchange, submission))
     }
 
-    override fun left(exchange: ExchangeId) {
+    override fun onCallerDisconnected(exchange: ExchangeId) {
         left.add(exchange)
     }
 }
--- a/http/src/test/kotlin/org/lovageladder/http/ManyStreamsTest.kt
+++ b/http/src/test/kotlin/org/lovageladder/http/ManyStreamsTest.kt
@@ -96,22 +96,22 @@
     private val server = startCallerServer(Address("127.0.0.1", 0), HttpLimits(), this, SimpleMeterRegistry())
     val address: Address = server.address
 
-    override fun submitted(exchange: ExchangeId, submission: Submission) {
+    override fun onSubmission(exchange: ExchangeId, submission: Submission) {
         val content = submission.content as RequestContent.Generation
         val request = RequestId("entry-${exchange.number}")
         val bound = content.outputTokens ?: 1
         val call = UpstreamCall.Decode(content, bound, priority = 0, ticket = null, fromIndex = 0)
         gateway.start(AttemptId(request, 1), engine, call) { report ->
             when (report) {
-                is UpstreamReport.Token -> server.giveToken(exchange, report.index, report.text)
+                is UpstreamReport.Token -> server.sendToken(exchange, report.index, report.text)
                 is UpstreamReport.Finished ->
-                    server.giveOutcome(exchange, request, Outcome.Generated(report.finishReason, 2, report.tokens))
-                else -> server.giveOutcome(exchange, request, refusal(report))
+                    server.sendOutcome(exchange, request, Outcome.Generated(report.finishReason, 2, report.tokens))
+                else -> server.sendOutcome(exchange, request, refusal(report))
             }
         }
     }
 
-    override fun left(exchange: ExchangeId) {
+    override fun onCallerDisconnected(exchange: ExchangeId) {
         error("caller of $exchange left")
     }
 
--- a/measure/src/main/kotlin/org/lovageladder/measure/CompanionSlopes.kt
+++ b/measure/src/main/kotlin/org/lovageladder/measure/CompanionSlopes.kt
@@ -66,7 +66,7 @@
         handleAll(listOf(CompanionEvent.TimePassed))
         connections = List(entries) { ConnectionId(it + 1L) }
         handleAll(connections.map { CompanionEvent.Connected(it, hello(it)) })
-        check(decisions.ready) { "the companion is not ready" }
+        check(decisions.isReady) { "the companion is not ready" }
         check(decisions.status(now).connectedEntries.size == entries) { "not all entries are connected" }
     }
 
@@ -106,9 +106,9 @@
     }
 
     private fun resultOf(effect: CompanionEffect): CompanionEvent? = when (effect) {
-        is CompanionEffect.AskStore -> CompanionEvent.StoreAnswered(effect.ticket, storedNotes(effect.request))
+        is CompanionEffect.CallStore -> CompanionEvent.StoreAnswered(effect.callNumber, storedNotes(effect.request))
         is CompanionEffect.ListRunning -> CompanionEvent.RunningListed(effect.upstream.name, emptyList())
-        is CompanionEffect.GiveOrder ->
+        is CompanionEffect.SendOrder ->
             CompanionEvent.OrderEnded(effect.upstream.name, effect.order, effect.fencing, fault = null)
         is CompanionEffect.Send,
         is CompanionEffect.Disconnect,
--- a/measure/src/main/kotlin/org/lovageladder/measure/MeasuredEntry.kt
+++ b/measure/src/main/kotlin/org/lovageladder/measure/MeasuredEntry.kt
@@ -45,7 +45,7 @@
     /** Applies the note of [fleet] and connects to its companions. */
     fun start(fleet: Fleet) {
         handleAll(listOf(EntryEvent.TimePassed))
-        handleAll(listOf(EntryEvent.NoteSeen(fleet.note())))
+        handleAll(listOf(EntryEvent.NoteReceived(fleet.note())))
     }
 
     /** Advances the virtual time by [duration] and handles the deadlines in it. */
@@ -85,9 +85,10 @@
                 )
                 return EntryEvent.Connected(effect.connection, welcome)
             }
-            is EntryEffect.AskStore -> return EntryEvent.StoreAnswered(effect.ticket, StoreAnswer.Found(emptyList()))
-            is EntryEffect.GiveOutcome -> outcomes += effect.outcome
-            is EntryEffect.GiveToken -> tokenCount++
+            is EntryEffect.CallStore ->
+                return EntryEvent.StoreAnswered(effect.callNumber, StoreAnswer.Found(emptyList()))
+            is EntryEffect.SendOutcome -> outcomes += effect.outcome
+            is EntryEffect.SendToken -> tokenCount++
             is EntryEffect.Send,
             is EntryEffect.Disconnect,
             is EntryEffect.WatchNotes,
