Say at a failed decode which prompt parts it had and how far it was

Nothing told what requests that ended an engine had in common, or whether an engine had begun to write.

--- a/core/src/main/kotlin/org/lovageladder/core/forward/ForwardPorts.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/ForwardPorts.kt
@@ -31,8 +31,22 @@
     public val resumeAfterEventId: Long?,
 )
 
-/** Size of a generation in tokens. [estimatedOutputTokens] is the estimate of the caller, often far off. */
-public data class Generation(val promptTokens: Int, val maximumOutputTokens: Int, val estimatedOutputTokens: Int?)
+/** Identifier of a part of a prompt, which requests can have in common. */
+@JvmInline
+public value class PromptPartId(public val text: String) {
+    override fun toString(): String = text
+}
+
+/**
+ * Size and prompt of a generation. [estimatedOutputTokens] is the estimate of the caller, often far off.
+ * [sharedParts] are the parts of the prompt that other requests may have as well.
+ */
+public data class Generation(
+    val promptTokens: Int,
+    val maximumOutputTokens: Int,
+    val estimatedOutputTokens: Int?,
+    val sharedParts: List<PromptPartId> = emptyList(),
+)
 
 /**
  * Head of an upstream's answer. [isDeclined] is set when the upstream declined the request without running it.
--- a/core/src/main/kotlin/org/lovageladder/core/forward/StreamFlow.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/StreamFlow.kt
@@ -25,6 +25,7 @@
     private val deadlines = RequestDeadlines(request, route)
     private val eventSplitter = if (route.isResumable) StreamEventSplitter() else null
     private val avoidedEngines = HashSet<UpstreamName>()
+    private val sharedParts = request.generation?.sharedParts.orEmpty()
     private var timeoutTimer: Cancellable? = null
     private var memoryRequest: MemoryRequest? = null
     private var grant: MemoryGrant? = null
@@ -223,7 +224,8 @@
     }
 
     private fun onDecodeFailed(upstream: UpstreamName, failure: CallFailure) {
-        context.recordFailure(upstream, request.id, "decode", failure)
+        val step = "decode after ${summary.eventsOfDecode} events, shared parts=${sharedParts.joinToString(",")}"
+        context.recordFailure(upstream, request.id, step, failure)
         if (!failure.sent) runCount -= 1
         when {
             !failure.sent && attemptCount < MAXIMUM_ATTEMPTS -> continueElsewhere(upstream)
--- a/core/src/main/kotlin/org/lovageladder/core/forward/StreamSummary.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/StreamSummary.kt
@@ -18,6 +18,7 @@
     private var waitedForMemory = Duration.ZERO
     private var grantedAt: Moment? = null
     private var firstBytesAt: Moment? = null
+    private var eventsAtDecodeStart = 0
 
     /** Tokens of memory in its last request for memory. */
     var requestedTokens: Int = 0
@@ -30,6 +31,9 @@
     /** Events received from all engines. */
     val events: Int get() = eventCounter.count
 
+    /** Events received since the stream was last sent to a decode engine. */
+    val eventsOfDecode: Int get() = events - eventsAtDecodeStart
+
     /** Records a request for memory for [tokens] tokens; [state] is the decode memory at that time. */
     fun recordMemoryRequest(tokens: Int, state: DecodeMemoryState, now: Moment) {
         requestedTokens = tokens
@@ -47,6 +51,7 @@
     /** Records that the stream was sent to a decode engine. */
     fun recordDecodeStart(now: Moment) {
         decodeStartedAt = now
+        eventsAtDecodeStart = events
     }
 
     /** Counts the events in [bytes]. For the first bytes of the stream, returns the time since memory was granted. */
