Replay prompts that crash one engine after the other, failing

Fleets of 1 to 100 entries under virtual time against engines that crash when they begin to write on a deadly part of a prompt.

--- a/core/src/test/kotlin/org/lovageladder/core/forward/EntryFleet.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/forward/EntryFleet.kt
@@ -34,8 +34,41 @@
     private val behaviour: UpstreamBehaviour,
 ) {
     private val limits = HashMap<UpstreamName, () -> Double>()
+    private val startCounts = HashMap<UpstreamName, Long>()
+    private val downUntil = HashMap<UpstreamName, Moment>()
+    private val runningCalls = HashMap<UpstreamName, LinkedHashSet<AnswerReceiver>>()
     val arrivals = ArrayList<Arrival>()
 
+    /** An engine crashes when it begins to write an answer to a request that has one of these parts in its prompt. */
+    val deadlyParts = HashSet<PromptPartId>()
+
+    /** Requests and prefills that arrived, by the shared parts of their prompts. */
+    val partArrivals = HashMap<PromptPartId, ArrayList<Moment>>()
+
+    /** Crashes of engines, by the part that caused them. */
+    val crashes = HashMap<PromptPartId, ArrayList<Moment>>()
+
+    /** Called when the upstream [UpstreamName] is back, with the number of its start. */
+    var onRestarted: (UpstreamName, Long) -> Unit = { _, _ -> }
+
+    /** Ends all calls at [name], which starts anew after [downTime]. */
+    fun crash(name: UpstreamName, downTime: Duration = 4.seconds) {
+        if (isDown(name)) return
+        downUntil[name] = scheduler.now() + downTime
+        val start = (startCounts[name] ?: 0) + 1
+        startCounts[name] = start
+        val failure = CallFailure(FaultCause.CONNECTION_LOST, sent = true, "the engine crashed")
+        runningCalls.remove(name).orEmpty().forEach { it.onFailure(failure) }
+        scheduler.schedule(downTime) { onRestarted(name, start) }
+    }
+
+    private fun isDown(name: UpstreamName): Boolean = downUntil[name]?.let { scheduler.now() < it } ?: false
+
+    private fun recordParts(request: ForwardRequest) {
+        val parts = request.generation?.sharedParts.orEmpty()
+        parts.forEach { partArrivals.getOrPut(it) { ArrayList() } += scheduler.now() }
+    }
+
     private val toldAt = HashMap<UpstreamName, HashMap<ProcessName, Moment>>()
 
     /** Lets [name] name the value of [limit] in each answer from now on. */
@@ -71,11 +104,56 @@
         private var nextNumber = 0
 
         override fun send(request: ForwardRequest, attempt: UpstreamAttempt, receiver: AnswerReceiver): Cancellable {
-            var isCancelled = false
+            val running = EntryReceiver(receiver)
+            if (isDown(attempt.upstream.name)) {
+                scheduler.schedule(latency()) {
+                    running.onFailure(CallFailure(FaultCause.UNREACHABLE, sent = false, "connection refused"))
+                }
+                return Cancellable { running.isEnded = true }
+            }
+            val callsThere = runningCalls.getOrPut(attempt.upstream.name) { LinkedHashSet() }
+            callsThere += running
+            scheduler.schedule(latency()) { recordParts(request) }
             call(attempt.upstream, behaviour.serviceTime * (0.5 + random.nextDouble())) {
-                if (!isCancelled) answer(receiver)
+                if (!running.isEnded && !crashesOn(request, attempt.upstream.name)) {
+                    callsThere -= running
+                    answer(running)
+                }
+            }
+            return Cancellable {
+                callsThere -= running
+                running.isEnded = true
+            }
+        }
+
+        private fun crashesOn(request: ForwardRequest, engine: UpstreamName): Boolean {
+            val part = request.generation?.sharedParts.orEmpty().firstOrNull { it in deadlyParts } ?: return false
+            crashes.getOrPut(part) { ArrayList() } += scheduler.now()
+            crash(engine)
+            return true
+        }
+
+        /** Passes an answer to the entry unless the call has ended or the entry was restarted. */
+        private inner class EntryReceiver(private val receiver: AnswerReceiver) : AnswerReceiver {
+            var isEnded = false
+
+            override fun onHead(head: AnswerHead) = passOn { receiver.onHead(head) }
+
+            override fun onContent(bytes: ByteArray) = passOn { receiver.onContent(bytes) }
+
+            override fun onEnd() = passOn {
+                isEnded = true
+                receiver.onEnd()
+            }
+
+            override fun onFailure(failure: CallFailure) = passOn {
+                isEnded = true
+                entry.runWhenAwake(start) { receiver.onFailure(failure) }
+            }
+
+            private fun passOn(action: () -> Unit) {
+                if (!isEnded && start == entry.startCount) action()
             }
-            return Cancellable { isCancelled = true }
         }
 
         override fun prefill(
@@ -84,6 +162,7 @@
             answer: (EngineAnswer<PrefillResult>) -> Unit,
         ): Cancellable {
             var isCancelled = false
+            scheduler.schedule(latency()) { recordParts(request) }
             call(attempt.upstream, behaviour.serviceTime) {
                 val result = PrefillResult(attempt.upstream, "handle-${nextNumber++}")
                 if (!isCancelled) answer(EngineAnswer.Done(result))
@@ -98,8 +177,10 @@
             answer: (EngineAnswer<Reservation>) -> Unit,
         ): Cancellable {
             var isCancelled = false
+            val failure = CallFailure(FaultCause.UNREACHABLE, sent = false, "connection refused")
+            val refused = EngineAnswer.Failed(failure).takeIf { isDown(engine.name) }
             call(engine, Duration.ZERO) {
-                if (!isCancelled) answer(EngineAnswer.Done(Reservation("reservation-${nextNumber++}")))
+                if (!isCancelled) answer(refused ?: EngineAnswer.Done(Reservation("reservation-${nextNumber++}")))
             }
             return Cancellable { isCancelled = true }
         }
@@ -212,7 +293,7 @@
 
     private fun readRegistry() {
         forwarder.applyConfiguration(ForwardFixture.configuration(plainConnections = null))
-        forwarder.onRegistryChange(RegistryChange.FullRead(EntryFleet.REGISTRATIONS))
+        forwarder.onRegistryChange(RegistryChange.FullRead(fleet.registrations))
         fleet.registeredNames.forEach { observe(it, isRegistered = true) }
         fleet.reports.forEach(::observe)
     }
@@ -243,6 +324,7 @@
     seed: Int,
     behaviour: UpstreamBehaviour = UpstreamBehaviour(),
     warmUp: Duration = 15.seconds,
+    val registrations: List<UpstreamRegistration> = REGISTRATIONS,
 ) {
     val scheduler = VirtualScheduler()
     val random = Random(seed)
@@ -255,6 +337,7 @@
     init {
         repeat(entryCount) { registeredNames += ProcessName("entry-$it") }
         registeredNames.forEach { entries += FleetEntry(it, this) }
+        upstreams.onRestarted = ::restartUpstream
         entries.forEach { it.restart() }
         scheduler.advance(warmUp)
     }
@@ -271,7 +354,7 @@
 
     /** Upstream [name] starts anew under its name, and all entries that are not cut off see it register. */
     fun restartUpstream(name: UpstreamName, startedAt: Long) {
-        val registration = REGISTRATIONS.single { it.name == name }
+        val registration = registrations.single { it.name == name }
         val restarted = registration.copy(startedAt = startedAt, revision = startedAt)
         entries.filterNot { it.isCutFromRegistry }.forEach { entry ->
             entry.forwarder.onRegistryChange(RegistryChange.Registered(restarted))
@@ -325,33 +408,31 @@
         }
     }
 
-    private fun submit(target: String) {
+    /** Submits a request for [target] to any entry; a stream has [generation]. */
+    fun submit(
+        target: String,
+        generation: Generation = ForwardFixture.GENERATION,
+        callerTimeout: Duration = 3.seconds,
+    ): RecordingReply {
         val entry = entries[random.nextInt(entries.size)]
         val reply = RecordingReply()
         replies += reply
         val id = RequestId("request-${replies.size}")
-        val request = ForwardFixture.request(id, target, scheduler.now(), callerTimeout = 3.seconds)
+        val request = ForwardFixture.request(id, target, scheduler.now(), callerTimeout, generation)
         entry.runWhenAwake(entry.startCount) { entry.forwarder.forward(request, reply) }
+        return reply
     }
 
     companion object {
-        val REGISTRATIONS: List<UpstreamRegistration> =
-            listOf(1, 2, 3, 4).map {
-                ForwardFixture.registration("plain-$it", ForwardFixture.PLAIN, PoolRole.PLAIN, it)
-            } + listOf(1, 2).map {
-                ForwardFixture.registration(
-                    "prefill-$it",
-                    ForwardFixture.ENGINES,
-                    PoolRole.PREFILL,
-                    10 + it,
-                )
-            } + listOf(1, 2, 3).map {
-                ForwardFixture.registration(
-                    "decode-$it",
-                    ForwardFixture.ENGINES,
-                    PoolRole.DECODE,
-                    20 + it,
-                )
-            }
+        val REGISTRATIONS: List<UpstreamRegistration> = registrations(decodeEngines = 3)
+
+        /** Four plain upstreams, two prefill engines and [decodeEngines] decode engines. */
+        fun registrations(decodeEngines: Int): List<UpstreamRegistration> = (1..4).map {
+            ForwardFixture.registration("plain-$it", ForwardFixture.PLAIN, PoolRole.PLAIN, it)
+        } + (1..2).map {
+            ForwardFixture.registration("prefill-$it", ForwardFixture.ENGINES, PoolRole.PREFILL, 10 + it)
+        } + (1..decodeEngines).map {
+            ForwardFixture.registration("decode-$it", ForwardFixture.ENGINES, PoolRole.DECODE, 20 + it)
+        }
     }
 }
--- /dev/null
+++ b/core/src/test/kotlin/org/lovageladder/core/forward/PromptQuarantineTest.kt
@@ -0,0 +1,151 @@
+package org.lovageladder.core.forward
+
+import org.lovageladder.core.Moment
+import org.lovageladder.core.UpstreamName
+import kotlin.test.Test
+import kotlin.test.assertTrue
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/**
+ * Replays prompts with parts that crash every engine which begins to write an answer on them, among sound prompts that
+ * share the other parts, in fleets of entries under virtual time.
+ */
+class PromptQuarantineTest {
+    private data class Case(
+        val name: String,
+        val entryCount: Int,
+        val deadlyParts: List<String> = listOf("deadly"),
+        val deadlyPerSecond: Double = 2.0,
+        val soundPerSecond: Double = 22.0,
+        val trouble: (EntryFleet) -> Unit = {},
+    )
+
+    private class Load(val fleet: EntryFleet, val case: Case) {
+        val deadly = ArrayList<Pair<Moment, RecordingReply>>()
+        val companions = ArrayList<Pair<Moment, RecordingReply>>()
+
+        /** Submits requests at random times for [duration]. One sound request in five shares the first part. */
+        fun run(duration: Duration) {
+            val until = fleet.scheduler.now() + duration
+            val perSecond = case.deadlyPerSecond + case.soundPerSecond
+            while (fleet.scheduler.now() < until) {
+                fleet.scheduler.advance((2 * fleet.random.nextDouble() / perSecond).seconds)
+                submit(isDeadly = fleet.random.nextDouble() * perSecond < case.deadlyPerSecond)
+            }
+        }
+
+        private fun submit(isDeadly: Boolean) {
+            val now = fleet.scheduler.now()
+            if (isDeadly) {
+                deadly += now to submit(listOf(COMPANION, case.deadlyParts[deadly.size % case.deadlyParts.size]))
+                return
+            }
+            val isCompanion = fleet.random.nextInt(5) == 0
+            val reply = submit(if (isCompanion) listOf(COMPANION) else listOf("part-${fleet.random.nextInt(200)}"))
+            if (isCompanion) companions += now to reply
+        }
+
+        private fun submit(parts: List<String>): RecordingReply {
+            val generation = ForwardFixture.GENERATION.copy(sharedParts = parts.map(::PromptPartId))
+            return fleet.submit("/stream-on/x", generation, callerTimeout = 14.seconds)
+        }
+    }
+
+    @Test
+    fun promptsThatCrashEnginesReachNoMoreThanThreeMoreEnginesAfterTheFifthCrash() {
+        val cases =
+            listOf(1, 2, 4, 30, 100).map { Case("$it entries", it) } +
+                listOf(4, 30).flatMap { count ->
+                    listOf(
+                        Case("two parts, $count entries", count, deadlyParts = listOf("deadly", "deadly-too")),
+                        Case("many requests, $count entries", count, deadlyPerSecond = 8.0),
+                        Case("few requests, $count entries", count, deadlyPerSecond = 0.3, soundPerSecond = 6.0),
+                        Case("ordinary crashes, $count entries", count) { fleet -> crashNowAndThen(fleet) },
+                        Case("all engines crash, $count entries", count) { fleet -> crashAll(fleet) },
+                        Case("restarts of entries, $count entries", count) { fleet -> restartEntries(fleet) },
+                        Case("frozen entries, $count entries", count) { fleet -> freezeEntries(fleet) },
+                    )
+                }
+        val failures = cases.flatMap { case -> SEEDS.mapNotNull { seed -> check(case, seed) } }
+        assertTrue(failures.isEmpty(), failures.joinToString("\n"))
+    }
+
+    /** Plays [case] and returns what was wrong. */
+    private fun check(case: Case, seed: Int): String? {
+        val fleet = EntryFleet(case.entryCount, seed, registrations = EntryFleet.registrations(decodeEngines = 24))
+        val load = Load(fleet, case)
+        load.run(10.seconds)
+        val calm = load.companions.toList()
+        val begunAt = fleet.scheduler.now()
+        case.deadlyParts.forEach { fleet.upstreams.deadlyParts += PromptPartId(it) }
+        case.trouble(fleet)
+        load.run(60.seconds)
+        fleet.scheduler.advance(20.seconds)
+        val problems = case.deadlyParts.mapNotNull { lateArrivals(fleet, PromptPartId(it)) } +
+            listOfNotNull(lostCompanions(load, calm, begunAt), unanswered(load))
+        return problems.takeIf { it.isNotEmpty() }?.joinToString(prefix = "${case.name}, seed $seed: ")
+    }
+
+    private fun lateArrivals(fleet: EntryFleet, part: PromptPartId): String? {
+        val crashes = fleet.upstreams.crashes[part].orEmpty()
+        val fifth = crashes.getOrNull(COUNTED_CRASHES - 1) ?: return null
+        val arrivals = fleet.upstreams.partArrivals.getValue(part).count { it > fifth + CONTACT + MAXIMUM_LATENCY }
+        if (arrivals <= ALLOWED_ARRIVALS) return null
+        return "$arrivals arrivals with $part after the fifth of ${crashes.size} crashes"
+    }
+
+    /** Compares how often sound prompts with the same first part are answered before and after the crashes. */
+    private fun lostCompanions(load: Load, calm: List<Pair<Moment, RecordingReply>>, begunAt: Moment): String? {
+        val crashes = load.fleet.upstreams.crashes.values.flatten().sortedBy { it.microseconds }
+        val bound = (crashes.getOrNull(COUNTED_CRASHES - 1) ?: crashes.lastOrNull() ?: begunAt) + CONTACT * 2
+        val later = load.companions.filter { it.first > bound }
+        val share = later.count { it.second.isComplete } / later.size.toDouble()
+        val calmShare = calm.count { it.second.isComplete } / calm.size.toDouble()
+        if (share >= calmShare / 2) return null
+        return "$share of the sound prompts with the same first part answered, $calmShare before"
+    }
+
+    private fun unanswered(load: Load): String? {
+        val open = (load.deadly + load.companions).count { !it.second.isFinal }
+        return if (open == 0 ||
+            load.fleet.entries.any { it.startCount > 1 }
+        ) {
+            null
+        } else {
+            "$open requests without an answer"
+        }
+    }
+
+    private fun crashNowAndThen(fleet: EntryFleet) = repeat(12) { number ->
+        fleet.scheduler.schedule((number * 4.3).seconds) {
+            fleet.upstreams.crash(UpstreamName("decode-${1 + fleet.random.nextInt(24)}"))
+        }
+    }
+
+    private fun crashAll(fleet: EntryFleet) = listOf(3, 20, 26).forEach { second ->
+        fleet.scheduler.schedule(second.seconds) {
+            (1..24).forEach { fleet.upstreams.crash(UpstreamName("decode-$it")) }
+        }
+    }
+
+    private fun restartEntries(fleet: EntryFleet) = repeat(10) { number ->
+        fleet.scheduler.schedule((2 + number * 3).seconds) { fleet.entries.random(fleet.random).restart() }
+    }
+
+    private fun freezeEntries(fleet: EntryFleet) = repeat(10) { number ->
+        fleet.scheduler.schedule((2 + number * 3).seconds) { fleet.entries.random(fleet.random).freeze(2.seconds) }
+    }
+
+    private companion object {
+        const val COMPANION = "first"
+        const val COUNTED_CRASHES = 5
+        const val ALLOWED_ARRIVALS = 3
+        val SEEDS = 1..2
+
+        /** Time for which a host must have been in touch with the platform to be bound. */
+        val CONTACT = 3.seconds
+        val MAXIMUM_LATENCY = 5.milliseconds
+    }
+}
