Hold back prompts with a part that crashes engines, over all entries together

Cause: an engine that ends was judged by its own health only. Nothing related crashes to what the requests had in common, so that each such request was sent again to the next sound engine, by every entry anew.

Change: a part is suspected when a connection is lost before the first event of a prompt that has it, and cleared when any engine writes on it. Entries report crashes, quarantines and cleared parts in the registry; two separate crashes without a written event in between (four for a part written on lately) quarantine it everywhere. Three trials at most, claimed in the registry, ever further apart, find out whether it is sound. Callers get 503 with the time of the trial first, and 502 once it is settled.

--- a/core/src/main/kotlin/org/lovageladder/core/EventKind.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/EventKind.kt
@@ -127,6 +127,26 @@
         "An entry reported the limit of an upstream, or its end, in the registry.",
         "None.",
     ),
+    PROMPT_SUSPECTED(
+        3014,
+        EventLevel.WARNING,
+        "An engine crashed before it wrote anything on a prompt; a part of the prompt is suspected.",
+        "See docs/OPERATIONS.md.",
+    ),
+    PROMPT_QUARANTINED(
+        3015,
+        EventLevel.WARNING,
+        "Prompts with a part that crashes engines are held back.",
+        "Find what sends the part; see docs/OPERATIONS.md.",
+    ),
+    PROMPT_TRIAL(3016, EventLevel.INFO, "One prompt with a quarantined part was to be sent as a trial.", "None."),
+    PROMPT_SOUND(3017, EventLevel.INFO, "A suspected part of prompts is sound, or was forgotten.", "None."),
+    PROMPT_REPORT_DROPPED(
+        3018,
+        EventLevel.WARNING,
+        "A report on a part of prompts was given up because too many wait for the registry.",
+        "Check the platform.",
+    ),
     REQUEST_SENT(3101, EventLevel.INFO, "A request, or its prefill, was sent to an upstream.", "None."),
     REQUEST_DECLINED(
         3102,
--- a/core/src/main/kotlin/org/lovageladder/core/forward/ForwardContext.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/ForwardContext.kt
@@ -19,6 +19,7 @@
     val membership: Membership,
     val notices: UpstreamNotices,
     val requestLimits: RequestLimits,
+    val promptGuard: PromptGuard,
     val answerBuffers: AnswerBufferPool,
     val retryBudget: RetryBudget,
     val eventSink: EventSink,
--- a/core/src/main/kotlin/org/lovageladder/core/forward/ForwardPorts.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/ForwardPorts.kt
@@ -211,6 +211,12 @@
     /** The upstreams have no capacity for the request in time. */
     OVERLOADED(true),
 
+    /** The prompt may crash engines; a trial will show whether it does. */
+    PROMPT_SUSPECTED(true),
+
+    /** The prompt crashes engines. It was not sent, but a promise of that would make the caller return in vain. */
+    PROMPT_QUARANTINED(false),
+
     /** No upstream is known, or none could be reached. */
     NO_UPSTREAM(true),
 
--- a/core/src/main/kotlin/org/lovageladder/core/forward/Forwarder.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/Forwarder.kt
@@ -57,6 +57,7 @@
     private val upstreamSelector =
         UpstreamSelector(membership, notices, requestLimits, settings.place, random, settings.without)
     private val retryBudget = RetryBudget(settings.retryLimits) { entryCounter.count(scheduler.now()) }
+    private val promptGuard = PromptGuard(entryCounter, scheduler, log, random)
     private val answerBuffers = AnswerBufferPool(settings.answerBytes, settings.answerBytes * FULL_SIZE_ANSWERS)
     private val context =
         ForwardContext(
@@ -66,6 +67,7 @@
             membership,
             notices,
             requestLimits,
+            promptGuard,
             answerBuffers,
             retryBudget,
             log,
@@ -91,6 +93,9 @@
     /** Number of upstreams that named a limit on their requests. */
     public val limitedUpstreams: Int get() = requestLimits.limitedUpstreams
 
+    /** Number of prompt parts that are quarantined because they crash engines. */
+    public val quarantinedPromptParts: Int get() = promptGuard.quarantinedParts
+
     /** Version of the active configuration. */
     public val configurationVersion: ReleaseVersion get() = configuration?.version ?: ReleaseVersion.NONE
 
@@ -135,6 +140,7 @@
             is RegistryChange.LeaderChanged -> leaderElection?.onLeaderObserved(change.hasLeader)
             is RegistryChange.EntryRegistrationChanged -> onEntrySeen(change)
             is RegistryChange.RequestLimitReported -> onRequestLimitReported(change)
+            is RegistryChange.PromptReported -> promptGuard.onReport(change.report)
             is RegistryChange.FullRead ->
                 context.record(
                     EventKind.UPSTREAM_REGISTERED,
@@ -152,6 +158,7 @@
         upstreamSelector.removeUnregistered()
         notices.removeExpired(scheduler.now()) { membership[it] != null }
         requestLimits.removeUnregistered(scheduler.now())
+        promptGuard.removeExpired()
         memoryQueues.values.forEach { it.removeUnregistered() }
     }
 
@@ -173,6 +180,9 @@
         limitReporter = RequestLimitReporter(requestLimits, entryCounter, scheduler, port)
     }
 
+    /** Begins to report prompts that crash engines to the other entries through [port]. */
+    public fun startPromptReports(port: PromptReportPort): Unit = promptGuard.startReports(port)
+
     private fun recordRequestLimit(name: UpstreamName, notice: RequestLimitNotice) {
         val now = scheduler.now()
         requestLimits.recordNotice(name, notice, now)
--- a/core/src/main/kotlin/org/lovageladder/core/forward/Membership.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/Membership.kt
@@ -53,6 +53,9 @@
      */
     public data class RequestLimitReported(val name: UpstreamName, val requestsPerSecond: Double?) : RegistryChange
 
+    /** An entry reported on a part of prompts. */
+    public data class PromptReported(val report: PromptReport) : RegistryChange
+
     /** A full read of the registry. Upstreams that are not in [registrations] have no registration. */
     public data class FullRead(val registrations: List<UpstreamRegistration>) : RegistryChange
 
@@ -90,6 +93,7 @@
             is RegistryChange.LeaderChanged,
             is RegistryChange.EntryRegistrationChanged,
             is RegistryChange.RequestLimitReported,
+            is RegistryChange.PromptReported,
             -> Unit
             is RegistryChange.FullRead -> replaceAll(change.registrations, now)
             RegistryChange.Unavailable -> isUnavailable = true
--- /dev/null
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/PromptGuard.kt
@@ -0,0 +1,158 @@
+package org.lovageladder.core.forward
+
+import org.lovageladder.core.EventDraft
+import org.lovageladder.core.EventKind
+import org.lovageladder.core.RequestId
+import kotlin.random.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+/**
+ * Keeps prompts that crash engines away from them. Connects the [PromptQuarantine] with the streams of this process and
+ * with the reports of all entries. Confined to one thread.
+ */
+internal class PromptGuard(
+    private val entries: EntryCounter,
+    private val scheduler: Scheduler,
+    private val eventSink: EventSink,
+    private val random: Random,
+) {
+    private val quarantine = PromptQuarantine()
+    private val scheduledReports = HashSet<PromptPartId>()
+    private var port: PromptReportPort? = null
+    private var reporter: PromptReporter? = null
+
+    /** Number of quarantined parts. */
+    val quarantinedParts: Int get() = quarantine.size
+
+    /** Begins to report to the other entries through [port]. */
+    fun startReports(port: PromptReportPort) {
+        this.port = port
+        reporter = PromptReporter(scheduler, port) { dropped ->
+            record(EventKind.PROMPT_REPORT_DROPPED, detail = "$dropped")
+        }
+    }
+
+    /** What may be done with a prompt that has [parts]. */
+    fun verdict(parts: List<PromptPartId>): PromptVerdict {
+        val now = scheduler.now()
+        val verdict = quarantine.verdict(parts, now)
+        if (verdict is PromptVerdict.Quarantined && quarantine.isReportDue(verdict.part, now)) {
+            scheduleReport(verdict.part)
+        }
+        return verdict
+    }
+
+    /** Whether a prompt with [parts] is held back. */
+    fun isQuarantined(parts: List<PromptPartId>): Boolean = parts.any(quarantine::isQuarantined)
+
+    /** Claims [trials] for [request]. [answer] gets whether the request is the one to send. */
+    fun claimTrials(trials: List<PromptReport.Trial>, request: RequestId, answer: (Boolean) -> Unit) {
+        trials.forEach { quarantine.recordTrial(it, scheduler.now()) }
+        val claimed = { isClaimed: Boolean ->
+            val outcome = if (isClaimed) "sent by this entry" else "not sent by this entry"
+            record(
+                EventKind.PROMPT_TRIAL,
+                request,
+                trials.joinToString { "part=${it.part} number=${it.number}" } + ": $outcome",
+            )
+            answer(isClaimed)
+        }
+        port?.claimTrials(trials, claimed) ?: claimed(true)
+    }
+
+    /** An engine wrote on the prompt of [request] with [parts]. */
+    fun onWritten(request: RequestId, parts: List<PromptPartId>) {
+        parts.forEach { part ->
+            if (!quarantine.recordWritten(part, scheduler.now())) return@forEach
+            record(EventKind.PROMPT_SOUND, request, "part=$part: an engine wrote on it")
+            scheduleSoundReport(part)
+        }
+    }
+
+    /**
+     * The engine of [start] crashed before it wrote anything on the prompt of [request] with [parts]. A quarantined
+     * part explains the crash, so that the others are not suspected.
+     */
+    fun onCrash(request: RequestId, parts: List<PromptPartId>, start: EngineStart) {
+        if (isQuarantined(parts)) return
+        val crashes = parts.take(MAXIMUM_SUSPECTS).map { PromptReport.Crash(it, start) }
+        crashes.forEach { crash ->
+            val detail = "part=${crash.part} engine=${start.engine} started=${start.startedAt}"
+            record(EventKind.PROMPT_SUSPECTED, request, detail)
+            recordCrash(crash)
+        }
+        reporter?.report(crashes)
+    }
+
+    /** Applies [report] of any entry. */
+    fun onReport(report: PromptReport) {
+        val now = scheduler.now()
+        when (report) {
+            is PromptReport.Crash -> recordCrash(report)
+            is PromptReport.Quarantined -> onQuarantineReported(report)
+            is PromptReport.Trial -> quarantine.recordTrial(report, now)
+            is PromptReport.Sound -> {
+                scheduledReports -= report.part
+                if (quarantine.recordSound(report.part)) {
+                    record(EventKind.PROMPT_SOUND, detail = "part=${report.part}: reported")
+                }
+            }
+        }
+    }
+
+    /** Drops the parts that no prompt had for long. */
+    fun removeExpired() {
+        quarantine.removeExpired(scheduler.now()).forEach {
+            record(EventKind.PROMPT_SOUND, detail = "part=$it: no prompt had it for long")
+        }
+    }
+
+    private fun onQuarantineReported(report: PromptReport.Quarantined) {
+        val wasQuarantined = quarantine.isQuarantined(report.part)
+        if (!quarantine.recordQuarantine(report.part, scheduler.now())) {
+            reporter?.report(listOf(PromptReport.Sound(report.part)))
+        } else if (!wasQuarantined) {
+            record(EventKind.PROMPT_QUARANTINED, detail = "part=${report.part}: reported")
+        }
+    }
+
+    private fun recordCrash(crash: PromptReport.Crash) {
+        if (!quarantine.recordCrash(crash, scheduler.now())) return
+        record(EventKind.PROMPT_QUARANTINED, detail = "part=${crash.part} after engine=${crash.start.engine}")
+        scheduleReport(crash.part)
+    }
+
+    /** Entries report the quarantine of [part] one after the other, so that usually only the first one does. */
+    private fun scheduleReport(part: PromptPartId) {
+        if (!scheduledReports.add(part)) return
+        val rank = entries.rank(part.text, scheduler.now()) ?: 0
+        scheduler.schedule(REPORT_DELAY * rank) {
+            scheduledReports -= part
+            val now = scheduler.now()
+            if (!quarantine.isReportDue(part, now)) return@schedule
+            quarantine.recordReport(part, now)
+            reporter?.report(listOf(PromptReport.Quarantined(part)))
+        }
+    }
+
+    /** Reports after a random delay, unless another entry did so meanwhile. */
+    private fun scheduleSoundReport(part: PromptPartId) {
+        if (!scheduledReports.add(part)) return
+        scheduler.schedule(REPORT_DELAY * random.nextDouble()) {
+            if (scheduledReports.remove(part)) reporter?.report(listOf(PromptReport.Sound(part)))
+        }
+    }
+
+    private fun record(kind: EventKind, request: RequestId? = null, detail: String) {
+        eventSink.record(EventDraft(kind, request = request, detail = detail))
+    }
+
+    private companion object {
+        /** Shared parts of one prompt that are suspected at once. */
+        const val MAXIMUM_SUSPECTS = 16
+
+        /** Time for the other entries to see the report of the one before. */
+        val REPORT_DELAY: Duration = 300.milliseconds
+    }
+}
--- a/core/src/main/kotlin/org/lovageladder/core/forward/StreamFlow.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/StreamFlow.kt
@@ -39,12 +39,48 @@
     private var silenceTimer: Cancellable? = null
     private var lastEventId: Long? = request.resumeAfterEventId
     private var runCount = 0
+    private var isTrial = false
+    private var hasWritten = false
     private var attemptCount = 0
     private var headSent = false
     private var isFinished = false
 
     override fun start() {
         timeoutTimer = context.scheduler.schedule(deadlines.remaining(context.now())) { onTimeout() }
+        when (val verdict = context.promptGuard.verdict(sharedParts)) {
+            PromptVerdict.Admitted -> startUnlessTooLate()
+            is PromptVerdict.Quarantined -> refuseQuarantined(verdict)
+            is PromptVerdict.TrialDue -> context.promptGuard.claimTrials(verdict.trials, request.id, ::onTrialClaimed)
+        }
+    }
+
+    /** A trial is sent once, and to one engine only. */
+    private fun onTrialClaimed(isClaimed: Boolean) {
+        if (isFinished) return
+        isTrial = isClaimed
+        if (!refuseIfQuarantined()) requestMemory()
+    }
+
+    /** Refuses the request if its prompt was quarantined. Returns whether it did. */
+    private fun refuseIfQuarantined(): Boolean {
+        if (isTrial) return false
+        when (val verdict = context.promptGuard.verdict(sharedParts)) {
+            PromptVerdict.Admitted -> return false
+            is PromptVerdict.Quarantined -> refuseQuarantined(verdict)
+            is PromptVerdict.TrialDue ->
+                refuseQuarantined(
+                    PromptVerdict.Quarantined(verdict.trials.first().part, isFinal = false, context.now()),
+                )
+        }
+        return true
+    }
+
+    private fun refuseQuarantined(verdict: PromptVerdict.Quarantined) {
+        val reason = if (verdict.isFinal) RefusalReason.PROMPT_QUARANTINED else RefusalReason.PROMPT_SUSPECTED
+        refuseOrAbort(reason, minimumDelay = verdict.retryAt - context.now())
+    }
+
+    private fun startUnlessTooLate() {
         val isUnderPressure = memoryQueue.isUnderMemoryPressure()
         if (isTooLate(isUnderPressure) && isUnderPressure) {
             refuseOrAbort(RefusalReason.OVERLOADED)
@@ -71,6 +107,7 @@
     }
 
     private fun requestMemory() {
+        if (refuseIfQuarantined()) return
         val now = context.now()
         val grantDeadline =
             if (headSent || attemptCount > 0) {
@@ -98,7 +135,8 @@
         memoryRequest = null
         grant = memory
         summary.recordGrant(context.now())
-        if (prefillResult == null) prefillStep.start() else startDecode()
+        if (refuseIfQuarantined()) return
+        if (prefillResult == null && !isTrial) prefillStep.start() else startDecode()
     }
 
     private fun onPrefilled(result: PrefillResult?) {
@@ -107,8 +145,10 @@
     }
 
     private fun startDecode() {
+        if (refuseIfQuarantined()) return
         val memory = checkNotNull(grant)
         val name = memory.engine.name
+        hasWritten = false
         if (!context.admitsReserved(memory)) {
             replaceEngine(memory)
             return
@@ -126,7 +166,7 @@
                 resumeAfterEventId = lastEventId,
             )
         summary.recordDecodeStart(context.now())
-        decodeCall = context.upstreamPort.send(request, attempt, DecodeReceiver(name))
+        decodeCall = context.upstreamPort.send(request, attempt, DecodeReceiver(memory.engine.incarnation))
         restartSilenceTimer()
     }
 
@@ -194,6 +234,7 @@
 
     private fun onContent(bytes: ByteArray) {
         summary.recordContent(bytes, context.now())?.let(estimates::recordStart)
+        recordWritten()
         restartSilenceTimer()
         val splitter = eventSplitter
         if (splitter == null) {
@@ -210,13 +251,21 @@
         reply.sendContent(events.bytes)
     }
 
+    /** An engine that wrote a whole event on the prompt shows that its parts are sound. */
+    private fun recordWritten() {
+        if (hasWritten || summary.eventsOfDecode == 0) return
+        hasWritten = true
+        context.promptGuard.onWritten(request.id, sharedParts)
+    }
+
     private fun onDeclined(upstream: UpstreamName, head: AnswerHead) {
         runCount -= 1
         avoidedEngines += upstream
         context.upstreamSelector.health(upstream).recordDecline(context.now())
         if (head.isWrongInstance) context.removeReplaced(upstream, request.id)
         context.record(EventKind.REQUEST_DECLINED, request.id, upstream, detail = "decode ${head.status}")
-        if (attemptCount < MAXIMUM_ATTEMPTS && context.retryBudget.tryAcquire(destination.service, context.now())) {
+        val mayRetry = !isTrial && attemptCount < MAXIMUM_ATTEMPTS
+        if (mayRetry && context.retryBudget.tryAcquire(destination.service, context.now())) {
             requestMemory()
         } else {
             refuseOrAbort(RefusalReason.OVERLOADED)
@@ -237,7 +286,7 @@
     }
 
     private fun mayResume() =
-        route.isResumable && runCount < route.maximumRuns && context.isEnabled(Mechanism.RESUMPTION)
+        !isTrial && route.isResumable && runCount < route.maximumRuns && context.isEnabled(Mechanism.RESUMPTION)
 
     private fun onCompleted(upstream: UpstreamName) {
         context.upstreamSelector.health(upstream).recordSuccess()
@@ -263,7 +312,9 @@
         estimates.rolePlan.recordDecode(context.now() - startedAt, engineShare)
     }
 
-    private fun refuseOrAbort(reason: RefusalReason) {
+    private fun refuseOrAbort(reason: RefusalReason) = refuseOrAbort(reason, minimumReturnDelay())
+
+    private fun refuseOrAbort(reason: RefusalReason, minimumDelay: Duration) {
         if (isFinished) return
         if (headSent) {
             finish("aborted: $reason")
@@ -273,7 +324,7 @@
         estimates.elapsedTimeOf(route).recordRefusal(context.now())
         val reportedReason = if (runCount > 0 && reason.isNotRun) RefusalReason.ANSWER_LOST else reason
         val remaining = deadlines.remaining(context.now())
-        val retryAfter = if (reportedReason.isNotRun) context.returnDelay(minimumReturnDelay(), remaining) else null
+        val retryAfter = if (reportedReason.isNotRun) context.returnDelay(minimumDelay, remaining) else null
         finish("refused: $reportedReason")
         reply.refuse(Refusal(reportedReason, retryAfter))
     }
@@ -328,7 +379,8 @@
         memoryQueue.onFreed(memory)
     }
 
-    private inner class DecodeReceiver(private val upstream: UpstreamName) : AnswerReceiver {
+    private inner class DecodeReceiver(private val incarnation: UpstreamIncarnation) : AnswerReceiver {
+        private val upstream = incarnation.name
         private var head: AnswerHead? = null
 
         override fun onHead(head: AnswerHead) {
@@ -357,9 +409,17 @@
         override fun onFailure(failure: CallFailure) {
             if (isFinished) return
             releaseMemory(isUsed = failure.sent)
+            if (isCrash(failure)) {
+                val start = EngineStart(incarnation.name, incarnation.startedAt)
+                context.promptGuard.onCrash(request.id, sharedParts, start)
+            }
             onDecodeFailed(upstream, failure)
         }
 
+        /** Whether the engine may have crashed when it was to begin its answer. */
+        private fun isCrash(failure: CallFailure) =
+            failure.sent && failure.cause == FaultCause.CONNECTION_LOST && summary.eventsOfDecode == 0
+
         private fun isPassedOn(): Boolean {
             val answered = head ?: return false
             return headSent && !answered.isDeclined && (answered.isSuccess || runCount == 1)
--- a/core/src/test/kotlin/org/lovageladder/core/forward/EntryFleet.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/forward/EntryFleet.kt
@@ -232,6 +232,9 @@
 /** One entry of a fleet, which can be restarted and frozen. */
 internal class FleetEntry(val name: ProcessName, private val fleet: EntryFleet) {
     private var frozenUntil = Moment(0)
+
+    /** Time after which the process sees a report on prompts. */
+    val registryDelay: Duration = fleet.random.nextInt(300).milliseconds
     var isCutFromRegistry = false
         private set
     var startCount = 0
@@ -264,6 +267,7 @@
             )
         fleet.upstreams.forgetTold(name)
         forwarder.startLimitReports { upstream, limit, answer -> fleet.report(this, upstream, limit, answer) }
+        forwarder.startPromptReports(FleetPromptReports(this, fleet))
         if (!isCutFromRegistry) readRegistry()
     }
 
@@ -272,6 +276,16 @@
         if (!isCutFromRegistry) forwarder.onRegistryChange(report)
     }
 
+    /** Tells the process of [report], unless it is cut off from the registry. */
+    fun observe(report: PromptReport) {
+        val start = startCount
+        if (!isCutFromRegistry) {
+            runWhenAwake(start) {
+                forwarder.onRegistryChange(RegistryChange.PromptReported(report))
+            }
+        }
+    }
+
     /** Tells the process what the registry says of [other], unless it is cut off from the registry. */
     fun observe(other: ProcessName, isRegistered: Boolean) {
         if (isCutFromRegistry) return
@@ -296,6 +310,7 @@
         forwarder.onRegistryChange(RegistryChange.FullRead(fleet.registrations))
         fleet.registeredNames.forEach { observe(it, isRegistered = true) }
         fleet.reports.forEach(::observe)
+        fleet.promptReports.forEach(::observe)
     }
 
     /** Stops the process for [duration]; what becomes due meanwhile happens afterwards. */
@@ -315,6 +330,25 @@
     }
 }
 
+/** Stores reports on prompts for all entries of [fleet], each of which sees them within 300 ms. */
+private class FleetPromptReports(private val entry: FleetEntry, private val fleet: EntryFleet) : PromptReportPort {
+    override fun report(reports: List<PromptReport>, answer: (Boolean) -> Unit) {
+        if (entry.isCutFromRegistry) {
+            fleet.scheduler.schedule(800.milliseconds) { answer(false) }
+            return
+        }
+        reports.forEach(fleet::storePromptReport)
+        fleet.scheduler.schedule(10.milliseconds) { answer(true) }
+    }
+
+    override fun claimTrials(trials: List<PromptReport.Trial>, answer: (Boolean) -> Unit) {
+        val isFree = !entry.isCutFromRegistry && trials.none { it in fleet.promptReports }
+        if (isFree) trials.forEach(fleet::storePromptReport)
+        val start = entry.startCount
+        fleet.scheduler.schedule(10.milliseconds) { entry.runWhenAwake(start) { answer(isFree) } }
+    }
+}
+
 /**
  * Entries, upstreams and callers under virtual time. Callers begin [warmUp] after the entries. Equal [seed]s give equal
  * runs.
@@ -332,6 +366,7 @@
     val registeredNames = LinkedHashSet<ProcessName>()
     val entries = ArrayList<FleetEntry>()
     val reports = ArrayList<RegistryChange.RequestLimitReported>()
+    val promptReports = LinkedHashSet<PromptReport>()
     val replies = ArrayList<RecordingReply>()
 
     init {
@@ -399,6 +434,18 @@
         }
     }
 
+    fun storePromptReport(report: PromptReport) {
+        if (report is PromptReport.Sound) {
+            promptReports.removeIf {
+                it.part == report.part &&
+                    (it is PromptReport.Trial || it is PromptReport.Quarantined)
+            }
+        }
+        promptReports -= report
+        promptReports += report
+        entries.forEach { entry -> scheduler.schedule(entry.registryDelay) { entry.observe(report) } }
+    }
+
     /** Lets callers send requests to [targets] at random times, [requestsPerSecond] in all, for [duration]. */
     fun run(duration: Duration, requestsPerSecond: Double, targets: List<String>) {
         val until = scheduler.now() + duration
--- a/core/src/test/kotlin/org/lovageladder/core/forward/PromptQuarantineTest.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/forward/PromptQuarantineTest.kt
@@ -1,11 +1,16 @@
 package org.lovageladder.core.forward
 
 import org.lovageladder.core.Moment
+import org.lovageladder.core.ProcessName
+import org.lovageladder.core.RequestId
 import org.lovageladder.core.UpstreamName
+import kotlin.random.Random
 import kotlin.test.Test
+import kotlin.test.assertEquals
 import kotlin.test.assertTrue
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.minutes
 import kotlin.time.Duration.Companion.seconds
 
 /**
@@ -19,6 +24,7 @@
         val deadlyParts: List<String> = listOf("deadly"),
         val deadlyPerSecond: Double = 2.0,
         val soundPerSecond: Double = 22.0,
+        val isKnownBefore: Boolean = false,
         val trouble: (EntryFleet) -> Unit = {},
     )
 
@@ -29,10 +35,12 @@
         /** Submits requests at random times for [duration]. One sound request in five shares the first part. */
         fun run(duration: Duration) {
             val until = fleet.scheduler.now() + duration
-            val perSecond = case.deadlyPerSecond + case.soundPerSecond
+            val hasDeadly = case.isKnownBefore || fleet.upstreams.deadlyParts.isNotEmpty()
+            val deadlyPerSecond = if (hasDeadly) case.deadlyPerSecond else 0.0
+            val perSecond = deadlyPerSecond + case.soundPerSecond
             while (fleet.scheduler.now() < until) {
                 fleet.scheduler.advance((2 * fleet.random.nextDouble() / perSecond).seconds)
-                submit(isDeadly = fleet.random.nextDouble() * perSecond < case.deadlyPerSecond)
+                submit(isDeadly = fleet.random.nextDouble() * perSecond < deadlyPerSecond)
             }
         }
 
@@ -56,11 +64,13 @@
     @Test
     fun promptsThatCrashEnginesReachNoMoreThanThreeMoreEnginesAfterTheFifthCrash() {
         val cases =
-            listOf(1, 2, 4, 30, 100).map { Case("$it entries", it) } +
+            listOf(1, 2, 4, 30, 100, 300).map { Case("$it entries", it) } +
                 listOf(4, 30).flatMap { count ->
                     listOf(
                         Case("two parts, $count entries", count, deadlyParts = listOf("deadly", "deadly-too")),
                         Case("many requests, $count entries", count, deadlyPerSecond = 8.0),
+                        Case("a part sound before, $count entries", count, isKnownBefore = true),
+                        Case("hosts cut off, $count entries", count, isKnownBefore = true) { fleet -> cutOff(fleet) },
                         Case("few requests, $count entries", count, deadlyPerSecond = 0.3, soundPerSecond = 6.0),
                         Case("ordinary crashes, $count entries", count) { fleet -> crashNowAndThen(fleet) },
                         Case("all engines crash, $count entries", count) { fleet -> crashAll(fleet) },
@@ -72,6 +82,74 @@
         assertTrue(failures.isEmpty(), failures.joinToString("\n"))
     }
 
+    @Test
+    fun callersWithAQuarantinedPromptAreRefusedAtOnce() {
+        val fixture = ForwardFixture()
+        val generation = ForwardFixture.GENERATION.copy(sharedParts = listOf(PromptPartId("deadly")))
+        fun submit() = fixture.submit("/stream/x", generation = generation).reply
+        fun crash() {
+            submit()
+            fixture.scheduler.advance(300.milliseconds)
+            fixture.upstreams.receivedCalls.last().head(200)
+            fixture.upstreams.receivedCalls.last().fail(sent = true)
+        }
+        crash()
+        crash()
+        data class Expected(val after: Duration, val reason: RefusalReason?, val mayReturn: Boolean)
+        listOf(
+            Expected(Duration.ZERO, RefusalReason.PROMPT_SUSPECTED, mayReturn = true),
+            Expected(2.seconds, reason = null, mayReturn = false),
+            Expected(Duration.ZERO, RefusalReason.PROMPT_QUARANTINED, mayReturn = false),
+            Expected(5.seconds, RefusalReason.PROMPT_QUARANTINED, mayReturn = false),
+        ).forEach { expected ->
+            fixture.scheduler.advance(expected.after)
+            val refusal = submit().refusal
+            assertEquals(expected.reason, refusal?.reason, "$expected")
+            assertEquals(expected.mayReturn, refusal?.retryAfter != null, "$expected")
+        }
+        assertEquals(2, fixture.upstreams.prefills.size, "a trial is sent once, without a prefill of its own")
+    }
+
+    @Test
+    fun partsOnWhichEnginesWriteAreNotHeldBackWhenEnginesCrash() {
+        data class PartCase(val name: String, val events: List<String>, val isQuarantined: Boolean)
+        val parts = listOf(PromptPartId("part"))
+        listOf(
+            PartCase("one crash", listOf("crash a"), false),
+            PartCase("two crashes", listOf("crash a", "wait", "crash b"), true),
+            PartCase("crashes at the same moment", listOf("crash a", "crash b", "crash c"), false),
+            PartCase("the same engine", listOf("crash a", "wait", "crash a"), false),
+            PartCase("an answer in between", listOf("crash a", "wait", "written", "wait", "crash b"), false),
+            PartCase("an answer afterwards", listOf("crash a", "wait", "crash b", "written"), false),
+            PartCase("an answer elsewhere", listOf("crash a", "wait", "crash b", "sound"), false),
+            PartCase("quarantined elsewhere", listOf("quarantined"), true),
+            PartCase("quarantined elsewhere after an answer", listOf("written", "quarantined"), false),
+            PartCase(
+                "many crashes after an answer",
+                listOf("written") + "abcd".flatMap {
+                    listOf("crash $it", "wait")
+                },
+                true,
+            ),
+            PartCase("not used for long", listOf("quarantined", "long"), false),
+        ).forEach { case ->
+            val scheduler = VirtualScheduler()
+            val guard = PromptGuard(EntryCounter(ProcessName("entry"), 1), scheduler, eventSink = {}, Random(1))
+            case.events.forEach { event ->
+                when (event) {
+                    "wait" -> scheduler.advance(300.milliseconds)
+                    "long" -> scheduler.advance(11.minutes)
+                    "written" -> guard.onWritten(RequestId("r"), parts)
+                    "sound" -> guard.onReport(PromptReport.Sound(parts.single()))
+                    "quarantined" -> guard.onReport(PromptReport.Quarantined(parts.single()))
+                    else -> guard.onCrash(RequestId("r"), parts, EngineStart(UpstreamName(event), startedAt = null))
+                }
+            }
+            guard.removeExpired()
+            assertEquals(case.isQuarantined, guard.isQuarantined(parts), case.name)
+        }
+    }
+
     /** Plays [case] and returns what was wrong. */
     private fun check(case: Case, seed: Int): String? {
         val fleet = EntryFleet(case.entryCount, seed, registrations = EntryFleet.registrations(decodeEngines = 24))
@@ -134,6 +212,17 @@
         fleet.scheduler.schedule((2 + number * 3).seconds) { fleet.entries.random(fleet.random).restart() }
     }
 
+    /** Entries that are cut off from the registry are not in touch, and get no requests here from then on. */
+    private fun cutOff(fleet: EntryFleet) {
+        val cut = fleet.entries.take(fleet.entries.size / 4)
+        fleet.cutFromRegistry(cut)
+        fleet.entries -= cut.toSet()
+        fleet.scheduler.schedule(20.seconds) {
+            fleet.entries += cut
+            fleet.reconnect()
+        }
+    }
+
     private fun freezeEntries(fleet: EntryFleet) = repeat(10) { number ->
         fleet.scheduler.schedule((2 + number * 3).seconds) { fleet.entries.random(fleet.random).freeze(2.seconds) }
     }
--- a/core/src/test/kotlin/org/lovageladder/core/forward/RoleControllerTest.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/forward/RoleControllerTest.kt
@@ -258,8 +258,8 @@
         private val retryBudget = RetryBudget(RetryLimits(0.1, 1.0, 10.seconds)) { 1 }
         private val random = kotlin.random.Random(1)
         private val notices = UpstreamNotices(2.seconds)
-        private val requestLimits =
-            RequestLimits(EntryCounter(ProcessName("entry"), expectedCount = 1), membership, random)
+        private val entryCounter = EntryCounter(ProcessName("entry"), expectedCount = 1)
+        private val requestLimits = RequestLimits(entryCounter, membership, random)
         private val upstreamSelector = UpstreamSelector(membership, notices, requestLimits, ForwardFixture.HOME, random)
         private val context =
             ForwardContext(
@@ -269,6 +269,7 @@
                 membership = membership,
                 notices = notices,
                 requestLimits = requestLimits,
+                promptGuard = PromptGuard(entryCounter, scheduler, eventSink = {}, random),
                 answerBuffers = AnswerBufferPool(maximumAnswerBytes = 1_000, maximumTotalBytes = 1_000),
                 retryBudget = retryBudget,
                 eventSink = {},
--- a/daemon/src/main/kotlin/org/lovageladder/daemon/ForwardProcess.kt
+++ b/daemon/src/main/kotlin/org/lovageladder/daemon/ForwardProcess.kt
@@ -31,6 +31,7 @@
 import org.lovageladder.http.startAdminServer
 import org.lovageladder.platform.PlatformEntryRegistration
 import org.lovageladder.platform.PlatformLeadership
+import org.lovageladder.platform.PlatformPromptReports
 import org.lovageladder.platform.PlatformRegistry
 import org.lovageladder.platform.PlatformRequestLimits
 import org.lovageladder.platform.PlatformRequestParser
@@ -105,11 +106,14 @@
         state.showIn(registry)
         Gauge.builder("lovageladder.requests.open", forwarder) { it.openRequests.toDouble() }.register(registry)
         Gauge.builder("lovageladder.upstreams.limited", forwarder) { it.limitedUpstreams.toDouble() }.register(registry)
+        Gauge.builder("lovageladder.prompts.quarantined", forwarder) { it.quarantinedPromptParts.toDouble() }
+            .register(registry)
         scheduler.execute {
             eventLog.record(EventDraft(EventKind.PROCESS_STARTED, detail = "callers=${settings.listenAddress}"))
             follower.start()
             EntryRegistrar(PlatformEntryRegistration(store, settings.name), scheduler, REGISTRATION_LEASE).start()
             forwarder.startLimitReports(PlatformRequestLimits(store))
+            forwarder.startPromptReports(PlatformPromptReports(store, settings.name))
             startRoleChanges()
         }
     }
--- a/http/src/main/kotlin/org/lovageladder/http/forward/ForwardReply.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/forward/ForwardReply.kt
@@ -116,10 +116,13 @@
         RefusalReason.NOT_READY,
         RefusalReason.LEAVING,
         RefusalReason.OVERLOADED,
+        RefusalReason.PROMPT_SUSPECTED,
         RefusalReason.NO_UPSTREAM,
         RefusalReason.EXPIRED,
         -> STATUS_UNAVAILABLE
-        RefusalReason.ANSWER_LOST -> STATUS_BAD_GATEWAY
+        RefusalReason.PROMPT_QUARANTINED,
+        RefusalReason.ANSWER_LOST,
+        -> STATUS_BAD_GATEWAY
         RefusalReason.TIMEOUT -> STATUS_GATEWAY_TIMEOUT
     }
 
