Trust no lease and no revision of an earlier epoch of the store

A store that is restored from an older copy gives leases and revisions out again. A renewal could hit another process's lease of the same number and keep an old leader, the leader's fencing number fell, and an entry went on renewing a registration that was gone.

Cause: leases and fencing numbers were bare numbers, though they mean something only in one epoch of the store (header Store-Era). A leader gives up and an entry registers anew when the registry says that it was restored.

--- a/core/src/main/kotlin/org/lovageladder/core/forward/EntryRegistrar.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/EntryRegistrar.kt
@@ -2,16 +2,19 @@
 
 import kotlin.time.Duration
 
+/** The lease [id] that the registry granted in [epoch]; in another epoch the same id may belong to another process. */
+public data class RegistryLease(val id: Long, val epoch: Long)
+
 /** Port to the registry in which entries register, so that each can count them. */
 public interface EntryRegistrationPort {
     /**
      * Registers this entry for [period]. [answer] gets the lease of the registration, or null when the outcome is
      * unknown.
      */
-    public fun register(period: Duration, answer: (Long?) -> Unit)
+    public fun register(period: Duration, answer: (RegistryLease?) -> Unit)
 
     /** Extends [lease] by its period. [answer] gets whether the lease was still valid. */
-    public fun renew(lease: Long, answer: (Boolean) -> Unit)
+    public fun renew(lease: RegistryLease, answer: (Boolean) -> Unit)
 }
 
 /** Keeps this entry registered under a lease of [period]. Confined to one thread. */
@@ -20,16 +23,37 @@
     private val scheduler: Scheduler,
     private val period: Duration,
 ) {
+    private var registrations = 0
+
     /** Registers this entry and keeps renewing the lease. Must be called once. */
-    public fun start() {
+    public fun start(): Unit = register()
+
+    /** The registry was restored from an older copy, which may not hold the registration or its lease. */
+    public fun onRegistryRestored(): Unit = register()
+
+    private fun register() {
+        registrations += 1
+        val number = registrations
         port.register(period) { lease ->
-            if (lease == null) scheduler.schedule(period * RETRY_FRACTION) { start() } else scheduleRenewal(lease)
+            when {
+                number != registrations -> Unit
+                lease == null -> scheduler.schedule(period * RETRY_FRACTION) { if (number == registrations) register() }
+                else -> scheduleRenewal(lease, number)
+            }
         }
     }
 
-    private fun scheduleRenewal(lease: Long) {
+    /** Renews [lease] of registration [number] until another registration replaces it. */
+    private fun scheduleRenewal(lease: RegistryLease, number: Int) {
         scheduler.schedule(period * RENEWAL_FRACTION) {
-            port.renew(lease) { extended -> if (extended) scheduleRenewal(lease) else start() }
+            if (number != registrations) return@schedule
+            port.renew(lease) { isExtended ->
+                when {
+                    number != registrations -> Unit
+                    isExtended -> scheduleRenewal(lease, number)
+                    else -> register()
+                }
+            }
         }
     }
 
--- a/core/src/main/kotlin/org/lovageladder/core/forward/LeaderElection.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/LeaderElection.kt
@@ -4,7 +4,7 @@
 import kotlin.time.Duration
 
 /** A lease on the right to give orders. [fencingNumber] is higher than that of every earlier holder. */
-public data class LeaderLease(val id: Long, val fencingNumber: Long)
+public data class LeaderLease(val lease: RegistryLease, val fencingNumber: Long)
 
 /** Outcome of an attempt to become the leader. */
 public sealed interface AcquisitionResult {
@@ -72,6 +72,13 @@
         scheduleAcquisition(period * PERIODS_AFTER_RESIGNATION)
     }
 
+    /** The registry was restored from an older copy, in which leadership may be free or held by an earlier leader. */
+    public fun onRegistryRestored() {
+        lease = null
+        isHeldElsewhere = false
+        scheduleAcquisition(period * (1 + jitter()))
+    }
+
     private fun scheduleAcquisition(delay: Duration) {
         scheduledAcquisition?.cancel()
         scheduledAcquisition = scheduler.schedule(delay) { acquire() }
--- a/core/src/test/kotlin/org/lovageladder/core/forward/EntryCounterTest.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/forward/EntryCounterTest.kt
@@ -17,13 +17,13 @@
         var lease = 0L
         var registrations = 0
 
-        override fun register(period: Duration, answer: (Long?) -> Unit) {
+        override fun register(period: Duration, answer: (RegistryLease?) -> Unit) {
             registrations += 1
-            answer(if (isAvailable) ++lease else null)
+            answer(if (isAvailable) RegistryLease(++lease, epoch = 0) else null)
         }
 
-        override fun renew(lease: Long, answer: (Boolean) -> Unit) {
-            scheduler.schedule(Duration.ZERO) { answer(isAvailable && lease == this.lease) }
+        override fun renew(lease: RegistryLease, answer: (Boolean) -> Unit) {
+            scheduler.schedule(Duration.ZERO) { answer(isAvailable && lease.id == this.lease) }
         }
     }
 
@@ -144,6 +144,21 @@
         assertEquals(registrations, registration.registrations)
     }
 
+    @Test
+    fun registrationIsRepeatedAtOnceWhenTheRegistryIsRestored() {
+        val scheduler = VirtualScheduler()
+        val registration = FakeEntryRegistrationPort(scheduler)
+        val registrar = EntryRegistrar(registration, scheduler, 6.seconds)
+        registrar.start()
+        repeat(2) { restoration ->
+            scheduler.advance(1.seconds)
+            registrar.onRegistryRestored()
+            assertEquals(restoration + 2, registration.registrations)
+        }
+        scheduler.advance(20.seconds)
+        assertEquals(3, registration.registrations, "only the newest registration is renewed")
+    }
+
     /** Load pattern: the registry is read completely many times during an outage, with many entries. */
     @Test
     fun entryEventsAreRecordedOnlyWhenTheCountChanges() {
--- a/core/src/test/kotlin/org/lovageladder/core/forward/RoleControllerTest.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/forward/RoleControllerTest.kt
@@ -26,7 +26,7 @@
         override fun acquire(period: Duration, answer: (AcquisitionResult) -> Unit) {
             if (!isAvailable) return respond { answer(AcquisitionResult.Unknown("timeout")) }
             if (holder != null) return respond { answer(AcquisitionResult.HeldByOther) }
-            val lease = LeaderLease(nextFencing, nextFencing++)
+            val lease = LeaderLease(RegistryLease(nextFencing, epoch = 0), nextFencing++)
             holder = lease
             respond { answer(AcquisitionResult.Acquired(lease)) }
         }
@@ -143,7 +143,7 @@
     @Test
     fun leadershipIsAcquiredSoonAfterTheRegistryShowsNoLeader() {
         val scheduler = VirtualScheduler()
-        val port = FakeLeadershipPort(scheduler).apply { holder = LeaderLease(1, 1) }
+        val port = FakeLeadershipPort(scheduler).apply { holder = LeaderLease(RegistryLease(1, epoch = 0), 1) }
         val leaderElection = leaderElection(port, scheduler)
         leaderElection.start()
         leaderElection.onLeaderObserved(isHeld = true)
@@ -155,6 +155,21 @@
         assertEquals(10, leaderElection.activeLease?.fencingNumber)
     }
 
+    @Test
+    fun leadershipIsGivenUpAndAcquiredAnewWhenTheRegistryIsRestored() {
+        val scheduler = VirtualScheduler()
+        val port = FakeLeadershipPort(scheduler)
+        val leaderElection = leaderElection(port, scheduler)
+        leaderElection.start()
+        scheduler.advance(10.seconds)
+        assertEquals(10, leaderElection.activeLease?.fencingNumber)
+        port.holder = null
+        leaderElection.onRegistryRestored()
+        assertNull(leaderElection.activeLease)
+        scheduler.advance(7.seconds)
+        assertEquals(11, leaderElection.activeLease?.fencingNumber)
+    }
+
     @Test
     fun onlyOneOfTwoProcessesLeads() {
         val scheduler = VirtualScheduler()
