--- a/core/src/main/kotlin/org/lovageladder/core/forward/PromptGuard.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/PromptGuard.kt
@@ -101,6 +101,11 @@
         }
     }
 
+    /** The registry may have lost what was reported to it. */
+    fun onRegistryRestored() {
+        quarantine.forgetReports().forEach(::scheduleReport)
+    }
+
     /** Drops the parts that no prompt had for long. */
     fun removeExpired() {
         quarantine.removeExpired(scheduler.now()).forEach {
--- a/core/src/main/kotlin/org/lovageladder/core/forward/PromptQuarantine.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/PromptQuarantine.kt
@@ -130,6 +130,12 @@
         suspects[part]?.reportedAt = now
     }
 
+    /** Lets the quarantine of all quarantined parts be reported again. Returns these parts. */
+    fun forgetReports(): List<PromptPartId> {
+        suspects.values.forEach { it.reportedAt = null }
+        return suspects.keys.filter(::isQuarantined)
+    }
+
     /** Drops the parts that no prompt had for [RETENTION]. Returns those that were quarantined. */
     fun removeExpired(now: Moment): List<PromptPartId> {
         val expired = suspects.filterValues { now - it.lastUsedAt > RETENTION }
--- a/core/src/main/kotlin/org/lovageladder/core/forward/RequestLimitReporter.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/RequestLimitReporter.kt
@@ -39,13 +39,20 @@
         lastReports[name] = requestsPerSecond
     }
 
+    /** The registry may have lost what was reported to it, or hold an older report. */
+    fun onRegistryRestored() {
+        val reported = lastReports.keys.toList()
+        lastReports.clear()
+        reported.forEach(::onLimitChanged)
+    }
+
     private fun schedule(name: UpstreamName, delay: Duration) {
         if (scheduled.add(name)) scheduler.schedule(delay) { reportIfNew(name) }
     }
 
     private fun reportIfNew(name: UpstreamName) {
         val limit = requestLimits.limitOf(name, scheduler.now())
-        if (limit == lastReports[name]) {
+        if (name in lastReports && limit == lastReports[name]) {
             scheduled -= name
             return
         }
