Read the registry anew when it was restored, and correct its older copy

Cause: revisions of different epochs were compared. Membership forgets revisions then, and corrects the copy by what it knows: an upstream that left, is leaving or was started anew since comes back only by a registration of its own; one missing in the copy has the usual time to register again.

--- a/core/src/main/kotlin/org/lovageladder/core/EventKind.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/EventKind.kt
@@ -147,6 +147,12 @@
         "A report on a part of prompts was given up because too many wait for the registry.",
         "Check the platform.",
     ),
+    STORE_RESTORED(
+        3019,
+        EventLevel.WARNING,
+        "The platform's store was restored from an older copy.",
+        "Check that the newest configuration is in it.",
+    ),
     REQUEST_SENT(3101, EventLevel.INFO, "A request, or its prefill, was sent to an upstream.", "None."),
     REQUEST_DECLINED(
         3102,
--- a/core/src/main/kotlin/org/lovageladder/core/forward/Forwarder.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/Forwarder.kt
@@ -150,6 +150,7 @@
                 entryCounter.recordAvailability(isAvailable = false, scheduler.now())
                 context.record(EventKind.STORE_LOST, detail = "the registry is unavailable")
             }
+            RegistryChange.Restored -> onRegistryRestored()
             RegistryChange.Available -> {
                 entryCounter.recordAvailability(isAvailable = true, scheduler.now())
                 context.record(EventKind.STORE_BACK, detail = "the registry is available again")
@@ -183,6 +184,14 @@
     /** Begins to report prompts that crash engines to the other entries through [port]. */
     public fun startPromptReports(port: PromptReportPort): Unit = promptGuard.startReports(port)
 
+    /** Leases and reports of this process may be gone: it competes for leadership anew and reports again. */
+    private fun onRegistryRestored() {
+        context.record(EventKind.STORE_RESTORED, detail = "what was written since the copy is written again")
+        leaderElection?.onRegistryRestored()
+        limitReporter?.onRegistryRestored()
+        promptGuard.onRegistryRestored()
+    }
+
     private fun recordRequestLimit(name: UpstreamName, notice: RequestLimitNotice) {
         val now = scheduler.now()
         requestLimits.recordNotice(name, notice, now)
--- a/core/src/main/kotlin/org/lovageladder/core/forward/Membership.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/Membership.kt
@@ -9,6 +9,7 @@
 import org.lovageladder.core.UpstreamName
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.minutes
 
 /**
  * An upstream as it registered itself. A [name] belongs to one incarnation of the upstream unless [startedAt], the
@@ -64,18 +65,29 @@
 
     /** The registry is available again. */
     public data object Available : RegistryChange
+
+    /**
+     * The registry was restored from an older copy; a full read follows. What was written since the copy is gone until
+     * it is written again, leases have ended, and revisions begin anew.
+     */
+    public data object Restored : RegistryChange
 }
 
 /**
  * Upstreams that may get requests, according to the registry. Registrations can expire during a registry outage
  * although their upstreams are alive. An upstream whose registration is removed during an outage or shortly after it
- * therefore stays in use until [REGISTRATION_GRACE_PERIOD] after the registry became available. Confined to one thread.
+ * therefore stays in use until [REGISTRATION_GRACE_PERIOD] after the registry became available.
+ *
+ * The copy from which a registry is restored is older than what this process knows: an upstream that left, is leaving
+ * or was started anew since does not come back by it, but only by a registration of its own. Confined to one thread.
  */
 public class Membership {
     private val registrations = HashMap<UpstreamName, UpstreamRegistration>()
     private val missing = HashSet<UpstreamName>()
     private val endedStarts = HashMap<UpstreamName, Long?>()
+    private val removedAt = HashMap<UpstreamName, Moment>()
     private val changingRole = HashSet<UpstreamName>()
+    private var isRestored = false
     private var gracePeriodUntil: Moment? = null
     private var isUnavailable = false
 
@@ -101,6 +113,10 @@
                 isUnavailable = false
                 gracePeriodUntil = now + REGISTRATION_GRACE_PERIOD
             }
+            RegistryChange.Restored -> {
+                isRestored = true
+                gracePeriodUntil = now + REGISTRATION_GRACE_PERIOD
+            }
         }
     }
 
@@ -133,6 +149,7 @@
         val current = registrations[registration.name]
         if (current != null && current.revision > registration.revision) return
         endedStarts.remove(registration.name)
+        removedAt.remove(registration.name)
         missing.remove(registration.name)
         registrations[registration.name] = registration
     }
@@ -148,6 +165,7 @@
         } else {
             registrations.remove(name)
             missing.remove(name)
+            removedAt[name] = now
         }
     }
 
@@ -160,16 +178,40 @@
         val names = newRegistrations.mapTo(HashSet()) { it.name }
         registrations.keys.filter { it !in names }.forEach { markMissing(it, now) }
         endedStarts.keys.retainAll(names)
-        newRegistrations.forEach(::update)
+        removedAt.values.removeIf { now - it > REMOVAL_MEMORY }
+        val current = if (isRestored) newRegistrations.mapNotNull(::correctCopy) else newRegistrations
+        if (isRestored) registrations.replaceAll { _, registration -> registration.copy(revision = NO_REVISION) }
+        isRestored = false
+        current.forEach(::update)
+    }
+
+    /** Corrects [copy], from before the registry was restored, by what this process knows; null when it has left. */
+    private fun correctCopy(copy: UpstreamRegistration): UpstreamRegistration? {
+        if (copy.name in removedAt) return null
+        val known = registrations[copy.name] ?: return copy
+        val isEarlierStart = known.startedAt != null && copy.startedAt != null && copy.startedAt < known.startedAt
+        val isSameStart = known.startedAt == copy.startedAt
+        return when {
+            isEarlierStart -> known.copy(revision = copy.revision)
+            isSameStart -> copy.copy(isLeaving = copy.isLeaving || known.isLeaving)
+            else -> copy
+        }
     }
 
     private fun removeExpired(now: Moment) {
         if (missing.isEmpty() || isGracePeriod(now)) return
         registrations.keys.removeAll(missing)
+        missing.forEach { removedAt[it] = now }
         missing.clear()
     }
 
     private companion object {
+        /** Below all revisions of a registry. */
+        const val NO_REVISION = 0L
+
+        /** A copy from which a registry is restored is younger than this. */
+        val REMOVAL_MEMORY: Duration = 5.minutes
+
         /** Living upstreams have registered again by this time after the registry became available. */
         val REGISTRATION_GRACE_PERIOD: Duration = 2_300.milliseconds
     }
--- a/core/src/main/kotlin/org/lovageladder/core/forward/RegistryFollower.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/RegistryFollower.kt
@@ -6,13 +6,15 @@
 
 /**
  * Result of a full read of the registry, as of [revision] or later. [configuration] is null when none is stored.
- * [otherChanges] are the facts that entries wrote.
+ * [otherChanges] are the facts that entries wrote, oldest first. [epoch] rises each time the registry is restored from
+ * an older copy; revisions and leases of different epochs have nothing to do with each other.
  */
 public data class RegistrySnapshot(
     val revision: Long,
     val configuration: ForwardConfiguration?,
     val registrations: List<UpstreamRegistration>,
     val otherChanges: List<RegistryChange> = emptyList(),
+    val epoch: Long = 0,
 )
 
 /** Outcome of a full read of the registry. */
@@ -26,11 +28,12 @@
 
 /** Outcome of one watch of the registry. */
 public sealed interface RegistryWatch {
-    /** Changes up to [revision], in order; may be empty. */
+    /** Changes up to [revision] of [epoch], in order; may be empty. */
     public data class Changed(
         val revision: Long,
         val configurations: List<ForwardConfiguration>,
         val changes: List<RegistryChange>,
+        val epoch: Long = 0,
     ) : RegistryWatch
 
     /** The registry no longer keeps the requested changes. */
@@ -64,7 +67,11 @@
 /**
  * Follows the registry: a full read first, then watches. While the registry is unavailable, the read is retried after
  * short delays. A full read also follows a failed watch and a lost history: a watch resumed where the failed one ended
- * would miss the changes made in between if the registry dropped its history at that moment. Confined to one thread.
+ * would miss the changes made in between if the registry dropped its history at that moment.
+ *
+ * An answer of a later epoch shows that the registry was restored from an older copy. All is read again then, also when
+ * the registry knows the revision of the watch, since it may have reached it by other changes. Answers of an earlier
+ * epoch are ignored. Confined to one thread.
  */
 public class RegistryFollower(
     private val registry: RegistryPort,
@@ -73,6 +80,7 @@
 ) {
     private var isUnavailable = false
     private var consecutiveFailures = 0
+    private var epoch: Long? = null
 
     /** Begins to follow the registry. Must be called once. */
     public fun start() {
@@ -82,13 +90,7 @@
     private fun readAll() {
         registry.read { read ->
             when (read) {
-                is RegistryRead.Complete -> {
-                    onAnswer()
-                    read.snapshot.configuration?.let(listener::onConfiguration)
-                    listener.onChange(RegistryChange.FullRead(read.snapshot.registrations))
-                    read.snapshot.otherChanges.forEach(listener::onChange)
-                    watchFrom(read.snapshot.revision)
-                }
+                is RegistryRead.Complete -> onRead(read.snapshot)
                 is RegistryRead.Failed -> {
                     onFailure()
                     scheduler.schedule(retryDelay()) { readAll() }
@@ -97,16 +99,40 @@
         }
     }
 
+    private fun onRead(snapshot: RegistrySnapshot) {
+        onAnswer()
+        val known = epoch
+        if (known != null && snapshot.epoch < known) {
+            scheduler.schedule(INITIAL_RETRY_DELAY) { readAll() }
+            return
+        }
+        epoch = snapshot.epoch
+        val isRestored = known != null && snapshot.epoch > known
+        if (isRestored) listener.onChange(RegistryChange.Restored)
+        snapshot.configuration?.let(listener::onConfiguration)
+        listener.onChange(RegistryChange.FullRead(snapshot.registrations))
+        // What this process knows of the limits of upstreams is newer than the copy.
+        val changes = snapshot.otherChanges.filterNot { isRestored && it is RegistryChange.RequestLimitReported }
+        changes.forEach(listener::onChange)
+        watchFrom(snapshot.revision)
+    }
+
+    private fun onChanges(watch: RegistryWatch.Changed, after: Long) {
+        onAnswer()
+        if (watch.epoch != epoch) {
+            readAll()
+            return
+        }
+        watch.configurations.forEach(listener::onConfiguration)
+        watch.changes.forEach(listener::onChange)
+        val batchingDelay = if (watch.changes.isEmpty()) Duration.ZERO else BATCHING_DELAY
+        scheduler.schedule(batchingDelay) { watchFrom(maxOf(after, watch.revision)) }
+    }
+
     private fun watchFrom(revision: Long) {
         registry.watch(revision, WATCH_TIMEOUT) { watch ->
             when (watch) {
-                is RegistryWatch.Changed -> {
-                    onAnswer()
-                    watch.configurations.forEach(listener::onConfiguration)
-                    watch.changes.forEach(listener::onChange)
-                    val batchingDelay = if (watch.changes.isEmpty()) Duration.ZERO else BATCHING_DELAY
-                    scheduler.schedule(batchingDelay) { watchFrom(maxOf(revision, watch.revision)) }
-                }
+                is RegistryWatch.Changed -> onChanges(watch, after = revision)
                 RegistryWatch.HistoryExpired -> {
                     onAnswer()
                     readAll()
--- a/core/src/test/kotlin/org/lovageladder/core/forward/MembershipTest.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/forward/MembershipTest.kt
@@ -18,6 +18,12 @@
     private val bothRegistered = Step(0, RegistryChange.FullRead(listOf(one, two)))
     private val oneRemoved = RegistryChange.Removed(UpstreamName("one"), revision = 2)
 
+    private fun restored(known: List<UpstreamRegistration>, copy: List<UpstreamRegistration>) =
+        listOf(Step(0, RegistryChange.FullRead(known))) + restoredTo(copy)
+
+    private fun restoredTo(copy: List<UpstreamRegistration>) =
+        listOf(Step(2, RegistryChange.Restored), Step(2, RegistryChange.FullRead(copy)))
+
     private val cases =
         listOf(
             Case("both registered", listOf(bothRegistered), 1, setOf("one", "two")),
@@ -33,6 +39,71 @@
                 1,
                 setOf("one", "two"),
             ),
+            Case(
+                "one leaves after the registry was restored",
+                restored(listOf(one.copy(revision = 3), two.copy(revision = 4)), listOf(one, two)) +
+                    Step(3, RegistryChange.Registered(one.copy(isLeaving = true, revision = 2))),
+                4,
+                setOf("two"),
+            ),
+            Case(
+                "one is removed after the registry was restored",
+                restored(
+                    listOf(one.copy(revision = 5), two.copy(revision = 4)),
+                    listOf(one, two),
+                ) + Step(6, oneRemoved),
+                7,
+                setOf("two"),
+            ),
+            Case(
+                "one was leaving, and the copy does not know it",
+                restored(listOf(one.copy(isLeaving = true, revision = 3), two), listOf(one, two)),
+                4,
+                setOf("two"),
+            ),
+            Case(
+                "one had left, and the copy still has it",
+                listOf(bothRegistered, Step(1, oneRemoved)) + restoredTo(listOf(one, two)),
+                4,
+                setOf("two"),
+            ),
+            Case(
+                "one had left, and registers itself after the registry was restored",
+                listOf(bothRegistered, Step(1, oneRemoved)) + restoredTo(listOf(one, two)) +
+                    Step(3, RegistryChange.Registered(one.copy(revision = 2))),
+                4,
+                setOf("one", "two"),
+            ),
+            Case(
+                "the copy has an earlier start of one, which was leaving",
+                restored(
+                    listOf(one.copy(startedAt = 20, revision = 3), two),
+                    listOf(one.copy(startedAt = 10, isLeaving = true), two),
+                ),
+                4,
+                setOf("one", "two"),
+            ),
+            Case(
+                "one is missing in the copy and registers again in time",
+                restored(listOf(one.copy(revision = 3), two), listOf(two)) +
+                    Step(4, RegistryChange.Registered(one.copy(revision = 2))),
+                9,
+                setOf("one", "two"),
+            ),
+            Case(
+                "one is missing in the copy and does not register again",
+                restored(listOf(one.copy(revision = 3), two), listOf(two)),
+                9,
+                setOf("two"),
+            ),
+            Case(
+                "restored twice",
+                restored(listOf(one.copy(revision = 9), two), listOf(one.copy(revision = 5), two)) +
+                    restoredTo(listOf(one, two)) +
+                    Step(4, RegistryChange.Registered(one.copy(isLeaving = true, revision = 2))),
+                5,
+                setOf("two"),
+            ),
             Case("one is removed", listOf(bothRegistered, Step(1, oneRemoved)), 1, setOf("two")),
             Case(
                 "an older removal arrives late",
--- a/daemon/src/main/kotlin/org/lovageladder/daemon/ForwardProcess.kt
+++ b/daemon/src/main/kotlin/org/lovageladder/daemon/ForwardProcess.kt
@@ -84,6 +84,8 @@
             scheduler,
             RegistryUpdates(),
         )
+    private val registrar =
+        EntryRegistrar(PlatformEntryRegistration(store, settings.name), scheduler, REGISTRATION_LEASE)
     private val server =
         listenOn("--listen", settings.listenAddress) {
             ForwardServer(settings.listenAddress, threads, PlatformRequestParser(scheduler), RequestHandler())
@@ -111,7 +113,7 @@
         scheduler.execute {
             eventLog.record(EventDraft(EventKind.PROCESS_STARTED, detail = "callers=${settings.listenAddress}"))
             follower.start()
-            EntryRegistrar(PlatformEntryRegistration(store, settings.name), scheduler, REGISTRATION_LEASE).start()
+            registrar.start()
             forwarder.startLimitReports(PlatformRequestLimits(store))
             forwarder.startPromptReports(PlatformPromptReports(store, settings.name))
             startRoleChanges()
@@ -204,6 +206,7 @@
 
         override fun onChange(change: RegistryChange) {
             forwarder.onRegistryChange(change)
+            if (change is RegistryChange.Restored) registrar.onRegistryRestored()
             publishState()
         }
     }
