Treat a stream that ends within an event as broken off

Cause: such an answer ends with its connection, so that its end is the same whether the engine was done or crashed; and bytes after the last event were passed on as if they were one. Change: a successful stream is complete only at the end of an event, and with at least one event if nothing else frames it. A resumable one goes on elsewhere, any other is cut off visibly. An empty one of this kind also counts as a crash for the prompt's parts.

StreamFlowTest.streamThatEndsWithinAnEventIsNotPassedOnAsComplete; heads that are cut, and errors of the next engine after a begun stream, held already and have tests now (HttpUpstreamCallsTest, StreamFlowTest).

--- a/core/src/main/kotlin/org/lovageladder/core/forward/ForwardPorts.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/ForwardPorts.kt
@@ -52,7 +52,8 @@
  * Head of an upstream's answer. [isDeclined] is set when the upstream declined the request without running it.
  * [isWrongInstance] is set when another upstream uses the address now, as opposed to the same one in another role. A
  * success that is not [isGenuine] lacks the proof that the expected upstream produced it, and must not reach the
- * caller.
+ * caller. An answer that [endsWithConnection] has neither a length nor chunks, so that its end does not show whether it
+ * is complete.
  */
 public class AnswerHead(
     public val status: Int,
@@ -61,6 +62,7 @@
     public val isWrongInstance: Boolean,
     public val load: LoadReport?,
     public val isGenuine: Boolean = true,
+    public val endsWithConnection: Boolean = false,
 ) {
     /** Whether the status reports success. */
     public val isSuccess: Boolean get() = status in SUCCESS_STATUSES
--- a/core/src/main/kotlin/org/lovageladder/core/forward/StreamEventCounter.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/StreamEventCounter.kt
@@ -8,11 +8,23 @@
     var count: Int = 0
         private set
 
+    /** Whether an event has begun and not ended. */
+    var isWithinEvent: Boolean = false
+        private set
+
+    /** The next bytes are those of another engine's stream. */
+    fun startStream() {
+        isAtLineStart = true
+        isWithinEvent = false
+    }
+
     /** Processes the next [bytes] of the stream. */
     fun add(bytes: ByteArray) {
         bytes.forEach { byte ->
             if (byte == CARRIAGE_RETURN) return@forEach
-            if (byte == NEW_LINE && isAtLineStart) count += 1
+            val endsEvent = byte == NEW_LINE && isAtLineStart
+            if (endsEvent) count += 1
+            isWithinEvent = !endsEvent
             isAtLineStart = byte == NEW_LINE
         }
     }
--- a/core/src/main/kotlin/org/lovageladder/core/forward/StreamEventSplitter.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/StreamEventSplitter.kt
@@ -32,9 +32,6 @@
         buffer.reset()
     }
 
-    /** Bytes after the last complete event. */
-    fun remainder(): ByteArray = buffer.toByteArray()
-
     private fun endOfLastEvent(bytes: ByteArray): Int {
         var index = bytes.size - 1
         while (index > 0) {
--- a/core/src/main/kotlin/org/lovageladder/core/forward/StreamFlow.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/StreamFlow.kt
@@ -292,7 +292,6 @@
         context.upstreamSelector.health(upstream).recordSuccess()
         recordDecodeCost()
         if (request.resumeAfterEventId == null) estimates.recordEnd(route, request.generation, summary.events)
-        eventSplitter?.remainder()?.takeIf { it.isNotEmpty() }?.let(reply::sendContent)
         finish("answered")
         reply.finish()
     }
@@ -398,6 +397,8 @@
             if (answered.isDeclined) {
                 releaseMemory(isUsed = false)
                 onDeclined(upstream, answered)
+            } else if (isPassedOn() && isCutOff(answered)) {
+                onFailure(STREAM_CUT_OFF)
             } else if (isPassedOn()) {
                 onCompleted(upstream)
             } else {
@@ -416,6 +417,10 @@
             onDecodeFailed(upstream, failure)
         }
 
+        /** Whether a stream that ended broke off: within an event, or before its first if only its end frames it. */
+        private fun isCutOff(head: AnswerHead) = head.isSuccess &&
+            (summary.isWithinEvent || (head.endsWithConnection && summary.eventsOfDecode == 0))
+
         /** Whether the engine may have crashed when it was to begin its answer. */
         private fun isCrash(failure: CallFailure) =
             failure.sent && failure.cause == FaultCause.CONNECTION_LOST && summary.eventsOfDecode == 0
@@ -427,6 +432,8 @@
     }
 
     private companion object {
+        val STREAM_CUT_OFF =
+            CallFailure(FaultCause.CONNECTION_LOST, sent = true, "the stream ended within an event, or had none")
         const val LOWEST_SERVER_ERROR_STATUS = 500
         const val MAXIMUM_ATTEMPTS = 3
 
--- a/core/src/main/kotlin/org/lovageladder/core/forward/StreamSummary.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/StreamSummary.kt
@@ -34,6 +34,9 @@
     /** Events received since the stream was last sent to a decode engine. */
     val eventsOfDecode: Int get() = events - eventsAtDecodeStart
 
+    /** Whether the last bytes of the stream belong to an event that has not ended. */
+    val isWithinEvent: Boolean get() = eventCounter.isWithinEvent
+
     /** Records a request for memory for [tokens] tokens; [state] is the decode memory at that time. */
     fun recordMemoryRequest(tokens: Int, state: DecodeMemoryState, now: Moment) {
         requestedTokens = tokens
@@ -52,6 +55,7 @@
     fun recordDecodeStart(now: Moment) {
         decodeStartedAt = now
         eventsAtDecodeStart = events
+        eventCounter.startStream()
     }
 
     /** Counts the events in [bytes]. For the first bytes of the stream, returns the time since memory was granted. */
--- a/core/src/test/kotlin/org/lovageladder/core/forward/ForwardFixture.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/forward/ForwardFixture.kt
@@ -56,12 +56,18 @@
         isCancelled = true
     }
 
-    fun head(status: Int, isDeclined: Boolean = false, isWrongInstance: Boolean = false, isGenuine: Boolean = true) {
-        if (!isCancelled) {
-            receiver.onHead(
-                AnswerHead(status, emptyList(), isDeclined, isWrongInstance, load = null, isGenuine),
-            )
-        }
+    fun head(
+        status: Int,
+        isDeclined: Boolean = false,
+        isWrongInstance: Boolean = false,
+        isGenuine: Boolean = true,
+        endsWithConnection: Boolean = false,
+    ) {
+        if (isCancelled) return
+        val load = null
+        receiver.onHead(
+            AnswerHead(status, emptyList(), isDeclined, isWrongInstance, load, isGenuine, endsWithConnection),
+        )
     }
 
     fun content(text: String) {
--- a/core/src/test/kotlin/org/lovageladder/core/forward/StreamFlowTest.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/forward/StreamFlowTest.kt
@@ -161,6 +161,82 @@
     }
 
     /** The silence timer of a failed attempt must not end the next attempt, which is the last one allowed. */
+    /** An upstream can end an answer without a length anywhere, and by crashing. */
+    @Test
+    fun streamThatEndsWithinAnEventIsNotPassedOnAsComplete() {
+        data class Case(val target: String, val isUnframed: Boolean, val body: String, val outcome: String)
+        val whole = "id: 1\ndata: a\n\n"
+        listOf(
+            Case("/stream/1", isUnframed = true, whole, "complete"),
+            Case("/stream/1", isUnframed = true, whole + "id: 2\nda", "aborted"),
+            Case("/stream/1", isUnframed = true, whole + "id: 2\n", "aborted"),
+            Case("/stream/1", isUnframed = true, "", "aborted"),
+            Case("/stream/1", isUnframed = false, whole + "id: 2\nda", "aborted"),
+            Case("/stream/1", isUnframed = false, whole, "complete"),
+            Case("/stream-on/1", isUnframed = true, whole, "complete"),
+            Case("/stream-on/1", isUnframed = true, whole + "id: 2\nda", "resumed after 1"),
+            Case("/stream-on/1", isUnframed = true, "id: 1\nda", "resumed after null"),
+            Case("/stream-on/1", isUnframed = true, "", "resumed after null"),
+            Case("/stream-on/1", isUnframed = false, whole + "id: 2\nda", "resumed after 1"),
+        ).forEach { case ->
+            fixture.upstreams.receivedCalls.clear()
+            val reply = startStream(case.target).reply
+            val call = fixture.upstreams.receivedCalls.single()
+            call.head(200, endsWithConnection = case.isUnframed)
+            if (case.body.isNotEmpty()) call.content(case.body)
+            fixture.upstreams.finish(call)
+            fixture.scheduler.advance(200.milliseconds)
+            val resumed = fixture.upstreams.receivedCalls.getOrNull(1)
+            val outcome = when {
+                resumed != null -> "resumed after ${resumed.attempt.resumeAfterEventId}"
+                reply.isComplete -> "complete"
+                else -> if (reply.isAborted) "aborted" else "open"
+            }
+            assertEquals(case.outcome, outcome, "$case")
+            resumed?.let {
+                it.head(200)
+                it.content("id: 2\ndata: b\n\n")
+                fixture.upstreams.finish(it)
+                assertEquals(
+                    case.body.substringBefore("id: 2").takeIf {
+                        whole in case.body
+                    }.orEmpty() + "id: 2\ndata: b\n\n",
+                    reply.body.toString(),
+                    "$case",
+                )
+            }
+            fixture.scheduler.advance(20.seconds)
+        }
+    }
+
+    /** The error's text, or its head, must not stand in the middle of a begun stream, nor end it as complete. */
+    @Test
+    fun errorOfTheNextEngineIsNotWrittenIntoABegunStream() {
+        data class Case(val status: Int, val isDeclined: Boolean, val body: String, val isUnframed: Boolean)
+        listOf(
+            Case(500, isDeclined = false, "overloaded", isUnframed = false),
+            Case(504, isDeclined = false, "", isUnframed = false),
+            Case(503, isDeclined = true, "full", isUnframed = false),
+            Case(404, isDeclined = false, "id: 9\ndata: x\n\n", isUnframed = true),
+        ).forEach { case ->
+            val fixture = ForwardFixture()
+            val reply = fixture.submit("/stream-on/1").reply
+            fixture.scheduler.advance(150.milliseconds)
+            val first = fixture.upstreams.receivedCalls.single()
+            first.head(200)
+            first.content("id: 1\ndata: a\n\nid: 2")
+            first.fail(sent = true)
+            fixture.scheduler.advance(200.milliseconds)
+            val next = fixture.upstreams.receivedCalls[1]
+            next.head(case.status, case.isDeclined, endsWithConnection = case.isUnframed)
+            if (case.body.isNotEmpty()) next.content(case.body)
+            fixture.upstreams.finish(next)
+            fixture.scheduler.advance(20.seconds)
+            assertEquals("id: 1\ndata: a\n\n", reply.body.toString(), "$case")
+            assertEquals(true, reply.isAborted, "$case")
+        }
+    }
+
     @Test
     fun lastAttemptOfAResumableStreamIsNotCancelledForSilence() {
         val submitted = startStream("/stream-on/1")
--- a/http/src/main/kotlin/org/lovageladder/http/forward/HttpUpstreamCalls.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/forward/HttpUpstreamCalls.kt
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.ByteBuf
 import io.netty.buffer.ByteBufUtil
+import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpMethod
 import org.lovageladder.core.forward.AnswerReceiver
@@ -139,9 +140,12 @@
         override fun onHead(status: Int, headers: HttpHeaders) {
             val fields = endToEndFields(headers)
             noticeOfRequest(status, fields)?.let { onNotice(upstream, it) }
-            receiver.onHead(codec.parseHead(status, fields, upstream.name))
+            receiver.onHead(codec.parseHead(status, fields, upstream.name, endsWithConnection(headers)))
         }
 
+        private fun endsWithConnection(headers: HttpHeaders) =
+            !headers.contains(HttpHeaderNames.CONTENT_LENGTH) && !headers.contains(HttpHeaderNames.TRANSFER_ENCODING)
+
         override fun onContent(bytes: ByteBuf) {
             if (bytes.isReadable) receiver.onContent(ByteBufUtil.getBytes(bytes))
         }
--- a/http/src/main/kotlin/org/lovageladder/http/forward/UpstreamCodec.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/forward/UpstreamCodec.kt
@@ -37,8 +37,16 @@
     /** Whether an answer belongs to [request]; [header] returns the value of an answer's header by its name. */
     public fun isAnswerTo(request: ForwardRequest, header: (String) -> String?): Boolean
 
-    /** Parses the head of an answer to a request that was sent to [upstream]. */
-    public fun parseHead(status: Int, fields: List<HeaderField>, upstream: UpstreamName): AnswerHead
+    /**
+     * Parses the head of an answer to a request that was sent to [upstream]. The body [endsWithConnection] when it has
+     * neither a length nor chunks.
+     */
+    public fun parseHead(
+        status: Int,
+        fields: List<HeaderField>,
+        upstream: UpstreamName,
+        endsWithConnection: Boolean = false,
+    ): AnswerHead
 
     /** Parses the notice in an answer's headers; null when there is none. The notice never says that a limit ended. */
     public fun parseNotice(status: Int, fields: List<HeaderField>): UpstreamNotice?
--- a/http/src/test/kotlin/org/lovageladder/http/forward/HttpUpstreamCallsTest.kt
+++ b/http/src/test/kotlin/org/lovageladder/http/forward/HttpUpstreamCallsTest.kt
@@ -56,8 +56,19 @@
         override fun isAnswerTo(request: ForwardRequest, header: (String) -> String?): Boolean =
             header("Id").let { it == null || it == request.id.text }
 
-        override fun parseHead(status: Int, fields: List<HeaderField>, upstream: UpstreamName) =
-            AnswerHead(status, fields, isDeclined = false, isWrongInstance = false, load = null)
+        override fun parseHead(
+            status: Int,
+            fields: List<HeaderField>,
+            upstream: UpstreamName,
+            endsWithConnection: Boolean,
+        ) = AnswerHead(
+            status,
+            fields,
+            isDeclined = false,
+            isWrongInstance = false,
+            load = null,
+            endsWithConnection = endsWithConnection,
+        )
 
         override fun parseNotice(status: Int, fields: List<HeaderField>): UpstreamNotice? =
             fields.firstOrNull { it.name == "Leaving" }?.let { UpstreamNotice(isLeaving = true) }
@@ -82,6 +93,7 @@
 
         override fun onHead(head: AnswerHead) {
             status = head.status
+            if (head.endsWithConnection) body.append("unframed: ")
         }
 
         override fun onContent(bytes: ByteArray) {
@@ -126,7 +138,10 @@
                 PeerBehaviour.Send(whole) to "200 done",
                 PeerBehaviour.Send(FaultyPeer.answer(200, "other", "Id: 6") + whole) to "200 done",
                 PeerBehaviour.Send("HTTP/1.1 100 Continue\r\n\r\n$whole") to "200 done",
-                PeerBehaviour.Send("HTTP/1.1 200 X\r\nId: 7\r\n\r\nno length") to "200 no length",
+                PeerBehaviour.Send("HTTP/1.1 200 X\r\nId: 7\r\n\r\nno length") to "200 unframed: no length",
+                PeerBehaviour.Send("HTTP/1.1 200 X\r\nId: 7\r\nContent-Le") to "failed sent=true",
+                PeerBehaviour.Send("HTTP/1.1 200 X\r\nId: 7\r\n") to "failed sent=true",
+                PeerBehaviour.Send("HTTP/1.1 20") to "failed sent=true",
                 PeerBehaviour.Send("HTTP/1.1 200 X\r\nContent-Length: 9\r\n\r\ncut") to "failed sent=true",
                 PeerBehaviour.Send("HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n3\r\ncut\r\n") to
                     "failed sent=true",
