Take no earlier refusal on a kept connection for the answer to another call

Found here: requests skipped answers with another request's id, and bytes on an idle connection end it; but prefills and calls about memory took any answer, so that a late refusal was read as theirs and the real answer met the next call of the connection; and a request that is sent again to the same upstream could meet its own earlier refusal, which its id does not tell apart. Change: prefills compare the id, calls about memory skip answers with one, and a repeated attempt at an upstream gets a connection of its own.

HttpUpstreamCallsTest.earlierRefusalOnAKeptConnectionIsNoAnswerToAnotherCall and repeatedAttemptAtAnUpstreamGetsANewConnection failed with the change switched off (reserve took the refusal; one connection for both attempts).

--- a/core/src/main/kotlin/org/lovageladder/core/forward/PlainFlow.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/PlainFlow.kt
@@ -68,6 +68,7 @@
         context.upstreamSelector.earliestAdmission(destination.service, PoolRole.PLAIN, context.now())
 
     private fun send(upstream: UpstreamRegistration) {
+        val isRepeated = attempts.any { it.upstream == upstream.name }
         val attempt = Attempt(upstream.name)
         attempts += attempt
         context.upstreamSelector.health(upstream.name).inFlight += 1
@@ -77,7 +78,8 @@
             upstream.name,
             detail = "attempt ${attempts.size} of ${route.name}",
         )
-        val upstreamAttempt = UpstreamAttempt(upstream.incarnation, deadlines.remaining(context.now()))
+        val remaining = deadlines.remaining(context.now())
+        val upstreamAttempt = UpstreamAttempt(upstream.incarnation, remaining, isRepeated = isRepeated)
         attempt.call = context.upstreamPort.send(request, upstreamAttempt, attempt)
     }
 
--- a/http/src/main/kotlin/org/lovageladder/http/WholeAnswerReceiver.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/WholeAnswerReceiver.kt
@@ -9,12 +9,17 @@
 import java.nio.charset.CharacterCodingException
 import java.nio.charset.StandardCharsets
 
-/** Collects a complete answer and passes it to [onResult]. */
-internal class WholeAnswerReceiver(private val onResult: (HttpResult) -> Unit) : HttpReceiver {
+/** Collects the first complete answer that [isAnswer] accepts by its headers, and passes it to [onResult]. */
+internal class WholeAnswerReceiver(
+    private val isAnswer: (HttpHeaders) -> Boolean = { true },
+    private val onResult: (HttpResult) -> Unit,
+) : HttpReceiver {
     private val body = ByteArrayOutputStream()
     private var status = 0
     private var headers: HttpHeaders = EmptyHttpHeaders.INSTANCE
 
+    override fun isAnswer(headers: HttpHeaders): Boolean = isAnswer.invoke(headers)
+
     override fun onHead(status: Int, headers: HttpHeaders) {
         this.status = status
         this.headers = headers
--- a/http/src/main/kotlin/org/lovageladder/http/forward/HttpUpstreamCalls.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/forward/HttpUpstreamCalls.kt
@@ -18,6 +18,7 @@
 import org.lovageladder.core.forward.UpstreamIncarnation
 import org.lovageladder.core.forward.UpstreamNotice
 import org.lovageladder.core.forward.UpstreamPort
+import org.lovageladder.http.ConnectionUse
 import org.lovageladder.http.HttpCall
 import org.lovageladder.http.HttpClient
 import org.lovageladder.http.HttpFailure
@@ -45,12 +46,10 @@
         val fields = codec.requestHeaders(request, attempt).map { HttpField(it.name, it.value) }
         val call = HttpCall(HttpMethod.valueOf(request.method), request.target, request.body, fields = fields)
         val timeouts = HttpTimeouts(minOf(attempt.timeout, CONNECT_TIMEOUT), answerTimeout = null)
-        val running = client.start(
-            attempt.address,
-            call,
-            AnswerAdapter(request, attempt.upstream, receiver),
-            timeouts = timeouts,
-        )
+        // An upstream can write an earlier answer once more on a kept connection; the same request cannot tell them apart.
+        val use = if (attempt.isRepeated) ConnectionUse.FRESH else ConnectionUse.POOLED
+        val adapter = AnswerAdapter(request, attempt.upstream, receiver)
+        val running = client.start(attempt.address, call, adapter, use, timeouts)
         return Cancellable { running.cancel() }
     }
 
@@ -61,7 +60,8 @@
     ): Cancellable {
         val call = TextCall(request.method, request.target)
         val fields = codec.prefillHeaders(request, attempt)
-        return client.sendText(attempt.address, call, attempt.timeout, fields, request.body) { result ->
+        val isAnswer = { headers: HttpHeaders -> codec.isAnswerTo(request) { headers.get(it) } }
+        return client.sendText(attempt.address, call, attempt.timeout, fields, request.body, isAnswer) { result ->
             reportNotice(attempt.upstream, result, ::noticeOfRequest)
             answer(toEngineAnswer(result) { codec.parsePrefillResult(attempt, it) })
         }
@@ -88,11 +88,20 @@
 
     /** Makes a short call about an engine's memory. */
     private fun callEngine(engine: UpstreamIncarnation, call: TextCall, answer: (TextResult) -> Unit): Cancellable =
-        client.sendText(engine.address, call, ENGINE_CALL_TIMEOUT, emptyList(), ByteArray(0)) { result ->
+        client.sendText(
+            engine.address,
+            call,
+            ENGINE_CALL_TIMEOUT,
+            emptyList(),
+            ByteArray(0),
+            ::isMemoryAnswer,
+        ) { result ->
             reportNotice(engine, result, codec::parseNotice)
             answer(result)
         }
 
+    private fun isMemoryAnswer(headers: HttpHeaders) = codec.isAnswerToMemoryCall { headers.get(it) }
+
     private fun reportNotice(
         upstream: UpstreamIncarnation,
         result: TextResult,
--- a/http/src/main/kotlin/org/lovageladder/http/forward/TextClient.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/forward/TextClient.kt
@@ -1,5 +1,6 @@
 package org.lovageladder.http.forward
 
+import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpMethod
 import org.lovageladder.core.Address
 import org.lovageladder.core.forward.CallFailure
@@ -33,14 +34,15 @@
         timeout: Duration,
         fields: List<HeaderField> = emptyList(),
         answer: (TextResult) -> Unit,
-    ): Cancellable = client.sendText(address, call, timeout, fields, ByteArray(0), answer)
+    ): Cancellable = client.sendText(address, call, timeout, fields, ByteArray(0), answer = answer)
 
     override fun close(): Unit = client.close()
 }
 
 /**
  * Sends [call] with the headers [fields] and reads its complete answer. [body] is sent, without a content type of its
- * own, when the call itself has no body.
+ * own, when the call itself has no body. Answers with headers that are not those of an answer to this call, as
+ * [isAnswer] tells, are skipped.
  */
 internal fun HttpClient.sendText(
     address: Address,
@@ -48,6 +50,7 @@
     timeout: Duration,
     fields: List<HeaderField>,
     body: ByteArray,
+    isAnswer: (HttpHeaders) -> Boolean = { true },
     answer: (TextResult) -> Unit,
 ): Cancellable {
     val content = if (call.body.isEmpty()) body else call.body.encodeToByteArray()
@@ -62,9 +65,12 @@
             maximumAnswerBytes = call.maximumAnswerBytes,
         )
     val running =
-        callWhole(address, httpCall, HttpTimeouts(minOf(timeout, HttpClient.CONNECT_TIMEOUT), timeout)) {
-            answer(toTextResult(it))
-        }
+        callWhole(
+            address,
+            httpCall,
+            HttpTimeouts(minOf(timeout, HttpClient.CONNECT_TIMEOUT), timeout),
+            isAnswer = isAnswer,
+        ) { answer(toTextResult(it)) }
     return Cancellable { running.cancel() }
 }
 
--- a/http/src/main/kotlin/org/lovageladder/http/forward/UpstreamCodec.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/forward/UpstreamCodec.kt
@@ -37,6 +37,9 @@
     /** Whether an answer belongs to [request]; [header] returns the value of an answer's header by its name. */
     public fun isAnswerTo(request: ForwardRequest, header: (String) -> String?): Boolean
 
+    /** Whether an answer belongs to a call about an engine's memory, and not to any request. */
+    public fun isAnswerToMemoryCall(header: (String) -> String?): Boolean
+
     /**
      * Parses the head of an answer to a request that was sent to [upstream]. The body [endsWithConnection] when it has
      * neither a length nor chunks.
--- a/http/src/test/kotlin/org/lovageladder/http/FaultyPeer.kt
+++ b/http/src/test/kotlin/org/lovageladder/http/FaultyPeer.kt
@@ -47,6 +47,9 @@
     val bytesSent: Long get() = sentBytes.get()
     val address = Address("127.0.0.1", listener.localPort)
 
+    /** Connections accepted so far. */
+    val connections: Int get() = sockets.size
+
     /** Waits until a request has been read. */
     fun awaitRequest() {
         check(firstRequestRead.await(10, TimeUnit.SECONDS)) { "no request arrived" }
--- a/http/src/test/kotlin/org/lovageladder/http/forward/HttpUpstreamCallsTest.kt
+++ b/http/src/test/kotlin/org/lovageladder/http/forward/HttpUpstreamCallsTest.kt
@@ -56,6 +56,8 @@
         override fun isAnswerTo(request: ForwardRequest, header: (String) -> String?): Boolean =
             header("Id").let { it == null || it == request.id.text }
 
+        override fun isAnswerToMemoryCall(header: (String) -> String?): Boolean = header("Id") == null
+
         override fun parseHead(
             status: Int,
             fields: List<HeaderField>,
@@ -153,6 +155,46 @@
         }
     }
 
+    /** An upstream can write an earlier refusal once more on a connection that is kept. */
+    @Test
+    fun earlierRefusalOnAKeptConnectionIsNoAnswerToAnotherCall() {
+        val refusal = FaultyPeer.answer(503, "full", "Id: 6")
+        FaultyPeer(PeerBehaviour.SendTo("", refusal + FaultyPeer.answer(200, "k1"))).use { peer ->
+            val incarnation = UpstreamIncarnation(UpstreamName("u"), peer.address)
+            val attempt = UpstreamAttempt(incarnation, 5.seconds)
+            val kinds =
+                mapOf<String, ((String) -> Unit) -> Unit>(
+                    "reserve" to { done -> calls.reserve(incarnation, 1, 1.seconds) { done("$it") } },
+                    "prefill" to { done -> calls.prefill(request(), attempt) { done("$it") } },
+                    "run" to { done ->
+                        val recorder = Recorder()
+                        recorder.outcome.thenAccept(done)
+                        calls.send(request(), attempt, recorder)
+                    },
+                )
+            kinds.forEach { (kind, call) ->
+                val outcome = CompletableFuture<String>()
+                call { outcome.complete(it) }
+                assertContains(outcome.get(10, TimeUnit.SECONDS), "k1", message = kind)
+            }
+        }
+    }
+
+    /** The earlier refusal may be one of the same request, which only another connection tells apart. */
+    @Test
+    fun repeatedAttemptAtAnUpstreamGetsANewConnection() {
+        FaultyPeer(PeerBehaviour.SendTo("", FaultyPeer.answer(200, "done", "Id: 7"))).use { peer ->
+            val incarnation = UpstreamIncarnation(UpstreamName("u"), peer.address)
+            val connections = listOf(false, false, true).map { isRepeated ->
+                val recorder = Recorder()
+                calls.send(request(), UpstreamAttempt(incarnation, 5.seconds, isRepeated = isRepeated), recorder)
+                assertEquals("200 done", recorder.outcome.get(10, TimeUnit.SECONDS))
+                peer.connections
+            }
+            assertEquals(listOf(1, 1, 2), connections)
+        }
+    }
+
     @Test
     fun requestIsSentToTheUpstreamUnchanged() {
         FaultyPeer(PeerBehaviour.Send(FaultyPeer.answer(200, ""))).use { peer ->
