--- a/http/src/main/kotlin/org/lovageladder/http/forward/HttpUpstreamCalls.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/forward/HttpUpstreamCalls.kt
@@ -46,7 +46,7 @@
         val fields = codec.requestHeaders(request, attempt).map { HttpField(it.name, it.value) }
         val call = HttpCall(HttpMethod.valueOf(request.method), request.target, request.body, fields = fields)
         val timeouts = HttpTimeouts(minOf(attempt.timeout, CONNECT_TIMEOUT), answerTimeout = null)
-        // An upstream can write an earlier answer once more on a kept connection; the same request cannot tell them apart.
+        // An upstream can write an earlier answer to this request once more on a kept connection.
         val use = if (attempt.isRepeated) ConnectionUse.FRESH else ConnectionUse.POOLED
         val adapter = AnswerAdapter(request, attempt.upstream, receiver)
         val running = client.start(attempt.address, call, adapter, use, timeouts)
