Report a cleared part also while its quarantine is still to be reported

Found in the last read of the change: an entry that was to report the quarantine of a part later did not report that an engine wrote on it meanwhile, since both shared one list. Each kind of report has its own list now.

PromptQuarantineTest.partsOnWhichEnginesWriteAreNotHeldBackWhenEnginesCrash checks what is reported.

--- a/core/src/main/kotlin/org/lovageladder/core/forward/PromptGuard.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/PromptGuard.kt
@@ -19,6 +19,7 @@
 ) {
     private val quarantine = PromptQuarantine()
     private val scheduledReports = HashSet<PromptPartId>()
+    private val scheduledSoundReports = HashSet<PromptPartId>()
     private var port: PromptReportPort? = null
     private var reporter: PromptReporter? = null
 
@@ -93,7 +94,7 @@
             is PromptReport.Quarantined -> onQuarantineReported(report)
             is PromptReport.Trial -> quarantine.recordTrial(report, now)
             is PromptReport.Sound -> {
-                scheduledReports -= report.part
+                scheduledSoundReports -= report.part
                 if (quarantine.recordSound(report.part)) {
                     record(EventKind.PROMPT_SOUND, detail = "part=${report.part}: reported")
                 }
@@ -143,9 +144,9 @@
 
     /** Reports after a random delay, unless another entry did so meanwhile. */
     private fun scheduleSoundReport(part: PromptPartId) {
-        if (!scheduledReports.add(part)) return
+        if (!scheduledSoundReports.add(part)) return
         scheduler.schedule(REPORT_DELAY * random.nextDouble()) {
-            if (scheduledReports.remove(part)) reporter?.report(listOf(PromptReport.Sound(part)))
+            if (scheduledSoundReports.remove(part)) reporter?.report(listOf(PromptReport.Sound(part)))
         }
     }
 
--- a/core/src/test/kotlin/org/lovageladder/core/forward/PromptQuarantineTest.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/forward/PromptQuarantineTest.kt
@@ -28,6 +28,17 @@
         val trouble: (EntryFleet) -> Unit = {},
     )
 
+    private class RecordingPromptReports : PromptReportPort {
+        val all = ArrayList<PromptReport>()
+
+        override fun report(reports: List<PromptReport>, answer: (Boolean) -> Unit) {
+            all += reports
+            answer(true)
+        }
+
+        override fun claimTrials(trials: List<PromptReport.Trial>, answer: (Boolean) -> Unit) = answer(true)
+    }
+
     private class Load(val fleet: EntryFleet, val case: Case) {
         val deadly = ArrayList<Pair<Moment, RecordingReply>>()
         val companions = ArrayList<Pair<Moment, RecordingReply>>()
@@ -135,6 +146,7 @@
         ).forEach { case ->
             val scheduler = VirtualScheduler()
             val guard = PromptGuard(EntryCounter(ProcessName("entry"), 1), scheduler, eventSink = {}, Random(1))
+            val reports = RecordingPromptReports().also(guard::startReports)
             case.events.forEach { event ->
                 when (event) {
                     "wait" -> scheduler.advance(300.milliseconds)
@@ -147,6 +159,9 @@
             }
             guard.removeExpired()
             assertEquals(case.isQuarantined, guard.isQuarantined(parts), case.name)
+            scheduler.advance(1.seconds)
+            val isCleared = "written" in case.events && case.events.last() in setOf("written", "quarantined")
+            assertEquals(isCleared, reports.all.lastOrNull() is PromptReport.Sound, "${case.name}: ${reports.all}")
         }
     }
 
