--- a/core/src/main/kotlin/org/lovageladder/core/EventKind.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/EventKind.kt
@@ -153,6 +153,12 @@
         "The platform's store was restored from an older copy.",
         "Check that the newest configuration is in it.",
     ),
+    ANSWER_SKIPPED(
+        3020,
+        EventLevel.WARNING,
+        "An upstream's answer belongs to another call than the one due, and was left out.",
+        "Check the upstream if frequent.",
+    ),
     REQUEST_SENT(3101, EventLevel.INFO, "A request, or its prefill, was sent to an upstream.", "None."),
     REQUEST_DECLINED(
         3102,
--- a/core/src/main/kotlin/org/lovageladder/core/forward/StreamFlow.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/StreamFlow.kt
@@ -156,7 +156,10 @@
         attemptCount += 1
         runCount += 1
         context.upstreamSelector.health(name).inFlight += 1
-        context.record(EventKind.REQUEST_SENT, request.id, name, detail = "decode of ${route.name} after=$lastEventId")
+        val source = prefillResult?.let { "${it.engine.name}/${it.handle}" } ?: "none"
+        val detail =
+            "decode of ${route.name} after=$lastEventId prefill=$source reservation=${memory.reservation.id}"
+        context.record(EventKind.REQUEST_SENT, request.id, name, detail = detail)
         val attempt =
             UpstreamAttempt(
                 upstream = memory.engine.incarnation,
--- a/daemon/src/main/kotlin/org/lovageladder/daemon/ForwardProcess.kt
+++ b/daemon/src/main/kotlin/org/lovageladder/daemon/ForwardProcess.kt
@@ -74,7 +74,7 @@
     private val ending = ProcessEnding(settings.process.drainTimeout, timer)
     private val storeClient = TextClient(threads)
     private val store = StoreWriter(settings.process.store.first(), storeClient)
-    private val calls = HttpUpstreamCalls(threads, PlatformUpstreamCodec()) { upstream, notice ->
+    private val calls = HttpUpstreamCalls(threads, PlatformUpstreamCodec(), eventLog::record) { upstream, notice ->
         forwarder.onUpstreamNotice(upstream, notice)
     }
     private val forwarder: Forwarder = Forwarder(settings.forwarderSettings, calls, scheduler, eventLog::record)
--- a/http/src/main/kotlin/org/lovageladder/http/HttpCall.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/HttpCall.kt
@@ -12,7 +12,7 @@
 /**
  * A complete request. A `Host` header in [fields] replaces the default one, which is the address of the call. The call
  * fails as soon as its answer exceeds [maximumAnswerBytes]; with null, the limit of the function that sends the call
- * applies.
+ * applies. [recognition] tells its answer from others.
  */
 internal class HttpCall(
     val method: HttpMethod,
@@ -21,6 +21,7 @@
     val contentType: String? = null,
     val fields: List<HttpField> = emptyList(),
     val maximumAnswerBytes: Int? = null,
+    val recognition: AnswerRecognition = AnswerRecognition.ByOrder,
 )
 
 private val NO_BODY = ByteArray(0)
@@ -42,8 +43,8 @@
 
 /** Receives one answer on an event loop thread, in order. The last callback is [onEnd] or [onFailure]. */
 internal interface HttpReceiver {
-    /** Whether the answer with [headers] belongs to this call; answers that do not are skipped. */
-    fun isAnswer(headers: HttpHeaders): Boolean = true
+    /** Called for each answer that was skipped before the one of this call. */
+    fun onSkipped(skipped: SkippedAnswer) {}
 
     fun onHead(status: Int, headers: HttpHeaders)
 
--- a/http/src/main/kotlin/org/lovageladder/http/HttpClient.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/HttpClient.kt
@@ -9,7 +9,6 @@
 import io.netty.channel.socket.SocketChannel
 import io.netty.channel.socket.nio.NioSocketChannel
 import io.netty.handler.codec.http.HttpClientCodec
-import io.netty.handler.codec.http.HttpHeaders
 import org.lovageladder.core.Address
 import org.lovageladder.core.FaultCause
 import java.util.concurrent.ConcurrentHashMap
@@ -40,16 +39,16 @@
         return startCall(runningCall, use, timeouts)
     }
 
-    /** Starts [call] and passes the first complete answer that [isAnswer] tells to belong to it to [onResult]. */
+    /** Starts [call] and passes its complete answer to [onResult]; skipped answers are reported to [onSkipped]. */
     fun callWhole(
         address: Address,
         call: HttpCall,
         timeouts: HttpTimeouts,
         use: ConnectionUse = ConnectionUse.POOLED,
-        isAnswer: (HttpHeaders) -> Boolean = { true },
+        onSkipped: (SkippedAnswer) -> Unit = {},
         onResult: (HttpResult) -> Unit,
     ): RunningHttpCall {
-        val receiver = WholeAnswerReceiver(isAnswer, onResult)
+        val receiver = WholeAnswerReceiver(onSkipped, onResult)
         return startCall(
             RunningHttpCall(address, call, receiver, call.maximumAnswerBytes ?: MAXIMUM_ANSWER_BYTES),
             use,
--- a/http/src/main/kotlin/org/lovageladder/http/RunningHttpCall.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/RunningHttpCall.kt
@@ -52,7 +52,9 @@
         requestSent = true
     }
 
-    fun isAnswer(headers: HttpHeaders): Boolean = isEnded || receiver.isAnswer(headers)
+    fun onSkipped(skipped: SkippedAnswer) {
+        if (!isEnded) receiver.onSkipped(skipped)
+    }
 
     fun onHead(status: Int, headers: HttpHeaders) {
         answerStarted = true
--- a/http/src/main/kotlin/org/lovageladder/http/WholeAnswerReceiver.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/WholeAnswerReceiver.kt
@@ -9,16 +9,16 @@
 import java.nio.charset.CharacterCodingException
 import java.nio.charset.StandardCharsets
 
-/** Collects the first complete answer that [isAnswer] accepts by its headers, and passes it to [onResult]. */
+/** Collects a complete answer and passes it to [onResult]; answers of other calls are reported to [onSkipped]. */
 internal class WholeAnswerReceiver(
-    private val isAnswer: (HttpHeaders) -> Boolean = { true },
+    private val onSkipped: (SkippedAnswer) -> Unit = {},
     private val onResult: (HttpResult) -> Unit,
 ) : HttpReceiver {
     private val body = ByteArrayOutputStream()
     private var status = 0
     private var headers: HttpHeaders = EmptyHttpHeaders.INSTANCE
 
-    override fun isAnswer(headers: HttpHeaders): Boolean = isAnswer.invoke(headers)
+    override fun onSkipped(skipped: SkippedAnswer): Unit = onSkipped.invoke(skipped)
 
     override fun onHead(status: Int, headers: HttpHeaders) {
         this.status = status
--- a/http/src/main/kotlin/org/lovageladder/http/forward/HttpUpstreamCalls.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/forward/HttpUpstreamCalls.kt
@@ -5,10 +5,14 @@
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpMethod
+import org.lovageladder.core.EventDraft
+import org.lovageladder.core.EventKind
+import org.lovageladder.core.RequestId
 import org.lovageladder.core.forward.AnswerReceiver
 import org.lovageladder.core.forward.CallFailure
 import org.lovageladder.core.forward.Cancellable
 import org.lovageladder.core.forward.EngineAnswer
+import org.lovageladder.core.forward.EventSink
 import org.lovageladder.core.forward.ForwardRequest
 import org.lovageladder.core.forward.HeaderField
 import org.lovageladder.core.forward.PrefillResult
@@ -18,6 +22,7 @@
 import org.lovageladder.core.forward.UpstreamIncarnation
 import org.lovageladder.core.forward.UpstreamNotice
 import org.lovageladder.core.forward.UpstreamPort
+import org.lovageladder.http.AnswerRecognition
 import org.lovageladder.http.ConnectionUse
 import org.lovageladder.http.HttpCall
 import org.lovageladder.http.HttpClient
@@ -26,17 +31,20 @@
 import org.lovageladder.http.HttpReceiver
 import org.lovageladder.http.HttpThreads
 import org.lovageladder.http.HttpTimeouts
+import org.lovageladder.http.SkippedAnswer
 import org.tinylog.kotlin.Logger
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
 /**
  * Calls upstreams by HTTP over pooled connections, in the format of [codec]. [threads] must have one thread only, on
- * which all answers arrive. A notice in an answer goes to [onNotice] before the answer is delivered.
+ * which all answers arrive. A notice in an answer goes to [onNotice] before the answer is delivered. Answers that are
+ * skipped, since they belong to other calls, are recorded in [eventSink].
  */
 public class HttpUpstreamCalls(
     threads: HttpThreads,
     private val codec: UpstreamCodec,
+    private val eventSink: EventSink = EventSink {},
     private val onNotice: (UpstreamIncarnation, UpstreamNotice) -> Unit = { _, _ -> },
 ) : UpstreamPort,
     AutoCloseable {
@@ -44,7 +52,8 @@
 
     override fun send(request: ForwardRequest, attempt: UpstreamAttempt, receiver: AnswerReceiver): Cancellable {
         val fields = codec.requestHeaders(request, attempt).map { HttpField(it.name, it.value) }
-        val call = HttpCall(HttpMethod.valueOf(request.method), request.target, request.body, fields = fields)
+        val method = HttpMethod.valueOf(request.method)
+        val call = HttpCall(method, request.target, request.body, fields = fields, recognition = recognitionOf(request))
         val timeouts = HttpTimeouts(minOf(attempt.timeout, CONNECT_TIMEOUT), answerTimeout = null)
         // An upstream can write an earlier answer to this request once more on a kept connection.
         val use = if (attempt.isRepeated) ConnectionUse.FRESH else ConnectionUse.POOLED
@@ -60,8 +69,16 @@
     ): Cancellable {
         val call = TextCall(request.method, request.target)
         val fields = codec.prefillHeaders(request, attempt)
-        val isAnswer = { headers: HttpHeaders -> codec.isAnswerTo(request) { headers.get(it) } }
-        return client.sendText(attempt.address, call, attempt.timeout, fields, request.body, isAnswer) { result ->
+        val onSkipped = { skipped: SkippedAnswer -> recordSkipped(skipped, "prefill", attempt.upstream, request.id) }
+        return client.sendText(
+            attempt.address,
+            call,
+            attempt.timeout,
+            fields,
+            request.body,
+            recognitionOf(request),
+            onSkipped,
+        ) { result ->
             reportNotice(attempt.upstream, result, ::noticeOfRequest)
             answer(toEngineAnswer(result) { codec.parsePrefillResult(attempt, it) })
         }
@@ -94,13 +111,29 @@
             ENGINE_CALL_TIMEOUT,
             emptyList(),
             ByteArray(0),
-            ::isMemoryAnswer,
+            AnswerRecognition.Unidentified(::identifierOf),
+            { recordSkipped(it, "memory call", engine) },
         ) { result ->
             reportNotice(engine, result, codec::parseNotice)
             answer(result)
         }
 
-    private fun isMemoryAnswer(headers: HttpHeaders) = codec.isAnswerToMemoryCall { headers.get(it) }
+    private fun recognitionOf(request: ForwardRequest) = AnswerRecognition.ByIdentifier(request.id.text, ::identifierOf)
+
+    private fun identifierOf(headers: HttpHeaders): String? = codec.answeredRequest { headers.get(it) }
+
+    private fun recordSkipped(
+        skipped: SkippedAnswer,
+        step: String,
+        upstream: UpstreamIncarnation,
+        request: RequestId? = null,
+    ) {
+        val detail =
+            "at $step: status=${skipped.status} identifier=${skipped.identifier} earlier=${skipped.earlierCalls}"
+        eventSink.record(
+            EventDraft(EventKind.ANSWER_SKIPPED, request = request, upstream = upstream.name, detail = detail),
+        )
+    }
 
     private fun reportNotice(
         upstream: UpstreamIncarnation,
@@ -144,7 +177,7 @@
         private val upstream: UpstreamIncarnation,
         private val receiver: AnswerReceiver,
     ) : HttpReceiver {
-        override fun isAnswer(headers: HttpHeaders): Boolean = codec.isAnswerTo(request) { headers.get(it) }
+        override fun onSkipped(skipped: SkippedAnswer): Unit = recordSkipped(skipped, "request", upstream, request.id)
 
         override fun onHead(status: Int, headers: HttpHeaders) {
             val fields = endToEndFields(headers)
--- a/http/src/main/kotlin/org/lovageladder/http/forward/TextClient.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/forward/TextClient.kt
@@ -1,17 +1,18 @@
 package org.lovageladder.http.forward
 
-import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpMethod
 import org.lovageladder.core.Address
 import org.lovageladder.core.forward.CallFailure
 import org.lovageladder.core.forward.Cancellable
 import org.lovageladder.core.forward.HeaderField
+import org.lovageladder.http.AnswerRecognition
 import org.lovageladder.http.HttpCall
 import org.lovageladder.http.HttpClient
 import org.lovageladder.http.HttpField
 import org.lovageladder.http.HttpResult
 import org.lovageladder.http.HttpThreads
 import org.lovageladder.http.HttpTimeouts
+import org.lovageladder.http.SkippedAnswer
 import kotlin.time.Duration
 
 /** Result of a [TextCall]. */
@@ -41,8 +42,7 @@
 
 /**
  * Sends [call] with the headers [fields] and reads its complete answer. [body] is sent, without a content type of its
- * own, when the call itself has no body. Answers with headers that are not those of an answer to this call, as
- * [isAnswer] tells, are skipped.
+ * own, when the call itself has no body. [recognition] tells the answer from others, which are reported to [onSkipped].
  */
 internal fun HttpClient.sendText(
     address: Address,
@@ -50,7 +50,8 @@
     timeout: Duration,
     fields: List<HeaderField>,
     body: ByteArray,
-    isAnswer: (HttpHeaders) -> Boolean = { true },
+    recognition: AnswerRecognition = AnswerRecognition.ByOrder,
+    onSkipped: (SkippedAnswer) -> Unit = {},
     answer: (TextResult) -> Unit,
 ): Cancellable {
     val content = if (call.body.isEmpty()) body else call.body.encodeToByteArray()
@@ -63,13 +64,14 @@
             contentType = contentType,
             fields = fields.map { HttpField(it.name, it.value) },
             maximumAnswerBytes = call.maximumAnswerBytes,
+            recognition = recognition,
         )
     val running =
         callWhole(
             address,
             httpCall,
             HttpTimeouts(minOf(timeout, HttpClient.CONNECT_TIMEOUT), timeout),
-            isAnswer = isAnswer,
+            onSkipped = onSkipped,
         ) { answer(toTextResult(it)) }
     return Cancellable { running.cancel() }
 }
--- a/http/src/main/kotlin/org/lovageladder/http/forward/UpstreamCodec.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/forward/UpstreamCodec.kt
@@ -34,11 +34,11 @@
     /** Headers for sending [request] to an engine that is to run its prefill only. */
     public fun prefillHeaders(request: ForwardRequest, attempt: UpstreamAttempt): List<HeaderField>
 
-    /** Whether an answer belongs to [request]; [header] returns the value of an answer's header by its name. */
-    public fun isAnswerTo(request: ForwardRequest, header: (String) -> String?): Boolean
-
-    /** Whether an answer belongs to a call about an engine's memory, and not to any request. */
-    public fun isAnswerToMemoryCall(header: (String) -> String?): Boolean
+    /**
+     * Returns the identifier of the request that an answer names; null when it names none, as answers to calls without
+     * a request do. [header] returns the value of an answer's header by its name.
+     */
+    public fun answeredRequest(header: (String) -> String?): String?
 
     /**
      * Parses the head of an answer to a request that was sent to [upstream]. The body [endsWithConnection] when it has
--- a/http/src/test/kotlin/org/lovageladder/http/forward/HttpUpstreamCallsTest.kt
+++ b/http/src/test/kotlin/org/lovageladder/http/forward/HttpUpstreamCallsTest.kt
@@ -53,10 +53,7 @@
         override fun prefillHeaders(request: ForwardRequest, attempt: UpstreamAttempt): List<HeaderField> =
             request.headers
 
-        override fun isAnswerTo(request: ForwardRequest, header: (String) -> String?): Boolean =
-            header("Id").let { it == null || it == request.id.text }
-
-        override fun isAnswerToMemoryCall(header: (String) -> String?): Boolean = header("Id") == null
+        override fun answeredRequest(header: (String) -> String?): String? = header("Id")
 
         override fun parseHead(
             status: Int,
