End what a stopping process has open before it is terminated

Callers saw connections cut with no answer at the end of the grace, among them those of requests that may not be repeated.

Cause: Drain had no margin. A request whose time ended in the last milliseconds was taken; what had been taken before the signal, and streams, ran until the platform ended the process; a request that must not run twice was sent to a second upstream although its time outlasted the process.

Evidence, on the code without the change: PlainFlowTest.drainingProcessAcceptsOnlyRequestsThatFinishInTime: Case(after=7s, wait=600ms, isAccepted=false) expected <false> but was <true> StreamFlowTest.openRequestsAreAnsweredBeforeTheProcessIsTerminated: Case(/action/1, grace=8s) expected <TIMEOUT> but was <null> ForwardFuzzTest: /stream-on/1 was sent after it or the process had ended

Change: a final deadline, a sixteenth of the grace (0.1 to 1 s) before its end. Requests are accepted if their time ends by then. At that moment those still open are ended: 503 with Retry-After if they reached no upstream, else 504; a begun stream is broken off visibly. Until then a silent stream runs on. Streams begin at an upstream in the first five sixths only. Streams are accepted in the first half of a grace shorter than 4.4 s.

The fuzz test drains in some of its sequences and checks that nothing is sent or open shortly before termination.

--- a/core/src/main/kotlin/org/lovageladder/core/forward/ForwardContext.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/ForwardContext.kt
@@ -26,6 +26,12 @@
     val random: Random,
     private val disabledMechanisms: Set<Mechanism> = emptySet(),
 ) {
+    /** The shutdown phase; null while the process is not told to stop. */
+    var drain: Drain? = null
+
+    /** Whether a request of [route] with [deadline] may be sent to an upstream although the process may be stopping. */
+    fun maySend(route: Route, deadline: Moment): Boolean = drain?.maySend(route, deadline, now()) ?: true
+
     /** Whether [mechanism] is switched on. */
     fun isEnabled(mechanism: Mechanism): Boolean = mechanism !in disabledMechanisms
 
--- a/core/src/main/kotlin/org/lovageladder/core/forward/Forwarder.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/Forwarder.kt
@@ -1,6 +1,7 @@
 package org.lovageladder.core.forward
 
 import org.lovageladder.core.EventKind
+import org.lovageladder.core.Moment
 import org.lovageladder.core.PlaceName
 import org.lovageladder.core.ProcessName
 import org.lovageladder.core.ReleaseVersion
@@ -78,14 +79,13 @@
     private val streamEstimates = HashMap<ServiceName, StreamEstimates>()
     private var configuration: ForwardConfiguration? = null
     private var routes: RouteTable? = null
-    private var drain: Drain? = null
+    private val openFlows = LinkedHashSet<ForwardFlow>()
     private val loggedLimits = HashMap<UpstreamName, Double>()
     private var leaderElection: LeaderElection? = null
     private var limitReporter: RequestLimitReporter? = null
 
     /** Number of requests in progress. */
-    public var openRequests: Int = 0
-        private set
+    public val openRequests: Int get() = openFlows.size
 
     /** Number of engines of which the memory queues keep state. */
     internal val trackedEngines: Int get() = memoryQueues.values.sumOf { it.trackedEngines }
@@ -221,7 +221,7 @@
     }
 
     private fun checkRoles(controller: RoleController) {
-        if (drain != null) return
+        if (context.drain != null) return
         configuration?.services?.values?.forEach { service ->
             val engine = service.engine ?: return@forEach
             val activeWorkOf = { upstream: UpstreamRegistration -> activeWork(service.name, upstream) }
@@ -234,11 +234,24 @@
         (memoryQueues[service]?.heldTokensAt(upstream.name) ?: 0) + upstreamSelector.health(upstream.name).inFlight
 
     /**
-     * Begins to shut down; the process will be terminated after [gracePeriod]. Requests are accepted while they are
-     * certain to finish by then, and streams, which may last longer, only for a short time.
+     * Begins to shut down; the process was told so at [toldAt] and will be terminated [gracePeriod] later. Requests are
+     * accepted while they are certain to finish by then, and streams, which may last longer, only for a short time.
+     * Returns when the requests that are still open then get their final answer. Later calls change nothing.
      */
-    public fun drain(gracePeriod: Duration) {
-        drain = Drain(scheduler.now(), gracePeriod)
+    public fun drain(gracePeriod: Duration, toldAt: Moment = scheduler.now()): Moment {
+        context.drain?.let { return it.finalDeadline }
+        val drain = Drain(toldAt, gracePeriod)
+        context.drain = drain
+        scheduler.schedule((drain.finalDeadline - scheduler.now()).coerceAtLeast(Duration.ZERO)) { endOpenRequests() }
+        return drain.finalDeadline
+    }
+
+    /**
+     * Gives every open request its final answer. Those that wait come first, so that memory which others release is
+     * not reserved for them.
+     */
+    public fun endOpenRequests() {
+        openFlows.reversed().forEach { it.onFinalDeadline() }
     }
 
     /** Forwards [request] and passes its outcome to [reply]. Returns null when the request was refused at once. */
@@ -251,7 +264,7 @@
             ?: return refuse(request, reply, RefusalReason.NO_UPSTREAM)
         retryBudget.recordRequest(share.service, scheduler.now())
         val serviceConfiguration = configuration?.services?.get(share.service)
-        if (drain?.mustRefuse(request, route, scheduler.now()) == true) {
+        if (context.drain?.mustRefuse(request, route, scheduler.now()) == true) {
             return refuse(request, reply, RefusalReason.LEAVING)
         }
         val destination =
@@ -261,8 +274,9 @@
                 serviceConfiguration?.engine,
                 connectionLimitPerUpstream(serviceConfiguration),
             )
-        val flow = createFlow(request, destination, reply)
-        openRequests += 1
+        lateinit var flow: ForwardFlow
+        flow = createFlow(request, destination, reply) { openFlows -= flow }
+        openFlows += flow
         flow.start()
         return RequestHandle { flow.onCallerDisconnected() }
     }
@@ -276,8 +290,12 @@
         return (limit * USABLE_CONNECTION_FRACTION / entryCounter.count(scheduler.now())).toInt().coerceAtLeast(1)
     }
 
-    private fun createFlow(request: ForwardRequest, destination: Destination, reply: CallerReply): ForwardFlow {
-        val onFinished = { openRequests -= 1 }
+    private fun createFlow(
+        request: ForwardRequest,
+        destination: Destination,
+        reply: CallerReply,
+        onFinished: () -> Unit,
+    ): ForwardFlow {
         if (destination.engine == null) return PlainFlow(context, request, destination, reply, onFinished)
         val service = destination.service
         val queue = memoryQueues.getOrPut(service) { MemoryQueue(context, service) { engineConfigurationOf(service) } }
--- a/core/src/main/kotlin/org/lovageladder/core/forward/PlainFlow.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/PlainFlow.kt
@@ -86,6 +86,7 @@
     private fun startHedge() {
         val runCount = attempts.count { it.isRunning }
         if (isFinished || runCount != 1 || attempts.size >= route.maximumRuns) return
+        if (!context.maySend(route, deadlines.deadline)) return
         if (context.retryBudget.tryAcquire(destination.service, context.now())) startAttempt()
     }
 
@@ -138,6 +139,7 @@
         val hasEnoughTime = deadlines.remaining(context.now()) > MINIMUM_ATTEMPT_TIME
         val runCount = attempts.count { it.mayHaveRun }
         if (!hasEnoughTime || attempts.size >= MAXIMUM_ATTEMPTS || runCount >= route.maximumRuns) return false
+        if (!context.maySend(route, deadlines.deadline)) return false
         if (!isExemptFromBudget && !context.retryBudget.tryAcquire(destination.service, context.now())) return false
         startAttempt()
         return true
@@ -155,10 +157,15 @@
         refuse(reportedReason)
     }
 
-    private fun onTimeout() {
+    private fun onTimeout() = end(RefusalReason.EXPIRED)
+
+    override fun onFinalDeadline() = end(RefusalReason.LEAVING)
+
+    /** Ends the request unanswered, with [reasonIfNotSent] if it reached no upstream. */
+    private fun end(reasonIfNotSent: RefusalReason) {
         if (isFinished) return
         val hasReachedUpstream = mayHaveRun || attempts.any { it.isRunning }
-        refuse(if (hasReachedUpstream) RefusalReason.TIMEOUT else RefusalReason.EXPIRED)
+        refuse(if (hasReachedUpstream) RefusalReason.TIMEOUT else reasonIfNotSent)
     }
 
     private fun refuse(reason: RefusalReason) {
@@ -274,4 +281,7 @@
 
     /** The caller disconnected; everything that runs for the request is cancelled. */
     fun onCallerDisconnected()
+
+    /** The process is about to be terminated; the request gets its final answer now. */
+    fun onFinalDeadline()
 }
--- a/core/src/main/kotlin/org/lovageladder/core/forward/StreamFlow.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/StreamFlow.kt
@@ -146,6 +146,10 @@
 
     private fun startDecode() {
         if (refuseIfQuarantined()) return
+        if (!context.maySend(route, deadlines.deadline)) {
+            refuseOrAbort(RefusalReason.LEAVING)
+            return
+        }
         val memory = checkNotNull(grant)
         val name = memory.engine.name
         hasWritten = false
@@ -194,7 +198,8 @@
 
     private fun onSilence() {
         if (isFinished || decodeCall == null) return
-        if (!context.retryBudget.tryAcquire(destination.service, context.now())) {
+        val mayContinue = context.maySend(route, deadlines.deadline)
+        if (!mayContinue || !context.retryBudget.tryAcquire(destination.service, context.now())) {
             restartSilenceTimer()
             return
         }
@@ -315,7 +320,8 @@
         estimates.rolePlan.recordDecode(context.now() - startedAt, engineShare)
     }
 
-    private fun refuseOrAbort(reason: RefusalReason) = refuseOrAbort(reason, minimumReturnDelay())
+    private fun refuseOrAbort(reason: RefusalReason) =
+        refuseOrAbort(reason, if (reason == RefusalReason.LEAVING) Duration.ZERO else minimumReturnDelay())
 
     private fun refuseOrAbort(reason: RefusalReason, minimumDelay: Duration) {
         if (isFinished) return
@@ -346,9 +352,9 @@
         }
     }
 
-    private fun onTimeout() {
-        if (!isFinished) refuseOrAbort(if (runCount > 0) RefusalReason.TIMEOUT else RefusalReason.EXPIRED)
-    }
+    private fun onTimeout() = refuseOrAbort(if (runCount > 0) RefusalReason.TIMEOUT else RefusalReason.EXPIRED)
+
+    override fun onFinalDeadline() = refuseOrAbort(if (runCount > 0) RefusalReason.TIMEOUT else RefusalReason.LEAVING)
 
     private fun finish(outcome: String) {
         isFinished = true
--- a/core/src/test/kotlin/org/lovageladder/core/forward/ForwardFuzzTest.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/forward/ForwardFuzzTest.kt
@@ -47,6 +47,7 @@
     REGISTRY_AVAILABLE,
     CONFIGURE_NEWER,
     CONFIGURE_OLDER,
+    DRAIN,
 }
 
 class ForwardFuzzTest : ForwardSequences() {
@@ -130,12 +131,21 @@
                 RegistryChange.Unavailable,
             )
             ForwardFuzzCommandKind.REGISTRY_AVAILABLE -> fixture.forwarder.onRegistryChange(RegistryChange.Available)
+            ForwardFuzzCommandKind.DRAIN -> drain(command)
             ForwardFuzzCommandKind.CONFIGURE_NEWER -> configure(++version)
             ForwardFuzzCommandKind.CONFIGURE_OLDER -> configure((version - 1 - command.selector % 2).coerceAtLeast(1))
         }
         checkRequests()
     }
 
+    /** Only some sequences drain, since little happens after it. */
+    private fun drain(command: ForwardFuzzCommand) {
+        if (command.selector % 10 != 0 || oracle.terminatedAt != null) return
+        val grace = (command.amount + 200).milliseconds
+        fixture.forwarder.drain(grace)
+        oracle.terminatedAt = fixture.scheduler.now() + grace * 0.97
+    }
+
     /** Lets every request end and checks the final state. */
     fun finish() {
         fixture.scheduler.advance(SETTLING_TIME)
@@ -215,6 +225,7 @@
     }
 
     private fun checkRequests() {
+        if (oracle.isTerminated) assertEquals(0, fixture.forwarder.openRequests, "open when the process is terminated")
         submitted.forEachIndexed { index, request -> oracle.checkRequest(index, request.reply.refusal) }
     }
 
@@ -245,6 +256,8 @@
     private class Pause(val since: org.lovageladder.core.Moment, val until: org.lovageladder.core.Moment)
 
     lateinit var clock: () -> org.lovageladder.core.Moment
+    var terminatedAt: org.lovageladder.core.Moment? = null
+    val isTerminated: Boolean get() = terminatedAt?.let { clock() >= it } ?: false
     private val requests = ArrayList<Request>()
     private val leaving = HashMap<UpstreamIncarnation, org.lovageladder.core.Moment>()
     private val pauses = HashMap<UpstreamIncarnation, Pause>()
@@ -368,7 +381,7 @@
 
     private fun checkCall(request: ForwardRequest, upstream: UpstreamIncarnation, reserved: Boolean): Request {
         val tracked = requestOf(request)
-        assertTrue(!tracked.isEnded, "${tracked.target} was sent after it had ended")
+        assertTrue(!tracked.isEnded && !isTerminated, "${tracked.target} was sent after it or the process had ended")
         checkUpstream(upstream, reserved)
         return tracked
     }
--- a/core/src/test/kotlin/org/lovageladder/core/forward/PlainFlowTest.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/forward/PlainFlowTest.kt
@@ -127,12 +127,14 @@
     /** The load balancer does not send callers that keep their connection busy to another entry. */
     @Test
     fun drainingProcessAcceptsOnlyRequestsThatFinishInTime() {
-        data class Case(val after: Duration, val wait: Duration, val isAccepted: Boolean)
+        data class Case(val after: Duration, val wait: Duration?, val isAccepted: Boolean)
         val cases =
             listOf(
                 Case(1.seconds, 3.seconds, isAccepted = true),
                 Case(5_100.milliseconds, 3.seconds, isAccepted = false),
-                Case(5_100.milliseconds, 600.milliseconds, isAccepted = true),
+                Case(1.seconds, wait = null, isAccepted = false),
+                Case(6_800.milliseconds, 600.milliseconds, isAccepted = true),
+                Case(7_000.milliseconds, 600.milliseconds, isAccepted = false),
                 Case(7_800.milliseconds, 600.milliseconds, isAccepted = false),
             )
         cases.forEach { case ->
--- a/core/src/test/kotlin/org/lovageladder/core/forward/StreamFlowTest.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/forward/StreamFlowTest.kt
@@ -7,6 +7,7 @@
 import kotlin.test.assertNotNull
 import kotlin.test.assertNull
 import kotlin.test.assertTrue
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
@@ -284,6 +285,32 @@
         }
     }
 
+    /** Answers need time to be written before the process is terminated. A stream runs on until then, also in silence. */
+    @Test
+    fun openRequestsAreAnsweredBeforeTheProcessIsTerminated() {
+        data class Case(val target: String, val grace: Duration, val refusal: RefusalReason?, val calls: Int = 1)
+        listOf(
+            Case("/action/1", 8.seconds, RefusalReason.TIMEOUT),
+            Case("/lookup/1", 8.seconds, RefusalReason.TIMEOUT, calls = 2),
+            Case("/stream/1", 8.seconds, refusal = null),
+            Case("/stream-on/1", 1_900.milliseconds, refusal = null),
+            Case("/stream/1", 600.milliseconds, RefusalReason.LEAVING, calls = 0),
+        ).forEach { case ->
+            val fixture = ForwardFixture(memory = 10_000 * case.calls)
+            val submitted = fixture.submit(case.target)
+            fixture.forwarder.drain(case.grace)
+            fixture.scheduler.advance(150.milliseconds)
+            if (case.refusal == null) fixture.upstreams.receivedCalls.single().head(200)
+            fixture.scheduler.advance(case.grace * 0.8 - 150.milliseconds)
+            assertFalse(submitted.reply.isFinal, "$case")
+            fixture.scheduler.advance(case.grace * 0.14)
+            assertEquals(case.refusal, submitted.reply.refusal?.reason, "$case")
+            assertEquals(case.refusal == null, submitted.reply.isAborted, "$case")
+            assertEquals(case.calls, fixture.upstreams.receivedCalls.size, "$case")
+            assertEquals(RefusalReason.LEAVING, fixture.submit("/lookup/1", 1.seconds).reply.refusal?.reason, "$case")
+        }
+    }
+
     @Test
     fun streamsAreRefusedLateInADrain() {
         fixture.forwarder.drain(gracePeriod = 60.seconds)
