Take no answer for that of another call of the same connection

Callers saw: a stream that goes on from another request's prompt, "not run" for a request that had run, 502 for one that succeeded.

Cause: an upstream may write an answer once more on a kept connection, just before the next one. An answer without identifier counted as the call's own, and so did one of the same request. Calls about memory, reports and orders are answered without identifier.

Change: one rule in the HTTP client instead of exceptions for each call. A call says how its answer is recognised (in order, by identifier, unidentified), and ConnectionHistory says which calls a connection may carry next and which answers are theirs: - an identified call never uses a connection that carried its identifier, and takes an answer without one only as the first of a connection, which is then not kept; - an unidentified call uses a new connection, or one whose last answer was an identified success: a refusal has no form that would tell it from its own; - identified calls prefer idle connections that the others cannot use, and of those whose last call was unidentified four an address are kept; - orders and reports use connections of their own. isRepeated of UpstreamAttempt is needless and gone: the connection knows.

Connections for ten streams (reservation, then decode, one after the other), in the same test: 1 from an engine that answers once, 10 from one that repeats each answer, and 10 for ten runs from one that names no request (1 before the change). HttpUpstreamCallsTest expected that the second of three attempts of a request at an upstream shares the connection of the first unless the caller says isRepeated; its second answer could not be told apart there. It now expects three connections.

Open: a reservation on a connection whose last success is written again without identifier fails (and lapses at the engine); it is never granted by it. An upstream that names no request in an answer on a used connection is waited for until the call's time is over.

--- a/core/src/main/kotlin/org/lovageladder/core/forward/ForwardPorts.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/ForwardPorts.kt
@@ -132,7 +132,7 @@
 /**
  * How a request is sent to an upstream. The upstream stops working on it after [timeout]. [prefillResult] is the result
  * to fetch, [reservation] the memory to use, and [resumeAfterEventId] the id of the event after which the stream
- * begins. An attempt that [isRepeated] follows an earlier one of the same request at the same upstream.
+ * begins.
  */
 public data class UpstreamAttempt(
     val upstream: UpstreamIncarnation,
@@ -140,7 +140,6 @@
     val prefillResult: PrefillResult? = null,
     val reservation: Reservation? = null,
     val resumeAfterEventId: Long? = null,
-    val isRepeated: Boolean = false,
 ) {
     /** Address of the upstream. */
     val address: Address get() = upstream.address
--- a/core/src/main/kotlin/org/lovageladder/core/forward/PlainFlow.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/PlainFlow.kt
@@ -68,7 +68,6 @@
         context.upstreamSelector.earliestAdmission(destination.service, PoolRole.PLAIN, context.now())
 
     private fun send(upstream: UpstreamRegistration) {
-        val isRepeated = attempts.any { it.upstream == upstream.name }
         val attempt = Attempt(upstream.name)
         attempts += attempt
         context.upstreamSelector.health(upstream.name).inFlight += 1
@@ -79,7 +78,7 @@
             detail = "attempt ${attempts.size} of ${route.name}",
         )
         val remaining = deadlines.remaining(context.now())
-        val upstreamAttempt = UpstreamAttempt(upstream.incarnation, remaining, isRepeated = isRepeated)
+        val upstreamAttempt = UpstreamAttempt(upstream.incarnation, remaining)
         attempt.call = context.upstreamPort.send(request, upstreamAttempt, attempt)
     }
 
--- a/core/src/main/kotlin/org/lovageladder/core/forward/StreamFlow.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/StreamFlow.kt
@@ -171,7 +171,6 @@
                 prefillResult = prefillResult,
                 reservation = memory.reservation,
                 resumeAfterEventId = lastEventId,
-                isRepeated = name in avoidedEngines,
             )
         summary.recordDecodeStart(context.now())
         decodeCall = context.upstreamPort.send(request, attempt, DecodeReceiver(memory.engine.incarnation))
--- /dev/null
+++ b/http/src/main/kotlin/org/lovageladder/http/ConnectionHistory.kt
@@ -0,0 +1,78 @@
+package org.lovageladder.http
+
+import io.netty.handler.codec.http.HttpHeaders
+
+/**
+ * What a connection has carried: which calls it may carry next, and which answers are theirs. The peer may write any
+ * earlier answer of the connection once more before it writes the next one, with or without the identifier that it
+ * bore. Written on the event loop thread of the connection, before the connection becomes idle.
+ */
+internal class ConnectionHistory {
+    @Volatile
+    private var latestIdentifiers: List<String> = emptyList()
+
+    /** Calls that were answered. */
+    @Volatile
+    var answeredCalls: Int = 0
+        private set
+
+    @Volatile
+    var lastAnswer: LastAnswer = LastAnswer.NONE
+        private set
+
+    /** Whether the answer of a call with [recognition] could be told from all that the peer may write again. */
+    fun mayCarry(recognition: AnswerRecognition): Boolean = when (recognition) {
+        AnswerRecognition.ByOrder -> true
+        is AnswerRecognition.ByIdentifier -> recognition.identifier !in latestIdentifiers
+        is AnswerRecognition.Unidentified -> lastAnswer.allowsUnidentified
+    }
+
+    /** Whether an answer with [headers] is the one to the current call, which has [recognition]. */
+    fun isAnswer(recognition: AnswerRecognition, headers: HttpHeaders): Boolean {
+        val identifier = recognition.identifierOf(headers)
+        return when (recognition) {
+            AnswerRecognition.ByOrder -> true
+            is AnswerRecognition.ByIdentifier -> isNamed(recognition, identifier)
+            is AnswerRecognition.Unidentified -> identifier == null
+        }
+    }
+
+    /** An answer that names no call can only be the first of its connection. */
+    private fun isNamed(recognition: AnswerRecognition.ByIdentifier, identifier: String?) =
+        identifier == recognition.identifier || (identifier == null && answeredCalls == 0)
+
+    /** Records the answer to a call with [recognition]. Returns whether the connection may be kept. */
+    fun recordAnswer(recognition: AnswerRecognition, status: Int, headers: HttpHeaders): Boolean {
+        answeredCalls += 1
+        lastAnswer = kindOf(recognition, status)
+        if (recognition !is AnswerRecognition.ByIdentifier) return true
+        latestIdentifiers = (latestIdentifiers + recognition.identifier).takeLast(REMEMBERED_CALLS)
+        return recognition.identifierOf(headers) != null
+    }
+
+    private fun kindOf(recognition: AnswerRecognition, status: Int): LastAnswer = when (recognition) {
+        AnswerRecognition.ByOrder -> LastAnswer.IN_ORDER
+        is AnswerRecognition.Unidentified -> LastAnswer.UNIDENTIFIED
+        is AnswerRecognition.ByIdentifier ->
+            if (status in SUCCESS_STATUSES) LastAnswer.IDENTIFIED_SUCCESS else LastAnswer.IDENTIFIED_REFUSAL
+    }
+
+    private companion object {
+        /** An answer that the peer writes again comes before the next one, so that a few calls are enough. */
+        const val REMEMBERED_CALLS = 32
+        val SUCCESS_STATUSES = 200..299
+    }
+}
+
+/**
+ * The last answer of a connection. [allowsUnidentified] says whether an answer that names no call can follow: nothing
+ * that the peer writes again can be mistaken for it. A success of a call that has an identifier lacks its form; a
+ * refusal has none.
+ */
+internal enum class LastAnswer(val allowsUnidentified: Boolean) {
+    NONE(true),
+    IN_ORDER(false),
+    UNIDENTIFIED(false),
+    IDENTIFIED_SUCCESS(true),
+    IDENTIFIED_REFUSAL(false),
+}
--- a/http/src/main/kotlin/org/lovageladder/http/HttpCall.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/HttpCall.kt
@@ -28,7 +28,7 @@
 
 /** Which connection a call is sent on. */
 internal enum class ConnectionUse {
-    /** An idle pooled connection, or a new one when there is none; returned to the pool afterwards. */
+    /** An idle pooled connection that may carry the call, or else a new one; returned to the pool afterwards. */
     POOLED,
 
     /**
@@ -36,6 +36,9 @@
      * call ran.
      */
     FRESH,
+
+    /** A new connection that is closed afterwards. */
+    SINGLE,
 }
 
 /** Why a call got no complete answer. When [requestSent] is false, no byte of the request can have reached the peer. */
--- a/http/src/main/kotlin/org/lovageladder/http/HttpClient.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/HttpClient.kt
@@ -35,7 +35,8 @@
         use: ConnectionUse = ConnectionUse.POOLED,
         timeouts: HttpTimeouts = HttpTimeouts(CONNECT_TIMEOUT, answerTimeout = null),
     ): RunningHttpCall {
-        val runningCall = RunningHttpCall(address, call, receiver, call.maximumAnswerBytes ?: Int.MAX_VALUE)
+        val maximumBytes = call.maximumAnswerBytes ?: Int.MAX_VALUE
+        val runningCall = RunningHttpCall(address, call, receiver, maximumBytes, use != ConnectionUse.SINGLE)
         return startCall(runningCall, use, timeouts)
     }
 
@@ -49,16 +50,16 @@
         onResult: (HttpResult) -> Unit,
     ): RunningHttpCall {
         val receiver = WholeAnswerReceiver(onSkipped, onResult)
-        return startCall(
-            RunningHttpCall(address, call, receiver, call.maximumAnswerBytes ?: MAXIMUM_ANSWER_BYTES),
-            use,
-            timeouts,
-        )
+        val maximumBytes = call.maximumAnswerBytes ?: MAXIMUM_ANSWER_BYTES
+        val runningCall = RunningHttpCall(address, call, receiver, maximumBytes, use != ConnectionUse.SINGLE)
+        return startCall(runningCall, use, timeouts)
     }
 
     private fun startCall(runningCall: RunningHttpCall, use: ConnectionUse, timeouts: HttpTimeouts): RunningHttpCall {
         timeouts.answerTimeout?.let { limit -> scheduleTimeout(runningCall, limit) }
-        val pooled = if (use == ConnectionUse.POOLED) idleConnections.acquire(runningCall.address) else null
+        val isPooled = use == ConnectionUse.POOLED
+        val pooled =
+            if (isPooled) idleConnections.acquire(runningCall.address, runningCall.call.recognition) else null
         if (pooled == null) {
             connect(runningCall, timeouts.connectTimeout)
         } else {
--- a/http/src/main/kotlin/org/lovageladder/http/HttpClientConnection.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/HttpClientConnection.kt
@@ -9,7 +9,6 @@
 import io.netty.handler.codec.http.FullHttpRequest
 import io.netty.handler.codec.http.HttpContent
 import io.netty.handler.codec.http.HttpHeaderNames
-import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpObject
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpStatusClass
@@ -30,7 +29,7 @@
     private var address: Address? = null
     private var keepAlive = true
     private var skippingAnswer = false
-    private var earlierCalls = 0
+    private val history = ConnectionHistory()
     private var idleTimeout: Duration? = null
 
     override fun handlerAdded(context: ChannelHandlerContext) {
@@ -71,29 +70,21 @@
     /** Starts the answer, or skips it when it is an interim (1xx) answer or belongs to another call. */
     private fun startAnswer(runningCall: RunningHttpCall, response: HttpResponse) {
         val interim = response.status().codeClass() == HttpStatusClass.INFORMATIONAL
-        val unrelated = !interim && !runningCall.isEnded && !isAnswer(runningCall, response.headers())
+        val unrelated =
+            !interim && !runningCall.isEnded && !history.isAnswer(runningCall.call.recognition, response.headers())
         skippingAnswer = interim || unrelated
         if (unrelated) skip(runningCall, response)
         if (skippingAnswer) return
-        keepAlive = keepAlive && HttpUtil.isKeepAlive(response)
+        val isKept = history.recordAnswer(runningCall.call.recognition, response.status().code(), response.headers())
+        keepAlive = keepAlive && isKept && runningCall.isConnectionKept && HttpUtil.isKeepAlive(response)
         idleTimeout = announcedIdleTimeout(response)
         runningCall.onHead(response.status().code(), response.headers())
     }
 
-    private fun isAnswer(runningCall: RunningHttpCall, headers: HttpHeaders): Boolean {
-        val recognition = runningCall.call.recognition
-        val identifier = recognition.identifierOf(headers)
-        return when (recognition) {
-            AnswerRecognition.ByOrder -> true
-            is AnswerRecognition.ByIdentifier -> identifier == null || identifier == recognition.identifier
-            is AnswerRecognition.Unidentified -> identifier == null
-        }
-    }
-
     private fun skip(runningCall: RunningHttpCall, response: HttpResponse) {
         keepAlive = false
         val identifier = runningCall.call.recognition.identifierOf(response.headers())
-        runningCall.onSkipped(SkippedAnswer(response.status().code(), identifier, earlierCalls))
+        runningCall.onSkipped(SkippedAnswer(response.status().code(), identifier, history.answeredCalls))
     }
 
     /** How long the peer keeps an idle connection, from its `Keep-Alive` header; null when the header names no time. */
@@ -115,11 +106,10 @@
 
     private fun finishAnswer(runningCall: RunningHttpCall) {
         currentCall = null
-        earlierCalls += 1
         if (runningCall.isEnded || !keepAlive) {
             context.close()
         } else {
-            idleConnections.release(runningCall.address, context.channel(), idleTimeout)
+            idleConnections.release(runningCall.address, context.channel(), history, idleTimeout)
         }
         runningCall.onEnd()
     }
--- a/http/src/main/kotlin/org/lovageladder/http/IdleConnections.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/IdleConnections.kt
@@ -10,30 +10,49 @@
 import kotlin.time.TimeMark
 import kotlin.time.TimeSource
 
-/** Pool of connections without a call, by peer address. The most recently used connection is acquired first. */
+/**
+ * Pool of connections without a call, by peer address. A call gets only a connection that may carry it, first one whose
+ * last answer does not allow an unidentified one, which fewer calls can use, then the one used last.
+ */
 internal class IdleConnections {
     private val byAddress = ConcurrentHashMap<Address, ConcurrentLinkedDeque<IdleConnection>>()
 
-    /** Removes and returns an open connection whose idle timeout has not ended, or null. */
-    fun acquire(address: Address): Channel? {
+    /**
+     * Removes and returns an open connection that may carry a call with [recognition] and whose idle timeout has not
+     * ended, or null.
+     */
+    fun acquire(address: Address, recognition: AnswerRecognition): Channel? {
         val connections = byAddress[address] ?: return null
-        while (true) {
-            val connection = connections.pollFirst() ?: return null
-            if (!connection.channel.isActive) {
-                continue
-            }
-            if (connection.idleSince.elapsedNow() < connection.timeout) {
-                return connection.channel
-            }
-            connection.channel.close()
-        }
+        val candidates = connections.filter { it.history.mayCarry(recognition) }
+        return candidates.sortedBy { it.history.lastAnswer.allowsUnidentified }
+            .firstOrNull { connections.remove(it) && isUsable(it) }
+            ?.channel
     }
 
-    /** Returns an open connection to the pool; [announcedTimeout] is the idle timeout that the peer announced. */
-    fun release(address: Address, channel: Channel, announcedTimeout: Duration? = null) {
+    private fun isUsable(connection: IdleConnection): Boolean {
+        if (!connection.channel.isActive) return false
+        if (connection.idleSince.elapsedNow() < connection.timeout) return true
+        connection.channel.close()
+        return false
+    }
+
+    /**
+     * Returns an open connection with its [history] to the pool; [announcedTimeout] is the idle timeout that the peer
+     * announced.
+     */
+    fun release(address: Address, channel: Channel, history: ConnectionHistory, announcedTimeout: Duration? = null) {
         val timeout = announcedTimeout?.let { it - CLOSE_MARGIN } ?: DEFAULT_TIMEOUT
         val connections = byAddress.computeIfAbsent(address) { ConcurrentLinkedDeque() }
-        connections.addFirst(IdleConnection(channel, TimeSource.Monotonic.markNow(), timeout))
+        connections.addFirst(IdleConnection(channel, history, TimeSource.Monotonic.markNow(), timeout))
+        closeSurplus(connections)
+    }
+
+    /** Closes the oldest of the connections that only identified calls can use, beyond a few. */
+    private fun closeSurplus(connections: ConcurrentLinkedDeque<IdleConnection>) {
+        connections.filter { it.history.lastAnswer == LastAnswer.UNIDENTIFIED }
+            .drop(MAXIMUM_UNIDENTIFIED)
+            .filter(connections::remove)
+            .forEach { it.channel.close() }
     }
 
     /** Removes a closed connection. */
@@ -41,7 +60,12 @@
         byAddress[address]?.removeIf { it.channel === channel }
     }
 
-    private class IdleConnection(val channel: Channel, val idleSince: TimeMark, val timeout: Duration)
+    private class IdleConnection(
+        val channel: Channel,
+        val history: ConnectionHistory,
+        val idleSince: TimeMark,
+        val timeout: Duration,
+    )
 
     private companion object {
         /** Default idle timeout, below the five seconds after which common engine servers close idle connections. */
@@ -49,5 +73,8 @@
 
         /** Subtracted from the announced timeout, since a peer may close this much earlier than this side expects. */
         val CLOSE_MARGIN = 500.milliseconds
+
+        /** Maximum number of idle connections to an address whose last answer was unidentified. */
+        const val MAXIMUM_UNIDENTIFIED = 4
     }
 }
--- a/http/src/main/kotlin/org/lovageladder/http/RunningHttpCall.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/RunningHttpCall.kt
@@ -9,13 +9,15 @@
 
 /**
  * A call that has been started. Its receiver is told of the end once: end of the answer, or failure. The call fails as
- * soon as the answer exceeds [maximumAnswerBytes], since the answer may be endless.
+ * soon as the answer exceeds [maximumAnswerBytes], since the answer may be endless. Its connection is closed afterwards
+ * unless [isConnectionKept].
  */
 internal class RunningHttpCall(
     val address: Address,
     val call: HttpCall,
     private val receiver: HttpReceiver,
     private val maximumAnswerBytes: Int,
+    val isConnectionKept: Boolean = true,
 ) {
     private val ended = AtomicBoolean()
 
--- a/http/src/main/kotlin/org/lovageladder/http/forward/HttpUpstreamCalls.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/forward/HttpUpstreamCalls.kt
@@ -23,7 +23,6 @@
 import org.lovageladder.core.forward.UpstreamNotice
 import org.lovageladder.core.forward.UpstreamPort
 import org.lovageladder.http.AnswerRecognition
-import org.lovageladder.http.ConnectionUse
 import org.lovageladder.http.HttpCall
 import org.lovageladder.http.HttpClient
 import org.lovageladder.http.HttpFailure
@@ -39,12 +38,14 @@
 /**
  * Calls upstreams by HTTP over pooled connections, in the format of [codec]. [threads] must have one thread only, on
  * which all answers arrive. A notice in an answer goes to [onNotice] before the answer is delivered. Answers that are
- * skipped, since they belong to other calls, are recorded in [eventSink].
+ * skipped, since they belong to other calls, are recorded in [eventSink]. Calls about an engine's memory fail after
+ * [engineCallTimeout].
  */
 public class HttpUpstreamCalls(
     threads: HttpThreads,
     private val codec: UpstreamCodec,
     private val eventSink: EventSink = EventSink {},
+    private val engineCallTimeout: Duration = ENGINE_CALL_TIMEOUT,
     private val onNotice: (UpstreamIncarnation, UpstreamNotice) -> Unit = { _, _ -> },
 ) : UpstreamPort,
     AutoCloseable {
@@ -55,10 +56,8 @@
         val method = HttpMethod.valueOf(request.method)
         val call = HttpCall(method, request.target, request.body, fields = fields, recognition = recognitionOf(request))
         val timeouts = HttpTimeouts(minOf(attempt.timeout, CONNECT_TIMEOUT), answerTimeout = null)
-        // An upstream can write an earlier answer to this request once more on a kept connection.
-        val use = if (attempt.isRepeated) ConnectionUse.FRESH else ConnectionUse.POOLED
         val adapter = AnswerAdapter(request, attempt.upstream, receiver)
-        val running = client.start(attempt.address, call, adapter, use, timeouts)
+        val running = client.start(attempt.address, call, adapter, timeouts = timeouts)
         return Cancellable { running.cancel() }
     }
 
@@ -108,7 +107,7 @@
         client.sendText(
             engine.address,
             call,
-            ENGINE_CALL_TIMEOUT,
+            engineCallTimeout,
             emptyList(),
             ByteArray(0),
             AnswerRecognition.Unidentified(::identifierOf),
--- a/http/src/main/kotlin/org/lovageladder/http/forward/TextClient.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/forward/TextClient.kt
@@ -6,6 +6,7 @@
 import org.lovageladder.core.forward.Cancellable
 import org.lovageladder.core.forward.HeaderField
 import org.lovageladder.http.AnswerRecognition
+import org.lovageladder.http.ConnectionUse
 import org.lovageladder.http.HttpCall
 import org.lovageladder.http.HttpClient
 import org.lovageladder.http.HttpField
@@ -37,6 +38,26 @@
         answer: (TextResult) -> Unit,
     ): Cancellable = client.sendText(address, call, timeout, fields, ByteArray(0), answer = answer)
 
+    /**
+     * The same on a new connection that is closed afterwards, for a peer that may write an answer twice and does not
+     * name in it the call that it belongs to.
+     */
+    public fun sendOnNewConnection(
+        address: Address,
+        call: TextCall,
+        timeout: Duration,
+        fields: List<HeaderField> = emptyList(),
+        answer: (TextResult) -> Unit,
+    ): Cancellable = client.sendText(
+        address,
+        call,
+        timeout,
+        fields,
+        ByteArray(0),
+        use = ConnectionUse.SINGLE,
+        answer = answer,
+    )
+
     override fun close(): Unit = client.close()
 }
 
@@ -52,6 +73,7 @@
     body: ByteArray,
     recognition: AnswerRecognition = AnswerRecognition.ByOrder,
     onSkipped: (SkippedAnswer) -> Unit = {},
+    use: ConnectionUse = ConnectionUse.POOLED,
     answer: (TextResult) -> Unit,
 ): Cancellable {
     val content = if (call.body.isEmpty()) body else call.body.encodeToByteArray()
@@ -71,6 +93,7 @@
             address,
             httpCall,
             HttpTimeouts(minOf(timeout, HttpClient.CONNECT_TIMEOUT), timeout),
+            use = use,
             onSkipped = onSkipped,
         ) { answer(toTextResult(it)) }
     return Cancellable { running.cancel() }
