Answer requests that wait on a connection before a stopping process closes it

While draining, the first answer on a connection closed it, and requests that had been read behind it ended with no answer, as late as the first one's. Two further ways lost one: between two requests of a connection the next was in no queue, so that an idle close could come then, and so that a request that arrived just then was started first and the waiting one was dropped.

Evidence, on the code without the change: ForwardServerTest. answersCloseTheConnectionWhileDrainingOnceNoRequestWaitsOnIt expected: <null> but was: <close> (the second answer of three never came). The two races were read from the code; the test calls the idle close in that gap, but the failure above ends it before that counts.

Change: the answer that closes is the last one that is due. The next request stays in the queue until it is started, and arrivals line up behind it.

The test replaces answersCloseTheConnectionWhileDraining, which sent one request; its check is that of the last answer.

--- a/http/src/main/kotlin/org/lovageladder/http/forward/ForwardConnection.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/forward/ForwardConnection.kt
@@ -21,7 +21,8 @@
 
 /**
  * A caller's connection. Handles one request at a time; pipelined requests wait in order, and the connection is closed
- * when there are too many of them. Runs on the event loop thread, except for [closeIfIdle] and [close].
+ * when there are too many of them. While the process is draining, the connection is closed after an answer behind which
+ * no request waits. Runs on the event loop thread, except for [closeIfIdle] and [close].
  */
 internal class ForwardConnection(
     private val channel: Channel,
@@ -56,7 +57,7 @@
     }
 
     override fun channelRead0(context: ChannelHandlerContext, request: FullHttpRequest) {
-        if (currentReply == null) {
+        if (currentReply == null && pipelined.isEmpty()) {
             startRequest(request)
         } else if (pipelined.size < MAXIMUM_PIPELINED_REQUESTS) {
             pipelined.add(request)
@@ -85,7 +86,8 @@
     private fun startRequest(request: FullHttpRequest) {
         receiveTimer.stop()
         val keepAlive = HttpUtil.isKeepAlive(request)
-        val reply = ForwardReply(channel, request.method().name(), { keepAlive && !isDraining() }, ::onReplyFinished)
+        val mayKeepAlive = { keepAlive && (!isDraining() || pipelined.isNotEmpty()) }
+        val reply = ForwardReply(channel, request.method().name(), mayKeepAlive, ::onReplyFinished)
         currentReply = reply
         val fault = request.decoderResult().cause()
         if (fault != null) {
@@ -117,12 +119,12 @@
         currentReply = null
         openRequest = null
         if (!keepAlive) return
-        val next = pipelined.removeFirstOrNull()
-        if (next == null) receiveTimer.awaitRequest() else channel.eventLoop().execute { startOrRelease(next) }
+        if (pipelined.isEmpty()) receiveTimer.awaitRequest() else channel.eventLoop().execute(::startNext)
     }
 
-    private fun startOrRelease(request: FullHttpRequest) {
-        if (channel.isActive && currentReply == null) startRequest(request) else request.release()
+    /** Starts the request that waits longest; it stays in the queue until then, so that no later one overtakes it. */
+    private fun startNext() {
+        if (channel.isActive && currentReply == null) pipelined.removeFirstOrNull()?.let(::startRequest)
     }
 
     /** [detail] says which part of a request was late; null when no request had begun. */
--- a/http/src/test/kotlin/org/lovageladder/http/forward/ForwardServerTest.kt
+++ b/http/src/test/kotlin/org/lovageladder/http/forward/ForwardServerTest.kt
@@ -172,14 +172,20 @@
         }
     }
 
+    /** A request that waits behind another one on its connection was read, so that it must be answered too. */
     @Test
-    fun answersCloseTheConnectionWhileDraining() {
+    fun answersCloseTheConnectionWhileDrainingOnceNoRequestWaitsOnIt() {
         server.drain()
         CallerSocket(server.address).use { caller ->
-            caller.send("GET /1 HTTP/1.1\r\nHost: h\r\nId: 1\r\n\r\n")
-            val (_, reply) = takeRequest()
-            onEventLoop { reply.refuse(Refusal(RefusalReason.LEAVING)) }
-            assertEquals("close", caller.readAnswer().headers["connection"])
+            caller.send("GET /1 HTTP/1.1\r\nHost: h\r\nId: 1\r\n\r\n".repeat(3))
+            listOf(null, null, "close").forEach { connection ->
+                val (_, reply) = takeRequest()
+                onEventLoop {
+                    reply.refuse(Refusal(RefusalReason.LEAVING))
+                    server.closeIdle()
+                }
+                assertEquals(connection, caller.readAnswer().headers["connection"])
+            }
         }
     }
 }
