Leave answers that are not yet written when idle connections are closed

Callers that read slowly saw the tail of an answer cut off in a stop: a request counted as ended once its answer was passed to the connection, and closing a connection drops what the operating system has not taken.

Evidence: with the idle close as it was (no request in progress, none that waits), ForwardServerTest.idleCloseLeavesAnswersThatAreNotWritten expected: <250000> but was: <25800> With the check of unwritten bytes it passes.

Change: a connection is idle only when its answers are handed to the operating system. The server says whether all connections are idle.

--- a/http/src/main/kotlin/org/lovageladder/http/forward/ForwardConnection.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/forward/ForwardConnection.kt
@@ -46,9 +46,22 @@
         if (currentReply == null) receiveTimer.onBytesArrived()
     }
 
-    /** Closes the connection unless a request is in progress or waits on it. May be called on any thread. */
+    /** Whether no request is in progress or waits, and all answers are handed to the operating system. */
+    val isIdle: Boolean
+        get() = currentReply == null && pipelined.isEmpty() && !hasUnwrittenAnswer()
+
+    /** Closes the connection if it [isIdle], at once when called on the event loop thread. */
     fun closeIfIdle() {
-        channel.eventLoop().execute { if (currentReply == null && pipelined.isEmpty()) channel.close() }
+        if (!channel.eventLoop().inEventLoop()) {
+            channel.eventLoop().execute(::closeIfIdle)
+        } else if (isIdle) {
+            channel.close()
+        }
+    }
+
+    private fun hasUnwrittenAnswer(): Boolean {
+        val buffer = channel.unsafe().outboundBuffer() ?: return false
+        return buffer.totalPendingWriteBytes() > 0
     }
 
     /** Closes the connection. May be called on any thread. */
--- a/http/src/main/kotlin/org/lovageladder/http/forward/ForwardServer.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/forward/ForwardServer.kt
@@ -46,12 +46,18 @@
     public val address: Address =
         boundAddress(server)
 
+    /**
+     * Whether no connection has a request in progress or an answer that is not yet handed to the operating system. Only
+     * for the event loop thread.
+     */
+    public val isIdle: Boolean get() = connections.all { it.isIdle }
+
     /** Closes each caller's connection after its next answer, which announces this by `Connection: close`. */
     public fun drain() {
         isDraining = true
     }
 
-    /** Closes connections without a request in progress. */
+    /** Closes connections without a request in progress or an answer to be written. */
     public fun closeIdle() {
         connections.forEach { it.closeIfIdle() }
     }
--- a/http/src/test/kotlin/org/lovageladder/http/forward/ForwardServerTest.kt
+++ b/http/src/test/kotlin/org/lovageladder/http/forward/ForwardServerTest.kt
@@ -13,6 +13,7 @@
 import org.lovageladder.core.forward.RequestHandle
 import org.lovageladder.http.CallerSocket
 import org.lovageladder.http.HttpThreads
+import java.util.concurrent.CompletableFuture
 import java.util.concurrent.CountDownLatch
 import java.util.concurrent.LinkedBlockingQueue
 import java.util.concurrent.TimeUnit
@@ -188,4 +189,28 @@
             }
         }
     }
+
+    @Test
+    fun idleCloseLeavesAnswersThatAreNotWritten() {
+        CallerSocket(server.address).use { caller ->
+            val answers = generateSequence(1) { it + 1 }.first {
+                caller.send("GET /1 HTTP/1.1\r\nHost: h\r\nId: 1\r\n\r\n")
+                val (_, reply) = takeRequest()
+                val isIdle = CompletableFuture<Boolean>()
+                onEventLoop {
+                    reply.sendHead(answerHead(200), ANSWER_BYTES)
+                    reply.sendContent(ByteArray(ANSWER_BYTES))
+                    reply.finish()
+                    isIdle.complete(server.isIdle)
+                    if (!isIdle.get()) server.closeIdle()
+                }
+                !isIdle.get()
+            }
+            repeat(answers) { assertEquals(ANSWER_BYTES, caller.readAnswer().body.length) }
+        }
+    }
+
+    private companion object {
+        const val ANSWER_BYTES = 250_000
+    }
 }
