Drop a prefill result whose engine has ended

Cause: a prefill result names the engine's start, but nothing compared it with the registry. An engine that started anew under its name, or another one at the address, may give the same handle to another prompt, and engines do not check whose handle it is.

After a new grant the prompt is read again within the retry budget, else by the decode engine.

Test first, failure on the code without the change: StreamFlowTest.prefillResultOfAnEngineThatEndedIsNotUsed expected: <[true, false, false]> but was: <[true, true, true]> Green now, with the rest of StreamFlowTest, PlainFlowTest, ForwarderTest, MembershipTest and ForwardFuzzTest.

--- a/core/src/main/kotlin/org/lovageladder/core/forward/ForwardContext.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/ForwardContext.kt
@@ -92,6 +92,16 @@
         }
     }
 
+    /**
+     * Returns [result] unless its engine has ended since. Its handle could then be one of another prompt, which no
+     * engine checks.
+     */
+    fun unlessLost(result: PrefillResult, request: RequestId): PrefillResult? {
+        if (!membership.hasEnded(result.engine)) return result
+        record(EventKind.PREFILL_WASTED, request, result.engine.name, detail = "its engine has ended since")
+        return null
+    }
+
     /** Removes the upstream [name] after its address answered as another instance. */
     fun removeReplaced(name: UpstreamName, request: RequestId) {
         membership.removeEnded(name)
--- a/core/src/main/kotlin/org/lovageladder/core/forward/Membership.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/Membership.kt
@@ -127,6 +127,15 @@
         endedStarts[name] = registration.startedAt
     }
 
+    /** Whether [incarnation] is known to have ended: it was reported, or another one has its name or address. */
+    public fun hasEnded(incarnation: UpstreamIncarnation): Boolean {
+        val name = incarnation.name
+        if (endedStarts.containsKey(name) && endedStarts[name] == incarnation.startedAt) return true
+        return registrations.values.any {
+            it.incarnation != incarnation && (it.name == name || it.address == incarnation.address)
+        }
+    }
+
     /** Upstreams of [service] that accept new requests at [now]. */
     public fun serving(service: ServiceName, now: Moment): List<UpstreamRegistration> =
         registered(service, now).filter { it.name !in changingRole }
--- a/core/src/main/kotlin/org/lovageladder/core/forward/StreamFlow.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/StreamFlow.kt
@@ -136,11 +136,12 @@
         grant = memory
         summary.recordGrant(context.now())
         if (refuseIfQuarantined()) return
+        prefillResult = prefillResult?.let { context.unlessLost(it, request.id) }
         if (prefillResult == null && !isTrial) prefillStep.start() else startDecode()
     }
 
     private fun onPrefilled(result: PrefillResult?) {
-        prefillResult = result
+        prefillResult = result?.let { context.unlessLost(it, request.id) }
         startDecode()
     }
 
--- a/core/src/test/kotlin/org/lovageladder/core/forward/StreamFlowTest.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/forward/StreamFlowTest.kt
@@ -1,6 +1,7 @@
 package org.lovageladder.core.forward
 
 import org.lovageladder.core.Address
+import org.lovageladder.core.UpstreamName
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertFalse
@@ -35,6 +36,23 @@
         assertTrue(submitted.reply.isComplete)
     }
 
+    /** A handle does not say whose prompt it is: another start, or another engine at the address, may use it again. */
+    @Test
+    fun prefillResultOfAnEngineThatEndedIsNotUsed() {
+        val prefillEngine = ForwardFixture.REGISTRATIONS.single { it.name.text == "prefill-1" }
+        val restarted = prefillEngine.copy(startedAt = 7, revision = 2)
+        val registrations = listOf(prefillEngine, restarted, prefillEngine.copy(name = UpstreamName("new")))
+        val isUsed = registrations.map { registration ->
+            val fixture = ForwardFixture()
+            fixture.submit("/stream/1")
+            fixture.scheduler.advance(20.milliseconds)
+            fixture.forwarder.onRegistryChange(RegistryChange.Registered(registration))
+            fixture.scheduler.advance(150.milliseconds)
+            fixture.upstreams.receivedCalls.single().attempt.prefillResult != null
+        }
+        assertEquals(listOf(true, false, false), isUsed)
+    }
+
     @Test
     fun declinedDecodeIsRetriedOnAnotherEngine() {
         val submitted = startStream()
