Keep connections of ended calls, and use names only where a peer gives them

A cancel of a call that has ended closed its connection, which lies in the pool by then. A stream's flow cancels its decode when it is finished, so that no connection outlived a decode. A cancel of an ended call now does nothing. Seen before the change, in RepeatedAnswersTest (ten streams, connections to an engine that answers once, one that repeats answers, one that names no request): expected: <[2, 10, 20]> but was: <[11, 11, 20]>

An identified call now follows another kind of call only at an address that has named a call before: the first stream of an address takes two connections for one.

HttpUpstreamGateway (the product's own interface) says how its answers are recognised too: prefills and decodes by X-Request-Id, which the stand-ins repeat, the list of running calls and cancels as unidentified.

Green: RepeatedAnswersTest, HttpUpstreamGatewayTest, HttpUpstreamCallsTest, ManyStreamsTest, EtcdStoreTest.

--- a/http/src/main/kotlin/org/lovageladder/http/ConnectionHistory.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/ConnectionHistory.kt
@@ -65,14 +65,14 @@
 }
 
 /**
- * The last answer of a connection. [allowsUnidentified] says whether an answer that names no call can follow: nothing
+ * The last answer of a connection, which [isIdentified] or names no call. [allowsUnidentified] says whether an answer that names no call can follow: nothing
  * that the peer writes again can be mistaken for it. A success of a call that has an identifier lacks its form; a
  * refusal has none.
  */
-internal enum class LastAnswer(val allowsUnidentified: Boolean) {
-    NONE(true),
-    IN_ORDER(false),
-    UNIDENTIFIED(false),
-    IDENTIFIED_SUCCESS(true),
-    IDENTIFIED_REFUSAL(false),
+internal enum class LastAnswer(val allowsUnidentified: Boolean, val isIdentified: Boolean = false) {
+    NONE(allowsUnidentified = true),
+    IN_ORDER(allowsUnidentified = false),
+    UNIDENTIFIED(allowsUnidentified = false),
+    IDENTIFIED_SUCCESS(allowsUnidentified = true, isIdentified = true),
+    IDENTIFIED_REFUSAL(allowsUnidentified = false, isIdentified = true),
 }
--- a/http/src/main/kotlin/org/lovageladder/http/EtcdStore.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/EtcdStore.kt
@@ -110,5 +110,16 @@
 }
 
 /** A `POST` request with a JSON body. */
-internal fun jsonPost(path: String, body: String, fields: List<HttpField> = emptyList()): HttpCall =
-    HttpCall(HttpMethod.POST, path, body.encodeToByteArray(), contentType = JSON_TYPE, fields = fields)
+internal fun jsonPost(
+    path: String,
+    body: String,
+    fields: List<HttpField> = emptyList(),
+    recognition: AnswerRecognition = AnswerRecognition.ByOrder,
+): HttpCall = HttpCall(
+    HttpMethod.POST,
+    path,
+    body.encodeToByteArray(),
+    contentType = JSON_TYPE,
+    fields = fields,
+    recognition = recognition,
+)
--- a/http/src/main/kotlin/org/lovageladder/http/HttpUpstreamGateway.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/HttpUpstreamGateway.kt
@@ -61,7 +61,7 @@
     }
 
     override fun running(upstream: ReleaseEntry.Upstream, listed: (List<String>?) -> Unit) {
-        client.callWhole(upstream.address, HttpCall(HttpMethod.GET, "/v1/running"), CONTROL_TIMEOUTS) { result ->
+        client.callWhole(upstream.address, RUNNING_CALL, CONTROL_TIMEOUTS) { result ->
             val answer = successfulAnswer(result)
             listed(answer?.let { decodeOrNull<RunningAnswer>(it) }?.running?.map { it.requestName })
         }
@@ -119,13 +119,15 @@
 
     /** Asks the engine to cancel a call. The result is whether it ended one with that name; null without an answer. */
     private fun sendCancel(requestName: String, upstream: ReleaseEntry.Upstream, onAnswer: (Boolean?) -> Unit) {
-        val call = jsonPost("/v1/cancel", engineJson.encodeToString(CancelBody(requestName)))
+        val body = engineJson.encodeToString(CancelBody(requestName))
+        val call = jsonPost("/v1/cancel", body, recognition = UNIDENTIFIED)
         client.callWhole(upstream.address, call, CONTROL_TIMEOUTS) { result ->
             onAnswer(successfulAnswer(result)?.let { decodeOrNull<CancelAnswer>(it) }?.cancelled)
         }
     }
 
     private companion object {
+        val RUNNING_CALL = HttpCall(HttpMethod.GET, "/v1/running", recognition = UNIDENTIFIED)
         val CONTROL_TIMEOUTS = HttpTimeouts(connectTimeout = 1.seconds, answerTimeout = 2.seconds)
         val ORDER_TIMEOUTS = HttpTimeouts(connectTimeout = 1.seconds, answerTimeout = 30.seconds)
     }
@@ -137,8 +139,15 @@
     is UpstreamCall.Plain -> Step.PLAIN_CALL
 }
 
-private fun engineCall(attempt: AttemptId, path: String, body: String): HttpCall =
-    jsonPost(path, body, listOf(HttpField("X-Request-Id", attempt.toString())))
+/** Engines repeat the identifier of a prefill or decode in its answer; those that do not get one on a connection. */
+private fun engineCall(attempt: AttemptId, path: String, body: String): HttpCall {
+    val identifier = attempt.toString()
+    val fields = listOf(HttpField(REQUEST_IDENTIFIER, identifier))
+    return jsonPost(path, body, fields, AnswerRecognition.ByIdentifier(identifier) { it.get(REQUEST_IDENTIFIER) })
+}
+
+private const val REQUEST_IDENTIFIER = "X-Request-Id"
+private val UNIDENTIFIED = AnswerRecognition.Unidentified { it.get(REQUEST_IDENTIFIER) }
 
 private fun successfulAnswer(result: HttpResult): HttpAnswer? =
     (result as? HttpResult.Answered)?.answer?.takeIf { it.status == STATUS_OK }
--- a/http/src/main/kotlin/org/lovageladder/http/IdleConnections.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/IdleConnections.kt
@@ -12,9 +12,11 @@
 
 /**
  * Pool of connections without a call, by peer address. A call gets only a connection that may carry it, first one whose
- * last answer does not allow an unidentified one, which fewer calls can use, then the one used last.
+ * last answer does not allow an unidentified one, which fewer calls can use, then the one used last. An identified call
+ * follows another kind of call only at a peer that has named a call before; any other would get no answer that counts.
  */
 internal class IdleConnections {
+    private val namingPeers = ConcurrentHashMap.newKeySet<Address>()
     private val byAddress = ConcurrentHashMap<Address, ConcurrentLinkedDeque<IdleConnection>>()
 
     /**
@@ -23,12 +25,18 @@
      */
     fun acquire(address: Address, recognition: AnswerRecognition): Channel? {
         val connections = byAddress[address] ?: return null
-        val candidates = connections.filter { it.history.mayCarry(recognition) }
+        val candidates = connections.filter { isSuitable(address, it.history, recognition) }
         return candidates.sortedBy { it.history.lastAnswer.allowsUnidentified }
             .firstOrNull { connections.remove(it) && isUsable(it) }
             ?.channel
     }
 
+    private fun isSuitable(address: Address, history: ConnectionHistory, recognition: AnswerRecognition): Boolean {
+        val needsName = recognition is AnswerRecognition.ByIdentifier && !history.lastAnswer.isIdentified
+        if (needsName && address !in namingPeers) return false
+        return history.mayCarry(recognition)
+    }
+
     private fun isUsable(connection: IdleConnection): Boolean {
         if (!connection.channel.isActive) return false
         if (connection.idleSince.elapsedNow() < connection.timeout) return true
@@ -41,6 +49,7 @@
      * announced.
      */
     fun release(address: Address, channel: Channel, history: ConnectionHistory, announcedTimeout: Duration? = null) {
+        if (history.lastAnswer.isIdentified) namingPeers += address
         val timeout = announcedTimeout?.let { it - CLOSE_MARGIN } ?: DEFAULT_TIMEOUT
         val connections = byAddress.computeIfAbsent(address) { ConcurrentLinkedDeque() }
         connections.addFirst(IdleConnection(channel, history, TimeSource.Monotonic.markNow(), timeout))
--- a/http/src/main/kotlin/org/lovageladder/http/RunningHttpCall.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/RunningHttpCall.kt
@@ -42,9 +42,12 @@
     val isEnded: Boolean
         get() = ended.get()
 
-    /** Ends the call without notifying the receiver, and closes its connection. */
+    /**
+     * Ends the call without notifying the receiver, and closes its connection. A call that has ended is left alone,
+     * since its connection may carry another one.
+     */
     fun cancel() {
-        ended.set(true)
+        if (ended.getAndSet(true)) return
         completionListener()
         channel?.close()
     }
--- a/http/src/main/kotlin/org/lovageladder/http/StartedCalls.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/StartedCalls.kt
@@ -66,7 +66,7 @@
             if (!tokensSuppressed) onReport(report)
             return
         }
-        httpCall?.takeIf { !it.isEnded }?.cancel()
+        httpCall?.cancel()
         if (!isPlain && mayStillRun(report)) calls.keepUnconfirmed(this) else calls.remove(this)
         onReport(report)
     }
