Take no request between the decision to end and the end

Callers lost requests in the last moment of a process that was already idle: the check that no request was open, the close of idle connections and the end were separate steps, so that the event loop read and passed on requests between them, which the exit cut. A process that still had one long request also took new connections until it was terminated.

Change: ForwardDrain closes the listener and all idle connections in one step on the event loop, once every request is answered and every answer is handed to the operating system; the listener closes at the final deadline at the latest. A process that is closed for another reason answers first what is open. A grace of less than 3 s is ended at its final deadline; before, the process waited for 3 s and was terminated. No test covers the smaller of both times and the late signal; read from the code.

--- a/core/src/test/kotlin/org/lovageladder/core/forward/ForwarderTest.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/forward/ForwarderTest.kt
@@ -3,6 +3,7 @@
 import org.lovageladder.core.Moment
 import org.lovageladder.core.ProcessName
 import org.lovageladder.core.ReleaseVersion
+import org.lovageladder.core.RequestId
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertNull
@@ -24,19 +25,7 @@
         val settings = ForwarderSettings(ProcessName("entry"), ForwardFixture.HOME, RetryLimits(0.2, 8.0, 10.seconds))
         val forwarder = Forwarder(settings, FakeUpstreams(scheduler), scheduler, log = {})
         val reply = RecordingReply()
-        val request =
-            ForwardRequest(
-                id = org.lovageladder.core.RequestId("1"),
-                method = "GET",
-                target = "/lookup/1",
-                host = "desk.example",
-                headers = emptyList(),
-                body = ByteArray(0),
-                arrivedAt = Moment(0),
-                callerTimeout = null,
-                generation = null,
-                resumeAfterEventId = null,
-            )
+        val request = ForwardFixture.request(RequestId("1"), "/lookup/1", Moment(0), callerTimeout = null)
         assertNull(forwarder.forward(request, reply))
         assertEquals(RefusalReason.NOT_READY, reply.refusal?.reason)
     }
--- a/core/src/test/kotlin/org/lovageladder/core/forward/PlainFlowTest.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/forward/PlainFlowTest.kt
@@ -35,7 +35,7 @@
         val behaviours: List<Behaviour>,
         val status: Int? = null,
         val refusal: RefusalReason? = null,
-        val attempts: Int,
+        val attempts: Int = 1,
     )
 
     private val cases =
@@ -45,12 +45,7 @@
             Case("/action/1", listOf(Behaviour.DECLINES, Behaviour.ANSWERS), status = 200, attempts = 2),
             Case("/action/1", listOf(Behaviour.LOSES_ANSWER), refusal = RefusalReason.ANSWER_LOST, attempts = 1),
             Case("/action/1", listOf(Behaviour.TRUNCATES_ANSWER), refusal = RefusalReason.ANSWER_LOST, attempts = 1),
-            Case(
-                "/action/1",
-                listOf(Behaviour.ANSWERS_WITHOUT_PROOF),
-                refusal = RefusalReason.ANSWER_LOST,
-                attempts = 1,
-            ),
+            Case("/action/1", listOf(Behaviour.ANSWERS_WITHOUT_PROOF), refusal = RefusalReason.ANSWER_LOST),
             Case("/action/1", listOf(Behaviour.ANSWERS_WRONG_INSTANCE, Behaviour.ANSWERS), status = 200, attempts = 2),
             Case("/lookup/1", listOf(Behaviour.LOSES_ANSWER, Behaviour.ANSWERS), status = 200, attempts = 2),
             Case("/lookup/1", listOf(Behaviour.ANSWERS_WITHOUT_PROOF, Behaviour.ANSWERS), status = 200, attempts = 2),
--- a/daemon/src/main/kotlin/org/lovageladder/daemon/ForwardProcess.kt
+++ b/daemon/src/main/kotlin/org/lovageladder/daemon/ForwardProcess.kt
@@ -8,6 +8,7 @@
 import org.lovageladder.core.EventDraft
 import org.lovageladder.core.EventKind
 import org.lovageladder.core.HybridClock
+import org.lovageladder.core.Moment
 import org.lovageladder.core.ProcessName
 import org.lovageladder.core.ReleaseVersion
 import org.lovageladder.core.forward.CallerLimits
@@ -24,6 +25,7 @@
 import org.lovageladder.core.forward.RequestHandle
 import org.lovageladder.http.HttpThreads
 import org.lovageladder.http.forward.EventLoopScheduler
+import org.lovageladder.http.forward.ForwardDrain
 import org.lovageladder.http.forward.ForwardHandler
 import org.lovageladder.http.forward.ForwardServer
 import org.lovageladder.http.forward.HttpUpstreamCalls
@@ -41,7 +43,6 @@
 import java.util.concurrent.Executors
 import kotlin.random.Random
 import kotlin.time.Duration
-import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
 /** Settings of an entry that forwards requests straight to upstreams. */
@@ -127,11 +128,17 @@
         forwarder.startRoleChanges(leaderElection, orders)
     }
 
-    override fun requestStop(): Unit = ending.requestStop { scheduler.execute { drain() } }
+    /** The grace period counts from this call, however late the event loop takes it up. */
+    override fun requestStop() {
+        val toldAt = scheduler.now()
+        ending.requestStop { scheduler.execute { drain(toldAt) } }
+    }
 
     override fun awaitEnd(): ProcessEnd = ending.await()
 
+    /** Requests that are still open are answered before their connections are closed. */
     override fun close() {
+        scheduler.execute(forwarder::endOpenRequests)
         server.close()
         adminServer.close()
         calls.close()
@@ -156,29 +163,17 @@
         eventLog.record(EventDraft(EventKind.SETTING_REJECTED, detail = reason))
     }
 
-    /**
-     * Reports the process as not ready and, once new callers use other hosts, closes idle connections and waits for the
-     * end of open requests.
-     */
-    private fun drain() {
+    /** Reports the process as not ready and ends it once all requests are answered. */
+    private fun drain(toldAt: Moment) {
         isDraining = true
         state.ready = false
-        server.drain()
-        forwarder.drain(settings.stopGrace)
+        val gracePeriod = minOf(settings.stopGrace, settings.process.drainTimeout)
+        val finalDeadline = forwarder.drain(gracePeriod, toldAt)
+        ForwardDrain(server, scheduler, ::onDrained).start(toldAt, finalDeadline)
         eventLog.record(EventDraft(EventKind.PROCESS_DRAINING, detail = "open=${forwarder.openRequests}"))
-        scheduler.schedule(BALANCER_REMOVAL_DELAY) {
-            server.closeIdle()
-            finishWhenIdle()
-        }
     }
 
-    /** Ends the process once no request is open. */
-    private fun finishWhenIdle() {
-        if (forwarder.openRequests > 0) {
-            scheduler.schedule(DRAIN_CHECK_INTERVAL) { finishWhenIdle() }
-            return
-        }
-        server.closeIdle()
+    private fun onDrained() {
         eventLog.record(EventDraft(EventKind.PROCESS_STOPPED, detail = "drained"))
         ending.finished()
     }
@@ -221,14 +216,7 @@
     private companion object {
         const val EVENT_RING_CAPACITY = 4096
         const val MAXIMUM_LOG_LINES_PER_SECOND = 400
-
-        /**
-         * Time until callers use other hosts: the platform's balancer probes once a second and removes a host after two
-         * probes that found it not ready.
-         */
-        val BALANCER_REMOVAL_DELAY: Duration = 3.seconds
         val REGISTRATION_LEASE: Duration = 6.seconds
-        val DRAIN_CHECK_INTERVAL: Duration = 50.milliseconds
     }
 }
 
--- a/http/src/main/kotlin/org/lovageladder/http/forward/ForwardServer.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/forward/ForwardServer.kt
@@ -57,6 +57,11 @@
         isDraining = true
     }
 
+    /** Stops listening. Open connections are served further. */
+    public fun stopListening() {
+        server.close()
+    }
+
     /** Closes connections without a request in progress or an answer to be written. */
     public fun closeIdle() {
         connections.forEach { it.closeIfIdle() }
--- a/http/src/test/kotlin/org/lovageladder/http/forward/ForwardServerTest.kt
+++ b/http/src/test/kotlin/org/lovageladder/http/forward/ForwardServerTest.kt
@@ -14,9 +14,12 @@
 import org.lovageladder.http.CallerSocket
 import org.lovageladder.http.HttpThreads
 import java.util.concurrent.CompletableFuture
+import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.CountDownLatch
 import java.util.concurrent.LinkedBlockingQueue
 import java.util.concurrent.TimeUnit
+import kotlin.concurrent.thread
+import kotlin.random.Random
 import kotlin.test.AfterTest
 import kotlin.test.Test
 import kotlin.test.assertEquals
@@ -95,51 +98,52 @@
         }
     }
 
+    /** While draining, a request that waits on a connection is answered before the last answer closes it. */
     @Test
-    fun pipelinedRequestsAreAnsweredInOrder() {
-        CallerSocket(server.address).use { caller ->
-            caller.send("GET /1 HTTP/1.1\r\nHost: h\r\nId: 1\r\n\r\nGET /2 HTTP/1.1\r\nHost: h\r\nId: 2\r\n\r\n")
-            listOf("/1", "/2").forEach { path ->
-                val (request, reply) = takeRequest()
-                assertEquals(path, request.target)
-                assertNull(forwarded.poll())
-                onEventLoop { reply.refuse(Refusal(RefusalReason.OVERLOADED, 1_500.milliseconds)) }
-                val answer = caller.readAnswer()
-                assertEquals(503, answer.status)
-                assertEquals("1.500", answer.headers["retry-after"])
+    fun pipelinedRequestsAreAnsweredInOrderAlsoWhileDraining() {
+        listOf(null, "close").forEach { lastConnection ->
+            if (lastConnection != null) server.drain()
+            CallerSocket(server.address).use { caller ->
+                caller.send((1..3).joinToString("") { "GET /$it HTTP/1.1\r\nHost: h\r\nId: 1\r\n\r\n" })
+                listOf("/1" to null, "/2" to null, "/3" to lastConnection).forEach { (path, connection) ->
+                    val (request, reply) = takeRequest()
+                    assertEquals(path, request.target)
+                    assertNull(forwarded.poll())
+                    onEventLoop {
+                        reply.refuse(Refusal(RefusalReason.OVERLOADED, 1_500.milliseconds))
+                        server.closeIdle()
+                    }
+                    val answer = caller.readAnswer()
+                    assertEquals(503, answer.status)
+                    assertEquals("1.500", answer.headers["retry-after"])
+                    assertEquals(connection, answer.headers["connection"])
+                }
             }
         }
     }
 
     @Test
-    fun requestsWithAmbiguousLengthOrExcessiveSizeAreRejected() {
+    fun requestsWithAmbiguousLengthExcessiveSizeOrNoIdentifierAreRejected() {
         val cases =
             mapOf(
-                "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" to 400,
-                "Transfer-Encoding: chunked, identity\r\n\r\n0\r\n\r\n" to 400,
-                "Transfer-Encoding: xchunked\r\n\r\n0\r\n\r\n" to 400,
-                "Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd" to 400,
-                "Content-Length: +3\r\n\r\nabc" to 400,
-                "Long: ${"x".repeat(600)}\r\n\r\n" to 431,
-                "Content-Length: 2000\r\n\r\n" to 413,
+                "Id: 1\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" to 400,
+                "Id: 1\r\nTransfer-Encoding: chunked, identity\r\n\r\n0\r\n\r\n" to 400,
+                "Id: 1\r\nTransfer-Encoding: xchunked\r\n\r\n0\r\n\r\n" to 400,
+                "Id: 1\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabcd" to 400,
+                "Id: 1\r\nContent-Length: +3\r\n\r\nabc" to 400,
+                "Id: 1\r\nLong: ${"x".repeat(600)}\r\n\r\n" to 431,
+                "Id: 1\r\nContent-Length: 2000\r\n\r\n" to 413,
+                "\r\n" to 400,
             )
         cases.forEach { (rest, status) ->
             CallerSocket(server.address).use { caller ->
-                caller.send("POST /1 HTTP/1.1\r\nHost: h\r\nId: 1\r\n$rest")
+                caller.send("POST /1 HTTP/1.1\r\nHost: h\r\n$rest")
                 assertEquals(status, caller.readAnswer().status, rest)
             }
         }
         assertTrue(forwarded.isEmpty())
     }
 
-    @Test
-    fun requestWithoutIdentifierIsRejected() {
-        CallerSocket(server.address).use { caller ->
-            caller.send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n")
-            assertEquals(400, caller.readAnswer().status)
-        }
-    }
-
     @Test
     fun incompleteRequestIsRejectedAndIdleConnectionIsClosed() {
         CallerSocket(server.address).use { caller ->
@@ -173,23 +177,6 @@
         }
     }
 
-    /** A request that waits behind another one on its connection was read, so that it must be answered too. */
-    @Test
-    fun answersCloseTheConnectionWhileDrainingOnceNoRequestWaitsOnIt() {
-        server.drain()
-        CallerSocket(server.address).use { caller ->
-            caller.send("GET /1 HTTP/1.1\r\nHost: h\r\nId: 1\r\n\r\n".repeat(3))
-            listOf(null, null, "close").forEach { connection ->
-                val (_, reply) = takeRequest()
-                onEventLoop {
-                    reply.refuse(Refusal(RefusalReason.LEAVING))
-                    server.closeIdle()
-                }
-                assertEquals(connection, caller.readAnswer().headers["connection"])
-            }
-        }
-    }
-
     @Test
     fun idleCloseLeavesAnswersThatAreNotWritten() {
         CallerSocket(server.address).use { caller ->
@@ -210,6 +197,39 @@
         }
     }
 
+    /** The process ends 300 ms after the start here; callers keep sending on their connections and open new ones. */
+    @Test
+    fun everyRequestThatIsReadBeforeTheEndOfADrainIsAnswered() {
+        val scheduler = EventLoopScheduler(threads)
+        val isEnded = CountDownLatch(1)
+        val answered = ConcurrentHashMap.newKeySet<String>()
+        val callers = List(4) { number ->
+            thread { while (isEnded.count > 0) runCatching { sendUntilClosed(number, answered) } }
+        }
+        val finalDeadline = scheduler.now() + 300.milliseconds
+        onEventLoop { ForwardDrain(server, scheduler, isEnded::countDown).start(scheduler.now(), finalDeadline) }
+        val read = HashSet<String>()
+        while (isEnded.count > 0) {
+            val (request, reply) = forwarded.poll(10, TimeUnit.MILLISECONDS) ?: continue
+            read += request.id.text
+            scheduler.schedule(1.milliseconds) { reply.refuse(Refusal(RefusalReason.LEAVING)) }
+        }
+        server.close()
+        callers.forEach { it.join() }
+        assertEquals(emptySet(), read + forwarded.map { it.first.id.text } - answered)
+    }
+
+    /** Sends requests on one connection, which is idle at first. Fails when the server closes it. */
+    private fun sendUntilClosed(number: Int, answered: MutableSet<String>) =
+        CallerSocket(server.address).use { caller ->
+            Thread.sleep(Random.nextLong(5))
+            generateSequence { "$number-${System.nanoTime()}" }.forEach { id ->
+                caller.send("GET /1 HTTP/1.1\r\nHost: h\r\nId: $id\r\n\r\n")
+                caller.readAnswer()
+                answered += id
+            }
+        }
+
     private companion object {
         const val ANSWER_BYTES = 250_000
     }
