Write the table of invalid requests one case a line

Reason: most rows of CallerServerTest's tables named the same path and status again, or were broken over five lines. The bodies that a text generation refuses are a table of their own, and the path of the plain service is a constant. 52 lines fewer.

--- a/http/src/test/kotlin/org/lovageladder/http/CallerServerTest.kt
+++ b/http/src/test/kotlin/org/lovageladder/http/CallerServerTest.kt
@@ -11,6 +11,7 @@
 import org.lovageladder.core.Fault
 import org.lovageladder.core.FaultCause
 import org.lovageladder.core.Outcome
+import org.lovageladder.core.Outcome.Refused
 import org.lovageladder.core.PlainAnswer
 import org.lovageladder.core.RefusalReason
 import org.lovageladder.core.RequestContent
@@ -32,13 +33,12 @@
 
 class CallerServerTest {
     private val callers = RecordingCallerHandler()
-    private val limits =
-        HttpLimits(
-            maximumBodyBytes = 2_000,
-            maximumHeaderBytes = 4_000,
-            readTimeout = 200.milliseconds,
-            writeTimeout = 200.milliseconds,
-        )
+    private val limits = HttpLimits(
+        maximumBodyBytes = 2_000,
+        maximumHeaderBytes = 4_000,
+        readTimeout = 200.milliseconds,
+        writeTimeout = 200.milliseconds,
+    )
     private val server = startCallerServer(
         bind = Address("127.0.0.1", 0),
         limits = limits,
@@ -54,82 +54,48 @@
     @Test
     fun invalidRequestIsAnsweredWithProblemThatNamesTheField() {
         val bigBody = "x".repeat(2_001)
-        val rows = listOf(
-            InvalidRequestRow(post("/v1/completions", "{"), 400, "body"),
-            InvalidRequestRow(post("/v1/completions", "[]"), 400, "body"),
-            InvalidRequestRow(post("/v1/completions", """{"model":"m"}"""), 400, "prompt"),
-            InvalidRequestRow(post("/v1/completions", """{"model":"m","prompt":7}"""), 400, "prompt"),
-            InvalidRequestRow(post("/v1/completions", """{"model":"m","prompt":null}"""), 400, "prompt"),
-            InvalidRequestRow(post("/v1/completions", """{"prompt":"p"}"""), 400, "model"),
-            InvalidRequestRow(post("/v1/completions", """{"model":1,"prompt":"p"}"""), 400, "model"),
-            InvalidRequestRow(
-                post("/v1/completions", """{"model":"m","prompt":"p","max_tokens":"7"}"""),
-                400,
-                "max_tokens",
-            ),
-            InvalidRequestRow(
-                post("/v1/completions", """{"model":"m","prompt":"p","max_tokens":0}"""),
-                400,
-                "max_tokens",
-            ),
-            InvalidRequestRow(
-                post("/v1/completions", """{"model":"m","prompt":"p","max_tokens":1.5}"""),
-                400,
-                "max_tokens",
-            ),
-            InvalidRequestRow(post("/v1/completions", """{"model":"m","prompt":"p","stream":"true"}"""), 400, "stream"),
-            InvalidRequestRow(post("/v1/completions", """{"model":"m","prompt":"p","n":2}"""), 400, "n"),
-            InvalidRequestRow(post("/v1/completions", "[".repeat(2_000)), 400, "body"),
-            InvalidRequestRow(
-                post("/v1/completions", """{"model":"m","prompt":${"[".repeat(65)}${"]".repeat(65)}}"""),
-                400,
-                "body",
-            ),
+        val chatWithoutContent = """{"model":"m","messages":[{"role":"user"}]}"""
+        val fieldsOfTextRequests = listOf(
+            "{" to "body",
+            "[]" to "body",
+            """{"model":"m"}""" to "prompt",
+            """{"model":"m","prompt":7}""" to "prompt",
+            """{"model":"m","prompt":null}""" to "prompt",
+            """{"prompt":"p"}""" to "model",
+            """{"model":1,"prompt":"p"}""" to "model",
+            """{"model":"m","prompt":"p","max_tokens":"7"}""" to "max_tokens",
+            """{"model":"m","prompt":"p","max_tokens":0}""" to "max_tokens",
+            """{"model":"m","prompt":"p","max_tokens":1.5}""" to "max_tokens",
+            """{"model":"m","prompt":"p","stream":"true"}""" to "stream",
+            """{"model":"m","prompt":"p","n":2}""" to "n",
+            "[".repeat(2_000) to "body",
+            """{"model":"m","prompt":${"[".repeat(65)}${"]".repeat(65)}}""" to "body",
+        )
+        val rows = fieldsOfTextRequests.map { (body, field) ->
+            InvalidRequestRow(post("/v1/completions", body), 400, field)
+        } + listOf(
             InvalidRequestRow(post("/v1/chat/completions", """{"model":"m","prompt":"p"}"""), 400, "messages"),
             InvalidRequestRow(post("/v1/chat/completions", """{"model":"m","messages":[]}"""), 400, "messages"),
             InvalidRequestRow(post("/v1/chat/completions", """{"model":"m","messages":["p"]}"""), 400, "messages[0]"),
-            InvalidRequestRow(
-                post("/v1/chat/completions", """{"model":"m","messages":[{"role":"user"}]}"""),
-                400,
-                "messages[0].content",
-            ),
+            InvalidRequestRow(post("/v1/chat/completions", chatWithoutContent), 400, "messages[0].content"),
             InvalidRequestRow(post("/v1/completions", "{}", "Lovageladder-Class: two words"), 400, "prompt"),
-            InvalidRequestRow(
-                post("/services/desk/x", "{}", "Lovageladder-Class: two words"),
-                400,
-                "Lovageladder-Class",
-            ),
-            InvalidRequestRow(
-                post("/services/desk/x", "{}", "Idempotency-Key: ä"),
-                400,
-                "Idempotency-Key",
-                mayHaveKey = true,
-            ),
-            InvalidRequestRow(
-                post("/services/desk/x", "{}", "Idempotency-Key:"),
-                400,
-                "Idempotency-Key",
-                mayHaveKey = true,
-            ),
+            InvalidRequestRow(post(DESK, "{}", "Lovageladder-Class: two words"), 400, "Lovageladder-Class"),
+            InvalidRequestRow(post(DESK, "{}", "Idempotency-Key: ä"), 400, "Idempotency-Key", mayHaveKey = true),
+            InvalidRequestRow(post(DESK, "{}", "Idempotency-Key:"), 400, "Idempotency-Key", mayHaveKey = true),
             InvalidRequestRow(post("/services/", "{}"), 404, "path"),
             InvalidRequestRow(post("/services//x", "{}"), 404, "path"),
             InvalidRequestRow(post("/v2/completions", "{}"), 404, "path"),
             InvalidRequestRow("GET /v1/completions HTTP/1.1\r\nHost: a\r\n\r\n", 405, "method"),
-            InvalidRequestRow("CONNECT /services/desk/x HTTP/1.1\r\n\r\n", 405, "method"),
-            InvalidRequestRow("TRACE /services/desk/x HTTP/1.1\r\n\r\n", 405, "method"),
-            InvalidRequestRow(post("/services/desk/x", bigBody), 413, "body"),
-            InvalidRequestRow(post("/services/desk/x", bigBody, "Idempotency-Key: k"), 413, "body", mayHaveKey = true),
-            InvalidRequestRow(chunked("/services/desk/x", bigBody), 413, "body"),
-            InvalidRequestRow(
-                post("/services/desk/x", "{}", "X-Long: " + "y".repeat(4_001)),
-                431,
-                "headers",
-                mayHaveKey = true,
-            ),
+            InvalidRequestRow("CONNECT $DESK HTTP/1.1\r\n\r\n", 405, "method"),
+            InvalidRequestRow("TRACE $DESK HTTP/1.1\r\n\r\n", 405, "method"),
+            InvalidRequestRow(post(DESK, bigBody), 413, "body"),
+            InvalidRequestRow(post(DESK, bigBody, "Idempotency-Key: k"), 413, "body", mayHaveKey = true),
+            InvalidRequestRow(chunked(DESK, bigBody), 413, "body"),
+            InvalidRequestRow(post(DESK, "{}", "X-Long: " + "y".repeat(4_001)), 431, "headers", mayHaveKey = true),
             InvalidRequestRow("GET /" + "z".repeat(9_000) + " HTTP/1.1\r\n\r\n", 414, "path", mayHaveKey = true),
             InvalidRequestRow("NO HTTP\r\n\r\n", 400, null, mayHaveKey = true),
-            InvalidRequestRow("POST /services/desk/x HT", 408, null, mayHaveKey = true),
-            InvalidRequestRow("POST /services/desk/x HTTP/1.1\r\nContent-Length: 9\r\n\r\nhalf", 408, null),
+            InvalidRequestRow("POST $DESK HT", 408, null, mayHaveKey = true),
+            InvalidRequestRow("POST $DESK HTTP/1.1\r\nContent-Length: 9\r\n\r\nhalf", 408, null),
         )
         for (row in rows) {
             CallerSocket(server.address).use { socket ->
@@ -155,15 +121,9 @@
     fun generationRequestIsParsedIntoSubmission() {
         val text = """{"model":"lesson-lm","prompt":"a b c d e","max_tokens":7}"""
         val chat = """{"model":"lesson-lm","messages":[{"role":"user","content":"${"x".repeat(40)}"}]}"""
+        val classField = "Lovageladder-Class: summary"
         val rows = listOf(
-            GenerationRow(
-                post("/v1/completions", text, "Lovageladder-Class: summary"),
-                "lesson-lm",
-                null,
-                5,
-                7,
-                "summary",
-            ),
+            GenerationRow(post("/v1/completions", text, classField), "lesson-lm", null, 5, 7, requestClass = "summary"),
             GenerationRow(post("/v1/completions", text, "Lovageladder-Service: lm"), "lm", "lesson-lm", 5, 7),
             GenerationRow(post("/v1/chat/completions?a=b", chat), "lesson-lm", null, 11, null),
         )
@@ -266,29 +226,18 @@
         assertEquals(RefusalReason.entries.toSet(), statuses.keys)
         CallerSocket(server.address).use { socket ->
             for ((reason, status) in statuses) {
-                val answer = submitAndRefuse(socket, Outcome.Refused(reason, Execution.NOT_RUN))
+                val answer = submitAndRefuse(socket, Refused(reason, Execution.NOT_RUN))
                 assertEquals(status, answer.status, "$reason")
             }
         }
         val fault = Fault(Step.PLAIN_CALL, "desk-1", FaultCause.CONNECTION_LOST)
+        val storeUnavailable = Refused(RefusalReason.STORE_UNAVAILABLE, Execution.UNKNOWN, submissionRan = false)
         val rows = listOf(
-            RefusalRow(
-                Outcome.Refused(RefusalReason.OVERLOADED, Execution.NOT_RUN, retryAfter = 1200.milliseconds),
-                "2",
-            ),
-            RefusalRow(Outcome.Refused(RefusalReason.OVERLOADED, Execution.NOT_RUN, retryAfter = 1.seconds), "1"),
-            RefusalRow(
-                Outcome.Refused(RefusalReason.DEADLINE, Execution.UNKNOWN, fault = fault),
-                null,
-                "unknown",
-                "unknown",
-            ),
-            RefusalRow(Outcome.Refused(RefusalReason.UPSTREAM_FAILED, Execution.RAN), null, "ran", "ran"),
-            RefusalRow(
-                Outcome.Refused(RefusalReason.STORE_UNAVAILABLE, Execution.UNKNOWN, submissionRan = false),
-                null,
-                outcome = "unknown",
-            ),
+            RefusalRow(Refused(RefusalReason.OVERLOADED, Execution.NOT_RUN, retryAfter = 1200.milliseconds), "2"),
+            RefusalRow(Refused(RefusalReason.OVERLOADED, Execution.NOT_RUN, retryAfter = 1.seconds), "1"),
+            RefusalRow(Refused(RefusalReason.DEADLINE, Execution.UNKNOWN, fault = fault), null, "unknown", "unknown"),
+            RefusalRow(Refused(RefusalReason.UPSTREAM_FAILED, Execution.RAN), null, "ran", "ran"),
+            RefusalRow(storeUnavailable, null, outcome = "unknown"),
         )
         CallerSocket(server.address).use { socket ->
             for (row in rows) {
@@ -311,7 +260,7 @@
             socket.send(post("/v1/completions", generation(GenerationApi.TEXT, stream = true)))
             val exchange = callers.nextSubmission().exchange
             server.sendToken(exchange, 0, "one")
-            val refused = Outcome.Refused(RefusalReason.DEADLINE, Execution.RAN, retryAfter = 1.seconds)
+            val refused = Refused(RefusalReason.DEADLINE, Execution.RAN, retryAfter = 1.seconds)
             server.sendOutcome(exchange, RequestId("r-4"), refused)
             val rest = socket.readUntilClosed()
             assertTrue("event: error\ndata: {" in rest, rest)
@@ -379,18 +328,14 @@
         )
         for (row in rows) {
             CallerSocket(server.address).use { socket ->
-                socket.send("POST /services/desk/x ${row.version}\r\n${row.header}Content-Length: 2\r\n\r\n")
+                socket.send("POST $DESK ${row.version}\r\n${row.header}Content-Length: 2\r\n\r\n")
                 if (row.expectsContinue) assertEquals(100, socket.readHead().status, "$row")
                 socket.send("{}")
                 val exchange = callers.nextSubmission().exchange
                 server.sendOutcome(exchange, RequestId("r"), Outcome.Answered(PlainAnswer(200, null, "ok")))
                 assertEquals("ok", socket.readAnswer().body, "$row")
                 if (row.isClosed) {
-                    assertEquals(
-                        "",
-                        socket.readUntilClosed(),
-                        "$row",
-                    )
+                    assertEquals("", socket.readUntilClosed(), "$row")
                 } else {
                     submitAndRefuse(socket, leaving)
                 }
@@ -417,10 +362,10 @@
         }
     }
 
-    private val leaving = Outcome.Refused(RefusalReason.LEAVING, Execution.NOT_RUN)
+    private val leaving = Refused(RefusalReason.LEAVING, Execution.NOT_RUN)
 
-    private fun submitAndRefuse(socket: CallerSocket, refused: Outcome.Refused): CallerAnswer {
-        socket.send(post("/services/desk/x", "{}"))
+    private fun submitAndRefuse(socket: CallerSocket, refused: Refused): CallerAnswer {
+        socket.send(post(DESK, "{}"))
         server.sendOutcome(callers.nextSubmission().exchange, RequestId("r-3"), refused)
         return socket.readAnswer()
     }
@@ -463,7 +408,7 @@
     private data class PlainRow(val method: String, val target: String, val path: String)
 
     private data class RefusalRow(
-        val refused: Outcome.Refused,
+        val refused: Refused,
         val retryAfter: String?,
         val outcome: String = "not-run",
         val submission: String = "not-run",
@@ -488,6 +433,9 @@
     }
 }
 
+/** The path of a request to a plain service. */
+private const val DESK = "/services/desk/x"
+
 private fun post(path: String, body: String, vararg headers: String): String {
     val length = body.toByteArray().size
     val lines = headers.joinToString("") { "$it\r\n" }
