Ignore SIGHUP until the settings are watched

Operators who told a starting entry to reload its settings ended it (exit 129; seen by a trial with SIGHUP 0.3 s after the start). A Java process ends at SIGHUP unless it has a handler, and the forwarding entry installed its own only after it listened; entry and companion had none.

Change: the first thing that main does is to ignore the signal. CommandTest.hangupDuringTheStartIsIgnored without the call: 'The forked VM terminated without properly saying goodbye'; with it green. Not covered: a signal before main runs.

--- a/daemon/src/main/kotlin/org/lovageladder/daemon/Main.kt
+++ b/daemon/src/main/kotlin/org/lovageladder/daemon/Main.kt
@@ -6,6 +6,8 @@
 import com.github.ajalt.clikt.core.UsageError
 import com.github.ajalt.clikt.core.parse
 import com.github.ajalt.clikt.core.subcommands
+import sun.misc.Signal
+import sun.misc.SignalHandler
 import kotlin.system.exitProcess
 
 private const val USAGE_ERROR_STATUS = 2
@@ -19,6 +21,7 @@
 
 /** Runs the role that [arguments] select until it is stopped. An invalid flag or value exits with status 2. */
 public fun main(arguments: Array<String>) {
+    ignoreHangups()
     val command = DaemonCommand().subcommands(EntryCommand(), CompanionCommand(), ForwardCommand())
     try {
         command.parse(arguments)
@@ -30,3 +33,11 @@
         exitProcess(error.statusCode)
     }
 }
+
+/**
+ * Ignores SIGHUP, which ends a Java process that has no handler. A process that reloads its settings installs its own
+ * handler once it has read them; a hangup until then asks for nothing else.
+ */
+internal fun ignoreHangups() {
+    Signal.handle(Signal("HUP"), SignalHandler.SIG_IGN)
+}
--- a/daemon/src/test/kotlin/org/lovageladder/daemon/CommandTest.kt
+++ b/daemon/src/test/kotlin/org/lovageladder/daemon/CommandTest.kt
@@ -2,6 +2,7 @@
 
 import com.github.ajalt.clikt.core.subcommands
 import com.github.ajalt.clikt.testing.test
+import sun.misc.Signal
 import java.net.InetAddress
 import java.net.ServerSocket
 import kotlin.test.Test
@@ -44,6 +45,14 @@
         DaemonCommand().subcommands(EntryCommand(), CompanionCommand(), ForwardCommand())
             .test(listOf(role) + flags.flatMap { listOf(it.key, it.value) }, envvars = environment, width = 200)
 
+    /** Without a handler the signal ends this process. */
+    @Test
+    fun hangupDuringTheStartIsIgnored() {
+        ignoreHangups()
+        Signal.raise(Signal("HUP"))
+        Thread.sleep(100)
+    }
+
     @Test
     fun invalidValuesAreReportedWithFlagAndAllowedValues() {
         invalidValueCases.forEach { case ->
