--- a/http/src/main/kotlin/org/lovageladder/http/ConnectionHistory.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/ConnectionHistory.kt
@@ -65,9 +65,9 @@
 }
 
 /**
- * The last answer of a connection, which [isIdentified] or names no call. [allowsUnidentified] says whether an answer that names no call can follow: nothing
- * that the peer writes again can be mistaken for it. A success of a call that has an identifier lacks its form; a
- * refusal has none.
+ * The last answer of a connection, which [isIdentified] or names no call. [allowsUnidentified] says whether an answer
+ * that names no call can follow: nothing that the peer writes again can be mistaken for it. A success of a call that
+ * has an identifier lacks its form; a refusal has none.
  */
 internal enum class LastAnswer(val allowsUnidentified: Boolean, val isIdentified: Boolean = false) {
     NONE(allowsUnidentified = true),
--- a/http/src/test/kotlin/org/lovageladder/http/forward/HttpUpstreamCallsTest.kt
+++ b/http/src/test/kotlin/org/lovageladder/http/forward/HttpUpstreamCallsTest.kt
@@ -85,7 +85,7 @@
     }
 
     /** Records the outcome of a call as text. */
-    private class Recorder(private val onDone: () -> Unit = {}) : AnswerReceiver {
+    private class Recorder : AnswerReceiver {
         val outcome = CompletableFuture<String>()
         private val body = StringBuilder()
         private var status = 0
@@ -101,12 +101,10 @@
 
         override fun onEnd() {
             outcome.complete("$status $body")
-            onDone()
         }
 
         override fun onFailure(failure: CallFailure) {
             outcome.complete("failed sent=${failure.sent}")
-            onDone()
         }
     }
 
@@ -123,11 +121,7 @@
         resumeAfterEventId = null,
     )
 
-    private fun outcomeOf(address: Address): String {
-        val recorder = Recorder()
-        calls.send(request(), UpstreamAttempt(UpstreamIncarnation(UpstreamName("u"), address), 5.seconds), recorder)
-        return recorder.outcome.get(10, TimeUnit.SECONDS)
-    }
+    private fun outcomeOf(address: Address): String = outcomeOf("run", UpstreamIncarnation(UpstreamName("u"), address))
 
     @Test
     fun completeAnswersAreDeliveredAndDamagedOnesFail() {
@@ -158,25 +152,24 @@
         val refusal = FaultyPeer.answer(503, "full", "Id: 6")
         FaultyPeer(PeerBehaviour.SendTo("", refusal + FaultyPeer.answer(200, "k1"))).use { peer ->
             val incarnation = UpstreamIncarnation(UpstreamName("u"), peer.address)
-            val attempt = UpstreamAttempt(incarnation, 5.seconds)
-            val kinds =
-                mapOf<String, ((String) -> Unit) -> Unit>(
-                    "reserve" to { done -> calls.reserve(incarnation, 1, 1.seconds) { done("$it") } },
-                    "prefill" to { done -> calls.prefill(request(), attempt) { done("$it") } },
-                    "run" to { done ->
-                        val recorder = Recorder()
-                        recorder.outcome.thenAccept(done)
-                        calls.send(request(), attempt, recorder)
-                    },
-                )
-            kinds.forEach { (kind, call) ->
-                val outcome = CompletableFuture<String>()
-                call { outcome.complete(it) }
-                assertContains(outcome.get(10, TimeUnit.SECONDS), "k1", message = kind)
+            listOf("reserve", "prefill", "run").forEach {
+                assertContains(outcomeOf(it, incarnation), "k1", message = it)
             }
         }
     }
 
+    /** Makes a call of [kind] and returns its outcome as text. */
+    private fun outcomeOf(kind: String, incarnation: UpstreamIncarnation): String {
+        val recorder = Recorder()
+        val attempt = UpstreamAttempt(incarnation, 5.seconds)
+        when (kind) {
+            "reserve" -> calls.reserve(incarnation, tokens = 1, 1.seconds) { recorder.outcome.complete("$it") }
+            "prefill" -> calls.prefill(request(), attempt) { recorder.outcome.complete("$it") }
+            else -> calls.send(request(), attempt, recorder)
+        }
+        return recorder.outcome.get(10, TimeUnit.SECONDS)
+    }
+
     /** The earlier answer may be one of the same request, which only another connection tells apart. */
     @Test
     fun eachAttemptOfARequestAtAnUpstreamGetsItsOwnConnection() {
@@ -219,19 +212,9 @@
         }
         peers.forEach { peer ->
             val incarnation = UpstreamIncarnation(UpstreamName("u"), peer.peer.address, startedAt = 7)
-            val attempt = UpstreamAttempt(incarnation, 5.seconds)
-            val kinds =
-                mapOf<String, (() -> Unit) -> Unit>(
-                    "run" to { onDone -> calls.send(request(), attempt, Recorder(onDone)) },
-                    "prefill" to { onDone -> calls.prefill(request(), attempt) { onDone() } },
-                    "reserve" to
-                        { onDone -> calls.reserve(incarnation, tokens = 1, reservationTime = 1.seconds) { onDone() } },
-                )
-            kinds.forEach { (kind, call) ->
+            listOf("run", "prefill", "reserve").forEach { kind ->
                 notices.clear()
-                val finished = CompletableFuture<Unit>()
-                call { finished.complete(Unit) }
-                finished.get(10, TimeUnit.SECONDS)
+                outcomeOf(kind, incarnation)
                 val expected = UpstreamNotice(isLeaving = true, requestLimit = limitNamedIn(kind, peer.status))
                 assertEquals(listOf(incarnation to expected), notices, "$kind ${peer.status}")
             }
