Judge prompts by whether engines outlive their answers, not by the first event

Cause: the first event cleared the part, and a crash after it was no evidence; a trial that wrote one event ended the quarantine.

Change: PromptWatch takes an answer as outlived when it ended, or after 32 events over 0.25 s, or 2 s; a crash before suspects all parts of all streams that early. An outlived answer refutes only crashes amid answers that began before it. A trial waits when the prompt has another suspected part. Crashes that a quarantined part explains count when it turns out sound. Reports of other entries within 0.6 s are one moment.

Some test code is folded without losing a check.

--- a/core/src/main/kotlin/org/lovageladder/core/EventKind.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/EventKind.kt
@@ -130,7 +130,7 @@
     PROMPT_SUSPECTED(
         3014,
         EventLevel.WARNING,
-        "An engine crashed before it wrote anything on a prompt; a part of the prompt is suspected.",
+        "An engine crashed early in its answer on a prompt; a part of the prompt is suspected.",
         "See docs/OPERATIONS.md.",
     ),
     PROMPT_QUARANTINED(
--- a/core/src/main/kotlin/org/lovageladder/core/forward/PromptGuard.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/PromptGuard.kt
@@ -2,6 +2,7 @@
 
 import org.lovageladder.core.EventDraft
 import org.lovageladder.core.EventKind
+import org.lovageladder.core.Moment
 import org.lovageladder.core.RequestId
 import kotlin.random.Random
 import kotlin.time.Duration
@@ -18,6 +19,7 @@
     private val random: Random,
 ) {
     private val quarantine = PromptQuarantine()
+    private val explainedCrashes = HashMap<PromptPartId, ArrayList<ObservedCrash>>()
     private val scheduledReports = HashSet<PromptPartId>()
     private val scheduledSoundReports = HashSet<PromptPartId>()
     private var port: PromptReportPort? = null
@@ -62,41 +64,56 @@
         port?.claimTrials(trials, claimed) ?: claimed(true)
     }
 
-    /** An engine wrote on the prompt of [request] with [parts]. */
-    fun onWritten(request: RequestId, parts: List<PromptPartId>) {
+    /** An engine outlived its answer on the prompt of [request] with [parts], which began at [beganAt]. */
+    fun onOutlived(request: RequestId, parts: List<PromptPartId>, beganAt: Moment = scheduler.now()) {
         parts.forEach { part ->
-            if (!quarantine.recordWritten(part, scheduler.now())) return@forEach
-            record(EventKind.PROMPT_SOUND, request, "part=$part: an engine wrote on it")
+            if (!quarantine.recordOutlived(part, beganAt, scheduler.now())) return@forEach
+            record(EventKind.PROMPT_SOUND, request, "part=$part: an engine outlived an answer on it")
             scheduleSoundReport(part)
+            onFoundSound(part)
         }
     }
 
     /**
-     * The engine of [start] crashed before it wrote anything on the prompt of [request] with [parts]. A quarantined
-     * part explains the crash, so that the others are not suspected.
+     * The engine of [start] crashed early in its answer on the prompt of [request] with [parts], which began at
+     * [beganAt] or was about to begin then. A quarantined part explains the crash: the others are suspected only if it
+     * turns out to be sound.
      */
-    fun onCrash(request: RequestId, parts: List<PromptPartId>, start: EngineStart) {
-        if (isQuarantined(parts)) return
-        val crashes = parts.take(MAXIMUM_SUSPECTS).map { PromptReport.Crash(it, start) }
+    fun onCrash(request: RequestId, parts: List<PromptPartId>, start: EngineStart, beganAt: Moment = scheduler.now()) {
+        val explanation = parts.firstOrNull(quarantine::isQuarantined)
+        val suspects = parts.filter { it != explanation }.take(MAXIMUM_SUSPECTS)
+        val crash = ObservedCrash(request, suspects, start, beganAt)
+        if (explanation == null) suspect(crash) else explainedCrashes.getOrPut(explanation) { ArrayList() } += crash
+    }
+
+    private fun suspect(observed: ObservedCrash) {
+        val start = observed.start
+        val crashes = observed.parts.map { PromptReport.Crash(it, start) }
         crashes.forEach { crash ->
             val detail = "part=${crash.part} engine=${start.engine} started=${start.startedAt}"
-            record(EventKind.PROMPT_SUSPECTED, request, detail)
-            recordCrash(crash)
+            record(EventKind.PROMPT_SUSPECTED, observed.request, detail)
+            recordCrash(crash, observed.beganAt)
         }
         reporter?.report(crashes)
     }
 
+    /** The crashes that [part] seemed to explain have another cause. */
+    private fun onFoundSound(part: PromptPartId) {
+        explainedCrashes.remove(part).orEmpty().forEach(::suspect)
+    }
+
     /** Applies [report] of any entry. */
     fun onReport(report: PromptReport) {
         val now = scheduler.now()
         when (report) {
-            is PromptReport.Crash -> recordCrash(report)
+            is PromptReport.Crash -> recordCrash(report, beganAt = now, CRASH_REPORT_DELAY)
             is PromptReport.Quarantined -> onQuarantineReported(report)
             is PromptReport.Trial -> quarantine.recordTrial(report, now)
             is PromptReport.Sound -> {
                 scheduledSoundReports -= report.part
                 if (quarantine.recordSound(report.part)) {
                     record(EventKind.PROMPT_SOUND, detail = "part=${report.part}: reported")
+                    onFoundSound(report.part)
                 }
             }
         }
@@ -110,6 +127,7 @@
     /** Drops the parts that no prompt had for long. */
     fun removeExpired() {
         quarantine.removeExpired(scheduler.now()).forEach {
+            explainedCrashes -= it
             record(EventKind.PROMPT_SOUND, detail = "part=$it: no prompt had it for long")
         }
     }
@@ -123,8 +141,8 @@
         }
     }
 
-    private fun recordCrash(crash: PromptReport.Crash) {
-        if (!quarantine.recordCrash(crash, scheduler.now())) return
+    private fun recordCrash(crash: PromptReport.Crash, beganAt: Moment, delayBound: Duration = Duration.ZERO) {
+        if (!quarantine.recordCrash(crash, beganAt, scheduler.now(), delayBound)) return
         record(EventKind.PROMPT_QUARANTINED, detail = "part=${crash.part} after engine=${crash.start.engine}")
         scheduleReport(crash.part)
     }
@@ -154,11 +172,22 @@
         eventSink.record(EventDraft(kind, request = request, detail = detail))
     }
 
+    /** A crash of the engine of [start] amid an answer on a prompt with [parts] that began at [beganAt]. */
+    private class ObservedCrash(
+        val request: RequestId,
+        val parts: List<PromptPartId>,
+        val start: EngineStart,
+        val beganAt: Moment,
+    )
+
     private companion object {
         /** Shared parts of one prompt that are suspected at once. */
         const val MAXIMUM_SUSPECTS = 16
 
         /** Time for the other entries to see the report of the one before. */
         val REPORT_DELAY: Duration = 300.milliseconds
+
+        /** Spread of the times at which reports of crashes at one moment arrive, many at a time after a power loss. */
+        val CRASH_REPORT_DELAY: Duration = 350.milliseconds
     }
 }
--- a/core/src/main/kotlin/org/lovageladder/core/forward/PromptQuarantine.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/PromptQuarantine.kt
@@ -24,11 +24,11 @@
 /**
  * Parts of prompts that crash every engine which begins to write an answer on them.
  *
- * An engine that crashes ends many streams. A part is suspected when it belongs to one that had got nothing from the
- * engine, and is cleared as soon as any engine writes on it. Crashes at nearly the same moment, as in a power loss,
- * count once. A part is quarantined after [CRASHES_TO_QUARANTINE] of them without a cleared one in between, or more
- * for a part on which engines wrote lately. A few trials, ever further apart and over all entries together, find out
- * whether a quarantined part is sound.
+ * An engine that crashes ends many streams. A part is suspected when it belongs to one that was early in its answer
+ * ([PromptWatch]), and is cleared as soon as an engine outlives an answer on it that began later. Crashes at nearly
+ * the same moment, as in a power loss, count once. A part is quarantined after [CRASHES_TO_QUARANTINE] of them without
+ * being cleared in between, or more for a part that engines outlived lately. A few trials, ever further apart and over
+ * all entries together, find out whether a quarantined part is sound.
  *
  * Load pattern: a small share of prompts, spread over all entries, each of which ends all streams of an engine.
  * Confined to one thread.
@@ -36,16 +36,19 @@
 internal class PromptQuarantine {
     private class Suspect(var lastUsedAt: Moment) {
         val crashedStarts = HashSet<EngineStart>()
-        var crashes = 0
+
+        /** When the answers began, or were about to begin, amid which engines crashed. */
+        val crashedAnswers = ArrayList<Moment>()
         var lastCrashAt: Moment? = null
         var quarantinedAt: Moment? = null
+        var quarantineSeenAt: Moment? = null
         var trials = 0
         var nextTrialAt = lastUsedAt
         var reportedAt: Moment? = null
     }
 
     private val suspects = HashMap<PromptPartId, Suspect>()
-    private val writtenAt =
+    private val outlivedAt =
         object : LinkedHashMap<PromptPartId, Moment>(INITIAL_CAPACITY, LOAD_FACTOR, true) {
             override fun removeEldestEntry(eldest: Map.Entry<PromptPartId, Moment>) = size > MAXIMUM_KNOWN_PARTS
         }
@@ -59,43 +62,56 @@
         if (quarantined.isEmpty()) return PromptVerdict.Admitted
         val states = quarantined.map(suspects::getValue)
         states.forEach { it.lastUsedAt = now }
-        val trialAt = states.maxOf { it.nextTrialAt } + if (states.size > 1) SEVERAL_PARTS_DELAY else Duration.ZERO
+        val hasSeveral = parts.count { it in suspects } > 1
+        val trialAt = states.maxOf { it.nextTrialAt } + if (hasSeveral) SEVERAL_PARTS_DELAY else Duration.ZERO
         val mayTry = states.all { it.trials < MAXIMUM_TRIALS }
         if (mayTry && now >= trialAt) {
             return PromptVerdict.TrialDue(
                 quarantined.zip(states) { part, state -> PromptReport.Trial(part, state.trials + 1) },
             )
         }
-        val isFinal = states.any { it.trials > 0 || it.crashes > CRASHES_TO_QUARANTINE }
+        val isFinal = states.any { it.trials > 0 || it.crashedAnswers.size > CRASHES_TO_QUARANTINE }
         return PromptVerdict.Quarantined(quarantined.first(), isFinal, retryAt = maxOf(now, trialAt))
     }
 
     /** Whether prompts with [part] are held back. */
     fun isQuarantined(part: PromptPartId): Boolean = suspects[part]?.quarantinedAt != null
 
-    /** Records [crash]. Returns whether its part is quarantined from now on. */
-    fun recordCrash(crash: PromptReport.Crash, now: Moment): Boolean {
+    /**
+     * Records [crash] amid an answer that began at [beganAt]. Returns whether its part is quarantined from now on.
+     * [delayBound] is the time in which the news of crashes at one moment arrive; parts that engines outlived lately
+     * need more crashes instead.
+     */
+    fun recordCrash(
+        crash: PromptReport.Crash,
+        beganAt: Moment,
+        now: Moment,
+        delayBound: Duration = Duration.ZERO,
+    ): Boolean {
         val suspect = suspects.getOrPut(crash.part) { Suspect(now) }
         if (!suspect.crashedStarts.add(crash.start)) return false
-        val isSeparate = suspect.lastCrashAt?.let { now - it >= SIMULTANEOUS_CRASHES } ?: true
+        val wasOutlived = wasOutlivedWithin(crash.part, PROOF_LIFETIME, now)
+        val separation = if (wasOutlived) SIMULTANEOUS_CRASHES else SIMULTANEOUS_CRASHES + delayBound
+        val isSeparate = suspect.lastCrashAt?.let { now - it >= separation } ?: true
         if (!isSeparate) return false
         suspect.lastCrashAt = now
         suspect.lastUsedAt = now
-        suspect.crashes += 1
-        if (suspect.crashes < crashesToQuarantine(crash.part, now)) return false
+        suspect.crashedAnswers += beganAt
+        val crashesToQuarantine = if (wasOutlived) CRASHES_TO_DISPROVE else CRASHES_TO_QUARANTINE
+        if (suspect.crashedAnswers.size < crashesToQuarantine) return false
         return quarantine(suspect, now)
     }
 
     /**
-     * Records that another entry quarantined [part]. Returns false, and does not follow it, when an engine wrote on the
-     * part just now, after all crashes that this process knows.
+     * Records that another entry quarantined [part]. Returns false, and does not follow it, when an engine outlived an
+     * answer on the part that began just now, after all crashes that this process knows.
      */
     fun recordQuarantine(part: PromptPartId, now: Moment): Boolean {
-        if (part !in suspects && wasWrittenWithin(part, REPORT_DELAY_BOUND, now)) return false
+        if (part !in suspects && wasOutlivedWithin(part, REPORT_DELAY_BOUND, now)) return false
         val suspect = suspects.getOrPut(part) { Suspect(now) }
         suspect.reportedAt = now
         suspect.lastUsedAt = now
-        quarantine(suspect, now)
+        if (quarantine(suspect, now)) suspect.quarantineSeenAt = now
         return true
     }
 
@@ -107,15 +123,24 @@
         suspect.nextTrialAt = now + trialInterval(suspect.trials)
     }
 
-    /** Records that an engine wrote on a prompt with [part]. Returns whether other entries may need to know it. */
-    fun recordWritten(part: PromptPartId, now: Moment): Boolean {
-        val isOftenWritten = wasWrittenWithin(part, PROOF_LIFETIME, now)
-        writtenAt[part] = now
-        val suspect = suspects.remove(part) ?: return false
-        return suspect.quarantinedAt != null || !isOftenWritten
+    /**
+     * Records that an engine outlived an answer on a prompt with [part] that began at [beganAt]. The part was sound
+     * then, so that it did not cause the crashes amid answers that had begun before. Returns whether other entries may
+     * need to know it.
+     */
+    fun recordOutlived(part: PromptPartId, beganAt: Moment, now: Moment): Boolean {
+        val isOftenOutlived = wasOutlivedWithin(part, PROOF_LIFETIME, now)
+        outlivedAt[part] = maxOf(beganAt, outlivedAt[part] ?: beganAt)
+        val suspect = suspects[part] ?: return false
+        val crashes = suspect.crashedAnswers.size
+        suspect.crashedAnswers.removeAll { it <= beganAt }
+        val isQuarantineOlder = suspect.quarantineSeenAt?.let { it <= beganAt } ?: true
+        if (suspect.crashedAnswers.isNotEmpty() || !isQuarantineOlder) return false
+        suspects -= part
+        return suspect.quarantinedAt != null || crashes >= CRASHES_TO_QUARANTINE || !isOftenOutlived
     }
 
-    /** Records that another entry saw an engine write on [part]. Returns whether the part was quarantined. */
+    /** Records that another entry saw an engine outlive an answer on [part]. Returns whether it was quarantined. */
     fun recordSound(part: PromptPartId): Boolean = suspects.remove(part)?.quarantinedAt != null
 
     /** Whether the quarantine of [part] has to be reported to the other entries, for the first time or again. */
@@ -150,11 +175,8 @@
         return true
     }
 
-    private fun crashesToQuarantine(part: PromptPartId, now: Moment) =
-        if (wasWrittenWithin(part, PROOF_LIFETIME, now)) CRASHES_TO_DISPROVE else CRASHES_TO_QUARANTINE
-
-    private fun wasWrittenWithin(part: PromptPartId, span: Duration, now: Moment) =
-        writtenAt[part]?.let { now - it < span } ?: false
+    private fun wasOutlivedWithin(part: PromptPartId, span: Duration, now: Moment) =
+        outlivedAt[part]?.let { now - it < span } ?: false
 
     private fun trialInterval(trials: Int): Duration {
         var interval = FIRST_TRIAL_INTERVAL
@@ -165,7 +187,7 @@
     private companion object {
         const val CRASHES_TO_QUARANTINE = 2
 
-        /** Crashes that outweigh an answer written within [PROOF_LIFETIME]. */
+        /** Crashes that outweigh an answer outlived within [PROOF_LIFETIME]. */
         const val CRASHES_TO_DISPROVE = 4
 
         /** Each trial may end the streams of one more engine. */
@@ -173,14 +195,14 @@
         val FIRST_TRIAL_INTERVAL: Duration = 2.seconds
         const val TRIAL_INTERVAL_GROWTH = 5
 
-        /** Time for prompts with one of the parts to be tried first, since only they tell the parts apart. */
+        /** Time for prompts with one suspected part to be tried first, since only they tell the parts apart. */
         val SEVERAL_PARTS_DELAY: Duration = 4.seconds
 
         /** Crashes within this time of each other may have one cause outside of the prompts. */
         val SIMULTANEOUS_CRASHES: Duration = 250.milliseconds
         val PROOF_LIFETIME: Duration = 60.seconds
 
-        /** Time in which a report of another entry may have crossed a written answer. */
+        /** Time in which a report of another entry may have crossed an outlived answer. */
         val REPORT_DELAY_BOUND: Duration = 2.seconds
 
         /** Reports lapse in the registry after twice this time. */
--- a/core/src/main/kotlin/org/lovageladder/core/forward/PromptReports.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/PromptReports.kt
@@ -12,13 +12,13 @@
     /** The part that the report is about. */
     public val part: PromptPartId
 
-    /** The engine of [start] crashed before it wrote anything on a prompt with [part]. */
+    /** The engine of [start] crashed early in an answer on a prompt with [part]. */
     public data class Crash(override val part: PromptPartId, val start: EngineStart) : PromptReport
 
     /** Prompts with [part] are held back. */
     public data class Quarantined(override val part: PromptPartId) : PromptReport
 
-    /** An engine wrote an answer on a prompt with [part]. */
+    /** An engine outlived an answer on a prompt with [part]. */
     public data class Sound(override val part: PromptPartId) : PromptReport
 
     /** One prompt with the quarantined [part] is sent as trial [number], counted from 1. */
--- a/core/src/main/kotlin/org/lovageladder/core/forward/StreamFlow.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/StreamFlow.kt
@@ -40,7 +40,6 @@
     private var lastEventId: Long? = request.resumeAfterEventId
     private var runCount = 0
     private var isTrial = false
-    private var hasWritten = false
     private var attemptCount = 0
     private var headSent = false
     private var isFinished = false
@@ -153,7 +152,6 @@
         }
         val memory = checkNotNull(grant)
         val name = memory.engine.name
-        hasWritten = false
         if (!context.admitsReserved(memory)) {
             replaceEngine(memory)
             return
@@ -243,7 +241,6 @@
 
     private fun onContent(bytes: ByteArray) {
         summary.recordContent(bytes, context.now())?.let(estimates::recordStart)
-        recordWritten()
         restartSilenceTimer()
         val splitter = eventSplitter
         if (splitter == null) {
@@ -260,13 +257,6 @@
         reply.sendContent(events.bytes)
     }
 
-    /** An engine that wrote a whole event on the prompt shows that its parts are sound. */
-    private fun recordWritten() {
-        if (hasWritten || summary.eventsOfDecode == 0) return
-        hasWritten = true
-        context.promptGuard.onWritten(request.id, sharedParts)
-    }
-
     private fun onDeclined(upstream: UpstreamName, head: AnswerHead) {
         runCount -= 1
         avoidedEngines += upstream
@@ -390,6 +380,7 @@
 
     private inner class DecodeReceiver(private val incarnation: UpstreamIncarnation) : AnswerReceiver {
         private val upstream = incarnation.name
+        private val promptWatch = context.watchPrompt(request.id, sharedParts, incarnation)
         private var head: AnswerHead? = null
 
         override fun onHead(head: AnswerHead) {
@@ -398,7 +389,9 @@
         }
 
         override fun onContent(bytes: ByteArray) {
-            if (!isFinished && decodeCall != null && isPassedOn()) this@StreamFlow.onContent(bytes)
+            if (isFinished || decodeCall == null || !isPassedOn()) return
+            this@StreamFlow.onContent(bytes)
+            promptWatch.onWritten(summary.eventsOfDecode)
         }
 
         override fun onEnd() {
@@ -410,6 +403,7 @@
             } else if (isPassedOn() && isCutOff(answered)) {
                 onFailure(STREAM_CUT_OFF)
             } else if (isPassedOn()) {
+                promptWatch.onEnded()
                 onCompleted(upstream)
             } else {
                 releaseMemory(isUsed = true)
@@ -420,10 +414,7 @@
         override fun onFailure(failure: CallFailure) {
             if (isFinished) return
             releaseMemory(isUsed = failure.sent)
-            if (isCrash(failure)) {
-                val start = EngineStart(incarnation.name, incarnation.startedAt)
-                context.promptGuard.onCrash(request.id, sharedParts, start)
-            }
+            if (failure.sent && failure.cause == FaultCause.CONNECTION_LOST) promptWatch.onConnectionLost()
             onDecodeFailed(upstream, failure)
         }
 
@@ -431,10 +422,6 @@
         private fun isCutOff(head: AnswerHead) = head.isSuccess &&
             (summary.isWithinEvent || (head.endsWithConnection && summary.eventsOfDecode == 0))
 
-        /** Whether the engine may have crashed when it was to begin its answer. */
-        private fun isCrash(failure: CallFailure) =
-            failure.sent && failure.cause == FaultCause.CONNECTION_LOST && summary.eventsOfDecode == 0
-
         private fun isPassedOn(): Boolean {
             val answered = head ?: return false
             return headSent && !answered.isDeclined && (answered.isSuccess || runCount == 1)
--- a/core/src/test/kotlin/org/lovageladder/core/forward/EntryFleet.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/forward/EntryFleet.kt
@@ -11,11 +11,14 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
-/** How upstreams treat requests, as shares of them from 0 to 1. */
+/** How upstreams treat requests, as shares from 0 to 1. Of its [answerEvents] a crash leaves [eventsBeforeCrash]. */
 internal data class UpstreamBehaviour(
     val declinedShare: Double = 0.0,
     val lostAnswerShare: Double = 0.0,
     val serviceTime: Duration = 40.milliseconds,
+    val answerEvents: Int = 1,
+    val eventInterval: Duration = 25.milliseconds,
+    val eventsBeforeCrash: Int = 0,
 )
 
 /**
@@ -39,7 +42,7 @@
     private val runningCalls = HashMap<UpstreamName, LinkedHashSet<AnswerReceiver>>()
     val arrivals = ArrayList<Arrival>()
 
-    /** An engine crashes when it begins to write an answer to a request that has one of these parts in its prompt. */
+    /** An engine crashes while it writes an answer to a request that has one of these parts in its prompt. */
     val deadlyParts = HashSet<PromptPartId>()
 
     /** Requests and prefills that arrived, by the shared parts of their prompts. */
@@ -97,6 +100,7 @@
     private companion object {
         /** Time after which an entry that was told of a limit is bound by it. */
         val NOTICE_DELAY: Duration = 500.milliseconds
+        val SUCCESS = AnswerHead(200, emptyList(), isDeclined = false, isWrongInstance = false, null)
     }
 
     private inner class Connection(private val entry: FleetEntry) : UpstreamPort {
@@ -115,10 +119,7 @@
             callsThere += running
             scheduler.schedule(latency()) { recordParts(request) }
             call(attempt.upstream, behaviour.serviceTime * (0.5 + random.nextDouble())) {
-                if (!running.isEnded && !crashesOn(request, attempt.upstream.name)) {
-                    callsThere -= running
-                    answer(running)
-                }
+                write(request, attempt.upstream.name, running, number = 1)
             }
             return Cancellable {
                 callsThere -= running
@@ -126,6 +127,24 @@
             }
         }
 
+        /** Writes the answer from its event [number] on, unless the engine crashes before that event. */
+        private fun write(request: ForwardRequest, engine: UpstreamName, running: EntryReceiver, number: Int) {
+            if (running.isEnded) return
+            if (number == behaviour.eventsBeforeCrash + 1 && crashesOn(request, engine)) return
+            if (number >= behaviour.answerEvents) {
+                runningCalls[engine]?.remove(running)
+                answer(running, number)
+                return
+            }
+            if (number == 1) running.onHead(SUCCESS)
+            running.onContent(event(number))
+            scheduler.schedule(behaviour.eventInterval) {
+                entry.runWhenAwake(start) { write(request, engine, running, number + 1) }
+            }
+        }
+
+        private fun event(number: Int) = "id: $number\ndata: a\n\n".encodeToByteArray()
+
         private fun crashesOn(request: ForwardRequest, engine: UpstreamName): Boolean {
             val part = request.generation?.sharedParts.orEmpty().firstOrNull { it in deadlyParts } ?: return false
             crashes.getOrPut(part) { ArrayList() } += scheduler.now()
@@ -190,7 +209,7 @@
 
         override fun freePrefillResult(result: PrefillResult) = call(result.engine, Duration.ZERO) {}
 
-        private fun answer(receiver: AnswerReceiver) {
+        private fun answer(receiver: AnswerReceiver, number: Int = 1) {
             val share = random.nextDouble()
             when {
                 share < behaviour.declinedShare -> {
@@ -200,8 +219,8 @@
                 share < behaviour.declinedShare + behaviour.lostAnswerShare ->
                     receiver.onFailure(CallFailure(FaultCause.CONNECTION_LOST, sent = true, "reset"))
                 else -> {
-                    receiver.onHead(AnswerHead(200, emptyList(), isDeclined = false, isWrongInstance = false, null))
-                    receiver.onContent("id: 1\ndata: a\n\n".encodeToByteArray())
+                    if (number == 1) receiver.onHead(SUCCESS)
+                    receiver.onContent(event(number))
                     receiver.onEnd()
                 }
             }
@@ -279,11 +298,8 @@
     /** Tells the process of [report], unless it is cut off from the registry. */
     fun observe(report: PromptReport) {
         val start = startCount
-        if (!isCutFromRegistry) {
-            runWhenAwake(start) {
-                forwarder.onRegistryChange(RegistryChange.PromptReported(report))
-            }
-        }
+        if (isCutFromRegistry) return
+        runWhenAwake(start) { forwarder.onRegistryChange(RegistryChange.PromptReported(report)) }
     }
 
     /** Tells the process what the registry says of [other], unless it is cut off from the registry. */
@@ -436,10 +452,7 @@
 
     fun storePromptReport(report: PromptReport) {
         if (report is PromptReport.Sound) {
-            promptReports.removeIf {
-                it.part == report.part &&
-                    (it is PromptReport.Trial || it is PromptReport.Quarantined)
-            }
+            promptReports.removeIf { it.part == report.part && it !is PromptReport.Crash }
         }
         promptReports -= report
         promptReports += report
@@ -474,12 +487,12 @@
         val REGISTRATIONS: List<UpstreamRegistration> = registrations(decodeEngines = 3)
 
         /** Four plain upstreams, two prefill engines and [decodeEngines] decode engines. */
-        fun registrations(decodeEngines: Int): List<UpstreamRegistration> = (1..4).map {
-            ForwardFixture.registration("plain-$it", ForwardFixture.PLAIN, PoolRole.PLAIN, it)
-        } + (1..2).map {
-            ForwardFixture.registration("prefill-$it", ForwardFixture.ENGINES, PoolRole.PREFILL, 10 + it)
-        } + (1..decodeEngines).map {
-            ForwardFixture.registration("decode-$it", ForwardFixture.ENGINES, PoolRole.DECODE, 20 + it)
-        }
+        fun registrations(decodeEngines: Int): List<UpstreamRegistration> =
+            (1..4).map { ForwardFixture.registration("plain-$it", ForwardFixture.PLAIN, PoolRole.PLAIN, it) } +
+                (1..2).map { engine("prefill-$it", PoolRole.PREFILL, 10 + it) } +
+                (1..decodeEngines).map { engine("decode-$it", PoolRole.DECODE, 20 + it) }
+
+        private fun engine(name: String, role: PoolRole, host: Int) =
+            ForwardFixture.registration(name, ForwardFixture.ENGINES, role, host)
     }
 }
--- a/core/src/test/kotlin/org/lovageladder/core/forward/PromptQuarantineTest.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/forward/PromptQuarantineTest.kt
@@ -1,5 +1,6 @@
 package org.lovageladder.core.forward
 
+import org.lovageladder.core.EventKind
 import org.lovageladder.core.Moment
 import org.lovageladder.core.ProcessName
 import org.lovageladder.core.RequestId
@@ -25,6 +26,8 @@
         val deadlyPerSecond: Double = 2.0,
         val soundPerSecond: Double = 22.0,
         val isKnownBefore: Boolean = false,
+        val partsBefore: List<String> = listOf(COMPANION),
+        val behaviour: UpstreamBehaviour = UpstreamBehaviour(),
         val trouble: (EntryFleet) -> Unit = {},
     )
 
@@ -58,7 +61,7 @@
         private fun submit(isDeadly: Boolean) {
             val now = fleet.scheduler.now()
             if (isDeadly) {
-                deadly += now to submit(listOf(COMPANION, case.deadlyParts[deadly.size % case.deadlyParts.size]))
+                deadly += now to submit(case.partsBefore + case.deadlyParts[deadly.size % case.deadlyParts.size])
                 return
             }
             val isCompanion = fleet.random.nextInt(5) == 0
@@ -89,6 +92,33 @@
                         Case("frozen entries, $count entries", count) { fleet -> freezeEntries(fleet) },
                     )
                 }
+        assertPass(cases)
+    }
+
+    /** Load pattern: each engine writes some events on a deadly part before it crashes, among streams of seconds. */
+    @Test
+    fun promptsThatCrashEnginesAmidTheirAnswersReachNoMoreThanThreeMoreEngines() {
+        val cases = listOf(1, 4, 30).flatMap { count ->
+            fun case(name: String, events: Int): Case {
+                val behaviour = UpstreamBehaviour(answerEvents = 60, eventsBeforeCrash = events)
+                return Case("$name after $events events, $count entries", count, behaviour = behaviour)
+            }
+            listOf(0, 1, 3, 20).map { case("crashes", it) } + listOf(1, 20).flatMap { events ->
+                listOf(
+                    case("two parts", events).copy(deadlyParts = listOf("deadly", "deadly-too")),
+                    case("the first part", events).copy(partsBefore = emptyList()),
+                    case("the third part", events).copy(partsBefore = listOf(COMPANION, "second")),
+                    case("many requests", events).copy(deadlyPerSecond = 8.0),
+                    case("a part sound before", events).copy(isKnownBefore = true),
+                    case("ordinary crashes", events).copy(trouble = ::crashNowAndThen),
+                    case("all engines crash", events).copy(trouble = ::crashAll),
+                )
+            } + case("sound parts under ordinary crashes", 60).copy(isKnownBefore = true, trouble = ::crashNowAndThen)
+        }
+        assertPass(cases)
+    }
+
+    private fun assertPass(cases: List<Case>) {
         val failures = cases.flatMap { case -> SEEDS.mapNotNull { seed -> check(case, seed) } }
         assertTrue(failures.isEmpty(), failures.joinToString("\n"))
     }
@@ -104,8 +134,7 @@
             fixture.upstreams.receivedCalls.last().head(200)
             fixture.upstreams.receivedCalls.last().fail(sent = true)
         }
-        crash()
-        crash()
+        repeat(2) { crash() }
         data class Expected(val after: Duration, val reason: RefusalReason?, val mayReturn: Boolean)
         listOf(
             Expected(Duration.ZERO, RefusalReason.PROMPT_SUSPECTED, mayReturn = true),
@@ -135,13 +164,8 @@
             PartCase("an answer elsewhere", listOf("crash a", "wait", "crash b", "sound"), false),
             PartCase("quarantined elsewhere", listOf("quarantined"), true),
             PartCase("quarantined elsewhere after an answer", listOf("written", "quarantined"), false),
-            PartCase(
-                "many crashes after an answer",
-                listOf("written") + "abcd".flatMap {
-                    listOf("crash $it", "wait")
-                },
-                true,
-            ),
+            PartCase("many crashes", listOf("written") + "abcd".flatMap { listOf("crash $it", "wait") }, true),
+            PartCase("an answer that began before", listOf("crash a", "wait", "crash b", "older"), true),
             PartCase("not used for long", listOf("quarantined", "long"), false),
         ).forEach { case ->
             val scheduler = VirtualScheduler()
@@ -151,7 +175,8 @@
                 when (event) {
                     "wait" -> scheduler.advance(300.milliseconds)
                     "long" -> scheduler.advance(11.minutes)
-                    "written" -> guard.onWritten(RequestId("r"), parts)
+                    "written" -> guard.onOutlived(RequestId("r"), parts)
+                    "older" -> guard.onOutlived(RequestId("r"), parts, beganAt = scheduler.now() - 200.milliseconds)
                     "sound" -> guard.onReport(PromptReport.Sound(parts.single()))
                     "quarantined" -> guard.onReport(PromptReport.Quarantined(parts.single()))
                     else -> guard.onCrash(RequestId("r"), parts, EngineStart(UpstreamName(event), startedAt = null))
@@ -165,9 +190,37 @@
         }
     }
 
+    @Test
+    fun onlyCrashesEarlyInAnAnswerAreEvidence() {
+        data class WatchCase(val events: Int, val written: Duration, val isEnded: Boolean, val isSuspected: Boolean)
+        listOf(
+            WatchCase(events = 0, Duration.ZERO, isEnded = false, isSuspected = true),
+            WatchCase(events = 0, Duration.ZERO, isEnded = true, isSuspected = true),
+            WatchCase(events = 1, Duration.ZERO, isEnded = false, isSuspected = true),
+            WatchCase(events = 1, Duration.ZERO, isEnded = true, isSuspected = false),
+            WatchCase(events = 31, 1.seconds, isEnded = false, isSuspected = true),
+            WatchCase(events = 32, 249.milliseconds, isEnded = false, isSuspected = true),
+            WatchCase(events = 32, 250.milliseconds, isEnded = false, isSuspected = false),
+            WatchCase(events = 2, 2.seconds, isEnded = false, isSuspected = false),
+        ).forEach { case ->
+            val scheduler = VirtualScheduler()
+            val events = ArrayList<EventKind>()
+            val guard = PromptGuard(EntryCounter(ProcessName("entry"), 1), scheduler, { events += it.kind }, Random(1))
+            val start = EngineStart(UpstreamName("engine"), startedAt = null)
+            val watch = PromptWatch(guard, RequestId("r"), listOf(PromptPartId("part")), start, scheduler::now)
+            watch.onWritten(minOf(1, case.events))
+            scheduler.advance(case.written)
+            watch.onWritten(case.events)
+            if (case.isEnded) watch.onEnded()
+            watch.onConnectionLost()
+            assertEquals(case.isSuspected, EventKind.PROMPT_SUSPECTED in events, "$case")
+        }
+    }
+
     /** Plays [case] and returns what was wrong. */
     private fun check(case: Case, seed: Int): String? {
-        val fleet = EntryFleet(case.entryCount, seed, registrations = EntryFleet.registrations(decodeEngines = 24))
+        val registrations = EntryFleet.registrations(decodeEngines = 24)
+        val fleet = EntryFleet(case.entryCount, seed, case.behaviour, registrations = registrations)
         val load = Load(fleet, case)
         load.run(10.seconds)
         val calm = load.companions.toList()
@@ -202,13 +255,8 @@
 
     private fun unanswered(load: Load): String? {
         val open = (load.deadly + load.companions).count { !it.second.isFinal }
-        return if (open == 0 ||
-            load.fleet.entries.any { it.startCount > 1 }
-        ) {
-            null
-        } else {
-            "$open requests without an answer"
-        }
+        val isExcused = load.fleet.entries.any { it.startCount > 1 }
+        return "$open requests without an answer".takeIf { open > 0 && !isExcused }
     }
 
     private fun crashNowAndThen(fleet: EntryFleet) = repeat(12) { number ->
