Treat an event stream that a plain upstream ends within an event as failed

Cause: PlainFlow looked at the framing alone; only StreamFlow looked at events.

Evidence: PlainFlowTest.callerGetsOneAnswerForEachUpstreamBehaviour before the change: "Case(target=/action/1, behaviours=[STREAMS_PART_TO_CLOSE], status=null, refusal=ANSWER_LOST, attempts=1) ==> expected: <null> but was: <200>", the same for STREAMS_NOTHING_TO_CLOSE, and no second attempt for /lookup/1.

Change: the decision moves from StreamFlow to StreamEventCounter.isCutOff and serves both flows. A stream in chunks that ends inside an event is treated alike, as StreamFlow does. One in chunks without an event stays complete.

After: PlainFlowTest, StreamFlowTest, StreamSummaryTest, ForwardFuzzTest green. Cases of lost answers in the table are folded; TRUNCATES_ANSWER got the case /lookup/1 in addition.

--- a/core/src/main/kotlin/org/lovageladder/core/forward/ForwardPorts.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/ForwardPorts.kt
@@ -67,7 +67,16 @@
     /** Whether the status reports success. */
     public val isSuccess: Boolean get() = status in SUCCESS_STATUSES
 
+    /** Whether the body is a stream of events. */
+    public val isEventStream: Boolean
+        get() = headers.any { it.name.equals(CONTENT_TYPE, ignoreCase = true) && isEventStreamType(it.value) }
+
+    private fun isEventStreamType(value: String) =
+        value.substringBefore(';').trim().equals(EVENT_STREAM_TYPE, ignoreCase = true)
+
     private companion object {
+        const val CONTENT_TYPE = "Content-Type"
+        const val EVENT_STREAM_TYPE = "text/event-stream"
         val SUCCESS_STATUSES = 200..299
     }
 }
--- a/core/src/main/kotlin/org/lovageladder/core/forward/PlainFlow.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/PlainFlow.kt
@@ -9,9 +9,10 @@
 import kotlin.time.Duration.Companion.milliseconds
 
 /**
- * One request to a plain service. The answer is received completely before any of it is passed to the caller, so that a
- * damaged answer can still be replaced. The request is retried after an upstream declined it. A retryable request is
- * also retried after any other failure, and hedged when its upstream is slow. Confined to one thread.
+ * One request to a plain service. The answer is received completely before any of it is passed to the caller, so that
+ * one that is damaged, or an event stream that broke off, can still be replaced. The request is retried after an
+ * upstream declined it. A retryable request is also retried after any other failure, and hedged when its upstream is
+ * slow. Confined to one thread.
  */
 internal class PlainFlow(
     private val context: ForwardContext,
@@ -213,6 +214,7 @@
     private inner class Attempt(val upstream: UpstreamName) : AnswerReceiver {
         private val body = context.answerBuffers.newBuffer()
         private var head: AnswerHead? = null
+        private var eventCounter: StreamEventCounter? = null
         var call: Cancellable? = null
         var isRunning = true
             private set
@@ -221,16 +223,23 @@
 
         override fun onHead(head: AnswerHead) {
             this.head = head
+            if (head.isEventStream) eventCounter = StreamEventCounter()
         }
 
         override fun onContent(bytes: ByteArray) {
+            eventCounter?.add(bytes)
             if (body.append(bytes)) return
             call?.cancel()
             onFailure(CallFailure(FaultCause.PROTOCOL, sent = true, "the answer exceeds the memory for answers"))
         }
 
         override fun onEnd() {
-            val answer = CompleteAnswer(checkNotNull(head), body.takeBytes())
+            val answered = checkNotNull(head)
+            if (eventCounter?.isCutOff(answered) == true) {
+                onFailure(STREAM_CUT_OFF)
+                return
+            }
+            val answer = CompleteAnswer(answered, body.takeBytes())
             markEnded()
             if (answer.head.isDeclined) mayHaveRun = false
             if (!isFinished) onAnswered(this, answer)
--- a/core/src/main/kotlin/org/lovageladder/core/forward/StreamEventCounter.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/StreamEventCounter.kt
@@ -1,13 +1,23 @@
 package org.lovageladder.core.forward
 
+import org.lovageladder.core.FaultCause
+
+/** Failure of an answer that is an event stream and ended within an event, or before its first one. */
+internal val STREAM_CUT_OFF =
+    CallFailure(FaultCause.CONNECTION_LOST, sent = true, "the stream ended within an event, or had none")
+
 /** Counts the events of a `text/event-stream` by the empty lines that terminate them. */
 internal class StreamEventCounter {
     private var isAtLineStart = true
+    private var countBeforeStream = 0
 
     /** Number of complete events. */
     var count: Int = 0
         private set
 
+    /** Number of complete events since [startStream]. */
+    val countOfStream: Int get() = count - countBeforeStream
+
     /** Whether an event has begun and not ended. */
     var isWithinEvent: Boolean = false
         private set
@@ -16,8 +26,16 @@
     fun startStream() {
         isAtLineStart = true
         isWithinEvent = false
+        countBeforeStream = count
     }
 
+    /**
+     * Whether the stream with [head], which ended, broke off: within an event, or before its first one if only its end
+     * frames it. An upstream that crashes can end an answer anywhere.
+     */
+    fun isCutOff(head: AnswerHead): Boolean =
+        head.isSuccess && (isWithinEvent || (head.endsWithConnection && countOfStream == 0))
+
     /** Processes the next [bytes] of the stream. */
     fun add(bytes: ByteArray) {
         bytes.forEach { byte ->
--- a/core/src/main/kotlin/org/lovageladder/core/forward/StreamFlow.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/StreamFlow.kt
@@ -400,7 +400,7 @@
             if (answered.isDeclined) {
                 releaseMemory(isUsed = false)
                 onDeclined(upstream, answered)
-            } else if (isPassedOn() && isCutOff(answered)) {
+            } else if (isPassedOn() && summary.isCutOff(answered)) {
                 onFailure(STREAM_CUT_OFF)
             } else if (isPassedOn()) {
                 promptWatch.onEnded()
@@ -418,10 +418,6 @@
             onDecodeFailed(upstream, failure)
         }
 
-        /** Whether a stream that ended broke off: within an event, or before its first if only its end frames it. */
-        private fun isCutOff(head: AnswerHead) = head.isSuccess &&
-            (summary.isWithinEvent || (head.endsWithConnection && summary.eventsOfDecode == 0))
-
         private fun isPassedOn(): Boolean {
             val answered = head ?: return false
             return headSent && !answered.isDeclined && (answered.isSuccess || runCount == 1)
@@ -429,8 +425,6 @@
     }
 
     private companion object {
-        val STREAM_CUT_OFF =
-            CallFailure(FaultCause.CONNECTION_LOST, sent = true, "the stream ended within an event, or had none")
         const val LOWEST_SERVER_ERROR_STATUS = 500
         const val MAXIMUM_ATTEMPTS = 3
 
--- a/core/src/main/kotlin/org/lovageladder/core/forward/StreamSummary.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/StreamSummary.kt
@@ -18,7 +18,6 @@
     private var waitedForMemory = Duration.ZERO
     private var grantedAt: Moment? = null
     private var firstBytesAt: Moment? = null
-    private var eventsAtDecodeStart = 0
 
     /** Tokens of memory in its last request for memory. */
     var requestedTokens: Int = 0
@@ -32,10 +31,10 @@
     val events: Int get() = eventCounter.count
 
     /** Events received since the stream was last sent to a decode engine. */
-    val eventsOfDecode: Int get() = events - eventsAtDecodeStart
+    val eventsOfDecode: Int get() = eventCounter.countOfStream
 
-    /** Whether the last bytes of the stream belong to an event that has not ended. */
-    val isWithinEvent: Boolean get() = eventCounter.isWithinEvent
+    /** Whether the decode's answer with [head], which ended, broke off. */
+    fun isCutOff(head: AnswerHead): Boolean = eventCounter.isCutOff(head)
 
     /** Records a request for memory for [tokens] tokens; [state] is the decode memory at that time. */
     fun recordMemoryRequest(tokens: Int, state: DecodeMemoryState, now: Moment) {
@@ -54,7 +53,6 @@
     /** Records that the stream was sent to a decode engine. */
     fun recordDecodeStart(now: Moment) {
         decodeStartedAt = now
-        eventsAtDecodeStart = events
         eventCounter.startStream()
     }
 
--- a/core/src/test/kotlin/org/lovageladder/core/forward/ForwardFixture.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/forward/ForwardFixture.kt
@@ -62,11 +62,12 @@
         isWrongInstance: Boolean = false,
         isGenuine: Boolean = true,
         endsWithConnection: Boolean = false,
+        headers: List<HeaderField> = emptyList(),
     ) {
         if (isCancelled) return
         val load = null
         receiver.onHead(
-            AnswerHead(status, emptyList(), isDeclined, isWrongInstance, load, isGenuine, endsWithConnection),
+            AnswerHead(status, headers, isDeclined, isWrongInstance, load, isGenuine, endsWithConnection),
         )
     }
 
--- a/core/src/test/kotlin/org/lovageladder/core/forward/PlainFlowTest.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/forward/PlainFlowTest.kt
@@ -28,6 +28,13 @@
             it.head(421, isDeclined = true, isWrongInstance = true)
             it.end()
         }),
+        STREAMS_TO_CLOSE({ stream(it, "data: a\n\n", endsWithConnection = true) }),
+        STREAMS_PART_TO_CLOSE({ stream(it, "data: a\n\ndata", endsWithConnection = true) }),
+        STREAMS_NOTHING_TO_CLOSE({ stream(it, "", endsWithConnection = true) }),
+        STREAMS_IN_CHUNKS({ stream(it, "data: a\n\n") }),
+        STREAMS_NOTHING_IN_CHUNKS({ stream(it, "") }),
+        STREAMS_PART_IN_CHUNKS({ stream(it, "data: a\n\ndata: b\n") }),
+        ANSWERS_TEXT_TO_CLOSE({ stream(it, "data: a\n\ndata", endsWithConnection = true, type = "text/plain") }),
     }
 
     private data class Case(
@@ -43,15 +50,27 @@
             Case("/action/1", listOf(Behaviour.ANSWERS), status = 200, attempts = 1),
             Case("/action/1", listOf(Behaviour.ANSWERS_ERROR), status = 500, attempts = 1),
             Case("/action/1", listOf(Behaviour.DECLINES, Behaviour.ANSWERS), status = 200, attempts = 2),
-            Case("/action/1", listOf(Behaviour.LOSES_ANSWER), refusal = RefusalReason.ANSWER_LOST, attempts = 1),
-            Case("/action/1", listOf(Behaviour.TRUNCATES_ANSWER), refusal = RefusalReason.ANSWER_LOST, attempts = 1),
-            Case("/action/1", listOf(Behaviour.ANSWERS_WITHOUT_PROOF), refusal = RefusalReason.ANSWER_LOST),
             Case("/action/1", listOf(Behaviour.ANSWERS_WRONG_INSTANCE, Behaviour.ANSWERS), status = 200, attempts = 2),
-            Case("/lookup/1", listOf(Behaviour.LOSES_ANSWER, Behaviour.ANSWERS), status = 200, attempts = 2),
-            Case("/lookup/1", listOf(Behaviour.ANSWERS_WITHOUT_PROOF, Behaviour.ANSWERS), status = 200, attempts = 2),
             Case("/lookup/1", listOf(Behaviour.ANSWERS_ERROR, Behaviour.ANSWERS), status = 200, attempts = 2),
             Case("/lookup/1", listOf(Behaviour.ANSWERS_ERROR, Behaviour.ANSWERS_ERROR), status = 500, attempts = 2),
-        )
+        ) + listOf(
+            Behaviour.STREAMS_TO_CLOSE,
+            Behaviour.STREAMS_IN_CHUNKS,
+            Behaviour.STREAMS_NOTHING_IN_CHUNKS,
+            Behaviour.ANSWERS_TEXT_TO_CLOSE,
+        ).map { Case("/action/1", listOf(it), status = 200, attempts = 1) } + listOf(
+            Behaviour.LOSES_ANSWER,
+            Behaviour.TRUNCATES_ANSWER,
+            Behaviour.ANSWERS_WITHOUT_PROOF,
+            Behaviour.STREAMS_PART_TO_CLOSE,
+            Behaviour.STREAMS_NOTHING_TO_CLOSE,
+            Behaviour.STREAMS_PART_IN_CHUNKS,
+        ).flatMap {
+            listOf(
+                Case("/action/1", listOf(it), refusal = RefusalReason.ANSWER_LOST, attempts = 1),
+                Case("/lookup/1", listOf(it, Behaviour.ANSWERS), status = 200, attempts = 2),
+            )
+        }
 
     @Test
     fun callerGetsOneAnswerForEachUpstreamBehaviour() {
@@ -123,16 +142,14 @@
     @Test
     fun drainingProcessAcceptsOnlyRequestsThatFinishInTime() {
         data class Case(val after: Duration, val wait: Duration?, val isAccepted: Boolean)
-        val cases =
-            listOf(
-                Case(1.seconds, 3.seconds, isAccepted = true),
-                Case(5_100.milliseconds, 3.seconds, isAccepted = false),
-                Case(1.seconds, wait = null, isAccepted = false),
-                Case(6_800.milliseconds, 600.milliseconds, isAccepted = true),
-                Case(7_000.milliseconds, 600.milliseconds, isAccepted = false),
-                Case(7_800.milliseconds, 600.milliseconds, isAccepted = false),
-            )
-        cases.forEach { case ->
+        listOf(
+            Case(1.seconds, 3.seconds, isAccepted = true),
+            Case(5_100.milliseconds, 3.seconds, isAccepted = false),
+            Case(1.seconds, wait = null, isAccepted = false),
+            Case(6_800.milliseconds, 600.milliseconds, isAccepted = true),
+            Case(7_000.milliseconds, 600.milliseconds, isAccepted = false),
+            Case(7_800.milliseconds, 600.milliseconds, isAccepted = false),
+        ).forEach { case ->
             val fixture = ForwardFixture()
             fixture.forwarder.drain(gracePeriod = 8.seconds)
             fixture.scheduler.advance(case.after)
@@ -189,16 +206,23 @@
             Case(connections = null, entries = 4, runningCalls = 2 * 12),
         ).forEach { case ->
             val fixture = ForwardFixture()
-            fixture.forwarder.applyConfiguration(
-                ForwardFixture.configuration(version = 2, plainConnections = case.connections),
-            )
+            val configuration = ForwardFixture.configuration(version = 2, plainConnections = case.connections)
+            fixture.forwarder.applyConfiguration(configuration)
             repeat(case.entries) { number ->
-                fixture.forwarder.onRegistryChange(
-                    RegistryChange.EntryRegistrationChanged(ProcessName("entry-$number"), isRegistered = true),
-                )
+                val name = ProcessName("entry-$number")
+                fixture.forwarder.onRegistryChange(RegistryChange.EntryRegistrationChanged(name, isRegistered = true))
             }
             repeat(60) { fixture.submit("/action/1") }
             assertEquals(case.runningCalls, fixture.upstreams.receivedCalls.size, "$case")
         }
     }
 }
+
+private const val EVENTS = "text/event-stream; charset=utf-8"
+
+private fun stream(call: ReceivedCall, body: String, endsWithConnection: Boolean = false, type: String = EVENTS) {
+    val headers = listOf(HeaderField("content-type", type))
+    call.head(200, endsWithConnection = endsWithConnection, headers = headers)
+    if (body.isNotEmpty()) call.content(body)
+    call.end()
+}
--- a/core/src/test/kotlin/org/lovageladder/core/forward/StreamFlowTest.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/forward/StreamFlowTest.kt
@@ -80,11 +80,8 @@
             fixture.scheduler.advance(2.seconds)
             assertEquals(case.calls, fixture.upstreams.receivedCalls.size, "$case")
             assertEquals(case.calls == 2, first.isCancelled, "$case")
-            assertEquals(
-                if (case.calls == 2) 1L else null,
-                fixture.upstreams.receivedCalls.last().attempt.resumeAfterEventId,
-                "$case",
-            )
+            val resumeAfter = fixture.upstreams.receivedCalls.last().attempt.resumeAfterEventId
+            assertEquals(if (case.calls == 2) 1L else null, resumeAfter, "$case")
             assertFalse(submitted.reply.isFinal, "$case")
         }
     }
@@ -97,9 +94,9 @@
         fixture.forwarder.onRegistryChange(RegistryChange.Registered(decliningEngine))
         fixture.upstreams.prefillRefusals += decliningEngine.address
         repeat(100) {
-            fixture.submit("/stream/1").also {
-                fixture.scheduler.advance(20.milliseconds)
-            }.handle?.onCallerDisconnected()
+            val submitted = fixture.submit("/stream/1")
+            fixture.scheduler.advance(20.milliseconds)
+            submitted.handle?.onCallerDisconnected()
         }
         val declined = fixture.upstreams.prefills.count { it.address == decliningEngine.address }
         assertTrue(declined <= 8, "$declined of ${fixture.upstreams.prefills.size}")
@@ -179,7 +176,6 @@
         assertTrue(submitted.reply.isComplete)
     }
 
-    /** The silence timer of a failed attempt must not end the next attempt, which is the last one allowed. */
     /** An upstream can end an answer without a length anywhere, and by crashing. */
     @Test
     fun streamThatEndsWithinAnEventIsNotPassedOnAsComplete() {
@@ -216,13 +212,8 @@
                 it.head(200)
                 it.content("id: 2\ndata: b\n\n")
                 fixture.upstreams.finish(it)
-                assertEquals(
-                    case.body.substringBefore("id: 2").takeIf {
-                        whole in case.body
-                    }.orEmpty() + "id: 2\ndata: b\n\n",
-                    reply.body.toString(),
-                    "$case",
-                )
+                val begun = if (whole in case.body) whole else ""
+                assertEquals(begun + "id: 2\ndata: b\n\n", reply.body.toString(), "$case")
             }
             fixture.scheduler.advance(20.seconds)
         }
@@ -256,6 +247,7 @@
         }
     }
 
+    /** The silence timer of a failed attempt must not end the next attempt, which is the last one allowed. */
     @Test
     fun lastAttemptOfAResumableStreamIsNotCancelledForSilence() {
         val submitted = startStream("/stream-on/1")
@@ -296,8 +288,7 @@
             fixture.scheduler.advance(milliseconds.milliseconds)
             submitted.handle?.onCallerDisconnected()
             fixture.scheduler.advance(1.seconds)
-            val running = fixture.upstreams.receivedCalls.count { !it.isCancelled }
-            assertEquals(0, running, "after $milliseconds ms")
+            assertEquals(0, fixture.upstreams.receivedCalls.count { !it.isCancelled }, "after $milliseconds ms")
             val usedReservations = if (fixture.upstreams.receivedCalls.isEmpty()) 0 else 1
             assertEquals(usedReservations, fixture.upstreams.reservations, "after $milliseconds ms")
         }
