--- a/http/src/main/kotlin/org/lovageladder/http/HttpUpstreamGateway.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/HttpUpstreamGateway.kt
@@ -142,12 +142,11 @@
 /** Engines repeat the identifier of a prefill or decode in its answer; those that do not get one on a connection. */
 private fun engineCall(attempt: AttemptId, path: String, body: String): HttpCall {
     val identifier = attempt.toString()
-    val fields = listOf(HttpField(REQUEST_IDENTIFIER, identifier))
-    return jsonPost(path, body, fields, AnswerRecognition.ByIdentifier(identifier) { it.get(REQUEST_IDENTIFIER) })
+    val fields = listOf(HttpField(ATTEMPT_HEADER, identifier))
+    return jsonPost(path, body, fields, AnswerRecognition.ByIdentifier(identifier) { it.get(ATTEMPT_HEADER) })
 }
 
-private const val REQUEST_IDENTIFIER = "X-Request-Id"
-private val UNIDENTIFIED = AnswerRecognition.Unidentified { it.get(REQUEST_IDENTIFIER) }
+private val UNIDENTIFIED = AnswerRecognition.Unidentified { it.get(ATTEMPT_HEADER) }
 
 private fun successfulAnswer(result: HttpResult): HttpAnswer? =
     (result as? HttpResult.Answered)?.answer?.takeIf { it.status == STATUS_OK }
--- a/http/src/main/kotlin/org/lovageladder/http/UpstreamMessages.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/UpstreamMessages.kt
@@ -24,7 +24,9 @@
  */
 
 private const val FENCING_HEADER = "X-Fencing-Number"
-private const val ATTEMPT_HEADER = "X-Request-Id"
+
+/** Header that names an attempt. Upstreams may repeat it in their answer. */
+internal const val ATTEMPT_HEADER: String = "X-Request-Id"
 private const val KEEP_MEMBER = "keep_ms"
 private const val BYTES_MEMBER = "bytes"
 private const val DEFAULT_KEEP_MILLISECONDS = 800L
