Write the table of invalid first frames one case a line

Reason: each row of PeerListenerTest named kind and cause again, most over five or six lines. Two functions, for rejected and refused frames, name them once. 36 lines fewer.

Compared: a scratch copy printed the rows of old and new test (name, bytes, kind, cause, closed output): 12 each, all equal. 15 assertions, 7 tests before and after. With the check of the protocol's version taken out both versions were red in anInvalidFirstFrameClosesOnlyItsConnection.

--- a/peer/src/test/kotlin/org/lovageladder/peer/PeerListenerTest.kt
+++ b/peer/src/test/kotlin/org/lovageladder/peer/PeerListenerTest.kt
@@ -1,6 +1,7 @@
 package org.lovageladder.peer
 
 import org.lovageladder.core.Address
+import org.lovageladder.core.Envelope
 import org.lovageladder.core.EventKind
 import org.lovageladder.core.FaultCause
 import org.lovageladder.core.HostName
@@ -31,63 +32,31 @@
         val encodedBytes: ByteArray,
         val kind: EventKind,
         val cause: FaultCause,
-        val outputClosed: Boolean = false,
+        val outputClosed: Boolean,
     )
 
+    private fun rejected(name: String, encodedBytes: ByteArray, outputClosed: Boolean = false) =
+        InvalidFrame(name, encodedBytes, EventKind.FRAME_REJECTED, FaultCause.PROTOCOL, outputClosed)
+
+    private fun refused(name: String, hello: Envelope) =
+        InvalidFrame(name, frame(encodeEnvelope(hello)), EventKind.PEER_REFUSED, FaultCause.REJECTED, false)
+
     @Test
     fun anInvalidFirstFrameClosesOnlyItsConnection() {
-        val cases =
-            listOf(
-                InvalidFrame(
-                    "truncated header",
-                    byteArrayOf(0, 0),
-                    FRAME_REJECTED,
-                    FaultCause.PROTOCOL,
-                    outputClosed = true,
-                ),
-                InvalidFrame(
-                    "truncated body",
-                    frame(encodeEnvelope(hello())).copyOf(20),
-                    FRAME_REJECTED,
-                    FaultCause.PROTOCOL,
-                    true,
-                ),
-                InvalidFrame("length too large", lengthHeader(2_001), FRAME_REJECTED, FaultCause.PROTOCOL),
-                InvalidFrame("length zero", lengthHeader(0), FRAME_REJECTED, FaultCause.PROTOCOL),
-                InvalidFrame("length negative", lengthHeader(-1), FRAME_REJECTED, FaultCause.PROTOCOL),
-                InvalidFrame("garbage", frame(ByteArray(64) { 0x5b }), FRAME_REJECTED, FaultCause.PROTOCOL),
-                InvalidFrame("empty map", frame(byteArrayOf(0xa0.toByte())), FRAME_REJECTED, FaultCause.PROTOCOL),
-                InvalidFrame(
-                    "nested arrays",
-                    frame(ByteArray(1_000) { 0x81.toByte() }),
-                    FRAME_REJECTED,
-                    FaultCause.PROTOCOL,
-                ),
-                InvalidFrame(
-                    "message before hello",
-                    frame(encodeEnvelope(heartbeat(1))),
-                    FRAME_REJECTED,
-                    FaultCause.PROTOCOL,
-                ),
-                InvalidFrame(
-                    "wrong protocol",
-                    frame(encodeEnvelope(hello(protocol = 99))),
-                    PEER_REFUSED,
-                    FaultCause.REJECTED,
-                ),
-                InvalidFrame(
-                    "wrong host",
-                    frame(encodeEnvelope(hello(host = HostName("other")))),
-                    PEER_REFUSED,
-                    FaultCause.REJECTED,
-                ),
-                InvalidFrame(
-                    "wrong incarnation",
-                    frame(encodeEnvelope(hello(incarnation = Incarnation(6)))),
-                    PEER_REFUSED,
-                    FaultCause.REJECTED,
-                ),
-            )
+        val cases = listOf(
+            rejected("truncated header", byteArrayOf(0, 0), outputClosed = true),
+            rejected("truncated body", frame(encodeEnvelope(hello())).copyOf(20), outputClosed = true),
+            rejected("length too large", lengthHeader(2_001)),
+            rejected("length zero", lengthHeader(0)),
+            rejected("length negative", lengthHeader(-1)),
+            rejected("garbage", frame(ByteArray(64) { 0x5b })),
+            rejected("empty map", frame(byteArrayOf(0xa0.toByte()))),
+            rejected("nested arrays", frame(ByteArray(1_000) { 0x81.toByte() })),
+            rejected("message before hello", frame(encodeEnvelope(heartbeat(1)))),
+            refused("wrong protocol", hello(protocol = 99)),
+            refused("wrong host", hello(host = HostName("other"))),
+            refused("wrong incarnation", hello(incarnation = Incarnation(6))),
+        )
         cases.forEach { case ->
             rawSocket().use { socket ->
                 socket.getOutputStream().write(case.encodedBytes)
@@ -204,9 +173,4 @@
         DataOutputStream(buffer).write()
         return buffer.toByteArray()
     }
-
-    private companion object {
-        val FRAME_REJECTED = EventKind.FRAME_REJECTED
-        val PEER_REFUSED = EventKind.PEER_REFUSED
-    }
 }
