Start stand-ins for tests in one place

Reason: most tests of the stand-ins started one and built a client for it in two lines each; PrefixCacheTest had a function for this. withEngine and withPlain stand beside the client now, and withService of KeyValueStandInTest takes settings.

--- a/stand-in/src/test/kotlin/org/lovageladder/standin/EngineStandInTest.kt
+++ b/stand-in/src/test/kotlin/org/lovageladder/standin/EngineStandInTest.kt
@@ -17,14 +17,12 @@
 
     @Test
     fun completeAndStreamedAnswersContainTheTokensOfThePrompt() {
-        val cases =
-            listOf(
-                CompletionCase("""{"prompt":"a b","max_tokens":3}""", "a b", 0..2),
-                CompletionCase("""{"prompt":"other","max_tokens":4,"resume_from":2}""", "other", 2..3),
-                CompletionCase("""{"prompt":"x"}""", "x", 0..15),
-            )
-        EngineStandIn.start(settings = fastSettings).use { engine ->
-            val client = TestClient(engine.port)
+        val cases = listOf(
+            CompletionCase("""{"prompt":"a b","max_tokens":3}""", "a b", 0..2),
+            CompletionCase("""{"prompt":"other","max_tokens":4,"resume_from":2}""", "other", 2..3),
+            CompletionCase("""{"prompt":"x"}""", "x", 0..15),
+        )
+        withEngine(fastSettings) { client ->
             for (case in cases) {
                 val complete = client.post(COMPLETIONS, case.body, REQUEST_ID, "r").json()
                 assertEquals(case.expected(), complete.text("choices", "0", "text"))
@@ -40,8 +38,7 @@
     fun chatAnswersAreCompleteOrStreamed() {
         val body = """{"messages":[{"role":"user","content":"hello there"}],"max_tokens":2"""
         val expected = CompletionCase("", "hello there", 0..1).expected()
-        EngineStandIn.start(settings = fastSettings).use { engine ->
-            val client = TestClient(engine.port)
+        withEngine(fastSettings) { client ->
             val complete = client.post(CHAT_COMPLETIONS, "$body}").json()
             assertEquals(expected, complete.text("choices", "0", "message", "content"))
             val streamed = client.post(CHAT_COMPLETIONS, """$body,"stream":true}""").body()
@@ -51,32 +48,31 @@
 
     @Test
     fun invalidRequestsAreRefusedWithTheFieldName() {
-        val cases =
-            listOf(
-                InvalidRequestCase(COMPLETIONS, """{"prompt":4}""", 400, "prompt"),
-                InvalidRequestCase(COMPLETIONS, """{"max_tokens":2}""", 400, "prompt"),
-                InvalidRequestCase(COMPLETIONS, """{"prompt":"x","max_tokens":"q"}""", 400, "max_tokens"),
-                InvalidRequestCase(COMPLETIONS, """{"prompt":"x","max_tokens":0}""", 400, "max_tokens"),
-                InvalidRequestCase(
-                    COMPLETIONS,
-                    """{"prompt":"x","max_tokens":2,"resume_from":2}""",
-                    400,
-                    "resume_from",
-                ),
-                InvalidRequestCase(
-                    COMPLETIONS,
-                    """{"prompt":"x","kv_transfer_params":{"do_remote_prefill":true}}""",
-                    400,
-                    "remote_host",
-                ),
-                InvalidRequestCase(COMPLETIONS, "nonsense", 400, "body"),
-                InvalidRequestCase(COMPLETIONS, """{"prompt":"x","model":"absent"}""", 404, "model"),
-                InvalidRequestCase(CHAT_COMPLETIONS, """{"messages":[{"role":"user"}]}""", 400, "content"),
-                InvalidRequestCase("/v1/role", """{"role":"cook"}""", 400, "role"),
-                InvalidRequestCase("/fault", """{"slow":2}""", 400, "slow"),
-                InvalidRequestCase("/fault", """{"slow_factor":2}""", 400, "for_ms"),
-                InvalidRequestCase("/nowhere", "{}", 404, "/nowhere"),
-            )
+        val cases = listOf(
+            InvalidRequestCase(COMPLETIONS, """{"prompt":4}""", 400, "prompt"),
+            InvalidRequestCase(COMPLETIONS, """{"max_tokens":2}""", 400, "prompt"),
+            InvalidRequestCase(COMPLETIONS, """{"prompt":"x","max_tokens":"q"}""", 400, "max_tokens"),
+            InvalidRequestCase(COMPLETIONS, """{"prompt":"x","max_tokens":0}""", 400, "max_tokens"),
+            InvalidRequestCase(
+                COMPLETIONS,
+                """{"prompt":"x","max_tokens":2,"resume_from":2}""",
+                400,
+                "resume_from",
+            ),
+            InvalidRequestCase(
+                COMPLETIONS,
+                """{"prompt":"x","kv_transfer_params":{"do_remote_prefill":true}}""",
+                400,
+                "remote_host",
+            ),
+            InvalidRequestCase(COMPLETIONS, "nonsense", 400, "body"),
+            InvalidRequestCase(COMPLETIONS, """{"prompt":"x","model":"absent"}""", 404, "model"),
+            InvalidRequestCase(CHAT_COMPLETIONS, """{"messages":[{"role":"user"}]}""", 400, "content"),
+            InvalidRequestCase("/v1/role", """{"role":"cook"}""", 400, "role"),
+            InvalidRequestCase("/fault", """{"slow":2}""", 400, "slow"),
+            InvalidRequestCase("/fault", """{"slow_factor":2}""", 400, "for_ms"),
+            InvalidRequestCase("/nowhere", "{}", 404, "/nowhere"),
+        )
         EngineStandIn.start(settings = fastSettings.copy(model = "present")).use { engine ->
             for (case in cases) {
                 val answer = TestClient(engine.port).post(case.path, case.body)
@@ -88,30 +84,18 @@
 
     @Test
     fun callsAboveMemoryOrConcurrencyLimitAreRefusedAtOnce() {
-        val cases =
-            listOf(
-                CapacityCase(
-                    stoppedDecodeSettings.copy(pieces = 2),
-                    heldTokens = 4097,
-                    wantedTokens = 1,
-                    heldPieces = 2,
-                ),
-                CapacityCase(
-                    stoppedDecodeSettings.copy(pieces = 2),
-                    heldTokens = 4,
-                    wantedTokens = 4097,
-                    heldPieces = 1,
-                ),
-                CapacityCase(
-                    stoppedDecodeSettings.copy(maximumRunning = 1),
-                    heldTokens = 4,
-                    wantedTokens = 4,
-                    heldPieces = 1,
-                ),
-            )
+        val cases = listOf(
+            CapacityCase(stoppedDecodeSettings.copy(pieces = 2), heldTokens = 4097, wantedTokens = 1, heldPieces = 2),
+            CapacityCase(stoppedDecodeSettings.copy(pieces = 2), heldTokens = 4, wantedTokens = 4097, heldPieces = 1),
+            CapacityCase(
+                stoppedDecodeSettings.copy(maximumRunning = 1),
+                heldTokens = 4,
+                wantedTokens = 4,
+                heldPieces = 1,
+            ),
+        )
         for (case in cases) {
-            EngineStandIn.start(settings = case.settings).use { engine ->
-                val client = TestClient(engine.port)
+            withEngine(case.settings) { client ->
                 client.postAsync(COMPLETIONS, """{"prompt":"","max_tokens":${case.heldTokens}}""")
                 awaitTrue { client.json(RUNNING_CALLS).text("pieces_held") == case.heldPieces.toString() }
                 val refused = client.post(COMPLETIONS, """{"prompt":"","max_tokens":${case.wantedTokens}}""")
@@ -124,8 +108,7 @@
 
     @Test
     fun cancelFreesMemoryAtOnceAndEndsTheAnswer() {
-        EngineStandIn.start(settings = stoppedDecodeSettings).use { engine ->
-            val client = TestClient(engine.port)
+        withEngine(stoppedDecodeSettings) { client ->
             val answer = client.postAsync(COMPLETIONS, """{"prompt":"a","stream":true}""", REQUEST_ID, "gone")
             awaitTrue { client.json(RUNNING_CALLS).at("running").jsonArray.isNotEmpty() }
             assertEquals("true", client.post("/v1/cancel", """{"request_id":"gone"}""").json().text("cancelled"))
@@ -139,8 +122,7 @@
     fun disconnectFreesMemoryOnlyIfConfigured() {
         for (freeOnDisconnect in listOf(true, false)) {
             val settings = fastSettings.copy(freeOnDisconnect = freeOnDisconnect)
-            EngineStandIn.start(settings = settings).use { engine ->
-                val client = TestClient(engine.port)
+            withEngine(settings) { client ->
                 val stream = client.openStream(COMPLETIONS, """{"prompt":"a","max_tokens":100000,"stream":true}""")
                 stream.readLine()
                 val tokensBefore = client.json("/stats").text("decode_tokens_total").toLong()
@@ -157,24 +139,21 @@
 
     @Test
     fun prefillsRunByPriorityThenArrival() {
-        EngineStandIn.start(settings = fastSettings.copy(prefillTokensPerSecond = 10)).use { engine ->
-            val client = TestClient(engine.port)
+        withEngine(fastSettings.copy(prefillTokensPerSecond = 10)) { client ->
             val order = java.util.Collections.synchronizedList(ArrayList<String>())
-            val cases =
-                listOf(
-                    PriorityCase("first", priority = 9, promptTokens = 15),
-                    PriorityCase("late", priority = 5, promptTokens = 1),
-                    PriorityCase("urgent", priority = 1, promptTokens = 1),
-                    PriorityCase("later", priority = 5, promptTokens = 1),
-                )
-            val calls =
-                cases.mapIndexed { index, case ->
-                    val call = client.postAsync(COMPLETIONS, case.body(), REQUEST_ID, case.name).thenRun {
-                        order.add(case.name)
-                    }
-                    awaitTrue { client.json(RUNNING_CALLS).at("running").jsonArray.size == index + 1 }
-                    call
+            val cases = listOf(
+                PriorityCase("first", priority = 9, promptTokens = 15),
+                PriorityCase("late", priority = 5, promptTokens = 1),
+                PriorityCase("urgent", priority = 1, promptTokens = 1),
+                PriorityCase("later", priority = 5, promptTokens = 1),
+            )
+            val calls = cases.mapIndexed { index, case ->
+                val call = client.postAsync(COMPLETIONS, case.body(), REQUEST_ID, case.name).thenRun {
+                    order.add(case.name)
                 }
+                awaitTrue { client.json(RUNNING_CALLS).at("running").jsonArray.size == index + 1 }
+                call
+            }
             calls.forEach { it.get() }
             assertEquals(listOf("first", "urgent", "late", "later"), order)
         }
@@ -182,19 +161,16 @@
 
     @Test
     fun slownessAndStallsDelayTokens() {
-        val cases =
-            listOf(
-                FaultCase("""{"slow_factor":10,"for_ms":60000}""", 800.milliseconds),
-                FaultCase("""{"stall_ms":500}""", 500.milliseconds),
-            )
+        val cases = listOf(
+            FaultCase("""{"slow_factor":10,"for_ms":60000}""", 800.milliseconds),
+            FaultCase("""{"stall_ms":500}""", 500.milliseconds),
+        )
         for (case in cases) {
-            EngineStandIn.start(settings = fastSettings.copy(baseTokenGap = 20.milliseconds)).use { engine ->
-                val client = TestClient(engine.port)
-                val duration =
-                    measureTime {
-                        client.post("/fault", case.fault)
-                        client.post(COMPLETIONS, """{"prompt":"a","max_tokens":5}""")
-                    }
+            withEngine(fastSettings.copy(baseTokenGap = 20.milliseconds)) { client ->
+                val duration = measureTime {
+                    client.post("/fault", case.fault)
+                    client.post(COMPLETIONS, """{"prompt":"a","max_tokens":5}""")
+                }
                 assertTrue(duration >= case.minimumDuration, "${case.fault} took $duration")
             }
         }
@@ -202,8 +178,7 @@
 
     @Test
     fun crashClosesConnectionsAndListener() {
-        EngineStandIn.start(settings = stoppedDecodeSettings).use { engine ->
-            val client = TestClient(engine.port)
+        withEngine(stoppedDecodeSettings) { client ->
             val running = client.postAsync(COMPLETIONS, """{"prompt":"a"}""")
             awaitTrue { client.json(RUNNING_CALLS).at("running").jsonArray.isNotEmpty() }
             assertEquals(200, client.post("/fault", """{"crash":true}""").statusCode())
@@ -215,8 +190,7 @@
     @Test
     fun metricsShowTheLoadAfterTheReportLag() {
         for ((lag, expected) in listOf(0.seconds to "1.0", 1.hours to "0.0")) {
-            EngineStandIn.start(settings = stoppedDecodeSettings.copy(reportLag = lag)).use { engine ->
-                val client = TestClient(engine.port)
+            withEngine(stoppedDecodeSettings.copy(reportLag = lag)) { client ->
                 client.postAsync(COMPLETIONS, """{"prompt":"a"}""")
                 awaitTrue { client.json("/stats").text("prefill_tokens_total") == "1" }
                 val line = client.get("/metrics").body().lines().single { it.startsWith("vllm:num_requests_running{") }
--- a/stand-in/src/test/kotlin/org/lovageladder/standin/KeyValueStandInTest.kt
+++ b/stand-in/src/test/kotlin/org/lovageladder/standin/KeyValueStandInTest.kt
@@ -16,16 +16,15 @@
 class KeyValueStandInTest {
     @Test
     fun rangesAreOrderedByKeyBytes() {
-        val cases =
-            listOf(
-                RangeCase(""""key":"${base64("a")}"""", listOf("a")),
-                RangeCase(""""key":"${base64("absent")}"""", emptyList()),
-                RangeCase(""""key":"${base64("a")}","range_end":"${base64("b")}"""", listOf("a", "a/1", "a/2")),
-                RangeCase(""""key":"${base64("a/")}","rangeEnd":"${base64("a0")}","limit":"1"""", listOf("a/1")),
-                RangeCase(""""key":"${base64("a/2")}","range_end":"AA=="""", listOf("a/2", "b", "é")),
-                RangeCase(""""key":"${base64("c")}","range_end":"${base64("b")}"""", emptyList()),
-                RangeCase(""""key":"AA==","range_end":"AA==","revision":"3"""", listOf("a/1", "é")),
-            )
+        val cases = listOf(
+            RangeCase(""""key":"${base64("a")}"""", listOf("a")),
+            RangeCase(""""key":"${base64("absent")}"""", emptyList()),
+            RangeCase(""""key":"${base64("a")}","range_end":"${base64("b")}"""", listOf("a", "a/1", "a/2")),
+            RangeCase(""""key":"${base64("a/")}","rangeEnd":"${base64("a0")}","limit":"1"""", listOf("a/1")),
+            RangeCase(""""key":"${base64("a/2")}","range_end":"AA=="""", listOf("a/2", "b", "é")),
+            RangeCase(""""key":"${base64("c")}","range_end":"${base64("b")}"""", emptyList()),
+            RangeCase(""""key":"AA==","range_end":"AA==","revision":"3"""", listOf("a/1", "é")),
+        )
         withService { service ->
             listOf("é", "a/1", "b", "a", "a/2").forEach { service.put(it, "v") }
             for (case in cases) {
@@ -52,17 +51,16 @@
 
     @Test
     fun transactionsRunTheOperationsThatTheirComparisonsSelect() {
-        val cases =
-            listOf(
-                CompareCase(""""target":"CREATE","result":"EQUAL","createRevision":"0"""", "absent", true),
-                CompareCase(""""target":"CREATE","result":"EQUAL","create_revision":0""", "k", false),
-                CompareCase(""""target":"MOD","result":"EQUAL","mod_revision":"3"""", "k", true),
-                CompareCase(""""target":"MOD","result":"LESS","mod_revision":"3"""", "k", false),
-                CompareCase(""""target":"VERSION","result":"GREATER","version":"1"""", "k", true),
-                CompareCase(""""target":"VERSION","result":"NOT_EQUAL","version":"2"""", "k", false),
-                CompareCase(""""target":"VALUE","result":"EQUAL","value":"${base64("2")}"""", "k", true),
-                CompareCase(""""target":"VALUE","result":"NOT_EQUAL","value":"${base64("2")}"""", "absent", false),
-            )
+        val cases = listOf(
+            CompareCase(""""target":"CREATE","result":"EQUAL","createRevision":"0"""", "absent", true),
+            CompareCase(""""target":"CREATE","result":"EQUAL","create_revision":0""", "k", false),
+            CompareCase(""""target":"MOD","result":"EQUAL","mod_revision":"3"""", "k", true),
+            CompareCase(""""target":"MOD","result":"LESS","mod_revision":"3"""", "k", false),
+            CompareCase(""""target":"VERSION","result":"GREATER","version":"1"""", "k", true),
+            CompareCase(""""target":"VERSION","result":"NOT_EQUAL","version":"2"""", "k", false),
+            CompareCase(""""target":"VALUE","result":"EQUAL","value":"${base64("2")}"""", "k", true),
+            CompareCase(""""target":"VALUE","result":"NOT_EQUAL","value":"${base64("2")}"""", "absent", false),
+        )
         for (case in cases) {
             withService { service ->
                 service.put("k", "1")
@@ -81,20 +79,19 @@
     fun invalidCallsAreRefused() {
         val tooLarge = base64("x".repeat(1024 * 1024 + 1))
         val put = """{"request_put":{"key":"aw==","value":"dg=="}}"""
-        val cases =
-            listOf(
-                InvalidRequestCase("/v3/kv/put", """{"key":"aw==","value":"$tooLarge"}""", 400, "too large"),
-                InvalidRequestCase("/v3/kv/put", """{"value":"dg=="}""", 400, "key is not provided"),
-                InvalidRequestCase("/v3/kv/put", """{"key":"aw==","lease":"7"}""", 404, "lease not found"),
-                InvalidRequestCase("/v3/kv/put", """{"key":"no base64!"}""", 400, "key"),
-                InvalidRequestCase("/v3/kv/range", """{"key":"aw==","revision":"99"}""", 400, "future revision"),
-                InvalidRequestCase("/v3/kv/range", """{"key":"aw==","limit":"many"}""", 400, "limit"),
-                InvalidRequestCase("/v3/kv/txn", """{"success":[$put,$put]}""", 400, "duplicate key"),
-                InvalidRequestCase("/v3/lease/grant", "{}", 400, "TTL"),
-                InvalidRequestCase("/v3/lease/revoke", """{"ID":"5"}""", 404, "lease not found"),
-                InvalidRequestCase("/fault", """{"slow_ms":5}""", 400, "for_ms"),
-                InvalidRequestCase("/v3/none", "{}", 404, "/v3/none"),
-            )
+        val cases = listOf(
+            InvalidRequestCase("/v3/kv/put", """{"key":"aw==","value":"$tooLarge"}""", 400, "too large"),
+            InvalidRequestCase("/v3/kv/put", """{"value":"dg=="}""", 400, "key is not provided"),
+            InvalidRequestCase("/v3/kv/put", """{"key":"aw==","lease":"7"}""", 404, "lease not found"),
+            InvalidRequestCase("/v3/kv/put", """{"key":"no base64!"}""", 400, "key"),
+            InvalidRequestCase("/v3/kv/range", """{"key":"aw==","revision":"99"}""", 400, "future revision"),
+            InvalidRequestCase("/v3/kv/range", """{"key":"aw==","limit":"many"}""", 400, "limit"),
+            InvalidRequestCase("/v3/kv/txn", """{"success":[$put,$put]}""", 400, "duplicate key"),
+            InvalidRequestCase("/v3/lease/grant", "{}", 400, "TTL"),
+            InvalidRequestCase("/v3/lease/revoke", """{"ID":"5"}""", 404, "lease not found"),
+            InvalidRequestCase("/fault", """{"slow_ms":5}""", 400, "for_ms"),
+            InvalidRequestCase("/v3/none", "{}", 404, "/v3/none"),
+        )
         withService { service ->
             for (case in cases) {
                 val answer = service.post(case.path, case.body)
@@ -125,11 +122,10 @@
 
     @Test
     fun keysAreDeletedWithTheirLease() {
-        val cases =
-            listOf(
-                LeaseCase(timeToLiveSeconds = 600) { service, id -> service.post(REVOKE_PATH, """{"ID":"$id"}""") },
-                LeaseCase(timeToLiveSeconds = 2) { _, _ -> },
-            )
+        val cases = listOf(
+            LeaseCase(timeToLiveSeconds = 600) { service, id -> service.post(REVOKE_PATH, """{"ID":"$id"}""") },
+            LeaseCase(timeToLiveSeconds = 2) { _, _ -> },
+        )
         for (case in cases) {
             withService { service ->
                 val granted = service.post("/v3/lease/grant", """{"TTL":"${case.timeToLiveSeconds}"}""").json()
@@ -201,9 +197,7 @@
 
     @Test
     fun callsAboveTheRateLimitWait() {
-        val settings = KeyValueSettings(writesPerSecond = 20)
-        KeyValueStandIn.start(settings = settings).use { standIn ->
-            val service = TestClient(standIn.port)
+        withService(KeyValueSettings(writesPerSecond = 20)) { service ->
             val duration = measureTime { repeat(7) { service.put("k", "v") } }
             assertTrue(duration >= 300.milliseconds, "took $duration")
         }
@@ -225,8 +219,8 @@
         }
     }
 
-    private fun withService(check: (TestClient) -> Unit) {
-        KeyValueStandIn.start().use { check(TestClient(it.port)) }
+    private fun withService(settings: KeyValueSettings = KeyValueSettings(), check: (TestClient) -> Unit) {
+        KeyValueStandIn.start(settings = settings).use { check(TestClient(it.port)) }
     }
 
     private fun TestClient.put(key: String, value: String, lease: String = "0"): JsonElement =
--- a/stand-in/src/test/kotlin/org/lovageladder/standin/PlainStandInTest.kt
+++ b/stand-in/src/test/kotlin/org/lovageladder/standin/PlainStandInTest.kt
@@ -11,8 +11,7 @@
 class PlainStandInTest {
     @Test
     fun executionsAreCountedPerIdempotencyKey() {
-        PlainStandIn.start(settings = PlainSettings(name = "klon-app")).use { plain ->
-            val client = TestClient(plain.port)
+        withPlain(PlainSettings(name = "klon-app")) { client ->
             for ((key, execution) in listOf("a" to "1", "b" to "1", "a" to "2")) {
                 val answer = client.post("/clones", """{"n":1}""", IDEMPOTENCY_KEY, key).json()
                 assertEquals("klon-app", answer.text("service"))
@@ -26,8 +25,7 @@
 
     @Test
     fun callWithDroppedAnswerIsExecuted() {
-        PlainStandIn.start().use { plain ->
-            val client = TestClient(plain.port)
+        withPlain { client ->
             client.post("/fault", """{"drop_answers":1}""")
             assertTrue(runCatching { client.post("/clones", "{}", IDEMPOTENCY_KEY, "a") }.isFailure)
             assertEquals("1", client.json("/executions").text("executions", "a"))
@@ -37,19 +35,16 @@
 
     @Test
     fun slownessAndStallsDelayTheAnswer() {
-        val cases =
-            listOf(
-                DelayCase("""{"slow_factor":10,"for_ms":60000}""", 300.milliseconds),
-                DelayCase("""{"stall_ms":300}""", 300.milliseconds),
-            )
+        val cases = listOf(
+            DelayCase("""{"slow_factor":10,"for_ms":60000}""", 300.milliseconds),
+            DelayCase("""{"stall_ms":300}""", 300.milliseconds),
+        )
         for (case in cases) {
-            PlainStandIn.start(settings = PlainSettings(latency = 30.milliseconds)).use { plain ->
-                val client = TestClient(plain.port)
-                val duration =
-                    measureTime {
-                        client.post("/fault", case.fault)
-                        client.get("/lookup")
-                    }
+            withPlain(PlainSettings(latency = 30.milliseconds)) { client ->
+                val duration = measureTime {
+                    client.post("/fault", case.fault)
+                    client.get("/lookup")
+                }
                 assertTrue(duration >= case.minimumDuration, "${case.fault} took $duration")
             }
         }
@@ -57,8 +52,7 @@
 
     @Test
     fun callsAboveTheConcurrencyLimitAreRefused() {
-        PlainStandIn.start(settings = PlainSettings(latency = 1.hours, maximumRunning = 1)).use { plain ->
-            val client = TestClient(plain.port)
+        withPlain(PlainSettings(latency = 1.hours, maximumRunning = 1)) { client ->
             client.postAsync("/clones", "{}")
             awaitTrue { client.json("/executions").text("running") == "1" }
             val refused = client.get("/lookup")
@@ -69,8 +63,7 @@
 
     @Test
     fun crashClosesConnectionsOfRunningCalls() {
-        PlainStandIn.start(settings = PlainSettings(latency = 1.hours)).use { plain ->
-            val client = TestClient(plain.port)
+        withPlain(PlainSettings(latency = 1.hours)) { client ->
             val running = client.postAsync("/clones", "{}")
             awaitTrue { client.json("/executions").text("running") == "1" }
             client.post("/fault", """{"crash":true}""")
--- a/stand-in/src/test/kotlin/org/lovageladder/standin/PrefixCacheTest.kt
+++ b/stand-in/src/test/kotlin/org/lovageladder/standin/PrefixCacheTest.kt
@@ -8,16 +8,15 @@
 class PrefixCacheTest {
     @Test
     fun cachedBlocksNeedNoPrefillUntilEvicted() {
-        val cases =
-            listOf(
-                CacheCase("a b c d e", cached = 0, prefilled = 5),
-                CacheCase("a b c d f g", cached = 4, prefilled = 2),
-                CacheCase("a b x y", cached = 2, prefilled = 2),
-                CacheCase("p q r s", cached = 0, prefilled = 4),
-                CacheCase("a b c d", cached = 2, prefilled = 2),
-                CacheCase("m n", cached = 0, prefilled = 2),
-                CacheCase("p q r s", cached = 2, prefilled = 2),
-            )
+        val cases = listOf(
+            CacheCase("a b c d e", cached = 0, prefilled = 5),
+            CacheCase("a b c d f g", cached = 4, prefilled = 2),
+            CacheCase("a b x y", cached = 2, prefilled = 2),
+            CacheCase("p q r s", cached = 0, prefilled = 4),
+            CacheCase("a b c d", cached = 2, prefilled = 2),
+            CacheCase("m n", cached = 0, prefilled = 2),
+            CacheCase("p q r s", cached = 2, prefilled = 2),
+        )
         withEngine(EngineSettings(prefixCacheBlocks = 4, prefixBlockTokens = 2)) { engine ->
             var prefilled = 0
             for (case in cases) {
@@ -31,13 +30,12 @@
 
     @Test
     fun cacheEventsHaveSequenceNumbersAndConfiguredGaps() {
-        val settings =
-            EngineSettings(
-                prefixCacheBlocks = 1,
-                prefixBlockTokens = 1,
-                cacheEventLag = 0.milliseconds,
-                cacheEventGapEvery = 3,
-            )
+        val settings = EngineSettings(
+            prefixCacheBlocks = 1,
+            prefixBlockTokens = 1,
+            cacheEventLag = 0.milliseconds,
+            cacheEventGapEvery = 3,
+        )
         withEngine(settings) { engine ->
             listOf("a", "b", "c").forEach { engine.complete(it) }
             val expected = listOf("1 BlockStored", "2 BlockStored", "4 BlockStored", "5 BlockRemoved")
@@ -53,9 +51,5 @@
     private fun TestClient.events(after: Int) =
         json("/v1/cache_events?after=$after").at("events").jsonArray.map { it.text("sequence") + " " + it.text("type") }
 
-    private fun withEngine(settings: EngineSettings, check: (TestClient) -> Unit) {
-        EngineStandIn.start(settings = settings).use { check(TestClient(it.port)) }
-    }
-
     private data class CacheCase(val prompt: String, val cached: Int, val prefilled: Int)
 }
--- a/stand-in/src/test/kotlin/org/lovageladder/standin/TestClient.kt
+++ b/stand-in/src/test/kotlin/org/lovageladder/standin/TestClient.kt
@@ -50,6 +50,14 @@
     }
 }
 
+/** Runs [check] with a client of an engine stand-in. */
+internal fun withEngine(settings: EngineSettings, check: (TestClient) -> Unit): Unit =
+    EngineStandIn.start(settings = settings).use { check(TestClient(it.port)) }
+
+/** Runs [check] with a client of a plain stand-in. */
+internal fun withPlain(settings: PlainSettings = PlainSettings(), check: (TestClient) -> Unit): Unit =
+    PlainStandIn.start(settings = settings).use { check(TestClient(it.port)) }
+
 internal fun HttpResponse<String>.json(): JsonObject = Json.parseToJsonElement(body()).jsonObject
 
 /** The element at [path], which consists of field names and list indexes; fails when there is none. */
