Put lists and calls of tests on the line where they fit

Reason: room in the test code. `val cases =` with the list below it becomes one line, and argument lists that fit 120 columns stand on one.

--- a/client/src/test/kotlin/org/lovageladder/client/ProcessCommandsTest.kt
+++ b/client/src/test/kotlin/org/lovageladder/client/ProcessCommandsTest.kt
@@ -26,10 +26,7 @@
             "connectedHosts": ["desk-1"], "upstreams": [{"upstream": "desk-1", "pool": "desk", "host": "desk-1",
             "place": "bc-coast-a", "state": "PROBATION", "load": null, "inFlight": 2,
             "firstLatencyMicroseconds": 12500, "tokenGapMicroseconds": 0}]}""",
-        listOf(
-            event(1000, 0, "e", EventKind.REQUEST_ACCEPTED),
-            event(1000, 2, "e", EventKind.REQUEST_FINISHED),
-        ),
+        listOf(event(1000, 0, "e", EventKind.REQUEST_ACCEPTED), event(1000, 2, "e", EventKind.REQUEST_FINISHED)),
     )
     private val companion = FakeProcess(
         """{"role": "companion", "process": "c", "ready": true, "leaving": true, "release": 1, "host": "desk-1",
@@ -132,10 +129,7 @@
         assertEquals(listOf("LL-2205"), codes(run("timeline", "--upstream", "desk-1")))
         assertEquals(emptyList(), codes(run("timeline", "--request", "r-2")))
         assertEquals(emptyList(), codes(run("timeline", "--since", "1970-01-01T00:00:01Z")))
-        assertEquals(
-            "It was answered completely. Route: started once on desk-1.",
-            run("explain", "r-1").lines.last(),
-        )
+        assertEquals("It was answered completely. Route: started once on desk-1.", run("explain", "r-1").lines.last())
         assertEquals(ExitCode.FAILED.status, run("explain", "r-2").status)
     }
 
--- a/core/src/test/kotlin/org/lovageladder/core/LeavingStateTest.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/LeavingStateTest.kt
@@ -111,10 +111,5 @@
 
 private fun noteWithdrawingTheHost() = note(
     2,
-    withdrawn = listOf(
-        EntryKey(EntryKind.HOST, HOST.text),
-        DECODE_ENTRY.key,
-        PREFILL_ENTRY.key,
-        PLAIN_ENTRY.key,
-    ),
+    withdrawn = listOf(EntryKey(EntryKind.HOST, HOST.text), DECODE_ENTRY.key, PREFILL_ENTRY.key, PLAIN_ENTRY.key),
 )
--- a/core/src/test/kotlin/org/lovageladder/core/forward/EntryCounterTest.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/forward/EntryCounterTest.kt
@@ -183,12 +183,11 @@
             Case(entries = 4, sharedRetriesPerWindow = 52.0),
             Case(entries = 30, sharedRetriesPerWindow = 100.0),
         ).forEach { case ->
-            val limits =
-                RetryLimits(
-                    retriesPerRequest = 0.2,
-                    sharedRetriesPerWindow = case.sharedRetriesPerWindow,
-                    window = 10.seconds,
-                )
+            val limits = RetryLimits(
+                retriesPerRequest = 0.2,
+                sharedRetriesPerWindow = case.sharedRetriesPerWindow,
+                window = 10.seconds,
+            )
             val budgets = List(case.entries) { RetryBudget(limits) { case.entries } }
             var retries = 0
             (0 until 1_000).forEach { step ->
--- a/core/src/test/kotlin/org/lovageladder/core/forward/MembershipTest.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/forward/MembershipTest.kt
@@ -26,20 +26,19 @@
     private fun registered(revision: Long, isLeaving: Boolean = false) =
         RegistryChange.Registered(one.copy(isLeaving = isLeaving, revision = revision))
 
-    private val cases =
-        listOf(
-            Case("both registered", 1, "one two"),
-            Case("one leaves", 1, "two", 1 to registered(2, isLeaving = true)),
-            Case("an older registration arrives late", 1, "one two", 1 to registered(0, isLeaving = true)),
-            Case("one is removed", 1, "two", 1 to oneRemoved),
-            Case("an older removal arrives late", 1, "one two", 1 to oneRemoved.copy(revision = 0)),
-            Case("one expires during an outage", 9, "one two", 1 to lost, 2 to oneRemoved),
-            Case("one expired and is not registered again in time", 8, "two", 1 to lost, 5 to back, 5 to oneRemoved),
-            Case("one leaves shortly after an outage", 8, "two", 1 to lost, 5 to back, 7 to oneRemoved),
-            Case("expired, time to register again", 10, "one two", 1 to lost, 2 to oneRemoved, 8 to back),
-            Case("expired, back", 9, "one two", 1 to lost, 5 to back, 5 to oneRemoved, 6 to registered(3)),
-            Case("missing from another full read", 1, "two", 1 to RegistryChange.FullRead(listOf(two))),
-        )
+    private val cases = listOf(
+        Case("both registered", 1, "one two"),
+        Case("one leaves", 1, "two", 1 to registered(2, isLeaving = true)),
+        Case("an older registration arrives late", 1, "one two", 1 to registered(0, isLeaving = true)),
+        Case("one is removed", 1, "two", 1 to oneRemoved),
+        Case("an older removal arrives late", 1, "one two", 1 to oneRemoved.copy(revision = 0)),
+        Case("one expires during an outage", 9, "one two", 1 to lost, 2 to oneRemoved),
+        Case("one expired and is not registered again in time", 8, "two", 1 to lost, 5 to back, 5 to oneRemoved),
+        Case("one leaves shortly after an outage", 8, "two", 1 to lost, 5 to back, 7 to oneRemoved),
+        Case("expired, time to register again", 10, "one two", 1 to lost, 2 to oneRemoved, 8 to back),
+        Case("expired, back", 9, "one two", 1 to lost, 5 to back, 5 to oneRemoved, 6 to registered(3)),
+        Case("missing from another full read", 1, "two", 1 to RegistryChange.FullRead(listOf(two))),
+    )
 
     @Test
     fun servingUpstreamsFollowRegistryChanges() {
--- a/core/src/test/kotlin/org/lovageladder/core/forward/RegistryFollowerTest.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/forward/RegistryFollowerTest.kt
@@ -18,12 +18,11 @@
 
         override fun read(answer: (RegistryRead) -> Unit) {
             reads += 1
-            val snapshot =
-                RegistrySnapshot(
-                    currentVersion,
-                    ForwardFixture.configuration(currentVersion),
-                    ForwardFixture.REGISTRATIONS,
-                )
+            val snapshot = RegistrySnapshot(
+                currentVersion,
+                ForwardFixture.configuration(currentVersion),
+                ForwardFixture.REGISTRATIONS,
+            )
             scheduler.schedule(12.milliseconds) { answer(RegistryRead.Complete(snapshot)) }
         }
 
@@ -46,14 +45,13 @@
         val scheduler = VirtualScheduler()
         val registry = HistoryLosingRegistry(scheduler)
         val versions = ArrayList<ReleaseVersion>()
-        val listener =
-            object : RegistryListener {
-                override fun onConfiguration(configuration: ForwardConfiguration) {
-                    versions += configuration.version
-                }
-
-                override fun onChange(change: RegistryChange) = Unit
+        val listener = object : RegistryListener {
+            override fun onConfiguration(configuration: ForwardConfiguration) {
+                versions += configuration.version
             }
+
+            override fun onChange(change: RegistryChange) = Unit
+        }
         RegistryFollower(registry, scheduler, listener).start()
         scheduler.advance(500.milliseconds)
         registry.currentVersion = 2
@@ -107,20 +105,19 @@
             val scheduler = VirtualScheduler()
             val registry = RestoredRegistry(scheduler, ArrayDeque(case.reads), ArrayDeque(case.watches))
             val changes = ArrayList<String>()
-            val listener =
-                object : RegistryListener {
-                    override fun onConfiguration(configuration: ForwardConfiguration) = Unit
+            val listener = object : RegistryListener {
+                override fun onConfiguration(configuration: ForwardConfiguration) = Unit
 
-                    override fun onChange(change: RegistryChange) {
-                        changes += when (change) {
-                            is RegistryChange.FullRead -> "full"
-                            is RegistryChange.RequestLimitReported -> "limit"
-                            is RegistryChange.LeaderChanged -> "leader"
-                            RegistryChange.Restored -> "restored"
-                            else -> "$change"
-                        }
+                override fun onChange(change: RegistryChange) {
+                    changes += when (change) {
+                        is RegistryChange.FullRead -> "full"
+                        is RegistryChange.RequestLimitReported -> "limit"
+                        is RegistryChange.LeaderChanged -> "leader"
+                        RegistryChange.Restored -> "restored"
+                        else -> "$change"
                     }
                 }
+            }
             RegistryFollower(registry, scheduler, listener).start()
             scheduler.advance(5.seconds)
             assertEquals(case.changes, changes.joinToString(" "), case.name)
--- a/core/src/test/kotlin/org/lovageladder/core/forward/RequestLimitTest.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/forward/RequestLimitTest.kt
@@ -58,58 +58,57 @@
                 )
             }
 
-    private val troubles: Map<String, (EntryFleet) -> Unit> =
-        mapOf(
-            "all restart" to { fleet ->
-                fleet.scheduler.schedule(5.seconds) { fleet.entries.forEach { it.restart() } }
-            },
-            "restarts in turn" to { fleet ->
-                fleet.entries.forEachIndexed { index, entry ->
-                    fleet.scheduler.schedule(4.seconds + 400.milliseconds * index) { entry.restart() }
-                }
-            },
-            "all freeze" to { fleet ->
-                fleet.scheduler.schedule(5.seconds) { fleet.entries.forEach { it.freeze(3.seconds) } }
-            },
-            "a third cut from the registry" to { fleet ->
-                fleet.scheduler.schedule(4.seconds) {
-                    fleet.cutFromRegistry(
-                        fleet.entries.filterIndexed { index, _ ->
-                            index %
-                                3 ==
-                                0
-                        },
-                    )
-                }
-            },
-            "all but one cut from the registry" to { fleet ->
-                fleet.scheduler.schedule(4.seconds) { fleet.cutFromRegistry(fleet.entries.drop(1)) }
-            },
-            "half as many join" to { fleet ->
-                fleet.scheduler.schedule(5.seconds) { repeat(fleet.entries.size / 2) { fleet.add() } }
-            },
-            "joining in turn" to { fleet ->
-                repeat(10) { fleet.scheduler.schedule(4.seconds + 700.milliseconds * it) { fleet.add() } }
-            },
-            "all but one cut and back" to { fleet ->
-                fleet.scheduler.schedule(1.seconds) { fleet.cutFromRegistry(fleet.entries.drop(1)) }
-                fleet.scheduler.schedule(17.seconds) { fleet.reconnect() }
-            },
-            "upstreams restart under their names" to { fleet ->
-                ALL_PLAIN.forEachIndexed { index, name ->
-                    fleet.scheduler.schedule(3.seconds * (index + 1)) {
-                        fleet.restartUpstream(UpstreamName(name), startedAt = 100L + index)
-                    }
-                }
-            },
-            "cut and replaced" to { fleet ->
-                fleet.scheduler.schedule(4.seconds) {
-                    val before = fleet.entries.toList()
-                    fleet.cutFromRegistry(before)
-                    repeat(before.size) { fleet.add() }
+    private val troubles: Map<String, (EntryFleet) -> Unit> = mapOf(
+        "all restart" to { fleet ->
+            fleet.scheduler.schedule(5.seconds) { fleet.entries.forEach { it.restart() } }
+        },
+        "restarts in turn" to { fleet ->
+            fleet.entries.forEachIndexed { index, entry ->
+                fleet.scheduler.schedule(4.seconds + 400.milliseconds * index) { entry.restart() }
+            }
+        },
+        "all freeze" to { fleet ->
+            fleet.scheduler.schedule(5.seconds) { fleet.entries.forEach { it.freeze(3.seconds) } }
+        },
+        "a third cut from the registry" to { fleet ->
+            fleet.scheduler.schedule(4.seconds) {
+                fleet.cutFromRegistry(
+                    fleet.entries.filterIndexed { index, _ ->
+                        index %
+                            3 ==
+                            0
+                    },
+                )
+            }
+        },
+        "all but one cut from the registry" to { fleet ->
+            fleet.scheduler.schedule(4.seconds) { fleet.cutFromRegistry(fleet.entries.drop(1)) }
+        },
+        "half as many join" to { fleet ->
+            fleet.scheduler.schedule(5.seconds) { repeat(fleet.entries.size / 2) { fleet.add() } }
+        },
+        "joining in turn" to { fleet ->
+            repeat(10) { fleet.scheduler.schedule(4.seconds + 700.milliseconds * it) { fleet.add() } }
+        },
+        "all but one cut and back" to { fleet ->
+            fleet.scheduler.schedule(1.seconds) { fleet.cutFromRegistry(fleet.entries.drop(1)) }
+            fleet.scheduler.schedule(17.seconds) { fleet.reconnect() }
+        },
+        "upstreams restart under their names" to { fleet ->
+            ALL_PLAIN.forEachIndexed { index, name ->
+                fleet.scheduler.schedule(3.seconds * (index + 1)) {
+                    fleet.restartUpstream(UpstreamName(name), startedAt = 100L + index)
                 }
-            },
-        )
+            }
+        },
+        "cut and replaced" to { fleet ->
+            fleet.scheduler.schedule(4.seconds) {
+                val before = fleet.entries.toList()
+                fleet.cutFromRegistry(before)
+                repeat(before.size) { fleet.add() }
+            }
+        },
+    )
 
     private val cases =
         loads +
--- a/core/src/test/kotlin/org/lovageladder/core/world/InitialRelease.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/world/InitialRelease.kt
@@ -34,10 +34,7 @@
         service = ServiceName("desk"),
         target = LatencyTarget.Answer(2.seconds),
     )
-    val note = ReleaseNote(
-        id = NoteId("first"),
-        added = hosts + pools + upstreams + services() + classes(),
-    )
+    val note = ReleaseNote(id = NoteId("first"), added = hosts + pools + upstreams + services() + classes())
 
     private fun host(name: HostName, role: HostRole) =
         ReleaseEntry.Host(name, place, role, Address("127.0.0.1", 1), Address("127.0.0.1", 2))
--- a/core/src/test/kotlin/org/lovageladder/core/world/WholeSystemTest.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/world/WholeSystemTest.kt
@@ -118,11 +118,7 @@
 
     @Test
     fun aNoteIsAppliedByEveryProcessWithinFourSeconds() {
-        val cases = listOf<(SimulatedSystem) -> Unit>(
-            {},
-            { it.store.isDown = true },
-            { it.store.hiddenNotes = 1 },
-        )
+        val cases = listOf<(SimulatedSystem) -> Unit>({}, { it.store.isDown = true }, { it.store.hiddenNotes = 1 })
         for (injectFault in cases) {
             val system = SimulatedSystem(1)
             system.publishLookupWorth(7)
--- a/measure/src/test/kotlin/org/lovageladder/measure/StreamTablesTest.kt
+++ b/measure/src/test/kotlin/org/lovageladder/measure/StreamTablesTest.kt
@@ -17,18 +17,17 @@
 
     @Test
     fun endedStreamsAreParsedAndOtherLinesIgnored() {
-        val lines =
-            listOf(
-                logLine(
-                    10,
-                    endDetail("answered", took = 4_000, waited = 20, first = 200, events = 40),
-                    before = "  1.2 front-1 ",
-                ),
-                logLine(10, endDetail("refused: OVERLOADED", took = 0, waited = 0, first = null, events = 0)),
-                logLine(10, "answered 200 route=r2 tries=1 took=7ms"),
-                logLine(10, endDetail("answered", took = 1, waited = 0, first = 1, events = 1)).dropLast(30),
-                "no log at all",
-            )
+        val lines = listOf(
+            logLine(
+                10,
+                endDetail("answered", took = 4_000, waited = 20, first = 200, events = 40),
+                before = "  1.2 front-1 ",
+            ),
+            logLine(10, endDetail("refused: OVERLOADED", took = 0, waited = 0, first = null, events = 0)),
+            logLine(10, "answered 200 route=r2 tries=1 took=7ms"),
+            logLine(10, endDetail("answered", took = 1, waited = 0, first = 1, events = 1)).dropLast(30),
+            "no log at all",
+        )
         val streams = parseEndedStreams(lines.asSequence())
         assertEquals(listOf("answered", "refused: OVERLOADED"), streams.map { it.outcome })
         assertEquals(40, streams.first().eventCount)
@@ -38,15 +37,14 @@
 
     @Test
     fun intervalsCountReservedAndUsedTokensAndRefusals() {
-        val streams =
-            parseEndedStreams(
-                sequenceOf(
-                    logLine(14, endDetail("answered", took = 4_000, waited = 0, first = 0, events = 40)),
-                    logLine(15, endDetail("answered", took = 4_000, waited = 0, first = 0, events = 80)),
-                    logLine(12, endDetail("refused: OVERLOADED", took = 0, waited = 0, first = null, events = 0)),
-                    logLine(13, endDetail("refused: OVERLOADED", took = 600, waited = 600, first = null, events = 0)),
-                ),
-            )
+        val streams = parseEndedStreams(
+            sequenceOf(
+                logLine(14, endDetail("answered", took = 4_000, waited = 0, first = 0, events = 40)),
+                logLine(15, endDetail("answered", took = 4_000, waited = 0, first = 0, events = 80)),
+                logLine(12, endDetail("refused: OVERLOADED", took = 0, waited = 0, first = null, events = 0)),
+                logLine(13, endDetail("refused: OVERLOADED", took = 600, waited = 600, first = null, events = 0)),
+            ),
+        )
         val intervals = intervalsOf(streams, lengthMilliseconds = 2_000)
         assertEquals(listOf(0L, 2_000L, 4_000L), intervals.map { it.startMilliseconds })
         assertEquals(listOf(2, 0, 0), intervals.map { it.answered })
--- a/peer/src/test/kotlin/org/lovageladder/peer/PeerDialerTest.kt
+++ b/peer/src/test/kotlin/org/lovageladder/peer/PeerDialerTest.kt
@@ -40,11 +40,10 @@
     @Test
     fun tenThousandMessagesEachWayArriveInOrder() {
         val listenerId = openConnection()
-        val senders =
-            listOf(
-                Thread { repeat(MESSAGE_COUNT) { index -> dialer.send(ConnectionId(1), heartbeat(index.toLong())) } },
-                Thread { repeat(MESSAGE_COUNT) { index -> listener.send(listenerId, tokenProduced(index)) } },
-            )
+        val senders = listOf(
+            Thread { repeat(MESSAGE_COUNT) { index -> dialer.send(ConnectionId(1), heartbeat(index.toLong())) } },
+            Thread { repeat(MESSAGE_COUNT) { index -> listener.send(listenerId, tokenProduced(index)) } },
+        )
         senders.forEach(Thread::start)
         repeat(MESSAGE_COUNT) { index ->
             assertEquals(
@@ -76,11 +75,10 @@
     @Test
     fun aConnectionThatCannotBeOpenedIsReportedAsUnreachable() {
         val closedPort = ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use { it.localPort }
-        val cases =
-            listOf(
-                Triple("no listener", Address("127.0.0.1", closedPort), FaultCause.UNREACHABLE),
-                Triple("not an address", Address("300.1.1.1", 1), FaultCause.UNREACHABLE),
-            )
+        val cases = listOf(
+            Triple("no listener", Address("127.0.0.1", closedPort), FaultCause.UNREACHABLE),
+            Triple("not an address", Address("300.1.1.1", 1), FaultCause.UNREACHABLE),
+        )
         cases.forEachIndexed { index, (name, address, cause) ->
             dialer.dial(ConnectionId(index.toLong()), testHost, address, hello())
             assertEquals(cause, entryHandler.calls.nextIs<HandlerCall.Lost>().fault.cause, name)
@@ -89,12 +87,11 @@
 
     @Test
     fun anInvalidFirstAnswerIsRejectedAndEndsTheConnection() {
-        val cases =
-            listOf(
-                "other host" to welcome(host = HostName("other")),
-                "other protocol" to welcome(protocol = 2),
-                "not a welcome" to heartbeat(1),
-            )
+        val cases = listOf(
+            "other host" to welcome(host = HostName("other")),
+            "other protocol" to welcome(protocol = 2),
+            "not a welcome" to heartbeat(1),
+        )
         cases.forEachIndexed { index, (name, firstAnswer) ->
             dialer.dial(ConnectionId(index.toLong()), testHost, listener.address, hello(process = name))
             listener.send(companionHandler.calls.nextIs<HandlerCall.Connected>().connectionId, firstAnswer)
--- a/stand-in/src/test/kotlin/org/lovageladder/standin/MainTest.kt
+++ b/stand-in/src/test/kotlin/org/lovageladder/standin/MainTest.kt
@@ -21,16 +21,15 @@
 
     @Test
     fun usageErrorsNameTheFlagItsValueAndTheAllowedValues() {
-        val cases =
-            listOf(
-                UsageErrorCase(2, listOf("--role", "cook", "prefill, decode, both"), "engine", "--role", "cook"),
-                UsageErrorCase(2, listOf("--pieces", "0", "minimum", "1"), "engine", "--pieces", "0"),
-                UsageErrorCase(2, listOf("--latency-ms", "soon", "integer"), "plain", "--latency-ms", "soon"),
-                UsageErrorCase(2, listOf("--port", "70000", "65535"), "kv", "--port", "70000"),
-                UsageErrorCase(2, listOf("--host", "x", "NAME,PLACE,IP:PORT"), "host-list", "--host", "x"),
-                UsageErrorCase(2, listOf("--nope"), "weights", "--nope"),
-                UsageErrorCase(2, listOf("cook"), "cook"),
-            )
+        val cases = listOf(
+            UsageErrorCase(2, listOf("--role", "cook", "prefill, decode, both"), "engine", "--role", "cook"),
+            UsageErrorCase(2, listOf("--pieces", "0", "minimum", "1"), "engine", "--pieces", "0"),
+            UsageErrorCase(2, listOf("--latency-ms", "soon", "integer"), "plain", "--latency-ms", "soon"),
+            UsageErrorCase(2, listOf("--port", "70000", "65535"), "kv", "--port", "70000"),
+            UsageErrorCase(2, listOf("--host", "x", "NAME,PLACE,IP:PORT"), "host-list", "--host", "x"),
+            UsageErrorCase(2, listOf("--nope"), "weights", "--nope"),
+            UsageErrorCase(2, listOf("cook"), "cook"),
+        )
         for (case in cases) {
             val process = launch(*case.arguments)
             val errors = process.errorReader().readText()
--- a/stand-in/src/test/kotlin/org/lovageladder/standin/PlatformStandInsTest.kt
+++ b/stand-in/src/test/kotlin/org/lovageladder/standin/PlatformStandInsTest.kt
@@ -18,12 +18,11 @@
         HostListStandIn.start(settings = settings).use { list ->
             val client = TestClient(list.port)
             assertEquals(listOf("first live"), client.hosts())
-            val steps =
-                listOf(
-                    listOf("first live", "second live") to { client.post("/v1/hosts", host("second", "live")) },
-                    listOf("first live", "second leaving") to { client.post("/v1/hosts", host("second", "leaving")) },
-                    listOf("second leaving") to { client.delete("/v1/hosts/first") },
-                )
+            val steps = listOf(
+                listOf("first live", "second live") to { client.post("/v1/hosts", host("second", "live")) },
+                listOf("first live", "second leaving") to { client.post("/v1/hosts", host("second", "leaving")) },
+                listOf("second leaving") to { client.delete("/v1/hosts/first") },
+            )
             for ((expected, change) in steps) {
                 val start = TimeSource.Monotonic.markNow()
                 assertEquals(200, change().statusCode())
@@ -36,14 +35,13 @@
 
     @Test
     fun invalidHostsAreRefusedWithTheFieldName() {
-        val cases =
-            listOf(
-                host("h", "asleep") to "state",
-                host("", "live") to "name",
-                host("h", "live").replace("127.0.0.1:1", "nowhere") to "address",
-                """{"name":"h"}""" to "place",
-                """{"name":"h","colour":"red"}""" to "colour",
-            )
+        val cases = listOf(
+            host("h", "asleep") to "state",
+            host("", "live") to "name",
+            host("h", "live").replace("127.0.0.1:1", "nowhere") to "address",
+            """{"name":"h"}""" to "place",
+            """{"name":"h","colour":"red"}""" to "colour",
+        )
         HostListStandIn.start(settings = HostListSettings(lag = 1.hours)).use { list ->
             for ((body, field) in cases) {
                 val refused = TestClient(list.port).post("/v1/hosts", body)
@@ -57,11 +55,10 @@
     fun weightStoreCallersShareTheRate() {
         WeightStoreStandIn.start(settings = WeightStoreSettings(bytesPerSecond = 1_000_000)).use { store ->
             val path = "/weights/base?bytes=200000"
-            val duration =
-                measureTime {
-                    val calls = List(2) { java.util.concurrent.CompletableFuture.supplyAsync { fetch(store, path) } }
-                    assertEquals(listOf(200_000, 200_000), calls.map { it.get() })
-                }
+            val duration = measureTime {
+                val calls = List(2) { java.util.concurrent.CompletableFuture.supplyAsync { fetch(store, path) } }
+                assertEquals(listOf(200_000, 200_000), calls.map { it.get() })
+            }
             assertTrue(duration >= 390.milliseconds, "took $duration")
             assertEquals(400, TestClient(store.port).get("/weights/base?bytes=many").statusCode())
         }
--- a/stand-in/src/test/kotlin/org/lovageladder/standin/PrefillTransferTest.kt
+++ b/stand-in/src/test/kotlin/org/lovageladder/standin/PrefillTransferTest.kt
@@ -44,35 +44,34 @@
     @Test
     fun failedFetchFailsTheDecodeAndFreesItsMemory() {
         val unknown = JsonPrimitive("lost")
-        val cases =
-            listOf(
-                FetchFailureCase("expired before the transfer", prefillSettings.copy(keepTime = 1.milliseconds), 410) {
-                    awaitTrue { it.json("/stats").text("prefills_expired") == "1" }
-                },
-                FetchFailureCase(
-                    "expired during the transfer",
-                    prefillSettings.copy(keepTime = 200.milliseconds, linkBytesPerSecond = 1),
-                    410,
-                ),
-                FetchFailureCase(
-                    "unknown name",
-                    prefillSettings,
-                    410,
-                    parameterOverrides = mapOf("remote_request_id" to unknown),
-                ),
-                FetchFailureCase(
-                    "different engine at the address",
-                    prefillSettings,
-                    410,
-                    parameterOverrides = mapOf("remote_engine_id" to unknown),
-                ),
-                FetchFailureCase(
-                    "no engine at the address",
-                    prefillSettings,
-                    502,
-                    parameterOverrides = mapOf("remote_port" to JsonPrimitive(1)),
-                ),
-            )
+        val cases = listOf(
+            FetchFailureCase("expired before the transfer", prefillSettings.copy(keepTime = 1.milliseconds), 410) {
+                awaitTrue { it.json("/stats").text("prefills_expired") == "1" }
+            },
+            FetchFailureCase(
+                "expired during the transfer",
+                prefillSettings.copy(keepTime = 200.milliseconds, linkBytesPerSecond = 1),
+                410,
+            ),
+            FetchFailureCase(
+                "unknown name",
+                prefillSettings,
+                410,
+                parameterOverrides = mapOf("remote_request_id" to unknown),
+            ),
+            FetchFailureCase(
+                "different engine at the address",
+                prefillSettings,
+                410,
+                parameterOverrides = mapOf("remote_engine_id" to unknown),
+            ),
+            FetchFailureCase(
+                "no engine at the address",
+                prefillSettings,
+                502,
+                parameterOverrides = mapOf("remote_port" to JsonPrimitive(1)),
+            ),
+        )
         for (case in cases) {
             withEngines(case.settings) { prefill, decode ->
                 val transfer = prefill.post(
@@ -91,11 +90,10 @@
     fun stalledTransferCompletesAfterTheStall() {
         withEngines(prefillSettings) { prefill, decode ->
             val transfer = prefill.post(COMPLETIONS, """{"prompt":"a b c","max_tokens":1,$REMOTE_DECODE}""").transfer()
-            val duration =
-                measureTime {
-                    prefill.post("/fault", """{"transfer_stall_ms":400}""")
-                    assertEquals(200, decode.post(COMPLETIONS, decodeBody(transfer)).statusCode())
-                }
+            val duration = measureTime {
+                prefill.post("/fault", """{"transfer_stall_ms":400}""")
+                assertEquals(200, decode.post(COMPLETIONS, decodeBody(transfer)).statusCode())
+            }
             assertTrue(duration >= 400.milliseconds, "took $duration")
         }
     }
