--- a/core/src/main/kotlin/org/lovageladder/core/forward/Forwarder.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/Forwarder.kt
@@ -247,8 +247,8 @@
     }
 
     /**
-     * Gives every open request its final answer. Those that wait come first, so that memory which others release is
-     * not reserved for them.
+     * Gives every open request its final answer. The newest come first: they usually are the ones that wait, and
+     * memory which older ones release need not be reserved for them.
      */
     public fun endOpenRequests() {
         openFlows.reversed().forEach { it.onFinalDeadline() }
--- a/core/src/main/kotlin/org/lovageladder/core/forward/PromptWatch.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/PromptWatch.kt
@@ -32,7 +32,10 @@
         recordOutlived(began)
     }
 
-    /** The engine ended the answer. An answer without an event says nothing. */
+    /**
+     * The engine ended the answer, as its framing shows. An answer without an event says nothing, and an unframed one
+     * ends in the same way when its engine crashes between events.
+     */
     fun onEnded() {
         if (!isOutlived) beganAt?.let(::recordOutlived)
     }
--- a/core/src/main/kotlin/org/lovageladder/core/forward/StreamFlow.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/StreamFlow.kt
@@ -403,7 +403,7 @@
             } else if (isPassedOn() && summary.isCutOff(answered)) {
                 onFailure(STREAM_CUT_OFF)
             } else if (isPassedOn()) {
-                promptWatch.onEnded()
+                if (!answered.endsWithConnection) promptWatch.onEnded()
                 onCompleted(upstream)
             } else {
                 releaseMemory(isUsed = true)
--- a/core/src/test/kotlin/org/lovageladder/core/forward/PromptQuarantineTest.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/forward/PromptQuarantineTest.kt
@@ -123,31 +123,44 @@
         assertTrue(failures.isEmpty(), failures.joinToString("\n"))
     }
 
+    /** An answer without framing does not show that its engine outlived it. */
     @Test
     fun callersWithAQuarantinedPromptAreRefusedAtOnce() {
-        val fixture = ForwardFixture()
-        val generation = ForwardFixture.GENERATION.copy(sharedParts = listOf(PromptPartId("deadly")))
-        fun submit() = fixture.submit("/stream/x", generation = generation).reply
-        fun crash() {
-            submit()
-            fixture.scheduler.advance(300.milliseconds)
-            fixture.upstreams.receivedCalls.last().head(200)
-            fixture.upstreams.receivedCalls.last().fail(sent = true)
-        }
-        repeat(2) { crash() }
-        data class Expected(val after: Duration, val reason: RefusalReason?, val mayReturn: Boolean)
-        listOf(
-            Expected(Duration.ZERO, RefusalReason.PROMPT_SUSPECTED, mayReturn = true),
-            Expected(2.seconds, reason = null, mayReturn = false),
-            Expected(Duration.ZERO, RefusalReason.PROMPT_QUARANTINED, mayReturn = false),
-            Expected(5.seconds, RefusalReason.PROMPT_QUARANTINED, mayReturn = false),
-        ).forEach { expected ->
-            fixture.scheduler.advance(expected.after)
-            val refusal = submit().refusal
-            assertEquals(expected.reason, refusal?.reason, "$expected")
-            assertEquals(expected.mayReturn, refusal?.retryAfter != null, "$expected")
+        listOf(false, true).forEach { isTrialAnswered ->
+            val fixture = ForwardFixture()
+            val generation = ForwardFixture.GENERATION.copy(sharedParts = listOf(PromptPartId("deadly")))
+            fun submit() = fixture.submit("/stream/x", generation = generation).reply
+            fun crash() {
+                submit()
+                fixture.scheduler.advance(300.milliseconds)
+                fixture.upstreams.receivedCalls.last().head(200)
+                fixture.upstreams.receivedCalls.last().fail(sent = true)
+            }
+            repeat(2) { crash() }
+            data class Expected(val after: Duration, val reason: RefusalReason?, val mayReturn: Boolean)
+            listOf(
+                Expected(Duration.ZERO, RefusalReason.PROMPT_SUSPECTED, mayReturn = true),
+                Expected(2.seconds, reason = null, mayReturn = false),
+                Expected(Duration.ZERO, RefusalReason.PROMPT_QUARANTINED, mayReturn = false),
+                Expected(5.seconds, RefusalReason.PROMPT_QUARANTINED, mayReturn = false),
+            ).forEach { expected ->
+                fixture.scheduler.advance(expected.after)
+                val refusal = submit().refusal
+                if (refusal == null && isTrialAnswered) {
+                    fixture.scheduler.advance(300.milliseconds)
+                    answerUnframed(fixture.upstreams.receivedCalls.last())
+                }
+                assertEquals(expected.reason, refusal?.reason, "$expected $isTrialAnswered")
+                assertEquals(expected.mayReturn, refusal?.retryAfter != null, "$expected")
+            }
+            assertEquals(2, fixture.upstreams.prefills.size, "a trial is sent once, without a prefill of its own")
         }
-        assertEquals(2, fixture.upstreams.prefills.size, "a trial is sent once, without a prefill of its own")
+    }
+
+    private fun answerUnframed(call: ReceivedCall) {
+        call.head(200, endsWithConnection = true)
+        call.content("id: 1\ndata: a\n\n")
+        call.end()
     }
 
     @Test
--- a/daemon/src/main/kotlin/org/lovageladder/daemon/Main.kt
+++ b/daemon/src/main/kotlin/org/lovageladder/daemon/Main.kt
@@ -7,7 +7,6 @@
 import com.github.ajalt.clikt.core.parse
 import com.github.ajalt.clikt.core.subcommands
 import sun.misc.Signal
-import sun.misc.SignalHandler
 import kotlin.system.exitProcess
 
 private const val USAGE_ERROR_STATUS = 2
@@ -39,5 +38,5 @@
  * handler once it has read them; a hangup until then asks for nothing else.
  */
 internal fun ignoreHangups() {
-    Signal.handle(Signal("HUP"), SignalHandler.SIG_IGN)
+    Signal.handle(Signal("HUP")) {}
 }
--- a/http/src/main/kotlin/org/lovageladder/http/ConnectionHistory.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/ConnectionHistory.kt
@@ -3,9 +3,9 @@
 import io.netty.handler.codec.http.HttpHeaders
 
 /**
- * What a connection has carried: which calls it may carry next, and which answers are theirs. The peer may write any
- * earlier answer of the connection once more before it writes the next one, with or without the identifier that it
- * bore. Written on the event loop thread of the connection, before the connection becomes idle.
+ * What a connection has carried: which calls it may carry next, and which answers are theirs. The peer may repeat the
+ * last answer of the connection before it writes the next one, with or without the identifier that it bore. Written on
+ * the event loop thread of the connection, before the connection becomes idle.
  */
 internal class ConnectionHistory {
     @Volatile
@@ -65,9 +65,10 @@
 }
 
 /**
- * The last answer of a connection, which [isIdentified] or names no call. [allowsUnidentified] says whether an answer
- * that names no call can follow: nothing that the peer writes again can be mistaken for it. A success of a call that
- * has an identifier lacks its form; a refusal has none.
+ * Kind of the last answer of a connection. An unidentified call may follow only where its answer cannot be confused
+ * with a repetition of this one ([allowsUnidentified]): a repeated success of an identified call cannot be parsed as
+ * the answer to an unidentified one, but all refusals look alike. [isIdentified] tells whether the answer named its
+ * call.
  */
 internal enum class LastAnswer(val allowsUnidentified: Boolean, val isIdentified: Boolean = false) {
     NONE(allowsUnidentified = true),
--- a/http/src/main/kotlin/org/lovageladder/http/HttpClientConnection.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/HttpClientConnection.kt
@@ -106,12 +106,13 @@
 
     private fun finishAnswer(runningCall: RunningHttpCall) {
         currentCall = null
-        if (runningCall.isEnded || !keepAlive) {
-            context.close()
-        } else {
+        val isDelivered = runningCall.markEnded()
+        if (isDelivered && keepAlive) {
             idleConnections.release(runningCall.address, context.channel(), history, idleTimeout)
+        } else {
+            context.close()
         }
-        runningCall.onEnd()
+        if (isDelivered) runningCall.onEnd()
     }
 
     private fun onProtocolError(cause: Throwable?) {
--- a/http/src/main/kotlin/org/lovageladder/http/HttpUpstreamGateway.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/HttpUpstreamGateway.kt
@@ -1,5 +1,6 @@
 package org.lovageladder.http
 
+import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpMethod
 import kotlinx.serialization.encodeToString
 import org.lovageladder.core.AttemptId
@@ -143,10 +144,16 @@
 private fun engineCall(attempt: AttemptId, path: String, body: String): HttpCall {
     val identifier = attempt.toString()
     val fields = listOf(HttpField(ATTEMPT_HEADER, identifier))
-    return jsonPost(path, body, fields, AnswerRecognition.ByIdentifier(identifier) { it.get(ATTEMPT_HEADER) })
+    return jsonPost(path, body, fields, AnswerRecognition.ByIdentifier(identifier, ::identifierOf))
 }
 
-private val UNIDENTIFIED = AnswerRecognition.Unidentified { it.get(ATTEMPT_HEADER) }
+/** The attempt that an answer names. Engines and proxies that write identifiers of their own name none. */
+private fun identifierOf(headers: HttpHeaders): String? = headers.get(ATTEMPT_HEADER)?.takeIf(ATTEMPT_FORMAT::matches)
+
+/** Format of [AttemptId.toString]: the identifier of a request, a point and a number. */
+private val ATTEMPT_FORMAT = Regex(".+\\.\\d+")
+
+private val UNIDENTIFIED = AnswerRecognition.Unidentified(::identifierOf)
 
 private fun successfulAnswer(result: HttpResult): HttpAnswer? =
     (result as? HttpResult.Answered)?.answer?.takeIf { it.status == STATUS_OK }
--- a/http/src/main/kotlin/org/lovageladder/http/RunningHttpCall.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/RunningHttpCall.kt
@@ -79,11 +79,17 @@
         channel?.close()
     }
 
-    fun onEnd() {
+    /**
+     * Marks the call as ended, so that a later [cancel] leaves its connection alone. Returns whether it was running.
+     */
+    fun markEnded(): Boolean {
         completionListener()
-        if (ended.compareAndSet(false, true)) receiver.onEnd()
+        return ended.compareAndSet(false, true)
     }
 
+    /** Tells the receiver that the answer is complete; the call must have been marked as ended before. */
+    fun onEnd(): Unit = receiver.onEnd()
+
     fun fail(failure: HttpFailure) {
         completionListener()
         if (ended.compareAndSet(false, true)) receiver.onFailure(failure)
--- a/http/src/main/kotlin/org/lovageladder/http/forward/HttpUpstreamCalls.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/forward/HttpUpstreamCalls.kt
@@ -181,11 +181,14 @@
         override fun onHead(status: Int, headers: HttpHeaders) {
             val fields = endToEndFields(headers)
             noticeOfRequest(status, fields)?.let { onNotice(upstream, it) }
-            receiver.onHead(codec.parseHead(status, fields, upstream.name, endsWithConnection(headers)))
+            val endsWithConnection = hasBody(status) && !isFramed(headers)
+            receiver.onHead(codec.parseHead(status, fields, upstream.name, endsWithConnection))
         }
 
-        private fun endsWithConnection(headers: HttpHeaders) =
-            !headers.contains(HttpHeaderNames.CONTENT_LENGTH) && !headers.contains(HttpHeaderNames.TRANSFER_ENCODING)
+        private fun hasBody(status: Int) = request.method != HttpMethod.HEAD.name() && status !in BODILESS_STATUSES
+
+        private fun isFramed(headers: HttpHeaders) =
+            headers.contains(HttpHeaderNames.CONTENT_LENGTH) || headers.contains(HttpHeaderNames.TRANSFER_ENCODING)
 
         override fun onContent(bytes: ByteBuf) {
             if (bytes.isReadable) receiver.onContent(ByteBufUtil.getBytes(bytes))
@@ -200,6 +203,7 @@
 
     private companion object {
         val SUCCESS_STATUSES = 200..299
+        val BODILESS_STATUSES = setOf(204, 304)
         val CONNECT_TIMEOUT: Duration = 300.milliseconds
         val ENGINE_CALL_TIMEOUT: Duration = 300.milliseconds
     }
--- a/http/src/test/kotlin/org/lovageladder/http/forward/HttpUpstreamCallsTest.kt
+++ b/http/src/test/kotlin/org/lovageladder/http/forward/HttpUpstreamCallsTest.kt
@@ -132,6 +132,7 @@
                 PeerBehaviour.Send(FaultyPeer.answer(200, "other", "Id: 6") + whole) to "200 done",
                 PeerBehaviour.Send("HTTP/1.1 100 Continue\r\n\r\n$whole") to "200 done",
                 PeerBehaviour.Send("HTTP/1.1 200 X\r\nId: 7\r\n\r\nno length") to "200 unframed: no length",
+                PeerBehaviour.Send("HTTP/1.1 204 X\r\nId: 7\r\n\r\n") to "204 ",
                 PeerBehaviour.Send("HTTP/1.1 200 X\r\nId: 7\r\nContent-Le") to "failed sent=true",
                 PeerBehaviour.Send("HTTP/1.1 200 X\r\nId: 7\r\n") to "failed sent=true",
                 PeerBehaviour.Send("HTTP/1.1 20") to "failed sent=true",
