--- a/core/src/main/kotlin/org/lovageladder/core/forward/PlainFlow.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/PlainFlow.kt
@@ -189,7 +189,7 @@
     }
 
     private fun deliver(answer: CompleteAnswer) {
-        finish("answered ${answer.head.status}")
+        finish("answered ${answer.head.status} unframed=${answer.head.endsWithConnection}")
         reply.sendHead(answer.head, answer.body.size)
         if (answer.body.isNotEmpty()) reply.sendContent(answer.body)
         reply.finish()
--- a/core/src/main/kotlin/org/lovageladder/core/forward/StreamFlow.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/StreamFlow.kt
@@ -385,6 +385,7 @@
 
         override fun onHead(head: AnswerHead) {
             this.head = head
+            summary.recordHead(head)
             if (!isFinished) this@StreamFlow.onHead(upstream, head)
         }
 
--- a/core/src/main/kotlin/org/lovageladder/core/forward/StreamSummary.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/StreamSummary.kt
@@ -18,6 +18,7 @@
     private var waitedForMemory = Duration.ZERO
     private var grantedAt: Moment? = null
     private var firstBytesAt: Moment? = null
+    private var isLastAnswerUnframed = false
 
     /** Tokens of memory in its last request for memory. */
     var requestedTokens: Int = 0
@@ -36,6 +37,11 @@
     /** Whether the decode's answer with [head], which ended, broke off. */
     fun isCutOff(head: AnswerHead): Boolean = eventCounter.isCutOff(head)
 
+    /** Records the [head] of the decode's answer. */
+    fun recordHead(head: AnswerHead) {
+        isLastAnswerUnframed = head.endsWithConnection
+    }
+
     /** Records a request for memory for [tokens] tokens; [state] is the decode memory at that time. */
     fun recordMemoryRequest(tokens: Int, state: DecodeMemoryState, now: Moment) {
         requestedTokens = tokens
@@ -73,7 +79,7 @@
             "wait=${request.callerTimeout?.inWholeMilliseconds}ms prompt=${generation?.promptTokens} " +
             "bound=${generation?.maximumOutputTokens} expected=${generation?.estimatedOutputTokens} " +
             "reserved=$requestedTokens events=$events held=${memory?.heldTokens} " +
-            "waiting=${memory?.waitingRequests} full=${memory?.fullEngines}"
+            "waiting=${memory?.waitingRequests} full=${memory?.fullEngines} unframed=$isLastAnswerUnframed"
     }
 
     private fun currentWait(now: Moment): Duration = requestedAt?.let { now - it } ?: Duration.ZERO
