Take an unframed answer as complete only if its upstream outlived the end

Cause: the end of a connection was taken for the end of the answer. An answer with neither a length nor chunks ends in the same way when its upstream crashes between two events, or anywhere in a plain answer; the entry then gave it a framing that claims more than is known. The class of fault is a conclusion about a process from the end of one of its connections.

PlainFlowTest, StreamFlowTest and the fuzz test play upstreams that end with an unframed answer.

Change: after such an end the upstream is asked, on a new connection and 25 ms later, whether this incarnation still runs: an engine for its state, any other at its service's health path. Only then is the answer complete. Otherwise it counts as lost: a stream is resumed elsewhere or visibly aborted, a plain request is retried or told 502. Events are not delayed, only the end of unframed answers is. The question counts against an upstream's limit and is not asked in a pause that the upstream named; the answer then counts as lost too.

Test changed: the trial in PromptQuarantineTest whose unframed answer proves nothing now lets its engine crash, as its comment says; an engine that outlives such an answer does prove the prompt sound.

--- a/core/src/main/kotlin/org/lovageladder/core/EventKind.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/EventKind.kt
@@ -159,6 +159,12 @@
         "An upstream's answer belongs to another call than the one due, and was left out.",
         "Check the upstream if frequent.",
     ),
+    SURVIVAL_CHECKED(
+        3021,
+        EventLevel.INFO,
+        "An upstream was asked whether it outlived the end of a connection.",
+        "See docs/OPERATIONS.md.",
+    ),
     REQUEST_SENT(3101, EventLevel.INFO, "A request, or its prefill, was sent to an upstream.", "None."),
     REQUEST_DECLINED(
         3102,
--- a/core/src/main/kotlin/org/lovageladder/core/forward/ForwardConfiguration.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/ForwardConfiguration.kt
@@ -57,12 +57,13 @@
 
 /**
  * A service. Each of its upstreams accepts [maximumConnections] connections from all entries together; null when no
- * limit is known. [engine] is null when its upstreams are not engines.
+ * limit is known. [engine] is null when its upstreams are not engines. [healthPath] answers whether one is healthy.
  */
 public data class ServiceConfiguration(
     val name: ServiceName,
     val maximumConnections: Int?,
     val engine: EngineConfiguration?,
+    val healthPath: String = "/health",
 )
 
 /**
--- a/core/src/main/kotlin/org/lovageladder/core/forward/ForwardContext.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/ForwardContext.kt
@@ -26,6 +26,8 @@
     val random: Random,
     private val disabledMechanisms: Set<Mechanism> = emptySet(),
 ) {
+    val survivalCheck: SurvivalCheck = SurvivalCheck(upstreamPort, scheduler, notices, requestLimits, eventSink)
+
     /** The shutdown phase; null while the process is not told to stop. */
     var drain: Drain? = null
 
@@ -155,11 +157,12 @@
 
 /**
  * The service to which a request is sent, chosen once. [connectionLimit] is the number of connections that this entry
- * may have to each upstream.
+ * may have to each upstream. [healthPath] is where an upstream that is no engine says that it runs.
  */
 internal data class Destination(
     val route: Route,
     val service: ServiceName,
     val engine: EngineConfiguration?,
     val connectionLimit: Int,
+    val healthPath: String?,
 )
--- a/core/src/main/kotlin/org/lovageladder/core/forward/ForwardPorts.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/ForwardPorts.kt
@@ -180,6 +180,12 @@
     /** Releases a reservation that no request used. */
     public fun releaseReservation(engine: UpstreamIncarnation, reservation: Reservation)
 
+    /**
+     * Asks [upstream] on a new connection whether it still runs: at [healthPath], or an engine for its state when that
+     * is null. [answer] gets true only if this incarnation answered.
+     */
+    public fun checkRunning(upstream: UpstreamIncarnation, healthPath: String?, answer: (Boolean) -> Unit): Cancellable
+
     /** Frees a prefill result that no decode fetched. */
     public fun freePrefillResult(result: PrefillResult)
 }
--- a/core/src/main/kotlin/org/lovageladder/core/forward/Forwarder.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/Forwarder.kt
@@ -273,6 +273,7 @@
                 share.service,
                 serviceConfiguration?.engine,
                 connectionLimitPerUpstream(serviceConfiguration),
+                serviceConfiguration?.healthPath.takeIf { serviceConfiguration?.engine == null },
             )
         lateinit var flow: ForwardFlow
         flow = createFlow(request, destination, reply) { openFlows -= flow }
--- a/core/src/main/kotlin/org/lovageladder/core/forward/LimitCountingUpstreamPort.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/LimitCountingUpstreamPort.kt
@@ -35,6 +35,15 @@
         return port.reserve(engine, tokens, reservationTime, answer)
     }
 
+    override fun checkRunning(
+        upstream: UpstreamIncarnation,
+        healthPath: String?,
+        answer: (Boolean) -> Unit,
+    ): Cancellable {
+        count(upstream, calls = 1)
+        return port.checkRunning(upstream, healthPath, answer)
+    }
+
     override fun freePrefillResult(result: PrefillResult) {
         count(result.engine, calls = 1)
         port.freePrefillResult(result)
--- a/core/src/main/kotlin/org/lovageladder/core/forward/PlainFlow.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/PlainFlow.kt
@@ -10,7 +10,8 @@
 
 /**
  * One request to a plain service. The answer is received completely before any of it is passed to the caller, so that
- * one that is damaged, or an event stream that broke off, can still be replaced. The request is retried after an
+ * one that is damaged or broke off can still be replaced. One that only the end of its connection ends is complete if
+ * its upstream outlived that end. The request is retried after an
  * upstream declined it. A retryable request is also retried after any other failure, and hedged when its upstream is
  * slow. Confined to one thread.
  */
@@ -69,7 +70,7 @@
         context.upstreamSelector.earliestAdmission(destination.service, PoolRole.PLAIN, context.now())
 
     private fun send(upstream: UpstreamRegistration) {
-        val attempt = Attempt(upstream.name)
+        val attempt = Attempt(upstream.incarnation)
         attempts += attempt
         context.upstreamSelector.health(upstream.name).inFlight += 1
         context.record(
@@ -211,7 +212,8 @@
         onFinished()
     }
 
-    private inner class Attempt(val upstream: UpstreamName) : AnswerReceiver {
+    private inner class Attempt(private val incarnation: UpstreamIncarnation) : AnswerReceiver {
+        val upstream: UpstreamName = incarnation.name
         private val body = context.answerBuffers.newBuffer()
         private var head: AnswerHead? = null
         private var eventCounter: StreamEventCounter? = null
@@ -235,10 +237,20 @@
 
         override fun onEnd() {
             val answered = checkNotNull(head)
-            if (eventCounter?.isCutOff(answered) == true) {
-                onFailure(STREAM_CUT_OFF)
-                return
+            when {
+                eventCounter?.isCutOff(answered) == true -> onFailure(STREAM_CUT_OFF)
+                answered.endsWithConnection && !answered.isDeclined -> confirmEnd(answered)
+                else -> onComplete(answered)
             }
+        }
+
+        private fun confirmEnd(answered: AnswerHead) {
+            call = context.survivalCheck.start(incarnation, destination.healthPath, request.id) { hasSurvived ->
+                if (hasSurvived) onComplete(answered) else onFailure(END_UNCONFIRMED)
+            }
+        }
+
+        private fun onComplete(answered: AnswerHead) {
             val answer = CompleteAnswer(answered, body.takeBytes())
             markEnded()
             if (answer.head.isDeclined) mayHaveRun = false
--- a/core/src/main/kotlin/org/lovageladder/core/forward/PromptWatch.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/PromptWatch.kt
@@ -32,10 +32,7 @@
         recordOutlived(began)
     }
 
-    /**
-     * The engine ended the answer, as its framing shows. An answer without an event says nothing, and an unframed one
-     * ends in the same way when its engine crashes between events.
-     */
+    /** The engine ended the answer and outlived it. An answer without an event says nothing. */
     fun onEnded() {
         if (!isOutlived) beganAt?.let(::recordOutlived)
     }
--- a/core/src/main/kotlin/org/lovageladder/core/forward/StreamEventCounter.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/StreamEventCounter.kt
@@ -10,6 +10,7 @@
 internal class StreamEventCounter {
     private var isAtLineStart = true
     private var countBeforeStream = 0
+    private var mayBeEmpty = false
 
     /** Number of complete events. */
     var count: Int = 0
@@ -22,19 +23,22 @@
     var isWithinEvent: Boolean = false
         private set
 
-    /** The next bytes are those of another engine's stream. */
-    fun startStream() {
+    /** The next bytes are those of another engine's stream, or of the rest of one, which may have no events. */
+    fun startStream(isRest: Boolean) {
+        mayBeEmpty = isRest
         isAtLineStart = true
         isWithinEvent = false
         countBeforeStream = count
     }
 
     /**
-     * Whether the stream with [head], which ended, broke off: within an event, or before its first one if only its end
-     * frames it. An upstream that crashes can end an answer anywhere.
+     * Whether the stream with [head], which ended, broke off: within an event, or before its first one if only the end
+     * of its connection ends it.
      */
-    fun isCutOff(head: AnswerHead): Boolean =
-        head.isSuccess && (isWithinEvent || (head.endsWithConnection && countOfStream == 0))
+    fun isCutOff(head: AnswerHead): Boolean {
+        val isEmpty = countOfStream == 0 && !mayBeEmpty
+        return head.isSuccess && (isWithinEvent || (head.endsWithConnection && isEmpty))
+    }
 
     /** Processes the next [bytes] of the stream. */
     fun add(bytes: ByteArray) {
--- a/core/src/main/kotlin/org/lovageladder/core/forward/StreamFlow.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/StreamFlow.kt
@@ -10,7 +10,8 @@
  * One generation. Decode memory is reserved first, then a prefill engine prefills the prompt, then the decode engine
  * fetches the result and streams the output. If no prefill engine is available, the decode engine prefills the prompt
  * itself. Events are passed on as they arrive. A resumable stream that breaks is resumed on another upstream after its
- * last complete event; any other is aborted towards the caller. Confined to one thread.
+ * last complete event; any other is aborted towards the caller. One that only the end of its connection ends is
+ * complete if its engine outlived that end. Confined to one thread.
  */
 internal class StreamFlow(
     private val context: ForwardContext,
@@ -37,6 +38,7 @@
         }
     private val summary = StreamSummary(request, deadlines, destination.route)
     private var silenceTimer: Cancellable? = null
+    private var endCheck: Cancellable? = null
     private var lastEventId: Long? = request.resumeAfterEventId
     private var runCount = 0
     private var isTrial = false
@@ -171,7 +173,7 @@
                 reservation = memory.reservation,
                 resumeAfterEventId = lastEventId,
             )
-        summary.recordDecodeStart(context.now())
+        summary.recordDecodeStart(context.now(), isResumed = lastEventId != null)
         decodeCall = context.upstreamPort.send(request, attempt, DecodeReceiver(memory.engine.incarnation))
         restartSilenceTimer()
     }
@@ -350,6 +352,7 @@
         isFinished = true
         timeoutTimer?.cancel()
         silenceTimer?.cancel()
+        endCheck?.cancel()
         memoryRequest?.let(memoryQueue::cancel)
         prefillStep.cancel()
         decodeCall?.cancel()
@@ -404,14 +407,26 @@
             } else if (isPassedOn() && summary.isCutOff(answered)) {
                 onFailure(STREAM_CUT_OFF)
             } else if (isPassedOn()) {
-                if (!answered.endsWithConnection) promptWatch.onEnded()
-                onCompleted(upstream)
+                if (answered.endsWithConnection) confirmEnd() else onComplete()
             } else {
                 releaseMemory(isUsed = true)
                 onDecodeFailed(upstream, CallFailure(FaultCause.REJECTED, true, "status ${answered.status}"))
             }
         }
 
+        /** Until the check ends, the stream has neither ended nor failed, and no other timer may resume it. */
+        private fun confirmEnd() {
+            silenceTimer?.cancel()
+            endCheck = context.survivalCheck.start(incarnation, destination.healthPath, request.id) { hasSurvived ->
+                if (hasSurvived) onComplete() else onFailure(END_UNCONFIRMED)
+            }
+        }
+
+        private fun onComplete() {
+            promptWatch.onEnded()
+            onCompleted(upstream)
+        }
+
         override fun onFailure(failure: CallFailure) {
             if (isFinished) return
             releaseMemory(isUsed = failure.sent)
--- a/core/src/main/kotlin/org/lovageladder/core/forward/StreamSummary.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/StreamSummary.kt
@@ -56,10 +56,10 @@
         grantedAt = now
     }
 
-    /** Records that the stream was sent to a decode engine. */
-    fun recordDecodeStart(now: Moment) {
+    /** Records that the stream, or the rest of it if it [isResumed], was sent to a decode engine. */
+    fun recordDecodeStart(now: Moment, isResumed: Boolean) {
         decodeStartedAt = now
-        eventCounter.startStream()
+        eventCounter.startStream(isResumed)
     }
 
     /** Counts the events in [bytes]. For the first bytes of the stream, returns the time since memory was granted. */
--- a/core/src/test/kotlin/org/lovageladder/core/forward/EntryFleet.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/forward/EntryFleet.kt
@@ -207,6 +207,17 @@
         override fun releaseReservation(engine: UpstreamIncarnation, reservation: Reservation) =
             call(engine, Duration.ZERO) {}
 
+        override fun checkRunning(
+            upstream: UpstreamIncarnation,
+            healthPath: String?,
+            answer: (Boolean) -> Unit,
+        ): Cancellable {
+            var isCancelled = false
+            val isRunning = !isDown(upstream.name)
+            call(upstream, Duration.ZERO) { if (!isCancelled) answer(isRunning) }
+            return Cancellable { isCancelled = true }
+        }
+
         override fun freePrefillResult(result: PrefillResult) = call(result.engine, Duration.ZERO) {}
 
         private fun answer(receiver: AnswerReceiver, number: Int = 1) {
--- a/core/src/test/kotlin/org/lovageladder/core/forward/ForwardFixture.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/forward/ForwardFixture.kt
@@ -98,6 +98,7 @@
     val freed = ArrayList<PrefillResult>()
     val unreachable = HashSet<Address>()
     val prefillRefusals = HashSet<Address>()
+    val ended = HashSet<Address>()
     var prefillTime = 100.milliseconds
     private val reserved = HashMap<Address, MutableMap<String, Int>>()
     private var nextNumber = 0
@@ -156,6 +157,12 @@
         reserved[engine.address]?.remove(reservation.id)
     }
 
+    override fun checkRunning(
+        upstream: UpstreamIncarnation,
+        healthPath: String?,
+        answer: (Boolean) -> Unit,
+    ): Cancellable = scheduler.schedule(1.milliseconds) { answer(upstream.address !in ended) }
+
     override fun freePrefillResult(result: PrefillResult) {
         freed += result
     }
--- a/core/src/test/kotlin/org/lovageladder/core/forward/ForwardFuzzTest.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/forward/ForwardFuzzTest.kt
@@ -24,6 +24,7 @@
     SUBMIT,
     SUBMIT_MANY,
     ANSWER,
+    ANSWER_UNFRAMED,
     ANSWER_ERROR,
     DECLINE,
     LOSE_ANSWER,
@@ -102,6 +103,10 @@
             ForwardFuzzCommandKind.SUBMIT -> submit(command)
             ForwardFuzzCommandKind.SUBMIT_MANY -> repeat(1 + command.amount % MAXIMUM_BURST) { submit(command) }
             ForwardFuzzCommandKind.ANSWER -> answer(command) { answerCompletely(it) }
+            ForwardFuzzCommandKind.ANSWER_UNFRAMED -> answer(command) {
+                if (command.amount % 2 == 0) fixture.upstreams.ended += it.attempt.address
+                answerCompletely(it, endsWithConnection = true)
+            }
             ForwardFuzzCommandKind.ANSWER_ERROR -> answer(command) { it.answer(500, "error") }
             ForwardFuzzCommandKind.DECLINE -> decline(command, isWrongInstance = false)
             ForwardFuzzCommandKind.LOSE_ANSWER -> answer(command) { it.fail(sent = true) }
@@ -115,7 +120,10 @@
             ForwardFuzzCommandKind.CALLER_DISCONNECTS -> disconnectCaller(command)
             ForwardFuzzCommandKind.ADVANCE_TIME -> fixture.scheduler.advance(command.amount.milliseconds)
             ForwardFuzzCommandKind.MAKE_UNREACHABLE -> fixture.upstreams.unreachable += registration(command).address
-            ForwardFuzzCommandKind.MAKE_REACHABLE -> fixture.upstreams.unreachable.clear()
+            ForwardFuzzCommandKind.MAKE_REACHABLE -> {
+                fixture.upstreams.unreachable.clear()
+                fixture.upstreams.ended.clear()
+            }
             ForwardFuzzCommandKind.REFUSE_PREFILLS -> fixture.upstreams.prefillRefusals += registration(command).address
             ForwardFuzzCommandKind.NOTICE_LEAVING -> notice(command, UpstreamNotice(isLeaving = true))
             ForwardFuzzCommandKind.NOTICE_PAUSE -> notice(command, UpstreamNotice(pause = command.amount.milliseconds))
@@ -189,8 +197,8 @@
         it.end()
     }
 
-    private fun answerCompletely(call: ReceivedCall) {
-        call.head(200)
+    private fun answerCompletely(call: ReceivedCall, endsWithConnection: Boolean = false) {
+        call.head(200, endsWithConnection = endsWithConnection)
         call.content("id: 1\ndata: a\n\n")
         fixture.upstreams.finish(call)
     }
@@ -361,6 +369,16 @@
         calls.releaseReservation(engine, reservation)
     }
 
+    override fun checkRunning(
+        upstream: UpstreamIncarnation,
+        healthPath: String?,
+        answer: (Boolean) -> Unit,
+    ): Cancellable {
+        checkLimit(upstream)
+        checkPause(upstream, tolerance = 0.milliseconds)
+        return calls.checkRunning(upstream, healthPath, answer)
+    }
+
     override fun freePrefillResult(result: PrefillResult) {
         checkLimit(result.engine)
         calls.freePrefillResult(result)
@@ -388,12 +406,15 @@
 
     private fun checkUpstream(upstream: UpstreamIncarnation, reserved: Boolean) {
         checkLimit(upstream)
+        checkPause(upstream, tolerance = if (reserved) IN_FLIGHT_TOLERANCE else 0.milliseconds)
+        leaving[upstream]?.let { assertTrue(clock() - it < DRAIN_BOUND, "$upstream got a call after it left") }
+    }
+
+    private fun checkPause(upstream: UpstreamIncarnation, tolerance: kotlin.time.Duration) {
         val now = clock()
-        val tolerance = if (reserved) IN_FLIGHT_TOLERANCE else 0.milliseconds
         pauses[upstream]?.let {
             assertTrue(now >= it.until || now - it.since < tolerance, "$upstream got a call during its pause")
         }
-        leaving[upstream]?.let { assertTrue(now - it < DRAIN_BOUND, "$upstream got a call after it left") }
     }
 
     private companion object {
--- a/core/src/test/kotlin/org/lovageladder/core/forward/PlainFlowTest.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/forward/PlainFlowTest.kt
@@ -12,8 +12,8 @@
 
 /** Requests to a plain service, as tables of upstream behaviour and of the resulting answer to the caller. */
 class PlainFlowTest {
-    /** What one upstream does with a request. */
-    private enum class Behaviour(val action: (ReceivedCall) -> Unit) {
+    /** What one upstream does with a request, and whether its process ends then. */
+    private enum class Behaviour(val action: (ReceivedCall) -> Unit, val isCrash: Boolean = false) {
         ANSWERS({ it.answer(200, "done") }),
         ANSWERS_ERROR({ it.answer(500, "error") }),
         DECLINES({ it.answer(503, isDeclined = true) }),
@@ -35,6 +35,9 @@
         STREAMS_NOTHING_IN_CHUNKS({ stream(it, "") }),
         STREAMS_PART_IN_CHUNKS({ stream(it, "data: a\n\ndata: b\n") }),
         ANSWERS_TEXT_TO_CLOSE({ stream(it, "data: a\n\ndata", endsWithConnection = true, type = "text/plain") }),
+        CRASHES_AFTER_TEXT({ stream(it, "da", endsWithConnection = true, type = "text/plain") }, isCrash = true),
+        CRASHES_BEFORE_TEXT({ stream(it, "", endsWithConnection = true, type = "text/plain") }, isCrash = true),
+        CRASHES_AFTER_EVENT({ stream(it, "data: a\n\n", endsWithConnection = true) }, isCrash = true),
     }
 
     private data class Case(
@@ -65,6 +68,9 @@
             Behaviour.STREAMS_PART_TO_CLOSE,
             Behaviour.STREAMS_NOTHING_TO_CLOSE,
             Behaviour.STREAMS_PART_IN_CHUNKS,
+            Behaviour.CRASHES_AFTER_TEXT,
+            Behaviour.CRASHES_BEFORE_TEXT,
+            Behaviour.CRASHES_AFTER_EVENT,
         ).flatMap {
             listOf(
                 Case("/action/1", listOf(it), refusal = RefusalReason.ANSWER_LOST, attempts = 1),
@@ -78,7 +84,10 @@
             val fixture = ForwardFixture()
             val submitted = fixture.submit(case.target)
             case.behaviours.forEachIndexed { index, behaviour ->
-                behaviour.action(fixture.upstreams.receivedCalls[index])
+                val call = fixture.upstreams.receivedCalls[index]
+                if (behaviour.isCrash) fixture.upstreams.ended += call.attempt.address
+                behaviour.action(call)
+                fixture.scheduler.advance(27.milliseconds)
             }
             assertEquals(case.attempts, fixture.upstreams.receivedCalls.size, "$case")
             assertEquals(case.status, submitted.reply.head?.status, "$case")
--- a/core/src/test/kotlin/org/lovageladder/core/forward/PromptQuarantineTest.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/forward/PromptQuarantineTest.kt
@@ -148,7 +148,7 @@
                 val refusal = submit().refusal
                 if (refusal == null && isTrialAnswered) {
                     fixture.scheduler.advance(300.milliseconds)
-                    answerUnframed(fixture.upstreams.receivedCalls.last())
+                    answerUnframedAndCrash(fixture)
                 }
                 assertEquals(expected.reason, refusal?.reason, "$expected $isTrialAnswered")
                 assertEquals(expected.mayReturn, refusal?.retryAfter != null, "$expected")
@@ -157,7 +157,9 @@
         }
     }
 
-    private fun answerUnframed(call: ReceivedCall) {
+    private fun answerUnframedAndCrash(fixture: ForwardFixture) {
+        val call = fixture.upstreams.receivedCalls.last()
+        fixture.upstreams.ended += call.attempt.address
         call.head(200, endsWithConnection = true)
         call.content("id: 1\ndata: a\n\n")
         call.end()
--- a/core/src/test/kotlin/org/lovageladder/core/forward/StreamFlowTest.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/forward/StreamFlowTest.kt
@@ -53,6 +53,45 @@
         assertEquals(listOf(true, false, false), isUsed)
     }
 
+    /** Load pattern: unframed streams, beside engines that crash between two events. */
+    @Test
+    fun unframedStreamIsCompleteOnlyIfItsEngineOutlivedItsEnd() {
+        data class Case(val target: String, val isRunning: Boolean, val isPaused: Boolean, val outcome: String)
+        listOf(
+            Case("/stream/1", isRunning = true, isPaused = false, outcome = "complete"),
+            Case("/stream/1", isRunning = false, isPaused = false, outcome = "aborted"),
+            Case("/stream/1", isRunning = true, isPaused = true, outcome = "aborted"),
+            Case("/stream-on/1", isRunning = true, isPaused = false, outcome = "complete"),
+            Case("/stream-on/1", isRunning = false, isPaused = false, outcome = "complete after another engine"),
+        ).forEach { case ->
+            val fixture = ForwardFixture()
+            val submitted = fixture.submit(case.target)
+            fixture.scheduler.advance(150.milliseconds)
+            val call = fixture.upstreams.receivedCalls.single()
+            if (!case.isRunning) fixture.upstreams.ended += call.attempt.address
+            call.head(200, endsWithConnection = true)
+            call.content("id: 1\ndata: a\n\n")
+            val notice = UpstreamNotice(pause = 1.seconds).takeIf { case.isPaused }
+            notice?.let { fixture.forwarder.onUpstreamNotice(call.attempt.upstream, it) }
+            fixture.upstreams.finish(call)
+            assertFalse(submitted.reply.isFinal, "$case")
+            fixture.scheduler.advance(200.milliseconds)
+            val second = fixture.upstreams.receivedCalls.getOrNull(1)
+            assertEquals(second?.let { 1L }, second?.attempt?.resumeAfterEventId, "$case")
+            second?.head(200, endsWithConnection = true)
+            second?.let(fixture.upstreams::finish)
+            fixture.scheduler.advance(27.milliseconds)
+            val outcome = when {
+                submitted.reply.isAborted -> "aborted"
+                second != null -> "complete after another engine"
+                else -> "complete"
+            }
+            assertEquals(case.outcome, outcome, "$case")
+            assertTrue(submitted.reply.isFinal, "$case")
+            assertEquals(0, fixture.forwarder.openRequests, "$case")
+        }
+    }
+
     @Test
     fun declinedDecodeIsRetriedOnAnotherEngine() {
         val submitted = startStream()
--- a/http/src/main/kotlin/org/lovageladder/http/forward/HttpUpstreamCalls.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/forward/HttpUpstreamCalls.kt
@@ -23,6 +23,7 @@
 import org.lovageladder.core.forward.UpstreamNotice
 import org.lovageladder.core.forward.UpstreamPort
 import org.lovageladder.http.AnswerRecognition
+import org.lovageladder.http.ConnectionUse
 import org.lovageladder.http.HttpCall
 import org.lovageladder.http.HttpClient
 import org.lovageladder.http.HttpFailure
@@ -96,6 +97,22 @@
         callEngine(engine, codec.releaseCall(reservation)) { logFailure("release", engine, it) }
     }
 
+    override fun checkRunning(
+        upstream: UpstreamIncarnation,
+        healthPath: String?,
+        answer: (Boolean) -> Unit,
+    ): Cancellable = client.sendText(
+        upstream.address,
+        codec.runningCall(healthPath),
+        RUNNING_CHECK_TIMEOUT,
+        codec.runningHeaders(upstream),
+        ByteArray(0),
+        use = ConnectionUse.SINGLE,
+    ) { result ->
+        reportNotice(upstream, result, codec::parseNotice)
+        answer(result is TextResult.Answered && codec.isRunning(upstream, result.answer))
+    }
+
     override fun freePrefillResult(result: PrefillResult) {
         callEngine(result.engine, codec.freeCall(result)) { logFailure("free", result.engine, it) }
     }
@@ -206,5 +223,6 @@
         val BODILESS_STATUSES = setOf(204, 304)
         val CONNECT_TIMEOUT: Duration = 300.milliseconds
         val ENGINE_CALL_TIMEOUT: Duration = 300.milliseconds
+        val RUNNING_CHECK_TIMEOUT: Duration = 800.milliseconds
     }
 }
--- a/http/src/main/kotlin/org/lovageladder/http/forward/UpstreamCodec.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/forward/UpstreamCodec.kt
@@ -8,6 +8,7 @@
 import org.lovageladder.core.forward.PrefillResult
 import org.lovageladder.core.forward.Reservation
 import org.lovageladder.core.forward.UpstreamAttempt
+import org.lovageladder.core.forward.UpstreamIncarnation
 import org.lovageladder.core.forward.UpstreamNotice
 import kotlin.time.Duration
 
@@ -66,6 +67,15 @@
     /** Parses the answer to the prefill that was sent as [attempt]. */
     public fun parsePrefillResult(attempt: UpstreamAttempt, answer: TextAnswer): EngineAnswer<PrefillResult>
 
+    /** Builds the call by which an upstream shows that it runs: to [healthPath], or to an engine when that is null. */
+    public fun runningCall(healthPath: String?): TextCall
+
+    /** Headers for sending [runningCall] to [upstream]. */
+    public fun runningHeaders(upstream: UpstreamIncarnation): List<HeaderField>
+
+    /** Whether [answer] to [runningCall] shows that [upstream], and not another one at its address, still runs. */
+    public fun isRunning(upstream: UpstreamIncarnation, answer: TextAnswer): Boolean
+
     /** Builds the call that frees the memory of [result]. */
     public fun freeCall(result: PrefillResult): TextCall
 }
--- a/http/src/test/kotlin/org/lovageladder/http/forward/HttpUpstreamCallsTest.kt
+++ b/http/src/test/kotlin/org/lovageladder/http/forward/HttpUpstreamCallsTest.kt
@@ -81,6 +81,12 @@
         override fun parsePrefillResult(attempt: UpstreamAttempt, answer: TextAnswer) =
             EngineAnswer.Done(PrefillResult(attempt.upstream, answer.body))
 
+        override fun runningCall(healthPath: String?) = TextCall("GET", healthPath ?: "/state")
+
+        override fun runningHeaders(upstream: UpstreamIncarnation): List<HeaderField> = emptyList()
+
+        override fun isRunning(upstream: UpstreamIncarnation, answer: TextAnswer) = answer.body == upstream.name.text
+
         override fun freeCall(result: PrefillResult) = TextCall("DELETE", "/free/${result.handle}")
     }
 
