Suspect a prompt only if its engine did not outlive the lost connection

Cause: the end of a connection was taken for the end of an engine.

Change: after a lost decode the engine is asked whether it still runs, as after an unframed end; only if not do the prompt's parts become suspects. The stream itself goes on at once. Engines that outlived the prompt already are not asked.

--- a/core/src/main/kotlin/org/lovageladder/core/forward/PromptWatch.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/PromptWatch.kt
@@ -37,10 +37,12 @@
         if (!isOutlived) beganAt?.let(::recordOutlived)
     }
 
-    /** The connection was lost, perhaps because the engine crashed. */
-    fun onConnectionLost() {
-        if (isOutlived) return
-        guard.onCrash(request, parts, start, beganAt ?: now())
+    /** Whether the prompt may still turn out to harm engines: a crash of the engine now would speak against it. */
+    val isUndecided: Boolean get() = !isOutlived && parts.isNotEmpty()
+
+    /** The engine did not outlive the loss of the connection at [lostAt]. */
+    fun onCrashed(lostAt: Moment = now()) {
+        if (isUndecided) guard.onCrash(request, parts, start, beganAt ?: lostAt)
     }
 
     private fun recordOutlived(began: Moment) {
--- a/core/src/main/kotlin/org/lovageladder/core/forward/StreamFlow.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/StreamFlow.kt
@@ -430,10 +430,23 @@
         override fun onFailure(failure: CallFailure) {
             if (isFinished) return
             releaseMemory(isUsed = failure.sent)
-            if (failure.sent && failure.cause == FaultCause.CONNECTION_LOST) promptWatch.onConnectionLost()
+            if (failure == END_UNCONFIRMED) {
+                promptWatch.onCrashed()
+            } else if (failure.sent && failure.cause == FaultCause.CONNECTION_LOST) {
+                onConnectionLost()
+            }
             onDecodeFailed(upstream, failure)
         }
 
+        /** The engine may have crashed, or only have cut the answer off; the stream does not wait to learn which. */
+        private fun onConnectionLost() {
+            if (!promptWatch.isUndecided) return
+            val lostAt = context.now()
+            context.survivalCheck.start(incarnation, destination.healthPath, request.id) { hasSurvived ->
+                if (!hasSurvived) promptWatch.onCrashed(lostAt)
+            }
+        }
+
         private fun isPassedOn(): Boolean {
             val answered = head ?: return false
             return headSent && !answered.isDeclined && (answered.isSuccess || runCount == 1)
