--- a/core/src/test/kotlin/org/lovageladder/core/forward/EntryFleet.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/forward/EntryFleet.kt
@@ -45,6 +45,9 @@
     /** An engine crashes while it writes an answer to a request that has one of these parts in its prompt. */
     val deadlyParts = HashSet<PromptPartId>()
 
+    /** An upstream crashes while it writes the answer to a request for one of these targets, which count as its part. */
+    val deadlyTargets = HashSet<String>()
+
     /** Requests and prefills that arrived, by the shared parts of their prompts. */
     val partArrivals = HashMap<PromptPartId, ArrayList<Moment>>()
 
@@ -69,7 +72,7 @@
 
     private fun recordParts(request: ForwardRequest) {
         val parts = request.generation?.sharedParts.orEmpty()
-        parts.forEach { partArrivals.getOrPut(it) { ArrayList() } += scheduler.now() }
+        (parts + PromptPartId(request.target)).forEach { partArrivals.getOrPut(it) { ArrayList() } += scheduler.now() }
     }
 
     private val toldAt = HashMap<UpstreamName, HashMap<ProcessName, Moment>>()
@@ -146,7 +149,9 @@
         private fun event(number: Int) = "id: $number\ndata: a\n\n".encodeToByteArray()
 
         private fun crashesOn(request: ForwardRequest, engine: UpstreamName): Boolean {
-            val part = request.generation?.sharedParts.orEmpty().firstOrNull { it in deadlyParts } ?: return false
+            val part = request.generation?.sharedParts.orEmpty().firstOrNull { it in deadlyParts }
+                ?: PromptPartId(request.target).takeIf { it.text in deadlyTargets }
+                ?: return false
             crashes.getOrPut(part) { ArrayList() } += scheduler.now()
             crash(engine)
             return true
@@ -423,6 +428,21 @@
         }
     }
 
+    /** One of [names] crashes every few seconds. */
+    fun crashNowAndThen(names: List<UpstreamName>) = repeat(12) { number ->
+        scheduler.schedule((number * 4.3).seconds) { upstreams.crash(names.random(random)) }
+    }
+
+    /** All of [names] crash, three times. */
+    fun crashAll(names: List<UpstreamName>) = listOf(3, 20, 26).forEach { second ->
+        scheduler.schedule(second.seconds) { names.forEach { upstreams.crash(it) } }
+    }
+
+    /** An entry is restarted every few seconds. */
+    fun restartEntries() = repeat(10) { number ->
+        scheduler.schedule((2 + number * 3).seconds) { entries.random(random).restart() }
+    }
+
     /** Adds a process whose registration the others see within 300 ms. */
     fun add() {
         val added = FleetEntry(ProcessName("entry-${entries.size}"), this)
@@ -497,9 +517,9 @@
     companion object {
         val REGISTRATIONS: List<UpstreamRegistration> = registrations(decodeEngines = 3)
 
-        /** Four plain upstreams, two prefill engines and [decodeEngines] decode engines. */
-        fun registrations(decodeEngines: Int): List<UpstreamRegistration> =
-            (1..4).map { ForwardFixture.registration("plain-$it", ForwardFixture.PLAIN, PoolRole.PLAIN, it) } +
+        /** [plain] plain upstreams, two prefill engines and [decodeEngines] decode engines. */
+        fun registrations(decodeEngines: Int, plain: Int = 4): List<UpstreamRegistration> =
+            (1..plain).map { ForwardFixture.registration("plain-$it", ForwardFixture.PLAIN, PoolRole.PLAIN, it) } +
                 (1..2).map { engine("prefill-$it", PoolRole.PREFILL, 10 + it) } +
                 (1..decodeEngines).map { engine("decode-$it", PoolRole.DECODE, 20 + it) }
 
--- a/core/src/test/kotlin/org/lovageladder/core/forward/PromptQuarantineTest.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/forward/PromptQuarantineTest.kt
@@ -86,9 +86,9 @@
                         Case("a part sound before, $count entries", count, isKnownBefore = true),
                         Case("hosts cut off, $count entries", count, isKnownBefore = true) { fleet -> cutOff(fleet) },
                         Case("few requests, $count entries", count, deadlyPerSecond = 0.3, soundPerSecond = 6.0),
-                        Case("ordinary crashes, $count entries", count) { fleet -> crashNowAndThen(fleet) },
-                        Case("all engines crash, $count entries", count) { fleet -> crashAll(fleet) },
-                        Case("restarts of entries, $count entries", count) { fleet -> restartEntries(fleet) },
+                        Case("ordinary crashes, $count entries", count) { it.crashNowAndThen(DECODES) },
+                        Case("all engines crash, $count entries", count) { it.crashAll(DECODES) },
+                        Case("restarts of entries, $count entries", count) { it.restartEntries() },
                         Case("frozen entries, $count entries", count) { fleet -> freezeEntries(fleet) },
                     )
                 }
@@ -110,10 +110,13 @@
                     case("the third part", events).copy(partsBefore = listOf(COMPANION, "second")),
                     case("many requests", events).copy(deadlyPerSecond = 8.0),
                     case("a part sound before", events).copy(isKnownBefore = true),
-                    case("ordinary crashes", events).copy(trouble = ::crashNowAndThen),
-                    case("all engines crash", events).copy(trouble = ::crashAll),
+                    case("ordinary crashes", events).copy(trouble = { it.crashNowAndThen(DECODES) }),
+                    case("all engines crash", events).copy(trouble = { it.crashAll(DECODES) }),
                 )
-            } + case("sound parts under ordinary crashes", 60).copy(isKnownBefore = true, trouble = ::crashNowAndThen)
+            } +
+                case("sound parts under ordinary crashes", 60).copy(isKnownBefore = true, trouble = {
+                    it.crashNowAndThen(DECODES)
+                })
         }
         assertPass(cases)
     }
@@ -277,22 +280,6 @@
         return "$open requests without an answer".takeIf { open > 0 && !isExcused }
     }
 
-    private fun crashNowAndThen(fleet: EntryFleet) = repeat(12) { number ->
-        fleet.scheduler.schedule((number * 4.3).seconds) {
-            fleet.upstreams.crash(UpstreamName("decode-${1 + fleet.random.nextInt(24)}"))
-        }
-    }
-
-    private fun crashAll(fleet: EntryFleet) = listOf(3, 20, 26).forEach { second ->
-        fleet.scheduler.schedule(second.seconds) {
-            (1..24).forEach { fleet.upstreams.crash(UpstreamName("decode-$it")) }
-        }
-    }
-
-    private fun restartEntries(fleet: EntryFleet) = repeat(10) { number ->
-        fleet.scheduler.schedule((2 + number * 3).seconds) { fleet.entries.random(fleet.random).restart() }
-    }
-
     /** Entries that are cut off from the registry are not in touch, and get no requests here from then on. */
     private fun cutOff(fleet: EntryFleet) {
         val cut = fleet.entries.take(fleet.entries.size / 4)
@@ -313,6 +300,7 @@
         const val COUNTED_CRASHES = 5
         const val ALLOWED_ARRIVALS = 3
         val SEEDS = 1..2
+        val DECODES = (1..24).map { UpstreamName("decode-$it") }
 
         /** Time for which a host must have been in touch with the platform to be bound. */
         val CONTACT = 3.seconds
