--- a/core/src/main/kotlin/org/lovageladder/core/forward/PlainFlow.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/PlainFlow.kt
@@ -122,7 +122,12 @@
     }
 
     private fun onFailed(attempt: Attempt, failure: CallFailure) {
-        context.recordFailure(attempt.upstream, request.id, "plain call", failure)
+        context.recordFailure(
+            attempt.upstream,
+            request.id,
+            "plain call of ${request.target.take(LOGGED_TARGET_LENGTH)}",
+            failure,
+        )
         if (failure.sent) mayHaveRun = true
         if (failure.sent && !route.isRetryable) {
             fail(RefusalReason.ANSWER_LOST)
@@ -280,6 +285,7 @@
 
     private companion object {
         const val LOWEST_SERVER_ERROR_STATUS = 500
+        const val LOGGED_TARGET_LENGTH = 120
 
         /** Maximum attempts for one request, including those that an upstream declined. */
         const val MAXIMUM_ATTEMPTS = 3
