Hold back a request that crashes each upstream that runs it

Cause: the quarantine looked at shared parts of prompts only. Nothing related a request to the same request before it; a plain request had nothing to be known by, and a stream whose shared part is popular was cleared by the sound ones. The class of fault: harm that a request does is judged by what it has in common with others of another kind only.

Change: the digest of a request (method, host, path, credentials, body) is one more trait beside the parts of its prompt, in the same quarantine: two crashes of different starts, told to all entries, then three trials over all entries. It is worked out after a crash, and for other requests only while some digest is suspected. A plain call is a crash if its upstream does not outlive the lost connection, and clears the request when its answer is complete. Both flows ask QuarantineAdmission. Callers hear 503 until a trial, 502 once it failed. PROMPT_SUSPECTED and PROMPT_QUARANTINED are REQUEST_SUSPECTED and _QUARANTINED.

--- a/core/src/main/kotlin/org/lovageladder/core/forward/ForwardContext.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/ForwardContext.kt
@@ -52,11 +52,13 @@
         return spread.coerceAtMost(remaining / RETURN_DELAY_DIVISOR).coerceAtLeast(MINIMUM_RETURN_DELAY)
     }
 
-    /** Watches the decode of [request], whose prompt has [parts], at [engine]. */
-    fun watchPrompt(request: RequestId, parts: List<PromptPartId>, engine: UpstreamIncarnation): PromptWatch {
-        val start = EngineStart(engine.name, engine.startedAt)
-        return PromptWatch(promptGuard, request, parts, start, ::now)
-    }
+    /** Watches the decode of [request] at [engine]. */
+    fun watchPrompt(request: ForwardRequest, engine: UpstreamIncarnation): PromptWatch =
+        PromptWatch(promptGuard, request, engine.start, ::now)
+
+    /** Decides whether [request] may be sent although requests like it crash upstreams. */
+    fun quarantineAdmission(request: ForwardRequest): QuarantineAdmission =
+        QuarantineAdmission(promptGuard, request, ::now)
 
     /** Whether the engine of [grant] accepts the request for which it reserved memory. */
     fun admitsReserved(grant: MemoryGrant): Boolean = notices.admitsReserved(grant.engine.incarnation, now()) &&
--- a/core/src/main/kotlin/org/lovageladder/core/forward/ForwardPorts.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/ForwardPorts.kt
@@ -29,12 +29,12 @@
     public val callerTimeout: Duration?,
     public val generation: Generation?,
     public val resumeAfterEventId: Long?,
-)
+) {
+    /** What the request asks for as a whole. Read on demand only, since it takes a pass over the body. */
+    internal val digest: RequestTrait by lazy(LazyThreadSafetyMode.NONE) { digestOf(this) }
 
-/** Identifier of a part of a prompt, which requests can have in common. */
-@JvmInline
-public value class PromptPartId(public val text: String) {
-    override fun toString(): String = text
+    /** Shared parts of the prompt; none if the request has no prompt. */
+    internal val sharedParts: List<RequestTrait> get() = generation?.sharedParts.orEmpty()
 }
 
 /**
@@ -45,7 +45,7 @@
     val promptTokens: Int,
     val maximumOutputTokens: Int,
     val estimatedOutputTokens: Int?,
-    val sharedParts: List<PromptPartId> = emptyList(),
+    val sharedParts: List<RequestTrait> = emptyList(),
 )
 
 /**
@@ -228,11 +228,11 @@
     /** The upstreams have no capacity for the request in time. */
     OVERLOADED(true),
 
-    /** The prompt may crash engines; a trial will show whether it does. */
-    PROMPT_SUSPECTED(true),
+    /** The request may crash upstreams; a trial will show whether it does. */
+    REQUEST_SUSPECTED(true),
 
-    /** The prompt crashes engines. It was not sent, but a promise of that would make the caller return in vain. */
-    PROMPT_QUARANTINED(false),
+    /** The request crashes upstreams. It was not sent, but a promise of that would make the caller return in vain. */
+    REQUEST_QUARANTINED(false),
 
     /** No upstream is known, or none could be reached. */
     NO_UPSTREAM(true),
--- a/core/src/main/kotlin/org/lovageladder/core/forward/PlainFlow.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/PlainFlow.kt
@@ -24,6 +24,7 @@
 ) : ForwardFlow {
     private val route = destination.route
     private val deadlines = RequestDeadlines(request, route)
+    private val admission = context.quarantineAdmission(request)
     private val attempts = ArrayList<Attempt>()
     private var timeoutTimer: Cancellable? = null
     private var hedgeTimer: Cancellable? = null
@@ -33,18 +34,37 @@
 
     override fun start() {
         timeoutTimer = context.scheduler.schedule(deadlines.remaining(context.now())) { onTimeout() }
+        admission.decide { heldBack ->
+            when {
+                isFinished -> Unit
+                heldBack != null -> refuseHeldBack(heldBack)
+                else -> startFirstAttempt()
+            }
+        }
+    }
+
+    private fun startFirstAttempt() {
         startAttempt()
-        if (!isFinished && route.isRetryable && context.isEnabled(Mechanism.HEDGING)) {
+        val mayHedge = !isFinished && route.isRetryable && !admission.isTrial
+        if (mayHedge && context.isEnabled(Mechanism.HEDGING)) {
             hedgeTimer = context.scheduler.schedule(route.latencyTarget * HEDGE_DELAY_FRACTION) { startHedge() }
         }
     }
 
+    private fun refuseHeldBack(heldBack: HeldBack) =
+        refuse(heldBack.reason, minimumDelay = heldBack.retryAt - context.now())
+
     override fun onCallerDisconnected() {
         if (isFinished) return
         finish("caller disconnected")
     }
 
     private fun startAttempt() {
+        val heldBack = admission.currentVerdict()
+        if (heldBack != null) {
+            fail(heldBack.reason)
+            return
+        }
         val upstream = chooseUpstream()
         if (upstream == null) {
             fail(if (earliestAdmission() == null) RefusalReason.NO_UPSTREAM else RefusalReason.OVERLOADED)
@@ -142,15 +162,20 @@
      */
     private fun retry(isExemptFromBudget: Boolean = false): Boolean {
         if (attempts.any { it.isRunning }) return true
-        val hasEnoughTime = deadlines.remaining(context.now()) > MINIMUM_ATTEMPT_TIME
-        val runCount = attempts.count { it.mayHaveRun }
-        if (!hasEnoughTime || attempts.size >= MAXIMUM_ATTEMPTS || runCount >= route.maximumRuns) return false
+        val isSentTrial = admission.isTrial && !isExemptFromBudget
+        if (isSentTrial || !mayStartAnother()) return false
         if (!context.maySend(route, deadlines.deadline)) return false
         if (!isExemptFromBudget && !context.retryBudget.tryAcquire(destination.service, context.now())) return false
         startAttempt()
         return true
     }
 
+    private fun mayStartAnother(): Boolean {
+        val hasEnoughTime = deadlines.remaining(context.now()) > MINIMUM_ATTEMPT_TIME
+        val runCount = attempts.count { it.mayHaveRun }
+        return hasEnoughTime && attempts.size < MAXIMUM_ATTEMPTS && runCount < route.maximumRuns
+    }
+
     private fun fail(reason: RefusalReason) {
         if (isFinished) return
         if (attempts.any { it.isRunning }) return
@@ -174,9 +199,10 @@
         refuse(if (hasReachedUpstream) RefusalReason.TIMEOUT else reasonIfNotSent)
     }
 
-    private fun refuse(reason: RefusalReason) {
+    private fun refuse(reason: RefusalReason, minimumDelay: Duration? = null) {
         val remaining = deadlines.remaining(context.now())
-        val retryAfter = if (reason.isNotRun) context.returnDelay(minimumReturnDelay(), remaining) else null
+        val delay = { minimumDelay ?: minimumReturnDelay() }
+        val retryAfter = if (reason.isNotRun) context.returnDelay(delay(), remaining) else null
         finish("refused: $reason")
         reply.refuse(Refusal(reason, retryAfter))
     }
@@ -220,6 +246,7 @@
     private inner class Attempt(private val incarnation: UpstreamIncarnation) : AnswerReceiver {
         val upstream: UpstreamName = incarnation.name
         private val body = context.answerBuffers.newBuffer()
+        private val sentAt = context.now()
         private var head: AnswerHead? = null
         private var eventCounter: StreamEventCounter? = null
         var call: Cancellable? = null
@@ -258,6 +285,7 @@
         private fun onComplete(answered: AnswerHead) {
             val answer = CompleteAnswer(answered, body.takeBytes())
             markEnded()
+            if (!answered.isDeclined) context.promptGuard.onOutlived(request, sentAt)
             if (answer.head.isDeclined) mayHaveRun = false
             if (!isFinished) onAnswered(this, answer)
         }
@@ -265,9 +293,18 @@
         override fun onFailure(failure: CallFailure) {
             markEnded()
             if (!failure.sent) mayHaveRun = false
+            if (failure == END_UNCONFIRMED) {
+                onCrashed()
+            } else if (failure.sent && failure.cause == FaultCause.CONNECTION_LOST) {
+                context.survivalCheck.start(incarnation, destination.healthPath, request.id) { hasSurvived ->
+                    if (!hasSurvived) onCrashed()
+                }
+            }
             if (!isFinished) onFailed(this, failure)
         }
 
+        private fun onCrashed() = context.promptGuard.onCrash(request, incarnation.start, sentAt)
+
         fun cancel() {
             markEnded()
             call?.cancel()
--- a/core/src/main/kotlin/org/lovageladder/core/forward/PrefillStep.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/PrefillStep.kt
@@ -28,7 +28,7 @@
     /** Begins the prefill. */
     fun start() {
         val upstream = chooseEngine()
-        val isQuarantined = context.promptGuard.isQuarantined(request.generation?.sharedParts.orEmpty())
+        val isQuarantined = context.promptGuard.isQuarantined(request)
         if (upstream == null || isQuarantined || !mayPrefill()) onResult(null) else startPrefill(upstream)
     }
 
--- a/core/src/main/kotlin/org/lovageladder/core/forward/PromptGuard.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/PromptGuard.kt
@@ -19,9 +19,9 @@
     private val random: Random,
 ) {
     private val quarantine = PromptQuarantine()
-    private val explainedCrashes = HashMap<PromptPartId, ArrayList<ObservedCrash>>()
-    private val scheduledReports = HashSet<PromptPartId>()
-    private val scheduledSoundReports = HashSet<PromptPartId>()
+    private val explainedCrashes = HashMap<RequestTrait, ArrayList<ObservedCrash>>()
+    private val scheduledReports = HashSet<RequestTrait>()
+    private val scheduledSoundReports = HashSet<RequestTrait>()
     private var port: PromptReportPort? = null
     private var reporter: PromptReporter? = null
 
@@ -36,18 +36,33 @@
         }
     }
 
-    /** What may be done with a prompt that has [parts]. */
-    fun verdict(parts: List<PromptPartId>): PromptVerdict {
+    /** What may be done with [request]. */
+    fun verdict(request: ForwardRequest): PromptVerdict {
         val now = scheduler.now()
-        val verdict = quarantine.verdict(parts, now)
+        val verdict = quarantine.verdict(knownTraits(request), now)
         if (verdict is PromptVerdict.Quarantined && quarantine.isReportDue(verdict.part, now)) {
             scheduleReport(verdict.part)
         }
         return verdict
     }
 
+    /** An upstream outlived its answer to [request], which began at [beganAt]. */
+    fun onOutlived(request: ForwardRequest, beganAt: Moment): Unit =
+        onOutlived(request.id, knownTraits(request), beganAt)
+
+    /** The upstream of [start] crashed while it ran [request], which began at [beganAt]. */
+    fun onCrash(request: ForwardRequest, start: EngineStart, beganAt: Moment): Unit =
+        onCrash(request.id, listOf(request.digest) + request.sharedParts, start, beganAt)
+
+    /** Whether [request] is held back. */
+    fun isQuarantined(request: ForwardRequest): Boolean = isQuarantined(knownTraits(request))
+
+    /** Traits of [request] that may be suspected. Its digest is not needed while no digest is. */
+    private fun knownTraits(request: ForwardRequest): List<RequestTrait> =
+        if (quarantine.hasDigests) listOf(request.digest) + request.sharedParts else request.sharedParts
+
     /** Whether a prompt with [parts] is held back. */
-    fun isQuarantined(parts: List<PromptPartId>): Boolean = parts.any(quarantine::isQuarantined)
+    fun isQuarantined(parts: List<RequestTrait>): Boolean = parts.any(quarantine::isQuarantined)
 
     /** Claims [trials] for [request]. [answer] gets whether the request is the one to send. */
     fun claimTrials(trials: List<PromptReport.Trial>, request: RequestId, answer: (Boolean) -> Unit) {
@@ -65,7 +80,7 @@
     }
 
     /** An engine outlived its answer on the prompt of [request] with [parts], which began at [beganAt]. */
-    fun onOutlived(request: RequestId, parts: List<PromptPartId>, beganAt: Moment = scheduler.now()) {
+    fun onOutlived(request: RequestId, parts: List<RequestTrait>, beganAt: Moment = scheduler.now()) {
         parts.forEach { part ->
             if (!quarantine.recordOutlived(part, beganAt, scheduler.now())) return@forEach
             record(EventKind.PROMPT_SOUND, request, "part=$part: an engine outlived an answer on it")
@@ -79,7 +94,7 @@
      * [beganAt] or was about to begin then. A quarantined part explains the crash: the others are suspected only if it
      * turns out to be sound.
      */
-    fun onCrash(request: RequestId, parts: List<PromptPartId>, start: EngineStart, beganAt: Moment = scheduler.now()) {
+    fun onCrash(request: RequestId, parts: List<RequestTrait>, start: EngineStart, beganAt: Moment = scheduler.now()) {
         val explanation = parts.firstOrNull(quarantine::isQuarantined)
         val suspects = parts.filter { it != explanation }.take(MAXIMUM_SUSPECTS)
         val crash = ObservedCrash(request, suspects, start, beganAt)
@@ -98,7 +113,7 @@
     }
 
     /** The crashes that [part] seemed to explain have another cause. */
-    private fun onFoundSound(part: PromptPartId) {
+    private fun onFoundSound(part: RequestTrait) {
         explainedCrashes.remove(part).orEmpty().forEach(::suspect)
     }
 
@@ -148,7 +163,7 @@
     }
 
     /** Entries report the quarantine of [part] one after the other, so that usually only the first one does. */
-    private fun scheduleReport(part: PromptPartId) {
+    private fun scheduleReport(part: RequestTrait) {
         if (!scheduledReports.add(part)) return
         val rank = entries.rank(part.text, scheduler.now()) ?: 0
         scheduler.schedule(REPORT_DELAY * rank) {
@@ -161,7 +176,7 @@
     }
 
     /** Reports after a random delay, unless another entry did so meanwhile. */
-    private fun scheduleSoundReport(part: PromptPartId) {
+    private fun scheduleSoundReport(part: RequestTrait) {
         if (!scheduledSoundReports.add(part)) return
         scheduler.schedule(REPORT_DELAY * random.nextDouble()) {
             if (scheduledSoundReports.remove(part)) reporter?.report(listOf(PromptReport.Sound(part)))
@@ -175,7 +190,7 @@
     /** A crash of the engine of [start] amid an answer on a prompt with [parts] that began at [beganAt]. */
     private class ObservedCrash(
         val request: RequestId,
-        val parts: List<PromptPartId>,
+        val parts: List<RequestTrait>,
         val start: EngineStart,
         val beganAt: Moment,
     )
--- a/core/src/main/kotlin/org/lovageladder/core/forward/PromptQuarantine.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/PromptQuarantine.kt
@@ -15,7 +15,7 @@
      * It may not be sent, because of its part [part]. Unless the verdict [isFinal], a trial may show at [retryAt] that
      * the part is sound.
      */
-    data class Quarantined(val part: PromptPartId, val isFinal: Boolean, val retryAt: Moment) : PromptVerdict
+    data class Quarantined(val part: RequestTrait, val isFinal: Boolean, val retryAt: Moment) : PromptVerdict
 
     /** It may be sent as a trial of all its quarantined parts, by the process that claims [trials]. */
     data class TrialDue(val trials: List<PromptReport.Trial>) : PromptVerdict
@@ -47,17 +47,21 @@
         var reportedAt: Moment? = null
     }
 
-    private val suspects = HashMap<PromptPartId, Suspect>()
+    private val suspects = HashMap<RequestTrait, Suspect>()
+    private var digestCount = 0
     private val outlivedAt =
-        object : LinkedHashMap<PromptPartId, Moment>(INITIAL_CAPACITY, LOAD_FACTOR, true) {
-            override fun removeEldestEntry(eldest: Map.Entry<PromptPartId, Moment>) = size > MAXIMUM_KNOWN_PARTS
+        object : LinkedHashMap<RequestTrait, Moment>(INITIAL_CAPACITY, LOAD_FACTOR, true) {
+            override fun removeEldestEntry(eldest: Map.Entry<RequestTrait, Moment>) = size > MAXIMUM_KNOWN_PARTS
         }
 
     /** Number of quarantined parts. */
     val size: Int get() = suspects.values.count { it.quarantinedAt != null }
 
+    /** Whether the digest of any request is suspected. */
+    val hasDigests: Boolean get() = digestCount > 0
+
     /** What may be done with a prompt that has [parts]. */
-    fun verdict(parts: List<PromptPartId>, now: Moment): PromptVerdict {
+    fun verdict(parts: List<RequestTrait>, now: Moment): PromptVerdict {
         val quarantined = parts.filter(::isQuarantined)
         if (quarantined.isEmpty()) return PromptVerdict.Admitted
         val states = quarantined.map(suspects::getValue)
@@ -75,7 +79,7 @@
     }
 
     /** Whether prompts with [part] are held back. */
-    fun isQuarantined(part: PromptPartId): Boolean = suspects[part]?.quarantinedAt != null
+    fun isQuarantined(part: RequestTrait): Boolean = suspects[part]?.quarantinedAt != null
 
     /**
      * Records [crash] amid an answer that began at [beganAt]. Returns whether its part is quarantined from now on.
@@ -88,7 +92,8 @@
         now: Moment,
         delayBound: Duration = Duration.ZERO,
     ): Boolean {
-        val suspect = suspects.getOrPut(crash.part) { Suspect(now) }
+        if (isExplained(crash)) return false
+        val suspect = suspectOf(crash.part, now)
         if (!suspect.crashedStarts.add(crash.start)) return false
         val wasOutlived = wasOutlivedWithin(crash.part, PROOF_LIFETIME, now)
         val separation = if (wasOutlived) SIMULTANEOUS_CRASHES else SIMULTANEOUS_CRASHES + delayBound
@@ -106,9 +111,9 @@
      * Records that another entry quarantined [part]. Returns false, and does not follow it, when an engine outlived an
      * answer on the part that began just now, after all crashes that this process knows.
      */
-    fun recordQuarantine(part: PromptPartId, now: Moment): Boolean {
+    fun recordQuarantine(part: RequestTrait, now: Moment): Boolean {
         if (part !in suspects && wasOutlivedWithin(part, REPORT_DELAY_BOUND, now)) return false
-        val suspect = suspects.getOrPut(part) { Suspect(now) }
+        val suspect = suspectOf(part, now)
         suspect.reportedAt = now
         suspect.lastUsedAt = now
         if (quarantine(suspect, now)) suspect.quarantineSeenAt = now
@@ -117,7 +122,7 @@
 
     /** Records [trial], which some entry claimed. */
     fun recordTrial(trial: PromptReport.Trial, now: Moment) {
-        val suspect = suspects.getOrPut(trial.part) { Suspect(now) }
+        val suspect = suspectOf(trial.part, now)
         if (trial.number <= suspect.trials) return
         suspect.trials = trial.number
         suspect.nextTrialAt = now + trialInterval(suspect.trials)
@@ -128,7 +133,7 @@
      * then, so that it did not cause the crashes amid answers that had begun before. Returns whether other entries may
      * need to know it.
      */
-    fun recordOutlived(part: PromptPartId, beganAt: Moment, now: Moment): Boolean {
+    fun recordOutlived(part: RequestTrait, beganAt: Moment, now: Moment): Boolean {
         val isOftenOutlived = wasOutlivedWithin(part, PROOF_LIFETIME, now)
         outlivedAt[part] = maxOf(beganAt, outlivedAt[part] ?: beganAt)
         val suspect = suspects[part] ?: return false
@@ -136,38 +141,57 @@
         suspect.crashedAnswers.removeAll { it <= beganAt }
         val isQuarantineOlder = suspect.quarantineSeenAt?.let { it <= beganAt } ?: true
         if (suspect.crashedAnswers.isNotEmpty() || !isQuarantineOlder) return false
-        suspects -= part
+        drop(part)
         return suspect.quarantinedAt != null || crashes >= CRASHES_TO_QUARANTINE || !isOftenOutlived
     }
 
     /** Records that another entry saw an engine outlive an answer on [part]. Returns whether it was quarantined. */
-    fun recordSound(part: PromptPartId): Boolean = suspects.remove(part)?.quarantinedAt != null
+    fun recordSound(part: RequestTrait): Boolean = drop(part)?.quarantinedAt != null
 
     /** Whether the quarantine of [part] has to be reported to the other entries, for the first time or again. */
-    fun isReportDue(part: PromptPartId, now: Moment): Boolean {
+    fun isReportDue(part: RequestTrait, now: Moment): Boolean {
         val suspect = suspects[part] ?: return false
         if (suspect.quarantinedAt == null) return false
         return suspect.reportedAt?.let { now - it >= REPORT_INTERVAL } ?: true
     }
 
     /** Records that the quarantine of [part] is being reported. */
-    fun recordReport(part: PromptPartId, now: Moment) {
+    fun recordReport(part: RequestTrait, now: Moment) {
         suspects[part]?.reportedAt = now
     }
 
     /** Lets the quarantine of all quarantined parts be reported again. Returns these parts. */
-    fun forgetReports(): List<PromptPartId> {
+    fun forgetReports(): List<RequestTrait> {
         suspects.values.forEach { it.reportedAt = null }
         return suspects.keys.filter(::isQuarantined)
     }
 
     /** Drops the parts that no prompt had for [RETENTION]. Returns those that were quarantined. */
-    fun removeExpired(now: Moment): List<PromptPartId> {
+    fun removeExpired(now: Moment): List<RequestTrait> {
         val expired = suspects.filterValues { now - it.lastUsedAt > RETENTION }
-        suspects.keys -= expired.keys
+        expired.keys.forEach(::drop)
         return expired.filterValues { it.quarantinedAt != null }.keys.toList()
     }
 
+    /** Whether [crash] has its cause in a quarantined request as a whole, which is reported before its parts. */
+    private fun isExplained(crash: PromptReport.Crash): Boolean {
+        if (crash.part.isDigest || !hasDigests) return false
+        return suspects.any { (trait, suspect) ->
+            trait.isDigest && suspect.quarantinedAt != null && crash.start in suspect.crashedStarts
+        }
+    }
+
+    private fun suspectOf(part: RequestTrait, now: Moment): Suspect = suspects.getOrPut(part) {
+        if (part.isDigest) digestCount += 1
+        Suspect(now)
+    }
+
+    private fun drop(part: RequestTrait): Suspect? {
+        val dropped = suspects.remove(part) ?: return null
+        if (part.isDigest) digestCount -= 1
+        return dropped
+    }
+
     private fun quarantine(suspect: Suspect, now: Moment): Boolean {
         if (suspect.quarantinedAt != null) return false
         suspect.quarantinedAt = now
@@ -175,7 +199,7 @@
         return true
     }
 
-    private fun wasOutlivedWithin(part: PromptPartId, span: Duration, now: Moment) =
+    private fun wasOutlivedWithin(part: RequestTrait, span: Duration, now: Moment) =
         outlivedAt[part]?.let { now - it < span } ?: false
 
     private fun trialInterval(trials: Int): Duration {
--- a/core/src/main/kotlin/org/lovageladder/core/forward/PromptReports.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/PromptReports.kt
@@ -10,19 +10,19 @@
 /** What an entry tells the other entries about a part of prompts. */
 public sealed interface PromptReport {
     /** The part that the report is about. */
-    public val part: PromptPartId
+    public val part: RequestTrait
 
     /** The engine of [start] crashed early in an answer on a prompt with [part]. */
-    public data class Crash(override val part: PromptPartId, val start: EngineStart) : PromptReport
+    public data class Crash(override val part: RequestTrait, val start: EngineStart) : PromptReport
 
     /** Prompts with [part] are held back. */
-    public data class Quarantined(override val part: PromptPartId) : PromptReport
+    public data class Quarantined(override val part: RequestTrait) : PromptReport
 
     /** An engine outlived an answer on a prompt with [part]. */
-    public data class Sound(override val part: PromptPartId) : PromptReport
+    public data class Sound(override val part: RequestTrait) : PromptReport
 
     /** One prompt with the quarantined [part] is sent as trial [number], counted from 1. */
-    public data class Trial(override val part: PromptPartId, val number: Int) : PromptReport
+    public data class Trial(override val part: RequestTrait, val number: Int) : PromptReport
 }
 
 /** Port to the registry by which entries tell each other of prompts that crash engines. */
--- a/core/src/main/kotlin/org/lovageladder/core/forward/PromptWatch.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/PromptWatch.kt
@@ -1,23 +1,21 @@
 package org.lovageladder.core.forward
 
 import org.lovageladder.core.Moment
-import org.lovageladder.core.RequestId
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
 /**
- * Judges by one decode of [request] at the engine of [start] whether [parts] of its prompt harm engines.
+ * Judges by one decode of [request] at the engine of [start] whether the request harms engines.
  *
- * An engine that crashes early in an answer may have crashed because of the prompt, so that all parts of all streams
- * that are early in their answers there are suspected. Parts are sound once the engine has ended the answer, or has
+ * An engine that crashes early in an answer may have crashed because of the request, so that all traits of all streams
+ * that are early in their answers there are suspected. Traits are sound once the engine has ended the answer, or has
  * outlived its early time: [EARLY_EVENTS] and [MINIMUM_EARLY_TIME], and [MAXIMUM_EARLY_TIME] in any case. Confined to
  * one thread.
  */
 internal class PromptWatch(
     private val guard: PromptGuard,
-    private val request: RequestId,
-    private val parts: List<PromptPartId>,
+    private val request: ForwardRequest,
     private val start: EngineStart,
     private val now: () -> Moment,
 ) {
@@ -38,16 +36,16 @@
     }
 
     /** Whether the prompt may still turn out to harm engines: a crash of the engine now would speak against it. */
-    val isUndecided: Boolean get() = !isOutlived && parts.isNotEmpty()
+    val isUndecided: Boolean get() = !isOutlived
 
     /** The engine did not outlive the loss of the connection at [lostAt]. */
     fun onCrashed(lostAt: Moment = now()) {
-        if (isUndecided) guard.onCrash(request, parts, start, beganAt ?: lostAt)
+        if (isUndecided) guard.onCrash(request, start, beganAt ?: lostAt)
     }
 
     private fun recordOutlived(began: Moment) {
         isOutlived = true
-        guard.onOutlived(request, parts, began)
+        guard.onOutlived(request, began)
     }
 
     private fun isEarly(events: Int, written: Duration): Boolean {
--- a/core/src/main/kotlin/org/lovageladder/core/forward/StreamFlow.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/StreamFlow.kt
@@ -26,7 +26,7 @@
     private val deadlines = RequestDeadlines(request, route)
     private val eventSplitter = if (route.isResumable) StreamEventSplitter() else null
     private val avoidedEngines = HashSet<UpstreamName>()
-    private val sharedParts = request.generation?.sharedParts.orEmpty()
+    private val admission = context.quarantineAdmission(request)
     private var timeoutTimer: Cancellable? = null
     private var memoryRequest: MemoryRequest? = null
     private var grant: MemoryGrant? = null
@@ -41,45 +41,31 @@
     private var endCheck: Cancellable? = null
     private var lastEventId: Long? = request.resumeAfterEventId
     private var runCount = 0
-    private var isTrial = false
     private var attemptCount = 0
     private var headSent = false
     private var isFinished = false
 
     override fun start() {
         timeoutTimer = context.scheduler.schedule(deadlines.remaining(context.now())) { onTimeout() }
-        when (val verdict = context.promptGuard.verdict(sharedParts)) {
-            PromptVerdict.Admitted -> startUnlessTooLate()
-            is PromptVerdict.Quarantined -> refuseQuarantined(verdict)
-            is PromptVerdict.TrialDue -> context.promptGuard.claimTrials(verdict.trials, request.id, ::onTrialClaimed)
+        admission.decide { heldBack ->
+            when {
+                isFinished -> Unit
+                heldBack != null -> refuseHeldBack(heldBack)
+                admission.isTrial -> requestMemory()
+                else -> startUnlessTooLate()
+            }
         }
     }
 
-    /** A trial is sent once, and to one engine only. */
-    private fun onTrialClaimed(isClaimed: Boolean) {
-        if (isFinished) return
-        isTrial = isClaimed
-        if (!refuseIfQuarantined()) requestMemory()
-    }
-
-    /** Refuses the request if its prompt was quarantined. Returns whether it did. */
+    /** Refuses the request if requests like it crash upstreams. Returns whether it did. */
     private fun refuseIfQuarantined(): Boolean {
-        if (isTrial) return false
-        when (val verdict = context.promptGuard.verdict(sharedParts)) {
-            PromptVerdict.Admitted -> return false
-            is PromptVerdict.Quarantined -> refuseQuarantined(verdict)
-            is PromptVerdict.TrialDue ->
-                refuseQuarantined(
-                    PromptVerdict.Quarantined(verdict.trials.first().part, isFinal = false, context.now()),
-                )
-        }
+        val heldBack = admission.currentVerdict() ?: return false
+        refuseHeldBack(heldBack)
         return true
     }
 
-    private fun refuseQuarantined(verdict: PromptVerdict.Quarantined) {
-        val reason = if (verdict.isFinal) RefusalReason.PROMPT_QUARANTINED else RefusalReason.PROMPT_SUSPECTED
-        refuseOrAbort(reason, minimumDelay = verdict.retryAt - context.now())
-    }
+    private fun refuseHeldBack(heldBack: HeldBack) =
+        refuseOrAbort(heldBack.reason, minimumDelay = heldBack.retryAt - context.now())
 
     private fun startUnlessTooLate() {
         val isUnderPressure = memoryQueue.isUnderMemoryPressure()
@@ -138,7 +124,7 @@
         summary.recordGrant(context.now())
         if (refuseIfQuarantined()) return
         prefillResult = prefillResult?.let { context.unlessLost(it, request.id) }
-        if (prefillResult == null && !isTrial) prefillStep.start() else startDecode()
+        if (prefillResult == null && !admission.isTrial) prefillStep.start() else startDecode()
     }
 
     private fun onPrefilled(result: PrefillResult?) {
@@ -265,7 +251,7 @@
         context.upstreamSelector.health(upstream).recordDecline(context.now())
         if (head.isWrongInstance) context.removeReplaced(upstream, request.id)
         context.record(EventKind.REQUEST_DECLINED, request.id, upstream, detail = "decode ${head.status}")
-        val mayRetry = !isTrial && attemptCount < MAXIMUM_ATTEMPTS
+        val mayRetry = !admission.isTrial && attemptCount < MAXIMUM_ATTEMPTS
         if (mayRetry && context.retryBudget.tryAcquire(destination.service, context.now())) {
             requestMemory()
         } else {
@@ -274,7 +260,9 @@
     }
 
     private fun onDecodeFailed(upstream: UpstreamName, failure: CallFailure) {
-        val step = "decode after ${summary.eventsOfDecode} events, shared parts=${sharedParts.joinToString(",")}"
+        val step = "decode after ${summary.eventsOfDecode} events, shared parts=${request.sharedParts.joinToString(
+            ",",
+        )}"
         context.recordFailure(upstream, request.id, step, failure)
         if (!failure.sent) runCount -= 1
         when {
@@ -286,8 +274,10 @@
         }
     }
 
-    private fun mayResume() =
-        !isTrial && route.isResumable && runCount < route.maximumRuns && context.isEnabled(Mechanism.RESUMPTION)
+    private fun mayResume() = !admission.isTrial &&
+        route.isResumable &&
+        runCount < route.maximumRuns &&
+        context.isEnabled(Mechanism.RESUMPTION)
 
     private fun onCompleted(upstream: UpstreamName) {
         context.upstreamSelector.health(upstream).recordSuccess()
@@ -383,7 +373,7 @@
 
     private inner class DecodeReceiver(private val incarnation: UpstreamIncarnation) : AnswerReceiver {
         private val upstream = incarnation.name
-        private val promptWatch = context.watchPrompt(request.id, sharedParts, incarnation)
+        private val promptWatch = context.watchPrompt(request, incarnation)
         private var head: AnswerHead? = null
 
         override fun onHead(head: AnswerHead) {
--- a/core/src/main/kotlin/org/lovageladder/core/forward/UpstreamNotices.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/UpstreamNotices.kt
@@ -11,7 +11,10 @@
  * One incarnation of the upstream [name], which listens at [address]. [startedAt], the wall-clock time of the start in
  * milliseconds, distinguishes starts under the same name where upstreams report it.
  */
-public data class UpstreamIncarnation(val name: UpstreamName, val address: Address, val startedAt: Long? = null)
+public data class UpstreamIncarnation(val name: UpstreamName, val address: Address, val startedAt: Long? = null) {
+    /** The start by which entries tell each other of this incarnation. */
+    internal val start: EngineStart get() = EngineStart(name, startedAt)
+}
 
 /**
  * What an answer says about the requests that its upstream accepts: none any more when it is [isLeaving], and none for
--- a/core/src/test/kotlin/org/lovageladder/core/forward/EntryFleet.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/forward/EntryFleet.kt
@@ -43,16 +43,16 @@
     val arrivals = ArrayList<Arrival>()
 
     /** An engine crashes while it writes an answer to a request that has one of these parts in its prompt. */
-    val deadlyParts = HashSet<PromptPartId>()
+    val deadlyParts = HashSet<RequestTrait>()
 
     /** An upstream crashes while it writes the answer to a request for one of these targets, which count as its part. */
     val deadlyTargets = HashSet<String>()
 
     /** Requests and prefills that arrived, by the shared parts of their prompts. */
-    val partArrivals = HashMap<PromptPartId, ArrayList<Moment>>()
+    val partArrivals = HashMap<RequestTrait, ArrayList<Moment>>()
 
     /** Crashes of engines, by the part that caused them. */
-    val crashes = HashMap<PromptPartId, ArrayList<Moment>>()
+    val crashes = HashMap<RequestTrait, ArrayList<Moment>>()
 
     /** Called when the upstream [UpstreamName] is back, with the number of its start. */
     var onRestarted: (UpstreamName, Long) -> Unit = { _, _ -> }
@@ -72,7 +72,7 @@
 
     private fun recordParts(request: ForwardRequest) {
         val parts = request.generation?.sharedParts.orEmpty()
-        (parts + PromptPartId(request.target)).forEach { partArrivals.getOrPut(it) { ArrayList() } += scheduler.now() }
+        (parts + RequestTrait(request.target)).forEach { partArrivals.getOrPut(it) { ArrayList() } += scheduler.now() }
     }
 
     private val toldAt = HashMap<UpstreamName, HashMap<ProcessName, Moment>>()
@@ -150,7 +150,7 @@
 
         private fun crashesOn(request: ForwardRequest, engine: UpstreamName): Boolean {
             val part = request.generation?.sharedParts.orEmpty().firstOrNull { it in deadlyParts }
-                ?: PromptPartId(request.target).takeIf { it.text in deadlyTargets }
+                ?: RequestTrait(request.target).takeIf { it.text in deadlyTargets }
                 ?: return false
             crashes.getOrPut(part) { ArrayList() } += scheduler.now()
             crash(engine)
--- a/core/src/test/kotlin/org/lovageladder/core/forward/ForwardFixture.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/forward/ForwardFixture.kt
@@ -267,7 +267,7 @@
                 registration("decode-2", ENGINES, PoolRole.DECODE, 5),
             )
 
-        /** A request for [target]; only streams have a generation. */
+        /** A request for [target]; only streams have a generation. Those for a target of `/x` differ in their bodies. */
         fun request(
             id: RequestId,
             target: String,
@@ -281,7 +281,7 @@
             target = target,
             host = "desk.example",
             headers = emptyList(),
-            body = ByteArray(0),
+            body = if (target.endsWith("/x")) id.text.encodeToByteArray() else ByteArray(0),
             arrivedAt = arrivedAt,
             callerTimeout = callerTimeout,
             generation = generation.takeIf { target.startsWith("/stream") },
--- a/core/src/test/kotlin/org/lovageladder/core/forward/PromptQuarantineTest.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/forward/PromptQuarantineTest.kt
@@ -70,7 +70,7 @@
         }
 
         private fun submit(parts: List<String>): RecordingReply {
-            val generation = ForwardFixture.GENERATION.copy(sharedParts = parts.map(::PromptPartId))
+            val generation = ForwardFixture.GENERATION.copy(sharedParts = parts.map(::RequestTrait))
             return fleet.submit("/stream-on/x", generation, callerTimeout = 14.seconds)
         }
     }
@@ -131,7 +131,7 @@
     fun callersWithAQuarantinedPromptAreRefusedAtOnce() {
         listOf(false, true).forEach { isTrialAnswered ->
             val fixture = ForwardFixture()
-            val generation = ForwardFixture.GENERATION.copy(sharedParts = listOf(PromptPartId("deadly")))
+            val generation = ForwardFixture.GENERATION.copy(sharedParts = listOf(RequestTrait("deadly")))
             fun submit() = fixture.submit("/stream/x", generation = generation).reply
             fun crash() {
                 submit()
@@ -145,10 +145,10 @@
             repeat(2) { crash() }
             data class Expected(val after: Duration, val reason: RefusalReason?, val mayReturn: Boolean)
             listOf(
-                Expected(Duration.ZERO, RefusalReason.PROMPT_SUSPECTED, mayReturn = true),
+                Expected(Duration.ZERO, RefusalReason.REQUEST_SUSPECTED, mayReturn = true),
                 Expected(2.seconds, reason = null, mayReturn = false),
-                Expected(Duration.ZERO, RefusalReason.PROMPT_QUARANTINED, mayReturn = false),
-                Expected(5.seconds, RefusalReason.PROMPT_QUARANTINED, mayReturn = false),
+                Expected(Duration.ZERO, RefusalReason.REQUEST_QUARANTINED, mayReturn = false),
+                Expected(5.seconds, RefusalReason.REQUEST_QUARANTINED, mayReturn = false),
             ).forEach { expected ->
                 fixture.scheduler.advance(expected.after)
                 val refusal = submit().refusal
@@ -174,7 +174,7 @@
     @Test
     fun partsOnWhichEnginesWriteAreNotHeldBackWhenEnginesCrash() {
         data class PartCase(val name: String, val events: List<String>, val isQuarantined: Boolean)
-        val parts = listOf(PromptPartId("part"))
+        val parts = listOf(RequestTrait("part"))
         listOf(
             PartCase("one crash", listOf("crash a"), false),
             PartCase("two crashes", listOf("crash a", "wait", "crash b"), true),
@@ -228,7 +228,10 @@
             val events = ArrayList<EventKind>()
             val guard = PromptGuard(EntryCounter(ProcessName("entry"), 1), scheduler, { events += it.kind }, Random(1))
             val start = EngineStart(UpstreamName("engine"), startedAt = null)
-            val watch = PromptWatch(guard, RequestId("r"), listOf(PromptPartId("part")), start, scheduler::now)
+            val generation = ForwardFixture.GENERATION.copy(sharedParts = listOf(RequestTrait("part")))
+            val request =
+                ForwardFixture.request(RequestId("r"), "/stream/x", scheduler.now(), callerTimeout = null, generation)
+            val watch = PromptWatch(guard, request, start, scheduler::now)
             watch.onWritten(minOf(1, case.events))
             scheduler.advance(case.written)
             watch.onWritten(case.events)
@@ -246,16 +249,16 @@
         load.run(10.seconds)
         val calm = load.companions.toList()
         val begunAt = fleet.scheduler.now()
-        case.deadlyParts.forEach { fleet.upstreams.deadlyParts += PromptPartId(it) }
+        case.deadlyParts.forEach { fleet.upstreams.deadlyParts += RequestTrait(it) }
         case.trouble(fleet)
         load.run(60.seconds)
         fleet.scheduler.advance(20.seconds)
-        val problems = case.deadlyParts.mapNotNull { lateArrivals(fleet, PromptPartId(it)) } +
+        val problems = case.deadlyParts.mapNotNull { lateArrivals(fleet, RequestTrait(it)) } +
             listOfNotNull(lostCompanions(load, calm, begunAt), unanswered(load))
         return problems.takeIf { it.isNotEmpty() }?.joinToString(prefix = "${case.name}, seed $seed: ")
     }
 
-    private fun lateArrivals(fleet: EntryFleet, part: PromptPartId): String? {
+    private fun lateArrivals(fleet: EntryFleet, part: RequestTrait): String? {
         val crashes = fleet.upstreams.crashes[part].orEmpty()
         val fifth = crashes.getOrNull(COUNTED_CRASHES - 1) ?: return null
         val arrivals = fleet.upstreams.partArrivals.getValue(part).count { it > fifth + CONTACT + MAXIMUM_LATENCY }
--- a/core/src/test/kotlin/org/lovageladder/core/forward/RepeatedRequestCrashesUpstreamsTest.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/forward/RepeatedRequestCrashesUpstreamsTest.kt
@@ -60,9 +60,9 @@
     }
 
     private fun lateArrivals(fleet: EntryFleet, target: String): String? {
-        val crashes = fleet.upstreams.crashes[PromptPartId(target)].orEmpty()
+        val crashes = fleet.upstreams.crashes[RequestTrait(target)].orEmpty()
         val third = crashes.getOrNull(COUNTED_CRASHES - 1) ?: return null
-        val arrivals = fleet.upstreams.partArrivals.getValue(PromptPartId(target))
+        val arrivals = fleet.upstreams.partArrivals.getValue(RequestTrait(target))
         val late = arrivals.count { it > third + CONTACT + MAXIMUM_LATENCY }
         return "$late arrivals after the third of ${crashes.size} crashes".takeIf { late > ALLOWED_ARRIVALS }
     }
@@ -82,8 +82,8 @@
         const val MINIMUM_SERVED_SHARE = 0.7
         val SEEDS = 1..2
         val SERVING = listOf("plain", "decode").flatMap { kind -> (1..UPSTREAMS).map { UpstreamName("$kind-$it") } }
-        val HELD_BACK = setOf(RefusalReason.PROMPT_SUSPECTED, RefusalReason.PROMPT_QUARANTINED)
-        val GENERATION = ForwardFixture.GENERATION.copy(sharedParts = listOf(PromptPartId("popular")))
+        val HELD_BACK = setOf(RefusalReason.REQUEST_SUSPECTED, RefusalReason.REQUEST_QUARANTINED)
+        val GENERATION = ForwardFixture.GENERATION.copy(sharedParts = listOf(RequestTrait("popular")))
 
         /** Time for which a host must have been in touch with the platform to be bound. */
         val CONTACT = 3.seconds
--- a/http/src/main/kotlin/org/lovageladder/http/forward/ForwardReply.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/forward/ForwardReply.kt
@@ -116,11 +116,11 @@
         RefusalReason.NOT_READY,
         RefusalReason.LEAVING,
         RefusalReason.OVERLOADED,
-        RefusalReason.PROMPT_SUSPECTED,
+        RefusalReason.REQUEST_SUSPECTED,
         RefusalReason.NO_UPSTREAM,
         RefusalReason.EXPIRED,
         -> STATUS_UNAVAILABLE
-        RefusalReason.PROMPT_QUARANTINED,
+        RefusalReason.REQUEST_QUARANTINED,
         RefusalReason.ANSWER_LOST,
         -> STATUS_BAD_GATEWAY
         RefusalReason.TIMEOUT -> STATUS_GATEWAY_TIMEOUT
