Ask an upstream once for connections that end together

A crash ends many calls at once, and so does a reset of all connections; each of them asked whether the upstream outlived it. Ends within 5 ms share a question now. PlainFlowTest: four lost calls, one question (four before).

--- a/core/src/main/kotlin/org/lovageladder/core/forward/SurvivalCheck.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/SurvivalCheck.kt
@@ -3,6 +3,7 @@
 import org.lovageladder.core.EventDraft
 import org.lovageladder.core.EventKind
 import org.lovageladder.core.FaultCause
+import org.lovageladder.core.Moment
 import org.lovageladder.core.RequestId
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -21,10 +22,12 @@
     private val requestLimits: RequestLimits,
     private val eventSink: EventSink,
 ) {
+    private val questions = HashMap<UpstreamIncarnation, Question>()
+
     /**
      * Asks [upstream], at [healthPath] or an engine for its state when that is null, after a connection that carried
      * [request] ended. [answer] gets whether the upstream is certain to have outlived the end; false when it does not
-     * answer, or accepts no call now.
+     * answer, or accepts no call now. Connections that end at nearly the same moment share one question.
      */
     fun start(
         upstream: UpstreamIncarnation,
@@ -32,21 +35,37 @@
         request: RequestId,
         answer: (Boolean) -> Unit,
     ): Cancellable {
-        var call: Cancellable? = null
-        val timer = scheduler.schedule(SETTLING_TIME) {
-            if (acceptsCall(upstream)) {
-                call = port.checkRunning(upstream, healthPath) { isRunning ->
-                    record(upstream, request, "running=$isRunning")
-                    answer(isRunning)
-                }
-            } else {
-                record(upstream, request, "not asked: it asked for a pause, or its limit leaves no room")
-                answer(false)
-            }
+        val now = scheduler.now()
+        val waiting = questions[upstream]?.takeIf { now - it.firstEndAt < SHARING_TIME }
+        val question = waiting ?: Question(upstream, healthPath, now).also(::schedule)
+        val listener = Listener(request, answer)
+        question.listeners += listener
+        return Cancellable { question.listeners -= listener }
+    }
+
+    private fun schedule(question: Question) {
+        questions[question.upstream] = question
+        scheduler.schedule(SETTLING_TIME) {
+            questions.remove(question.upstream, question)
+            if (question.listeners.isNotEmpty()) ask(question)
         }
-        return Cancellable {
-            timer.cancel()
-            call?.cancel()
+    }
+
+    private fun ask(question: Question) {
+        if (!acceptsCall(question.upstream)) {
+            tell(question, hasSurvived = false, "not asked: it asked for a pause, or its limit leaves no room")
+            return
+        }
+        port.checkRunning(question.upstream, question.healthPath) { tell(question, it, "running=$it") }
+    }
+
+    private fun tell(question: Question, hasSurvived: Boolean, detail: String) {
+        val upstream = question.upstream.name
+        while (true) {
+            val listener = question.listeners.firstOrNull() ?: return
+            question.listeners -= listener
+            eventSink.record(EventDraft(EventKind.SURVIVAL_CHECKED, listener.request, upstream, detail = detail))
+            listener.answer(hasSurvived)
         }
     }
 
@@ -55,15 +74,19 @@
         return notices.pausedUntil(upstream, now) == null && requestLimits.hasPermit(upstream.name, now)
     }
 
-    private fun record(upstream: UpstreamIncarnation, request: RequestId, detail: String) {
-        eventSink.record(
-            EventDraft(EventKind.SURVIVAL_CHECKED, request = request, upstream = upstream.name, detail = detail),
-        )
+    /** A question to [upstream] for [listeners], the first of whose connections ended at [firstEndAt]. */
+    private class Question(val upstream: UpstreamIncarnation, val healthPath: String?, val firstEndAt: Moment) {
+        val listeners = LinkedHashSet<Listener>()
     }
 
+    private class Listener(val request: RequestId, val answer: (Boolean) -> Unit)
+
     private companion object {
         /** A process that crashes ends its connections and stops listening one after the other. */
         val SETTLING_TIME: Duration = 25.milliseconds
+
+        /** Leaves most of [SETTLING_TIME] to the last of the ends that share a question. */
+        val SHARING_TIME: Duration = 5.milliseconds
     }
 }
 
--- a/core/src/test/kotlin/org/lovageladder/core/forward/ForwardFixture.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/forward/ForwardFixture.kt
@@ -99,6 +99,7 @@
     val unreachable = HashSet<Address>()
     val prefillRefusals = HashSet<Address>()
     val ended = HashSet<Address>()
+    val checked = ArrayList<UpstreamIncarnation>()
     var prefillTime = 100.milliseconds
     private val reserved = HashMap<Address, MutableMap<String, Int>>()
     private var nextNumber = 0
@@ -161,7 +162,10 @@
         upstream: UpstreamIncarnation,
         healthPath: String?,
         answer: (Boolean) -> Unit,
-    ): Cancellable = scheduler.schedule(1.milliseconds) { answer(upstream.address !in ended) }
+    ): Cancellable {
+        checked += upstream
+        return scheduler.schedule(1.milliseconds) { answer(upstream.address !in ended) }
+    }
 
     override fun freePrefillResult(result: PrefillResult) {
         freed += result
--- a/core/src/test/kotlin/org/lovageladder/core/forward/PlainFlowTest.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/forward/PlainFlowTest.kt
@@ -108,6 +108,23 @@
         assertTrue(fixture.upstreams.receivedCalls.isEmpty())
     }
 
+    /** Load pattern: an upstream's crash, or a reset of all connections, ends many calls at once. */
+    @Test
+    fun callsThatAreLostTogetherShareOneQuestionToTheirUpstream() {
+        data class Case(val pause: Duration, val questions: Int)
+        listOf(Case(Duration.ZERO, 1), Case(1.milliseconds, 1), Case(10.milliseconds, 4)).forEach { case ->
+            val fixture = ForwardFixture()
+            repeat(8) { fixture.submit("/action/$it") }
+            val name = fixture.upstreams.receivedCalls.first().attempt.upstream.name
+            fixture.upstreams.receivedCalls.filter { it.attempt.upstream.name == name }.take(4).forEach {
+                it.fail(sent = true)
+                fixture.scheduler.advance(case.pause)
+            }
+            fixture.scheduler.advance(30.milliseconds)
+            assertEquals(case.questions, fixture.upstreams.checked.size, "$case")
+        }
+    }
+
     @Test
     fun unansweredActionTimesOutAtTheRouteTimeout() {
         val fixture = ForwardFixture()
