Hold back a request that crashes several upstreams within a moment

Cause: the request ended four servers within 0.25 s, by its retry and by its caller's own return, and crashes within a moment count once, so that the quarantine came with the next request, seven seconds later.

Change: three different starts quarantine a request, however soon they crash, if one of them crashed amid an answer that began after another crash; a power loss ends all at once. A request under which an upstream has crashed is not retried after it loses another one, and it has two trials instead of three.

--- a/core/src/main/kotlin/org/lovageladder/core/forward/ForwardPorts.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/ForwardPorts.kt
@@ -96,7 +96,10 @@
  * Why a call to an upstream ended without a complete answer. [sent] is false only when no part of the request can have
  * reached the upstream.
  */
-public data class CallFailure(val cause: FaultCause, val sent: Boolean, val detail: String)
+public data class CallFailure(val cause: FaultCause, val sent: Boolean, val detail: String) {
+    /** Whether the upstream may have crashed while it ran the request. */
+    internal val mayBeCrash: Boolean get() = sent && cause == FaultCause.CONNECTION_LOST
+}
 
 /** Receives an upstream's answer in order. [onEnd] or [onFailure] is the last call. */
 public interface AnswerReceiver {
--- a/core/src/main/kotlin/org/lovageladder/core/forward/PlainFlow.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/PlainFlow.kt
@@ -149,7 +149,8 @@
             failure,
         )
         if (failure.sent) mayHaveRun = true
-        if (failure.sent && !route.isRetryable) {
+        val mayCrashAnother = failure.mayBeCrash && context.promptGuard.isSuspected(request)
+        if (failure.sent && (!route.isRetryable || mayCrashAnother)) {
             fail(RefusalReason.ANSWER_LOST)
         } else if (!retry(isExemptFromBudget = !failure.sent)) {
             fail(if (failure.sent) RefusalReason.ANSWER_LOST else RefusalReason.NO_UPSTREAM)
@@ -293,17 +294,23 @@
         override fun onFailure(failure: CallFailure) {
             markEnded()
             if (!failure.sent) mayHaveRun = false
+            if (!isFinished) onFailed(this, failure)
             if (failure == END_UNCONFIRMED) {
-                onCrashed()
-            } else if (failure.sent && failure.cause == FaultCause.CONNECTION_LOST) {
-                context.survivalCheck.start(incarnation, destination.healthPath, request.id) { hasSurvived ->
-                    if (!hasSurvived) onCrashed()
-                }
+                onCrashed(context.now())
+            } else if (failure.mayBeCrash) {
+                onConnectionLost()
+            }
+        }
+
+        /** The upstream may have crashed, or only have cut the answer off; the request does not wait to learn which. */
+        private fun onConnectionLost() {
+            val lostAt = context.now()
+            context.survivalCheck.start(incarnation, destination.healthPath, request.id) { hasSurvived ->
+                if (!hasSurvived) onCrashed(lostAt)
             }
-            if (!isFinished) onFailed(this, failure)
         }
 
-        private fun onCrashed() = context.promptGuard.onCrash(request, incarnation.start, sentAt)
+        private fun onCrashed(lostAt: Moment) = context.promptGuard.onCrash(request, incarnation.start, sentAt, lostAt)
 
         fun cancel() {
             markEnded()
--- a/core/src/main/kotlin/org/lovageladder/core/forward/PromptGuard.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/PromptGuard.kt
@@ -50,9 +50,12 @@
     fun onOutlived(request: ForwardRequest, beganAt: Moment): Unit =
         onOutlived(request.id, knownTraits(request), beganAt)
 
-    /** The upstream of [start] crashed while it ran [request], which began at [beganAt]. */
-    fun onCrash(request: ForwardRequest, start: EngineStart, beganAt: Moment): Unit =
-        onCrash(request.id, listOf(request.digest) + request.sharedParts, start, beganAt)
+    /** The upstream of [start] crashed at [lostAt] while it ran [request], which began at [beganAt]. */
+    fun onCrash(request: ForwardRequest, start: EngineStart, beganAt: Moment, lostAt: Moment): Unit =
+        onCrash(request.id, listOf(request.digest) + request.sharedParts, start, beganAt, lostAt)
+
+    /** Whether an upstream crashed while it ran a request like [request], and none has outlived one since. */
+    fun isSuspected(request: ForwardRequest): Boolean = quarantine.hasDigests && quarantine.isSuspected(request.digest)
 
     /** Whether [request] is held back. */
     fun isQuarantined(request: ForwardRequest): Boolean = isQuarantined(knownTraits(request))
@@ -94,10 +97,16 @@
      * [beganAt] or was about to begin then. A quarantined part explains the crash: the others are suspected only if it
      * turns out to be sound.
      */
-    fun onCrash(request: RequestId, parts: List<RequestTrait>, start: EngineStart, beganAt: Moment = scheduler.now()) {
+    fun onCrash(
+        request: RequestId,
+        parts: List<RequestTrait>,
+        start: EngineStart,
+        beganAt: Moment = scheduler.now(),
+        lostAt: Moment = scheduler.now(),
+    ) {
         val explanation = parts.firstOrNull(quarantine::isQuarantined)
         val suspects = parts.filter { it != explanation }.take(MAXIMUM_SUSPECTS)
-        val crash = ObservedCrash(request, suspects, start, beganAt)
+        val crash = ObservedCrash(request, suspects, start, beganAt, lostAt)
         if (explanation == null) suspect(crash) else explainedCrashes.getOrPut(explanation) { ArrayList() } += crash
     }
 
@@ -107,7 +116,7 @@
         crashes.forEach { crash ->
             val detail = "part=${crash.part} engine=${start.engine} started=${start.startedAt}"
             record(EventKind.PROMPT_SUSPECTED, observed.request, detail)
-            recordCrash(crash, observed.beganAt)
+            recordCrash(crash, observed.beganAt, lostAt = observed.lostAt)
         }
         reporter?.report(crashes)
     }
@@ -156,8 +165,13 @@
         }
     }
 
-    private fun recordCrash(crash: PromptReport.Crash, beganAt: Moment, delayBound: Duration = Duration.ZERO) {
-        if (!quarantine.recordCrash(crash, beganAt, scheduler.now(), delayBound)) return
+    private fun recordCrash(
+        crash: PromptReport.Crash,
+        beganAt: Moment,
+        delayBound: Duration = Duration.ZERO,
+        lostAt: Moment = scheduler.now(),
+    ) {
+        if (!quarantine.recordCrash(crash, beganAt, scheduler.now(), delayBound, lostAt)) return
         record(EventKind.PROMPT_QUARANTINED, detail = "part=${crash.part} after engine=${crash.start.engine}")
         scheduleReport(crash.part)
     }
@@ -193,6 +207,7 @@
         val parts: List<RequestTrait>,
         val start: EngineStart,
         val beganAt: Moment,
+        val lostAt: Moment,
     )
 
     private companion object {
--- a/core/src/main/kotlin/org/lovageladder/core/forward/PromptQuarantine.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/PromptQuarantine.kt
@@ -40,11 +40,22 @@
         /** When the answers began, or were about to begin, amid which engines crashed. */
         val crashedAnswers = ArrayList<Moment>()
         var lastCrashAt: Moment? = null
+
+        /** Whether a crash came amid an answer that began after another crash: no single moment explains both. */
+        var hasSequence = false
+        private var lastLostAt: Moment? = null
         var quarantinedAt: Moment? = null
         var quarantineSeenAt: Moment? = null
         var trials = 0
         var nextTrialAt = lastUsedAt
         var reportedAt: Moment? = null
+
+        /** Records a crash at [lostAt] amid an answer that began at [beganAt], null when that is not known. */
+        fun recordSequence(beganAt: Moment?, lostAt: Moment) {
+            val last = lastLostAt
+            if (beganAt != null && last != null && beganAt >= last) hasSequence = true
+            lastLostAt = lostAt
+        }
     }
 
     private val suspects = HashMap<RequestTrait, Suspect>()
@@ -68,7 +79,7 @@
         states.forEach { it.lastUsedAt = now }
         val hasSeveral = parts.count { it in suspects } > 1
         val trialAt = states.maxOf { it.nextTrialAt } + if (hasSeveral) SEVERAL_PARTS_DELAY else Duration.ZERO
-        val mayTry = states.all { it.trials < MAXIMUM_TRIALS }
+        val mayTry = quarantined.zip(states).all { (part, state) -> state.trials < maximumTrials(part) }
         if (mayTry && now >= trialAt) {
             return PromptVerdict.TrialDue(
                 quarantined.zip(states) { part, state -> PromptReport.Trial(part, state.trials + 1) },
@@ -82,31 +93,39 @@
     fun isQuarantined(part: RequestTrait): Boolean = suspects[part]?.quarantinedAt != null
 
     /**
-     * Records [crash] amid an answer that began at [beganAt]. Returns whether its part is quarantined from now on.
-     * [delayBound] is the time in which the news of crashes at one moment arrive; parts that engines outlived lately
-     * need more crashes instead.
+     * Records [crash] amid an answer that began at [beganAt] and was lost at [lostAt]. Returns whether its part is
+     * quarantined from now on. [delayBound] is the time in which the news of crashes at one moment arrive; parts that
+     * engines outlived lately need more crashes instead.
      */
     fun recordCrash(
         crash: PromptReport.Crash,
         beganAt: Moment,
         now: Moment,
         delayBound: Duration = Duration.ZERO,
+        lostAt: Moment = now,
     ): Boolean {
         if (isExplained(crash)) return false
         val suspect = suspectOf(crash.part, now)
         if (!suspect.crashedStarts.add(crash.start)) return false
+        suspect.lastUsedAt = now
+        suspect.recordSequence(beganAt.takeIf { delayBound == Duration.ZERO }, lostAt)
         val wasOutlived = wasOutlivedWithin(crash.part, PROOF_LIFETIME, now)
         val separation = if (wasOutlived) SIMULTANEOUS_CRASHES else SIMULTANEOUS_CRASHES + delayBound
         val isSeparate = suspect.lastCrashAt?.let { now - it >= separation } ?: true
-        if (!isSeparate) return false
-        suspect.lastCrashAt = now
-        suspect.lastUsedAt = now
-        suspect.crashedAnswers += beganAt
+        if (isSeparate) {
+            suspect.lastCrashAt = now
+            suspect.crashedAnswers += beganAt
+        }
         val crashesToQuarantine = if (wasOutlived) CRASHES_TO_DISPROVE else CRASHES_TO_QUARANTINE
-        if (suspect.crashedAnswers.size < crashesToQuarantine) return false
-        return quarantine(suspect, now)
+        val hasEnough = isSeparate && suspect.crashedAnswers.size >= crashesToQuarantine
+        val isSequence = crash.part.isDigest && !wasOutlived && suspect.hasSequence
+        val isRepeated = isSequence && suspect.crashedStarts.size >= CRASHES_IN_SEQUENCE
+        return (hasEnough || isRepeated) && quarantine(suspect, now)
     }
 
+    /** Whether an upstream crashed while it ran [request], and none has outlived it since. */
+    fun isSuspected(request: RequestTrait): Boolean = suspects[request]?.crashedStarts.orEmpty().isNotEmpty()
+
     /**
      * Records that another entry quarantined [part]. Returns false, and does not follow it, when an engine outlived an
      * answer on the part that began just now, after all crashes that this process knows.
@@ -202,6 +221,8 @@
     private fun wasOutlivedWithin(part: RequestTrait, span: Duration, now: Moment) =
         outlivedAt[part]?.let { now - it < span } ?: false
 
+    private fun maximumTrials(part: RequestTrait) = if (part.isDigest) MAXIMUM_REQUEST_TRIALS else MAXIMUM_TRIALS
+
     private fun trialInterval(trials: Int): Duration {
         var interval = FIRST_TRIAL_INTERVAL
         repeat(trials) { interval *= TRIAL_INTERVAL_GROWTH }
@@ -216,6 +237,12 @@
 
         /** Each trial may end the streams of one more engine. */
         const val MAXIMUM_TRIALS = 3
+
+        /** A request concerns fewer callers than a part of many prompts. */
+        const val MAXIMUM_REQUEST_TRIALS = 2
+
+        /** Crashes of different starts, not all at one moment, that quarantine a request however soon they come. */
+        const val CRASHES_IN_SEQUENCE = 3
         val FIRST_TRIAL_INTERVAL: Duration = 2.seconds
         const val TRIAL_INTERVAL_GROWTH = 5
 
--- a/core/src/main/kotlin/org/lovageladder/core/forward/PromptWatch.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/PromptWatch.kt
@@ -40,7 +40,7 @@
 
     /** The engine did not outlive the loss of the connection at [lostAt]. */
     fun onCrashed(lostAt: Moment = now()) {
-        if (isUndecided) guard.onCrash(request, start, beganAt ?: lostAt)
+        if (isUndecided) guard.onCrash(request, start, beganAt ?: lostAt, lostAt)
     }
 
     private fun recordOutlived(began: Moment) {
--- a/core/src/main/kotlin/org/lovageladder/core/forward/StreamFlow.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/StreamFlow.kt
@@ -422,7 +422,7 @@
             releaseMemory(isUsed = failure.sent)
             if (failure == END_UNCONFIRMED) {
                 promptWatch.onCrashed()
-            } else if (failure.sent && failure.cause == FaultCause.CONNECTION_LOST) {
+            } else if (failure.mayBeCrash) {
                 onConnectionLost()
             }
             onDecodeFailed(upstream, failure)
--- a/core/src/test/kotlin/org/lovageladder/core/forward/RepeatedRequestCrashesUpstreamsTest.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/forward/RepeatedRequestCrashesUpstreamsTest.kt
@@ -16,6 +16,7 @@
         val entryCount: Int,
         val deadlyPerSecond: Double = 1.5,
         val name: String = "alone",
+        val repeats: Int = 1,
         val trouble: (EntryFleet) -> Unit = {},
     )
 
@@ -26,6 +27,8 @@
             counts.map { Case(target, it) } + listOf(
                 Case(target, entryCount = 4, deadlyPerSecond = 8.0, name = "many"),
                 Case(target, entryCount = 20, deadlyPerSecond = 0.3, name = "few"),
+                Case(target, entryCount = 4, deadlyPerSecond = 0.2, name = "two at once", repeats = 2),
+                Case(target, entryCount = 4, deadlyPerSecond = 0.2, name = "three at once", repeats = 3),
                 Case(target, entryCount = 4, name = "ordinary crashes", trouble = { it.crashNowAndThen(SERVING) }),
                 Case(target, entryCount = 4, name = "all upstreams crash", trouble = { it.crashAll(SERVING) }),
                 Case(target, entryCount = 4, name = "entries restart", trouble = { it.restartEntries() }),
@@ -48,7 +51,9 @@
         while (fleet.scheduler.now() < until) {
             fleet.scheduler.advance((2 * fleet.random.nextDouble() / perSecond).seconds)
             if (fleet.random.nextDouble() * perSecond < case.deadlyPerSecond) {
-                fleet.submit(case.target, GENERATION)
+                repeat(case.repeats) { number ->
+                    fleet.scheduler.schedule(REPEAT_INTERVAL * number) { fleet.submit(case.target, GENERATION) }
+                }
             } else {
                 val name = if (fleet.random.nextInt(5) == 0) "popular" else "${sound.size}"
                 sound += fleet.submit(prefix + name, GENERATION)
@@ -81,6 +86,9 @@
         const val ALLOWED_ARRIVALS = 3
         const val MINIMUM_SERVED_SHARE = 0.7
         val SEEDS = 1..2
+
+        /** Callers that return at once do so after the crash that their request caused. */
+        val REPEAT_INTERVAL = 150.milliseconds
         val SERVING = listOf("plain", "decode").flatMap { kind -> (1..UPSTREAMS).map { UpstreamName("$kind-$it") } }
         val HELD_BACK = setOf(RefusalReason.REQUEST_SUSPECTED, RefusalReason.REQUEST_QUARANTINED)
         val GENERATION = ForwardFixture.GENERATION.copy(sharedParts = listOf(RequestTrait("popular")))
