--- a/core/src/main/kotlin/org/lovageladder/core/EventKind.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/EventKind.kt
@@ -130,21 +130,21 @@
     PROMPT_SUSPECTED(
         3014,
         EventLevel.WARNING,
-        "An engine crashed early in its answer on a prompt; a part of the prompt is suspected.",
+        "An upstream crashed while it ran a request; a part of its prompt, or the request itself, is suspected.",
         "See docs/OPERATIONS.md.",
     ),
     PROMPT_QUARANTINED(
         3015,
         EventLevel.WARNING,
-        "Prompts with a part that crashes engines are held back.",
+        "Requests that crash upstreams, or have such a part in their prompt, are held back.",
         "Find what sends the part; see docs/OPERATIONS.md.",
     ),
-    PROMPT_TRIAL(3016, EventLevel.INFO, "One prompt with a quarantined part was to be sent as a trial.", "None."),
-    PROMPT_SOUND(3017, EventLevel.INFO, "A suspected part of prompts is sound, or was forgotten.", "None."),
+    PROMPT_TRIAL(3016, EventLevel.INFO, "One request that is held back was to be sent as a trial.", "None."),
+    PROMPT_SOUND(3017, EventLevel.INFO, "A suspected request, or part of prompts, is sound or was forgotten.", "None."),
     PROMPT_REPORT_DROPPED(
         3018,
         EventLevel.WARNING,
-        "A report on a part of prompts was given up because too many wait for the registry.",
+        "A report on a suspected request or part was given up because too many wait for the registry.",
         "Check the platform.",
     ),
     STORE_RESTORED(
