--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -3,4 +3,4 @@
 # deploy file and review/build.sh. TROUBLE=0 leaves the disruption out.
 set -u
 cd "$(dirname "$0")/../.." || exit 2
-exec java -cp target/review Rig MovedRoute review/2
+exec java -cp target/review Rig GoneWorker review/2
--- a/review/rig/Config.java
+++ b/review/rig/Config.java
@@ -9,9 +9,18 @@
     private final Map<String, Object> services = new LinkedHashMap<>();
 
     Config route(String prefix, String kind, int timeoutMs, int targetMs, String service, int attempts) {
+        return route(prefix, kind, timeoutMs, targetMs, service, attempts, false);
+    }
+
+    Config resumableRoute(String prefix, int timeoutMs, int targetMs, String service, int attempts) {
+        return route(prefix, "streaming", timeoutMs, targetMs, service, attempts, true);
+    }
+
+    private Config route(String prefix, String kind, int timeoutMs, int targetMs, String service, int attempts,
+        boolean isResumable) {
         routes.add(Json.map("name", "r" + prefix.replace("/", ""), "host", "entry.example", "prefix", prefix, "kind",
             kind, "timeoutMs", timeoutMs, "targetLatencyMs", targetMs, "priority", 2, "service", service, "maxAttempts",
-            attempts, "sessionAffinity", kind.equals("streaming"), "allowResume", false));
+            attempts, "gapTargetMs", 300, "sessionAffinity", kind.equals("streaming"), "allowResume", isResumable));
         return this;
     }
 
--- a/review/rig/Worker.java
+++ b/review/rig/Worker.java
@@ -24,7 +24,7 @@
     private final int slots;
     private final int workMs;
     private final ServerSocket server;
-    private final Listener listener;
+    final Listener listener;
     private final Set<Socket> open = ConcurrentHashMap.newKeySet();
     private final long born = System.currentTimeMillis();
     private final AtomicInteger running = new AtomicInteger();
@@ -32,6 +32,7 @@
     private volatile boolean registers = true;
     private volatile String state = "ready";
     private volatile boolean ended;
+    private volatile boolean silent;
 
     Worker(String id, String service, String zone, int slots, int workMs, Store store, Listener listener)
         throws Exception {
@@ -51,14 +52,27 @@
                 Rig.thread(id + " connection", () -> serve(socket));
             }
         });
+        if (!startsHeartbeatItself()) startHeartbeat();
+    }
+
+    /** Whether a subclass starts the heartbeat, once all its fields are set. */
+    boolean startsHeartbeatItself() {
+        return false;
+    }
+
+    final void startHeartbeat() {
         Rig.thread(id + " heartbeat", () -> {
             while (!ended) {
-                register();
+                if (!silent) register();
                 Thread.sleep(HEARTBEAT_MS);
             }
         });
     }
 
+    final void pauseHeartbeat(boolean isPaused) {
+        silent = isPaused;
+    }
+
     String address() {
         return "127.0.0.1:" + server.getLocalPort();
     }
