--- a/review/rig/Client.java
+++ b/review/rig/Client.java
@@ -15,7 +15,6 @@
         final long sentAt;
         long endedAt;
         int status;
-        String seal = "";
         String body = "";
 
         Result(String id, long sentAt) {
@@ -71,7 +70,6 @@
                 Http.Message answer = Http.read(Http.buffered(socket.getInputStream()));
                 if (answer != null) {
                     result.status = answer.status();
-                    result.seal = answer.header("Server-Seal") == null ? "" : answer.header("Server-Seal");
                     result.body = answer.text();
                 }
             } catch (IOException lost) {
--- a/review/rig/Entry.java
+++ b/review/rig/Entry.java
@@ -20,7 +20,6 @@
     private final Path folder;
     private final List<String> command;
     private Process process;
-    private volatile boolean stopped;
 
     Entry(String name, String zone, Store store) throws Exception {
         this.name = name;
@@ -60,34 +59,13 @@
         Rig.thread(name + " output", () -> {
             try (BufferedReader lines = started.inputReader()) {
                 for (String line = lines.readLine(); line != null; line = lines.readLine()) {
-                    if (line.contains("REQUEST_")) continue;
+                    if (line.contains("REQUEST_") || line.contains("serving service=")) continue;
                     Rig.record(name + " log: " + line.replaceAll("^.*\"message\":\"", "").replaceAll("\"}$", ""));
                 }
             }
         });
     }
 
-    /** Sends a signal to the process of this entry. */
-    void signal(String signal) throws Exception {
-        Rig.record(name + ": SIG" + signal);
-        new ProcessBuilder("kill", "-" + signal, String.valueOf(process.pid())).start().waitFor();
-    }
-
-    /** Kills the process and starts it again with the same settings. */
-    void restart() throws Exception {
-        Rig.record(name + ": killed");
-        process.destroyForcibly().waitFor();
-        start();
-    }
-
-    boolean isAlive() {
-        return process.isAlive();
-    }
-
-    long pid() {
-        return process.pid();
-    }
-
     /** Waits until the entry says that it is ready, as the platform asks it. */
     void awaitReady() throws Exception {
         for (int tries = 0; tries < 150; tries++) {
--- a/review/rig/Rig.java
+++ b/review/rig/Rig.java
@@ -30,6 +30,7 @@
 
     public static void main(String[] arguments) throws Exception {
         record = new PrintWriter(Files.newBufferedWriter(Path.of(arguments[1], "record.txt")), true);
+        Runtime.getRuntime().addShutdownHook(new Thread(Entry::endAll));
         thread("limit", () -> {
             Thread.sleep(LIMIT_MS);
             end(2, "the case took too long");
--- a/review/rig/Store.java
+++ b/review/rig/Store.java
@@ -17,6 +17,9 @@
 
 /** Stand-in of the platform's metadata store, as PROTOCOL.md describes it: items, watches, transactions and leases. */
 final class Store {
+    private static final int PAGE_ITEMS = 500;
+    private static final int PAGE_BYTES = 1_000_000;
+
     private static final class Item {
         String value;
         long revision;
@@ -77,14 +80,6 @@
         notifyAll();
     }
 
-    synchronized boolean contains(String prefix) {
-        return !items.subMap(prefix, prefix + '\uffff').isEmpty();
-    }
-
-    synchronized int count(String prefix) {
-        return items.subMap(prefix, prefix + '\uffff').size();
-    }
-
     private void write(String key, String value, long lease) {
         Item item = items.computeIfAbsent(key, k -> new Item());
         item.value = value;
@@ -178,10 +173,18 @@
         String prefix = query.get("prefix");
         String after = query.getOrDefault("after", "");
         List<Object> found = new ArrayList<>();
-        items.subMap(prefix, prefix + '\uffff').forEach((key, item) -> {
-            if (key.compareTo(after) > 0) found.add(describe(key, item));
-        });
-        return new Object[] {200, Json.write(Json.map("items", found, "morePages", false, "asOf", revision))};
+        int size = 0;
+        for (Map.Entry<String, Item> entry : items.subMap(prefix, prefix + '\uffff').entrySet()) {
+            if (entry.getKey().compareTo(after) <= 0) continue;
+            if (found.size() == PAGE_ITEMS || size > PAGE_BYTES) return page(found, true);
+            found.add(describe(entry.getKey(), entry.getValue()));
+            size += entry.getValue().value.length();
+        }
+        return page(found, false);
+    }
+
+    private Object[] page(List<Object> found, boolean hasMore) {
+        return new Object[] {200, Json.write(Json.map("items", found, "morePages", hasMore, "asOf", revision))};
     }
 
     private synchronized Object[] watch(Map<String, String> query) throws InterruptedException {
