--- a/review/rig/Entry.java
+++ b/review/rig/Entry.java
@@ -26,7 +26,6 @@
         int[] ports = Rig.freePorts(2);
         port = ports[0];
         readyPort = ports[1];
-        folder = Files.createTempDirectory("review-entry");
         String settings = Files.readString(Path.of("deploy/entry.properties"));
         settings = settings.replace("{{nodeName}}", name).replace("{{zone}}", zone)
             .replace("{{listen.front}}", "127.0.0.1:" + port).replace("{{listen.readyAddr}}", "127.0.0.1:" + readyPort)
@@ -35,9 +34,10 @@
             settings = settings.replace("{{" + bound.getKey() + "}}", bound.getValue());
         }
         if (settings.contains("{{")) throw new IllegalStateException("a field of deploy/entry.properties is unknown");
-        Files.writeString(folder.resolve("entry.properties"), settings);
         command = commandOfDeployFile();
+        folder = Files.createTempDirectory("review-entry");
         STARTED.add(this);
+        Files.writeString(folder.resolve("entry.properties"), settings);
         start();
     }
 
