Use no removed upstream after connections to the store go silent

Cause: the silence was noticed only when the watch timed out, up to 3.8 s late, and the full read after it kept the missing worker in use for another 2.3 s, as if the store had been away and its registration had expired. Membership did so after any failed watch, however short the time without an answer.

Change: the contact is checked each second on a connection of its own, and a failed check ends the watch. The grace period follows only an outage in which a registration can expire, counted from the last answer. No idle connection is used again after a call that timed out.

--- a/core/src/main/kotlin/org/lovageladder/core/forward/Forwarder.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/Forwarder.kt
@@ -17,7 +17,7 @@
  * all entries together.
  * [expectedEntryCount] is used until the number of entries is known, and [prefillShare], the part of an engine
  * service's work that is prefill, until enough requests were measured. An upstream that announced that it is leaving
- * gets no new requests after [drainBound]. The answer of a plain service may have [answerBytes] bytes. Experiments
+ * gets no new requests after [drainBound]. Upstreams renew their registrations every [registrationInterval]. The answer of a plain service may have [answerBytes] bytes. Experiments
  * switch off the mechanisms in [without].
  */
 public data class ForwarderSettings(
@@ -27,6 +27,7 @@
     val expectedEntryCount: Int = 1,
     val prefillShare: Double = 0.2,
     val drainBound: Duration = DEFAULT_DRAIN_BOUND,
+    val registrationInterval: Duration = DEFAULT_REGISTRATION_INTERVAL,
     val answerBytes: Int = DEFAULT_ANSWER_BYTES,
     val without: Set<Mechanism> = emptySet(),
 )
@@ -51,7 +52,7 @@
     log: EventSink,
     random: Random = Random.Default,
 ) {
-    private val membership = Membership()
+    private val membership = Membership(settings.registrationInterval)
     private val notices = UpstreamNotices(settings.drainBound)
     private val entryCounter = EntryCounter(settings.name, settings.expectedEntryCount)
     private val requestLimits = RequestLimits(entryCounter, membership, random)
@@ -146,9 +147,10 @@
                     EventKind.UPSTREAM_REGISTERED,
                     detail = "full read: ${change.registrations.size} upstreams",
                 )
-            RegistryChange.Unavailable -> {
+            is RegistryChange.Unavailable -> {
                 entryCounter.recordAvailability(isAvailable = false, scheduler.now())
-                context.record(EventKind.STORE_LOST, detail = "the registry is unavailable")
+                val detail = "the registry is unavailable; it last answered ${change.silentFor} ago"
+                context.record(EventKind.STORE_LOST, detail = detail)
             }
             RegistryChange.Restored -> onRegistryRestored()
             RegistryChange.Available -> {
--- a/core/src/main/kotlin/org/lovageladder/core/forward/Membership.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/Membership.kt
@@ -60,8 +60,8 @@
     /** A full read of the registry. Upstreams that are not in [registrations] have no registration. */
     public data class FullRead(val registrations: List<UpstreamRegistration>) : RegistryChange
 
-    /** The registry is unavailable. */
-    public data object Unavailable : RegistryChange
+    /** The registry is unavailable; it last answered [silentFor] ago. */
+    public data class Unavailable(val silentFor: Duration = Duration.ZERO) : RegistryChange
 
     /** The registry is available again. */
     public data object Available : RegistryChange
@@ -74,14 +74,17 @@
 }
 
 /**
- * Upstreams that may get requests, according to the registry. Registrations can expire during a registry outage
- * although their upstreams are alive. An upstream whose registration is removed during an outage or shortly after it
- * therefore stays in use until [REGISTRATION_GRACE_PERIOD] after the registry became available.
+ * Upstreams that may get requests, according to the registry. Upstreams renew their registrations every
+ * [registrationInterval], and a registration expires after [EXPIRY_INTERVALS] of them. Registrations can therefore expire
+ * during a registry outage although their upstreams are alive. An upstream whose registration is removed during such an
+ * outage or shortly after it stays in use until [REGISTRATION_GRACE_PERIOD] after the registry became available. In a
+ * shorter silence of the registry, such as a connection that was lost, no living upstream's registration expires, so that
+ * one that is missing afterwards was removed.
  *
  * The copy from which a registry is restored is older than what this process knows: an upstream that left, is leaving
  * or was started anew since does not come back by it, but only by a registration of its own. Confined to one thread.
  */
-public class Membership {
+public class Membership(private val registrationInterval: Duration = DEFAULT_REGISTRATION_INTERVAL) {
     private val registrations = HashMap<UpstreamName, UpstreamRegistration>()
     private val missing = HashSet<UpstreamName>()
     private val endedStarts = HashMap<UpstreamName, Long?>()
@@ -89,7 +92,7 @@
     private val changingRole = HashSet<UpstreamName>()
     private var isRestored = false
     private var gracePeriodUntil: Moment? = null
-    private var isUnavailable = false
+    private var unavailableSince: Moment? = null
 
     /** Whether the registry was read at least once. */
     public var isLoaded: Boolean = false
@@ -108,11 +111,8 @@
             is RegistryChange.PromptReported,
             -> Unit
             is RegistryChange.FullRead -> replaceAll(change.registrations, now)
-            RegistryChange.Unavailable -> isUnavailable = true
-            RegistryChange.Available -> {
-                isUnavailable = false
-                gracePeriodUntil = now + REGISTRATION_GRACE_PERIOD
-            }
+            is RegistryChange.Unavailable -> unavailableSince = unavailableSince ?: (now - change.silentFor)
+            RegistryChange.Available -> endOutage(now)
             RegistryChange.Restored -> {
                 isRestored = true
                 gracePeriodUntil = now + REGISTRATION_GRACE_PERIOD
@@ -120,6 +120,15 @@
         }
     }
 
+    private fun endOutage(now: Moment) {
+        val since = unavailableSince ?: return
+        unavailableSince = null
+        if (canExpireWithin(now - since)) gracePeriodUntil = now + REGISTRATION_GRACE_PERIOD
+    }
+
+    /** Whether a registration can expire in an [outage]; its last renewal may be an interval older than the outage. */
+    private fun canExpireWithin(outage: Duration): Boolean = outage >= registrationInterval * (EXPIRY_INTERVALS - 1)
+
     /** Removes the upstream [name] after it, or its address, reported that this incarnation has ended. */
     public fun removeEnded(name: UpstreamName) {
         val registration = registrations.remove(name) ?: return
@@ -179,7 +188,8 @@
     }
 
     /** Whether a missing registration may still be renewed by a living upstream. */
-    private fun isGracePeriod(now: Moment): Boolean = isUnavailable || gracePeriodUntil?.let { now < it } ?: false
+    private fun isGracePeriod(now: Moment): Boolean =
+        unavailableSince != null || gracePeriodUntil?.let { now < it } ?: false
 
     private fun replaceAll(newRegistrations: List<UpstreamRegistration>, now: Moment) {
         isLoaded = true
@@ -223,5 +233,10 @@
 
         /** Living upstreams have registered again by this time after the registry became available. */
         val REGISTRATION_GRACE_PERIOD: Duration = 2_300.milliseconds
+
+        /** Renewals that an upstream misses before its registration expires. */
+        const val EXPIRY_INTERVALS = 3
     }
 }
+
+internal val DEFAULT_REGISTRATION_INTERVAL: Duration = 1_200.milliseconds
--- a/core/src/main/kotlin/org/lovageladder/core/forward/RegistryFollower.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/RegistryFollower.kt
@@ -52,7 +52,13 @@
     public fun read(answer: (RegistryRead) -> Unit)
 
     /** Waits up to [timeout] for changes after [revision]. */
-    public fun watch(revision: Long, timeout: Duration, answer: (RegistryWatch) -> Unit)
+    public fun watch(revision: Long, timeout: Duration, answer: (RegistryWatch) -> Unit): Cancellable
+
+    /**
+     * Checks on a connection of its own, which was open before, that the registry answers; [answer] gets whether it did
+     * in time.
+     */
+    public fun checkContact(answer: (Boolean) -> Unit): Cancellable
 }
 
 /** Receives what a [RegistryFollower] finds, in order. */
@@ -69,6 +75,9 @@
  * short delays. A full read also follows a failed watch and a lost history: a watch resumed where the failed one ended
  * would miss the changes made in between if the registry dropped its history at that moment.
  *
+ * Connections can go silent without a reset, usually all at once, and a watch without changes does not show it until it
+ * ends. The contact is therefore checked at short intervals; a failed check ends the watch.
+ *
  * An answer of a later epoch shows that the registry was restored from an older copy. All is read again then, also when
  * the registry knows the revision of the watch, since it may have reached it by other changes. Answers of an earlier
  * epoch are ignored. Confined to one thread.
@@ -80,11 +89,14 @@
 ) {
     private var isUnavailable = false
     private var consecutiveFailures = 0
+    private var lastAnswerAt = scheduler.now()
     private var epoch: Long? = null
+    private var runningWatch: Cancellable? = null
 
     /** Begins to follow the registry. Must be called once. */
     public fun start() {
         readAll()
+        scheduleContactCheck()
     }
 
     private fun readAll() {
@@ -130,23 +142,44 @@
     }
 
     private fun watchFrom(revision: Long) {
-        registry.watch(revision, WATCH_TIMEOUT) { watch ->
+        runningWatch = registry.watch(revision, WATCH_TIMEOUT) { watch ->
+            runningWatch = null
             when (watch) {
                 is RegistryWatch.Changed -> onChanges(watch, after = revision)
                 RegistryWatch.HistoryExpired -> {
                     onAnswer()
                     readAll()
                 }
-                is RegistryWatch.Failed -> {
-                    onFailure()
-                    scheduler.schedule(retryDelay()) { readAll() }
-                }
+                is RegistryWatch.Failed -> onWatchFailed()
+            }
+        }
+    }
+
+    private fun onWatchFailed() {
+        onFailure()
+        scheduler.schedule(retryDelay()) { readAll() }
+    }
+
+    private fun scheduleContactCheck() {
+        scheduler.schedule(CONTACT_CHECK_INTERVAL) {
+            registry.checkContact { isAnswered ->
+                if (isAnswered) lastAnswerAt = scheduler.now() else onContactLost()
+                scheduleContactCheck()
             }
         }
     }
 
+    /** Ends the watch, which may wait on a silent connection. A read that is in progress ends soon by itself. */
+    private fun onContactLost() {
+        val watch = runningWatch ?: return
+        runningWatch = null
+        watch.cancel()
+        onWatchFailed()
+    }
+
     private fun onAnswer() {
         consecutiveFailures = 0
+        lastAnswerAt = scheduler.now()
         if (!isUnavailable) return
         isUnavailable = false
         listener.onChange(RegistryChange.Available)
@@ -156,16 +189,18 @@
         consecutiveFailures += 1
         if (isUnavailable) return
         isUnavailable = true
-        listener.onChange(RegistryChange.Unavailable)
+        listener.onChange(RegistryChange.Unavailable(silentFor = scheduler.now() - lastAnswerAt))
     }
 
     private fun retryDelay(): Duration =
         INITIAL_RETRY_DELAY * (1 shl (consecutiveFailures - 1).coerceIn(0, MAXIMUM_RETRY_DELAY_DOUBLINGS))
 
     private companion object {
-        /** Short, so that a silent connection is detected soon. */
         val WATCH_TIMEOUT: Duration = 3.seconds
 
+        /** A silent connection is noticed after this and the timeout of a call, well before a drain ends. */
+        val CONTACT_CHECK_INTERVAL: Duration = 1.seconds
+
         /** Changes often come in groups, and each answer of the registry has a cost. */
         val BATCHING_DELAY: Duration = 150.milliseconds
         val INITIAL_RETRY_DELAY: Duration = 50.milliseconds
--- a/core/src/test/kotlin/org/lovageladder/core/forward/EntryFleet.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/forward/EntryFleet.kt
@@ -327,7 +327,7 @@
     /** The process gets no news of the registry any more. */
     fun cutFromRegistry() {
         isCutFromRegistry = true
-        fleet.scheduler.schedule(3_800.milliseconds) { forwarder.onRegistryChange(RegistryChange.Unavailable) }
+        fleet.scheduler.schedule(3_800.milliseconds) { forwarder.onRegistryChange(RegistryChange.Unavailable()) }
     }
 
     /** The registry is available again, and the process reads all of it. */
--- a/core/src/test/kotlin/org/lovageladder/core/forward/ForwardFuzzTest.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/forward/ForwardFuzzTest.kt
@@ -136,7 +136,7 @@
             ForwardFuzzCommandKind.REMOVE_REGISTRATION ->
                 fixture.forwarder.onRegistryChange(RegistryChange.Removed(registration(command).name, ++revision))
             ForwardFuzzCommandKind.REGISTRY_UNAVAILABLE -> fixture.forwarder.onRegistryChange(
-                RegistryChange.Unavailable,
+                RegistryChange.Unavailable(),
             )
             ForwardFuzzCommandKind.REGISTRY_AVAILABLE -> fixture.forwarder.onRegistryChange(RegistryChange.Available)
             ForwardFuzzCommandKind.DRAIN -> drain(command)
--- a/core/src/test/kotlin/org/lovageladder/core/forward/MembershipTest.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/forward/MembershipTest.kt
@@ -20,12 +20,15 @@
     private val one = ForwardFixture.registration("one", ForwardFixture.PLAIN, PoolRole.PLAIN, 1)
     private val two = ForwardFixture.registration("two", ForwardFixture.PLAIN, PoolRole.PLAIN, 2)
     private val oneRemoved = RegistryChange.Removed(UpstreamName("one"), revision = 2)
-    private val lost = RegistryChange.Unavailable
+    private val missing = RegistryChange.FullRead(listOf(two))
+    private val lost = RegistryChange.Unavailable()
     private val back = RegistryChange.Available
 
     private fun registered(revision: Long, isLeaving: Boolean = false) =
         RegistryChange.Registered(one.copy(isLeaving = isLeaving, revision = revision))
 
+    private fun silent(seconds: Int) = RegistryChange.Unavailable(seconds.seconds)
+
     private val cases = listOf(
         Case("both registered", 1, "one two"),
         Case("one leaves", 1, "two", 1 to registered(2, isLeaving = true)),
@@ -37,6 +40,18 @@
         Case("one leaves shortly after an outage", 8, "two", 1 to lost, 5 to back, 7 to oneRemoved),
         Case("expired, time to register again", 10, "one two", 1 to lost, 2 to oneRemoved, 8 to back),
         Case("expired, back", 9, "one two", 1 to lost, 5 to back, 5 to oneRemoved, 6 to registered(3)),
+        Case("missing after a short silence", 2, "two", 2 to silent(seconds = 2), 2 to back, 2 to missing),
+        Case("missing after a long silence", 4, "one two", 4 to silent(seconds = 3), 4 to back, 4 to missing),
+        Case(
+            "removed after a cut watch",
+            1,
+            "two",
+            1 to lost,
+            1 to back,
+            1 to missing.copy(listOf(one, two)),
+            1 to oneRemoved,
+        ),
+        Case("a short silence after an outage", 7, "one two", 1 to lost, 6 to back, 7 to lost, 7 to back, 7 to missing),
         Case("missing from another full read", 1, "two", 1 to RegistryChange.FullRead(listOf(two))),
     )
 
--- a/core/src/test/kotlin/org/lovageladder/core/forward/RegistryFollowerTest.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/forward/RegistryFollowerTest.kt
@@ -1,5 +1,7 @@
 package org.lovageladder.core.forward
 
+import org.lovageladder.core.Moment
+import org.lovageladder.core.PoolRole
 import org.lovageladder.core.ReleaseVersion
 import org.lovageladder.core.UpstreamName
 import kotlin.test.Test
@@ -10,8 +12,14 @@
 
 /** Following the registry when watches fail. */
 class RegistryFollowerTest {
+    /** Registry that answers each check of the contact. */
+    private abstract class AnsweringRegistry(protected val scheduler: VirtualScheduler) : RegistryPort {
+        override fun checkContact(answer: (Boolean) -> Unit): Cancellable =
+            scheduler.schedule(5.milliseconds) { answer(true) }
+    }
+
     /** Registry whose first watch fails after a second. A change is made meanwhile, and its history is lost. */
-    private class HistoryLosingRegistry(private val scheduler: VirtualScheduler) : RegistryPort {
+    private class HistoryLosingRegistry(scheduler: VirtualScheduler) : AnsweringRegistry(scheduler) {
         var currentVersion = 1L
         var reads = 0
         var watches = 0
@@ -26,9 +34,9 @@
             scheduler.schedule(12.milliseconds) { answer(RegistryRead.Complete(snapshot)) }
         }
 
-        override fun watch(revision: Long, timeout: Duration, answer: (RegistryWatch) -> Unit) {
+        override fun watch(revision: Long, timeout: Duration, answer: (RegistryWatch) -> Unit): Cancellable {
             watches += 1
-            if (watches == 1) {
+            return if (watches == 1) {
                 scheduler.schedule(1.seconds) { answer(RegistryWatch.Failed("connection lost")) }
             } else {
                 scheduler.schedule(timeout) { answer(RegistryWatch.HistoryExpired) }
@@ -62,10 +70,10 @@
 
     /** Registry that answers reads and watches from lists of epochs; each answer is at a later revision. */
     private class RestoredRegistry(
-        private val scheduler: VirtualScheduler,
+        scheduler: VirtualScheduler,
         private val readEpochs: ArrayDeque<Long>,
         private val watchEpochs: ArrayDeque<Long>,
-    ) : RegistryPort {
+    ) : AnsweringRegistry(scheduler) {
         private var revision = 10L
         val watchedRevisions = ArrayList<Long>()
 
@@ -76,12 +84,100 @@
             scheduler.schedule(5.milliseconds) { answer(RegistryRead.Complete(snapshot)) }
         }
 
-        override fun watch(revision: Long, timeout: Duration, answer: (RegistryWatch) -> Unit) {
+        override fun watch(revision: Long, timeout: Duration, answer: (RegistryWatch) -> Unit): Cancellable {
             watchedRevisions += revision
-            val epoch = watchEpochs.removeFirstOrNull() ?: return
+            val epoch = watchEpochs.removeFirstOrNull() ?: return Cancellable {}
             val changes = listOf(RegistryChange.LeaderChanged(hasLeader = true))
             val changed = RegistryWatch.Changed(revision + 1, emptyList(), changes, epoch)
-            scheduler.schedule(5.milliseconds) { answer(changed) }
+            return scheduler.schedule(5.milliseconds) { answer(changed) }
+        }
+    }
+
+    /**
+     * Registry whose connections of before [silentAt] stay silent from then on, without a reset. The upstream one is
+     * removed from it at [removedAt].
+     */
+    private class SilencedRegistry(
+        private val scheduler: VirtualScheduler,
+        private val silentAt: Moment,
+        private val removedAt: Moment,
+    ) : RegistryPort {
+        private var isReconnected = false
+        private val isSilent get() = !isReconnected && scheduler.now() >= silentAt
+        val one = ForwardFixture.registration("one", ForwardFixture.PLAIN, PoolRole.PLAIN, 1)
+
+        /** The call that fails is the last one on an old connection. */
+        private fun <Answer> onOldConnection(after: Duration, failed: Answer, answer: (Answer) -> Unit) =
+            scheduler.schedule(after) {
+                isReconnected = true
+                answer(failed)
+            }
+
+        override fun read(answer: (RegistryRead) -> Unit) {
+            if (isSilent) {
+                onOldConnection(CALL_TIMEOUT, RegistryRead.Failed("timeout"), answer)
+            } else {
+                val registrations = if (scheduler.now() >= removedAt) emptyList() else listOf(one)
+                scheduler.schedule(5.milliseconds) {
+                    answer(RegistryRead.Complete(RegistrySnapshot(1, null, registrations)))
+                }
+            }
+        }
+
+        override fun watch(revision: Long, timeout: Duration, answer: (RegistryWatch) -> Unit): Cancellable {
+            val unchanged = RegistryWatch.Changed(revision, emptyList(), emptyList())
+            val removed = unchanged.copy(revision = 2, changes = listOf(RegistryChange.Removed(one.name, revision = 2)))
+            val now = scheduler.now()
+            val endsAt = now + timeout
+            val isSilenced = isSilent || (now < silentAt && silentAt < endsAt)
+            val removal = (removedAt - now).coerceAtLeast(Duration.ZERO)
+            return when {
+                isSilenced -> onOldConnection(timeout + CALL_TIMEOUT, RegistryWatch.Failed("timeout"), answer)
+                revision < 2 && removedAt < endsAt -> scheduler.schedule(removal) { answer(removed) }
+                else -> scheduler.schedule(timeout) { answer(unchanged) }
+            }
+        }
+
+        override fun checkContact(answer: (Boolean) -> Unit): Cancellable = if (isSilent) {
+            onOldConnection(CALL_TIMEOUT, false, answer)
+        } else {
+            scheduler.schedule(5.milliseconds) { answer(true) }
+        }
+
+        companion object {
+            val CALL_TIMEOUT = 800.milliseconds
+        }
+    }
+
+    /**
+     * Guards against requests that reach an upstream after its drain, when it leaves while the connections to the
+     * registry are silent: the silence was noticed late, and the missing upstream was then forgiven as if the registry
+     * had been away. The load pattern is a silence at any moment of a watch.
+     */
+    @Test
+    fun upstreamRemovedBehindSilentConnectionsIsNotUsedAfterItsDrain() {
+        val contactBound = 3.seconds
+        val drainBound = 2.seconds
+        (0..30).map { it * 100 }.forEach { sinceWatch ->
+            listOf(0, 500, 1_500, 3_100).forEach { sinceSilence ->
+                val scheduler = VirtualScheduler()
+                val silentAt = scheduler.now() + (20_000 + sinceWatch).milliseconds
+                val removedAt = silentAt + sinceSilence.milliseconds
+                val registry = SilencedRegistry(scheduler, silentAt, removedAt)
+                val membership = Membership()
+                val listener = object : RegistryListener {
+                    override fun onConfiguration(configuration: ForwardConfiguration) = Unit
+
+                    override fun onChange(change: RegistryChange) = membership.apply(change, scheduler.now())
+                }
+                RegistryFollower(registry, scheduler, listener).start()
+                scheduler.advance(removedAt - scheduler.now() - 1.milliseconds)
+                assertEquals(1, membership.serving(ForwardFixture.PLAIN, scheduler.now()).size)
+                val boundAt = maxOf(removedAt + drainBound, silentAt + contactBound)
+                scheduler.advance(boundAt - scheduler.now())
+                val name = "silent $sinceWatch ms after 20 s, removed $sinceSilence ms later"
+                assertEquals(emptyList(), membership.serving(ForwardFixture.PLAIN, scheduler.now()), name)
+            }
         }
     }
 
--- a/core/src/test/kotlin/org/lovageladder/core/forward/UpstreamNoticesTest.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/forward/UpstreamNoticesTest.kt
@@ -97,7 +97,7 @@
                 register(it, restarted.copy(revision = 4))
             },
             Case("registry unavailable for a time", isUsed = false) {
-                it.forwarder.onRegistryChange(RegistryChange.Unavailable)
+                it.forwarder.onRegistryChange(RegistryChange.Unavailable())
                 it.scheduler.advance(30.seconds)
                 it.forwarder.onRegistryChange(RegistryChange.Available)
             },
--- a/daemon/src/main/kotlin/org/lovageladder/daemon/ForwardCommand.kt
+++ b/daemon/src/main/kotlin/org/lovageladder/daemon/ForwardCommand.kt
@@ -14,6 +14,7 @@
 import org.lovageladder.core.forward.ForwarderSettings
 import org.lovageladder.core.forward.Mechanism
 import org.lovageladder.core.forward.RetryLimits
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.minutes
 import kotlin.time.Duration.Companion.seconds
 
@@ -61,6 +62,13 @@
             2.seconds,
             DURATION_RANGE,
         )
+    private val registrationInterval by
+        durationFlag(
+            "--registration-interval",
+            "Interval at which upstreams renew their registrations.",
+            1_200.milliseconds,
+            REGISTRATION_INTERVAL_RANGE,
+        )
     private val answerBytes by
         countFlag(
             "--answer-bytes",
@@ -112,6 +120,7 @@
             expectedEntryCount = entryCount,
             prefillShare = prefillShare,
             drainBound = drainBound,
+            registrationInterval = registrationInterval,
             answerBytes = answerBytes,
             without = disabledMechanisms.toSet(),
         ),
@@ -126,6 +135,7 @@
         const val DEFAULT_ENTRY_COUNT = 8
         const val MAXIMUM_ENTRY_COUNT = 10_000
         val STOP_GRACE_RANGE = 1.seconds..60.minutes
+        val REGISTRATION_INTERVAL_RANGE = 100.milliseconds..10.minutes
         val DURATION_RANGE = 1.seconds..10.minutes
 
         fun settingKey(option: Option): String = option.names.first { it.startsWith("--") }.removePrefix("--")
--- a/daemon/src/main/kotlin/org/lovageladder/daemon/ForwardProcess.kt
+++ b/daemon/src/main/kotlin/org/lovageladder/daemon/ForwardProcess.kt
@@ -74,6 +74,7 @@
     private val timer = Executors.newSingleThreadScheduledExecutor { Thread(it, "timer").apply { isDaemon = true } }
     private val ending = ProcessEnding(settings.process.drainTimeout, timer)
     private val storeClient = TextClient(threads)
+    private val storeContactClient = TextClient(threads)
     private val store = StoreWriter(settings.process.store.first(), storeClient)
     private val calls = HttpUpstreamCalls(threads, PlatformUpstreamCodec(), eventLog::record) { upstream, notice ->
         forwarder.onUpstreamNotice(upstream, notice)
@@ -81,7 +82,7 @@
     private val forwarder: Forwarder = Forwarder(settings.forwarderSettings, calls, scheduler, eventLog::record)
     private val follower =
         RegistryFollower(
-            PlatformRegistry(settings.process.store.first(), storeClient, eventLog::record),
+            PlatformRegistry(settings.process.store.first(), storeClient, storeContactClient, eventLog::record),
             scheduler,
             RegistryUpdates(),
         )
@@ -143,6 +144,7 @@
         adminServer.close()
         calls.close()
         storeClient.close()
+        storeContactClient.close()
         timer.shutdownNow()
         threads.close()
         registry.close()
--- a/http/src/main/kotlin/org/lovageladder/http/HttpClient.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/HttpClient.kt
@@ -68,6 +68,9 @@
         return runningCall
     }
 
+    /** Closes the connections to [address] that carry no call, as when they may have gone silent. */
+    fun closeIdle(address: Address): Unit = idleConnections.closeAll(address)
+
     /** Closes all connections; running calls fail. */
     override fun close() {
         closed = true
--- a/http/src/main/kotlin/org/lovageladder/http/IdleConnections.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/IdleConnections.kt
@@ -64,6 +64,11 @@
             .forEach { it.channel.close() }
     }
 
+    /** Closes the idle connections to [address]. */
+    fun closeAll(address: Address) {
+        byAddress.remove(address)?.forEach { it.channel.close() }
+    }
+
     /** Removes a closed connection. */
     fun remove(address: Address, channel: Channel) {
         byAddress[address]?.removeIf { it.channel === channel }
--- a/http/src/main/kotlin/org/lovageladder/http/forward/TextClient.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/forward/TextClient.kt
@@ -2,6 +2,7 @@
 
 import io.netty.handler.codec.http.HttpMethod
 import org.lovageladder.core.Address
+import org.lovageladder.core.FaultCause
 import org.lovageladder.core.forward.CallFailure
 import org.lovageladder.core.forward.Cancellable
 import org.lovageladder.core.forward.HeaderField
@@ -25,7 +26,10 @@
     public data class Failed(val failure: CallFailure) : TextResult
 }
 
-/** HTTP client for calls with short bodies, with a connection pool of its own. */
+/**
+ * HTTP client for calls with short bodies, with a connection pool of its own. Connections of a peer often go silent
+ * together, without a reset; after a call that timed out, no idle connection to its address is used again.
+ */
 public class TextClient(threads: HttpThreads) : AutoCloseable {
     private val client = HttpClient(threads)
 
@@ -36,7 +40,10 @@
         timeout: Duration,
         fields: List<HeaderField> = emptyList(),
         answer: (TextResult) -> Unit,
-    ): Cancellable = client.sendText(address, call, timeout, fields, ByteArray(0), answer = answer)
+    ): Cancellable = client.sendText(address, call, timeout, fields, ByteArray(0)) { result ->
+        if (result is TextResult.Failed && result.failure.cause == FaultCause.TIMEOUT) closeIdle(address)
+        answer(result)
+    }
 
     /**
      * The same on a new connection that is closed afterwards, for a peer that may write an answer twice and does not
@@ -58,6 +65,9 @@
         answer = answer,
     )
 
+    /** Closes the connections to [address] that carry no call, since they may have gone silent. */
+    public fun closeIdle(address: Address): Unit = client.closeIdle(address)
+
     override fun close(): Unit = client.close()
 }
 
