Send no stream to an engine that left after its reservation

Cause: the decode was sent by a reservation that was up to two seconds old, without a look at the registry.

Evidence: the record of the case shows the reservation before the drain, two prefills of one second each without an answer, and the decode after them.

Change: admitsReserved looks at the registration (leaving, removed, replaced, other role) and at the leaving notice in the moment of sending; otherwise memory is reserved elsewhere, with the prefill result kept and the whole time of the caller.

--- a/core/src/main/kotlin/org/lovageladder/core/forward/ForwardContext.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/ForwardContext.kt
@@ -60,8 +60,12 @@
     fun quarantineAdmission(request: ForwardRequest): QuarantineAdmission =
         QuarantineAdmission(promptGuard, request, ::now)
 
-    /** Whether the engine of [grant] accepts the request for which it reserved memory. */
-    fun admitsReserved(grant: MemoryGrant): Boolean = notices.admitsReserved(grant.engine.incarnation, now()) &&
+    /**
+     * Whether the engine of [grant] accepts the request for which it reserved memory. All that may have changed since
+     * the reservation is looked at here, at the moment of sending.
+     */
+    fun admitsReserved(grant: MemoryGrant): Boolean = membership.admitsDecided(grant.engine, now()) &&
+        notices.admitsReserved(grant.engine.incarnation, now()) &&
         requestLimits.admitsReserved(grant.engine.name, grant.requestedAt, now())
 
     /**
--- a/core/src/main/kotlin/org/lovageladder/core/forward/Forwarder.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/Forwarder.kt
@@ -17,8 +17,8 @@
  * all entries together.
  * [expectedEntryCount] is used until the number of entries is known, and [prefillShare], the part of an engine
  * service's work that is prefill, until enough requests were measured. An upstream that announced that it is leaving
- * gets no new requests after [drainBound]. Upstreams renew their registrations every [registrationInterval]. The answer of a plain service may have [answerBytes] bytes. Experiments
- * switch off the mechanisms in [without].
+ * gets no new requests after [drainBound]. Upstreams renew their registrations every [registrationInterval]. The
+ * answer of a plain service may have [answerBytes] bytes. Experiments switch off the mechanisms in [without].
  */
 public data class ForwarderSettings(
     val name: ProcessName,
--- a/core/src/main/kotlin/org/lovageladder/core/forward/Membership.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/Membership.kt
@@ -75,11 +75,11 @@
 
 /**
  * Upstreams that may get requests, according to the registry. Upstreams renew their registrations every
- * [registrationInterval], and a registration expires after [EXPIRY_INTERVALS] of them. Registrations can therefore expire
- * during a registry outage although their upstreams are alive. An upstream whose registration is removed during such an
- * outage or shortly after it stays in use until [REGISTRATION_GRACE_PERIOD] after the registry became available. In a
- * shorter silence of the registry, such as a connection that was lost, no living upstream's registration expires, so that
- * one that is missing afterwards was removed.
+ * [registrationInterval], and a registration expires after [EXPIRY_INTERVALS] of them. Registrations can therefore
+ * expire during a registry outage although their upstreams are alive. An upstream whose registration is removed during
+ * such an outage or shortly after it stays in use until [REGISTRATION_GRACE_PERIOD] after the registry became
+ * available. In a shorter silence of the registry, such as a connection that was lost, no living upstream's
+ * registration expires, so that one that is missing afterwards was removed.
  *
  * The copy from which a registry is restored is older than what this process knows: an upstream that left, is leaving
  * or was started anew since does not come back by it, but only by a registration of its own. Confined to one thread.
@@ -89,6 +89,7 @@
     private val missing = HashSet<UpstreamName>()
     private val endedStarts = HashMap<UpstreamName, Long?>()
     private val removedAt = HashMap<UpstreamName, Moment>()
+    private val withdrawnSince = HashMap<UpstreamName, Moment>()
     private val changingRole = HashSet<UpstreamName>()
     private var isRestored = false
     private var gracePeriodUntil: Moment? = null
@@ -101,7 +102,7 @@
     /** Applies [change]. */
     public fun apply(change: RegistryChange, now: Moment) {
         when (change) {
-            is RegistryChange.Registered -> update(change.registration)
+            is RegistryChange.Registered -> update(change.registration, now)
             is RegistryChange.Removed -> remove(change, now)
             is RegistryChange.RoleChangeAnnounced ->
                 if (change.isAnnounced) changingRole += change.name else changingRole -= change.name
@@ -145,6 +146,19 @@
         }
     }
 
+    /**
+     * Whether the upstream of [chosen] accepts at [now] a request that was to be sent there by an earlier decision. It
+     * does until shortly after it began to leave or was removed, unless it was replaced or has another role.
+     */
+    public fun admitsDecided(chosen: UpstreamRegistration, now: Moment): Boolean {
+        removeExpired(now)
+        val current = registrations[chosen.name]
+        if (hasEnded(chosen.incarnation)) return false
+        if (current != null && (current.role != chosen.role || current.name in changingRole)) return false
+        val since = withdrawnSince[chosen.name] ?: return current != null
+        return now - since < IN_FLIGHT_TOLERANCE
+    }
+
     /** Upstreams of [service] that accept new requests at [now]. */
     public fun serving(service: ServiceName, now: Moment): List<UpstreamRegistration> =
         registered(service, now).filter { it.name !in changingRole }
@@ -158,7 +172,7 @@
     /** The upstream [name], also when it is leaving; null when it is unknown. */
     public operator fun get(name: UpstreamName): UpstreamRegistration? = registrations[name]
 
-    private fun update(registration: UpstreamRegistration) {
+    private fun update(registration: UpstreamRegistration, now: Moment) {
         if (endedStarts.containsKey(registration.name) &&
             endedStarts[registration.name] == registration.startedAt
         ) {
@@ -170,6 +184,12 @@
         removedAt.remove(registration.name)
         missing.remove(registration.name)
         registrations[registration.name] = registration
+        if (registration.isLeaving) {
+            withdrawnSince.putIfAbsent(registration.name, now)
+        } else {
+            withdrawnSince -=
+                registration.name
+        }
     }
 
     private fun remove(change: RegistryChange.Removed, now: Moment) {
@@ -183,10 +203,15 @@
         } else {
             registrations.remove(name)
             missing.remove(name)
-            removedAt[name] = now
+            recordRemoval(name, now)
         }
     }
 
+    private fun recordRemoval(name: UpstreamName, now: Moment) {
+        removedAt[name] = now
+        withdrawnSince.putIfAbsent(name, now)
+    }
+
     /** Whether a missing registration may still be renewed by a living upstream. */
     private fun isGracePeriod(now: Moment): Boolean =
         unavailableSince != null || gracePeriodUntil?.let { now < it } ?: false
@@ -198,10 +223,11 @@
         registrations.keys.filter { it !in names }.forEach { markMissing(it, now) }
         endedStarts.keys.retainAll(names)
         removedAt.values.removeIf { now - it > REMOVAL_MEMORY }
+        withdrawnSince.entries.removeIf { (name, since) -> name !in registrations && now - since > REMOVAL_MEMORY }
         val current = if (isRestored) newRegistrations.mapNotNull(::correctCopy) else newRegistrations
         if (isRestored) registrations.replaceAll { _, registration -> registration.copy(revision = NO_REVISION) }
         isRestored = false
-        current.forEach(::update)
+        current.forEach { update(it, now) }
     }
 
     /** Corrects [copy], from before the registry was restored, by what this process knows; null when it has left. */
@@ -220,7 +246,7 @@
     private fun removeExpired(now: Moment) {
         if (missing.isEmpty() || isGracePeriod(now)) return
         registrations.keys.removeAll(missing)
-        missing.forEach { removedAt[it] = now }
+        missing.forEach { recordRemoval(it, now) }
         missing.clear()
     }
 
--- a/core/src/main/kotlin/org/lovageladder/core/forward/StreamFlow.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/StreamFlow.kt
@@ -42,6 +42,7 @@
     private var lastEventId: Long? = request.resumeAfterEventId
     private var runCount = 0
     private var attemptCount = 0
+    private var hadMemory = false
     private var headSent = false
     private var isFinished = false
 
@@ -97,7 +98,7 @@
         if (refuseIfQuarantined()) return
         val now = context.now()
         val grantDeadline =
-            if (headSent || attemptCount > 0) {
+            if (headSent || attemptCount > 0 || hadMemory) {
                 deadlines.deadline
             } else {
                 maxOf(now, deadlines.targetAt - estimates.startupTime)
@@ -121,6 +122,7 @@
     private fun onMemoryGranted(memory: MemoryGrant) {
         memoryRequest = null
         grant = memory
+        hadMemory = true
         summary.recordGrant(context.now())
         if (refuseIfQuarantined()) return
         prefillResult = prefillResult?.let { context.unlessLost(it, request.id) }
@@ -165,8 +167,9 @@
     }
 
     /**
-     * The engine asked for a pause, or named a limit, after it reserved the memory, so memory is requested again. A
-     * prefill result can be used by another engine too.
+     * The engine began to leave, was replaced, asked for a pause or named a limit after it reserved the memory, so
+     * memory is requested again; the request keeps its place in the queue. A prefill result can be used by another
+     * engine too.
      */
     private fun replaceEngine(memory: MemoryGrant) {
         grant = null
--- a/core/src/main/kotlin/org/lovageladder/core/forward/UpstreamNotices.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/UpstreamNotices.kt
@@ -71,14 +71,17 @@
     }
 
     /** Whether [incarnation] may get a new request at [now]. */
-    fun admits(incarnation: UpstreamIncarnation, now: Moment): Boolean {
-        if (pausedUntil(incarnation, now) != null) return false
+    fun admits(incarnation: UpstreamIncarnation, now: Moment): Boolean =
+        pausedUntil(incarnation, now) == null && isWithinDrain(incarnation, now)
+
+    private fun isWithinDrain(incarnation: UpstreamIncarnation, now: Moment): Boolean {
         val since = leavingSince[incarnation] ?: return true
         return now - since < drainBound / 2
     }
 
     /** Whether [incarnation] may get a request at [now] for which it has already reserved memory. */
     fun admitsReserved(incarnation: UpstreamIncarnation, now: Moment): Boolean {
+        if (!isWithinDrain(incarnation, now)) return false
         val pause = pauses[incarnation] ?: return true
         return now >= pause.until || now - pause.since < IN_FLIGHT_TOLERANCE
     }
--- a/core/src/test/kotlin/org/lovageladder/core/forward/StreamFlowTest.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/forward/StreamFlowTest.kt
@@ -1,6 +1,7 @@
 package org.lovageladder.core.forward
 
 import org.lovageladder.core.Address
+import org.lovageladder.core.PoolRole
 import org.lovageladder.core.UpstreamName
 import kotlin.test.Test
 import kotlin.test.assertEquals
@@ -53,6 +54,54 @@
         assertEquals(listOf(true, false, false), isUsed)
     }
 
+    /**
+     * Guards against a stream that reaches an engine after its drain, by a reservation from before it. Load pattern:
+     * prefill engines that fall silent while decode engines are replaced.
+     */
+    @Test
+    fun reservationFromBeforeADrainIsNotUsedLongAfterItBegan() {
+        data class Case(
+            val name: String,
+            val sinceChange: Duration,
+            val isUsed: Boolean,
+            val change: (UpstreamRegistration) -> RegistryChange?,
+        )
+        val prefillTime = 2.seconds
+        fun registered(change: UpstreamRegistration.() -> UpstreamRegistration) = { engine: UpstreamRegistration ->
+            RegistryChange.Registered(engine.change().copy(revision = 2))
+        }
+        fun removed(engine: UpstreamRegistration) = RegistryChange.Removed(engine.name, revision = 2)
+        fun announced(engine: UpstreamRegistration) = RegistryChange.RoleChangeAnnounced(engine.name, true)
+        listOf(
+            Case("unchanged", 1_900.milliseconds, true, registered { this }),
+            Case("leaves", 1_900.milliseconds, false, registered { copy(isLeaving = true) }),
+            Case("began to leave just now", 100.milliseconds, true, registered { copy(isLeaving = true) }),
+            Case("removed", 1_900.milliseconds, false, ::removed),
+            Case("removed just now", 100.milliseconds, true, ::removed),
+            Case("started anew", 100.milliseconds, false, registered { copy(startedAt = 7) }),
+            Case("address used again", 100.milliseconds, false, registered { copy(name = UpstreamName("new")) }),
+            Case("other role", 100.milliseconds, false, registered { copy(role = PoolRole.PREFILL) }),
+            Case("role change announced", 100.milliseconds, false, ::announced),
+            Case("says in an answer that it leaves", 1_900.milliseconds, false) { null },
+            Case("said just now that it leaves", 100.milliseconds, true) { null },
+        ).forEach { case ->
+            val fixture = ForwardFixture()
+            fixture.upstreams.prefillTime = prefillTime
+            fixture.submit("/stream/1")
+            fixture.scheduler.advance(prefillTime - case.sinceChange)
+            val reserved = fixture.upstreams.lastReserved
+            val engine = ForwardFixture.REGISTRATIONS.single { it.name == reserved.name }
+            val change = case.change(engine)
+            if (change == null) fixture.forwarder.onUpstreamNotice(reserved, UpstreamNotice(isLeaving = true))
+            change?.let(fixture.forwarder::onRegistryChange)
+            fixture.scheduler.advance(case.sinceChange + 50.milliseconds)
+            val attempt = fixture.upstreams.receivedCalls.single().attempt
+            assertEquals(case.isUsed, attempt.upstream == reserved, case.name)
+            assertNotNull(attempt.prefillResult, case.name)
+            assertEquals(1, fixture.upstreams.reservations, case.name)
+        }
+    }
+
     /** Load pattern: unframed streams, beside engines that crash between two events. */
     @Test
     fun unframedStreamIsCompleteOnlyIfItsEngineOutlivedItsEnd() {
