Free a prefill result whose request ends while it waits for other memory

What callers saw: nothing; an engine kept the memory of a prefilled prompt for nobody until it expired (6 s and more).

Cause: StreamFlow frees the prefill result together with its reservation.

Change: the prefill result is freed whenever the request ends without having used it.

Before: StreamFlowTest.prefillResultIsFreedWhenARequestEndsWithoutOtherMemory failed (0 results freed, 1 expected). After: it passes.

--- a/core/src/main/kotlin/org/lovageladder/core/forward/StreamFlow.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/StreamFlow.kt
@@ -357,20 +357,18 @@
     }
 
     /**
-     * Releases memory and prefill result. If [isUsed], the decode engine has taken them, and only the accounts of this
-     * process change.
+     * Releases memory and prefill result, which is held alone while the request waits for other memory. If [isUsed], the
+     * decode engine has taken them, and only the accounts of this process change.
      */
     private fun releaseMemory(isUsed: Boolean) {
+        if (!isUsed) prefillResult?.let(context::free)
+        prefillResult = null
         val memory = grant ?: return
         grant = null
         val wasSent = decodeCall != null
         if (wasSent) context.upstreamSelector.health(memory.engine.name).inFlight -= 1
         decodeCall = null
-        if (!isUsed) {
-            context.release(memory, wasSent)
-            prefillResult?.let(context::free)
-        }
-        prefillResult = null
+        if (!isUsed) context.release(memory, wasSent)
         memoryQueue.onFreed(memory)
     }
 
--- a/core/src/test/kotlin/org/lovageladder/core/forward/StreamFlowTest.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/forward/StreamFlowTest.kt
@@ -102,6 +102,20 @@
         }
     }
 
+    /** Guards against engine memory that is held for nobody, when no engine is left for a prompt that is prefilled. */
+    @Test
+    fun prefillResultIsFreedWhenARequestEndsWithoutOtherMemory() {
+        val submitted = fixture.submit("/stream/1")
+        fixture.scheduler.advance(50.milliseconds)
+        val engines = ForwardFixture.REGISTRATIONS.filter { it.role == PoolRole.DECODE }
+        engines.forEach {
+            fixture.forwarder.onRegistryChange(RegistryChange.Registered(it.copy(startedAt = 7, isLeaving = true)))
+        }
+        fixture.scheduler.advance(100.milliseconds)
+        assertEquals(RefusalReason.NO_UPSTREAM, submitted.reply.refusal?.reason)
+        assertEquals(1, fixture.upstreams.freed.size)
+    }
+
     /** Load pattern: unframed streams, beside engines that crash between two events. */
     @Test
     fun unframedStreamIsCompleteOnlyIfItsEngineOutlivedItsEnd() {
