Drop requests whose callers left while the event loop was held up

Cause: a read stopped after the bytes of a request, so that the close behind them was met a turn of the event loop later, after the request had been forwarded; and a close was told by channelInactive, after all that had arrived in the same turn.

Evidence: with the event loop held up for 0.4 s, requests of callers that had closed were forwarded, on new and on kept connections.

Change: connections are read until nothing is left, a request starts after that, and the close is told at once.

That this was the users' case is likely, not shown.

--- a/http/src/main/kotlin/org/lovageladder/http/HttpListener.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/HttpListener.kt
@@ -1,6 +1,7 @@
 package org.lovageladder.http
 
 import io.netty.bootstrap.ServerBootstrap
+import io.netty.channel.AdaptiveRecvByteBufAllocator
 import io.netty.channel.Channel
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
@@ -22,6 +23,7 @@
     .childOption(ChannelOption.TCP_NODELAY, true)
     .childOption(ChannelOption.SO_KEEPALIVE, true)
     .childOption(ChannelOption.ALLOCATOR, HttpBuffers.allocator)
+    .childOption(ChannelOption.RECVBUF_ALLOCATOR, readToTheEnd)
     .childHandler(initializer)
     .bind(bind.ip, bind.port)
     .syncUninterruptibly()
@@ -31,5 +33,12 @@
 internal fun boundAddress(listener: Channel): Address =
     (listener.localAddress() as InetSocketAddress).let { Address(it.address.hostAddress, it.port) }
 
+/** Reads until nothing is left, so that the close of a connection is seen together with the bytes before it. */
+private val readToTheEnd =
+    AdaptiveRecvByteBufAllocator().respectMaybeMoreData(false).maxMessagesPerRead(MAXIMUM_READS)
+
+/** Reads of one connection before others have their turn. */
+private const val MAXIMUM_READS = 16
+
 /** Maximum connections waiting to be accepted; more than the usual 50, since callers connect in bursts. */
 private const val BACKLOG = 1024
--- a/http/src/main/kotlin/org/lovageladder/http/forward/ForwardConnection.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/forward/ForwardConnection.kt
@@ -21,8 +21,10 @@
 
 /**
  * A caller's connection. Handles one request at a time; pipelined requests wait in order, and the connection is closed
- * when there are too many of them. While the process is draining, the connection is closed after an answer behind which
- * no request waits. Runs on the event loop thread, except for [closeIfIdle] and [close].
+ * when there are too many of them. A request starts after all that has arrived on the connection was read: when the
+ * event loop was held up, the caller may have closed the connection since, and its request is dropped. While the
+ * process is draining, the connection is closed after an answer behind which no request waits. Runs on the event loop
+ * thread, except for [closeIfIdle] and [close].
  */
 internal class ForwardConnection(
     private val channel: Channel,
@@ -37,6 +39,8 @@
     private var openRequest: RequestHandle? = null
 
     override fun channelActive(context: ChannelHandlerContext) {
+        // The close is told before other work of this turn of the event loop; channelInactive would come after it.
+        channel.closeFuture().addListener { onClosed() }
         receiveTimer.awaitRequest()
         context.fireChannelActive()
     }
@@ -70,17 +74,17 @@
     }
 
     override fun channelRead0(context: ChannelHandlerContext, request: FullHttpRequest) {
-        if (currentReply == null && pipelined.isEmpty()) {
-            startRequest(request)
-        } else if (pipelined.size < MAXIMUM_PIPELINED_REQUESTS) {
-            pipelined.add(request)
-        } else {
+        val startable = if (currentReply == null) 1 else 0
+        if (pipelined.size >= MAXIMUM_PIPELINED_REQUESTS + startable) {
             request.release()
             channel.close()
+            return
         }
+        pipelined.add(request)
+        if (currentReply == null && pipelined.size == 1) channel.eventLoop().execute(::startNext)
     }
 
-    override fun channelInactive(context: ChannelHandlerContext) {
+    private fun onClosed() {
         receiveTimer.stop()
         pipelined.forEach { it.release() }
         pipelined.clear()
--- a/http/src/test/kotlin/org/lovageladder/http/forward/ForwardServerTest.kt
+++ b/http/src/test/kotlin/org/lovageladder/http/forward/ForwardServerTest.kt
@@ -73,6 +73,16 @@
         EventLoopScheduler(threads).execute(action)
     }
 
+    /** Holds the event loop up for a while; returns when that began. */
+    private fun stallEventLoop() {
+        val begun = CountDownLatch(1)
+        onEventLoop {
+            begun.countDown()
+            Thread.sleep(STALL_MILLISECONDS)
+        }
+        assertTrue(begun.await(10, TimeUnit.SECONDS))
+    }
+
     private fun answerHead(status: Int) =
         AnswerHead(status, listOf(HeaderField("Seal", "s")), isDeclined = false, isWrongInstance = false, load = null)
 
@@ -98,6 +108,57 @@
         }
     }
 
+    /**
+     * Guards against work for callers that left while the event loop was held up: the request and the close of its
+     * connection are both there when it goes on. Load pattern: a stall under callers that do not wait.
+     */
+    @Test
+    fun requestsOfCallersThatLeftDuringAStallAreNotForwarded() {
+        val kept = List(20) { CallerSocket(server.address) }
+        kept.forEach { it.send("GET /first HTTP/1.1\r\nHost: h\r\nId: 1\r\n\r\n") }
+        repeat(kept.size) {
+            val (_, reply) = takeRequest()
+            onEventLoop { reply.refuse(Refusal(RefusalReason.OVERLOADED)) }
+        }
+        kept.forEach { it.readAnswer() }
+        stallEventLoop()
+        val leaving = kept + List(20) { CallerSocket(server.address) }
+        leaving.forEach { caller ->
+            caller.send("GET /left HTTP/1.1\r\nHost: h\r\nId: 2\r\n\r\n")
+            caller.close()
+        }
+        CallerSocket(server.address).use { staying ->
+            staying.send("GET /stays HTTP/1.1\r\nHost: h\r\nId: 3\r\n\r\n")
+            assertEquals("/stays", takeRequest().first.target)
+            assertNull(forwarded.poll(STALL_MILLISECONDS, TimeUnit.MILLISECONDS)?.first?.target)
+        }
+    }
+
+    /**
+     * Guards against calls for a caller that left: its close is told before other work that arrived with it, such as a
+     * grant of memory for its request.
+     */
+    @Test
+    fun closeIsToldBeforeWhatArrivedDuringTheSameStall() {
+        val order = LinkedBlockingQueue<String>()
+        val recording = object : ForwardHandler by handler {
+            override fun forward(request: ForwardRequest, reply: CallerReply): RequestHandle {
+                order += request.target
+                return RequestHandle { order += "left ${request.target}" }
+            }
+        }
+        ForwardServer(Address("127.0.0.1", 0), threads, parser, recording).use { server ->
+            val (leaving, other) = List(2) { CallerSocket(server.address) }
+            leaving.send("GET /open HTTP/1.1\r\nHost: h\r\nId: 1\r\n\r\n")
+            assertEquals("/open", order.poll(10, TimeUnit.SECONDS))
+            stallEventLoop()
+            other.send("GET /other HTTP/1.1\r\nHost: h\r\nId: 2\r\n\r\n")
+            leaving.close()
+            assertEquals(listOf("left /open", "/other"), List(2) { order.poll(10, TimeUnit.SECONDS) })
+            other.close()
+        }
+    }
+
     /** While draining, a request that waits on a connection is answered before the last answer closes it. */
     @Test
     fun pipelinedRequestsAreAnsweredInOrderAlsoWhileDraining() {
@@ -232,5 +293,6 @@
 
     private companion object {
         const val ANSWER_BYTES = 250_000
+        const val STALL_MILLISECONDS = 400L
     }
 }
