--- a/core/src/main/kotlin/org/lovageladder/core/forward/StreamFlow.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/StreamFlow.kt
@@ -357,8 +357,8 @@
     }
 
     /**
-     * Releases memory and prefill result, which is held alone while the request waits for other memory. If [isUsed], the
-     * decode engine has taken them, and only the accounts of this process change.
+     * Releases memory and prefill result; the latter is held alone while the request waits for other memory. If
+     * [isUsed], the decode engine has taken them, and only the accounts of this process change.
      */
     private fun releaseMemory(isUsed: Boolean) {
         if (!isUsed) prefillResult?.let(context::free)
--- a/http/src/main/kotlin/org/lovageladder/http/HttpClientConnection.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/HttpClientConnection.kt
@@ -21,7 +21,10 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
-/** One client connection and its current call. Confined to its event loop thread. */
+/**
+ * One client connection and its current call. Answers that are not the call's own are skipped up to a limit, since a
+ * faulty peer may write them without end. Confined to its event loop thread.
+ */
 internal class HttpClientConnection(private val idleConnections: IdleConnections) :
     SimpleChannelInboundHandler<HttpObject>() {
     private lateinit var context: ChannelHandlerContext
@@ -29,6 +32,7 @@
     private var address: Address? = null
     private var keepAlive = true
     private var skippingAnswer = false
+    private val skipLimit = SkipLimit()
     private val history = ConnectionHistory()
     private var idleTimeout: Duration? = null
 
@@ -45,6 +49,7 @@
         val request = encodeOrFail(runningCall) ?: return
         currentCall = runningCall
         address = runningCall.address
+        skipLimit.restart()
         runningCall.onSend(context.channel())
         context.writeAndFlush(request).addListener { written ->
             if (!written.isSuccess) {
@@ -61,10 +66,14 @@
             return
         }
         if (message is HttpResponse) startAnswer(runningCall, message)
-        if (message is HttpContent && !skippingAnswer) {
-            runningCall.onContent(message.content())
-            if (message is LastHttpContent) finishAnswer(runningCall)
+        if (message !is HttpContent) return
+        if (skippingAnswer) {
+            skipLimit.addBytes(message.content().readableBytes())
+            if (skipLimit.isExceeded) onEndlessAnswers(runningCall)
+            return
         }
+        runningCall.onContent(message.content())
+        if (message is LastHttpContent) finishAnswer(runningCall)
     }
 
     /** Starts the answer, or skips it when it is an interim (1xx) answer or belongs to another call. */
@@ -74,7 +83,10 @@
             !interim && !runningCall.isEnded && !history.isAnswer(runningCall.call.recognition, response.headers())
         skippingAnswer = interim || unrelated
         if (unrelated) skip(runningCall, response)
-        if (skippingAnswer) return
+        if (skippingAnswer) {
+            skipLimit.addAnswer()
+            return
+        }
         val isKept = history.recordAnswer(runningCall.call.recognition, response.status().code(), response.headers())
         keepAlive = keepAlive && isKept && runningCall.isConnectionKept && HttpUtil.isKeepAlive(response)
         idleTimeout = announcedIdleTimeout(response)
@@ -123,6 +135,13 @@
         context.close()
     }
 
+    private fun onEndlessAnswers(runningCall: RunningHttpCall) {
+        currentCall = null
+        val detail = "the peer wrote ${skipLimit.describe()} before the answer"
+        runningCall.fail(HttpFailure(FaultCause.PROTOCOL, requestSent = true, detail = detail))
+        context.close()
+    }
+
     private fun onConnectionLost(cause: Throwable?) {
         val runningCall = currentCall ?: return
         currentCall = null
--- a/http/src/test/kotlin/org/lovageladder/http/forward/HttpUpstreamCallsTest.kt
+++ b/http/src/test/kotlin/org/lovageladder/http/forward/HttpUpstreamCallsTest.kt
@@ -258,6 +258,28 @@
         }
     }
 
+    /**
+     * Guards against an upstream that writes answers without end which are not the call's own: interim ones, and those
+     * of another request, which were read on until the call's time was over.
+     */
+    @Test
+    fun endlessAnswersOfOtherCallsFailTheCall() {
+        val other = "HTTP/1.1 200 X\r\nId: other\r\n"
+        listOf(
+            PeerBehaviour.SendEndlessly("", "HTTP/1.1 100 Continue\r\n\r\n"),
+            PeerBehaviour.SendEndlessly("", "HTTP/1.1 103 Hints\r\nLink: </a>\r\n\r\n"),
+            PeerBehaviour.SendEndlessly("", "${other}Content-Length: 0\r\n\r\n"),
+            PeerBehaviour.SendEndlessly("${other}Transfer-Encoding: chunked\r\n\r\n", "4\r\nmore\r\n"),
+            PeerBehaviour.SendEndlessly("${other}\r\n", "more"),
+            PeerBehaviour.SendEndlessly("${other}Content-Length: 2000000000\r\n\r\n", "more"),
+        ).forEach { behaviour ->
+            FaultyPeer(behaviour).use { peer ->
+                assertEquals("failed sent=true", outcomeOf(peer.address), "$behaviour")
+                assertTrue(peer.bytesSent < SOCKET_BUFFERS, "$behaviour: ${peer.bytesSent} bytes taken")
+            }
+        }
+    }
+
     @Test
     fun engineCallsUseTheirPathsAndBodies() {
         FaultyPeer(PeerBehaviour.Send(FaultyPeer.answer(200, "k1", "Connection: close"))).use { peer ->
