Keep a watch of the store while its contact is in doubt

Cause: a failed check of the contact gave the watch up. Where the store was only slow, the removal that the watch would have told was lost until a read succeeded.

Change: after a failed check all is read on a new connection beside the watch; whichever answers first ends the other.

--- a/core/src/main/kotlin/org/lovageladder/core/forward/Membership.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/Membership.kt
@@ -187,8 +187,7 @@
         if (registration.isLeaving) {
             withdrawnSince.putIfAbsent(registration.name, now)
         } else {
-            withdrawnSince -=
-                registration.name
+            withdrawnSince.remove(registration.name)
         }
     }
 
--- a/core/src/main/kotlin/org/lovageladder/core/forward/RegistryFollower.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/RegistryFollower.kt
@@ -76,7 +76,8 @@
  * would miss the changes made in between if the registry dropped its history at that moment.
  *
  * Connections can go silent without a reset, usually all at once, and a watch without changes does not show it until it
- * ends. The contact is therefore checked at short intervals; a failed check ends the watch.
+ * ends. The contact is therefore checked at short intervals; after a failed check, all is read beside the watch, and
+ * whichever answers first ends the other.
  *
  * An answer of a later epoch shows that the registry was restored from an older copy. All is read again then, also when
  * the registry knows the revision of the watch, since it may have reached it by other changes. Answers of an earlier
@@ -92,6 +93,8 @@
     private var lastAnswerAt = scheduler.now()
     private var epoch: Long? = null
     private var runningWatch: Cancellable? = null
+    private var isReading = false
+    private var readNumber = 0
 
     /** Begins to follow the registry. Must be called once. */
     public fun start() {
@@ -99,19 +102,29 @@
         scheduleContactCheck()
     }
 
+    /** Reads all, until it succeeds or another answer of the registry makes the read needless. */
     private fun readAll() {
+        isReading = true
+        val number = ++readNumber
         registry.read { read ->
-            when (read) {
-                is RegistryRead.Complete -> onRead(read.snapshot)
-                is RegistryRead.Failed -> {
+            when {
+                number != readNumber -> Unit
+                read is RegistryRead.Complete -> onRead(read.snapshot)
+                else -> {
                     onFailure()
-                    scheduler.schedule(retryDelay()) { readAll() }
+                    scheduler.schedule(retryDelay()) { if (number == readNumber) readAll() }
                 }
             }
         }
     }
 
+    private fun endRead() {
+        isReading = false
+        readNumber += 1
+    }
+
     private fun onRead(snapshot: RegistrySnapshot) {
+        endRead()
         onAnswer()
         val known = epoch
         if (known != null && snapshot.epoch < known) {
@@ -142,15 +155,19 @@
     }
 
     private fun watchFrom(revision: Long) {
+        runningWatch?.cancel()
         runningWatch = registry.watch(revision, WATCH_TIMEOUT) { watch ->
             runningWatch = null
             when (watch) {
-                is RegistryWatch.Changed -> onChanges(watch, after = revision)
+                is RegistryWatch.Changed -> {
+                    endRead()
+                    onChanges(watch, after = revision)
+                }
                 RegistryWatch.HistoryExpired -> {
                     onAnswer()
                     readAll()
                 }
-                is RegistryWatch.Failed -> onWatchFailed()
+                is RegistryWatch.Failed -> if (!isReading) onWatchFailed()
             }
         }
     }
@@ -169,12 +186,14 @@
         }
     }
 
-    /** Ends the watch, which may wait on a silent connection. A read that is in progress ends soon by itself. */
+    /**
+     * Reads all on another connection, since the watch may wait on a silent one. The watch goes on until then, as a
+     * registry that is only slow answers it first.
+     */
     private fun onContactLost() {
-        val watch = runningWatch ?: return
-        runningWatch = null
-        watch.cancel()
-        onWatchFailed()
+        if (runningWatch == null || isReading) return
+        onFailure()
+        readAll()
     }
 
     private fun onAnswer() {
--- a/core/src/test/kotlin/org/lovageladder/core/forward/RegistryFollowerTest.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/forward/RegistryFollowerTest.kt
@@ -149,6 +149,47 @@
         }
     }
 
+    /** Registry that is too slow for short calls after the first read; a watch still tells of the removal of one. */
+    private class SlowRegistry(private val scheduler: VirtualScheduler) : RegistryPort {
+        private var reads = 0
+        val one = ForwardFixture.registration("one", ForwardFixture.PLAIN, PoolRole.PLAIN, 1)
+
+        override fun read(answer: (RegistryRead) -> Unit) {
+            reads += 1
+            val isFirst = reads == 1
+            val snapshot = RegistrySnapshot(revision = 1, configuration = null, listOf(one))
+            val result = if (isFirst) RegistryRead.Complete(snapshot) else RegistryRead.Failed("timeout")
+            scheduler.schedule(if (isFirst) 5.milliseconds else 800.milliseconds) { answer(result) }
+        }
+
+        override fun watch(revision: Long, timeout: Duration, answer: (RegistryWatch) -> Unit): Cancellable {
+            val removed = RegistryChange.Removed(one.name, revision = 2)
+            return scheduler.schedule(2_200.milliseconds) {
+                answer(RegistryWatch.Changed(2, emptyList(), listOf(removed)))
+            }
+        }
+
+        override fun checkContact(answer: (Boolean) -> Unit): Cancellable =
+            scheduler.schedule(800.milliseconds) { answer(false) }
+    }
+
+    /** Guards against news that is lost because a watch is given up while the registry is only slow. */
+    @Test
+    fun watchThatAnswersAfterAFailedCheckIsHeard() {
+        val scheduler = VirtualScheduler()
+        val membership = Membership()
+        val listener = object : RegistryListener {
+            override fun onConfiguration(configuration: ForwardConfiguration) = Unit
+
+            override fun onChange(change: RegistryChange) = membership.apply(change, scheduler.now())
+        }
+        RegistryFollower(SlowRegistry(scheduler), scheduler, listener).start()
+        scheduler.advance(2.seconds)
+        assertEquals(1, membership.serving(ForwardFixture.PLAIN, scheduler.now()).size)
+        scheduler.advance(600.milliseconds)
+        assertEquals(emptyList(), membership.serving(ForwardFixture.PLAIN, scheduler.now()))
+    }
+
     /**
      * Guards against requests that reach an upstream after its drain, when it leaves while the connections to the
      * registry are silent: the silence was noticed late, and the missing upstream was then forgiven as if the registry
