Do not refuse a reserved engine whose address is registered twice

Change: an engine that the queue may choose is always admitted.

Before: BrokenAnswerFramedAsCompleteTest did not end on the parent commit. After: it passes, with StreamFlowTest, MembershipTest and RegistryFollowerTest.

--- a/core/src/main/kotlin/org/lovageladder/core/forward/Membership.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/Membership.kt
@@ -137,10 +137,13 @@
         endedStarts[name] = registration.startedAt
     }
 
+    private fun isEndedStart(name: UpstreamName, startedAt: Long?) =
+        endedStarts.containsKey(name) && endedStarts[name] == startedAt
+
     /** Whether [incarnation] is known to have ended: it was reported, or another one has its name or address. */
     public fun hasEnded(incarnation: UpstreamIncarnation): Boolean {
         val name = incarnation.name
-        if (endedStarts.containsKey(name) && endedStarts[name] == incarnation.startedAt) return true
+        if (isEndedStart(name, incarnation.startedAt)) return true
         return registrations.values.any {
             it.incarnation != incarnation && (it.name == name || it.address == incarnation.address)
         }
@@ -148,13 +151,16 @@
 
     /**
      * Whether the upstream of [chosen] accepts at [now] a request that was to be sent there by an earlier decision. It
-     * does until shortly after it began to leave or was removed, unless it was replaced or has another role.
+     * does until shortly after it began to leave or was removed, unless it was replaced or has another role. An upstream
+     * that [serving] returns with the same role is always admitted, so that no request is decided again without end.
      */
     public fun admitsDecided(chosen: UpstreamRegistration, now: Moment): Boolean {
         removeExpired(now)
+        if (isEndedStart(chosen.name, chosen.startedAt)) return false
         val current = registrations[chosen.name]
-        if (hasEnded(chosen.incarnation)) return false
-        if (current != null && (current.role != chosen.role || current.name in changingRole)) return false
+        val isReplaced = current != null && current.incarnation != chosen.incarnation
+        val hasOtherRole = current != null && (current.role != chosen.role || current.name in changingRole)
+        if (isReplaced || hasOtherRole) return false
         val since = withdrawnSince[chosen.name] ?: return current != null
         return now - since < IN_FLIGHT_TOLERANCE
     }
@@ -173,11 +179,7 @@
     public operator fun get(name: UpstreamName): UpstreamRegistration? = registrations[name]
 
     private fun update(registration: UpstreamRegistration, now: Moment) {
-        if (endedStarts.containsKey(registration.name) &&
-            endedStarts[registration.name] == registration.startedAt
-        ) {
-            return
-        }
+        if (isEndedStart(registration.name, registration.startedAt)) return
         val current = registrations[registration.name]
         if (current != null && current.revision > registration.revision) return
         endedStarts.remove(registration.name)
