--- a/core/src/main/kotlin/org/lovageladder/core/forward/Membership.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/Membership.kt
@@ -151,8 +151,9 @@
 
     /**
      * Whether the upstream of [chosen] accepts at [now] a request that was to be sent there by an earlier decision. It
-     * does until shortly after it began to leave or was removed, unless it was replaced or has another role. An upstream
-     * that [serving] returns with the same role is always admitted, so that no request is decided again without end.
+     * does until shortly after it began to leave or was removed, unless it was replaced or has another role. An
+     * upstream that [serving] returns with the same role is always admitted, so that no request is decided again
+     * without end.
      */
     public fun admitsDecided(chosen: UpstreamRegistration, now: Moment): Boolean {
         removeExpired(now)
