Try a stream at once when none waits for memory

Cause: the time of a start is learned from streams that begin, up to 600 ms. Where it reaches the route's target, the moment until which memory is of use is that of the arrival; the queue refused each stream on arrival, so that none began and the estimate stayed.

Change: a request that comes while none waits is tried at an engine; the estimate decides only on waiting.

--- a/core/src/main/kotlin/org/lovageladder/core/forward/MemoryQueue.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/MemoryQueue.kt
@@ -42,7 +42,8 @@
 /**
  * Requests of one service that wait for decode memory. The engines do the accounting: memory is reserved at one of
  * them, so that all entries together cannot overcommit it. Requests are served in order of priority, then arrival, as
- * long as they can meet their target; one that cannot is refused at once.
+ * long as they can meet their target; one that cannot is refused at once. A request that comes while none waits is
+ * always tried, since only streams that begin can correct the estimate of how long a start takes.
  *
  * Load pattern: a load peak with more prompts than decode memory holds, for some seconds. Confined to one thread.
  */
@@ -69,6 +70,7 @@
         }
         request.queuedAt = now
         insert(request)
+        if (waitingRequests.size == 1) serve(request, now)
         serveWaiting()
     }
 
