Take fractions for the allowance of retries

The platform's pages say that its bounds may be fractions; the limit itself is kept as one.

Cause: the flag took whole numbers only. Change: a flag for numbers, which the ratio flags use too, and a row and a case in CommandTest.

--- a/daemon/src/main/kotlin/org/lovageladder/daemon/Flags.kt
+++ b/daemon/src/main/kotlin/org/lovageladder/daemon/Flags.kt
@@ -76,10 +76,20 @@
     flag: String,
     help: String,
     default: Double,
+): OptionWithValues<Double, Double, Double> = numberFlag(flag, help, default, 0.0..1.0, metavar = "RATIO")
+
+/** A flag that takes a number, also a fraction, within [allowed]. */
+internal fun ParameterHolder.numberFlag(
+    flag: String,
+    help: String,
+    default: Double,
+    allowed: ClosedRange<Double>,
+    metavar: String = "NUMBER",
 ): OptionWithValues<Double, Double, Double> =
-    option(flag, help = help, envvar = environmentVariable(flag), metavar = "RATIO")
+    option(flag, help = help, envvar = environmentVariable(flag), metavar = metavar)
         .convert { value ->
-            value.toDoubleOrNull()?.takeIf { it in 0.0..1.0 } ?: fail("\"$value\", allowed are numbers from 0 to 1")
+            val range = "${allowed.start.toLong()} to ${allowed.endInclusive.toLong()}"
+            value.toDoubleOrNull()?.takeIf { it in allowed } ?: fail("\"$value\", allowed are numbers from $range")
         }.default(default, defaultForHelp = default.toString())
 
 /** A flag that takes a whole number within [allowed]. */
--- a/daemon/src/main/kotlin/org/lovageladder/daemon/ForwardCommand.kt
+++ b/daemon/src/main/kotlin/org/lovageladder/daemon/ForwardCommand.kt
@@ -33,11 +33,11 @@
         DEFAULT_RETRY_RATIO,
     )
     private val retryAllowance by
-        countFlag(
+        numberFlag(
             "--retry-allowance",
             "Retries of all entries beyond the ratio, per window.",
-            0,
-            0..MAXIMUM_RETRY_ALLOWANCE,
+            0.0,
+            0.0..MAXIMUM_RETRY_ALLOWANCE,
         )
     private val retryWindow by durationFlag("--retry-window", "Window of the retry budget.", 10.seconds, DURATION_RANGE)
     private val orderLease by
@@ -116,7 +116,7 @@
         ForwarderSettings(
             name = common.process,
             place = common.place,
-            retryLimits = RetryLimits(retryRatio, retryAllowance.toDouble(), retryWindow),
+            retryLimits = RetryLimits(retryRatio, retryAllowance, retryWindow),
             expectedEntryCount = entryCount,
             prefillShare = prefillShare,
             drainBound = drainBound,
@@ -131,7 +131,7 @@
         const val DEFAULT_PREFILL_SHARE = 0.2
         const val DEFAULT_ANSWER_BYTES = 1024 * 1024
         val ANSWER_BYTES_RANGE = 1024..64 * 1024 * 1024
-        const val MAXIMUM_RETRY_ALLOWANCE = 100_000
+        const val MAXIMUM_RETRY_ALLOWANCE = 100_000.0
         const val DEFAULT_ENTRY_COUNT = 8
         const val MAXIMUM_ENTRY_COUNT = 10_000
         val STOP_GRACE_RANGE = 1.seconds..60.minutes
--- a/daemon/src/test/kotlin/org/lovageladder/daemon/CommandTest.kt
+++ b/daemon/src/test/kotlin/org/lovageladder/daemon/CommandTest.kt
@@ -5,8 +5,10 @@
 import sun.misc.Signal
 import java.net.InetAddress
 import java.net.ServerSocket
+import java.util.concurrent.CompletableFuture
 import kotlin.test.Test
 import kotlin.test.assertContains
+import kotlin.test.assertEquals
 import kotlin.test.assertNotEquals
 
 class CommandTest {
@@ -33,6 +35,7 @@
         Case("--drain-timeout", "25h", "0s to 1d"),
         Case("--store-timeout", "soon", "10ms to 10m"),
         Case("--retry-budget", "1.5", "0 to 1"),
+        Case("--retry-allowance", "100000.5", "0 to 100000", role = "forward"),
         Case("--queue-limit", "0", "1 to 100000", role = "companion"),
         Case("--policy", "best", "ledger, round-robin"),
         Case("--hedging", "maybe", "on, off"),
@@ -73,6 +76,16 @@
         }
     }
 
+    /** Guards against a process that does not start since a limit, shared by many entries, is no whole number. */
+    @Test
+    fun limitsMayBeFractions() {
+        val settings = CompletableFuture<ForwardProcessSettings>()
+        val flags = requiredFlags + mapOf("--listen" to "127.0.0.1:0", "--retry-allowance" to "46.5")
+        val result = ForwardCommand { settings.complete(it) }.test(flags.flatMap { listOf(it.key, it.value) })
+        assertEquals("", result.stderr)
+        assertEquals(46.5, settings.join().forwarderSettings.retryLimits.sharedRetriesPerWindow)
+    }
+
     @Test
     fun missingFlagsAreReported() {
         requiredFlags.keys.forEach { flag -> assertContains(run("entry", requiredFlags - flag).stderr, flag) }
