Let the log name the call that each answer came to

Callers got a success where the upstream had answered with a failure.

Bytes of a head that is not whole are reported too, since the codec withholds them. Which answers count, and which connections are kept or closed, is as before.

--- a/core/src/main/kotlin/org/lovageladder/core/EventKind.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/EventKind.kt
@@ -165,6 +165,12 @@
         "An upstream was asked whether it outlived the end of a connection.",
         "See docs/OPERATIONS.md.",
     ),
+    ANSWER_UNEXPECTED(
+        3022,
+        EventLevel.WARNING,
+        "An upstream wrote on a connection that carried no call.",
+        "Check the upstream if frequent.",
+    ),
     REQUEST_SENT(3101, EventLevel.INFO, "A request, or its prefill, was sent to an upstream.", "None."),
     REQUEST_DECLINED(
         3102,
--- a/core/src/main/kotlin/org/lovageladder/core/forward/ForwardContext.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/ForwardContext.kt
@@ -122,19 +122,26 @@
         record(EventKind.UPSTREAM_REGISTERED, request, name, detail = "removed: another instance uses its address")
     }
 
-    /** Records a failed call of [name] in its health and in the time line. */
-    fun recordFailure(name: UpstreamName, request: RequestId, step: String, failure: CallFailure) {
+    /** Records a failed call of [name] in its health and in the time line; [answer] is what came of its answer. */
+    fun recordFailure(
+        name: UpstreamName,
+        request: RequestId,
+        step: String,
+        failure: CallFailure,
+        answer: AnswerHead? = null,
+    ) {
         val health = upstreamSelector.health(name)
         if (failure.sent && failure.cause in BROKEN_ANSWER_CAUSES) {
             health.recordError(now())
         } else {
             health.recordUnreachable(now())
         }
+        val place = failure.place ?: answer?.origin?.place ?: "connection=none"
         record(
             EventKind.REQUEST_FAILED,
             request,
             name,
-            detail = "$step: ${failure.cause} sent=${failure.sent} ${failure.detail}",
+            detail = "$step: ${failure.cause} sent=${failure.sent} $place ${failure.detail}",
         )
     }
 
--- a/core/src/main/kotlin/org/lovageladder/core/forward/ForwardPorts.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/ForwardPorts.kt
@@ -53,7 +53,7 @@
  * [isWrongInstance] is set when another upstream uses the address now, as opposed to the same one in another role. A
  * success that is not [isGenuine] lacks the proof that the expected upstream produced it, and must not reach the
  * caller. An answer that [endsWithConnection] has neither a length nor chunks, so that its end does not show whether it
- * is complete.
+ * is complete. [origin] is null when it is not known where the answer came from.
  */
 public class AnswerHead(
     public val status: Int,
@@ -63,7 +63,11 @@
     public val load: LoadReport?,
     public val isGenuine: Boolean = true,
     public val endsWithConnection: Boolean = false,
+    public val origin: AnswerOrigin? = null,
 ) {
+    /** Status and origin as text for the log. */
+    internal val summary: String get() = "status=$status ${origin ?: "origin=unknown"}"
+
     /** Whether the status reports success. */
     public val isSuccess: Boolean get() = status in SUCCESS_STATUSES
 
@@ -81,6 +85,25 @@
     }
 }
 
+/** One call to an upstream: the number of its [connection] in this process and of the [call] on it, both from 1. */
+public data class CallPlace(val connection: Long, val call: Int) {
+    override fun toString(): String = "connection=$connection call=$call"
+}
+
+/** Which request an answer names. One that names another request does not count as an answer. */
+public enum class AnswerIdentifier(private val text: String) {
+    OWN("own"),
+    NONE("none"),
+    ;
+
+    override fun toString(): String = text
+}
+
+/** Which call an answer came to, which request it names, and whether it bears the signature of an upstream. */
+public data class AnswerOrigin(val place: CallPlace, val identifier: AnswerIdentifier, val isSigned: Boolean) {
+    override fun toString(): String = "$place identifier=$identifier signed=$isSigned"
+}
+
 /**
  * Load reported by an upstream. [slowdownFactor] is its processing time relative to the usual one: 1 is normal, 2 is
  * half as fast.
@@ -94,9 +117,14 @@
 
 /**
  * Why a call to an upstream ended without a complete answer. [sent] is false only when no part of the request can have
- * reached the upstream.
+ * reached the upstream. [place] is null when the call got no connection, or is not known here.
  */
-public data class CallFailure(val cause: FaultCause, val sent: Boolean, val detail: String) {
+public data class CallFailure(
+    val cause: FaultCause,
+    val sent: Boolean,
+    val detail: String,
+    val place: CallPlace? = null,
+) {
     /** Whether the upstream may have crashed while it ran the request. */
     internal val mayBeCrash: Boolean get() = sent && cause == FaultCause.CONNECTION_LOST
 }
--- a/core/src/main/kotlin/org/lovageladder/core/forward/PlainFlow.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/PlainFlow.kt
@@ -147,6 +147,7 @@
             request.id,
             "plain call of ${request.target.take(LOGGED_TARGET_LENGTH)}",
             failure,
+            attempt.head,
         )
         if (failure.sent) mayHaveRun = true
         val mayCrashAnother = failure.mayBeCrash && context.promptGuard.isSuspected(request)
@@ -222,24 +223,26 @@
     }
 
     private fun deliver(answer: CompleteAnswer) {
-        finish("answered ${answer.head.status} unframed=${answer.head.endsWithConnection}")
+        finish("answered ${answer.head.status} unframed=${answer.head.endsWithConnection}", answer)
         reply.sendHead(answer.head, answer.body.size)
         if (answer.body.isNotEmpty()) reply.sendContent(answer.body)
         reply.finish()
     }
 
-    private fun finish(outcome: String) {
+    /** Ends the request; [answer] is the one that its caller gets. */
+    private fun finish(outcome: String, answer: CompleteAnswer? = null) {
         isFinished = true
         timeoutTimer?.cancel()
         hedgeTimer?.cancel()
         attempts.filter { it.isRunning }.forEach { it.cancel() }
         val took = (context.now() - deadlines.arrivedAt).inWholeMilliseconds
-        val lastUpstream = attempts.lastOrNull()?.upstream
+        val upstream = answer?.upstream ?: attempts.lastOrNull()?.upstream
+        val origin = answer?.let { " ${it.head.summary}" }.orEmpty()
         context.record(
             EventKind.REQUEST_ENDED,
             request.id,
-            lastUpstream,
-            detail = "$outcome route=${route.name} tries=${attempts.size} took=${took}ms",
+            upstream,
+            detail = "$outcome route=${route.name} tries=${attempts.size} took=${took}ms$origin",
         )
         onFinished()
     }
@@ -248,7 +251,8 @@
         val upstream: UpstreamName = incarnation.name
         private val body = context.answerBuffers.newBuffer()
         private val sentAt = context.now()
-        private var head: AnswerHead? = null
+        var head: AnswerHead? = null
+            private set
         private var eventCounter: StreamEventCounter? = null
         var call: Cancellable? = null
         var isRunning = true
@@ -284,7 +288,7 @@
         }
 
         private fun onComplete(answered: AnswerHead) {
-            val answer = CompleteAnswer(answered, body.takeBytes())
+            val answer = CompleteAnswer(upstream, answered, body.takeBytes())
             markEnded()
             if (!answered.isDeclined) context.promptGuard.onOutlived(request, sentAt)
             if (answer.head.isDeclined) mayHaveRun = false
@@ -325,7 +329,7 @@
         }
     }
 
-    private class CompleteAnswer(val head: AnswerHead, val body: ByteArray)
+    private class CompleteAnswer(val upstream: UpstreamName, val head: AnswerHead, val body: ByteArray)
 
     private companion object {
         const val LOWEST_SERVER_ERROR_STATUS = 500
--- a/core/src/main/kotlin/org/lovageladder/core/forward/StreamFlow.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/StreamFlow.kt
@@ -194,7 +194,7 @@
         }
         val upstream = cancelDecode() ?: return
         val failure = CallFailure(FaultCause.TIMEOUT, sent = true, "silent for $SILENCE_TIMEOUT")
-        context.recordFailure(upstream, request.id, "decode", failure)
+        context.recordFailure(upstream, request.id, "decode", failure, summary.answerOfDecode)
         continueElsewhere(upstream)
     }
 
@@ -266,7 +266,7 @@
         val step = "decode after ${summary.eventsOfDecode} events, shared parts=${request.sharedParts.joinToString(
             ",",
         )}"
-        context.recordFailure(upstream, request.id, step, failure)
+        context.recordFailure(upstream, request.id, step, failure, summary.answerOfDecode)
         if (!failure.sent) runCount -= 1
         when {
             !failure.sent && attemptCount < MAXIMUM_ATTEMPTS -> continueElsewhere(upstream)
--- a/core/src/main/kotlin/org/lovageladder/core/forward/StreamSummary.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/StreamSummary.kt
@@ -20,6 +20,10 @@
     private var firstBytesAt: Moment? = null
     private var isLastAnswerUnframed = false
 
+    /** Head of the answer to the last decode; null until it comes. */
+    var answerOfDecode: AnswerHead? = null
+        private set
+
     /** Tokens of memory in its last request for memory. */
     var requestedTokens: Int = 0
         private set
@@ -40,6 +44,7 @@
     /** Records the [head] of the decode's answer. */
     fun recordHead(head: AnswerHead) {
         isLastAnswerUnframed = head.endsWithConnection
+        answerOfDecode = head
     }
 
     /** Records a request for memory for [tokens] tokens; [state] is the decode memory at that time. */
@@ -59,6 +64,7 @@
     /** Records that the stream, or the rest of it if it [isResumed], was sent to a decode engine. */
     fun recordDecodeStart(now: Moment, isResumed: Boolean) {
         decodeStartedAt = now
+        answerOfDecode = null
         eventCounter.startStream(isResumed)
     }
 
@@ -79,7 +85,8 @@
             "wait=${request.callerTimeout?.inWholeMilliseconds}ms prompt=${generation?.promptTokens} " +
             "bound=${generation?.maximumOutputTokens} expected=${generation?.estimatedOutputTokens} " +
             "reserved=$requestedTokens events=$events held=${memory?.heldTokens} " +
-            "waiting=${memory?.waitingRequests} full=${memory?.fullEngines} unframed=$isLastAnswerUnframed"
+            "waiting=${memory?.waitingRequests} full=${memory?.fullEngines} unframed=$isLastAnswerUnframed" +
+            answerOfDecode?.let { " ${it.summary}" }.orEmpty()
     }
 
     private fun currentWait(now: Moment): Duration = requestedAt?.let { now - it } ?: Duration.ZERO
--- a/core/src/test/kotlin/org/lovageladder/core/forward/ForwardFixture.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/forward/ForwardFixture.kt
@@ -43,12 +43,13 @@
     }
 }
 
-/** A request as an upstream received it; the test sends the answer. */
+/** A request as an upstream received it, on a connection numbered by its port; the test sends the answer. */
 internal class ReceivedCall(
     val request: ForwardRequest,
     val attempt: UpstreamAttempt,
     private val receiver: AnswerReceiver,
 ) {
+    val place = CallPlace(attempt.address.port.toLong(), call = 1)
     var isCancelled = false
         private set
 
@@ -66,8 +67,9 @@
     ) {
         if (isCancelled) return
         val load = null
+        val origin = AnswerOrigin(place, AnswerIdentifier.OWN, isSigned = isGenuine)
         receiver.onHead(
-            AnswerHead(status, headers, isDeclined, isWrongInstance, load, isGenuine, endsWithConnection),
+            AnswerHead(status, headers, isDeclined, isWrongInstance, load, isGenuine, endsWithConnection, origin),
         )
     }
 
@@ -79,8 +81,8 @@
         if (!isCancelled) receiver.onEnd()
     }
 
-    fun fail(sent: Boolean) {
-        if (!isCancelled) receiver.onFailure(CallFailure(FaultCause.CONNECTION_LOST, sent, "reset"))
+    fun fail(sent: Boolean, place: CallPlace? = null) {
+        if (!isCancelled) receiver.onFailure(CallFailure(FaultCause.CONNECTION_LOST, sent, "reset", place))
     }
 
     fun answer(status: Int, body: String = "", isDeclined: Boolean = false, isGenuine: Boolean = true) {
--- a/core/src/test/kotlin/org/lovageladder/core/forward/PlainFlowTest.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/forward/PlainFlowTest.kt
@@ -1,7 +1,9 @@
 package org.lovageladder.core.forward
 
+import org.lovageladder.core.EventKind
 import org.lovageladder.core.ProcessName
 import kotlin.test.Test
+import kotlin.test.assertContains
 import kotlin.test.assertEquals
 import kotlin.test.assertFalse
 import kotlin.test.assertNull
@@ -147,6 +149,55 @@
         assertTrue(fixture.upstreams.receivedCalls[0].isCancelled)
     }
 
+    /** The last upstream that was tried need not be the one whose answer is passed on. */
+    @Test
+    fun logNamesTheCallWhoseAnswerIsPassedOn() {
+        data class Case(val wait: Duration, val answering: Int, val status: Int, val play: (List<ReceivedCall>) -> Unit)
+        listOf(
+            Case(Duration.ZERO, answering = 0, status = 404) { it[0].answer(404) },
+            Case(70.milliseconds, answering = 0, status = 200) { it[0].answer(200) },
+            Case(70.milliseconds, answering = 1, status = 200) { it[1].answer(200) },
+            Case(70.milliseconds, answering = 0, status = 500) {
+                it[0].answer(500)
+                it[1].fail(sent = true)
+            },
+        ).forEachIndexed { number, case ->
+            val fixture = ForwardFixture()
+            fixture.submit("/lookup/1")
+            fixture.scheduler.advance(case.wait)
+            case.play(fixture.upstreams.receivedCalls)
+            val answering = fixture.upstreams.receivedCalls[case.answering]
+            val event = fixture.events.single { it.kind == EventKind.REQUEST_ENDED }
+            assertEquals(answering.attempt.upstream.name, event.upstream, "case $number")
+            val origin = "status=${case.status} ${answering.place} identifier=own signed=true"
+            assertTrue(event.detail.endsWith(origin), "case $number: ${event.detail}")
+        }
+    }
+
+    @Test
+    fun logOfAFailedCallNamesItsPlaceIfKnown() {
+        val plays = listOf<(ReceivedCall) -> String>(
+            { call ->
+                call.fail(sent = true, call.place)
+                "CONNECTION_LOST sent=true ${call.place} reset"
+            },
+            { call ->
+                call.fail(sent = true)
+                "CONNECTION_LOST sent=true connection=none reset"
+            },
+            { call ->
+                call.answer(200, isGenuine = false)
+                "PROTOCOL sent=true ${call.place}"
+            },
+        )
+        plays.forEach { play ->
+            val fixture = ForwardFixture()
+            fixture.submit("/action/1")
+            val expected = play(fixture.upstreams.receivedCalls.single())
+            assertContains(fixture.events.single { it.kind == EventKind.REQUEST_FAILED }.detail, expected)
+        }
+    }
+
     @Test
     fun slowActionIsNotHedged() {
         val fixture = ForwardFixture()
--- a/http/src/main/kotlin/org/lovageladder/http/AnswerRecognition.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/AnswerRecognition.kt
@@ -1,6 +1,7 @@
 package org.lovageladder.http
 
 import io.netty.handler.codec.http.HttpHeaders
+import org.lovageladder.core.forward.CallPlace
 
 /**
  * How the answer of a call is told from answers of other calls. A peer can write an answer once more on a connection
@@ -28,7 +29,12 @@
 }
 
 /**
- * An answer that was skipped since it belongs to another call. [identifier] is the one that it names, and
- * [earlierCalls] is how many calls its connection carried before the one that was due an answer.
+ * An answer that was skipped since it belongs to another call than the one at [place], which was due. [identifier] is
+ * the one that it names, and [earlierCalls] is how many calls of its connection were answered before.
  */
-internal data class SkippedAnswer(val status: Int, val identifier: String?, val earlierCalls: Int)
+internal data class SkippedAnswer(
+    val place: CallPlace,
+    val status: Int,
+    val identifier: String?,
+    val earlierCalls: Int,
+)
--- a/http/src/main/kotlin/org/lovageladder/http/HttpCall.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/HttpCall.kt
@@ -4,6 +4,7 @@
 import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpMethod
 import org.lovageladder.core.FaultCause
+import org.lovageladder.core.forward.CallPlace
 import kotlin.time.Duration
 
 /** A header field of a request or answer. */
@@ -41,11 +42,22 @@
     SINGLE,
 }
 
-/** Why a call got no complete answer. When [requestSent] is false, no byte of the request can have reached the peer. */
-internal data class HttpFailure(val cause: FaultCause, val requestSent: Boolean, val detail: String)
+/**
+ * Why a call got no complete answer. When [requestSent] is false, no byte of the request can have reached the peer.
+ * [place] is null when the call got no connection.
+ */
+internal data class HttpFailure(
+    val cause: FaultCause,
+    val requestSent: Boolean,
+    val detail: String,
+    val place: CallPlace? = null,
+)
 
 /** Receives one answer on an event loop thread, in order. The last callback is [onEnd] or [onFailure]. */
 internal interface HttpReceiver {
+    /** Called when the request is sent, before all other callbacks. */
+    fun onSent(place: CallPlace) {}
+
     /** Called for each answer that was skipped before the one of this call. */
     fun onSkipped(skipped: SkippedAnswer) {}
 
--- a/http/src/main/kotlin/org/lovageladder/http/HttpClient.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/HttpClient.kt
@@ -13,15 +13,20 @@
 import org.lovageladder.core.FaultCause
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.TimeUnit
+import java.util.concurrent.atomic.AtomicLong
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
 /**
  * HTTP/1.1 client with a pool of idle connections per address. A connection carries one call at a time. The client
- * never resends a call.
+ * never resends a call. What a peer writes on a connection that carries no call is reported to [onUnexpected].
  */
-internal class HttpClient(private val threads: HttpThreads) : AutoCloseable {
+internal class HttpClient(
+    private val threads: HttpThreads,
+    private val onUnexpected: (UnexpectedAnswer) -> Unit = {},
+) : AutoCloseable {
     private val idleConnections = IdleConnections()
+    private val connections = AtomicLong()
     private val openChannels = ConcurrentHashMap.newKeySet<Channel>()
 
     @Volatile
@@ -137,7 +142,8 @@
         override fun initChannel(channel: SocketChannel) {
             openChannels.add(channel)
             channel.closeFuture().addListener { openChannels.remove(channel) }
-            channel.pipeline().addLast(HttpClientCodec(), HttpClientConnection(idleConnections))
+            val idleWatch = IdleWatch(connections.incrementAndGet(), onUnexpected)
+            channel.pipeline().addLast(idleWatch, HttpClientCodec(), HttpClientConnection(idleConnections, idleWatch))
         }
     }
 
--- a/http/src/main/kotlin/org/lovageladder/http/HttpClientConnection.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/HttpClientConnection.kt
@@ -25,7 +25,7 @@
  * One client connection and its current call. Answers that are not the call's own are skipped up to a limit, since a
  * faulty peer may write them without end. Confined to its event loop thread.
  */
-internal class HttpClientConnection(private val idleConnections: IdleConnections) :
+internal class HttpClientConnection(private val idleConnections: IdleConnections, private val idleWatch: IdleWatch) :
     SimpleChannelInboundHandler<HttpObject>() {
     private lateinit var context: ChannelHandlerContext
     private var currentCall: RunningHttpCall? = null
@@ -50,7 +50,7 @@
         currentCall = runningCall
         address = runningCall.address
         skipLimit.restart()
-        runningCall.onSend(context.channel())
+        runningCall.onSend(context.channel(), idleWatch.startCall(runningCall))
         context.writeAndFlush(request).addListener { written ->
             if (!written.isSuccess) {
                 onConnectionLost(written.cause())
@@ -61,6 +61,7 @@
 
     override fun channelRead0(context: ChannelHandlerContext, message: HttpObject) {
         val runningCall = currentCall
+        if (runningCall == null) idleWatch.onMessage(message)
         if (runningCall == null || message.decoderResult().isFailure) {
             onProtocolError(message.decoderResult().cause())
             return
@@ -96,7 +97,8 @@
     private fun skip(runningCall: RunningHttpCall, response: HttpResponse) {
         keepAlive = false
         val identifier = runningCall.call.recognition.identifierOf(response.headers())
-        runningCall.onSkipped(SkippedAnswer(response.status().code(), identifier, history.answeredCalls))
+        val status = response.status().code()
+        runningCall.onSkipped(SkippedAnswer(idleWatch.place, status, identifier, history.answeredCalls))
     }
 
     /** How long the peer keeps an idle connection, from its `Keep-Alive` header; null when the header names no time. */
@@ -119,6 +121,7 @@
     private fun finishAnswer(runningCall: RunningHttpCall) {
         currentCall = null
         val isDelivered = runningCall.markEnded()
+        if (isDelivered) idleWatch.endCall(history.answeredCalls)
         if (isDelivered && keepAlive) {
             idleConnections.release(runningCall.address, context.channel(), history, idleTimeout)
         } else {
--- a/http/src/main/kotlin/org/lovageladder/http/RunningHttpCall.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/RunningHttpCall.kt
@@ -5,6 +5,7 @@
 import io.netty.handler.codec.http.HttpHeaders
 import org.lovageladder.core.Address
 import org.lovageladder.core.FaultCause
+import org.lovageladder.core.forward.CallPlace
 import java.util.concurrent.atomic.AtomicBoolean
 
 /**
@@ -25,6 +26,9 @@
     private var channel: Channel? = null
     private var receivedBytes = 0L
 
+    @Volatile
+    private var place: CallPlace? = null
+
     /** Whether part of the request may have reached the peer. */
     @Volatile
     var requestSent: Boolean = false
@@ -52,9 +56,11 @@
         channel?.close()
     }
 
-    fun onSend(channel: Channel) {
+    fun onSend(channel: Channel, place: CallPlace) {
         this.channel = channel
+        this.place = place
         requestSent = true
+        receiver.onSent(place)
     }
 
     fun onSkipped(skipped: SkippedAnswer) {
@@ -92,7 +98,7 @@
 
     fun fail(failure: HttpFailure) {
         completionListener()
-        if (ended.compareAndSet(false, true)) receiver.onFailure(failure)
+        if (ended.compareAndSet(false, true)) receiver.onFailure(failure.copy(place = place))
     }
 
     /** Fails the call with a timeout, on the event loop of its connection so that receiver callbacks do not overlap. */
--- a/http/src/main/kotlin/org/lovageladder/http/forward/HttpUpstreamCalls.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/forward/HttpUpstreamCalls.kt
@@ -8,8 +8,11 @@
 import org.lovageladder.core.EventDraft
 import org.lovageladder.core.EventKind
 import org.lovageladder.core.RequestId
+import org.lovageladder.core.forward.AnswerIdentifier
+import org.lovageladder.core.forward.AnswerOrigin
 import org.lovageladder.core.forward.AnswerReceiver
 import org.lovageladder.core.forward.CallFailure
+import org.lovageladder.core.forward.CallPlace
 import org.lovageladder.core.forward.Cancellable
 import org.lovageladder.core.forward.EngineAnswer
 import org.lovageladder.core.forward.EventSink
@@ -32,6 +35,7 @@
 import org.lovageladder.http.HttpThreads
 import org.lovageladder.http.HttpTimeouts
 import org.lovageladder.http.SkippedAnswer
+import org.lovageladder.http.UnexpectedAnswer
 import org.tinylog.kotlin.Logger
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -39,8 +43,8 @@
 /**
  * Calls upstreams by HTTP over pooled connections, in the format of [codec]. [threads] must have one thread only, on
  * which all answers arrive. A notice in an answer goes to [onNotice] before the answer is delivered. Answers that are
- * skipped, since they belong to other calls, are recorded in [eventSink]. Calls about an engine's memory fail after
- * [engineCallTimeout].
+ * skipped, since they belong to other calls, and those that come while a connection carries no call are recorded in
+ * [eventSink]. Calls about an engine's memory fail after [engineCallTimeout].
  */
 public class HttpUpstreamCalls(
     threads: HttpThreads,
@@ -50,7 +54,7 @@
     private val onNotice: (UpstreamIncarnation, UpstreamNotice) -> Unit = { _, _ -> },
 ) : UpstreamPort,
     AutoCloseable {
-    private val client = HttpClient(threads)
+    private val client = HttpClient(threads, ::recordUnexpected)
 
     override fun send(request: ForwardRequest, attempt: UpstreamAttempt, receiver: AnswerReceiver): Cancellable {
         val fields = codec.requestHeaders(request, attempt).map { HttpField(it.name, it.value) }
@@ -145,12 +149,20 @@
         request: RequestId? = null,
     ) {
         val detail =
-            "at $step: status=${skipped.status} identifier=${skipped.identifier} earlier=${skipped.earlierCalls}"
+            "at $step: ${skipped.place} status=${skipped.status} identifier=${skipped.identifier} " +
+                "earlier=${skipped.earlierCalls}"
         eventSink.record(
             EventDraft(EventKind.ANSWER_SKIPPED, request = request, upstream = upstream.name, detail = detail),
         )
     }
 
+    private fun recordUnexpected(answer: UnexpectedAnswer) {
+        val detail =
+            "address=${answer.address} ${answer.lastCall} answered=${answer.answeredCalls} " +
+                "idle=${answer.idleTime.inWholeMilliseconds}ms status=${answer.status} identifier=${answer.identifier}"
+        eventSink.record(EventDraft(EventKind.ANSWER_UNEXPECTED, detail = detail))
+    }
+
     private fun reportNotice(
         upstream: UpstreamIncarnation,
         result: TextResult,
@@ -193,13 +205,25 @@
         private val upstream: UpstreamIncarnation,
         private val receiver: AnswerReceiver,
     ) : HttpReceiver {
+        private var place: CallPlace? = null
+
+        override fun onSent(place: CallPlace) {
+            this.place = place
+        }
+
         override fun onSkipped(skipped: SkippedAnswer): Unit = recordSkipped(skipped, "request", upstream, request.id)
 
         override fun onHead(status: Int, headers: HttpHeaders) {
             val fields = endToEndFields(headers)
             noticeOfRequest(status, fields)?.let { onNotice(upstream, it) }
             val endsWithConnection = hasBody(status) && !isFramed(headers)
-            receiver.onHead(codec.parseHead(status, fields, upstream.name, endsWithConnection))
+            val origin = place?.let { originOf(it, headers, fields) }
+            receiver.onHead(codec.parseHead(status, fields, upstream.name, endsWithConnection, origin))
+        }
+
+        private fun originOf(place: CallPlace, headers: HttpHeaders, fields: List<HeaderField>): AnswerOrigin {
+            val identifier = if (identifierOf(headers) == null) AnswerIdentifier.NONE else AnswerIdentifier.OWN
+            return AnswerOrigin(place, identifier, codec.isSigned(fields))
         }
 
         private fun hasBody(status: Int) = request.method != HttpMethod.HEAD.name() && status !in BODILESS_STATUSES
@@ -214,7 +238,7 @@
         override fun onEnd(): Unit = receiver.onEnd()
 
         override fun onFailure(failure: HttpFailure) {
-            receiver.onFailure(CallFailure(failure.cause, failure.requestSent, failure.detail))
+            receiver.onFailure(CallFailure(failure.cause, failure.requestSent, failure.detail, failure.place))
         }
     }
 
--- a/http/src/main/kotlin/org/lovageladder/http/forward/TextClient.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/forward/TextClient.kt
@@ -116,6 +116,6 @@
     }
     is HttpResult.Failed -> {
         val failure = result.failure
-        TextResult.Failed(CallFailure(failure.cause, failure.requestSent, failure.detail))
+        TextResult.Failed(CallFailure(failure.cause, failure.requestSent, failure.detail, failure.place))
     }
 }
--- a/http/src/main/kotlin/org/lovageladder/http/forward/UpstreamCodec.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/forward/UpstreamCodec.kt
@@ -2,6 +2,7 @@
 
 import org.lovageladder.core.UpstreamName
 import org.lovageladder.core.forward.AnswerHead
+import org.lovageladder.core.forward.AnswerOrigin
 import org.lovageladder.core.forward.EngineAnswer
 import org.lovageladder.core.forward.ForwardRequest
 import org.lovageladder.core.forward.HeaderField
@@ -41,15 +42,19 @@
      */
     public fun answeredRequest(header: (String) -> String?): String?
 
+    /** Whether an answer with the headers [fields] bears the signature of an upstream. */
+    public fun isSigned(fields: List<HeaderField>): Boolean
+
     /**
      * Parses the head of an answer to a request that was sent to [upstream]. The body [endsWithConnection] when it has
-     * neither a length nor chunks.
+     * neither a length nor chunks. [origin] tells which call it came to.
      */
     public fun parseHead(
         status: Int,
         fields: List<HeaderField>,
         upstream: UpstreamName,
         endsWithConnection: Boolean = false,
+        origin: AnswerOrigin? = null,
     ): AnswerHead
 
     /** Parses the notice in an answer's headers; null when there is none. The notice never says that a limit ended. */
--- a/http/src/test/kotlin/org/lovageladder/http/HttpClientTest.kt
+++ b/http/src/test/kotlin/org/lovageladder/http/HttpClientTest.kt
@@ -1,9 +1,12 @@
 package org.lovageladder.http
 
+import io.netty.buffer.Unpooled
 import io.netty.channel.embedded.EmbeddedChannel
+import io.netty.handler.codec.http.HttpClientCodec
 import io.netty.handler.codec.http.HttpMethod
 import org.lovageladder.core.Address
 import org.lovageladder.core.FaultCause
+import org.lovageladder.core.forward.CallPlace
 import kotlin.test.AfterTest
 import kotlin.test.Test
 import kotlin.test.assertEquals
@@ -18,17 +21,70 @@
         threads.close()
     }
 
+    /** The codec withholds a head that is not whole, and the next call of the connection would meet it. */
+    @Test
+    fun whatAPeerWritesWithoutACallIsReportedOnceWithItsPlace() {
+        mapOf(
+            listOf(FaultyPeer.answer(503, "late", "Id: 6"), "") to "503 6",
+            listOf(FaultyPeer.answer(200, "late").repeat(2), "") to "200 null",
+            listOf("HTTP/1.1 503 X\r\nI", "d: 6\r\n\r\n") to "null null",
+            listOf("nonsense\r\n\r\n", "") to "null null",
+        ).forEach { (pieces, expected) ->
+            val reported = ArrayList<UnexpectedAnswer>()
+            val channel = connection(number = 3) { reported += it }
+            startCall(channel, "7")
+            channel.peerWrites(FaultyPeer.answer(200, "own", "Id: 7"))
+            assertEquals(emptyList(), reported)
+            pieces.forEach { channel.peerWrites(it) }
+            val unexpected = reported.single()
+            assertEquals(expected, "${unexpected.status} ${unexpected.identifier}", "$pieces")
+            assertEquals(CallPlace(connection = 3, call = 1) to 1, unexpected.lastCall to unexpected.answeredCalls)
+        }
+    }
+
+    @Test
+    fun callsOfAConnectionAreNumberedInTheirFailures() {
+        val channel = connection(number = 3)
+        startCall(channel, "7")
+        channel.peerWrites(FaultyPeer.answer(200, "own", "Id: 7"))
+        val results = startCall(channel, "8")
+        channel.peerWrites("nonsense\r\n\r\n")
+        assertEquals(CallPlace(connection = 3, call = 2), (results.single() as HttpResult.Failed).failure.place)
+    }
+
+    private fun connection(number: Long, report: (UnexpectedAnswer) -> Unit = {}): EmbeddedChannel {
+        val watch = IdleWatch(number, report)
+        return EmbeddedChannel(watch, HttpClientCodec(), HttpClientConnection(IdleConnections(), watch))
+    }
+
+    /** Sends a call with the identifier [identifier] and returns where its result will be. */
+    private fun startCall(channel: EmbeddedChannel, identifier: String): List<HttpResult> {
+        val results = ArrayList<HttpResult>()
+        val call = HttpCall(HttpMethod.GET, "/", recognition = AnswerRecognition.ByIdentifier(identifier) { it["Id"] })
+        client.send(channel, RunningHttpCall(PEER, call, WholeAnswerReceiver { results += it }, MAXIMUM_BYTES))
+        return results
+    }
+
+    private fun EmbeddedChannel.peerWrites(text: String) {
+        if (text.isNotEmpty()) writeInbound(Unpooled.wrappedBuffer(text.toByteArray()))
+    }
+
     /** A peer that closes right after the accept can empty the pipeline before the connection is used. */
     @Test
     fun callOnAConnectionThatIsAlreadyClosedFailsAtOnce() {
         val results = ArrayList<HttpResult>()
         val call = HttpCall(HttpMethod.GET, "/")
         val receiver = WholeAnswerReceiver { results += it }
-        val runningCall = RunningHttpCall(Address("127.0.0.1", 1), call, receiver, maximumAnswerBytes = 1_000)
+        val runningCall = RunningHttpCall(PEER, call, receiver, MAXIMUM_BYTES)
         val closed = EmbeddedChannel().apply { close() }
         client.send(closed, runningCall)
         val failure = (results.single() as HttpResult.Failed).failure
         assertEquals(FaultCause.CONNECTION_LOST, failure.cause)
         assertEquals(false, failure.requestSent)
     }
+
+    private companion object {
+        val PEER = Address("127.0.0.1", 1)
+        const val MAXIMUM_BYTES = 1_000
+    }
 }
--- a/http/src/test/kotlin/org/lovageladder/http/forward/HttpUpstreamCallsTest.kt
+++ b/http/src/test/kotlin/org/lovageladder/http/forward/HttpUpstreamCallsTest.kt
@@ -1,13 +1,18 @@
 package org.lovageladder.http.forward
 
 import org.lovageladder.core.Address
+import org.lovageladder.core.EventDraft
+import org.lovageladder.core.EventKind
 import org.lovageladder.core.FaultCause
 import org.lovageladder.core.Moment
 import org.lovageladder.core.RequestId
 import org.lovageladder.core.UpstreamName
 import org.lovageladder.core.forward.AnswerHead
+import org.lovageladder.core.forward.AnswerIdentifier
+import org.lovageladder.core.forward.AnswerOrigin
 import org.lovageladder.core.forward.AnswerReceiver
 import org.lovageladder.core.forward.CallFailure
+import org.lovageladder.core.forward.CallPlace
 import org.lovageladder.core.forward.EngineAnswer
 import org.lovageladder.core.forward.ForwardRequest
 import org.lovageladder.core.forward.HeaderField
@@ -22,6 +27,7 @@
 import org.lovageladder.http.PeerBehaviour
 import java.util.concurrent.CompletableFuture
 import java.util.concurrent.CopyOnWriteArrayList
+import java.util.concurrent.LinkedBlockingQueue
 import java.util.concurrent.TimeUnit
 import kotlin.test.AfterTest
 import kotlin.test.Test
@@ -36,8 +42,9 @@
 class HttpUpstreamCallsTest {
     private val threads = HttpThreads(1)
     private val notices = CopyOnWriteArrayList<Pair<UpstreamIncarnation, UpstreamNotice>>()
+    private val events = LinkedBlockingQueue<EventDraft>()
     private val calls =
-        HttpUpstreamCalls(threads, PlainCodec) { incarnation, notice -> notices += incarnation to notice }
+        HttpUpstreamCalls(threads, PlainCodec, events::add) { incarnation, notice -> notices += incarnation to notice }
 
     /** Its calls end by what the peer does, not by their time. */
     private val patientCalls = HttpUpstreamCalls(threads, PlainCodec, engineCallTimeout = 10.seconds)
@@ -59,11 +66,14 @@
 
         override fun answeredRequest(header: (String) -> String?): String? = header("Id")
 
+        override fun isSigned(fields: List<HeaderField>) = fields.any { it.name == "Signed" }
+
         override fun parseHead(
             status: Int,
             fields: List<HeaderField>,
             upstream: UpstreamName,
             endsWithConnection: Boolean,
+            origin: AnswerOrigin?,
         ) = AnswerHead(
             status,
             fields,
@@ -71,6 +81,7 @@
             isWrongInstance = false,
             load = null,
             endsWithConnection = endsWithConnection,
+            origin = origin,
         )
 
         override fun parseNotice(status: Int, fields: List<HeaderField>): UpstreamNotice? =
@@ -99,9 +110,12 @@
         val outcome = CompletableFuture<String>()
         private val body = StringBuilder()
         private var status = 0
+        var origin: AnswerOrigin? = null
+            private set
 
         override fun onHead(head: AnswerHead) {
             status = head.status
+            origin = head.origin
             if (head.endsWithConnection) body.append("unframed: ")
         }
 
@@ -181,6 +195,50 @@
         return recorder.outcome.get(10, TimeUnit.SECONDS)
     }
 
+    /** The events that tell an answer that counts from those that do not. */
+    @Test
+    fun answersAreRecordedWithTheirPlaceAndWhatTheyName() {
+        val own = FaultyPeer.answer(200, "done", "Id: 7", "Signed: 1")
+        val other = FaultyPeer.answer(503, "full", "Id: 6")
+        val place = CallPlace(connection = 1, call = 1)
+        data class Case(val bytes: String, val origin: AnswerOrigin, val event: EventKind?, val detail: String = "")
+        listOf(
+            Case(own, AnswerOrigin(place, AnswerIdentifier.OWN, isSigned = true), event = null),
+            Case(
+                FaultyPeer.answer(200, "done"),
+                AnswerOrigin(place, AnswerIdentifier.NONE, isSigned = false),
+                event = null,
+            ),
+            Case(
+                other + own,
+                AnswerOrigin(place, AnswerIdentifier.OWN, isSigned = true),
+                EventKind.ANSWER_SKIPPED,
+                "at request: $place status=503 identifier=6 earlier=0",
+            ),
+            Case(
+                own + other,
+                AnswerOrigin(place, AnswerIdentifier.OWN, isSigned = true),
+                EventKind.ANSWER_UNEXPECTED,
+                "ADDRESS $place answered=1 idle=0ms status=503 identifier=6",
+            ),
+        ).forEach { case ->
+            FaultyPeer(PeerBehaviour.SendTo("", case.bytes)).use { peer ->
+                HttpUpstreamCalls(threads, PlainCodec, events::add).use { calls ->
+                    val recorder = Recorder()
+                    val incarnation = UpstreamIncarnation(UpstreamName("u"), peer.address)
+                    calls.send(request(), UpstreamAttempt(incarnation, 5.seconds), recorder)
+                    assertEquals("200 done", recorder.outcome.get(10, TimeUnit.SECONDS), "$case")
+                    assertEquals(case.origin, recorder.origin, "$case")
+                    val event = case.event?.let { events.poll(10, TimeUnit.SECONDS) }
+                    assertEquals(case.event, event?.kind, "$case")
+                    val detail = event?.detail.orEmpty().replace(Regex("idle=\\d+ms"), "idle=0ms")
+                    assertEquals(case.detail, detail.replace("address=${peer.address}", "ADDRESS"), "$case")
+                }
+            }
+        }
+        assertTrue(events.isEmpty())
+    }
+
     /** The earlier answer may be one of the same request, which only another connection tells apart. */
     @Test
     fun eachAttemptOfARequestAtAnUpstreamGetsItsOwnConnection() {
