--- a/core/src/main/kotlin/org/lovageladder/core/forward/PlainFlow.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/PlainFlow.kt
@@ -235,11 +235,12 @@
         attempts.filter { it.isRunning }.forEach { it.cancel() }
         val took = (context.now() - deadlines.arrivedAt).inWholeMilliseconds
         val lastUpstream = attempts.lastOrNull()?.upstream
+        val sinceSent = attempts.lastOrNull()?.let { (context.now() - it.sentAt).inWholeMilliseconds }
         context.record(
             EventKind.REQUEST_ENDED,
             request.id,
             lastUpstream,
-            detail = "$outcome route=${route.name} tries=${attempts.size} took=${took}ms",
+            detail = "$outcome route=${route.name} tries=${attempts.size} took=${took}ms sent=${sinceSent}ms",
         )
         onFinished()
     }
@@ -247,7 +248,7 @@
     private inner class Attempt(private val incarnation: UpstreamIncarnation) : AnswerReceiver {
         val upstream: UpstreamName = incarnation.name
         private val body = context.answerBuffers.newBuffer()
-        private val sentAt = context.now()
+        val sentAt: Moment = context.now()
         private var head: AnswerHead? = null
         private var eventCounter: StreamEventCounter? = null
         var call: Cancellable? = null
--- a/core/src/main/kotlin/org/lovageladder/core/forward/PrefillStep.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/PrefillStep.kt
@@ -1,6 +1,7 @@
 package org.lovageladder.core.forward
 
 import org.lovageladder.core.EventKind
+import org.lovageladder.core.Moment
 import org.lovageladder.core.PoolRole
 import org.lovageladder.core.UpstreamName
 import kotlin.time.Duration
@@ -25,6 +26,10 @@
     private var engine: UpstreamName? = null
     private var isPrefilled = false
 
+    /** When the prompt was last sent to a prefill engine. */
+    var sentAt: Moment? = null
+        private set
+
     /** Begins the prefill. */
     fun start() {
         val upstream = chooseEngine()
@@ -55,14 +60,15 @@
         engine = upstream.name
         val detail = "prefill of ${destination.route.name}"
         context.record(EventKind.REQUEST_SENT, request.id, upstream.name, detail = detail)
-        val sentAt = context.now()
-        val timeout = minOf(RequestDeadlines(request, destination.route).remaining(sentAt), estimates.prefillTimeout)
+        val startedAt = context.now()
+        sentAt = startedAt
+        val timeout = minOf(RequestDeadlines(request, destination.route).remaining(startedAt), estimates.prefillTimeout)
         call =
             context.upstreamPort.prefill(request, UpstreamAttempt(upstream.incarnation, timeout)) { answer ->
                 call = null
                 engine = null
                 health.inFlight -= 1
-                if (answer is EngineAnswer.Done) recordCost(context.now() - sentAt)
+                if (answer is EngineAnswer.Done) recordCost(context.now() - startedAt)
                 onAnswer(upstream, answer)
             }
     }
--- a/core/src/main/kotlin/org/lovageladder/core/forward/StreamFlow.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/StreamFlow.kt
@@ -351,7 +351,8 @@
         decodeCall?.cancel()
         val engine = grant?.engine?.name
         releaseMemory(isUsed = decodeCall != null)
-        val detail = summary.describe(outcome, attemptCount, context.now())
+        val lastSentAt = listOfNotNull(prefillStep.sentAt, summary.decodeStartedAt).maxOrNull()
+        val detail = summary.describe(outcome, attemptCount, lastSentAt, context.now())
         context.record(EventKind.REQUEST_ENDED, request.id, engine, detail = detail)
         onFinished()
     }
--- a/core/src/main/kotlin/org/lovageladder/core/forward/StreamSummary.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/StreamSummary.kt
@@ -70,16 +70,17 @@
         return grantedAt?.let { now - it }
     }
 
-    /** Detail text of the event at the end of the stream. */
-    fun describe(outcome: String, attempts: Int, now: Moment): String {
+    /** Detail text of the event at the end of the stream, of which the last call was sent at [lastSentAt]. */
+    fun describe(outcome: String, attempts: Int, lastSentAt: Moment?, now: Moment): String {
         val generation = request.generation
+        val sinceSent = lastSentAt?.let { (now - it).inWholeMilliseconds }
         val memory = memoryAtFirstRequest
         return "$outcome route=${route.name} sendings=$attempts first=${milliseconds(firstBytesAt)}ms " +
             "took=${milliseconds(now)}ms waited=${(waitedForMemory + currentWait(now)).inWholeMilliseconds}ms " +
             "wait=${request.callerTimeout?.inWholeMilliseconds}ms prompt=${generation?.promptTokens} " +
             "bound=${generation?.maximumOutputTokens} expected=${generation?.estimatedOutputTokens} " +
             "reserved=$requestedTokens events=$events held=${memory?.heldTokens} " +
-            "waiting=${memory?.waitingRequests} full=${memory?.fullEngines} unframed=$isLastAnswerUnframed"
+            "waiting=${memory?.waitingRequests} full=${memory?.fullEngines} unframed=$isLastAnswerUnframed sent=${sinceSent}ms"
     }
 
     private fun currentWait(now: Moment): Duration = requestedAt?.let { now - it } ?: Duration.ZERO
--- a/core/src/test/kotlin/org/lovageladder/core/forward/StreamSummaryTest.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/forward/StreamSummaryTest.kt
@@ -35,7 +35,7 @@
         call.content("id: 1\ndata: a\n\nid: 2\ndata: b\n\n")
         fixture.upstreams.finish(call)
         val detail = fixture.events.last { it.kind == EventKind.REQUEST_ENDED }.detail.orEmpty()
-        listOf("wait=10000ms", "prompt=3000", "expected=1000", "events=2", "held=0", "waiting=0", "waited=1ms")
+        listOf("wait=10000ms", "prompt=3000", "expected=1000", "events=2", "held=0", "waiting=0", "waited=1ms", "sent=")
             .forEach { assertTrue(it in detail, "$it in: $detail") }
     }
 }
