--- a/core/src/main/kotlin/org/lovageladder/core/forward/PlainFlow.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/PlainFlow.kt
@@ -236,13 +236,15 @@
         hedgeTimer?.cancel()
         attempts.filter { it.isRunning }.forEach { it.cancel() }
         val took = (context.now() - deadlines.arrivedAt).inWholeMilliseconds
-        val upstream = answer?.upstream ?: attempts.lastOrNull()?.upstream
+        val lastAttempt = attempts.lastOrNull()
+        val upstream = answer?.upstream ?: lastAttempt?.upstream
+        val sinceSent = lastAttempt?.let { (context.now() - it.sentAt).inWholeMilliseconds }
         val origin = answer?.let { " ${it.head.summary}" }.orEmpty()
         context.record(
             EventKind.REQUEST_ENDED,
             request.id,
             upstream,
-            detail = "$outcome route=${route.name} tries=${attempts.size} took=${took}ms$origin",
+            detail = "$outcome route=${route.name} tries=${attempts.size} took=${took}ms sent=${sinceSent}ms$origin",
         )
         onFinished()
     }
@@ -250,7 +252,7 @@
     private inner class Attempt(private val incarnation: UpstreamIncarnation) : AnswerReceiver {
         val upstream: UpstreamName = incarnation.name
         private val body = context.answerBuffers.newBuffer()
-        private val sentAt = context.now()
+        val sentAt: Moment = context.now()
         var head: AnswerHead? = null
             private set
         private var eventCounter: StreamEventCounter? = null
--- a/core/src/test/kotlin/org/lovageladder/core/forward/StreamSummaryTest.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/forward/StreamSummaryTest.kt
@@ -36,7 +36,9 @@
         fixture.upstreams.finish(call)
         val detail = fixture.events.last { it.kind == EventKind.REQUEST_ENDED }.detail.orEmpty()
         val origin = "status=200 ${call.place} identifier=own signed=true"
-        listOf(origin, "wait=10000ms", "prompt=3000", "expected=1000", "events=2", "held=0", "waiting=0", "waited=1ms")
+        val sizes =
+            listOf("wait=10000ms", "prompt=3000", "expected=1000", "events=2", "held=0", "waiting=0", "waited=1ms")
+        (sizes + origin + "sent=")
             .forEach { assertTrue(it in detail, "$it in: $detail") }
     }
 }
--- a/http/src/main/kotlin/org/lovageladder/http/HttpClient.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/HttpClient.kt
@@ -121,6 +121,7 @@
             runningCall.fail(HttpFailure(FaultCause.CONNECTION_LOST, requestSent = false, detail = detail))
             return
         }
+        runningCall.call.beforeSending()
         connection.send(runningCall)
     }
 
