Bound the memory of callers' requests

Cause: bodies stayed in the direct buffers in which they arrived until they were complete, with no bound on all of them. Direct memory (32 MB) was used up, and each further reservation made the JVM collect garbage and sleep for half a second on the only event loop thread, then fail; the buffers of the other bodies stayed.

Change: RequestAssembler, in place of HttpObjectAggregator, copies bodies to the heap as they arrive, without another copy afterwards if the length was announced. RequestBufferPool bounds heads and bodies of all requests from arrival to end (--request-bytes, 16 MiB, checked at the start); requests of over 16 KiB may fill three quarters of it. Beyond it: 503 and Retry-After at the head, in place of 100 too, in the order of the connection's answers; the rest of the body is dropped and the connection closed without a reset.

--- a/core/src/main/kotlin/org/lovageladder/core/forward/ForwardPorts.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/ForwardPorts.kt
@@ -217,6 +217,12 @@
 /** An error answer of this process. The caller should return after [retryAfter]. */
 public data class Refusal(val reason: RefusalReason, val retryAfter: Duration? = null)
 
+/**
+ * Why there is no memory for a request of at least [requestBytes]: all requests hold [heldBytes] of [maximumBytes], a
+ * part of which is kept for small ones.
+ */
+public data class RequestMemory(val requestBytes: Long, val heldBytes: Int, val maximumBytes: Int)
+
 /** Reason of a [Refusal]. [isNotRun] is reported to the caller, which may then send the request again. */
 public enum class RefusalReason(public val isNotRun: Boolean) {
     /** No route matches the host and path of the request. */
@@ -248,6 +254,9 @@
 
     /** The request could not be sent in time. */
     EXPIRED(true),
+
+    /** The requests that this process holds leave no memory for the request, which was not received whole. */
+    MEMORY_FULL(true),
 }
 
 /** Clock and timers of the forwarder. */
--- a/core/src/main/kotlin/org/lovageladder/core/forward/Forwarder.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/Forwarder.kt
@@ -311,14 +311,25 @@
 
     private fun engineConfigurationOf(service: ServiceName) = configuration?.services?.get(service)?.engine
 
-    private fun refuse(request: ForwardRequest, reply: CallerReply, reason: RefusalReason): RequestHandle? {
+    /** Refuses [request], for which [memory] has no room; only its head was received. */
+    public fun refuse(request: ForwardRequest, reply: CallerReply, memory: RequestMemory) {
+        val detail = "bytes=${memory.requestBytes} held=${memory.heldBytes} limit=${memory.maximumBytes}"
+        refuse(request, reply, RefusalReason.MEMORY_FULL, detail)
+    }
+
+    private fun refuse(
+        request: ForwardRequest,
+        reply: CallerReply,
+        reason: RefusalReason,
+        inputs: String? = null,
+    ): RequestHandle? {
         val callerTimeout = request.callerTimeout ?: DEFAULT_CALLER_TIMEOUT
         val minimum = if (reason == RefusalReason.LEAVING) Duration.ZERO else MINIMUM_RETURN_DELAY
         val retryAfter = if (reason.isNotRun) context.returnDelay(minimum, callerTimeout) else null
         context.record(
             EventKind.REQUEST_ENDED,
             request.id,
-            detail = "refused: $reason ${request.host}${request.target}",
+            detail = listOfNotNull("refused: $reason ${request.host}${request.target}", inputs).joinToString(" "),
         )
         reply.refuse(Refusal(reason, retryAfter))
         return null
--- a/core/src/test/kotlin/org/lovageladder/core/forward/ForwarderTest.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/forward/ForwarderTest.kt
@@ -1,12 +1,17 @@
 package org.lovageladder.core.forward
 
+import org.lovageladder.core.EventDraft
+import org.lovageladder.core.EventKind
 import org.lovageladder.core.Moment
 import org.lovageladder.core.ProcessName
 import org.lovageladder.core.ReleaseVersion
 import org.lovageladder.core.RequestId
 import kotlin.test.Test
 import kotlin.test.assertEquals
+import kotlin.test.assertNotNull
 import kotlin.test.assertNull
+import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
 /** Configuration versions, routes, retry budget and event splitting. */
@@ -30,6 +35,22 @@
         assertEquals(RefusalReason.NOT_READY, reply.refusal?.reason)
     }
 
+    @Test
+    fun refusalForLackOfMemoryNamesItsInputsAndWhenToReturn() {
+        val scheduler = VirtualScheduler()
+        val settings = ForwarderSettings(ProcessName("entry"), ForwardFixture.HOME, RetryLimits(0.2, 8.0, 10.seconds))
+        val events = ArrayList<EventDraft>()
+        val forwarder = Forwarder(settings, FakeUpstreams(scheduler), scheduler, log = { events += it })
+        val reply = RecordingReply()
+        val request = ForwardFixture.request(RequestId("1"), "/lookup/1", Moment(0), callerTimeout = 3.seconds)
+        forwarder.refuse(request, reply, RequestMemory(requestBytes = 4_000, heldBytes = 700, maximumBytes = 1_000))
+        assertEquals(RefusalReason.MEMORY_FULL, reply.refusal?.reason)
+        assertTrue(assertNotNull(reply.refusal?.retryAfter) in 200.milliseconds..1.seconds)
+        val event = events.single()
+        assertEquals(EventKind.REQUEST_ENDED to RequestId("1"), event.kind to event.request)
+        assertEquals("refused: MEMORY_FULL desk.example/lookup/1 bytes=4000 held=700 limit=1000", event.detail)
+    }
+
     @Test
     fun routeWithTheLongestMatchingPrefixIsFound() {
         val base = ForwardFixture.configuration()
--- a/daemon/src/main/kotlin/org/lovageladder/daemon/ForwardCommand.kt
+++ b/daemon/src/main/kotlin/org/lovageladder/daemon/ForwardCommand.kt
@@ -14,6 +14,7 @@
 import org.lovageladder.core.forward.ForwarderSettings
 import org.lovageladder.core.forward.Mechanism
 import org.lovageladder.core.forward.RetryLimits
+import org.lovageladder.http.forward.RequestBufferPool
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.minutes
 import kotlin.time.Duration.Companion.seconds
@@ -76,6 +77,13 @@
             DEFAULT_ANSWER_BYTES,
             ANSWER_BYTES_RANGE,
         )
+    private val requestBytes by
+        countFlag(
+            "--request-bytes",
+            "Memory for callers' requests, from their arrival to their end, in bytes.",
+            minOf(RequestBufferPool.DEFAULT_BYTES, RequestBufferPool.mostBytes),
+            RequestBufferPool.LEAST_BYTES..RequestBufferPool.mostBytes,
+        )
     private val entryCount by countFlag(
         "--entry-count",
         "Number of entries that share limits, until it is known from the registry.",
@@ -112,6 +120,7 @@
         process = common.processSettings(),
         stopGrace = stopGrace,
         orderLease = orderLease,
+        requestBytes = requestBytes,
         forwarderSettings =
         ForwarderSettings(
             name = common.process,
--- a/daemon/src/main/kotlin/org/lovageladder/daemon/ForwardProcess.kt
+++ b/daemon/src/main/kotlin/org/lovageladder/daemon/ForwardProcess.kt
@@ -23,12 +23,14 @@
 import org.lovageladder.core.forward.RegistryFollower
 import org.lovageladder.core.forward.RegistryListener
 import org.lovageladder.core.forward.RequestHandle
+import org.lovageladder.core.forward.RequestMemory
 import org.lovageladder.http.HttpThreads
 import org.lovageladder.http.forward.EventLoopScheduler
 import org.lovageladder.http.forward.ForwardDrain
 import org.lovageladder.http.forward.ForwardHandler
 import org.lovageladder.http.forward.ForwardServer
 import org.lovageladder.http.forward.HttpUpstreamCalls
+import org.lovageladder.http.forward.RequestBufferPool
 import org.lovageladder.http.forward.TextClient
 import org.lovageladder.http.startAdminServer
 import org.lovageladder.platform.PlatformEntryRegistration
@@ -45,7 +47,10 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
-/** Settings of an entry that forwards requests straight to upstreams. */
+/**
+ * Settings of an entry that forwards requests straight to upstreams. The requests of all callers together may hold
+ * [requestBytes].
+ */
 internal data class ForwardProcessSettings(
     val name: ProcessName,
     val listenAddress: Address,
@@ -53,6 +58,7 @@
     val forwarderSettings: ForwarderSettings,
     val stopGrace: Duration,
     val orderLease: Duration,
+    val requestBytes: Int,
 )
 
 /** Starts a forwarding entry; throws [AddressUnavailable] when it cannot listen. */
@@ -88,9 +94,11 @@
         )
     private val registrar =
         EntryRegistrar(PlatformEntryRegistration(store, settings.name), scheduler, REGISTRATION_LEASE)
+    private val requestBuffers = RequestBufferPool(settings.requestBytes)
     private val server =
         listenOn("--listen", settings.listenAddress) {
-            ForwardServer(settings.listenAddress, threads, PlatformRequestParser(scheduler), RequestHandler())
+            val parser = PlatformRequestParser(scheduler)
+            ForwardServer(settings.listenAddress, threads, parser, RequestHandler(), requestBuffers)
         }
     private val adminServer =
         listenOn("--admin", settings.process.admin) {
@@ -109,6 +117,7 @@
     init {
         state.showIn(registry)
         Gauge.builder("lovageladder.requests.open", forwarder) { it.openRequests.toDouble() }.register(registry)
+        Gauge.builder("lovageladder.requests.bytes", requestBuffers) { it.heldBytes.toDouble() }.register(registry)
         Gauge.builder("lovageladder.upstreams.limited", forwarder) { it.limitedUpstreams.toDouble() }.register(registry)
         Gauge.builder("lovageladder.prompts.quarantined", forwarder) { it.quarantinedPromptParts.toDouble() }
             .register(registry)
@@ -213,6 +222,9 @@
 
         override fun forward(request: ForwardRequest, reply: CallerReply): RequestHandle? =
             forwarder.forward(request, reply)
+
+        override fun refuse(request: ForwardRequest, reply: CallerReply, memory: RequestMemory) =
+            forwarder.refuse(request, reply, memory)
     }
 
     private companion object {
--- a/daemon/src/test/kotlin/org/lovageladder/daemon/CommandTest.kt
+++ b/daemon/src/test/kotlin/org/lovageladder/daemon/CommandTest.kt
@@ -38,6 +38,8 @@
         Case("--hedging", "maybe", "on, off"),
         Case("--log-level", "loud", "debug, info, warning, error"),
         Case("--log-format", "xml", "text, json"),
+        Case("--request-bytes", "1048575", "1048576 to ", role = "forward"),
+        Case("--request-bytes", "2147483647", "1048576 to ", role = "forward"),
         Case("--without", "haste", "hedging, ejection", role = "forward"),
     )
 
--- a/http/src/main/kotlin/org/lovageladder/http/HttpStatuses.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/HttpStatuses.kt
@@ -10,6 +10,7 @@
 internal const val STATUS_GONE: Int = 410
 internal const val STATUS_CONTENT_TOO_LARGE: Int = 413
 internal const val STATUS_URI_TOO_LONG: Int = 414
+internal const val STATUS_EXPECTATION_FAILED: Int = 417
 internal const val STATUS_HEADERS_TOO_LARGE: Int = 431
 internal const val STATUS_INTERNAL_ERROR: Int = 500
 internal const val STATUS_BAD_GATEWAY: Int = 502
--- a/http/src/main/kotlin/org/lovageladder/http/forward/ForwardConnection.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/forward/ForwardConnection.kt
@@ -1,22 +1,19 @@
 package org.lovageladder.http.forward
 
-import io.netty.buffer.ByteBufUtil
 import io.netty.channel.Channel
+import io.netty.channel.ChannelFutureListener
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.SimpleChannelInboundHandler
-import io.netty.handler.codec.http.FullHttpRequest
 import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpRequest
 import io.netty.handler.codec.http.HttpUtil
-import io.netty.handler.codec.http.TooLongHttpHeaderException
-import io.netty.handler.codec.http.TooLongHttpLineException
 import org.lovageladder.core.forward.CallerLimits
+import org.lovageladder.core.forward.ForwardRequest
 import org.lovageladder.core.forward.RequestHandle
 import org.lovageladder.http.HttpLimits
 import org.lovageladder.http.ReceiveTimer
 import org.lovageladder.http.STATUS_BAD_REQUEST
-import org.lovageladder.http.STATUS_HEADERS_TOO_LARGE
 import org.lovageladder.http.STATUS_REQUEST_TIMEOUT
-import org.lovageladder.http.STATUS_URI_TOO_LONG
 import org.tinylog.kotlin.Logger
 
 /**
@@ -32,10 +29,11 @@
     private val parser: CallerRequestParser,
     private val handler: ForwardHandler,
     private val isDraining: () -> Boolean,
-) : SimpleChannelInboundHandler<FullHttpRequest>(false) {
-    private val pipelined = ArrayDeque<FullHttpRequest>()
+) : SimpleChannelInboundHandler<ReceivedRequest>() {
+    private val pipelined = ArrayDeque<ReceivedRequest>()
     private val receiveTimer = ReceiveTimer(channel.eventLoop(), toHttpLimits(limits), ::onReceiveTimeout)
     private var currentReply: ForwardReply? = null
+    private var currentShare: RequestBufferPool.Share? = null
     private var openRequest: RequestHandle? = null
 
     override fun channelActive(context: ChannelHandlerContext) {
@@ -73,10 +71,10 @@
         channel.close()
     }
 
-    override fun channelRead0(context: ChannelHandlerContext, request: FullHttpRequest) {
+    override fun channelRead0(context: ChannelHandlerContext, request: ReceivedRequest) {
         val startable = if (currentReply == null) 1 else 0
-        if (pipelined.size >= MAXIMUM_PIPELINED_REQUESTS + startable) {
-            request.release()
+        if (!channel.isActive || pipelined.size >= MAXIMUM_PIPELINED_REQUESTS + startable) {
+            request.share.release()
             channel.close()
             return
         }
@@ -86,8 +84,9 @@
 
     private fun onClosed() {
         receiveTimer.stop()
-        pipelined.forEach { it.release() }
+        pipelined.forEach { it.share.release() }
         pipelined.clear()
+        releaseShare()
         val request = openRequest
         openRequest = null
         currentReply?.onCallerDisconnected()
@@ -100,41 +99,55 @@
         channel.close()
     }
 
-    private fun startRequest(request: FullHttpRequest) {
+    private fun startRequest(request: ReceivedRequest) {
         receiveTimer.stop()
-        val keepAlive = HttpUtil.isKeepAlive(request)
+        currentShare = request.share
+        val isWhole = request is ReceivedRequest.Complete
+        val keepAlive = isWhole && HttpUtil.isKeepAlive(request.head)
         val mayKeepAlive = { keepAlive && (!isDraining() || pipelined.isNotEmpty()) }
-        val reply = ForwardReply(channel, request.method().name(), mayKeepAlive, ::onReplyFinished)
+        val closing = if (isWhole) ChannelFutureListener.CLOSE else LingeringClose
+        val reply = ForwardReply(channel, request.head.method().name(), mayKeepAlive, ::onReplyFinished, closing)
         currentReply = reply
-        val fault = request.decoderResult().cause()
-        if (fault != null) {
-            request.release()
-            reply.reject(statusFor(fault), fault.message.orEmpty())
-            return
+        when (request) {
+            is ReceivedRequest.Faulty -> reply.reject(request.status, request.detail)
+            is ReceivedRequest.Unaffordable ->
+                parse(request.head, NO_BODY, reply)?.let { handler.refuse(it, reply, request.memory) }
+            is ReceivedRequest.Complete -> parse(request.head, request.body, reply)?.let { forward(it, reply) }
         }
-        val received = toUnparsedRequest(request)
-        request.release()
-        val parsed = parser.parse(received)
+    }
+
+    private fun forward(request: ForwardRequest, reply: ForwardReply) {
+        val opened = handler.forward(request, reply)
+        if (currentReply === reply) openRequest = opened
+    }
+
+    /** Parses a request; answers it and returns null when it is not valid. */
+    private fun parse(head: HttpRequest, body: ByteArray, reply: ForwardReply): ForwardRequest? {
+        val parsed = parser.parse(toUnparsedRequest(head, body))
         if (parsed == null) {
             reply.reject(STATUS_BAD_REQUEST, "the request's identifier is missing or its headers are malformed")
-            return
         }
-        val opened = handler.forward(parsed, reply)
-        if (currentReply === reply) openRequest = opened
+        return parsed
     }
 
-    private fun toUnparsedRequest(request: FullHttpRequest) = UnparsedRequest(
-        method = request.method().name(),
-        target = request.uri(),
-        host = request.headers().get(HttpHeaderNames.HOST).orEmpty(),
-        fields = endToEndFields(request.headers()),
-        body = ByteBufUtil.getBytes(request.content()),
+    private fun toUnparsedRequest(head: HttpRequest, body: ByteArray) = UnparsedRequest(
+        method = head.method().name(),
+        target = head.uri(),
+        host = head.headers().get(HttpHeaderNames.HOST).orEmpty(),
+        fields = endToEndFields(head.headers()),
+        body = body,
     )
 
+    private fun releaseShare() {
+        currentShare?.release()
+        currentShare = null
+    }
+
     /** The answer to the current request was written; [keepAlive] tells whether the connection stays open. */
     private fun onReplyFinished(keepAlive: Boolean) {
         currentReply = null
         openRequest = null
+        releaseShare()
         if (!keepAlive) return
         if (pipelined.isEmpty()) receiveTimer.awaitRequest() else channel.eventLoop().execute(::startNext)
     }
@@ -155,15 +168,10 @@
         reply.reject(STATUS_REQUEST_TIMEOUT, detail)
     }
 
-    private fun statusFor(fault: Throwable): Int = when (fault) {
-        is TooLongHttpHeaderException -> STATUS_HEADERS_TOO_LARGE
-        is TooLongHttpLineException -> STATUS_URI_TOO_LONG
-        else -> STATUS_BAD_REQUEST
-    }
-
     private companion object {
         /** Pipelined requests that may wait on one connection. */
         const val MAXIMUM_PIPELINED_REQUESTS = 32
+        val NO_BODY = ByteArray(0)
 
         fun toHttpLimits(limits: CallerLimits) = HttpLimits(
             maximumBodyBytes = limits.maximumBodyBytes,
--- a/http/src/main/kotlin/org/lovageladder/http/forward/ForwardReply.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/forward/ForwardReply.kt
@@ -28,13 +28,15 @@
 
 /**
  * Writes the answer to one request. [mayKeepAlive] is asked when the answer begins; [onFinished] gets whether the
- * connection stays open for further requests. Runs on the event loop thread.
+ * connection stays open for further requests; otherwise [closing] closes it once the answer is written. Runs on the
+ * event loop thread.
  */
 internal class ForwardReply(
     private val channel: Channel,
     private val method: String,
     private val mayKeepAlive: () -> Boolean,
     private val onFinished: (keepAlive: Boolean) -> Unit,
+    private val closing: ChannelFutureListener = ChannelFutureListener.CLOSE,
 ) : CallerReply {
     private var isFinished = false
     private var keepAlive = true
@@ -107,7 +109,7 @@
     }
 
     private fun finish(written: ChannelFuture) {
-        if (!keepAlive) written.addListener(ChannelFutureListener.CLOSE)
+        if (!keepAlive) written.addListener(closing)
         onFinished(keepAlive)
     }
 
@@ -119,6 +121,7 @@
         RefusalReason.REQUEST_SUSPECTED,
         RefusalReason.NO_UPSTREAM,
         RefusalReason.EXPIRED,
+        RefusalReason.MEMORY_FULL,
         -> STATUS_UNAVAILABLE
         RefusalReason.REQUEST_QUARANTINED,
         RefusalReason.ANSWER_LOST,
--- a/http/src/main/kotlin/org/lovageladder/http/forward/ForwardServer.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/forward/ForwardServer.kt
@@ -3,13 +3,15 @@
 import io.netty.channel.Channel
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.socket.SocketChannel
-import io.netty.handler.codec.http.HttpObjectAggregator
 import io.netty.handler.codec.http.HttpResponseEncoder
 import org.lovageladder.core.Address
 import org.lovageladder.core.forward.CallerLimits
 import org.lovageladder.core.forward.CallerReply
 import org.lovageladder.core.forward.ForwardRequest
+import org.lovageladder.core.forward.Refusal
+import org.lovageladder.core.forward.RefusalReason
 import org.lovageladder.core.forward.RequestHandle
+import org.lovageladder.core.forward.RequestMemory
 import org.lovageladder.http.ArrivalHandler
 import org.lovageladder.http.HttpThreads
 import org.lovageladder.http.boundAddress
@@ -24,17 +26,24 @@
 
     /** Forwards [request] and sends the answer to [reply]. Returns null when the request was answered at once. */
     public fun forward(request: ForwardRequest, reply: CallerReply): RequestHandle?
+
+    /** Refuses [request], which was not received whole since [memory] has no room for it. Its body is empty here. */
+    public fun refuse(request: ForwardRequest, reply: CallerReply, memory: RequestMemory): Unit =
+        reply.refuse(Refusal(RefusalReason.MEMORY_FULL, DEFAULT_RETURN_DELAY))
 }
 
+private val DEFAULT_RETURN_DELAY = 1.seconds
+
 /**
- * Accepts callers' connections at [bind], parses their requests with [parser] and passes them to [handler]. [threads]
- * must have one thread only.
+ * Accepts callers' connections at [bind], parses their requests with [parser] and passes them to [handler]. Requests
+ * are kept in memory of [requestBuffers]. [threads] must have one thread only.
  */
 public class ForwardServer(
     bind: Address,
     private val threads: HttpThreads,
     private val parser: CallerRequestParser,
     private val handler: ForwardHandler,
+    private val requestBuffers: RequestBufferPool = RequestBufferPool(),
 ) : AutoCloseable {
     private val connections = ConcurrentHashMap.newKeySet<ForwardConnection>()
 
@@ -83,7 +92,7 @@
                 ArrivalHandler(connection::onBytesReceived),
                 StrictRequestDecoder(limits.maximumHeaderBytes),
                 HttpResponseEncoder(),
-                HttpObjectAggregator(limits.maximumBodyBytes),
+                RequestAssembler(requestBuffers, limits.maximumBodyBytes),
                 connection,
             )
         }
