Close a connection with bytes that belong to no call

What callers saw: a success where the upstream had answered with a failure, or the other way round, with the identifier, seal and body of the right answer.

Cause: a part of a second answer, cut in its status line or in a field, waited in the decoder of the kept connection, and the next answer continued its line.

Change: bytes behind an answer, or while no call runs, close the connection, whole message or not, so that the next request goes out on another one. A head whose reason phrase or field holds the start of another head is not valid HTTP: nothing else tells a part that arrives after the request was sent. The decoder knows the method of the call that runs, so that an answer that is skipped no longer takes the framing of the next one after HEAD (not run).

--- /dev/null
+++ b/http/src/main/kotlin/org/lovageladder/http/AnswerDecoder.kt
@@ -0,0 +1,45 @@
+package org.lovageladder.http
+
+import io.netty.channel.ChannelHandlerContext
+import io.netty.handler.codec.http.HttpMessage
+import io.netty.handler.codec.http.HttpMethod
+import io.netty.handler.codec.http.HttpObject
+import io.netty.handler.codec.http.HttpResponse
+import io.netty.handler.codec.http.HttpResponseDecoder
+import io.netty.util.ReferenceCountUtil
+
+/**
+ * Decodes the answers on a client connection. A peer may begin to write an answer again and stop in its head; with the
+ * next answer, that part makes one that nobody wrote. So bytes that arrive while no call runs close the connection.
+ */
+internal class AnswerDecoder : HttpResponseDecoder() {
+    /** Method of the call that runs on the connection, or null. */
+    var awaitedMethod: HttpMethod? = null
+
+    /** Whether bytes have arrived behind those that were decoded. */
+    val hasRest: Boolean get() = actualReadableBytes() > 0
+
+    override fun channelRead(context: ChannelHandlerContext, message: Any) {
+        if (awaitedMethod != null) {
+            super.channelRead(context, message)
+        } else {
+            ReferenceCountUtil.release(message)
+            context.close()
+        }
+    }
+
+    override fun isContentAlwaysEmpty(message: HttpMessage): Boolean =
+        awaitedMethod == HttpMethod.HEAD || super.isContentAlwaysEmpty(message)
+}
+
+/** Why [message] is no part of a valid answer; null when it is one. */
+internal fun faultOf(message: HttpObject): Throwable? {
+    val isJoined = message is HttpResponse && message.holdsAnotherHead()
+    return message.decoderResult().cause() ?: if (isJoined) IllegalArgumentException("its head holds another") else null
+}
+
+/** Whether the status line or a field of this head goes on with the start of another head. */
+private fun HttpResponse.holdsAnotherHead(): Boolean =
+    START_OF_HEAD.containsMatchIn(status().reasonPhrase()) || headers().any { START_OF_HEAD.containsMatchIn(it.value) }
+
+private val START_OF_HEAD = Regex("HTTP/\\d\\.\\d \\d{3}")
--- a/http/src/main/kotlin/org/lovageladder/http/HttpClient.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/HttpClient.kt
@@ -8,7 +8,7 @@
 import io.netty.channel.ConnectTimeoutException
 import io.netty.channel.socket.SocketChannel
 import io.netty.channel.socket.nio.NioSocketChannel
-import io.netty.handler.codec.http.HttpClientCodec
+import io.netty.handler.codec.http.HttpRequestEncoder
 import org.lovageladder.core.Address
 import org.lovageladder.core.FaultCause
 import java.util.concurrent.ConcurrentHashMap
@@ -137,7 +137,9 @@
         override fun initChannel(channel: SocketChannel) {
             openChannels.add(channel)
             channel.closeFuture().addListener { openChannels.remove(channel) }
-            channel.pipeline().addLast(HttpClientCodec(), HttpClientConnection(idleConnections))
+            val decoder = AnswerDecoder()
+            channel.pipeline()
+                .addLast(HttpRequestEncoder(), decoder, HttpClientConnection(idleConnections, decoder))
         }
     }
 
--- a/http/src/main/kotlin/org/lovageladder/http/HttpClientConnection.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/HttpClientConnection.kt
@@ -25,7 +25,7 @@
  * One client connection and its current call. Answers that are not the call's own are skipped up to a limit, since a
  * faulty peer may write them without end. Confined to its event loop thread.
  */
-internal class HttpClientConnection(private val idleConnections: IdleConnections) :
+internal class HttpClientConnection(private val idleConnections: IdleConnections, private val decoder: AnswerDecoder) :
     SimpleChannelInboundHandler<HttpObject>() {
     private lateinit var context: ChannelHandlerContext
     private var currentCall: RunningHttpCall? = null
@@ -48,6 +48,7 @@
         }
         val request = encodeOrFail(runningCall) ?: return
         currentCall = runningCall
+        decoder.awaitedMethod = runningCall.call.method
         address = runningCall.address
         skipLimit.restart()
         runningCall.onSend(context.channel())
@@ -61,8 +62,9 @@
 
     override fun channelRead0(context: ChannelHandlerContext, message: HttpObject) {
         val runningCall = currentCall
-        if (runningCall == null || message.decoderResult().isFailure) {
-            onProtocolError(message.decoderResult().cause())
+        val fault = faultOf(message)
+        if (runningCall == null || fault != null) {
+            onProtocolError(fault)
             return
         }
         if (message is HttpResponse) startAnswer(runningCall, message)
@@ -118,8 +120,9 @@
 
     private fun finishAnswer(runningCall: RunningHttpCall) {
         currentCall = null
+        decoder.awaitedMethod = null
         val isDelivered = runningCall.markEnded()
-        if (isDelivered && keepAlive) {
+        if (isDelivered && keepAlive && !decoder.hasRest) {
             idleConnections.release(runningCall.address, context.channel(), history, idleTimeout)
         } else {
             context.close()
