Skip an answer without identifier at a peer that names calls

Cause: an answer without identifier counted as the first of its connection, whoever wrote it.

PROTOCOL.md: workers echo the identifier. A peer that has named no call is answered for as before, so that the first calls to an address stay open to this fault. A refusal without identifier is waited out on a new connection as on a used one before.

--- a/http/src/main/kotlin/org/lovageladder/http/ConnectionHistory.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/ConnectionHistory.kt
@@ -27,20 +27,21 @@
         is AnswerRecognition.Unidentified -> lastAnswer.allowsUnidentified
     }
 
-    /** Whether an answer with [headers] is the one to the current call, which has [recognition]. */
-    fun isAnswer(recognition: AnswerRecognition, headers: HttpHeaders): Boolean {
+    /**
+     * Whether an answer with [headers] is the one to the current call, which has [recognition]. [isNamingPeer] tells
+     * whether the peer has named a call in an answer before: then it names all, and one that names none is a repeated
+     * one, even as the first of its connection.
+     */
+    fun isAnswer(recognition: AnswerRecognition, headers: HttpHeaders, isNamingPeer: Boolean): Boolean {
         val identifier = recognition.identifierOf(headers)
         return when (recognition) {
             AnswerRecognition.ByOrder -> true
-            is AnswerRecognition.ByIdentifier -> isNamed(recognition, identifier)
+            is AnswerRecognition.ByIdentifier ->
+                identifier == recognition.identifier || (identifier == null && !isNamingPeer && answeredCalls == 0)
             is AnswerRecognition.Unidentified -> identifier == null
         }
     }
 
-    /** An answer that names no call can only be the first of its connection. */
-    private fun isNamed(recognition: AnswerRecognition.ByIdentifier, identifier: String?) =
-        identifier == recognition.identifier || (identifier == null && answeredCalls == 0)
-
     /** Records the answer to a call with [recognition]. Returns whether the connection may be kept. */
     fun recordAnswer(recognition: AnswerRecognition, status: Int, headers: HttpHeaders): Boolean {
         answeredCalls += 1
--- a/http/src/main/kotlin/org/lovageladder/http/HttpClientConnection.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/HttpClientConnection.kt
@@ -81,15 +81,18 @@
     /** Starts the answer, or skips it when it is an interim (1xx) answer or belongs to another call. */
     private fun startAnswer(runningCall: RunningHttpCall, response: HttpResponse) {
         val interim = response.status().codeClass() == HttpStatusClass.INFORMATIONAL
+        val recognition = runningCall.call.recognition
+        val isNamingPeer = idleConnections.isNaming(runningCall.address)
         val unrelated =
-            !interim && !runningCall.isEnded && !history.isAnswer(runningCall.call.recognition, response.headers())
+            !interim && !runningCall.isEnded && !history.isAnswer(recognition, response.headers(), isNamingPeer)
         skippingAnswer = interim || unrelated
         if (unrelated) skip(runningCall, response)
         if (skippingAnswer) {
             skipLimit.addAnswer()
             return
         }
-        val isKept = history.recordAnswer(runningCall.call.recognition, response.status().code(), response.headers())
+        val isKept = history.recordAnswer(recognition, response.status().code(), response.headers())
+        if (isKept && history.lastAnswer.isIdentified) idleConnections.recordNaming(runningCall.address)
         keepAlive = keepAlive && isKept && runningCall.isConnectionKept && HttpUtil.isKeepAlive(response)
         idleTimeout = announcedIdleTimeout(response)
         runningCall.onHead(response.status().code(), response.headers())
--- a/http/src/main/kotlin/org/lovageladder/http/IdleConnections.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/IdleConnections.kt
@@ -19,6 +19,14 @@
     private val namingPeers = ConcurrentHashMap.newKeySet<Address>()
     private val byAddress = ConcurrentHashMap<Address, ConcurrentLinkedDeque<IdleConnection>>()
 
+    /** The peer at [address] has named a call in its answer. */
+    fun recordNaming(address: Address) {
+        namingPeers += address
+    }
+
+    /** Whether the peer at [address] has named a call in an answer. */
+    fun isNaming(address: Address): Boolean = address in namingPeers
+
     /**
      * Removes and returns an open connection that may carry a call with [recognition] and whose idle timeout has not
      * ended, or null.
@@ -33,7 +41,7 @@
 
     private fun isSuitable(address: Address, history: ConnectionHistory, recognition: AnswerRecognition): Boolean {
         val needsName = recognition is AnswerRecognition.ByIdentifier && !history.lastAnswer.isIdentified
-        if (needsName && address !in namingPeers) return false
+        if (needsName && !isNaming(address)) return false
         return history.mayCarry(recognition)
     }
 
@@ -49,7 +57,6 @@
      * announced.
      */
     fun release(address: Address, channel: Channel, history: ConnectionHistory, announcedTimeout: Duration? = null) {
-        if (history.lastAnswer.isIdentified) namingPeers += address
         val timeout = announcedTimeout?.let { it - CLOSE_MARGIN } ?: DEFAULT_TIMEOUT
         val connections = byAddress.computeIfAbsent(address) { ConcurrentLinkedDeque() }
         connections.addFirst(IdleConnection(channel, history, TimeSource.Monotonic.markNow(), timeout))
