--- a/http/src/main/kotlin/org/lovageladder/http/HttpClient.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/HttpClient.kt
@@ -8,7 +8,7 @@
 import io.netty.channel.ConnectTimeoutException
 import io.netty.channel.socket.SocketChannel
 import io.netty.channel.socket.nio.NioSocketChannel
-import io.netty.handler.codec.http.HttpClientCodec
+import io.netty.handler.codec.http.HttpRequestEncoder
 import org.lovageladder.core.Address
 import org.lovageladder.core.FaultCause
 import java.util.concurrent.ConcurrentHashMap
@@ -143,8 +143,10 @@
         override fun initChannel(channel: SocketChannel) {
             openChannels.add(channel)
             channel.closeFuture().addListener { openChannels.remove(channel) }
-            val idleWatch = IdleWatch(connections.incrementAndGet(), onUnexpected)
-            channel.pipeline().addLast(idleWatch, HttpClientCodec(), HttpClientConnection(idleConnections, idleWatch))
+            val decoder = AnswerDecoder()
+            val idleWatch = IdleWatch(connections.incrementAndGet(), decoder, onUnexpected)
+            val connection = HttpClientConnection(idleConnections, decoder, idleWatch)
+            channel.pipeline().addLast(idleWatch, HttpRequestEncoder(), decoder, connection)
         }
     }
 
--- a/http/src/main/kotlin/org/lovageladder/http/HttpClientConnection.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/HttpClientConnection.kt
@@ -25,8 +25,11 @@
  * One client connection and its current call. Answers that are not the call's own are skipped up to a limit, since a
  * faulty peer may write them without end. Confined to its event loop thread.
  */
-internal class HttpClientConnection(private val idleConnections: IdleConnections, private val idleWatch: IdleWatch) :
-    SimpleChannelInboundHandler<HttpObject>() {
+internal class HttpClientConnection(
+    private val idleConnections: IdleConnections,
+    private val decoder: AnswerDecoder,
+    private val idleWatch: IdleWatch,
+) : SimpleChannelInboundHandler<HttpObject>() {
     private lateinit var context: ChannelHandlerContext
     private var currentCall: RunningHttpCall? = null
     private var address: Address? = null
@@ -48,6 +51,7 @@
         }
         val request = encodeOrFail(runningCall) ?: return
         currentCall = runningCall
+        decoder.awaitedMethod = runningCall.call.method
         address = runningCall.address
         skipLimit.restart()
         runningCall.onSend(context.channel(), idleWatch.startCall(runningCall))
@@ -62,8 +66,9 @@
     override fun channelRead0(context: ChannelHandlerContext, message: HttpObject) {
         val runningCall = currentCall
         if (runningCall == null) idleWatch.onMessage(message)
-        if (runningCall == null || message.decoderResult().isFailure) {
-            onProtocolError(message.decoderResult().cause())
+        val fault = faultOf(message)
+        if (runningCall == null || fault != null) {
+            onProtocolError(fault)
             return
         }
         if (message is HttpResponse) startAnswer(runningCall, message)
@@ -80,15 +85,18 @@
     /** Starts the answer, or skips it when it is an interim (1xx) answer or belongs to another call. */
     private fun startAnswer(runningCall: RunningHttpCall, response: HttpResponse) {
         val interim = response.status().codeClass() == HttpStatusClass.INFORMATIONAL
+        val recognition = runningCall.call.recognition
+        val isNamingPeer = idleConnections.isNaming(runningCall.address)
         val unrelated =
-            !interim && !runningCall.isEnded && !history.isAnswer(runningCall.call.recognition, response.headers())
+            !interim && !runningCall.isEnded && !history.isAnswer(recognition, response.headers(), isNamingPeer)
         skippingAnswer = interim || unrelated
         if (unrelated) skip(runningCall, response)
         if (skippingAnswer) {
             skipLimit.addAnswer()
             return
         }
-        val isKept = history.recordAnswer(runningCall.call.recognition, response.status().code(), response.headers())
+        val isKept = history.recordAnswer(recognition, response.status().code(), response.headers())
+        if (isKept && history.lastAnswer.isIdentified) idleConnections.recordNaming(runningCall.address)
         keepAlive = keepAlive && isKept && runningCall.isConnectionKept && HttpUtil.isKeepAlive(response)
         idleTimeout = announcedIdleTimeout(response)
         runningCall.onHead(response.status().code(), response.headers())
@@ -120,9 +128,10 @@
 
     private fun finishAnswer(runningCall: RunningHttpCall) {
         currentCall = null
+        decoder.awaitedMethod = null
         val isDelivered = runningCall.markEnded()
         if (isDelivered) idleWatch.endCall(history.answeredCalls)
-        if (isDelivered && keepAlive) {
+        if (isDelivered && keepAlive && !decoder.hasRest) {
             idleConnections.release(runningCall.address, context.channel(), history, idleTimeout)
         } else {
             context.close()
--- a/http/src/main/kotlin/org/lovageladder/http/IdleWatch.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/IdleWatch.kt
@@ -25,11 +25,14 @@
 
 /**
  * Numbers the calls of the connection with number [connection], and reports the first bytes that come while it carries
- * none. Stands before the HTTP codec, which withholds a head until it is whole. Confined to the connection's event loop
- * thread.
+ * none, or behind an answer. Stands before the [decoder], which withholds a head until it is whole. Confined to the
+ * connection's event loop thread.
  */
-internal class IdleWatch(private val connection: Long, private val report: (UnexpectedAnswer) -> Unit) :
-    ChannelInboundHandlerAdapter() {
+internal class IdleWatch(
+    private val connection: Long,
+    private val decoder: AnswerDecoder,
+    private val report: (UnexpectedAnswer) -> Unit,
+) : ChannelInboundHandlerAdapter() {
     private lateinit var address: Address
     private lateinit var recognition: AnswerRecognition
     private var calls = 0
@@ -54,11 +57,11 @@
         idleSince = TimeSource.Monotonic.markNow()
     }
 
-    /** The codec may pass on the answer in these bytes first, which tells more. */
+    /** The decoder may pass on the answer in these bytes first, which tells more. */
     override fun channelRead(context: ChannelHandlerContext, message: Any) {
         val wasIdle = idleSince != null
         super.channelRead(context, message)
-        if (wasIdle) reportOnce(answer = null)
+        if (wasIdle || decoder.hasRest) reportOnce(answer = null)
     }
 
     /** Called for each [message] that is read while the connection carries no call. */
