--- a/http/src/test/kotlin/org/lovageladder/http/forward/CallersThatLeftTest.kt
+++ b/http/src/test/kotlin/org/lovageladder/http/forward/CallersThatLeftTest.kt
@@ -1,8 +1,6 @@
 package org.lovageladder.http.forward
 
 import org.lovageladder.core.Address
-import org.lovageladder.core.Moment
-import org.lovageladder.core.RequestId
 import org.lovageladder.core.UpstreamName
 import org.lovageladder.core.forward.AnswerHead
 import org.lovageladder.core.forward.AnswerReceiver
@@ -58,22 +56,7 @@
             return forwardToPeer(request, reply)
         }
     }
-    private val parser = CallerRequestParser { received ->
-        ForwardRequest(
-            id = RequestId(received.fields.first { it.name == "Id" }.value),
-            method = received.method,
-            target = received.target,
-            host = received.host,
-            headers = received.fields,
-            body = received.body,
-            arrivedAt = Moment(0),
-            callerTimeout = null,
-            generation = null,
-            resumeAfterEventId = null,
-            connection = received.connection,
-        )
-    }
-    private val server = ForwardServer(Address("127.0.0.1", 0), threads, parser, handler)
+    private val server = ForwardServer(Address("127.0.0.1", 0), threads, PlainParser, handler)
 
     @AfterTest
     fun close() {
--- a/http/src/test/kotlin/org/lovageladder/http/forward/ForwardServerTest.kt
+++ b/http/src/test/kotlin/org/lovageladder/http/forward/ForwardServerTest.kt
@@ -1,8 +1,6 @@
 package org.lovageladder.http.forward
 
 import org.lovageladder.core.Address
-import org.lovageladder.core.Moment
-import org.lovageladder.core.RequestId
 import org.lovageladder.core.forward.AnswerHead
 import org.lovageladder.core.forward.CallerLimits
 import org.lovageladder.core.forward.CallerReply
@@ -27,7 +25,6 @@
 import kotlin.test.assertNull
 import kotlin.test.assertTrue
 import kotlin.time.Duration.Companion.milliseconds
-import kotlin.time.Duration.Companion.seconds
 
 /** Checks what callers may send on a connection and which answers they get. */
 class ForwardServerTest {
@@ -44,22 +41,7 @@
                 return RequestHandle { callerDisconnected.countDown() }
             }
         }
-    private val parser = CallerRequestParser { received ->
-        val id = received.fields.firstOrNull { it.name == "Id" }?.value ?: return@CallerRequestParser null
-        ForwardRequest(
-            id = RequestId(id),
-            method = received.method,
-            target = received.target,
-            host = received.host,
-            headers = received.fields,
-            body = received.body,
-            arrivedAt = Moment(0),
-            callerTimeout = 1.seconds,
-            generation = null,
-            resumeAfterEventId = null,
-        )
-    }
-    private val server = ForwardServer(Address("127.0.0.1", 0), threads, parser, handler)
+    private val server = ForwardServer(Address("127.0.0.1", 0), threads, PlainParser, handler)
 
     @AfterTest
     fun close() {
@@ -147,7 +129,7 @@
                 return RequestHandle { order += "left ${request.target}" }
             }
         }
-        ForwardServer(Address("127.0.0.1", 0), threads, parser, recording).use { server ->
+        ForwardServer(Address("127.0.0.1", 0), threads, PlainParser, recording).use { server ->
             val (leaving, other) = List(2) { CallerSocket(server.address) }
             leaving.send("GET /open HTTP/1.1\r\nHost: h\r\nId: 1\r\n\r\n")
             assertEquals("/open", order.poll(10, TimeUnit.SECONDS))
--- a/http/src/test/kotlin/org/lovageladder/http/forward/RequestMemoryTest.kt
+++ b/http/src/test/kotlin/org/lovageladder/http/forward/RequestMemoryTest.kt
@@ -1,8 +1,6 @@
 package org.lovageladder.http.forward
 
 import org.lovageladder.core.Address
-import org.lovageladder.core.Moment
-import org.lovageladder.core.RequestId
 import org.lovageladder.core.forward.CallerLimits
 import org.lovageladder.core.forward.CallerReply
 import org.lovageladder.core.forward.ForwardRequest
@@ -37,24 +35,8 @@
             return RequestHandle {}
         }
     }
-    private val parser = CallerRequestParser { received ->
-        received.fields.firstOrNull { it.name == "Id" }?.let { id ->
-            ForwardRequest(
-                id = RequestId(id.value),
-                method = received.method,
-                target = received.target,
-                host = received.host,
-                headers = received.fields,
-                body = received.body,
-                arrivedAt = Moment(0),
-                callerTimeout = 1.seconds,
-                generation = null,
-                resumeAfterEventId = null,
-            )
-        }
-    }
     private val pool = RequestBufferPool(1_048_576)
-    private val server = ForwardServer(Address("127.0.0.1", 0), threads, parser, handler, pool)
+    private val server = ForwardServer(Address("127.0.0.1", 0), threads, PlainParser, handler, pool)
     private val callers = ArrayList<CallerSocket>()
 
     @AfterTest
