--- a/review/stand-in-2/Engine.java
+++ b/review/stand-in-2/Engine.java
@@ -13,14 +13,17 @@
     final String id;
     final String service;
     final String stage;
-    final Http.Server server;
-    final long born = System.currentTimeMillis();
+    volatile Http.Server server;
+    volatile long born = System.currentTimeMillis();
     final AtomicInteger active = new AtomicInteger();
     volatile Prefill prefill = Engine::prefill;
     volatile int events = 40;
     volatile int eventMillis = 10;
     volatile String state = "ready";
 
+    /** What the worker writes as the text of each event. */
+    volatile String text = "x".repeat(80);
+
     /** Whether streams have neither a length nor chunks and end with their connection. */
     volatile boolean isUnframed;
 
@@ -50,6 +53,18 @@
             + stage + "\",\"models\":[{\"name\":\"m\",\"version\":1,\"adapters\":[]}],\"sequence\":0,\"born\":" + born + "}");
     }
 
+    /** Crashes, and starts again MILLIS later under the same id and address. */
+    void crash(int millis) throws Exception {
+        int port = server.port();
+        record.accept("worker " + id + " crashes with " + active.get() + " requests in progress");
+        server.close();
+        Thread.sleep(millis);
+        born = System.currentTimeMillis();
+        server = new Http.Server(port, this::handle);
+        register();
+        record.accept("worker " + id + " is back");
+    }
+
     /**
      * Leaves as planned: reports that it is draining, goes on serving for SERVE_MILLIS at least and until it has answered
      * all that it was sent, and exits.
@@ -139,6 +154,14 @@
             "{\"kvHandle\":\"" + engine.id + "-" + engine.numbers.incrementAndGet() + "\",\"tokens\":" + tokens + ",\"version\":1}");
     }
 
+    private static byte[] chunk(byte[] bytes) {
+        java.io.ByteArrayOutputStream framed = new java.io.ByteArrayOutputStream();
+        framed.writeBytes((Integer.toHexString(bytes.length) + "\r\n").getBytes(StandardCharsets.ISO_8859_1));
+        framed.writeBytes(bytes);
+        framed.writeBytes("\r\n".getBytes(StandardCharsets.ISO_8859_1));
+        return framed.toByteArray();
+    }
+
     private void stream(Http.Connection connection, Http.Message request) throws Exception {
         String head = "HTTP/1.1 200 OK\r\nAttempt-Id: " + request.header("Attempt-Id") + "\r\nServer-Seal: " + id
             + ".1\r\nContent-Type: text/event-stream\r\n" + (isUnframed ? "Connection: close" : "Transfer-Encoding: chunked") + "\r\n\r\n";
@@ -146,9 +169,9 @@
         String last = request.header("Last-Event-Id");
         for (int event = last == null ? 1 : Integer.parseInt(last) + 1; event <= events; event++) {
             Thread.sleep(eventMillis);
-            String text = "id: " + event + "\ndata: " + "x".repeat(80) + "\n\n";
-            String framed = isUnframed ? text : Integer.toHexString(text.length()) + "\r\n" + text + "\r\n";
-            connection.write(framed.getBytes(StandardCharsets.ISO_8859_1));
+            String piece = "id: " + event + "\ndata: " + text + "\n\n";
+            byte[] bytes = piece.getBytes(StandardCharsets.UTF_8);
+            connection.write(isUnframed ? bytes : chunk(bytes));
         }
         written.add(request.header("Attempt-Id"));
         if (isUnframed) connection.close();
