Pass no status on that would promise the caller of an action that it has not run

Cause: an upstream says that it did not run a request by Not-Executed or 421 only, but the entry's own 503 and 429 are promises. PlainFlow and StreamFlow each decided for themselves and passed any failure on that was not declined. Ruled out: a repeat by the entry (one run for each identifier in the record).

An error that answers the second run of a stream, before its first event, is passed on whole; its head was passed on and the answer then broken off.

Tests of core and platform for forwarding pass.

--- a/core/src/main/kotlin/org/lovageladder/core/forward/PlainFlow.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/PlainFlow.kt
@@ -129,20 +129,16 @@
         val head = answer.head
         val health = context.upstreamSelector.health(attempt.upstream)
         head.load?.let { health.recordLoad(it, context.now()) }
-        when {
-            head.isWrongInstance -> {
-                context.removeReplaced(attempt.upstream, request.id)
-                onDeclined(attempt, head)
-            }
-            head.isDeclined -> onDeclined(attempt, head)
-            !head.isGenuine -> onFailed(attempt, UNPROVEN_SUCCESS)
-            head.status >= LOWEST_SERVER_ERROR_STATUS -> {
+        when (route.meaningOf(head)) {
+            AnswerMeaning.Declined -> onDeclined(attempt, head)
+            AnswerMeaning.Unproven -> onFailed(attempt, UNPROVEN_SUCCESS)
+            is AnswerMeaning.Failed -> {
                 health.recordError(context.now())
                 mayHaveRun = true
                 lastErrorAnswer = answer
                 if (!route.isRetryable || !retry()) fail(RefusalReason.ANSWER_LOST)
             }
-            else -> {
+            AnswerMeaning.Result -> {
                 health.recordSuccess()
                 recordTime(attempt)
                 deliver(answer)
@@ -163,6 +159,7 @@
     }
 
     private fun onDeclined(attempt: Attempt, head: AnswerHead) {
+        if (head.isWrongInstance) context.removeReplaced(attempt.upstream, request.id)
         context.upstreamSelector.health(attempt.upstream).recordDecline(context.now())
         context.record(EventKind.REQUEST_DECLINED, request.id, attempt.upstream, detail = "status ${head.status}")
         if (!retry()) fail(RefusalReason.OVERLOADED)
@@ -208,15 +205,18 @@
     private fun fail(reason: RefusalReason) {
         if (isFinished) return
         if (attempts.any { it.isRunning }) return
-        val failure = lastErrorAnswer
-        if (failure != null) {
-            deliver(failure)
+        val errorAnswer = lastErrorAnswer
+        if (errorAnswer != null && mayReachCaller(errorAnswer)) {
+            deliver(errorAnswer)
             return
         }
         val reportedReason = if (mayHaveRun && reason.isNotRun) RefusalReason.ANSWER_LOST else reason
-        refuse(reportedReason)
+        refuse(reportedReason, withheld = errorAnswer)
     }
 
+    private fun mayReachCaller(errorAnswer: CompleteAnswer): Boolean =
+        (route.meaningOf(errorAnswer.head) as? AnswerMeaning.Failed)?.mayReachCaller == true
+
     private fun onTimeout() = end(RefusalReason.EXPIRED)
 
     override fun onFinalDeadline() = end(RefusalReason.LEAVING)
@@ -228,11 +228,12 @@
         refuse(if (hasReachedUpstream) RefusalReason.TIMEOUT else reasonIfNotSent)
     }
 
-    private fun refuse(reason: RefusalReason, minimumDelay: Duration? = null) {
+    /** Refuses the request. An answer that is [withheld] from the caller stands in the event at the end. */
+    private fun refuse(reason: RefusalReason, minimumDelay: Duration? = null, withheld: CompleteAnswer? = null) {
         val remaining = deadlines.remaining(context.now())
         val delay = { minimumDelay ?: minimumReturnDelay() }
         val retryAfter = if (reason.isNotRun) context.returnDelay(delay(), remaining) else null
-        finish("refused: $reason")
+        finish("refused: $reason", withheld)
         reply.refuse(Refusal(reason, retryAfter))
     }
 
@@ -256,7 +257,7 @@
         reply.finish()
     }
 
-    /** Ends the request; [answer] is the one that its caller gets. */
+    /** Ends the request; [answer] is the one that its caller gets, or that is withheld from it. */
     private fun finish(outcome: String, answer: CompleteAnswer? = null) {
         isFinished = true
         timeoutTimer?.cancel()
@@ -364,7 +365,6 @@
     private class CompleteAnswer(val upstream: UpstreamName, val head: AnswerHead, val body: ByteArray)
 
     private companion object {
-        const val LOWEST_SERVER_ERROR_STATUS = 500
         const val LOGGED_TARGET_LENGTH = 120
 
         /** Maximum attempts for one request, including those that an upstream declined. */
--- a/core/src/main/kotlin/org/lovageladder/core/forward/StreamFlow.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/StreamFlow.kt
@@ -246,16 +246,35 @@
         requestMemory()
     }
 
-    private fun onHead(upstream: UpstreamName, head: AnswerHead) {
+    /** Begins the answer to the caller, or goes on with it. Returns whether the body of this answer belongs to it. */
+    private fun onHead(upstream: UpstreamName, head: AnswerHead): Boolean {
         head.load?.let { context.upstreamSelector.health(upstream).recordLoad(it, context.now()) }
-        if (!head.isGenuine) {
-            cancelFailedDecode(UNPROVEN_SUCCESS)
-            return
+        return when (val meaning = route.meaningOf(head)) {
+            AnswerMeaning.Declined -> false
+            AnswerMeaning.Unproven -> {
+                cancelFailedDecode(UNPROVEN_SUCCESS)
+                false
+            }
+            is AnswerMeaning.Failed -> onFailedRun(head, meaning)
+            AnswerMeaning.Result -> passOn(head)
+        }
+    }
+
+    private fun onFailedRun(head: AnswerHead, meaning: AnswerMeaning.Failed): Boolean = when {
+        mayResume() -> false
+        meaning.mayReachCaller -> passOn(head)
+        else -> {
+            cancelFailedDecode(CallFailure(FaultCause.REJECTED, sent = true, "withheld status ${head.status}"))
+            false
         }
-        if (head.isDeclined || headSent) return
-        if (!head.isSuccess && head.status >= LOWEST_SERVER_ERROR_STATUS && mayResume()) return
+    }
+
+    /** Nothing but the rest of the stream may follow the head of a stream. */
+    private fun passOn(head: AnswerHead): Boolean {
+        if (headSent) return head.isSuccess
         headSent = true
         reply.sendHead(head, length = null)
+        return true
     }
 
     private fun onContent(bytes: ByteArray) {
@@ -412,15 +431,16 @@
         private val upstream = incarnation.name
         private val promptWatch = context.watchPrompt(request, incarnation)
         private var head: AnswerHead? = null
+        private var isPassedOn = false
 
         override fun onHead(head: AnswerHead) {
             this.head = head
             summary.recordHead(head)
-            if (!isFinished) this@StreamFlow.onHead(upstream, head)
+            if (!isFinished) isPassedOn = this@StreamFlow.onHead(upstream, head)
         }
 
         override fun onContent(bytes: ByteArray) {
-            if (isFinished || decodeCall == null || !isPassedOn()) return
+            if (isFinished || decodeCall == null || !isPassedOn) return
             this@StreamFlow.onContent(bytes)
             promptWatch.onWritten(summary.eventsOfDecode)
         }
@@ -432,9 +452,9 @@
                 grant?.let(decodeMemory::onDeclined)
                 releaseMemory(isUsed = false)
                 onDeclined(upstream, answered)
-            } else if (isPassedOn() && summary.isCutOff(answered)) {
+            } else if (isPassedOn && summary.isCutOff(answered)) {
                 onFailure(STREAM_CUT_OFF)
-            } else if (isPassedOn()) {
+            } else if (isPassedOn) {
                 if (answered.endsWithConnection) confirmEnd() else onComplete()
             } else {
                 releaseMemory(isUsed = true)
@@ -474,15 +494,9 @@
                 if (!hasSurvived) promptWatch.onCrashed(lostAt)
             }
         }
-
-        private fun isPassedOn(): Boolean {
-            val answered = head ?: return false
-            return headSent && !answered.isDeclined && (answered.isSuccess || runCount == 1)
-        }
     }
 
     private companion object {
-        const val LOWEST_SERVER_ERROR_STATUS = 500
         const val MAXIMUM_ATTEMPTS = 3
 
         /** Callers abandon a stream that pauses for some seconds. */
--- a/core/src/test/kotlin/org/lovageladder/core/forward/PlainFlowTest.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/forward/PlainFlowTest.kt
@@ -18,6 +18,9 @@
     private enum class Behaviour(val action: (ReceivedCall) -> Unit, val isCrash: Boolean = false) {
         ANSWERS({ it.answer(200, "done") }),
         ANSWERS_ERROR({ it.answer(500, "error") }),
+        FAILS_AS_UNAVAILABLE({ it.answer(503, "failed after the write") }),
+        FAILS_AS_TOO_MANY({ it.answer(429, "failed after the write") }),
+        FAILS_AS_TIMEOUT({ it.answer(408, "failed after the write") }),
         DECLINES({ it.answer(503, isDeclined = true) }),
         LOSES_ANSWER({ it.fail(sent = true) }),
         TRUNCATES_ANSWER({
@@ -73,9 +76,14 @@
             Behaviour.CRASHES_AFTER_TEXT,
             Behaviour.CRASHES_BEFORE_TEXT,
             Behaviour.CRASHES_AFTER_EVENT,
+            Behaviour.FAILS_AS_UNAVAILABLE,
+            Behaviour.FAILS_AS_TOO_MANY,
+            Behaviour.FAILS_AS_TIMEOUT,
         ).flatMap {
             listOf(
                 Case("/action/1", listOf(it), refusal = RefusalReason.ANSWER_LOST, attempts = 1),
+                Case("/action/1", listOf(Behaviour.DECLINES, it), refusal = RefusalReason.ANSWER_LOST, attempts = 2),
+                Case("/action-two/1", listOf(it), refusal = RefusalReason.ANSWER_LOST, attempts = 1),
                 Case("/lookup/1", listOf(it, Behaviour.ANSWERS), status = 200, attempts = 2),
             )
         }
@@ -99,6 +107,27 @@
         }
     }
 
+    /** What the caller of an action may not get still stands in the log. */
+    @Test
+    fun logNamesTheStatusThatIsWithheld() {
+        val fixture = ForwardFixture()
+        fixture.submit("/action/1")
+        fixture.upstreams.receivedCalls.single().answer(503, "failed after the write")
+        val detail = fixture.events.single { it.kind == EventKind.REQUEST_ENDED }.detail
+        listOf("refused: ANSWER_LOST", "status=503").forEach { assertContains(detail, it) }
+    }
+
+    /** A status that says nothing certain about the run is passed on where nobody needs to know. */
+    @Test
+    fun callerOfALookupGetsTheStatusOfItsUpstreams() {
+        listOf(503, 429, 408).forEach { status ->
+            val fixture = ForwardFixture()
+            val reply = fixture.submit("/lookup/1").reply
+            repeat(2) { fixture.upstreams.receivedCalls[it].answer(status, "busy") }
+            assertEquals(status to "busy", reply.head?.status to reply.body.toString())
+        }
+    }
+
     @Test
     fun unreachableUpstreamsGetNoActionAndTheCallerIsRefused() {
         val fixture = ForwardFixture()
--- a/core/src/test/kotlin/org/lovageladder/core/forward/StreamFlowTest.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/forward/StreamFlowTest.kt
@@ -382,6 +382,39 @@
         }
     }
 
+    /**
+     * Guards against a promise that nobody made: an engine that ran the request answers with a status by which callers
+     * take it for not run, and send it once more. Load pattern: engines that fail part of what they run.
+     */
+    @Test
+    fun statusAfterARunIsNoPromiseToTheCaller() {
+        data class Case(val target: String, val status: Int, val isDeclined: Boolean, val outcome: String)
+        val promises = listOf(408, 429, 503)
+        val cases = promises.flatMap { status ->
+            listOf(
+                Case("/stream/1", status, isDeclined = false, "refused: ANSWER_LOST after 1"),
+                Case("/stream/1", status, isDeclined = true, "refused: OVERLOADED after 3"),
+                Case("/stream-on/1", status, isDeclined = false, "passed on: $status after 2"),
+            )
+        } + listOf(400, 500, 502).map { Case("/stream/1", it, isDeclined = false, "passed on: $it after 1") }
+        cases.forEach { case ->
+            val fixture = ForwardFixture(memory = 1_000_000)
+            val reply = fixture.submit(case.target).reply
+            repeat(3) { attempt ->
+                fixture.scheduler.advance(300.milliseconds)
+                val call = fixture.upstreams.receivedCalls.getOrNull(attempt)
+                call?.head(case.status, case.isDeclined)
+                call?.content("failed after the write")
+                call?.end()
+            }
+            val calls = fixture.upstreams.receivedCalls.size
+            val outcome = reply.refusal?.let { "refused: ${it.reason}" } ?: "passed on: ${reply.head?.status}"
+            assertEquals(case.outcome, "$outcome after $calls", "$case")
+            assertTrue(reply.isFinal && !reply.isAborted, "$case")
+            assertEquals(0, fixture.forwarder.openRequests, "$case")
+        }
+    }
+
     /** The silence timer of a failed attempt must not end the next attempt, which is the last one allowed. */
     @Test
     fun lastAttemptOfAResumableStreamIsNotCancelledForSilence() {
