Pass the body of an error on that answers a resumable stream, and learn nothing from it

What callers saw: an error answer of an engine on a route whose streams may be resumed came without its body, unless that held an empty line.

Cause: the body went through the splitter, which keeps what is no whole event. On all stream routes such an answer also counted as a success of the engine, as a decode of that length for the role plan and as an output of no tokens for the forecast of memory.

Change: only successes are split; the end of a passed-on error has a path of its own, and counts as a failure of the engine.

Measured: errorAnswerIsPassedOnWholeAndIsNoStream is red on the commit before (500 with an empty body for a resumable stream); it passes now, with the tests of forwarding in core.

--- a/core/src/main/kotlin/org/lovageladder/core/forward/StreamFlow.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/StreamFlow.kt
@@ -338,6 +338,13 @@
         reply.finish()
     }
 
+    /** An error answer was passed on whole. It is no stream, so that nothing is learned from its length and time. */
+    private fun onErrorPassedOn(upstream: UpstreamName) {
+        context.upstreamSelector.health(upstream).recordError(context.now())
+        finish("answered with an error")
+        reply.finish()
+    }
+
     /**
      * Records the cost of the decode from when it was sent. Memory is also held while the prompt waits for its prefill,
      * but that wait belongs to the prefill pool and says nothing about decode.
@@ -441,8 +448,12 @@
 
         override fun onContent(bytes: ByteArray) {
             if (isFinished || decodeCall == null || !isPassedOn) return
-            this@StreamFlow.onContent(bytes)
-            promptWatch.onWritten(summary.eventsOfDecode)
+            if (head?.isSuccess == true) {
+                this@StreamFlow.onContent(bytes)
+                promptWatch.onWritten(summary.eventsOfDecode)
+            } else {
+                reply.sendContent(bytes)
+            }
         }
 
         override fun onEnd() {
@@ -472,7 +483,7 @@
 
         private fun onComplete() {
             promptWatch.onEnded()
-            onCompleted(upstream)
+            if (head?.isSuccess == true) onCompleted(upstream) else onErrorPassedOn(upstream)
         }
 
         override fun onFailure(failure: CallFailure) {
--- a/core/src/test/kotlin/org/lovageladder/core/forward/StreamFlowTest.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/forward/StreamFlowTest.kt
@@ -1,6 +1,7 @@
 package org.lovageladder.core.forward
 
 import org.lovageladder.core.Address
+import org.lovageladder.core.EventKind
 import org.lovageladder.core.PoolRole
 import org.lovageladder.core.UpstreamName
 import kotlin.test.Test
@@ -415,6 +416,36 @@
         }
     }
 
+    /**
+     * Guards against error answers whose text is held back as an event that has not ended, and against estimates that
+     * learn from them. Load pattern: engines that answer streams with errors.
+     */
+    @Test
+    fun errorAnswerIsPassedOnWholeAndIsNoStream() {
+        data class Case(val target: String, val isUnframed: Boolean, val attempts: Int)
+        listOf(
+            Case("/stream-on/1", isUnframed = false, attempts = 2),
+            Case("/stream-on/1", isUnframed = true, attempts = 2),
+            Case("/stream/1", isUnframed = false, attempts = 1),
+            Case("/stream/1", isUnframed = true, attempts = 1),
+        ).forEach { case ->
+            val fixture = ForwardFixture(memory = 1_000_000)
+            val reply = fixture.submit(case.target).reply
+            repeat(case.attempts) { attempt ->
+                fixture.scheduler.advance(300.milliseconds)
+                val call = fixture.upstreams.receivedCalls[attempt]
+                call.head(500, endsWithConnection = case.isUnframed)
+                call.content("no model\nis loaded")
+                call.end()
+            }
+            fixture.scheduler.advance(300.milliseconds)
+            assertEquals(500 to "no model\nis loaded", reply.head?.status to reply.body.toString(), "$case")
+            assertTrue(reply.isComplete, "$case")
+            val detail = fixture.events.last { it.kind == EventKind.REQUEST_ENDED }.detail.orEmpty()
+            listOf("answered with an error", "events=0").forEach { assertTrue(it in detail, "$it in: $detail") }
+        }
+    }
+
     /** The silence timer of a failed attempt must not end the next attempt, which is the last one allowed. */
     @Test
     fun lastAttemptOfAResumableStreamIsNotCancelledForSilence() {
