Take no answer from an upstream whose status or version is none

Cause: Netty reads the status with Integer.parseInt, and any protocol name and version.

Change: AnswerDecoder requires three digits from 100 to 599 and HTTP/1; anything else is a malformed answer, as for other faults of a head.

Measured: headWithAMalformedNumberIsNoAnswer on the code before: 13 of its 36 heads passed on (ten statuses, HTTP/2.0, HTTP/0.9, http/1.1); now none. Malformed lengths and chunk sizes were refused before and after.

--- a/http/src/main/kotlin/org/lovageladder/http/AnswerDecoder.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/AnswerDecoder.kt
@@ -24,8 +24,20 @@
         if (isIdle) context.close()
     }
 
+    /** A status that is none would reach the caller, or be taken for one that it resembles. */
+    override fun createMessage(initialLine: Array<String>): HttpMessage {
+        requireHttpOne(initialLine[VERSION_INDEX])
+        requireStatus(initialLine[STATUS_INDEX])
+        return super.createMessage(initialLine)
+    }
+
     override fun isContentAlwaysEmpty(message: HttpMessage): Boolean =
         awaitedMethod == HttpMethod.HEAD || super.isContentAlwaysEmpty(message)
+
+    private companion object {
+        const val VERSION_INDEX = 0
+        const val STATUS_INDEX = 1
+    }
 }
 
 /** Why [message] is no part of a valid answer; null when it is one. */
--- a/http/src/test/kotlin/org/lovageladder/http/HttpClientTest.kt
+++ b/http/src/test/kotlin/org/lovageladder/http/HttpClientTest.kt
@@ -54,6 +54,36 @@
         assertEquals(CallPlace(connection = 3, call = 2), (results.single() as HttpResult.Failed).failure.place)
     }
 
+    /**
+     * Guards against answers of a faulty peer that are passed on: numbers that other programs would read otherwise, or
+     * not at all. All must fail, so that the caller is told of it or another peer is asked.
+     */
+    @Test
+    fun headWithAMalformedNumberIsNoAnswer() {
+        val statuses = listOf("000", "0", "20", "099", "600", "999", "1000", "0200", "+200", "-200", "2 00", "2e2", "")
+            .map { "HTTP/1.1 $it X\r\nId: 7\r\nContent-Length: 2\r\n\r\nok" }
+        val versions = listOf("HTTP/2.0", "HTTP/0.9", "HTTP/1", "HTTP/1.10", "http/1.1", "XTTP/1.1", "1.1")
+            .map { "$it 200 X\r\nId: 7\r\nContent-Length: 2\r\n\r\nok" }
+        val lengths = listOf("+2", "-2", "0x2", "2;", "2, 3", "2.0", "99999999999999999999", "", "\u0662")
+            .map { "HTTP/1.1 200 X\r\nId: 7\r\nContent-Length: $it\r\n\r\nok" }
+        val chunks = listOf("+2", "-2", "0x2", "2g", "FFFFFFFFFF2", "", "\u0662")
+            .map { "HTTP/1.1 200 X\r\nId: 7\r\nTransfer-Encoding: chunked\r\n\r\n$it\r\nok\r\n0\r\n\r\n" }
+        assertNoneIsAnAnswer(statuses + versions + lengths + chunks)
+    }
+
+    private fun assertNoneIsAnAnswer(answers: List<String>) {
+        val outcomes = answers.associateWith { written ->
+            val channel = connection(number = 3)
+            val results = startCall(channel, "7")
+            channel.peerWrites(written)
+            channel.close()
+            val result = results.single()
+            (result as? HttpResult.Failed)?.failure?.cause?.name ?: "passed on"
+        }
+        val wrong = outcomes.filterValues { it != "PROTOCOL" }
+        assertEquals("", wrong.entries.joinToString("\n") { it.toString().replace("\r\n", "|") })
+    }
+
     private fun connection(number: Long, report: (UnexpectedAnswer) -> Unit = {}): EmbeddedChannel {
         val decoder = AnswerDecoder()
         val watch = IdleWatch(number, decoder, report)
