Take no answer whose transfer coding is not known

What callers could see: a body with Transfer-Encoding: gzip, identity or xchunked that broke off came as complete; one with gzip, chunked came compressed without a word of it.

Cause: the presence of Transfer-Encoding counted as framing, while Netty reads such a body until the end of its connection.

Change: the check that callers' requests had, chunked alone, holds for answers too, as one function for both decoders.

--- a/http/src/main/kotlin/org/lovageladder/http/AnswerDecoder.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/AnswerDecoder.kt
@@ -31,8 +31,10 @@
         return super.createMessage(initialLine)
     }
 
-    override fun isContentAlwaysEmpty(message: HttpMessage): Boolean =
-        awaitedMethod == HttpMethod.HEAD || super.isContentAlwaysEmpty(message)
+    override fun isContentAlwaysEmpty(message: HttpMessage): Boolean {
+        requireKnownTransferCoding(message.headers())
+        return awaitedMethod == HttpMethod.HEAD || super.isContentAlwaysEmpty(message)
+    }
 
     private companion object {
         const val VERSION_INDEX = 0
--- a/http/src/main/kotlin/org/lovageladder/http/HttpFraming.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/HttpFraming.kt
@@ -1,10 +1,21 @@
 package org.lovageladder.http
 
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpHeaders
+
 /*
  * Checks of what Netty's decoders read more leniently than HTTP allows. They throw [IllegalArgumentException], upon
  * which the decoder reports the message as malformed.
  */
 
+/** Requires that a body has no transfer coding but `chunked`: any other hides where it ends, or changes its bytes. */
+internal fun requireKnownTransferCoding(headers: HttpHeaders) {
+    val codings = headers.getAll(HttpHeaderNames.TRANSFER_ENCODING)
+    require(codings.isEmpty() || codings.singleOrNull()?.trim().equals("chunked", ignoreCase = true)) {
+        "Transfer-Encoding is $codings, allowed is chunked"
+    }
+}
+
 /** Requires that [version] is one of HTTP/1, as clients and servers of it write it. */
 internal fun requireHttpOne(version: String) {
     require(HTTP_ONE.matches(version)) { "the version is \"${version.take(LOGGED_CHARACTERS)}\", allowed is HTTP/1" }
--- a/http/src/main/kotlin/org/lovageladder/http/forward/StrictRequestDecoder.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/forward/StrictRequestDecoder.kt
@@ -1,9 +1,9 @@
 package org.lovageladder.http.forward
 
 import io.netty.handler.codec.http.HttpDecoderConfig
-import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpMessage
 import io.netty.handler.codec.http.HttpRequestDecoder
+import org.lovageladder.http.requireKnownTransferCoding
 
 /**
  * Decodes callers' requests and rejects those whose body length is ambiguous, since an upstream might read another
@@ -19,10 +19,7 @@
         throw IllegalArgumentException("both Transfer-Encoding and Content-Length are given")
 
     override fun isContentAlwaysEmpty(message: HttpMessage): Boolean {
-        val encodings = message.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING)
-        require(encodings.isEmpty() || encodings.singleOrNull()?.trim().equals("chunked", ignoreCase = true)) {
-            "Transfer-Encoding is $encodings, allowed is chunked"
-        }
+        requireKnownTransferCoding(message.headers())
         return super.isContentAlwaysEmpty(message)
     }
 }
--- a/http/src/test/kotlin/org/lovageladder/http/HttpClientTest.kt
+++ b/http/src/test/kotlin/org/lovageladder/http/HttpClientTest.kt
@@ -71,6 +71,22 @@
         assertNoneIsAnAnswer(statuses + versions + lengths + chunks)
     }
 
+    /**
+     * Guards against a broken body that counts as whole: with a coding that is not known, only the end of the connection
+     * ends it, though its head seems to say where it ends.
+     */
+    @Test
+    fun bodyWithAnUnknownTransferCodingIsNoAnswer() {
+        val encodings = listOf("gzip", "identity", "gzip, chunked", "chunked, chunked", "xchunked", "chunked;q=1")
+            .map { "HTTP/1.1 200 X\r\nId: 7\r\nTransfer-Encoding: $it\r\n\r\n2\r\nok\r\n0\r\n\r\n" }
+        val unclear = listOf(
+            "Content-Length: 2\r\nContent-Length: 3",
+            "Content-Length: 3\r\nTransfer-Encoding: chunked",
+        )
+            .map { "HTTP/1.1 200 X\r\nId: 7\r\n$it\r\n\r\n2\r\nok\r\n0\r\n\r\n" }
+        assertNoneIsAnAnswer(encodings + unclear)
+    }
+
     private fun assertNoneIsAnAnswer(answers: List<String>) {
         val outcomes = answers.associateWith { written ->
             val channel = connection(number = 3)
