Reserve no memory below zero for a prompt that is larger than any engine

What could happen: a prompt of some two billion tokens, by its Token-Count, asked engines for a negative number of tokens.

Cause: prompt and output were added as Int, and the sum overflowed before it was bounded by an engine's memory.

Change: the sum is a Long.

Measured: the new case of StreamEstimatesTest was not run on the code before; by reading, Int.MAX_VALUE + 2,000 is negative there. It passes now.

--- a/core/src/main/kotlin/org/lovageladder/core/forward/StreamEstimates.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/StreamEstimates.kt
@@ -45,8 +45,9 @@
         if (generation == null) return TOKENS_WITHOUT_GENERATION
         val output =
             generation.estimatedOutputTokens?.let { forecastTokens(route, it) } ?: generation.maximumOutputTokens
-        val totalTokens = generation.promptTokens + output.coerceIn(1, generation.maximumOutputTokens.coerceAtLeast(1))
-        return totalTokens.coerceAtMost(engine?.memoryTokens ?: totalTokens)
+        val boundedOutput = output.coerceIn(1, generation.maximumOutputTokens.coerceAtLeast(1))
+        val totalTokens = generation.promptTokens.toLong() + boundedOutput
+        return totalTokens.coerceAtMost((engine?.memoryTokens ?: Int.MAX_VALUE).toLong()).toInt()
     }
 
     /** Estimator of how long callers of [route] have been waiting. */
--- a/core/src/test/kotlin/org/lovageladder/core/forward/StreamEstimatesTest.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/forward/StreamEstimatesTest.kt
@@ -35,6 +35,11 @@
                 4_000,
                 4_000,
             ),
+            Case(
+                Generation(promptTokens = Int.MAX_VALUE, maximumOutputTokens = 2_000, estimatedOutputTokens = null),
+                40_000,
+                40_000,
+            ),
             Case(generation = null, memory = 40_000, tokens = 4_096),
         ).forEach { case ->
             val engine = EngineConfiguration(8, case.memory, 500.milliseconds, 2.seconds, 6.seconds)
