Take no part of an early answer to an upload for the whole

What callers saw: an upstream answered a long upload with a 200 without a length, wrote a part of it and closed the connection with the upload unread; callers got the part as a complete answer.

Cause: such a peer's end can arrive before the reset. The upload lay in the buffers of the operating system, so that the entry had nothing to write that would have failed, read the end and took the answer for whole. No read tells a reset behind an end.

The rule which answers are unframed stands once, in HttpFraming.

--- a/http/src/main/kotlin/org/lovageladder/http/HttpClientConnection.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/HttpClientConnection.kt
@@ -3,6 +3,7 @@
 import io.netty.buffer.Unpooled
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.SimpleChannelInboundHandler
+import io.netty.channel.socket.ChannelInputShutdownEvent
 import io.netty.handler.codec.http.DefaultFullHttpRequest
 import io.netty.handler.codec.http.DefaultHttpHeadersFactory
 import io.netty.handler.codec.http.DefaultHttpRequest
@@ -18,6 +19,7 @@
 import io.netty.util.NetUtil
 import org.lovageladder.core.Address
 import org.lovageladder.core.FaultCause
+import java.io.IOException
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
@@ -38,9 +40,12 @@
     private val skipLimit = SkipLimit()
     private val history = ConnectionHistory()
     private var idleTimeout: Duration? = null
+    private var endsWithConnection = false
+    private lateinit var endOfUpload: EndOfUpload
 
     override fun handlerAdded(context: ChannelHandlerContext) {
         this.context = context
+        endOfUpload = EndOfUpload(context.channel())
     }
 
     /** Sends the request of [runningCall]. The connection must not have a current call. */
@@ -54,6 +59,7 @@
         decoder.awaitedMethod = runningCall.call.method
         address = runningCall.address
         skipLimit.restart()
+        endOfUpload.prepare(runningCall.call.body.size)
         runningCall.onSend(context.channel(), idleWatch.startCall(runningCall))
         context.writeAndFlush(request).addListener { written ->
             if (!written.isSuccess) {
@@ -99,6 +105,8 @@
         if (isKept && history.lastAnswer.isIdentified) idleConnections.recordNaming(runningCall.address)
         keepAlive = keepAlive && isKept && runningCall.isConnectionKept && HttpUtil.isKeepAlive(response)
         idleTimeout = announcedIdleTimeout(response)
+        val status = response.status().code()
+        endsWithConnection = endsWithConnection(runningCall.call.method, status, response.headers())
         runningCall.onHead(response.status().code(), response.headers())
     }
 
@@ -115,6 +123,15 @@
         return KEEP_ALIVE_TIMEOUT.find(field)?.groupValues?.get(1)?.toLongOrNull()?.seconds
     }
 
+    /** The peer ended its side of a connection that is kept half open; an answer that has not ended broke off. */
+    override fun userEventTriggered(context: ChannelHandlerContext, event: Any) {
+        if (event is ChannelInputShutdownEvent && !endOfUpload.isBeingChecked) {
+            onConnectionLost(null)
+            context.close()
+        }
+        context.fireUserEventTriggered(event)
+    }
+
     override fun channelInactive(context: ChannelHandlerContext) {
         address?.let { idleConnections.remove(it, context.channel()) }
         onConnectionLost(null)
@@ -127,7 +144,25 @@
     }
 
     private fun finishAnswer(runningCall: RunningHttpCall) {
+        if (endsWithConnection && endOfUpload.mustBeChecked()) {
+            endOfUpload.check { fault -> if (currentCall === runningCall) onUploadEnded(runningCall, fault) }
+        } else {
+            endAnswer(runningCall)
+        }
+    }
+
+    private fun onUploadEnded(runningCall: RunningHttpCall, fault: String?) {
+        if (fault == null) {
+            endAnswer(runningCall)
+        } else {
+            onConnectionLost(IOException(fault))
+            context.close()
+        }
+    }
+
+    private fun endAnswer(runningCall: RunningHttpCall) {
         currentCall = null
+        endOfUpload.prepare(bodyBytes = 0)
         decoder.awaitedMethod = null
         val isDelivered = runningCall.markEnded()
         if (isDelivered) idleWatch.endCall(history.answeredCalls)
--- a/http/src/main/kotlin/org/lovageladder/http/HttpFraming.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/HttpFraming.kt
@@ -2,10 +2,11 @@
 
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpHeaders
+import io.netty.handler.codec.http.HttpMethod
 
 /*
- * Checks of what Netty's decoders read more leniently than HTTP allows. They throw [IllegalArgumentException], upon
- * which the decoder reports the message as malformed.
+ * How bodies end, and checks of what Netty's decoders read more leniently than HTTP allows. The checks throw
+ * [IllegalArgumentException], upon which the decoder reports the message as malformed.
  */
 
 /** Requires that a body has no transfer coding but `chunked`: any other hides where it ends, or changes its bytes. */
@@ -26,6 +27,15 @@
     require(STATUS.matches(status)) { "the status is \"${status.take(LOGGED_CHARACTERS)}\", allowed are 100 to 599" }
 }
 
+/** Whether only the end of its connection ends the body of an answer with [status] and [headers] to [method]. */
+internal fun endsWithConnection(method: HttpMethod, status: Int, headers: HttpHeaders): Boolean {
+    val hasBody = method != HttpMethod.HEAD && status !in BODILESS_STATUSES
+    val isFramed =
+        headers.contains(HttpHeaderNames.CONTENT_LENGTH) || headers.contains(HttpHeaderNames.TRANSFER_ENCODING)
+    return hasBody && !isFramed
+}
+
+private val BODILESS_STATUSES = setOf(204, 304)
 private val HTTP_ONE = Regex("HTTP/1\\.[0-9]")
 private val STATUS = Regex("[1-5][0-9]{2}")
 private const val LOGGED_CHARACTERS = 20
--- a/http/src/main/kotlin/org/lovageladder/http/forward/HttpUpstreamCalls.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/forward/HttpUpstreamCalls.kt
@@ -2,7 +2,6 @@
 
 import io.netty.buffer.ByteBuf
 import io.netty.buffer.ByteBufUtil
-import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpMethod
 import org.lovageladder.core.EventDraft
@@ -37,6 +36,7 @@
 import org.lovageladder.http.RunningHttpCall
 import org.lovageladder.http.SkippedAnswer
 import org.lovageladder.http.UnexpectedAnswer
+import org.lovageladder.http.endsWithConnection
 import org.tinylog.kotlin.Logger
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -238,7 +238,7 @@
         override fun onHead(status: Int, headers: HttpHeaders) {
             val fields = endToEndFields(headers)
             noticeOfRequest(status, fields)?.let { onNotice(upstream, it) }
-            val endsWithConnection = hasBody(status) && !isFramed(headers)
+            val endsWithConnection = endsWithConnection(HttpMethod.valueOf(request.method), status, headers)
             val origin = place?.let { originOf(it, headers, fields) }
             receiver.onHead(codec.parseHead(status, fields, upstream.name, endsWithConnection, origin))
         }
@@ -248,11 +248,6 @@
             return AnswerOrigin(place, identifier, codec.isSigned(fields))
         }
 
-        private fun hasBody(status: Int) = request.method != HttpMethod.HEAD.name() && status !in BODILESS_STATUSES
-
-        private fun isFramed(headers: HttpHeaders) =
-            headers.contains(HttpHeaderNames.CONTENT_LENGTH) || headers.contains(HttpHeaderNames.TRANSFER_ENCODING)
-
         override fun onContent(bytes: ByteBuf) {
             if (bytes.isReadable) receiver.onContent(ByteBufUtil.getBytes(bytes))
             if (!request.connection.isCongested) return
@@ -269,7 +264,6 @@
 
     private companion object {
         val SUCCESS_STATUSES = 200..299
-        val BODILESS_STATUSES = setOf(204, 304)
         val CONNECT_TIMEOUT: Duration = 300.milliseconds
         val ENGINE_CALL_TIMEOUT: Duration = 300.milliseconds
         val RUNNING_CHECK_TIMEOUT: Duration = 800.milliseconds
