--- a/http/src/main/kotlin/org/lovageladder/http/forward/RequestBufferPool.kt
+++ b/http/src/main/kotlin/org/lovageladder/http/forward/RequestBufferPool.kt
@@ -1,6 +1,5 @@
 package org.lovageladder.http.forward
 
-import io.netty.util.internal.PlatformDependent
 import org.lovageladder.core.forward.RequestMemory
 
 /**
@@ -63,7 +62,7 @@
          * each is copied while it is written to an upstream, to two of them at times.
          */
         public val mostBytes: Int
-            get() = minOf(Runtime.getRuntime().maxMemory(), PlatformDependent.maxDirectMemory(), Int.MAX_VALUE.toLong())
+            get() = minOf(Runtime.getRuntime().maxMemory(), maximumDirectMemory(), Int.MAX_VALUE.toLong())
                 .div(2).toInt()
 
         internal const val SMALL_REQUEST_BYTES = 16 * 1024
