Ask whether an upstream outlived an answer when its pause ends

Cause: an unframed answer is complete only if its upstream still runs; in a pause the question was not asked and counted as answered with no.

Change: SurvivalCheck asks when the pause ends, within 5 s, for callers that have no other way to their answer; lookups and resumable streams still go elsewhere at once.

--- a/core/src/main/kotlin/org/lovageladder/core/forward/PlainFlow.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/PlainFlow.kt
@@ -315,7 +315,8 @@
         }
 
         private fun confirmEnd(answered: AnswerHead) {
-            call = context.survivalCheck.start(incarnation, destination.healthPath, request.id) { hasSurvived ->
+            val path = destination.healthPath
+            call = context.survivalCheck.start(incarnation, path, request.id, !route.isRetryable) { hasSurvived ->
                 if (hasSurvived) onComplete(answered) else onFailure(END_UNCONFIRMED)
             }
         }
--- a/core/src/main/kotlin/org/lovageladder/core/forward/StreamFlow.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/StreamFlow.kt
@@ -476,7 +476,8 @@
         /** Until the check ends, the stream has neither ended nor failed, and no other timer may resume it. */
         private fun confirmEnd() {
             silenceTimer?.cancel()
-            endCheck = context.survivalCheck.start(incarnation, destination.healthPath, request.id) { hasSurvived ->
+            val path = destination.healthPath
+            endCheck = context.survivalCheck.start(incarnation, path, request.id, !mayResume()) { hasSurvived ->
                 if (hasSurvived) onComplete() else onFailure(END_UNCONFIRMED)
             }
         }
--- a/core/src/main/kotlin/org/lovageladder/core/forward/SurvivalCheck.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/SurvivalCheck.kt
@@ -7,6 +7,7 @@
 import org.lovageladder.core.RequestId
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
 /**
  * Finds out whether upstreams outlive the end of one of their connections. The end alone does not tell: a process that
@@ -27,18 +28,20 @@
     /**
      * Asks [upstream], at [healthPath] or an engine for its state when that is null, after a connection that carried
      * [request] ended. [answer] gets whether the upstream is certain to have outlived the end; false when it does not
-     * answer, or accepts no call now. Connections that end at nearly the same moment share one question.
+     * answer. While it accepts no call, a caller that [mayWait] waits until it does, as it has no other way to its
+     * answer; others are told false. Connections that end at nearly the same moment share one question.
      */
     fun start(
         upstream: UpstreamIncarnation,
         healthPath: String?,
         request: RequestId,
+        mayWait: Boolean = false,
         answer: (Boolean) -> Unit,
     ): Cancellable {
         val now = scheduler.now()
         val waiting = questions[upstream]?.takeIf { now - it.firstEndAt < SHARING_TIME }
         val question = waiting ?: Question(upstream, healthPath, now).also(::schedule)
-        val listener = Listener(request, answer)
+        val listener = Listener(request, mayWait, answer)
         question.listeners += listener
         return Cancellable { question.listeners -= listener }
     }
@@ -52,17 +55,31 @@
     }
 
     private fun ask(question: Question) {
-        if (!acceptsCall(question.upstream)) {
-            tell(question, hasSurvived = false, "not asked: it asked for a pause, or its limit leaves no room")
-            return
+        if (acceptsCall(question.upstream)) {
+            port.checkRunning(question.upstream, question.healthPath) { tell(question, it, "running=$it") }
+        } else {
+            postpone(question)
         }
-        port.checkRunning(question.upstream, question.healthPath) { tell(question, it, "running=$it") }
     }
 
-    private fun tell(question: Question, hasSurvived: Boolean, detail: String) {
+    private fun postpone(question: Question) {
+        val now = scheduler.now()
+        val retryAt = notices.pausedUntil(question.upstream, now) ?: (now + PERMIT_RETRY_INTERVAL)
+        val isWorthWaiting = retryAt - question.firstEndAt <= MAXIMUM_WAIT
+        tell(question, hasSurvived = false, NOT_ASKED) { !(isWorthWaiting && it.mayWait) }
+        if (question.listeners.isEmpty()) return
+        scheduler.schedule(retryAt - now) { if (question.listeners.isNotEmpty()) ask(question) }
+    }
+
+    private fun tell(
+        question: Question,
+        hasSurvived: Boolean,
+        detail: String,
+        isTold: (Listener) -> Boolean = { true },
+    ) {
         val upstream = question.upstream.name
         while (true) {
-            val listener = question.listeners.firstOrNull() ?: return
+            val listener = question.listeners.firstOrNull(isTold) ?: return
             question.listeners -= listener
             eventSink.record(EventDraft(EventKind.SURVIVAL_CHECKED, listener.request, upstream, detail = detail))
             listener.answer(hasSurvived)
@@ -79,7 +96,7 @@
         val listeners = LinkedHashSet<Listener>()
     }
 
-    private class Listener(val request: RequestId, val answer: (Boolean) -> Unit)
+    private class Listener(val request: RequestId, val mayWait: Boolean, val answer: (Boolean) -> Unit)
 
     private companion object {
         /** A process that crashes ends its connections and stops listening one after the other. */
@@ -87,6 +104,11 @@
 
         /** Leaves most of [SETTLING_TIME] to the last of the ends that share a question. */
         val SHARING_TIME: Duration = 5.milliseconds
+        val PERMIT_RETRY_INTERVAL: Duration = 100.milliseconds
+
+        /** A caller that has its whole stream but the end waits no longer than for a slow stream. */
+        val MAXIMUM_WAIT: Duration = 5.seconds
+        const val NOT_ASKED = "not asked: it asked for a pause, or its limit leaves no room"
     }
 }
 
