--- a/daemon/src/test/kotlin/org/lovageladder/daemon/ForwardLogTest.kt
+++ b/daemon/src/test/kotlin/org/lovageladder/daemon/ForwardLogTest.kt
@@ -3,6 +3,7 @@
 import kotlinx.serialization.json.Json
 import kotlinx.serialization.json.jsonObject
 import kotlinx.serialization.json.jsonPrimitive
+import org.lovageladder.platform.PlatformRequestParser
 import java.io.ByteArrayOutputStream
 import java.io.OutputStream
 import java.net.URI
@@ -104,7 +105,7 @@
         /** Sends a request and returns the status of its answer. */
         fun send(): Int {
             val uri = URI("http://$address/${"x".repeat(PATH_CHARACTERS)}")
-            val request = HttpRequest.newBuilder(uri).header("Attempt-Id", "1").build()
+            val request = HttpRequest.newBuilder(uri).header(PlatformRequestParser.IDENTIFIER_HEADER, "1").build()
             return client.sendAsync(request, HttpResponse.BodyHandlers.discarding())
                 .get(5, TimeUnit.SECONDS).statusCode()
         }
