--- a/core/src/main/kotlin/org/lovageladder/core/forward/StreamFlow.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/StreamFlow.kt
@@ -28,6 +28,7 @@
 ) : ForwardFlow {
     private val route = destination.route
     private val deadlines = RequestDeadlines(request, route)
+    private val returnDelay = StreamReturnDelay(context, route, deadlines, estimates)
     private val callerPoint = request.resumeAfterEventId?.let(ResumePoint::After) ?: ResumePoint.Start
     private val eventSplitter = if (route.isResumable) StreamEventSplitter(callerPoint) else null
     private val avoidedEngines = HashSet<UpstreamName>()
@@ -128,7 +129,7 @@
                 grantDeadline = grantDeadline,
                 avoidedEngines = avoidedEngines,
                 onGranted = ::onMemoryGranted,
-                onRefused = { reason, delay -> refuseOrAbort(reason, returnDelayFor(reason, delay)) },
+                onRefused = { reason, delay -> refuseOrAbort(reason, returnDelay.after(reason, delay)) },
                 customer = request.customer?.name,
             )
         memoryRequest = newRequest
@@ -264,7 +265,9 @@
         mayResume() -> false
         meaning.mayReachCaller -> passOn(head)
         else -> {
-            cancelFailedDecode(CallFailure(FaultCause.REJECTED, sent = true, "withheld status ${head.status}"))
+            cancelFailedDecode(
+                CallFailure(FaultCause.REJECTED, sent = true, "status ${head.status}, withheld from the caller"),
+            )
             false
         }
     }
@@ -360,14 +363,7 @@
         estimates.rolePlan.recordDecode(context.now() - startedAt, engineShare)
     }
 
-    private fun refuseOrAbort(reason: RefusalReason) = refuseOrAbort(reason, returnDelayFor(reason))
-
-    /** When memory is expected only after [memoryDelay], an early return would end with another refusal. */
-    private fun returnDelayFor(reason: RefusalReason, memoryDelay: Duration? = null) = when {
-        reason == RefusalReason.LEAVING -> Duration.ZERO
-        memoryDelay != null -> maxOf(memoryDelay, estimates.minimumReturnDelay)
-        else -> minimumReturnDelay()
-    }
+    private fun refuseOrAbort(reason: RefusalReason) = refuseOrAbort(reason, returnDelay.after(reason))
 
     private fun refuseOrAbort(reason: RefusalReason, minimumDelay: Duration) {
         if (isFinished) return
@@ -384,20 +380,6 @@
         reply.refuse(Refusal(reportedReason, retryAfter))
     }
 
-    /**
-     * A caller that is refused early is told to return while its target can still be met; a later one when streams that
-     * hold memory now have ended.
-     */
-    private fun minimumReturnDelay(): Duration {
-        val slack = deadlines.targetAt - estimates.startupTimeOf(route) - context.now()
-        val earlyDelay = slack * EARLY_RETURN_FRACTION
-        return if (earlyDelay < MINIMUM_EARLY_RETURN_DELAY || !context.isEnabled(Mechanism.EARLY_RETURN)) {
-            estimates.minimumReturnDelay
-        } else {
-            earlyDelay
-        }
-    }
-
     private fun onTimeout() = refuseOrAbort(if (runCount > 0) RefusalReason.TIMEOUT else RefusalReason.EXPIRED)
 
     override fun onFinalDeadline() = refuseOrAbort(if (runCount > 0) RefusalReason.TIMEOUT else RefusalReason.LEAVING)
@@ -513,12 +495,5 @@
 
         /** Callers abandon a stream that pauses for some seconds. */
         val SILENCE_TIMEOUT: Duration = 1_500.milliseconds
-
-        /**
-         * Fraction of the time left to start in time after which an early refused caller returns. The random spread can
-         * double it.
-         */
-        const val EARLY_RETURN_FRACTION = 0.2
-        val MINIMUM_EARLY_RETURN_DELAY: Duration = 100.milliseconds
     }
 }
