--- a/review/stand-ins-3/Store.java
+++ b/review/stand-ins-3/Store.java
@@ -33,7 +33,8 @@
     private long revision = 100;
     private long lastLease = 7000;
     volatile Faults faults = write -> -1;
-    volatile boolean isDown = false;
+    /** Calls that write. */
+    final java.util.concurrent.atomic.AtomicInteger writes = new java.util.concurrent.atomic.AtomicInteger();
 
     Store() throws Exception {
         server = new Http.Server(0, this::handle);
@@ -84,13 +85,10 @@
     }
 
     private boolean handle(Http.Message request, Http.Connection connection) throws Exception {
-        if (isDown) {
-            connection.answer(503, "{}");
-            return true;
-        }
         String target = request.target();
         String path = target.contains("?") ? target.substring(0, target.indexOf('?')) : target;
         Map<String, String> query = queryOf(target);
+        if (path.startsWith("/kv-txn") || path.startsWith("/kv-lease")) writes.incrementAndGet();
         switch (path.split("/")[1]) {
             case "kv-key" -> key(query.get("key"), connection);
             case "kv-range" -> range(query.getOrDefault("prefix", ""), query.getOrDefault("after", ""), connection);
