--- a/review/stand-ins-3/Case.java
+++ b/review/stand-ins-3/Case.java
@@ -35,7 +35,12 @@
     }
 
     final Entry startEntry(String name, String zone) throws Exception {
-        Entry entry = new Entry(name, zone, store.server.port, folder);
+        return startEntry(name, zone, store.server.port);
+    }
+
+    /** Starts an entry that reaches the store at {@code storePort}. */
+    final Entry startEntry(String name, String zone, int storePort) throws Exception {
+        Entry entry = new Entry(name, zone, storePort, folder);
         entries.add(entry);
         record("entry " + name + " started");
         return entry;
