--- a/review/stand-ins-3/CutUnframedAnswer.java
+++ b/review/stand-ins-3/CutUnframedAnswer.java
@@ -10,8 +10,8 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * A worker writes an answer without a length, is cut off, crashes behind the cut in the middle of the answer and starts
- * again under its id; then the cut heals.
+ * A worker writes an answer without a length, is cut off from the entry, crashes behind the cut in the middle of the
+ * answer, starts again under its id and registers; then the cut heals.
  */
 final class CutUnframedAnswer extends Case {
     private static final int WORKERS = 4;
@@ -74,10 +74,10 @@
         worker.process.destroyForcibly().waitFor();
         record("worker " + worker.id + " is killed");
         worker.start();
+        worker.register();
         Store.sleep(CUT_MILLIS - (System.nanoTime() - cutAt) / 1_000_000);
         worker.link.heal();
         record("the link to worker " + worker.id + " is healed");
-        worker.register();
     }
 
     private String send(Entry entry, String attempt) {
