Send a caller's last event to services without engines

Cause: the header is decoded into ForwardRequest.resumeAfterEventId and no longer forwarded as a field. StreamFlow puts it into its attempts, PlainFlow did not, on routes of any kind.

Change: PlainFlow names it in every attempt and in its log line. The rest of a stream may be empty there too.

The new table in PlainFlowTest failed before at its first row (expected 12, was null) and passes now.

--- a/core/src/main/kotlin/org/lovageladder/core/forward/PlainFlow.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/PlainFlow.kt
@@ -111,10 +111,13 @@
             EventKind.REQUEST_SENT,
             request.id,
             upstream.name,
-            detail = "attempt ${attempts.size} of ${route.name}",
+            detail = "attempt ${attempts.size} of ${route.name} after=${request.resumeAfterEventId}",
+        )
+        val upstreamAttempt = UpstreamAttempt(
+            upstream = upstream.incarnation,
+            timeout = deadlines.remaining(context.now()),
+            resumeAfterEventId = request.resumeAfterEventId,
         )
-        val remaining = deadlines.remaining(context.now())
-        val upstreamAttempt = UpstreamAttempt(upstream.incarnation, remaining)
         attempt.call = context.upstreamPort.send(request, upstreamAttempt, attempt)
     }
 
@@ -295,7 +298,7 @@
 
         override fun onHead(head: AnswerHead) {
             this.head = head
-            if (head.isEventStream) eventCounter = StreamEventCounter()
+            if (head.isEventStream) eventCounter = StreamEventCounter(mayBeEmpty = request.resumeAfterEventId != null)
         }
 
         override fun onContent(bytes: ByteArray) {
--- a/core/src/main/kotlin/org/lovageladder/core/forward/StreamEventCounter.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/StreamEventCounter.kt
@@ -6,11 +6,13 @@
 internal val STREAM_CUT_OFF =
     CallFailure(FaultCause.CONNECTION_LOST, sent = true, "the stream ended within an event, or had none")
 
-/** Counts the events of a `text/event-stream`, which may be followed by that of another upstream. */
-internal class StreamEventCounter {
+/**
+ * Counts the events of a `text/event-stream`, which may be followed by that of another upstream. The rest of a stream
+ * [mayBeEmpty].
+ */
+internal class StreamEventCounter(private var mayBeEmpty: Boolean = false) {
     private val scanner = EventStreamScanner()
     private var countBeforeStream = 0
-    private var mayBeEmpty = false
 
     /** Number of complete events. */
     val count: Int get() = scanner.eventCount
--- a/core/src/test/kotlin/org/lovageladder/core/forward/ForwardFixture.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/forward/ForwardFixture.kt
@@ -336,6 +336,7 @@
                 route("/lookup/", RouteKind.IDEMPOTENT, PLAIN, 100.milliseconds, timeout, attempts = 2),
                 route("/action/", RouteKind.AT_MOST_ONCE, PLAIN, 100.milliseconds, timeout),
                 route("/action-two/", RouteKind.AT_MOST_ONCE, PLAIN, 100.milliseconds, timeout, attempts = 2),
+                route("/plain-stream/", RouteKind.STREAM, PLAIN, 900.milliseconds, timeout),
                 route("/stream/", RouteKind.STREAM, ENGINES, 900.milliseconds, timeout),
                 route(
                     "/stream-on/",
--- a/core/src/test/kotlin/org/lovageladder/core/forward/PlainFlowTest.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/forward/PlainFlowTest.kt
@@ -107,6 +107,38 @@
         }
     }
 
+    private data class ResumedCase(val target: String, val behaviours: List<Behaviour>, val status: Int?)
+
+    /**
+     * Guards against the event after which a caller resumes its stream being withheld from a service without engines,
+     * which then begins anew, so that the caller gets events twice.
+     */
+    @Test
+    fun eachAttemptTellsTheLastEventThatTheCallerHas() {
+        val declinesOnce = listOf(Behaviour.DECLINES, Behaviour.STREAMS_IN_CHUNKS)
+        listOf(
+            ResumedCase("/action/1", declinesOnce, status = 200),
+            ResumedCase("/lookup/1", declinesOnce, status = 200),
+            ResumedCase("/plain-stream/1", declinesOnce, status = 200),
+            ResumedCase("/lookup/1", listOf(Behaviour.LOSES_ANSWER, Behaviour.ANSWERS), status = 200),
+            ResumedCase("/plain-stream/1", listOf(Behaviour.STREAMS_NOTHING_TO_CLOSE), status = 200),
+            ResumedCase("/plain-stream/1", listOf(Behaviour.STREAMS_PART_IN_CHUNKS), status = null),
+        ).forEach { case ->
+            listOf(EventId("12"), null).forEach { last ->
+                val fixture = ForwardFixture()
+                val reply = fixture.submit(case.target, resumeAfterEventId = last).reply
+                case.behaviours.forEachIndexed { index, behaviour ->
+                    val call = fixture.upstreams.receivedCalls[index]
+                    assertEquals(last, call.attempt.resumeAfterEventId, "$case, attempt $index after $last")
+                    behaviour.action(call)
+                    fixture.scheduler.advance(27.milliseconds)
+                }
+                val isEmptyFromStart = last == null && Behaviour.STREAMS_NOTHING_TO_CLOSE in case.behaviours
+                assertEquals(case.status.takeUnless { isEmptyFromStart }, reply.head?.status, "$case after $last")
+            }
+        }
+    }
+
     /** What the caller of an action may not get still stands in the log. */
     @Test
     fun logNamesTheStatusThatIsWithheld() {
