Notice the end of an outage of the registry within 300 ms

Cause: the time for living upstreams to register again (2.3 s) began when the entry noticed the heal, up to 1.2 s after it: a read that hung ended after 0.8 s, the next began 0.4 s later, and a connection opened in the cut repeats its first packet after 1 s. Cuts of the entry and outages of the registry look alike to it, so that the time itself has to stay.

Change: while the registry is unavailable its contact is checked every 250 ms by overlapping cheap reads; the first answered one starts a read, and the time counts from that answer. A removal counts from when the registration was found missing, so that a decision made before is not carried out after it.

--- a/core/src/main/kotlin/org/lovageladder/core/forward/Forwarder.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/Forwarder.kt
@@ -240,10 +240,11 @@
                 context.record(EventKind.STORE_LOST, detail = detail)
             }
             RegistryChange.Restored -> onRegistryRestored()
-            RegistryChange.Available -> {
+            is RegistryChange.Available -> {
                 context.keyCheck.isRegistryLost = false
                 entryCounter.recordAvailability(isAvailable = true, scheduler.now())
-                context.record(EventKind.STORE_BACK, detail = "the registry is available again")
+                val detail = "the registry is available again; it has answered for ${change.answeringFor}"
+                context.record(EventKind.STORE_BACK, detail = detail)
             }
         }
         upstreamSelector.removeUnregistered()
--- a/core/src/main/kotlin/org/lovageladder/core/forward/Membership.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/Membership.kt
@@ -67,8 +67,8 @@
     /** The registry is unavailable; it last answered [silentFor] ago. */
     public data class Unavailable(val silentFor: Duration = Duration.ZERO) : RegistryChange
 
-    /** The registry is available again. */
-    public data object Available : RegistryChange
+    /** The registry is available again; it has answered for [answeringFor]. */
+    public data class Available(val answeringFor: Duration = Duration.ZERO) : RegistryChange
 
     /**
      * The registry was restored from an older copy; a full read follows. What was written since the copy is gone until
@@ -81,8 +81,8 @@
  * Upstreams that may get requests, according to the registry. Upstreams renew their registrations every
  * [registrationInterval], and a registration expires after [EXPIRY_INTERVALS] of them. Registrations can therefore
  * expire during a registry outage although their upstreams are alive. An upstream whose registration is removed during
- * such an outage or shortly after it stays in use until [REGISTRATION_GRACE_PERIOD] after the registry became
- * available. In a shorter silence of the registry, such as a connection that was lost, no living upstream's
+ * such an outage or shortly after it stays in use until [REGISTRATION_GRACE_PERIOD] after the registry answered again.
+ * In a shorter silence of the registry, such as a connection that was lost, no living upstream's
  * registration expires, so that one that is missing afterwards was removed.
  *
  * The copy from which a registry is restored is older than what this process knows: an upstream that left, is leaving
@@ -90,7 +90,7 @@
  */
 public class Membership(private val registrationInterval: Duration = DEFAULT_REGISTRATION_INTERVAL) {
     private val registrations = HashMap<UpstreamName, UpstreamRegistration>()
-    private val missing = HashSet<UpstreamName>()
+    private val missingSince = HashMap<UpstreamName, Moment>()
     private val endedStarts = HashMap<UpstreamName, Long?>()
     private val removedAt = HashMap<UpstreamName, Moment>()
     private val withdrawnSince = HashMap<UpstreamName, Moment>()
@@ -117,7 +117,7 @@
             -> Unit
             is RegistryChange.FullRead -> replaceAll(change.registrations, now)
             is RegistryChange.Unavailable -> unavailableSince = unavailableSince ?: (now - change.silentFor)
-            RegistryChange.Available -> endOutage(now)
+            is RegistryChange.Available -> endOutage(now - change.answeringFor)
             RegistryChange.Restored -> {
                 isRestored = true
                 gracePeriodUntil = now + REGISTRATION_GRACE_PERIOD
@@ -125,10 +125,10 @@
         }
     }
 
-    private fun endOutage(now: Moment) {
+    private fun endOutage(endedAt: Moment) {
         val since = unavailableSince ?: return
         unavailableSince = null
-        if (canExpireWithin(now - since)) gracePeriodUntil = now + REGISTRATION_GRACE_PERIOD
+        if (canExpireWithin(endedAt - since)) gracePeriodUntil = endedAt + REGISTRATION_GRACE_PERIOD
     }
 
     /** Whether a registration can expire in an [outage]; its last renewal may be an interval older than the outage. */
@@ -137,7 +137,7 @@
     /** Removes the upstream [name] after it, or its address, reported that this incarnation has ended. */
     public fun removeEnded(name: UpstreamName) {
         val registration = registrations.remove(name) ?: return
-        missing.remove(name)
+        missingSince.remove(name)
         endedStarts[name] = registration.startedAt
     }
 
@@ -189,7 +189,7 @@
         if (current != null && current.revision > registration.revision) return
         endedStarts.remove(registration.name)
         removedAt.remove(registration.name)
-        missing.remove(registration.name)
+        missingSince.remove(registration.name)
         registrations[registration.name] = registration
         if (registration.isLeaving) {
             withdrawnSince.putIfAbsent(registration.name, now)
@@ -205,17 +205,17 @@
 
     private fun markMissing(name: UpstreamName, now: Moment) {
         if (isGracePeriod(now)) {
-            missing += name
+            missingSince.putIfAbsent(name, now)
         } else {
             registrations.remove(name)
-            missing.remove(name)
+            missingSince.remove(name)
             recordRemoval(name, now)
         }
     }
 
-    private fun recordRemoval(name: UpstreamName, now: Moment) {
-        removedAt[name] = now
-        withdrawnSince.putIfAbsent(name, now)
+    private fun recordRemoval(name: UpstreamName, since: Moment) {
+        removedAt[name] = since
+        withdrawnSince.putIfAbsent(name, since)
     }
 
     /** Whether a missing registration may still be renewed by a living upstream. */
@@ -250,10 +250,10 @@
     }
 
     private fun removeExpired(now: Moment) {
-        if (missing.isEmpty() || isGracePeriod(now)) return
-        registrations.keys.removeAll(missing)
-        missing.forEach { recordRemoval(it, now) }
-        missing.clear()
+        if (missingSince.isEmpty() || isGracePeriod(now)) return
+        registrations.keys.removeAll(missingSince.keys)
+        missingSince.forEach { (name, since) -> recordRemoval(name, since) }
+        missingSince.clear()
     }
 
     private companion object {
--- a/core/src/main/kotlin/org/lovageladder/core/forward/RegistryFollower.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/RegistryFollower.kt
@@ -1,5 +1,6 @@
 package org.lovageladder.core.forward
 
+import org.lovageladder.core.Moment
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -55,8 +56,8 @@
     public fun watch(revision: Long, timeout: Duration, answer: (RegistryWatch) -> Unit): Cancellable
 
     /**
-     * Checks on a connection of its own, which was open before, that the registry answers; [answer] gets whether it did
-     * in time.
+     * Checks that the registry answers, on a connection of its own: one that is open and carries no other check, or a
+     * new one. [answer] gets whether it did in time.
      */
     public fun checkContact(answer: (Boolean) -> Unit): Cancellable
 }
@@ -79,6 +80,10 @@
  * ends. The contact is therefore checked at short intervals; after a failed check, all is read beside the watch, and
  * whichever answers first ends the other.
  *
+ * While the registry is unavailable, its contact is checked at much shorter intervals, without waiting for the checks
+ * before: a connection that was opened during a cut repeats its first packet only after a second or more. The first
+ * check that is answered starts a read on new connections, and tells since when the registry answers again.
+ *
  * An answer of a later epoch shows that the registry was restored from an older copy. All is read again then, also when
  * the registry knows the revision of the watch, since it may have reached it by other changes. Answers of an earlier
  * epoch are ignored. Confined to one thread.
@@ -91,6 +96,8 @@
     private var isUnavailable = false
     private var consecutiveFailures = 0
     private var lastAnswerAt = scheduler.now()
+    private var contactSince: Moment? = null
+    private var contactRetry: Cancellable? = null
     private var epoch: Long? = null
     private var runningWatch: Cancellable? = null
     private var isReading = false
@@ -112,12 +119,18 @@
                 read is RegistryRead.Complete -> onRead(read.snapshot)
                 else -> {
                     onFailure()
-                    scheduler.schedule(retryDelay()) { if (number == readNumber) readAll() }
+                    scheduleRead()
                 }
             }
         }
     }
 
+    /** Reads all after a delay, unless another read begins or an answer makes it needless before. */
+    private fun scheduleRead() {
+        val number = readNumber
+        scheduler.schedule(retryDelay()) { if (number == readNumber) readAll() }
+    }
+
     private fun endRead() {
         isReading = false
         readNumber += 1
@@ -174,7 +187,7 @@
 
     private fun onWatchFailed() {
         onFailure()
-        scheduler.schedule(retryDelay()) { readAll() }
+        scheduleRead()
     }
 
     private fun scheduleContactCheck() {
@@ -196,12 +209,39 @@
         readAll()
     }
 
+    private fun retryContact() {
+        val startedAt = scheduler.now()
+        registry.checkContact { isAnswered ->
+            when {
+                !isUnavailable -> Unit
+                isAnswered -> onContact()
+                startedAt >= (contactSince ?: startedAt) -> contactSince = null
+            }
+        }
+        scheduleContactRetry()
+    }
+
+    private fun scheduleContactRetry() {
+        contactRetry = scheduler.schedule(CONTACT_RETRY_INTERVAL) { retryContact() }
+    }
+
+    /** A read that began before the contact was regained may wait on a connection that is still silent. */
+    private fun onContact() {
+        if (contactSince != null) return
+        contactSince = scheduler.now()
+        consecutiveFailures = 0
+        readAll()
+    }
+
     private fun onAnswer() {
         consecutiveFailures = 0
         lastAnswerAt = scheduler.now()
         if (!isUnavailable) return
         isUnavailable = false
-        listener.onChange(RegistryChange.Available)
+        contactRetry?.cancel()
+        val answeringSince = contactSince ?: lastAnswerAt
+        contactSince = null
+        listener.onChange(RegistryChange.Available(answeringFor = lastAnswerAt - answeringSince))
     }
 
     private fun onFailure() {
@@ -209,6 +249,7 @@
         if (isUnavailable) return
         isUnavailable = true
         listener.onChange(RegistryChange.Unavailable(silentFor = scheduler.now() - lastAnswerAt))
+        scheduleContactRetry()
     }
 
     private fun retryDelay(): Duration =
@@ -220,6 +261,9 @@
         /** A silent connection is noticed after this and the timeout of a call, well before a drain ends. */
         val CONTACT_CHECK_INTERVAL: Duration = 1.seconds
 
+        /** The end of an outage is noticed after this and the time of an answer. */
+        val CONTACT_RETRY_INTERVAL: Duration = 250.milliseconds
+
         /** Changes often come in groups, and each answer of the registry has a cost. */
         val BATCHING_DELAY: Duration = 150.milliseconds
         val INITIAL_RETRY_DELAY: Duration = 50.milliseconds
--- a/core/src/test/kotlin/org/lovageladder/core/forward/EntryFleet.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/forward/EntryFleet.kt
@@ -375,7 +375,7 @@
     /** The registry is available again, and the process reads all of it. */
     fun reconnect() {
         isCutFromRegistry = false
-        forwarder.onRegistryChange(RegistryChange.Available)
+        forwarder.onRegistryChange(RegistryChange.Available())
         readRegistry()
     }
 
--- a/core/src/test/kotlin/org/lovageladder/core/forward/ForwardFuzzTest.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/forward/ForwardFuzzTest.kt
@@ -142,7 +142,7 @@
             ForwardFuzzCommandKind.REGISTRY_UNAVAILABLE -> fixture.forwarder.onRegistryChange(
                 RegistryChange.Unavailable(),
             )
-            ForwardFuzzCommandKind.REGISTRY_AVAILABLE -> fixture.forwarder.onRegistryChange(RegistryChange.Available)
+            ForwardFuzzCommandKind.REGISTRY_AVAILABLE -> fixture.forwarder.onRegistryChange(RegistryChange.Available())
             ForwardFuzzCommandKind.DRAIN -> drain(command)
             ForwardFuzzCommandKind.CONFIGURE_NEWER -> configure(++version)
             ForwardFuzzCommandKind.CONFIGURE_OLDER -> configure((version - 1 - command.selector % 2).coerceAtLeast(1))
--- a/core/src/test/kotlin/org/lovageladder/core/forward/MembershipTest.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/forward/MembershipTest.kt
@@ -22,7 +22,7 @@
     private val oneRemoved = RegistryChange.Removed(UpstreamName("one"), revision = 2)
     private val missing = RegistryChange.FullRead(listOf(two))
     private val lost = RegistryChange.Unavailable()
-    private val back = RegistryChange.Available
+    private val back = RegistryChange.Available()
 
     private fun registered(revision: Long, isLeaving: Boolean = false) =
         RegistryChange.Registered(one.copy(isLeaving = isLeaving, revision = revision))
@@ -65,6 +65,24 @@
         }
     }
 
+    /** Guards against a removal that counts from when it is looked at, and not from when the upstream was missing. */
+    @Test
+    fun earlierDecisionForAnUpstreamThatStaysMissingEndsWithItsGracePeriod() {
+        listOf(
+            6.seconds to true,
+            7.2.seconds to true,
+            7.4.seconds to false,
+            9.seconds to false,
+        ).forEach { (at, isAdmitted) ->
+            val membership = Membership()
+            membership.apply(RegistryChange.FullRead(listOf(one, two)), Moment(0))
+            listOf(1 to lost, 5 to back, 5 to missing).forEach { (seconds, change) ->
+                membership.apply(change, Moment(0) + seconds.seconds)
+            }
+            assertEquals(isAdmitted, membership.admitsDecided(one, Moment(0) + at), "at $at")
+        }
+    }
+
     @Test
     fun endedUpstreamIsLeftOutUntilItRestarts() {
         val membership = Membership()
--- a/core/src/test/kotlin/org/lovageladder/core/forward/UpstreamNoticesTest.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/forward/UpstreamNoticesTest.kt
@@ -99,7 +99,7 @@
             Case("registry unavailable for a time", isUsed = false) {
                 it.forwarder.onRegistryChange(RegistryChange.Unavailable())
                 it.scheduler.advance(30.seconds)
-                it.forwarder.onRegistryChange(RegistryChange.Available)
+                it.forwarder.onRegistryChange(RegistryChange.Available())
             },
             Case("restarted", isUsed = true) { register(it, restarted.copy(startedAt = 8, revision = 3)) },
         ).forEach { case ->
