--- a/core/src/main/kotlin/org/lovageladder/core/forward/EntryCounter.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/EntryCounter.kt
@@ -59,6 +59,9 @@
         )
     }
 
+    /** Whether the registry, which is available, does not list this entry. */
+    val isMissing: Boolean get() = self !in registered && registryUnavailableSince == null
+
     /** Marks all entries as missing before the registrations of a full read are recorded. */
     fun markAllMissing(now: Moment) {
         messageAddresses.clear()
--- a/core/src/main/kotlin/org/lovageladder/core/forward/EntryRegistrar.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/EntryRegistrar.kt
@@ -17,11 +17,16 @@
     public fun renew(lease: RegistryLease, answer: (Boolean) -> Unit)
 }
 
-/** Keeps this entry registered under a lease of [period]. Confined to one thread. */
+/**
+ * Keeps this entry registered under a lease of [period]. A renewed lease does not show that the registration is still
+ * there: an earlier one that was done late may have replaced it and lapsed. So the entry also registers again when
+ * [isMissing] tells at a renewal that the registry does not list it. Confined to one thread.
+ */
 public class EntryRegistrar(
     private val port: EntryRegistrationPort,
     private val scheduler: Scheduler,
     private val period: Duration,
+    private val isMissing: () -> Boolean = { false },
 ) {
     private var registrations = 0
 
@@ -50,7 +55,7 @@
             port.renew(lease) { isExtended ->
                 when {
                     number != registrations -> Unit
-                    isExtended -> scheduleRenewal(lease, number)
+                    isExtended && !isMissing() -> scheduleRenewal(lease, number)
                     else -> register()
                 }
             }
--- a/core/src/main/kotlin/org/lovageladder/core/forward/Forwarder.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/Forwarder.kt
@@ -179,6 +179,9 @@
     /** Whether requests can be forwarded. */
     public val isReady: Boolean get() = configuration != null && membership.isLoaded
 
+    /** Whether the registry was read and does not list this entry. */
+    public val isRegistrationMissing: Boolean get() = membership.isLoaded && entryCounter.isMissing
+
     /** Replaces the limits on retries. */
     public fun updateRetryLimits(newer: RetryLimits) {
         retryBudget.updateLimits(newer)
--- a/core/src/test/kotlin/org/lovageladder/core/forward/EntryCounterTest.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/forward/EntryCounterTest.kt
@@ -8,6 +8,7 @@
 import kotlin.test.assertNull
 import kotlin.test.assertTrue
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
 /** Number of entries that share the common limits, and the registration of this entry. */
@@ -144,6 +145,29 @@
         assertEquals(registrations, registration.registrations)
     }
 
+    /** Guards against an entry that renews its lease for ever while nobody counts it. */
+    @Test
+    fun registrationThatTheRegistryDoesNotListIsRepeated() {
+        data class Case(val isListed: Boolean, val isAvailable: Boolean, val isRepeated: Boolean)
+        listOf(
+            Case(isListed = true, isAvailable = true, isRepeated = false),
+            Case(isListed = false, isAvailable = true, isRepeated = true),
+            Case(isListed = false, isAvailable = false, isRepeated = false),
+        ).forEach { case ->
+            val scheduler = VirtualScheduler()
+            val registration = FakeEntryRegistrationPort(scheduler)
+            val counter = EntryCounter(ProcessName("a"), expectedCount = 8)
+            EntryRegistrar(registration, scheduler, 6.seconds, isMissing = { counter.isMissing }).start()
+            counter.recordRegistration(ProcessName("a"), isRegistered = true, scheduler.now())
+            scheduler.advance(10.seconds)
+            assertEquals(1, registration.registrations, "$case")
+            counter.recordAvailability(case.isAvailable, scheduler.now())
+            counter.recordRegistration(ProcessName("a"), case.isListed, scheduler.now())
+            scheduler.advance(2_500.milliseconds)
+            assertEquals(case.isRepeated, registration.registrations > 1, "$case")
+        }
+    }
+
     @Test
     fun registrationIsRepeatedAtOnceWhenTheRegistryIsRestored() {
         val scheduler = VirtualScheduler()
--- a/daemon/src/main/kotlin/org/lovageladder/daemon/ForwardProcess.kt
+++ b/daemon/src/main/kotlin/org/lovageladder/daemon/ForwardProcess.kt
@@ -123,6 +123,7 @@
             PlatformEntryRegistration(store, settings.name, messages?.address),
             scheduler,
             REGISTRATION_LEASE,
+            isMissing = { forwarder.isRegistrationMissing },
         )
     private val requestBuffers = RequestBufferPool(settings.requestBytes)
     private val unreadAnswers = UnreadAnswers(settings.answerBufferBytes, scheduler, eventLog::record)
