Confirm no end of an answer by another start of its upstream

Cause: the end of an unframed answer counts as its completion if the upstream answers a health check afterwards. The end came 1.8 s late, and another start answered the check, which names no start without a body.

Change: the entry also asks its view of the registry whether the incarnation that it had called has ended.

The new table in PlainFlowTest failed before at "/action/1, another start" and passes.

--- a/core/src/main/kotlin/org/lovageladder/core/forward/ForwardContext.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/ForwardContext.kt
@@ -30,7 +30,8 @@
     private val disabledMechanisms: Set<Mechanism> = emptySet(),
     val messages: EntryMessagePort = EntryMessagePort { _, _ -> },
 ) {
-    val survivalCheck: SurvivalCheck = SurvivalCheck(upstreamPort, scheduler, notices, requestLimits, eventSink)
+    val survivalCheck: SurvivalCheck =
+        SurvivalCheck(upstreamPort, scheduler, notices, requestLimits, eventSink, membership::hasEnded)
 
     val keyCheck: KeyCheck = KeyCheck()
 
--- a/core/src/main/kotlin/org/lovageladder/core/forward/SurvivalCheck.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/SurvivalCheck.kt
@@ -12,7 +12,11 @@
 /**
  * Finds out whether upstreams outlive the end of one of their connections. The end alone does not tell: a process that
  * crashes ends its connections in the same way as one that ends an answer without framing, or cuts it off, and lives.
- * So the upstream is asked, with a call that begins after the end. Confined to one thread.
+ * So the upstream is asked, with a call that begins after the end.
+ *
+ * The end may reach this process seconds late, when another start of the upstream answers under the same name. An
+ * upstream that [hasEnded] by what the registry tells has therefore not outlived the end, whoever answers. Confined to
+ * one thread.
  *
  * Load pattern: answers with neither a length nor chunks, beside upstreams that crash.
  */
@@ -22,6 +26,7 @@
     private val notices: UpstreamNotices,
     private val requestLimits: RequestLimits,
     private val eventSink: EventSink,
+    private val hasEnded: (UpstreamIncarnation) -> Boolean,
 ) {
     private val questions = HashMap<UpstreamIncarnation, Question>()
 
@@ -56,7 +61,10 @@
 
     private fun ask(question: Question) {
         if (acceptsCall(question.upstream)) {
-            port.checkRunning(question.upstream, question.healthPath) { tell(question, it, "running=$it") }
+            port.checkRunning(question.upstream, question.healthPath) { isRunning ->
+                val isReplaced = hasEnded(question.upstream)
+                tell(question, isRunning && !isReplaced, "running=$isRunning replaced=$isReplaced")
+            }
         } else {
             postpone(question)
         }
--- a/core/src/test/kotlin/org/lovageladder/core/forward/PlainFlowTest.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/forward/PlainFlowTest.kt
@@ -1,7 +1,9 @@
 package org.lovageladder.core.forward
 
+import org.lovageladder.core.Address
 import org.lovageladder.core.EventKind
 import org.lovageladder.core.ProcessName
+import org.lovageladder.core.UpstreamName
 import kotlin.test.Test
 import kotlin.test.assertContains
 import kotlin.test.assertEquals
@@ -139,6 +141,38 @@
         }
     }
 
+    /**
+     * Guards against half of an unframed answer being passed on as the whole, when its upstream crashed behind a cut and
+     * another start of it answers the health check.
+     */
+    @Test
+    fun endOfAnUnframedAnswerIsNotConfirmedByAnotherStartOfItsUpstream() {
+        class Change(val name: String, val isWhole: Boolean, val of: (UpstreamRegistration) -> UpstreamRegistration)
+        val changes = listOf(
+            Change("a heartbeat", isWhole = true) { it },
+            Change("leaves", isWhole = true) { it.copy(isLeaving = true) },
+            Change("another start", isWhole = false) { it.copy(startedAt = 2) },
+            Change("another address", isWhole = false) { it.copy(address = Address("10.0.0.9", 9)) },
+            Change("its address is another's", isWhole = false) { it.copy(name = UpstreamName("other")) },
+        )
+        listOf("/action/1", "/plain-stream/1", "/stream/1").forEach { target ->
+            changes.forEach { change ->
+                val fixture = ForwardFixture()
+                val reply = fixture.submit(target).reply
+                fixture.scheduler.advance(200.milliseconds)
+                val call = fixture.upstreams.receivedCalls.single()
+                beginStream(call, "data: a\n\n", endsWithConnection = true)
+                val registration = ForwardFixture.REGISTRATIONS.first { it.name == call.attempt.upstream.name }
+                val changed = change.of(registration.copy(revision = 2))
+                fixture.forwarder.onRegistryChange(RegistryChange.Registered(changed))
+                call.end()
+                fixture.scheduler.advance(100.milliseconds)
+                assertEquals(change.isWhole, reply.isComplete, "$target, ${change.name}")
+                assertTrue(reply.isFinal, "$target, ${change.name}")
+            }
+        }
+    }
+
     /** What the caller of an action may not get still stands in the log. */
     @Test
     fun logNamesTheStatusThatIsWithheld() {
@@ -359,8 +393,12 @@
 private const val EVENTS = "text/event-stream; charset=utf-8"
 
 private fun stream(call: ReceivedCall, body: String, endsWithConnection: Boolean = false, type: String = EVENTS) {
+    beginStream(call, body, endsWithConnection, type)
+    call.end()
+}
+
+private fun beginStream(call: ReceivedCall, body: String, endsWithConnection: Boolean, type: String = EVENTS) {
     val headers = listOf(HeaderField("content-type", type))
     call.head(200, endsWithConnection = endsWithConnection, headers = headers)
     if (body.isNotEmpty()) call.content(body)
-    call.end()
 }
