Begin the buckets of the retry budget at the present time

They began at moment 0 of a clock whose origin is arbitrary: a process whose clock is below it would have refilled them with negative time.

--- a/core/src/main/kotlin/org/lovageladder/core/forward/RetryBudget.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/RetryBudget.kt
@@ -46,8 +46,9 @@
     }
 
     private fun refilled(service: ServiceName, now: Moment): TokenBucket {
-        val bucket = buckets.getOrPut(service) { TokenBucket(tokens = 0.0, Moment(0)) }
-        bucket.skipTo(entries.settledSince(now) ?: now)
+        val refillsSince = entries.settledSince(now) ?: now
+        val bucket = buckets.getOrPut(service) { TokenBucket(tokens = 0.0, refilledAt = refillsSince) }
+        bucket.skipTo(refillsSince)
         bucket.refill(halfOfShare(now) / (limits.window / 1.seconds), capacity(now), now)
         return bucket
     }
