Take no earlier registration at an address for the end of its upstream

One that is older belongs to an upstream that ended before, whose address was used again; sound unframed answers would have failed until it expired.

Change: another registration counts only if it is later. Handles of prefill results, which no engine checks, stay as careful as they were (mayHaveEnded).

--- a/core/src/main/kotlin/org/lovageladder/core/forward/ForwardContext.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/ForwardContext.kt
@@ -126,11 +126,11 @@
     }
 
     /**
-     * Returns [result] unless its engine has ended since. Its handle could then be one of another prompt, which no
+     * Returns [result] unless its engine may have ended since. Its handle could then be one of another prompt, which no
      * engine checks.
      */
     fun unlessLost(result: PrefillResult, request: RequestId): PrefillResult? {
-        if (!membership.hasEnded(result.engine)) return result
+        if (!membership.mayHaveEnded(result.engine)) return result
         record(EventKind.PREFILL_WASTED, request, result.engine.name, detail = "its engine has ended since")
         return null
     }
--- a/core/src/main/kotlin/org/lovageladder/core/forward/Membership.kt
+++ b/core/src/main/kotlin/org/lovageladder/core/forward/Membership.kt
@@ -82,8 +82,8 @@
  * [registrationInterval], and a registration expires after [EXPIRY_INTERVALS] of them. Registrations can therefore
  * expire during a registry outage although their upstreams are alive. An upstream whose registration is removed during
  * such an outage or shortly after it stays in use until [REGISTRATION_GRACE_PERIOD] after the registry answered again.
- * In a shorter silence of the registry, such as a connection that was lost, no living upstream's
- * registration expires, so that one that is missing afterwards was removed.
+ * In a shorter silence of the registry, such as a connection that was lost, no living upstream's registration expires,
+ * so that one that is missing afterwards was removed.
  *
  * The copy from which a registry is restored is older than what this process knows: an upstream that left, is leaving
  * or was started anew since does not come back by it, but only by a registration of its own. Confined to one thread.
@@ -144,15 +144,25 @@
     private fun isEndedStart(name: UpstreamName, startedAt: Long?) =
         endedStarts.containsKey(name) && endedStarts[name] == startedAt
 
-    /** Whether [incarnation] is known to have ended: it was reported, or another one has its name or address. */
+    /** Whether [incarnation] may have ended: it was reported, or another one has its name or address. */
+    public fun mayHaveEnded(incarnation: UpstreamIncarnation): Boolean =
+        hasEnded(incarnation) || registrations.values.any { isOtherAtAddress(it, incarnation) }
+
+    /**
+     * Whether [incarnation] is known to have ended: it was reported, its name has another start or address, or another
+     * upstream registered at its address later. One that registered before it ended earlier, and has not expired yet.
+     */
     public fun hasEnded(incarnation: UpstreamIncarnation): Boolean {
-        val name = incarnation.name
-        if (isEndedStart(name, incarnation.startedAt)) return true
-        return registrations.values.any {
-            it.incarnation != incarnation && (it.name == name || it.address == incarnation.address)
-        }
+        if (isEndedStart(incarnation.name, incarnation.startedAt)) return true
+        val current = registrations[incarnation.name]
+        if (current != null && current.incarnation != incarnation) return true
+        val revision = current?.revision ?: NO_REVISION
+        return registrations.values.any { isOtherAtAddress(it, incarnation) && it.revision > revision }
     }
 
+    private fun isOtherAtAddress(registration: UpstreamRegistration, incarnation: UpstreamIncarnation) =
+        registration.name != incarnation.name && registration.address == incarnation.address
+
     /**
      * Whether the upstream of [chosen] accepts at [now] a request that was to be sent there by an earlier decision. It
      * does until shortly after it began to leave or was removed, unless it was replaced or has another role. An
--- a/core/src/test/kotlin/org/lovageladder/core/forward/PlainFlowTest.kt
+++ b/core/src/test/kotlin/org/lovageladder/core/forward/PlainFlowTest.kt
@@ -154,6 +154,9 @@
             Change("another start", isWhole = false) { it.copy(startedAt = 2) },
             Change("another address", isWhole = false) { it.copy(address = Address("10.0.0.9", 9)) },
             Change("its address is another's", isWhole = false) { it.copy(name = UpstreamName("other")) },
+            Change("its address was another's, which has not expired", isWhole = true) {
+                it.copy(name = UpstreamName("other"), revision = 0)
+            },
         )
         listOf("/action/1", "/plain-stream/1", "/stream/1").forEach { target ->
             changes.forEach { change ->
